--- /dev/null
+++ b/src/larkpost/__main__.py
@@ -0,0 +1,5 @@
+"""Runs the command line as ``python -m larkpost``."""
+
+from larkpost.cli import app
+
+app()
--- /dev/null
+++ b/src/larkpost/api/responses.py
@@ -0,0 +1,59 @@
+"""HTTP answers shared by all routes: errors, and bodies that are checked on the way in."""
+
+import math
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
+
+from pydantic import BaseModel, ValidationError
+from starlette.requests import Request
+from starlette.responses import Response
+
+from larkpost.api.schema import error_document
+from larkpost.errors import InvalidRequestError, LarkpostError, Ran
+from larkpost.settings import describe_validation
+from larkpost.telemetry import Telemetry
+
+Document = TypeVar("Document", bound=BaseModel)
+Endpoint = Callable[[Request], Awaitable[Response]]
+JSON = "application/json"
+
+
+def json_response(document: BaseModel, status: int = 200) -> Response:
+    """Answers with a document."""
+    return Response(document.model_dump_json(), status, media_type=JSON)
+
+
+def error_response(error: LarkpostError) -> Response:
+    """Answers with an error, and Retry-After where asking again makes sense."""
+    headers = {}
+    if error.retry_after is not None:
+        headers["Retry-After"] = str(math.ceil(error.retry_after))
+    body = '{"error":' + error_document(error).model_dump_json() + "}"
+    return Response(body, error.status, headers, media_type=JSON)
+
+
+async def read_document(request: Request, kind: type[Document]) -> Document:
+    """Reads and checks a request's body.
+
+    Raises:
+        InvalidRequestError: the body is not such a document; the message names each wrong field.
+    """
+    try:
+        return kind.model_validate_json(await request.body())
+    except ValidationError as error:
+        raise InvalidRequestError(describe_validation(error)) from None
+
+
+def with_errors(endpoint: Endpoint, telemetry: Telemetry) -> Endpoint:
+    """Turns a raised error into its answer; an unexpected one is logged with its origin."""
+
+    async def guarded(request: Request) -> Response:
+        try:
+            return await endpoint(request)
+        except LarkpostError as error:
+            return error_response(error)
+        except Exception as error:
+            telemetry.fault(request.url.path, error)
+            return error_response(LarkpostError(repr(error), ran=Ran.UNKNOWN))
+
+    return guarded
--- /dev/null
+++ b/src/larkpost/api/schema.py
@@ -0,0 +1,180 @@
+"""The JSON documents that callers and operators exchange with a daemon."""
+
+from typing import Literal
+
+from pydantic import BaseModel, ConfigDict, Field
+
+from larkpost.batches.ledger import BatchSpec, Page, Sample
+from larkpost.batches.service import Pull
+from larkpost.errors import InvalidRequestError, LarkpostError
+from larkpost.ids import BatchId, PoolId, TrainerId
+
+MAX_HELD = 65_536
+
+
+class _Document(BaseModel):
+    """Refuses unknown fields, with the field's name in the error."""
+
+    model_config = ConfigDict(extra="forbid")
+
+
+class Message(BaseModel):
+    """One message of a chat."""
+
+    role: str
+    content: str
+
+
+class CompletionRequest(BaseModel):
+    """An OpenAI-compatible request; unknown fields are ignored, as clients send many."""
+
+    model: str = Field(description="Name of a service of the intent.")
+    prompt: str | None = None
+    messages: list[Message] | None = None
+    max_tokens: int = 256
+    stream: bool = False
+
+    def prompt_text(self) -> str:
+        """Returns the prompt as one text."""
+        if self.prompt is not None:
+            return self.prompt
+        if self.messages is None:
+            raise InvalidRequestError("give either `prompt` or `messages`")
+        return "\n".join(f"{message.role}: {message.content}" for message in self.messages)
+
+
+class BatchDocument(_Document):
+    """A trainer's batch."""
+
+    trainer: TrainerId
+    pool: PoolId
+    prompts: list[str]
+    samples_per_prompt: int = Field(default=1, ge=1)
+    staleness_bound: int = Field(default=2, ge=0)
+    policy_version: int = Field(ge=0)
+    max_tokens: int = Field(default=1024, ge=1)
+    due_seconds: float = Field(default=0.0, ge=0)
+    expected_tokens: list[int] = Field(default=[])
+    held: list[tuple[int, int]] = Field(
+        default=[], description="Ranges [first, last] of slots the trainer already has."
+    )
+
+    def to_spec(self, batch: BatchId) -> BatchSpec:
+        """Returns the specification."""
+        return BatchSpec(
+            id=batch,
+            trainer=self.trainer,
+            pool=self.pool,
+            prompts=tuple(self.prompts),
+            samples_per_prompt=self.samples_per_prompt,
+            staleness_bound=self.staleness_bound,
+            policy_version=self.policy_version,
+            max_tokens=self.max_tokens,
+            due=self.due_seconds,
+            expected_tokens=tuple(self.expected_tokens),
+        )
+
+
+class PullDocument(_Document):
+    """A trainer's pull of one page."""
+
+    page: int = Field(ge=1)
+    trainer_version: int = Field(ge=0)
+    held: list[tuple[int, int]] = []
+    limit: int = Field(default=0, ge=0)
+    wait_seconds: float | None = Field(default=None, ge=0)
+
+    def to_pull(self, batch: BatchId) -> Pull:
+        """Returns the pull."""
+        held = expand_ranges(self.held)
+        return Pull(batch, self.page, self.trainer_version, held, self.limit, self.wait_seconds)
+
+
+class SpanDocument(_Document):
+    """A run of tokens that one weight version produced."""
+
+    version: int
+    first_token: int
+    count: int
+
+
+class SampleDocument(_Document):
+    """A finished sample."""
+
+    slot: int
+    prompt: int
+    tokens: list[int]
+    versions: list[SpanDocument]
+
+
+class PageDocument(_Document):
+    """A page of samples. ``remaining`` slots are still lacking after it."""
+
+    batch: BatchId
+    page: int
+    samples: list[SampleDocument]
+    remaining: int
+
+
+class ErrorDocument(_Document):
+    """Every failure answer."""
+
+    code: str
+    message: str
+    remedy: str
+    ran: Literal["no", "unknown"]
+    retry_after: float | None = None
+
+
+def page_document(batch: BatchId, page: Page, spec_samples: int) -> PageDocument:
+    """Writes a page; ``spec_samples`` is the batch's samples per prompt."""
+    samples = [_sample_document(sample, spec_samples) for sample in page.samples]
+    return PageDocument(batch=batch, page=page.number, samples=samples, remaining=page.remaining)
+
+
+def error_document(error: LarkpostError) -> ErrorDocument:
+    """Writes an error."""
+    return ErrorDocument(
+        code=error.code,
+        message=error.message,
+        remedy=error.remedy,
+        ran=error.ran.value,
+        retry_after=error.retry_after,
+    )
+
+
+def expand_ranges(ranges: list[tuple[int, int]]) -> tuple[int, ...]:
+    """Returns the slots of inclusive ranges.
+
+    Raises:
+        InvalidRequestError: a range is empty or there are too many slots.
+    """
+    total = 0
+    for first, last in ranges:
+        total += last - first + 1
+        if first > last or first < 0 or total > MAX_HELD:
+            raise InvalidRequestError(f"held range [{first}, {last}] is wrong or too long")
+    return tuple(slot for first, last in ranges for slot in range(first, last + 1))
+
+
+def compress_slots(slots: set[int]) -> list[tuple[int, int]]:
+    """Writes slots as inclusive ranges."""
+    ranges: list[tuple[int, int]] = []
+    for slot in sorted(slots):
+        if ranges and ranges[-1][1] == slot - 1:
+            ranges[-1] = (ranges[-1][0], slot)
+        else:
+            ranges.append((slot, slot))
+    return ranges
+
+
+def _sample_document(sample: Sample, samples_per_prompt: int) -> SampleDocument:
+    return SampleDocument(
+        slot=sample.slot,
+        prompt=sample.slot // samples_per_prompt,
+        tokens=list(sample.tokens),
+        versions=[
+            SpanDocument(version=s.version, first_token=s.first_token, count=s.count)
+            for s in sample.spans
+        ],
+    )
--- /dev/null
+++ b/src/larkpost/batches/runner.py
@@ -0,0 +1,219 @@
+"""Runs the slots of one batch on engines: chooses which to start where, and which to double.
+
+Three policies shorten the time until the batch is whole: prompts with the longest expected answers
+start first, the samples of a prompt stay on one engine for its prefix cache, and the last running
+samples, or those on an engine that no longer reports, are continued on a second engine from the
+tokens they have. The first attempt to finish gives the slot its value.
+"""
+
+import asyncio
+from collections.abc import Callable
+from contextlib import aclosing
+from dataclasses import dataclass
+
+from larkpost.batches.ledger import BatchLedger, Sample
+from larkpost.blackboard.board import Blackboard
+from larkpost.clock import Clock
+from larkpost.config.intent import TrainerIntent
+from larkpost.errors import LarkpostError
+from larkpost.ids import EngineId, RequestId
+from larkpost.routing.dispatcher import Dispatcher, chunk_size
+from larkpost.routing.selection import Selector
+from larkpost.routing.work import Answer, Work, WorkClass
+from larkpost.settings import BatchSettings
+from larkpost.tasks import TaskSet
+from larkpost.telemetry import Telemetry
+
+ROLLOUT_PRIORITY = 0
+SILENT_ENGINE_SECONDS = 3.0
+"""Age of an engine's last report after which its running samples are continued elsewhere."""
+
+
+@dataclass(slots=True)
+class _Attempt:
+    """One running attempt at a slot."""
+
+    slot: int
+    engine: EngineId
+    answer: Answer
+    task: asyncio.Task | None = None
+
+
+@dataclass(slots=True)
+class _Capacity:
+    """Free rollout slots per engine, counted down while slots are placed."""
+
+    free: dict[EngineId, int]
+    scores: dict[EngineId, float]
+
+    def take(self, preferred: EngineId | None, excluded: list[EngineId]) -> EngineId | None:
+        """Takes a free slot: the preferred engine's, else the least loaded engine's."""
+        usable = [e for e, free in self.free.items() if free > 0 and e not in excluded]
+        if not usable:
+            return None
+        engine = preferred if preferred in usable else min(usable, key=lambda e: self.scores[e])
+        self.free[engine] -= 1
+        self.scores[engine] += 1 / (self.free[engine] + 2)
+        return engine
+
+
+class BatchRunner:
+    """Keeps one batch's slots running until each has a sample."""
+
+    def __init__(
+        self,
+        ledger: BatchLedger,
+        board: Blackboard,
+        dispatcher: Dispatcher,
+        selector: Selector,
+        clock: Clock,
+        tasks: TaskSet,
+        telemetry: Telemetry,
+        settings: BatchSettings,
+        on_sample: Callable[[Sample], None],
+    ) -> None:
+        self.ledger = ledger
+        self._board = board
+        self._dispatcher = dispatcher
+        self._selector = selector
+        self._clock = clock
+        self._tasks = tasks
+        self._telemetry = telemetry
+        self._settings = settings
+        self._on_sample = on_sample
+        self._attempts: list[_Attempt] = []
+        self._group_engines: dict[int, EngineId] = {}
+
+    @property
+    def running(self) -> int:
+        """Attempts under way."""
+        return len(self._attempts)
+
+    def schedule(self) -> None:
+        """Starts what can be started now."""
+        self._cancel_outdated()
+        capacity = self._measure_capacity()
+        for slot in list(self.ledger.pending()):
+            engine = capacity.take(self._group_engine(slot), [])
+            if engine is None:
+                return
+            self._start(slot, engine, Answer())
+        self._double_slow_ones(capacity)
+
+    def cancel_all(self) -> None:
+        """Ends every attempt."""
+        for attempt in list(self._attempts):
+            self._cancel(attempt)
+
+    def minimum_version(self) -> int:
+        """Returns the lowest version at which a new sample may start.
+
+        It is the trainer's bound, tightened by the intent's weight on staleness, and never above
+        the trainer's version: an engine cannot hold a version that does not exist yet.
+        """
+        bound = self.ledger.spec.staleness_bound
+        trainer = self._trainer()
+        weight = trainer.staleness_weight if trainer is not None else 0.0
+        wanted = self.ledger.trainer_version - round((1 - weight) * bound)
+        return max(wanted, self.ledger.oldest_accepted)
+
+    def _trainer(self) -> TrainerIntent | None:
+        return self._board.configuration.intent.trainer(self.ledger.spec.trainer)
+
+    def _measure_capacity(self) -> _Capacity:
+        candidates = self._selector.candidates(self._make_work(0), ())
+        pool = self._board.configuration.intent.pool(self.ledger.spec.pool)
+        reserve = pool.client_reserve if pool is not None else 0
+        free = {c.engine: max(c.free_slots - reserve, 0) for c in candidates}
+        return _Capacity(free, {c.engine: c.score for c in candidates})
+
+    def _group_engine(self, slot: int) -> EngineId | None:
+        if not self._settings.keep_groups:
+            return None
+        return self._group_engines.get(self.ledger.spec.prompt_index(slot))
+
+    def _double_slow_ones(self, capacity: _Capacity) -> None:
+        running = self.ledger.running()
+        is_tail = len(running) <= self._settings.duplicate_last
+        for attempt in list(self._attempts):
+            if len(self.ledger.engines_of(attempt.slot)) != 1:
+                continue
+            if not is_tail and not self._is_silent(attempt.engine):
+                continue
+            engine = capacity.take(None, [attempt.engine])
+            if engine is None:
+                return
+            self._telemetry.count("samples_duplicated")
+            copy = Answer(list(attempt.answer.tokens), list(attempt.answer.spans))
+            self._start(attempt.slot, engine, copy)
+
+    def _is_silent(self, engine: EngineId) -> bool:
+        load = self._board.engines.loads.get(engine)
+        return load is None or self._clock.now() - load.at > SILENT_ENGINE_SECONDS
+
+    def _cancel_outdated(self) -> None:
+        """Ends attempts whose first tokens are already too old for the trainer."""
+        for attempt in list(self._attempts):
+            answer = attempt.answer
+            if answer.spans and answer.oldest_version < self.ledger.oldest_accepted:
+                self._cancel(attempt)
+
+    def _start(self, slot: int, engine: EngineId, answer: Answer) -> None:
+        self.ledger.start(slot, engine)
+        self._group_engines.setdefault(self.ledger.spec.prompt_index(slot), engine)
+        attempt = _Attempt(slot, engine, answer)
+        self._attempts.append(attempt)
+        attempt.task = self._tasks.spawn(self._run(attempt), f"sample-{slot}")
+
+    async def _run(self, attempt: _Attempt) -> None:
+        work = self._make_work(attempt.slot)
+        answer = attempt.answer
+        try:
+            runs = self._dispatcher.run(work, attempt.engine, tuple(answer.tokens))
+            async with aclosing(runs):
+                async for run in runs:
+                    answer.append(run)
+        except LarkpostError as error:
+            self._telemetry.change(f"batch.{self.ledger.spec.id}.failure", error.code)
+        else:
+            self._finish(attempt)
+        finally:
+            self._end(attempt)
+
+    def _finish(self, attempt: _Attempt) -> None:
+        answer = attempt.answer
+        sample = Sample(attempt.slot, tuple(answer.tokens), tuple(answer.spans))
+        if not self.ledger.finish(sample):
+            self._telemetry.count("tokens_wasted", len(sample.tokens))
+            return
+        self._telemetry.count("samples_finished")
+        for other in list(self._attempts):
+            if other.slot == attempt.slot and other is not attempt:
+                self._cancel(other)
+        self._on_sample(sample)
+
+    def _cancel(self, attempt: _Attempt) -> None:
+        self._telemetry.count("tokens_wasted", len(attempt.answer.tokens))
+        self._end(attempt)
+        if attempt.task is not None:
+            attempt.task.cancel()
+
+    def _end(self, attempt: _Attempt) -> None:
+        if attempt in self._attempts:
+            self._attempts.remove(attempt)
+            self.ledger.abandon(attempt.slot, attempt.engine)
+
+    def _make_work(self, slot: int) -> Work:
+        spec = self.ledger.spec
+        return Work(
+            request=RequestId(f"{spec.id}/{slot}"),
+            caller=spec.trainer,
+            work_class=WorkClass.ROLLOUT,
+            pool=spec.pool,
+            prompt=spec.prompts[spec.prompt_index(slot)],
+            max_tokens=spec.max_tokens,
+            priority=ROLLOUT_PRIORITY,
+            deadline=self._clock.now() + self._settings.sample_timeout,
+            min_version=self.minimum_version(),
+            chunk_tokens=chunk_size(WorkClass.ROLLOUT),
+        )
--- /dev/null
+++ b/src/larkpost/batches/service.py
@@ -0,0 +1,310 @@
+"""The batch service: opens, pulls and closes batches, and takes over those of other daemons."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
+
+from larkpost.batches.ledger import BatchLedger, BatchSpec, Page, Sample
+from larkpost.batches.replication import ReplicaStore, Replicator, encode_fetch_reply
+from larkpost.batches.runner import BatchRunner
+from larkpost.blackboard.board import Blackboard, Phase
+from larkpost.clock import Clock
+from larkpost.controllers.directory import Directory
+from larkpost.errors import (
+    BatchConflictError,
+    InvalidRequestError,
+    NotReadyError,
+    OverloadedError,
+    StoppingError,
+    UnknownBatchError,
+)
+from larkpost.ids import BatchId
+from larkpost.settings import BatchSettings
+from larkpost.telemetry import Telemetry
+from larkpost.wire import larkpost_pb2 as pb
+
+SCHEDULE_INTERVAL = 0.05
+MAX_SLOTS = 65_536
+RunnerFactory = Callable[[BatchLedger, Callable[[Sample], None]], BatchRunner]
+
+
+@dataclass(frozen=True, slots=True)
+class Pull:
+    """A trainer's pull.
+
+    Attributes:
+        page: number of the page, counted by the trainer from 1.
+        trainer_version: the trainer's policy version; it must not rise while the pull is open.
+        held: slots the trainer already has.
+        limit: most samples in the page, 0 for the daemon's default.
+        wait: seconds to wait for a first sample, None for the daemon's default.
+    """
+
+    batch: BatchId
+    page: int
+    trainer_version: int
+    held: tuple[int, ...]
+    limit: int = 0
+    wait: float | None = None
+
+
+@dataclass(slots=True)
+class _OpenBatch:
+    """A batch owned by this daemon."""
+
+    ledger: BatchLedger
+    touched: float
+    runner: BatchRunner | None = None
+    unreplicated: list[Sample] = field(default_factory=list)
+    changed: asyncio.Event = field(default_factory=asyncio.Event)
+    copied: bool = False
+
+
+class BatchService:
+    """Owns batches."""
+
+    def __init__(
+        self,
+        board: Blackboard,
+        directory: Directory,
+        replicas: ReplicaStore,
+        replicator: Replicator,
+        make_runner: RunnerFactory,
+        clock: Clock,
+        telemetry: Telemetry,
+        settings: BatchSettings,
+    ) -> None:
+        self._board = board
+        self._directory = directory
+        self._replicas = replicas
+        self._replicator = replicator
+        self._make_runner = make_runner
+        self._clock = clock
+        self._telemetry = telemetry
+        self._settings = settings
+        self._batches: dict[BatchId, _OpenBatch] = {}
+        self.active_pulls = 0
+        """Pulls being answered."""
+
+    @property
+    def running(self) -> int:
+        """Attempts at samples under way."""
+        return sum(batch.runner.running for batch in self._batches.values() if batch.runner)
+
+    def __len__(self) -> int:
+        return len(self._batches)
+
+    async def open(self, spec: BatchSpec, held: tuple[int, ...] = ()) -> None:
+        """Opens a batch, or opens it again with the slots the trainer already holds.
+
+        Raises:
+            LarkpostError: the daemon is not serving, the batch is wrong, or there are too many.
+        """
+        self._check_phase()
+        spec = self._check_spec(spec)
+        _check_slots(spec, held)
+        known = self._batches.get(spec.id)
+        if known is not None:
+            if known.ledger.spec != spec:
+                raise BatchConflictError(f"batch {spec.id!r} is open with another content")
+            known.ledger.note_trainer(spec.policy_version, held)
+            return
+        if len(self._batches) >= self._settings.max_batches:
+            raise OverloadedError(
+                f"{len(self._batches)} batches are open here",
+                remedy="Ask another daemon.",
+                retry_after=1.0,
+            )
+        self._adopt(spec, [], held)
+
+    async def pull(self, call: Pull) -> Page:
+        """Returns a page of finished samples; it is empty if none finished within the wait.
+
+        Raises:
+            UnknownBatchError: neither this daemon nor a replica knows the batch.
+            StoppingError: this daemon has finished what it had running and is leaving.
+        """
+        self.active_pulls += 1
+        try:
+            batch = await self._find(call.batch)
+            _check_slots(batch.ledger.spec, call.held)
+            batch.touched = self._clock.now()
+            self._note_version(batch.ledger.spec, call.trainer_version)
+            batch.ledger.note_trainer(call.trainer_version, call.held)
+            await self._wait_for_samples(batch, call.wait)
+            return self._build_page(batch, call)
+        finally:
+            self.active_pulls -= 1
+
+    def samples_per_prompt(self, batch: BatchId) -> int:
+        """Returns the batch's samples per prompt; 1 if it was closed meanwhile."""
+        known = self._batches.get(batch)
+        return known.ledger.spec.samples_per_prompt if known is not None else 1
+
+    async def close(self, batch: BatchId) -> None:
+        """Ends a batch; one that is not known is closed already."""
+        known = self._batches.pop(batch, None)
+        if known is None:
+            return
+        if known.runner is not None:
+            known.runner.cancel_all()
+        self._update_gauge()
+        await self._replicator.drop(known.ledger.spec)
+
+    async def schedule(self) -> None:
+        """Starts samples of every batch, the one due first before the others."""
+        if self._board.phase != Phase.READY:
+            return
+        for batch in sorted(self._batches.values(), key=lambda b: b.ledger.spec.due):
+            if batch.runner is not None:
+                batch.runner.schedule()
+
+    async def replicate(self) -> None:
+        """Copies newly finished samples to the standbys."""
+        for batch in list(self._batches.values()):
+            news, batch.unreplicated = batch.unreplicated, []
+            if (news or not batch.copied) and not await self._replicator.copy(batch.ledger, news):
+                batch.unreplicated = news + batch.unreplicated
+            else:
+                batch.copied = True
+
+    async def expire(self) -> None:
+        """Drops batches whose trainer has not pulled for long."""
+        limit = self._clock.now() - self._settings.idle_timeout
+        for batch_id, batch in list(self._batches.items()):
+            if batch.touched < limit:
+                self._telemetry.change(f"batch.{batch_id}", "expired")
+                await self.close(batch_id)
+
+    async def on_replicate(self, payload: bytes) -> bytes:
+        """Takes a copy from another daemon."""
+        self._replicas.take(pb.BatchReplica.FromString(payload))
+        return b""
+
+    async def on_fetch(self, payload: bytes) -> bytes:
+        """Answers another daemon that is asked for a batch, and gives the batch up to it."""
+        request = pb.BatchFetchRequest.FromString(payload)
+        batch_id = BatchId(request.id)
+        own = self._board.members.own.id
+        batch = self._batches.get(batch_id)
+        if batch is not None:
+            answer = encode_fetch_reply(batch.ledger.spec, batch.ledger.finished(), own)
+            if request.take_over:
+                self._give_up(batch_id)
+            return answer
+        replica = self._replicas.get(batch_id)
+        if replica is not None:
+            samples = list(replica.samples.values())
+            return encode_fetch_reply(replica.spec, samples, replica.owner)
+        return pb.BatchFetchReply(known=False).SerializeToString()
+
+    def _check_phase(self) -> None:
+        if self._board.phase == Phase.JOINING:
+            raise NotReadyError("this daemon does not know the configuration yet", retry_after=1.0)
+        if self._board.phase == Phase.STOPPING:
+            raise StoppingError("this daemon is stopping")
+
+    def _check_spec(self, spec: BatchSpec) -> BatchSpec:
+        """Checks a specification against the intent and returns it with the bound in force."""
+        trainer = self._board.configuration.intent.trainer(spec.trainer)
+        if trainer is None or spec.pool not in trainer.pools:
+            raise InvalidRequestError(
+                f"trainer {spec.trainer!r} may not draw from pool {spec.pool!r}",
+                remedy="Admit the trainer to the pool in the intent.",
+            )
+        if not 0 < spec.slot_count <= MAX_SLOTS:
+            raise InvalidRequestError(f"a batch has 1 to {MAX_SLOTS} samples")
+        if spec.expected_tokens and len(spec.expected_tokens) != len(spec.prompts):
+            raise InvalidRequestError("expected_tokens needs one number per prompt")
+        if spec.max_tokens < 1 or not all(spec.prompts):
+            raise InvalidRequestError("max_tokens must be above 0 and no prompt may be empty")
+        bound = min(spec.staleness_bound, trainer.staleness_bound)
+        return replace(spec, staleness_bound=bound)
+
+    def _adopt(self, spec: BatchSpec, samples: list[Sample], held: tuple[int, ...]) -> _OpenBatch:
+        ledger = BatchLedger(spec, self._settings.longest_first)
+        batch = _OpenBatch(ledger, self._clock.now())
+        ledger.note_trainer(spec.policy_version, held)
+        for sample in samples:
+            ledger.finish(sample)
+
+        def on_sample(sample: Sample) -> None:
+            batch.unreplicated.append(sample)
+            batch.changed.set()
+
+        batch.runner = self._make_runner(ledger, on_sample)
+        self._batches[spec.id] = batch
+        self._note_version(spec, spec.policy_version)
+        self._update_gauge()
+        return batch
+
+    async def _find(self, batch_id: BatchId) -> _OpenBatch:
+        batch = self._batches.get(batch_id)
+        if batch is not None:
+            if self._is_handed_over(batch):
+                raise StoppingError("this daemon is stopping and nothing of the batch runs here")
+            return batch
+        self._check_phase()
+        found = await self._replicator.find(batch_id)
+        if batch_id in self._batches:
+            return self._batches[batch_id]
+        replica = self._replicas.get(batch_id)
+        samples = found.samples if found is not None else []
+        if replica is not None:
+            samples = samples + list(replica.samples.values())
+        spec = found.spec if found is not None else replica.spec if replica is not None else None
+        if spec is None:
+            raise UnknownBatchError(f"batch {batch_id!r} is not known")
+        self._telemetry.change(f"batch.{batch_id}", "taken over", samples=len(samples))
+        return self._adopt(spec, samples, ())
+
+    def _is_handed_over(self, batch: _OpenBatch) -> bool:
+        stopping = self._board.phase == Phase.STOPPING
+        return stopping and batch.runner.running == 0 and not batch.ledger.finished()
+
+    def _give_up(self, batch_id: BatchId) -> None:
+        batch = self._batches.pop(batch_id)
+        batch.runner.cancel_all()
+        batch.changed.set()
+        self._telemetry.change(f"batch.{batch_id}", "given up")
+        self._update_gauge()
+
+    async def _wait_for_samples(self, batch: _OpenBatch, wait: float | None) -> None:
+        seconds = self._settings.pull_wait if wait is None else min(wait, 30.0)
+        deadline = self._clock.now() + seconds
+        while not batch.ledger.finished() and not batch.ledger.is_complete():
+            remaining = deadline - self._clock.now()
+            if remaining <= 0 or batch.ledger.spec.id not in self._batches:
+                return
+            batch.changed.clear()
+            try:
+                await asyncio.wait_for(batch.changed.wait(), remaining)
+            except TimeoutError:
+                return
+
+    def _build_page(self, batch: _OpenBatch, call: Pull) -> Page:
+        before = batch.ledger.stale_dropped
+        limit = call.limit if call.limit > 0 else self._settings.page_size
+        if batch.ledger.trainer_version > call.trainer_version:
+            # A later pull of the same trainer is known; this one was overtaken.
+            raise InvalidRequestError(
+                f"the trainer is at version {batch.ledger.trainer_version} already",
+                remedy="Pull with the trainer's present version.",
+            )
+        page = batch.ledger.make_page(call.page, call.trainer_version, limit)
+        self._telemetry.count("samples_delivered", len(page.samples))
+        self._telemetry.count("samples_stale", batch.ledger.stale_dropped - before)
+        return page
+
+    def _note_version(self, spec: BatchSpec, version: int) -> None:
+        pool = self._board.configuration.intent.pool(spec.pool)
+        if pool is not None and pool.policy is not None:
+            self._directory.announce_version(pool.policy, version)
+
+    def _update_gauge(self) -> None:
+        self._telemetry.gauge("open_batches", len(self._batches))
+
+
+def _check_slots(spec: BatchSpec, held: tuple[int, ...]) -> None:
+    if any(not 0 <= slot < spec.slot_count for slot in held):
+        raise InvalidRequestError(f"held slots must lie between 0 and {spec.slot_count - 1}")
--- /dev/null
+++ b/src/larkpost/blackboard/board.py
@@ -0,0 +1,72 @@
+"""The blackboard: everything a daemon knows, in typed sections.
+
+Controllers write their section and read the others; the data path only reads. All access happens
+on one event loop, so there are no locks; code must not hold a view over an ``await``.
+"""
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+from larkpost.blackboard.engines import EngineTable
+from larkpost.blackboard.facts import FactTable
+from larkpost.blackboard.members import MemberTable
+from larkpost.config.intent import Intent, PoolIntent
+from larkpost.config.plan import pool_of
+from larkpost.ids import EngineId, PlanId, PolicyId, PoolId
+
+
+class Phase(StrEnum):
+    """Life of a daemon. It only moves down this list."""
+
+    JOINING = "joining"
+    READY = "ready"
+    STOPPING = "stopping"
+
+
+@dataclass(slots=True)
+class ConfigurationState:
+    """The configuration in force at this daemon. ``epoch`` never decreases."""
+
+    epoch: int = 0
+    intent: Intent = field(default_factory=Intent)
+    plan_id: PlanId | None = None
+
+
+@dataclass(slots=True)
+class Blackboard:
+    """One daemon's knowledge."""
+
+    members: MemberTable
+    facts: FactTable = field(default_factory=FactTable)
+    engines: EngineTable = field(default_factory=EngineTable)
+    configuration: ConfigurationState = field(default_factory=ConfigurationState)
+    policy_versions: dict[PolicyId, int] = field(default_factory=dict)
+    policy_learned_at: dict[PolicyId, float] = field(default_factory=dict)
+    owned: dict[EngineId, int] = field(default_factory=dict)
+    """Engines this daemon owns, with the fencing token it holds."""
+    phase: Phase = Phase.JOINING
+    _pool_cache: dict[PoolId, list[EngineId]] = field(default_factory=dict)
+    _pool_cache_key: tuple[int, int] = (-1, -1)
+
+    def pool_engines(self, pool: PoolId) -> list[EngineId]:
+        """Returns the ids of a pool's engines in a stable order; cached until something changes."""
+        key = (self.configuration.epoch, self.engines.revision)
+        if key != self._pool_cache_key:
+            self._pool_cache = self._build_pools()
+            self._pool_cache_key = key
+        return self._pool_cache.get(pool, [])
+
+    def pool_intent_of(self, engine: EngineId) -> PoolIntent | None:
+        """Returns the intent of the engine's pool, or None if no pool uses it."""
+        info = self.engines.directory.get(engine)
+        if info is None:
+            return None
+        intent = self.configuration.intent
+        return intent.pool(pool_of(info, intent.assigned_pools()))
+
+    def _build_pools(self) -> dict[PoolId, list[EngineId]]:
+        assigned = self.configuration.intent.assigned_pools()
+        pools: dict[PoolId, list[EngineId]] = {}
+        for info in sorted(self.engines.entries(), key=lambda entry: entry.id):
+            pools.setdefault(pool_of(info, assigned), []).append(info.id)
+        return pools
--- /dev/null
+++ b/src/larkpost/blackboard/facts.py
@@ -0,0 +1,103 @@
+"""Replicated facts: keyed values of which the highest version wins everywhere.
+
+Configuration epochs, the newest weight version of each policy, machine entries and drain marks are
+facts. Each key has one writer or an externally ordered version, so merging needs no agreement, and
+a daemon can never move to a lower version.
+"""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+from larkpost.hashing import hash64
+
+CONFIGURATION_KEY = "configuration"
+POLICY_PREFIX = "policy/"
+MACHINE_PREFIX = "machine/"
+DRAIN_PREFIX = "drain/"
+
+BUCKETS = 64
+"""Buckets of the digest: a difference is exchanged bucket by bucket, not as the whole table."""
+
+
+@dataclass(frozen=True, slots=True)
+class Fact:
+    """One version of one key; ``value`` is encoded by the controller that owns the prefix."""
+
+    key: str
+    version: int
+    value: bytes
+
+
+FactListener = Callable[[Fact], None]
+
+
+class FactTable:
+    """All facts a daemon knows, with a digest that two equal tables share."""
+
+    def __init__(self) -> None:
+        self._facts: dict[str, Fact] = {}
+        self._listeners: list[tuple[str, FactListener]] = []
+        self.bucket_digests = [0] * BUCKETS
+        """For each bucket, the XOR of a 64-bit hash of each key and version in it."""
+        self.digest = 0
+        """XOR of the bucket digests."""
+
+    def __len__(self) -> int:
+        return len(self._facts)
+
+    def get(self, key: str) -> Fact | None:
+        """Returns the fact of that key, or None."""
+        return self._facts.get(key)
+
+    def version(self, key: str) -> int:
+        """Returns the key's version, 0 if unknown."""
+        fact = self._facts.get(key)
+        return fact.version if fact else 0
+
+    def all(self) -> Iterable[Fact]:
+        """Returns every fact."""
+        return self._facts.values()
+
+    def with_prefix(self, prefix: str) -> list[Fact]:
+        """Returns the facts whose key starts with ``prefix``."""
+        return [fact for key, fact in self._facts.items() if key.startswith(prefix)]
+
+    def listen(self, prefix: str, listener: FactListener) -> None:
+        """Calls ``listener`` on each newer fact whose key starts with ``prefix``."""
+        self._listeners.append((prefix, listener))
+
+    def merge(self, fact: Fact) -> bool:
+        """Takes a fact if it is newer than the known one.
+
+        Returns:
+            Whether the table changed.
+        """
+        known = self._facts.get(fact.key)
+        if known is not None and known.version >= fact.version:
+            return False
+        if known is not None:
+            self._toggle(known)
+        self._facts[fact.key] = fact
+        self._toggle(fact)
+        for prefix, listener in self._listeners:
+            if fact.key.startswith(prefix):
+                listener(fact)
+        return True
+
+    def differing(self, digests: list[int]) -> list[Fact]:
+        """Returns the facts of each bucket whose digest differs from the given one."""
+        differs = [own != other for own, other in zip(self.bucket_digests, digests, strict=True)]
+        return [fact for fact in self._facts.values() if differs[_bucket(fact.key)]]
+
+    def _toggle(self, fact: Fact) -> None:
+        fact_hash = _fact_hash(fact)
+        self.bucket_digests[_bucket(fact.key)] ^= fact_hash
+        self.digest ^= fact_hash
+
+
+def _bucket(key: str) -> int:
+    return hash64(key) % BUCKETS
+
+
+def _fact_hash(fact: Fact) -> int:
+    return hash64(f"{fact.key}\x00{fact.version}")
--- /dev/null
+++ b/src/larkpost/blackboard/members.py
@@ -0,0 +1,113 @@
+"""The membership table: every daemon this one knows, and what it believes of it."""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, replace
+from enum import IntEnum
+
+from larkpost.ids import Address, DaemonId, ZoneId
+from larkpost.wire import larkpost_pb2 as pb
+
+
+class MemberState(IntEnum):
+    """Belief about a daemon. At one incarnation only a higher state replaces a lower one."""
+
+    ALIVE = 0
+    SUSPECT = 1
+    DEAD = 2
+    LEFT = 3
+
+
+@dataclass(frozen=True, slots=True)
+class MemberInfo:
+    """One incarnation of a daemon."""
+
+    id: DaemonId
+    zone: ZoneId
+    address: Address
+    incarnation: int
+    state: MemberState = MemberState.ALIVE
+    since: float = 0.0
+
+    @property
+    def usable(self) -> bool:
+        """Whether work may be given to it: a suspect is still a member."""
+        return self.state <= MemberState.SUSPECT
+
+    def replaces(self, other: "MemberInfo") -> bool:
+        """Whether this belief is newer than ``other``."""
+        return (self.incarnation, self.state) > (other.incarnation, other.state)
+
+    def to_message(self) -> pb.Member:
+        """Encodes the belief."""
+        return pb.Member(
+            id=self.id,
+            zone=self.zone,
+            address=self.address,
+            incarnation=self.incarnation,
+            state=int(self.state),
+        )
+
+
+def member_from_message(message: pb.Member, since: float) -> MemberInfo:
+    """Decodes a belief; ``since`` is the local time at which it was learned."""
+    return MemberInfo(
+        DaemonId(message.id),
+        ZoneId(message.zone),
+        Address(message.address),
+        message.incarnation,
+        MemberState(message.state),
+        since,
+    )
+
+
+class MemberTable:
+    """Members by id. Listeners hear of each change."""
+
+    def __init__(self, own: MemberInfo) -> None:
+        self.own = own
+        self._others: dict[DaemonId, MemberInfo] = {}
+        self._listeners: list[Callable[[MemberInfo], None]] = []
+        self.revision = 0
+        """Grows with each change, so that derived values can be cached."""
+
+    def listen(self, listener: Callable[[MemberInfo], None]) -> None:
+        """Calls ``listener`` on each changed member."""
+        self._listeners.append(listener)
+
+    def get(self, daemon: DaemonId) -> MemberInfo | None:
+        """Returns what is known of a daemon."""
+        return self.own if daemon == self.own.id else self._others.get(daemon)
+
+    def put(self, member: MemberInfo) -> None:
+        """Stores a belief; the caller has checked that it is newer."""
+        self._others[member.id] = member
+        self._changed(member)
+
+    def put_own(self, incarnation: int, state: MemberState) -> None:
+        """Raises the daemon's own incarnation or state."""
+        self.own = replace(self.own, incarnation=incarnation, state=state)
+        self._changed(self.own)
+
+    def others(self) -> Iterable[MemberInfo]:
+        """Returns every other known daemon, dead ones included."""
+        return self._others.values()
+
+    def alive_others(self) -> list[MemberInfo]:
+        """Returns the other daemons that may be given work."""
+        return [member for member in self._others.values() if member.usable]
+
+    def alive(self, zone: ZoneId | None = None) -> list[MemberInfo]:
+        """Returns the usable daemons of a zone, or of all zones, this one included."""
+        members = self.alive_others()
+        if self.own.usable:
+            members.append(self.own)
+        return [member for member in members if zone is None or member.zone == zone]
+
+    def zones(self) -> set[ZoneId]:
+        """Returns the zones that have a known daemon, dead ones included."""
+        return {member.zone for member in self._others.values()} | {self.own.zone}
+
+    def _changed(self, member: MemberInfo) -> None:
+        self.revision += 1
+        for listener in self._listeners:
+            listener(member)
--- /dev/null
+++ b/src/larkpost/cli.py
@@ -0,0 +1,118 @@
+"""The command line: ``serve`` runs a daemon, the other verbs speak to one."""
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+from typing import Annotated
+
+import orjson
+import typer
+from rich.console import Console
+
+from larkpost import operator
+from larkpost.config.plan import Plan
+from larkpost.errors import LarkpostError
+from larkpost.ids import Address
+from larkpost.rehearsal.commands import rehearsal
+from larkpost.server import run_server
+from larkpost.settings import load_settings
+
+app = typer.Typer(no_args_is_help=True, add_completion=False, pretty_exceptions_enable=False)
+intent = typer.Typer(no_args_is_help=True, help="Plan, confirm and show the configuration.")
+app.add_typer(intent, name="intent")
+app.add_typer(rehearsal, name="rehearsal")
+
+console = Console()
+error_console = Console(stderr=True)
+DaemonOption = Annotated[str, typer.Option("--daemon", help="host:port of any daemon.")]
+JsonOption = Annotated[bool, typer.Option("--json", help="Print JSON instead of tables.")]
+
+
+@contextmanager
+def _reported_errors() -> Iterator[None]:
+    """Prints an error with its remedy and ends with status 1."""
+    try:
+        yield
+    except LarkpostError as error:
+        error_console.print(f"error {error.code}: {error.message}", markup=False)
+        error_console.print(f"remedy: {error.remedy}", markup=False)
+        raise typer.Exit(1) from None
+
+
+@app.command()
+def serve(
+    settings: Annotated[Path | None, typer.Option(help="TOML settings file.")] = None,
+    daemon_id: Annotated[str | None, typer.Option(help="Unique name of the daemon.")] = None,
+    zone: Annotated[str | None, typer.Option(help="Zone of the machine.")] = None,
+    listen: Annotated[str | None, typer.Option(help="host:port to listen on.")] = None,
+    peers: Annotated[str | None, typer.Option(help="Comma-separated host:port list.")] = None,
+    platform: Annotated[str | None, typer.Option(help="host:port of the platform.")] = None,
+) -> None:
+    """Run a daemon until SIGTERM, then stop it without cutting a request."""
+    overrides = {
+        "daemon_id": daemon_id,
+        "zone": zone,
+        "listen": listen,
+        "peers": tuple(peers.split(",")) if peers else None,
+        "platform": platform,
+    }
+    with _reported_errors():
+        checked = load_settings(settings, overrides)
+        run_server(checked)
+
+
+@app.command()
+def status(daemon: DaemonOption, as_json: JsonOption = False) -> None:
+    """Show what a daemon knows of the fleet."""
+    with _reported_errors():
+        fields = operator.call_daemon(Address(daemon), "GET", "/v1/status")
+    if as_json:
+        typer.echo(orjson.dumps(fields).decode())
+    else:
+        operator.show_status(console, fields)
+
+
+@app.command()
+def drain(engine: str, daemon: DaemonOption) -> None:
+    """Take an engine out of service for good; what it runs is finished."""
+    with _reported_errors():
+        operator.call_daemon(Address(daemon), "POST", f"/v1/engines/{engine}/drain")
+    console.print(f"{engine} gets no new work.")
+
+
+@intent.command("plan")
+def plan_intent(
+    file: Path,
+    daemon: DaemonOption,
+    output: Annotated[Path | None, typer.Option(help="Where to write the plan.")] = None,
+) -> None:
+    """Show what an intent (TOML) would move, load or stop. Nothing acts yet."""
+    with _reported_errors():
+        wanted = operator.read_intent(file)
+        body = wanted.model_dump_json().encode()
+        fields = operator.call_daemon(Address(daemon), "POST", "/v1/intent/plan", body)
+    plan = Plan.model_validate(fields)
+    operator.show_plan(console, plan)
+    if output is not None:
+        output.write_text(plan.model_dump_json(indent=2), encoding="utf-8")
+        console.print(f"Confirm it with: larkpost intent confirm {output} --daemon {daemon}")
+
+
+@intent.command("confirm")
+def confirm_plan(file: Path, daemon: DaemonOption) -> None:
+    """Act on a plan. Repeating it after a lost answer is safe: a plan applies at most once."""
+    with _reported_errors():
+        body = operator.read_plan(file).model_dump_json().encode()
+        fields = operator.call_daemon(Address(daemon), "POST", "/v1/intent/confirm", body)
+    console.print(f"Epoch {fields['epoch']} is written.")
+    console.print(f"In force in: {', '.join(fields['zones_in_force']) or 'no zone yet'}")
+    if fields["zones_pending"]:
+        console.print(f"Not yet seen in force in: {', '.join(fields['zones_pending'])}")
+
+
+@intent.command("show")
+def show_intent(daemon: DaemonOption) -> None:
+    """Print the configuration in force at a daemon, as JSON."""
+    with _reported_errors():
+        fields = operator.call_daemon(Address(daemon), "GET", "/v1/intent")
+    typer.echo(orjson.dumps(fields, option=orjson.OPT_INDENT_2).decode())
--- /dev/null
+++ b/src/larkpost/config/plan.py
@@ -0,0 +1,140 @@
+"""Plans: what confirming an intent would change, computed without acting."""
+
+from collections.abc import Iterable
+from enum import StrEnum
+
+from pydantic import BaseModel, ConfigDict
+
+from larkpost.blackboard.engines import EngineInfo
+from larkpost.config.intent import Intent
+from larkpost.hashing import short_digest
+from larkpost.ids import EngineId, PlanId, PoolId
+
+
+class ActionKind(StrEnum):
+    """What a step of a plan does."""
+
+    MOVE = "move"
+    LOAD = "load"
+    STOP = "stop"
+    ADMIT = "admit"
+    CHANGE = "change"
+
+
+class PlannedAction(BaseModel):
+    """One step of a plan, for an operator to read."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+    kind: ActionKind
+    subject: str
+    detail: str
+
+
+class Plan(BaseModel):
+    """An intent, the epoch it was compared with, and the steps it leads to.
+
+    The plan is complete in itself, so any daemon can confirm it.
+    """
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+    plan_id: PlanId
+    base_epoch: int
+    intent: Intent
+    actions: tuple[PlannedAction, ...]
+
+
+def make_plan(
+    current: Intent, base_epoch: int, wanted: Intent, engines: Iterable[EngineInfo], nonce: str
+) -> Plan:
+    """Compares two intents.
+
+    Args:
+        current: the intent in force at ``base_epoch``.
+        base_epoch: the epoch the plan may be confirmed against.
+        wanted: the operator's intent.
+        engines: every engine of the directory.
+        nonce: makes the plan's id unique among equal intents.
+
+    Returns:
+        The plan with its actions in a stable order.
+    """
+    actions = [
+        *_engine_actions(current, wanted, engines),
+        *_user_actions("trainer", current.trainers, wanted.trainers),
+        *_user_actions("service", current.services, wanted.services),
+        *_pool_changes(current, wanted),
+    ]
+    text = f"{base_epoch}:{nonce}:{wanted.model_dump_json()}"
+    return Plan(
+        plan_id=PlanId(f"plan-{short_digest(text)}"),
+        base_epoch=base_epoch,
+        intent=wanted,
+        actions=tuple(actions),
+    )
+
+
+def pool_of(engine: EngineInfo, assigned: dict[EngineId, PoolId]) -> PoolId:
+    """Returns the engine's pool: the intent's assignment, else the machine list's label."""
+    return assigned.get(engine.id, engine.label_pool)
+
+
+def _engine_actions(
+    current: Intent, wanted: Intent, engines: Iterable[EngineInfo]
+) -> list[PlannedAction]:
+    old_pools = current.assigned_pools()
+    new_pools = wanted.assigned_pools()
+    actions = []
+    for engine in sorted(engines, key=lambda info: info.id):
+        old = current.pool(pool_of(engine, old_pools))
+        new = wanted.pool(pool_of(engine, new_pools))
+        actions += _actions_of_engine(engine.id, old, new)
+    return actions
+
+
+def _actions_of_engine(engine: EngineId, old, new) -> list[PlannedAction]:
+    if old is None and new is None:
+        return []
+    if new is None:
+        return [PlannedAction(kind=ActionKind.STOP, subject=engine, detail=f"leaves {old.name}")]
+    actions = []
+    origin = old.name if old is not None else "no pool"
+    if origin != new.name:
+        detail = f"from {origin} to {new.name}"
+        actions.append(PlannedAction(kind=ActionKind.MOVE, subject=engine, detail=detail))
+    if new.policy is not None and (old is None or old.policy != new.policy):
+        detail = f"newest weights of {new.policy}"
+        actions.append(PlannedAction(kind=ActionKind.LOAD, subject=engine, detail=detail))
+    return actions
+
+
+def _user_actions(kind: str, old_users: tuple, new_users: tuple) -> list[PlannedAction]:
+    old_by_name = {user.name: user for user in old_users}
+    new_by_name = {user.name: user for user in new_users}
+    actions = []
+    for name in sorted(old_by_name.keys() | new_by_name.keys()):
+        old = old_by_name.get(name)
+        new = new_by_name.get(name)
+        if old == new:
+            continue
+        if old is None:
+            action, detail = ActionKind.ADMIT, f"{kind} admitted"
+        elif new is None:
+            action, detail = ActionKind.STOP, f"{kind} no longer admitted"
+        else:
+            action, detail = ActionKind.CHANGE, f"{kind} terms change"
+        actions.append(PlannedAction(kind=action, subject=name, detail=detail))
+    return actions
+
+
+def _pool_changes(current: Intent, wanted: Intent) -> list[PlannedAction]:
+    actions = []
+    for pool in wanted.pools:
+        old = current.pool(pool.name)
+        if old is None or old == pool:
+            continue
+        fields = [
+            name for name in type(pool).model_fields if getattr(old, name) != getattr(pool, name)
+        ]
+        detail = "changes " + ", ".join(fields)
+        actions.append(PlannedAction(kind=ActionKind.CHANGE, subject=pool.name, detail=detail))
+    return actions
--- /dev/null
+++ b/src/larkpost/controllers/configuration.py
@@ -0,0 +1,250 @@
+"""The configuration in force: one row of the table service, spread to every daemon as a fact.
+
+The row's version is the epoch. Confirming a plan is a compare-and-set of that row. The row keeps
+the ids of the last plans with their epochs, so that a write whose answer was lost is read back and
+never applied twice. Daemons only move to a higher epoch.
+"""
+
+import asyncio
+
+from pydantic import BaseModel, ConfigDict, ValidationError
+
+from larkpost.blackboard.board import Blackboard, Phase
+from larkpost.blackboard.facts import CONFIGURATION_KEY, Fact
+from larkpost.blackboard.members import MemberInfo
+from larkpost.clock import Clock
+from larkpost.config.intent import Intent
+from larkpost.config.plan import Plan
+from larkpost.controllers.duty import is_on_duty
+from larkpost.controllers.facts import Dissemination
+from larkpost.errors import OutdatedPlanError, PlatformError
+from larkpost.ids import DaemonId, PlanId, ZoneId
+from larkpost.platform.ports import Row, TableStore
+from larkpost.settings import ConfigurationSettings
+from larkpost.telemetry import Telemetry
+from larkpost.wire import larkpost_pb2 as pb
+from larkpost.wire.peer import PeerError, PeerMethod, PeerTransport
+
+HISTORY_LENGTH = 64
+WRITE_ATTEMPTS = 3
+IN_FORCE_WAIT = 5.0
+"""Seconds a confirmation waits for the zones before it reports those that are still pending."""
+IN_FORCE_POLL = 0.2
+STATE_TIMEOUT = 0.5
+
+
+class ConfigurationRow(BaseModel):
+    """Content of the table row."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+    intent: Intent
+    plan_id: PlanId
+    history: tuple[tuple[int, PlanId], ...] = ()
+    """Epoch and plan of the last confirmations, this one last."""
+
+    def epoch_of(self, plan_id: PlanId) -> int | None:
+        """Returns the epoch at which the plan was applied, or None."""
+        return next((epoch for epoch, plan in self.history if plan == plan_id), None)
+
+
+class Confirmation(BaseModel):
+    """Answer to an operator: what is written, and where it is in force."""
+
+    epoch: int
+    plan_id: PlanId
+    zones_in_force: list[ZoneId]
+    zones_pending: list[ZoneId]
+
+
+class ConfigurationController:
+    """Reads, confirms and applies the configuration."""
+
+    def __init__(
+        self,
+        board: Blackboard,
+        table: TableStore,
+        dissemination: Dissemination,
+        transport: PeerTransport,
+        clock: Clock,
+        telemetry: Telemetry,
+        settings: ConfigurationSettings,
+    ) -> None:
+        self._board = board
+        self._table = table
+        self._dissemination = dissemination
+        self._transport = transport
+        self._clock = clock
+        self._telemetry = telemetry
+        self._settings = settings
+        self._last_read = float("-inf")
+        board.facts.listen(CONFIGURATION_KEY, self._apply)
+
+    async def poll(self) -> None:
+        """Reads the row when it is this daemon's turn."""
+        interval = self._settings.background_poll_interval
+        if self._board.phase == Phase.JOINING or is_on_duty(self._board, "configuration"):
+            interval = self._settings.duty_poll_interval
+        if self._clock.now() - self._last_read < interval:
+            return
+        await self.read()
+
+    async def read(self) -> bool:
+        """Reads the row and takes it.
+
+        Returns:
+            Whether the table service answered.
+        """
+        self._last_read = self._clock.now()
+        try:
+            row = await self._table.read(CONFIGURATION_KEY, self._settings.platform_timeout)
+        except PlatformError:
+            self._telemetry.count("platform_errors", kind="table")
+            self._telemetry.change("platform.table", "unreachable")
+            return False
+        self._telemetry.change("platform.table", "reachable")
+        self._take(row)
+        return True
+
+    async def learn_from_zone(self) -> bool:
+        """Learns the configuration from the zone's daemons while the table service is down.
+
+        The zone's ready daemons hold every epoch that was reported in force there; an answer of
+        more than half of the zone's members, with the highest epoch among them, is needed.
+
+        Returns:
+            Whether enough ready daemons answered and the highest epoch is now in force here.
+        """
+        own = self._board.members.own
+        others = [m for m in self._board.members.alive(own.zone) if m.id != own.id]
+        answers = await asyncio.gather(*(self._ask_state(member) for member in others))
+        ready = [
+            (member, answer)
+            for member, answer in zip(others, answers, strict=True)
+            if answer is not None and answer.ready
+        ]
+        if not ready or len(ready) * 2 <= len(others):
+            return False
+        member, highest = max(ready, key=lambda pair: pair[1].epoch)
+        if highest.epoch > self._board.configuration.epoch:
+            await self._dissemination.fetch_from(member.address)
+        return self._board.configuration.epoch >= highest.epoch
+
+    async def confirm(self, plan: Plan) -> Confirmation:
+        """Applies a plan if its base epoch is still in force.
+
+        Raises:
+            OutdatedPlanError: another plan was confirmed since.
+            PlatformError: the table service did not tell whether the plan was written.
+        """
+        epoch = await self._write(plan)
+        in_force = await self._wait_in_force(epoch)
+        pending = sorted(self._board.members.zones() - in_force)
+        return Confirmation(
+            epoch=epoch,
+            plan_id=plan.plan_id,
+            zones_in_force=sorted(in_force),
+            zones_pending=pending,
+        )
+
+    async def on_state(self, _payload: bytes) -> bytes:
+        """Answers with the epoch in force here."""
+        ready = self._board.phase != Phase.JOINING
+        reply = pb.ConfigurationStateReply(epoch=self._board.configuration.epoch, ready=ready)
+        return reply.SerializeToString()
+
+    async def _write(self, plan: Plan) -> int:
+        """Writes the plan's row; every attempt starts by reading whether it is written already."""
+        timeout = self._settings.platform_timeout
+        for attempt in range(WRITE_ATTEMPTS):
+            try:
+                row = await self._table.read(CONFIGURATION_KEY, timeout)
+                epoch = self._check(plan, row)
+                if epoch is not None:
+                    self._take(row)
+                    return epoch
+                value = _encode_row(plan, row)
+                await self._table.compare_and_set(
+                    CONFIGURATION_KEY, plan.base_epoch, value, timeout
+                )
+            except PlatformError:
+                self._telemetry.count("platform_errors", kind="table")
+                await self._clock.sleep(0.1 * (attempt + 1))
+        row = await self._table.read(CONFIGURATION_KEY, timeout)
+        epoch = self._check(plan, row)
+        if epoch is None:
+            raise PlatformError("the table service did not accept the plan in time")
+        self._take(row)
+        return epoch
+
+    def _check(self, plan: Plan, row: Row | None) -> int | None:
+        """Returns the epoch at which the plan is written, or None if it may still be."""
+        if row is None:
+            if plan.base_epoch == 0:
+                return None
+            raise OutdatedPlanError("the plan names a base epoch, but no configuration exists")
+        applied = ConfigurationRow.model_validate_json(row.value).epoch_of(plan.plan_id)
+        if applied is not None:
+            return applied
+        if row.version != plan.base_epoch:
+            raise OutdatedPlanError(
+                f"the plan is against epoch {plan.base_epoch}; epoch {row.version} is in force"
+            )
+        return None
+
+    def _take(self, row: Row | None) -> None:
+        if row is not None:
+            self._dissemination.publish(Fact(CONFIGURATION_KEY, row.version, row.value))
+
+    def _apply(self, fact: Fact) -> None:
+        state = self._board.configuration
+        if fact.version <= state.epoch:
+            return
+        try:
+            row = ConfigurationRow.model_validate_json(fact.value)
+        except ValidationError as error:
+            self._telemetry.fault("configuration", error)
+            return
+        state.epoch = fact.version
+        state.intent = row.intent
+        state.plan_id = row.plan_id
+        self._telemetry.gauge("configuration_epoch", fact.version)
+        self._telemetry.change("configuration", f"epoch {fact.version}", plan=row.plan_id)
+
+    async def _wait_in_force(self, epoch: int) -> set[ZoneId]:
+        deadline = self._clock.now() + IN_FORCE_WAIT
+        reached: set[DaemonId] = set()
+        while True:
+            waiting = [m for m in self._board.members.alive() if m.id not in reached]
+            answers = await asyncio.gather(*(self._has_epoch(m, epoch) for m in waiting))
+            reached |= {m.id for m, has in zip(waiting, answers, strict=True) if has}
+            in_force = self._zones_reached(reached)
+            if in_force == self._board.members.zones() or self._clock.now() >= deadline:
+                return in_force
+            await self._clock.sleep(IN_FORCE_POLL)
+
+    def _zones_reached(self, reached: set[DaemonId]) -> set[ZoneId]:
+        members = self._board.members.alive()
+        lacking = {member.zone for member in members if member.id not in reached}
+        return {member.zone for member in members} - lacking
+
+    async def _has_epoch(self, member: MemberInfo, epoch: int) -> bool:
+        if member.id == self._board.members.own.id:
+            return self._board.configuration.epoch >= epoch
+        state = await self._ask_state(member)
+        return state is not None and state.epoch >= epoch
+
+    async def _ask_state(self, member: MemberInfo) -> pb.ConfigurationStateReply | None:
+        try:
+            answer = await self._transport.request(
+                member.address, PeerMethod.CONFIGURATION_STATE, b"", STATE_TIMEOUT
+            )
+        except PeerError:
+            return None
+        return pb.ConfigurationStateReply.FromString(answer)
+
+
+def _encode_row(plan: Plan, row: Row | None) -> bytes:
+    history = ConfigurationRow.model_validate_json(row.value).history if row is not None else ()
+    history = (*history, (plan.base_epoch + 1, plan.plan_id))[-HISTORY_LENGTH:]
+    content = ConfigurationRow(intent=plan.intent, plan_id=plan.plan_id, history=history)
+    return content.model_dump_json().encode()
--- /dev/null
+++ b/src/larkpost/controllers/directory.py
@@ -0,0 +1,106 @@
+"""The engine directory and the policy versions, kept as facts.
+
+Daemons on duty poll the machine list and turn its entries into facts; every daemon turns facts into
+its engine table. Drain marks by operators and new policy versions travel the same way.
+"""
+
+import json
+
+from larkpost.blackboard.board import Blackboard
+from larkpost.blackboard.engines import EngineInfo
+from larkpost.blackboard.facts import DRAIN_PREFIX, MACHINE_PREFIX, POLICY_PREFIX, Fact
+from larkpost.clock import Clock
+from larkpost.controllers.duty import is_on_duty
+from larkpost.controllers.facts import Dissemination
+from larkpost.errors import InvalidRequestError, PlatformError
+from larkpost.ids import Address, EngineId, PolicyId, PoolId, ZoneId
+from larkpost.platform.ports import MachineEntry, MachineList
+from larkpost.settings import ConfigurationSettings
+from larkpost.telemetry import Telemetry
+
+
+class Directory:
+    """Keeps the blackboard's engine directory, drain marks and policy versions."""
+
+    def __init__(
+        self,
+        board: Blackboard,
+        machines: MachineList,
+        dissemination: Dissemination,
+        clock: Clock,
+        telemetry: Telemetry,
+        settings: ConfigurationSettings,
+    ) -> None:
+        self._board = board
+        self._machines = machines
+        self._dissemination = dissemination
+        self._clock = clock
+        self._telemetry = telemetry
+        self._settings = settings
+        board.facts.listen(MACHINE_PREFIX, self._on_machine)
+        board.facts.listen(DRAIN_PREFIX, self._on_drain)
+        board.facts.listen(POLICY_PREFIX, self._on_policy)
+
+    async def poll(self) -> None:
+        """Reads the machine list if this daemon is on duty, or knows no engine yet."""
+        if self._board.engines.directory and not is_on_duty(self._board, "machines"):
+            return
+        try:
+            entries = await self._machines.entries(self._settings.platform_timeout)
+        except PlatformError:
+            self._telemetry.count("platform_errors", kind="machines")
+            self._telemetry.change("platform.machines", "unreachable")
+            return
+        self._telemetry.change("platform.machines", "reachable")
+        self._dissemination.publish(*map(_machine_fact, entries))
+
+    def announce_version(self, policy: PolicyId, version: int) -> None:
+        """Takes a policy version that a trainer published. Only higher ones have an effect."""
+        self._dissemination.publish(Fact(POLICY_PREFIX + policy, version, b""))
+
+    def drain(self, engine: EngineId) -> None:
+        """Marks an engine as leaving for good.
+
+        Raises:
+            InvalidRequestError: the engine is not in the directory.
+        """
+        if engine not in self._board.engines.directory:
+            raise InvalidRequestError(
+                f"engine {engine!r} is not known",
+                remedy="Name an engine that `larkpost status` lists.",
+            )
+        self._dissemination.publish(Fact(DRAIN_PREFIX + engine, 1, b""))
+
+    def _on_machine(self, fact: Fact) -> None:
+        fields = json.loads(fact.value)
+        info = EngineInfo(
+            EngineId(fact.key.removeprefix(MACHINE_PREFIX)),
+            ZoneId(fields["zone"]),
+            Address(fields["address"]),
+            PoolId(fields["pool"]),
+            fields["leaving"],
+        )
+        self._board.engines.put(info)
+        if info.leaving:
+            self._telemetry.change(f"engine.{info.id}", "leaving", source="machine list")
+
+    def _on_drain(self, fact: Fact) -> None:
+        engine = EngineId(fact.key.removeprefix(DRAIN_PREFIX))
+        self._board.engines.draining.add(engine)
+        self._telemetry.change(f"engine.{engine}", "leaving", source="operator")
+
+    def _on_policy(self, fact: Fact) -> None:
+        policy = PolicyId(fact.key.removeprefix(POLICY_PREFIX))
+        self._board.policy_versions[policy] = fact.version
+        self._board.policy_learned_at[policy] = self._clock.now()
+        self._telemetry.change(f"policy.{policy}", f"version {fact.version}")
+
+
+def _machine_fact(entry: MachineEntry) -> Fact:
+    fields = {
+        "zone": entry.zone,
+        "address": entry.address,
+        "pool": entry.pool,
+        "leaving": entry.leaving,
+    }
+    return Fact(MACHINE_PREFIX + entry.engine, entry.revision, json.dumps(fields).encode())
--- /dev/null
+++ b/src/larkpost/controllers/duty.py
@@ -0,0 +1,14 @@
+"""Which daemons of a zone poll the platform on behalf of the others."""
+
+from larkpost.blackboard.board import Blackboard
+from larkpost.rendezvous import ranked
+
+DUTY_HOLDERS = 2
+"""Daemons on duty in each zone, so that the death of one leaves no gap."""
+
+
+def is_on_duty(board: Blackboard, duty: str) -> bool:
+    """Whether this daemon polls for its zone. Two views that differ only add a poller."""
+    own = board.members.own
+    holders = ranked(board.members.alive(own.zone), duty)[:DUTY_HOLDERS]
+    return any(holder.id == own.id for holder in holders)
--- /dev/null
+++ b/src/larkpost/controllers/facts.py
@@ -0,0 +1,129 @@
+"""Dissemination of facts: passed on at once to a few daemons, and repaired by comparing digests.
+
+A daemon that first learns a fact passes it to ``FANOUT`` others, so that a fact reaches the fleet
+in a logarithmic number of hops. Every probe carries the digest of the sender's table; a difference
+that lasts is repaired by fetching the buckets that differ.
+"""
+
+import asyncio
+import random
+
+from larkpost.blackboard.board import Blackboard
+from larkpost.blackboard.facts import Fact
+from larkpost.clock import Clock
+from larkpost.controllers.gossip import Gossip
+from larkpost.ids import Address, DaemonId
+from larkpost.tasks import TaskSet
+from larkpost.telemetry import Telemetry
+from larkpost.wire import larkpost_pb2 as pb
+from larkpost.wire.peer import PeerError, PeerMethod, PeerTransport
+
+FANOUT = 4
+PUSH_GROUPING = 0.02
+"""Seconds over which new facts are gathered into one push."""
+PUSH_TIMEOUT = 1.0
+REPAIR_DELAY = 0.5
+"""Seconds a difference must last before it is repaired; pushes under way mend most by then."""
+
+
+class Dissemination:
+    """Spreads facts and repairs differences."""
+
+    def __init__(
+        self,
+        board: Blackboard,
+        gossip: Gossip,
+        transport: PeerTransport,
+        clock: Clock,
+        tasks: TaskSet,
+        telemetry: Telemetry,
+        rng: random.Random,
+    ) -> None:
+        self._board = board
+        self._transport = transport
+        self._clock = clock
+        self._tasks = tasks
+        self._telemetry = telemetry
+        self._rng = rng
+        self._outgoing: dict[str, Fact] = {}
+        self._repairing = False
+        gossip.compare_digest = self._compare
+
+    def publish(self, *facts: Fact) -> bool:
+        """Takes facts and spreads those that are new.
+
+        Returns:
+            Whether any was new.
+        """
+        news = [fact for fact in facts if self._board.facts.merge(fact)]
+        if news:
+            self._telemetry.count("facts_merged", len(news))
+            if not self._outgoing:
+                self._tasks.spawn(self._push(), "push-facts")
+            self._outgoing |= {fact.key: fact for fact in news}
+        return bool(news)
+
+    async def on_push(self, payload: bytes) -> bytes:
+        """Takes pushed facts."""
+        self.publish(*map(_from_message, pb.FactPush.FromString(payload).facts))
+        return b""
+
+    async def on_sync(self, payload: bytes) -> bytes:
+        """Answers with the buckets that differ."""
+        request = pb.FactSyncRequest.FromString(payload)
+        facts = self._board.facts.differing(list(request.bucket_digests))
+        return pb.FactSyncReply(facts=map(_to_message, facts)).SerializeToString()
+
+    async def fetch_from(self, address: Address) -> bool:
+        """Fetches what a peer has and this daemon lacks.
+
+        Returns:
+            Whether the peer answered.
+        """
+        request = pb.FactSyncRequest(bucket_digests=self._board.facts.bucket_digests)
+        payload = request.SerializeToString()
+        try:
+            answer = await self._transport.request(
+                address, PeerMethod.SYNC_FACTS, payload, PUSH_TIMEOUT
+            )
+        except PeerError:
+            return False
+        self.publish(*map(_from_message, pb.FactSyncReply.FromString(answer).facts))
+        return True
+
+    async def _push(self) -> None:
+        await self._clock.sleep(PUSH_GROUPING)
+        facts, self._outgoing = list(self._outgoing.values()), {}
+        payload = pb.FactPush(facts=map(_to_message, facts)).SerializeToString()
+        targets = self._board.members.alive_others()
+        targets = self._rng.sample(targets, min(len(targets), FANOUT))
+        pushes = [self._push_to(target.address, payload) for target in targets]
+        await asyncio.gather(*pushes)
+
+    async def _push_to(self, address: Address, payload: bytes) -> None:
+        try:
+            await self._transport.request(address, PeerMethod.PUSH_FACTS, payload, PUSH_TIMEOUT)
+        except PeerError:
+            return  # the next digest comparison repairs it
+
+    def _compare(self, daemon: DaemonId, digest: int) -> None:
+        if digest != self._board.facts.digest and not self._repairing:
+            self._repairing = True
+            self._tasks.spawn(self._repair(daemon, digest), "repair-facts")
+
+    async def _repair(self, daemon: DaemonId, digest: int) -> None:
+        try:
+            await self._clock.sleep(REPAIR_DELAY)
+            member = self._board.members.get(daemon)
+            if digest != self._board.facts.digest and member is not None:
+                await self.fetch_from(member.address)
+        finally:
+            self._repairing = False
+
+
+def _to_message(fact: Fact) -> pb.Fact:
+    return pb.Fact(key=fact.key, version=fact.version, value=fact.value)
+
+
+def _from_message(message: pb.Fact) -> Fact:
+    return Fact(message.key, message.version, message.value)
--- /dev/null
+++ b/src/larkpost/controllers/gossip.py
@@ -0,0 +1,64 @@
+"""Sends and receives datagrams between daemons and hands each body to its controller."""
+
+from collections.abc import Callable
+
+from google.protobuf.message import DecodeError
+
+from larkpost.blackboard.board import Blackboard
+from larkpost.blackboard.members import MemberInfo, MemberState
+from larkpost.ids import Address, DaemonId
+from larkpost.telemetry import Telemetry
+from larkpost.wire import larkpost_pb2 as pb
+from larkpost.wire.peer import PeerTransport
+
+BodyHandler = Callable[[pb.Envelope], None]
+
+
+class Gossip:
+    """Wraps bodies into envelopes that carry membership updates and the fact digest."""
+
+    def __init__(self, board: Blackboard, transport: PeerTransport, telemetry: Telemetry) -> None:
+        self._board = board
+        self._transport = transport
+        self._telemetry = telemetry
+        self._handlers: dict[str, BodyHandler] = {}
+        self.pick_updates: Callable[[], list[pb.Member]] = list
+        """Set by the membership controller: updates to carry along."""
+        self.apply_updates: Callable[[pb.Member, list[pb.Member]], None] = lambda _s, _u: None
+        """Set by the membership controller: takes the sender and its updates."""
+        self.compare_digest: Callable[[DaemonId, int], None] = lambda _d, _n: None
+        """Set by the fact controller: takes a peer's digest."""
+
+    def handle(self, body: str, handler: BodyHandler) -> None:
+        """Registers the handler of a body kind; None as body is an envelope without one."""
+        self._handlers[body] = handler
+
+    def send(self, target: MemberInfo, envelope: pb.Envelope) -> None:
+        """Sends to a known member; tells it if it is wrongly held dead."""
+        if target.state != MemberState.ALIVE:
+            envelope.updates.append(target.to_message())
+        self.send_to_address(target.address, envelope)
+
+    def send_to_address(self, address: Address, envelope: pb.Envelope) -> None:
+        """Completes the envelope and sends it."""
+        envelope.sender.CopyFrom(self._board.members.own.to_message())
+        envelope.updates.extend(self.pick_updates())
+        envelope.fact_digest = self._board.facts.digest
+        data = envelope.SerializeToString()
+        self._telemetry.count("control_bytes_sent", len(data))
+        self._transport.send(address, data)
+
+    def receive(self, data: bytes) -> None:
+        """Takes a datagram; one that cannot be decoded is dropped."""
+        self._telemetry.count("control_bytes_received", len(data))
+        try:
+            envelope = pb.Envelope.FromString(data)
+        except DecodeError:
+            return
+        if envelope.sender.id == self._board.members.own.id:
+            return
+        self.apply_updates(envelope.sender, list(envelope.updates))
+        self.compare_digest(DaemonId(envelope.sender.id), envelope.fact_digest)
+        handler = self._handlers.get(envelope.WhichOneof("body") or "")
+        if handler is not None:
+            handler(envelope)
--- /dev/null
+++ b/src/larkpost/controllers/monitor.py
@@ -0,0 +1,174 @@
+"""Load reports: the owner asks its engines and pushes summaries to the daemons that subscribed.
+
+A daemon follows a bounded subset of each pool, chosen by rendezvous hashing, so that its cost does
+not grow with the fleet; two random daemons follow different subsets, which spreads the load.
+"""
+
+import asyncio
+
+from larkpost.blackboard.board import Blackboard
+from larkpost.blackboard.engines import EngineInfo, EngineLoad
+from larkpost.clock import Clock
+from larkpost.controllers.gossip import Gossip
+from larkpost.controllers.ownership import Ownership, load_from_report
+from larkpost.engines.port import EngineError, EnginePort
+from larkpost.ids import DaemonId, EngineId, PoolId
+from larkpost.rendezvous import score
+from larkpost.settings import EngineSettings
+from larkpost.telemetry import Telemetry
+from larkpost.wire import larkpost_pb2 as pb
+
+SUBSCRIPTION_LIFETIME = 10.0
+SUBSCRIBE_INTERVAL = 4.0
+LOADS_PER_DATAGRAM = 24
+
+
+class Monitor:
+    """Watches owned engines and follows others."""
+
+    def __init__(
+        self,
+        board: Blackboard,
+        engines: EnginePort,
+        gossip: Gossip,
+        ownership: Ownership,
+        clock: Clock,
+        telemetry: Telemetry,
+        settings: EngineSettings,
+    ) -> None:
+        self._board = board
+        self._engines = engines
+        self._gossip = gossip
+        self._ownership = ownership
+        self._clock = clock
+        self._telemetry = telemetry
+        self._settings = settings
+        self._subscribers: dict[tuple[DaemonId, PoolId], float] = {}
+        self._watched: dict[PoolId, list[EngineId]] = {}
+        self._watched_at: tuple[int, int] = (-1, -1)
+        gossip.handle("subscribe", self._on_subscribe)
+        gossip.handle("load", self._on_load)
+
+    def watched(self, pool: PoolId) -> list[EngineId]:
+        """Returns the engines of a pool that this daemon chooses from."""
+        key = (self._board.configuration.epoch, self._board.engines.revision)
+        if key != self._watched_at:
+            self._watched.clear()
+            self._watched_at = key
+        if pool not in self._watched:
+            self._watched[pool] = self._choose_watched(pool)
+        return self._watched[pool]
+
+    async def report_owned(self) -> None:
+        """Asks every owned engine for its report."""
+        owned = [self._board.engines.directory[engine] for engine in self._board.owned]
+        await asyncio.gather(*(self.ask(info) for info in owned))
+
+    async def ask(self, info: EngineInfo) -> EngineLoad | None:
+        """Asks one engine for its report; None if it does not answer or is another engine."""
+        try:
+            report = await self._engines.report(info.address, self._settings.report_timeout)
+        except EngineError:
+            self._telemetry.change(f"engine.{info.id}.report", "unreachable")
+            return None
+        if report.engine != info.id:
+            return None
+        self._telemetry.change(f"engine.{info.id}.report", "reachable")
+        load = load_from_report(report, self._clock.now())
+        self._board.engines.observe(load)
+        self._ownership.check_report(report)
+        return load
+
+    async def push_summaries(self) -> None:
+        """Sends the load of owned engines to the subscribers of their pools."""
+        now = self._clock.now()
+        self._subscribers = {k: end for k, end in self._subscribers.items() if end > now}
+        for daemon, pool in self._subscribers:
+            member = self._board.members.get(daemon)
+            loads = self._loads_of(pool)
+            if member is None or not member.usable:
+                continue
+            for start in range(0, len(loads), LOADS_PER_DATAGRAM):
+                summary = pb.LoadSummary(engines=loads[start : start + LOADS_PER_DATAGRAM])
+                self._gossip.send(member, pb.Envelope(load=summary))
+
+    async def subscribe(self) -> None:
+        """Renews the subscriptions with the owners of the watched engines."""
+        own = self._board.members.own.id
+        wanted: set[tuple[str, PoolId]] = set()
+        for pool in self._pools():
+            for engine in self.watched(pool):
+                owner = self._ownership.owner_of(self._board.engines.directory[engine])
+                if owner is not None and owner != own:
+                    wanted.add((owner, pool))
+        ttl = int(SUBSCRIPTION_LIFETIME * 1000)
+        for owner, pool in sorted(wanted):
+            member = self._board.members.get(DaemonId(owner))
+            if member is not None:
+                body = pb.Subscribe(pool=pool, ttl_ms=ttl)
+                self._gossip.send(member, pb.Envelope(subscribe=body))
+
+    def _pools(self) -> list[PoolId]:
+        return [pool.name for pool in self._board.configuration.intent.pools]
+
+    def _choose_watched(self, pool: PoolId) -> list[EngineId]:
+        own = self._board.members.own
+        engines = self._board.pool_engines(pool)
+        directory = self._board.engines.directory
+        local = [engine for engine in engines if directory[engine].zone == own.zone]
+        remote = [engine for engine in engines if directory[engine].zone != own.zone]
+        local = _best(own.id, local, self._settings.watched_per_pool)
+        missing = self._settings.watched_per_pool - len(local)
+        return local + _best(own.id, remote, max(missing, self._settings.watched_remote))
+
+    def _loads_of(self, pool: PoolId) -> list[pb.EngineLoad]:
+        now = self._clock.now()
+        loads = []
+        for engine in self._board.owned:
+            load = self._board.engines.loads.get(engine)
+            if load is None or now - load.at > self._settings.report_lifetime:
+                continue
+            if engine in self._board.pool_engines(pool):
+                loads.append(_load_message(load, now))
+        return loads
+
+    def _on_subscribe(self, envelope: pb.Envelope) -> None:
+        key = (DaemonId(envelope.sender.id), PoolId(envelope.subscribe.pool))
+        self._subscribers[key] = self._clock.now() + envelope.subscribe.ttl_ms / 1000
+
+    def _on_load(self, envelope: pb.Envelope) -> None:
+        now = self._clock.now()
+        for message in envelope.load.engines:
+            self._board.engines.observe(_load_from_message(message, now))
+
+
+def _best(daemon: DaemonId, engines: list[EngineId], count: int) -> list[EngineId]:
+    return sorted(engines, key=lambda engine: score(daemon, engine), reverse=True)[:count]
+
+
+def _load_message(load: EngineLoad, now: float) -> pb.EngineLoad:
+    return pb.EngineLoad(
+        engine=load.engine,
+        running=load.running,
+        waiting=load.waiting,
+        slots=load.slots,
+        version=load.version,
+        leaving=load.leaving,
+        age_ms=int((now - load.at) * 1000),
+        token=load.token,
+        swapping=load.swapping,
+    )
+
+
+def _load_from_message(message: pb.EngineLoad, now: float) -> EngineLoad:
+    return EngineLoad(
+        engine=EngineId(message.engine),
+        running=message.running,
+        waiting=message.waiting,
+        slots=message.slots,
+        version=message.version,
+        leaving=message.leaving,
+        token=message.token,
+        swapping=message.swapping,
+        at=now - message.age_ms / 1000,
+    )
--- /dev/null
+++ b/src/larkpost/controllers/ownership.py
@@ -0,0 +1,138 @@
+"""Ownership of engines: one daemon watches each engine and gives it orders, under a fencing token.
+
+The owner is chosen by rendezvous hashing among the daemons of the engine's zone, so all daemons
+with the same view agree without messages. The engine itself arbitrates: a claim needs a token above
+every token it has accepted, and it refuses the orders of an owner that was replaced. No store is
+needed, and a paused owner that wakes up cannot give an order.
+"""
+
+from dataclasses import dataclass
+
+from larkpost.blackboard.board import Blackboard, Phase
+from larkpost.blackboard.engines import EngineInfo, EngineLoad
+from larkpost.clock import Clock
+from larkpost.engines.port import (
+    EngineError,
+    EnginePort,
+    EngineReport,
+    Order,
+    OrderKind,
+    StaleTokenError,
+)
+from larkpost.ids import EngineId
+from larkpost.rendezvous import choose
+from larkpost.settings import EngineSettings
+from larkpost.telemetry import Telemetry
+
+RECLAIM_DELAY = 2.0
+"""Seconds an owner waits after it was replaced, for the two views to agree."""
+
+
+@dataclass(frozen=True, slots=True)
+class _Ranking:
+    """Cached owners, valid for one state of members and directory."""
+
+    members: int
+    directory: int
+
+
+class Ownership:
+    """Claims the engines that fall to this daemon and gives up the others."""
+
+    def __init__(
+        self,
+        board: Blackboard,
+        engines: EnginePort,
+        clock: Clock,
+        telemetry: Telemetry,
+        settings: EngineSettings,
+    ) -> None:
+        self._board = board
+        self._engines = engines
+        self._clock = clock
+        self._telemetry = telemetry
+        self._settings = settings
+        self._not_before: dict[EngineId, float] = {}
+        self._assigned: list[EngineInfo] = []
+        self._assigned_at: _Ranking | None = None
+
+    def assigned(self) -> list[EngineInfo]:
+        """Returns the engines that fall to this daemon in its present view."""
+        key = _Ranking(self._board.members.revision, self._board.engines.revision)
+        if key != self._assigned_at:
+            own = self._board.members.own.id
+            infos = self._board.engines.entries()
+            self._assigned = [info for info in infos if self.owner_of(info) == own]
+            self._assigned_at = key
+        return self._assigned
+
+    def owner_of(self, info: EngineInfo) -> str | None:
+        """Returns the daemon to which the engine falls; another zone's if its own has none."""
+        members = self._board.members.alive(info.zone) or self._board.members.alive()
+        owner = choose(members, info.id)
+        return owner.id if owner is not None else None
+
+    async def reconcile(self) -> None:
+        """Brings what is owned in line with what falls to this daemon."""
+        if self._board.phase == Phase.STOPPING:
+            self._board.owned.clear()
+            return
+        assigned = {info.id: info for info in self.assigned()}
+        for engine in list(self._board.owned):
+            if engine not in assigned:
+                self.give_up(engine)
+        for engine, info in assigned.items():
+            if engine not in self._board.owned:
+                await self._claim(info)
+        self._telemetry.gauge("engines_owned", len(self._board.owned))
+
+    def give_up(self, engine: EngineId) -> None:
+        """Forgets an engine that another daemon owns now."""
+        self._board.owned.pop(engine, None)
+        self._not_before[engine] = self._clock.now() + RECLAIM_DELAY
+
+    def check_report(self, report: EngineReport) -> None:
+        """Gives an engine up if its report shows another owner, or that it has restarted."""
+        token = self._board.owned.get(report.engine)
+        if token is None:
+            return
+        if report.token > token:
+            self.give_up(report.engine)
+        elif report.token < token:
+            self._board.owned.pop(report.engine)
+
+    async def _claim(self, info: EngineInfo) -> None:
+        if self._clock.now() < self._not_before.get(info.id, 0.0):
+            return
+        timeout = self._settings.report_timeout
+        try:
+            report = await self._engines.report(info.address, timeout)
+            if report.engine != info.id:
+                return
+            token = report.token + 1
+            order = Order(OrderKind.CLAIM, self._board.members.own.id, token)
+            await self._engines.order(info.address, order, timeout)
+        except StaleTokenError:
+            self._not_before[info.id] = self._clock.now() + RECLAIM_DELAY
+            return
+        except EngineError:
+            self._not_before[info.id] = self._clock.now() + self._settings.report_interval
+            return
+        self._board.owned[info.id] = token
+        self._board.engines.observe(load_from_report(report, self._clock.now()))
+        self._telemetry.count("claims")
+
+
+def load_from_report(report: EngineReport, at: float) -> EngineLoad:
+    """Turns a report into a blackboard entry received at local time ``at``."""
+    return EngineLoad(
+        engine=report.engine,
+        running=report.running,
+        waiting=report.waiting,
+        slots=report.slots,
+        version=report.version,
+        leaving=report.leaving,
+        token=report.token,
+        swapping=report.swapping,
+        at=at,
+    )
--- /dev/null
+++ b/src/larkpost/controllers/weights.py
@@ -0,0 +1,96 @@
+"""Weight swaps: the owner brings each engine to its policy's newest version, wave by wave.
+
+The wave of an engine follows from its rank in the pool, so owners need no messages to stagger
+swaps, and at no time does the whole pool swap. A swap is done when the engine reports the version,
+never when the order was accepted.
+"""
+
+import random
+
+from larkpost.blackboard.board import Blackboard
+from larkpost.blackboard.engines import EngineLoad
+from larkpost.clock import Clock
+from larkpost.config.intent import PoolIntent
+from larkpost.controllers.ownership import Ownership
+from larkpost.engines.port import EngineError, EnginePort, Order, OrderKind, StaleTokenError
+from larkpost.ids import EngineId
+from larkpost.settings import EngineSettings
+from larkpost.telemetry import Telemetry
+
+RETRY_BASE = 0.5
+RETRY_LIMIT = 8.0
+
+
+class WeightController:
+    """Orders swaps at owned engines."""
+
+    def __init__(
+        self,
+        board: Blackboard,
+        engines: EnginePort,
+        ownership: Ownership,
+        clock: Clock,
+        telemetry: Telemetry,
+        settings: EngineSettings,
+        rng: random.Random,
+    ) -> None:
+        self._board = board
+        self._engines = engines
+        self._ownership = ownership
+        self._clock = clock
+        self._telemetry = telemetry
+        self._settings = settings
+        self._rng = rng
+        self._failures: dict[EngineId, int] = {}
+        self._not_before: dict[EngineId, float] = {}
+
+    async def reconcile(self) -> None:
+        """Orders each swap that is due."""
+        for engine in list(self._board.owned):
+            pool = self._board.pool_intent_of(engine)
+            load = self._board.engines.loads.get(engine)
+            if pool is not None and load is not None and self._is_due(engine, pool, load):
+                await self._swap(engine, pool)
+
+    def _is_due(self, engine: EngineId, pool: PoolIntent, load: EngineLoad) -> bool:
+        if pool.policy is None or load.swapping:
+            return False
+        target = self._board.policy_versions.get(pool.policy, 0)
+        if load.version >= target:
+            self._failures.pop(engine, None)
+            return False
+        now = self._clock.now()
+        return now >= self._wave_start(engine, pool) and now >= self._not_before.get(engine, 0.0)
+
+    def _wave_start(self, engine: EngineId, pool: PoolIntent) -> float:
+        rank = self._board.pool_engines(pool.name).index(engine)
+        wave = rank % pool.swap_waves
+        return self._board.policy_learned_at[pool.policy] + wave * pool.swap_interval_seconds
+
+    async def _swap(self, engine: EngineId, pool: PoolIntent) -> None:
+        token = self._board.owned.get(engine)
+        if token is None:
+            return
+        order = Order(
+            OrderKind.LOAD_VERSION,
+            self._board.members.own.id,
+            token,
+            policy=pool.policy,
+            version=self._board.policy_versions[pool.policy],
+        )
+        self._back_off(engine)
+        self._telemetry.count("swap_orders")
+        address = self._board.engines.directory[engine].address
+        try:
+            await self._engines.order(address, order, self._settings.order_timeout)
+        except StaleTokenError:
+            self._ownership.give_up(engine)
+        except EngineError:
+            self._telemetry.count("swap_failures")
+
+    def _back_off(self, engine: EngineId) -> None:
+        """Sets the earliest next order; the first success of the engine resets it."""
+        failures = self._failures.get(engine, 0)
+        self._failures[engine] = failures + 1
+        wait = min(RETRY_BASE * 2**failures, RETRY_LIMIT)
+        self._not_before[engine] = self._clock.now() + wait * self._rng.uniform(0.5, 1.0)
--- /dev/null
+++ b/src/larkpost/engines/http_adapter.py
@@ -0,0 +1,192 @@
+"""The engine port over HTTP: JSON requests, answers as server-sent events.
+
+The request's body leaves only when the connection stands and the caller still allows it, and that
+moment is recorded. A failure before it proves that the engine cannot have executed the request.
+"""
+
+import asyncio
+from collections.abc import AsyncIterator, Callable
+from dataclasses import asdict
+from typing import Any
+
+import aiohttp
+import orjson
+
+from larkpost.engines.port import (
+    EngineBrokenError,
+    EngineChunk,
+    EngineError,
+    EngineNotSentError,
+    EngineRefusedError,
+    EngineReport,
+    GenerateRequest,
+    Order,
+    StaleTokenError,
+)
+from larkpost.ids import Address, AttemptId, DaemonId, EngineId
+
+CONNECT_TIMEOUT = 2.0
+CANCEL_TIMEOUT = 1.0
+EVENT_PREFIX = b"data: "
+REFUSED_STATUSES = (409, 429, 503)
+NETWORK_ERRORS = (aiohttp.ClientError, TimeoutError, OSError)
+
+
+class _GuardedBody:
+    """A request body that leaves at most once, and only while the caller allows it."""
+
+    def __init__(self, content: bytes, may_send: Callable[[], bool]) -> None:
+        self._content = content
+        self._may_send = may_send
+        self.sent = False
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        """Yields the body once; aiohttp asks for it after it has connected."""
+        if self.sent or not self._may_send():
+            raise EngineNotSentError("the request may no longer be sent")
+        self.sent = True
+        yield self._content
+
+
+class HttpEnginePort:
+    """Calls engines over HTTP."""
+
+    def __init__(self, session: aiohttp.ClientSession) -> None:
+        self._session = session
+
+    async def generate(
+        self,
+        address: Address,
+        request: GenerateRequest,
+        chunk_timeout: float,
+        may_send: Callable[[], bool],
+    ) -> AsyncIterator[EngineChunk]:
+        body = _GuardedBody(orjson.dumps(asdict(request)), may_send)
+        headers = {"Content-Type": "application/json"}
+        limit = _stream_timeout(chunk_timeout)
+        url = f"http://{address}/v1/generate"
+        try:
+            async with self._session.post(
+                url, data=body.chunks(), headers=headers, timeout=limit
+            ) as response:
+                await _check_status(response, request.attempt)
+                async for chunk in _read_events(response):
+                    yield chunk
+        except NETWORK_ERRORS as error:
+            if not body.sent:
+                raise EngineNotSentError(repr(error)) from error
+            raise EngineBrokenError(repr(error)) from error
+
+    async def resume(
+        self, address: Address, attempt: AttemptId, offset: int, chunk_timeout: float
+    ) -> AsyncIterator[EngineChunk]:
+        url = f"http://{address}/v1/attempts/{attempt}"
+        limit = _stream_timeout(chunk_timeout)
+        try:
+            async with self._session.get(
+                url, params={"offset": str(offset)}, timeout=limit
+            ) as response:
+                await _check_status(response, attempt)
+                async for chunk in _read_events(response):
+                    yield chunk
+        except NETWORK_ERRORS as error:
+            raise EngineBrokenError(repr(error)) from error
+
+    async def cancel(self, address: Address, attempt: AttemptId) -> None:
+        url = f"http://{address}/v1/attempts/{attempt}"
+        try:
+            async with self._session.delete(url, timeout=_total(CANCEL_TIMEOUT)) as response:
+                await response.read()
+        except NETWORK_ERRORS as error:
+            raise EngineBrokenError(repr(error)) from error
+
+    async def report(self, address: Address, timeout: float) -> EngineReport:
+        url = f"http://{address}/v1/report"
+        try:
+            async with self._session.get(url, timeout=_total(timeout)) as response:
+                fields = orjson.loads(await response.read())
+            return _parse_report(fields)
+        except NETWORK_ERRORS as error:
+            raise EngineBrokenError(repr(error)) from error
+        except (KeyError, TypeError, ValueError) as error:
+            raise EngineBrokenError(f"not a report: {error!r}") from error
+
+    async def order(self, address: Address, order: Order, timeout: float) -> None:
+        url = f"http://{address}/v1/orders"
+        try:
+            async with self._session.post(
+                url, data=orjson.dumps(asdict(order)), timeout=_total(timeout)
+            ) as response:
+                fields = orjson.loads(await response.read())
+        except (*NETWORK_ERRORS, ValueError) as error:
+            raise EngineBrokenError(repr(error)) from error
+        if response.status == 412:
+            raise StaleTokenError("the engine has accepted a higher token", fields["token"])
+        if response.status != 200:
+            raise EngineError(f"order refused: {fields.get('error', response.status)}")
+
+
+def _stream_timeout(chunk_timeout: float) -> aiohttp.ClientTimeout:
+    return aiohttp.ClientTimeout(
+        total=None, sock_connect=min(CONNECT_TIMEOUT, chunk_timeout), sock_read=chunk_timeout
+    )
+
+
+def _total(timeout: float) -> aiohttp.ClientTimeout:
+    return aiohttp.ClientTimeout(total=timeout)
+
+
+async def _check_status(response: aiohttp.ClientResponse, attempt: AttemptId) -> None:
+    """Lets a stream pass; a refusal counts only if it names this very attempt."""
+    if response.status == 200:
+        return
+    content = await response.read()
+    try:
+        fields = orjson.loads(content)
+    except orjson.JSONDecodeError:
+        fields = {}
+    named = isinstance(fields, dict) and fields.get("attempt") == attempt
+    if response.status in REFUSED_STATUSES and named and fields.get("ran") is False:
+        raise EngineRefusedError(str(fields.get("error")), fields.get("retry_after"))
+    raise EngineBrokenError(f"status {response.status}")
+
+
+async def _read_events(response: aiohttp.ClientResponse) -> AsyncIterator[EngineChunk]:
+    async for line in response.content:
+        if not line.startswith(EVENT_PREFIX):
+            continue
+        try:
+            yield _parse_chunk(orjson.loads(line[len(EVENT_PREFIX) :]))
+        except (KeyError, TypeError, ValueError) as error:
+            raise EngineBrokenError(f"not a chunk: {error!r}") from error
+
+
+def _parse_chunk(fields: dict[str, Any]) -> EngineChunk:
+    return EngineChunk(
+        attempt=AttemptId(fields["attempt"]),
+        offset=fields["offset"],
+        tokens=tuple(fields["tokens"]),
+        version=fields["version"],
+        total=fields.get("total"),
+    )
+
+
+def _parse_report(fields: dict[str, Any]) -> EngineReport:
+    owner = fields.get("owner")
+    return EngineReport(
+        engine=EngineId(fields["engine"]),
+        running=fields["running"],
+        waiting=fields["waiting"],
+        slots=fields["slots"],
+        version=fields["version"],
+        leaving=fields["leaving"],
+        token=fields["token"],
+        owner=DaemonId(owner) if owner else None,
+        swapping=fields["swapping"],
+    )
+
+
+async def close_session(session: aiohttp.ClientSession) -> None:
+    """Closes a client session and lets its connections end."""
+    await session.close()
+    await asyncio.sleep(0)
--- /dev/null
+++ b/src/larkpost/platform/http_adapter.py
@@ -0,0 +1,70 @@
+"""The platform's ports over HTTP."""
+
+import base64
+from typing import Any
+
+import aiohttp
+import orjson
+
+from larkpost.errors import PlatformError
+from larkpost.ids import Address, EngineId, PoolId, ZoneId
+from larkpost.platform.ports import MachineEntry, Row
+
+NETWORK_ERRORS = (aiohttp.ClientError, TimeoutError, OSError, ValueError, KeyError)
+
+
+class HttpPlatform:
+    """The table service and the machine list of one platform address."""
+
+    def __init__(self, session: aiohttp.ClientSession, address: Address) -> None:
+        self._session = session
+        self._base = f"http://{address}"
+
+    async def read(self, key: str, timeout: float) -> Row | None:
+        fields = await self._call("GET", "/table", {"key": key}, None, timeout)
+        if fields["version"] == 0:
+            return None
+        return Row(fields["version"], base64.b64decode(fields["value"]))
+
+    async def compare_and_set(
+        self, key: str, expected_version: int, value: bytes, timeout: float
+    ) -> bool:
+        body = {
+            "key": key,
+            "expected_version": expected_version,
+            "value": base64.b64encode(value).decode(),
+        }
+        fields = await self._call("POST", "/table", {}, body, timeout)
+        return bool(fields["written"])
+
+    async def entries(self, timeout: float) -> list[MachineEntry]:
+        fields = await self._call("GET", "/machines", {}, None, timeout)
+        return [_parse_machine(entry) for entry in fields["machines"]]
+
+    async def _call(
+        self, verb: str, path: str, params: dict[str, str], body: Any, timeout: float
+    ) -> dict[str, Any]:
+        limit = aiohttp.ClientTimeout(total=timeout)
+        data = orjson.dumps(body) if body is not None else None
+        url = self._base + path
+        try:
+            async with self._session.request(
+                verb, url, params=params, data=data, timeout=limit
+            ) as response:
+                content = await response.read()
+                if response.status != 200:
+                    raise PlatformError(f"{verb} {path}: status {response.status}")
+                return orjson.loads(content)
+        except NETWORK_ERRORS as error:
+            raise PlatformError(f"{verb} {path}: {error!r}") from error
+
+
+def _parse_machine(fields: dict[str, Any]) -> MachineEntry:
+    return MachineEntry(
+        engine=EngineId(fields["engine"]),
+        zone=ZoneId(fields["zone"]),
+        address=Address(fields["address"]),
+        pool=PoolId(fields["pool"]),
+        leaving=fields["leaving"],
+        revision=fields["revision"],
+    )
--- /dev/null
+++ b/src/larkpost/rehearsal/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the systems around larkpost, load, experiments and measurements."""
--- /dev/null
+++ b/src/larkpost/rehearsal/processes.py
@@ -0,0 +1,131 @@
+"""Starts, signals and ends the processes of a rehearsal; each one's output goes to a file."""
+
+import signal
+import socket
+import subprocess
+import sys
+import time
+import urllib.error
+import urllib.request
+from dataclasses import dataclass
+from pathlib import Path
+from typing import IO
+
+from larkpost.ids import Address
+
+START_TIMEOUT = 30.0
+STOP_TIMEOUT = 20.0
+POLL_SECONDS = 0.05
+
+
+class RehearsalError(Exception):
+    """A process of the rehearsal did not do as it should."""
+
+
+def free_address() -> Address:
+    """Returns a loopback address whose port is free for TCP and UDP."""
+    for _ in range(100):
+        with (
+            socket.socket(socket.AF_INET, socket.SOCK_STREAM) as tcp,
+            socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp,
+        ):
+            tcp.bind(("127.0.0.1", 0))
+            port = tcp.getsockname()[1]
+            try:
+                udp.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            return Address(f"127.0.0.1:{port}")
+    raise RehearsalError("no port is free for both TCP and UDP")
+
+
+@dataclass(slots=True)
+class Process:
+    """One running process."""
+
+    name: str
+    popen: subprocess.Popen
+    output: Path
+    _stdout: IO[bytes]
+    _stderr: IO[bytes]
+
+    def send(self, number: signal.Signals) -> None:
+        """Sends a signal if the process still runs."""
+        if self.popen.poll() is None:
+            self.popen.send_signal(number)
+
+    def wait(self, timeout: float) -> int:
+        """Waits for the end and returns the exit status.
+
+        Raises:
+            RehearsalError: it did not end in time.
+        """
+        try:
+            status = self.popen.wait(timeout)
+        except subprocess.TimeoutExpired:
+            raise RehearsalError(f"{self.name} did not end within {timeout:g} s") from None
+        self._stdout.close()
+        self._stderr.close()
+        return status
+
+    def lines(self) -> list[str]:
+        """Returns what the process has written to standard output."""
+        return self.output.read_text(encoding="utf-8").splitlines()
+
+
+class ProcessGroup:
+    """All processes of a rehearsal; leaving the context ends them."""
+
+    def __init__(self, folder: Path) -> None:
+        self._folder = folder
+        self._processes: list[Process] = []
+
+    def __enter__(self) -> "ProcessGroup":
+        return self
+
+    def __exit__(self, *_exc: object) -> None:
+        for process in self._processes:
+            process.send(signal.SIGCONT)
+            process.send(signal.SIGKILL)
+        for process in self._processes:
+            process.wait(STOP_TIMEOUT)
+
+    def start(self, name: str, *arguments: str) -> Process:
+        """Starts ``larkpost`` with arguments."""
+        output = self._folder / f"{name}.out"
+        stdout = output.open("ab")
+        stderr = (self._folder / f"{name}.err").open("ab")
+        command = [sys.executable, "-m", "larkpost", *arguments]
+        popen = subprocess.Popen(command, stdout=stdout, stderr=stderr, stdin=subprocess.DEVNULL)
+        process = Process(name, popen, output, stdout, stderr)
+        self._processes.append(process)
+        return process
+
+
+def wait_for(condition, what: str, timeout: float = START_TIMEOUT) -> None:
+    """Waits until a condition holds.
+
+    Raises:
+        RehearsalError: it did not in time.
+    """
+    deadline = time.monotonic() + timeout
+    while not condition():
+        if time.monotonic() > deadline:
+            raise RehearsalError(f"{what}: not within {timeout:g} s")
+        time.sleep(POLL_SECONDS)
+
+
+def answers(address: Address, path: str) -> bool:
+    """Whether an HTTP address answers with success."""
+    try:
+        with urllib.request.urlopen(f"http://{address}{path}", timeout=1.0) as response:
+            return response.status == 200
+    except (urllib.error.URLError, OSError):
+        return False
+
+
+def call(address: Address, verb: str, path: str, body: bytes = b"") -> bytes:
+    """Makes one HTTP call and returns the answer's body."""
+    request = urllib.request.Request(f"http://{address}{path}", data=body, method=verb)
+    with urllib.request.urlopen(request, timeout=10.0) as response:
+        return response.read()
--- /dev/null
+++ b/src/larkpost/rehearsal/trainer.py
@@ -0,0 +1,192 @@
+"""A stand-in trainer: steps of batches and training, and its own record of what it received."""
+
+import asyncio
+import random
+import time
+from dataclasses import asdict, dataclass, field
+
+import aiohttp
+
+from larkpost.batches.ledger import BatchSpec, Sample
+from larkpost.client import BatchSession, HttpBatchEndpoint
+from larkpost.errors import LarkpostError
+from larkpost.ids import Address, BatchId, PolicyId, PoolId, TrainerId
+from larkpost.rehearsal.tokens import answer_length, answer_seed, expected_answer
+
+
+@dataclass(frozen=True, slots=True)
+class TrainerShape:
+    """A trainer's work.
+
+    Attributes:
+        train_seconds: time of a training step once its batch is whole.
+        ahead: batches opened before the one that is trained on (0: strictly in turn).
+    """
+
+    name: TrainerId
+    pool: PoolId
+    policy: PolicyId
+    prompts: int = 8
+    samples_per_prompt: int = 4
+    max_tokens: int = 256
+    staleness_bound: int = 2
+    train_seconds: float = 1.0
+    ahead: int = 1
+    hint_lengths: bool = True
+
+
+@dataclass(slots=True)
+class TrainerRecord:
+    """What the trainer itself saw."""
+
+    trainer: str
+    steps: int = 0
+    samples_expected: int = 0
+    samples_delivered: int = 0
+    samples_doubled: int = 0
+    samples_lost: int = 0
+    samples_stale: int = 0
+    version_mismatches: int = 0
+    idle_seconds: float = 0.0
+    train_seconds: float = 0.0
+    staleness: list[int] = field(default_factory=list)
+    step_waits: list[float] = field(default_factory=list)
+
+    def note_sample(self, spec: BatchSpec, sample: Sample, version: int, held: set[int]) -> None:
+        """Checks a received sample against the request, the trainer's step, and earlier ones."""
+        if sample.slot in held:
+            self.samples_doubled += 1
+            return
+        self.samples_delivered += 1
+        age = version - sample.oldest_version
+        self.staleness.append(age)
+        self.samples_stale += age > spec.staleness_bound
+        self.version_mismatches += not is_right(spec, sample)
+
+
+def is_right(spec: BatchSpec, sample: Sample) -> bool:
+    """Whether each token is the one that the named version gives to this slot's request."""
+    prompt = spec.prompts[spec.prompt_index(sample.slot)]
+    spans = [(s.version, s.first_token, s.count) for s in sample.spans]
+    expected = expected_answer(f"{spec.id}/{sample.slot}", prompt, spec.max_tokens, spans)
+    return list(sample.tokens) == expected
+
+
+class Trainer:
+    """Runs steps until it is told to stop."""
+
+    def __init__(
+        self,
+        shape: TrainerShape,
+        daemons: list[Address],
+        platform: Address,
+        session: aiohttp.ClientSession,
+        seed: int,
+    ) -> None:
+        self._shape = shape
+        self._daemons = daemons
+        self._platform = platform
+        self._http = session
+        self._endpoint = HttpBatchEndpoint(session)
+        self._rng = random.Random(seed)
+        self._run_name = f"{shape.name}-{self._rng.randrange(16**6):06x}"
+        self.version = 0
+        self.record = TrainerRecord(shape.name)
+        self._stopping = False
+
+    def stop(self) -> None:
+        """Ends after the batch under way."""
+        self._stopping = True
+
+    async def run(self) -> TrainerRecord:
+        """Runs steps; returns the record of the whole run."""
+        await self._publish()
+        opened: list[BatchSession] = []
+        step = 0
+        while not self._stopping:
+            while len(opened) <= self._shape.ahead:
+                opened.append(await self._open(step))
+                step += 1
+            await self._collect(opened.pop(0))
+            await self._train()
+        for session in opened:
+            await session.close()
+        return self.record
+
+    async def _open(self, step: int) -> BatchSession:
+        spec = self._make_spec(step)
+        session = BatchSession(self._endpoint, self._daemons, spec, self._rng)
+        await session.open()
+        return session
+
+    def _make_spec(self, step: int) -> BatchSpec:
+        shape = self._shape
+        batch = BatchId(f"{self._run_name}-{step}")
+        prompts = tuple(
+            f"{shape.name} step {step} prompt {i} " + "context " * self._rng.randrange(8, 64)
+            for i in range(shape.prompts)
+        )
+        return BatchSpec(
+            batch,
+            shape.name,
+            shape.pool,
+            prompts,
+            shape.samples_per_prompt,
+            shape.staleness_bound,
+            self.version,
+            shape.max_tokens,
+            expected_tokens=self._hints(batch, prompts),
+        )
+
+    def _hints(self, batch: BatchId, prompts: tuple[str, ...]) -> tuple[int, ...]:
+        """Returns the longest length per prompt, known only within a factor of two."""
+        if not self._shape.hint_lengths:
+            return ()
+        hints = []
+        for index, prompt in enumerate(prompts):
+            first = index * self._shape.samples_per_prompt
+            slots = range(first, first + self._shape.samples_per_prompt)
+            seeds = [answer_seed(f"{batch}/{slot}", prompt) for slot in slots]
+            longest = max(answer_length(seed, self._shape.max_tokens) for seed in seeds)
+            hints.append(max(1, round(longest * self._rng.uniform(0.5, 1.5))))
+        return tuple(hints)
+
+    async def _collect(self, session: BatchSession) -> None:
+        started = time.monotonic()
+        self.record.samples_expected += session.spec.slot_count
+        async for page in session.pages(self.version):
+            for sample in page.samples:
+                self.record.note_sample(session.spec, sample, self.version, session.held)
+        await session.close()
+        self.record.samples_lost += session.spec.slot_count - len(session.held)
+        waited = time.monotonic() - started
+        self.record.idle_seconds += waited
+        self.record.step_waits.append(waited)
+
+    async def _train(self) -> None:
+        await asyncio.sleep(self._shape.train_seconds)
+        self.record.train_seconds += self._shape.train_seconds
+        self.record.steps += 1
+        await self._publish()
+
+    async def _publish(self) -> None:
+        """Stores new weights and tells larkpost."""
+        self.version += 1
+        url = f"http://{self._platform}/weights/{self._shape.policy}/{self.version}"
+        async with self._http.put(url) as response:
+            response.raise_for_status()
+        daemon = self._rng.choice(self._daemons)
+        try:
+            await self._endpoint.announce_version(daemon, self._shape.policy, self.version)
+        except LarkpostError:
+            return  # the next pull tells the version as well
+
+
+async def run_trainer(
+    shape: TrainerShape, daemons: list[Address], platform: Address, seconds: float, seed: int
+) -> dict:
+    """Runs a trainer for a time and returns its record."""
+    async with aiohttp.ClientSession() as session:
+        trainer = Trainer(shape, daemons, platform, session, seed)
+        asyncio.get_running_loop().call_later(seconds, trainer.stop)
+        return asdict(await trainer.run())
--- /dev/null
+++ b/src/larkpost/rendezvous.py
@@ -0,0 +1,23 @@
+"""Rendezvous hashing: every daemon with the same view makes the same choice."""
+
+from collections.abc import Iterable
+from functools import lru_cache
+
+from larkpost.blackboard.members import MemberInfo
+from larkpost.hashing import hash64
+
+
+@lru_cache(maxsize=200_000)
+def score(node: str, key: str) -> int:
+    """Returns the weight of ``node`` for ``key``; the highest weight wins."""
+    return hash64(f"{node}\x00{key}")
+
+
+def ranked(members: Iterable[MemberInfo], key: str) -> list[MemberInfo]:
+    """Returns the members, the first choice for ``key`` first."""
+    return sorted(members, key=lambda member: score(member.id, key), reverse=True)
+
+
+def choose(members: Iterable[MemberInfo], key: str) -> MemberInfo | None:
+    """Returns the first choice for ``key``, or None if there are no members."""
+    return max(members, key=lambda member: score(member.id, key), default=None)
--- /dev/null
+++ b/src/larkpost/routing/dispatcher.py
@@ -0,0 +1,307 @@
+"""Runs a piece of work on engines: attempt, check each chunk, resume or retry, or say why not.
+
+Invariants:
+- A chunk counts only if it names this attempt and starts at the next token.
+- An answer ends only with a chunk that states its whole length, and only if that length is reached.
+- ``Ran.NO`` is said only while no attempt was sent, or each one sent was refused by the engine that
+  names the attempt. One attempt whose outcome is unknown makes every later answer ``UNKNOWN``.
+- Work that may run only once is never sent again after an attempt whose outcome is unknown.
+"""
+
+import random
+from collections.abc import AsyncIterator
+from contextlib import aclosing
+from dataclasses import dataclass, field
+
+from larkpost.blackboard.board import Blackboard
+from larkpost.clock import Clock
+from larkpost.controllers.monitor import Monitor
+from larkpost.engines.port import (
+    EngineBrokenError,
+    EngineChunk,
+    EngineError,
+    EngineNotSentError,
+    EnginePort,
+    EngineRefusedError,
+    GenerateRequest,
+)
+from larkpost.errors import (
+    BrokenAnswerError,
+    DeadlineError,
+    NoEngineError,
+    OverloadedError,
+    Ran,
+)
+from larkpost.ids import AttemptId, EngineId
+from larkpost.routing.retry import RetryBudgets, backoff
+from larkpost.routing.selection import Selector
+from larkpost.routing.work import TokenRun, Work, WorkClass
+from larkpost.settings import RoutingSettings
+from larkpost.tasks import TaskSet
+from larkpost.telemetry import Telemetry
+
+MAX_ATTEMPTS = 6
+RETRY_AFTER_NO_ENGINE = 1.0
+MAX_PROBES = 3
+"""Engines asked for a report at once when no report is fresh."""
+RESUME_ATTEMPTS = 2
+
+
+@dataclass(slots=True)
+class _Progress:
+    """State of one piece of work over its attempts."""
+
+    tokens: list[int] = field(default_factory=list)
+    attempts: int = 0
+    failures: int = 0
+    uncertain: bool = False
+    excluded: set[EngineId] = field(default_factory=set)
+    finished: bool = False
+
+    @property
+    def ran(self) -> Ran:
+        """What a failure answer may say."""
+        return Ran.UNKNOWN if self.uncertain else Ran.NO
+
+
+class Dispatcher:
+    """Sends work to engines."""
+
+    def __init__(
+        self,
+        board: Blackboard,
+        engines: EnginePort,
+        selector: Selector,
+        monitor: Monitor,
+        budgets: RetryBudgets,
+        clock: Clock,
+        tasks: TaskSet,
+        telemetry: Telemetry,
+        settings: RoutingSettings,
+        rng: random.Random,
+    ) -> None:
+        self._board = board
+        self._engines = engines
+        self._selector = selector
+        self._monitor = monitor
+        self._budgets = budgets
+        self._clock = clock
+        self._tasks = tasks
+        self._telemetry = telemetry
+        self._settings = settings
+        self._rng = rng
+        self._attempt_number = 0
+
+    async def run(
+        self, work: Work, prefer: EngineId | None = None, prefix: tuple[int, ...] = ()
+    ) -> AsyncIterator[TokenRun]:
+        """Yields the answer's token runs; returning means that the answer is whole.
+
+        Args:
+            work: the request.
+            prefer: engine to use first if it may take the work, for its prefix cache.
+            prefix: tokens of the answer that exist already; the runs go on after them.
+
+        Raises:
+            LarkpostError: there is no whole answer; the error says whether the request ran.
+        """
+        progress = _Progress(tokens=list(prefix))
+        self._budgets.earn(_caller_key(work))
+        while not progress.finished:
+            engine = await self._next_engine(work, progress, prefer)
+            async with aclosing(self._attempt(work, engine, progress)) as runs:
+                async for run in runs:
+                    yield run
+
+    async def _next_engine(
+        self, work: Work, progress: _Progress, prefer: EngineId | None
+    ) -> EngineId:
+        self._check_deadline(work, progress)
+        if progress.attempts > 0:
+            await self._pay_for_retry(work, progress)
+        if prefer is not None and progress.attempts == 0 and self._fits(work, prefer):
+            return prefer
+        candidate = self._selector.choose(work, progress.excluded)
+        if candidate is None:
+            await self._probe(work, progress)
+            candidate = self._selector.choose(work, progress.excluded)
+        if candidate is None and progress.excluded:
+            progress.excluded.clear()
+            candidate = self._selector.choose(work, progress.excluded)
+        if candidate is None:
+            raise NoEngineError(
+                f"no engine of pool {work.pool!r} can take the request now",
+                ran=progress.ran,
+                retry_after=RETRY_AFTER_NO_ENGINE,
+            )
+        return candidate.engine
+
+    def _fits(self, work: Work, engine: EngineId) -> bool:
+        return any(c.engine == engine for c in self._selector.candidates(work, ()))
+
+    async def _pay_for_retry(self, work: Work, progress: _Progress) -> None:
+        if progress.attempts >= MAX_ATTEMPTS or not self._budgets.spend(_caller_key(work)):
+            raise OverloadedError(
+                "the request failed and its caller's retries are spent",
+                ran=progress.ran,
+                retry_after=self._settings.backoff_limit,
+            )
+        self._telemetry.count("retries", kind=work.work_class)
+        await self._clock.sleep(backoff(self._settings, progress.failures, self._rng))
+
+    def _check_deadline(self, work: Work, progress: _Progress) -> None:
+        if self._clock.now() >= work.deadline:
+            raise DeadlineError("the request's deadline has passed", ran=progress.ran)
+
+    async def _probe(self, work: Work, progress: _Progress) -> None:
+        """Asks engines whose report is too old, so that a dead owner does not stop traffic."""
+        stale = self._selector.stale(work.pool, progress.excluded)
+        for engine in self._rng.sample(stale, min(len(stale), MAX_PROBES)):
+            info = self._board.engines.directory[engine]
+            if await self._monitor.ask(info) is not None:
+                return
+            self._board.engines.avoid(engine, self._clock.now() + self._settings.avoid_time)
+
+    async def _attempt(
+        self, work: Work, engine: EngineId, progress: _Progress
+    ) -> AsyncIterator[TokenRun]:
+        """Runs one attempt; on a failure that allows another it returns with ``finished`` unset."""
+        request = self._make_request(work, progress)
+        progress.attempts += 1
+        if not self._selector.may_dispatch(engine):
+            progress.excluded.add(engine)
+            return
+        if progress.attempts > 1 and not self._budgets.spend(_engine_key(engine)):
+            progress.excluded.add(engine)
+            return
+        self._budgets.earn(_engine_key(engine))
+        self._telemetry.count("dispatches", kind=work.work_class)
+        self._board.engines.begin(engine)
+        try:
+            async with aclosing(self._receive(work, engine, request, progress)) as runs:
+                async for run in runs:
+                    yield run
+        except EngineError as error:
+            self._note_failure(engine, work, progress, error)
+        finally:
+            self._board.engines.end(engine)
+            if not progress.finished:
+                self._tasks.spawn(self._cancel(engine, request.attempt), "cancel-attempt")
+
+    def _make_request(self, work: Work, progress: _Progress) -> GenerateRequest:
+        self._attempt_number += 1
+        own = self._board.members.own
+        attempt = f"{own.id}.{own.incarnation}.{self._attempt_number}"
+        return GenerateRequest(
+            request=work.request,
+            attempt=AttemptId(attempt),
+            prompt=work.prompt,
+            max_tokens=work.max_tokens,
+            priority=work.priority,
+            prefix=tuple(progress.tokens),
+            chunk_tokens=work.chunk_tokens,
+        )
+
+    async def _receive(
+        self, work: Work, engine: EngineId, request: GenerateRequest, progress: _Progress
+    ) -> AsyncIterator[TokenRun]:
+        """Yields checked runs of one attempt, attaching to it again if its stream breaks."""
+        address = self._board.engines.directory[engine].address
+        timeout = self._chunk_timeout(work)
+        stream = self._engines.generate(
+            address, request, timeout, lambda: self._may_send(work, engine)
+        )
+        for resumes_left in reversed(range(RESUME_ATTEMPTS)):
+            try:
+                async with aclosing(stream):
+                    async for chunk in stream:
+                        run = _check_chunk(chunk, request, progress)
+                        if run.tokens:
+                            yield run
+                        if progress.finished:
+                            return
+                raise EngineBrokenError("the stream ended before the answer was whole")
+            except EngineBrokenError:
+                self._telemetry.count("broken_streams")
+                progress.uncertain = True
+                if resumes_left == 0:
+                    raise
+            self._check_deadline(work, progress)
+            self._telemetry.count("resumes")
+            offset = len(progress.tokens)
+            timeout = self._chunk_timeout(work)
+            stream = self._engines.resume(address, request.attempt, offset, timeout)
+
+    def _may_send(self, work: Work, engine: EngineId) -> bool:
+        return self._clock.now() < work.deadline and self._selector.may_dispatch(engine)
+
+    def _chunk_timeout(self, work: Work) -> float:
+        if work.work_class == WorkClass.ROLLOUT:
+            return self._settings.rollout_chunk_timeout
+        return min(self._settings.chunk_timeout, max(work.deadline - self._clock.now(), 0.0))
+
+    def _note_failure(
+        self, engine: EngineId, work: Work, progress: _Progress, error: EngineError
+    ) -> None:
+        """Decides whether another attempt is allowed.
+
+        Raises:
+            LarkpostError: it is not.
+        """
+        progress.failures += 1
+        progress.excluded.add(engine)
+        certain = isinstance(error, EngineNotSentError | EngineRefusedError)
+        if not certain:
+            progress.uncertain = True
+        if not isinstance(error, EngineRefusedError):
+            until = self._clock.now() + self._settings.avoid_time
+            self._board.engines.avoid(engine, until)
+        if progress.uncertain and work.run_once:
+            raise BrokenAnswerError(
+                f"the answer of engine {engine!r} broke off: {error}", ran=Ran.UNKNOWN
+            )
+
+    async def _cancel(self, engine: EngineId, attempt: AttemptId) -> None:
+        info = self._board.engines.directory[engine]
+        try:
+            await self._engines.cancel(info.address, attempt)
+        except EngineError:
+            return  # the engine is gone, or drops the attempt when its caller is gone
+
+
+def _caller_key(work: Work) -> str:
+    return f"{work.work_class}/{work.caller}"
+
+
+def _engine_key(engine: EngineId) -> str:
+    return f"engine/{engine}"
+
+
+def _check_chunk(chunk: EngineChunk, request: GenerateRequest, progress: _Progress) -> TokenRun:
+    """Takes a chunk into the progress.
+
+    Raises:
+        EngineBrokenError: the chunk is another attempt's, out of place, or ends the answer wrongly.
+    """
+    if chunk.attempt != request.attempt:
+        raise EngineBrokenError(f"got a chunk of attempt {chunk.attempt!r}")
+    have = len(progress.tokens)
+    if chunk.offset > have:
+        raise EngineBrokenError(f"a gap: token {chunk.offset} came after {have} tokens")
+    fresh = chunk.tokens[have - chunk.offset :]
+    repeated = chunk.tokens[: have - chunk.offset]
+    if repeated != tuple(progress.tokens[chunk.offset : chunk.offset + len(repeated)]):
+        raise EngineBrokenError("a repeated chunk differs from the first one")
+    progress.tokens.extend(fresh)
+    if chunk.total is not None:
+        if chunk.total != len(progress.tokens):
+            raise EngineBrokenError(
+                f"the answer ends at {len(progress.tokens)} of {chunk.total} tokens"
+            )
+        progress.finished = True
+    return TokenRun(have, fresh, chunk.version)
+
+
+def chunk_size(work_class: WorkClass) -> int:
+    """Returns how many tokens an engine may gather in a chunk: rollouts need no low latency."""
+    return 1 if work_class == WorkClass.CLIENT else 16
--- /dev/null
+++ b/src/larkpost/routing/retry.py
@@ -0,0 +1,53 @@
+"""Retry budgets and backoff: retries stay a bounded share of the requests, whatever fails."""
+
+import random
+from collections import OrderedDict
+
+from larkpost.settings import RoutingSettings
+
+MAX_BUDGETS = 4096
+"""Budgets kept; the least recently used is forgotten."""
+
+
+class RetryBudgets:
+    """Token buckets by caller and by engine.
+
+    Each request earns ``retry_ratio`` of a retry up to ``retry_reserve``; each retry costs one.
+    When a zone dies, attempts are thus bounded by (1 + ratio) of the requests plus the reserve.
+    """
+
+    def __init__(self, settings: RoutingSettings) -> None:
+        self._settings = settings
+        self._budgets: OrderedDict[str, float] = OrderedDict()
+
+    def earn(self, *keys: str) -> None:
+        """Credits a first attempt to each key."""
+        for key in keys:
+            credit = self._get(key) + self._settings.retry_ratio
+            self._budgets[key] = min(credit, self._settings.retry_reserve)
+
+    def spend(self, *keys: str) -> bool:
+        """Takes one retry from every key, or from none.
+
+        Returns:
+            Whether every key had one.
+        """
+        if any(self._get(key) < 1 for key in keys):
+            return False
+        for key in keys:
+            self._budgets[key] -= 1
+        return True
+
+    def _get(self, key: str) -> float:
+        if key not in self._budgets:
+            self._budgets[key] = self._settings.retry_reserve
+            if len(self._budgets) > MAX_BUDGETS:
+                self._budgets.popitem(last=False)
+        self._budgets.move_to_end(key)
+        return self._budgets[key]
+
+
+def backoff(settings: RoutingSettings, failures: int, rng: random.Random) -> float:
+    """Returns the seconds to wait after so many failures, with full jitter."""
+    longest = min(settings.backoff_base * 2 ** max(failures - 1, 0), settings.backoff_limit)
+    return rng.uniform(longest / 2, longest)
--- /dev/null
+++ b/src/larkpost/routing/run_once.py
@@ -0,0 +1,146 @@
+"""Requests that may run at most once: who may still run a key.
+
+A key is either a ticket, issued by a daemon and consumed in that daemon's memory (no store is
+needed, and the ticket dies with the daemon), or a name of the caller's choice, claimed by a row of
+the table service. A request without a key cannot be asked again, so the daemon that took it is the
+only one that can run it.
+"""
+
+import uuid
+from dataclasses import dataclass
+
+from larkpost.blackboard.board import Blackboard
+from larkpost.errors import AlreadyClaimedError, LarkpostError, PlatformError, Ran
+from larkpost.ids import DaemonId
+from larkpost.platform.ports import TableStore
+from larkpost.settings import ConfigurationSettings
+from larkpost.wire import larkpost_pb2 as pb
+from larkpost.wire.peer import PeerError, PeerMethod, PeerTransport
+
+TICKET_PREFIX = "ticket"
+ROW_PREFIX = "run-once/"
+REMOTE_TIMEOUT = 1.0
+MAX_CONSUMED = 1_000_000
+
+
+class KeyStoreUnavailableError(LarkpostError):
+    """Whether the key was used before cannot be told now."""
+
+    code = "key_store_unavailable"
+    status = 503
+    remedy = "Ask again with a ticket from POST /v1/tickets, which needs no store."
+
+
+@dataclass(frozen=True, slots=True)
+class Ticket:
+    """A key issued by one incarnation of a daemon."""
+
+    daemon: DaemonId
+    incarnation: int
+    number: int
+
+    def encode(self) -> str:
+        """Returns the key text."""
+        return f"{TICKET_PREFIX}:{self.daemon}:{self.incarnation}:{self.number}"
+
+
+def parse_ticket(key: str) -> Ticket | None:
+    """Returns the ticket, or None if the key is a name of the caller's choice."""
+    parts = key.split(":")
+    if len(parts) != 4 or parts[0] != TICKET_PREFIX:
+        return None
+    if not parts[2].isdigit() or not parts[3].isdigit():
+        return None
+    return Ticket(DaemonId(parts[1]), int(parts[2]), int(parts[3]))
+
+
+class RunOnceRegistry:
+    """Grants each key once, fleet-wide."""
+
+    def __init__(
+        self,
+        board: Blackboard,
+        table: TableStore,
+        transport: PeerTransport,
+        settings: ConfigurationSettings,
+    ) -> None:
+        self._board = board
+        self._table = table
+        self._transport = transport
+        self._settings = settings
+        self._born = board.members.own.incarnation
+        """Incarnation at the start: refutations raise the member's, but the memory is the same."""
+        self._issued = 0
+        self._open: set[int] = set()
+
+    def issue(self) -> Ticket:
+        """Issues a ticket; the oldest open one is dropped when too many were never used."""
+        self._issued += 1
+        self._open.add(self._issued)
+        self._open.discard(self._issued - MAX_CONSUMED)
+        return Ticket(self._board.members.own.id, self._born, self._issued)
+
+    async def claim(self, key: str) -> None:
+        """Takes the right to run the key's request.
+
+        Raises:
+            AlreadyClaimedError: it was taken before; the request may have run.
+            KeyStoreUnavailableError: it could not be found out.
+        """
+        ticket = parse_ticket(key)
+        granted = await (self._claim_row(key) if ticket is None else self._claim_ticket(ticket))
+        if not granted:
+            raise AlreadyClaimedError(f"the key {key!r} was used before", ran=Ran.UNKNOWN)
+
+    async def on_remote_claim(self, payload: bytes) -> bytes:
+        """Consumes a ticket of this daemon for another one; the answer is empty if refused."""
+        ticket = parse_ticket(pb.RunOnceRequest.FromString(payload).key)
+        return b"1" if ticket is not None and self._consume(ticket) else b""
+
+    def _consume(self, ticket: Ticket) -> bool:
+        own = ticket.daemon == self._board.members.own.id and ticket.incarnation == self._born
+        if not own or ticket.number not in self._open:
+            return False
+        self._open.remove(ticket.number)
+        return True
+
+    async def _claim_ticket(self, ticket: Ticket) -> bool:
+        if ticket.daemon == self._board.members.own.id:
+            return self._consume(ticket)
+        issuer = self._board.members.get(ticket.daemon)
+        if issuer is None:
+            return False
+        payload = pb.RunOnceRequest(key=ticket.encode()).SerializeToString()
+        try:
+            answer = await self._transport.request(
+                issuer.address, PeerMethod.RUN_ONCE, payload, REMOTE_TIMEOUT
+            )
+        except PeerError:
+            raise KeyStoreUnavailableError(
+                f"the ticket's daemon {ticket.daemon!r} does not answer",
+                remedy="Ask that daemon, or take a new ticket if a second run is harmless.",
+                ran=Ran.UNKNOWN,
+            ) from None
+        return answer == b"1"
+
+    async def _claim_row(self, key: str) -> bool:
+        mine = f"{self._board.members.own.id}/{uuid.uuid4().hex}".encode()
+        timeout = self._settings.platform_timeout
+        try:
+            return await self._table.compare_and_set(ROW_PREFIX + key, 0, mine, timeout)
+        except PlatformError:
+            pass  # the write may have taken effect: read it back
+        try:
+            row = await self._table.read(ROW_PREFIX + key, timeout)
+        except PlatformError as error:
+            raise KeyStoreUnavailableError(
+                f"the table service does not tell whether key {key!r} was used",
+                ran=Ran.UNKNOWN,
+                retry_after=timeout,
+            ) from error
+        if row is None:
+            # The lost write may still arrive and would then hold the key; it is not safe to run.
+            raise KeyStoreUnavailableError(
+                f"the claim of key {key!r} was lost", ran=Ran.UNKNOWN, retry_after=timeout
+            )
+        return row.value == mine
--- /dev/null
+++ b/src/larkpost/routing/selection.py
@@ -0,0 +1,124 @@
+"""Choice of an engine for a piece of work, from what the blackboard holds at this moment."""
+
+import random
+from collections.abc import Callable, Collection
+from dataclasses import dataclass
+
+from larkpost.blackboard.board import Blackboard
+from larkpost.blackboard.engines import EngineLoad
+from larkpost.clock import Clock
+from larkpost.controllers.monitor import Monitor
+from larkpost.ids import EngineId, PoolId
+from larkpost.routing.work import Work, WorkClass
+from larkpost.settings import EngineSettings
+
+SMALL_POOL = 8
+"""Up to so many candidates all are compared; above it two random ones."""
+REMOTE_PENALTY = 0.5
+"""Added to the load of an engine in another zone: half a batch must be saved to leave the zone."""
+
+
+@dataclass(frozen=True, slots=True)
+class Candidate:
+    """An engine that may take the work, and how full it is (1.0: every slot taken)."""
+
+    engine: EngineId
+    score: float
+    free_slots: int
+
+
+class Selector:
+    """Finds the engine for the next attempt."""
+
+    def __init__(
+        self,
+        board: Blackboard,
+        monitor: Monitor,
+        clock: Clock,
+        settings: EngineSettings,
+        rng: random.Random,
+    ) -> None:
+        self._board = board
+        self._monitor = monitor
+        self._clock = clock
+        self._settings = settings
+        self._rng = rng
+
+    def choose(self, work: Work, excluded: Collection[EngineId]) -> Candidate | None:
+        """Returns an engine with a fresh report that may take the work, or None."""
+        candidates = self.candidates(work, excluded)
+        if len(candidates) > SMALL_POOL:
+            candidates = self._rng.sample(candidates, 2)
+        self._rng.shuffle(candidates)
+        return min(candidates, key=lambda candidate: candidate.score, default=None)
+
+    def candidates(self, work: Work, excluded: Collection[EngineId]) -> list[Candidate]:
+        """Returns every engine that may take the work now."""
+        return self._collect(work.pool, excluded, lambda load: self._admits(work, load))
+
+    def stale(self, pool: PoolId, excluded: Collection[EngineId]) -> list[EngineId]:
+        """Returns the pool's engines that need to be asked before they may be used."""
+        now = self._clock.now()
+        return [
+            engine
+            for engine in self._monitor.watched(pool)
+            if engine not in excluded
+            and self._may_use(engine, now)
+            and not self._fresh(engine, now)
+        ]
+
+    def is_full(self, work: Work) -> bool:
+        """Whether every usable engine of the pool refuses clients because of its queue."""
+        pool = self._board.configuration.intent.pool(work.pool)
+        limit = pool.max_waiting if pool is not None else 0
+        loads = [self._board.engines.loads[c.engine] for c in self.candidates(work, ())]
+        return bool(loads) and all(
+            load.running >= load.slots and load.waiting >= limit for load in loads
+        )
+
+    def may_dispatch(self, engine: EngineId) -> bool:
+        """Last check before an attempt: the engine is not leaving and its report is fresh."""
+        now = self._clock.now()
+        return self._may_use(engine, now) and self._fresh(engine, now)
+
+    def _collect(
+        self,
+        pool: PoolId,
+        excluded: Collection[EngineId],
+        admits: Callable[[EngineLoad], bool],
+    ) -> list[Candidate]:
+        now = self._clock.now()
+        found = []
+        for engine in self._monitor.watched(pool):
+            if engine in excluded or not self._may_use(engine, now):
+                continue
+            if self._fresh(engine, now) and admits(self._board.engines.loads[engine]):
+                found.append(self._weigh(engine))
+        return found
+
+    def _weigh(self, engine: EngineId) -> Candidate:
+        engines = self._board.engines
+        load = engines.loads[engine]
+        busy = max(load.running + load.waiting, engines.in_flight.get(engine, 0))
+        score = busy / max(load.slots, 1)
+        if engines.directory[engine].zone != self._board.members.own.zone:
+            score += REMOTE_PENALTY
+        return Candidate(engine, score, load.slots - busy)
+
+    def _admits(self, work: Work, load: EngineLoad) -> bool:
+        if load.version < work.min_version:
+            return False
+        if work.work_class == WorkClass.CLIENT:
+            return True
+        pool = self._board.configuration.intent.pool(work.pool)
+        reserve = pool.client_reserve if pool is not None else 0
+        in_flight = self._board.engines.in_flight.get(load.engine, 0)
+        return max(load.running + load.waiting, in_flight) < load.slots - reserve
+
+    def _may_use(self, engine: EngineId, now: float) -> bool:
+        engines = self._board.engines
+        return not engines.is_leaving(engine) and engines.avoid_until.get(engine, 0.0) <= now
+
+    def _fresh(self, engine: EngineId, now: float) -> bool:
+        load = self._board.engines.loads.get(engine)
+        return load is not None and now - load.at <= self._settings.report_lifetime
--- /dev/null
+++ b/src/larkpost/server.py
@@ -0,0 +1,57 @@
+"""Runs one daemon as a process: HTTP and UDP listeners, signals, and a planned stop."""
+
+import asyncio
+import random
+import signal
+import sys
+
+import aiohttp
+from eliot import to_file
+
+from larkpost.api.app import make_app
+from larkpost.clock import LoopClock
+from larkpost.daemon import Daemon, Ports
+from larkpost.engines.http_adapter import HttpEnginePort, close_session
+from larkpost.http_server import HttpServer
+from larkpost.platform.http_adapter import HttpPlatform
+from larkpost.settings import Settings
+from larkpost.wire.http_peer import HttpPeerTransport, TelemetrySource
+
+IDLE_CONNECTION_SECONDS = 30
+
+
+def run_server(settings: Settings) -> None:
+    """Runs a daemon until SIGTERM or SIGINT, then stops it as planned."""
+    to_file(sys.stdout)
+    asyncio.run(serve(settings))
+
+
+async def serve(settings: Settings) -> None:
+    """Runs a daemon on the running loop."""
+    connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=IDLE_CONNECTION_SECONDS)
+    session = aiohttp.ClientSession(connector=connector)
+    source = TelemetrySource()
+    transport = HttpPeerTransport(session, source)
+    platform = HttpPlatform(session, settings.platform)
+    ports = Ports(LoopClock(), transport, HttpEnginePort(session), platform, platform)
+    daemon = Daemon(settings, ports, random.Random())
+    source.telemetry = daemon.telemetry
+    server = HttpServer(make_app(daemon), settings.listen)
+    stop = _stop_signal()
+    await server.start()
+    await transport.listen(settings.listen, daemon.gossip.receive)
+    daemon.start()
+    await stop.wait()
+    await daemon.drain()
+    await server.close()
+    daemon.stop()
+    transport.close()
+    await close_session(session)
+
+
+def _stop_signal() -> asyncio.Event:
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    return stop
