--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,11 @@
 	$(LARKPOST) rehearsal demo
 
 test: $(READY) ## all tests
-	$(PYTHON) -m tests.run
+	PYTHONHASHSEED=0 $(PYTHON) -m tests.run
+
+fuzz: $(READY) ## the fleet fuzz with fresh seeds; prints how to reproduce a failure
+	PYTHONHASHSEED=0 LARKPOST_FUZZ_FRESH=1 LARKPOST_FUZZ_SHRINK=1 LARKPOST_FUZZ_EXAMPLES=200 \
+		$(PYTHON) -m tests.run tests.test_fuzz
 
 lint: $(READY)
 	$(VENV)/bin/ruff format --check .
--- a/src/larkpost/api/operations.py
+++ b/src/larkpost/api/operations.py
@@ -9,11 +9,9 @@
 from starlette.routing import Route
 
 from larkpost.api.responses import JSON, Endpoint, json_response, read_document, with_errors
-from larkpost.blackboard.board import Phase
 from larkpost.config.intent import Intent
 from larkpost.config.plan import Plan, make_plan, pool_of
 from larkpost.daemon import Daemon
-from larkpost.errors import NotReadyError
 from larkpost.ids import EngineId
 from larkpost.wire.http_peer import PEER_PATH
 from larkpost.wire.peer import PeerMethod
@@ -52,7 +50,7 @@
         return Response(orjson.dumps(fields), media_type=JSON)
 
     async def _plan(self, request: Request) -> Response:
-        self._require_ready()
+        self._daemon.readiness.check()
         wanted = await read_document(request, Intent)
         state = self._daemon.board.configuration
         engines = self._daemon.board.engines.entries()
@@ -60,7 +58,7 @@
         return json_response(plan)
 
     async def _confirm(self, request: Request) -> Response:
-        self._require_ready()
+        self._daemon.readiness.check()
         plan = await read_document(request, Plan)
         return json_response(await self._daemon.configuration.confirm(plan))
 
@@ -78,8 +76,8 @@
         return PlainTextResponse("alive\n")
 
     async def _ready(self, _request: Request) -> Response:
-        phase = self._daemon.board.phase
-        return PlainTextResponse(f"{phase}\n", 200 if phase == Phase.READY else 503)
+        status = 200 if self._daemon.readiness.admits else 503
+        return PlainTextResponse(f"{self._daemon.board.phase}\n", status)
 
     async def _peer(self, request: Request) -> Response:
         try:
@@ -90,10 +88,6 @@
         answer = await self._daemon.handlers[method](payload)
         return Response(answer, media_type="application/x-protobuf")
 
-    def _require_ready(self) -> None:
-        if self._daemon.board.phase == Phase.JOINING:
-            raise NotReadyError("this daemon does not know the configuration yet", retry_after=1.0)
-
 
 def describe_status(daemon: Daemon) -> dict:
     """Returns what a daemon knows, as one JSON document."""
@@ -103,6 +97,7 @@
         "daemon": board.members.own.id,
         "zone": board.members.own.zone,
         "phase": board.phase,
+        "admits": daemon.readiness.admits,
         "epoch": board.configuration.epoch,
         "open_batches": len(daemon.batches),
         "members": [
--- a/src/larkpost/batches/replication.py
+++ b/src/larkpost/batches/replication.py
@@ -140,7 +140,7 @@
 
     def _candidates(self, batch: BatchId) -> list[MemberInfo]:
         own = self._board.members.own
-        others = ranked((m for m in self._board.members.alive() if m.id != own.id), batch)
+        others = ranked((m for m in self._board.members.eligible() if m.id != own.id), batch)
         remote = [member for member in others if member.zone != own.zone]
         local = [member for member in others if member.zone == own.zone]
         return (remote + local)[:STANDBY_CANDIDATES]
--- a/src/larkpost/batches/service.py
+++ b/src/larkpost/batches/service.py
@@ -4,16 +4,17 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
+from larkpost.activity import Activity
 from larkpost.batches.ledger import BatchLedger, BatchSpec, Page, Sample
 from larkpost.batches.replication import ReplicaStore, Replicator, encode_fetch_reply
 from larkpost.batches.runner import BatchRunner
 from larkpost.blackboard.board import Blackboard, Phase
 from larkpost.clock import Clock
 from larkpost.controllers.directory import Directory
+from larkpost.controllers.readiness import Readiness
 from larkpost.errors import (
     BatchConflictError,
     InvalidRequestError,
-    NotReadyError,
     OverloadedError,
     StoppingError,
     UnknownBatchError,
@@ -73,6 +74,8 @@
         clock: Clock,
         telemetry: Telemetry,
         settings: BatchSettings,
+        activity: Activity,
+        readiness: Readiness,
     ) -> None:
         self._board = board
         self._directory = directory
@@ -83,8 +86,8 @@
         self._telemetry = telemetry
         self._settings = settings
         self._batches: dict[BatchId, _OpenBatch] = {}
-        self.active_pulls = 0
-        """Pulls being answered."""
+        self._activity = activity
+        self._readiness = readiness
 
     @property
     def running(self) -> int:
@@ -100,7 +103,7 @@
         Raises:
             LarkpostError: the daemon is not serving, the batch is wrong, or there are too many.
         """
-        self._check_phase()
+        self._readiness.check()
         spec = self._check_spec(spec)
         _check_slots(spec, held)
         known = self._batches.get(spec.id)
@@ -124,8 +127,7 @@
             UnknownBatchError: neither this daemon nor a replica knows the batch.
             StoppingError: this daemon has finished what it had running and is leaving.
         """
-        self.active_pulls += 1
-        try:
+        with self._activity.request():
             batch = await self._find(call.batch)
             _check_slots(batch.ledger.spec, call.held)
             batch.touched = self._clock.now()
@@ -133,8 +135,6 @@
             batch.ledger.note_trainer(call.trainer_version, call.held)
             await self._wait_for_samples(batch, call.wait)
             return self._build_page(batch, call)
-        finally:
-            self.active_pulls -= 1
 
     def samples_per_prompt(self, batch: BatchId) -> int:
         """Returns the batch's samples per prompt; 1 if it was closed meanwhile."""
@@ -149,11 +149,12 @@
         if known.runner is not None:
             known.runner.cancel_all()
         self._update_gauge()
-        await self._replicator.drop(known.ledger.spec)
+        with self._activity.request():
+            await self._replicator.drop(known.ledger.spec)
 
     async def schedule(self) -> None:
         """Starts samples of every batch, the one due first before the others."""
-        if self._board.phase != Phase.READY:
+        if not self._readiness.admits:
             return
         for batch in sorted(self._batches.values(), key=lambda b: b.ledger.spec.due):
             if batch.runner is not None:
@@ -198,12 +199,6 @@
             return encode_fetch_reply(replica.spec, samples, replica.owner)
         return pb.BatchFetchReply(known=False).SerializeToString()
 
-    def _check_phase(self) -> None:
-        if self._board.phase == Phase.JOINING:
-            raise NotReadyError("this daemon does not know the configuration yet", retry_after=1.0)
-        if self._board.phase == Phase.STOPPING:
-            raise StoppingError("this daemon is stopping")
-
     def _check_spec(self, spec: BatchSpec) -> BatchSpec:
         """Checks a specification against the intent and returns it with the bound in force."""
         trainer = self._board.configuration.intent.trainer(spec.trainer)
@@ -244,7 +239,7 @@
             if self._is_handed_over(batch):
                 raise StoppingError("this daemon is stopping and nothing of the batch runs here")
             return batch
-        self._check_phase()
+        self._readiness.check()
         found = await self._replicator.find(batch_id)
         if batch_id in self._batches:
             return self._batches[batch_id]
--- a/src/larkpost/blackboard/members.py
+++ b/src/larkpost/blackboard/members.py
@@ -27,12 +27,19 @@
     incarnation: int
     state: MemberState = MemberState.ALIVE
     since: float = 0.0
+    leaving: bool = False
+    """It is stopping as planned: it still answers, and takes on nothing new."""
 
     @property
     def usable(self) -> bool:
         """Whether work may be given to it: a suspect is still a member."""
         return self.state <= MemberState.SUSPECT
 
+    @property
+    def eligible(self) -> bool:
+        """Whether it may own engines, hold duties and keep copies."""
+        return self.usable and not self.leaving
+
     def replaces(self, other: "MemberInfo") -> bool:
         """Whether this belief is newer than ``other``."""
         return (self.incarnation, self.state) > (other.incarnation, other.state)
@@ -45,6 +52,7 @@
             address=self.address,
             incarnation=self.incarnation,
             state=int(self.state),
+            leaving=self.leaving,
         )
 
 
@@ -57,6 +65,7 @@
         message.incarnation,
         MemberState(message.state),
         since,
+        message.leaving,
     )
 
 
@@ -83,9 +92,12 @@
         self._others[member.id] = member
         self._changed(member)
 
-    def put_own(self, incarnation: int, state: MemberState) -> None:
-        """Raises the daemon's own incarnation or state."""
-        self.own = replace(self.own, incarnation=incarnation, state=state)
+    def put_own(
+        self, incarnation: int, state: MemberState = MemberState.ALIVE, leaving: bool = False
+    ) -> None:
+        """Raises the daemon's own incarnation or state; leaving is never taken back."""
+        leaving = leaving or self.own.leaving
+        self.own = replace(self.own, incarnation=incarnation, state=state, leaving=leaving)
         self._changed(self.own)
 
     def others(self) -> Iterable[MemberInfo]:
@@ -103,6 +115,10 @@
             members.append(self.own)
         return [member for member in members if zone is None or member.zone == zone]
 
+    def eligible(self, zone: ZoneId | None = None) -> list[MemberInfo]:
+        """Returns the daemons of a zone, or of all, that may be given something to keep."""
+        return [member for member in self.alive(zone) if member.eligible]
+
     def zones(self) -> set[ZoneId]:
         """Returns the zones that have a known daemon, dead ones included."""
         return {member.zone for member in self._others.values()} | {self.own.zone}
--- a/src/larkpost/controllers/configuration.py
+++ b/src/larkpost/controllers/configuration.py
@@ -9,6 +9,7 @@
 
 from pydantic import BaseModel, ConfigDict, ValidationError
 
+from larkpost.activity import Activity
 from larkpost.blackboard.board import Blackboard, Phase
 from larkpost.blackboard.facts import CONFIGURATION_KEY, Fact
 from larkpost.blackboard.members import MemberInfo
@@ -17,20 +18,18 @@
 from larkpost.config.plan import Plan
 from larkpost.controllers.duty import is_on_duty
 from larkpost.controllers.facts import Dissemination
+from larkpost.controllers.readiness import Readiness
 from larkpost.errors import OutdatedPlanError, PlatformError
 from larkpost.ids import DaemonId, PlanId, ZoneId
 from larkpost.platform.ports import Row, TableStore
 from larkpost.settings import ConfigurationSettings
 from larkpost.telemetry import Telemetry
-from larkpost.wire import larkpost_pb2 as pb
-from larkpost.wire.peer import PeerError, PeerMethod, PeerTransport
 
 HISTORY_LENGTH = 64
 WRITE_ATTEMPTS = 3
 IN_FORCE_WAIT = 5.0
 """Seconds a confirmation waits for the zones before it reports those that are still pending."""
 IN_FORCE_POLL = 0.2
-STATE_TIMEOUT = 0.5
 
 
 class ConfigurationRow(BaseModel):
@@ -64,18 +63,20 @@
         board: Blackboard,
         table: TableStore,
         dissemination: Dissemination,
-        transport: PeerTransport,
+        readiness: Readiness,
         clock: Clock,
         telemetry: Telemetry,
         settings: ConfigurationSettings,
+        activity: Activity,
     ) -> None:
         self._board = board
         self._table = table
         self._dissemination = dissemination
-        self._transport = transport
+        self._readiness = readiness
         self._clock = clock
         self._telemetry = telemetry
         self._settings = settings
+        self._activity = activity
         self._last_read = float("-inf")
         board.facts.listen(CONFIGURATION_KEY, self._apply)
 
@@ -103,31 +104,35 @@
             return False
         self._telemetry.change("platform.table", "reachable")
         self._take(row)
+        self._readiness.note_verified()
         return True
 
     async def learn_from_zone(self) -> bool:
         """Learns the configuration from the zone's daemons while the table service is down.
 
-        The zone's ready daemons hold every epoch that was reported in force there; an answer of
-        more than half of the zone's members, with the highest epoch among them, is needed.
+        A quorum of the zone's other daemons must answer that they may act; the highest epoch among
+        them is taken. Every epoch that was reported in force in the zone is held by a quorum.
 
         Returns:
-            Whether enough ready daemons answered and the highest epoch is now in force here.
+            Whether the highest epoch of a quorum is now in force here.
         """
         own = self._board.members.own
-        others = [m for m in self._board.members.alive(own.zone) if m.id != own.id]
-        answers = await asyncio.gather(*(self._ask_state(member) for member in others))
+        others = [m for m in self._readiness.known_members(own.zone) if m.id != own.id]
+        answers = await asyncio.gather(*(self._readiness.ask_state(m) for m in others))
         ready = [
             (member, answer)
             for member, answer in zip(others, answers, strict=True)
             if answer is not None and answer.ready
         ]
-        if not ready or len(ready) * 2 <= len(others):
+        if not ready or 2 * len(ready) <= len(others):
             return False
         member, highest = max(ready, key=lambda pair: pair[1].epoch)
         if highest.epoch > self._board.configuration.epoch:
             await self._dissemination.fetch_from(member.address)
-        return self._board.configuration.epoch >= highest.epoch
+        if self._board.configuration.epoch < highest.epoch:
+            return False
+        self._readiness.note_verified()
+        return True
 
     async def confirm(self, plan: Plan) -> Confirmation:
         """Applies a plan if its base epoch is still in force.
@@ -136,8 +141,9 @@
             OutdatedPlanError: another plan was confirmed since.
             PlatformError: the table service did not tell whether the plan was written.
         """
-        epoch = await self._write(plan)
-        in_force = await self._wait_in_force(epoch)
+        with self._activity.request():
+            epoch = await self._write(plan)
+            in_force = await self._wait_in_force(epoch)
         pending = sorted(self._board.members.zones() - in_force)
         return Confirmation(
             epoch=epoch,
@@ -146,12 +152,6 @@
             zones_pending=pending,
         )
 
-    async def on_state(self, _payload: bytes) -> bytes:
-        """Answers with the epoch in force here."""
-        ready = self._board.phase != Phase.JOINING
-        reply = pb.ConfigurationStateReply(epoch=self._board.configuration.epoch, ready=ready)
-        return reply.SerializeToString()
-
     async def _write(self, plan: Plan) -> int:
         """Writes the plan's row; every attempt starts by reading whether it is written already."""
         timeout = self._settings.platform_timeout
@@ -223,25 +223,21 @@
             await self._clock.sleep(IN_FORCE_POLL)
 
     def _zones_reached(self, reached: set[DaemonId]) -> set[ZoneId]:
-        members = self._board.members.alive()
-        lacking = {member.zone for member in members if member.id not in reached}
-        return {member.zone for member in members} - lacking
+        return {zone for zone in self._board.members.zones() if self._is_reached(zone, reached)}
+
+    def _is_reached(self, zone: ZoneId, reached: set[DaemonId]) -> bool:
+        """Whether no daemon of the zone can act on an older epoch any more."""
+        if not self._readiness.has_quorum(zone, reached):
+            return False
+        others = [m for m in self._readiness.known_members(zone) if m.id not in reached]
+        return not any(self._readiness.may_still_act(member) for member in others)
 
     async def _has_epoch(self, member: MemberInfo, epoch: int) -> bool:
         if member.id == self._board.members.own.id:
             return self._board.configuration.epoch >= epoch
-        state = await self._ask_state(member)
+        state = await self._readiness.ask_state(member)
         return state is not None and state.epoch >= epoch
 
-    async def _ask_state(self, member: MemberInfo) -> pb.ConfigurationStateReply | None:
-        try:
-            answer = await self._transport.request(
-                member.address, PeerMethod.CONFIGURATION_STATE, b"", STATE_TIMEOUT
-            )
-        except PeerError:
-            return None
-        return pb.ConfigurationStateReply.FromString(answer)
-
 
 def _encode_row(plan: Plan, row: Row | None) -> bytes:
     history = ConfigurationRow.model_validate_json(row.value).history if row is not None else ()
--- a/src/larkpost/controllers/duty.py
+++ b/src/larkpost/controllers/duty.py
@@ -10,5 +10,5 @@
 def is_on_duty(board: Blackboard, duty: str) -> bool:
     """Whether this daemon polls for its zone. Two views that differ only add a poller."""
     own = board.members.own
-    holders = ranked(board.members.alive(own.zone), duty)[:DUTY_HOLDERS]
+    holders = ranked(board.members.eligible(own.zone), duty)[:DUTY_HOLDERS]
     return any(holder.id == own.id for holder in holders)
--- a/src/larkpost/controllers/membership.py
+++ b/src/larkpost/controllers/membership.py
@@ -8,6 +8,7 @@
 import asyncio
 import math
 import random
+from dataclasses import replace
 
 from larkpost.blackboard.board import Blackboard
 from larkpost.blackboard.members import MemberInfo, MemberState, member_from_message
@@ -80,6 +81,11 @@
         answers = [await self._exchange_with(peer) for peer in self._peers]
         return any(answers) or not self._peers
 
+    def announce_leaving(self) -> None:
+        """Announces a planned stop: this daemon still answers and takes on nothing new."""
+        self._table.put_own(self._table.own.incarnation + 1, leaving=True)
+        self._spread(self._table.own.id)
+
     def leave(self) -> None:
         """Announces that this daemon leaves for good."""
         self._table.put_own(self._table.own.incarnation, MemberState.LEFT)
@@ -132,7 +138,7 @@
         if own.state == MemberState.LEFT or belief.state == MemberState.ALIVE:
             return
         if belief.incarnation >= own.incarnation:
-            self._table.put_own(belief.incarnation + 1, MemberState.ALIVE)
+            self._table.put_own(belief.incarnation + 1)
             self._spread(own.id)
 
     def _adopt(self, belief: MemberInfo) -> None:
@@ -176,10 +182,7 @@
             self._change_state(known, MemberState.DEAD)
 
     def _change_state(self, member: MemberInfo, state: MemberState) -> None:
-        changed = MemberInfo(
-            member.id, member.zone, member.address, member.incarnation, state, self._clock.now()
-        )
-        self._adopt(changed)
+        self._adopt(replace(member, state=state, since=self._clock.now()))
 
     async def _probe_round(self) -> None:
         self._probes += 1
--- a/src/larkpost/controllers/ownership.py
+++ b/src/larkpost/controllers/ownership.py
@@ -68,7 +68,8 @@
 
     def owner_of(self, info: EngineInfo) -> str | None:
         """Returns the daemon to which the engine falls; another zone's if its own has none."""
-        members = self._board.members.alive(info.zone) or self._board.members.alive()
+        table = self._board.members
+        members = table.eligible(info.zone) or table.eligible()
         owner = choose(members, info.id)
         return owner.id if owner is not None else None
 
@@ -92,13 +93,16 @@
         self._not_before[engine] = self._clock.now() + RECLAIM_DELAY
 
     def check_report(self, report: EngineReport) -> None:
-        """Gives an engine up if its report shows another owner, or that it has restarted."""
+        """Gives an engine up if its report shows another owner, or that it has restarted.
+
+        An engine forgets its token in a restart, so the same token may come to name another owner.
+        """
         token = self._board.owned.get(report.engine)
         if token is None:
             return
         if report.token > token:
             self.give_up(report.engine)
-        elif report.token < token:
+        elif report.token < token or report.owner != self._board.members.own.id:
             self._board.owned.pop(report.engine)
 
     async def _claim(self, info: EngineInfo) -> None:
@@ -109,7 +113,7 @@
             report = await self._engines.report(info.address, timeout)
             if report.engine != info.id:
                 return
-            token = report.token + 1
+            token = self._next_token(info.id, report)
             order = Order(OrderKind.CLAIM, self._board.members.own.id, token)
             await self._engines.order(info.address, order, timeout)
         except StaleTokenError:
@@ -122,6 +126,12 @@
         self._board.engines.observe(load_from_report(report, self._clock.now()))
         self._telemetry.count("claims")
 
+    def _next_token(self, engine: EngineId, report: EngineReport) -> int:
+        """Returns a token above every one known, also of the engine's life before a restart."""
+        load = self._board.engines.loads.get(engine)
+        known = load.token if load is not None else 0
+        return max(report.token, known) + 1
+
 
 def load_from_report(report: EngineReport, at: float) -> EngineLoad:
     """Turns a report into a blackboard entry received at local time ``at``."""
--- /dev/null
+++ b/src/larkpost/controllers/readiness.py
@@ -0,0 +1,148 @@
+"""Whether this daemon may act: it serves, and its configuration is certain enough to act on.
+
+A daemon that was paused or cut off may hold an epoch that was replaced meanwhile. It therefore acts
+only while its configuration was verified a short time ago: by the table service, or by a daemon of
+its zone while it still sees a quorum of the zone's daemons. A confirmation, in turn, reports a zone
+as in force only when a quorum of the zone's daemons has the epoch and every other one has been held
+dead for longer than that. Validity is computed from the time, so a daemon that wakes from a pause
+finds itself invalid before it does anything.
+"""
+
+import random
+from collections.abc import Collection
+
+from larkpost.blackboard.board import Blackboard, Phase
+from larkpost.blackboard.members import MemberInfo, MemberState
+from larkpost.clock import Clock
+from larkpost.controllers.facts import Dissemination
+from larkpost.errors import NotReadyError, StoppingError
+from larkpost.ids import DaemonId, ZoneId
+from larkpost.rendezvous import choose
+from larkpost.settings import ConfigurationSettings, MembershipSettings
+from larkpost.wire import larkpost_pb2 as pb
+from larkpost.wire.peer import PeerError, PeerMethod, PeerTransport
+
+STATE_TIMEOUT = 0.5
+RETRY_AFTER_NOT_READY = 1.0
+
+
+class Readiness:
+    """Answers whether the daemon may admit work and give orders."""
+
+    def __init__(
+        self,
+        board: Blackboard,
+        transport: PeerTransport,
+        dissemination: Dissemination,
+        clock: Clock,
+        settings: ConfigurationSettings,
+        membership: MembershipSettings,
+        rng: random.Random,
+    ) -> None:
+        self._board = board
+        self._transport = transport
+        self._dissemination = dissemination
+        self._clock = clock
+        self._settings = settings
+        self._forget_time = membership.forget_time
+        self._rng = rng
+        self._verified_at = float("-inf")
+
+    @property
+    def admits(self) -> bool:
+        """Whether the daemon may take new work and give orders now."""
+        return self._board.phase == Phase.READY and self.is_current()
+
+    def check(self) -> None:
+        """Refuses unless the daemon admits work.
+
+        Raises:
+            NotReadyError: the configuration in force is not known, or not certain any more.
+            StoppingError: the daemon is stopping.
+        """
+        if self._board.phase == Phase.STOPPING:
+            raise StoppingError("this daemon is stopping")
+        if not self.admits:
+            raise NotReadyError(
+                "this daemon is not certain of the configuration in force",
+                retry_after=RETRY_AFTER_NOT_READY,
+            )
+
+    def note_verified(self) -> None:
+        """Notes that the table service or the zone has just confirmed the epoch."""
+        self._verified_at = self._clock.now()
+
+    def is_current(self) -> bool:
+        """Whether the configuration was verified within its validity time."""
+        if self._is_alone_in_zone():
+            return True
+        age = self._clock.now() - self._verified_at
+        return age <= self._settings.validity_time
+
+    async def refresh(self) -> None:
+        """Verifies the configuration with a daemon of the zone before its validity ends."""
+        age = self._clock.now() - self._verified_at
+        if age < self._settings.validity_time / 3 or self._board.phase == Phase.JOINING:
+            return
+        zone = self._board.members.own.zone
+        alive = self._board.members.alive(zone)
+        if not self.has_quorum(zone, [member.id for member in alive]):
+            return
+        peers = [member for member in alive if member.id != self._board.members.own.id]
+        if not peers:
+            self.note_verified()
+            return
+        await self._verify_with(self._rng.choice(peers))
+
+    def known_members(self, zone: ZoneId) -> list[MemberInfo]:
+        """Returns the zone's daemons that may still run: none that left or is long dead."""
+        members = [*self._board.members.others(), self._board.members.own]
+        return [m for m in members if m.zone == zone and not self._is_forgotten(m)]
+
+    def has_quorum(self, zone: ZoneId, daemons: Collection[DaemonId]) -> bool:
+        """Whether the daemons are more than half of the zone's, or half with the tie-breaker."""
+        known = self.known_members(zone)
+        count = sum(member.id in daemons for member in known)
+        tie_breaker = choose(known, f"quorum/{zone}")
+        wins_tie = tie_breaker is not None and tie_breaker.id in daemons
+        return 2 * count > len(known) or (2 * count == len(known) and count > 0 and wins_tie)
+
+    def may_still_act(self, member: MemberInfo) -> bool:
+        """Whether a daemon that did not confirm an epoch may still be acting on an older one."""
+        if member.state != MemberState.DEAD:
+            return True
+        return self._clock.now() - member.since < self._settings.lost_grace
+
+    async def ask_state(self, member: MemberInfo) -> pb.ConfigurationStateReply | None:
+        """Asks a daemon for its epoch; None if it does not answer."""
+        try:
+            answer = await self._transport.request(
+                member.address, PeerMethod.CONFIGURATION_STATE, b"", STATE_TIMEOUT
+            )
+        except PeerError:
+            return None
+        return pb.ConfigurationStateReply.FromString(answer)
+
+    async def on_state(self, _payload: bytes) -> bytes:
+        """Answers with the epoch in force here, and whether this daemon may act on it."""
+        reply = pb.ConfigurationStateReply(epoch=self._board.configuration.epoch, ready=self.admits)
+        return reply.SerializeToString()
+
+    async def _verify_with(self, peer: MemberInfo) -> None:
+        asked_at = self._clock.now()
+        state = await self.ask_state(peer)
+        if state is None or not state.ready:
+            return
+        if state.epoch > self._board.configuration.epoch:
+            await self._dissemination.fetch_from(peer.address)
+        if self._board.configuration.epoch >= state.epoch:
+            self._verified_at = max(self._verified_at, asked_at)
+
+    def _is_alone_in_zone(self) -> bool:
+        return len(self.known_members(self._board.members.own.zone)) == 1
+
+    def _is_forgotten(self, member: MemberInfo) -> bool:
+        if member.state == MemberState.LEFT:
+            return True
+        old = self._clock.now() - member.since > self._forget_time
+        return member.state == MemberState.DEAD and old
--- a/src/larkpost/controllers/weights.py
+++ b/src/larkpost/controllers/weights.py
@@ -12,6 +12,7 @@
 from larkpost.clock import Clock
 from larkpost.config.intent import PoolIntent
 from larkpost.controllers.ownership import Ownership
+from larkpost.controllers.readiness import Readiness
 from larkpost.engines.port import EngineError, EnginePort, Order, OrderKind, StaleTokenError
 from larkpost.ids import EngineId
 from larkpost.settings import EngineSettings
@@ -29,6 +30,7 @@
         board: Blackboard,
         engines: EnginePort,
         ownership: Ownership,
+        readiness: Readiness,
         clock: Clock,
         telemetry: Telemetry,
         settings: EngineSettings,
@@ -37,6 +39,7 @@
         self._board = board
         self._engines = engines
         self._ownership = ownership
+        self._readiness = readiness
         self._clock = clock
         self._telemetry = telemetry
         self._settings = settings
@@ -46,6 +49,8 @@
 
     async def reconcile(self) -> None:
         """Orders each swap that is due."""
+        if not self._readiness.admits:
+            return
         for engine in list(self._board.owned):
             pool = self._board.pool_intent_of(engine)
             load = self._board.engines.loads.get(engine)
--- a/src/larkpost/daemon.py
+++ b/src/larkpost/daemon.py
@@ -7,6 +7,7 @@
 import random
 from dataclasses import dataclass
 
+from larkpost.activity import Activity
 from larkpost.batches.ledger import BatchLedger
 from larkpost.batches.replication import ReplicaStore, Replicator
 from larkpost.batches.runner import BatchRunner
@@ -21,6 +22,7 @@
 from larkpost.controllers.membership import Membership
 from larkpost.controllers.monitor import SUBSCRIBE_INTERVAL, Monitor
 from larkpost.controllers.ownership import Ownership
+from larkpost.controllers.readiness import Readiness
 from larkpost.controllers.weights import WeightController
 from larkpost.engines.port import EnginePort
 from larkpost.platform.ports import MachineList, TableStore
@@ -37,6 +39,7 @@
 CONTROL_INTERVAL = 0.5
 """Seconds between rounds of the controllers that reconcile."""
 JOIN_INTERVAL = 0.25
+REFRESH_INTERVAL = 1.0
 EXPIRE_INTERVAL = 10.0
 DRAIN_POLL = 0.05
 LAG_INTERVAL = 1.0
@@ -66,6 +69,7 @@
         self._ports = ports
         self._rng = rng
         self.tasks = TaskSet(ports.clock, self.telemetry)
+        self.activity = Activity()
         self._build_controllers()
         self._build_data_path()
         self._build_batches()
@@ -77,7 +81,7 @@
             PeerMethod.JOIN: self.membership.on_join,
             PeerMethod.PUSH_FACTS: self.dissemination.on_push,
             PeerMethod.SYNC_FACTS: self.dissemination.on_sync,
-            PeerMethod.CONFIGURATION_STATE: self.configuration.on_state,
+            PeerMethod.CONFIGURATION_STATE: self.readiness.on_state,
             PeerMethod.REPLICATE_BATCH: self.batches.on_replicate,
             PeerMethod.FETCH_BATCH: self.batches.on_fetch,
             PeerMethod.RUN_ONCE: self.run_once.on_remote_claim,
@@ -92,6 +96,7 @@
         self.tasks.spawn(self._join(), "join")
         every(CONTROL_INTERVAL, self.configuration.poll, "configuration")
         every(poll, self.directory.poll, "directory")
+        every(REFRESH_INTERVAL, self.readiness.refresh, "readiness")
         every(CONTROL_INTERVAL, self.ownership.reconcile, "ownership")
         every(engines.report_interval, self.monitor.report_owned, "reports")
         every(engines.report_interval, self.monitor.push_summaries, "summaries")
@@ -107,7 +112,8 @@
         """Stops as planned: admits nothing new, finishes what is in flight, hands over, leaves."""
         self.board.phase = Phase.STOPPING
         self.telemetry.change("daemon", Phase.STOPPING)
-        while self.inference.active or self.batches.running or self.batches.active_pulls:
+        self.membership.announce_leaving()
+        while self.activity.requests or self.batches.running:
             await self._ports.clock.sleep(DRAIN_POLL)
         await self.batches.replicate()
         self.membership.leave()
@@ -133,14 +139,24 @@
         self.dissemination = Dissemination(
             board, self.gossip, ports.transport, ports.clock, self.tasks, self.telemetry, self._rng
         )
+        self.readiness = Readiness(
+            board,
+            ports.transport,
+            self.dissemination,
+            ports.clock,
+            settings.configuration,
+            settings.membership,
+            self._rng,
+        )
         self.configuration = ConfigurationController(
             board,
             ports.table,
             self.dissemination,
-            ports.transport,
+            self.readiness,
             ports.clock,
             self.telemetry,
             settings.configuration,
+            self.activity,
         )
         self.directory = Directory(
             board,
@@ -166,6 +182,7 @@
             board,
             ports.engines,
             self.ownership,
+            self.readiness,
             ports.clock,
             self.telemetry,
             settings.engines,
@@ -196,6 +213,8 @@
             ports.clock,
             self.telemetry,
             settings.routing,
+            self.activity,
+            self.readiness,
         )
 
     def _build_batches(self) -> None:
@@ -210,6 +229,8 @@
             ports.clock,
             self.telemetry,
             settings.batches,
+            self.activity,
+            self.readiness,
         )
 
     def _make_runner(self, ledger: BatchLedger, on_sample) -> BatchRunner:
--- a/src/larkpost/rehearsal/engine_model.py
+++ b/src/larkpost/rehearsal/engine_model.py
@@ -22,6 +22,8 @@
 from larkpost.rehearsal.engine_cache import PrefixCache
 from larkpost.rehearsal.tokens import answer_length, answer_seed, token_at
 
+SHORTEST_WAIT = 0.001
+"""A shorter wait may not advance a virtual clock."""
 KEPT_ATTEMPTS = 4096
 """Ended attempts that can still be resumed."""
 
@@ -139,7 +141,7 @@
         self._arrivals = 0
         self._work = asyncio.Event()
         self._history: deque[_LoadPoint] = deque([_LoadPoint(0.0, 0, 0)], maxlen=512)
-        self._tasks: set[asyncio.Task] = set()
+        self._tasks: dict[asyncio.Task, None] = {}
 
     def start(self) -> None:
         """Starts generating."""
@@ -345,7 +347,7 @@
     async def thawed(self) -> None:
         """Waits while the engine is frozen."""
         while (wait := self.faults.frozen_until - _now()) > 0:
-            await asyncio.sleep(wait)
+            await asyncio.sleep(max(wait, SHORTEST_WAIT))
 
     def _remember(self, sequence: _Sequence) -> None:
         self._attempts[sequence.request.attempt] = sequence
@@ -364,8 +366,8 @@
 
     def _spawn(self, work) -> None:
         task = asyncio.create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._tasks[task] = None
+        task.add_done_callback(lambda done: self._tasks.pop(done, None))
 
 
 def _now() -> float:
--- /dev/null
+++ b/src/larkpost/rehearsal/simulation/network.py
@@ -0,0 +1,286 @@
+"""A simulated network: delay, loss, repetition, cuts in one direction, dead and frozen hosts."""
+
+import asyncio
+import random
+from collections.abc import AsyncIterator, Awaitable, Callable
+from dataclasses import dataclass, field
+from typing import Any, TypeVar
+
+from larkpost.ids import Address, ZoneId
+
+Result = TypeVar("Result")
+SHORTEST_WAIT = 0.001
+"""A shorter wait may not advance a virtual clock."""
+NEVER = float("inf")
+
+
+class HostUnreachableError(Exception):
+    """The connection was refused, reset, or nothing came within the time limit."""
+
+    def __init__(self, message: str, delivered: bool) -> None:
+        super().__init__(message)
+        self.delivered = delivered
+        """Whether the request may have reached the other host."""
+
+
+class Host:
+    """A machine of the simulation."""
+
+    def __init__(self, address: Address, zone: ZoneId) -> None:
+        self.address = address
+        self.zone = zone
+        self.alive = True
+        self.frozen_until = 0.0
+        self.refusing = False
+        """The listener is closed: new connections are refused, answers under way go on."""
+        self.calls = 0
+        """Streams and counted calls being answered here."""
+        self.in_transit = 0
+        """Parts of answers on their way to the callers, as in a kernel's send buffers."""
+        self._tasks: dict[asyncio.Task, None] = {}
+
+    async def gate(self) -> None:
+        """Passes only while the host runs: waits while frozen, ends the task once dead."""
+        while self.alive and (wait := self.frozen_until - _now()) > 0:
+            await asyncio.sleep(max(wait, SHORTEST_WAIT))
+        if not self.alive:
+            raise asyncio.CancelledError
+
+    def spawn(self, work: Awaitable[Any]) -> asyncio.Task:
+        """Runs work on this host; it ends when the host dies."""
+        task = asyncio.ensure_future(work)
+        self._tasks[task] = None
+        task.add_done_callback(lambda done: self._tasks.pop(done, None))
+        return task
+
+    def kill(self) -> None:
+        """Ends the host at once."""
+        self.alive = False
+        for task in list(self._tasks):
+            task.cancel()
+
+
+@dataclass(slots=True)
+class NetworkConditions:
+    """What the network does to messages. Times in seconds."""
+
+    delay: float = 0.0005
+    jitter: float = 0.0005
+    datagram_loss: float = 0.0
+    datagram_repeat: float = 0.0
+    late_share: float = 0.0
+    """Share of messages that are late by up to ``late_seconds``, which reorders them."""
+    late_seconds: float = 1.0
+    zone_cuts: set[tuple[ZoneId, ZoneId]] = field(default_factory=set)
+    """Ordered pairs: nothing passes from the first zone to the second."""
+    link_cuts: set[tuple[Address, Address]] = field(default_factory=set)
+
+
+class Network:
+    """Carries messages between hosts."""
+
+    def __init__(self, rng: random.Random) -> None:
+        self.conditions = NetworkConditions()
+        self._rng = rng
+
+    def send_datagram(self, source: Host, target: Host, deliver: Callable[[], None]) -> None:
+        """Sends a message that may be lost, repeated or late."""
+        if not source.alive:
+            return
+        conditions = self.conditions
+        copies = 1 + (self._rng.random() < conditions.datagram_repeat)
+        for _ in range(copies):
+            if self._rng.random() >= conditions.datagram_loss:
+                asyncio.ensure_future(self._deliver(source, target, deliver))
+
+    async def call(
+        self,
+        source: Host,
+        target: Host,
+        handler: Callable[[], Awaitable[Result]],
+        timeout: float,
+        counted: bool = False,
+    ) -> Result:
+        """Runs ``handler`` on the target and returns its result to the source.
+
+        Args:
+            counted: it is a caller's request, which a planned stop may not cut.
+
+        Raises:
+            HostUnreachableError: there was no answer within ``timeout`` seconds.
+        """
+        progress = _CallProgress(counted)
+        work = asyncio.ensure_future(self._call(source, target, handler, progress))
+        try:
+            done, _ = await asyncio.wait({work}, timeout=timeout)
+        except asyncio.CancelledError:
+            work.cancel()
+            raise
+        await source.gate()
+        if not done:
+            work.cancel()
+            raise HostUnreachableError("no answer in time", progress.delivered)
+        return work.result()
+
+    async def stream(
+        self,
+        source: Host,
+        target: Host,
+        start: Callable[[], AsyncIterator[Result]],
+        item_timeout: float,
+        may_send: Callable[[], bool] = lambda: True,
+    ) -> AsyncIterator[Result]:
+        """Runs a generator on the target and yields its items at the source.
+
+        Raises:
+            HostUnreachableError: the connection failed, or no item came for ``item_timeout``.
+        """
+        await self._connect(source, target, item_timeout)
+        if not may_send():
+            raise HostUnreachableError("not sent", delivered=False)
+        items: asyncio.Queue[_Item] = asyncio.Queue()
+        producer = target.spawn(self._produce(source, target, start, items))
+        producer.add_done_callback(lambda task: _note_reset(task, items))
+        try:
+            while True:
+                item = await self._next_item(items, item_timeout)
+                await source.gate()
+                if item.end:
+                    if item.error is not None:
+                        raise item.error
+                    return
+                yield item.value
+        finally:
+            producer.cancel()
+
+    def passes(self, source: Host, target: Host) -> bool:
+        """Whether messages get from one host to the other now."""
+        conditions = self.conditions
+        if (source.zone, target.zone) in conditions.zone_cuts:
+            return False
+        return (source.address, target.address) not in conditions.link_cuts
+
+    async def _deliver(self, source: Host, target: Host, deliver: Callable[[], None]) -> None:
+        await asyncio.sleep(self._delay())
+        if target.alive and self.passes(source, target):
+            task = target.spawn(target.gate())
+            await asyncio.wait({task})
+            if target.alive:
+                deliver()
+
+    async def _call(
+        self,
+        source: Host,
+        target: Host,
+        handler: Callable[[], Awaitable[Result]],
+        progress: "_CallProgress",
+    ) -> Result:
+        await self._connect(source, target, NEVER)
+        progress.delivered = True
+        work = target.spawn(self._handle(target, handler, progress.counted))
+        await asyncio.wait({work})
+        if work.cancelled() or not target.alive:
+            raise HostUnreachableError("connection reset", delivered=True)
+        result = work.result()
+        await asyncio.sleep(self._delay())
+        if not self.passes(target, source):
+            await asyncio.Event().wait()
+        return result
+
+    async def _handle(
+        self, target: Host, handler: Callable[[], Awaitable[Result]], counted: bool
+    ) -> Result:
+        target.calls += counted
+        try:
+            await target.gate()
+            result = await handler()
+            await target.gate()
+            return result
+        finally:
+            target.calls -= counted
+
+    async def _connect(self, source: Host, target: Host, timeout: float) -> None:
+        """Waits for the way there; a cut swallows the message, a dead host refuses it."""
+        await source.gate()
+        await asyncio.sleep(self._delay())
+        if not self.passes(source, target) or not self.passes(target, source):
+            if timeout == NEVER:
+                await asyncio.Event().wait()
+            await asyncio.sleep(timeout)
+            await source.gate()
+            raise HostUnreachableError("no connection in time", delivered=False)
+        if not target.alive or target.refusing:
+            raise HostUnreachableError("connection refused", delivered=False)
+        await source.gate()
+
+    async def _produce(
+        self,
+        source: Host,
+        target: Host,
+        start: Callable[[], AsyncIterator[Result]],
+        items: "asyncio.Queue[_Item]",
+    ) -> None:
+        target.calls += 1
+        generator = start()
+        try:
+            await asyncio.sleep(self._delay())
+            await target.gate()
+            async for value in generator:
+                await target.gate()
+                await self._put(source, target, items, _Item(value))
+            await self._put(source, target, items, _Item(end=True))
+        except Exception as error:
+            await self._put(source, target, items, _Item(end=True, error=error))
+        finally:
+            target.calls -= 1
+            await generator.aclose()
+
+    async def _put(
+        self, source: Host, target: Host, items: "asyncio.Queue[_Item]", item: "_Item"
+    ) -> None:
+        target.calls -= item.end
+        target.in_transit += 1
+        try:
+            await asyncio.sleep(self._delay())
+            while not self.passes(target, source):
+                await asyncio.sleep(0.1)
+            items.put_nowait(item)
+        finally:
+            target.calls += item.end
+            target.in_transit -= 1
+
+    async def _next_item(self, items: "asyncio.Queue[_Item]", timeout: float) -> "_Item":
+        try:
+            return await asyncio.wait_for(items.get(), timeout)
+        except TimeoutError:
+            raise HostUnreachableError("no data in time", delivered=True) from None
+
+    def _delay(self) -> float:
+        conditions = self.conditions
+        delay = conditions.delay + self._rng.random() * conditions.jitter
+        if conditions.late_share and self._rng.random() < conditions.late_share:
+            delay += self._rng.random() * conditions.late_seconds
+        return delay
+
+
+@dataclass(slots=True)
+class _CallProgress:
+    counted: bool
+    delivered: bool = False
+
+
+@dataclass(slots=True)
+class _Item:
+    value: Any = None
+    end: bool = False
+    error: Exception | None = None
+
+
+def _note_reset(task: asyncio.Task, items: "asyncio.Queue[_Item]") -> None:
+    if task.cancelled():
+        error = HostUnreachableError("connection reset", delivered=True)
+        items.put_nowait(_Item(end=True, error=error))
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- /dev/null
+++ b/src/larkpost/rehearsal/simulation/oracle.py
@@ -0,0 +1,207 @@
+"""The oracle: checks what trainers, clients, engines and operators saw against the nine points.
+
+It knows nothing of how larkpost works; it reads `Records` only (and, for the configuration, the
+epochs that daemons show in their status).
+"""
+
+from collections import defaultdict
+
+from larkpost.rehearsal.simulation.records import EngineWork, LeavingSource, Records, Told
+from larkpost.rehearsal.simulation.world import World
+from larkpost.rehearsal.tokens import expected_answer
+
+LEAVING_SECONDS = {
+    LeavingSource.ENGINE: 5.0,
+    LeavingSource.OPERATOR: 5.0,
+    LeavingSource.LIST: 8.0,
+}
+"""Seconds after which a leaving engine gets no new work, by who said that it leaves."""
+IN_FORCE_SECONDS = 8.0
+"""Seconds after a confirmation within which the epoch is in force in every zone that is up."""
+
+
+class Oracle:
+    """Checks one simulated fleet. Each method returns what is wrong, in words."""
+
+    def __init__(self, world: World) -> None:
+        self._world = world
+        self._zone_floor: dict[str, int] = {}
+        self._seen_epochs: dict[int, int] = {}
+
+    @property
+    def _records(self) -> Records:
+        return self._world.records
+
+    def check(self) -> list[str]:
+        """Checks all points that hold at any moment."""
+        checks = (
+            self.check_versions,
+            self.check_staleness,
+            self.check_once,
+            self.check_answers,
+            self.check_not_run,
+            self.check_run_once,
+            self.check_leaving,
+            self.check_stops,
+            self.check_configuration,
+        )
+        return [f"{check.__name__}: {text}" for check in checks for text in check()]
+
+    def check_versions(self) -> list[str]:
+        """Point 1: every span is what an engine's record says."""
+        by_request = self._work_by_request()
+        wrong = []
+        for delivery in self._records.deliveries:
+            request = f"{delivery.spec.id}/{delivery.sample.slot}"
+            spans = [s for work in by_request[request] for s in work.record.spans]
+            for span in delivery.sample.spans:
+                tokens = range(span.first_token, span.first_token + span.count)
+                covered = {
+                    index
+                    for version, first, count in spans
+                    if version == span.version
+                    for index in range(first, first + count)
+                }
+                if not covered.issuperset(tokens):
+                    wrong.append(f"{request}: version {span.version} did not produce {tokens}")
+            prompt = delivery.spec.prompts[delivery.spec.prompt_index(delivery.sample.slot)]
+            expected = expected_answer(
+                request, prompt, delivery.spec.max_tokens, _plain(delivery.sample.spans)
+            )
+            if list(delivery.sample.tokens) != expected:
+                wrong.append(f"{request}: the tokens are not those of the named versions")
+        return wrong
+
+    def check_staleness(self) -> list[str]:
+        """Point 2: no sample was older than its bound when it was received."""
+        return [
+            f"{d.spec.id}/{d.sample.slot}: version {d.sample.oldest_version} at {d.trainer_version}"
+            for d in self._records.deliveries
+            if d.trainer_version - d.sample.oldest_version > d.spec.staleness_bound
+        ]
+
+    def check_once(self) -> list[str]:
+        """Point 3: no slot was received twice, and a whole batch has every slot."""
+        seen: dict[str, set[int]] = defaultdict(set)
+        wrong = []
+        for delivery in self._records.deliveries:
+            slots = seen[delivery.spec.id]
+            if delivery.already_held or delivery.sample.slot in slots:
+                wrong.append(f"{delivery.spec.id}/{delivery.sample.slot} was received twice")
+            slots.add(delivery.sample.slot)
+        for spec in self._records.batches_opened:
+            if spec.id in self._records.batches_whole and len(seen[spec.id]) != spec.slot_count:
+                wrong.append(f"{spec.id} was called whole with {len(seen[spec.id])} samples")
+        return wrong
+
+    def check_answers(self) -> list[str]:
+        """Point 4: every answer taken as whole is that of its own request."""
+        wrong = []
+        for call in self._records.calls:
+            if call.told != Told.ANSWER:
+                continue
+            expected = expected_answer(
+                call.request, call.prompt, call.max_tokens, _plain(call.spans)
+            )
+            if list(call.tokens) != expected:
+                wrong.append(f"{call.request}: {len(call.tokens)} of {len(expected)} tokens match")
+        return wrong
+
+    def check_not_run(self) -> list[str]:
+        """Point 5: a request told "not run" is in no engine's record, under any name of its key."""
+        by_request = self._work_by_request()
+        ran_keys = {c.key for c in self._records.calls if c.key and by_request[c.request]}
+        return [
+            f"{call.request} (key {call.key}) was told {call.code}, not run, but it ran"
+            for call in self._records.calls
+            if call.told == Told.NOT_RUN and (by_request[call.request] or call.key in ran_keys)
+        ]
+
+    def check_run_once(self) -> list[str]:
+        """Point 6: a request that must not be repeated is in the records at most once."""
+        by_request = self._work_by_request()
+        runs: dict[str, int] = defaultdict(int)
+        for call in self._records.calls:
+            if call.run_once:
+                runs[call.key or call.request] += len(by_request[call.request])
+        return [f"{name} ran {count} times" for name, count in runs.items() if count > 1]
+
+    def check_leaving(self) -> list[str]:
+        """Point 7: a leaving engine got no new work after the stated time."""
+        wrong = []
+        for mark in self._records.leaving:
+            start = mark.at
+            if mark.source != LeavingSource.ENGINE:
+                start = max(start, self._records.last_fault_at)
+            limit = start + LEAVING_SECONDS[mark.source]
+            for work in self._records.work:
+                at = work.record.started_at
+                if work.engine == mark.engine and limit < at < mark.until:
+                    late = at - mark.at
+                    wrong.append(f"{mark.engine} got work {late:.1f} s after {mark.source}")
+        return wrong
+
+    def check_stops(self) -> list[str]:
+        """Point 8: no planned stop cut a request."""
+        return list(self._records.cut_by_stop)
+
+    def check_configuration(self) -> list[str]:
+        """Point 9: one plan an epoch, no daemon goes back, new ones start where they must."""
+        wrong = self._check_epochs_unique()
+        for confirmed in self._records.confirmed:
+            for zone in confirmed.zones_in_force:
+                floor = self._zone_floor.get(zone, 0)
+                self._zone_floor[zone] = max(floor, confirmed.epoch)
+        for name, node in self._world.daemons.items():
+            board = node.daemon.board
+            epoch = board.configuration.epoch
+            identity = id(node)
+            if epoch < self._seen_epochs.get(identity, 0):
+                wrong.append(f"{name} went back to epoch {epoch}")
+            self._seen_epochs[identity] = epoch
+            floor = self._zone_floor.get(board.members.own.zone, 0)
+            acts = board.phase != "joining" and node.daemon.readiness.is_current()
+            if acts and node.host.frozen_until <= self._world.now and epoch < floor:
+                wrong.append(f"{name} acts on epoch {epoch}; {floor} was in force in its zone")
+        return wrong
+
+    def check_in_force(self) -> list[str]:
+        """Point 9, once the faults have ended: the newest epoch is in force everywhere."""
+        newest = max((c.epoch for c in self._records.confirmed), default=0)
+        return [
+            f"{name} is at epoch {node.daemon.board.configuration.epoch}, not {newest}"
+            for name, node in self._world.daemons.items()
+            if node.daemon.board.configuration.epoch < newest
+        ]
+
+    def check_owners(self) -> list[str]:
+        """Liveness: every running engine has exactly one owner, which holds its token."""
+        wrong = []
+        for engine, node in self._world.engines.items():
+            owners = [
+                name
+                for name, daemon in self._world.daemons.items()
+                if daemon.daemon.board.owned.get(engine) == node.model.token
+            ]
+            if len(owners) != 1 or owners[0] != node.model.owner:
+                wrong.append(f"{engine} has owners {owners}; it names {node.model.owner}")
+        return wrong
+
+    def _check_epochs_unique(self) -> list[str]:
+        plans: dict[int, set[str]] = defaultdict(set)
+        epochs: dict[str, set[int]] = defaultdict(set)
+        for confirmed in self._records.confirmed:
+            plans[confirmed.epoch].add(confirmed.plan_id)
+            epochs[confirmed.plan_id].add(confirmed.epoch)
+        wrong = [f"epoch {e} was confirmed to {sorted(p)}" for e, p in plans.items() if len(p) > 1]
+        return wrong + [f"{p} has epochs {sorted(e)}" for p, e in epochs.items() if len(e) > 1]
+
+    def _work_by_request(self) -> dict[str, list[EngineWork]]:
+        by_request: dict[str, list[EngineWork]] = defaultdict(list)
+        for work in self._records.work:
+            by_request[work.record.request].append(work)
+        return by_request
+
+
+def _plain(spans) -> list[tuple[int, int, int]]:
+    return [(span.version, span.first_token, span.count) for span in spans]
--- /dev/null
+++ b/src/larkpost/rehearsal/simulation/ports.py
@@ -0,0 +1,226 @@
+"""A daemon's ports on the simulated network."""
+
+import asyncio
+from collections.abc import AsyncIterator, Callable
+from typing import TYPE_CHECKING
+
+from larkpost.engines.port import (
+    EngineBrokenError,
+    EngineChunk,
+    EngineNotSentError,
+    EngineRefusedError,
+    EngineReport,
+    GenerateRequest,
+    Order,
+    StaleTokenError,
+)
+from larkpost.errors import PlatformError
+from larkpost.ids import Address, AttemptId
+from larkpost.platform.ports import MachineEntry, Row
+from larkpost.rehearsal.engine_model import (
+    EngineModel,
+    QueueFullError,
+    StaleOrderError,
+    StreamCutError,
+    UnknownAttemptError,
+)
+from larkpost.rehearsal.platform_model import (
+    AnswerLostError,
+    PlatformDownError,
+    PlatformModel,
+    RateLimitedError,
+)
+from larkpost.rehearsal.simulation.network import Host, HostUnreachableError
+from larkpost.wire.peer import PeerError, PeerMethod
+
+if TYPE_CHECKING:
+    from larkpost.rehearsal.simulation.world import World
+
+
+class SimulatedClock:
+    """The loop's virtual time, as a host sees it: a frozen host wakes late."""
+
+    def __init__(self, host: Host) -> None:
+        self._host = host
+
+    def now(self) -> float:
+        return asyncio.get_running_loop().time()
+
+    def wall_ms(self) -> int:
+        return 1 + int(self.now() * 1000)
+
+    async def sleep(self, seconds: float) -> None:
+        await asyncio.sleep(seconds)
+        await self._host.gate()
+
+
+class SimulatedTransport:
+    """Messages to other daemons."""
+
+    def __init__(self, world: "World", host: Host) -> None:
+        self._world = world
+        self._host = host
+
+    def send(self, address: Address, data: bytes) -> None:
+        node = self._world.daemon_at(address)
+        if node is not None:
+            receive = node.daemon.gossip.receive
+            self._world.network.send_datagram(self._host, node.host, lambda: receive(data))
+
+    async def request(
+        self, address: Address, method: PeerMethod, payload: bytes, timeout: float
+    ) -> bytes:
+        node = self._world.daemon_at(address)
+        if node is None:
+            raise PeerError("connection refused")
+        handler = node.daemon.handlers[method]
+        try:
+            return await self._world.network.call(
+                self._host, node.host, lambda: handler(payload), timeout
+            )
+        except HostUnreachableError as error:
+            raise PeerError(str(error)) from error
+
+
+class SimulatedEngines:
+    """Calls to engines."""
+
+    def __init__(self, world: "World", host: Host) -> None:
+        self._world = world
+        self._host = host
+
+    async def generate(
+        self,
+        address: Address,
+        request: GenerateRequest,
+        chunk_timeout: float,
+        may_send: Callable[[], bool],
+    ) -> AsyncIterator[EngineChunk]:
+        engine = self._world.engine_at(address)
+        if engine is None:
+            raise EngineNotSentError("connection refused")
+
+        def start() -> AsyncIterator[EngineChunk]:
+            return _submit_and_stream(engine.model, request)
+
+        async for chunk in self._stream(engine.host, start, chunk_timeout, may_send):
+            yield chunk
+
+    async def resume(
+        self, address: Address, attempt: AttemptId, offset: int, chunk_timeout: float
+    ) -> AsyncIterator[EngineChunk]:
+        engine = self._world.engine_at(address)
+        if engine is None:
+            raise EngineNotSentError("connection refused")
+        model = engine.model
+        async for chunk in self._stream(
+            engine.host, lambda: model.stream(attempt, offset), chunk_timeout, lambda: True
+        ):
+            yield chunk
+
+    async def cancel(self, address: Address, attempt: AttemptId) -> None:
+        engine = self._world.engine_at(address)
+        if engine is None:
+            return
+
+        async def handle() -> None:
+            engine.model.cancel(attempt)
+
+        await self._call(engine.host, handle, 1.0)
+
+    async def report(self, address: Address, timeout: float) -> EngineReport:
+        engine = self._engine(address)
+
+        async def handle() -> EngineReport:
+            await engine.model.thawed()
+            return engine.model.report()
+
+        return await self._call(engine.host, handle, timeout)
+
+    async def order(self, address: Address, order: Order, timeout: float) -> None:
+        engine = self._engine(address)
+
+        async def handle() -> None:
+            await engine.model.thawed()
+            engine.model.take_order(order)
+
+        try:
+            await self._call(engine.host, handle, timeout)
+        except StaleOrderError as error:
+            raise StaleTokenError("the engine has a higher token", error.args[0]) from error
+
+    def _engine(self, address: Address):
+        engine = self._world.engine_at(address)
+        if engine is None:
+            raise EngineNotSentError("connection refused")
+        return engine
+
+    async def _call(self, target: Host, handle, timeout: float):
+        try:
+            return await self._world.network.call(self._host, target, handle, timeout)
+        except HostUnreachableError as error:
+            raise EngineBrokenError(str(error)) from error
+
+    async def _stream(
+        self, target: Host, start, chunk_timeout: float, may_send: Callable[[], bool]
+    ) -> AsyncIterator[EngineChunk]:
+        stream = self._world.network.stream(self._host, target, start, chunk_timeout, may_send)
+        try:
+            async for chunk in stream:
+                yield chunk
+        except QueueFullError as error:
+            raise EngineRefusedError(str(error), 0.5) from error
+        except (StreamCutError, UnknownAttemptError) as error:
+            raise EngineBrokenError(repr(error)) from error
+        except HostUnreachableError as error:
+            kind = EngineBrokenError if error.delivered else EngineNotSentError
+            raise kind(str(error)) from error
+        finally:
+            await stream.aclose()
+
+
+async def _submit_and_stream(
+    model: EngineModel, request: GenerateRequest
+) -> AsyncIterator[EngineChunk]:
+    await model.thawed()
+    model.submit(request)
+    async for chunk in model.stream(request.attempt, len(request.prefix)):
+        yield chunk
+
+
+class SimulatedPlatform:
+    """Calls to the platform."""
+
+    def __init__(self, world: "World", host: Host) -> None:
+        self._world = world
+        self._host = host
+
+    @property
+    def _model(self) -> PlatformModel:
+        return self._world.platform
+
+    async def read(self, key: str, timeout: float) -> Row | None:
+        return await self._call(lambda: self._model.read(key), timeout)
+
+    async def compare_and_set(
+        self, key: str, expected_version: int, value: bytes, timeout: float
+    ) -> bool:
+        return await self._call(
+            lambda: self._model.compare_and_set(key, expected_version, value), timeout
+        )
+
+    async def entries(self, timeout: float) -> list[MachineEntry]:
+        return await self._call(self._model.machines, timeout)
+
+    async def _call(self, handle, timeout: float):
+        try:
+            return await self._world.network.call(
+                self._host, self._world.platform_host, handle, timeout
+            )
+        except (
+            HostUnreachableError,
+            PlatformDownError,
+            AnswerLostError,
+            RateLimitedError,
+        ) as error:
+            raise PlatformError(repr(error)) from error
--- /dev/null
+++ b/src/larkpost/rehearsal/simulation/records.py
@@ -0,0 +1,102 @@
+"""What trainers, clients, engines and operators saw; the oracle reads only this."""
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+from larkpost.batches.ledger import BatchSpec, Sample
+from larkpost.ids import EngineId, PlanId, ZoneId
+from larkpost.rehearsal.engine_model import EngineRecord
+from larkpost.routing.work import VersionSpan
+
+
+class Told(StrEnum):
+    """What a client was told about one try."""
+
+    NOTHING = "nothing"
+    ANSWER = "answer"
+    NOT_RUN = "not run"
+    UNKNOWN = "unknown"
+
+
+@dataclass(slots=True)
+class ClientCall:
+    """One try of a client's request."""
+
+    request: str
+    service: str
+    prompt: str
+    max_tokens: int
+    run_once: bool
+    key: str | None
+    asked_at: float
+    told: Told = Told.NOTHING
+    code: str = ""
+    ended_at: float = 0.0
+    tokens: tuple[int, ...] = ()
+    spans: tuple[VersionSpan, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Delivery:
+    """A sample as a trainer received it."""
+
+    spec: BatchSpec
+    sample: Sample
+    trainer_version: int
+    already_held: bool
+    at: float
+
+
+@dataclass(slots=True)
+class EngineWork:
+    """One attempt at an engine, with the engine that ran it."""
+
+    engine: EngineId
+    record: EngineRecord
+
+
+class LeavingSource(StrEnum):
+    """Who said that an engine leaves."""
+
+    LIST = "machine list"
+    ENGINE = "engine"
+    OPERATOR = "operator"
+
+
+@dataclass(slots=True)
+class LeavingMark:
+    """The time in which an engine was known as leaving to some source."""
+
+    engine: EngineId
+    source: LeavingSource
+    at: float
+    until: float = float("inf")
+    """When the process that said it leaves ended; another one may run under the name after it."""
+
+
+@dataclass(frozen=True, slots=True)
+class ConfirmedPlan:
+    """A confirmation that was answered yes."""
+
+    plan_id: PlanId
+    epoch: int
+    zones_in_force: frozenset[ZoneId]
+    at: float
+
+
+@dataclass(slots=True)
+class Records:
+    """Everything seen from outside."""
+
+    calls: list[ClientCall] = field(default_factory=list)
+    deliveries: list[Delivery] = field(default_factory=list)
+    work: list[EngineWork] = field(default_factory=list)
+    leaving: list[LeavingMark] = field(default_factory=list)
+    confirmed: list[ConfirmedPlan] = field(default_factory=list)
+    cut_by_stop: list[str] = field(default_factory=list)
+    batches_opened: list[BatchSpec] = field(default_factory=list)
+    batches_whole: list[str] = field(default_factory=list)
+    idle_seconds: dict[str, float] = field(default_factory=dict)
+    train_seconds: dict[str, float] = field(default_factory=dict)
+    last_fault_at: float = 0.0
+    """When the last cut, outage or freeze ended; infinity while one lasts."""
--- a/src/larkpost/routing/inference.py
+++ b/src/larkpost/routing/inference.py
@@ -4,14 +4,15 @@
 from contextlib import aclosing
 from dataclasses import dataclass
 
-from larkpost.blackboard.board import Blackboard, Phase
+from larkpost.activity import Activity
+from larkpost.blackboard.board import Blackboard
 from larkpost.clock import Clock
+from larkpost.controllers.readiness import Readiness
 from larkpost.errors import (
     InvalidRequestError,
     LarkpostError,
-    NotReadyError,
     OverloadedError,
-    StoppingError,
+    Ran,
 )
 from larkpost.ids import RequestId
 from larkpost.routing.dispatcher import Dispatcher, chunk_size
@@ -22,7 +23,6 @@
 from larkpost.telemetry import Telemetry
 
 RETRY_AFTER_OVERLOAD = 0.5
-RETRY_AFTER_JOINING = 1.0
 MAX_TOKENS_LIMIT = 131_072
 
 
@@ -58,6 +58,8 @@
         clock: Clock,
         telemetry: Telemetry,
         settings: RoutingSettings,
+        activity: Activity,
+        readiness: Readiness,
     ) -> None:
         self._board = board
         self._dispatcher = dispatcher
@@ -66,8 +68,8 @@
         self._clock = clock
         self._telemetry = telemetry
         self._settings = settings
-        self.active = 0
-        """Client requests being answered."""
+        self._activity = activity
+        self._readiness = readiness
 
     async def complete(self, call: InferenceCall) -> AsyncIterator[TokenRun]:
         """Yields the answer's token runs; returning means that the answer is whole.
@@ -75,22 +77,35 @@
         Raises:
             LarkpostError: there is no whole answer; the error says whether the request ran.
         """
-        self.active += 1
+        with self._activity.request():
+            try:
+                work = await self._admit_once(call)
+                async with aclosing(self._dispatcher.run(work)) as runs:
+                    async for run in runs:
+                        yield run
+            except LarkpostError as error:
+                self._telemetry.count("client_refused", kind=error.code)
+                raise
+
+    async def _admit_once(self, call: InferenceCall) -> Work:
+        """Admits the request and takes the right to run its key.
+
+        A refusal before the claim may say "not run" only if the key was certainly never used: an
+        earlier try under the same key may have run.
+        """
+        claimed = call.key if call.run_once else None
         try:
             work = self._admit(call)
-            if call.run_once and call.key is not None:
-                await self._registry.claim(call.key)
-            async with aclosing(self._dispatcher.run(work)) as runs:
-                async for run in runs:
-                    yield run
         except LarkpostError as error:
-            self._telemetry.count("client_refused", kind=error.code)
+            if claimed is not None and not self._registry.is_unused(claimed):
+                error.ran = Ran.UNKNOWN
             raise
-        finally:
-            self.active -= 1
+        if claimed is not None:
+            await self._registry.claim(claimed)
+        return work
 
     def _admit(self, call: InferenceCall) -> Work:
-        self._check_phase()
+        self._readiness.check()
         service = self._board.configuration.intent.service(call.service)
         if service is None:
             raise InvalidRequestError(
@@ -113,22 +128,14 @@
             run_once=call.run_once,
             chunk_tokens=chunk_size(WorkClass.CLIENT),
         )
-        if self.active > self._settings.max_client_requests or self._selector.is_full(work):
+        crowded = self._activity.requests > self._settings.max_client_requests
+        if crowded or self._selector.is_full(work):
             raise OverloadedError(
                 f"pool {service.pool!r} is full", retry_after=RETRY_AFTER_OVERLOAD
             )
         self._telemetry.count("client_requests")
         return work
 
-    def _check_phase(self) -> None:
-        if self._board.phase == Phase.JOINING:
-            raise NotReadyError(
-                "this daemon does not know the configuration yet",
-                retry_after=RETRY_AFTER_JOINING,
-            )
-        if self._board.phase == Phase.STOPPING:
-            raise StoppingError("this daemon is stopping")
-
 
 def _check_call(call: InferenceCall) -> None:
     if not 0 < call.max_tokens <= MAX_TOKENS_LIMIT:
--- a/src/larkpost/routing/run_once.py
+++ b/src/larkpost/routing/run_once.py
@@ -92,18 +92,26 @@
         if not granted:
             raise AlreadyClaimedError(f"the key {key!r} was used before", ran=Ran.UNKNOWN)
 
+    def is_unused(self, key: str) -> bool:
+        """Whether it is certain, without asking anyone, that the key's request never ran."""
+        ticket = parse_ticket(key)
+        return ticket is not None and self._is_open(ticket)
+
     async def on_remote_claim(self, payload: bytes) -> bytes:
         """Consumes a ticket of this daemon for another one; the answer is empty if refused."""
         ticket = parse_ticket(pb.RunOnceRequest.FromString(payload).key)
         return b"1" if ticket is not None and self._consume(ticket) else b""
 
     def _consume(self, ticket: Ticket) -> bool:
-        own = ticket.daemon == self._board.members.own.id and ticket.incarnation == self._born
-        if not own or ticket.number not in self._open:
+        if not self._is_open(ticket):
             return False
         self._open.remove(ticket.number)
         return True
 
+    def _is_open(self, ticket: Ticket) -> bool:
+        own = ticket.daemon == self._board.members.own.id and ticket.incarnation == self._born
+        return own and ticket.number in self._open
+
     async def _claim_ticket(self, ticket: Ticket) -> bool:
         if ticket.daemon == self._board.members.own.id:
             return self._consume(ticket)
--- a/src/larkpost/settings.py
+++ b/src/larkpost/settings.py
@@ -43,6 +43,18 @@
     background_poll_interval: float = Field(
         default=60.0, gt=0, description="Seconds between reads by every other daemon."
     )
+    validity_time: float = Field(
+        default=10.0,
+        gt=0,
+        description="Seconds a daemon acts on its configuration after it was last verified by the "
+        "table service or its zone. Longer rides out longer pauses on an old epoch.",
+    )
+    lost_grace: float = Field(
+        default=30.0,
+        gt=0,
+        description="Seconds a daemon must be held dead before a confirmation reports its zone as "
+        "in force without it; must exceed validity_time.",
+    )
     platform_timeout: float = Field(
         default=2.0, gt=0, description="Seconds to wait for one answer of the platform."
     )
--- a/src/larkpost/tasks.py
+++ b/src/larkpost/tasks.py
@@ -15,12 +15,12 @@
     def __init__(self, clock: Clock, telemetry: Telemetry) -> None:
         self._clock = clock
         self._telemetry = telemetry
-        self._tasks: set[asyncio.Task] = set()
+        self._tasks: dict[asyncio.Task, None] = {}
 
     def spawn(self, work: Coroutine[Any, Any, Any], name: str) -> asyncio.Task:
         """Starts a task; its failure is logged and counted, never lost."""
         task = asyncio.create_task(work, name=name)
-        self._tasks.add(task)
+        self._tasks[task] = None
         task.add_done_callback(self._finished)
         return task
 
@@ -50,6 +50,6 @@
             await self._clock.sleep(max(interval - elapsed, interval / 10))
 
     def _finished(self, task: asyncio.Task) -> None:
-        self._tasks.discard(task)
+        self._tasks.pop(task, None)
         if not task.cancelled() and task.exception() is not None:
             self._telemetry.fault(task.get_name(), task.exception())
--- /dev/null
+++ b/tests/fleet.py
@@ -0,0 +1,142 @@
+"""A simulated fleet that synchronous tests drive: each step runs the virtual-time loop."""
+
+import asyncio
+import random
+from collections.abc import Callable, Coroutine
+
+import async_solipsism
+
+from larkpost.config.intent import Intent, PoolIntent, ServiceIntent, TrainerIntent
+from larkpost.ids import EngineId, PolicyId, PoolId, TrainerId, ZoneId
+from larkpost.rehearsal.simulation.callers import SimulatedClients, SimulatedTrainer
+from larkpost.rehearsal.simulation.oracle import Oracle
+from larkpost.rehearsal.simulation.world import World, WorldShape
+from larkpost.rehearsal.sites import Machine
+from larkpost.rehearsal.trainer import TrainerShape
+
+ZONES = (ZoneId("zone-a"), ZoneId("zone-b"), ZoneId("zone-c"))
+ROLLOUT_POOL = PoolId("language")
+CLIENT_POOL = PoolId("feed")
+SERVICES = ("quotes", "assistant")
+LIVENESS_SECONDS = 150.0
+"""Virtual seconds after the last fault within which everything is finished and consistent."""
+
+
+def _machine(pool: PoolId, number: int) -> Machine:
+    return Machine(EngineId(f"{pool}-{number}"), ZONES[number % len(ZONES)], pool)
+
+
+MACHINES = tuple(_machine(ROLLOUT_POOL, i) for i in range(5)) + tuple(
+    _machine(CLIENT_POOL, i) for i in range(3)
+)
+TRAINERS = tuple(
+    TrainerShape(
+        TrainerId(f"trainer-{number}"),
+        ROLLOUT_POOL,
+        PolicyId("policy"),
+        prompts=3,
+        samples_per_prompt=2,
+        max_tokens=48,
+        staleness_bound=number,
+        train_seconds=1.0,
+        ahead=number - 1,
+    )
+    for number in (1, 2)
+)
+INTENT = Intent(
+    pools=(
+        PoolIntent(name=ROLLOUT_POOL, policy=PolicyId("policy"), client_reserve=2),
+        PoolIntent(name=CLIENT_POOL),
+    ),
+    services=(
+        ServiceIntent(name="quotes", pool=CLIENT_POOL),
+        ServiceIntent(name="assistant", pool=ROLLOUT_POOL, priority=8),
+    ),
+    trainers=tuple(
+        TrainerIntent(name=shape.name, pools=(ROLLOUT_POOL,), staleness_bound=2)
+        for shape in TRAINERS
+    ),
+)
+WORLD_SHAPE = WorldShape(ZONES, (2, 2, 1), MACHINES, INTENT)
+
+
+class SimulatedFleet:
+    """A started world with clients and, if asked, trainers."""
+
+    def __init__(self, seed: int, shape: WorldShape = WORLD_SHAPE, trainers: bool = False) -> None:
+        self.loop = async_solipsism.EventLoop()
+        self.loop.set_exception_handler(lambda _loop, _context: None)
+        asyncio.set_event_loop(self.loop)
+        rng = random.Random(seed)
+        self.world = World(shape, rng)
+        self.oracle = Oracle(self.world)
+        self.run(self.world.start())
+        self.clients = {name: SimulatedClients(self.world, name) for name in SERVICES}
+        self.trainers: list[SimulatedTrainer] = []
+        self.tasks: list[asyncio.Task] = []
+        if trainers:
+            self.start_trainers(rng)
+
+    def start_trainers(self, rng: random.Random) -> None:
+        """Starts both trainers."""
+        for shape, zone in zip(TRAINERS, ZONES, strict=False):
+            trainer = SimulatedTrainer(self.world, shape, zone, random.Random(rng.random()))
+            self.trainers.append(trainer)
+            self.spawn(trainer.run())
+
+    def run(self, work: Coroutine):
+        """Runs work to its end and returns its result."""
+        return self.loop.run_until_complete(work)
+
+    def act(self, operation: Callable, *arguments):
+        """Calls an operation that needs the loop to be running, and returns its result."""
+
+        async def call():
+            return operation(*arguments)
+
+        return self.run(call())
+
+    def spawn(self, work: Coroutine) -> asyncio.Task:
+        """Starts work that goes on while the test advances."""
+        task = self.loop.create_task(work)
+        self.tasks.append(task)
+        return task
+
+    def advance(self, seconds: float) -> None:
+        """Lets virtual time pass."""
+        self.run(asyncio.sleep(seconds))
+
+    def settle(self) -> list[str]:
+        """Ends all faults, lets everything finish, and returns what is wrong."""
+        self.act(self.world.heal)
+        self.act(self.world.revive)
+        for node in self.world.daemons.values():
+            node.host.frozen_until = 0.0
+        for node in self.world.engines.values():
+            node.model.faults = type(node.model.faults)()
+        for trainer in self.trainers:
+            trainer.stop()
+        wrong = self._wait_for_tasks()
+        self.advance(10.0)
+        self.act(self.world.revive)
+        self.advance(30.0)
+        checks = (self.oracle.check, self.oracle.check_in_force, self.oracle.check_owners)
+        return wrong + [text for check in checks for text in self.act(check)]
+
+    def close(self) -> None:
+        """Ends the loop with everything on it."""
+        for task in asyncio.all_tasks(self.loop):
+            task.cancel()
+        self.advance(0.0)
+        self.loop.close()
+        asyncio.set_event_loop(None)
+
+    def _wait_for_tasks(self) -> list[str]:
+        if not self.tasks:
+            return []
+        waiting = asyncio.wait(self.tasks, timeout=LIVENESS_SECONDS)
+        done, late = self.run(waiting)
+        for task in done:
+            if not task.cancelled():
+                task.result()
+        return [f"liveness: {task.get_coro().__qualname__} did not end" for task in late]
