--- a/src/larkpost/controllers/directory.py
+++ b/src/larkpost/controllers/directory.py
@@ -18,6 +18,9 @@
 from larkpost.settings import ConfigurationSettings
 from larkpost.telemetry import Telemetry
 
+WHOLE_LIST_POLLS = 15
+"""Every so many polls the whole machine list is read in place of the zone's."""
+
 
 class Directory:
     """Keeps the blackboard's engine directory, drain marks and policy versions."""
@@ -37,22 +40,34 @@
         self._clock = clock
         self._telemetry = telemetry
         self._settings = settings
+        self._polls = 0
         board.facts.listen(MACHINE_PREFIX, self._on_machine)
         board.facts.listen(DRAIN_PREFIX, self._on_drain)
         board.facts.listen(POLICY_PREFIX, self._on_policy)
 
     async def poll(self) -> None:
-        """Reads the machine list if this daemon is on duty, or knows no engine yet."""
+        """Reads the zone's machines if this daemon is on duty, and now and then all machines.
+
+        One zone's list is a fraction of the fleet's; the whole list is read on joining, and at long
+        intervals so that a zone that has lost all its daemons is not forgotten.
+        """
+        self._polls += 1
+        whole = not self._board.engines.directory or self._polls % WHOLE_LIST_POLLS == 0
         if self._board.engines.directory and not is_on_duty(self._board, "machines"):
             return
+        zone = None if whole else self._board.members.own.zone
         try:
-            entries = await self._machines.entries(self._settings.platform_timeout)
+            entries = await self._machines.entries(zone, self._settings.platform_timeout)
         except PlatformError:
             self._telemetry.count("platform_errors", kind="machines")
             self._telemetry.change("platform.machines", "unreachable")
             return
         self._telemetry.change("platform.machines", "reachable")
-        self._dissemination.publish(*map(_machine_fact, entries))
+        news = [entry for entry in entries if self._is_newer(entry)]
+        self._dissemination.publish(*map(_machine_fact, news))
+
+    def _is_newer(self, entry: MachineEntry) -> bool:
+        return entry.revision > self._board.facts.version(MACHINE_PREFIX + entry.engine)
 
     def announce_version(self, policy: PolicyId, version: int) -> None:
         """Takes a policy version that a trainer published. Only higher ones have an effect."""
--- a/src/larkpost/platform/http_adapter.py
+++ b/src/larkpost/platform/http_adapter.py
@@ -37,8 +37,9 @@
         fields = await self._call("POST", "/table", {}, body, timeout)
         return bool(fields["written"])
 
-    async def entries(self, timeout: float) -> list[MachineEntry]:
-        fields = await self._call("GET", "/machines", {}, None, timeout)
+    async def entries(self, zone: ZoneId | None, timeout: float) -> list[MachineEntry]:
+        params = {"zone": zone} if zone is not None else {}
+        fields = await self._call("GET", "/machines", params, None, timeout)
         return [_parse_machine(entry) for entry in fields["machines"]]
 
     async def _call(
--- a/src/larkpost/platform/ports.py
+++ b/src/larkpost/platform/ports.py
@@ -48,5 +48,5 @@
 class MachineList(Protocol):
     """The list of engine machines; it lags."""
 
-    async def entries(self, timeout: float) -> list[MachineEntry]:
-        """Returns all live and leaving machines."""
+    async def entries(self, zone: ZoneId | None, timeout: float) -> list[MachineEntry]:
+        """Returns the live and leaving machines of a zone, or of all zones."""
--- a/src/larkpost/rehearsal/simulation/ports.py
+++ b/src/larkpost/rehearsal/simulation/ports.py
@@ -15,7 +15,7 @@
     StaleTokenError,
 )
 from larkpost.errors import PlatformError
-from larkpost.ids import Address, AttemptId
+from larkpost.ids import Address, AttemptId, ZoneId
 from larkpost.platform.ports import MachineEntry, Row
 from larkpost.rehearsal.engine_model import (
     EngineModel,
@@ -209,8 +209,8 @@
             lambda: self._model.compare_and_set(key, expected_version, value), timeout
         )
 
-    async def entries(self, timeout: float) -> list[MachineEntry]:
-        return await self._call(self._model.machines, timeout)
+    async def entries(self, zone: ZoneId | None, timeout: float) -> list[MachineEntry]:
+        return await self._call(lambda: self._model.machines(zone), timeout)
 
     async def _call(self, handle, timeout: float):
         try:
