--- a/Makefile
+++ b/Makefile
@@ -22,6 +22,12 @@
 	PYTHONHASHSEED=0 LARKPOST_FUZZ_FRESH=1 LARKPOST_FUZZ_SHRINK=1 LARKPOST_FUZZ_EXAMPLES=200 \
 		$(PYTHON) -m tests.run tests.test_fuzz
 
+mutants: $(READY) ## breaks each mechanism; the fuzz must catch every one
+	$(PYTHON) -m tests.mutants
+
+scale: $(READY) ## costs per daemon in fleets of growing size
+	$(LARKPOST) rehearsal scale
+
 lint: $(READY)
 	$(VENV)/bin/ruff format --check .
 	$(VENV)/bin/ruff check .
--- /dev/null
+++ b/src/larkpost/documents.py
@@ -0,0 +1,17 @@
+"""Reading JSON documents from outside systems."""
+
+from typing import Any
+
+import orjson
+
+
+def read_fields(content: bytes) -> dict[str, Any]:
+    """Returns the fields of a JSON object.
+
+    Raises:
+        ValueError: the content is no JSON object.
+    """
+    fields = orjson.loads(content)
+    if not isinstance(fields, dict):
+        raise ValueError("not a JSON object")
+    return fields
--- a/src/larkpost/engines/http_adapter.py
+++ b/src/larkpost/engines/http_adapter.py
@@ -12,6 +12,7 @@
 import aiohttp
 import orjson
 
+from larkpost.documents import read_fields
 from larkpost.engines.port import (
     EngineBrokenError,
     EngineChunk,
@@ -104,7 +105,7 @@
         url = f"http://{address}/v1/report"
         try:
             async with self._session.get(url, timeout=_total(timeout)) as response:
-                fields = orjson.loads(await response.read())
+                fields = read_fields(await response.read())
             return _parse_report(fields)
         except NETWORK_ERRORS as error:
             raise EngineBrokenError(repr(error)) from error
@@ -117,11 +118,11 @@
             async with self._session.post(
                 url, data=orjson.dumps(asdict(order)), timeout=_total(timeout)
             ) as response:
-                fields = orjson.loads(await response.read())
+                fields = read_fields(await response.read())
         except (*NETWORK_ERRORS, ValueError) as error:
             raise EngineBrokenError(repr(error)) from error
         if response.status == 412:
-            raise StaleTokenError("the engine has accepted a higher token", fields["token"])
+            raise StaleTokenError("the engine has accepted a higher token", fields.get("token", 0))
         if response.status != 200:
             raise EngineError(f"order refused: {fields.get('error', response.status)}")
 
@@ -142,10 +143,10 @@
         return
     content = await response.read()
     try:
-        fields = orjson.loads(content)
-    except orjson.JSONDecodeError:
+        fields = read_fields(content)
+    except ValueError:
         fields = {}
-    named = isinstance(fields, dict) and fields.get("attempt") == attempt
+    named = fields.get("attempt") == attempt
     if response.status in REFUSED_STATUSES and named and fields.get("ran") is False:
         raise EngineRefusedError(str(fields.get("error")), fields.get("retry_after"))
     raise EngineBrokenError(f"status {response.status}")
@@ -156,7 +157,7 @@
         if not line.startswith(EVENT_PREFIX):
             continue
         try:
-            yield _parse_chunk(orjson.loads(line[len(EVENT_PREFIX) :]))
+            yield _parse_chunk(read_fields(line[len(EVENT_PREFIX) :]))
         except (KeyError, TypeError, ValueError) as error:
             raise EngineBrokenError(f"not a chunk: {error!r}") from error
 
--- a/src/larkpost/platform/http_adapter.py
+++ b/src/larkpost/platform/http_adapter.py
@@ -6,6 +6,7 @@
 import aiohttp
 import orjson
 
+from larkpost.documents import read_fields
 from larkpost.errors import PlatformError
 from larkpost.ids import Address, EngineId, PoolId, ZoneId
 from larkpost.platform.ports import MachineEntry, Row
@@ -55,7 +56,7 @@
                 content = await response.read()
                 if response.status != 200:
                     raise PlatformError(f"{verb} {path}: status {response.status}")
-                return orjson.loads(content)
+                return read_fields(content)
         except NETWORK_ERRORS as error:
             raise PlatformError(f"{verb} {path}: {error!r}") from error
 
--- a/src/larkpost/rehearsal/simulation/oracle.py
+++ b/src/larkpost/rehearsal/simulation/oracle.py
@@ -1,11 +1,13 @@
 """The oracle: checks what trainers, clients, engines and operators saw against the nine points.
 
-It knows nothing of how larkpost works; it reads `Records` only (and, for the configuration, the
-epochs that daemons show in their status).
+It knows nothing of how larkpost works; it reads `Records` only, and for the configuration the
+table service's row and the epochs that daemons show in their status.
 """
 
 from collections import defaultdict
 
+from larkpost.blackboard.facts import CONFIGURATION_KEY
+from larkpost.controllers.configuration import ConfigurationRow
 from larkpost.rehearsal.simulation.records import EngineWork, LeavingSource, Records, Told
 from larkpost.rehearsal.simulation.world import World
 from larkpost.rehearsal.tokens import expected_answer
@@ -199,8 +201,20 @@
             plans[confirmed.epoch].add(confirmed.plan_id)
             epochs[confirmed.plan_id].add(confirmed.epoch)
         wrong = [f"epoch {e} was confirmed to {sorted(p)}" for e, p in plans.items() if len(p) > 1]
+        applied = self._applied_plans()
+        refused = self._records.refused_plans & set(applied)
+        wrong += [f"{plan} was refused as outdated, but it was applied" for plan in sorted(refused)]
+        twice = {plan for plan in applied if applied.count(plan) > 1}
+        wrong += [f"{plan} was applied twice" for plan in sorted(twice)]
         return wrong + [f"{p} has epochs {sorted(e)}" for p, e in epochs.items() if len(e) > 1]
 
+    def _applied_plans(self) -> list[str]:
+        """Returns the plans that the table service's row says were applied."""
+        row = self._world.platform.rows.get(CONFIGURATION_KEY)
+        if row is None:
+            return []
+        return [plan for _epoch, plan in ConfigurationRow.model_validate_json(row.value).history]
+
     def _work_by_request(self) -> dict[str, list[EngineWork]]:
         by_request: dict[str, list[EngineWork]] = defaultdict(list)
         for work in self._records.work:
--- a/src/larkpost/rehearsal/simulation/records.py
+++ b/src/larkpost/rehearsal/simulation/records.py
@@ -93,6 +93,8 @@
     work: list[EngineWork] = field(default_factory=list)
     leaving: list[LeavingMark] = field(default_factory=list)
     confirmed: list[ConfirmedPlan] = field(default_factory=list)
+    refused_plans: set[PlanId] = field(default_factory=set)
+    """Plans that an operator was told are outdated, so never in force."""
     cut_by_stop: list[str] = field(default_factory=list)
     batches_opened: list[BatchSpec] = field(default_factory=list)
     batches_whole: list[str] = field(default_factory=list)
--- a/src/larkpost/rehearsal/simulation/world.py
+++ b/src/larkpost/rehearsal/simulation/world.py
@@ -9,7 +9,7 @@
 from larkpost.config.intent import Intent
 from larkpost.config.plan import Plan, make_plan
 from larkpost.daemon import Daemon, Ports
-from larkpost.errors import LarkpostError
+from larkpost.errors import LarkpostError, OutdatedPlanError
 from larkpost.ids import Address, DaemonId, EngineId, ZoneId
 from larkpost.platform.ports import MachineEntry
 from larkpost.rehearsal.engine_model import EngineModel, EngineRecord, EngineShape
@@ -295,6 +295,9 @@
             answer = await self._operator_call(
                 node, lambda: node.daemon.configuration.confirm(plan)
             )
+        except OutdatedPlanError:
+            self.records.refused_plans.add(plan.plan_id)
+            return None
         except (LarkpostError, HostUnreachableError):
             return None
         confirmed = ConfirmedPlan(
--- /dev/null
+++ b/src/larkpost/rehearsal/summary.py
@@ -0,0 +1,129 @@
+"""Load on a site's processes, and the summary of what trainers, clients and engines recorded."""
+
+from collections import Counter
+from dataclasses import dataclass
+
+import orjson
+from hdrh.histogram import HdrHistogram
+
+from larkpost.rehearsal.fleet import Fleet
+from larkpost.rehearsal.processes import Process, RehearsalError
+
+MUST_BE_ZERO = (
+    "samples_doubled",
+    "samples_lost",
+    "samples_stale",
+    "version_mismatches",
+    "client_wrong_answers",
+    "false_not_run",
+    "run_once_repeated",
+)
+CLIENT_RATE = 12.0
+END_TIMEOUT = 40.0
+MICROSECONDS = 1_000_000
+
+
+@dataclass(slots=True)
+class SiteLoad:
+    """The load processes of one site."""
+
+    fleet: Fleet
+    trainer: Process
+    clients: list[Process]
+
+
+def start_load(fleet: Fleet, seconds: float, seed: int) -> SiteLoad:
+    """Starts a site's trainer and clients for a time."""
+    site = fleet.site
+    daemons = f"--daemons={fleet.daemon_list()}"
+    trainer = fleet.group.start(
+        f"{site.name}-trainer",
+        "rehearsal",
+        "trainer",
+        f"--name={site.trainer}",
+        f"--pool={site.trainer_pool}",
+        f"--policy={site.policy}",
+        daemons,
+        f"--platform={fleet.platform.address}",
+        f"--seconds={seconds}",
+        f"--seed={seed}",
+    )
+    clients = [
+        fleet.group.start(
+            f"{site.name}-clients-{service}",
+            "rehearsal",
+            "clients",
+            f"--service={service}",
+            daemons,
+            f"--seconds={seconds}",
+            f"--rate={CLIENT_RATE}",
+            f"--seed={seed}",
+        )
+        for service in site.services
+    ]
+    return SiteLoad(fleet, trainer, clients)
+
+
+def wait_for_load(loads: list[SiteLoad], seconds: float) -> None:
+    """Waits until trainers and clients have ended.
+
+    Raises:
+        RehearsalError: one ended with an error, or not in time.
+    """
+    for load in loads:
+        for process in [load.trainer, *load.clients]:
+            if process.wait(seconds + END_TIMEOUT) != 0:
+                raise RehearsalError(f"{process.name} ended with an error")
+
+
+def summarise(loads: list[SiteLoad]) -> dict:
+    """Returns the counts, from the records of trainers, clients and engines only."""
+    trainers = [orjson.loads(load.trainer.lines()[-1]) for load in loads]
+    clients = [orjson.loads(c.lines()[-1]) for load in loads for c in load.clients]
+    attempts = Counter()
+    for load in loads:
+        for node in load.fleet.engines.values():
+            attempts.update(_started_requests(node.process))
+    staleness = [age for record in trainers for age in record["staleness"]]
+    idle = sum(record["idle_seconds"] for record in trainers)
+    trained = sum(record["train_seconds"] for record in trainers)
+    latency = HdrHistogram(1, 60 * MICROSECONDS, 3)
+    for record in clients:
+        for value in record["seconds"]:
+            latency.record_value(max(1, round(value * MICROSECONDS)))
+    counted = {
+        name: sum(record[name] for record in trainers)
+        for name in (
+            "samples_expected",
+            "samples_delivered",
+            "samples_doubled",
+            "samples_lost",
+            "samples_stale",
+            "version_mismatches",
+        )
+    }
+    return counted | {
+        "client_requests": sum(record["requests"] for record in clients),
+        "client_wrong_answers": sum(record["wrong_answers"] for record in clients),
+        "client_errors": sum(record["errors"] for record in clients),
+        "false_not_run": sum(attempts[n] > 0 for r in clients for n in r["told_not_run"]),
+        "run_once_repeated": sum(attempts[n] > 1 for r in clients for n in r["run_once"]),
+        "trainer_steps": sum(record["steps"] for record in trainers),
+        "trainer_idle_fraction": round(idle / max(idle + trained, 1e-9), 4),
+        "staleness_mean": round(sum(staleness) / max(len(staleness), 1), 4),
+        "staleness_max": max(staleness, default=0),
+        "client_p50_ms": round(latency.get_value_at_percentile(50) / 1000, 2),
+        "client_p99_ms": round(latency.get_value_at_percentile(99) / 1000, 2),
+        "client_tries": sum(record["tries"] for record in clients),
+    }
+
+
+def _started_requests(process: Process) -> list[str]:
+    """Returns the request of each attempt that an engine recorded, cut-off lines left out."""
+    requests = []
+    for line in process.lines():
+        try:
+            requests.append(orjson.loads(line)["request"])
+        except orjson.JSONDecodeError:
+            continue
+    return requests
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -15,7 +15,7 @@
 from larkpost.rehearsal.trainer import TrainerShape
 
 ZONES = (ZoneId("zone-a"), ZoneId("zone-b"), ZoneId("zone-c"))
-ROLLOUT_POOL = PoolId("language")
+ROLLOUT_POOLS = (PoolId("language"), PoolId("drafts"))
 CLIENT_POOL = PoolId("feed")
 SERVICES = ("quotes", "assistant")
 LIVENESS_SECONDS = 150.0
@@ -26,35 +26,41 @@
     return Machine(EngineId(f"{pool}-{number}"), ZONES[number % len(ZONES)], pool)
 
 
-MACHINES = tuple(_machine(ROLLOUT_POOL, i) for i in range(5)) + tuple(
-    _machine(CLIENT_POOL, i) for i in range(3)
+MACHINES = (
+    *(_machine(ROLLOUT_POOLS[0], i) for i in range(3)),
+    *(_machine(ROLLOUT_POOLS[1], i) for i in range(2)),
+    *(_machine(CLIENT_POOL, i) for i in range(3)),
 )
-TRAINERS = tuple(
-    TrainerShape(
+
+
+def _trainer(number: int, staleness_bound: int, ahead: int) -> TrainerShape:
+    return TrainerShape(
         TrainerId(f"trainer-{number}"),
-        ROLLOUT_POOL,
-        PolicyId("policy"),
+        ROLLOUT_POOLS[number],
+        PolicyId(f"policy-{number}"),
         prompts=3,
         samples_per_prompt=2,
         max_tokens=48,
-        staleness_bound=number,
+        staleness_bound=staleness_bound,
         train_seconds=1.0,
-        ahead=number - 1,
+        ahead=ahead,
     )
-    for number in (1, 2)
-)
+
+
+# The first trainer takes nothing but its own version; the second one opens its batches so early
+# that their first samples are too old when it pulls them.
+TRAINERS = (_trainer(0, staleness_bound=0, ahead=0), _trainer(1, staleness_bound=1, ahead=2))
 INTENT = Intent(
     pools=(
-        PoolIntent(name=ROLLOUT_POOL, policy=PolicyId("policy"), client_reserve=2),
+        *(PoolIntent(name=shape.pool, policy=shape.policy, client_reserve=2) for shape in TRAINERS),
         PoolIntent(name=CLIENT_POOL),
     ),
     services=(
         ServiceIntent(name="quotes", pool=CLIENT_POOL),
-        ServiceIntent(name="assistant", pool=ROLLOUT_POOL, priority=8),
+        ServiceIntent(name="assistant", pool=ROLLOUT_POOLS[0], priority=8),
     ),
     trainers=tuple(
-        TrainerIntent(name=shape.name, pools=(ROLLOUT_POOL,), staleness_bound=2)
-        for shape in TRAINERS
+        TrainerIntent(name=shape.name, pools=(shape.pool,), staleness_bound=2) for shape in TRAINERS
     ),
 )
 WORLD_SHAPE = WorldShape(ZONES, (2, 2, 1), MACHINES, INTENT)
--- /dev/null
+++ b/tests/mutants.py
@@ -0,0 +1,251 @@
+"""Breaks one mechanism after another and reports whether the fleet fuzz catches it.
+
+``python -m tests.mutants`` runs every mutant in a process of its own; with a name it runs one.
+Exit status 0 of a single run means that the fuzz failed, as it must.
+"""
+
+import asyncio
+import contextlib
+import io
+import os
+import subprocess
+import sys
+import time
+import unittest
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import replace
+from unittest import mock
+
+PARALLEL = 6
+TIME_LIMIT = 400.0
+
+
+def trust_first_version():
+    """Point 1: stamps the whole answer with the version of its first chunk."""
+    from larkpost.routing import dispatcher
+
+    original = dispatcher._check_chunk
+    first: dict[str, int] = {}
+
+    def check(chunk, request, progress):
+        run = original(chunk, request, progress)
+        return replace(run, version=first.setdefault(request.attempt, chunk.version))
+
+    return mock.patch.object(dispatcher, "_check_chunk", check)
+
+
+def check_staleness_when_made():
+    """Point 2: judges samples by the trainer's version at the batch's opening."""
+    from larkpost.batches.ledger import BatchLedger
+
+    def oldest(self):
+        return max(self.spec.policy_version - self.spec.staleness_bound, 0)
+
+    return mock.patch.object(BatchLedger, "oldest_accepted", property(oldest))
+
+
+def ignore_held_slots():
+    """Point 3: does not ask the trainer what it has."""
+    from larkpost.batches.ledger import BatchLedger
+
+    original = BatchLedger.note_trainer
+    return mock.patch.object(
+        BatchLedger, "note_trainer", lambda self, version, held: original(self, version, ())
+    )
+
+
+def accept_any_attempt():
+    """Point 4: does not compare the attempt that a chunk names."""
+    from larkpost.routing import dispatcher
+
+    original = dispatcher._check_chunk
+    return mock.patch.object(
+        dispatcher,
+        "_check_chunk",
+        lambda chunk, request, progress: original(
+            replace(chunk, attempt=request.attempt), request, progress
+        ),
+    )
+
+
+def close_broken_streams_as_whole():
+    """Point 4: takes the end of a stream for the end of the answer."""
+    from larkpost.engines.port import EngineBrokenError
+    from larkpost.routing.dispatcher import Dispatcher
+
+    original = Dispatcher._receive
+
+    async def receive(self, work, engine, request, progress):
+        try:
+            async for run in original(self, work, engine, request, progress):
+                yield run
+        except EngineBrokenError:
+            if not progress.tokens:
+                raise
+            progress.finished = True
+
+    return mock.patch.object(Dispatcher, "_receive", receive)
+
+
+def always_say_not_run():
+    """Point 5: says "not run" whatever was sent."""
+    from larkpost.errors import Ran
+    from larkpost.routing import dispatcher
+
+    return mock.patch.object(dispatcher._Progress, "ran", property(lambda _self: Ran.NO))
+
+
+def resend_after_reset():
+    """Point 6: sends run-once work again like any other."""
+    from larkpost.routing.dispatcher import Dispatcher
+
+    original = Dispatcher.run
+    return mock.patch.object(
+        Dispatcher,
+        "run",
+        lambda self, work, prefer=None, prefix=(): original(
+            self, replace(work, run_once=False), prefer, prefix
+        ),
+    )
+
+
+def grant_every_key():
+    """Point 6: does not remember which keys were used."""
+    from larkpost.routing.run_once import RunOnceRegistry
+
+    async def claim(_self, _key):
+        return None
+
+    return mock.patch.object(RunOnceRegistry, "claim", claim)
+
+
+def ignore_leaving():
+    """Point 7: sends work to leaving engines."""
+    from larkpost.blackboard.engines import EngineTable
+
+    return mock.patch.object(EngineTable, "is_leaving", lambda _self, _engine: False)
+
+
+def stop_without_waiting():
+    """Point 8: leaves at once on a planned stop."""
+    from larkpost.daemon import Daemon
+
+    async def drain(self):
+        await asyncio.sleep(0)
+        self.board.phase = "stopping"
+        self.membership.leave()
+
+    return mock.patch.object(Daemon, "drain", drain)
+
+
+def accept_lower_epochs():
+    """Point 9: takes any other version of a fact for news."""
+    from larkpost.blackboard.facts import FactTable
+    from larkpost.controllers.configuration import ConfigurationController
+
+    original_merge, original_apply = FactTable.merge, ConfigurationController._apply
+
+    def merge(self, fact):
+        known = self._facts.get(fact.key)
+        if known is not None and known.version > fact.version:
+            self._toggle(self._facts.pop(fact.key))
+        return original_merge(self, fact)
+
+    def apply(self, fact):
+        self._board.configuration.epoch = 0
+        original_apply(self, fact)
+
+    stack = contextlib.ExitStack()
+    stack.enter_context(mock.patch.object(FactTable, "merge", merge))
+    stack.enter_context(mock.patch.object(ConfigurationController, "_apply", apply))
+    return stack
+
+
+def act_on_unverified_configuration():
+    """Point 9: acts after a pause as if nothing had happened."""
+    from larkpost.controllers.readiness import Readiness
+
+    return mock.patch.object(Readiness, "is_current", lambda _self: True)
+
+
+def forget_applied_plans():
+    """Point 9: does not read back whether a lost write was applied."""
+    from larkpost.controllers.configuration import ConfigurationRow
+
+    return mock.patch.object(ConfigurationRow, "epoch_of", lambda _self, _plan: None)
+
+
+def keep_engines_while_draining():
+    """Liveness: a draining daemon stays the owner of its engines."""
+    from larkpost.blackboard.members import MemberInfo
+
+    return mock.patch.object(MemberInfo, "eligible", property(lambda self: self.usable))
+
+
+MUTANTS: dict[str, Callable] = {
+    mutant.__name__: mutant
+    for mutant in (
+        trust_first_version,
+        check_staleness_when_made,
+        ignore_held_slots,
+        accept_any_attempt,
+        close_broken_streams_as_whole,
+        always_say_not_run,
+        resend_after_reset,
+        grant_every_key,
+        ignore_leaving,
+        stop_without_waiting,
+        accept_lower_epochs,
+        act_on_unverified_configuration,
+        forget_applied_plans,
+        keep_engines_while_draining,
+    )
+}
+
+
+def run_one(name: str) -> int:
+    """Runs the fuzz under a mutant; prints what it found."""
+    from tests.test_fuzz import FleetTest
+
+    suite = unittest.TestLoader().loadTestsFromTestCase(FleetTest)
+    with MUTANTS[name]():
+        result = unittest.TextTestRunner(stream=io.StringIO()).run(suite)
+    problems = [text for _test, text in [*result.failures, *result.errors]]
+    lines = [line for text in problems for line in text.splitlines() if "AssertionError" in line]
+    print(lines[-1][:200] if lines else "nothing found" if not problems else problems[0][-200:])
+    return 0 if lines else 1
+
+
+def _run_process(name: str) -> tuple[str, bool, str, float]:
+    started = time.monotonic()
+    environment = os.environ | {"PYTHONHASHSEED": "0"}
+    environment.setdefault("LARKPOST_FUZZ_EXAMPLES", "120")
+    command = [sys.executable, "-W", "ignore", "-m", "tests.mutants", name]
+    try:
+        done = subprocess.run(
+            command, env=environment, capture_output=True, text=True, timeout=TIME_LIMIT
+        )
+        caught, text = done.returncode == 0, (done.stdout or done.stderr).strip()[-200:]
+    except subprocess.TimeoutExpired:
+        caught, text = False, "time limit"
+    return name, caught, text, time.monotonic() - started
+
+
+def main() -> int:
+    """Runs all mutants, or the named one."""
+    if len(sys.argv) > 1:
+        return run_one(sys.argv[1])
+    missed = 0
+    with ThreadPoolExecutor(PARALLEL) as pool:
+        for name, caught, text, seconds in pool.map(_run_process, MUTANTS):
+            missed += not caught
+            print(
+                f"{'caught' if caught else 'MISSED'} {name} ({seconds:.0f} s): {text}", flush=True
+            )
+    print(f"{len(MUTANTS) - missed} passed, {missed} failed")
+    return 1 if missed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
