Scale: owners computed once a view, no bulk pushes, subsets of whole owners

Cause: a fleet of 82 hollow daemons did not become ready in 120 s: 14 suspects and 3 dead at one daemon. Each membership change recomputed 694 owners with a member list per engine; the late loops then blamed others, which changed the membership again. A first machine list was pushed by every daemon to four others (about 310 KB in 18 s from one daemon). Summaries came from up to 13 owners a second for 24 followed engines. Change: owners computed once for each state of members and directory; a late loop blames nobody; more than 32 facts at once go by digest comparison; followed subsets are whole owners. The engine adapter joins chunks that arrive together.

--- a/Makefile
+++ b/Makefile
@@ -28,6 +28,9 @@
 scale: $(READY) ## costs per daemon in fleets of growing size
 	$(LARKPOST) rehearsal scale
 
+bench: $(READY) ## larkpost beside a bare relay of the same libraries
+	$(LARKPOST) rehearsal bench
+
 lint: $(READY)
 	$(VENV)/bin/ruff format --check .
 	$(VENV)/bin/ruff check .
--- a/src/larkpost/controllers/facts.py
+++ b/src/larkpost/controllers/facts.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import random
+from collections.abc import Iterable
 
 from larkpost.blackboard.board import Blackboard
 from larkpost.blackboard.facts import Fact
@@ -21,6 +22,8 @@
 FANOUT = 4
 PUSH_GROUPING = 0.02
 """Seconds over which new facts are gathered into one push."""
+MAX_PUSHED = 32
+"""More new facts than this at once are left to the comparison of digests."""
 PUSH_TIMEOUT = 1.0
 REPAIR_DELAY = 0.5
 """Seconds a difference must last before it is repaired; pushes under way mend most by then."""
@@ -52,17 +55,24 @@
     def publish(self, *facts: Fact) -> bool:
         """Takes facts and spreads those that are new.
 
+        Very many at once, as when a machine list is first read, are left to comparing digests.
+
         Returns:
             Whether any was new.
         """
-        news = [fact for fact in facts if self._board.facts.merge(fact)]
-        if news:
-            self._telemetry.count("facts_merged", len(news))
+        news = self._merge(facts)
+        if 0 < len(news) <= MAX_PUSHED:
             if not self._outgoing:
                 self._tasks.spawn(self._push(), "push-facts")
             self._outgoing |= {fact.key: fact for fact in news}
         return bool(news)
 
+    def _merge(self, facts: Iterable[Fact]) -> list[Fact]:
+        news = [fact for fact in facts if self._board.facts.merge(fact)]
+        if news:
+            self._telemetry.count("facts_merged", len(news))
+        return news
+
     async def on_push(self, payload: bytes) -> bytes:
         """Takes pushed facts."""
         self.publish(*map(_from_message, pb.FactPush.FromString(payload).facts))
@@ -88,7 +98,8 @@
             )
         except PeerError:
             return False
-        self.publish(*map(_from_message, pb.FactSyncReply.FromString(answer).facts))
+        # What a peer had already is known elsewhere too, so it is not pushed on.
+        self._merge(map(_from_message, pb.FactSyncReply.FromString(answer).facts))
         return True
 
     async def _push(self) -> None:
--- a/src/larkpost/controllers/membership.py
+++ b/src/larkpost/controllers/membership.py
@@ -228,11 +228,13 @@
         return self._sequence, answered
 
     async def _await_ack(self, sequence: int, answered: asyncio.Event, timeout: float) -> bool:
-        deadline = self._clock.now() + timeout
-        while not answered.is_set() and self._clock.now() < deadline:
+        """Waits for an answer; a loop that is itself late blames nobody and reports one."""
+        started = self._clock.now()
+        while not answered.is_set() and self._clock.now() < started + timeout:
             await self._clock.sleep(timeout / 8)
         self._waiting.pop(sequence, None)
-        return answered.is_set()
+        own_delay = self._clock.now() - started - timeout
+        return answered.is_set() or own_delay > timeout / 2
 
     async def _try_to_heal(self) -> None:
         now = self._clock.now()
--- a/src/larkpost/controllers/monitor.py
+++ b/src/larkpost/controllers/monitor.py
@@ -1,7 +1,8 @@
 """Load reports: the owner asks its engines and pushes summaries to the daemons that subscribed.
 
-A daemon follows a bounded subset of each pool, chosen by rendezvous hashing, so that its cost does
-not grow with the fleet; two random daemons follow different subsets, which spreads the load.
+A daemon follows a bounded subset of each pool, so that its cost does not grow with the fleet. The
+subset is made of whole owners, chosen by rendezvous hashing: few datagrams carry many engines, and
+two random daemons follow different owners, which spreads the load.
 """
 
 import asyncio
@@ -45,13 +46,14 @@
         self._settings = settings
         self._subscribers: dict[tuple[DaemonId, PoolId], float] = {}
         self._watched: dict[PoolId, list[EngineId]] = {}
-        self._watched_at: tuple[int, int] = (-1, -1)
+        self._watched_at: tuple[int, int, int] = (-1, -1, -1)
         gossip.handle("subscribe", self._on_subscribe)
         gossip.handle("load", self._on_load)
 
     def watched(self, pool: PoolId) -> list[EngineId]:
         """Returns the engines of a pool that this daemon chooses from."""
-        key = (self._board.configuration.epoch, self._board.engines.revision)
+        board = self._board
+        key = (board.configuration.epoch, board.engines.revision, board.members.revision)
         if key != self._watched_at:
             self._watched.clear()
             self._watched_at = key
@@ -117,9 +119,23 @@
         directory = self._board.engines.directory
         local = [engine for engine in engines if directory[engine].zone == own.zone]
         remote = [engine for engine in engines if directory[engine].zone != own.zone]
-        local = _best(own.id, local, self._settings.watched_per_pool)
+        local = self._of_best_owners(local, self._settings.watched_per_pool)
         missing = self._settings.watched_per_pool - len(local)
-        return local + _best(own.id, remote, max(missing, self._settings.watched_remote))
+        return local + self._of_best_owners(remote, max(missing, self._settings.watched_remote))
+
+    def _of_best_owners(self, engines: list[EngineId], count: int) -> list[EngineId]:
+        """Returns the engines of the first owners that have at least ``count`` together."""
+        by_owner: dict[str, list[EngineId]] = {}
+        for engine in engines:
+            owner = self._ownership.owner_of(self._board.engines.directory[engine])
+            by_owner.setdefault(owner or "", []).append(engine)
+        own = self._board.members.own.id
+        chosen: list[EngineId] = []
+        for owner in sorted(by_owner, key=lambda name: score(own, name), reverse=True):
+            if len(chosen) >= count:
+                break
+            chosen += by_owner[owner]
+        return chosen
 
     def _loads_of(self, pool: PoolId) -> list[pb.EngineLoad]:
         now = self._clock.now()
@@ -142,10 +158,6 @@
             self._board.engines.observe(_load_from_message(message, now))
 
 
-def _best(daemon: DaemonId, engines: list[EngineId], count: int) -> list[EngineId]:
-    return sorted(engines, key=lambda engine: score(daemon, engine), reverse=True)[:count]
-
-
 def _load_message(load: EngineLoad, now: float) -> pb.EngineLoad:
     return pb.EngineLoad(
         engine=load.engine,
--- a/src/larkpost/controllers/ownership.py
+++ b/src/larkpost/controllers/ownership.py
@@ -10,6 +10,7 @@
 
 from larkpost.blackboard.board import Blackboard, Phase
 from larkpost.blackboard.engines import EngineInfo, EngineLoad
+from larkpost.blackboard.members import MemberInfo
 from larkpost.clock import Clock
 from larkpost.engines.port import (
     EngineError,
@@ -19,7 +20,7 @@
     OrderKind,
     StaleTokenError,
 )
-from larkpost.ids import EngineId
+from larkpost.ids import DaemonId, EngineId, ZoneId
 from larkpost.rendezvous import choose
 from larkpost.settings import EngineSettings
 from larkpost.telemetry import Telemetry
@@ -54,24 +55,37 @@
         self._settings = settings
         self._not_before: dict[EngineId, float] = {}
         self._assigned: list[EngineInfo] = []
+        self._owners: dict[EngineId, DaemonId] = {}
         self._assigned_at: _Ranking | None = None
 
     def assigned(self) -> list[EngineInfo]:
         """Returns the engines that fall to this daemon in its present view."""
         key = _Ranking(self._board.members.revision, self._board.engines.revision)
         if key != self._assigned_at:
+            self._owners = self._compute_owners()
             own = self._board.members.own.id
             infos = self._board.engines.entries()
-            self._assigned = [info for info in infos if self.owner_of(info) == own]
+            self._assigned = [info for info in infos if self._owners.get(info.id) == own]
             self._assigned_at = key
         return self._assigned
 
-    def owner_of(self, info: EngineInfo) -> str | None:
+    def owner_of(self, info: EngineInfo) -> DaemonId | None:
         """Returns the daemon to which the engine falls; another zone's if its own has none."""
-        table = self._board.members
-        members = table.eligible(info.zone) or table.eligible()
-        owner = choose(members, info.id)
-        return owner.id if owner is not None else None
+        self.assigned()
+        return self._owners.get(info.id)
+
+    def _compute_owners(self) -> dict[EngineId, DaemonId]:
+        """Computes every owner at once; a zone's members are looked up once, not per engine."""
+        eligible = self._board.members.eligible()
+        by_zone: dict[ZoneId, list[MemberInfo]] = {}
+        for member in eligible:
+            by_zone.setdefault(member.zone, []).append(member)
+        owners = {}
+        for info in self._board.engines.entries():
+            owner = choose(by_zone.get(info.zone, eligible), info.id)
+            if owner is not None:
+                owners[info.id] = owner.id
+        return owners
 
     async def reconcile(self) -> None:
         """Brings what is owned in line with what falls to this daemon."""
--- a/src/larkpost/engines/http_adapter.py
+++ b/src/larkpost/engines/http_adapter.py
@@ -153,13 +153,49 @@
 
 
 async def _read_events(response: aiohttp.ClientResponse) -> AsyncIterator[EngineChunk]:
-    async for line in response.content:
-        if not line.startswith(EVENT_PREFIX):
-            continue
+    """Yields chunks; those that arrived together are joined, which saves work for every one."""
+    rest = b""
+    async for data in response.content.iter_any():
+        *lines, rest = (rest + data).split(b"\n")
         try:
-            yield _parse_chunk(read_fields(line[len(EVENT_PREFIX) :]))
+            chunks = [
+                _parse_chunk(read_fields(line[len(EVENT_PREFIX) :]))
+                for line in lines
+                if line.startswith(EVENT_PREFIX)
+            ]
         except (KeyError, TypeError, ValueError) as error:
             raise EngineBrokenError(f"not a chunk: {error!r}") from error
+        for chunk in _join(chunks):
+            yield chunk
+
+
+def _join(chunks: list[EngineChunk]) -> list[EngineChunk]:
+    """Joins neighbours of one attempt and version that follow each other without a gap."""
+    joined: list[EngineChunk] = []
+    run: list[EngineChunk] = []
+    for chunk in chunks:
+        if run and not _continues(run[-1], chunk):
+            joined.append(_merge(run))
+            run = []
+        run.append(chunk)
+    return [*joined, _merge(run)] if run else joined
+
+
+def _continues(last: EngineChunk, chunk: EngineChunk) -> bool:
+    return (
+        chunk.attempt == last.attempt
+        and chunk.version == last.version
+        and chunk.offset == last.offset + len(last.tokens)
+        and last.total is None
+    )
+
+
+def _merge(run: list[EngineChunk]) -> EngineChunk:
+    if len(run) == 1:
+        return run[0]
+    first, last = run[0], run[-1]
+    tokens = tuple(token for chunk in run for token in chunk.tokens)
+    return EngineChunk(first.attempt, first.offset, tokens, first.version, last.total)
 
 
 def _parse_chunk(fields: dict[str, Any]) -> EngineChunk:
--- a/src/larkpost/rehearsal/commands.py
+++ b/src/larkpost/rehearsal/commands.py
@@ -141,5 +141,34 @@
     run_scale([int(size) for size in sizes.split(",")], output)
 
 
+@rehearsal.command()
+def instant_engine(listen: Annotated[str, typer.Option(help="host:port to listen on.")]) -> None:
+    """Run an engine that answers at once; used by `bench`."""
+    from larkpost.rehearsal.bench_servers import run_instant_engine
+
+    asyncio.run(run_instant_engine(EngineId("instant"), Address(listen)))
+
+
+@rehearsal.command()
+def bare_relay(
+    listen: Annotated[str, typer.Option(help="host:port to listen on.")],
+    engine: Annotated[str, typer.Option(help="host:port of the engine.")],
+) -> None:
+    """Run a relay without logic; the baseline of `bench`."""
+    from larkpost.rehearsal.bench_servers import run_bare_relay
+
+    asyncio.run(run_bare_relay(Address(listen), Address(engine)))
+
+
+@rehearsal.command()
+def bench(
+    output: Annotated[Path | None, typer.Option(help="JSON file for the figures.")] = None,
+) -> None:
+    """Measure what larkpost adds to a bare relay of the same libraries."""
+    from larkpost.rehearsal.bench import run_bench
+
+    run_bench(output)
+
+
 def _addresses(text: str) -> list[Address]:
     return [Address(part) for part in text.split(",") if part]
--- a/tests/test_engine_adapter.py
+++ b/tests/test_engine_adapter.py
@@ -97,6 +97,18 @@
         _chunks, error = await self.generate(refusal("other", "false"))
         self.assertIsInstance(error, EngineBrokenError)
 
+    async def test_chunks_that_arrive_together_are_joined_within_one_version(self):
+        events = [(0, 1, 7, "null"), (1, 2, 7, "null"), (2, 3, 8, "null"), (3, 4, 8, "4")]
+        data = b"".join(
+            b'data: {"attempt":"a","offset":%d,"tokens":[%d],"version":%d,"total":%s}\n\n'
+            % (offset, token, version, total.encode())
+            for offset, token, version, total in events
+        )
+        chunks, error = await self.generate(HEAD + http_chunk(data) + b"0\r\n\r\n")
+        self.assertIsNone(error)
+        self.assertEqual([c.tokens for c in chunks], [(1, 2), (3, 4)])
+        self.assertEqual([(c.version, c.total) for c in chunks], [(7, None), (8, 4)])
+
     async def test_answer_that_is_no_chunk_is_broken(self):
         _chunks, error = await self.generate(HEAD + http_chunk(b'data: {"tokens": 3}\n\n'))
         self.assertIsInstance(error, EngineBrokenError)
