Experiments on virtual time; swaps end sooner

Part of it was the swap: waves at fixed times, rounds every 0.5 s, and an end seen only with the next report. Change: a wave starts when the earlier ones that are followed have the version; swapping engines are asked ten times a second; a changed version is pushed at once. 'larkpost rehearsal experiment' runs a scenario on virtual time with the real daemon code, several policies and seeds, beside baselines and the bound.

--- a/src/larkpost/batches/runner.py
+++ b/src/larkpost/batches/runner.py
@@ -20,7 +20,7 @@
 from larkpost.routing.dispatcher import Dispatcher, chunk_size
 from larkpost.routing.selection import Selector
 from larkpost.routing.work import Answer, Work, WorkClass
-from larkpost.settings import BatchSettings
+from larkpost.settings import BatchSettings, Placement
 from larkpost.tasks import TaskSet
 from larkpost.telemetry import Telemetry
 
@@ -45,17 +45,27 @@
 
     free: dict[EngineId, int]
     scores: dict[EngineId, float]
+    placement: Placement
+    last: EngineId | None = None
+    """The engine taken last, for taking them in turn."""
 
     def take(self, preferred: EngineId | None, excluded: list[EngineId]) -> EngineId | None:
         """Takes a free slot: the preferred engine's, else the least loaded engine's."""
         usable = [e for e, free in self.free.items() if free > 0 and e not in excluded]
         if not usable:
             return None
-        engine = preferred if preferred in usable else min(usable, key=lambda e: self.scores[e])
+        engine = preferred if preferred in usable else self._choose(usable)
+        self.last = engine
         self.free[engine] -= 1
         self.scores[engine] += 1 / (self.free[engine] + 2)
         return engine
 
+    def _choose(self, usable: list[EngineId]) -> EngineId:
+        if self.placement == Placement.LOAD:
+            return min(usable, key=lambda engine: self.scores[engine])
+        later = [engine for engine in usable if self.last is not None and engine > self.last]
+        return min(later or usable)
+
 
 class BatchRunner:
     """Keeps one batch's slots running until each has a sample."""
@@ -82,6 +92,7 @@
         self._settings = settings
         self._on_sample = on_sample
         self._attempts: list[_Attempt] = []
+        self._last_engine: EngineId | None = None
         self._group_engines: dict[int, EngineId] = {}
 
     @property
@@ -98,6 +109,7 @@
             if engine is None:
                 return
             self._start(slot, engine, Answer())
+            self._last_engine = engine
         self._double_slow_ones(capacity)
 
     def cancel_all(self) -> None:
@@ -125,7 +137,8 @@
         pool = self._board.configuration.intent.pool(self.ledger.spec.pool)
         reserve = pool.client_reserve if pool is not None else 0
         free = {c.engine: max(c.free_slots - reserve, 0) for c in candidates}
-        return _Capacity(free, {c.engine: c.score for c in candidates})
+        scores = {c.engine: c.score for c in candidates}
+        return _Capacity(free, scores, self._settings.placement, self._last_engine)
 
     def _group_engine(self, slot: int) -> EngineId | None:
         if not self._settings.keep_groups:
--- a/src/larkpost/controllers/monitor.py
+++ b/src/larkpost/controllers/monitor.py
@@ -66,6 +66,17 @@
         owned = [self._board.engines.directory[engine] for engine in self._board.owned]
         await asyncio.gather(*(self.ask(info) for info in owned))
 
+    async def report_swapping(self) -> None:
+        """Asks the owned engines that are swapping, often, so that a done swap is used at once."""
+        loads = self._board.engines.loads
+        swapping = [
+            self._board.engines.directory[engine]
+            for engine in self._board.owned
+            if engine in loads and loads[engine].swapping
+        ]
+        if swapping:
+            await asyncio.gather(*(self.ask(info) for info in swapping))
+
     async def ask(self, info: EngineInfo) -> EngineLoad | None:
         """Asks one engine for its report; None if it does not answer or is another engine."""
         try:
@@ -77,8 +88,11 @@
             return None
         self._telemetry.change(f"engine.{info.id}.report", "reachable")
         load = load_from_report(report, self._clock.now())
+        known = self._board.engines.loads.get(info.id)
         self._board.engines.observe(load)
         self._ownership.check_report(report)
+        if info.id in self._board.owned and known is not None and known.version != load.version:
+            self._push(info.id)
         return load
 
     async def push_summaries(self) -> None:
@@ -86,13 +100,22 @@
         now = self._clock.now()
         self._subscribers = {k: end for k, end in self._subscribers.items() if end > now}
         for daemon, pool in self._subscribers:
-            member = self._board.members.get(daemon)
-            loads = self._loads_of(pool)
-            if member is None or not member.usable:
-                continue
-            for start in range(0, len(loads), LOADS_PER_DATAGRAM):
-                summary = pb.LoadSummary(engines=loads[start : start + LOADS_PER_DATAGRAM])
-                self._gossip.send(member, pb.Envelope(load=summary))
+            self._send_loads(daemon, self._loads_of(pool))
+
+    def _push(self, engine: EngineId) -> None:
+        """Tells the subscribers at once what has changed at an engine."""
+        load = _load_message(self._board.engines.loads[engine], self._clock.now())
+        for daemon, pool in self._subscribers:
+            if engine in self._board.pool_engines(pool):
+                self._send_loads(daemon, [load])
+
+    def _send_loads(self, daemon: DaemonId, loads: list[pb.EngineLoad]) -> None:
+        member = self._board.members.get(daemon)
+        if member is None or not member.usable:
+            return
+        for start in range(0, len(loads), LOADS_PER_DATAGRAM):
+            summary = pb.LoadSummary(engines=loads[start : start + LOADS_PER_DATAGRAM])
+            self._gossip.send(member, pb.Envelope(load=summary))
 
     async def subscribe(self) -> None:
         """Renews the subscriptions with the owners of the watched engines."""
--- a/src/larkpost/controllers/weights.py
+++ b/src/larkpost/controllers/weights.py
@@ -1,16 +1,19 @@
 """Weight swaps: the owner brings each engine to its policy's newest version, wave by wave.
 
 The wave of an engine follows from its rank in the pool, so owners need no messages to stagger
-swaps, and at no time does the whole pool swap. A swap is done when the engine reports the version,
-never when the order was accepted.
+swaps, and at no time does the whole pool swap. A wave starts once the engines of the earlier waves
+that this daemon follows have the version, at the latest after the pool's interval. A swap is done
+when the engine reports the version, never when the order was accepted.
 """
 
 import random
+from dataclasses import replace
 
 from larkpost.blackboard.board import Blackboard
 from larkpost.blackboard.engines import EngineLoad
 from larkpost.clock import Clock
 from larkpost.config.intent import PoolIntent
+from larkpost.controllers.monitor import Monitor
 from larkpost.controllers.ownership import Ownership
 from larkpost.controllers.readiness import Readiness
 from larkpost.engines.port import EngineError, EnginePort, Order, OrderKind, StaleTokenError
@@ -30,6 +33,7 @@
         board: Blackboard,
         engines: EnginePort,
         ownership: Ownership,
+        monitor: Monitor,
         readiness: Readiness,
         clock: Clock,
         telemetry: Telemetry,
@@ -39,6 +43,7 @@
         self._board = board
         self._engines = engines
         self._ownership = ownership
+        self._monitor = monitor
         self._readiness = readiness
         self._clock = clock
         self._telemetry = telemetry
@@ -64,13 +69,22 @@
         if load.version >= target:
             self._failures.pop(engine, None)
             return False
-        now = self._clock.now()
-        return now >= self._wave_start(engine, pool) and now >= self._not_before.get(engine, 0.0)
+        if self._clock.now() < self._not_before.get(engine, 0.0):
+            return False
+        return self._wave_has_begun(engine, pool, target)
+
+    def _wave_has_begun(self, engine: EngineId, pool: PoolIntent, target: int) -> bool:
+        ranks = {name: rank for rank, name in enumerate(self._board.pool_engines(pool.name))}
+        wave = ranks[engine] % pool.swap_waves
+        latest = self._board.policy_learned_at[pool.policy] + wave * pool.swap_interval_seconds
+        if self._clock.now() >= latest:
+            return True
+        earlier = [e for e in self._monitor.watched(pool.name) if ranks[e] % pool.swap_waves < wave]
+        return all(self._has_version(name, target) for name in earlier)
 
-    def _wave_start(self, engine: EngineId, pool: PoolIntent) -> float:
-        rank = self._board.pool_engines(pool.name).index(engine)
-        wave = rank % pool.swap_waves
-        return self._board.policy_learned_at[pool.policy] + wave * pool.swap_interval_seconds
+    def _has_version(self, engine: EngineId, target: int) -> bool:
+        load = self._board.engines.loads.get(engine)
+        return load is not None and load.version >= target
 
     async def _swap(self, engine: EngineId, pool: PoolIntent) -> None:
         token = self._board.owned.get(engine)
@@ -88,6 +102,8 @@
         address = self._board.engines.directory[engine].address
         try:
             await self._engines.order(address, order, self._settings.order_timeout)
+            load = self._board.engines.loads[engine]
+            self._board.engines.loads[engine] = replace(load, swapping=True)
         except StaleTokenError:
             self._ownership.give_up(engine)
         except EngineError:
--- a/src/larkpost/daemon.py
+++ b/src/larkpost/daemon.py
@@ -38,6 +38,8 @@
 
 CONTROL_INTERVAL = 0.5
 """Seconds between rounds of the controllers that reconcile."""
+SWAP_INTERVAL = 0.1
+"""Seconds between rounds of the weight swaps, on whose end trainers wait."""
 JOIN_INTERVAL = 0.25
 REFRESH_INTERVAL = 1.0
 EXPIRE_INTERVAL = 10.0
@@ -101,7 +103,8 @@
         every(engines.report_interval, self.monitor.report_owned, "reports")
         every(engines.report_interval, self.monitor.push_summaries, "summaries")
         every(SUBSCRIBE_INTERVAL, self.monitor.subscribe, "subscriptions")
-        every(CONTROL_INTERVAL, self.weights.reconcile, "weights")
+        every(SWAP_INTERVAL, self.weights.reconcile, "weights")
+        every(SWAP_INTERVAL, self.monitor.report_swapping, "swap-reports")
         every(SCHEDULE_INTERVAL, self.batches.schedule, "schedule")
         every(self.settings.batches.replicate_interval, self.batches.replicate, "replication")
         every(EXPIRE_INTERVAL, self.batches.expire, "expiry")
@@ -182,6 +185,7 @@
             board,
             ports.engines,
             self.ownership,
+            self.monitor,
             self.readiness,
             ports.clock,
             self.telemetry,
--- a/src/larkpost/rehearsal/commands.py
+++ b/src/larkpost/rehearsal/commands.py
@@ -8,6 +8,7 @@
 import orjson
 import typer
 
+from larkpost.errors import LarkpostError
 from larkpost.ids import Address, EngineId, PolicyId, PoolId, TrainerId, ZoneId
 from larkpost.rehearsal.clients import ClientShape, run_clients
 from larkpost.rehearsal.engine_model import EngineShape
@@ -170,5 +171,30 @@
     run_bench(output)
 
 
+@rehearsal.command()
+def experiment(
+    scenario: Annotated[str, typer.Argument(help="TOML file, or name of a bundled scenario.")],
+    output: Annotated[Path | None, typer.Option(help="JSON report.")] = None,
+    plot: Annotated[Path | None, typer.Option(help="PNG file; needs the extra `plots`.")] = None,
+    weights: Annotated[
+        str, typer.Option(help="Comma-separated staleness weights to try with larkpost.")
+    ] = "",
+    seeds: Annotated[int, typer.Option(help="Use the first so many seeds; 0 for all.")] = 0,
+) -> None:
+    """Compare policies on a scenario on virtual time, over several seeds."""
+    from larkpost.rehearsal.experiment.report import run_experiment
+    from larkpost.rehearsal.experiment.scenario import load_scenario
+
+    try:
+        loaded = load_scenario(scenario)
+        if seeds:
+            loaded = loaded.model_copy(update={"seeds": loaded.seeds[:seeds]})
+        chosen = [float(weight) for weight in weights.split(",") if weight]
+        run_experiment(loaded, chosen, output, plot)
+    except LarkpostError as error:
+        typer.echo(f"error {error.code}: {error.message}\nremedy: {error.remedy}", err=True)
+        raise typer.Exit(1) from None
+
+
 def _addresses(text: str) -> list[Address]:
     return [Address(part) for part in text.split(",") if part]
--- /dev/null
+++ b/src/larkpost/rehearsal/experiment/report.py
@@ -0,0 +1,121 @@
+"""Runs all policies and seeds of a scenario in parallel, and reports medians with their spread."""
+
+import statistics
+from collections.abc import Iterator
+from concurrent.futures import ProcessPoolExecutor, as_completed
+from dataclasses import asdict, dataclass
+from multiprocessing import get_context
+from pathlib import Path
+
+import orjson
+from rich.console import Console
+from rich.progress import Progress
+from rich.table import Table
+
+from larkpost.errors import InvalidRequestError
+from larkpost.rehearsal.experiment.policies import POLICIES
+from larkpost.rehearsal.experiment.run import (
+    RunResult,
+    rename,
+    run_once,
+    with_staleness_weight,
+    without_trainer,
+)
+from larkpost.rehearsal.experiment.scenario import Scenario
+
+PARALLEL = 4
+CLIENTS_ONLY = "clients only"
+MEASURES = tuple(name for name in RunResult.__dataclass_fields__ if name not in ("policy", "seed"))
+
+
+@dataclass(frozen=True, slots=True)
+class _Job:
+    """One run; ``label`` is the column it is reported under."""
+
+    label: str
+    scenario: Scenario
+    policy: str
+    seed: int
+
+
+def run_experiment(
+    scenario: Scenario, weights: list[float], output: Path | None, plot: Path | None
+) -> dict[str, list[RunResult]]:
+    """Runs a scenario and prints its table.
+
+    Args:
+        weights: staleness weights to try with larkpost in place of comparing policies.
+        output: JSON report, or None.
+        plot: PNG file, or None; needs the extra ``plots``.
+
+    Returns:
+        The results of each column.
+    """
+    console = Console(width=140)
+    jobs = list(_weight_jobs(scenario, weights) if weights else _policy_jobs(scenario))
+    columns: dict[str, list[RunResult]] = {job.label: [] for job in jobs}
+    with (
+        ProcessPoolExecutor(PARALLEL, get_context("spawn")) as pool,
+        Progress(console=console, transient=True) as progress,
+    ):
+        bar = progress.add_task(scenario.name, total=len(jobs))
+        futures = {pool.submit(run_once, j.scenario, POLICIES[j.policy], j.seed): j for j in jobs}
+        for future in as_completed(futures):
+            label = futures[future].label
+            columns[label].append(rename(future.result(), label))
+            progress.advance(bar)
+    for results in columns.values():
+        results.sort(key=lambda result: result.seed)
+    _print(console, scenario, columns)
+    if output is not None:
+        output.write_bytes(_encode(scenario, columns))
+    if plot is not None:
+        from larkpost.rehearsal.experiment.plot import write_plot
+
+        write_plot(scenario.name, columns, plot)
+    return columns
+
+
+def _policy_jobs(scenario: Scenario) -> Iterator[_Job]:
+    unknown = set(scenario.policies) - set(POLICIES)
+    if unknown:
+        raise InvalidRequestError(
+            f"policies {sorted(unknown)} are not known",
+            remedy=f"Name some of {', '.join(POLICIES)}.",
+        )
+    for seed in scenario.seeds:
+        for policy in scenario.policies:
+            yield _Job(policy, scenario, policy, seed)
+        yield _Job(CLIENTS_ONLY, without_trainer(scenario), "larkpost", seed)
+
+
+def _weight_jobs(scenario: Scenario, weights: list[float]) -> Iterator[_Job]:
+    for weight in weights:
+        changed = with_staleness_weight(scenario, weight)
+        for seed in scenario.seeds:
+            yield _Job(f"weight {weight:g}", changed, "larkpost", seed)
+
+
+def _print(console: Console, scenario: Scenario, columns: dict[str, list[RunResult]]) -> None:
+    seeds = len(scenario.seeds)
+    table = Table(title=f"{scenario.name}: median of {seeds} seeds (least to largest)")
+    table.add_column("measure")
+    for label in columns:
+        table.add_column(label, justify="right")
+    for measure in MEASURES:
+        cells = [_cell([getattr(r, measure) for r in results]) for results in columns.values()]
+        table.add_row(measure, *cells)
+    console.print(table)
+
+
+def _cell(values: list[float]) -> str:
+    middle, least, largest = statistics.median(values), min(values), max(values)
+    return f"{middle:.4g} ({least:.4g} to {largest:.4g})"
+
+
+def _encode(scenario: Scenario, columns: dict[str, list[RunResult]]) -> bytes:
+    document = {
+        "scenario": scenario.model_dump(mode="json"),
+        "results": {label: [asdict(r) for r in results] for label, results in columns.items()},
+    }
+    return orjson.dumps(document, option=orjson.OPT_INDENT_2)
--- a/src/larkpost/rehearsal/simulation/world.py
+++ b/src/larkpost/rehearsal/simulation/world.py
@@ -96,6 +96,8 @@
         self.platform_host = Host(Address("platform:1"), PLATFORM_ZONE)
         self.records = Records()
         self.daemons: dict[DaemonId, DaemonNode] = {}
+        self.ended: list[DaemonNode] = []
+        """Daemons that were killed or have stopped, for their counters."""
         self.engines: dict[EngineId, EngineNode] = {}
         self.homes: dict[DaemonId, ZoneId] = self._name_daemons()
         self.callers = {zone: Host(Address(f"callers-{zone}:1"), zone) for zone in shape.zones}
@@ -201,6 +203,7 @@
             del self.daemons[name]
             self._note_cut(node.host)
             node.daemon.stop()
+            self.ended.append(node)
             self._daemons_by_address.pop(node.host.address, None)
             await self._empty_buffers(node.host)
             node.host.kill()
@@ -321,6 +324,14 @@
         self.network.conditions.link_cuts.add((first.address, second.address))
         self._begin_fault("links")
 
+    def lose_zone(self, zone: ZoneId) -> None:
+        """Kills every daemon and engine of a zone."""
+        for name in [name for name in self.daemons if self.homes[name] == zone]:
+            self.kill_daemon(name)
+        for machine in self.shape.machines:
+            if machine.zone == zone and machine.engine in self.engines:
+                self.kill_engine(machine.engine)
+
     def set_platform_down(self, down: bool) -> None:
         """Takes the platform down or up."""
         self.platform.faults.down = down
@@ -367,6 +378,7 @@
     def _remove_daemon(self, node: DaemonNode) -> None:
         node.host.kill()
         node.daemon.stop()
+        self.ended.append(node)
         self._daemons_by_address.pop(node.host.address, None)
 
     def _machine(self, engine: EngineId) -> Machine:
--- a/src/larkpost/settings.py
+++ b/src/larkpost/settings.py
@@ -1,6 +1,7 @@
 """Checked settings of a daemon, from a TOML file, flags, or both. Flags win over the file."""
 
 import tomllib
+from enum import StrEnum
 from pathlib import Path
 from typing import Any
 
@@ -10,6 +11,13 @@
 from larkpost.ids import Address, DaemonId, ZoneId
 
 
+class Placement(StrEnum):
+    """How a rollout's engine is chosen."""
+
+    LOAD = "load"
+    ROUND_ROBIN = "round_robin"
+
+
 class _Section(BaseModel):
     """Refuses unknown settings."""
 
@@ -134,6 +142,10 @@
     idle_timeout: float = Field(
         default=120.0, gt=0, description="Seconds without a pull after which a batch is dropped."
     )
+    placement: Placement = Field(
+        default=Placement.LOAD,
+        description="How a rollout's engine is chosen: by load, or in turn (a baseline).",
+    )
     longest_first: bool = Field(
         default=True, description="Start prompts with the highest expected length first."
     )
