--- a/src/larkpost/api/inference.py
+++ b/src/larkpost/api/inference.py
@@ -1,5 +1,6 @@
 """OpenAI-compatible routes for client services."""
 
+import asyncio
 import time
 from collections.abc import AsyncIterator
 
@@ -11,7 +12,7 @@
 from larkpost.api.responses import JSON, Endpoint, read_document, with_errors
 from larkpost.api.schema import CompletionRequest, error_document
 from larkpost.daemon import Daemon
-from larkpost.errors import InvalidRequestError, LarkpostError
+from larkpost.errors import CallerLeftError, InvalidRequestError, LarkpostError, Ran
 from larkpost.ids import RequestId
 from larkpost.routing.inference import InferenceCall
 from larkpost.routing.work import Answer, TokenRun
@@ -21,6 +22,8 @@
 DEADLINE_HEADER = "Larkpost-Deadline-Seconds"
 REQUEST_HEADER = "Larkpost-Request-Id"
 END_OF_STREAM = b"data: [DONE]\n\n"
+DISCONNECT_POLL = 1.0
+"""Seconds between checks whether the caller of a whole answer is still there."""
 TRUE_WORDS = ("1", "true", "yes")
 
 
@@ -58,9 +61,7 @@
         runs = self._daemon.inference.complete(call)
         writer = _Writer(call, chat)
         if not body.stream:
-            answer = Answer()
-            async for run in runs:
-                answer.append(run)
+            answer = await _collect(request, runs)
             return Response(writer.whole(answer), media_type=JSON)
         try:
             first = await anext(runs, None)
@@ -97,6 +98,26 @@
         raise InvalidRequestError(f"{DEADLINE_HEADER} must be a number of seconds") from None
 
 
+async def _collect(request: Request, runs: AsyncIterator[TokenRun]) -> Answer:
+    """Returns the whole answer; gives it up when the caller has left."""
+
+    async def read() -> Answer:
+        answer = Answer()
+        async for run in runs:
+            answer.append(run)
+        return answer
+
+    reading = asyncio.create_task(read())
+    try:
+        while not reading.done():
+            await asyncio.wait({reading}, timeout=DISCONNECT_POLL)
+            if not reading.done() and await request.is_disconnected():
+                raise CallerLeftError("the caller has closed the connection", ran=Ran.UNKNOWN)
+        return reading.result()
+    finally:
+        reading.cancel()
+
+
 async def _stream(
     writer: "_Writer", first: TokenRun | None, runs: AsyncIterator[TokenRun]
 ) -> AsyncIterator[bytes]:
--- a/src/larkpost/batches/service.py
+++ b/src/larkpost/batches/service.py
@@ -1,6 +1,7 @@
 """The batch service: opens, pulls and closes batches, and takes over those of other daemons."""
 
 import asyncio
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
@@ -55,6 +56,8 @@
 
     ledger: BatchLedger
     touched: float
+    due_at: float
+    """Local monotonic time by which the trainer wants the batch whole, or infinity."""
     runner: BatchRunner | None = None
     unreplicated: list[Sample] = field(default_factory=list)
     changed: asyncio.Event = field(default_factory=asyncio.Event)
@@ -156,7 +159,7 @@
         """Starts samples of every batch, the one due first before the others."""
         if not self._readiness.admits:
             return
-        for batch in sorted(self._batches.values(), key=lambda b: b.ledger.spec.due):
+        for batch in sorted(self._batches.values(), key=lambda b: b.due_at):
             if batch.runner is not None:
                 batch.runner.schedule()
 
@@ -218,7 +221,8 @@
 
     def _adopt(self, spec: BatchSpec, samples: list[Sample], held: tuple[int, ...]) -> _OpenBatch:
         ledger = BatchLedger(spec, self._settings.longest_first)
-        batch = _OpenBatch(ledger, self._clock.now())
+        now = self._clock.now()
+        batch = _OpenBatch(ledger, now, now + spec.due if spec.due > 0 else math.inf)
         ledger.note_trainer(spec.policy_version, held)
         for sample in samples:
             ledger.finish(sample)
--- a/src/larkpost/errors.py
+++ b/src/larkpost/errors.py
@@ -93,6 +93,14 @@
     remedy = "Ask again with a later deadline."
 
 
+class CallerLeftError(LarkpostError):
+    """The caller closed its connection before the answer was whole."""
+
+    code = "caller_left"
+    status = 499
+    remedy = "Ask again under a new request id."
+
+
 class BrokenAnswerError(LarkpostError):
     """An engine's answer broke off and may not be run again."""
 
--- a/src/larkpost/settings.py
+++ b/src/larkpost/settings.py
@@ -6,6 +6,12 @@
 from typing import Any
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError, field_validator
+from pydantic_settings import (
+    BaseSettings,
+    PydanticBaseSettingsSource,
+    SettingsConfigDict,
+    TomlConfigSettingsSource,
+)
 
 from larkpost.errors import SettingsError
 from larkpost.ids import Address, DaemonId, ZoneId
@@ -162,8 +168,10 @@
     )
 
 
-class Settings(_Section):
-    """All settings of one daemon."""
+class Settings(BaseSettings):
+    """All settings of one daemon. Values given as arguments win over the TOML file's."""
+
+    model_config = SettingsConfigDict(extra="forbid", frozen=True)
 
     daemon_id: DaemonId = Field(description="Unique name of the daemon.")
     zone: ZoneId = Field(description="Zone the machine stands in.")
@@ -178,6 +186,18 @@
     routing: RoutingSettings = RoutingSettings()
     batches: BatchSettings = BatchSettings()
 
+    @classmethod
+    def settings_customise_sources(
+        cls,
+        settings_cls: type[BaseSettings],
+        init_settings: PydanticBaseSettingsSource,
+        env_settings: PydanticBaseSettingsSource,
+        dotenv_settings: PydanticBaseSettingsSource,
+        file_secret_settings: PydanticBaseSettingsSource,
+    ) -> tuple[PydanticBaseSettingsSource, ...]:
+        """Reads arguments and the file only: the environment must not change a daemon unseen."""
+        return init_settings, TomlConfigSettingsSource(settings_cls)
+
     @field_validator("listen", "platform")
     @classmethod
     def _check_address(cls, value: str) -> str:
@@ -214,26 +234,17 @@
     Raises:
         SettingsError: a setting is missing, unknown or wrong; the message names each.
     """
-    values = _read_file(path) if path is not None else {}
-    values |= {name: value for name, value in overrides.items() if value is not None}
-    try:
-        return Settings.model_validate(values)
-    except ValidationError as error:
-        raise SettingsError(describe_validation(error)) from None
-
-
-def describe_validation(error: ValidationError) -> str:
-    """Writes one clause per wrong field: its name and what is wrong."""
-    clauses = []
-    for problem in error.errors():
-        name = ".".join(str(part) for part in problem["loc"]) or "document"
-        clauses.append(f"{name}: {problem['msg']}")
-    return "; ".join(clauses)
 
+    class FileSettings(Settings):
+        model_config = SettingsConfigDict(toml_file=path)
 
-def _read_file(path: Path) -> dict[str, Any]:
+    given = {name: value for name, value in overrides.items() if value is not None}
     try:
-        return tomllib.loads(path.read_text(encoding="utf-8"))
+        if path is not None:
+            path.read_bytes()
+        return FileSettings(**given)
+    except ValidationError as error:
+        raise SettingsError(describe_validation(error)) from None
     except OSError as error:
         raise SettingsError(
             f"settings file {path} cannot be read: {error.strerror}",
@@ -243,3 +254,12 @@
         raise SettingsError(
             f"settings file {path} is not TOML: {error}", remedy="Correct the file."
         ) from None
+
+
+def describe_validation(error: ValidationError) -> str:
+    """Writes one clause per wrong field: its name and what is wrong."""
+    clauses = []
+    for problem in error.errors():
+        name = ".".join(str(part) for part in problem["loc"]) or "document"
+        clauses.append(f"{name}: {problem['msg']}")
+    return "; ".join(clauses)
