Simulation split by concern; one workload for both trainers

Change: operators and the log of faults stand in modules of their own; TrainerShape makes the specification for both. Behaviour is unchanged but for longer prompts in the simulation (8 to 63 repeated words in place of 8 to 39).

--- a/src/larkpost/rehearsal/commands.py
+++ b/src/larkpost/rehearsal/commands.py
@@ -15,7 +15,8 @@
 from larkpost.rehearsal.engine_server import run_engine
 from larkpost.rehearsal.platform_model import PlatformModel
 from larkpost.rehearsal.platform_server import run_platform
-from larkpost.rehearsal.trainer import TrainerShape, run_trainer
+from larkpost.rehearsal.trainer import run_trainer
+from larkpost.rehearsal.workload import TrainerShape
 
 rehearsal = typer.Typer(
     no_args_is_help=True, help="Stand-ins for engines, platform, trainers and clients."
--- a/src/larkpost/rehearsal/experiment/run.py
+++ b/src/larkpost/rehearsal/experiment/run.py
@@ -18,7 +18,7 @@
 from larkpost.rehearsal.simulation.world import World, WorldShape
 from larkpost.rehearsal.sites import Site
 from larkpost.rehearsal.tokens import answer_length, answer_seed
-from larkpost.rehearsal.trainer import TrainerShape
+from larkpost.rehearsal.workload import TrainerShape
 
 ENGINE = EngineShape(tokens_per_step=4, step_base=0.008, step_per_sequence=0.0004)
 MAX_TRIES = 5
--- a/src/larkpost/rehearsal/simulation/callers.py
+++ b/src/larkpost/rehearsal/simulation/callers.py
@@ -13,8 +13,7 @@
 from larkpost.rehearsal.simulation.network import HostUnreachableError
 from larkpost.rehearsal.simulation.records import ClientCall, Delivery, Told
 from larkpost.rehearsal.simulation.world import World
-from larkpost.rehearsal.tokens import answer_length, answer_seed
-from larkpost.rehearsal.trainer import TrainerShape
+from larkpost.rehearsal.workload import TrainerShape
 from larkpost.routing.inference import InferenceCall
 from larkpost.routing.work import Answer
 
@@ -111,7 +110,9 @@
                 await self._train()
 
     async def _open(self) -> BatchSession:
-        spec = self._make_spec()
+        self._serial += 1
+        batch = BatchId(f"{self.shape.name}-{self._serial}")
+        spec = self.shape.make_spec(batch, self.version, self._rng)
         self.world.records.batches_opened.append(spec)
         addresses = [Address(f"{name}:1") for name in self.world.homes]
         session = BatchSession(self.endpoint, addresses, spec, self._rng)
@@ -153,38 +154,6 @@
         except LarkpostError:
             return  # the next pull tells the version as well
 
-    def _make_spec(self) -> BatchSpec:
-        shape = self.shape
-        self._serial += 1
-        batch = BatchId(f"{shape.name}-{self._serial}")
-        prompts = tuple(
-            f"{batch} prompt {i} " + "context " * self._rng.randrange(8, 40)
-            for i in range(shape.prompts)
-        )
-        return BatchSpec(
-            batch,
-            shape.name,
-            shape.pool,
-            prompts,
-            shape.samples_per_prompt,
-            shape.staleness_bound,
-            self.version,
-            shape.max_tokens,
-            expected_tokens=self._hints(batch, prompts),
-        )
-
-    def _hints(self, batch: BatchId, prompts: tuple[str, ...]) -> tuple[int, ...]:
-        if not self.shape.hint_lengths:
-            return ()
-        count = self.shape.samples_per_prompt
-        hints = []
-        for index, prompt in enumerate(prompts):
-            slots = range(index * count, (index + 1) * count)
-            seeds = [answer_seed(f"{batch}/{slot}", prompt) for slot in slots]
-            longest = max(answer_length(seed, self.shape.max_tokens) for seed in seeds)
-            hints.append(max(1, round(longest * self._rng.uniform(0.5, 1.5))))
-        return tuple(hints)
-
 
 class SimulatedClients:
     """Asks questions of a service."""
--- a/src/larkpost/rehearsal/simulation/world.py
+++ b/src/larkpost/rehearsal/simulation/world.py
@@ -1,15 +1,12 @@
 """A simulated fleet: platform, engines and daemons, and everything that can happen to them."""
 
 import asyncio
-import itertools
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from larkpost.config.intent import Intent
-from larkpost.config.plan import Plan, make_plan
 from larkpost.daemon import Daemon, Ports
-from larkpost.errors import LarkpostError, OutdatedPlanError
 from larkpost.ids import Address, DaemonId, EngineId, ZoneId
 from larkpost.platform.ports import MachineEntry
 from larkpost.rehearsal.engine_model import EngineModel, EngineRecord, EngineShape
@@ -18,7 +15,9 @@
     PlatformModel,
     RateLimitedError,
 )
+from larkpost.rehearsal.simulation.faults import FaultLog
 from larkpost.rehearsal.simulation.network import Host, HostUnreachableError, Network
+from larkpost.rehearsal.simulation.operators import SimulatedOperators
 from larkpost.rehearsal.simulation.ports import (
     SimulatedClock,
     SimulatedEngines,
@@ -26,7 +25,6 @@
     SimulatedTransport,
 )
 from larkpost.rehearsal.simulation.records import (
-    ConfirmedPlan,
     EngineWork,
     LeavingMark,
     LeavingSource,
@@ -36,7 +34,6 @@
 from larkpost.settings import Settings
 
 PLATFORM_ZONE = ZoneId("platform")
-CONFIRM_TIMEOUT = 30.0
 STOP_POLL = 0.05
 ANSWER_FLUSH = 1.0
 """Seconds in which answers already written reach their callers after a planned stop."""
@@ -102,8 +99,7 @@
         self.homes: dict[DaemonId, ZoneId] = self._name_daemons()
         self.callers = {zone: Host(Address(f"callers-{zone}:1"), zone) for zone in shape.zones}
         self._make_daemon = make_daemon or _make_silent_daemon
-        self._faults: set[str] = set()
-        self._uuids = itertools.count()
+        self.faults = FaultLog(self.records)
         self._daemons_by_address: dict[Address, DaemonNode] = {}
         self._engines_by_address: dict[Address, EngineNode] = {}
 
@@ -124,8 +120,8 @@
             self.start_daemon(name)
         await self._wait_until(lambda: all(self.is_ready(name) for name in self.homes))
         first = next(iter(self.homes))
-        plan = self.plan(first, self.shape.intent)
-        await self.confirm(first, plan)
+        operators = SimulatedOperators(self)
+        await operators.confirm(first, operators.plan(first, self.shape.intent))
         await self._wait_until(self._all_loads_known)
 
     # Reading
@@ -188,7 +184,7 @@
     def freeze_daemon(self, name: DaemonId, seconds: float) -> None:
         """Pauses a daemon."""
         self.daemons[name].host.frozen_until = self.now + seconds
-        self._hold_fault(f"freeze-{name}-{self.now}", seconds)
+        self.faults.hold(f"freeze-{name}-{self.now}", seconds)
 
     async def stop_daemon(self, name: DaemonId) -> None:
         """Stops a daemon as planned."""
@@ -268,47 +264,6 @@
             at += self.platform.machine_lag
         self.records.leaving.append(LeavingMark(engine, source, at))
 
-    async def drain_engine(self, daemon: DaemonId, engine: EngineId) -> None:
-        """Has an operator drain an engine through a daemon."""
-        node = self.daemons[daemon]
-
-        async def handle() -> None:
-            node.daemon.directory.drain(engine)
-
-        try:
-            await self._operator_call(node, handle)
-        except (LarkpostError, HostUnreachableError):
-            return
-        mark = LeavingMark(engine, LeavingSource.OPERATOR, self.now)
-        self.records.leaving.append(mark)
-
-    # Configuration
-
-    def plan(self, daemon: DaemonId, intent: Intent) -> Plan:
-        """Makes a plan at a daemon."""
-        board = self.daemons[daemon].daemon.board
-        state = board.configuration
-        nonce = str(next(self._uuids))
-        return make_plan(state.intent, state.epoch, intent, board.engines.entries(), nonce)
-
-    async def confirm(self, daemon: DaemonId, plan: Plan) -> ConfirmedPlan | None:
-        """Confirms a plan at a daemon; None if the answer was not a yes."""
-        node = self.daemons[daemon]
-        try:
-            answer = await self._operator_call(
-                node, lambda: node.daemon.configuration.confirm(plan)
-            )
-        except OutdatedPlanError:
-            self.records.refused_plans.add(plan.plan_id)
-            return None
-        except (LarkpostError, HostUnreachableError):
-            return None
-        confirmed = ConfirmedPlan(
-            answer.plan_id, answer.epoch, frozenset(answer.zones_in_force), self.now
-        )
-        self.records.confirmed.append(confirmed)
-        return confirmed
-
     # Network and platform
 
     def cut_zones(self, first: ZoneId, second: ZoneId, one_way: bool = False) -> None:
@@ -317,12 +272,12 @@
         cuts.add((first, second))
         if not one_way:
             cuts.add((second, first))
-        self._begin_fault("zones")
+        self.faults.begin("zones")
 
     def cut_link(self, first: Host, second: Host) -> None:
         """Cuts the link from one host to another, in that direction only."""
         self.network.conditions.link_cuts.add((first.address, second.address))
-        self._begin_fault("links")
+        self.faults.begin("links")
 
     def lose_zone(self, zone: ZoneId) -> None:
         """Kills every daemon and engine of a zone."""
@@ -335,12 +290,12 @@
     def set_platform_down(self, down: bool) -> None:
         """Takes the platform down or up."""
         self.platform.faults.down = down
-        self._set_fault("platform", down)
+        self.faults.set("platform", down)
 
     def set_platform_slow(self, seconds: float) -> None:
         """Delays every answer of the platform."""
         self.platform.faults.slow_seconds = seconds
-        self._set_fault("slow platform", seconds > 0)
+        self.faults.set("slow platform", seconds > 0)
 
     def heal(self) -> None:
         """Ends every fault of network and platform, and thaws all hosts."""
@@ -353,8 +308,7 @@
         self.platform.faults.down = False
         self.platform.faults.slow_seconds = 0.0
         self.platform.faults.lost_answers = 0
-        self._faults.clear()
-        self.records.last_fault_at = self.now
+        self.faults.end_all()
 
     def revive(self) -> None:
         """Starts every daemon and engine that is not running."""
@@ -399,10 +353,6 @@
                 return False
         return False
 
-    async def _operator_call(self, node: DaemonNode, handle):
-        caller = self.callers[node.host.zone]
-        return await self.network.call(caller, node.host, handle, CONFIRM_TIMEOUT, counted=True)
-
     async def _flush(self, host: Host) -> None:
         """Waits for refusals being written; a frozen host writes them once it is thawed."""
         await host.gate()
@@ -432,21 +382,6 @@
                 raise TimeoutError("the simulated fleet did not become ready")
             await asyncio.sleep(0.1)
 
-    def _begin_fault(self, name: str) -> None:
-        self._set_fault(name, True)
-
-    def _set_fault(self, name: str, active: bool) -> None:
-        if active:
-            self._faults.add(name)
-        else:
-            self._faults.discard(name)
-        self.records.last_fault_at = float("inf") if self._faults else self.now
-
-    def _hold_fault(self, name: str, seconds: float) -> None:
-        self._set_fault(name, True)
-        loop = asyncio.get_running_loop()
-        loop.call_later(seconds, self._set_fault, name, False)
-
 
 def _make_silent_daemon(settings: Settings, ports: Ports, rng: random.Random) -> Daemon:
     return Daemon(settings, ports, rng, log=False)
--- a/src/larkpost/rehearsal/trainer.py
+++ b/src/larkpost/rehearsal/trainer.py
@@ -10,29 +10,9 @@
 from larkpost.batches.ledger import BatchSpec, Sample
 from larkpost.client import BatchSession, HttpBatchEndpoint
 from larkpost.errors import LarkpostError
-from larkpost.ids import Address, BatchId, PolicyId, PoolId, TrainerId
-from larkpost.rehearsal.tokens import answer_length, answer_seed, expected_answer
-
-
-@dataclass(frozen=True, slots=True)
-class TrainerShape:
-    """A trainer's work.
-
-    Attributes:
-        train_seconds: time of a training step once its batch is whole.
-        ahead: batches opened before the one that is trained on (0: strictly in turn).
-    """
-
-    name: TrainerId
-    pool: PoolId
-    policy: PolicyId
-    prompts: int = 8
-    samples_per_prompt: int = 4
-    max_tokens: int = 256
-    staleness_bound: int = 2
-    train_seconds: float = 1.0
-    ahead: int = 1
-    hint_lengths: bool = True
+from larkpost.ids import Address, BatchId
+from larkpost.rehearsal.tokens import expected_answer
+from larkpost.rehearsal.workload import TrainerShape
 
 
 @dataclass(slots=True)
@@ -114,43 +94,11 @@
         return self.record
 
     async def _open(self, step: int) -> BatchSession:
-        spec = self._make_spec(step)
+        spec = self._shape.make_spec(BatchId(f"{self._run_name}-{step}"), self.version, self._rng)
         session = BatchSession(self._endpoint, self._daemons, spec, self._rng)
         await session.open()
         return session
 
-    def _make_spec(self, step: int) -> BatchSpec:
-        shape = self._shape
-        batch = BatchId(f"{self._run_name}-{step}")
-        prompts = tuple(
-            f"{shape.name} step {step} prompt {i} " + "context " * self._rng.randrange(8, 64)
-            for i in range(shape.prompts)
-        )
-        return BatchSpec(
-            batch,
-            shape.name,
-            shape.pool,
-            prompts,
-            shape.samples_per_prompt,
-            shape.staleness_bound,
-            self.version,
-            shape.max_tokens,
-            expected_tokens=self._hints(batch, prompts),
-        )
-
-    def _hints(self, batch: BatchId, prompts: tuple[str, ...]) -> tuple[int, ...]:
-        """Returns the longest length per prompt, known only within a factor of two."""
-        if not self._shape.hint_lengths:
-            return ()
-        hints = []
-        for index, prompt in enumerate(prompts):
-            first = index * self._shape.samples_per_prompt
-            slots = range(first, first + self._shape.samples_per_prompt)
-            seeds = [answer_seed(f"{batch}/{slot}", prompt) for slot in slots]
-            longest = max(answer_length(seed, self._shape.max_tokens) for seed in seeds)
-            hints.append(max(1, round(longest * self._rng.uniform(0.5, 1.5))))
-        return tuple(hints)
-
     async def _collect(self, session: BatchSession) -> None:
         started = time.monotonic()
         self.record.samples_expected += session.spec.slot_count
--- /dev/null
+++ b/src/larkpost/rehearsal/workload.py
@@ -0,0 +1,64 @@
+"""A stand-in trainer's work: what its batches ask for."""
+
+import random
+from dataclasses import dataclass
+
+from larkpost.batches.ledger import BatchSpec
+from larkpost.ids import BatchId, PolicyId, PoolId, TrainerId
+from larkpost.rehearsal.tokens import answer_length, answer_seed
+
+HINT_ERROR = 0.5
+"""Expected lengths are off by up to this share."""
+
+
+@dataclass(frozen=True, slots=True)
+class TrainerShape:
+    """A trainer's work.
+
+    Attributes:
+        train_seconds: time of a training step once its batch is whole.
+        ahead: batches opened before the one that is trained on (0: strictly in turn).
+    """
+
+    name: TrainerId
+    pool: PoolId
+    policy: PolicyId
+    prompts: int = 8
+    samples_per_prompt: int = 4
+    max_tokens: int = 256
+    staleness_bound: int = 2
+    train_seconds: float = 1.0
+    ahead: int = 1
+    hint_lengths: bool = True
+
+    def make_spec(self, batch: BatchId, version: int, rng: random.Random) -> BatchSpec:
+        """Returns a batch with fresh prompts, opened at the trainer's version."""
+        prompts = tuple(
+            f"{batch} prompt {i} " + "context " * rng.randrange(8, 64) for i in range(self.prompts)
+        )
+        return BatchSpec(
+            batch,
+            self.name,
+            self.pool,
+            prompts,
+            self.samples_per_prompt,
+            self.staleness_bound,
+            version,
+            self.max_tokens,
+            expected_tokens=self._hints(batch, prompts, rng),
+        )
+
+    def _hints(
+        self, batch: BatchId, prompts: tuple[str, ...], rng: random.Random
+    ) -> tuple[int, ...]:
+        """Returns the longest length per prompt, as badly as a trainer may know it."""
+        if not self.hint_lengths:
+            return ()
+        hints = []
+        for index, prompt in enumerate(prompts):
+            first = index * self.samples_per_prompt
+            slots = range(first, first + self.samples_per_prompt)
+            seeds = [answer_seed(f"{batch}/{slot}", prompt) for slot in slots]
+            longest = max(answer_length(seed, self.max_tokens) for seed in seeds)
+            hints.append(max(1, round(longest * rng.uniform(1 - HINT_ERROR, 1 + HINT_ERROR))))
+        return tuple(hints)
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -9,10 +9,11 @@
 from larkpost.config.intent import Intent, PoolIntent, ServiceIntent, TrainerIntent
 from larkpost.ids import EngineId, PolicyId, PoolId, TrainerId, ZoneId
 from larkpost.rehearsal.simulation.callers import SimulatedClients, SimulatedTrainer
+from larkpost.rehearsal.simulation.operators import SimulatedOperators
 from larkpost.rehearsal.simulation.oracle import Oracle
 from larkpost.rehearsal.simulation.world import World, WorldShape
 from larkpost.rehearsal.sites import Machine
-from larkpost.rehearsal.trainer import TrainerShape
+from larkpost.rehearsal.workload import TrainerShape
 
 ZONES = (ZoneId("zone-a"), ZoneId("zone-b"), ZoneId("zone-c"))
 ROLLOUT_POOLS = (PoolId("language"), PoolId("drafts"))
@@ -76,6 +77,7 @@
         rng = random.Random(seed)
         self.world = World(shape, rng)
         self.oracle = Oracle(self.world)
+        self.operators = SimulatedOperators(self.world)
         self.run(self.world.start())
         self.clients = {name: SimulatedClients(self.world, name) for name in SERVICES}
         self.trainers: list[SimulatedTrainer] = []
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -191,7 +191,7 @@
         elif how == "stop":
             self.fleet.spawn(self.world.stop_engine(name))
         elif self._daemon_name(daemon) in self.world.daemons:
-            self.fleet.spawn(self.world.drain_engine(self._daemon_name(daemon), name))
+            self.fleet.spawn(self.fleet.operators.drain_engine(self._daemon_name(daemon), name))
 
     # Network and platform
 
@@ -241,7 +241,7 @@
     def make_plan(self, daemon, reserve):
         name = self._daemon_name(daemon)
         if self.world.is_ready(name):
-            self.plans.append(self.world.plan(name, _intent_with_reserve(reserve)))
+            self.plans.append(self.fleet.operators.plan(name, _intent_with_reserve(reserve)))
 
     @precondition(lambda self: self.plans)
     @rule(daemon=daemon_numbers, which=st.integers(0, 2))
@@ -249,16 +249,16 @@
         plan = self.plans[-1 - which % len(self.plans)]
         name = self._daemon_name(daemon)
         if self.world.is_ready(name):
-            self.fleet.spawn(self.world.confirm(name, plan))
+            self.fleet.spawn(self.fleet.operators.confirm(name, plan))
 
     @rule(first=daemon_numbers, second=daemon_numbers)
     def race_two_plans(self, first, second):
         for number, daemon in enumerate((first, second)):
             name = self._daemon_name(daemon)
             if self.world.is_ready(name):
-                plan = self.world.plan(name, _intent_with_reserve(number + 1))
+                plan = self.fleet.operators.plan(name, _intent_with_reserve(number + 1))
                 self.plans.append(plan)
-                self.fleet.spawn(self.world.confirm(name, plan))
+                self.fleet.spawn(self.fleet.operators.confirm(name, plan))
 
     def _daemon_name(self, number):
         return list(self.world.homes)[number]
--- a/tests/test_regressions.py
+++ b/tests/test_regressions.py
@@ -30,8 +30,8 @@
 
 class ConfigurationTest(FleetTestCase):
     def confirm(self, number: int):
-        plan = self.world.plan(self.names[number], INTENT)
-        return self.fleet.run(self.world.confirm(self.names[number], plan))
+        plan = self.fleet.operators.plan(self.names[number], INTENT)
+        return self.fleet.run(self.fleet.operators.confirm(self.names[number], plan))
 
     def test_daemon_that_wakes_from_a_pause_does_not_act_before_it_has_verified(self):
         sleeper = self.names[0]
@@ -60,8 +60,8 @@
     def test_planned_stop_waits_for_a_confirmation(self):
         name = self.names[0]
         self.fleet.act(self.world.freeze_daemon, self.names[4], 4.0)
-        plan = self.world.plan(name, INTENT)
-        confirming = self.fleet.spawn(self.world.confirm(name, plan))
+        plan = self.fleet.operators.plan(name, INTENT)
+        confirming = self.fleet.spawn(self.fleet.operators.confirm(name, plan))
         self.fleet.advance(0.2)
         self.fleet.run(self.world.stop_daemon(name))
         self.assertTrue(confirming.done())
@@ -78,16 +78,16 @@
         self.assertEqual(self.daemon(1).board.configuration.epoch, confirmed.epoch)
 
     def test_lost_answer_of_a_written_plan_is_read_back(self):
-        plan = self.world.plan(self.names[0], INTENT)
+        plan = self.fleet.operators.plan(self.names[0], INTENT)
         self.world.platform.faults.lost_answers = 1
-        confirmed = self.fleet.run(self.world.confirm(self.names[0], plan))
-        again = self.fleet.run(self.world.confirm(self.names[3], plan))
+        confirmed = self.fleet.run(self.fleet.operators.confirm(self.names[0], plan))
+        again = self.fleet.run(self.fleet.operators.confirm(self.names[3], plan))
         self.assertEqual(confirmed.epoch, again.epoch)
 
     def test_second_of_two_racing_plans_is_refused_with_a_remedy(self):
-        first = self.world.plan(self.names[0], INTENT)
-        second = self.world.plan(self.names[3], INTENT)
-        self.fleet.run(self.world.confirm(self.names[0], first))
+        first = self.fleet.operators.plan(self.names[0], INTENT)
+        second = self.fleet.operators.plan(self.names[3], INTENT)
+        self.fleet.run(self.fleet.operators.confirm(self.names[0], first))
         with self.assertRaises(LarkpostError) as caught:
             self.fleet.run(self.daemon(3).configuration.confirm(second))
         self.assertEqual(caught.exception.code, "outdated_plan")
