--- a/src/larkpost/engines/http_adapter.py
+++ b/src/larkpost/engines/http_adapter.py
@@ -6,7 +6,6 @@
 
 import asyncio
 from collections.abc import AsyncIterator, Callable
-from dataclasses import asdict
 from typing import Any
 
 import aiohttp
@@ -62,7 +61,7 @@
         chunk_timeout: float,
         may_send: Callable[[], bool],
     ) -> AsyncIterator[EngineChunk]:
-        body = _GuardedBody(orjson.dumps(asdict(request)), may_send)
+        body = _GuardedBody(orjson.dumps(request), may_send)
         headers = {"Content-Type": "application/json"}
         limit = _stream_timeout(chunk_timeout)
         url = f"http://{address}/v1/generate"
@@ -116,7 +115,7 @@
         url = f"http://{address}/v1/orders"
         try:
             async with self._session.post(
-                url, data=orjson.dumps(asdict(order)), timeout=_total(timeout)
+                url, data=orjson.dumps(order), timeout=_total(timeout)
             ) as response:
                 fields = read_fields(await response.read())
         except (*NETWORK_ERRORS, ValueError) as error:
--- a/src/larkpost/rehearsal/engine_server.py
+++ b/src/larkpost/rehearsal/engine_server.py
@@ -193,4 +193,4 @@
 
 
 def _event(chunk: EngineChunk) -> bytes:
-    return b"data: " + orjson.dumps(asdict(chunk)) + b"\n\n"
+    return b"data: " + orjson.dumps(chunk) + b"\n\n"
