Owners by differences; news in bursts; joining daemons back off

Cause: 162 hollow daemons did not become ready in 120 s. A profile of one process gave 78 % of its time to computing all owners anew (1,386 engines, 31 daemons a zone) after each membership change; late loops made more suspects. 160 joining daemons asked the table service 640 times a second, over its limit of 200. Of a lost zone's many changes only six a datagram went out at once. Change: OwnerMap keeps owners by differences (checked against a new computation by hypothesis); eager datagrams carry all that is new; joining backs off with jitter; idle rounds look at nothing that grows with the fleet.

--- a/src/larkpost/batches/service.py
+++ b/src/larkpost/batches/service.py
@@ -157,7 +157,7 @@
 
     async def schedule(self) -> None:
         """Starts samples of every batch, the one due first before the others."""
-        if not self._readiness.admits:
+        if not self._batches or not self._readiness.admits:
             return
         for batch in sorted(self._batches.values(), key=lambda b: b.due_at):
             if batch.runner is not None:
--- a/src/larkpost/blackboard/members.py
+++ b/src/larkpost/blackboard/members.py
@@ -79,6 +79,9 @@
         self.revision = 0
         """Grows with each change, so that derived values can be cached."""
 
+    def __len__(self) -> int:
+        return len(self._others) + 1
+
     def listen(self, listener: Callable[[MemberInfo], None]) -> None:
         """Calls ``listener`` on each changed member."""
         self._listeners.append(listener)
--- a/src/larkpost/controllers/membership.py
+++ b/src/larkpost/controllers/membership.py
@@ -23,6 +23,7 @@
 
 UPDATES_PER_DATAGRAM = 6
 EAGER_FANOUT = 3
+MAX_EAGER_DATAGRAMS = 16
 RETRANSMIT_FACTOR = 3
 REVIVE_EVERY_PROBES = 5
 """Every so many probes one goes to a dead daemon or a configured peer, to heal a partition."""
@@ -56,6 +57,8 @@
         self._peers = [peer for peer in peers if peer != board.members.own.address]
         self._rng = rng
         self._updates: dict[DaemonId, int] = {}
+        self._news = 0
+        """Changes learned since the last eager datagrams."""
         self._probe_order: list[DaemonId] = []
         self._probes = 0
         self._sequence = 0
@@ -146,24 +149,26 @@
         self._table.put(belief)
         if known is None or known.state != belief.state:
             self._telemetry.change(f"member.{belief.id}", belief.state.name.lower())
-        self._telemetry.gauge("members_alive", len(self._table.alive()))
         self._spread(belief.id)
         if belief.state == MemberState.SUSPECT:
             self._tasks.spawn(self._confirm_death(belief), "suspicion")
 
     def _spread(self, daemon: DaemonId) -> None:
-        count = len(self._table.alive_others()) + 2
-        first_news = daemon not in self._updates
-        self._updates[daemon] = RETRANSMIT_FACTOR * math.ceil(math.log2(count))
-        if first_news:
+        self._updates[daemon] = RETRANSMIT_FACTOR * math.ceil(math.log2(len(self._table) + 2))
+        self._news += 1
+        if self._news == 1:
             self._tasks.spawn(self._send_eagerly(), "membership-news")
 
     async def _send_eagerly(self) -> None:
+        """Passes on what is new, gathered for a moment: a lost zone is many changes at once."""
         await self._clock.sleep(self._settings.probe_interval / 20)
+        datagrams = min(math.ceil(self._news / UPDATES_PER_DATAGRAM), MAX_EAGER_DATAGRAMS)
+        self._news = 0
         targets = self._table.alive_others()
         for target in self._rng.sample(targets, min(len(targets), EAGER_FANOUT)):
-            if self._updates:
-                self._gossip.send(target, pb.Envelope())
+            for _ in range(datagrams):
+                if self._updates:
+                    self._gossip.send(target, pb.Envelope())
 
     def _pick_updates(self) -> list[pb.Member]:
         picked = sorted(self._updates, key=lambda daemon: -self._updates[daemon])
@@ -186,6 +191,7 @@
 
     async def _probe_round(self) -> None:
         self._probes += 1
+        self._telemetry.gauge("members_alive", len(self._table.alive()))
         if self._probes % REVIVE_EVERY_PROBES == 0:
             await self._try_to_heal()
         target = self._next_target()
--- a/src/larkpost/controllers/ownership.py
+++ b/src/larkpost/controllers/ownership.py
@@ -6,12 +6,10 @@
 needed, and a paused owner that wakes up cannot give an order.
 """
 
-from dataclasses import dataclass
-
 from larkpost.blackboard.board import Blackboard, Phase
 from larkpost.blackboard.engines import EngineInfo, EngineLoad
-from larkpost.blackboard.members import MemberInfo
 from larkpost.clock import Clock
+from larkpost.controllers.owner_map import OwnerMap
 from larkpost.engines.port import (
     EngineError,
     EnginePort,
@@ -20,8 +18,7 @@
     OrderKind,
     StaleTokenError,
 )
-from larkpost.ids import DaemonId, EngineId, ZoneId
-from larkpost.rendezvous import choose
+from larkpost.ids import DaemonId, EngineId
 from larkpost.settings import EngineSettings
 from larkpost.telemetry import Telemetry
 
@@ -29,14 +26,6 @@
 """Seconds an owner waits after it was replaced, for the two views to agree."""
 
 
-@dataclass(frozen=True, slots=True)
-class _Ranking:
-    """Cached owners, valid for one state of members and directory."""
-
-    members: int
-    directory: int
-
-
 class Ownership:
     """Claims the engines that fall to this daemon and gives up the others."""
 
@@ -54,38 +43,21 @@
         self._telemetry = telemetry
         self._settings = settings
         self._not_before: dict[EngineId, float] = {}
+        self._owners = OwnerMap(board)
         self._assigned: list[EngineInfo] = []
-        self._owners: dict[EngineId, DaemonId] = {}
-        self._assigned_at: _Ranking | None = None
+        self._assigned_at: tuple[int, int] = (-1, -1)
 
     def assigned(self) -> list[EngineInfo]:
         """Returns the engines that fall to this daemon in its present view."""
-        key = _Ranking(self._board.members.revision, self._board.engines.revision)
-        if key != self._assigned_at:
-            self._owners = self._compute_owners()
-            own = self._board.members.own.id
-            infos = self._board.engines.entries()
-            self._assigned = [info for info in infos if self._owners.get(info.id) == own]
-            self._assigned_at = key
+        own = self._board.members.own.id
+        if self._owners.owner_revision() != self._assigned_at:
+            self._assigned = self._owners.engines_of(own)
+            self._assigned_at = self._owners.owner_revision()
         return self._assigned
 
     def owner_of(self, info: EngineInfo) -> DaemonId | None:
         """Returns the daemon to which the engine falls; another zone's if its own has none."""
-        self.assigned()
-        return self._owners.get(info.id)
-
-    def _compute_owners(self) -> dict[EngineId, DaemonId]:
-        """Computes every owner at once; a zone's members are looked up once, not per engine."""
-        eligible = self._board.members.eligible()
-        by_zone: dict[ZoneId, list[MemberInfo]] = {}
-        for member in eligible:
-            by_zone.setdefault(member.zone, []).append(member)
-        owners = {}
-        for info in self._board.engines.entries():
-            owner = choose(by_zone.get(info.zone, eligible), info.id)
-            if owner is not None:
-                owners[info.id] = owner.id
-        return owners
+        return self._owners.owner_of(info.id)
 
     async def reconcile(self) -> None:
         """Brings what is owned in line with what falls to this daemon."""
--- a/src/larkpost/controllers/readiness.py
+++ b/src/larkpost/controllers/readiness.py
@@ -47,6 +47,8 @@
         self._forget_time = membership.forget_time
         self._rng = rng
         self._verified_at = float("-inf")
+        self._alone = False
+        self._alone_at = -1
 
     @property
     def admits(self) -> bool:
@@ -139,7 +141,11 @@
             self._verified_at = max(self._verified_at, asked_at)
 
     def _is_alone_in_zone(self) -> bool:
-        return len(self.known_members(self._board.members.own.zone)) == 1
+        """Whether no other daemon of the zone is known; computed once per state of the members."""
+        if self._alone_at != self._board.members.revision:
+            self._alone_at = self._board.members.revision
+            self._alone = len(self.known_members(self._board.members.own.zone)) == 1
+        return self._alone
 
     def _is_forgotten(self, member: MemberInfo) -> bool:
         if member.state == MemberState.LEFT:
--- a/src/larkpost/controllers/weights.py
+++ b/src/larkpost/controllers/weights.py
@@ -9,7 +9,6 @@
 import random
 
 from larkpost.blackboard.board import Blackboard
-from larkpost.blackboard.engines import EngineLoad
 from larkpost.clock import Clock
 from larkpost.config.intent import PoolIntent
 from larkpost.controllers.monitor import Monitor
@@ -53,16 +52,23 @@
 
     async def reconcile(self) -> None:
         """Orders each swap that is due."""
-        if not self._readiness.admits:
+        due = [
+            (engine, pool)
+            for engine, pool in self._owned_with_pools()
+            if self._is_due(engine, pool)
+        ]
+        if not due or not self._readiness.admits:
             return
-        for engine in list(self._board.owned):
-            pool = self._board.pool_intent_of(engine)
-            load = self._board.engines.loads.get(engine)
-            if pool is not None and load is not None and self._is_due(engine, pool, load):
-                await self._swap(engine, pool)
+        for engine, pool in due:
+            await self._swap(engine, pool)
 
-    def _is_due(self, engine: EngineId, pool: PoolIntent, load: EngineLoad) -> bool:
-        if pool.policy is None or load.swapping:
+    def _owned_with_pools(self) -> list[tuple[EngineId, PoolIntent]]:
+        pools = [(engine, self._board.pool_intent_of(engine)) for engine in self._board.owned]
+        return [(engine, pool) for engine, pool in pools if pool is not None]
+
+    def _is_due(self, engine: EngineId, pool: PoolIntent) -> bool:
+        load = self._board.engines.loads.get(engine)
+        if pool.policy is None or load is None or load.swapping:
             return False
         target = self._board.policy_versions.get(pool.policy, 0)
         if load.version >= target:
--- a/src/larkpost/daemon.py
+++ b/src/larkpost/daemon.py
@@ -41,6 +41,7 @@
 SWAP_INTERVAL = 0.1
 """Seconds between rounds of the weight swaps, on whose end trainers wait."""
 JOIN_INTERVAL = 0.25
+JOIN_INTERVAL_LIMIT = 4.0
 REFRESH_INTERVAL = 1.0
 EXPIRE_INTERVAL = 10.0
 DRAIN_POLL = 0.05
@@ -253,6 +254,7 @@
     async def _join(self) -> None:
         """Joins the fleet and waits until the configuration in force is known."""
         self.telemetry.change("daemon", Phase.JOINING)
+        interval = JOIN_INTERVAL
         while self.board.phase == Phase.JOINING:
             joined = await self.membership.join()
             if await self.configuration.read() or (
@@ -260,7 +262,9 @@
             ):
                 await self._fetch_facts()
                 break
-            await self._ports.clock.sleep(JOIN_INTERVAL)
+            # Many daemons that start at once would otherwise keep each other at the rate limit.
+            await self._ports.clock.sleep(interval * self._rng.uniform(0.5, 1.0))
+            interval = min(2 * interval, JOIN_INTERVAL_LIMIT)
         if self.board.phase == Phase.JOINING:
             self.board.phase = Phase.READY
             self.telemetry.change("daemon", Phase.READY)
--- /dev/null
+++ b/tests/test_owner_map.py
@@ -0,0 +1,46 @@
+"""Owners kept by differences equal owners computed from nothing, whatever came before."""
+
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from larkpost.blackboard.board import Blackboard
+from larkpost.blackboard.engines import EngineInfo
+from larkpost.blackboard.members import MemberInfo, MemberState, MemberTable
+from larkpost.controllers.owner_map import OwnerMap
+from larkpost.ids import Address, DaemonId, EngineId, PoolId, ZoneId
+
+ZONES = (ZoneId("a"), ZoneId("b"))
+changes = st.lists(
+    st.tuples(
+        st.sampled_from(["daemon", "engine"]),
+        st.integers(0, 6),
+        st.sampled_from(ZONES),
+        st.sampled_from([MemberState.ALIVE, MemberState.SUSPECT, MemberState.DEAD]),
+        st.booleans(),
+    ),
+    max_size=30,
+)
+
+
+def make_member(number: int, zone: ZoneId, **fields) -> MemberInfo:
+    return MemberInfo(DaemonId(f"d{number}"), zone, Address("h:1"), 1, **fields)
+
+
+class OwnerMapTest(unittest.TestCase):
+    @settings(derandomize=True, database=None, max_examples=200)
+    @given(changes)
+    def test_differences_give_the_same_owners_as_a_new_computation(self, steps):
+        board = Blackboard(MemberTable(make_member(0, ZONES[0])))
+        kept = OwnerMap(board)
+        for kind, number, zone, state, leaving in steps:
+            if kind == "daemon" and number > 0:
+                member = make_member(number, ZONES[number % 2], state=state, leaving=leaving)
+                board.members.put(member)
+            elif kind == "engine":
+                info = EngineInfo(EngineId(f"e{number}"), zone, Address("h:2"), PoolId("p"))
+                board.engines.put(info)
+            fresh = OwnerMap(board)
+            for engine in board.engines.directory:
+                self.assertEqual(kept.owner_of(engine), fresh.owner_of(engine))
