Rehearsal ports lie below those of outgoing connections

Cause: a process of 16 hollow daemons ended at the start, since an outgoing connection of the growing fleet had taken one of its ports (cannot listen on 127.0.0.1:37433); the fleet of 162 waited for it in vain. The earlier suspicion, load, was mended on the way but was not this cause. Change: ports from 11,000 to 31,000; only daemons on duty read the machine list.

--- a/src/larkpost/controllers/directory.py
+++ b/src/larkpost/controllers/directory.py
@@ -48,13 +48,15 @@
     async def poll(self) -> None:
         """Reads the zone's machines if this daemon is on duty, and now and then all machines.
 
-        One zone's list is a fraction of the fleet's; the whole list is read on joining, and at long
-        intervals so that a zone that has lost all its daemons is not forgotten.
+        One zone's list is a fraction of the fleet's; the whole list is read at first, and at long
+        intervals so that a zone that has lost all its daemons is not forgotten. Daemons that are
+        not on duty learn the machines from others: a fleet that starts would else ask for the
+        whole list once for each daemon.
         """
-        self._polls += 1
-        whole = not self._board.engines.directory or self._polls % WHOLE_LIST_POLLS == 0
-        if self._board.engines.directory and not is_on_duty(self._board, "machines"):
+        if not is_on_duty(self._board, "machines"):
             return
+        whole = self._polls % WHOLE_LIST_POLLS == 0
+        self._polls += 1
         zone = None if whole else self._board.members.own.zone
         try:
             entries = await self._machines.entries(zone, self._settings.platform_timeout)
--- a/src/larkpost/rehearsal/platform_server.py
+++ b/src/larkpost/rehearsal/platform_server.py
@@ -4,7 +4,6 @@
 import base64
 import signal
 from collections.abc import Awaitable, Callable
-from dataclasses import asdict
 
 import orjson
 from starlette.applications import Starlette
@@ -87,7 +86,7 @@
     async def machines(self, request: Request) -> Response:
         zone = request.query_params.get("zone")
         entries = await self._model.machines(ZoneId(zone) if zone else None)
-        return _json({"machines": [asdict(entry) for entry in entries]})
+        return _json({"machines": entries})
 
     async def list_machine(self, request: Request) -> Response:
         fields = orjson.loads(await request.body())
--- a/src/larkpost/rehearsal/processes.py
+++ b/src/larkpost/rehearsal/processes.py
@@ -1,5 +1,6 @@
 """Starts, signals and ends the processes of a rehearsal; each one's output goes to a file."""
 
+import random
 import signal
 import socket
 import subprocess
@@ -7,6 +8,7 @@
 import time
 import urllib.error
 import urllib.request
+from collections.abc import Iterator
 from dataclasses import dataclass
 from pathlib import Path
 from typing import IO
@@ -16,6 +18,10 @@
 START_TIMEOUT = 30.0
 STOP_TIMEOUT = 20.0
 POLL_SECONDS = 0.05
+LOOPBACK = "127.0.0.1"
+FIRST_PORT = 11_000
+LAST_PORT = 31_000
+"""Below the ports of outgoing connections, which begin at 32,768."""
 
 
 class RehearsalError(Exception):
@@ -23,22 +29,37 @@
 
 
 def free_address() -> Address:
-    """Returns a loopback address whose port is free for TCP and UDP."""
-    for _ in range(100):
+    """Returns a loopback address whose port is free for TCP and UDP.
+
+    Ports lie below those that the system gives to outgoing connections: a fleet's own connections
+    would else take a port between its choice here and its use.
+    """
+    for _ in range(1000):
+        port = next(_ports)
         with (
             socket.socket(socket.AF_INET, socket.SOCK_STREAM) as tcp,
             socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp,
         ):
-            tcp.bind(("127.0.0.1", 0))
-            port = tcp.getsockname()[1]
             try:
-                udp.bind(("127.0.0.1", port))
+                tcp.bind((LOOPBACK, port))
+                udp.bind((LOOPBACK, port))
             except OSError:
                 continue
-            return Address(f"127.0.0.1:{port}")
+            return Address(f"{LOOPBACK}:{port}")
     raise RehearsalError("no port is free for both TCP and UDP")
 
 
+def _port_numbers() -> Iterator[int]:
+    """Counts through the range, from a start that differs between processes."""
+    first = random.randrange(FIRST_PORT, LAST_PORT)
+    while True:
+        yield from range(first, LAST_PORT)
+        first = FIRST_PORT
+
+
+_ports = _port_numbers()
+
+
 @dataclass(slots=True)
 class Process:
     """One running process."""
