--- a/src/larkpost/cli.py
+++ b/src/larkpost/cli.py
@@ -9,7 +9,7 @@
 import typer
 from rich.console import Console
 
-from larkpost import operator
+from larkpost import operator_calls
 from larkpost.config.plan import Plan
 from larkpost.errors import LarkpostError
 from larkpost.ids import Address
@@ -65,18 +65,18 @@
 def status(daemon: DaemonOption, as_json: JsonOption = False) -> None:
     """Show what a daemon knows of the fleet."""
     with _reported_errors():
-        fields = operator.call_daemon(Address(daemon), "GET", "/v1/status")
+        fields = operator_calls.call_daemon(Address(daemon), "GET", "/v1/status")
     if as_json:
         typer.echo(orjson.dumps(fields).decode())
     else:
-        operator.show_status(console, fields)
+        operator_calls.show_status(console, fields)
 
 
 @app.command()
 def drain(engine: str, daemon: DaemonOption) -> None:
     """Take an engine out of service for good; what it runs is finished."""
     with _reported_errors():
-        operator.call_daemon(Address(daemon), "POST", f"/v1/engines/{engine}/drain")
+        operator_calls.call_daemon(Address(daemon), "POST", f"/v1/engines/{engine}/drain")
     console.print(f"{engine} gets no new work.")
 
 
@@ -88,11 +88,11 @@
 ) -> None:
     """Show what an intent (TOML) would move, load or stop. Nothing acts yet."""
     with _reported_errors():
-        wanted = operator.read_intent(file)
+        wanted = operator_calls.read_intent(file)
         body = wanted.model_dump_json().encode()
-        fields = operator.call_daemon(Address(daemon), "POST", "/v1/intent/plan", body)
+        fields = operator_calls.call_daemon(Address(daemon), "POST", "/v1/intent/plan", body)
     plan = Plan.model_validate(fields)
-    operator.show_plan(console, plan)
+    operator_calls.show_plan(console, plan)
     if output is not None:
         output.write_text(plan.model_dump_json(indent=2), encoding="utf-8")
         console.print(f"Confirm it with: larkpost intent confirm {output} --daemon {daemon}")
@@ -102,8 +102,8 @@
 def confirm_plan(file: Path, daemon: DaemonOption) -> None:
     """Act on a plan. Repeating it after a lost answer is safe: a plan applies at most once."""
     with _reported_errors():
-        body = operator.read_plan(file).model_dump_json().encode()
-        fields = operator.call_daemon(Address(daemon), "POST", "/v1/intent/confirm", body)
+        body = operator_calls.read_plan(file).model_dump_json().encode()
+        fields = operator_calls.call_daemon(Address(daemon), "POST", "/v1/intent/confirm", body)
     console.print(f"Epoch {fields['epoch']} is written.")
     console.print(f"In force in: {', '.join(fields['zones_in_force']) or 'no zone yet'}")
     if fields["zones_pending"]:
@@ -114,5 +114,5 @@
 def show_intent(daemon: DaemonOption) -> None:
     """Print the configuration in force at a daemon, as JSON."""
     with _reported_errors():
-        fields = operator.call_daemon(Address(daemon), "GET", "/v1/intent")
+        fields = operator_calls.call_daemon(Address(daemon), "GET", "/v1/intent")
     typer.echo(orjson.dumps(fields, option=orjson.OPT_INDENT_2).decode())
--- a/src/larkpost/client.py
+++ b/src/larkpost/client.py
@@ -7,8 +7,8 @@
 
 import asyncio
 import random
-from collections.abc import AsyncIterator, Sequence
-from typing import Protocol
+from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
+from typing import Protocol, TypeVar
 
 import aiohttp
 import orjson
@@ -26,6 +26,7 @@
 from larkpost.ids import Address, BatchId, PolicyId
 from larkpost.routing.work import VersionSpan
 
+Result = TypeVar("Result")
 RETRY_SECONDS = 0.2
 RETRY_LIMIT_SECONDS = 2.0
 
@@ -133,7 +134,7 @@
     async def _open_at(self, daemon: Address) -> None:
         await self._endpoint.open(daemon, self.spec, tuple(sorted(self.held)))
 
-    async def _with_any_daemon(self, call):
+    async def _with_any_daemon(self, call: Callable[[Address], Awaitable[Result]]) -> Result:
         """Calls the current daemon, and the next one after each failure."""
         while True:
             try:
--- a/src/larkpost/config/plan.py
+++ b/src/larkpost/config/plan.py
@@ -1,15 +1,17 @@
 """Plans: what confirming an intent would change, computed without acting."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from enum import StrEnum
 
 from pydantic import BaseModel, ConfigDict
 
 from larkpost.blackboard.engines import EngineInfo
-from larkpost.config.intent import Intent
+from larkpost.config.intent import Intent, PoolIntent, ServiceIntent, TrainerIntent
 from larkpost.hashing import short_digest
 from larkpost.ids import EngineId, PlanId, PoolId
 
+User = TrainerIntent | ServiceIntent
+
 
 class ActionKind(StrEnum):
     """What a step of a plan does."""
@@ -91,10 +93,12 @@
     return actions
 
 
-def _actions_of_engine(engine: EngineId, old, new) -> list[PlannedAction]:
-    if old is None and new is None:
-        return []
+def _actions_of_engine(
+    engine: EngineId, old: PoolIntent | None, new: PoolIntent | None
+) -> list[PlannedAction]:
     if new is None:
+        if old is None:
+            return []
         return [PlannedAction(kind=ActionKind.STOP, subject=engine, detail=f"leaves {old.name}")]
     actions = []
     origin = old.name if old is not None else "no pool"
@@ -107,7 +111,9 @@
     return actions
 
 
-def _user_actions(kind: str, old_users: tuple, new_users: tuple) -> list[PlannedAction]:
+def _user_actions(
+    kind: str, old_users: Sequence[User], new_users: Sequence[User]
+) -> list[PlannedAction]:
     old_by_name = {user.name: user for user in old_users}
     new_by_name = {user.name: user for user in new_users}
     actions = []
--- a/src/larkpost/daemon.py
+++ b/src/larkpost/daemon.py
@@ -5,10 +5,11 @@
 """
 
 import random
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from larkpost.activity import Activity
-from larkpost.batches.ledger import BatchLedger
+from larkpost.batches.ledger import BatchLedger, Sample
 from larkpost.batches.replication import ReplicaStore, Replicator
 from larkpost.batches.runner import BatchRunner
 from larkpost.batches.service import SCHEDULE_INTERVAL, BatchService
@@ -238,7 +239,7 @@
             self.readiness,
         )
 
-    def _make_runner(self, ledger: BatchLedger, on_sample) -> BatchRunner:
+    def _make_runner(self, ledger: BatchLedger, on_sample: Callable[[Sample], None]) -> BatchRunner:
         return BatchRunner(
             ledger,
             self.board,
--- a/src/larkpost/rehearsal/processes.py
+++ b/src/larkpost/rehearsal/processes.py
@@ -8,7 +8,7 @@
 import time
 import urllib.error
 import urllib.request
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from pathlib import Path
 from typing import IO
@@ -123,7 +123,7 @@
         return process
 
 
-def wait_for(condition, what: str, timeout: float = START_TIMEOUT) -> None:
+def wait_for(condition: Callable[[], bool], what: str, timeout: float = START_TIMEOUT) -> None:
     """Waits until a condition holds.
 
     Raises:
--- a/src/larkpost/rehearsal/simulation/ports.py
+++ b/src/larkpost/rehearsal/simulation/ports.py
@@ -1,8 +1,8 @@
 """A daemon's ports on the simulated network."""
 
 import asyncio
-from collections.abc import AsyncIterator, Callable
-from typing import TYPE_CHECKING
+from collections.abc import AsyncIterator, Awaitable, Callable
+from typing import TYPE_CHECKING, TypeVar
 
 from larkpost.engines.port import (
     EngineBrokenError,
@@ -34,7 +34,9 @@
 from larkpost.wire.peer import PeerError, PeerMethod
 
 if TYPE_CHECKING:
-    from larkpost.rehearsal.simulation.world import World
+    from larkpost.rehearsal.simulation.world import EngineNode, World
+
+Result = TypeVar("Result")
 
 
 class SimulatedClock:
@@ -149,20 +151,26 @@
         except StaleOrderError as error:
             raise StaleTokenError("the engine has a higher token", error.args[0]) from error
 
-    def _engine(self, address: Address):
+    def _engine(self, address: Address) -> "EngineNode":
         engine = self._world.engine_at(address)
         if engine is None:
             raise EngineNotSentError("connection refused")
         return engine
 
-    async def _call(self, target: Host, handle, timeout: float):
+    async def _call(
+        self, target: Host, handle: Callable[[], Awaitable[Result]], timeout: float
+    ) -> Result:
         try:
             return await self._world.network.call(self._host, target, handle, timeout)
         except HostUnreachableError as error:
             raise EngineBrokenError(str(error)) from error
 
     async def _stream(
-        self, target: Host, start, chunk_timeout: float, may_send: Callable[[], bool]
+        self,
+        target: Host,
+        start: Callable[[], AsyncIterator[EngineChunk]],
+        chunk_timeout: float,
+        may_send: Callable[[], bool],
     ) -> AsyncIterator[EngineChunk]:
         stream = self._world.network.stream(self._host, target, start, chunk_timeout, may_send)
         try:
@@ -212,7 +220,7 @@
     async def entries(self, zone: ZoneId | None, timeout: float) -> list[MachineEntry]:
         return await self._call(lambda: self._model.machines(zone), timeout)
 
-    async def _call(self, handle, timeout: float):
+    async def _call(self, handle: Callable[[], Awaitable[Result]], timeout: float) -> Result:
         try:
             return await self._world.network.call(
                 self._host, self._world.platform_host, handle, timeout
--- a/src/larkpost/server.py
+++ b/src/larkpost/server.py
@@ -12,6 +12,7 @@
 from larkpost.clock import LoopClock
 from larkpost.daemon import Daemon, Ports
 from larkpost.engines.http_adapter import HttpEnginePort, close_session
+from larkpost.errors import SettingsError
 from larkpost.http_server import HttpServer
 from larkpost.platform.http_adapter import HttpPlatform
 from larkpost.settings import Settings
@@ -38,15 +39,33 @@
     source.telemetry = daemon.telemetry
     server = HttpServer(make_app(daemon), settings.listen)
     stop = _stop_signal()
-    await server.start()
-    await transport.listen(settings.listen, daemon.gossip.receive)
-    daemon.start()
-    await stop.wait()
-    await daemon.drain()
-    await server.close()
-    daemon.stop()
-    transport.close()
-    await close_session(session)
+    try:
+        await _listen(server, transport, daemon)
+        daemon.start()
+        await stop.wait()
+        await daemon.drain()
+        await server.close()
+        daemon.stop()
+    finally:
+        transport.close()
+        await close_session(session)
+
+
+async def _listen(server: HttpServer, transport: HttpPeerTransport, daemon: Daemon) -> None:
+    """Opens the HTTP and the UDP port.
+
+    Raises:
+        SettingsError: one of them cannot be bound.
+    """
+    address = daemon.settings.listen
+    try:
+        await server.start()
+        await transport.listen(address, daemon.gossip.receive)
+    except OSError as error:
+        raise SettingsError(
+            f"listen: {address} cannot be bound for HTTP and UDP: {error}",
+            remedy="Choose an address of this machine whose port is free for TCP and UDP.",
+        ) from None
 
 
 def _stop_signal() -> asyncio.Event:
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -205,6 +205,7 @@
 
 
 FUZZ = "tests.test_fuzz"
+INVARIANT = "configuration_never_reverts"
 OTHER_TESTS = {
     # The fuzz judges ownership once every stop has ended, so a long drain has a test of its own.
     "keep_engines_while_draining": "tests.test_regressions.OwnershipTest",
@@ -217,9 +218,15 @@
     with MUTANTS[name]():
         result = unittest.TextTestRunner(stream=io.StringIO()).run(suite)
     problems = [text for _test, text in [*result.failures, *result.errors]]
-    lines = [line for text in problems for line in text.splitlines() if "AssertionError" in line]
-    print(lines[-1][:200] if lines else "nothing found" if not problems else problems[0][-200:])
-    return 0 if lines else 1
+    lines = [line for text in problems for line in text.splitlines()]
+    found = [line for line in lines if "AssertionError" in line]
+    steps = [line.removeprefix("state.") for line in lines if line.startswith("state.")]
+    steps = [step for step in steps if not step.startswith(INVARIANT)]
+    if not found:
+        print("nothing found" if not problems else problems[0][-200:])
+        return 1
+    print(f"{found[-1][:160]} | {len(steps)} steps, the last: {'; '.join(steps[-5:-1])}"[:420])
+    return 0
 
 
 def _run_process(name: str) -> tuple[str, bool, str, float]:
