Owners of other zones are computed when asked for; joining reads two tables

Cause: 372 hollow daemons started at once on one machine did not become ready in 120 s: at 45 s one daemon held 224 alive, 121 dead. A profile gave 56 % to owners of all five zones. Change: owners are kept for the daemon's own zone only; two answers end a join; the time to refute a suspicion grows with the logarithm of the fleet.

--- a/src/larkpost/controllers/membership.py
+++ b/src/larkpost/controllers/membership.py
@@ -28,6 +28,8 @@
 REVIVE_EVERY_PROBES = 5
 """Every so many probes one goes to a dead daemon or a configured peer, to heal a partition."""
 JOIN_TIMEOUT = 1.0
+JOIN_ANSWERS = 2
+"""Tables to read on joining; probes and exchanges bring what two peers do not know."""
 SYNC_INTERVAL = 30.0
 """Seconds between exchanges of the whole table with one random daemon."""
 
@@ -76,13 +78,17 @@
         self._tasks.every(SYNC_INTERVAL, self._synchronise, "membership-sync")
 
     async def join(self) -> bool:
-        """Asks the configured peers for the member table.
+        """Asks configured peers, in random order, for the member table until enough answered.
 
         Returns:
             Whether one answered; with no peers configured, True.
         """
-        answers = [await self._exchange_with(peer) for peer in self._peers]
-        return any(answers) or not self._peers
+        answers = 0
+        for peer in self._rng.sample(self._peers, len(self._peers)):
+            answers += await self._exchange_with(peer)
+            if answers >= JOIN_ANSWERS:
+                break
+        return answers > 0 or not self._peers
 
     def announce_leaving(self) -> None:
         """Announces a planned stop: this daemon still answers and takes on nothing new."""
@@ -181,7 +187,9 @@
         return [member.to_message() for member in members if member is not None]
 
     async def _confirm_death(self, suspect: MemberInfo) -> None:
-        await self._clock.sleep(self._settings.suspicion_time)
+        # News and refutations need more hops in a larger fleet.
+        growth = max(math.log10(len(self._table)), 1.0)
+        await self._clock.sleep(self._settings.suspicion_time * growth)
         known = self._table.get(suspect.id)
         if known is not None and _same_belief(known, suspect):
             self._change_state(known, MemberState.DEAD)
--- a/src/larkpost/controllers/monitor.py
+++ b/src/larkpost/controllers/monitor.py
@@ -7,6 +7,7 @@
 
 import asyncio
 from dataclasses import replace
+from heapq import nlargest
 
 from larkpost.blackboard.board import Blackboard
 from larkpost.blackboard.engines import EngineInfo, EngineLoad
@@ -47,6 +48,7 @@
         self._settings = settings
         self._subscribers: dict[tuple[DaemonId, PoolId], float] = {}
         self._watched: dict[PoolId, list[EngineId]] = {}
+        self._remote: dict[PoolId, tuple[tuple[int, int, int], list[EngineId]]] = {}
         self._watched_at: tuple[int, int, int] = (-1, -1, -1)
         gossip.handle("subscribe", self._on_subscribe)
         gossip.handle("load", self._on_load)
@@ -151,7 +153,17 @@
         remote = [engine for engine in engines if directory[engine].zone != own.zone]
         local = self._of_best_owners(local, self._settings.watched_per_pool)
         missing = self._settings.watched_per_pool - len(local)
-        return local + self._of_best_owners(remote, max(missing, self._settings.watched_remote))
+        count = max(missing, self._settings.watched_remote)
+        return local + self._best_remote(pool, remote, count)
+
+    def _best_remote(self, pool: PoolId, engines: list[EngineId], count: int) -> list[EngineId]:
+        """Returns engines of other zones; kept until the directory changes, as they are many."""
+        key = (self._board.configuration.epoch, self._board.engines.revision, count)
+        if self._remote.get(pool, (None, []))[0] != key:
+            own = self._board.members.own.id
+            best = nlargest(count, engines, key=lambda engine: score(own, engine))
+            self._remote[pool] = (key, best)
+        return self._remote[pool][1]
 
     def _of_best_owners(self, engines: list[EngineId], count: int) -> list[EngineId]:
         """Returns the engines of the first owners that have at least ``count`` together."""
--- a/src/larkpost/controllers/owner_map.py
+++ b/src/larkpost/controllers/owner_map.py
@@ -3,7 +3,8 @@
 The owner is the daemon of the engine's zone with the highest rendezvous score; a zone without
 daemons falls to the others. A full computation is engines times daemons, tens of milliseconds at
 3,200 engines. A joining daemon only has to be compared with each engine's present owner, and a
-leaving one only leaves its own engines to be assigned again.
+leaving one only leaves its own engines to be assigned again. Only the daemon's own zone and zones
+without daemons are kept so; the owner of an engine elsewhere is computed when it is asked for.
 """
 
 from collections.abc import Iterable
@@ -34,7 +35,10 @@
     def owner_of(self, engine: EngineId) -> DaemonId | None:
         """Returns the daemon to which the engine falls, or None."""
         self._refresh()
-        return self._owners.get(engine)
+        info = self._board.engines.directory.get(engine)
+        if info is None or info.zone in self._candidates:
+            return self._owners.get(engine)
+        return _best((m.id for m in self._board.members.eligible(info.zone)), engine)
 
     def engines_of(self, daemon: DaemonId) -> list[EngineInfo]:
         """Returns the engines that fall to a daemon."""
@@ -51,9 +55,14 @@
         self._seen = seen
         eligible = self._board.members.eligible()
         everyone = {member.id for member in eligible}
+        served = {member.zone for member in eligible}
+        own_zone = self._board.members.own.zone
         for zone, engines in self._engines.items():
-            own = {member.id for member in eligible if member.zone == zone}
-            self._update_zone(zone, engines, own or everyone)
+            if zone in served and zone != own_zone:
+                self._forget_zone(zone, engines)
+            else:
+                own = {member.id for member in eligible if member.zone == zone}
+                self._update_zone(zone, engines, own or everyone)
 
     def _index_engines(self) -> None:
         """Groups the directory by zone; engines that moved or are new have no owner yet."""
@@ -80,6 +89,13 @@
             elif added:
                 self._assign(info.id, _best({owner, *added}, info.id))
 
+    def _forget_zone(self, zone: ZoneId, engines: list[EngineInfo]) -> None:
+        """Drops the owners of a zone that has daemons of its own again."""
+        if self._candidates.pop(zone, None) is not None:
+            self.revision += 1
+            for info in engines:
+                self._owners.pop(info.id, None)
+
     def _assign(self, engine: EngineId, owner: DaemonId | None) -> None:
         if owner is None:
             self._owners.pop(engine, None)
--- a/src/larkpost/daemon.py
+++ b/src/larkpost/daemon.py
@@ -256,8 +256,9 @@
         """Joins the fleet and waits until the configuration in force is known."""
         self.telemetry.change("daemon", Phase.JOINING)
         interval = JOIN_INTERVAL
+        joined = False
         while self.board.phase == Phase.JOINING:
-            joined = await self.membership.join()
+            joined = joined or await self.membership.join()
             if await self.configuration.read() or (
                 joined and await self.configuration.learn_from_zone()
             ):
--- a/src/larkpost/settings.py
+++ b/src/larkpost/settings.py
@@ -41,7 +41,10 @@
     )
     indirect_probes: int = Field(default=3, ge=0, description="Helpers asked to probe.")
     suspicion_time: float = Field(
-        default=3.0, gt=0, description="Seconds a suspect has to refute before it is held dead."
+        default=3.0,
+        gt=0,
+        description="Seconds a suspect has to refute before it is held dead, in a fleet of ten; "
+        "grows with the logarithm of the fleet's size.",
     )
     forget_time: float = Field(
         default=900.0, gt=0, description="Seconds after which a dead daemon is no longer probed."
