Mutants must be caught by the check they break; directed tests for three

Cause: in a run of all fourteen mutants, four were 'caught' by an unrelated failure: the simulated engine ended while late answers were still being sent (check_stops: language-0:2 at 36.91: 5), a fault of the stand-in, not of larkpost. Change: a stopping engine ends once its answers are sent. A mutant counts as caught only by its own check. Sixty examples of the fuzz do not catch ignored leaving marks, lower epochs and unverified configurations, so these have tests of their own, which fail under the mutants.

--- a/src/larkpost/rehearsal/experiment/report.py
+++ b/src/larkpost/rehearsal/experiment/report.py
@@ -23,7 +23,7 @@
 )
 from larkpost.rehearsal.experiment.scenario import Scenario
 
-PARALLEL = 4
+PARALLEL = 3
 CLIENTS_ONLY = "clients only"
 MEASURES = tuple(name for name in RunResult.__dataclass_fields__ if name not in ("policy", "seed"))
 
--- a/src/larkpost/rehearsal/simulation/world.py
+++ b/src/larkpost/rehearsal/simulation/world.py
@@ -241,10 +241,13 @@
         self.engines[engine].model.faults.frozen_until = self.now + seconds
 
     async def stop_engine(self, engine: EngineId) -> None:
-        """Stops an engine as planned: it reports that it leaves and ends once idle."""
+        """Stops an engine as planned: it reports that it leaves and ends once idle.
+
+        Idle means that nothing is generated and every answer is sent, late as a fault may make it.
+        """
         node = self.engines[engine]
         self.mark_leaving(engine, LeavingSource.ENGINE)
-        while node.model.busy:
+        while node.model.busy or (node.host.calls and node.host.alive):
             await asyncio.sleep(STOP_POLL)
         node.host.refusing = True
         await self._flush(node.host)
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -209,7 +209,24 @@
 OTHER_TESTS = {
     # The fuzz judges ownership once every stop has ended, so a long drain has a test of its own.
     "keep_engines_while_draining": "tests.test_regressions.OwnershipTest",
+    # Sixty examples of the fuzz were seen not to catch these, so they have tests of their own.
+    "ignore_leaving": "tests.test_regressions.LeavingTest",
+    "accept_lower_epochs": "tests.test_regressions.EpochTest",
+    "act_on_unverified_configuration": "tests.test_regressions.ConfigurationTest",
 }
+EXPECTED_CHECKS = {
+    "trust_first_version": ("check_versions", "check_answers"),
+    "check_staleness_when_made": ("check_staleness",),
+    "ignore_held_slots": ("check_once",),
+    "accept_any_attempt": ("check_versions", "check_answers"),
+    "close_broken_streams_as_whole": ("check_versions", "check_answers"),
+    "always_say_not_run": ("check_not_run",),
+    "resend_after_reset": ("check_run_once",),
+    "grant_every_key": ("check_run_once",),
+    "stop_without_waiting": ("check_stops",),
+    "forget_applied_plans": ("check_configuration",),
+}
+"""Checks of the oracle that must fail: a failure of another one proves nothing about the mutant."""
 
 
 def run_one(name: str) -> int:
@@ -219,7 +236,8 @@
         result = unittest.TextTestRunner(stream=io.StringIO()).run(suite)
     problems = [text for _test, text in [*result.failures, *result.errors]]
     lines = [line for text in problems for line in text.splitlines()]
-    found = [line for line in lines if "AssertionError" in line]
+    checks = EXPECTED_CHECKS.get(name, ("AssertionError",))
+    found = [line for line in lines if any(check in line for check in checks)]
     steps = [line.removeprefix("state.") for line in lines if line.startswith("state.")]
     steps = [step for step in steps if not step.startswith(INVARIANT)]
     if not found:
--- a/tests/test_regressions.py
+++ b/tests/test_regressions.py
@@ -4,10 +4,11 @@
 import unittest
 
 from larkpost.blackboard.engines import EngineLoad
+from larkpost.blackboard.facts import CONFIGURATION_KEY
 from larkpost.engines.port import EngineReport
 from larkpost.errors import LarkpostError
 from larkpost.ids import DaemonId, EngineId
-from larkpost.rehearsal.simulation.records import Told
+from larkpost.rehearsal.simulation.records import LeavingSource, Told
 from tests.fleet import INTENT, MACHINES, ZONES, SimulatedFleet
 
 LANGUAGE_ENGINE = MACHINES[0].engine
@@ -207,3 +208,37 @@
             await asyncio.wait_for(host.gate(), 1.0)
 
         self.fleet.run(pass_gate())
+
+
+class LeavingTest(FleetTestCase):
+    def check_no_new_work(self, leave) -> None:
+        """Keeps asking while an engine leaves; the oracle judges after the stated times."""
+        clients = self.fleet.clients["assistant"]
+        leave()
+        for number in range(60):
+            self.fleet.spawn(clients.ask(self.names[number % 5], ZONES[number % 3]))
+            self.fleet.advance(0.25)
+        self.assertGreater(len(self.world.records.work), 50)
+        self.assertEqual(self.fleet.act(self.fleet.oracle.check_leaving), [])
+
+    def test_engine_that_says_it_leaves_gets_no_new_work(self):
+        mark = self.world.mark_leaving
+        self.check_no_new_work(lambda: self.fleet.act(mark, LANGUAGE_ENGINE, LeavingSource.ENGINE))
+
+    def test_engine_that_the_list_marks_as_leaving_gets_no_new_work(self):
+        mark = self.world.mark_leaving
+        self.check_no_new_work(lambda: self.fleet.act(mark, LANGUAGE_ENGINE, LeavingSource.LIST))
+
+    def test_engine_that_an_operator_drains_gets_no_new_work(self):
+        drain = self.fleet.operators.drain_engine
+        self.check_no_new_work(lambda: self.fleet.run(drain(self.names[4], LANGUAGE_ENGINE)))
+
+
+class EpochTest(FleetTestCase):
+    def test_older_configuration_that_arrives_late_changes_nothing(self):
+        daemon = self.daemon(0)
+        older = daemon.board.facts.get(CONFIGURATION_KEY)
+        plan = self.fleet.operators.plan(self.names[0], INTENT)
+        confirmed = self.fleet.run(self.fleet.operators.confirm(self.names[0], plan))
+        self.fleet.act(daemon.dissemination.publish, older)
+        self.assertEqual(daemon.board.configuration.epoch, confirmed.epoch)
