Dead code goes; an engine's pool is looked up, not searched

Cause: reading the whole change again. Ten times a second the weight controller built the assignment of all engines for each engine it owns, and every summary searched the pool's list of engines once per owned engine and subscriber. Change: the blackboard keeps the pool of each engine beside the engines of each pool, renewed together. Unused: two methods, one field, one attribute, two constants.

--- a/src/larkpost/batches/ledger.py
+++ b/src/larkpost/batches/ledger.py
@@ -120,11 +120,6 @@
         """Returns the slots with an attempt under way."""
         return [i for i, slot in enumerate(self._slots) if slot.state == SlotState.RUNNING]
 
-    def unfinished(self) -> int:
-        """Returns how many slots are pending or running."""
-        open_states = (SlotState.PENDING, SlotState.RUNNING)
-        return sum(slot.state in open_states for slot in self._slots)
-
     def finished(self) -> list[Sample]:
         """Returns the finished samples that the trainer does not hold yet."""
         return [s.sample for s in self._slots if s.state == SlotState.FINISHED and s.sample]
--- a/src/larkpost/blackboard/board.py
+++ b/src/larkpost/blackboard/board.py
@@ -45,28 +45,34 @@
     owned: dict[EngineId, int] = field(default_factory=dict)
     """Engines this daemon owns, with the fencing token it holds."""
     phase: Phase = Phase.JOINING
-    _pool_cache: dict[PoolId, list[EngineId]] = field(default_factory=dict)
-    _pool_cache_key: tuple[int, int] = (-1, -1)
+    _pool_engines: dict[PoolId, list[EngineId]] = field(default_factory=dict)
+    _engine_pools: dict[EngineId, PoolId] = field(default_factory=dict)
+    _pools_key: tuple[int, int] = (-1, -1)
 
     def pool_engines(self, pool: PoolId) -> list[EngineId]:
-        """Returns the ids of a pool's engines in a stable order; cached until something changes."""
-        key = (self.configuration.epoch, self.engines.revision)
-        if key != self._pool_cache_key:
-            self._pool_cache = self._build_pools()
-            self._pool_cache_key = key
-        return self._pool_cache.get(pool, [])
+        """Returns the ids of a pool's engines in a stable order."""
+        self._refresh_pools()
+        return self._pool_engines.get(pool, [])
+
+    def engine_pool(self, engine: EngineId) -> PoolId | None:
+        """Returns the engine's pool, or None if the engine is not known."""
+        self._refresh_pools()
+        return self._engine_pools.get(engine)
 
     def pool_intent_of(self, engine: EngineId) -> PoolIntent | None:
         """Returns the intent of the engine's pool, or None if no pool uses it."""
-        info = self.engines.directory.get(engine)
-        if info is None:
-            return None
-        intent = self.configuration.intent
-        return intent.pool(pool_of(info, intent.assigned_pools()))
+        pool = self.engine_pool(engine)
+        return self.configuration.intent.pool(pool) if pool is not None else None
 
-    def _build_pools(self) -> dict[PoolId, list[EngineId]]:
+    def _refresh_pools(self) -> None:
+        """Assigns engines to pools anew when the configuration or the directory has changed."""
+        key = (self.configuration.epoch, self.engines.revision)
+        if key == self._pools_key:
+            return
+        self._pools_key = key
         assigned = self.configuration.intent.assigned_pools()
-        pools: dict[PoolId, list[EngineId]] = {}
-        for info in sorted(self.engines.entries(), key=lambda entry: entry.id):
-            pools.setdefault(pool_of(info, assigned), []).append(info.id)
-        return pools
+        infos = sorted(self.engines.entries(), key=lambda entry: entry.id)
+        self._engine_pools = {info.id: pool_of(info, assigned) for info in infos}
+        self._pool_engines = {}
+        for engine, pool in self._engine_pools.items():
+            self._pool_engines.setdefault(pool, []).append(engine)
--- a/src/larkpost/blackboard/facts.py
+++ b/src/larkpost/blackboard/facts.py
@@ -58,10 +58,6 @@
         """Returns every fact."""
         return self._facts.values()
 
-    def with_prefix(self, prefix: str) -> list[Fact]:
-        """Returns the facts whose key starts with ``prefix``."""
-        return [fact for key, fact in self._facts.items() if key.startswith(prefix)]
-
     def listen(self, prefix: str, listener: FactListener) -> None:
         """Calls ``listener`` on each newer fact whose key starts with ``prefix``."""
         self._listeners.append((prefix, listener))
--- a/src/larkpost/controllers/monitor.py
+++ b/src/larkpost/controllers/monitor.py
@@ -115,7 +115,7 @@
         """Tells the subscribers at once what has changed at an engine."""
         load = _load_message(self._board.engines.loads[engine], self._clock.now())
         for daemon, pool in self._subscribers:
-            if engine in self._board.pool_engines(pool):
+            if self._board.engine_pool(engine) == pool:
                 self._send_loads(daemon, [load])
 
     def _send_loads(self, daemon: DaemonId, loads: list[pb.EngineLoad]) -> None:
@@ -186,7 +186,7 @@
             load = self._board.engines.loads.get(engine)
             if load is None or now - load.at > self._settings.report_lifetime:
                 continue
-            if engine in self._board.pool_engines(pool):
+            if self._board.engine_pool(engine) == pool:
                 loads.append(_load_message(load, now))
         return loads
 
--- a/src/larkpost/engines/port.py
+++ b/src/larkpost/engines/port.py
@@ -1,7 +1,7 @@
 """The engine port: what a daemon needs of a model engine, whatever its protocol."""
 
 from collections.abc import AsyncIterator, Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from enum import StrEnum
 from typing import Protocol
 
@@ -111,7 +111,6 @@
     policy: PolicyId | None = None
     version: int = 0
     name: str = ""
-    extra: dict[str, str] = field(default_factory=dict)
 
 
 class EnginePort(Protocol):
--- a/src/larkpost/rehearsal/engine_model.py
+++ b/src/larkpost/rehearsal/engine_model.py
@@ -132,7 +132,6 @@
         self.model = ""
         self.role = "both"
         self.cache = PrefixCache(shape.cache_blocks)
-        self.cancelled_by_caller = 0
         self._fetch_weights = fetch_weights
         self._on_record = on_record
         self._attempts: dict[AttemptId, _Sequence] = {}
--- a/src/larkpost/rehearsal/simulation/callers.py
+++ b/src/larkpost/rehearsal/simulation/callers.py
@@ -20,7 +20,6 @@
 PULL_TIMEOUT = 10.0
 CALL_TIMEOUT = 3.0
 CLIENT_ITEM_TIMEOUT = 30.0
-ANNOUNCE_RETRY = 0.5
 
 
 class SimulatedBatchEndpoint:
--- a/src/larkpost/rehearsal/simulation/oracle.py
+++ b/src/larkpost/rehearsal/simulation/oracle.py
@@ -18,8 +18,6 @@
     LeavingSource.LIST: 8.0,
 }
 """Seconds after which a leaving engine gets no new work, by who said that it leaves."""
-IN_FORCE_SECONDS = 8.0
-"""Seconds after a confirmation within which the epoch is in force in every zone that is up."""
 
 
 class Oracle:
