A configuration is verified as of when it was asked, not when the answer was read

A daemon paused between asking the table service and reading the answer woke up, took the old answer and counted its configuration as verified now. The check with a zone peer already used the time of asking; the other three places did not. Change: the shared method takes that time, so no caller can forget it.

--- a/src/larkpost/controllers/configuration.py
+++ b/src/larkpost/controllers/configuration.py
@@ -95,7 +95,7 @@
         Returns:
             Whether the table service answered.
         """
-        self._last_read = self._clock.now()
+        asked_at = self._last_read = self._clock.now()
         try:
             row = await self._table.read(CONFIGURATION_KEY, self._settings.platform_timeout)
         except PlatformError:
@@ -104,7 +104,7 @@
             return False
         self._telemetry.change("platform.table", "reachable")
         self._take(row)
-        self._readiness.note_verified()
+        self._readiness.note_verified(asked_at)
         return True
 
     async def learn_from_zone(self) -> bool:
@@ -116,6 +116,7 @@
         Returns:
             Whether the highest epoch of a quorum is now in force here.
         """
+        asked_at = self._clock.now()
         own = self._board.members.own
         others = [m for m in self._readiness.known_members(own.zone) if m.id != own.id]
         answers = await asyncio.gather(*(self._readiness.ask_state(m) for m in others))
@@ -131,7 +132,7 @@
             await self._dissemination.fetch_from(member.address)
         if self._board.configuration.epoch < highest.epoch:
             return False
-        self._readiness.note_verified()
+        self._readiness.note_verified(asked_at)
         return True
 
     async def confirm(self, plan: Plan) -> Confirmation:
--- a/src/larkpost/controllers/readiness.py
+++ b/src/larkpost/controllers/readiness.py
@@ -70,9 +70,13 @@
                 retry_after=RETRY_AFTER_NOT_READY,
             )
 
-    def note_verified(self) -> None:
-        """Notes that the table service or the zone has just confirmed the epoch."""
-        self._verified_at = self._clock.now()
+    def note_verified(self, asked_at: float) -> None:
+        """Notes that the table service or the zone confirmed the epoch.
+
+        Args:
+            asked_at: when it was asked; the answer may have waited for this daemon to wake up.
+        """
+        self._verified_at = max(self._verified_at, asked_at)
 
     def is_current(self) -> bool:
         """Whether the configuration was verified within its validity time."""
@@ -92,7 +96,7 @@
             return
         peers = [member for member in alive if member.id != self._board.members.own.id]
         if not peers:
-            self.note_verified()
+            self.note_verified(self._clock.now())
             return
         await self._verify_with(self._rng.choice(peers))
 
@@ -138,7 +142,7 @@
         if state.epoch > self._board.configuration.epoch:
             await self._dissemination.fetch_from(peer.address)
         if self._board.configuration.epoch >= state.epoch:
-            self._verified_at = max(self._verified_at, asked_at)
+            self.note_verified(asked_at)
 
     def _is_alone_in_zone(self) -> bool:
         """Whether no other daemon of the zone is known; computed once per state of the members."""
--- a/tests/test_regressions.py
+++ b/tests/test_regressions.py
@@ -42,6 +42,16 @@
         self.fleet.advance(10.0)
         self.assertTrue(self.fleet.act(lambda: self.daemon(0).readiness.admits))
 
+    def test_answer_that_waited_through_a_pause_verifies_nothing(self):
+        daemon = self.daemon(0)
+        self.fleet.act(self.world.set_platform_slow, 0.5)
+        reading = self.fleet.spawn(daemon.configuration.read())
+        self.fleet.advance(0.1)
+        self.fleet.act(self.world.freeze_daemon, self.names[0], 60.0)
+        self.fleet.run(asyncio.wait({reading}))
+        self.assertTrue(reading.result())
+        self.assertFalse(self.fleet.act(lambda: daemon.readiness.is_current()))
+
     def test_zone_is_not_reported_in_force_while_a_silent_daemon_may_still_act(self):
         self.fleet.act(self.world.freeze_daemon, self.names[0], 200.0)
         confirmed = self.confirm(2)
