--- a/src/larkpost/controllers/configuration.py
+++ b/src/larkpost/controllers/configuration.py
@@ -21,8 +21,8 @@
 from larkpost.controllers.readiness import Readiness
 from larkpost.errors import OutdatedPlanError, PlatformError
 from larkpost.ids import DaemonId, PlanId, ZoneId
-from larkpost.platform.ports import Row, TableStore
 from larkpost.settings import ConfigurationSettings
+from larkpost.table_service.ports import Row, TableStore
 from larkpost.telemetry import Telemetry
 
 HISTORY_LENGTH = 64
--- a/src/larkpost/controllers/directory.py
+++ b/src/larkpost/controllers/directory.py
@@ -14,8 +14,8 @@
 from larkpost.controllers.facts import Dissemination
 from larkpost.errors import InvalidRequestError, PlatformError
 from larkpost.ids import Address, EngineId, PolicyId, PoolId, ZoneId
-from larkpost.platform.ports import MachineEntry, MachineList
 from larkpost.settings import ConfigurationSettings
+from larkpost.table_service.ports import MachineEntry, MachineList
 from larkpost.telemetry import Telemetry
 
 WHOLE_LIST_POLLS = 15
--- a/src/larkpost/daemon.py
+++ b/src/larkpost/daemon.py
@@ -26,13 +26,13 @@
 from larkpost.controllers.readiness import Readiness
 from larkpost.controllers.weights import WeightController
 from larkpost.engines.port import EnginePort
-from larkpost.platform.ports import MachineList, TableStore
 from larkpost.routing.dispatcher import Dispatcher
 from larkpost.routing.inference import InferenceService
 from larkpost.routing.retry import RetryBudgets
 from larkpost.routing.run_once import RunOnceRegistry
 from larkpost.routing.selection import Selector
 from larkpost.settings import Settings
+from larkpost.table_service.ports import MachineList, TableStore
 from larkpost.tasks import TaskSet
 from larkpost.telemetry import Telemetry
 from larkpost.wire.peer import PeerHandler, PeerMethod, PeerTransport
--- /dev/null
+++ b/src/larkpost/eventlog.py
@@ -0,0 +1,121 @@
+"""The structured log: a line of JSON on standard output for each decision.
+
+It is bounded and never blocks.
+
+Each event has a budget of lines a second; what is over it is counted and told once a second. A
+reader that stops reading makes lines be dropped and counted; it never holds the process up.
+"""
+
+import os
+import time
+from enum import StrEnum
+from typing import Any
+
+import eliot
+import orjson
+
+STANDARD_OUTPUT = 1
+LINES_PER_SECOND = 40
+MAX_PENDING_BYTES = 262144
+
+
+class Event(StrEnum):
+    """All events of the log; docs/LOGS.md describes each with its fields."""
+
+    START = "start"
+    STOP = "stop"
+    STOPPING = "stopping"
+    SETTINGS = "settings"
+    CONFIGURATION = "configuration"
+    READY = "ready"
+    INSTANCE = "instance"
+    WEIGHT_TARGET = "weight_target"
+    STORE = "store"
+    UNREADABLE = "unreadable"
+    LEASE_LAPSED = "lease_lapsed"
+    ORDER = "order"
+    ATTEMPT_FAILED = "attempt_failed"
+    REQUEST_FAILED = "request_failed"
+    BATCH_ACCEPTED = "batch_accepted"
+    BATCH_REFUSED = "batch_refused"
+    BATCH_OWNED = "batch_owned"
+    BATCH_RELEASED = "batch_released"
+    BATCH_COMPLETE = "batch_complete"
+    BATCH_ENDED = "batch_ended"
+    ITEM_FAILED = "item_failed"
+    ITEM_MOVED = "item_moved"
+    ITEM_DEAD = "item_dead"
+    APPEND_FAILED = "append_failed"
+    READ_FAILED = "read_failed"
+    LOOP_LATE = "loop_late"
+    LEFT_OUT = "left_out"
+    FAULT = "fault"
+
+
+class LineWriter:
+    """Writes lines to a file descriptor without ever waiting for its reader."""
+
+    def __init__(self, descriptor: int = STANDARD_OUTPUT) -> None:
+        self._descriptor = descriptor
+        self._pending = bytearray()
+        self.dropped = 0
+        os.set_blocking(descriptor, False)
+
+    def write(self, line: bytes) -> None:
+        """Writes a line, or drops it if too much waits already."""
+        if len(self._pending) > MAX_PENDING_BYTES:
+            self.dropped += 1
+            self._flush()
+            return
+        self._pending += line
+        self._flush()
+
+    def _flush(self) -> None:
+        try:
+            written = os.write(self._descriptor, self._pending)
+        except (BlockingIOError, BrokenPipeError):
+            return
+        except OSError:
+            self.dropped += 1
+            self._pending.clear()
+            return
+        del self._pending[:written]
+
+
+class EventLog:
+    """Notes events of one daemon."""
+
+    def __init__(self, daemon: str, writer: LineWriter | None = None) -> None:
+        self._daemon = daemon
+        self._writer = writer
+        self._second = 0
+        self._lines: dict[Event, int] = {}
+        self._left_out: dict[Event, int] = {}
+        if writer is not None:
+            eliot.add_destinations(self._write)
+
+    def note(self, event: Event, **fields: Any) -> None:
+        """Notes an event, unless its budget for this second is used up."""
+        if self._writer is None:
+            return
+        second = int(time.monotonic())
+        if second != self._second:
+            self._begin_second(second)
+        lines = self._lines.get(event, 0)
+        if lines >= LINES_PER_SECOND:
+            self._left_out[event] = self._left_out.get(event, 0) + 1
+            return
+        self._lines[event] = lines + 1
+        eliot.log_message(event.value, daemon=self._daemon, **fields)
+
+    def _begin_second(self, second: int) -> None:
+        self._second = second
+        self._lines.clear()
+        left_out, self._left_out = self._left_out, {}
+        if left_out:
+            counts = {event.value: count for event, count in left_out.items()}
+            eliot.log_message(Event.LEFT_OUT.value, daemon=self._daemon, counts=counts)
+
+    def _write(self, message: dict[str, Any]) -> None:
+        line = orjson.dumps(message, default=str, option=orjson.OPT_APPEND_NEWLINE)
+        self._writer.write(line)
--- /dev/null
+++ b/src/larkpost/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""What a daemon knows of the fleet: configuration, instances, other daemons, weight versions."""
--- /dev/null
+++ b/src/larkpost/fleet/configuration.py
@@ -0,0 +1,134 @@
+"""The configuration in force: routes, services and limits, replaced only by a newer version."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from enum import StrEnum
+from functools import cached_property
+from typing import NewType
+
+ServiceName = NewType("ServiceName", str)
+ModelName = NewType("ModelName", str)
+
+
+class RouteKind(StrEnum):
+    """What may be done with a request of a route."""
+
+    IDEMPOTENT = "idempotent"  # may run more than once
+    RUN_ONCE = "run_once"  # at most once for each attempt of the client
+    STREAM = "stream"  # answered by events; run once unless resumable
+    BATCH = "batch"  # accepted as a durable batch of rollouts
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceShare:
+    """A part of a route's requests that goes to one service."""
+
+    service: ServiceName
+    weight: float
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """How requests of one host and path prefix are served.
+
+    Attributes:
+        path_prefix: begins the raw path of the route's requests; ends with a slash.
+        time_limit: seconds a request may be held, from its receipt.
+        objective: seconds within which an answer is worth most.
+        max_attempts: servers that one request may be sent to; runs of a batch item that may fail.
+        resumable: whether a stream may go on at another server from its last event.
+        due: seconds from a batch's first sending until all its results are due.
+        queue_lifetime: seconds after which an item of a batch may be given up.
+        single_version: whether a result must be made under one weight version.
+    """
+
+    name: str
+    host: str
+    path_prefix: bytes
+    kind: RouteKind
+    shares: tuple[ServiceShare, ...]
+    time_limit: float
+    objective: float
+    priority: int = 0
+    max_attempts: int = 1
+    resumable: bool = False
+    due: float = 0.0
+    queue_lifetime: float = 0.0
+    single_version: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Service:
+    """A group of servers that do the same.
+
+    Attributes:
+        max_connections: connections one server takes from all callers together.
+        slots: requests a model engine runs at once; 0 if the servers are no engines.
+        models: the models that the engines hold; empty if the servers are no engines.
+        tokens_per_event: tokens that one event of a stream holds at most.
+    """
+
+    name: ServiceName
+    max_connections: int
+    slots: int = 0
+    models: tuple[ModelName, ...] = ()
+    tokens_per_event: int = 1
+
+
+@dataclass(frozen=True, slots=True)
+class RequestLimits:
+    """What a client may send and how long it may take.
+
+    Attributes:
+        header_time: seconds from the first byte of a request to the end of its headers.
+        idle_time: seconds a connection may rest between two requests.
+    """
+
+    header_bytes: int = 65536
+    body_bytes: int = 33554432
+    header_time: float = 10.0
+    idle_time: float = 60.0
+
+
+@dataclass(frozen=True)
+class Configuration:
+    """One version of the whole configuration."""
+
+    version: int
+    routes: tuple[Route, ...]
+    services: Mapping[ServiceName, Service]
+    limits: RequestLimits = field(default_factory=RequestLimits)
+
+    @cached_property
+    def _routes_by_host(self) -> dict[str, list[Route]]:
+        """Routes of each host, the longest prefix first."""
+        by_host: dict[str, list[Route]] = {}
+        for route in self.routes:
+            by_host.setdefault(route.host, []).append(route)
+        for routes in by_host.values():
+            routes.sort(key=lambda route: len(route.path_prefix), reverse=True)
+        return by_host
+
+    def match(self, host: str, path: bytes) -> Route | None:
+        """Returns the route with the longest prefix of a path, or None."""
+        routes = self._routes_by_host.get(host, ())
+        return next((route for route in routes if path.startswith(route.path_prefix)), None)
+
+    def host_route(self, host: str) -> Route | None:
+        """Returns the first batch route of a host."""
+        routes = self._routes_by_host.get(host, ())
+        return next((route for route in routes if route.kind is RouteKind.BATCH), None)
+
+
+class ConfigurationState:
+    """The newest configuration known; it never goes back."""
+
+    def __init__(self) -> None:
+        self.current: Configuration | None = None
+
+    def update(self, configuration: Configuration) -> bool:
+        """Takes a configuration if it is newer, and tells whether it was."""
+        if self.current is not None and configuration.version <= self.current.version:
+            return False
+        self.current = configuration
+        return True
--- /dev/null
+++ b/src/larkpost/fleet/directory.py
@@ -0,0 +1,114 @@
+"""The directory of server instances: who serves which service, where, and in which state."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field, replace
+from enum import StrEnum
+
+from larkpost.fleet.configuration import ModelName, ServiceName
+from larkpost.ids import Address, EngineId, ZoneId
+
+
+class InstanceState(StrEnum):
+    """Whether an instance takes new work.
+
+    READY may become LEAVING or UNLISTED. UNLISTED becomes READY again once its entry is back.
+    LEAVING is final: an instance that comes back has a new id.
+    """
+
+    READY = "ready"
+    UNLISTED = "unlisted"  # its entry went while the store was not sound; it may still serve
+    LEAVING = "leaving"
+
+
+@dataclass(frozen=True, slots=True)
+class InstanceInfo:
+    """A snapshot of one instance's entry.
+
+    Attributes:
+        slots: requests it handles at once.
+        versions: weight version of each model it holds.
+        listed_version: version of the entry in the store.
+    """
+
+    id: EngineId
+    service: ServiceName
+    address: Address
+    zone: ZoneId
+    slots: int
+    state: InstanceState
+    versions: dict[ModelName, int] = field(default_factory=dict)
+    listed_version: int = 0
+
+
+class Directory:
+    """All instances known, by id.
+
+    An entry that goes while the store is sound ends the instance at once. While the store is not
+    sound entries also go for no reason of the instance's, so it is kept as a last resort.
+    """
+
+    def __init__(self) -> None:
+        self._instances: dict[EngineId, InstanceInfo] = {}
+        self._observed: dict[tuple[EngineId, ModelName], int] = {}
+
+    def __len__(self) -> int:
+        return len(self._instances)
+
+    def get(self, instance: EngineId) -> InstanceInfo | None:
+        """Returns an instance, or None if it is unknown."""
+        return self._instances.get(instance)
+
+    def update(self, info: InstanceInfo) -> None:
+        """Takes an entry that is new or has changed."""
+        known = self._instances.get(info.id)
+        if known is not None and known.state is InstanceState.LEAVING:
+            info = replace(info, state=InstanceState.LEAVING)
+        self._instances[info.id] = info
+
+    def remove(self, instance: EngineId, *, sound: bool) -> None:
+        """Takes the news that an entry is gone.
+
+        Args:
+            sound: whether the store has been without fault for long enough to be believed.
+        """
+        known = self._instances.get(instance)
+        if known is None:
+            return
+        if sound or known.state is InstanceState.LEAVING:
+            self.forget(instance)
+        else:
+            self._instances[instance] = replace(known, state=InstanceState.UNLISTED)
+
+    def observe_version(self, instance: EngineId, model: ModelName, version: int) -> None:
+        """Takes a weight version that an instance itself has told; it may be ahead of its entry."""
+        key = (instance, model)
+        self._observed[key] = max(version, self._observed.get(key, 0))
+
+    def version_of(self, instance: EngineId, model: ModelName) -> int:
+        """Returns the newest weight version known of a model at an instance; 0 if none is."""
+        info = self._instances.get(instance)
+        listed = info.versions.get(model, 0) if info is not None else 0
+        return max(listed, self._observed.get((instance, model), 0))
+
+    def forget(self, instance: EngineId) -> None:
+        """Drops an instance that has itself shown to be gone: its address serves another one."""
+        self._instances.pop(instance, None)
+        for key in [key for key in self._observed if key[0] == instance]:
+            del self._observed[key]
+
+    def of_service(self, service: ServiceName) -> list[InstanceInfo]:
+        """Returns the instances that may take new work: the listed ones, else the unlisted."""
+        fitting = [info for info in self._instances.values() if info.service == service]
+        listed = [info for info in fitting if info.state is InstanceState.READY]
+        if listed:
+            return listed
+        return [info for info in fitting if info.state is InstanceState.UNLISTED]
+
+    def takes_work(self, instance: EngineId) -> bool:
+        """Tells whether an instance may be given new work at this moment."""
+        info = self._instances.get(instance)
+        return info is not None and info.state is not InstanceState.LEAVING
+
+    def all(self) -> Iterable[InstanceInfo]:
+        """Returns all instances, in no order."""
+        return self._instances.values()
--- /dev/null
+++ b/src/larkpost/fleet/leases.py
@@ -0,0 +1,97 @@
+"""Leases on engines: the right to give one engine orders, with a fencing token.
+
+A lease is a row in the store. It names its holder and the store's time before which nobody else
+may take it. The row's version is the fencing token. A lease is taken for one order and serves only
+for a moment, measured on the steady clock from before the call that took it; so a holder that was
+paused in between does not use it.
+"""
+
+from dataclasses import dataclass
+
+import orjson
+
+from larkpost.clock import Clock
+from larkpost.ids import DaemonId, EngineId
+from larkpost.store.port import (
+    ABSENT,
+    RowKey,
+    Store,
+    StoreUnavailableError,
+    Transaction,
+    WriteOutcome,
+)
+
+LEASE_TABLE = "leases"
+LEASE_PART = "engines"
+USE_SECONDS = 0.5
+"""How long after the call was sent a lease may be used."""
+SLACK_SECONDS = 0.5
+"""Added for the time an order travels and for the error of the estimated store clock."""
+WRITE_TIMEOUT_SECONDS = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class Lease:
+    """The right to give one order.
+
+    Attributes:
+        token: the fencing token.
+        usable_until: steady time of this process after which the lease must not be used.
+    """
+
+    engine: EngineId
+    token: int
+    usable_until: float
+
+
+@dataclass(frozen=True, slots=True)
+class _LeaseRow:
+    holder: str
+    free_at: float
+    version: int
+
+
+class LeaseTable:
+    """Takes leases for one daemon.
+
+    Args:
+        own: this process's id.
+        exclusive_time: seconds after a holder's last order before another holder may order.
+    """
+
+    def __init__(self, own: DaemonId, store: Store, clock: Clock, exclusive_time: float) -> None:
+        self._own = own
+        self._store = store
+        self._clock = clock
+        self._exclusive_time = exclusive_time
+
+    async def take(self, engine: EngineId) -> Lease | None:
+        """Takes the lease on an engine, or returns None if another holds it or the store fails."""
+        key = RowKey(LEASE_TABLE, LEASE_PART, engine)
+        try:
+            known = await self._read(key)
+        except StoreUnavailableError:
+            return None
+        started = self._clock.now()
+        store_time = self._store.time()
+        if store_time is None or not self._may_take(known, store_time):
+            return None
+        free_at = store_time + USE_SECONDS + self._exclusive_time + SLACK_SECONDS
+        value = orjson.dumps({"holder": self._own, "free_at": free_at})
+        expected = known.version if known is not None else ABSENT
+        change = Transaction(conditions=((key, expected),), puts=((key, value),))
+        result = await self._store.write(change, WRITE_TIMEOUT_SECONDS)
+        if result.outcome is not WriteOutcome.DONE:
+            return None
+        return Lease(engine, result.version, started + USE_SECONDS)
+
+    def _may_take(self, known: _LeaseRow | None, store_time: float) -> bool:
+        return known is None or known.holder == self._own or store_time >= known.free_at
+
+    async def _read(self, key: RowKey) -> _LeaseRow | None:
+        page = await self._store.read(key.table, key.part, key.key, key.key + "\x00")
+        if not page.rows:
+            return None
+        row = page.rows[0]
+        document = orjson.loads(row.value)
+        return _LeaseRow(document["holder"], document["free_at"], row.version)
--- /dev/null
+++ b/src/larkpost/fleet/loader.py
@@ -0,0 +1,138 @@
+"""Gives engines their orders to load weight versions.
+
+Every daemon computes the same loads that are due; the one that rendezvous hashing names for an
+engine takes the lease on it and gives the order. An order names the count of orders that the engine
+must have taken, so one that is carried out late does nothing.
+"""
+
+from larkpost.clock import Clock
+from larkpost.eventlog import Event, EventLog
+from larkpost.fleet.configuration import ConfigurationState, RouteKind, Service
+from larkpost.fleet.directory import Directory, InstanceInfo
+from larkpost.fleet.leases import LeaseTable
+from larkpost.fleet.members import Membership
+from larkpost.fleet.weights import WeightTarget, WeightTargets, due_loads
+from larkpost.ids import EngineId
+from larkpost.proxy.port import OrderOutcome, RunningWork, ServerPort, VersionOrder
+from larkpost.tasks import TaskSet
+
+INTERVAL_SECONDS = 0.1
+REPORT_TIMEOUT_SECONDS = 0.7
+ORDER_TIMEOUT_SECONDS = 0.7
+REPEAT_SECONDS = 2.5
+"""After an order was taken, or may have been, before it is given again."""
+RETRY_SECONDS = 0.4
+
+
+class WeightLoader:
+    """Reconciles the engines' weight versions with the named ones."""
+
+    def __init__(
+        self,
+        configuration: ConfigurationState,
+        directory: Directory,
+        targets: WeightTargets,
+        membership: Membership,
+        leases: LeaseTable,
+        servers: ServerPort,
+        clock: Clock,
+        log: EventLog,
+    ) -> None:
+        self._configuration = configuration
+        self._directory = directory
+        self._targets = targets
+        self._membership = membership
+        self._leases = leases
+        self._servers = servers
+        self._clock = clock
+        self._log = log
+        self._tasks: TaskSet | None = None
+        self._next_try: dict[EngineId, float] = {}
+        self._under_way: set[EngineId] = set()
+
+    def start(self, tasks: TaskSet) -> None:
+        """Starts reconciling."""
+        self._tasks = tasks
+        tasks.every(INTERVAL_SECONDS, self.update, "weights")
+
+    async def update(self) -> None:
+        """Starts the orders that are due and are this daemon's to give."""
+        configuration = self._configuration.current
+        if configuration is None or self._tasks is None:
+            return
+        for service in configuration.services.values():
+            if not service.models:
+                continue
+            for engine, target in due_loads(service, self._directory, self._targets):
+                if self._should_order(engine):
+                    self._under_way.add(engine)
+                    self._tasks.spawn(self._order(service, engine, target), "order")
+
+    def _should_order(self, engine: EngineId) -> bool:
+        if engine in self._under_way:
+            return False
+        if self._clock.now() < self._next_try.get(engine, 0.0):
+            return False
+        return self._membership.first_choice(f"engine\x00{engine}") == self._membership.own
+
+    async def _order(self, service: Service, engine: EngineId, target: WeightTarget) -> None:
+        pause = RETRY_SECONDS
+        try:
+            info = self._directory.get(engine)
+            if info is not None:
+                pause = await self._order_once(service, info, target)
+        finally:
+            self._next_try[engine] = self._clock.now() + pause
+            self._under_way.discard(engine)
+
+    async def _order_once(
+        self, service: Service, engine: InstanceInfo, target: WeightTarget
+    ) -> float:
+        """Gives one order and returns the seconds to wait before the engine is looked at again."""
+        report = await self._servers.report(engine, REPORT_TIMEOUT_SECONDS)
+        if report is None or report.busy:
+            return RETRY_SECONDS
+        for model, version in report.versions.items():
+            self._directory.observe_version(engine.id, model, version)
+        if report.versions.get(target.model, 0) >= target.version:
+            return 0.0
+        lease = await self._leases.take(engine.id)
+        if lease is None:
+            return RETRY_SECONDS
+        if self._clock.now() >= lease.usable_until or not self._directory.takes_work(engine.id):
+            self._log.note(Event.LEASE_LAPSED, engine=engine.id, token=lease.token)
+            return RETRY_SECONDS
+        order = VersionOrder(
+            target.model,
+            target.version,
+            self._membership.own,
+            lease.token,
+            report.orders,
+            self._running_work(service),
+        )
+        outcome = await self._servers.order(engine, order, ORDER_TIMEOUT_SECONDS)
+        self._log.note(
+            Event.ORDER,
+            engine=engine.id,
+            model=target.model,
+            version=target.version,
+            token=lease.token,
+            outcome=outcome,
+        )
+        if outcome in (OrderOutcome.TAKEN, OrderOutcome.UNKNOWN):
+            return REPEAT_SECONDS
+        if outcome is OrderOutcome.HOLDS:
+            self._directory.observe_version(engine.id, target.model, target.version)
+        return RETRY_SECONDS
+
+    def _running_work(self, service: Service) -> RunningWork:
+        """Runs go on under the new version unless a route wants one version in each result."""
+        configuration = self._configuration.current
+        routes = configuration.routes if configuration is not None else ()
+        pure = any(
+            route.single_version
+            for route in routes
+            if route.kind is RouteKind.BATCH
+            and any(share.service == service.name for share in route.shares)
+        )
+        return RunningWork.FINISH if pure else RunningWork.CARRY
--- /dev/null
+++ b/src/larkpost/fleet/members.py
@@ -0,0 +1,124 @@
+"""Which daemons are alive, by heartbeats in the store.
+
+Each daemon rewrites its row at an interval and lists the rows of all. A daemon is held dead once
+its row has not changed for a time during which this daemon's own listings succeeded: a store that
+is down, or a daemon that was frozen, blames nobody.
+"""
+
+from dataclasses import dataclass
+
+import orjson
+
+from larkpost.clock import Clock
+from larkpost.hashing import hash64
+from larkpost.ids import DaemonId
+from larkpost.store.port import (
+    RowKey,
+    Store,
+    StoreUnavailableError,
+    Transaction,
+    read_all,
+)
+from larkpost.tasks import TaskSet
+
+MEMBER_TABLE = "members"
+MEMBER_PART = "all"
+HEARTBEAT_SECONDS = 0.5
+DEAD_AFTER_SECONDS = 1.6
+BLIND_SECONDS = 1.1
+"""A gap between two successful listings after which all observations start afresh."""
+FORGET_AFTER_SECONDS = 60.0
+WRITE_TIMEOUT_SECONDS = 1.0
+
+
+@dataclass(slots=True)
+class _Observation:
+    version: int
+    changed_at: float
+
+
+class Membership:
+    """This daemon's heartbeat and its view of the others.
+
+    Args:
+        own: this process's id, unique to one life of the process.
+    """
+
+    def __init__(self, own: DaemonId, store: Store, clock: Clock) -> None:
+        self.own = own
+        self._store = store
+        self._clock = clock
+        self._leaving = False
+        self._listed_at: float | None = None
+        self._seen: dict[DaemonId, _Observation] = {}
+
+    def start(self, tasks: TaskSet) -> None:
+        """Starts the heartbeat and the listing."""
+        tasks.every(HEARTBEAT_SECONDS, self._beat, "heartbeat")
+        tasks.every(HEARTBEAT_SECONDS, self._list, "members")
+
+    def alive(self) -> list[DaemonId]:
+        """Returns the daemons held alive; this one too, unless it is leaving."""
+        others = [name for name in self._seen if self._is_alive(name) and name != self.own]
+        return others if self._leaving else [self.own, *others]
+
+    def is_alive(self, daemon: DaemonId) -> bool:
+        """Tells whether a daemon is held alive."""
+        if daemon == self.own:
+            return not self._leaving
+        return self._is_alive(daemon)
+
+    def first_choice(self, key: str) -> DaemonId | None:
+        """Returns the daemon that rendezvous hashing names for a key."""
+        return max(self.alive(), key=lambda name: hash64(f"{name}\x00{key}"), default=None)
+
+    async def leave(self) -> None:
+        """Takes this daemon out, so that others take over without waiting."""
+        self._leaving = True
+        await self._store.write(Transaction(removals=(self._row(),)), WRITE_TIMEOUT_SECONDS)
+
+    def _is_alive(self, daemon: DaemonId) -> bool:
+        seen = self._seen.get(daemon)
+        if seen is None or self._listed_at is None:
+            return False
+        return self._listed_at - seen.changed_at < DEAD_AFTER_SECONDS
+
+    def _row(self) -> RowKey:
+        return RowKey(MEMBER_TABLE, MEMBER_PART, self.own)
+
+    async def _beat(self) -> None:
+        if self._leaving:
+            return
+        value = orjson.dumps({"at": self._store.time()})
+        put = Transaction(puts=((self._row(), value),))
+        await self._store.write(put, WRITE_TIMEOUT_SECONDS)
+
+    async def _list(self) -> None:
+        try:
+            page = await read_all(self._store, MEMBER_TABLE, MEMBER_PART)
+        except StoreUnavailableError:
+            return
+        now = self._clock.now()
+        blind = self._listed_at is None or now - self._listed_at > BLIND_SECONDS
+        self._listed_at = now
+        listed = {DaemonId(row.key.key): row.version for row in page.rows}
+        for name, version in listed.items():
+            seen = self._seen.get(name)
+            if seen is None or seen.version != version or blind:
+                self._seen[name] = _Observation(version, now)
+        for name in [name for name in self._seen if name not in listed]:
+            del self._seen[name]
+        await self._forget(now)
+
+    async def _forget(self, now: float) -> None:
+        """Removes rows of daemons long dead; one daemon does it, so that calls are few."""
+        if self.first_choice("forget") != self.own:
+            return
+        old = [
+            (RowKey(MEMBER_TABLE, MEMBER_PART, name), seen.version)
+            for name, seen in self._seen.items()
+            if now - seen.changed_at > FORGET_AFTER_SECONDS
+        ]
+        if old:
+            removal = Transaction(conditions=tuple(old), removals=tuple(key for key, _ in old))
+            await self._store.write(removal, WRITE_TIMEOUT_SECONDS)
--- /dev/null
+++ b/src/larkpost/gateway.py
@@ -0,0 +1,227 @@
+"""One daemon on the platform: all its parts, wired together, and its planned stop."""
+
+import random
+import secrets
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from larkpost.clock import Clock
+from larkpost.eventlog import Event, EventLog
+from larkpost.fleet.configuration import Configuration, ConfigurationState
+from larkpost.fleet.directory import Directory, InstanceInfo
+from larkpost.fleet.leases import LeaseTable
+from larkpost.fleet.lifecycle import Lifecycle
+from larkpost.fleet.loader import WeightLoader
+from larkpost.fleet.members import Membership
+from larkpost.fleet.weights import WeightTarget, WeightTargets
+from larkpost.ids import DaemonId, EngineId
+from larkpost.proxy.balancer import Balancer
+from larkpost.proxy.forwarder import Forwarder
+from larkpost.proxy.port import ServerPort
+from larkpost.proxy.shares import ShareChooser
+from larkpost.rollouts.repository import HEAD_TABLE, PARTS, BatchRepository
+from larkpost.rollouts.run import RunServices
+from larkpost.rollouts.service import BatchService
+from larkpost.store.follower import TableFollower
+from larkpost.store.port import Row, Store
+from larkpost.tasks import TaskSet
+from larkpost.telemetry import Telemetry
+
+FAST_RELIST_SECONDS = 1.5
+SLOW_RELIST_SECONDS = 3.0
+READINESS_INTERVAL_SECONDS = 0.1
+LEAVE_SECONDS = 2.6
+"""From the request to stop until no new connections are expected."""
+KILL_MARGIN_SECONDS = 1.0
+LATE_LOOP_SECONDS = 0.5
+BATCH_RETENTION_SLACK_SECONDS = 60.0
+
+
+@dataclass(frozen=True, slots=True)
+class RowReaders:
+    """Reads rows that others write, in whatever format they write them.
+
+    Attributes:
+        operator_table: the table of the configuration and the named weight versions.
+        instance_table: the table of the instances.
+        configuration: reads a configuration, or None if the row holds something else.
+        weight_target: reads a named version, or None if the row holds something else.
+        instance: reads an instance. All three raise ValueError for what they cannot read.
+    """
+
+    operator_table: str
+    instance_table: str
+    configuration: Callable[[Row], Configuration | None]
+    weight_target: Callable[[Row], WeightTarget | None]
+    instance: Callable[[Row], InstanceInfo]
+
+
+@dataclass(slots=True)
+class GatewaySettings:
+    """What a daemon needs to know of its surroundings; durations in seconds.
+
+    Attributes:
+        machine: name of the machine, for logs.
+        contact_time: time without a fault after which the store's news are believed.
+        lease_time: time after a holder's last order before another holder may order.
+        grace_time: time between the request to stop and the kill.
+        batch_lifetime: time for which a batch must be readable.
+    """
+
+    machine: str
+    contact_time: float = 3.0
+    lease_time: float = 3.0
+    grace_time: float = 8.0
+    batch_lifetime: float = 120.0
+
+
+@dataclass(slots=True)
+class GatewayPorts:
+    """Everything outside the daemon."""
+
+    store: Store
+    servers: ServerPort
+    clock: Clock
+    readers: RowReaders
+    log: EventLog
+    chance: random.Random = field(default_factory=random.Random)
+
+
+class Gateway:
+    """One daemon."""
+
+    def __init__(self, settings: GatewaySettings, ports: GatewayPorts) -> None:
+        self.settings = settings
+        self._ports = ports
+        self._clock = ports.clock
+        self._log = ports.log
+        own = DaemonId(f"{settings.machine}/{secrets.token_hex(4)}")
+        self.id = own
+        self.configuration = ConfigurationState()
+        self.directory = Directory()
+        self.targets = WeightTargets()
+        self.lifecycle = Lifecycle()
+        self.membership = Membership(own, ports.store, ports.clock)
+        self.balancer = Balancer(self.directory, ports.clock, ports.chance)
+        self.forwarder = Forwarder(
+            self.directory,
+            self.balancer,
+            ports.servers,
+            ports.clock,
+            ports.log,
+            ShareChooser(),
+        )
+        services = RunServices(
+            self.configuration,
+            self.directory,
+            self.balancer,
+            ports.servers,
+            ports.clock,
+            ports.log,
+            ports.store.time,
+        )
+        self.batches = BatchService(
+            BatchRepository(ports.store, ports.clock),
+            self.membership,
+            services,
+            lambda: settings.batch_lifetime + BATCH_RETENTION_SLACK_SECONDS,
+        )
+        self._loader = WeightLoader(
+            self.configuration,
+            self.directory,
+            self.targets,
+            self.membership,
+            LeaseTable(own, ports.store, ports.clock, settings.lease_time),
+            ports.servers,
+            ports.clock,
+            ports.log,
+        )
+        readers = ports.readers
+        self._operator_rows = self._follower(
+            readers.operator_table, ("",), self._take_operator_row, SLOW_RELIST_SECONDS
+        )
+        self._instance_rows = self._follower(
+            readers.instance_table, ("",), self._take_instance_row, FAST_RELIST_SECONDS
+        )
+        self._head_rows = self._follower(
+            HEAD_TABLE, PARTS, self.batches.take_head, SLOW_RELIST_SECONDS
+        )
+        self._tasks = TaskSet(ports.clock, Telemetry(settings.machine, log=False))
+
+    def start(self) -> None:
+        """Starts all background work."""
+        self._log.note(Event.START, id=self.id)
+        for follower in (self._operator_rows, self._instance_rows, self._head_rows):
+            follower.start(self._tasks)
+        self.membership.start(self._tasks)
+        self.batches.start(self._tasks)
+        self._loader.start(self._tasks)
+        self._tasks.every(READINESS_INTERVAL_SECONDS, self._update_readiness, "readiness")
+
+    async def drain(self) -> None:
+        """Stops as planned: hands its work over and waits for the answers under way."""
+        began = self._clock.now()
+        self.lifecycle.stopping = True
+        self._log.note(Event.STOPPING, open_requests=self.lifecycle.open_requests)
+        await self.membership.leave()
+        await self.batches.hand_over()
+        latest = began + self.settings.grace_time - KILL_MARGIN_SECONDS
+        while self._clock.now() < latest:
+            waited = self._clock.now() - began
+            if waited >= LEAVE_SECONDS and self.lifecycle.open_requests == 0:
+                break
+            await self._clock.sleep(0.05)
+        self._log.note(Event.STOP, open_requests=self.lifecycle.open_requests)
+
+    def stop(self) -> None:
+        """Ends all background work."""
+        self._tasks.cancel_all()
+
+    def _follower(
+        self,
+        table: str,
+        parts: tuple[str, ...],
+        listener: Callable[[Row], None],
+        relist_interval: float,
+    ) -> TableFollower:
+        return TableFollower(
+            self._ports.store, self._clock, table, parts, listener, relist_interval=relist_interval
+        )
+
+    async def _update_readiness(self) -> None:
+        informed = self.configuration.current is not None and self._instance_rows.listed
+        if informed and not self.lifecycle.informed:
+            self.lifecycle.informed = True
+            self._log.note(Event.READY, instances=len(self.directory))
+
+    def _take_operator_row(self, row: Row) -> None:
+        try:
+            configuration = self._ports.readers.configuration(row)
+            target = self._ports.readers.weight_target(row)
+        except ValueError as error:
+            self._log.note(Event.UNREADABLE, row=row.key.key, error=str(error))
+            return
+        if configuration is not None and self.configuration.update(configuration):
+            self._log.note(Event.CONFIGURATION, version=configuration.version)
+        if target is not None and self.targets.update(target):
+            self._log.note(Event.WEIGHT_TARGET, model=target.model, version=target.version)
+
+    def _take_instance_row(self, row: Row) -> None:
+        instance = EngineId(row.key.key)
+        if row.removed:
+            now = self._clock.now()
+            sound = self._instance_rows.sound_for(now) >= self.settings.contact_time
+            self.directory.remove(instance, sound=sound)
+            self._log.note(Event.INSTANCE, instance=instance, state="gone", sound=sound)
+            return
+        try:
+            info = self._ports.readers.instance(row)
+        except ValueError as error:
+            self._log.note(Event.UNREADABLE, row=row.key.key, error=str(error))
+            return
+        known = self.directory.get(instance)
+        self.directory.update(info)
+        if known is None or known.state != info.state:
+            self._log.note(
+                Event.INSTANCE, instance=instance, state=info.state, service=info.service
+            )
--- a/src/larkpost/http_server.py
+++ b/src/larkpost/http_server.py
@@ -7,8 +7,8 @@
 import uvicorn
 from starlette.types import ASGIApp
 
+from larkpost.addresses import split_address
 from larkpost.ids import Address
-from larkpost.settings import split_address
 
 BACKLOG = 1024
 KEEP_ALIVE_SECONDS = 75
--- /dev/null
+++ b/src/larkpost/platform/batches.py
@@ -0,0 +1,88 @@
+"""Reads and writes the documents of batch calls."""
+
+import base64
+import binascii
+from typing import Any
+
+import orjson
+
+from larkpost.fleet.configuration import ModelName
+from larkpost.ids import BatchId
+from larkpost.platform import names
+from larkpost.rollouts.model import BatchSpec, GroupId, Item, ItemId
+from larkpost.rollouts.service import ResultPage
+
+MAX_ID_LENGTH = 120
+
+
+def read_batch(batch: bytes, host: str, path: bytes, content: bytes) -> BatchSpec:
+    """Reads a submitted batch.
+
+    Raises:
+        ValueError: the document or the id cannot be read; the message names the field.
+    """
+    batch_id = batch.decode("latin-1")
+    if not batch_id or len(batch_id) > MAX_ID_LENGTH or "/" in batch_id:
+        raise ValueError("the batch has no usable id")
+    document = orjson.loads(content)
+    if not isinstance(document, dict):
+        raise ValueError("the batch is no JSON object")
+    try:
+        entries = document["requests"]
+        items = tuple(_item(entry) for entry in entries)
+        spec = BatchSpec(
+            id=BatchId(batch_id),
+            host=host,
+            path=path.decode("latin-1"),
+            model=ModelName(document.get("model", "")),
+            step=int(document.get("step", 0)),
+            minimum_version=int(document.get("min-version", 0)),
+            desired_groups=int(document.get("desired", 0)),
+            items=items,
+        )
+    except (KeyError, TypeError, AttributeError, binascii.Error) as error:
+        raise ValueError(f"the batch cannot be read: {error!r}") from None
+    if len({item.id for item in items}) != len(items):
+        raise ValueError("two requests of the batch have one id")
+    return spec
+
+
+def read_position(query: dict[str, list[str]]) -> int:
+    """Returns the position from which results are asked for.
+
+    Raises:
+        ValueError: it is no whole number.
+    """
+    text = query.get("after-rev", ["0"])[0]
+    if not text.isdigit():
+        raise ValueError(f"after-rev is {text!r}, but must be a whole number")
+    return int(text)
+
+
+def write_page(page: ResultPage) -> dict[str, Any]:
+    """Returns the document of a page of results."""
+    results = []
+    for result in page.results:
+        entry: dict[str, Any] = {"id": result.item, "state": result.state, "message": result.text}
+        if result.versions:
+            entry["versions"] = result.versions
+        results.append(entry)
+    return {
+        "total": page.total,
+        "next-token": page.position + len(page.results),
+        "results": results,
+    }
+
+
+def _item(entry: dict[str, Any]) -> Item:
+    headers = tuple((str(name), str(value)) for name, value in (entry.get("headers") or {}).items())
+    hints = [value for name, value in headers if name.lower().encode() == names.LENGTH_HINT]
+    return Item(
+        id=ItemId(entry["id"]),
+        path=str(entry["path"]),
+        headers=headers,
+        body=base64.b64decode(entry.get("body") or "", validate=True),
+        tokens=int(entry.get("tokens", 0)),
+        group=GroupId(str(entry.get("group", entry["id"]))),
+        length_hint=int(hints[0]) if hints and hints[0].isdigit() else 0,
+    )
--- /dev/null
+++ b/src/larkpost/platform/events.py
@@ -0,0 +1,55 @@
+"""Splits the body of a stream into events.
+
+The libraries for event streams drop unknown fields, and the platform tells a change of the weight
+version in a field of its own; so the lines of an event are read here. Framing of the body itself
+is the HTTP library's.
+"""
+
+from collections.abc import Iterator
+
+from larkpost.platform import names
+from larkpost.proxy.port import StreamEvent
+
+EVENT_END = b"\n\n"
+
+
+class EventDecoder:
+    """Collects bytes and yields whole events; a partial event stays back."""
+
+    def __init__(self) -> None:
+        self._pending = b""
+
+    def feed(self, content: bytes) -> Iterator[StreamEvent]:
+        """Takes bytes as they arrive and yields the events that are now whole.
+
+        Raises:
+            ValueError: an event has no readable id.
+        """
+        self._pending += content.replace(b"\r\n", b"\n")
+        while EVENT_END in self._pending:
+            block, self._pending = self._pending.split(EVENT_END, 1)
+            if block.strip():
+                yield _read_event(block)
+
+    @property
+    def partial(self) -> bool:
+        """Whether bytes of an unfinished event are held."""
+        return bool(self._pending.strip())
+
+
+def _read_event(block: bytes) -> StreamEvent:
+    event_id: int | None = None
+    version: int | None = None
+    data: list[bytes] = []
+    for line in block.split(b"\n"):
+        name, _, value = line.partition(b":")
+        value = value.removeprefix(b" ")
+        if name == b"id":
+            event_id = int(value)
+        elif name == b"data":
+            data.append(value)
+        elif name.lower() == names.WEIGHT_VERSIONS:
+            version = int(value)
+    if event_id is None:
+        raise ValueError("an event without an id")
+    return StreamEvent(event_id, b"\n".join(data), block + EVENT_END, version)
--- /dev/null
+++ b/src/larkpost/platform/http_protocol.py
@@ -0,0 +1,147 @@
+"""The server side of HTTP: the library's protocol, with the configured limits on clients."""
+
+import asyncio
+import contextlib
+from collections.abc import Callable, Iterator
+
+import uvicorn
+from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
+
+from larkpost.addresses import split_address
+from larkpost.fleet.configuration import RequestLimits
+from larkpost.ids import Address
+
+BACKLOG = 1024
+OVERSIZED = "oversized"
+"""Marks, in a request's state, that its head is larger than allowed."""
+HEAD_TOO_LARGE = (
+    b"HTTP/1.1 431 Request Header Fields Too Large\r\n"
+    b"content-length: 0\r\nconnection: close\r\n\r\n"
+)
+HEAD_TOO_SLOW = b"HTTP/1.1 408 Request Timeout\r\ncontent-length: 0\r\nconnection: close\r\n\r\n"
+
+LimitSource = Callable[[], RequestLimits]
+
+
+class LimitedProtocol(HttpToolsProtocol):
+    """One client connection, with limits on the size and time of a request's head."""
+
+    limits: LimitSource
+
+    def __init__(self, *args, **kwargs) -> None:
+        super().__init__(*args, **kwargs)
+        self._in_head = False
+        self._head_bytes = 0
+        self._head_timer: asyncio.TimerHandle | None = None
+
+    def data_received(self, data: bytes) -> None:
+        """Takes bytes from the client; the head's are counted."""
+        if self._in_head or self._is_between_requests():
+            self._count_head(len(data))
+        super().data_received(data)
+        if not self._in_head:
+            self._stop_head_timer()
+        elif self._head_bytes > self.limits().header_bytes:
+            self._refuse(HEAD_TOO_LARGE)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Forgets the connection."""
+        self._stop_head_timer()
+        super().connection_lost(exc)
+
+    def on_message_begin(self) -> None:
+        """Starts a request."""
+        super().on_message_begin()
+        self._in_head = True
+
+    def on_headers_complete(self) -> None:
+        """Ends a request's head, and marks it if it is too large."""
+        self._in_head = False
+        self._head_bytes = 0
+        limits = self.limits()
+        size = len(self.url) + sum(len(name) + len(value) + 4 for name, value in self.headers)
+        if size > limits.header_bytes:
+            self.scope["state"][OVERSIZED] = True
+        self.timeout_keep_alive = limits.idle_time
+        super().on_headers_complete()
+
+    def _is_between_requests(self) -> bool:
+        return self.cycle is None or self.cycle.response_complete
+
+    def _count_head(self, size: int) -> None:
+        if self._head_timer is None:
+            self._head_timer = self.loop.call_later(
+                self.limits().header_time, self._refuse, HEAD_TOO_SLOW
+            )
+        self._head_bytes += size
+
+    def _stop_head_timer(self) -> None:
+        if self._head_timer is not None:
+            self._head_timer.cancel()
+            self._head_timer = None
+
+    def _refuse(self, answer: bytes) -> None:
+        if not self.transport.is_closing():
+            self.transport.write(answer)
+            self.transport.close()
+
+
+class EmbeddedServer(uvicorn.Server):
+    """A uvicorn server that leaves signals to the process."""
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        """Installs no signal handlers."""
+        yield
+
+
+class Listener:
+    """Serves an application at an address until it is closed."""
+
+    def __init__(self, app, address: Address, limits: LimitSource = RequestLimits) -> None:
+        self._address = address
+        host, port = split_address(address)
+        protocol = type("Protocol", (LimitedProtocol,), {"limits": staticmethod(limits)})
+        config = uvicorn.Config(
+            app,
+            host=host,
+            port=port,
+            loop="asyncio",
+            http=protocol,
+            ws="none",
+            lifespan="off",
+            log_config=None,
+            access_log=False,
+            server_header=False,
+            date_header=False,
+            backlog=BACKLOG,
+            timeout_keep_alive=3600,
+        )
+        self._server = EmbeddedServer(config)
+        self._task: asyncio.Task | None = None
+
+    async def start(self) -> None:
+        """Starts listening.
+
+        Raises:
+            OSError: the address cannot be bound.
+        """
+        self._task = asyncio.create_task(self._serve())
+        while not self._server.started:
+            if self._task.done():
+                await self._task
+                raise OSError(f"cannot listen on {self._address}")
+            await asyncio.sleep(0.005)
+
+    async def close(self) -> None:
+        """Stops listening, and closes connections once their answers are complete."""
+        self._server.should_exit = True
+        if self._task is not None:
+            await self._task
+
+    async def _serve(self) -> None:
+        try:
+            await self._server.serve()
+        except SystemExit:
+            # The library exits the process if it cannot bind; that is the caller's decision.
+            raise OSError(f"cannot listen on {self._address}") from None
--- /dev/null
+++ b/src/larkpost/platform/names.py
@@ -0,0 +1,42 @@
+"""The platform's names: headers, calls, tables and fields. Source: the users' protocol page."""
+
+SETTINGS_VARIABLE = "LARKPOST_NODE_FILE"
+SETTINGS_PATH = "/etc/larkpost/node.toml"
+
+# Headers, in lower case as the HTTP server hands them over.
+REQUEST_ID = b"larkpost-attempt-id"
+DEADLINE_MS = b"larkpost-deadline-ms"
+SERVER_STAMP = b"larkpost-server-stamp"
+EXPECT_INSTANCE = b"larkpost-expect-instance"
+EXPECT_VERSION = b"larkpost-expect-version"
+INSTANCE_LOAD = b"larkpost-instance-load"
+NOT_EXECUTED = b"larkpost-not-executed"
+WAIT_MS = b"larkpost-wait-ms"
+REQUEST_PRIORITY = b"larkpost-request-priority"
+WEIGHT_VERSIONS = b"larkpost-weight-versions"
+LENGTH_HINT = b"larkpost-length-hint"
+TOKEN_COUNT = b"larkpost-token-count"
+MODEL = b"larkpost-model"
+LAST_EVENT_ID = b"last-event-id"
+
+# Calls to the store.
+TRANSACTION_CALL = "/-/rows-tx"
+READ_CALL = "/-/rows-get"
+FEED_CALL = "/-/rows-feed"
+
+# Calls to servers.
+REPORT_CALL = "/-/report"
+ORDER_CALL = "/-/order"
+
+# Calls that come to larkpost.
+READY_CALL = "/-/ready"
+OWN_CALLS = b"/-/"
+BATCH_CALL = b"/-/lots/"
+ITEM_CALL = b"/-/items/"
+
+# Rows of the platform's own.
+OPERATOR_TABLE = "op"
+CONFIGURATION_KEY = "config"
+VERSION_KEY_PREFIX = "version/"
+SERVER_TABLE = "servers"
+"""One row for each server, under its instance id."""
--- /dev/null
+++ b/src/larkpost/platform/operator.py
@@ -0,0 +1,145 @@
+"""Reads what the operator, the trainers and the servers write into the store."""
+
+from typing import Any
+
+import orjson
+
+from larkpost.fleet.configuration import (
+    Configuration,
+    ModelName,
+    RequestLimits,
+    Route,
+    RouteKind,
+    Service,
+    ServiceName,
+    ServiceShare,
+)
+from larkpost.fleet.directory import InstanceInfo, InstanceState
+from larkpost.fleet.weights import WeightTarget
+from larkpost.ids import Address, EngineId, ZoneId
+from larkpost.platform import names
+from larkpost.store.port import Row
+
+KINDS = {
+    "idempotent": RouteKind.IDEMPOTENT,
+    "non_idempotent": RouteKind.RUN_ONCE,
+    "stream": RouteKind.STREAM,
+    "rollout": RouteKind.BATCH,
+    "batch": RouteKind.BATCH,
+}
+UNREADABLE = (KeyError, TypeError, ValueError, AttributeError)
+
+
+class UnreadableRowError(ValueError):
+    """A row is not what the platform's pages say; it is passed over and counted."""
+
+
+def read_configuration(row: Row) -> Configuration | None:
+    """Returns the configuration in a row of the operator's table, or None if it holds another.
+
+    Raises:
+        UnreadableRowError: the document cannot be read.
+    """
+    if row.key.key != names.CONFIGURATION_KEY or row.removed:
+        return None
+    try:
+        document = orjson.loads(row.value)
+        services = [_service(entry) for entry in document.get("services", ())]
+        return Configuration(
+            version=int(document["version"]),
+            routes=tuple(_route(entry) for entry in document["routes"]),
+            services={service.name: service for service in services},
+            limits=_limits(document.get("limits") or {}),
+        )
+    except UNREADABLE as error:
+        raise UnreadableRowError(f"configuration: {error!r}") from None
+
+
+def read_weight_target(row: Row) -> WeightTarget | None:
+    """Returns the named version in a row of the operator's table, or None if it holds another.
+
+    Raises:
+        UnreadableRowError: the document cannot be read.
+    """
+    if not row.key.key.startswith(names.VERSION_KEY_PREFIX) or row.removed:
+        return None
+    try:
+        document = orjson.loads(row.value)
+        return WeightTarget(ModelName(document["model"]), int(document["version"]))
+    except UNREADABLE as error:
+        raise UnreadableRowError(f"weight version: {error!r}") from None
+
+
+def read_instance(row: Row) -> InstanceInfo:
+    """Returns the instance in a row of the servers' table.
+
+    Raises:
+        UnreadableRowError: the document cannot be read.
+    """
+    try:
+        document = orjson.loads(row.value)
+        draining = document.get("state") == "draining"
+        return InstanceInfo(
+            id=EngineId(row.key.key),
+            service=ServiceName(document["service"]),
+            address=Address(document["address"]),
+            zone=ZoneId(document.get("zone", "")),
+            slots=int(document.get("slots", 1)),
+            state=InstanceState.LEAVING if draining else InstanceState.READY,
+            versions=read_versions(document),
+            listed_version=row.version,
+        )
+    except UNREADABLE as error:
+        raise UnreadableRowError(f"server {row.key.key}: {error!r}") from None
+
+
+def read_versions(document: dict[str, Any]) -> dict[ModelName, int]:
+    """Returns the weight version of each model named in a server's entry or report."""
+    models = document.get("models") or ()
+    return {ModelName(model["name"]): int(model["version"]) for model in models}
+
+
+def _route(entry: dict[str, Any]) -> Route:
+    shares = entry.get("weighted-services")
+    if shares:
+        parts = [
+            ServiceShare(ServiceName(share["service"]), float(share["weight"])) for share in shares
+        ]
+    else:
+        parts = [ServiceShare(ServiceName(entry["service"]), 1.0)]
+    return Route(
+        name=str(entry.get("name", "")),
+        host=str(entry["host"]).lower(),
+        path_prefix=str(entry["path-prefix"]).encode(),
+        kind=KINDS[entry["kind"]],
+        shares=tuple(parts),
+        time_limit=float(entry.get("timeout-ms", 30000)) / 1000,
+        objective=float(entry.get("target-ms", 1000)) / 1000,
+        priority=int(entry.get("priority", 0)),
+        max_attempts=max(1, int(entry.get("max-attempts", 1))),
+        resumable=bool(entry.get("resumable", False)),
+        due=float(entry.get("result-due-ms", 0)) / 1000,
+        queue_lifetime=float(entry.get("queue-ttl-s", 0)),
+        single_version=bool(entry.get("single-version", False)),
+    )
+
+
+def _service(entry: dict[str, Any]) -> Service:
+    engine = entry.get("engine") or {}
+    return Service(
+        name=ServiceName(entry["name"]),
+        max_connections=int(entry.get("max-conns", 100)),
+        slots=int(engine.get("slots", 0)),
+        models=tuple(ModelName(model["name"]) for model in engine.get("models", ())),
+        tokens_per_event=int(engine.get("stride", 1)),
+    )
+
+
+def _limits(entry: dict[str, Any]) -> RequestLimits:
+    default = RequestLimits()
+    return RequestLimits(
+        header_bytes=int(entry.get("max-header-bytes", default.header_bytes)),
+        body_bytes=int(entry.get("max-body-bytes", default.body_bytes)),
+        header_time=float(entry.get("header-timeout-ms", default.header_time * 1000)) / 1000,
+        idle_time=float(entry.get("idle-timeout-ms", default.idle_time * 1000)) / 1000,
+    )
--- /dev/null
+++ b/src/larkpost/platform/process.py
@@ -0,0 +1,117 @@
+"""Runs one daemon as a process of the platform: listeners, settings, signals, planned stop."""
+
+import asyncio
+import gc
+import logging
+import signal
+from pathlib import Path
+
+from larkpost.clock import LoopClock
+from larkpost.errors import SettingsError
+from larkpost.eventlog import Event, EventLog, LineWriter
+from larkpost.gateway import Gateway, GatewayPorts, GatewaySettings, RowReaders
+from larkpost.platform import names, operator
+from larkpost.platform.http_protocol import Listener
+from larkpost.platform.ingress import Ingress, ReadinessApp
+from larkpost.platform.servers import HttpServers
+from larkpost.platform.settings import (
+    PlatformSettings,
+    load_platform_settings,
+    settings_path,
+)
+from larkpost.platform.store import HttpStore
+
+SETTINGS_POLL_SECONDS = 1.0
+
+READERS = RowReaders(
+    operator_table=names.OPERATOR_TABLE,
+    instance_table=names.SERVER_TABLE,
+    configuration=operator.read_configuration,
+    weight_target=operator.read_weight_target,
+    instance=operator.read_instance,
+)
+
+
+def run() -> None:
+    """Runs a daemon until it is asked to stop."""
+    logging.getLogger("uvicorn.error").disabled = True
+    asyncio.run(serve(settings_path()))
+
+
+async def serve(path: Path) -> None:
+    """Runs a daemon on the running loop.
+
+    Raises:
+        SettingsError: the settings cannot be used.
+    """
+    settings = load_platform_settings(path)
+    log = EventLog(settings.machine, LineWriter())
+    store = HttpStore(settings.store, settings.row_bytes)
+    servers = HttpServers()
+    gateway = Gateway(
+        _gateway_settings(settings), GatewayPorts(store, servers, LoopClock(), READERS, log)
+    )
+    ingress = Ingress(gateway.configuration, gateway.lifecycle, gateway.forwarder, gateway.batches)
+    front = Listener(ingress, settings.front, ingress.limits)
+    ready = Listener(ReadinessApp(gateway.lifecycle), settings.ready)
+    stop = asyncio.Event()
+    reload = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    loop.add_signal_handler(signal.SIGHUP, reload.set)
+    gateway.start()
+    await front.start()
+    await ready.start()
+    gc.freeze()
+    watcher = asyncio.create_task(_watch_settings(path, reload, gateway, store, log))
+    await stop.wait()
+    await gateway.drain()
+    watcher.cancel()
+    gateway.stop()
+    await front.close()
+    await ready.close()
+    await servers.close()
+    await store.close()
+
+
+def _read(path: Path) -> bytes:
+    return path.read_bytes()
+
+
+def _gateway_settings(settings: PlatformSettings) -> GatewaySettings:
+    return GatewaySettings(
+        machine=settings.machine,
+        contact_time=settings.contact_time,
+        lease_time=settings.lease_time,
+        grace_time=settings.grace_time,
+        batch_lifetime=settings.batch_lifetime,
+    )
+
+
+async def _watch_settings(
+    path: Path, reload: asyncio.Event, gateway: Gateway, store: HttpStore, log: EventLog
+) -> None:
+    """Takes changed settings, told by a signal or by the file alone; bad ones change nothing."""
+    content = _read(path)
+    while True:
+        try:
+            async with asyncio.timeout(SETTINGS_POLL_SECONDS):
+                await reload.wait()
+        except TimeoutError:
+            pass
+        reload.clear()
+        try:
+            found = _read(path)
+            if found == content:
+                continue
+            settings = load_platform_settings(path)
+            content = found
+        except (SettingsError, OSError) as error:
+            log.note(Event.SETTINGS, outcome="refused", error=str(error))
+            continue
+        store.move(settings.store)
+        changed = _gateway_settings(settings)
+        for name in ("contact_time", "lease_time", "grace_time", "batch_lifetime"):
+            setattr(gateway.settings, name, getattr(changed, name))
+        log.note(Event.SETTINGS, outcome="taken")
--- /dev/null
+++ b/src/larkpost/platform/servers.py
@@ -0,0 +1,251 @@
+"""The server adapter: requests, reports and orders over HTTP."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import aiohttp
+import orjson
+from multidict import CIMultiDict
+from yarl import URL
+
+from larkpost.fleet.directory import InstanceInfo
+from larkpost.platform import names
+from larkpost.platform.connections import make_session
+from larkpost.platform.events import EventDecoder
+from larkpost.platform.operator import UNREADABLE, read_versions
+from larkpost.proxy.port import (
+    BrokenAnswerError,
+    EngineReport,
+    Headers,
+    NotRunError,
+    NotRunReason,
+    OrderOutcome,
+    OutgoingRequest,
+    RunningWork,
+    ServerLoad,
+    StreamEvent,
+    VersionOrder,
+)
+
+READ_BYTES = 65536
+CONNECT_FAILURES = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
+ANSWER_FAILURES = (aiohttp.ClientError, asyncio.TimeoutError, OSError, ValueError)
+ORDER_OUTCOMES = {
+    200: OrderOutcome.HOLDS,
+    202: OrderOutcome.TAKEN,
+    400: OrderOutcome.REJECTED,
+    409: OrderOutcome.BUSY,
+    412: OrderOutcome.FENCED,
+    421: OrderOutcome.WRONG_INSTANCE,
+}
+ORDER_MODES = {
+    RunningWork.CARRY: "retain",
+    RunningWork.FINISH: "wait",
+    RunningWork.INTERRUPT: "preempt",
+}
+EMPTY_STATUSES = (204, 304)
+
+
+class HttpAnswer:
+    """An answer from a server; implements `larkpost.proxy.port.ServerAnswer`."""
+
+    def __init__(self, response: aiohttp.ClientResponse) -> None:
+        self._response = response
+        connection = response.connection
+        self._protocol = connection.protocol if connection is not None else None
+        self.status = response.status
+        self.headers: Headers = tuple(response.raw_headers)
+        self.load = _read_load(response.headers)
+        self.version = _read_whole(response.headers, names.WEIGHT_VERSIONS)
+        self.of_server = names.SERVER_STAMP.decode() in response.headers
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        """Yields the body; see the port."""
+        if "Content-Encoding" in self._response.headers:
+            raise BrokenAnswerError("the body is encoded, though no encoding was asked for")
+        try:
+            async for chunk in self._response.content.iter_any():
+                yield chunk
+        except ANSWER_FAILURES as error:
+            raise BrokenAnswerError(f"{type(error).__name__}: {error}") from None
+        if self._was_reset():
+            raise BrokenAnswerError("a body without a length ended in a reset")
+
+    async def events(self) -> AsyncIterator[StreamEvent]:
+        """Yields the body's events; see the port."""
+        decoder = EventDecoder()
+        async for chunk in self.chunks():
+            try:
+                for event in decoder.feed(chunk):
+                    yield event
+            except ValueError as error:
+                raise BrokenAnswerError(f"no event stream: {error}") from None
+        if decoder.partial:
+            raise BrokenAnswerError("the stream ended within an event")
+
+    def _was_reset(self) -> bool:
+        """Tells whether a body without a length ended otherwise than by an orderly close."""
+        headers = self._response.headers
+        framed = "Content-Length" in headers or "Transfer-Encoding" in headers
+        if framed or self.status in EMPTY_STATUSES:
+            return False
+        if self._protocol is None:
+            return True
+        return not isinstance(self._protocol.exception(), aiohttp.ServerDisconnectedError)
+
+
+class HttpServers:
+    """Sends requests and orders to servers; implements `larkpost.proxy.port.ServerPort`."""
+
+    def __init__(self) -> None:
+        self._kept = make_session()
+        self._fresh = make_session(keep=False)
+
+    async def close(self) -> None:
+        """Closes all connections."""
+        await self._kept.close()
+        await self._fresh.close()
+
+    @asynccontextmanager
+    async def send(
+        self, instance: InstanceInfo, request: OutgoingRequest
+    ) -> AsyncIterator[HttpAnswer]:
+        """Sends a request; see the port."""
+        session = self._fresh if request.fresh_connection else self._kept
+        url = URL(f"http://{instance.address}{request.target.decode('latin-1')}", encoded=True)
+        response = None
+        try:
+            response = await session.request(
+                request.method,
+                url,
+                data=request.body or None,
+                headers=_headers(instance, request),
+                allow_redirects=False,
+            )
+        except CONNECT_FAILURES:
+            raise NotRunError(NotRunReason.UNREACHABLE) from None
+        except ANSWER_FAILURES as error:
+            raise BrokenAnswerError(f"no answer: {type(error).__name__}: {error}") from None
+        try:
+            _check_ran(response, request)
+            yield HttpAnswer(response)
+        finally:
+            response.close()
+
+    async def report(self, instance: InstanceInfo, timeout: float) -> EngineReport | None:
+        """Asks an engine for its report; see the port."""
+        headers = {names.EXPECT_INSTANCE.decode(): instance.id}
+        try:
+            status, content = await self._call(
+                "GET", instance, names.REPORT_CALL, None, headers, timeout
+            )
+            if status != 200:
+                return None
+            return _read_report(content)
+        except (*ANSWER_FAILURES, *UNREADABLE):
+            return None
+
+    async def order(
+        self, instance: InstanceInfo, order: VersionOrder, timeout: float
+    ) -> OrderOutcome:
+        """Gives an engine an order; see the port."""
+        headers = {
+            names.EXPECT_INSTANCE.decode(): instance.id,
+            "Content-Type": "application/json",
+        }
+        body = orjson.dumps(_order_document(order))
+        try:
+            status, _ = await self._call("POST", instance, names.ORDER_CALL, body, headers, timeout)
+        except ANSWER_FAILURES:
+            return OrderOutcome.UNKNOWN
+        return ORDER_OUTCOMES.get(status, OrderOutcome.UNKNOWN)
+
+    async def _call(
+        self,
+        method: str,
+        instance: InstanceInfo,
+        call: str,
+        body: bytes | None,
+        headers: dict[str, str],
+        timeout: float,
+    ) -> tuple[int, bytes]:
+        url = URL(f"http://{instance.address}{call}", encoded=True)
+        async with (
+            asyncio.timeout(timeout),
+            self._fresh.request(method, url, data=body, headers=headers) as response,
+        ):
+            return response.status, await response.read()
+
+
+def _headers(instance: InstanceInfo, request: OutgoingRequest) -> CIMultiDict[str]:
+    headers: CIMultiDict[str] = CIMultiDict()
+    for name, value in request.headers:
+        headers.add(name.decode("latin-1"), value.decode("latin-1"))
+    headers["Host"] = request.host.decode("latin-1")
+    headers[names.REQUEST_ID.decode()] = request.request_id.decode("latin-1")
+    headers[names.EXPECT_INSTANCE.decode()] = instance.id
+    if request.time_left is not None:
+        headers[names.DEADLINE_MS.decode()] = str(max(1, int(request.time_left * 1000)))
+    if request.resume_after is not None:
+        headers[names.LAST_EVENT_ID.decode()] = str(request.resume_after)
+    if request.expected_version is not None:
+        headers[names.EXPECT_VERSION.decode()] = str(request.expected_version)
+    if request.priority is not None:
+        headers[names.REQUEST_PRIORITY.decode()] = str(request.priority)
+    return headers
+
+
+def _check_ran(response: aiohttp.ClientResponse, request: OutgoingRequest) -> None:
+    """Raises unless the answer belongs to the request and the request ran.
+
+    Raises:
+        NotRunError: the server says that it did not run it.
+        BrokenAnswerError: the answer belongs to another request.
+    """
+    echo = response.headers.get(names.REQUEST_ID.decode())
+    own = request.request_id.decode("latin-1")
+    if echo is not None and echo != own:
+        raise BrokenAnswerError("the answer belongs to another request")
+    if response.status == 421:
+        raise NotRunError(NotRunReason.WRONG_INSTANCE)
+    if names.NOT_EXECUTED.decode() in response.headers:
+        raise NotRunError(NotRunReason.FULL)
+    if echo is None:
+        raise BrokenAnswerError("the answer names no request")
+
+
+def _read_whole(headers, name: bytes) -> int | None:
+    text = headers.get(name.decode())
+    return int(text) if text is not None and text.isdigit() else None
+
+
+def _read_load(headers) -> ServerLoad | None:
+    parts = headers.get(names.INSTANCE_LOAD.decode(), "").split(",")
+    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
+        return None
+    running, waiting, slots = (int(part) for part in parts)
+    return ServerLoad(running, waiting, slots)
+
+
+def _read_report(content: bytes) -> EngineReport:
+    document = orjson.loads(content)
+    return EngineReport(
+        orders=int(document["seq"]),
+        busy=bool(document["busy"]),
+        running=int(document.get("running", 0)),
+        waiting=int(document.get("waiting", 0)),
+        versions=read_versions(document),
+    )
+
+
+def _order_document(order: VersionOrder) -> dict[str, object]:
+    return {
+        "op": "version",
+        "model": order.model,
+        "version": order.version,
+        "mode": ORDER_MODES[order.running_work],
+        "holder": order.holder,
+        "fence": order.fencing_token,
+        "expected": order.expected_orders,
+    }
--- /dev/null
+++ b/src/larkpost/platform/settings.py
@@ -0,0 +1,130 @@
+"""Reads the settings file that the platform writes for a process."""
+
+import os
+import tomllib
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from larkpost.addresses import split_address
+from larkpost.errors import SettingsError
+from larkpost.ids import Address, ZoneId
+from larkpost.platform import names
+
+
+@dataclass(frozen=True, slots=True)
+class PlatformSettings:
+    """What larkpost needs of the platform's settings; durations in seconds.
+
+    Attributes:
+        contact_time: time without disturbance after which the store counts as sound.
+        lease_time: time after a holder's last order before another holder may order.
+        grace_time: time between the request to stop and the kill.
+        batch_lifetime: time after its submission for which a batch must be readable.
+        metrics: port and path of the metrics, or None.
+    """
+
+    machine: str
+    ip: str
+    zone: ZoneId
+    front: Address
+    ready: Address
+    store: Address
+    row_bytes: int
+    contact_time: float
+    lease_time: float
+    grace_time: float
+    batch_lifetime: float
+    metrics: tuple[int, str] | None
+
+
+def settings_path() -> Path:
+    """Returns where the settings file lies."""
+    return Path(os.environ.get(names.SETTINGS_VARIABLE, names.SETTINGS_PATH))
+
+
+def load_platform_settings(path: Path) -> PlatformSettings:
+    """Reads and checks the settings; unknown fields are passed over.
+
+    Raises:
+        SettingsError: the file or a field is missing or wrong; the message names it.
+    """
+    try:
+        document = tomllib.loads(path.read_text(encoding="utf-8"))
+    except OSError as error:
+        raise SettingsError(
+            f"settings file {path} cannot be read: {error.strerror}",
+            remedy=f"Name a readable TOML file in {names.SETTINGS_VARIABLE}.",
+        ) from None
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        raise SettingsError(
+            f"settings file {path} is not TOML: {error}", remedy="Correct the file."
+        ) from None
+    return _read(document)
+
+
+def _read(document: dict[str, Any]) -> PlatformSettings:
+    ip = _text(document, "ip")
+    return PlatformSettings(
+        machine=_text(document, "node"),
+        ip=ip,
+        zone=ZoneId(_text(document, "zone")),
+        front=_address(document, "listen", "front"),
+        ready=_address(document, "listen", "ready"),
+        store=_address(document, "platform", "address"),
+        row_bytes=int(_number(document, "platform", "row_bytes", default=65536)),
+        contact_time=_number(document, "bounds", "contact-ms", default=3000) / 1000,
+        lease_time=_number(document, "bounds", "lease-ms", default=3000) / 1000,
+        grace_time=_number(document, "bounds", "grace-s", default=8),
+        batch_lifetime=_number(document, "bounds", "status-s", default=120),
+        metrics=_metrics(document),
+    )
+
+
+def _find(document: dict[str, Any], path: tuple[str, ...]) -> Any:
+    value: Any = document
+    for name in path:
+        value = value.get(name) if isinstance(value, dict) else None
+    return value
+
+
+def _text(document: dict[str, Any], *path: str) -> str:
+    value = _find(document, path)
+    if not isinstance(value, str) or not value:
+        raise _wrong(path, value, "a text")
+    return value
+
+
+def _address(document: dict[str, Any], *path: str) -> Address:
+    value = _text(document, *path)
+    try:
+        split_address(value)
+    except ValueError:
+        raise _wrong(path, value, "an address, IP:PORT") from None
+    return Address(value)
+
+
+def _number(document: dict[str, Any], *path: str, default: float) -> float:
+    value = _find(document, path)
+    if value is None:
+        return default
+    if isinstance(value, bool) or not isinstance(value, int | float) or value <= 0:
+        raise _wrong(path, value, "a number above 0")
+    return float(value)
+
+
+def _metrics(document: dict[str, Any]) -> tuple[int, str] | None:
+    value = _find(document, ("metrics",))
+    if not value:
+        return None
+    port, separator, path = str(value).partition("/")
+    if not port.isdigit() or not 0 < int(port) < 65536 or not separator:
+        raise _wrong(("metrics",), value, "PORT/PATH")
+    return int(port), f"/{path}"
+
+
+def _wrong(path: tuple[str, ...], value: Any, wanted: str) -> SettingsError:
+    name = ".".join(path)
+    return SettingsError(
+        f"{name} is {value!r}, but must be {wanted}", remedy=f"Correct {name} in the settings."
+    )
--- /dev/null
+++ b/src/larkpost/platform/store.py
@@ -0,0 +1,177 @@
+"""The store adapter: rows, transactions and the feed over HTTP."""
+
+import asyncio
+import base64
+import time
+from typing import Any
+from urllib.parse import urlencode
+
+import aiohttp
+import orjson
+from yarl import URL
+
+from larkpost.ids import Address
+from larkpost.platform import names
+from larkpost.platform.connections import make_session
+from larkpost.store.port import (
+    HistoryLostError,
+    Row,
+    RowKey,
+    RowPage,
+    StoreUnavailableError,
+    Transaction,
+    WriteOutcome,
+    WriteResult,
+)
+
+READ_TIMEOUT_SECONDS = 1.5
+CALL_FAILURES = (aiohttp.ClientError, asyncio.TimeoutError, OSError, ValueError, KeyError)
+"""Everything a call may end with besides an answer; malformed answers included."""
+
+
+class HttpStore:
+    """The platform's store; implements `larkpost.store.port.Store`.
+
+    Args:
+        address: where the store listens.
+        row_bytes: most bytes in a row's value.
+        on_call: called after each call with its kind, outcome and seconds.
+    """
+
+    def __init__(self, address: Address, row_bytes: int, on_call=lambda *_: None) -> None:
+        self.row_bytes = row_bytes
+        self._base = f"http://{address}"
+        self._on_call = on_call
+        self._session = make_session()
+        self._clock_offset: float | None = None
+
+    def move(self, address: Address) -> None:
+        """Takes another address for all later calls."""
+        self._base = f"http://{address}"
+
+    async def close(self) -> None:
+        """Closes all connections."""
+        await self._session.close()
+
+    def time(self) -> float | None:
+        """Returns the store's steady clock in seconds, as estimated here."""
+        if self._clock_offset is None:
+            return None
+        return time.monotonic() + self._clock_offset
+
+    async def write(self, transaction: Transaction, timeout: float) -> WriteResult:
+        """Carries out a transaction; see the port."""
+        body = orjson.dumps(_transaction_document(transaction))
+        started = time.monotonic()
+        try:
+            status, answer = await self._call("POST", names.TRANSACTION_CALL, body, timeout)
+            result = _write_result(status, answer)
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
+            result = WriteResult(WriteOutcome.NOT_DONE)
+        except CALL_FAILURES:
+            result = WriteResult(WriteOutcome.UNKNOWN)
+        self._on_call("write", str(result.outcome), time.monotonic() - started)
+        return result
+
+    async def read(
+        self, table: str, part: str, first: str = "", end: str = "", limit: int = 0
+    ) -> RowPage:
+        """Reads rows of a part; see the port."""
+        query = {"table": table, "part": part}
+        if first:
+            query["from"] = first
+        if end:
+            query["target-version"] = end
+        if limit:
+            query["limit"] = str(limit)
+        status, answer = await self._get(names.READ_CALL, query, READ_TIMEOUT_SECONDS)
+        return _page(status, answer)
+
+    async def changes(self, table: str, after: int, wait: float) -> RowPage:
+        """Returns the changes of a table; see the port."""
+        query = {"table": table, "after-rev": str(after), "wait-ms": str(int(wait * 1000))}
+        status, answer = await self._get(names.FEED_CALL, query, wait + READ_TIMEOUT_SECONDS)
+        if status == 410:
+            raise HistoryLostError(f"the feed of {table} has no changes after {after}")
+        return _page(status, answer)
+
+    async def _get(self, call: str, query: dict[str, str], timeout: float) -> tuple[int, Any]:
+        started = time.monotonic()
+        try:
+            answer = await self._call("GET", f"{call}?{urlencode(query)}", None, timeout)
+        except CALL_FAILURES as error:
+            self._on_call(call, "unavailable", time.monotonic() - started)
+            raise StoreUnavailableError(f"{call}: {type(error).__name__}: {error}") from None
+        self._on_call(call, str(answer[0]), time.monotonic() - started)
+        return answer
+
+    async def _call(
+        self, method: str, target: str, body: bytes | None, timeout: float
+    ) -> tuple[int, Any]:
+        headers = {"Content-Type": "application/json"} if body is not None else {}
+        url = URL(self._base + target, encoded=True)
+        sent = time.monotonic()
+        async with (
+            asyncio.timeout(timeout),
+            self._session.request(method, url, data=body, headers=headers) as response,
+        ):
+            content = await response.read()
+        if response.status not in (200, 412):
+            return response.status, None
+        answer = orjson.loads(content)
+        self._note_time(answer, sent)
+        return response.status, answer
+
+    def _note_time(self, answer: Any, sent: float) -> None:
+        """Keeps a lower bound of the store's clock: its reading is no older than the call."""
+        now_ms = answer.get("now_ms") if isinstance(answer, dict) else None
+        if isinstance(now_ms, int | float):
+            self._clock_offset = now_ms / 1000 - (sent + time.monotonic()) / 2
+
+
+def _write_result(status: int, answer: Any) -> WriteResult:
+    if status == 200:
+        return WriteResult(WriteOutcome.DONE, int(answer["ver"]))
+    if status == 412:
+        rows = tuple(_row(row, 0) for row in answer.get("rows", ()))
+        return WriteResult(WriteOutcome.CONFLICT, rows=rows)
+    if status == 429:
+        return WriteResult(WriteOutcome.THROTTLED)
+    if status == 503 or 400 <= status < 500:
+        return WriteResult(WriteOutcome.NOT_DONE)
+    return WriteResult(WriteOutcome.UNKNOWN)
+
+
+def _page(status: int, answer: Any) -> RowPage:
+    if status != 200:
+        raise StoreUnavailableError(f"the store answered {status}")
+    try:
+        version = int(answer["ver"])
+        rows = tuple(_row(row, version) for row in answer["rows"])
+        return RowPage(rows, bool(answer.get("more", False)), version)
+    except (KeyError, TypeError, ValueError) as error:
+        raise StoreUnavailableError(f"the store's answer cannot be read: {error}") from None
+
+
+def _row(document: dict[str, Any], default_version: int) -> Row:
+    key = RowKey(document["table"], document.get("part", ""), document["key"])
+    removed = bool(document.get("gone", False))
+    value = b"" if removed else base64.b64decode(document.get("value") or "")
+    return Row(key, value, int(document.get("ver", default_version)), removed)
+
+
+def _key_document(key: RowKey) -> dict[str, Any]:
+    return {"table": key.table, "part": key.part, "key": key.key}
+
+
+def _transaction_document(transaction: Transaction) -> dict[str, Any]:
+    return {
+        "expected": [
+            _key_document(key) | {"ver": version} for key, version in transaction.conditions
+        ],
+        "put": [
+            _key_document(key) | {"value": base64.b64encode(value).decode()}
+            for key, value in transaction.puts
+        ],
+        "remove": [_key_document(key) for key in transaction.removals],
+    }
--- /dev/null
+++ b/src/larkpost/proxy/balancer.py
@@ -0,0 +1,129 @@
+"""Chooses an instance of a service by its load and speed, as far as this daemon knows them."""
+
+import random
+from collections.abc import Callable, Collection, Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass
+
+from larkpost.clock import Clock
+from larkpost.fleet.configuration import ServiceName
+from larkpost.fleet.directory import Directory, InstanceInfo
+from larkpost.ids import EngineId
+from larkpost.proxy.port import ServerLoad
+
+LOAD_LIFETIME_SECONDS = 1.0
+"""How long a load that a server told of itself is used."""
+PACE_WEIGHT = 0.25
+"""Weight of the newest measurement in an instance's pace."""
+PACE_LIFETIME_SECONDS = 4.0
+MAX_PACE_RATIO = 8.0
+
+
+@dataclass(slots=True)
+class InstanceUse:
+    """What this daemon knows of one instance from its own requests.
+
+    Attributes:
+        outstanding: this daemon's requests there.
+        others: requests of other daemons there, when it last told its load.
+        avoid_until: steady time before which it is only a last resort.
+        pace: seconds a unit of work takes there, smoothed; 0 if unknown.
+    """
+
+    outstanding: int = 0
+    others: int = 0
+    load_at: float = float("-inf")
+    avoid_until: float = float("-inf")
+    pace: float = 0.0
+    pace_at: float = float("-inf")
+
+
+class Balancer:
+    """Keeps the use of all instances and chooses among them."""
+
+    def __init__(self, directory: Directory, clock: Clock, chance: random.Random) -> None:
+        self._directory = directory
+        self._clock = clock
+        self._chance = chance
+        self._uses: dict[EngineId, InstanceUse] = {}
+
+    def use(self, instance: EngineId) -> InstanceUse:
+        """Returns the record of an instance."""
+        return self._uses.setdefault(instance, InstanceUse())
+
+    def candidates(
+        self,
+        service: ServiceName,
+        *,
+        exclude: Collection[EngineId] = (),
+        eligible: Callable[[InstanceInfo], bool] | None = None,
+    ) -> list[InstanceInfo]:
+        """Returns the instances that may take a request now, the best first.
+
+        Instances that failed a moment ago come last.
+        """
+        now = self._clock.now()
+        fitting = [
+            info
+            for info in self._directory.of_service(service)
+            if info.id not in exclude and (eligible is None or eligible(info))
+        ]
+        best_pace = min((self.pace(info.id) for info in fitting if self.pace(info.id)), default=0.0)
+        return sorted(
+            fitting,
+            key=lambda info: (
+                now < self.use(info.id).avoid_until,
+                self._expected_wait(info, best_pace),
+                self._chance.random(),
+            ),
+        )
+
+    def occupied(self, info: InstanceInfo) -> int:
+        """Returns the requests believed to be at an instance, this daemon's and others'."""
+        use = self.use(info.id)
+        fresh = self._clock.now() - use.load_at < LOAD_LIFETIME_SECONDS
+        return use.outstanding + (use.others if fresh else 0)
+
+    def pace(self, instance: EngineId) -> float:
+        """Returns the seconds a unit of work takes at an instance; 0 if not known lately."""
+        use = self.use(instance)
+        fresh = self._clock.now() - use.pace_at < PACE_LIFETIME_SECONDS
+        return use.pace if fresh else 0.0
+
+    @contextmanager
+    def placed(self, instance: EngineId) -> Iterator[None]:
+        """Counts a request at an instance while it is there."""
+        use = self.use(instance)
+        use.outstanding += 1
+        try:
+            yield
+        finally:
+            use.outstanding -= 1
+
+    def note_load(self, instance: EngineId, load: ServerLoad | None) -> None:
+        """Takes what an instance told of its load while this daemon's requests were there."""
+        if load is None:
+            return
+        use = self.use(instance)
+        use.others = max(0, load.running + load.waiting - use.outstanding)
+        use.load_at = self._clock.now()
+
+    def note_pace(self, instance: EngineId, seconds: float) -> None:
+        """Takes a measurement of the time that a unit of work took at an instance."""
+        use = self.use(instance)
+        now = self._clock.now()
+        if now - use.pace_at > PACE_LIFETIME_SECONDS:
+            use.pace = seconds
+        else:
+            use.pace += PACE_WEIGHT * (seconds - use.pace)
+        use.pace_at = now
+
+    def avoid(self, instance: EngineId, seconds: float) -> None:
+        """Makes an instance a last resort for a while."""
+        use = self.use(instance)
+        use.avoid_until = max(use.avoid_until, self._clock.now() + seconds)
+
+    def _expected_wait(self, info: InstanceInfo, best_pace: float) -> float:
+        pace = self.pace(info.id)
+        ratio = min(pace / best_pace, MAX_PACE_RATIO) if pace and best_pace else 1.0
+        return (self.occupied(info) + 1) / max(1, info.slots) * ratio
--- /dev/null
+++ b/src/larkpost/proxy/port.py
@@ -0,0 +1,203 @@
+"""The port to servers: what larkpost sends them and what it learns from their answers."""
+
+from collections.abc import AsyncIterator
+from contextlib import AbstractAsyncContextManager
+from dataclasses import dataclass, field
+from enum import StrEnum
+from typing import Protocol
+
+from larkpost.errors import LarkpostError, Ran
+from larkpost.fleet.configuration import ModelName
+from larkpost.fleet.directory import InstanceInfo
+
+Headers = tuple[tuple[bytes, bytes], ...]
+
+
+@dataclass(frozen=True, slots=True)
+class OutgoingRequest:
+    """One request as it goes to a server.
+
+    Attributes:
+        request_id: the caller's id of this attempt; the server's answer repeats it.
+        target: path and query exactly as the caller sent them.
+        headers: the caller's headers without those that concern one connection.
+        time_left: seconds the server may take, or None for no limit.
+        resume_after: the last event that is already known, or None for a new run.
+        expected_version: the weight version the server must have, or None for any.
+        fresh_connection: whether to open a connection for this request alone. Then an answer
+            cannot be one that belongs to an earlier request.
+    """
+
+    request_id: bytes
+    method: str
+    host: bytes
+    target: bytes
+    headers: Headers
+    body: bytes
+    time_left: float | None = None
+    resume_after: int | None = None
+    expected_version: int | None = None
+    priority: int | None = None
+    fresh_connection: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class ServerLoad:
+    """What a server said of itself: requests running and waiting, and its slots."""
+
+    running: int
+    waiting: int
+    slots: int
+
+
+@dataclass(frozen=True, slots=True)
+class StreamEvent:
+    """One whole event of a stream.
+
+    Attributes:
+        data: the event's data, lines parted by line feeds.
+        raw: the event's bytes as they came, its closing blank line included.
+        version: the weight version from this event on, or None if it is unchanged.
+    """
+
+    id: int
+    data: bytes
+    raw: bytes
+    version: int | None = None
+
+
+class ServerAnswer(Protocol):
+    """An answer whose head has arrived and belongs to the request.
+
+    Attributes:
+        version: the weight version the answer began under, or None if not told.
+        of_server: whether the answer carries the signature that marks it as the server's own.
+    """
+
+    status: int
+    headers: Headers
+    load: ServerLoad | None
+    version: int | None
+    of_server: bool
+
+    def chunks(self) -> AsyncIterator[bytes]:
+        """Yields the body. It ends only if the body is whole.
+
+        Raises:
+            BrokenAnswerError: the body broke off.
+        """
+
+    def events(self) -> AsyncIterator[StreamEvent]:
+        """Yields the body's events. It ends only if the stream is whole.
+
+        Raises:
+            BrokenAnswerError: the stream broke off; a partial event is dropped.
+        """
+
+
+class NotRunReason(StrEnum):
+    """Why a server certainly did not run a request."""
+
+    UNREACHABLE = "unreachable"  # no connection; nothing was sent
+    FULL = "full"  # the server refused it before it ran
+    WRONG_INSTANCE = "wrong_instance"  # another instance, or another weight version
+    LEAVING = "leaving"  # the instance left before anything was sent
+
+
+class NotRunError(LarkpostError):
+    """The request certainly did not run at this server, and never will."""
+
+    code = "not_run"
+    status = 503
+    remedy = "Send it to another server."
+
+    def __init__(self, reason: NotRunReason) -> None:
+        super().__init__(f"not run: {reason}")
+        self.reason = reason
+
+
+class BrokenAnswerError(LarkpostError):
+    """No whole answer came, though the request may have run."""
+
+    code = "broken_answer"
+    status = 502
+    remedy = "Send it again only if a second run is harmless."
+
+    def __init__(self, message: str) -> None:
+        super().__init__(message, ran=Ran.UNKNOWN)
+
+
+class OrderOutcome(StrEnum):
+    """What an engine answered to an order."""
+
+    TAKEN = "taken"
+    HOLDS = "holds"  # the engine already is as ordered
+    BUSY = "busy"  # another order is under way, or the engine has taken orders since
+    FENCED = "fenced"  # a higher fencing token was seen
+    WRONG_INSTANCE = "wrong_instance"
+    REJECTED = "rejected"
+    UNKNOWN = "unknown"  # no answer; it may be carried out, even seconds later
+
+
+class RunningWork(StrEnum):
+    """What becomes of an engine's running requests when it loads a version."""
+
+    CARRY = "carry"  # they go on under the new version
+    FINISH = "finish"  # the load waits for their end
+    INTERRUPT = "interrupt"  # their streams are broken off
+
+
+@dataclass(frozen=True, slots=True)
+class VersionOrder:
+    """An order to load a weight version.
+
+    Attributes:
+        fencing_token: rises with every lease on the engine.
+        expected_orders: the count of orders the engine must have taken so far.
+        running_work: what becomes of the requests that run.
+    """
+
+    model: ModelName
+    version: int
+    holder: str
+    fencing_token: int
+    expected_orders: int
+    running_work: RunningWork = RunningWork.CARRY
+
+
+@dataclass(frozen=True, slots=True)
+class EngineReport:
+    """What an engine reports of itself, some hundred milliseconds late.
+
+    Attributes:
+        orders: how many orders it has taken since its start.
+        busy: whether an order is under way.
+    """
+
+    orders: int
+    busy: bool
+    running: int
+    waiting: int
+    versions: dict[ModelName, int] = field(default_factory=dict)
+
+
+class ServerPort(Protocol):
+    """Sends requests and orders to servers."""
+
+    def send(
+        self, instance: InstanceInfo, request: OutgoingRequest
+    ) -> AbstractAsyncContextManager[ServerAnswer]:
+        """Sends a request; leaving the context early cancels it at the server.
+
+        Raises:
+            NotRunError: it certainly did not run.
+            BrokenAnswerError: it may have run.
+        """
+
+    async def report(self, instance: InstanceInfo, timeout: float) -> EngineReport | None:
+        """Asks an engine for its report; None if it gave none."""
+
+    async def order(
+        self, instance: InstanceInfo, order: VersionOrder, timeout: float
+    ) -> OrderOutcome:
+        """Gives an engine an order."""
--- a/src/larkpost/rehearsal/hollow.py
+++ b/src/larkpost/rehearsal/hollow.py
@@ -35,8 +35,8 @@
 )
 from larkpost.http_server import HttpServer
 from larkpost.ids import Address, AttemptId, DaemonId, EngineId, ZoneId
-from larkpost.platform.http_adapter import HttpPlatform
 from larkpost.settings import Settings
+from larkpost.table_service.http_adapter import HttpPlatform
 from larkpost.wire.http_peer import HttpPeerTransport, TelemetrySource
 
 HOLLOW_PREFIX = "hollow-"
--- a/src/larkpost/rehearsal/platform_model.py
+++ b/src/larkpost/rehearsal/platform_model.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field, replace
 
 from larkpost.ids import EngineId, PolicyId, ZoneId
-from larkpost.platform.ports import MachineEntry, Row
+from larkpost.table_service.ports import MachineEntry, Row
 
 
 class PlatformDownError(Exception):
--- a/src/larkpost/rehearsal/platform_server.py
+++ b/src/larkpost/rehearsal/platform_server.py
@@ -15,13 +15,13 @@
 
 from larkpost.http_server import HttpServer
 from larkpost.ids import Address, EngineId, PolicyId, PoolId, ZoneId
-from larkpost.platform.ports import MachineEntry
 from larkpost.rehearsal.platform_model import (
     AnswerLostError,
     PlatformDownError,
     PlatformModel,
     RateLimitedError,
 )
+from larkpost.table_service.ports import MachineEntry
 
 LOST_ANSWER_SECONDS = 30.0
 """A lost answer keeps its caller waiting for so long."""
--- a/src/larkpost/rehearsal/simulation/ports.py
+++ b/src/larkpost/rehearsal/simulation/ports.py
@@ -16,7 +16,6 @@
 )
 from larkpost.errors import PlatformError
 from larkpost.ids import Address, AttemptId, ZoneId
-from larkpost.platform.ports import MachineEntry, Row
 from larkpost.rehearsal.engine_model import (
     EngineModel,
     QueueFullError,
@@ -31,6 +30,7 @@
     RateLimitedError,
 )
 from larkpost.rehearsal.simulation.network import Host, HostUnreachableError
+from larkpost.table_service.ports import MachineEntry, Row
 from larkpost.wire.peer import PeerError, PeerMethod
 
 if TYPE_CHECKING:
--- a/src/larkpost/rehearsal/simulation/world.py
+++ b/src/larkpost/rehearsal/simulation/world.py
@@ -8,7 +8,6 @@
 from larkpost.config.intent import Intent
 from larkpost.daemon import Daemon, Ports
 from larkpost.ids import Address, DaemonId, EngineId, ZoneId
-from larkpost.platform.ports import MachineEntry
 from larkpost.rehearsal.engine_model import EngineModel, EngineRecord, EngineShape
 from larkpost.rehearsal.platform_model import (
     PlatformDownError,
@@ -32,6 +31,7 @@
 )
 from larkpost.rehearsal.sites import Machine
 from larkpost.settings import Settings
+from larkpost.table_service.ports import MachineEntry
 
 PLATFORM_ZONE = ZoneId("platform")
 STOP_POLL = 0.05
--- /dev/null
+++ b/src/larkpost/rollouts/attempt.py
@@ -0,0 +1,63 @@
+"""One item's way to its result: runs at engines, continued where the last one broke off."""
+
+from dataclasses import dataclass, field
+
+from larkpost.rollouts.model import Item, Result, ResultState
+
+
+class DiscontinuityError(ValueError):
+    """An event does not follow the last one that is known."""
+
+
+@dataclass(slots=True)
+class Progress:
+    """What is known of an item's output so far.
+
+    Attributes:
+        events: data of the whole events in order.
+        last_event: id of the last one, or None.
+        event_versions: the weight version that made each of them.
+        failed_runs: runs that the engine itself answered as failed.
+        impossible_answers: answers that say the item can never be done.
+    """
+
+    item: Item
+    events: list[bytes] = field(default_factory=list)
+    last_event: int | None = None
+    event_versions: list[int] = field(default_factory=list)
+    failed_runs: int = 0
+    impossible_answers: int = 0
+
+    @property
+    def versions(self) -> set[int]:
+        """The weight versions that made an event of the output."""
+        return set(self.event_versions)
+
+    def take(self, event_id: int, data: bytes, version: int) -> None:
+        """Adds an event.
+
+        Raises:
+            DiscontinuityError: it does not follow the last one.
+        """
+        if self.last_event is not None and event_id != self.last_event + 1:
+            raise DiscontinuityError(f"event {event_id} after {self.last_event}")
+        if self.last_event is None and event_id not in (0, 1):
+            raise DiscontinuityError(f"event {event_id} at the start")
+        self.events.append(data)
+        self.last_event = event_id
+        self.event_versions.append(version)
+
+    def restart(self) -> None:
+        """Forgets all output, so that the next run starts anew."""
+        self.events.clear()
+        self.event_versions.clear()
+        self.last_event = None
+
+    def result(self) -> Result:
+        """Returns the result of a whole output.
+
+        Raises:
+            ValueError: the output is not text.
+        """
+        text = b"\n".join(self.events).decode()
+        return Result(self.item.id, ResultState.DONE, text, tuple(sorted(self.versions)))
--- /dev/null
+++ b/src/larkpost/rollouts/model.py
@@ -0,0 +1,110 @@
+"""What a batch of rollouts consists of."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import NewType
+
+from larkpost.fleet.configuration import ModelName
+from larkpost.ids import BatchId, DaemonId
+
+ItemId = NewType("ItemId", str)
+GroupId = NewType("GroupId", str)
+
+
+@dataclass(frozen=True, slots=True)
+class Item:
+    """One request of a batch.
+
+    Attributes:
+        path: the target at the server, as the trainer wrote it.
+        tokens: tokens of the prompt and most tokens out, summed.
+        length_hint: the trainer's guess of the tokens out; often far off. 0 if none.
+    """
+
+    id: ItemId
+    path: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    tokens: int
+    group: GroupId
+    length_hint: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class BatchSpec:
+    """A batch as a trainer submits it.
+
+    Attributes:
+        minimum_version: the oldest weight version that may make a token of a result.
+        desired_groups: whole groups after which the trainer goes on.
+    """
+
+    id: BatchId
+    host: str
+    path: str
+    model: ModelName
+    step: int
+    minimum_version: int
+    desired_groups: int
+    items: tuple[Item, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class BatchHead:
+    """What every daemon knows of a batch.
+
+    Attributes:
+        owner: the daemon that accepted it and runs it as long as it is alive.
+        created_at: store time, in seconds, shortly before it was accepted.
+        ended: whether the trainer has ended it.
+        upload: names the rows that hold the items.
+    """
+
+    id: BatchId
+    host: str
+    path: str
+    model: ModelName
+    step: int
+    minimum_version: int
+    desired_groups: int
+    total: int
+    owner: DaemonId
+    created_at: float
+    ended: bool
+    upload: str
+
+
+class ResultState(StrEnum):
+    """How an item ended."""
+
+    DONE = "done"
+    DEAD = "dead"  # it cannot be done, or was given up
+
+
+@dataclass(frozen=True, slots=True)
+class Result:
+    """The end of an item; its place in the list of results never changes.
+
+    Attributes:
+        text: data of all events in order, parted by line feeds.
+        versions: the weight versions that made an event of the text, rising.
+    """
+
+    item: ItemId
+    state: ResultState
+    text: str = ""
+    versions: tuple[int, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Tail:
+    """The end of a batch's list of results. Every append is made on condition of its version.
+
+    Attributes:
+        count: results listed.
+        version: version of the row.
+    """
+
+    count: int
+    ended: bool
+    version: int
--- /dev/null
+++ b/src/larkpost/rollouts/owned.py
@@ -0,0 +1,190 @@
+"""A batch that this daemon owns: its run, and the appending of its results."""
+
+import asyncio
+
+from larkpost.clock import Clock
+from larkpost.eventlog import Event, EventLog
+from larkpost.rollouts.model import BatchHead, Item, ItemId, Result, Tail
+from larkpost.rollouts.repository import BatchRepository
+from larkpost.rollouts.run import BatchRun, RunServices
+from larkpost.rollouts.view import BatchView
+from larkpost.store.port import StoreUnavailableError, WriteOutcome
+
+APPEND_GAP_SECONDS = 0.06
+RETRY_SECONDS = 0.15
+PARTIAL_INTERVAL_SECONDS = 1.0
+MIN_NEW_EVENTS = 4
+"""An item's output is kept again once it has grown by this many events."""
+
+
+class OwnedBatch:
+    """Loads a batch, runs what is not listed yet, and appends results until all are listed."""
+
+    def __init__(
+        self,
+        head: BatchHead,
+        view: BatchView,
+        repository: BatchRepository,
+        services: RunServices,
+    ) -> None:
+        self.head = head
+        self.complete = False
+        self._view = view
+        self._repository = repository
+        self._services = services
+        self._clock: Clock = services.clock
+        self._log: EventLog = services.log
+        self._run: BatchRun | None = None
+        self._tail: Tail | None = None
+        self._pending: list[Result] = []
+        self._listed: set[ItemId] = set()
+        self._wake = asyncio.Event()
+        self._kept_events: dict[ItemId, int] = {}
+        self._tasks: list[asyncio.Task] = []
+
+    def start(self, items: tuple[Item, ...] | None, fresh: bool) -> None:
+        """Starts in the background.
+
+        Args:
+            items: the batch's items, if this daemon has just accepted them.
+            fresh: whether the batch was accepted just now, so that nothing is listed yet.
+        """
+        self._tasks.append(asyncio.create_task(self._work(items, fresh)))
+        self._tasks.append(asyncio.create_task(self._keep_partials()))
+
+    def stop(self) -> None:
+        """Stops all runs and appends."""
+        for task in self._tasks:
+            task.cancel()
+        if self._run is not None:
+            self._run.cancel()
+
+    async def hand_over(self) -> None:
+        """Stops all runs and keeps what they made, so that another daemon goes on from there."""
+        if self._run is not None:
+            self._run.cancel()
+        await self._keep(minimum=1)
+
+    async def _work(self, items: tuple[Item, ...] | None, fresh: bool) -> None:
+        try:
+            await self._load(items, fresh)
+            await self._append_all()
+        except Exception as error:
+            self._log.note(Event.FAULT, where=f"batch {self.head.id}", error=repr(error))
+            raise
+
+    async def _load(self, items: tuple[Item, ...] | None, fresh: bool) -> None:
+        kept = {}
+        while True:
+            try:
+                if items is None:
+                    items = await self._repository.items(self.head)
+                if not fresh:
+                    kept = await self._repository.partials(self.head.id, items)
+                await self._synchronise()
+                break
+            except StoreUnavailableError:
+                if fresh and items is not None:
+                    break
+                await self._clock.sleep(RETRY_SECONDS)
+        self._view.items = {item.id: item for item in items}
+        open_items = tuple(item for item in items if item.id not in self._listed)
+        ended = self._tail is not None and self._tail.ended
+        if ended or not open_items:
+            return
+        self._run = BatchRun(self.head, open_items, self._services, self._finished, kept)
+        self._run.start()
+
+    def _finished(self, result: Result) -> None:
+        self._pending.append(result)
+        self._wake.set()
+
+    async def _synchronise(self) -> None:
+        """Reads the tail and the results listed by anyone.
+
+        Raises:
+            StoreUnavailableError: the store did not answer.
+        """
+        started = self._clock.now()
+        tail = await self._repository.tail(self.head.id)
+        if tail is None:
+            return
+        known = len(self._view.results)
+        if tail.count > known:
+            self._view.add(known, await self._repository.results(self.head.id, known))
+        self._tail = tail
+        self._view.confirm(started)
+        self._listed = {result.item for result in self._view.results}
+        self._pending = [result for result in self._pending if result.item not in self._listed]
+
+    async def _append_all(self) -> None:
+        while not self._is_over():
+            if not self._pending or self._tail is None:
+                self._wake.clear()
+                if self._tail is not None:
+                    await self._wake.wait()
+            await self._append_once()
+            await self._clock.sleep(APPEND_GAP_SECONDS)
+        self.complete = True
+        if self._run is not None:
+            self._run.cancel()
+        self._log.note(Event.BATCH_COMPLETE, batch=self.head.id, listed=len(self._view.results))
+
+    def _is_over(self) -> bool:
+        if self._tail is None:
+            return False
+        return self._tail.ended or self._tail.count >= self.head.total
+
+    async def _append_once(self) -> None:
+        if self._tail is None:
+            await self._resynchronise()
+            return
+        pending = list(self._pending)
+        started = self._clock.now()
+        result, tail, taken = await self._repository.append(self.head.id, self._tail, pending)
+        if result.outcome is WriteOutcome.DONE:
+            self._view.add(self._tail.count, pending[:taken])
+            self._view.confirm(started)
+            self._listed.update(added.item for added in pending[:taken])
+            self._pending = self._pending[taken:]
+            self._tail = tail
+            return
+        self._log.note(
+            Event.APPEND_FAILED,
+            batch=self.head.id,
+            outcome=result.outcome,
+            position=self._tail.count,
+            waiting=len(self._pending),
+        )
+        if result.outcome in (WriteOutcome.CONFLICT, WriteOutcome.UNKNOWN):
+            await self._resynchronise()
+        else:
+            await self._clock.sleep(RETRY_SECONDS)
+
+    async def _resynchronise(self) -> None:
+        while True:
+            try:
+                await self._synchronise()
+                return
+            except StoreUnavailableError:
+                await self._clock.sleep(RETRY_SECONDS)
+
+    async def _keep_partials(self) -> None:
+        while not self.complete:
+            await self._clock.sleep(PARTIAL_INTERVAL_SECONDS)
+            await self._keep(MIN_NEW_EVENTS)
+
+    async def _keep(self, minimum: int) -> None:
+        """Keeps the output of items that have grown by ``minimum`` events or more."""
+        if self._run is None:
+            return
+        grown = [
+            progress
+            for progress in self._run.progress.values()
+            if len(progress.events) - self._kept_events.get(progress.item.id, 0) >= minimum
+        ]
+        if not grown:
+            return
+        for progress in grown:
+            self._kept_events[progress.item.id] = len(progress.events)
+        await self._repository.keep_partials(self.head.id, grown)
--- /dev/null
+++ b/src/larkpost/rollouts/run.py
@@ -0,0 +1,360 @@
+"""Runs the items of one batch at engines until each has a result."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import StrEnum
+
+from larkpost.clock import Clock
+from larkpost.eventlog import Event, EventLog
+from larkpost.fleet.configuration import (
+    Configuration,
+    ConfigurationState,
+    Route,
+    RouteKind,
+    Service,
+    ServiceName,
+)
+from larkpost.fleet.directory import Directory, InstanceInfo
+from larkpost.ids import EngineId
+from larkpost.proxy.balancer import Balancer
+from larkpost.proxy.port import (
+    BrokenAnswerError,
+    NotRunError,
+    NotRunReason,
+    OutgoingRequest,
+    ServerAnswer,
+    ServerPort,
+)
+from larkpost.rollouts.attempt import DiscontinuityError, Progress
+from larkpost.rollouts.model import BatchHead, GroupId, Item, ItemId, Result, ResultState
+
+FIRST_EVENT_SECONDS = 2.5
+"""Longest wait for an answer's head and for its first event."""
+EVENT_GAP_SECONDS = 1.2
+"""Longest pause between two events before the run is continued elsewhere."""
+WAIT_FOR_PLACE_SECONDS = 0.03
+REFUSED_AVOID_SECONDS = 0.15
+UNREACHABLE_AVOID_SECONDS = 1.0
+BROKEN_AVOID_SECONDS = 0.3
+SILENT_AVOID_SECONDS = 1.5
+GROUP_PREFERENCE = 3
+"""An item joins its group's engine if that has at most this many more requests than the best."""
+SLOW_RATIO = 1.7
+"""A run moves away from an engine that is slower than the best one by this factor."""
+MAX_MOVES = 2
+EVENTS_BEFORE_MOVE = 4
+
+
+class RunEnd(StrEnum):
+    """How one run of an item ended."""
+
+    WHOLE = "whole"
+    AGAIN = "again"
+    DEAD = "dead"
+
+
+class MoveAwayError(Exception):
+    """The run is to go on at a faster engine."""
+
+
+@dataclass(slots=True)
+class RunServices:
+    """What running a batch needs of its daemon."""
+
+    configuration: ConfigurationState
+    directory: Directory
+    balancer: Balancer
+    servers: ServerPort
+    clock: Clock
+    log: EventLog
+    store_time: Callable[[], float | None]
+
+
+class BatchRun:
+    """Runs the unfinished items of a batch that this daemon owns.
+
+    Args:
+        finished: called with each result, in the order they arise.
+        kept: output that an earlier owner of the batch has kept.
+    """
+
+    def __init__(
+        self,
+        head: BatchHead,
+        items: tuple[Item, ...],
+        services: RunServices,
+        finished: Callable[[Result], None],
+        kept: dict[ItemId, Progress] | None = None,
+    ) -> None:
+        self.head = head
+        self.progress = {item.id: (kept or {}).get(item.id) or Progress(item) for item in items}
+        self._services = services
+        self._finished = finished
+        self._group_engines: dict[GroupId, EngineId] = {}
+        self._waiting = sorted(items, key=_expected_work, reverse=True)
+        self._tasks: set[asyncio.Task] = set()
+
+    def start(self) -> None:
+        """Starts all items; each waits for its place at an engine, the longest first."""
+        for item in self._waiting:
+            task = asyncio.create_task(self._run_item(item), name=f"item.{item.id}")
+            self._tasks.add(task)
+            task.add_done_callback(self._task_done)
+        self._waiting = []
+
+    def cancel(self) -> None:
+        """Stops all runs; their connections close at once."""
+        for task in list(self._tasks):
+            task.cancel()
+
+    def _task_done(self, task: asyncio.Task) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self._services.log.note(
+                Event.FAULT, where=task.get_name(), error=repr(task.exception())
+            )
+
+    async def _run_item(self, item: Item) -> None:
+        progress = self.progress[item.id]
+        moves = 0
+        while True:
+            end = RunEnd.AGAIN
+            route = self._route(item)
+            if self._is_given_up(route):
+                end = RunEnd.DEAD
+            elif route is not None:
+                engine = self._choose_engine(item, route)
+                if engine is not None:
+                    end = await self._run_at(engine, item, route, progress, moves)
+                    moves += 1
+            if end is RunEnd.WHOLE:
+                self._finish_whole(progress)
+                return
+            if end is RunEnd.DEAD:
+                self._finish_dead(item, progress)
+                return
+            await self._services.clock.sleep(WAIT_FOR_PLACE_SECONDS)
+
+    def _finish_whole(self, progress: Progress) -> None:
+        self.progress.pop(progress.item.id, None)
+        self._finished(progress.result())
+
+    def _finish_dead(self, item: Item, progress: Progress) -> None:
+        self._services.log.note(
+            Event.ITEM_DEAD,
+            batch=self.head.id,
+            item=item.id,
+            failed_runs=progress.failed_runs,
+            impossible=progress.impossible_answers,
+        )
+        self.progress.pop(item.id, None)
+        self._finished(Result(item.id, ResultState.DEAD))
+
+    def _route(self, item: Item) -> Route | None:
+        configuration: Configuration | None = self._services.configuration.current
+        if configuration is None:
+            return None
+        return configuration.match(self.head.host, item.path.partition("?")[0].encode())
+
+    def _is_given_up(self, route: Route | None) -> bool:
+        """Tells whether the time is over in which the item must be kept trying."""
+        store_time = self._services.store_time()
+        if store_time is None or route is None or not route.queue_lifetime:
+            return False
+        return store_time - self.head.created_at > route.queue_lifetime
+
+    def _choose_engine(self, item: Item, route: Route) -> InstanceInfo | None:
+        """Returns an engine with a free place and a version that may make the item's tokens."""
+        if route.kind is not RouteKind.BATCH:
+            return None
+        service = self._service(route)
+        if service is None:
+            return None
+        candidates = [
+            info
+            for info in self._services.balancer.candidates(service.name, eligible=self._has_version)
+            if self._services.balancer.occupied(info) < max(1, info.slots)
+        ]
+        if not candidates:
+            return None
+        best = candidates[0]
+        chosen = best
+        for info in candidates:
+            if info.id == self._group_engines.get(item.group):
+                extra = self._occupied(info) - self._occupied(best)
+                chosen = info if extra <= GROUP_PREFERENCE else best
+        self._group_engines[item.group] = chosen.id
+        return chosen
+
+    def _service(self, route: Route) -> Service | None:
+        configuration = self._services.configuration.current
+        name: ServiceName = route.shares[0].service
+        return configuration.services.get(name) if configuration is not None else None
+
+    def _occupied(self, info: InstanceInfo) -> int:
+        return self._services.balancer.occupied(info)
+
+    def _has_version(self, info: InstanceInfo) -> bool:
+        version = self._services.directory.version_of(info.id, self.head.model)
+        return version >= self.head.minimum_version
+
+    async def _run_at(
+        self,
+        engine: InstanceInfo,
+        item: Item,
+        route: Route,
+        progress: Progress,
+        moves: int,
+    ) -> RunEnd:
+        """Runs an item at an engine from where it is, and tells how that ended."""
+        balancer = self._services.balancer
+        if progress.last_event is not None and route.single_version:
+            self._keep_pure(engine, progress)
+        try:
+            with balancer.placed(engine.id):
+                return await self._stream(engine, item, route, progress, moves)
+        except NotRunError as error:
+            self._note_not_run(engine, error)
+        except MoveAwayError:
+            self._services.log.note(
+                Event.ITEM_MOVED, batch=self.head.id, item=item.id, engine=engine.id
+            )
+        except TimeoutError:
+            balancer.avoid(engine.id, SILENT_AVOID_SECONDS)
+            self._note_failure(engine, item, "silent")
+        except DiscontinuityError as error:
+            progress.restart()
+            balancer.avoid(engine.id, BROKEN_AVOID_SECONDS)
+            self._note_failure(engine, item, str(error))
+        except (BrokenAnswerError, UnicodeDecodeError) as error:
+            balancer.avoid(engine.id, BROKEN_AVOID_SECONDS)
+            self._note_failure(engine, item, str(error))
+        return RunEnd.AGAIN
+
+    def _keep_pure(self, engine: InstanceInfo, progress: Progress) -> None:
+        version = self._services.directory.version_of(engine.id, self.head.model)
+        if progress.versions != {version}:
+            progress.restart()
+
+    def _note_not_run(self, engine: InstanceInfo, error: NotRunError) -> None:
+        if error.reason is NotRunReason.WRONG_INSTANCE or error.reason is NotRunReason.UNREACHABLE:
+            self._services.balancer.avoid(engine.id, UNREACHABLE_AVOID_SECONDS)
+        else:
+            self._services.balancer.avoid(engine.id, REFUSED_AVOID_SECONDS)
+
+    def _note_failure(self, engine: InstanceInfo, item: Item, reason: str) -> None:
+        self._services.log.note(
+            Event.ITEM_FAILED, batch=self.head.id, item=item.id, engine=engine.id, reason=reason
+        )
+
+    async def _stream(
+        self,
+        engine: InstanceInfo,
+        item: Item,
+        route: Route,
+        progress: Progress,
+        moves: int,
+    ) -> RunEnd:
+        if not self._services.directory.takes_work(engine.id):
+            raise NotRunError(NotRunReason.LEAVING)
+        request = self._request(item, progress)
+        async with asyncio.timeout(FIRST_EVENT_SECONDS) as limit:
+            async with self._services.servers.send(engine, request) as answer:
+                self._services.balancer.note_load(engine.id, answer.load)
+                if answer.status != 200:
+                    return self._judge_failure(engine, item, route, progress, answer)
+                await self._take_events(engine, route, progress, answer, limit, moves)
+        if not progress.events:
+            raise BrokenAnswerError("a stream without events")
+        progress.result()
+        return RunEnd.WHOLE
+
+    def _request(self, item: Item, progress: Progress) -> OutgoingRequest:
+        return OutgoingRequest(
+            request_id=item.id.encode("latin-1"),
+            method="POST",
+            host=self.head.host.encode("latin-1"),
+            target=item.path.encode("latin-1"),
+            headers=tuple(
+                (name.encode("latin-1"), value.encode("latin-1")) for name, value in item.headers
+            ),
+            body=item.body,
+            resume_after=progress.last_event,
+        )
+
+    async def _take_events(
+        self,
+        engine: InstanceInfo,
+        route: Route,
+        progress: Progress,
+        answer: ServerAnswer,
+        limit: asyncio.Timeout,
+        moves: int,
+    ) -> None:
+        """Takes the events of a run.
+
+        Raises:
+            BrokenAnswerError: the stream broke off, or its version is not to be used.
+            MoveAwayError: a faster engine is free.
+        """
+        loop = asyncio.get_running_loop()
+        version = answer.version or 0
+        self._services.directory.observe_version(engine.id, self.head.model, version)
+        last_at: float | None = None
+        count = 0
+        async for event in answer.events():
+            now = loop.time()
+            limit.reschedule(now + EVENT_GAP_SECONDS)
+            if event.version is not None:
+                version = event.version
+                self._services.directory.observe_version(engine.id, self.head.model, version)
+            if version < self.head.minimum_version:
+                raise BrokenAnswerError(f"version {version} is too old")
+            if route.single_version and progress.versions - {version}:
+                progress.restart()
+                raise BrokenAnswerError("the version changed within a result")
+            progress.take(event.id, event.data, version)
+            if last_at is not None:
+                self._services.balancer.note_pace(engine.id, now - last_at)
+            last_at = now
+            count += 1
+            if count >= EVENTS_BEFORE_MOVE and moves < MAX_MOVES:
+                self._move_if_slow(engine, route)
+
+    def _move_if_slow(self, engine: InstanceInfo, route: Route) -> None:
+        """Raises if an engine much faster than this one has a free place.
+
+        Raises:
+            MoveAwayError: go on elsewhere.
+        """
+        balancer = self._services.balancer
+        pace = balancer.pace(engine.id)
+        for info in balancer.candidates(
+            route.shares[0].service, exclude=(engine.id,), eligible=self._has_version
+        ):
+            other = balancer.pace(info.id)
+            if other and pace > other * SLOW_RATIO and balancer.occupied(info) < info.slots:
+                raise MoveAwayError
+
+    def _judge_failure(
+        self,
+        engine: InstanceInfo,
+        item: Item,
+        route: Route,
+        progress: Progress,
+        answer: ServerAnswer,
+    ) -> RunEnd:
+        self._note_failure(engine, item, f"status {answer.status}")
+        if answer.status == 422:
+            progress.impossible_answers += 1
+            return RunEnd.DEAD
+        if answer.status == 500:
+            progress.failed_runs += 1
+            if progress.failed_runs >= route.max_attempts:
+                return RunEnd.DEAD
+        return RunEnd.AGAIN
+
+
+def _expected_work(item: Item) -> int:
+    return item.length_hint or item.tokens
--- /dev/null
+++ b/src/larkpost/rollouts/view.py
@@ -0,0 +1,52 @@
+"""What one daemon knows of a batch's list of results. Places never change, so it only grows."""
+
+import asyncio
+
+from larkpost.rollouts.model import BatchHead, Item, ItemId, Result
+
+
+class BatchView:
+    """A batch's results from the first on, as far as they are known here.
+
+    Attributes:
+        items: the batch's items, if this daemon has them.
+        confirmed_at: steady time at which the list was certainly complete.
+        used_at: steady time of the last use, for the bound on memory.
+    """
+
+    def __init__(self, head: BatchHead) -> None:
+        self.head = head
+        self.results: list[Result] = []
+        self.items: dict[ItemId, Item] | None = None
+        self.confirmed_at = float("-inf")
+        self.used_at = float("-inf")
+        self._changed = asyncio.Event()
+
+    def add(self, position: int, results: list[Result]) -> None:
+        """Takes results that the store holds from a position on."""
+        known = len(self.results)
+        if position > known:
+            return
+        new = results[known - position :]
+        if new:
+            self.results.extend(new)
+            self._changed.set()
+            self._changed = asyncio.Event()
+
+    def confirm(self, at: float) -> None:
+        """Notes that the list was complete at a time."""
+        self.confirmed_at = max(self.confirmed_at, at)
+
+    async def wait_for_change(self, timeout: float) -> None:
+        """Waits until the list has grown, at most ``timeout`` seconds."""
+        try:
+            async with asyncio.timeout(timeout):
+                await self._changed.wait()
+        except TimeoutError:
+            return
+
+    @property
+    def size(self) -> int:
+        """Bytes of text held, roughly."""
+        bodies = sum(len(item.body) for item in self.items.values()) if self.items else 0
+        return bodies + sum(len(result.text) for result in self.results)
--- a/src/larkpost/routing/run_once.py
+++ b/src/larkpost/routing/run_once.py
@@ -12,8 +12,8 @@
 from larkpost.blackboard.board import Blackboard
 from larkpost.errors import AlreadyClaimedError, LarkpostError, PlatformError, Ran
 from larkpost.ids import DaemonId
-from larkpost.platform.ports import TableStore
 from larkpost.settings import ConfigurationSettings
+from larkpost.table_service.ports import TableStore
 from larkpost.wire import larkpost_pb2 as pb
 from larkpost.wire.peer import PeerError, PeerMethod, PeerTransport
 
--- a/src/larkpost/server.py
+++ b/src/larkpost/server.py
@@ -14,8 +14,8 @@
 from larkpost.engines.http_adapter import HttpEnginePort, close_session
 from larkpost.errors import SettingsError
 from larkpost.http_server import HttpServer
-from larkpost.platform.http_adapter import HttpPlatform
 from larkpost.settings import Settings
+from larkpost.table_service.http_adapter import HttpPlatform
 from larkpost.wire.http_peer import HttpPeerTransport, TelemetrySource
 
 IDLE_CONNECTION_SECONDS = 30
--- a/src/larkpost/settings.py
+++ b/src/larkpost/settings.py
@@ -13,6 +13,7 @@
     TomlConfigSettingsSource,
 )
 
+from larkpost.addresses import split_address
 from larkpost.errors import SettingsError
 from larkpost.ids import Address, DaemonId, ZoneId
 
@@ -215,18 +216,6 @@
         return value
 
 
-def split_address(address: str) -> tuple[str, int]:
-    """Splits ``host:port``.
-
-    Raises:
-        ValueError: the text is not of that form.
-    """
-    host, separator, port = address.rpartition(":")
-    if not separator or not host or not port.isdigit() or not 0 < int(port) < 65536:
-        raise ValueError(f"{address!r} is no address; write host:port, for example 10.0.0.7:8100")
-    return host, int(port)
-
-
 def load_settings(path: Path | None, overrides: dict[str, Any]) -> Settings:
     """Reads and checks the settings.
 
--- /dev/null
+++ b/src/larkpost/store/follower.py
@@ -0,0 +1,135 @@
+"""Keeps a local copy of a table: listed once, then followed by the feed of changes.
+
+A row is only ever replaced by a newer version of itself, so nothing that is read late or out of
+order can bring back an older state. A silent feed proves nothing: the table is listed again at an
+interval as well.
+"""
+
+from collections.abc import Callable
+
+from larkpost.clock import Clock
+from larkpost.store.port import (
+    HistoryLostError,
+    Row,
+    RowKey,
+    Store,
+    StoreUnavailableError,
+    read_all,
+)
+from larkpost.tasks import TaskSet
+
+FEED_WAIT_SECONDS = 1.0
+FEED_GAP_SECONDS = 0.05
+RETRY_SECONDS = 0.15
+
+
+class TableFollower:
+    """A copy of the rows of some parts of one table.
+
+    Args:
+        parts: the parts to list; the feed covers all of them.
+        listener: called with each row that is new or gone, in the order learned.
+        relist_interval: seconds between two listings.
+        feed_gap: seconds to wait between two answers of the feed, so that changes are grouped.
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        clock: Clock,
+        table: str,
+        parts: tuple[str, ...],
+        listener: Callable[[Row], None],
+        *,
+        relist_interval: float,
+        feed_gap: float = FEED_GAP_SECONDS,
+    ) -> None:
+        self._store = store
+        self._clock = clock
+        self._table = table
+        self._parts = parts
+        self._listener = listener
+        self._relist_interval = relist_interval
+        self._feed_gap = feed_gap
+        self._position = 0
+        self._newest_seen = 0
+        self._listed_at: float | None = None
+        self.rows: dict[RowKey, Row] = {}
+        self.failed_at: float | None = None
+        self.confirmed_at: float | None = None
+
+    @property
+    def listed(self) -> bool:
+        """Whether the table was read whole at least once."""
+        return self._listed_at is not None
+
+    def sound_for(self, now: float) -> float:
+        """Returns for how many seconds every call has succeeded; 0 if none has."""
+        if self.confirmed_at is None:
+            return 0.0
+        if self.failed_at is None:
+            return now
+        return max(0.0, now - self.failed_at)
+
+    def start(self, tasks: TaskSet) -> None:
+        """Starts following in the background."""
+        tasks.spawn(self._run(), f"follow.{self._table}")
+
+    async def _run(self) -> None:
+        while True:
+            try:
+                await self._step()
+            except HistoryLostError:
+                self._listed_at = None
+                self._position = 0
+            except StoreUnavailableError:
+                self.failed_at = self._clock.now()
+                await self._clock.sleep(RETRY_SECONDS)
+
+    async def _step(self) -> None:
+        started = self._clock.now()
+        if self._listed_at is None or started - self._listed_at >= self._relist_interval:
+            await self._list()
+            self._listed_at = started
+            self.confirmed_at = started
+        page = await self._store.changes(self._table, self._position, FEED_WAIT_SECONDS)
+        for row in page.rows:
+            self._take(row)
+        self._position = max(self._position, page.version)
+        self._newest_seen = max(self._newest_seen, page.version)
+        self.confirmed_at = started
+        await self._clock.sleep(self._feed_gap)
+
+    async def _list(self) -> None:
+        """Reads all parts; a listing older than what is known already counts as a failed call."""
+        versions = []
+        for part in self._parts:
+            page = await read_all(self._store, self._table, part)
+            if page.version < self._newest_seen:
+                raise StoreUnavailableError(f"the listing of {self._table} is out of date")
+            versions.append(page.version)
+            found = {row.key for row in page.rows}
+            for row in page.rows:
+                self._take(row)
+            gone = [
+                row
+                for key, row in self.rows.items()
+                if key.part == part and key not in found and row.version <= page.version
+            ]
+            for row in gone:
+                self._take(Row(row.key, b"", page.version, removed=True))
+        if self._position == 0:
+            self._position = min(versions)
+        self._newest_seen = max(self._newest_seen, *versions)
+
+    def _take(self, row: Row) -> None:
+        known = self.rows.get(row.key)
+        if known is not None and row.version <= known.version and not row.removed:
+            return
+        if row.removed:
+            if known is None or row.version < known.version:
+                return
+            del self.rows[row.key]
+        else:
+            self.rows[row.key] = row
+        self._listener(row)
--- a/src/larkpost/platform/http_adapter.py
+++ b/src/larkpost/table_service/http_adapter.py
@@ -9,7 +9,7 @@
 from larkpost.documents import read_fields
 from larkpost.errors import PlatformError
 from larkpost.ids import Address, EngineId, PoolId, ZoneId
-from larkpost.platform.ports import MachineEntry, Row
+from larkpost.table_service.ports import MachineEntry, Row
 
 NETWORK_ERRORS = (aiohttp.ClientError, TimeoutError, OSError, ValueError, KeyError)
 
--- a/src/larkpost/wire/http_peer.py
+++ b/src/larkpost/wire/http_peer.py
@@ -4,8 +4,8 @@
 
 import aiohttp
 
+from larkpost.addresses import split_address
 from larkpost.ids import Address
-from larkpost.settings import split_address
 from larkpost.telemetry import Telemetry
 from larkpost.wire.peer import DatagramHandler, PeerError, PeerMethod
 
