An item that another owner has listed is not listed again

Cause: after a conflict the owner learnt what another daemon had listed and filtered what waited, but runs still under way were appended when they ended. Change: a finished run is checked against the list; runs of listed items are cancelled; an append waits until the list is known up to its tail.

--- /dev/null
+++ b/src/larkpost/rehearsal/memory_store.py
@@ -0,0 +1,185 @@
+"""A store in memory with the platform's contract and its faults, for tests and simulations."""
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from larkpost.clock import Clock
+from larkpost.store.port import (
+    ABSENT,
+    HistoryLostError,
+    Row,
+    RowKey,
+    RowPage,
+    StoreUnavailableError,
+    Transaction,
+    WriteOutcome,
+    WriteResult,
+)
+
+POLL_SECONDS = 0.01
+PAGE_ROWS = 500
+
+
+@dataclass(slots=True)
+class StoreFaults:
+    """What is wrong with the store at the moment; all chances are between 0 and 1.
+
+    Attributes:
+        down: nothing is answered and nothing is done.
+        refuses: every call is refused at once.
+        lost_answers: chance that a write is done but not answered.
+        late_writes: chance that a write is not answered and is done only later.
+        late_seconds: how much later.
+        slow_seconds: added to every answer.
+        parts_down: parts that refuse every call.
+    """
+
+    down: bool = False
+    refuses: bool = False
+    lost_answers: float = 0.0
+    late_writes: float = 0.0
+    late_seconds: float = 2.0
+    slow_seconds: float = 0.0
+    parts_down: frozenset[str] = frozenset()
+
+
+class MemoryStore:
+    """Rows, conditions, a feed, and faults. Many `StoreClient`s share one."""
+
+    def __init__(self, clock: Clock, chance: random.Random | None = None) -> None:
+        self.clock = clock
+        self.chance = chance or random.Random(0)
+        self.faults = StoreFaults()
+        self.rows: dict[RowKey, Row] = {}
+        self.version = 0
+        self.history: list[Row] = []
+        self.oldest_change = 0
+        self.late: list[tuple[float, Transaction]] = []
+        self.writes = 0
+        self.watchers: list[Callable[[Transaction], None]] = []
+
+    def apply(self, transaction: Transaction) -> WriteResult:
+        """Carries a transaction out at once."""
+        self.carry_out_late()
+        return self._apply(transaction)
+
+    def carry_out_late(self) -> None:
+        """Carries out the late writes whose time has come."""
+        now = self.clock.now()
+        due = [entry for entry in self.late if entry[0] <= now]
+        self.late = [entry for entry in self.late if entry[0] > now]
+        for _, transaction in due:
+            self._apply(transaction)
+
+    def forget_history(self) -> None:
+        """Drops all changes from the feed."""
+        self.history.clear()
+        self.oldest_change = self.version
+
+    def _apply(self, transaction: Transaction) -> WriteResult:
+        for key, version in transaction.conditions:
+            row = self.rows.get(key)
+            if (row.version if row is not None else ABSENT) != version:
+                found = tuple(
+                    self.rows[key] for key, _ in transaction.conditions if key in self.rows
+                )
+                return WriteResult(WriteOutcome.CONFLICT, rows=found)
+        self.version += 1
+        self.writes += 1
+        for key, value in transaction.puts:
+            self.rows[key] = Row(key, value, self.version)
+            self.history.append(self.rows[key])
+        for key in transaction.removals:
+            if self.rows.pop(key, None) is not None:
+                self.history.append(Row(key, b"", self.version, removed=True))
+        for watcher in self.watchers:
+            watcher(transaction)
+        return WriteResult(WriteOutcome.DONE, self.version)
+
+
+class StoreClient:
+    """One daemon's way to a `MemoryStore`; implements `larkpost.store.port.Store`.
+
+    Attributes:
+        cut_off: whether this client cannot reach the store.
+    """
+
+    row_bytes = 65536
+
+    def __init__(self, store: MemoryStore, answer_seconds: float = 0.004) -> None:
+        self._store = store
+        self._answer_seconds = answer_seconds
+        self.cut_off = False
+
+    def time(self) -> float:
+        """Returns the store's clock."""
+        return self._store.clock.now()
+
+    async def write(self, transaction: Transaction, timeout: float) -> WriteResult:
+        """Carries out a transaction; see the port."""
+        store = self._store
+        faults = store.faults
+        if await self._is_silent(timeout):
+            return WriteResult(WriteOutcome.UNKNOWN)
+        if self._is_refused({key.part for key, _ in transaction.puts}):
+            return WriteResult(WriteOutcome.NOT_DONE)
+        fate = store.chance.random()
+        if fate < faults.late_writes:
+            store.late.append((store.clock.now() + faults.late_seconds, transaction))
+            await store.clock.sleep(timeout)
+            return WriteResult(WriteOutcome.UNKNOWN)
+        result = store.apply(transaction)
+        if fate < faults.late_writes + faults.lost_answers:
+            await store.clock.sleep(timeout)
+            return WriteResult(WriteOutcome.UNKNOWN)
+        return result
+
+    async def read(
+        self, table: str, part: str, first: str = "", end: str = "", limit: int = 0
+    ) -> RowPage:
+        """Reads rows of a part; see the port."""
+        if await self._is_silent(1.5) or self._is_refused({part}):
+            raise StoreUnavailableError("the store does not answer")
+        store = self._store
+        store.carry_out_late()
+        found = [
+            store.rows[key]
+            for key in sorted(store.rows)
+            if key.table == table
+            and key.part == part
+            and key.key >= first
+            and (not end or key.key < end)
+        ]
+        size = limit or PAGE_ROWS
+        return RowPage(tuple(found[:size]), len(found) > size, store.version)
+
+    async def changes(self, table: str, after: int, wait: float) -> RowPage:
+        """Returns the changes of a table; see the port."""
+        if await self._is_silent(wait + 1.5) or self._store.faults.refuses:
+            raise StoreUnavailableError("the store does not answer")
+        store = self._store
+        give_up_at = store.clock.now() + wait
+        while True:
+            store.carry_out_late()
+            if after < store.oldest_change:
+                raise HistoryLostError("the history is gone")
+            rows = tuple(
+                row for row in store.history if row.key.table == table and row.version > after
+            )
+            if rows or store.clock.now() >= give_up_at:
+                return RowPage(rows, False, store.version)
+            await store.clock.sleep(POLL_SECONDS)
+
+    async def _is_silent(self, timeout: float) -> bool:
+        faults = self._store.faults
+        if faults.down or self.cut_off:
+            await self._store.clock.sleep(timeout)
+            return True
+        delay = self._answer_seconds + faults.slow_seconds
+        await self._store.clock.sleep(min(delay, timeout))
+        return delay >= timeout
+
+    def _is_refused(self, parts: set[str]) -> bool:
+        faults = self._store.faults
+        return faults.refuses or bool(parts & faults.parts_down)
--- /dev/null
+++ b/src/larkpost/rehearsal/scripted_engines.py
@@ -0,0 +1,155 @@
+"""Engines in memory that speak larkpost's server port, for tests and simulations."""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+
+from larkpost.clock import Clock
+from larkpost.fleet.configuration import ModelName
+from larkpost.fleet.directory import InstanceInfo
+from larkpost.hashing import hash64
+from larkpost.ids import EngineId
+from larkpost.proxy.port import (
+    BrokenAnswerError,
+    EngineReport,
+    Headers,
+    NotRunError,
+    NotRunReason,
+    OrderOutcome,
+    OutgoingRequest,
+    ServerLoad,
+    StreamEvent,
+    VersionOrder,
+)
+
+MIN_EVENTS = 4
+SPREAD_EVENTS = 12
+LOAD_SECONDS = 0.9
+
+
+def output_of(request_id: str) -> list[bytes]:
+    """Returns the events' data that every engine makes for a request."""
+    count = MIN_EVENTS + hash64(request_id) % SPREAD_EVENTS
+    return [f"{request_id}-{number}".encode() for number in range(1, count + 1)]
+
+
+@dataclass(slots=True)
+class EngineState:
+    """One engine.
+
+    Attributes:
+        event_seconds: time it takes for an event.
+        down: it does not answer.
+        break_after: its next streams break off after so many events, or never.
+        status: answered instead of a stream, if set.
+        runs: ids of all requests it has run.
+        orders: (holder, fencing token, model, version, time) of each order that arrived.
+    """
+
+    slots: int = 8
+    event_seconds: float = 0.03
+    down: bool = False
+    break_after: int | None = None
+    status: int | None = None
+    running: int = 0
+    versions: dict[ModelName, int] = field(default_factory=dict)
+    highest_token: int = 0
+    orders_taken: int = 0
+    loading_until: float = 0.0
+    runs: list[str] = field(default_factory=list)
+    orders: list[tuple[str, int, ModelName, int, float]] = field(default_factory=list)
+
+
+class ScriptedAnswer:
+    """An answer of a scripted engine; implements `larkpost.proxy.port.ServerAnswer`."""
+
+    def __init__(
+        self, clock: Clock, state: EngineState, request: OutgoingRequest, model: ModelName
+    ) -> None:
+        self._clock = clock
+        self._state = state
+        self._request = request
+        self._model = model
+        self.status = state.status or 200
+        self.headers: Headers = ()
+        self.load = ServerLoad(state.running, 0, state.slots)
+        self.version = state.versions.get(model, 1)
+        self.of_server = True
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        """Yields the body; see the port."""
+        await self._clock.sleep(self._state.event_seconds)
+        if self._state.down:
+            raise BrokenAnswerError("the server went down")
+        yield b"answer to " + self._request.request_id
+
+    async def events(self) -> AsyncIterator[StreamEvent]:
+        """Yields the body's events; see the port."""
+        output = output_of(self._request.request_id.decode())
+        first = (self._request.resume_after or 0) + 1
+        version = self.version
+        for made, number in enumerate(range(first, len(output) + 1)):
+            await self._clock.sleep(self._state.event_seconds)
+            if self._state.down or made == self._state.break_after:
+                raise BrokenAnswerError("the stream broke off")
+            newest = self._state.versions.get(self._model, 1)
+            changed = newest if newest != version else None
+            version = newest
+            data = output[number - 1]
+            yield StreamEvent(number, data, data, changed)
+
+
+class ScriptedEngines:
+    """All engines; implements `larkpost.proxy.port.ServerPort`."""
+
+    def __init__(self, clock: Clock, model: ModelName) -> None:
+        self._clock = clock
+        self._model = model
+        self.engines: dict[EngineId, EngineState] = {}
+
+    @asynccontextmanager
+    async def send(
+        self, instance: InstanceInfo, request: OutgoingRequest
+    ) -> AsyncIterator[ScriptedAnswer]:
+        """Sends a request; see the port."""
+        await self._clock.sleep(0.001)
+        state = self.engines.get(instance.id)
+        if state is None or state.down:
+            raise NotRunError(NotRunReason.UNREACHABLE)
+        if state.running >= state.slots or self._clock.now() < state.loading_until:
+            raise NotRunError(NotRunReason.FULL)
+        state.running += 1
+        state.runs.append(request.request_id.decode())
+        try:
+            yield ScriptedAnswer(self._clock, state, request, self._model)
+        finally:
+            state.running -= 1
+
+    async def report(self, instance: InstanceInfo, timeout: float) -> EngineReport | None:
+        """Asks an engine for its report; see the port."""
+        await self._clock.sleep(0.001)
+        state = self.engines.get(instance.id)
+        if state is None or state.down:
+            return None
+        busy = self._clock.now() < state.loading_until
+        return EngineReport(state.orders_taken, busy, state.running, 0, dict(state.versions))
+
+    async def order(
+        self, instance: InstanceInfo, order: VersionOrder, timeout: float
+    ) -> OrderOutcome:
+        """Gives an engine an order; see the port."""
+        await self._clock.sleep(0.001)
+        state = self.engines.get(instance.id)
+        if state is None or state.down:
+            return OrderOutcome.UNKNOWN
+        now = self._clock.now()
+        state.orders.append((order.holder, order.fencing_token, order.model, order.version, now))
+        if order.fencing_token < state.highest_token:
+            return OrderOutcome.FENCED
+        state.highest_token = order.fencing_token
+        if order.expected_orders != state.orders_taken or now < state.loading_until:
+            return OrderOutcome.BUSY
+        state.orders_taken += 1
+        state.loading_until = now + LOAD_SECONDS
+        state.versions[order.model] = order.version
+        return OrderOutcome.TAKEN
--- a/src/larkpost/rollouts/owned.py
+++ b/src/larkpost/rollouts/owned.py
@@ -96,6 +96,8 @@
         self._run.start()
 
     def _finished(self, result: Result) -> None:
+        if result.item in self._listed:
+            return  # another daemon that ran the batch has listed it meanwhile
         self._pending.append(result)
         self._wake.set()
 
@@ -112,10 +114,14 @@
         known = len(self._view.results)
         if tail.count > known:
             self._view.add(known, await self._repository.results(self.head.id, known))
+        if len(self._view.results) < tail.count:
+            raise StoreUnavailableError("the list of results is behind its tail")
         self._tail = tail
         self._view.confirm(started)
         self._listed = {result.item for result in self._view.results}
         self._pending = [result for result in self._pending if result.item not in self._listed]
+        if self._run is not None:
+            self._run.drop(self._listed)
 
     async def _append_all(self) -> None:
         while not self._is_over():
--- a/src/larkpost/rollouts/run.py
+++ b/src/larkpost/rollouts/run.py
@@ -93,26 +93,32 @@
         self._finished = finished
         self._group_engines: dict[GroupId, EngineId] = {}
         self._waiting = sorted(items, key=_expected_work, reverse=True)
-        self._tasks: set[asyncio.Task] = set()
+        self._tasks: dict[ItemId, asyncio.Task] = {}
 
     def start(self) -> None:
         """Starts all items; each waits for its place at an engine, the longest first."""
         for item in self._waiting:
-            task = asyncio.create_task(self._run_item(item), name=f"item.{item.id}")
-            self._tasks.add(task)
+            task = asyncio.create_task(self._run_item(item), name=item.id)
+            self._tasks[item.id] = task
             task.add_done_callback(self._task_done)
         self._waiting = []
 
     def cancel(self) -> None:
         """Stops all runs; their connections close at once."""
-        for task in list(self._tasks):
+        for task in list(self._tasks.values()):
             task.cancel()
 
+    def drop(self, items: set[ItemId]) -> None:
+        """Stops the runs of items that another daemon has listed meanwhile."""
+        for item in items & self._tasks.keys():
+            self._tasks[item].cancel()
+            self.progress.pop(item, None)
+
     def _task_done(self, task: asyncio.Task) -> None:
-        self._tasks.discard(task)
+        self._tasks.pop(ItemId(task.get_name()), None)
         if not task.cancelled() and task.exception() is not None:
             self._services.log.note(
-                Event.FAULT, where=task.get_name(), error=repr(task.exception())
+                Event.FAULT, where=f"item {task.get_name()}", error=repr(task.exception())
             )
 
     async def _run_item(self, item: Item) -> None:
--- /dev/null
+++ b/tests/test_durable_batches.py
@@ -0,0 +1,199 @@
+"""Durable batches: accepted once, listed once, taken over, kept through faults of the store."""
+
+import unittest
+
+from larkpost.ids import BatchId
+from larkpost.rollouts.service import BatchRefusedError, BatchUncertainError
+from tests.platform_fleet import PlatformFleet, check_results, make_batch
+from tests.virtual import run
+
+
+class DurableBatchTest(unittest.TestCase):
+    """Each test plays a small fleet on virtual time."""
+
+    def test_batch_is_run_and_read_at_another_daemon(self):
+        async def play():
+            fleet = PlatformFleet()
+            await fleet.wait(1.0)
+            spec = make_batch()
+            await fleet.gateways[0].batches.submit(spec)
+            check_results(self, spec, await fleet.read_all(fleet.gateways[1], spec.id))
+
+        run(play())
+
+    def test_batch_is_taken_over_after_a_kill(self):
+        async def play():
+            fleet = PlatformFleet()
+            await fleet.wait(1.0)
+            spec = make_batch(items=40)
+            await fleet.gateways[0].batches.submit(spec)
+            await fleet.wait(0.2)
+            fleet.kill(0)
+            check_results(self, spec, await fleet.read_all(fleet.gateways[1], spec.id))
+
+        run(play())
+
+    def test_two_owners_list_each_item_once(self):
+        """A daemon cut off from the store runs on and comes back while another runs the batch."""
+
+        async def play():
+            fleet = PlatformFleet()
+            for state in fleet.engines.engines.values():
+                state.event_seconds = 0.4
+            await fleet.wait(1.0)
+            spec = make_batch(items=30)
+            await fleet.gateways[0].batches.submit(spec)
+            await fleet.wait(0.3)
+            fleet.clients[0].cut_off = True
+            await fleet.wait(4.0)
+            fleet.clients[0].cut_off = False
+            results = await fleet.read_all(fleet.gateways[1], spec.id)
+            await fleet.wait(5.0)
+            self.assertEqual(results, fleet.stored_results(spec.id))
+            check_results(self, spec, results)
+
+        run(play())
+
+    def test_second_owner_appends_between(self):
+        """A result that another owner has listed is not listed again once its run here ends."""
+
+        async def play():
+            fleet = PlatformFleet(gateways=1)
+            for state in fleet.engines.engines.values():
+                state.event_seconds = 0.2
+            await fleet.wait(1.0)
+            spec = make_batch(items=6)
+            await fleet.gateways[0].batches.submit(spec)
+            await fleet.wait(0.3)
+            await _list_elsewhere(fleet, spec, count=3)
+            await fleet.wait(6.0)
+            check_results(self, spec, fleet.stored_results(spec.id))
+
+        run(play())
+
+    def test_lost_and_late_answers_list_each_item_once(self):
+        async def play():
+            fleet = PlatformFleet(seed=3)
+            await fleet.wait(1.0)
+            fleet.store.faults.lost_answers = 0.3
+            fleet.store.faults.late_writes = 0.2
+            spec = make_batch(items=24)
+            try:
+                await fleet.gateways[0].batches.submit(spec)
+            except BatchUncertainError:
+                await fleet.wait(3.0)
+                await fleet.gateways[1].batches.submit(spec)
+            await fleet.wait(6.0)
+            fleet.store.faults.lost_answers = 0.0
+            fleet.store.faults.late_writes = 0.0
+            results = await fleet.read_all(fleet.gateways[2], spec.id)
+            await fleet.wait(5.0)
+            self.assertEqual(results, fleet.stored_results(spec.id))
+            check_results(self, spec, results)
+
+        run(play())
+
+    def test_refused_batch_is_never_accepted(self):
+        async def play():
+            fleet = PlatformFleet()
+            await fleet.wait(1.0)
+            fleet.store.faults.refuses = True
+            with self.assertRaises(BatchRefusedError):
+                await fleet.gateways[0].batches.submit(make_batch())
+            fleet.store.faults.refuses = False
+            await fleet.wait(5.0)
+            self.assertIsNone(await fleet.repository().head(BatchId("batch")))
+
+        run(play())
+
+    def test_silent_store_makes_the_outcome_uncertain(self):
+        async def play():
+            fleet = PlatformFleet()
+            await fleet.wait(1.0)
+            fleet.store.faults.down = True
+            with self.assertRaises(BatchUncertainError):
+                await fleet.gateways[0].batches.submit(make_batch())
+
+        run(play())
+
+    def test_loss_of_all_daemons_keeps_the_batch(self):
+        async def play():
+            fleet = PlatformFleet()
+            await fleet.wait(1.0)
+            spec = make_batch(items=30)
+            await fleet.gateways[1].batches.submit(spec)
+            await fleet.wait(0.1)
+            for number in range(3):
+                fleet.kill(number)
+            await fleet.wait(1.0)
+            for number in range(3):
+                fleet.add_gateway(f"daemon-{number}")
+            await fleet.wait(1.0)
+            check_results(self, spec, await fleet.read_all(fleet.gateways[4], spec.id))
+
+        run(play())
+
+    def test_planned_stop_hands_over_what_was_made(self):
+        async def play():
+            fleet = PlatformFleet()
+            for state in fleet.engines.engines.values():
+                state.event_seconds = 0.3
+            await fleet.wait(1.0)
+            spec = make_batch(items=8)
+            await fleet.gateways[0].batches.submit(spec)
+            await fleet.wait(1.0)
+            began = fleet.clock.now()
+            await fleet.gateways[0].drain()
+            fleet.kill(0)
+            results = await fleet.read_all(fleet.gateways[1], spec.id)
+            check_results(self, spec, results)
+            longest = 15 * 0.3
+            self.assertLess(fleet.clock.now() - began, longest + 1.0)
+
+        run(play())
+
+    def test_ended_batch_lists_and_runs_nothing_more(self):
+        async def play():
+            fleet = PlatformFleet()
+            for state in fleet.engines.engines.values():
+                state.event_seconds = 0.3
+            await fleet.wait(1.0)
+            spec = make_batch(items=20)
+            await fleet.gateways[0].batches.submit(spec)
+            await fleet.wait(0.6)
+            await fleet.gateways[2].batches.end(spec.id)
+            await fleet.wait(1.0)
+            listed = fleet.stored_results(spec.id)
+            self.assertEqual(0, sum(state.running for state in fleet.engines.engines.values()))
+            await fleet.wait(3.0)
+            self.assertEqual(listed, fleet.stored_results(spec.id))
+            await fleet.gateways[1].batches.end(spec.id)
+
+        run(play())
+
+    def test_broken_streams_are_continued(self):
+        async def play():
+            fleet = PlatformFleet()
+            for state in fleet.engines.engines.values():
+                state.break_after = 3
+            await fleet.wait(1.0)
+            spec = make_batch()
+            await fleet.gateways[0].batches.submit(spec)
+            check_results(self, spec, await fleet.read_all(fleet.gateways[1], spec.id))
+
+        run(play())
+
+
+async def _list_elsewhere(fleet, spec, count):
+    """Appends results of the first items as another owner of the batch would."""
+    from larkpost.rollouts.model import Result, ResultState
+    from tests.platform_fleet import expected_text
+
+    repository = fleet.repository()
+    tail = await repository.tail(spec.id)
+    results = [
+        Result(item.id, ResultState.DONE, expected_text(item.id), (1,))
+        for item in spec.items[:count]
+    ]
+    outcome, _, taken = await repository.append(spec.id, tail, results)
+    assert taken == count, outcome
