Adapters against hostile servers and clients; the platform's names stay in platform/

Cause: the adapters had no tests of their own. The library's handling of forwarded addresses is off, as nothing uses it.

--- a/src/larkpost/platform/http_protocol.py
+++ b/src/larkpost/platform/http_protocol.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import logging
 from collections.abc import Callable, Iterator
 
 import uvicorn
@@ -114,9 +115,11 @@
             access_log=False,
             server_header=False,
             date_header=False,
+            proxy_headers=False,
             backlog=BACKLOG,
             timeout_keep_alive=3600,
         )
+        logging.getLogger("uvicorn.error").disabled = True
         self._server = EmbeddedServer(config)
         self._task: asyncio.Task | None = None
 
--- a/src/larkpost/platform/process.py
+++ b/src/larkpost/platform/process.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import gc
-import logging
 import signal
 from pathlib import Path
 
@@ -34,7 +33,6 @@
 
 def run() -> None:
     """Runs a daemon until it is asked to stop."""
-    logging.getLogger("uvicorn.error").disabled = True
     asyncio.run(serve(settings_path()))
 
 
--- /dev/null
+++ b/tests/test_platform_ingress.py
@@ -0,0 +1,205 @@
+"""The client side against clients that send too much, too slowly, or leave."""
+
+import asyncio
+import unittest
+from contextlib import asynccontextmanager
+
+from larkpost.fleet.configuration import (
+    Configuration,
+    ConfigurationState,
+    RequestLimits,
+    Route,
+    RouteKind,
+    Service,
+    ServiceName,
+    ServiceShare,
+)
+from larkpost.fleet.lifecycle import Lifecycle
+from larkpost.ids import Address
+from larkpost.platform.http_protocol import Listener
+from larkpost.platform.ingress import Ingress
+from larkpost.proxy.forwarder import RefusedError, WholeAnswer
+from larkpost.proxy.port import BrokenAnswerError
+from larkpost.rehearsal.processes import free_address
+
+LIMITS = RequestLimits(header_bytes=2000, body_bytes=5000, header_time=0.3, idle_time=0.4)
+PAGES = ServiceName("pages")
+
+
+def route(prefix: bytes, kind: RouteKind) -> Route:
+    """Returns a route to the pages."""
+    return Route("r", "pages.example", prefix, kind, (ServiceShare(PAGES, 1.0),), 2.0, 0.2)
+
+
+class ScriptedForwarder:
+    """Answers every request by itself and notes what it was given."""
+
+    def __init__(self) -> None:
+        self.requests = []
+        self.cancelled = asyncio.Event()
+        self.delay = 0.0
+        self.error = None
+
+    async def forward(self, request, _route):
+        """Answers a request."""
+        self.requests.append(request)
+        if self.error is not None:
+            raise self.error
+        try:
+            await asyncio.sleep(self.delay)
+        except asyncio.CancelledError:
+            self.cancelled.set()
+            raise
+        headers = ((b"X-Own", b"1"), (b"Connection", b"close"), (b"Transfer-Encoding", b"chunked"))
+        return WholeAnswer(200, headers, b"whole")
+
+    @asynccontextmanager
+    async def stream(self, request, _route):
+        """Answers with a stream that breaks off."""
+        self.requests.append(request)
+        yield BrokenStream()
+
+
+class BrokenStream:
+    """A stream that breaks off after its first event."""
+
+    status = 200
+    headers = ((b"Content-Type", b"text/event-stream"),)
+
+    async def chunks(self):
+        """Yields the body."""
+        yield b"id: 1\ndata: a\n\n"
+        raise BrokenAnswerError("broke off")
+
+
+class IngressTest(unittest.IsolatedAsyncioTestCase):
+    """Each test talks to a listener over a plain connection."""
+
+    async def asyncSetUp(self):
+        self.configuration = ConfigurationState()
+        self.lifecycle = Lifecycle()
+        self.forwarder = ScriptedForwarder()
+        ingress = Ingress(self.configuration, self.lifecycle, self.forwarder, None)
+        address = Address(free_address())
+        self.listener = Listener(ingress, address, ingress.limits)
+        await self.listener.start()
+        self.addAsyncCleanup(self.listener.close)
+        self.host, self.port = address.split(":")
+        self.configuration.update(
+            Configuration(
+                1,
+                (
+                    route(b"/p/", RouteKind.IDEMPOTENT),
+                    route(b"/s/", RouteKind.STREAM),
+                ),
+                {PAGES: Service(PAGES, 10)},
+                LIMITS,
+            )
+        )
+
+    async def connect(self):
+        """Opens a connection that is closed after the test."""
+        reader, writer = await asyncio.open_connection(self.host, int(self.port))
+        self.addCleanup(writer.close)
+        return reader, writer
+
+    async def exchange(self, content: bytes) -> bytes:
+        """Sends bytes and returns all that comes back until the connection closes."""
+        reader, writer = await self.connect()
+        writer.write(content)
+        return await asyncio.wait_for(reader.read(), 3)
+
+    async def test_path_query_and_headers_are_passed_as_they_are(self):
+        answer = await self.exchange(
+            b"POST /p/a%2fb%41?x=%20+&y=%2F HTTP/1.1\r\nHost: Pages.example:80\r\n"
+            b"Larkpost-Attempt-Id: r1\r\nLarkpost-Deadline-Ms: 900\r\nX-Other: v\r\n"
+            b"Connection: close\r\nContent-Length: 2\r\n\r\nhi"
+        )
+        request = self.forwarder.requests[0]
+        self.assertEqual(b"/p/a%2fb%41?x=%20+&y=%2F", request.target)
+        self.assertEqual(((b"x-other", b"v"),), request.headers)
+        self.assertEqual((b"r1", 0.9, b"hi"), (request.request_id, request.time_left, request.body))
+        self.assertIn(b"x-own: 1\r\n", answer)
+        self.assertIn(b"content-length: 5\r\n", answer)
+        self.assertNotIn(b"chunked", answer)
+        self.assertTrue(answer.endswith(b"\r\n\r\nwhole"))
+
+    async def test_chunked_body_is_read_whole(self):
+        await self.exchange(
+            b"POST /p/x HTTP/1.1\r\nHost: pages.example\r\nTransfer-Encoding: chunked\r\n"
+            b"Connection: close\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
+        )
+        self.assertEqual(b"abcde", self.forwarder.requests[0].body)
+
+    async def test_unknown_route_and_unknown_configuration(self):
+        request = b"GET /none/x HTTP/1.1\r\nHost: pages.example\r\nConnection: close\r\n\r\n"
+        self.assertTrue((await self.exchange(request)).startswith(b"HTTP/1.1 404"))
+        self.configuration.current = None
+        answer = await self.exchange(request)
+        self.assertTrue(answer.startswith(b"HTTP/1.1 503"))
+        self.assertIn(b"retry-after: ", answer)
+
+    async def test_head_that_is_too_large(self):
+        head = b"GET /p/x HTTP/1.1\r\nHost: pages.example\r\nX-Long: " + b"a" * 3000
+        answer = await self.exchange(head + b"\r\n\r\n")
+        self.assertTrue(answer.startswith(b"HTTP/1.1 431"), answer[:40])
+        reader, writer = await self.connect()
+        writer.write(head)
+        answer = await asyncio.wait_for(reader.read(), 3)
+        self.assertTrue(answer.startswith(b"HTTP/1.1 431"), answer[:40])
+        self.assertEqual([], self.forwarder.requests)
+
+    async def test_head_that_is_too_slow(self):
+        reader, writer = await self.connect()
+        for part in (b"GET /p/x HT", b"TP/1.1\r\nHo", b"st: pages"):
+            writer.write(part)
+            await asyncio.sleep(0.15)
+        answer = await asyncio.wait_for(reader.read(), 3)
+        self.assertTrue(answer.startswith(b"HTTP/1.1 408"), answer[:40])
+
+    async def test_body_that_is_too_large(self):
+        answer = await self.exchange(
+            b"POST /p/x HTTP/1.1\r\nHost: pages.example\r\nConnection: close\r\n"
+            b"Content-Length: 6000\r\n\r\n" + b"a" * 6000
+        )
+        self.assertTrue(answer.startswith(b"HTTP/1.1 413"), answer[:40])
+        self.assertEqual([], self.forwarder.requests)
+
+    async def test_resting_connection_is_kept_and_then_closed(self):
+        reader, writer = await self.connect()
+        request = b"GET /p/x HTTP/1.1\r\nHost: pages.example\r\n\r\n"
+        for _ in range(2):
+            writer.write(request)
+            await reader.readuntil(b"whole")
+            await asyncio.sleep(0.3)
+        self.assertEqual(b"", await asyncio.wait_for(reader.read(), 1))
+        self.assertEqual(2, len(self.forwarder.requests))
+
+    async def test_client_that_leaves_cancels_its_request(self):
+        self.forwarder.delay = 5.0
+        _, writer = await self.connect()
+        writer.write(b"GET /p/x HTTP/1.1\r\nHost: pages.example\r\n\r\n")
+        await asyncio.sleep(0.1)
+        writer.close()
+        await asyncio.wait_for(self.forwarder.cancelled.wait(), 0.5)
+
+    async def test_broken_stream_does_not_look_complete(self):
+        answer = await self.exchange(b"GET /s/x HTTP/1.1\r\nHost: pages.example\r\n\r\n")
+        self.assertIn(b"data: a", answer)
+        self.assertFalse(answer.endswith(b"0\r\n\r\n"))
+
+    async def test_refusal_names_the_request_and_when_to_come_back(self):
+        self.forwarder.error = RefusedError("full", retry_after=0.2)
+        answer = await self.exchange(
+            b"GET /p/x HTTP/1.1\r\nHost: pages.example\r\nLarkpost-Attempt-Id: r1\r\n"
+            b"Connection: close\r\n\r\n"
+        )
+        self.assertTrue(answer.startswith(b"HTTP/1.1 503"))
+        self.assertIn(b"retry-after: 0.2\r\n", answer)
+        self.assertIn(b"larkpost-attempt-id: r1\r\n", answer)
+
+    async def test_stopping_daemon_answers_and_asks_to_close(self):
+        self.lifecycle.stopping = True
+        answer = await self.exchange(b"GET /p/x HTTP/1.1\r\nHost: pages.example\r\n\r\n")
+        self.assertTrue(answer.startswith(b"HTTP/1.1 200"))
+        self.assertIn(b"connection: close\r\n", answer)
--- /dev/null
+++ b/tests/test_platform_servers.py
@@ -0,0 +1,250 @@
+"""The server adapter against servers that break their promises in every way it must notice."""
+
+import asyncio
+import socket
+import struct
+import unittest
+
+from larkpost.fleet.configuration import ServiceName
+from larkpost.fleet.directory import InstanceInfo, InstanceState
+from larkpost.ids import Address, EngineId, ZoneId
+from larkpost.platform.servers import HttpServers
+from larkpost.proxy.port import BrokenAnswerError, NotRunError, NotRunReason, OutgoingRequest
+
+ECHO = b"Larkpost-Attempt-Id: r1\r\nLarkpost-Server-Stamp: s\r\n"
+
+
+def whole(body: bytes, headers: bytes = ECHO, status: bytes = b"200 OK") -> bytes:
+    """Returns a framed answer."""
+    return b"HTTP/1.1 %s\r\n%sContent-Length: %d\r\n\r\n%s" % (status, headers, len(body), body)
+
+
+def chunked(*parts: bytes, end: bool = True) -> bytes:
+    """Returns an answer in chunks."""
+    content = b"HTTP/1.1 200 OK\r\n" + ECHO + b"Transfer-Encoding: chunked\r\n\r\n"
+    for part in parts:
+        content += b"%x\r\n%s\r\n" % (len(part), part)
+    return content + (b"0\r\n\r\n" if end else b"")
+
+
+class ScriptedServer:
+    """Answers the requests of each connection from a list of byte strings, in turn."""
+
+    def __init__(self, *answers: bytes, reset: bool = False, late: bytes = b"") -> None:
+        self._answers = list(answers)
+        self._reset = reset
+        self._late = late
+        self.heads: list[bytes] = []
+        self.bodies: list[bytes] = []
+        self.connections = 0
+        self.closed = asyncio.Event()
+
+    async def __aenter__(self) -> "ScriptedServer":
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        port = self._server.sockets[0].getsockname()[1]
+        self.instance = InstanceInfo(
+            EngineId("i-1"),
+            ServiceName("s"),
+            Address(f"127.0.0.1:{port}"),
+            ZoneId("z"),
+            4,
+            InstanceState.READY,
+        )
+        return self
+
+    async def __aexit__(self, *_) -> None:
+        self._server.close()
+
+    async def _serve(self, reader, writer) -> None:
+        self.connections += 1
+        try:
+            while self._answers:
+                head = await reader.readuntil(b"\r\n\r\n")
+                self.heads.append(head)
+                self.bodies.append(await self._body(reader, head))
+                writer.write(self._answers.pop(0))
+                await writer.drain()
+                if self._late:
+                    await asyncio.sleep(0.05)
+                    writer.write(self._late)
+                    self._late = b""
+            if self._reset:
+                await asyncio.sleep(0.05)
+                linger = struct.pack("ii", 1, 0)
+                raw = writer.get_extra_info("socket")
+                raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            else:
+                await asyncio.wait_for(reader.read(1), 0.3)
+        except (asyncio.IncompleteReadError, ConnectionError, TimeoutError):
+            pass
+        finally:
+            self.closed.set()
+            writer.close()
+
+    async def _body(self, reader, head: bytes) -> bytes:
+        for line in head.lower().split(b"\r\n"):
+            if line.startswith(b"content-length:"):
+                return await reader.readexactly(int(line.split(b":")[1]))
+        return b""
+
+
+def request(number: int = 1, **changes) -> OutgoingRequest:
+    """Returns a request with the id r<number>."""
+    fields = {
+        "request_id": b"r%d" % number,
+        "method": "POST",
+        "host": b"pages.example",
+        "target": b"/a/b",
+        "headers": (),
+        "body": b"x",
+    } | changes
+    return OutgoingRequest(**fields)
+
+
+class ServerAdapterTest(unittest.IsolatedAsyncioTestCase):
+    """Each test serves scripted bytes."""
+
+    def setUp(self):
+        self.servers = None
+
+    async def fetch(self, server: ScriptedServer, sent: OutgoingRequest) -> bytes:
+        """Sends a request and returns the whole body."""
+        if self.servers is None:
+            self.servers = HttpServers()
+            self.addAsyncCleanup(self.servers.close)
+        async with self.servers.send(server.instance, sent) as answer:
+            return b"".join([chunk async for chunk in answer.chunks()])
+
+    async def events(self, server: ScriptedServer, sent: OutgoingRequest):
+        """Sends a request and returns its events, and the error that ended them."""
+        self.servers = HttpServers()
+        self.addAsyncCleanup(self.servers.close)
+        found = []
+        try:
+            async with self.servers.send(server.instance, sent) as answer:
+                async for event in answer.events():
+                    found.append(event)
+        except BrokenAnswerError as error:
+            return found, error
+        return found, None
+
+    async def test_answer_too_many_on_an_idle_connection(self):
+        """Bytes that arrive on an idle connection are no answer to the next request."""
+        second = whole(b"second", ECHO.replace(b"r1", b"r2"))
+        async with ScriptedServer(whole(b"first"), second, late=whole(b"first")) as server:
+            self.assertEqual(b"first", await self.fetch(server, request(1)))
+            await asyncio.sleep(0.15)
+            self.assertEqual(b"second", await self.fetch(server, request(2)))
+            self.assertEqual(2, server.connections)
+
+    async def test_answer_of_another_request(self):
+        async with ScriptedServer(whole(b"x", ECHO.replace(b"r1", b"r9"))) as server:
+            with self.assertRaises(BrokenAnswerError):
+                await self.fetch(server, request(1))
+
+    async def test_answer_that_names_no_request(self):
+        async with ScriptedServer(whole(b"x", b"")) as server:
+            with self.assertRaises(BrokenAnswerError):
+                await self.fetch(server, request(1))
+
+    async def test_no_length_then_reset(self):
+        content = b"HTTP/1.1 200 OK\r\n" + ECHO + b"\r\nhalf of it"
+        async with ScriptedServer(content, reset=True) as server:
+            with self.assertRaises(BrokenAnswerError):
+                await self.fetch(server, request(1))
+
+    async def test_no_length_then_orderly_end(self):
+        content = b"HTTP/1.1 200 OK\r\n" + ECHO + b"\r\nall of it"
+        async with ScriptedServer(content) as server:
+            self.assertEqual(b"all of it", await self.fetch(server, request(1)))
+
+    async def test_body_that_breaks_off(self):
+        content = whole(b"0123456789")[:-4]
+        async with ScriptedServer(content) as server:
+            with self.assertRaises(BrokenAnswerError):
+                await self.fetch(server, request(1))
+
+    async def test_content_encoding_is_not_the_body(self):
+        content = whole(b"zip", ECHO + b"Content-Encoding: gzip\r\n")
+        async with ScriptedServer(content) as server:
+            with self.assertRaises(BrokenAnswerError):
+                await self.fetch(server, request(1))
+
+    async def test_no_http_at_all(self):
+        async with ScriptedServer(b"\x00\x01garbage\r\n\r\n") as server:
+            with self.assertRaises(BrokenAnswerError):
+                await self.fetch(server, request(1))
+
+    async def test_refusals_are_proof_that_it_did_not_run(self):
+        full = whole(b"", b"Larkpost-Not-Executed: 1\r\n", b"503 Service Unavailable")
+        other = whole(b"", b"Larkpost-Instance-Id: i-2\r\n", b"421 Misdirected Request")
+        for content, reason in ((full, NotRunReason.FULL), (other, NotRunReason.WRONG_INSTANCE)):
+            async with ScriptedServer(content) as server:
+                with self.assertRaises(NotRunError) as caught:
+                    await self.fetch(server, request(1))
+                self.assertEqual(reason, caught.exception.reason)
+
+    async def test_refusal_of_an_earlier_request_is_no_proof(self):
+        late = whole(
+            b"",
+            b"Larkpost-Attempt-Id: r9\r\nLarkpost-Not-Executed: 1\r\n",
+            b"503 Service Unavailable",
+        )
+        async with ScriptedServer(late) as server:
+            with self.assertRaises(BrokenAnswerError):
+                await self.fetch(server, request(1))
+
+    async def test_unreachable_server(self):
+        async with ScriptedServer(b"") as server:
+            pass
+        with self.assertRaises(NotRunError) as caught:
+            await self.fetch(server, request(1))
+        self.assertEqual(NotRunReason.UNREACHABLE, caught.exception.reason)
+
+    async def test_path_and_query_are_not_requoted(self):
+        async with ScriptedServer(whole(b"")) as server:
+            await self.fetch(server, request(1, target=b"/a%2fb/%41;x?q=%20+&r=a%2F|"))
+            self.assertIn(b"POST /a%2fb/%41;x?q=%20+&r=a%2F| HTTP/1.1", server.heads[0])
+
+    async def test_headers_are_passed_as_they_are(self):
+        headers = ((b"x-one", b"1"), (b"x-one", b"2"), (b"accept", b"text/plain"))
+        async with ScriptedServer(whole(b"")) as server:
+            await self.fetch(server, request(1, headers=headers, time_left=1.5))
+            lines = server.heads[0].lower().split(b"\r\n")
+            self.assertIn(b"x-one: 1", lines)
+            self.assertIn(b"x-one: 2", lines)
+            self.assertIn(b"accept: text/plain", lines)
+            self.assertIn(b"larkpost-deadline-ms: 1500", lines)
+            self.assertIn(b"larkpost-expect-instance: i-1", lines)
+            for added in (b"user-agent", b"accept-encoding", b"content-type"):
+                self.assertFalse([line for line in lines if line.startswith(added)])
+
+    async def test_leaving_early_closes_the_connection(self):
+        async with ScriptedServer(chunked(b"id: 1\ndata: a\n\n", end=False)) as server:
+            self.servers = HttpServers()
+            self.addAsyncCleanup(self.servers.close)
+            async with self.servers.send(server.instance, request(1)) as answer:
+                async for _ in answer.events():
+                    break
+            await asyncio.wait_for(server.closed.wait(), 0.25)
+
+    async def test_stream_of_events_with_a_change_of_version(self):
+        content = chunked(
+            b"id: 1\ndata: a\n\nid: 2\nda",
+            b"ta: b\ndata: c\n\n",
+            b"larkpost-weight-versions: 7\nid: 3\ndata: d\n\n",
+        )
+        async with ScriptedServer(content) as server:
+            found, error = await self.events(server, request(1))
+        self.assertIsNone(error)
+        self.assertEqual([1, 2, 3], [event.id for event in found])
+        self.assertEqual([b"a", b"b\nc", b"d"], [event.data for event in found])
+        self.assertEqual([None, None, 7], [event.version for event in found])
+
+    async def test_stream_that_stops_within_an_event(self):
+        for end in (True, False):
+            content = chunked(b"id: 1\ndata: a\n\nid: 2\ndata: b", end=end)
+            async with ScriptedServer(content) as server:
+                found, error = await self.events(server, request(1))
+            self.assertEqual([1], [event.id for event in found])
+            self.assertIsInstance(error, BrokenAnswerError)
