A dead engine does not hold up new weights; demonstration over the platform's stand-ins

Cause: the first group of a model's engines to load a version was taken from those behind, so an engine that was gone but still listed kept its place in it and the others were never ordered. Found by the new demonstration: a batch waited 40 s and 4 items were given up. Change: groups are fixed and a later one loads after its time even if one before it is not done. Tests on virtual time for division, groups and orders under kills and cuts. The demonstration runs store, servers, daemons, trainers and clients as processes over the platform's protocol, at both sites' sizes; it kills an engine and a daemon of each and stops another.

--- a/src/larkpost/fleet/loader.py
+++ b/src/larkpost/fleet/loader.py
@@ -63,7 +63,8 @@
         for service in configuration.services.values():
             if not service.models:
                 continue
-            for engine, target in due_loads(service, self._directory, self._targets):
+            now = self._clock.now()
+            for engine, target in due_loads(service, self._directory, self._targets, now):
                 if self._should_order(engine):
                     self._under_way.add(engine)
                     self._tasks.spawn(self._order(service, engine, target), "order")
--- a/src/larkpost/fleet/weights.py
+++ b/src/larkpost/fleet/weights.py
@@ -15,6 +15,8 @@
 MIN_ENGINES_PER_MODEL = 2
 WAVES = 2
 """A version is loaded by this many groups of a model's engines, one after the other."""
+WAVE_SECONDS = 1.6
+"""Time after which a group loads though one before it is not done: an engine may be gone."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -30,14 +32,20 @@
 
     def __init__(self) -> None:
         self._versions: dict[ModelName, int] = {}
+        self._named_at: dict[ModelName, float] = {}
 
-    def update(self, target: WeightTarget) -> bool:
+    def update(self, target: WeightTarget, now: float) -> bool:
         """Takes a named version if it is newer, and tells whether it was."""
         if target.version <= self._versions.get(target.model, 0):
             return False
         self._versions[target.model] = target.version
+        self._named_at[target.model] = now
         return True
 
+    def named_for(self, model: ModelName, now: float) -> float:
+        """Returns the seconds since this daemon learnt of a model's newest version."""
+        return now - self._named_at.get(model, now)
+
     def version(self, model: ModelName) -> int:
         """Returns the newest version named for a model; 0 if none was."""
         return self._versions.get(model, 0)
@@ -75,16 +83,23 @@
 
 
 def due_loads(
-    service: Service, directory: Directory, targets: WeightTargets
+    service: Service, directory: Directory, targets: WeightTargets, now: float
 ) -> list[tuple[EngineId, WeightTarget]]:
-    """Returns the loads that should be under way now: the first wave of each model's engines."""
+    """Returns the loads that should be under way now.
+
+    A group of a model's engines is due once those before it are done, or have had their time.
+    """
     engines = [
         info for info in directory.of_service(service.name) if info.state is InstanceState.READY
     ]
     due: list[tuple[EngineId, WeightTarget]] = []
     for model, engine_ids in assign_models(service, engines, directory).items():
         target = WeightTarget(model, targets.version(model))
-        behind = [name for name in engine_ids if directory.version_of(name, model) < target.version]
-        wave = math.ceil(len(engine_ids) / WAVES)
-        due.extend((name, target) for name in behind[:wave])
+        size = math.ceil(len(engine_ids) / WAVES)
+        for wave in range(WAVES):
+            group = engine_ids[wave * size : (wave + 1) * size]
+            behind = [name for name in group if directory.version_of(name, model) < target.version]
+            due.extend((name, target) for name in behind)
+            if behind and targets.named_for(model, now) < (wave + 1) * WAVE_SECONDS:
+                break
     return due
--- a/src/larkpost/gateway.py
+++ b/src/larkpost/gateway.py
@@ -203,7 +203,7 @@
             return
         if configuration is not None and self.configuration.update(configuration):
             self._log.note(Event.CONFIGURATION, version=configuration.version)
-        if target is not None and self.targets.update(target):
+        if target is not None and self.targets.update(target, self._clock.now()):
             self._log.note(Event.WEIGHT_TARGET, model=target.model, version=target.version)
 
     def _take_instance_row(self, row: Row) -> None:
--- a/src/larkpost/platform/process.py
+++ b/src/larkpost/platform/process.py
@@ -113,3 +113,7 @@
         for name in ("contact_time", "lease_time", "grace_time", "batch_lifetime"):
             setattr(gateway.settings, name, getattr(changed, name))
         log.note(Event.SETTINGS, outcome="taken")
+
+
+if __name__ == "__main__":
+    run()
--- /dev/null
+++ b/src/larkpost/platform/stand_in/callers.py
@@ -0,0 +1,202 @@
+"""Trainers and clients that speak to the daemons over HTTP and check every answer."""
+
+import asyncio
+import base64
+import itertools
+import random
+import secrets
+from dataclasses import dataclass, field
+
+import aiohttp
+import orjson
+
+from larkpost.fleet.configuration import ModelName
+from larkpost.ids import Address
+from larkpost.platform import names
+from larkpost.platform.stand_in.rows import BATCH_PREFIX, HOST, PAGE_PREFIX
+from larkpost.rehearsal.scripted_engines import output_of
+
+READ_WAIT_MS = "500"
+RETRY_SECONDS = 0.1
+CALL_SECONDS = 3.0
+FAILURES = (aiohttp.ClientError, TimeoutError, OSError)
+
+
+@dataclass(slots=True)
+class CallerRecord:
+    """What trainers and clients saw; the last four must be 0."""
+
+    batches_accepted: int = 0
+    batches_whole: int = 0
+    results_read: int = 0
+    client_requests: int = 0
+    client_answers: int = 0
+    client_errors: int = 0
+    retries: int = 0
+    results_doubled: int = 0
+    results_lost: int = 0
+    results_wrong: int = 0
+    answers_wrong: int = 0
+    whole_seconds: list[float] = field(default_factory=list)
+
+    @property
+    def broken_promises(self) -> int:
+        """Counts what must never happen."""
+        return self.results_doubled + self.results_lost + self.results_wrong + self.answers_wrong
+
+
+class Caller:
+    """Calls daemons, another one after each failure."""
+
+    def __init__(self, daemons: list[Address], record: CallerRecord, seed: int) -> None:
+        self._daemons = daemons
+        self._record = record
+        self._chance = random.Random(seed)
+
+    async def call(
+        self, method: str, target: str, request_id: str, body: bytes | None = None
+    ) -> tuple[int, bytes] | None:
+        """Makes one call at one daemon; None if there was no whole answer."""
+        daemon = self._chance.choice(self._daemons)
+        headers = {
+            "Host": HOST,
+            names.REQUEST_ID.decode(): request_id,
+            names.WAIT_MS.decode(): READ_WAIT_MS,
+        }
+        try:
+            async with (
+                asyncio.timeout(CALL_SECONDS),
+                aiohttp.ClientSession() as session,
+                session.request(
+                    method, f"http://{daemon}{target}", data=body, headers=headers
+                ) as answer,
+            ):
+                return answer.status, await answer.read()
+        except FAILURES:
+            return None
+
+    async def call_until(
+        self, method: str, target: str, request_id: str, body: bytes | None, wanted: int
+    ) -> bytes:
+        """Repeats a call until it is answered with the wanted status."""
+        while True:
+            answer = await self.call(method, target, request_id, body)
+            if answer is not None and answer[0] == wanted:
+                return answer[1]
+            self._record.retries += 1
+            await asyncio.sleep(RETRY_SECONDS)
+
+
+class StandInTrainer:
+    """Submits one batch after the other and names a weight version after each."""
+
+    def __init__(
+        self,
+        caller: Caller,
+        record: CallerRecord,
+        model: ModelName,
+        items: int,
+        group_size: int,
+        name_version,
+    ) -> None:
+        self._caller = caller
+        self._record = record
+        self._model = model
+        self._items = items
+        self._group_size = group_size
+        self._name_version = name_version
+
+    async def run(self, until: float) -> None:
+        """Trains until a time of the loop; a batch once begun is finished."""
+        loop = asyncio.get_running_loop()
+        for step in itertools.count():
+            if loop.time() >= until:
+                return
+            if step:
+                await self._name_version(self._model, step + 1)
+            await self._step(step)
+
+    async def _step(self, step: int) -> None:
+        began = asyncio.get_running_loop().time()
+        batch = secrets.token_hex(8)
+        items = [secrets.token_hex(8) for _ in range(self._items)]
+        body = orjson.dumps(self._document(step, items))
+        await self._caller.call_until("POST", f"{BATCH_PREFIX}{batch}", batch, body, 202)
+        self._record.batches_accepted += 1
+        found = await self._read(batch, len(items))
+        self._check(items, found, step)
+        self._record.whole_seconds.append(asyncio.get_running_loop().time() - began)
+        target = f"{names.BATCH_CALL.decode()}{batch}"
+        await self._caller.call_until("DELETE", target, batch, None, 200)
+
+    async def _read(self, batch: str, total: int) -> list[dict]:
+        found: list[dict] = []
+        while len(found) < total:
+            target = f"{names.BATCH_CALL.decode()}{batch}?after-rev={len(found)}"
+            content = await self._caller.call_until("GET", target, batch, None, 200)
+            found.extend(orjson.loads(content)["results"])
+        return found
+
+    def _document(self, step: int, items: list[str]) -> dict:
+        return {
+            "step": step,
+            "model": self._model,
+            "min-version": max(1, step),
+            "desired": len(items) // self._group_size,
+            "requests": [
+                {
+                    "id": item,
+                    "path": f"{BATCH_PREFIX}{item}",
+                    "headers": {"Larkpost-Model": self._model, "Larkpost-Token-Count": "100,900"},
+                    "body": base64.b64encode(item.encode()).decode(),
+                    "tokens": 1000,
+                    "group": f"g{number // self._group_size}",
+                }
+                for number, item in enumerate(items)
+            ],
+        }
+
+    def _check(self, items: list[str], found: list[dict], step: int) -> None:
+        ids = [result["id"] for result in found]
+        self._record.results_read += len(ids)
+        self._record.results_doubled += len(ids) - len(set(ids))
+        self._record.results_lost += len(set(items) - set(ids))
+        for result in found:
+            whole = b"\n".join(output_of(result["id"])).decode()
+            fresh = min(result.get("versions", [0])) >= max(1, step)
+            if result["state"] != "done" or result["message"] != whole or not fresh:
+                self._record.results_wrong += 1
+        self._record.batches_whole += 1
+
+
+class StandInClient:
+    """Sends requests for pages at a steady rate."""
+
+    def __init__(self, caller: Caller, record: CallerRecord, per_second: float) -> None:
+        self._caller = caller
+        self._record = record
+        self._pause = 1 / per_second
+        self._running: set[asyncio.Task] = set()
+
+    async def run(self, until: float) -> None:
+        """Sends requests until a time of the loop."""
+        loop = asyncio.get_running_loop()
+        while loop.time() < until:
+            task = asyncio.create_task(self._ask())
+            self._running.add(task)
+            task.add_done_callback(self._running.discard)
+            await asyncio.sleep(self._pause)
+        await asyncio.gather(*self._running)
+
+    async def _ask(self) -> None:
+        self._record.client_requests += 1
+        for _ in range(2):
+            request_id = secrets.token_hex(8)
+            answer = await self._caller.call("GET", f"{PAGE_PREFIX}{request_id}", request_id)
+            if answer is not None and answer[0] == 200:
+                self._record.client_answers += 1
+                wrong = answer[1] != f"page for {request_id}".encode()
+                self._record.answers_wrong += wrong
+                return
+            await asyncio.sleep(RETRY_SECONDS)
+        self._record.client_errors += 1
--- /dev/null
+++ b/src/larkpost/platform/stand_in/daemon_settings.py
@@ -0,0 +1,57 @@
+"""Writes the settings file of a daemon as the platform does."""
+
+from dataclasses import dataclass
+from pathlib import Path
+
+from larkpost.ids import Address, ZoneId
+from larkpost.platform import names
+
+TEMPLATE = """\
+node = "{machine}"
+role = "larkpost"
+machine-class = "front"
+ip = "127.0.0.1"
+zone = "{zone}"
+region = "demo"
+[listen]
+front = "{front}"
+ready = "{ready}"
+[bounds]
+contact-ms = 3000
+lease-ms = 3000
+grace-s = 8
+status-s = 120
+[platform]
+address = "{store}"
+row_bytes = 65536
+"""
+
+
+@dataclass(frozen=True, slots=True)
+class DaemonPlace:
+    """Where a daemon stands and listens."""
+
+    machine: str
+    zone: ZoneId
+    front: Address
+    ready: Address
+    store: Address
+
+
+def write_settings(place: DaemonPlace, folder: Path) -> dict[str, str]:
+    """Writes a daemon's settings and returns the environment that names them."""
+    path = folder / f"{place.machine}.toml"
+    text = TEMPLATE.format(
+        machine=place.machine,
+        zone=place.zone,
+        front=place.front,
+        ready=place.ready,
+        store=place.store,
+    )
+    path.write_text(text, encoding="utf-8")
+    return {names.SETTINGS_VARIABLE: str(path)}
+
+
+def ready_path() -> str:
+    """Returns the path that tells whether a daemon takes clients."""
+    return names.READY_CALL
--- /dev/null
+++ b/src/larkpost/platform/stand_in/rows.py
@@ -0,0 +1,111 @@
+"""The rows that the operator, the trainers and the servers write."""
+
+from dataclasses import dataclass
+
+import orjson
+
+from larkpost.fleet.configuration import ModelName, ServiceName
+from larkpost.ids import Address, EngineId, ZoneId
+from larkpost.platform import names
+from larkpost.store.port import RowKey, Transaction
+
+HOST = "users.example"
+BATCH_PREFIX = "/rollouts/"
+PAGE_PREFIX = "/pages/"
+
+
+@dataclass(frozen=True, slots=True)
+class StandInServer:
+    """A server as it lists itself.
+
+    Attributes:
+        versions: weight version of each model; empty if the server is no engine.
+    """
+
+    id: EngineId
+    service: ServiceName
+    address: Address
+    zone: ZoneId
+    slots: int
+    versions: dict[ModelName, int]
+    leaving: bool = False
+
+
+def configuration_change(
+    version: int,
+    engines: ServiceName,
+    pages: ServiceName,
+    slots: int,
+    models: tuple[ModelName, ...],
+) -> Transaction:
+    """Returns the operator's change to a configuration with one route for each service."""
+    document = {
+        "version": version,
+        "routes": [
+            {
+                "name": "rollouts",
+                "host": HOST,
+                "path-prefix": BATCH_PREFIX,
+                "kind": "rollout",
+                "timeout-ms": 10000,
+                "target-ms": 400,
+                "priority": 1,
+                "service": engines,
+                "max-attempts": 3,
+                "queue-ttl-s": 40.0,
+                "result-due-ms": 7500,
+                "resumable": True,
+            },
+            {
+                "name": "pages",
+                "host": HOST,
+                "path-prefix": PAGE_PREFIX,
+                "kind": "idempotent",
+                "timeout-ms": 1500,
+                "target-ms": 192,
+                "priority": 2,
+                "service": pages,
+                "max-attempts": 2,
+            },
+        ],
+        "services": [
+            {
+                "name": engines,
+                "health-path": "/health",
+                "max-conns": 170,
+                "engine": {"slots": slots, "models": [{"name": model} for model in models]},
+            },
+            {"name": pages, "health-path": "/health", "max-conns": 100},
+        ],
+        "limits": {
+            "max-header-bytes": 16384,
+            "max-body-bytes": 33554432,
+            "header-timeout-ms": 3000,
+            "idle-timeout-ms": 15000,
+        },
+    }
+    key = RowKey(names.OPERATOR_TABLE, "", names.CONFIGURATION_KEY)
+    return Transaction(puts=((key, orjson.dumps(document)),))
+
+
+def version_change(model: ModelName, version: int) -> Transaction:
+    """Returns a trainer's naming of a weight version."""
+    key = RowKey(names.OPERATOR_TABLE, "", f"{names.VERSION_KEY_PREFIX}{model}")
+    value = orjson.dumps({"model": model, "version": version})
+    return Transaction(puts=((key, value),))
+
+
+def server_change(server: StandInServer) -> Transaction:
+    """Returns a server's writing of its own entry."""
+    document = {
+        "service": server.service,
+        "address": server.address,
+        "zone": server.zone,
+        "slots": server.slots,
+        "state": "draining" if server.leaving else "ready",
+        "models": [
+            {"name": model, "version": version} for model, version in server.versions.items()
+        ],
+    }
+    key = RowKey(names.SERVER_TABLE, "", server.id)
+    return Transaction(puts=((key, orjson.dumps(document)),))
--- a/src/larkpost/rehearsal/demo.py
+++ b/src/larkpost/rehearsal/demo.py
@@ -1,21 +1,45 @@
-"""The demonstration: both sites as real processes under load, with an engine and a daemon killed.
+"""The demonstration: both sites over the platform's stand-ins, as real processes under load.
 
-The counts come from the records of trainers, clients and engines, not from larkpost.
+Midway an engine and a daemon of each site are killed and another daemon is stopped as planned. The
+counts come from what trainers and clients saw, not from larkpost.
 """
 
+import asyncio
 import signal
 import tempfile
-import time
+from dataclasses import asdict
 from pathlib import Path
 
 import orjson
 from rich.console import Console
 from rich.table import Table
 
-from larkpost.rehearsal.fleet import Fleet, begin_fleet, finish_fleet
+from larkpost.fleet.configuration import ModelName
+from larkpost.platform.stand_in.callers import (
+    Caller,
+    CallerRecord,
+    StandInClient,
+    StandInTrainer,
+)
+from larkpost.platform.stand_in.rows import configuration_change, version_change
+from larkpost.platform.store import HttpStore
+from larkpost.rehearsal.platform_fleet import (
+    CASABLANCA,
+    SANTIAGO,
+    PlatformSite,
+    start_site,
+    wait_until_ready,
+)
 from larkpost.rehearsal.processes import ProcessGroup, RehearsalError
-from larkpost.rehearsal.sites import SITES
-from larkpost.rehearsal.summary import MUST_BE_ZERO, start_load, summarise, wait_for_load
+from larkpost.store.port import Transaction, WriteOutcome
+
+SITES = (CASABLANCA, SANTIAGO)
+ROW_BYTES = 65536
+WRITE_SECONDS = 1.0
+RETRY_SECONDS = 0.1
+MUST_BE_ZERO = ("results_doubled", "results_lost", "results_wrong", "answers_wrong")
+LOAD_SLACK_SECONDS = 60.0
+"""After the load's time, for batches under way to become whole."""
 
 
 def run_demo(seconds: float, faults: bool, output: Path | None = None) -> int:
@@ -29,45 +53,105 @@
         folder = output or Path(name)
         folder.mkdir(parents=True, exist_ok=True)
         try:
-            summary = _run(folder, seconds, faults, console)
-        except RehearsalError as error:
+            record = _run(folder, seconds, faults, console)
+        except (RehearsalError, TimeoutError) as error:
             console.print(f"the demonstration failed: {error}", markup=False)
             return 1
+    summary = _summarise(record)
     _print_table(console, summary)
     print(orjson.dumps(summary).decode())
-    worked = summary["samples_delivered"] > 0 and summary["client_requests"] > 0
-    failed = [name for name in MUST_BE_ZERO if summary[name]]
-    return 0 if worked and not failed else 1
+    worked = record.batches_whole > 0 and record.client_answers > 0
+    return 0 if worked and record.broken_promises == 0 else 1
 
 
-def _run(folder: Path, seconds: float, faults: bool, console: Console) -> dict:
+def _run(folder: Path, seconds: float, faults: bool, console: Console) -> CallerRecord:
     with ProcessGroup(folder) as group:
         console.print("Starting two sites of three zones each ...")
-        fleets = [begin_fleet(group, site) for site in SITES]
-        for fleet in fleets:
-            finish_fleet(fleet)
-        console.print(f"Running trainers and clients for {seconds:g} s ...")
-        loads = [start_load(fleet, seconds, seed) for seed, fleet in enumerate(fleets, 1)]
+        sites = [start_site(group, shape, folder) for shape in SITES]
+        record = CallerRecord()
+        asyncio.run(_load(sites, record, seconds, faults, console))
+        return record
+
+
+async def _load(
+    sites: list[PlatformSite],
+    record: CallerRecord,
+    seconds: float,
+    faults: bool,
+    console: Console,
+) -> None:
+    stores = [HttpStore(site.store, ROW_BYTES) for site in sites]
+    for site, store in zip(sites, stores, strict=True):
+        await _configure(site, store)
+        await asyncio.to_thread(wait_until_ready, site)
+    console.print(f"Running trainers and clients for {seconds:g} s ...")
+    until = asyncio.get_running_loop().time() + seconds
+    async with asyncio.timeout(seconds + LOAD_SLACK_SECONDS), asyncio.TaskGroup() as tasks:
+        for seed, (site, store) in enumerate(zip(sites, stores, strict=True)):
+            _start_callers(tasks, site, store, record, until, seed)
         if faults:
-            time.sleep(seconds / 2)
-            _kill(console, fleets)
-        wait_for_load(loads, seconds)
-        return summarise(loads)
+            await asyncio.sleep(seconds / 2)
+            _break_things(sites, console)
+    for store in stores:
+        await store.close()
+
+
+def _start_callers(
+    tasks: asyncio.TaskGroup,
+    site: PlatformSite,
+    store: HttpStore,
+    record: CallerRecord,
+    until: float,
+    seed: int,
+) -> None:
+    async def name_version(model: ModelName, version: int) -> None:
+        await _write(store, version_change(model, version))
+
+    caller = Caller(list(site.fronts.values()), record, seed)
+    for shape in site.shape.trainers:
+        trainer = StandInTrainer(
+            caller, record, shape.model, shape.items, shape.group_size, name_version
+        )
+        tasks.create_task(trainer.run(until))
+    client = StandInClient(caller, record, site.shape.client_requests_per_second)
+    tasks.create_task(client.run(until))
+
+
+async def _configure(site: PlatformSite, store: HttpStore) -> None:
+    shape = site.shape
+    change = configuration_change(
+        1, site.engine_service, site.page_service, shape.engine_slots, shape.models
+    )
+    await _write(store, change)
+
+
+async def _write(store: HttpStore, change: Transaction) -> None:
+    """Writes as the operator does: again until it is done."""
+    while (await store.write(change, WRITE_SECONDS)).outcome is not WriteOutcome.DONE:
+        await asyncio.sleep(RETRY_SECONDS)
+
+
+def _break_things(sites: list[PlatformSite], console: Console) -> None:
+    """Kills an engine and a daemon of each site, and stops another daemon as planned."""
+    for site in sites:
+        engine = next(iter(site.servers))
+        killed, stopped, *_ = site.daemons
+        site.servers[engine].send(signal.SIGKILL)
+        site.daemons[killed].send(signal.SIGKILL)
+        site.daemons[stopped].send(signal.SIGTERM)
+        console.print(f"Killed {engine} and {killed}; stopped {stopped} as planned.")
 
 
-def _kill(console: Console, fleets: list[Fleet]) -> None:
-    """Kills a language engine of the first site and a daemon of each."""
-    engine = fleets[0].site.machines[0].engine
-    fleets[0].engines[engine].process.send(signal.SIGKILL)
-    console.print(f"Killed engine {engine}.")
-    for fleet in fleets:
-        name = next(iter(fleet.daemons))
-        fleet.daemons[name].process.send(signal.SIGKILL)
-        console.print(f"Killed daemon {name}.")
+def _summarise(record: CallerRecord) -> dict:
+    fields = asdict(record)
+    times = sorted(fields.pop("whole_seconds"))
+    fields["batch_seconds_median"] = round(times[len(times) // 2], 2) if times else None
+    fields["batch_seconds_longest"] = round(times[-1], 2) if times else None
+    return fields
 
 
 def _print_table(console: Console, summary: dict) -> None:
-    table = Table(title="what trainers, clients and engines recorded")
+    table = Table(title="what trainers and clients saw")
     table.add_column("count")
     table.add_column("value", justify="right")
     table.add_column("must be")
--- a/src/larkpost/rehearsal/memory_store.py
+++ b/src/larkpost/rehearsal/memory_store.py
@@ -52,6 +52,7 @@
         self.chance = chance or random.Random(0)
         self.faults = StoreFaults()
         self.rows: dict[RowKey, Row] = {}
+        self.written_at: dict[RowKey, float] = {}
         self.version = 0
         self.history: list[Row] = []
         self.oldest_change = 0
@@ -89,8 +90,10 @@
         self.writes += 1
         for key, value in transaction.puts:
             self.rows[key] = Row(key, value, self.version)
+            self.written_at[key] = self.clock.now()
             self.history.append(self.rows[key])
         for key in transaction.removals:
+            self.written_at.pop(key, None)
             if self.rows.pop(key, None) is not None:
                 self.history.append(Row(key, b"", self.version, removed=True))
         for watcher in self.watchers:
--- /dev/null
+++ b/src/larkpost/rehearsal/platform_fleet.py
@@ -0,0 +1,135 @@
+"""A site over the platform's stand-ins, as real processes: store, servers and daemons."""
+
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from larkpost.fleet.configuration import ModelName, ServiceName
+from larkpost.ids import Address, EngineId, ZoneId
+from larkpost.platform.stand_in.daemon_settings import DaemonPlace, ready_path, write_settings
+from larkpost.rehearsal.processes import Process, ProcessGroup, answers, free_address, wait_for
+
+DAEMON_MODULE = "larkpost.platform.process"
+STAND_IN_MODULE = "larkpost.platform.stand_in.programs"
+
+
+@dataclass(frozen=True, slots=True)
+class TrainerShape:
+    """What one trainer asks for: batches of items in groups, for one model."""
+
+    model: ModelName
+    items: int
+    group_size: int
+
+
+@dataclass(frozen=True, slots=True)
+class SiteShape:
+    """The sizes of a site."""
+
+    name: str
+    zones: tuple[ZoneId, ...]
+    daemons: int
+    engines: int
+    engine_slots: int
+    page_servers: int
+    trainers: tuple[TrainerShape, ...]
+    client_requests_per_second: float
+
+    @property
+    def models(self) -> tuple[ModelName, ...]:
+        """The models that the engines hold."""
+        return tuple(trainer.model for trainer in self.trainers)
+
+
+CASABLANCA = SiteShape(
+    name="casablanca",
+    zones=(ZoneId("casa-sidi"), ZoneId("casa-ainsebaa"), ZoneId("casa-bouskoura")),
+    daemons=10,
+    engines=5,
+    engine_slots=16,
+    page_servers=3,
+    trainers=(
+        TrainerShape(ModelName("briefs"), 56, 8),
+        TrainerShape(ModelName("news"), 56, 4),
+    ),
+    client_requests_per_second=2.4,
+)
+SANTIAGO = SiteShape(
+    name="santiago",
+    zones=(ZoneId("scl-quilicura"), ZoneId("scl-huechuraba"), ZoneId("scl-campus")),
+    daemons=9,
+    engines=6,
+    engine_slots=12,
+    page_servers=3,
+    trainers=(TrainerShape(ModelName("drafts"), 92, 4),),
+    client_requests_per_second=3.0,
+)
+
+
+@dataclass(slots=True)
+class PlatformSite:
+    """The running processes of a site."""
+
+    shape: SiteShape
+    store: Address
+    engine_service: ServiceName
+    page_service: ServiceName
+    servers: dict[EngineId, Process] = field(default_factory=dict)
+    daemons: dict[str, Process] = field(default_factory=dict)
+    fronts: dict[str, Address] = field(default_factory=dict)
+    ready: dict[str, Address] = field(default_factory=dict)
+
+
+def start_site(group: ProcessGroup, shape: SiteShape, folder: Path) -> PlatformSite:
+    """Starts all processes of a site; `wait_until_ready` waits for them."""
+    site = PlatformSite(
+        shape,
+        free_address(),
+        ServiceName(f"{shape.name}-engines"),
+        ServiceName(f"{shape.name}-pages"),
+    )
+    group.start_module(f"{shape.name}-store", STAND_IN_MODULE, "store", site.store)
+    for number in range(shape.engines):
+        _start_server(group, site, number, engine=True)
+    for number in range(shape.page_servers):
+        _start_server(group, site, number, engine=False)
+    for number in range(shape.daemons):
+        _start_daemon(group, site, number, folder)
+    return site
+
+
+def wait_until_ready(site: PlatformSite) -> None:
+    """Waits until every daemon takes clients.
+
+    Raises:
+        RehearsalError: one does not in time.
+    """
+    for name, address in site.ready.items():
+        wait_for(lambda address=address: answers(address, ready_path()), f"{name} is ready")
+
+
+def _start_server(group: ProcessGroup, site: PlatformSite, number: int, *, engine: bool) -> None:
+    shape = site.shape
+    service = site.engine_service if engine else site.page_service
+    instance = EngineId(f"{service}-{number}")
+    site.servers[instance] = group.start_module(
+        instance,
+        STAND_IN_MODULE,
+        "server",
+        instance,
+        service,
+        free_address(),
+        shape.zones[number % len(shape.zones)],
+        str(shape.engine_slots if engine else 6),
+        site.store,
+        ",".join(shape.models) if engine else "",
+    )
+
+
+def _start_daemon(group: ProcessGroup, site: PlatformSite, number: int, folder: Path) -> None:
+    zone = site.shape.zones[number % len(site.shape.zones)]
+    name = f"front-{zone}-{number}"
+    place = DaemonPlace(name, zone, free_address(), free_address(), site.store)
+    environment = write_settings(place, folder)
+    site.daemons[name] = group.start_module(name, DAEMON_MODULE, environment=environment)
+    site.fronts[name] = place.front
+    site.ready[name] = place.ready
--- a/src/larkpost/rehearsal/processes.py
+++ b/src/larkpost/rehearsal/processes.py
@@ -1,5 +1,6 @@
 """Starts, signals and ends the processes of a rehearsal; each one's output goes to a file."""
 
+import os
 import random
 import signal
 import socket
@@ -113,11 +114,22 @@
 
     def start(self, name: str, *arguments: str) -> Process:
         """Starts ``larkpost`` with arguments."""
+        return self.start_module(name, "larkpost", *arguments)
+
+    def start_module(
+        self, name: str, module: str, *arguments: str, environment: dict[str, str] | None = None
+    ) -> Process:
+        """Starts a module as a program, with variables added to the environment."""
         output = self._folder / f"{name}.out"
         stdout = output.open("ab")
         stderr = (self._folder / f"{name}.err").open("ab")
-        command = [sys.executable, "-m", "larkpost", *arguments]
-        popen = subprocess.Popen(command, stdout=stdout, stderr=stderr, stdin=subprocess.DEVNULL)
+        popen = subprocess.Popen(
+            [sys.executable, "-m", module, *arguments],
+            stdout=stdout,
+            stderr=stderr,
+            stdin=subprocess.DEVNULL,
+            env=os.environ | (environment or {}),
+        )
         process = Process(name, popen, output, stdout, stderr)
         self._processes.append(process)
         return process
--- a/src/larkpost/rehearsal/scripted_engines.py
+++ b/src/larkpost/rehearsal/scripted_engines.py
@@ -60,6 +60,22 @@
     orders: list[tuple[str, int, ModelName, int, float]] = field(default_factory=list)
 
 
+def take_order(state: EngineState, order: VersionOrder, now: float) -> OrderOutcome:
+    """Judges an order as an engine does, and takes it if it holds."""
+    state.orders.append((order.holder, order.fencing_token, order.model, order.version, now))
+    if order.fencing_token < state.highest_token:
+        return OrderOutcome.FENCED
+    state.highest_token = order.fencing_token
+    if order.expected_orders != state.orders_taken or now < state.loading_until:
+        return OrderOutcome.BUSY
+    if state.versions.get(order.model, 0) >= order.version:
+        return OrderOutcome.HOLDS
+    state.orders_taken += 1
+    state.loading_until = now + LOAD_SECONDS
+    state.versions[order.model] = order.version
+    return OrderOutcome.TAKEN
+
+
 class ScriptedAnswer:
     """An answer of a scripted engine; implements `larkpost.proxy.port.ServerAnswer`."""
 
@@ -143,13 +159,4 @@
         if state is None or state.down:
             return OrderOutcome.UNKNOWN
         now = self._clock.now()
-        state.orders.append((order.holder, order.fencing_token, order.model, order.version, now))
-        if order.fencing_token < state.highest_token:
-            return OrderOutcome.FENCED
-        state.highest_token = order.fencing_token
-        if order.expected_orders != state.orders_taken or now < state.loading_until:
-            return OrderOutcome.BUSY
-        state.orders_taken += 1
-        state.loading_until = now + LOAD_SECONDS
-        state.versions[order.model] = order.version
-        return OrderOutcome.TAKEN
+        return take_order(state, order, now)
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -1,5 +1,6 @@
 """A fleet of gateways over a store and engines in memory, for tests on virtual time."""
 
+import asyncio
 import random
 
 import orjson
@@ -28,6 +29,7 @@
 MODEL = ModelName("model")
 ENGINES = ServiceName("engines")
 PAGES = ServiceName("pages")
+HEARTBEAT_SECONDS = 0.4
 HOST = "trainers.example"
 ROUTE = Route(
     name="rollouts",
@@ -93,6 +95,7 @@
             self.add_engine(EngineId(f"engine-{number}"))
         for number in range(gateways):
             self.add_gateway(f"daemon-{number}")
+        self._heartbeats = asyncio.create_task(self._beat())
 
     def put(self, table: str, key: str, value: bytes) -> None:
         """Writes a row as the operator or an engine does."""
@@ -106,6 +109,16 @@
         entry = {"service": ENGINES, "slots": 8, "state": state, "version": version}
         self.put("instances", engine, orjson.dumps(entry))
 
+    async def _beat(self) -> None:
+        """Writes the engines' entries anew when their versions have changed."""
+        written = {name: 1 for name in self.engines.engines}
+        while True:
+            await self.clock.sleep(HEARTBEAT_SECONDS)
+            for name, state in self.engines.engines.items():
+                if not state.down and state.versions[MODEL] != written.get(name):
+                    written[name] = state.versions[MODEL]
+                    self.add_engine(name)
+
     def add_gateway(self, name: str) -> Gateway:
         """Starts a gateway."""
         client = StoreClient(self.store)
--- /dev/null
+++ b/tests/test_weights.py
@@ -0,0 +1,166 @@
+"""Weight versions: division of engines, groups, orders under leases with fencing tokens."""
+
+import unittest
+
+from larkpost.fleet.configuration import ModelName, Service, ServiceName
+from larkpost.fleet.directory import Directory, InstanceInfo, InstanceState
+from larkpost.fleet.weights import (
+    WAVE_SECONDS,
+    WAVES,
+    WeightTarget,
+    WeightTargets,
+    assign_models,
+    due_loads,
+)
+from larkpost.ids import Address, EngineId, ZoneId
+from tests.platform_fleet import MODEL, PlatformFleet, check_results, make_batch
+from tests.virtual import run
+
+FIRST = ModelName("first")
+SECOND = ModelName("second")
+SERVICE = Service(ServiceName("s"), 100, slots=8, models=(FIRST, SECOND))
+
+
+def make_directory(count: int, versions: dict[ModelName, int]) -> Directory:
+    """Returns a directory of some engines."""
+    directory = Directory()
+    for number in range(count):
+        directory.update(
+            InstanceInfo(
+                EngineId(f"e{number}"),
+                SERVICE.name,
+                Address("10.0.0.1:1"),
+                ZoneId("z"),
+                8,
+                InstanceState.READY,
+                dict(versions),
+            )
+        )
+    return directory
+
+
+class DivisionTest(unittest.TestCase):
+    """How engines are divided and when they load."""
+
+    def test_every_engine_has_a_model_and_every_model_enough_engines(self):
+        for count in range(1, 9):
+            directory = make_directory(count, {FIRST: 1, SECOND: 1})
+            engines = directory.of_service(SERVICE.name)
+            chosen = assign_models(SERVICE, engines, directory)
+            self.assertEqual(
+                {info.id for info in engines}, set(chosen[FIRST]) | set(chosen[SECOND])
+            )
+            for engine_ids in chosen.values():
+                self.assertGreaterEqual(len(engine_ids), min(2, count))
+            if count >= 4:
+                self.assertFalse(set(chosen[FIRST]) & set(chosen[SECOND]))
+
+    def test_division_stays_when_versions_rise(self):
+        directory = make_directory(5, {FIRST: 1, SECOND: 1})
+        engines = directory.of_service(SERVICE.name)
+        before = assign_models(SERVICE, engines, directory)
+        for model, engine_ids in before.items():
+            for engine in engine_ids:
+                directory.observe_version(engine, model, 7)
+        self.assertEqual(before, assign_models(SERVICE, engines, directory))
+
+    def test_second_group_waits_for_the_first_but_not_for_ever(self):
+        directory = make_directory(4, {FIRST: 1, SECOND: 1})
+        targets = WeightTargets()
+        targets.update(WeightTarget(FIRST, 2), now=10.0)
+        engines = directory.of_service(SERVICE.name)
+        first, second = assign_models(SERVICE, engines, directory)[FIRST]
+        due = [engine for engine, _ in due_loads(SERVICE, directory, targets, 10.1)]
+        self.assertEqual([first], due)
+        late = 10.1 + WAVES * WAVE_SECONDS
+        due = [engine for engine, _ in due_loads(SERVICE, directory, targets, late)]
+        self.assertEqual([first, second], due)
+        directory.observe_version(first, FIRST, 2)
+        due = [engine for engine, _ in due_loads(SERVICE, directory, targets, 10.1)]
+        self.assertEqual([second], due)
+
+    def test_named_version_never_goes_back(self):
+        targets = WeightTargets()
+        self.assertTrue(targets.update(WeightTarget(FIRST, 4), 0.0))
+        self.assertFalse(targets.update(WeightTarget(FIRST, 3), 1.0))
+        self.assertEqual(4, targets.version(FIRST))
+
+
+class OrderTest(unittest.TestCase):
+    """Orders of a small fleet on virtual time."""
+
+    def check_orders(self, fleet: PlatformFleet) -> None:
+        """Checks that holders never take turns within a lease, and tokens rise."""
+        for state in fleet.engines.engines.values():
+            for before, after in zip(state.orders, state.orders[1:], strict=False):
+                self.assertLess(before[1], after[1])
+                if before[0] != after[0]:
+                    self.assertGreaterEqual(after[4] - before[4], 3.0)
+
+    def test_all_engines_come_to_the_named_version(self):
+        async def play():
+            fleet = PlatformFleet()
+            await fleet.wait(1.0)
+            fleet.put("operator", MODEL, b"2")
+            await fleet.wait(6.0)
+            for state in fleet.engines.engines.values():
+                self.assertEqual(2, state.versions[MODEL])
+                self.assertEqual(1, state.orders_taken)
+            self.check_orders(fleet)
+
+        run(play())
+
+    def test_batch_waits_for_a_version_that_is_new_enough(self):
+        async def play():
+            fleet = PlatformFleet()
+            await fleet.wait(1.0)
+            spec = make_batch(minimum_version=2)
+            await fleet.gateways[0].batches.submit(spec)
+            await fleet.wait(1.0)
+            self.assertEqual([], fleet.stored_results(spec.id))
+            fleet.put("operator", MODEL, b"2")
+            results = await fleet.read_all(fleet.gateways[1], spec.id)
+            check_results(self, spec, results)
+            for result in results:
+                self.assertGreaterEqual(min(result.versions), 2)
+
+        run(play())
+
+    def test_dead_engine_does_not_hold_the_others_up(self):
+        async def play():
+            fleet = PlatformFleet(engines=2)
+            await fleet.wait(1.0)
+            first = min(fleet.engines.engines, key=lambda name: _rank(fleet, name))
+            fleet.engines.engines[first].down = True
+            fleet.put("operator", MODEL, b"2")
+            await fleet.wait(6.0)
+            versions = {name: s.versions[MODEL] for name, s in fleet.engines.engines.items()}
+            self.assertEqual(2, max(versions.values()), versions)
+
+        run(play())
+
+    def test_orders_go_on_when_the_giver_is_killed_or_cut_off(self):
+        async def play():
+            fleet = PlatformFleet(gateways=4)
+            await fleet.wait(1.0)
+            for version in range(2, 8):
+                fleet.put("operator", MODEL, str(version).encode())
+                await fleet.wait(1.2)
+                if version == 3:
+                    fleet.kill(0)
+                if version == 4:
+                    fleet.clients[1].cut_off = True
+                if version == 6:
+                    fleet.clients[1].cut_off = False
+            await fleet.wait(12.0)
+            for state in fleet.engines.engines.values():
+                self.assertEqual(7, state.versions[MODEL])
+            self.check_orders(fleet)
+
+        run(play())
+
+
+def _rank(fleet: PlatformFleet, name: EngineId) -> int:
+    from larkpost.hashing import hash64
+
+    return hash64(name)
