Weights load where the work is and when it does least harm; replaced instances are dropped at once

Cause: news batches fell behind. Change: groups of engines take turns by time, the first one waits until a running batch has found its places; engines are divided by the work of the newest batches; heartbeats carry each daemon's requests and paces, so that any owner knows the engines' speeds; the longest items get the fastest engines, long runs move once to a clearly faster one; engines that failed a moment ago are left out; a 421 that names another instance ends the one in the directory; unanswered orders are repeated sooner.

--- a/src/larkpost/fleet/directory.py
+++ b/src/larkpost/fleet/directory.py
@@ -50,6 +50,7 @@
     def __init__(self) -> None:
         self._instances: dict[EngineId, InstanceInfo] = {}
         self._observed: dict[tuple[EngineId, ModelName], int] = {}
+        self._buried: set[EngineId] = set()
 
     def __len__(self) -> int:
         return len(self._instances)
@@ -60,6 +61,8 @@
 
     def update(self, info: InstanceInfo) -> None:
         """Takes an entry that is new or has changed."""
+        if info.id in self._buried:
+            return
         known = self._instances.get(info.id)
         if known is not None and known.state is InstanceState.LEAVING:
             info = replace(info, state=InstanceState.LEAVING)
@@ -71,6 +74,7 @@
         Args:
             sound: whether the store has been without fault for long enough to be believed.
         """
+        self._buried.discard(instance)
         known = self._instances.get(instance)
         if known is None:
             return
@@ -90,8 +94,16 @@
         listed = info.versions.get(model, 0) if info is not None else 0
         return max(listed, self._observed.get((instance, model), 0))
 
+    def bury(self, instance: EngineId) -> None:
+        """Drops an instance for good: another one has answered at its address.
+
+        Its entry may stand for a while; each start has an id of its own, so it never comes back.
+        """
+        self.forget(instance)
+        self._buried.add(instance)
+
     def forget(self, instance: EngineId) -> None:
-        """Drops an instance that has itself shown to be gone: its address serves another one."""
+        """Drops an instance."""
         self._instances.pop(instance, None)
         for key in [key for key in self._observed if key[0] == instance]:
             del self._observed[key]
--- a/src/larkpost/fleet/loader.py
+++ b/src/larkpost/fleet/loader.py
@@ -5,27 +5,35 @@
 must have taken, so one that is carried out late does nothing.
 """
 
+from collections.abc import Callable
+
 from larkpost.clock import Clock
 from larkpost.eventlog import Event, EventLog
 from larkpost.fleet.configuration import ConfigurationState, RouteKind, Service
 from larkpost.fleet.directory import Directory, InstanceInfo
 from larkpost.fleet.leases import LeaseTable
 from larkpost.fleet.members import Membership
-from larkpost.fleet.weights import WeightTarget, WeightTargets, due_loads
+from larkpost.fleet.weights import Demands, WeightTarget, WeightTargets, due_loads
 from larkpost.ids import EngineId
 from larkpost.proxy.port import OrderOutcome, RunningWork, ServerPort, VersionOrder
 from larkpost.tasks import TaskSet
 
 INTERVAL_SECONDS = 0.1
 REPORT_TIMEOUT_SECONDS = 0.7
-ORDER_TIMEOUT_SECONDS = 0.7
-REPEAT_SECONDS = 2.5
-"""After an order was taken, or may have been, before it is given again."""
+ORDER_TIMEOUT_SECONDS = 0.4
+TAKEN_SECONDS = 2.5
+"""After an order was taken, before the engine is looked at again."""
+UNANSWERED_SECONDS = 0.6
+"""The same after an order that was not answered: it may have been lost, or come late."""
 RETRY_SECONDS = 0.4
 
 
 class WeightLoader:
-    """Reconciles the engines' weight versions with the named ones."""
+    """Reconciles the engines' weight versions with the named ones.
+
+    Args:
+        demands: tells what the batches of each model ask for.
+    """
 
     def __init__(
         self,
@@ -37,6 +45,7 @@
         servers: ServerPort,
         clock: Clock,
         log: EventLog,
+        demands: Callable[[], Demands],
     ) -> None:
         self._configuration = configuration
         self._directory = directory
@@ -46,6 +55,7 @@
         self._servers = servers
         self._clock = clock
         self._log = log
+        self._demands = demands
         self._tasks: TaskSet | None = None
         self._next_try: dict[EngineId, float] = {}
         self._under_way: set[EngineId] = set()
@@ -64,7 +74,9 @@
             if not service.models:
                 continue
             now = self._clock.now()
-            for engine, target in due_loads(service, self._directory, self._targets, now):
+            for engine, target in due_loads(
+                service, self._directory, self._targets, self._demands(), now
+            ):
                 if self._should_order(engine):
                     self._under_way.add(engine)
                     self._tasks.spawn(self._order(service, engine, target), "order")
@@ -120,8 +132,10 @@
             token=lease.token,
             outcome=outcome,
         )
-        if outcome in (OrderOutcome.TAKEN, OrderOutcome.UNKNOWN):
-            return REPEAT_SECONDS
+        if outcome is OrderOutcome.TAKEN:
+            return TAKEN_SECONDS
+        if outcome is OrderOutcome.UNKNOWN:
+            return UNANSWERED_SECONDS
         if outcome is OrderOutcome.HOLDS:
             self._directory.observe_version(engine.id, target.model, target.version)
         return RETRY_SECONDS
--- a/src/larkpost/fleet/members.py
+++ b/src/larkpost/fleet/members.py
@@ -5,13 +5,14 @@
 is down, or a daemon that was frozen, blames nobody.
 """
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import orjson
 
 from larkpost.clock import Clock
 from larkpost.hashing import hash64
-from larkpost.ids import DaemonId
+from larkpost.ids import DaemonId, EngineId
 from larkpost.store.port import (
     RowKey,
     Store,
@@ -30,6 +31,9 @@
 FORGET_AFTER_SECONDS = 60.0
 WRITE_TIMEOUT_SECONDS = 1.0
 
+UseSummary = dict[EngineId, tuple[int, float]]
+"""For each instance in use: requests there, and seconds a unit of work takes (0: unknown)."""
+
 
 @dataclass(slots=True)
 class _Observation:
@@ -42,10 +46,21 @@
 
     Args:
         own: this process's id, unique to one life of the process.
+        summary: returns what this daemon tells the others with each heartbeat.
+        listener: called with each new summary of another daemon.
     """
 
-    def __init__(self, own: DaemonId, store: Store, clock: Clock) -> None:
+    def __init__(
+        self,
+        own: DaemonId,
+        store: Store,
+        clock: Clock,
+        summary: Callable[[], UseSummary],
+        listener: Callable[[DaemonId, UseSummary], None],
+    ) -> None:
         self.own = own
+        self._summary = summary
+        self._listener = listener
         self._store = store
         self._clock = clock
         self._leaving = False
@@ -89,7 +104,7 @@
     async def _beat(self) -> None:
         if self._leaving:
             return
-        value = orjson.dumps({"at": self._store.time()})
+        value = orjson.dumps(self._summary())
         put = Transaction(puts=((self._row(), value),))
         await self._store.write(put, WRITE_TIMEOUT_SECONDS)
 
@@ -101,11 +116,14 @@
         now = self._clock.now()
         blind = self._listed_at is None or now - self._listed_at > BLIND_SECONDS
         self._listed_at = now
-        listed = {DaemonId(row.key.key): row.version for row in page.rows}
-        for name, version in listed.items():
+        listed = {DaemonId(row.key.key): row for row in page.rows}
+        for name, row in listed.items():
             seen = self._seen.get(name)
-            if seen is None or seen.version != version or blind:
-                self._seen[name] = _Observation(version, now)
+            changed = seen is None or seen.version != row.version
+            if changed and name != self.own:
+                self._listener(name, orjson.loads(row.value))
+            if changed or blind:
+                self._seen[name] = _Observation(row.version, now)
         for name in [name for name in self._seen if name not in listed]:
             del self._seen[name]
         await self._forget(now)
--- a/src/larkpost/fleet/weights.py
+++ b/src/larkpost/fleet/weights.py
@@ -5,6 +5,7 @@
 """
 
 import math
+from collections.abc import Mapping
 from dataclasses import dataclass
 
 from larkpost.fleet.configuration import ModelName, Service
@@ -13,10 +14,14 @@
 from larkpost.ids import EngineId
 
 MIN_ENGINES_PER_MODEL = 2
-WAVES = 2
+GROUPS = 3
 """A version is loaded by this many groups of a model's engines, one after the other."""
-WAVE_SECONDS = 1.6
-"""Time after which a group loads though one before it is not done: an engine may be gone."""
+GROUP_SECONDS = 1.0
+"""Time for one group, after which it is the next one's turn."""
+FIRST_SECONDS = 0.3
+"""Wait before the first group loads while no batch of the model runs: one may come at once."""
+BUSY_FIRST_SECONDS = 0.9
+"""The same while one runs, so that its items have found their places before."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,14 +56,30 @@
         return self._versions.get(model, 0)
 
 
+@dataclass(frozen=True, slots=True)
+class ModelDemand:
+    """What the batches of a model ask for.
+
+    Attributes:
+        work: expected tokens of the newest batch; 0 if none is known.
+        open: whether a batch runs now.
+    """
+
+    work: int = 0
+    open: bool = False
+
+
+Demands = Mapping[ModelName, ModelDemand]
+
+
 def assign_models(
-    service: Service, engines: list[InstanceInfo], directory: Directory
+    service: Service, engines: list[InstanceInfo], directory: Directory, demands: Demands
 ) -> dict[ModelName, list[EngineId]]:
-    """Divides the engines of a service among its models.
+    """Divides the engines of a service among its models by the work their batches bring.
 
-    The models choose in turn. A choice falls on the engine with the fewest models, then on the one
-    with the newest version of the model, so that a division once made stays. It ends when every
-    engine has a model and every model has enough engines.
+    The model with the most work for each of its engines chooses next. A choice falls on the engine
+    with the fewest models, then on the one with the newest version of the model, so that a division
+    once made stays. It ends when every engine has a model and every model has enough engines.
 
     Returns:
         For each model its engines, in the order in which they load new versions.
@@ -66,15 +87,23 @@
     chosen: dict[ModelName, list[EngineId]] = {model: [] for model in service.models}
     burden = dict.fromkeys((engine.id for engine in engines), 0)
     enough = min(MIN_ENGINES_PER_MODEL, len(engines))
+    works = {model: demands.get(model, ModelDemand()).work for model in chosen}
+    usual = max(works.values(), default=0) or 1
     while engines and chosen:
         open_models = [model for model in chosen if len(chosen[model]) < enough]
         if not open_models and all(burden.values()):
             break
-        model = min(open_models or chosen, key=lambda name: (len(chosen[name]), name))
+        model = min(
+            open_models or chosen,
+            key=lambda name: (-(works[name] or usual) / (len(chosen[name]) + 1), name),
+        )
         engine = min(
             (engine_id for engine_id in burden if engine_id not in chosen[model]),
             key=lambda name: (burden[name], -directory.version_of(name, model), hash64(name)),
+            default=None,
         )
+        if engine is None:
+            break
         chosen[model].append(engine)
         burden[engine] += 1
     for engine_ids in chosen.values():
@@ -83,23 +112,47 @@
 
 
 def due_loads(
-    service: Service, directory: Directory, targets: WeightTargets, now: float
+    service: Service,
+    directory: Directory,
+    targets: WeightTargets,
+    demands: Demands,
+    now: float,
 ) -> list[tuple[EngineId, WeightTarget]]:
     """Returns the loads that should be under way now.
 
-    A group of a model's engines is due once those before it are done, or have had their time.
+    An engine two versions behind loads at once: it is of no use to the next step. The others load
+    in groups, once the items of a running batch have found their places.
     """
     engines = [
         info for info in directory.of_service(service.name) if info.state is InstanceState.READY
     ]
     due: list[tuple[EngineId, WeightTarget]] = []
-    for model, engine_ids in assign_models(service, engines, directory).items():
+    for model, engine_ids in assign_models(service, engines, directory, demands).items():
         target = WeightTarget(model, targets.version(model))
-        size = math.ceil(len(engine_ids) / WAVES)
-        for wave in range(WAVES):
-            group = engine_ids[wave * size : (wave + 1) * size]
-            behind = [name for name in group if directory.version_of(name, model) < target.version]
-            due.extend((name, target) for name in behind)
-            if behind and targets.named_for(model, now) < (wave + 1) * WAVE_SECONDS:
-                break
+        versions = {name: directory.version_of(name, model) for name in engine_ids}
+        due.extend((name, target) for name in engine_ids if versions[name] < target.version - 1)
+        first = BUSY_FIRST_SECONDS if demands.get(model, ModelDemand()).open else FIRST_SECONDS
+        elapsed = targets.named_for(model, now) - first
+        if elapsed >= 0:
+            group = _group_on_turn(engine_ids, versions, target.version, elapsed)
+            due.extend((name, target) for name in group)
     return due
+
+
+def _group_on_turn(
+    engine_ids: list[EngineId], versions: dict[EngineId, int], target: int, elapsed: float
+) -> list[EngineId]:
+    """Returns the engines of the group that loads now.
+
+    The groups take turns by time, so that one which can't load holds the others up for its turn
+    only; a group whose engines are all done gives its turn to the next.
+    """
+    size = math.ceil(len(engine_ids) / GROUPS) or 1
+    groups = [engine_ids[start : start + size] for start in range(0, len(engine_ids), size)]
+    behind = [[name for name in group if versions[name] == target - 1] for group in groups]
+    turn = int(elapsed / GROUP_SECONDS)
+    for step in range(len(groups)):
+        group = behind[(turn + step) % len(groups)]
+        if group:
+            return group
+    return []
--- a/src/larkpost/gateway.py
+++ b/src/larkpost/gateway.py
@@ -101,8 +101,10 @@
         self.directory = Directory()
         self.targets = WeightTargets()
         self.lifecycle = Lifecycle()
-        self.membership = Membership(own, ports.store, ports.clock)
         self.balancer = Balancer(self.directory, ports.clock, ports.chance)
+        self.membership = Membership(
+            own, ports.store, ports.clock, self.balancer.summary, self.balancer.take_summary
+        )
         self.forwarder = Forwarder(
             self.directory,
             self.balancer,
@@ -135,6 +137,7 @@
             ports.servers,
             ports.clock,
             ports.log,
+            self.batches.demands,
         )
         readers = ports.readers
         self._operator_rows = self._follower(
--- /dev/null
+++ b/src/larkpost/metrics.py
@@ -0,0 +1,126 @@
+"""Counters and latency histograms of one daemon on the platform, in the Prometheus text format."""
+
+from enum import StrEnum
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
+
+CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+SHORT_SECONDS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0)
+LONG_SECONDS = (0.25, 0.5, 1.0, 2.0, 3.0, 4.5, 6.0, 7.5, 10.0, 20.0, 40.0)
+
+
+class Count(StrEnum):
+    """All counters; the value is the name, `COUNTS` has their labels and meanings."""
+
+    REQUESTS = "larkpost_requests_total"
+    ATTEMPTS = "larkpost_attempts_total"
+    STORE_CALLS = "larkpost_store_calls_total"
+    BATCH_CALLS = "larkpost_batch_calls_total"
+    ITEM_RUNS = "larkpost_item_runs_total"
+    RESULTS = "larkpost_results_total"
+    APPENDS = "larkpost_appends_total"
+    ORDERS = "larkpost_orders_total"
+    CLAIMS = "larkpost_batch_claims_total"
+    LINES_LEFT_OUT = "larkpost_log_lines_left_out_total"
+
+
+COUNTS: dict[Count, tuple[str, tuple[str, ...]]] = {
+    Count.REQUESTS: ("Client requests answered.", ("route", "outcome")),
+    Count.ATTEMPTS: ("Attempts of client requests at servers.", ("service", "outcome")),
+    Count.STORE_CALLS: ("Calls to the store.", ("call", "outcome")),
+    Count.BATCH_CALLS: ("Calls that concern batches.", ("call", "outcome")),
+    Count.ITEM_RUNS: ("Runs of batch items at engines.", ("outcome",)),
+    Count.RESULTS: ("Results appended to batches.", ("state",)),
+    Count.APPENDS: ("Appends to batches.", ("outcome",)),
+    Count.ORDERS: ("Orders given to engines.", ("outcome",)),
+    Count.CLAIMS: ("Batches claimed from daemons held dead.", ("outcome",)),
+    Count.LINES_LEFT_OUT: ("Log lines left out.", ("event",)),
+}
+
+
+class Level(StrEnum):
+    """All gauges; the value is the name, `LEVELS` has their meanings."""
+
+    CONFIGURATION_VERSION = "larkpost_configuration_version"
+    FEED_AGE = "larkpost_feed_age_seconds"
+    INSTANCES = "larkpost_instances"
+    MEMBERS = "larkpost_members_alive"
+    OPEN_REQUESTS = "larkpost_open_requests"
+    BATCHES_OWNED = "larkpost_batches_owned"
+    ITEMS_RUNNING = "larkpost_items_running"
+    RESULTS_WAITING = "larkpost_results_waiting"
+    LOOP_LAG = "larkpost_loop_lag_seconds"
+    READY = "larkpost_ready"
+
+
+LEVELS: dict[Level, tuple[str, tuple[str, ...]]] = {
+    Level.CONFIGURATION_VERSION: ("Version of the configuration in force here.", ()),
+    Level.FEED_AGE: ("Seconds since a table's feed was last confirmed.", ("table",)),
+    Level.INSTANCES: ("Instances known.", ("state",)),
+    Level.MEMBERS: ("Daemons held alive.", ()),
+    Level.OPEN_REQUESTS: ("Requests being answered.", ()),
+    Level.BATCHES_OWNED: ("Batches that this daemon runs.", ()),
+    Level.ITEMS_RUNNING: ("Items of owned batches without a result.", ()),
+    Level.RESULTS_WAITING: ("Results that wait for their append.", ()),
+    Level.LOOP_LAG: ("Largest delay of the event loop since the last reading.", ()),
+    Level.READY: ("Whether new clients may come (1) or not (0).", ()),
+}
+
+
+class Timing(StrEnum):
+    """All histograms; the value is the name, `TIMINGS` has their meanings."""
+
+    REQUEST = "larkpost_request_seconds"
+    STORE_CALL = "larkpost_store_call_seconds"
+    ITEM_QUEUE = "larkpost_item_queue_seconds"
+    ITEM_FIRST_EVENT = "larkpost_item_first_event_seconds"
+    ITEM_RUN = "larkpost_item_run_seconds"
+    APPEND_WAIT = "larkpost_append_wait_seconds"
+
+
+TIMINGS: dict[Timing, tuple[str, tuple[str, ...], tuple[float, ...]]] = {
+    Timing.REQUEST: ("Time a client request was held.", ("route",), SHORT_SECONDS),
+    Timing.STORE_CALL: ("Time of a call to the store.", ("call",), SHORT_SECONDS),
+    Timing.ITEM_QUEUE: ("Time until an item's first run began.", (), LONG_SECONDS),
+    Timing.ITEM_FIRST_EVENT: ("Time from a run's start to its first event.", (), SHORT_SECONDS),
+    Timing.ITEM_RUN: ("Time of a run at an engine.", (), LONG_SECONDS),
+    Timing.APPEND_WAIT: ("Time from a result's end to its append.", (), SHORT_SECONDS),
+}
+
+
+class Metrics:
+    """One daemon's metrics, in a registry of its own."""
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        self._counts = {
+            count: Counter(count.value.removesuffix("_total"), text, labels, registry=self.registry)
+            for count, (text, labels) in COUNTS.items()
+        }
+        self._levels = {
+            level: Gauge(level.value, text, labels, registry=self.registry)
+            for level, (text, labels) in LEVELS.items()
+        }
+        self._timings = {
+            timing: Histogram(timing.value, text, labels, registry=self.registry, buckets=buckets)
+            for timing, (text, labels, buckets) in TIMINGS.items()
+        }
+
+    def count(self, count: Count, *labels: str, amount: float = 1) -> None:
+        """Adds to a counter."""
+        metric = self._counts[count]
+        (metric.labels(*labels) if labels else metric).inc(amount)
+
+    def set(self, level: Level, value: float, *labels: str) -> None:
+        """Sets a gauge."""
+        metric = self._levels[level]
+        (metric.labels(*labels) if labels else metric).set(value)
+
+    def observe(self, timing: Timing, seconds: float, *labels: str) -> None:
+        """Adds to a histogram."""
+        metric = self._timings[timing]
+        (metric.labels(*labels) if labels else metric).observe(seconds)
+
+    def text(self) -> bytes:
+        """Returns all metrics as text."""
+        return generate_latest(self.registry)
--- a/src/larkpost/platform/servers.py
+++ b/src/larkpost/platform/servers.py
@@ -128,7 +128,7 @@
         except ANSWER_FAILURES as error:
             raise BrokenAnswerError(f"no answer: {type(error).__name__}: {error}") from None
         try:
-            _check_ran(response, request)
+            _check_ran(response, instance, request)
             yield HttpAnswer(response)
         finally:
             response.close()
@@ -196,7 +196,9 @@
     return headers
 
 
-def _check_ran(response: aiohttp.ClientResponse, request: OutgoingRequest) -> None:
+def _check_ran(
+    response: aiohttp.ClientResponse, instance: InstanceInfo, request: OutgoingRequest
+) -> None:
     """Raises unless the answer belongs to the request and the request ran.
 
     Raises:
@@ -208,7 +210,9 @@
     if echo is not None and echo != own:
         raise BrokenAnswerError("the answer belongs to another request")
     if response.status == 421:
-        raise NotRunError(NotRunReason.WRONG_INSTANCE)
+        found = response.headers.get(names.INSTANCE_ID.decode(), instance.id)
+        replaced = found != instance.id
+        raise NotRunError(NotRunReason.REPLACED if replaced else NotRunReason.MISDIRECTED)
     if names.NOT_EXECUTED.decode() in response.headers:
         raise NotRunError(NotRunReason.FULL)
     if echo is None:
--- a/src/larkpost/proxy/balancer.py
+++ b/src/larkpost/proxy/balancer.py
@@ -8,7 +8,8 @@
 from larkpost.clock import Clock
 from larkpost.fleet.configuration import ServiceName
 from larkpost.fleet.directory import Directory, InstanceInfo
-from larkpost.ids import EngineId
+from larkpost.fleet.members import UseSummary
+from larkpost.ids import DaemonId, EngineId
 from larkpost.proxy.port import ServerLoad
 
 LOAD_LIFETIME_SECONDS = 1.0
@@ -16,6 +17,9 @@
 PACE_WEIGHT = 0.25
 """Weight of the newest measurement in an instance's pace."""
 PACE_LIFETIME_SECONDS = 4.0
+PEER_LIFETIME_SECONDS = 1.2
+"""How long the requests that another daemon told of are counted."""
+PEER_PACE_LIFETIME_SECONDS = 12.0
 MAX_PACE_RATIO = 8.0
 
 
@@ -38,6 +42,14 @@
     pace_at: float = float("-inf")
 
 
+@dataclass(frozen=True, slots=True)
+class _PeerUse:
+    """What another daemon told of its use, and when."""
+
+    summary: UseSummary
+    at: float
+
+
 class Balancer:
     """Keeps the use of all instances and chooses among them."""
 
@@ -46,6 +58,7 @@
         self._clock = clock
         self._chance = chance
         self._uses: dict[EngineId, InstanceUse] = {}
+        self._peers: dict[DaemonId, _PeerUse] = {}
 
     def use(self, instance: EngineId) -> InstanceUse:
         """Returns the record of an instance."""
@@ -62,7 +75,6 @@
 
         Instances that failed a moment ago come last.
         """
-        now = self._clock.now()
         fitting = [
             info
             for info in self._directory.of_service(service)
@@ -72,7 +84,7 @@
         return sorted(
             fitting,
             key=lambda info: (
-                now < self.use(info.id).avoid_until,
+                self.is_avoided(info.id),
                 self._expected_wait(info, best_pace),
                 self._chance.random(),
             ),
@@ -80,15 +92,53 @@
 
     def occupied(self, info: InstanceInfo) -> int:
         """Returns the requests believed to be at an instance, this daemon's and others'."""
+        now = self._clock.now()
         use = self.use(info.id)
-        fresh = self._clock.now() - use.load_at < LOAD_LIFETIME_SECONDS
-        return use.outstanding + (use.others if fresh else 0)
+        if now - use.load_at < LOAD_LIFETIME_SECONDS:
+            return use.outstanding + use.others
+        return use.outstanding + sum(
+            peer.summary[info.id][0]
+            for peer in self._peers.values()
+            if info.id in peer.summary and now - peer.at < PEER_LIFETIME_SECONDS
+        )
 
     def pace(self, instance: EngineId) -> float:
-        """Returns the seconds a unit of work takes at an instance; 0 if not known lately."""
+        """Returns the seconds a unit of work takes at an instance; 0 if not known lately.
+
+        This daemon's own measurement counts before what the others told.
+        """
+        now = self._clock.now()
         use = self.use(instance)
-        fresh = self._clock.now() - use.pace_at < PACE_LIFETIME_SECONDS
-        return use.pace if fresh else 0.0
+        if now - use.pace_at < PACE_LIFETIME_SECONDS:
+            return use.pace
+        told = [
+            (peer.at, peer.summary[instance][1])
+            for peer in self._peers.values()
+            if instance in peer.summary and now - peer.at < PEER_PACE_LIFETIME_SECONDS
+        ]
+        return max(told, default=(0.0, 0.0))[1]
+
+    def summary(self) -> UseSummary:
+        """Returns what this daemon tells the others of its use."""
+        now = self._clock.now()
+        return {
+            name: (use.outstanding, round(use.pace, 4))
+            for name, use in self._uses.items()
+            if self._directory.takes_work(name)
+            and (use.outstanding or now - use.pace_at < PACE_LIFETIME_SECONDS)
+        }
+
+    def take_summary(self, daemon: DaemonId, summary: UseSummary) -> None:
+        """Takes what another daemon told of its use; an empty one keeps the paces it told."""
+        now = self._clock.now()
+        known = self._peers.get(daemon)
+        if summary or known is None:
+            self._peers[daemon] = _PeerUse(summary, now)
+        old = [
+            name for name, peer in self._peers.items() if now - peer.at > PEER_PACE_LIFETIME_SECONDS
+        ]
+        for name in old:
+            del self._peers[name]
 
     @contextmanager
     def placed(self, instance: EngineId) -> Iterator[None]:
@@ -123,6 +173,10 @@
         use = self.use(instance)
         use.avoid_until = max(use.avoid_until, self._clock.now() + seconds)
 
+    def is_avoided(self, instance: EngineId) -> bool:
+        """Tells whether an instance is only a last resort at the moment."""
+        return self._clock.now() < self.use(instance).avoid_until
+
     def _expected_wait(self, info: InstanceInfo, best_pace: float) -> float:
         pace = self.pace(info.id)
         ratio = min(pace / best_pace, MAX_PACE_RATIO) if pace and best_pace else 1.0
--- a/src/larkpost/proxy/forwarder.py
+++ b/src/larkpost/proxy/forwarder.py
@@ -308,6 +308,8 @@
         self, instance: InstanceInfo, attempts: _Attempts, error: NotRunError
     ) -> None:
         attempts.refused_by.add(instance.id)
+        if error.reason is NotRunReason.REPLACED:
+            self._directory.bury(instance.id)
         full = error.reason is NotRunReason.FULL
         seconds = FULL_AVOID_SECONDS if full else UNREACHABLE_AVOID_SECONDS
         self._balancer.avoid(instance.id, seconds)
--- a/src/larkpost/proxy/port.py
+++ b/src/larkpost/proxy/port.py
@@ -100,7 +100,8 @@
 
     UNREACHABLE = "unreachable"  # no connection; nothing was sent
     FULL = "full"  # the server refused it before it ran
-    WRONG_INSTANCE = "wrong_instance"  # another instance, or another weight version
+    MISDIRECTED = "misdirected"  # it has another instance or weight version than expected
+    REPLACED = "replaced"  # another instance answers at the address
     LEAVING = "leaving"  # the instance left before anything was sent
 
 
--- a/src/larkpost/rollouts/attempt.py
+++ b/src/larkpost/rollouts/attempt.py
@@ -19,6 +19,7 @@
         event_versions: the weight version that made each of them.
         failed_runs: runs that the engine itself answered as failed.
         impossible_answers: answers that say the item can never be done.
+        moves: how often it was moved to a faster engine.
     """
 
     item: Item
@@ -27,6 +28,7 @@
     event_versions: list[int] = field(default_factory=list)
     failed_runs: int = 0
     impossible_answers: int = 0
+    moves: int = 0
 
     @property
     def versions(self) -> set[int]:
--- a/src/larkpost/rollouts/codec.py
+++ b/src/larkpost/rollouts/codec.py
@@ -34,6 +34,7 @@
             "created_at": head.created_at,
             "ended": head.ended,
             "upload": head.upload,
+            "work": head.work,
         }
     )
 
@@ -54,6 +55,7 @@
         created_at=fields["created_at"],
         ended=fields["ended"],
         upload=fields["upload"],
+        work=fields["work"],
     )
 
 
--- a/src/larkpost/rollouts/model.py
+++ b/src/larkpost/rollouts/model.py
@@ -29,6 +29,11 @@
     group: GroupId
     length_hint: int = 0
 
+    @property
+    def expected_work(self) -> int:
+        """Tokens that the item is expected to take."""
+        return self.length_hint or self.tokens
+
 
 @dataclass(frozen=True, slots=True)
 class BatchSpec:
@@ -58,6 +63,7 @@
         created_at: store time, in seconds, shortly before it was accepted.
         ended: whether the trainer has ended it.
         upload: names the rows that hold the items.
+        work: expected tokens of all items together.
     """
 
     id: BatchId
@@ -72,6 +78,7 @@
     created_at: float
     ended: bool
     upload: str
+    work: int = 0
 
 
 class ResultState(StrEnum):
--- a/src/larkpost/rollouts/repository.py
+++ b/src/larkpost/rollouts/repository.py
@@ -297,6 +297,7 @@
             created_at=self._store.time() or 0.0,
             ended=False,
             upload=upload,
+            work=sum(item.expected_work for item in spec.items),
         )
         head_key = self._key(HEAD_TABLE, spec.id)
         tail_key = self._key(TAIL_TABLE, spec.id)
--- a/src/larkpost/rollouts/run.py
+++ b/src/larkpost/rollouts/run.py
@@ -16,7 +16,6 @@
     ServiceName,
 )
 from larkpost.fleet.directory import Directory, InstanceInfo
-from larkpost.ids import EngineId
 from larkpost.proxy.balancer import Balancer
 from larkpost.proxy.port import (
     BrokenAnswerError,
@@ -27,7 +26,7 @@
     ServerPort,
 )
 from larkpost.rollouts.attempt import DiscontinuityError, Progress
-from larkpost.rollouts.model import BatchHead, GroupId, Item, ItemId, Result, ResultState
+from larkpost.rollouts.model import BatchHead, Item, ItemId, Result, ResultState
 
 FIRST_EVENT_SECONDS = 2.5
 """Longest wait for an answer's head and for its first event."""
@@ -38,11 +37,15 @@
 UNREACHABLE_AVOID_SECONDS = 1.0
 BROKEN_AVOID_SECONDS = 0.3
 SILENT_AVOID_SECONDS = 1.5
-GROUP_PREFERENCE = 3
-"""An item joins its group's engine if that has at most this many more requests than the best."""
+FASTER_RATIO = 1.12
+"""An engine counts as faster than another by this factor of their paces."""
 SLOW_RATIO = 1.7
-"""A run moves away from an engine that is slower than the best one by this factor."""
+"""A run moves away from an engine that is slower than another one by this factor."""
+LONG_RUN_RATIO = 1.25
+"""The same for an item that has made many events: such items are what a batch waits for."""
+LONG_RUN_EVENTS = 30
 MAX_MOVES = 2
+"""An item is moved this often at most: what it has made is read again at each new engine."""
 EVENTS_BEFORE_MOVE = 4
 
 
@@ -91,8 +94,7 @@
         self.progress = {item.id: (kept or {}).get(item.id) or Progress(item) for item in items}
         self._services = services
         self._finished = finished
-        self._group_engines: dict[GroupId, EngineId] = {}
-        self._waiting = sorted(items, key=_expected_work, reverse=True)
+        self._waiting = sorted(items, key=lambda item: item.expected_work, reverse=True)
         self._tasks: dict[ItemId, asyncio.Task] = {}
 
     def start(self) -> None:
@@ -123,7 +125,6 @@
 
     async def _run_item(self, item: Item) -> None:
         progress = self.progress[item.id]
-        moves = 0
         while True:
             end = RunEnd.AGAIN
             route = self._route(item)
@@ -132,8 +133,7 @@
             elif route is not None:
                 engine = self._choose_engine(item, route)
                 if engine is not None:
-                    end = await self._run_at(engine, item, route, progress, moves)
-                    moves += 1
+                    end = await self._run_at(engine, item, route, progress)
             if end is RunEnd.WHOLE:
                 self._finish_whole(progress)
                 return
@@ -179,29 +179,35 @@
             return None
         candidates = [
             info
-            for info in self._services.balancer.candidates(service.name, eligible=self._has_version)
+            for info in self._services.balancer.candidates(service.name, eligible=self._is_fit)
             if self._services.balancer.occupied(info) < max(1, info.slots)
         ]
         if not candidates:
             return None
+        return self._fastest(candidates)
+
+    def _fastest(self, candidates: list[InstanceInfo]) -> InstanceInfo:
+        """Returns the first of the candidates that is about as fast as the fastest.
+
+        Items come longest first, so that the longest ones get the fastest engines.
+        """
+        balancer = self._services.balancer
         best = candidates[0]
-        chosen = best
-        for info in candidates:
-            if info.id == self._group_engines.get(item.group):
-                extra = self._occupied(info) - self._occupied(best)
-                chosen = info if extra <= GROUP_PREFERENCE else best
-        self._group_engines[item.group] = chosen.id
-        return chosen
+        for info in candidates[1:]:
+            pace = balancer.pace(info.id)
+            if pace and balancer.pace(best.id) > pace * FASTER_RATIO:
+                best = info
+        return best
 
     def _service(self, route: Route) -> Service | None:
         configuration = self._services.configuration.current
         name: ServiceName = route.shares[0].service
         return configuration.services.get(name) if configuration is not None else None
 
-    def _occupied(self, info: InstanceInfo) -> int:
-        return self._services.balancer.occupied(info)
-
-    def _has_version(self, info: InstanceInfo) -> bool:
+    def _is_fit(self, info: InstanceInfo) -> bool:
+        """Tells whether an engine has a version that will do and did not fail a moment ago."""
+        if self._services.balancer.is_avoided(info.id):
+            return False
         version = self._services.directory.version_of(info.id, self.head.model)
         return version >= self.head.minimum_version
 
@@ -211,7 +217,6 @@
         item: Item,
         route: Route,
         progress: Progress,
-        moves: int,
     ) -> RunEnd:
         """Runs an item at an engine from where it is, and tells how that ended."""
         balancer = self._services.balancer
@@ -219,10 +224,11 @@
             self._keep_pure(engine, progress)
         try:
             with balancer.placed(engine.id):
-                return await self._stream(engine, item, route, progress, moves)
+                return await self._stream(engine, item, route, progress)
         except NotRunError as error:
             self._note_not_run(engine, error)
         except MoveAwayError:
+            progress.moves += 1
             self._services.log.note(
                 Event.ITEM_MOVED, batch=self.head.id, item=item.id, engine=engine.id
             )
@@ -244,10 +250,11 @@
             progress.restart()
 
     def _note_not_run(self, engine: InstanceInfo, error: NotRunError) -> None:
-        if error.reason is NotRunReason.WRONG_INSTANCE or error.reason is NotRunReason.UNREACHABLE:
-            self._services.balancer.avoid(engine.id, UNREACHABLE_AVOID_SECONDS)
-        else:
-            self._services.balancer.avoid(engine.id, REFUSED_AVOID_SECONDS)
+        if error.reason is NotRunReason.REPLACED:
+            self._services.directory.bury(engine.id)
+        full = error.reason is NotRunReason.FULL
+        seconds = REFUSED_AVOID_SECONDS if full else UNREACHABLE_AVOID_SECONDS
+        self._services.balancer.avoid(engine.id, seconds)
 
     def _note_failure(self, engine: InstanceInfo, item: Item, reason: str) -> None:
         self._services.log.note(
@@ -260,7 +267,6 @@
         item: Item,
         route: Route,
         progress: Progress,
-        moves: int,
     ) -> RunEnd:
         if not self._services.directory.takes_work(engine.id):
             raise NotRunError(NotRunReason.LEAVING)
@@ -270,7 +276,7 @@
                 self._services.balancer.note_load(engine.id, answer.load)
                 if answer.status != 200:
                     return self._judge_failure(engine, item, route, progress, answer)
-                await self._take_events(engine, route, progress, answer, limit, moves)
+                await self._take_events(engine, route, progress, answer, limit)
         if not progress.events:
             raise BrokenAnswerError("a stream without events")
         progress.result()
@@ -296,7 +302,6 @@
         progress: Progress,
         answer: ServerAnswer,
         limit: asyncio.Timeout,
-        moves: int,
     ) -> None:
         """Takes the events of a run.
 
@@ -325,10 +330,10 @@
                 self._services.balancer.note_pace(engine.id, now - last_at)
             last_at = now
             count += 1
-            if count >= EVENTS_BEFORE_MOVE and moves < MAX_MOVES:
-                self._move_if_slow(engine, route)
+            if count >= EVENTS_BEFORE_MOVE and progress.moves < MAX_MOVES:
+                self._move_if_slow(engine, route, progress)
 
-    def _move_if_slow(self, engine: InstanceInfo, route: Route) -> None:
+    def _move_if_slow(self, engine: InstanceInfo, route: Route, progress: Progress) -> None:
         """Raises if an engine much faster than this one has a free place.
 
         Raises:
@@ -336,11 +341,13 @@
         """
         balancer = self._services.balancer
         pace = balancer.pace(engine.id)
+        long = len(progress.events) >= LONG_RUN_EVENTS
+        ratio = LONG_RUN_RATIO if long else SLOW_RATIO
         for info in balancer.candidates(
-            route.shares[0].service, exclude=(engine.id,), eligible=self._has_version
+            route.shares[0].service, exclude=(engine.id,), eligible=self._is_fit
         ):
             other = balancer.pace(info.id)
-            if other and pace > other * SLOW_RATIO and balancer.occupied(info) < info.slots:
+            if other and pace > other * ratio and balancer.occupied(info) < info.slots:
                 raise MoveAwayError
 
     def _judge_failure(
@@ -360,7 +367,3 @@
             if progress.failed_runs >= route.max_attempts:
                 return RunEnd.DEAD
         return RunEnd.AGAIN
-
-
-def _expected_work(item: Item) -> int:
-    return item.length_hint or item.tokens
--- a/src/larkpost/rollouts/service.py
+++ b/src/larkpost/rollouts/service.py
@@ -8,7 +8,9 @@
 from larkpost.clock import Clock
 from larkpost.errors import LarkpostError, Ran
 from larkpost.eventlog import Event, EventLog
+from larkpost.fleet.configuration import ModelName
 from larkpost.fleet.members import Membership
+from larkpost.fleet.weights import ModelDemand
 from larkpost.ids import BatchId
 from larkpost.rollouts.model import BatchHead, BatchSpec, Item, ItemId, Result
 from larkpost.rollouts.owned import OwnedBatch
@@ -126,6 +128,19 @@
             return
         self._heads[batch] = _KnownHead(head_of_row(row), row.version)
 
+    def demands(self) -> dict[ModelName, ModelDemand]:
+        """Returns what the newest batch of each model asks for, and whether one is open."""
+        newest: dict[ModelName, BatchHead] = {}
+        running: set[ModelName] = set()
+        for known in self._heads.values():
+            head = known.head
+            if not head.ended:
+                running.add(head.model)
+            before = newest.get(head.model)
+            if before is None or head.created_at > before.created_at:
+                newest[head.model] = head
+        return {model: ModelDemand(head.work, model in running) for model, head in newest.items()}
+
     async def submit(self, spec: BatchSpec) -> None:
         """Accepts a batch; it is kept for good once this returns.
 
--- a/tests/test_platform_servers.py
+++ b/tests/test_platform_servers.py
@@ -178,7 +178,7 @@
     async def test_refusals_are_proof_that_it_did_not_run(self):
         full = whole(b"", b"Larkpost-Not-Executed: 1\r\n", b"503 Service Unavailable")
         other = whole(b"", b"Larkpost-Instance-Id: i-2\r\n", b"421 Misdirected Request")
-        for content, reason in ((full, NotRunReason.FULL), (other, NotRunReason.WRONG_INSTANCE)):
+        for content, reason in ((full, NotRunReason.FULL), (other, NotRunReason.REPLACED)):
             async with ScriptedServer(content) as server:
                 with self.assertRaises(NotRunError) as caught:
                     await self.fetch(server, request(1))
--- a/tests/test_weights.py
+++ b/tests/test_weights.py
@@ -5,8 +5,10 @@
 from larkpost.fleet.configuration import ModelName, Service, ServiceName
 from larkpost.fleet.directory import Directory, InstanceInfo, InstanceState
 from larkpost.fleet.weights import (
-    WAVE_SECONDS,
-    WAVES,
+    BUSY_FIRST_SECONDS,
+    FIRST_SECONDS,
+    GROUP_SECONDS,
+    ModelDemand,
     WeightTarget,
     WeightTargets,
     assign_models,
@@ -46,7 +48,7 @@
         for count in range(1, 9):
             directory = make_directory(count, {FIRST: 1, SECOND: 1})
             engines = directory.of_service(SERVICE.name)
-            chosen = assign_models(SERVICE, engines, directory)
+            chosen = assign_models(SERVICE, engines, directory, {})
             self.assertEqual(
                 {info.id for info in engines}, set(chosen[FIRST]) | set(chosen[SECOND])
             )
@@ -58,26 +60,53 @@
     def test_division_stays_when_versions_rise(self):
         directory = make_directory(5, {FIRST: 1, SECOND: 1})
         engines = directory.of_service(SERVICE.name)
-        before = assign_models(SERVICE, engines, directory)
+        before = assign_models(SERVICE, engines, directory, {})
         for model, engine_ids in before.items():
             for engine in engine_ids:
                 directory.observe_version(engine, model, 7)
-        self.assertEqual(before, assign_models(SERVICE, engines, directory))
+        self.assertEqual(before, assign_models(SERVICE, engines, directory, {}))
+
+    def due(self, directory, targets, now, open_batch=False):
+        """Returns the engines that should load now."""
+        demands = {FIRST: ModelDemand(100, open_batch)}
+        return [name for name, _ in due_loads(SERVICE, directory, targets, demands, now)]
 
     def test_second_group_waits_for_the_first_but_not_for_ever(self):
         directory = make_directory(4, {FIRST: 1, SECOND: 1})
         targets = WeightTargets()
         targets.update(WeightTarget(FIRST, 2), now=10.0)
         engines = directory.of_service(SERVICE.name)
-        first, second = assign_models(SERVICE, engines, directory)[FIRST]
-        due = [engine for engine, _ in due_loads(SERVICE, directory, targets, 10.1)]
-        self.assertEqual([first], due)
-        late = 10.1 + WAVES * WAVE_SECONDS
-        due = [engine for engine, _ in due_loads(SERVICE, directory, targets, late)]
-        self.assertEqual([first, second], due)
+        demands = {FIRST: ModelDemand(100, False)}
+        first, second = assign_models(SERVICE, engines, directory, demands)[FIRST]
+        start = 10.0 + FIRST_SECONDS
+        self.assertEqual([], self.due(directory, targets, start - 0.1))
+        self.assertEqual([first], self.due(directory, targets, start + 0.1))
+        self.assertEqual([second], self.due(directory, targets, start + GROUP_SECONDS + 0.1))
+        again = start + 2 * GROUP_SECONDS + 0.1
+        self.assertEqual([first], self.due(directory, targets, again))
         directory.observe_version(first, FIRST, 2)
-        due = [engine for engine, _ in due_loads(SERVICE, directory, targets, 10.1)]
-        self.assertEqual([second], due)
+        self.assertEqual([second], self.due(directory, targets, start + 0.1))
+
+    def test_first_group_waits_while_a_batch_finds_its_places(self):
+        directory = make_directory(4, {FIRST: 1, SECOND: 1})
+        targets = WeightTargets()
+        targets.update(WeightTarget(FIRST, 2), now=10.0)
+        before = 10.0 + BUSY_FIRST_SECONDS - 0.1
+        self.assertEqual([], self.due(directory, targets, before, open_batch=True))
+        self.assertEqual(1, len(self.due(directory, targets, before + 0.2, open_batch=True)))
+
+    def test_engine_two_versions_behind_loads_at_once(self):
+        directory = make_directory(4, {FIRST: 1, SECOND: 1})
+        targets = WeightTargets()
+        targets.update(WeightTarget(FIRST, 3), now=10.0)
+        self.assertEqual(2, len(self.due(directory, targets, 10.0, open_batch=True)))
+
+    def test_model_with_more_work_gets_more_engines(self):
+        directory = make_directory(6, {FIRST: 1, SECOND: 1})
+        engines = directory.of_service(SERVICE.name)
+        demands = {FIRST: ModelDemand(100), SECOND: ModelDemand(210)}
+        chosen = assign_models(SERVICE, engines, directory, demands)
+        self.assertEqual((2, 4), (len(chosen[FIRST]), len(chosen[SECOND])))
 
     def test_named_version_never_goes_back(self):
         targets = WeightTargets()
