One line for each decision, metrics by name, a bounded log

Cause: only state changes and failures were logged, so a batch that fell behind could not be explained. Change: a line for each run of an item, append, read, claim, request, heartbeat change and lost or regained table, with what decided it and its age; counters, gauges and histograms at the metrics address; the delay of the event loop is measured. A read that had next to no time left waited in a loop on virtual time and hung a test; such a wait is now over.

--- a/src/larkpost/eventlog.py
+++ b/src/larkpost/eventlog.py
@@ -14,6 +14,8 @@
 import eliot
 import orjson
 
+from larkpost.metrics import Count, Metrics
+
 STANDARD_OUTPUT = 1
 LINES_PER_SECOND = 40
 MAX_PENDING_BYTES = 262144
@@ -34,17 +36,21 @@
     UNREADABLE = "unreadable"
     LEASE_LAPSED = "lease_lapsed"
     ORDER = "order"
+    MEMBER = "member"
+    REQUEST_DONE = "request_done"
     ATTEMPT_FAILED = "attempt_failed"
     REQUEST_FAILED = "request_failed"
     BATCH_ACCEPTED = "batch_accepted"
     BATCH_REFUSED = "batch_refused"
     BATCH_OWNED = "batch_owned"
+    BATCH_CLAIMED = "batch_claimed"
     BATCH_RELEASED = "batch_released"
     BATCH_COMPLETE = "batch_complete"
     BATCH_ENDED = "batch_ended"
-    ITEM_FAILED = "item_failed"
-    ITEM_MOVED = "item_moved"
+    BATCH_READ = "batch_read"
+    ITEM_RUN = "item_run"
     ITEM_DEAD = "item_dead"
+    APPENDED = "appended"
     APPEND_FAILED = "append_failed"
     READ_FAILED = "read_failed"
     LOOP_LATE = "loop_late"
@@ -83,9 +89,17 @@
 
 
 class EventLog:
-    """Notes events of one daemon."""
+    """Notes events of one daemon.
+
+    Args:
+        writer: where lines go; None for nowhere.
+        metrics: counts the lines that are left out.
+    """
 
-    def __init__(self, daemon: str, writer: LineWriter | None = None) -> None:
+    def __init__(
+        self, daemon: str, writer: LineWriter | None = None, metrics: Metrics | None = None
+    ) -> None:
+        self._metrics = metrics
         self._daemon = daemon
         self._writer = writer
         self._second = 0
@@ -104,6 +118,8 @@
         lines = self._lines.get(event, 0)
         if lines >= LINES_PER_SECOND:
             self._left_out[event] = self._left_out.get(event, 0) + 1
+            if self._metrics is not None:
+                self._metrics.count(Count.LINES_LEFT_OUT, event.value)
             return
         self._lines[event] = lines + 1
         eliot.log_message(event.value, daemon=self._daemon, **fields)
--- a/src/larkpost/fleet/directory.py
+++ b/src/larkpost/fleet/directory.py
@@ -121,6 +121,13 @@
         info = self._instances.get(instance)
         return info is not None and info.state is not InstanceState.LEAVING
 
+    def counts(self) -> dict[InstanceState, int]:
+        """Returns how many instances are in each state."""
+        counts = dict.fromkeys(InstanceState, 0)
+        for info in self._instances.values():
+            counts[info.state] += 1
+        return counts
+
     def all(self) -> Iterable[InstanceInfo]:
         """Returns all instances, in no order."""
         return self._instances.values()
--- a/src/larkpost/fleet/loader.py
+++ b/src/larkpost/fleet/loader.py
@@ -15,6 +15,7 @@
 from larkpost.fleet.members import Membership
 from larkpost.fleet.weights import Demands, WeightTarget, WeightTargets, due_loads
 from larkpost.ids import EngineId
+from larkpost.metrics import Count, Metrics
 from larkpost.proxy.port import OrderOutcome, RunningWork, ServerPort, VersionOrder
 from larkpost.tasks import TaskSet
 
@@ -45,6 +46,7 @@
         servers: ServerPort,
         clock: Clock,
         log: EventLog,
+        metrics: Metrics,
         demands: Callable[[], Demands],
     ) -> None:
         self._configuration = configuration
@@ -55,6 +57,7 @@
         self._servers = servers
         self._clock = clock
         self._log = log
+        self._metrics = metrics
         self._demands = demands
         self._tasks: TaskSet | None = None
         self._next_try: dict[EngineId, float] = {}
@@ -124,12 +127,15 @@
             self._running_work(service),
         )
         outcome = await self._servers.order(engine, order, ORDER_TIMEOUT_SECONDS)
+        self._metrics.count(Count.ORDERS, outcome)
         self._log.note(
             Event.ORDER,
             engine=engine.id,
             model=target.model,
             version=target.version,
             token=lease.token,
+            had=report.versions.get(target.model, 0),
+            orders=report.orders,
             outcome=outcome,
         )
         if outcome is OrderOutcome.TAKEN:
--- a/src/larkpost/fleet/members.py
+++ b/src/larkpost/fleet/members.py
@@ -11,6 +11,7 @@
 import orjson
 
 from larkpost.clock import Clock
+from larkpost.eventlog import Event, EventLog
 from larkpost.hashing import hash64
 from larkpost.ids import DaemonId, EngineId
 from larkpost.store.port import (
@@ -57,10 +58,13 @@
         clock: Clock,
         summary: Callable[[], UseSummary],
         listener: Callable[[DaemonId, UseSummary], None],
+        log: EventLog,
     ) -> None:
         self.own = own
         self._summary = summary
         self._listener = listener
+        self._log = log
+        self._noted: set[DaemonId] = set()
         self._store = store
         self._clock = clock
         self._leaving = False
@@ -126,8 +130,19 @@
                 self._seen[name] = _Observation(row.version, now)
         for name in [name for name in self._seen if name not in listed]:
             del self._seen[name]
+        self._note_changes(now)
         await self._forget(now)
 
+    def _note_changes(self, now: float) -> None:
+        """Notes which daemons are newly held alive or dead."""
+        alive = set(self.alive())
+        for name in sorted(alive ^ self._noted):
+            seen = self._seen.get(name)
+            age = round(now - seen.changed_at, 3) if seen is not None else None
+            state = "alive" if name in alive else "dead"
+            self._log.note(Event.MEMBER, member=name, state=state, heartbeat_age=age)
+        self._noted = alive
+
     async def _forget(self, now: float) -> None:
         """Removes rows of daemons long dead; one daemon does it, so that calls are few."""
         if self.first_choice("forget") != self.own:
--- a/src/larkpost/gateway.py
+++ b/src/larkpost/gateway.py
@@ -15,6 +15,7 @@
 from larkpost.fleet.members import Membership
 from larkpost.fleet.weights import WeightTarget, WeightTargets
 from larkpost.ids import DaemonId, EngineId
+from larkpost.metrics import Level, Metrics
 from larkpost.proxy.balancer import Balancer
 from larkpost.proxy.forwarder import Forwarder
 from larkpost.proxy.port import ServerPort
@@ -33,7 +34,9 @@
 LEAVE_SECONDS = 2.6
 """From the request to stop until no new connections are expected."""
 KILL_MARGIN_SECONDS = 1.0
+LOOP_INTERVAL_SECONDS = 0.25
 LATE_LOOP_SECONDS = 0.5
+"""A delay of the event loop that is worth a line."""
 BATCH_RETENTION_SLACK_SECONDS = 60.0
 
 
@@ -84,6 +87,7 @@
     clock: Clock
     readers: RowReaders
     log: EventLog
+    metrics: Metrics = field(default_factory=Metrics)
     chance: random.Random = field(default_factory=random.Random)
 
 
@@ -103,7 +107,12 @@
         self.lifecycle = Lifecycle()
         self.balancer = Balancer(self.directory, ports.clock, ports.chance)
         self.membership = Membership(
-            own, ports.store, ports.clock, self.balancer.summary, self.balancer.take_summary
+            own,
+            ports.store,
+            ports.clock,
+            self.balancer.summary,
+            self.balancer.take_summary,
+            ports.log,
         )
         self.forwarder = Forwarder(
             self.directory,
@@ -111,6 +120,7 @@
             ports.servers,
             ports.clock,
             ports.log,
+            ports.metrics,
             ShareChooser(),
         )
         services = RunServices(
@@ -120,6 +130,7 @@
             ports.servers,
             ports.clock,
             ports.log,
+            ports.metrics,
             ports.store.time,
         )
         self.batches = BatchService(
@@ -137,6 +148,7 @@
             ports.servers,
             ports.clock,
             ports.log,
+            ports.metrics,
             self.batches.demands,
         )
         readers = ports.readers
@@ -149,17 +161,19 @@
         self._head_rows = self._follower(
             HEAD_TABLE, PARTS, self.batches.take_head, SLOW_RELIST_SECONDS
         )
+        self._loop_lag = 0.0
         self._tasks = TaskSet(ports.clock, Telemetry(settings.machine, log=False))
 
     def start(self) -> None:
         """Starts all background work."""
         self._log.note(Event.START, id=self.id)
-        for follower in (self._operator_rows, self._instance_rows, self._head_rows):
+        for follower in self._followers().values():
             follower.start(self._tasks)
         self.membership.start(self._tasks)
         self.batches.start(self._tasks)
         self._loader.start(self._tasks)
         self._tasks.every(READINESS_INTERVAL_SECONDS, self._update_readiness, "readiness")
+        self._tasks.spawn(self._watch_loop(), "loop")
 
     async def drain(self) -> None:
         """Stops as planned: hands its work over and waits for the answers under way."""
@@ -188,9 +202,53 @@
         relist_interval: float,
     ) -> TableFollower:
         return TableFollower(
-            self._ports.store, self._clock, table, parts, listener, relist_interval=relist_interval
+            self._ports.store,
+            self._clock,
+            table,
+            parts,
+            listener,
+            self._log,
+            relist_interval=relist_interval,
         )
 
+    def read_metrics(self) -> bytes:
+        """Returns all metrics as text, the gauges as of now."""
+        now = self._clock.now()
+        metrics = self._ports.metrics
+        current = self.configuration.current
+        metrics.set(Level.CONFIGURATION_VERSION, current.version if current is not None else 0)
+        for name, follower in self._followers().items():
+            metrics.set(Level.FEED_AGE, follower.age(now), name)
+        for state, count in self.directory.counts().items():
+            metrics.set(Level.INSTANCES, count, state)
+        metrics.set(Level.MEMBERS, len(self.membership.alive()))
+        metrics.set(Level.OPEN_REQUESTS, self.lifecycle.open_requests)
+        owned = self.batches.owned()
+        metrics.set(Level.BATCHES_OWNED, len(owned))
+        metrics.set(Level.ITEMS_RUNNING, sum(batch.running for batch in owned))
+        metrics.set(Level.RESULTS_WAITING, sum(batch.waiting for batch in owned))
+        metrics.set(Level.LOOP_LAG, self._loop_lag)
+        metrics.set(Level.READY, int(self.lifecycle.ready))
+        self._loop_lag = 0.0
+        return metrics.text()
+
+    def _followers(self) -> dict[str, TableFollower]:
+        return {
+            "operator": self._operator_rows,
+            "instances": self._instance_rows,
+            "batches": self._head_rows,
+        }
+
+    async def _watch_loop(self) -> None:
+        """Measures how late the event loop is; a long delay means a freeze or a busy machine."""
+        while True:
+            started = self._clock.now()
+            await self._clock.sleep(LOOP_INTERVAL_SECONDS)
+            lag = self._clock.now() - started - LOOP_INTERVAL_SECONDS
+            self._loop_lag = max(self._loop_lag, lag)
+            if lag > LATE_LOOP_SECONDS:
+                self._log.note(Event.LOOP_LATE, seconds=round(lag, 3))
+
     async def _update_readiness(self) -> None:
         informed = self.configuration.current is not None and self._instance_rows.listed
         if informed and not self.lifecycle.informed:
--- a/src/larkpost/platform/ingress.py
+++ b/src/larkpost/platform/ingress.py
@@ -11,6 +11,7 @@
 from larkpost.fleet.configuration import ConfigurationState, RequestLimits, Route, RouteKind
 from larkpost.fleet.lifecycle import Lifecycle
 from larkpost.ids import BatchId
+from larkpost.metrics import CONTENT_TYPE
 from larkpost.platform import names
 from larkpost.platform.batches import read_batch, read_position, write_page
 from larkpost.platform.http_protocol import OVERSIZED
@@ -328,3 +329,28 @@
         headers = [(b"content-length", b"0")]
         await send({"type": "http.response.start", "status": status, "headers": headers})
         await send({"type": "http.response.body", "body": b""})
+
+
+class MetricsApp:
+    """The application behind the address for metrics.
+
+    Args:
+        read: returns the metrics as text.
+        path: where they are.
+    """
+
+    def __init__(self, read: Callable[[], bytes], path: str) -> None:
+        self._read = read
+        self._path = path
+
+    async def __call__(self, scope: dict, receive: Receive, send: Send) -> None:
+        """Answers with the metrics."""
+        known = scope["path"] == self._path
+        body = self._read() if known else b""
+        headers = [
+            (b"content-type", CONTENT_TYPE.encode()),
+            (b"content-length", str(len(body)).encode()),
+        ]
+        status = 200 if known else 404
+        await send({"type": "http.response.start", "status": status, "headers": headers})
+        await send({"type": "http.response.body", "body": body})
--- a/src/larkpost/platform/process.py
+++ b/src/larkpost/platform/process.py
@@ -9,9 +9,11 @@
 from larkpost.errors import SettingsError
 from larkpost.eventlog import Event, EventLog, LineWriter
 from larkpost.gateway import Gateway, GatewayPorts, GatewaySettings, RowReaders
+from larkpost.ids import Address
+from larkpost.metrics import Metrics
 from larkpost.platform import names, operator
 from larkpost.platform.http_protocol import Listener
-from larkpost.platform.ingress import Ingress, ReadinessApp
+from larkpost.platform.ingress import Ingress, MetricsApp, ReadinessApp
 from larkpost.platform.servers import HttpServers
 from larkpost.platform.settings import (
     PlatformSettings,
@@ -43,15 +45,21 @@
         SettingsError: the settings cannot be used.
     """
     settings = load_platform_settings(path)
-    log = EventLog(settings.machine, LineWriter())
-    store = HttpStore(settings.store, settings.row_bytes)
+    metrics = Metrics()
+    log = EventLog(settings.machine, LineWriter(), metrics)
+    store = HttpStore(settings.store, settings.row_bytes, metrics)
     servers = HttpServers()
     gateway = Gateway(
-        _gateway_settings(settings), GatewayPorts(store, servers, LoopClock(), READERS, log)
+        _gateway_settings(settings),
+        GatewayPorts(store, servers, LoopClock(), READERS, log, metrics),
     )
     ingress = Ingress(gateway.configuration, gateway.lifecycle, gateway.forwarder, gateway.batches)
     front = Listener(ingress, settings.front, ingress.limits)
-    ready = Listener(ReadinessApp(gateway.lifecycle), settings.ready)
+    listeners = [front, Listener(ReadinessApp(gateway.lifecycle), settings.ready)]
+    if settings.metrics is not None:
+        port, metrics_path = settings.metrics
+        address = Address(f"{settings.ip}:{port}")
+        listeners.append(Listener(MetricsApp(gateway.read_metrics, metrics_path), address))
     stop = asyncio.Event()
     reload = asyncio.Event()
     loop = asyncio.get_running_loop()
@@ -59,16 +67,16 @@
         loop.add_signal_handler(number, stop.set)
     loop.add_signal_handler(signal.SIGHUP, reload.set)
     gateway.start()
-    await front.start()
-    await ready.start()
+    for listener in listeners:
+        await listener.start()
     gc.freeze()
     watcher = asyncio.create_task(_watch_settings(path, reload, gateway, store, log))
     await stop.wait()
     await gateway.drain()
     watcher.cancel()
     gateway.stop()
-    await front.close()
-    await ready.close()
+    for listener in listeners:
+        await listener.close()
     await servers.close()
     await store.close()
 
--- a/src/larkpost/platform/store.py
+++ b/src/larkpost/platform/store.py
@@ -11,6 +11,7 @@
 from yarl import URL
 
 from larkpost.ids import Address
+from larkpost.metrics import Count, Metrics, Timing
 from larkpost.platform import names
 from larkpost.platform.connections import make_session
 from larkpost.store.port import (
@@ -25,6 +26,7 @@
 )
 
 READ_TIMEOUT_SECONDS = 1.5
+CALL_KINDS = {names.READ_CALL: "read", names.FEED_CALL: "feed"}
 CALL_FAILURES = (aiohttp.ClientError, asyncio.TimeoutError, OSError, ValueError, KeyError)
 """Everything a call may end with besides an answer; malformed answers included."""
 
@@ -35,13 +37,13 @@
     Args:
         address: where the store listens.
         row_bytes: most bytes in a row's value.
-        on_call: called after each call with its kind, outcome and seconds.
+        metrics: counts and times the calls.
     """
 
-    def __init__(self, address: Address, row_bytes: int, on_call=lambda *_: None) -> None:
+    def __init__(self, address: Address, row_bytes: int, metrics: Metrics | None = None) -> None:
         self.row_bytes = row_bytes
         self._base = f"http://{address}"
-        self._on_call = on_call
+        self._metrics = metrics or Metrics()
         self._session = make_session()
         self._clock_offset: float | None = None
 
@@ -70,7 +72,7 @@
             result = WriteResult(WriteOutcome.NOT_DONE)
         except CALL_FAILURES:
             result = WriteResult(WriteOutcome.UNKNOWN)
-        self._on_call("write", str(result.outcome), time.monotonic() - started)
+        self._note("write", result.outcome, started)
         return result
 
     async def read(
@@ -100,11 +102,16 @@
         try:
             answer = await self._call("GET", f"{call}?{urlencode(query)}", None, timeout)
         except CALL_FAILURES as error:
-            self._on_call(call, "unavailable", time.monotonic() - started)
+            self._note(CALL_KINDS[call], "unanswered", started)
             raise StoreUnavailableError(f"{call}: {type(error).__name__}: {error}") from None
-        self._on_call(call, str(answer[0]), time.monotonic() - started)
+        outcome = "answered" if answer[0] == 200 else str(answer[0])
+        self._note(CALL_KINDS[call], outcome, started)
         return answer
 
+    def _note(self, kind: str, outcome: str, started: float) -> None:
+        self._metrics.count(Count.STORE_CALLS, kind, outcome)
+        self._metrics.observe(Timing.STORE_CALL, time.monotonic() - started, kind)
+
     async def _call(
         self, method: str, target: str, body: bytes | None, timeout: float
     ) -> tuple[int, Any]:
--- a/src/larkpost/proxy/forwarder.py
+++ b/src/larkpost/proxy/forwarder.py
@@ -16,6 +16,7 @@
 from larkpost.fleet.configuration import Route, RouteKind, ServiceName
 from larkpost.fleet.directory import Directory, InstanceInfo
 from larkpost.ids import EngineId
+from larkpost.metrics import Count, Metrics, Timing
 from larkpost.proxy.balancer import Balancer
 from larkpost.proxy.port import (
     BrokenAnswerError,
@@ -117,6 +118,7 @@
         servers: ServerPort,
         clock: Clock,
         log: EventLog,
+        metrics: Metrics,
         shares: ShareChooser,
     ) -> None:
         self._directory = directory
@@ -124,6 +126,7 @@
         self._servers = servers
         self._clock = clock
         self._log = log
+        self._metrics = metrics
         self._shares = shares
 
     async def forward(self, request: ClientRequest, route: Route) -> WholeAnswer:
@@ -147,6 +150,7 @@
             raise self._failure(request, route, attempts, timed_out=True) from None
         if answer is None:
             raise self._failure(request, route, attempts, timed_out=False)
+        self._note_done(request, route, attempts, answer)
         return answer
 
     @asynccontextmanager
@@ -264,6 +268,7 @@
             self._note_broken(instance, request, attempts, f"status {whole.status}")
             attempts.last = whole if of_server else attempts.last
             return None
+        self._metrics.count(Count.ATTEMPTS, instance.service, "answered")
         return whole
 
     def _choose(self, service: ServiceName, attempts: _Attempts) -> InstanceInfo | None:
@@ -304,10 +309,27 @@
         held = self._clock.now() - request.received_at
         return held >= route.objective * REFUSE_AFTER_SHARE
 
+    def _note_done(
+        self, request: ClientRequest, route: Route, attempts: _Attempts, answer: WholeAnswer
+    ) -> None:
+        held = self._clock.now() - request.received_at
+        self._metrics.count(Count.REQUESTS, route.name, "answered")
+        self._metrics.observe(Timing.REQUEST, held, route.name)
+        self._log.note(
+            Event.REQUEST_DONE,
+            request=request.request_id.decode("latin-1"),
+            route=route.name,
+            status=answer.status,
+            held=round(held, 3),
+            tried=sorted(attempts.ran_at),
+            refused_by=sorted(attempts.refused_by),
+        )
+
     def _note_not_run(
         self, instance: InstanceInfo, attempts: _Attempts, error: NotRunError
     ) -> None:
         attempts.refused_by.add(instance.id)
+        self._metrics.count(Count.ATTEMPTS, instance.service, error.reason)
         if error.reason is NotRunReason.REPLACED:
             self._directory.bury(instance.id)
         full = error.reason is NotRunReason.FULL
@@ -318,6 +340,7 @@
         self, instance: InstanceInfo, request: ClientRequest, attempts: _Attempts, reason: str
     ) -> None:
         attempts.ran_at.add(instance.id)
+        self._metrics.count(Count.ATTEMPTS, instance.service, "broken")
         self._balancer.avoid(instance.id, BROKEN_AVOID_SECONDS)
         self._log.note(
             Event.ATTEMPT_FAILED,
@@ -345,6 +368,7 @@
             error = RequestTimeoutError("its time is over", ran=Ran.UNKNOWN)
         else:
             error = RequestFailedError("no whole answer came", ran=Ran.UNKNOWN)
+        self._metrics.count(Count.REQUESTS, route.name, error.code)
         self._log.note(
             Event.REQUEST_FAILED,
             request=request.request_id.decode("latin-1"),
--- a/src/larkpost/rollouts/owned.py
+++ b/src/larkpost/rollouts/owned.py
@@ -4,6 +4,7 @@
 
 from larkpost.clock import Clock
 from larkpost.eventlog import Event, EventLog
+from larkpost.metrics import Count, Timing
 from larkpost.rollouts.model import BatchHead, Item, ItemId, Result, Tail
 from larkpost.rollouts.repository import BatchRepository
 from larkpost.rollouts.run import BatchRun, RunServices
@@ -40,6 +41,7 @@
         self._listed: set[ItemId] = set()
         self._wake = asyncio.Event()
         self._kept_events: dict[ItemId, int] = {}
+        self._ended_at: dict[ItemId, float] = {}
         self._tasks: list[asyncio.Task] = []
 
     def start(self, items: tuple[Item, ...] | None, fresh: bool) -> None:
@@ -52,6 +54,16 @@
         self._tasks.append(asyncio.create_task(self._work(items, fresh)))
         self._tasks.append(asyncio.create_task(self._keep_partials()))
 
+    @property
+    def running(self) -> int:
+        """Items without a result."""
+        return len(self._run.progress) if self._run is not None else 0
+
+    @property
+    def waiting(self) -> int:
+        """Results that wait for their append."""
+        return len(self._pending)
+
     def stop(self) -> None:
         """Stops all runs and appends."""
         for task in self._tasks:
@@ -99,6 +111,7 @@
         if result.item in self._listed:
             return  # another daemon that ran the batch has listed it meanwhile
         self._pending.append(result)
+        self._ended_at[result.item] = self._clock.now()
         self._wake.set()
 
     async def _synchronise(self) -> None:
@@ -148,7 +161,9 @@
         pending = list(self._pending)
         started = self._clock.now()
         result, tail, taken = await self._repository.append(self.head.id, self._tail, pending)
+        self._services.metrics.count(Count.APPENDS, result.outcome)
         if result.outcome is WriteOutcome.DONE:
+            self._note_appended(pending[:taken], started)
             self._view.add(self._tail.count, pending[:taken])
             self._view.confirm(started)
             self._listed.update(added.item for added in pending[:taken])
@@ -167,6 +182,21 @@
         else:
             await self._clock.sleep(RETRY_SECONDS)
 
+    def _note_appended(self, results: list[Result], started: float) -> None:
+        now = self._clock.now()
+        for result in results:
+            waited = now - self._ended_at.pop(result.item, now)
+            self._services.metrics.observe(Timing.APPEND_WAIT, waited)
+            self._services.metrics.count(Count.RESULTS, result.state)
+        self._log.note(
+            Event.APPENDED,
+            batch=self.head.id,
+            position=self._tail.count if self._tail is not None else None,
+            items=[result.item for result in results],
+            waiting=len(self._pending) - len(results),
+            seconds=round(now - started, 3),
+        )
+
     async def _resynchronise(self) -> None:
         while True:
             try:
--- a/src/larkpost/rollouts/run.py
+++ b/src/larkpost/rollouts/run.py
@@ -16,6 +16,7 @@
     ServiceName,
 )
 from larkpost.fleet.directory import Directory, InstanceInfo
+from larkpost.metrics import Count, Metrics, Timing
 from larkpost.proxy.balancer import Balancer
 from larkpost.proxy.port import (
     BrokenAnswerError,
@@ -71,6 +72,7 @@
     servers: ServerPort
     clock: Clock
     log: EventLog
+    metrics: Metrics
     store_time: Callable[[], float | None]
 
 
@@ -125,6 +127,7 @@
 
     async def _run_item(self, item: Item) -> None:
         progress = self.progress[item.id]
+        queued_at: float | None = self._services.clock.now()
         while True:
             end = RunEnd.AGAIN
             route = self._route(item)
@@ -133,6 +136,10 @@
             elif route is not None:
                 engine = self._choose_engine(item, route)
                 if engine is not None:
+                    if queued_at is not None:
+                        queued = self._services.clock.now() - queued_at
+                        self._services.metrics.observe(Timing.ITEM_QUEUE, queued)
+                        queued_at = None
                     end = await self._run_at(engine, item, route, progress)
             if end is RunEnd.WHOLE:
                 self._finish_whole(progress)
@@ -222,27 +229,61 @@
         balancer = self._services.balancer
         if progress.last_event is not None and route.single_version:
             self._keep_pure(engine, progress)
+        began = self._services.clock.now()
+        resumed_after = progress.last_event
+        end = RunEnd.AGAIN
+        reason = ""
         try:
             with balancer.placed(engine.id):
-                return await self._stream(engine, item, route, progress)
+                end = await self._stream(engine, item, route, progress)
+            reason = end.value if end is not RunEnd.AGAIN else "failed"
         except NotRunError as error:
             self._note_not_run(engine, error)
+            reason = error.reason
         except MoveAwayError:
             progress.moves += 1
-            self._services.log.note(
-                Event.ITEM_MOVED, batch=self.head.id, item=item.id, engine=engine.id
-            )
+            reason = "moved"
         except TimeoutError:
             balancer.avoid(engine.id, SILENT_AVOID_SECONDS)
-            self._note_failure(engine, item, "silent")
+            reason = "silent"
         except DiscontinuityError as error:
             progress.restart()
             balancer.avoid(engine.id, BROKEN_AVOID_SECONDS)
-            self._note_failure(engine, item, str(error))
+            reason = f"broken: {error}"
         except (BrokenAnswerError, UnicodeDecodeError) as error:
             balancer.avoid(engine.id, BROKEN_AVOID_SECONDS)
-            self._note_failure(engine, item, str(error))
-        return RunEnd.AGAIN
+            reason = f"broken: {error}"
+        self._note_run(engine, progress, resumed_after, began, reason)
+        return end
+
+    def _note_run(
+        self,
+        engine: InstanceInfo,
+        progress: Progress,
+        resumed_after: int | None,
+        began: float,
+        reason: str,
+    ) -> None:
+        """Notes the end of one run with what decided where it ran."""
+        seconds = self._services.clock.now() - began
+        balancer = self._services.balancer
+        directory = self._services.directory
+        self._services.metrics.count(Count.ITEM_RUNS, reason.partition(":")[0])
+        self._services.metrics.observe(Timing.ITEM_RUN, seconds)
+        self._services.log.note(
+            Event.ITEM_RUN,
+            batch=self.head.id,
+            item=progress.item.id,
+            engine=engine.id,
+            outcome=reason,
+            events=len(progress.events),
+            resumed_after=resumed_after,
+            seconds=round(seconds, 3),
+            occupied=balancer.occupied(engine),
+            pace=round(balancer.pace(engine.id), 4),
+            version=directory.version_of(engine.id, self.head.model),
+            minimum_version=self.head.minimum_version,
+        )
 
     def _keep_pure(self, engine: InstanceInfo, progress: Progress) -> None:
         version = self._services.directory.version_of(engine.id, self.head.model)
@@ -256,11 +297,6 @@
         seconds = REFUSED_AVOID_SECONDS if full else UNREACHABLE_AVOID_SECONDS
         self._services.balancer.avoid(engine.id, seconds)
 
-    def _note_failure(self, engine: InstanceInfo, item: Item, reason: str) -> None:
-        self._services.log.note(
-            Event.ITEM_FAILED, batch=self.head.id, item=item.id, engine=engine.id, reason=reason
-        )
-
     async def _stream(
         self,
         engine: InstanceInfo,
@@ -271,12 +307,13 @@
         if not self._services.directory.takes_work(engine.id):
             raise NotRunError(NotRunReason.LEAVING)
         request = self._request(item, progress)
+        began = self._services.clock.now()
         async with asyncio.timeout(FIRST_EVENT_SECONDS) as limit:
             async with self._services.servers.send(engine, request) as answer:
                 self._services.balancer.note_load(engine.id, answer.load)
                 if answer.status != 200:
-                    return self._judge_failure(engine, item, route, progress, answer)
-                await self._take_events(engine, route, progress, answer, limit)
+                    return self._judge_failure(route, progress, answer)
+                await self._take_events(engine, route, progress, answer, limit, began)
         if not progress.events:
             raise BrokenAnswerError("a stream without events")
         progress.result()
@@ -302,6 +339,7 @@
         progress: Progress,
         answer: ServerAnswer,
         limit: asyncio.Timeout,
+        began: float,
     ) -> None:
         """Takes the events of a run.
 
@@ -326,7 +364,9 @@
                 progress.restart()
                 raise BrokenAnswerError("the version changed within a result")
             progress.take(event.id, event.data, version)
-            if last_at is not None:
+            if last_at is None:
+                self._services.metrics.observe(Timing.ITEM_FIRST_EVENT, now - began)
+            else:
                 self._services.balancer.note_pace(engine.id, now - last_at)
             last_at = now
             count += 1
@@ -350,15 +390,7 @@
             if other and pace > other * ratio and balancer.occupied(info) < info.slots:
                 raise MoveAwayError
 
-    def _judge_failure(
-        self,
-        engine: InstanceInfo,
-        item: Item,
-        route: Route,
-        progress: Progress,
-        answer: ServerAnswer,
-    ) -> RunEnd:
-        self._note_failure(engine, item, f"status {answer.status}")
+    def _judge_failure(self, route: Route, progress: Progress, answer: ServerAnswer) -> RunEnd:
         if answer.status == 422:
             progress.impossible_answers += 1
             return RunEnd.DEAD
--- a/src/larkpost/rollouts/service.py
+++ b/src/larkpost/rollouts/service.py
@@ -12,6 +12,7 @@
 from larkpost.fleet.members import Membership
 from larkpost.fleet.weights import ModelDemand
 from larkpost.ids import BatchId
+from larkpost.metrics import Count
 from larkpost.rollouts.model import BatchHead, BatchSpec, Item, ItemId, Result
 from larkpost.rollouts.owned import OwnedBatch
 from larkpost.rollouts.repository import (
@@ -29,6 +30,8 @@
 ACCEPT_PATIENCE_SECONDS = 2.5
 END_PATIENCE_SECONDS = 2.0
 READ_POLL_SECONDS = 0.2
+LEAST_WAIT_SECONDS = 0.001
+"""A remaining wait below this counts as over."""
 FRESH_SECONDS = 0.25
 """A list confirmed this recently is given without asking the store again."""
 RETRY_AFTER_SECONDS = 0.5
@@ -128,6 +131,10 @@
             return
         self._heads[batch] = _KnownHead(head_of_row(row), row.version)
 
+    def owned(self) -> list[OwnedBatch]:
+        """Returns the batches that this daemon runs."""
+        return list(self._owned.values())
+
     def demands(self) -> dict[ModelName, ModelDemand]:
         """Returns what the newest batch of each model asks for, and whether one is open."""
         newest: dict[ModelName, BatchHead] = {}
@@ -151,15 +158,27 @@
         if spec.id in self._heads:
             return
         own = self._membership.own
+        began = self._clock.now()
         upload = secrets.token_hex(8)
         outcome = await self._repository.accept(spec, own, upload, ACCEPT_PATIENCE_SECONDS)
         if outcome is AcceptOutcome.REFUSED:
-            self._log.note(Event.BATCH_REFUSED, batch=spec.id)
+            self._services.metrics.count(Count.BATCH_CALLS, "submit", "refused")
+            self._log.note(Event.BATCH_REFUSED, batch=spec.id, uncertain=False)
             raise BatchRefusedError("the store refused the batch", retry_after=RETRY_AFTER_SECONDS)
         if outcome is AcceptOutcome.UNCERTAIN:
+            self._services.metrics.count(Count.BATCH_CALLS, "submit", "uncertain")
             self._log.note(Event.BATCH_REFUSED, batch=spec.id, uncertain=True)
             raise BatchUncertainError("the store did not answer", ran=Ran.UNKNOWN)
-        self._log.note(Event.BATCH_ACCEPTED, batch=spec.id, items=len(spec.items), step=spec.step)
+        self._services.metrics.count(Count.BATCH_CALLS, "submit", "accepted")
+        self._log.note(
+            Event.BATCH_ACCEPTED,
+            batch=spec.id,
+            items=len(spec.items),
+            step=spec.step,
+            model=spec.model,
+            minimum_version=spec.minimum_version,
+            seconds=round(self._clock.now() - began, 3),
+        )
         await self._own_accepted(spec, upload)
 
     async def read(self, batch: BatchId, position: int, wait: float) -> ResultPage:
@@ -175,16 +194,33 @@
             failed = not await self._refresh(view, position)
             remaining = give_up_at - self._clock.now()
             if len(view.results) > position or len(view.results) >= view.head.total:
-                return _page(view, position)
-            if remaining <= 0:
+                return self._give(view, position, from_memory=failed)
+            if remaining < LEAST_WAIT_SECONDS:
                 if failed:
+                    self._services.metrics.count(Count.BATCH_CALLS, "read", "failed")
                     self._log.note(Event.READ_FAILED, batch=batch, position=position)
                     raise BatchUnreadableError(
                         "the store does not answer", retry_after=RETRY_AFTER_SECONDS
                     )
-                return _page(view, position)
+                return self._give(view, position, from_memory=False)
             await view.wait_for_change(min(READ_POLL_SECONDS, remaining))
 
+    def _give(self, view: BatchView, position: int, *, from_memory: bool) -> ResultPage:
+        """Returns a page and notes it, with the age of what was known."""
+        page = _page(view, position)
+        self._services.metrics.count(Count.BATCH_CALLS, "read", "answered")
+        self._log.note(
+            Event.BATCH_READ,
+            batch=view.head.id,
+            position=position,
+            results=len(page.results),
+            known=len(view.results),
+            total=page.total,
+            age=round(self._clock.now() - view.confirmed_at, 3),
+            store_failed=from_memory,
+        )
+        return page
+
     async def body(self, batch: BatchId, item: ItemId) -> bytes:
         """Returns the body of an item.
 
@@ -222,6 +258,7 @@
             raise NoSuchBatchError(f"there is no batch {batch}")
         if outcome is EndOutcome.UNCERTAIN:
             raise BatchUncertainError("the store did not answer", ran=Ran.UNKNOWN)
+        self._services.metrics.count(Count.BATCH_CALLS, "end", "done")
         self._log.note(Event.BATCH_ENDED, batch=batch)
         self._release(batch)
         self._complete.add(batch)
@@ -291,7 +328,12 @@
         return self._membership.first_choice(batch) == self._membership.own
 
     async def _claim(self, known: _KnownHead) -> None:
-        await self._repository.claim(known.head, known.version, self._membership.own)
+        done = await self._repository.claim(known.head, known.version, self._membership.own)
+        outcome = "done" if done else "failed"
+        self._services.metrics.count(Count.CLAIMS, outcome)
+        self._log.note(
+            Event.BATCH_CLAIMED, batch=known.head.id, owner=known.head.owner, outcome=outcome
+        )
 
     def _own(self, head: BatchHead, items: tuple[Item, ...] | None, *, fresh: bool) -> None:
         view = self._views.setdefault(head.id, BatchView(head))
--- a/src/larkpost/store/follower.py
+++ b/src/larkpost/store/follower.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 
 from larkpost.clock import Clock
+from larkpost.eventlog import Event, EventLog
 from larkpost.store.port import (
     HistoryLostError,
     Row,
@@ -40,6 +41,7 @@
         table: str,
         parts: tuple[str, ...],
         listener: Callable[[Row], None],
+        log: EventLog,
         *,
         relist_interval: float,
         feed_gap: float = FEED_GAP_SECONDS,
@@ -49,6 +51,8 @@
         self._table = table
         self._parts = parts
         self._listener = listener
+        self._log = log
+        self._following = True
         self._relist_interval = relist_interval
         self._feed_gap = feed_gap
         self._position = 0
@@ -71,6 +75,10 @@
             return now
         return max(0.0, now - self.failed_at)
 
+    def age(self, now: float) -> float:
+        """Returns the seconds since the copy was last known to be current."""
+        return now - self.confirmed_at if self.confirmed_at is not None else now
+
     def start(self, tasks: TaskSet) -> None:
         """Starts following in the background."""
         tasks.spawn(self._run(), f"follow.{self._table}")
@@ -79,13 +87,25 @@
         while True:
             try:
                 await self._step()
+                self._note(following=True)
             except HistoryLostError:
                 self._listed_at = None
                 self._position = 0
-            except StoreUnavailableError:
+                self._log.note(Event.STORE, table=self._table, state="history_lost")
+            except StoreUnavailableError as error:
                 self.failed_at = self._clock.now()
+                self._note(following=False, reason=error.message)
                 await self._clock.sleep(RETRY_SECONDS)
 
+    def _note(self, *, following: bool, reason: str = "") -> None:
+        """Notes that the table is lost or regained."""
+        if following == self._following:
+            return
+        self._following = following
+        age = round(self.age(self._clock.now()), 3)
+        state = "regained" if following else "lost"
+        self._log.note(Event.STORE, table=self._table, state=state, age=age, reason=reason)
+
     async def _step(self) -> None:
         started = self._clock.now()
         if self._listed_at is None or started - self._listed_at >= self._relist_interval:
