larkpost explain; every event and metric documented; fuzz over the platform's contract

Cause: on-call engineers have only logs and metrics, and the oracle knew nothing of durable batches. Change: explain prints the story of an id across logs and says what is missing; tests that every event and metric stands in docs/LOGS.md, that a reader who stops does not hold the process up, and that lines over the budget are counted. A stateful fuzz on virtual time: daemons killed, cut and added, a store that is down, refuses, loses answers, writes late and forgets, engines down and breaking streams, versions named, batches ended; accepted batches become whole, positions never change, refused batches never run, orders are exclusive.

--- a/src/larkpost/cli.py
+++ b/src/larkpost/cli.py
@@ -1,5 +1,6 @@
 """The command line: ``serve`` runs a daemon, the other verbs speak to one."""
 
+import fileinput
 from collections.abc import Iterator
 from contextlib import contextmanager
 from pathlib import Path
@@ -12,7 +13,9 @@
 from larkpost import operator_calls
 from larkpost.config.plan import Plan
 from larkpost.errors import LarkpostError
+from larkpost.explain import explain
 from larkpost.ids import Address
+from larkpost.platform.process import run as run_on_platform
 from larkpost.rehearsal.commands import rehearsal
 from larkpost.server import run_server
 from larkpost.settings import load_settings
@@ -39,6 +42,32 @@
         raise typer.Exit(1) from None
 
 
+@app.command(name="explain")
+def explain_id(
+    identifier: Annotated[str, typer.Argument(help="Id of a request, batch, item or instance.")],
+    files: Annotated[
+        list[Path] | None, typer.Argument(help="Logs of the daemons; standard input if none.")
+    ] = None,
+) -> None:
+    """Print the story of one id across all daemons' logs, and what is missing from it."""
+    with fileinput.input(files or (), encoding="utf-8", errors="replace") as lines:
+        try:
+            story = explain(lines, identifier)
+        except OSError as error:
+            error_console.print(f"error unreadable_log: {error}", markup=False)
+            error_console.print("remedy: Name readable files, one for each log.", markup=False)
+            raise typer.Exit(1) from None
+    for line in story:
+        print(line)
+
+
+@app.command()
+def run() -> None:
+    """Run a daemon on the platform, with the settings that the platform has written."""
+    with _reported_errors():
+        run_on_platform()
+
+
 @app.command()
 def serve(
     settings: Annotated[Path | None, typer.Option(help="TOML settings file.")] = None,
--- a/src/larkpost/eventlog.py
+++ b/src/larkpost/eventlog.py
@@ -124,6 +124,12 @@
         self._lines[event] = lines + 1
         eliot.log_message(event.value, daemon=self._daemon, **fields)
 
+    def close(self) -> None:
+        """Stops writing."""
+        if self._writer is not None:
+            eliot.remove_destination(self._write)
+            self._writer = None
+
     def _begin_second(self, second: int) -> None:
         self._second = second
         self._lines.clear()
--- /dev/null
+++ b/src/larkpost/explain.py
@@ -0,0 +1,101 @@
+"""Tells the story of one request, batch, item or instance from the logs of all daemons.
+
+Lines are read from files or standard input, one JSON object a line; whatever stands before the
+first brace (a time, a machine's name) is passed over. Times are those of the writing machines,
+which may disagree; the order within one machine is right.
+"""
+
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+from typing import Any
+
+import orjson
+
+from larkpost.eventlog import Event
+
+HIDDEN_FIELDS = frozenset({"timestamp", "task_uuid", "task_level", "message_type", "daemon"})
+CLOSING_EVENTS = frozenset({Event.REQUEST_DONE, Event.REQUEST_FAILED})
+
+
+@dataclass(frozen=True, slots=True)
+class LogLine:
+    """One line of a daemon's log.
+
+    Attributes:
+        at: the writing machine's time of day, in seconds.
+    """
+
+    at: float
+    daemon: str
+    event: str
+    fields: dict[str, Any]
+
+    def names(self, wanted: str) -> bool:
+        """Tells whether the line names an id, alone or in a list."""
+        return any(
+            value == wanted or (isinstance(value, list) and wanted in value)
+            for value in self.fields.values()
+        )
+
+
+def read_lines(lines: Iterable[str]) -> Iterator[LogLine]:
+    """Yields the log lines among the lines given; others are passed over."""
+    for text in lines:
+        start = text.find("{")
+        if start < 0:
+            continue
+        try:
+            document = orjson.loads(text[start:])
+            event = document["message_type"]
+            at = float(document["timestamp"])
+        except (ValueError, KeyError, TypeError):
+            continue
+        fields = {name: value for name, value in document.items() if name not in HIDDEN_FIELDS}
+        yield LogLine(at, str(document.get("daemon", "?")), str(event), fields)
+
+
+def explain(lines: Iterable[str], wanted: str) -> list[str]:
+    """Returns the story of an id, a line for each event, and what is missing from it."""
+    parsed = list(read_lines(lines))
+    story = [line for line in parsed if line.names(wanted)]
+    batches = {line.fields["batch"] for line in story if "batch" in line.fields} - {wanted}
+    story.extend(
+        line
+        for line in parsed
+        if line.fields.get("batch") in batches and "item" not in line.fields and line not in story
+    )
+    story.sort(key=lambda line: line.at)
+    if not story:
+        return [f"no line names {wanted}: it never reached a daemon whose log is here"]
+    first = story[0].at
+    return [_describe(line, first) for line in story] + _missing(parsed, story, wanted)
+
+
+def _describe(line: LogLine, first: float) -> str:
+    fields = " ".join(f"{name}={_text(value)}" for name, value in line.fields.items())
+    return f"{line.at - first:+9.3f} s  {line.daemon}  {line.event}  {fields}"
+
+
+def _text(value: Any) -> str:
+    return orjson.dumps(value).decode() if isinstance(value, list | dict) else str(value)
+
+
+def _missing(parsed: list[LogLine], story: list[LogLine], wanted: str) -> list[str]:
+    """Names what a whole story would hold and this one does not."""
+    events = {line.event for line in story}
+    missing = []
+    if any("request" in line.fields for line in story) and not events & CLOSING_EVENTS:
+        missing.append("missing: how the request ended (its client left, or its daemon died)")
+    if any("batch" in line.fields for line in story):
+        if Event.BATCH_ACCEPTED not in events:
+            missing.append("missing: the batch's acceptance; its daemon's log is not here")
+        if Event.BATCH_OWNED not in events:
+            missing.append("missing: who ran the batch")
+        if not events & {Event.BATCH_ENDED, Event.BATCH_COMPLETE}:
+            missing.append("missing: the batch's end; it was still open, or its daemon died")
+    left_out = [line for line in parsed if line.event == Event.LEFT_OUT]
+    if left_out:
+        missing.append(
+            f"note: {len(left_out)} times lines were left out, some may concern {wanted}"
+        )
+    return missing
--- /dev/null
+++ b/tests/test_explain.py
@@ -0,0 +1,92 @@
+"""The story of an id from logs, the documentation of every event, and a reader that stops."""
+
+import os
+import time
+import unittest
+from pathlib import Path
+
+import orjson
+
+from larkpost.eventlog import LINES_PER_SECOND, MAX_PENDING_BYTES, Event, EventLog, LineWriter
+from larkpost.explain import explain
+from larkpost.metrics import COUNTS, LEVELS, TIMINGS, Count, Metrics
+
+DOCS = Path(__file__).resolve().parent.parent / "docs"
+
+
+def line(at: float, daemon: str, event: Event, prefix: str = "", **fields) -> str:
+    """Returns a log line."""
+    document = {"timestamp": at, "daemon": daemon, "message_type": event.value} | fields
+    return prefix + orjson.dumps(document).decode()
+
+
+LINES = [
+    "not a line of a log",
+    line(11.0, "b", Event.ITEM_RUN, batch="B", item="i1", engine="e1", outcome="silent"),
+    line(10.0, "a", Event.BATCH_ACCEPTED, "  10.0 a ", batch="B", items=2),
+    line(10.1, "a", Event.BATCH_OWNED, batch="B", fresh=True),
+    line(12.0, "b", Event.ITEM_RUN, batch="B", item="i2", engine="e2", outcome="whole"),
+    line(13.0, "b", Event.APPENDED, batch="B", position=0, items=["i1", "i2"]),
+    line(14.0, "c", Event.REQUEST_FAILED, request="r", outcome="refused", held=0.1),
+]
+
+
+class ExplainTest(unittest.TestCase):
+    """Stories from a few lines."""
+
+    def test_item_is_told_with_its_batch_in_order(self):
+        story = explain(LINES, "i1")
+        events = [entry.split()[3] for entry in story if " s  " in entry]
+        self.assertEqual(["batch_accepted", "batch_owned", "item_run", "appended"], events)
+        self.assertNotIn("i2 ", "".join(story[2:3]))
+        self.assertIn("missing: the batch's end", story[-1])
+
+    def test_request_with_its_end_misses_nothing(self):
+        story = explain(LINES, "r")
+        self.assertEqual(1, len(story))
+        self.assertIn("outcome=refused", story[0])
+
+    def test_unknown_id_is_said_to_be_unknown(self):
+        self.assertIn("no line names", explain(LINES, "nobody")[0])
+
+
+class DocumentationTest(unittest.TestCase):
+    """Every event and every metric is described."""
+
+    def test_every_event_is_documented(self):
+        text = (DOCS / "LOGS.md").read_text(encoding="utf-8")
+        self.assertEqual([], [event for event in Event if f"`{event.value}`" not in text])
+
+    def test_every_metric_is_documented(self):
+        text = (DOCS / "LOGS.md").read_text(encoding="utf-8")
+        names = [*COUNTS, *LEVELS, *TIMINGS]
+        self.assertEqual([], [name for name in names if f"`{name.value}`" not in text])
+
+
+class BoundedLogTest(unittest.TestCase):
+    """The log never holds the process up and is bounded."""
+
+    def test_reader_that_stops_does_not_block(self):
+        reader, writer = os.pipe()
+        self.addCleanup(os.close, reader)
+        self.addCleanup(os.close, writer)
+        lines = LineWriter(writer)
+        text = b"x" * 1000 + b"\n"
+        began = time.monotonic()
+        for _ in range(2 * MAX_PENDING_BYTES // len(text)):
+            lines.write(text)
+        self.assertLess(time.monotonic() - began, 5.0)
+        self.assertGreater(lines.dropped, 0)
+
+    def test_lines_over_the_budget_are_counted(self):
+        reader, writer = os.pipe()
+        self.addCleanup(os.close, reader)
+        self.addCleanup(os.close, writer)
+        metrics = Metrics()
+        log = EventLog("d", LineWriter(writer), metrics)
+        for _ in range(5 * LINES_PER_SECOND):
+            log.note(Event.ITEM_RUN, batch="b")
+        name = Count.LINES_LEFT_OUT.value
+        left_out = metrics.registry.get_sample_value(name, {"event": Event.ITEM_RUN.value})
+        self.assertGreaterEqual(left_out, 3 * LINES_PER_SECOND)
+        log.close()
--- /dev/null
+++ b/tests/test_platform_fuzz.py
@@ -0,0 +1,270 @@
+"""Stateful fuzz of a fleet over the platform's contract, against an oracle.
+
+Hypothesis chooses what happens: batches come, daemons are killed, cut off and added, the store is
+down, refuses, loses answers, carries writes out late and forgets its history, engines go down and
+break streams, versions are named, batches are ended. What must hold at all times is checked after
+each step; at the end everything heals, and every accepted batch must become whole.
+"""
+
+import asyncio
+import os
+
+import async_solipsism
+from hypothesis import HealthCheck, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from larkpost.errors import LarkpostError
+from larkpost.ids import BatchId, EngineId
+from larkpost.rehearsal.memory_store import StoreFaults
+from larkpost.rollouts.model import BatchSpec, Result, ResultState
+from larkpost.rollouts.service import BatchRefusedError
+from tests.platform_fleet import MODEL, PlatformFleet, expected_text, make_batch
+
+EXAMPLES = int(os.environ.get("LARKPOST_PLATFORM_FUZZ_EXAMPLES", "12"))
+FRESH = "LARKPOST_FUZZ_FRESH" in os.environ
+STEPS = 25
+GATEWAYS = 3
+ENGINES = 4
+LEASE_SECONDS = 3.0
+MAX_VERSION_GAP = 1
+LIVENESS_SECONDS = 90
+"""Seconds after all faults within which every accepted batch is whole."""
+
+
+class PlatformMachine(RuleBasedStateMachine):
+    """The oracle remembers what was promised and read."""
+
+    @initialize()
+    def begin(self):
+        """Starts a fleet."""
+        self.loop = async_solipsism.EventLoop()
+        self.accepted: dict[BatchId, BatchSpec] = {}
+        self.refused: dict[BatchId, BatchSpec] = {}
+        self.ended: set[BatchId] = set()
+        self.read: dict[BatchId, list[Result]] = {}
+        self.dead: set[int] = set()
+        self.version = 1
+        self.count = 0
+        self.run(self._begin())
+
+    async def _begin(self):
+        self.fleet = PlatformFleet(GATEWAYS, ENGINES)
+        await self.fleet.wait(1.0)
+
+    def run(self, work):
+        """Runs a coroutine on the virtual loop."""
+        return self.loop.run_until_complete(work)
+
+    def living(self, choice: int):
+        """Returns a gateway that is not dead, or None."""
+        alive = [n for n in range(len(self.fleet.gateways)) if n not in self.dead]
+        return self.fleet.gateways[alive[choice % len(alive)]] if alive else None
+
+    @rule(choice=st.integers(0, 9), items=st.integers(1, 14), behind=st.booleans())
+    def submit(self, choice, items, behind):
+        """A trainer submits a batch."""
+        gateway = self.living(choice)
+        if gateway is None:
+            return
+        self.count += 1
+        minimum = max(1, self.version - MAX_VERSION_GAP) if behind else 0
+        spec = make_batch(f"batch-{self.count}", items, minimum)
+        self.run(self._submit(gateway, spec))
+
+    async def _submit(self, gateway, spec):
+        try:
+            await gateway.batches.submit(spec)
+            self.accepted[spec.id] = spec
+        except BatchRefusedError:
+            self.refused[spec.id] = spec
+        except LarkpostError:
+            return  # nothing is promised
+
+    @rule(choice=st.integers(0, 9), which=st.integers(0, 9), back=st.integers(0, 3))
+    def look(self, choice, which, back):
+        """A caller reads a batch at any daemon, from the end or an earlier position."""
+        gateway = self.living(choice)
+        if gateway is None or not self.accepted:
+            return
+        batch = sorted(self.accepted)[which % len(self.accepted)]
+        position = max(0, len(self.read.get(batch, ())) - back)
+        self.run(self._look(gateway, batch, position))
+
+    async def _look(self, gateway, batch, position):
+        try:
+            page = await gateway.batches.read(batch, position, 0.3)
+        except LarkpostError as error:
+            assert error.status == 503, f"{batch} is accepted, but reading gives {error.code}"
+            return
+        known = self.read.setdefault(batch, [])
+        for number, result in enumerate(page.results, position):
+            if number < len(known):
+                assert known[number] == result, f"{batch}: position {number} has changed"
+            else:
+                known.append(result)
+
+    @rule(choice=st.integers(0, 9), which=st.integers(0, 9))
+    def end(self, choice, which):
+        """A trainer ends a batch."""
+        gateway = self.living(choice)
+        open_batches = sorted(set(self.accepted) - self.ended)
+        if gateway is None or len(open_batches) < 2:
+            return
+        self.run(self._end(gateway, open_batches[which % len(open_batches)]))
+
+    async def _end(self, gateway, batch):
+        self.ended.add(batch)
+        try:
+            await gateway.batches.end(batch)
+        except LarkpostError:
+            return
+
+    @rule(seconds=st.sampled_from([0.05, 0.3, 1.0, 2.5]))
+    def advance(self, seconds):
+        """Time passes."""
+        self.run(self.fleet.wait(seconds))
+
+    @rule(choice=st.integers(0, 9))
+    def kill(self, choice):
+        """A daemon dies without notice."""
+        alive = [n for n in range(len(self.fleet.gateways)) if n not in self.dead]
+        if alive:
+            number = alive[choice % len(alive)]
+            self.dead.add(number)
+            self.run(self._do(self.fleet.kill, number))
+
+    @rule()
+    def add(self):
+        """A daemon starts."""
+        if len(self.fleet.gateways) - len(self.dead) < GATEWAYS:
+            self.run(self._do(self.fleet.add_gateway, f"daemon-{len(self.fleet.gateways)}"))
+
+    @rule(choice=st.integers(0, 9))
+    def cut(self, choice):
+        """A daemon loses the store, or has it back."""
+        client = self.fleet.clients[choice % len(self.fleet.clients)]
+        client.cut_off = not client.cut_off
+
+    @rule(
+        fault=st.sampled_from(
+            [
+                StoreFaults(),
+                StoreFaults(down=True),
+                StoreFaults(refuses=True),
+                StoreFaults(lost_answers=0.4),
+                StoreFaults(late_writes=0.4),
+                StoreFaults(slow_seconds=0.25),
+                StoreFaults(parts_down=frozenset({"b0", "b1", "b2", "b3"})),
+            ]
+        )
+    )
+    def trouble_store(self, fault):
+        """The store falls ill, or heals."""
+        self.fleet.store.faults = fault
+
+    @rule()
+    def forget_history(self):
+        """The store forgets its history."""
+        self.fleet.store.forget_history()
+
+    @rule(number=st.integers(0, ENGINES - 1), down=st.booleans())
+    def trouble_engine(self, number, down):
+        """An engine goes down or comes back."""
+        self.fleet.engines.engines[EngineId(f"engine-{number}")].down = down
+
+    @rule(number=st.integers(0, ENGINES - 1), after=st.sampled_from([None, 0, 2]))
+    def break_streams(self, number, after):
+        """An engine begins or ceases to break its streams off."""
+        self.fleet.engines.engines[EngineId(f"engine-{number}")].break_after = after
+
+    @rule()
+    def name_version(self):
+        """A trainer names the next version."""
+        self.version += 1
+        self.run(self._do(self.fleet.put, "operator", MODEL, str(self.version).encode()))
+
+    async def _do(self, action, *arguments):
+        action(*arguments)
+
+    @invariant()
+    def orders_are_exclusive(self):
+        """Holders never take turns at an engine within a lease; tokens rise."""
+        if not hasattr(self, "fleet"):
+            return
+        for state in self.fleet.engines.engines.values():
+            for before, after in zip(state.orders, state.orders[1:], strict=False):
+                assert before[1] < after[1], state.orders
+                assert before[0] == after[0] or after[4] - before[4] >= LEASE_SECONDS
+
+    @invariant()
+    def refused_batches_do_not_run(self):
+        """Nothing of a batch that was refused has run."""
+        if not hasattr(self, "fleet"):
+            return
+        ran = {name for state in self.fleet.engines.engines.values() for name in state.runs}
+        for spec in self.refused.values():
+            assert not ran & {item.id for item in spec.items}, f"{spec.id} was refused, but runs"
+
+    @invariant()
+    def listed_results_are_right(self):
+        """The store lists each item once, whole, and under versions that are new enough."""
+        if not hasattr(self, "fleet"):
+            return
+        for batch, spec in self.accepted.items():
+            listed = self.fleet.stored_results(batch)
+            assert len({result.item for result in listed}) == len(listed), f"{batch} doubled"
+            assert listed[: len(self.read.get(batch, ()))] == self.read.get(batch, [])
+            for result in listed:
+                if result.state is ResultState.DONE:
+                    assert result.text == expected_text(result.item)
+                    assert min(result.versions) >= spec.minimum_version
+
+    def teardown(self):
+        """Heals everything; then every accepted batch must become whole."""
+        if not hasattr(self, "fleet"):
+            return
+        try:
+            self.run(self._heal())
+            self.listed_results_are_right()
+            self.orders_are_exclusive()
+            self.refused_batches_do_not_run()
+        finally:
+            pending = asyncio.all_tasks(self.loop)
+            for task in pending:
+                task.cancel()
+            self.loop.run_until_complete(asyncio.gather(*pending, return_exceptions=True))
+            self.loop.close()
+
+    async def _heal(self):
+        fleet = self.fleet
+        fleet.store.faults = StoreFaults()
+        for client in fleet.clients:
+            client.cut_off = False
+        for state in fleet.engines.engines.values():
+            state.down = False
+            state.break_after = None
+        while len(fleet.gateways) - len(self.dead) < GATEWAYS:
+            fleet.add_gateway(f"daemon-{len(fleet.gateways)}")
+        for _ in range(LIVENESS_SECONDS):
+            await fleet.wait(1.0)
+            if all(self._is_whole(batch) for batch in set(self.accepted) - self.ended):
+                return
+        missing = [b for b in set(self.accepted) - self.ended if not self._is_whole(b)]
+        raise AssertionError(f"accepted batches are not whole: {missing}")
+
+    def _is_whole(self, batch) -> bool:
+        return len(self.fleet.stored_results(batch)) == len(self.accepted[batch].items)
+
+
+PlatformMachine.TestCase.settings = settings(
+    max_examples=EXAMPLES,
+    stateful_step_count=STEPS,
+    deadline=None,
+    derandomize=not FRESH,
+    database=None,
+    suppress_health_check=list(HealthCheck),
+)
+
+
+PlatformFuzzTest = PlatformMachine.TestCase
