A part of the store that is down hides no news; a planned stop lists what waits

While some parts of the store refused, the listing of the batches failed as a whole and the feed was not read, so daemons kept old heads, and their claims of batches failed again and again; the heir of a batch had stopped meanwhile and nobody ran the last item. And a daemon that stopped while the store was ill dropped finished results that waited for their append: 94 and 112 runs for batches of 52 and 56 items. Change: parts are listed one by one and the feed is read whenever one answered; a failed claim reads the head as it is; a batch that is handed over has its waiting results appended first; an append counts from the tail it was made with.

--- a/src/larkpost/rollouts/keeper.py
+++ b/src/larkpost/rollouts/keeper.py
@@ -15,7 +15,7 @@
 from larkpost.fleet.configuration import ModelName
 from larkpost.fleet.members import Membership
 from larkpost.fleet.weights import ModelDemand
-from larkpost.ids import BatchId
+from larkpost.ids import BatchId, DaemonId
 from larkpost.metrics import Count
 from larkpost.rollouts.context import RunServices
 from larkpost.rollouts.model import BatchHead, BatchSpec, Item
@@ -78,7 +78,9 @@
             self._views.forget(batch)
             self._complete.discard(batch)
             return
-        self._heads[batch] = _KnownHead(head_of_row(row), row.version)
+        known = self._heads.get(batch)
+        if known is None or row.version > known.version:
+            self._heads[batch] = _KnownHead(head_of_row(row), row.version)
 
     def head(self, batch: BatchId) -> BatchHead | None:
         """Returns the head of a batch, if it is known."""
@@ -159,7 +161,7 @@
             return
         if self._should_claim(batch, head):
             self._claimed_at[batch] = self._clock.now()
-            task = asyncio.create_task(self._claim(known))
+            task = asyncio.create_task(self._claim(known, self._membership.own))
             self._claims.add(task)
             task.add_done_callback(self._claims.discard)
 
@@ -170,13 +172,25 @@
             return False
         return self._membership.first_choice(batch) == self._membership.own
 
-    async def _claim(self, known: _KnownHead) -> None:
-        done = await self._repository.claim(known.head, known.version, self._membership.own)
+    async def _claim(self, known: _KnownHead, owner: DaemonId) -> None:
+        """Writes an owner into a head; if another change came first, learns the head as it is."""
+        batch = known.head.id
+        done = await self._repository.claim(known.head, known.version, owner)
         outcome = "done" if done else "failed"
         self._services.metrics.count(Count.CLAIMS, outcome)
         self._log.note(
-            Event.BATCH_CLAIMED, batch=known.head.id, owner=known.head.owner, outcome=outcome
+            Event.BATCH_CLAIMED,
+            batch=batch,
+            owner=known.head.owner,
+            successor=owner,
+            outcome=outcome,
         )
+        try:
+            row = await self._repository.head_row(batch)
+        except StoreUnavailableError:
+            return
+        if row is not None:
+            self.take_head(row)
 
     def _own(self, head: BatchHead, items: tuple[Item, ...] | None, *, fresh: bool) -> None:
         view: BatchView = self._views.get_or_add(head)
@@ -198,5 +212,9 @@
         self._release(batch)
         known = self._heads.get(batch)
         successor = self._membership.first_choice(batch)
-        if known is not None and successor is not None and not known.head.ended:
-            await self._repository.claim(known.head, known.version, successor)
+        if known is None or successor is None or known.head.ended:
+            return
+        await self._claim(known, successor)
+        known = self._heads.get(batch)
+        if known is not None and known.head.owner == self._membership.own:
+            await self._claim(known, successor)
--- a/src/larkpost/rollouts/owned.py
+++ b/src/larkpost/rollouts/owned.py
@@ -14,6 +14,8 @@
 
 APPEND_GAP_SECONDS = 0.06
 RETRY_SECONDS = 0.15
+FLUSH_SECONDS = 1.0
+"""Longest time to append what waits when the batch is handed over."""
 PARTIAL_INTERVAL_SECONDS = 1.0
 MIN_NEW_EVENTS = 4
 """An item's output is kept again once it has grown by this many events."""
@@ -74,9 +76,16 @@
 
     async def hand_over(self) -> None:
         """Stops all runs and keeps what they made, so that another daemon goes on from there."""
-        if self._run is not None:
-            self._run.cancel()
+        self.stop()
         await self._keep(minimum=1)
+        if not self._pending:
+            return
+        try:
+            async with asyncio.timeout(FLUSH_SECONDS):
+                await self._synchronise()
+                await self._append_once()
+        except (TimeoutError, StoreUnavailableError):
+            return  # the next owner runs them again
 
     async def _work(self, items: tuple[Item, ...] | None, fresh: bool) -> None:
         try:
@@ -156,16 +165,19 @@
         return self._tail.ended or self._tail.count >= self.head.total
 
     async def _append_once(self) -> None:
-        if self._tail is None:
+        before = self._tail
+        if before is None:
             await self._resynchronise()
             return
         pending = list(self._pending)
+        if not pending:
+            return
         started = self._clock.now()
-        result, tail, taken = await self._repository.append(self.head.id, self._tail, pending)
+        result, tail, taken = await self._repository.append(self.head.id, before, pending)
         self._services.metrics.count(Count.APPENDS, result.outcome)
         if result.outcome is WriteOutcome.DONE:
-            self._note_appended(pending[:taken], started)
-            self._view.add(self._tail.count, pending[:taken])
+            self._note_appended(before.count, pending[:taken], started)
+            self._view.add(before.count, pending[:taken])
             self._view.confirm(started)
             self._listed.update(added.item for added in pending[:taken])
             self._pending = self._pending[taken:]
@@ -175,7 +187,7 @@
             Event.APPEND_FAILED,
             batch=self.head.id,
             outcome=result.outcome,
-            position=self._tail.count,
+            position=before.count,
             waiting=len(self._pending),
         )
         if result.outcome in (WriteOutcome.CONFLICT, WriteOutcome.UNKNOWN):
@@ -183,7 +195,7 @@
         else:
             await self._clock.sleep(RETRY_SECONDS)
 
-    def _note_appended(self, results: list[Result], started: float) -> None:
+    def _note_appended(self, position: int, results: list[Result], started: float) -> None:
         now = self._clock.now()
         for result in results:
             waited = now - self._ended_at.pop(result.item, now)
@@ -192,7 +204,7 @@
         self._log.note(
             Event.APPENDED,
             batch=self.head.id,
-            position=self._tail.count if self._tail is not None else None,
+            position=position,
             items=[result.item for result in results],
             waiting=len(self._pending) - len(results),
             seconds=round(now - started, 3),
--- a/src/larkpost/rollouts/repository.py
+++ b/src/larkpost/rollouts/repository.py
@@ -120,9 +120,17 @@
         Raises:
             StoreUnavailableError: the store did not answer.
         """
-        row = await self._row(HEAD_TABLE, batch)
+        row = await self.head_row(batch)
         return head_of_row(row) if row is not None else None
 
+    async def head_row(self, batch: BatchId) -> Row | None:
+        """Returns the row of a batch's head, or None if there is no such batch.
+
+        Raises:
+            StoreUnavailableError: the store did not answer.
+        """
+        return await self._row(HEAD_TABLE, batch)
+
     async def tail(self, batch: BatchId) -> Tail | None:
         """Returns a batch's tail, or None if there is no such batch.
 
--- a/src/larkpost/store/follower.py
+++ b/src/larkpost/store/follower.py
@@ -22,6 +22,8 @@
 FEED_WAIT_SECONDS = 1.0
 FEED_GAP_SECONDS = 0.05
 RETRY_SECONDS = 0.15
+RELIST_SECONDS = 0.5
+"""After a listing in which some parts could not be read, before the next one."""
 
 
 class TableFollower:
@@ -57,7 +59,8 @@
         self._feed_gap = feed_gap
         self._position = 0
         self._newest_seen = 0
-        self._listed_at: float | None = None
+        self._list_at = float("-inf")
+        self._listed_whole = False
         self.rows: dict[RowKey, Row] = {}
         self.failed_at: float | None = None
         self.confirmed_at: float | None = None
@@ -65,7 +68,7 @@
     @property
     def listed(self) -> bool:
         """Whether the table was read whole at least once."""
-        return self._listed_at is not None
+        return self._listed_whole
 
     def sound_for(self, now: float) -> float:
         """Returns for how many seconds every call has succeeded; 0 if none has."""
@@ -89,7 +92,7 @@
                 await self._step()
                 self._note(following=True)
             except HistoryLostError:
-                self._listed_at = None
+                self._list_at = float("-inf")
                 self._position = 0
                 self._log.note(Event.STORE, table=self._table, state="history_lost")
             except StoreUnavailableError as error:
@@ -108,10 +111,10 @@
 
     async def _step(self) -> None:
         started = self._clock.now()
-        if self._listed_at is None or started - self._listed_at >= self._relist_interval:
-            await self._list()
-            self._listed_at = started
-            self.confirmed_at = started
+        if started >= self._list_at:
+            whole = await self._list()
+            self._listed_whole = self._listed_whole or whole
+            self._list_at = started + (self._relist_interval if whole else RELIST_SECONDS)
         page = await self._store.changes(self._table, self._position, FEED_WAIT_SECONDS)
         for row in page.rows:
             self._take(row)
@@ -120,27 +123,49 @@
         self.confirmed_at = started
         await self._clock.sleep(self._feed_gap)
 
-    async def _list(self) -> None:
-        """Reads all parts; a listing older than what is known already counts as a failed call."""
+    async def _list(self) -> bool:
+        """Reads all parts, and tells whether all of them could be read.
+
+        Parts of the store may be down alone: the others are read, and the feed is followed.
+
+        Raises:
+            StoreUnavailableError: no part could be read.
+        """
         versions = []
+        failure: StoreUnavailableError | None = None
         for part in self._parts:
-            page = await read_all(self._store, self._table, part)
-            if page.version < self._newest_seen:
-                raise StoreUnavailableError(f"the listing of {self._table} is out of date")
-            versions.append(page.version)
-            found = {row.key for row in page.rows}
-            for row in page.rows:
-                self._take(row)
-            gone = [
-                row
-                for key, row in self.rows.items()
-                if key.part == part and key not in found and row.version <= page.version
-            ]
-            for row in gone:
-                self._take(Row(row.key, b"", page.version, removed=True))
+            try:
+                versions.append(await self._list_part(part))
+            except StoreUnavailableError as error:
+                failure = error
+                self.failed_at = self._clock.now()
+        if failure is not None and not versions:
+            raise failure
         if self._position == 0:
             self._position = min(versions)
         self._newest_seen = max(self._newest_seen, *versions)
+        return failure is None
+
+    async def _list_part(self, part: str) -> int:
+        """Reads one part and returns the store's version at that moment.
+
+        Raises:
+            StoreUnavailableError: no answer, or one older than what is known already.
+        """
+        page = await read_all(self._store, self._table, part)
+        if page.version < self._newest_seen:
+            raise StoreUnavailableError(f"the listing of {self._table} is out of date")
+        found = {row.key for row in page.rows}
+        for row in page.rows:
+            self._take(row)
+        gone = [
+            row
+            for key, row in self.rows.items()
+            if key.part == part and key not in found and row.version <= page.version
+        ]
+        for row in gone:
+            self._take(Row(row.key, b"", page.version, removed=True))
+        return page.version
 
     def _take(self, row: Row) -> None:
         known = self.rows.get(row.key)
--- a/tests/test_durable_batches.py
+++ b/tests/test_durable_batches.py
@@ -3,6 +3,8 @@
 import unittest
 
 from larkpost.ids import BatchId
+from larkpost.rehearsal.memory_store import StoreFaults
+from larkpost.rollouts.repository import PARTS, part_of
 from larkpost.rollouts.service import BatchRefusedError, BatchUncertainError
 from tests.platform_fleet import PlatformFleet, check_results, make_batch
 from tests.virtual import run
@@ -152,6 +154,45 @@
 
         run(play())
 
+    def test_planned_stop_lists_what_waits_for_its_append(self):
+        """Results that are finished when the daemon is asked to stop are not run again."""
+
+        async def play():
+            fleet = PlatformFleet()
+            await fleet.wait(1.0)
+            spec = make_batch(items=8)
+            await fleet.gateways[0].batches.submit(spec)
+            fleet.store.faults = StoreFaults(refuses=True)
+            await fleet.wait(1.5)
+            runs = sum(len(state.runs) for state in fleet.engines.engines.values())
+            fleet.store.faults = StoreFaults()
+            await fleet.gateways[0].drain()
+            fleet.kill(0)
+            check_results(self, spec, await fleet.read_all(fleet.gateways[1], spec.id))
+            after = sum(len(state.runs) for state in fleet.engines.engines.values())
+            self.assertEqual(runs, after)
+
+        run(play())
+
+    def test_batch_is_claimed_though_a_part_of_the_store_is_down(self):
+        """Parts that are down do not hide the news of the others."""
+
+        async def play():
+            fleet = PlatformFleet()
+            await fleet.wait(1.0)
+            spec = make_batch(items=40)
+            await fleet.gateways[0].batches.submit(spec)
+            down = next(part for part in PARTS if part != part_of(spec.id))
+            fleet.store.faults = StoreFaults(parts_down=frozenset({down}))
+            await fleet.wait(0.2)
+            fleet.store.forget_history()
+            fleet.kill(0)
+            check_results(self, spec, await fleet.read_all(fleet.gateways[1], spec.id))
+            listed = await fleet.repository().head(spec.id)
+            self.assertIn(listed.owner, {gateway.id for gateway in fleet.gateways[1:]})
+
+        run(play())
+
     def test_ended_batch_lists_and_runs_nothing_more(self):
         async def play():
             fleet = PlatformFleet()
