An earlier life of a machine is held dead once a later one beats; an owner says what it goes on from

Change: a life that missed a heartbeat which a later life of its machine made is over; batch_loaded tells listed, open and kept items. Tests of heartbeats, blind times, late writes and later lives.

--- a/src/larkpost/eventlog.py
+++ b/src/larkpost/eventlog.py
@@ -43,6 +43,7 @@
     BATCH_ACCEPTED = "batch_accepted"
     BATCH_REFUSED = "batch_refused"
     BATCH_OWNED = "batch_owned"
+    BATCH_LOADED = "batch_loaded"
     BATCH_CLAIMED = "batch_claimed"
     BATCH_RELEASED = "batch_released"
     BATCH_COMPLETE = "batch_complete"
--- a/src/larkpost/fleet/members.py
+++ b/src/larkpost/fleet/members.py
@@ -5,6 +5,7 @@
 is down, or a daemon that was frozen, blames nobody.
 """
 
+import secrets
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -27,15 +28,29 @@
 MEMBER_PART = "all"
 HEARTBEAT_SECONDS = 0.5
 DEAD_AFTER_SECONDS = 1.6
+SUPERSEDED_SECONDS = 0.45
+"""Nearly a heartbeat: a life that missed one which a later life made is over."""
 BLIND_SECONDS = 1.1
 """A gap between two successful listings after which all observations start afresh."""
 FORGET_AFTER_SECONDS = 60.0
 WRITE_TIMEOUT_SECONDS = 1.0
 
+LIFE_SEPARATOR = "/"
+
 UseSummary = dict[EngineId, tuple[int, float]]
 """For each instance in use: requests there, and seconds a unit of work takes (0: unknown)."""
 
 
+def new_life(machine: str) -> DaemonId:
+    """Returns the id of a new life of a machine's daemon."""
+    return DaemonId(f"{machine}{LIFE_SEPARATOR}{secrets.token_hex(4)}")
+
+
+def machine_of(daemon: DaemonId) -> str:
+    """Returns the machine that a daemon runs on."""
+    return daemon.rpartition(LIFE_SEPARATOR)[0]
+
+
 @dataclass(slots=True)
 class _Observation:
     version: int
@@ -100,8 +115,19 @@
         seen = self._seen.get(daemon)
         if seen is None or self._listed_at is None:
             return False
+        if self._is_superseded(daemon, seen):
+            return False
         return self._listed_at - seen.changed_at < DEAD_AFTER_SECONDS
 
+    def _is_superseded(self, daemon: DaemonId, seen: _Observation) -> bool:
+        """Tells whether a later life of the same machine beats while this one missed a beat."""
+        return any(
+            name != daemon
+            and machine_of(name) == machine_of(daemon)
+            and other.changed_at - seen.changed_at >= SUPERSEDED_SECONDS
+            for name, other in self._seen.items()
+        )
+
     def _row(self) -> RowKey:
         return RowKey(MEMBER_TABLE, MEMBER_PART, self.own)
 
--- a/src/larkpost/gateway.py
+++ b/src/larkpost/gateway.py
@@ -1,7 +1,6 @@
 """One daemon on the platform: all its parts, wired together, and its planned stop."""
 
 import random
-import secrets
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -12,9 +11,9 @@
 from larkpost.fleet.leases import LeaseTable
 from larkpost.fleet.lifecycle import Lifecycle
 from larkpost.fleet.loader import WeightLoader
-from larkpost.fleet.members import Membership
+from larkpost.fleet.members import Membership, new_life
 from larkpost.fleet.weights import WeightTarget, WeightTargets
-from larkpost.ids import DaemonId, EngineId
+from larkpost.ids import EngineId
 from larkpost.metrics import Level, Metrics
 from larkpost.proxy.balancer import Balancer
 from larkpost.proxy.forwarder import Forwarder
@@ -101,7 +100,7 @@
         self._ports = ports
         self._clock = ports.clock
         self._log = ports.log
-        own = DaemonId(f"{settings.machine}/{secrets.token_hex(4)}")
+        own = new_life(settings.machine)
         self.id = own
         self.configuration = ConfigurationState()
         self.directory = Directory()
--- a/src/larkpost/rollouts/owned.py
+++ b/src/larkpost/rollouts/owned.py
@@ -111,6 +111,14 @@
                 await self._clock.sleep(RETRY_SECONDS)
         self._view.items = {item.id: item for item in items}
         open_items = tuple(item for item in items if item.id not in self._listed)
+        self._log.note(
+            Event.BATCH_LOADED,
+            batch=self.head.id,
+            listed=len(self._listed),
+            open=len(open_items),
+            kept=sum(1 for item in open_items if item.id in kept),
+            kept_events=sum(len(progress.events) for progress in kept.values()),
+        )
         ended = self._tail is not None and self._tail.ended
         if ended or not open_items:
             return
--- /dev/null
+++ b/tests/test_members.py
@@ -0,0 +1,110 @@
+"""Who is held alive: heartbeats, blind times, and later lives of a machine."""
+
+import unittest
+
+from larkpost.clock import LoopClock
+from larkpost.eventlog import EventLog
+from larkpost.fleet.members import DEAD_AFTER_SECONDS, Membership, machine_of, new_life
+from larkpost.rehearsal.memory_store import MemoryStore, StoreClient, StoreFaults
+from larkpost.tasks import TaskSet
+from larkpost.telemetry import Telemetry
+from tests.virtual import run
+
+
+class MembersTest(unittest.TestCase):
+    """Each test plays some daemons' heartbeats on virtual time."""
+
+    def begin(self):
+        """Makes a store."""
+        self.clock = LoopClock()
+        self.store = MemoryStore(self.clock)
+
+    def start(self, machine: str) -> Membership:
+        """Starts a daemon's heartbeat."""
+        client = StoreClient(self.store)
+        membership = Membership(
+            new_life(machine), client, self.clock, dict, lambda *_: None, EventLog(machine)
+        )
+        membership.client = client
+        membership.tasks = TaskSet(self.clock, Telemetry(machine, log=False))
+        membership.start(membership.tasks)
+        return membership
+
+    def test_silent_daemon_is_held_dead(self):
+        async def play():
+            self.begin()
+            first, second = self.start("a"), self.start("b")
+            await self.clock.sleep(2.0)
+            self.assertTrue(first.is_alive(second.own))
+            second.tasks.cancel_all()
+            await self.clock.sleep(0.8)
+            self.assertTrue(first.is_alive(second.own))
+            await self.clock.sleep(DEAD_AFTER_SECONDS)
+            self.assertFalse(first.is_alive(second.own))
+
+        run(play())
+
+    def test_store_that_is_down_blames_nobody(self):
+        async def play():
+            self.begin()
+            first, second = self.start("a"), self.start("b")
+            await self.clock.sleep(2.0)
+            self.store.faults = StoreFaults(down=True)
+            await self.clock.sleep(8.0)
+            self.assertTrue(first.is_alive(second.own))
+            self.store.faults = StoreFaults()
+            for _ in range(30):
+                await self.clock.sleep(0.1)
+                self.assertTrue(first.is_alive(second.own))
+
+        run(play())
+
+    def test_earlier_life_of_a_machine_is_over_soon(self):
+        """After the loss of all machines, old lives are held dead within about a heartbeat."""
+
+        async def play():
+            self.begin()
+            old = [self.start("a"), self.start("b")]
+            await self.clock.sleep(2.0)
+            for membership in old:
+                membership.tasks.cancel_all()
+            await self.clock.sleep(0.5)
+            new = [self.start("a"), self.start("b")]
+            await self.clock.sleep(1.2)
+            for membership in old:
+                self.assertFalse(new[0].is_alive(membership.own))
+            for membership in new:
+                self.assertTrue(new[0].is_alive(membership.own))
+
+        run(play())
+
+    def test_late_heartbeat_of_an_earlier_life_ends_nobody(self):
+        async def play():
+            self.begin()
+            old = self.start("a")
+            observer = self.start("b")
+            await self.clock.sleep(2.0)
+            old.tasks.cancel_all()
+            new = self.start("a")
+            await self.clock.sleep(2.0)
+            await old._beat()
+            for _ in range(20):
+                await self.clock.sleep(0.1)
+                self.assertTrue(observer.is_alive(new.own))
+
+        run(play())
+
+    def test_planned_leave_is_known_at_the_next_listing(self):
+        async def play():
+            self.begin()
+            first, second = self.start("a"), self.start("b")
+            await self.clock.sleep(2.0)
+            await second.leave()
+            await self.clock.sleep(0.7)
+            self.assertFalse(first.is_alive(second.own))
+            self.assertEqual(first.own, second.first_choice("anything"))
+
+        run(play())
+
+    def test_machine_of_a_life(self):
+        self.assertEqual("front-a-1", machine_of(new_life("front-a-1")))
