--- /dev/null
+++ b/tests/test_platform_settings.py
@@ -0,0 +1,108 @@
+"""The platform's settings: wrong fields are named with their remedy, changes are taken at once."""
+
+import signal
+import tempfile
+import unittest
+from pathlib import Path
+
+from larkpost.errors import SettingsError
+from larkpost.ids import Address, ZoneId
+from larkpost.platform.settings import load_platform_settings
+from larkpost.platform.stand_in.daemon_settings import DaemonPlace, write_settings
+from larkpost.rehearsal.processes import ProcessGroup, free_address, wait_for
+
+GOOD = """
+node = "front-1"
+ip = "10.0.0.1"
+zone = "z"
+unknown = { of = "later" }
+metrics = "9100/figures"
+[listen]
+front = "10.0.0.1:80"
+ready = "10.0.0.1:81"
+[bounds]
+grace-s = 7.5
+lease-ms = 2000
+[platform]
+address = "10.9.0.1:8169"
+row_bytes = 4096
+"""
+
+
+class SettingsTest(unittest.TestCase):
+    """Reads settings files."""
+
+    def load(self, text: str):
+        """Writes a file and reads it."""
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "node.toml"
+            path.write_text(text, encoding="utf-8")
+            return load_platform_settings(path)
+
+    def test_good_settings_with_fields_unknown_and_left_out(self):
+        settings = self.load(GOOD)
+        self.assertEqual((7.5, 2.0, 3.0), (settings.grace_time, settings.lease_time, 3.0))
+        self.assertEqual((4096, 120), (settings.row_bytes, settings.batch_lifetime))
+        self.assertEqual((9100, "/figures"), settings.metrics)
+
+    def test_wrong_fields_are_named_with_their_remedy(self):
+        wrong = {
+            'front = "10.0.0.1:80"': ("front = 5", "listen.front"),
+            'address = "10.9.0.1:8169"': ('address = "nowhere"', "platform.address"),
+            "lease-ms = 2000": ("lease-ms = -1", "bounds.lease-ms"),
+            'zone = "z"': ("", "zone"),
+            'metrics = "9100/figures"': ('metrics = "x"', "metrics"),
+        }
+        for good, (bad, name) in wrong.items():
+            with self.assertRaises(SettingsError) as caught:
+                self.load(GOOD.replace(good, bad))
+            self.assertIn(name, caught.exception.message)
+            self.assertIn(name, caught.exception.remedy)
+
+    def test_missing_and_unreadable_files(self):
+        for text in ("= no toml", GOOD.replace("[listen]", "[listen")):
+            with self.assertRaises(SettingsError):
+                self.load(text)
+        with self.assertRaises(SettingsError):
+            load_platform_settings(Path("/nonexistent/node.toml"))
+
+
+class ReloadTest(unittest.TestCase):
+    """A real process whose settings change; its store does not answer."""
+
+    def test_changes_are_taken_with_and_without_a_signal(self):
+        with tempfile.TemporaryDirectory() as name, ProcessGroup(Path(name)) as group:
+            folder = Path(name)
+            place = DaemonPlace(
+                "front-1",
+                ZoneId("z"),
+                free_address(),
+                free_address(),
+                Address("127.0.0.1:9"),
+            )
+            environment = write_settings(place, folder)
+            path = folder / "front-1.toml"
+            good = path.read_text(encoding="utf-8")
+            daemon = group.start_module(
+                "front-1", "larkpost.platform.process", environment=environment
+            )
+
+            def outcomes(outcome: str) -> int:
+                return sum(f'"outcome":"{outcome}"' in line for line in self.settings(daemon))
+
+            wait_for(lambda: any('"start"' in line for line in daemon.lines()), "a start")
+            path.write_text(good.replace("grace-s = 8", "grace-s = 6"), encoding="utf-8")
+            wait_for(lambda: outcomes("taken") == 1, "a change without a signal")
+            path.write_text("= no toml", encoding="utf-8")
+            wait_for(lambda: outcomes("refused") >= 1, "a refusal")
+            path.write_text(good, encoding="utf-8")
+            daemon.send(signal.SIGHUP)
+            wait_for(lambda: outcomes("taken") == 2, "a change with a signal")
+            daemon.send(signal.SIGTERM)
+            self.assertEqual(0, daemon.wait(12))
+            self.assertTrue(any('"stop"' in line for line in daemon.lines()))
+
+    @staticmethod
+    def settings(daemon) -> list[str]:
+        """Returns the lines about settings."""
+        return [line for line in daemon.lines() if '"message_type":"settings"' in line]
