--- a/tests/test_platform_servers.py
+++ b/tests/test_platform_servers.py
@@ -4,6 +4,7 @@
 import socket
 import struct
 import unittest
+from dataclasses import replace
 
 from larkpost.fleet.configuration import ServiceName
 from larkpost.fleet.directory import InstanceInfo, InstanceState
@@ -219,6 +220,45 @@
             for added in (b"user-agent", b"accept-encoding", b"content-type"):
                 self.assertFalse([line for line in lines if line.startswith(added)])
 
+    async def test_answer_before_the_body_was_read(self):
+        """The rest of a body never stands where the server expects the next request."""
+        streams: list[bytes] = []
+
+        async def answer_early(reader, writer):
+            number = len(streams)
+            streams.append(b"")
+            streams[number] = await reader.readuntil(b"\r\n\r\n")
+            own = ECHO.replace(b"r1", b"r%d" % (number + 1))
+            try:
+                writer.write(whole(b"early", own))
+                await writer.drain()
+                await asyncio.sleep(0.2)
+                while chunk := await asyncio.wait_for(reader.read(65536), 0.3):
+                    streams[number] += chunk
+            except (TimeoutError, ConnectionError):
+                pass  # the client has given the connection up
+            writer.close()
+
+        async with ScriptedServer() as server:
+            server._server.close()
+            early = await asyncio.start_server(answer_early, "127.0.0.1", 0)
+            self.addCleanup(early.close)
+            port = early.sockets[0].getsockname()[1]
+            server.instance = replace(server.instance, address=Address(f"127.0.0.1:{port}"))
+            body = b"b" * 8_000_000
+            for number in (1, 2):
+                try:
+                    content = await self.fetch(server, request(number, body=body))
+                except BrokenAnswerError:
+                    continue  # the answer may also be given up
+                self.assertEqual(b"early", content)
+            await asyncio.sleep(0.7)
+        self.assertEqual(2, len(streams))
+        for stream in streams:
+            _, _, sent = stream.partition(b"\r\n\r\n")
+            self.assertEqual(1, stream.count(b"POST "))
+            self.assertEqual(b"", sent.strip(b"b"))
+
     async def test_leaving_early_closes_the_connection(self):
         async with ScriptedServer(chunked(b"id: 1\ndata: a\n\n", end=False)) as server:
             self.servers = HttpServers()
