--- a/tests/test_owner_map.py
+++ b/tests/test_owner_map.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from hypothesis import HealthCheck, given, settings
+from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from larkpost.blackboard.board import Blackboard
@@ -29,13 +29,7 @@
 
 
 class OwnerMapTest(unittest.TestCase):
-    @settings(
-        derandomize=True,
-        database=None,
-        max_examples=200,
-        # Whether inputs are made quickly depends on the machine, and is not what is tested.
-        suppress_health_check=[HealthCheck.too_slow],
-    )
+    @settings(derandomize=True, database=None, max_examples=200)
     @given(changes)
     def test_differences_give_the_same_owners_as_a_new_computation(self, steps):
         board = Blackboard(MemberTable(make_member(0, ZONES[0])))
