Coordinators, idle heartbeats and one queue for a batch's items: cost no longer grows with the square of the fleet

Cause: at 81 daemons each of them worked out who is alive with a comparison of all rows with all rows (17 of 37 s of a profile of 81 idle daemons in memory), wrote a heartbeat twice a second into one part of the store (162 of 200 writes a second), and looked at all engines for each waiting item every 30 ms. Change: who is alive is worked out once for each listing; twelve coordinators give orders and claim batches; they, owners and newly started daemons beat and list twice a second, all others every 2 s, and each row tells its interval. The owner of a batch is judged by the short interval from the moment its head is known, so an idle daemon that dies right after an acceptance is found as soon as before. Waiting items share one queue, served longest first; what peers use is indexed by instance; loads that are due are worked out only while an engine is behind.

--- a/src/larkpost/fleet/loader.py
+++ b/src/larkpost/fleet/loader.py
@@ -71,7 +71,7 @@
     async def update(self) -> None:
         """Starts the orders that are due and are this daemon's to give."""
         configuration = self._configuration.current
-        if configuration is None or self._tasks is None:
+        if configuration is None or self._tasks is None or not self._membership.is_coordinator():
             return
         for service in configuration.services.values():
             if not service.models:
--- a/src/larkpost/fleet/members.py
+++ b/src/larkpost/fleet/members.py
@@ -3,10 +3,14 @@
 Each daemon rewrites its row at an interval and lists the rows of all. A daemon is held dead once
 its row has not changed for a time during which this daemon's own listings succeeded: a store that
 is down, or a daemon that was frozen, blames nobody.
+
+The cost must not grow with the square of the fleet. A fixed number of daemons, the coordinators,
+give orders and claim batches; they and the owners of batches beat and list often, all others
+seldom. Each row tells its interval, so that nobody is blamed for beating seldom.
 """
 
 import secrets
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 import orjson
@@ -16,6 +20,7 @@
 from larkpost.hashing import hash64
 from larkpost.ids import DaemonId, EngineId
 from larkpost.store.port import (
+    Row,
     RowKey,
     Store,
     StoreUnavailableError,
@@ -26,13 +31,25 @@
 
 MEMBER_TABLE = "members"
 MEMBER_PART = "all"
+COORDINATORS = 12
+"""Daemons that give orders and claim batches: enough that not all of them fail at once."""
 HEARTBEAT_SECONDS = 0.5
-DEAD_AFTER_SECONDS = 1.6
+"""Interval of a coordinator, of an owner of batches, and of a daemon that has just started."""
+IDLE_HEARTBEAT_SECONDS = 2.0
+"""Interval of all other daemons: a multiple of the above."""
+NEW_SECONDS = 2.0
+"""How long a daemon counts as just started: its earlier life is to be found dead soon."""
+MISSED_HEARTBEATS = 3.2
+"""A daemon is held dead once this many of its intervals have gone by without a heartbeat."""
+DEAD_AFTER_SECONDS = MISSED_HEARTBEATS * HEARTBEAT_SECONDS
 SUPERSEDED_SECONDS = 0.45
 """Nearly a heartbeat: a life that missed one which a later life made is over."""
-BLIND_SECONDS = 1.1
-"""A gap between two successful listings after which all observations start afresh."""
+BLIND_HEARTBEATS = 2.2
+"""Intervals between two successful listings after which all observations start afresh."""
+TIMER_SLACK_SECONDS = 0.1
 FORGET_AFTER_SECONDS = 60.0
+MAX_REMOVALS = 40
+"""Rows of dead daemons removed at once: a transaction takes a hundred entries."""
 WRITE_TIMEOUT_SECONDS = 1.0
 
 LIFE_SEPARATOR = "/"
@@ -51,10 +68,42 @@
     return daemon.rpartition(LIFE_SEPARATOR)[0]
 
 
+@dataclass(frozen=True, slots=True)
+class Heartbeat:
+    """What a daemon writes into its row.
+
+    Attributes:
+        interval: seconds until it will write again.
+        uses: what it tells the others of its use of instances.
+    """
+
+    interval: float
+    uses: UseSummary
+
+
+def encode_heartbeat(heartbeat: Heartbeat) -> bytes:
+    """Returns a heartbeat as a row's value."""
+    return orjson.dumps({"interval": heartbeat.interval, "uses": heartbeat.uses})
+
+
+def decode_heartbeat(value: bytes) -> Heartbeat:
+    """Reads a row's value.
+
+    Raises:
+        ValueError: it is no heartbeat.
+    """
+    try:
+        document = orjson.loads(value)
+        return Heartbeat(float(document["interval"]), dict(document["uses"]))
+    except (KeyError, TypeError) as error:
+        raise ValueError(f"no heartbeat: {error!r}") from None
+
+
 @dataclass(slots=True)
 class _Observation:
     version: int
     changed_at: float
+    interval: float
 
 
 class Membership:
@@ -63,7 +112,8 @@
     Args:
         own: this process's id, unique to one life of the process.
         summary: returns what this daemon tells the others with each heartbeat.
-        listener: called with each new summary of another daemon.
+        listener: called with each new summary of another daemon; an empty one when it is gone.
+        is_owner: tells whether this daemon owns batches.
     """
 
     def __init__(
@@ -74,94 +124,164 @@
         summary: Callable[[], UseSummary],
         listener: Callable[[DaemonId, UseSummary], None],
         log: EventLog,
+        is_owner: Callable[[], bool] = lambda: False,
     ) -> None:
         self.own = own
         self._summary = summary
         self._listener = listener
         self._log = log
+        self._is_owner = is_owner
         self._noted: set[DaemonId] = set()
         self._store = store
         self._clock = clock
+        self._started_at = clock.now()
         self._leaving = False
+        self._beat_at = float("-inf")
         self._listed_at: float | None = None
         self._seen: dict[DaemonId, _Observation] = {}
+        self._newest_of_machine: dict[str, float] = {}
+        self._alive: frozenset[DaemonId] = frozenset({own})
+        self._coordinators: tuple[DaemonId, ...] = (own,)
+
+    @property
+    def listed(self) -> bool:
+        """Whether the daemons were listed at least once."""
+        return self._listed_at is not None
 
     def start(self, tasks: TaskSet) -> None:
         """Starts the heartbeat and the listing."""
         tasks.every(HEARTBEAT_SECONDS, self._beat, "heartbeat")
         tasks.every(HEARTBEAT_SECONDS, self._list, "members")
 
-    def alive(self) -> list[DaemonId]:
+    def alive(self) -> Iterable[DaemonId]:
         """Returns the daemons held alive; this one too, unless it is leaving."""
-        others = [name for name in self._seen if self._is_alive(name) and name != self.own]
-        return others if self._leaving else [self.own, *others]
+        return self._alive
 
     def is_alive(self, daemon: DaemonId) -> bool:
         """Tells whether a daemon is held alive."""
-        if daemon == self.own:
+        return daemon in self._alive
+
+    def is_owner_alive(self, owner: DaemonId, since: float) -> bool:
+        """Tells whether the owner of a batch is held alive.
+
+        An owner beats often, whatever its last heartbeat said.
+
+        Args:
+            since: steady time at which this daemon learnt that it is the owner.
+        """
+        if owner == self.own:
             return not self._leaving
-        return self._is_alive(daemon)
+        if self._listed_at is None:
+            return False
+        if owner not in self._seen:
+            return self._listed_at - since < HEARTBEAT_SECONDS  # it may have just started
+        if owner not in self._alive:
+            return False
+        return self._listed_at - max(self._seen[owner].changed_at, since) < DEAD_AFTER_SECONDS
+
+    def is_coordinator(self) -> bool:
+        """Tells whether this daemon gives orders and claims batches."""
+        return self.own in self._coordinators
 
     def first_choice(self, key: str) -> DaemonId | None:
-        """Returns the daemon that rendezvous hashing names for a key."""
-        return max(self.alive(), key=lambda name: hash64(f"{name}\x00{key}"), default=None)
+        """Returns the coordinator that rendezvous hashing names for a key."""
+        return max(self._coordinators, key=lambda name: hash64(f"{name}\x00{key}"), default=None)
 
     async def leave(self) -> None:
         """Takes this daemon out, so that others take over without waiting."""
         self._leaving = True
+        self._judge()
         await self._store.write(Transaction(removals=(self._row(),)), WRITE_TIMEOUT_SECONDS)
 
-    def _is_alive(self, daemon: DaemonId) -> bool:
-        seen = self._seen.get(daemon)
-        if seen is None or self._listed_at is None:
+    def _interval(self) -> float:
+        """Returns the seconds between two heartbeats, and between two listings, of this daemon."""
+        is_new = self._clock.now() - self._started_at < NEW_SECONDS
+        often = is_new or self.is_coordinator() or self._is_owner()
+        return HEARTBEAT_SECONDS if often else IDLE_HEARTBEAT_SECONDS
+
+    def _judge(self) -> None:
+        """Works out who is alive, and who of them are the coordinators."""
+        self._newest_of_machine = {}
+        for name, seen in self._seen.items():
+            machine = machine_of(name)
+            newest = self._newest_of_machine.get(machine, seen.changed_at)
+            self._newest_of_machine[machine] = max(newest, seen.changed_at)
+        alive = {name for name, seen in self._seen.items() if self._beats(name, seen)}
+        alive.discard(self.own)
+        if not self._leaving:
+            alive.add(self.own)
+        self._alive = frozenset(alive)
+        ranked = sorted(alive, key=lambda name: hash64(f"coordinator\x00{name}"))
+        self._coordinators = tuple(ranked[:COORDINATORS])
+
+    def _beats(self, daemon: DaemonId, seen: _Observation) -> bool:
+        """Tells whether another daemon has missed neither its heartbeats nor a later life."""
+        if self._listed_at is None:
             return False
-        if self._is_superseded(daemon, seen):
+        later = self._newest_of_machine[machine_of(daemon)]
+        if later - seen.changed_at >= SUPERSEDED_SECONDS:
             return False
-        return self._listed_at - seen.changed_at < DEAD_AFTER_SECONDS
-
-    def _is_superseded(self, daemon: DaemonId, seen: _Observation) -> bool:
-        """Tells whether a later life of the same machine beats while this one missed a beat."""
-        return any(
-            name != daemon
-            and machine_of(name) == machine_of(daemon)
-            and other.changed_at - seen.changed_at >= SUPERSEDED_SECONDS
-            for name, other in self._seen.items()
-        )
+        return self._listed_at - seen.changed_at < MISSED_HEARTBEATS * seen.interval
 
     def _row(self) -> RowKey:
         return RowKey(MEMBER_TABLE, MEMBER_PART, self.own)
 
+    def _is_due(self, last: float | None) -> bool:
+        if last is None:
+            return True
+        return self._clock.now() - last >= self._interval() - TIMER_SLACK_SECONDS
+
     async def _beat(self) -> None:
-        if self._leaving:
+        if self._leaving or not self._is_due(self._beat_at):
             return
-        value = orjson.dumps(self._summary())
+        self._beat_at = self._clock.now()
+        value = encode_heartbeat(Heartbeat(self._interval(), self._summary()))
         put = Transaction(puts=((self._row(), value),))
         await self._store.write(put, WRITE_TIMEOUT_SECONDS)
 
     async def _list(self) -> None:
+        if not self._is_due(self._listed_at):
+            return
+        interval = self._interval()
         try:
             page = await read_all(self._store, MEMBER_TABLE, MEMBER_PART)
         except StoreUnavailableError:
             return
         now = self._clock.now()
-        blind = self._listed_at is None or now - self._listed_at > BLIND_SECONDS
+        gap = now - self._listed_at if self._listed_at is not None else float("inf")
         self._listed_at = now
-        listed = {DaemonId(row.key.key): row for row in page.rows}
-        for name, row in listed.items():
+        self._take(page.rows, now, blind=gap > BLIND_HEARTBEATS * interval)
+        self._judge()
+        self._note_changes(now)
+        await self._forget(now)
+
+    def _take(self, rows: tuple[Row, ...], now: float, *, blind: bool) -> None:
+        """Takes the rows of all daemons; if ``blind``, none is blamed for the time before."""
+        for row in rows:
+            name = DaemonId(row.key.key)
             seen = self._seen.get(name)
             changed = seen is None or seen.version != row.version
-            if changed and name != self.own:
-                self._listener(name, orjson.loads(row.value))
-            if changed or blind:
-                self._seen[name] = _Observation(row.version, now)
-        for name in [name for name in self._seen if name not in listed]:
+            if changed:
+                heartbeat = self._read(name, row)
+                if name != self.own:
+                    self._listener(name, heartbeat.uses)
+                self._seen[name] = _Observation(row.version, now, heartbeat.interval)
+            elif blind:
+                seen.changed_at = now
+        for name in self._seen.keys() - {row.key.key for row in rows}:
             del self._seen[name]
-        self._note_changes(now)
-        await self._forget(now)
+            self._listener(name, {})
+
+    def _read(self, name: DaemonId, row: Row) -> Heartbeat:
+        try:
+            return decode_heartbeat(row.value)
+        except ValueError as error:
+            self._log.note(Event.UNREADABLE, row=name, error=str(error))
+            return Heartbeat(HEARTBEAT_SECONDS, {})
 
     def _note_changes(self, now: float) -> None:
         """Notes which daemons are newly held alive or dead."""
-        alive = set(self.alive())
+        alive = set(self._alive)
         for name in sorted(alive ^ self._noted):
             seen = self._seen.get(name)
             age = round(now - seen.changed_at, 3) if seen is not None else None
@@ -177,7 +297,7 @@
             (RowKey(MEMBER_TABLE, MEMBER_PART, name), seen.version)
             for name, seen in self._seen.items()
             if now - seen.changed_at > FORGET_AFTER_SECONDS
-        ]
+        ][:MAX_REMOVALS]
         if old:
             removal = Transaction(conditions=tuple(old), removals=tuple(key for key, _ in old))
             await self._store.write(removal, WRITE_TIMEOUT_SECONDS)
--- a/src/larkpost/fleet/weights.py
+++ b/src/larkpost/fleet/weights.py
@@ -126,6 +126,8 @@
     engines = [
         info for info in directory.of_service(service.name) if info.state is InstanceState.READY
     ]
+    if not _is_any_behind(service, engines, directory, targets):
+        return []
     due: list[tuple[EngineId, WeightTarget]] = []
     for model, engine_ids in assign_models(service, engines, directory, demands).items():
         target = WeightTarget(model, targets.version(model))
@@ -139,6 +141,17 @@
     return due
 
 
+def _is_any_behind(
+    service: Service, engines: list[InstanceInfo], directory: Directory, targets: WeightTargets
+) -> bool:
+    """Tells whether any engine lacks any named version: a check that costs little."""
+    return any(
+        directory.version_of(engine.id, model) < targets.version(model)
+        for model in service.models
+        for engine in engines
+    )
+
+
 def _group_on_turn(
     engine_ids: list[EngineId], versions: dict[EngineId, int], target: int, elapsed: float
 ) -> list[EngineId]:
--- a/src/larkpost/gateway.py
+++ b/src/larkpost/gateway.py
@@ -114,6 +114,7 @@
             self.balancer.summary,
             self.balancer.take_summary,
             ports.log,
+            lambda: bool(self.keeper.owned()),
         )
         self.forwarder = Forwarder(
             self.directory,
@@ -227,7 +228,7 @@
             metrics.set(Level.FEED_AGE, follower.age(now), name)
         for state, count in self.directory.counts().items():
             metrics.set(Level.INSTANCES, count, state)
-        metrics.set(Level.MEMBERS, len(self.membership.alive()))
+        metrics.set(Level.MEMBERS, len(list(self.membership.alive())))
         metrics.set(Level.OPEN_REQUESTS, self.lifecycle.open_requests)
         owned = self.keeper.owned()
         metrics.set(Level.BATCHES_OWNED, len(owned))
--- a/src/larkpost/proxy/balancer.py
+++ b/src/larkpost/proxy/balancer.py
@@ -44,9 +44,10 @@
 
 @dataclass(frozen=True, slots=True)
 class _PeerUse:
-    """What another daemon told of its use, and when."""
+    """What another daemon told of its use of one instance, and when."""
 
-    summary: UseSummary
+    requests: int
+    pace: float
     at: float
 
 
@@ -58,7 +59,8 @@
         self._clock = clock
         self._chance = chance
         self._uses: dict[EngineId, InstanceUse] = {}
-        self._peers: dict[DaemonId, _PeerUse] = {}
+        self._peers: dict[EngineId, dict[DaemonId, _PeerUse]] = {}
+        """For each instance, only the daemons that use it: most daemons use few."""
 
     def use(self, instance: EngineId) -> InstanceUse:
         """Returns the record of an instance."""
@@ -80,12 +82,13 @@
             for info in self._directory.of_service(service)
             if info.id not in exclude and (eligible is None or eligible(info))
         ]
-        best_pace = min((self.pace(info.id) for info in fitting if self.pace(info.id)), default=0.0)
+        paces = {info.id: self.pace(info.id) for info in fitting}
+        best_pace = min((pace for pace in paces.values() if pace), default=0.0)
         return sorted(
             fitting,
             key=lambda info: (
                 self.is_avoided(info.id),
-                self._expected_wait(info, best_pace),
+                self._expected_wait(info, paces[info.id], best_pace),
                 self._chance.random(),
             ),
         )
@@ -97,9 +100,9 @@
         if now - use.load_at < LOAD_LIFETIME_SECONDS:
             return use.outstanding + use.others
         return use.outstanding + sum(
-            peer.summary[info.id][0]
-            for peer in self._peers.values()
-            if info.id in peer.summary and now - peer.at < PEER_LIFETIME_SECONDS
+            peer.requests
+            for peer in self._peers.get(info.id, {}).values()
+            if now - peer.at < PEER_LIFETIME_SECONDS
         )
 
     def pace(self, instance: EngineId) -> float:
@@ -112,9 +115,9 @@
         if now - use.pace_at < PACE_LIFETIME_SECONDS:
             return use.pace
         told = [
-            (peer.at, peer.summary[instance][1])
-            for peer in self._peers.values()
-            if instance in peer.summary and now - peer.at < PEER_PACE_LIFETIME_SECONDS
+            (peer.at, peer.pace)
+            for peer in self._peers.get(instance, {}).values()
+            if now - peer.at < PEER_PACE_LIFETIME_SECONDS
         ]
         return max(told, default=(0.0, 0.0))[1]
 
@@ -129,26 +132,40 @@
         }
 
     def take_summary(self, daemon: DaemonId, summary: UseSummary) -> None:
-        """Takes what another daemon told of its use; an empty one keeps the paces it told."""
+        """Takes what another daemon told of its use, in place of what it told before.
+
+        Of instances that it uses no longer, the paces are kept for a while.
+        """
         now = self._clock.now()
-        known = self._peers.get(daemon)
-        if summary or known is None:
-            self._peers[daemon] = _PeerUse(summary, now)
-        old = [
-            name for name, peer in self._peers.items() if now - peer.at > PEER_PACE_LIFETIME_SECONDS
-        ]
-        for name in old:
-            del self._peers[name]
+        for instance, (requests, pace) in summary.items():
+            self._peers.setdefault(instance, {})[daemon] = _PeerUse(requests, pace, now)
+        for instance, peers in list(self._peers.items()):
+            known = peers.get(daemon)
+            if known is None or instance in summary:
+                continue
+            if now - known.at > PEER_PACE_LIFETIME_SECONDS:
+                del peers[daemon]
+            elif known.requests:
+                peers[daemon] = _PeerUse(0, known.pace, known.at)
+            if not peers:
+                del self._peers[instance]
 
     @contextmanager
     def placed(self, instance: EngineId) -> Iterator[None]:
         """Counts a request at an instance while it is there."""
-        use = self.use(instance)
-        use.outstanding += 1
+        self.occupy(instance)
         try:
             yield
         finally:
-            use.outstanding -= 1
+            self.release(instance)
+
+    def occupy(self, instance: EngineId) -> None:
+        """Counts a request at an instance until `release` is called for it."""
+        self.use(instance).outstanding += 1
+
+    def release(self, instance: EngineId) -> None:
+        """Ends the count of a request at an instance."""
+        self.use(instance).outstanding -= 1
 
     def note_load(self, instance: EngineId, load: ServerLoad | None) -> None:
         """Takes what an instance told of its load while this daemon's requests were there."""
@@ -177,7 +194,6 @@
         """Tells whether an instance is only a last resort at the moment."""
         return self._clock.now() < self.use(instance).avoid_until
 
-    def _expected_wait(self, info: InstanceInfo, best_pace: float) -> float:
-        pace = self.pace(info.id)
+    def _expected_wait(self, info: InstanceInfo, pace: float, best_pace: float) -> float:
         ratio = min(pace / best_pace, MAX_PACE_RATIO) if pace and best_pace else 1.0
         return (self.occupied(info) + 1) / max(1, info.slots) * ratio
--- a/src/larkpost/rollouts/engine_choice.py
+++ b/src/larkpost/rollouts/engine_choice.py
@@ -2,6 +2,7 @@
 
 from larkpost.fleet.configuration import Route, RouteKind, ServiceName
 from larkpost.fleet.directory import InstanceInfo
+from larkpost.ids import EngineId
 from larkpost.rollouts.attempt import Progress
 from larkpost.rollouts.context import RunServices
 from larkpost.rollouts.model import BatchHead, Item, ItemId
@@ -13,6 +14,8 @@
 LONG_RUN_RATIO = 1.25
 """The same for an item that has made many events: such items are what a batch waits for."""
 LONG_RUN_EVENTS = 30
+PACES_LIFETIME_SECONDS = 0.05
+"""How long the paces of free engines serve: every run of a batch asks for them again and again."""
 
 
 class EngineChoice:
@@ -22,45 +25,63 @@
         self._head = head
         self._services = services
         self._item_services: dict[ItemId, ServiceName] = {}
+        self._paces: dict[ServiceName, tuple[float, list[tuple[EngineId, float]]]] = {}
 
-    def choose(self, item: Item, route: Route) -> InstanceInfo | None:
-        """Returns an engine with a free place and a version that may make the item's tokens.
+    def service_of(self, item: Item, route: Route) -> ServiceName | None:
+        """Returns the service of an item, or None if its route takes no batches.
 
-        Items come longest first, so that the longest ones get the fastest engines.
+        It is chosen once by the route's weights and kept while it stands.
         """
         if route.kind is not RouteKind.BATCH:
             return None
-        candidates = self._with_place(self._service(item, route))
+        chosen = self._item_services.get(item.id)
+        if chosen is None or all(share.service != chosen for share in route.shares):
+            chosen = self._services.shares.choose(route)
+            self._item_services[item.id] = chosen
+        return chosen
+
+    def choose(self, service: ServiceName) -> InstanceInfo | None:
+        """Returns an engine with a free place and a version that may make the batch's tokens.
+
+        Items come longest first, so that the longest ones get the fastest engines.
+        """
+        candidates = self._with_place(service)
         if not candidates:
             return None
         balancer = self._services.balancer
         best = candidates[0]
+        best_pace = balancer.pace(best.id)
         for info in candidates[1:]:
             pace = balancer.pace(info.id)
-            if pace and balancer.pace(best.id) > pace * FASTER_RATIO:
-                best = info
+            if pace and best_pace > pace * FASTER_RATIO:
+                best, best_pace = info, pace
         return best
 
     def is_outpaced(self, engine: InstanceInfo, progress: Progress) -> bool:
         """Tells whether an engine much faster than this one has a free place."""
-        balancer = self._services.balancer
-        pace = balancer.pace(engine.id)
+        pace = self._services.balancer.pace(engine.id)
         long = len(progress.events) >= LONG_RUN_EVENTS
         ratio = LONG_RUN_RATIO if long else SLOW_RATIO
+        return any(
+            pace > other * ratio
+            for name, other in self._free_paces(engine.service)
+            if name != engine.id
+        )
+
+    def _free_paces(self, service: ServiceName) -> list[tuple[EngineId, float]]:
+        """Returns the known paces of the engines with a free place, as of a moment ago."""
+        now = self._services.clock.now()
+        known = self._paces.get(service)
+        if known is not None and now - known[0] < PACES_LIFETIME_SECONDS:
+            return known[1]
+        balancer = self._services.balancer
         paces = [
-            balancer.pace(info.id)
-            for info in self._with_place(engine.service)
-            if info.id != engine.id
+            (info.id, pace)
+            for info in self._with_place(service)
+            if (pace := balancer.pace(info.id))
         ]
-        return any(other and pace > other * ratio for other in paces)
-
-    def _service(self, item: Item, route: Route) -> ServiceName:
-        """Returns the service of an item: chosen once by the route's weights, while it stands."""
-        chosen = self._item_services.get(item.id)
-        if chosen is None or all(share.service != chosen for share in route.shares):
-            chosen = self._services.shares.choose(route)
-            self._item_services[item.id] = chosen
-        return chosen
+        self._paces[service] = (now, paces)
+        return paces
 
     def _with_place(self, service: ServiceName) -> list[InstanceInfo]:
         """Returns the engines that fit and have a free place, the least occupied first."""
--- a/src/larkpost/rollouts/keeper.py
+++ b/src/larkpost/rollouts/keeper.py
@@ -32,8 +32,15 @@
 
 @dataclass(frozen=True, slots=True)
 class _KnownHead:
+    """A head as last read.
+
+    Attributes:
+        owner_since: steady time at which this daemon learnt who the owner is.
+    """
+
     head: BatchHead
     version: int
+    owner_since: float
 
 
 class BatchKeeper:
@@ -79,8 +86,12 @@
             self._complete.discard(batch)
             return
         known = self._heads.get(batch)
-        if known is None or row.version > known.version:
-            self._heads[batch] = _KnownHead(head_of_row(row), row.version)
+        if known is not None and row.version <= known.version:
+            return
+        head = head_of_row(row)
+        same_owner = known is not None and known.head.owner == head.owner
+        owner_since = known.owner_since if same_owner else self._clock.now()
+        self._heads[batch] = _KnownHead(head, row.version, owner_since)
 
     def head(self, batch: BatchId) -> BatchHead | None:
         """Returns the head of a batch, if it is known."""
@@ -159,18 +170,21 @@
             if batch not in self._owned:
                 self._own(head, None, fresh=False)
             return
-        if self._should_claim(batch, head):
+        if self._should_claim(batch, known):
             self._claimed_at[batch] = self._clock.now()
             task = asyncio.create_task(self._claim(known, self._membership.own))
             self._claims.add(task)
             task.add_done_callback(self._claims.discard)
 
-    def _should_claim(self, batch: BatchId, head: BatchHead) -> bool:
-        if self._leaving or self._membership.is_alive(head.owner):
+    def _should_claim(self, batch: BatchId, known: _KnownHead) -> bool:
+        membership = self._membership
+        if self._leaving or not membership.listed or not membership.is_coordinator():
+            return False
+        if membership.is_owner_alive(known.head.owner, known.owner_since):
             return False
         if self._clock.now() - self._claimed_at.get(batch, float("-inf")) < CLAIM_PAUSE_SECONDS:
             return False
-        return self._membership.first_choice(batch) == self._membership.own
+        return membership.first_choice(batch) == membership.own
 
     async def _claim(self, known: _KnownHead, owner: DaemonId) -> None:
         """Writes an owner into a head; if another change came first, learns the head as it is."""
--- /dev/null
+++ b/src/larkpost/rollouts/place_queue.py
@@ -0,0 +1,98 @@
+"""The items of one batch that wait for a place at an engine, served longest first.
+
+One pass looks at the engines once for each item that it serves, however many wait: the first item
+of a service that finds no place ends the pass for all items of that service.
+"""
+
+import asyncio
+import bisect
+from dataclasses import dataclass
+
+from larkpost.clock import Clock
+from larkpost.fleet.configuration import Route, ServiceName
+from larkpost.fleet.directory import InstanceInfo
+from larkpost.proxy.balancer import Balancer
+from larkpost.rollouts.engine_choice import EngineChoice
+from larkpost.rollouts.model import Item
+
+PASS_INTERVAL_SECONDS = 0.03
+"""Places free up without notice when other daemons' requests end, so they are looked for."""
+PATIENCE_SECONDS = 0.5
+"""How long an item waits before its route and its time are looked at again."""
+
+
+@dataclass(frozen=True, slots=True)
+class _Waiting:
+    """An item in the queue; ``place`` is answered with its engine."""
+
+    item: Item
+    route: Route
+    place: asyncio.Future[InstanceInfo]
+
+    @property
+    def order(self) -> float:
+        """The longest items come first."""
+        return -self.item.expected_work
+
+
+class PlaceQueue:
+    """Gives waiting items places at engines."""
+
+    def __init__(self, engines: EngineChoice, balancer: Balancer, clock: Clock) -> None:
+        self._engines = engines
+        self._balancer = balancer
+        self._clock = clock
+        self._waiting: list[_Waiting] = []
+        self._server: asyncio.Task | None = None
+
+    def __len__(self) -> int:
+        return len(self._waiting)
+
+    async def take(self, item: Item, route: Route) -> InstanceInfo | None:
+        """Waits for a place; None if there was none for a while.
+
+        The place counts as occupied from its assignment on; the caller releases it.
+        """
+        place: asyncio.Future[InstanceInfo] = asyncio.get_running_loop().create_future()
+        entry = _Waiting(item, route, place)
+        bisect.insort(self._waiting, entry, key=lambda waiting: waiting.order)
+        if self._server is None or self._server.done():
+            self._server = asyncio.create_task(self._serve())
+        try:
+            await asyncio.wait({place}, timeout=PATIENCE_SECONDS)
+        except asyncio.CancelledError:
+            if place.done():
+                self._balancer.release(place.result().id)
+            raise
+        finally:
+            if not place.done():
+                self._waiting.remove(entry)
+        return place.result() if place.done() else None
+
+    def cancel(self) -> None:
+        """Stops serving."""
+        if self._server is not None:
+            self._server.cancel()
+
+    async def _serve(self) -> None:
+        while self._waiting:
+            self._pass()
+            await self._clock.sleep(PASS_INTERVAL_SECONDS)
+
+    def _pass(self) -> None:
+        """Gives places to the longest items, as long as there are any."""
+        full: set[ServiceName] = set()
+        left: list[_Waiting] = []
+        for entry in self._waiting:
+            service = self._engines.service_of(entry.item, entry.route)
+            engine = None
+            if service is not None and service not in full:
+                engine = self._engines.choose(service)
+            if engine is None:
+                if service is not None:
+                    full.add(service)
+                left.append(entry)
+                continue
+            self._balancer.occupy(engine.id)
+            entry.place.set_result(engine)
+        self._waiting = left
--- a/src/larkpost/rollouts/run.py
+++ b/src/larkpost/rollouts/run.py
@@ -22,12 +22,13 @@
 from larkpost.rollouts.context import RunServices
 from larkpost.rollouts.engine_choice import EngineChoice
 from larkpost.rollouts.model import BatchHead, Item, ItemId, Result, ResultState
+from larkpost.rollouts.place_queue import PlaceQueue
 
 FIRST_EVENT_SECONDS = 2.5
 """Longest wait for an answer's head and for its first event."""
 EVENT_GAP_SECONDS = 1.2
 """Longest pause between two events before the run is continued elsewhere."""
-WAIT_FOR_PLACE_SECONDS = 0.03
+AGAIN_PAUSE_SECONDS = 0.03
 REFUSED_AVOID_SECONDS = 0.15
 UNREACHABLE_AVOID_SECONDS = 1.0
 BROKEN_AVOID_SECONDS = 0.3
@@ -71,6 +72,7 @@
         self._services = services
         self._finished = finished
         self._engines = EngineChoice(head, services)
+        self._places = PlaceQueue(self._engines, services.balancer, services.clock)
         self._waiting = sorted(items, key=lambda item: item.expected_work, reverse=True)
         self._tasks: dict[ItemId, asyncio.Task] = {}
 
@@ -84,6 +86,7 @@
 
     def cancel(self) -> None:
         """Stops all runs; their connections close at once."""
+        self._places.cancel()
         for task in list(self._tasks.values()):
             task.cancel()
 
@@ -109,7 +112,7 @@
             if self._is_given_up(route):
                 end = RunEnd.DEAD
             elif route is not None:
-                engine = self._engines.choose(item, route)
+                engine = await self._places.take(item, route)
                 if engine is not None:
                     if queued_at is not None:
                         queued = self._services.clock.now() - queued_at
@@ -122,7 +125,7 @@
             if end is RunEnd.DEAD:
                 self._finish_dead(item, progress)
                 return
-            await self._services.clock.sleep(WAIT_FOR_PLACE_SECONDS)
+            await self._services.clock.sleep(AGAIN_PAUSE_SECONDS)
 
     def _finish_whole(self, progress: Progress) -> None:
         self.progress.pop(progress.item.id, None)
@@ -159,7 +162,7 @@
         route: Route,
         progress: Progress,
     ) -> RunEnd:
-        """Runs an item at an engine from where it is, and tells how that ended."""
+        """Runs an item at its place at an engine from where it is, and tells how that ended."""
         balancer = self._services.balancer
         if progress.last_event is not None and route.single_version:
             self._keep_pure(engine, progress)
@@ -168,8 +171,7 @@
         end = RunEnd.AGAIN
         reason = ""
         try:
-            with balancer.placed(engine.id):
-                end = await self._stream(engine, item, route, progress)
+            end = await self._stream(engine, item, route, progress)
             reason = end.value if end is not RunEnd.AGAIN else "failed"
         except NotRunError as error:
             self._note_not_run(engine, error)
@@ -187,6 +189,8 @@
         except (BrokenAnswerError, UnicodeDecodeError) as error:
             balancer.avoid(engine.id, BROKEN_AVOID_SECONDS)
             reason = f"broken: {error}"
+        finally:
+            balancer.release(engine.id)
         self._note_run(engine, progress, resumed_after, began, reason)
         return end
 
