Idle daemons sleep and list seldom; large fleets beat slower; a change of settings during the start is not missed

Cause: an idle daemon woke 60 times a second and more (the HTTP library's tick on each listener, readiness, batches, orders) and listed all batches every 3 s, though it may claim none. Heartbeats of 300 daemons at 2 s would take 150 of 200 writes a second of one part. A daemon that went from often to seldom was silent for longer than it had told (found by a test). Change: listeners sleep until they are closed; readiness is waited for once; daemons that neither coordinate nor own batches look at batches and orders twice a second and list the batches every 12 s; idle heartbeats are bounded at 100 a second for the whole fleet; a daemon keeps to the interval it told last; the file is read before the settings are taken from it; bad settings are reported once for each change.

--- a/src/larkpost/fleet/loader.py
+++ b/src/larkpost/fleet/loader.py
@@ -20,6 +20,7 @@
 from larkpost.tasks import TaskSet
 
 INTERVAL_SECONDS = 0.1
+IDLE_INTERVAL_SECONDS = 0.5
 REPORT_TIMEOUT_SECONDS = 0.7
 ORDER_TIMEOUT_SECONDS = 0.4
 TAKEN_SECONDS = 2.5
@@ -66,7 +67,10 @@
     def start(self, tasks: TaskSet) -> None:
         """Starts reconciling."""
         self._tasks = tasks
-        tasks.every(INTERVAL_SECONDS, self.update, "weights")
+        tasks.every(self._interval, self.update, "weights")
+
+    def _interval(self) -> float:
+        return INTERVAL_SECONDS if self._membership.is_coordinator() else IDLE_INTERVAL_SECONDS
 
     async def update(self) -> None:
         """Starts the orders that are due and are this daemon's to give."""
--- a/src/larkpost/fleet/members.py
+++ b/src/larkpost/fleet/members.py
@@ -34,11 +34,13 @@
 COORDINATORS = 12
 """Daemons that give orders and claim batches: enough that not all of them fail at once."""
 HEARTBEAT_SECONDS = 0.5
-"""Interval of a coordinator, of an owner of batches, and of a daemon that has just started."""
+"""Interval of a coordinator, of an owner of batches, and of a daemon that was restarted."""
 IDLE_HEARTBEAT_SECONDS = 2.0
-"""Interval of all other daemons: a multiple of the above."""
-NEW_SECONDS = 2.0
-"""How long a daemon counts as just started: its earlier life is to be found dead soon."""
+"""Interval of all other daemons, in a fleet small enough for it."""
+IDLE_HEARTBEATS_PER_SECOND = 100.0
+"""Most heartbeats that the idle daemons of a fleet write together; a larger fleet beats slower."""
+RESTARTED_SECONDS = 3.0
+"""How long a restarted daemon beats often: its earlier life is to be found dead soon."""
 MISSED_HEARTBEATS = 3.2
 """A daemon is held dead once this many of its intervals have gone by without a heartbeat."""
 DEAD_AFTER_SECONDS = MISSED_HEARTBEATS * HEARTBEAT_SECONDS
@@ -136,7 +138,8 @@
         self._clock = clock
         self._started_at = clock.now()
         self._leaving = False
-        self._beat_at = float("-inf")
+        self._beat_at: float | None = None
+        self._promised_interval = HEARTBEAT_SECONDS
         self._listed_at: float | None = None
         self._seen: dict[DaemonId, _Observation] = {}
         self._newest_of_machine: dict[str, float] = {}
@@ -195,9 +198,16 @@
 
     def _interval(self) -> float:
         """Returns the seconds between two heartbeats, and between two listings, of this daemon."""
-        is_new = self._clock.now() - self._started_at < NEW_SECONDS
-        often = is_new or self.is_coordinator() or self._is_owner()
-        return HEARTBEAT_SECONDS if often else IDLE_HEARTBEAT_SECONDS
+        if self.is_coordinator() or self._is_owner() or self._was_restarted():
+            return HEARTBEAT_SECONDS
+        return max(IDLE_HEARTBEAT_SECONDS, len(self._alive) / IDLE_HEARTBEATS_PER_SECOND)
+
+    def _was_restarted(self) -> bool:
+        """Tells whether this life is young and an earlier one of its machine is still listed."""
+        if self._clock.now() - self._started_at >= RESTARTED_SECONDS:
+            return False
+        machine = machine_of(self.own)
+        return any(machine_of(name) == machine for name in self._seen if name != self.own)
 
     def _judge(self) -> None:
         """Works out who is alive, and who of them are the coordinators."""
@@ -226,16 +236,24 @@
     def _row(self) -> RowKey:
         return RowKey(MEMBER_TABLE, MEMBER_PART, self.own)
 
-    def _is_due(self, last: float | None) -> bool:
+    def _is_due(self, last: float | None, promised: float = float("inf")) -> bool:
+        """Tells whether it is time again.
+
+        Args:
+            last: steady time of the last time; None if there was none.
+            promised: interval that the others were told and count on, though it be longer by now.
+        """
         if last is None:
             return True
-        return self._clock.now() - last >= self._interval() - TIMER_SLACK_SECONDS
+        interval = min(promised, self._interval())
+        return self._clock.now() - last >= interval - TIMER_SLACK_SECONDS
 
     async def _beat(self) -> None:
-        if self._leaving or not self._is_due(self._beat_at):
+        if self._leaving or not self._is_due(self._beat_at, self._promised_interval):
             return
         self._beat_at = self._clock.now()
-        value = encode_heartbeat(Heartbeat(self._interval(), self._summary()))
+        self._promised_interval = self._interval()
+        value = encode_heartbeat(Heartbeat(self._promised_interval, self._summary()))
         put = Transaction(puts=((self._row(), value),))
         await self._store.write(put, WRITE_TIMEOUT_SECONDS)
 
--- a/src/larkpost/gateway.py
+++ b/src/larkpost/gateway.py
@@ -31,11 +31,13 @@
 
 FAST_RELIST_SECONDS = 1.5
 SLOW_RELIST_SECONDS = 3.0
-READINESS_INTERVAL_SECONDS = 0.1
+IDLE_RELIST_FACTOR = 4
+"""How much less often a daemon lists the batches that neither coordinates nor owns any."""
+READINESS_INTERVAL_SECONDS = 0.05
 LEAVE_SECONDS = 2.6
 """From the request to stop until no new connections are expected."""
 KILL_MARGIN_SECONDS = 1.0
-LOOP_INTERVAL_SECONDS = 0.25
+LOOP_INTERVAL_SECONDS = 0.5
 LATE_LOOP_SECONDS = 0.5
 """A delay of the event loop that is worth a line."""
 BATCH_RETENTION_SLACK_SECONDS = 60.0
@@ -166,7 +168,11 @@
             readers.instance_table, ("",), self._take_instance_row, FAST_RELIST_SECONDS
         )
         self._head_rows = self._follower(
-            HEAD_TABLE, PARTS, self.keeper.take_head, SLOW_RELIST_SECONDS
+            HEAD_TABLE,
+            PARTS,
+            self.keeper.take_head,
+            SLOW_RELIST_SECONDS,
+            idle_factor=lambda: 1 if self._is_active() else IDLE_RELIST_FACTOR,
         )
         self._loop_lag = 0.0
         self._tasks = TaskSet(ports.clock, Telemetry(settings.machine, log=False))
@@ -179,7 +185,7 @@
         self.membership.start(self._tasks)
         self.keeper.start(self._tasks)
         self._loader.start(self._tasks)
-        self._tasks.every(READINESS_INTERVAL_SECONDS, self._update_readiness, "readiness")
+        self._tasks.spawn(self._become_ready(), "readiness")
         self._tasks.spawn(self._watch_loop(), "loop")
 
     async def drain(self) -> None:
@@ -207,6 +213,7 @@
         parts: tuple[str, ...],
         listener: Callable[[Row], None],
         relist_interval: float,
+        idle_factor: Callable[[], int] = lambda: 1,
     ) -> TableFollower:
         return TableFollower(
             self._ports.store,
@@ -216,6 +223,7 @@
             listener,
             self._log,
             relist_interval=relist_interval,
+            idle_factor=idle_factor,
         )
 
     def read_metrics(self) -> bytes:
@@ -256,11 +264,16 @@
             if lag > LATE_LOOP_SECONDS:
                 self._log.note(Event.LOOP_LATE, seconds=round(lag, 3))
 
-    async def _update_readiness(self) -> None:
-        informed = self.configuration.current is not None and self._instance_rows.listed
-        if informed and not self.lifecycle.informed:
-            self.lifecycle.informed = True
-            self._log.note(Event.READY, instances=len(self.directory))
+    async def _become_ready(self) -> None:
+        """Waits until enough is known to take clients."""
+        while self.configuration.current is None or not self._instance_rows.listed:
+            await self._clock.sleep(READINESS_INTERVAL_SECONDS)
+        self.lifecycle.informed = True
+        self._log.note(Event.READY, instances=len(self.directory))
+
+    def _is_active(self) -> bool:
+        """Tells whether this daemon has to act on news of batches at once."""
+        return self.membership.is_coordinator() or bool(self.keeper.owned())
 
     def _take_operator_row(self, row: Row) -> None:
         try:
--- a/src/larkpost/http_server.py
+++ b/src/larkpost/http_server.py
@@ -2,44 +2,82 @@
 
 import asyncio
 import contextlib
-from collections.abc import Iterator
+import logging
+from collections.abc import Awaitable, Callable, Iterator
 
 import uvicorn
-from starlette.types import ASGIApp
 
 from larkpost.addresses import split_address
 from larkpost.ids import Address
 
 BACKLOG = 1024
 KEEP_ALIVE_SECONDS = 75
+START_POLL_SECONDS = 0.005
+
+
+Application = Callable[[dict, Callable, Callable], Awaitable[None]]
+"""An ASGI application: called with a scope, and with functions to receive and to send."""
 
 
 class EmbeddedServer(uvicorn.Server):
-    """A uvicorn server that installs no signal handlers."""
+    """A uvicorn server that leaves signals to the process, and sleeps until it is closed.
+
+    The library's own server wakes ten times a second to renew a header that is not sent here.
+    """
+
+    def __init__(self, config: uvicorn.Config) -> None:
+        super().__init__(config)
+        self._closing = asyncio.Event()
+
+    def close(self) -> None:
+        """Asks the server to end."""
+        self.should_exit = True
+        self._closing.set()
 
     @contextlib.contextmanager
     def capture_signals(self) -> Iterator[None]:
+        """Installs no signal handlers."""
         yield
 
+    async def main_loop(self) -> None:
+        """Waits until the server is asked to end."""
+        await self._closing.wait()
+
 
 class HttpServer:
-    """Serves an application until it is closed."""
+    """Serves an application until it is closed.
+
+    Args:
+        protocol: the class that speaks HTTP on a connection, or the library's name for one.
+        idle_seconds: how long a connection may rest; a protocol class may set its own.
+    """
 
-    def __init__(self, app: ASGIApp, address: Address) -> None:
+    def __init__(
+        self,
+        app: Application,
+        address: Address,
+        protocol: type[asyncio.Protocol] | str = "httptools",
+        idle_seconds: int = KEEP_ALIVE_SECONDS,
+    ) -> None:
+        self._address = address
         host, port = split_address(address)
         config = uvicorn.Config(
             app,
             host=host,
             port=port,
             loop="asyncio",
-            http="httptools",
+            http=protocol,
             ws="none",
             lifespan="off",
             log_config=None,
             access_log=False,
+            server_header=False,
+            date_header=False,
+            proxy_headers=False,
             backlog=BACKLOG,
-            timeout_keep_alive=KEEP_ALIVE_SECONDS,
+            timeout_keep_alive=idle_seconds,
         )
+        logging.getLogger("uvicorn.error").disabled = True
         self._server = EmbeddedServer(config)
         self._task: asyncio.Task | None = None
 
@@ -53,12 +91,12 @@
         while not self._server.started:
             if self._task.done():
                 await self._task
-                raise OSError(f"cannot listen on {self._server.config.host}")
-            await asyncio.sleep(0.01)
+                raise OSError(f"cannot listen on {self._address}")
+            await asyncio.sleep(START_POLL_SECONDS)
 
     async def close(self) -> None:
-        """Stops listening and waits for the answers under way."""
-        self._server.should_exit = True
+        """Stops listening, and closes connections once their answers are complete."""
+        self._server.close()
         if self._task is not None:
             await self._task
 
@@ -66,7 +104,5 @@
         try:
             await self._server.serve()
         except SystemExit:
-            # uvicorn exits the process if it cannot bind; that is the caller's decision.
-            raise OSError(
-                f"cannot listen on {self._server.config.host}:{self._server.config.port}"
-            ) from None
+            # The library exits the process if it cannot bind; that is the caller's decision.
+            raise OSError(f"cannot listen on {self._address}") from None
--- a/src/larkpost/platform/http_protocol.py
+++ b/src/larkpost/platform/http_protocol.py
@@ -1,18 +1,16 @@
 """The server side of HTTP: the library's protocol, with the configured limits on clients."""
 
 import asyncio
-import contextlib
-import logging
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 
-import uvicorn
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
-from larkpost.addresses import split_address
 from larkpost.fleet.configuration import RequestLimits
+from larkpost.http_server import HttpServer
 from larkpost.ids import Address
 
-BACKLOG = 1024
+LONGEST_IDLE_SECONDS = 3600
+"""Until a connection's first request; then the limit in force holds."""
 OVERSIZED = "oversized"
 """Marks, in a request's state, that its head is larger than allowed."""
 HEAD_TOO_LARGE = (
@@ -87,64 +85,9 @@
             self.transport.close()
 
 
-class EmbeddedServer(uvicorn.Server):
-    """A uvicorn server that leaves signals to the process."""
-
-    @contextlib.contextmanager
-    def capture_signals(self) -> Iterator[None]:
-        """Installs no signal handlers."""
-        yield
-
-
-class Listener:
-    """Serves an application at an address until it is closed."""
+class Listener(HttpServer):
+    """Serves an application, with the limits on clients that are in force."""
 
     def __init__(self, app, address: Address, limits: LimitSource = RequestLimits) -> None:
-        self._address = address
-        host, port = split_address(address)
         protocol = type("Protocol", (LimitedProtocol,), {"limits": staticmethod(limits)})
-        config = uvicorn.Config(
-            app,
-            host=host,
-            port=port,
-            loop="asyncio",
-            http=protocol,
-            ws="none",
-            lifespan="off",
-            log_config=None,
-            access_log=False,
-            server_header=False,
-            date_header=False,
-            proxy_headers=False,
-            backlog=BACKLOG,
-            timeout_keep_alive=3600,
-        )
-        logging.getLogger("uvicorn.error").disabled = True
-        self._server = EmbeddedServer(config)
-        self._task: asyncio.Task | None = None
-
-    async def start(self) -> None:
-        """Starts listening.
-
-        Raises:
-            OSError: the address cannot be bound.
-        """
-        self._task = asyncio.create_task(self._serve())
-        while not self._server.started:
-            if self._task.done():
-                await self._task
-                raise OSError(f"cannot listen on {self._address}")
-            await asyncio.sleep(0.005)
-
-    async def close(self) -> None:
-        """Stops listening, and closes connections once their answers are complete."""
-        self._server.should_exit = True
-        if self._task is not None:
-            await self._task
-
-    async def _serve(self) -> None:
-        try:
-            await self._server.serve()
-        except SystemExit:
-            # The library exits the process if it cannot bind; that is the caller's decision.
-            raise OSError(f"cannot listen on {self._address}") from None
+        super().__init__(app, address, protocol, idle_seconds=LONGEST_IDLE_SECONDS)
--- a/src/larkpost/platform/process.py
+++ b/src/larkpost/platform/process.py
@@ -44,6 +44,7 @@
     Raises:
         SettingsError: the settings cannot be used.
     """
+    content = _read(path)
     settings = load_platform_settings(path)
     metrics = Metrics()
     log = EventLog(settings.machine, LineWriter(), metrics)
@@ -70,7 +71,9 @@
     for listener in listeners:
         await listener.start()
     gc.freeze()
-    watcher = asyncio.create_task(_watch_settings(path, reload, gateway, store, log))
+    watcher = asyncio.create_task(
+        watch_settings(path, content, reload, gateway.settings, store, log)
+    )
     await stop.wait()
     await gateway.drain()
     watcher.cancel()
@@ -82,7 +85,11 @@
 
 
 def _read(path: Path) -> bytes:
-    return path.read_bytes()
+    """Returns a file's content; empty if it cannot be read, which loading it will tell."""
+    try:
+        return path.read_bytes()
+    except OSError:
+        return b""
 
 
 def _gateway_settings(settings: PlatformSettings) -> GatewaySettings:
@@ -95,11 +102,20 @@
     )
 
 
-async def _watch_settings(
-    path: Path, reload: asyncio.Event, gateway: Gateway, store: HttpStore, log: EventLog
+async def watch_settings(
+    path: Path,
+    content: bytes,
+    reload: asyncio.Event,
+    current: GatewaySettings,
+    store: HttpStore,
+    log: EventLog,
 ) -> None:
-    """Takes changed settings, told by a signal or by the file alone; bad ones change nothing."""
-    content = _read(path)
+    """Takes changed settings, told by a signal or by the file alone; bad ones change nothing.
+
+    Args:
+        content: the file as it was read before the settings in force were taken from it.
+        current: the settings in force, changed in place.
+    """
     while True:
         try:
             async with asyncio.timeout(SETTINGS_POLL_SECONDS):
@@ -111,15 +127,15 @@
             found = _read(path)
             if found == content:
                 continue
-            settings = load_platform_settings(path)
             content = found
-        except (SettingsError, OSError) as error:
+            settings = load_platform_settings(path)
+        except SettingsError as error:
             log.note(Event.SETTINGS, outcome="refused", error=str(error))
             continue
         store.move(settings.store)
         changed = _gateway_settings(settings)
         for name in ("contact_time", "lease_time", "grace_time", "batch_lifetime"):
-            setattr(gateway.settings, name, getattr(changed, name))
+            setattr(current, name, getattr(changed, name))
         log.note(Event.SETTINGS, outcome="taken")
 
 
--- a/src/larkpost/rollouts/keeper.py
+++ b/src/larkpost/rollouts/keeper.py
@@ -26,6 +26,7 @@
 from larkpost.tasks import TaskSet
 
 INTERVAL_SECONDS = 0.1
+IDLE_INTERVAL_SECONDS = 0.5
 CLAIM_PAUSE_SECONDS = 0.5
 REMOVAL_INTERVAL_SECONDS = 5.0
 
@@ -74,9 +75,14 @@
 
     def start(self, tasks: TaskSet) -> None:
         """Starts looking after batches."""
-        tasks.every(INTERVAL_SECONDS, self.update, "batches")
+        tasks.every(self._interval, self.update, "batches")
         tasks.every(REMOVAL_INTERVAL_SECONDS, self.remove_old, "batch_removal")
 
+    def _interval(self) -> float:
+        """Returns the seconds between two looks: a daemon that may claim nothing looks seldom."""
+        active = bool(self._owned) or self._membership.is_coordinator()
+        return INTERVAL_SECONDS if active else IDLE_INTERVAL_SECONDS
+
     def take_head(self, row: Row) -> None:
         """Takes news of a batch's head."""
         batch = BatchId(row.key.key)
--- a/src/larkpost/store/follower.py
+++ b/src/larkpost/store/follower.py
@@ -33,6 +33,7 @@
         parts: the parts to list; the feed covers all of them.
         listener: called with each row that is new or gone, in the order learned.
         relist_interval: seconds between two listings.
+        idle_factor: by how much the interval is longer at the moment; read at each step.
         feed_gap: seconds to wait between two answers of the feed, so that changes are grouped.
     """
 
@@ -46,6 +47,7 @@
         log: EventLog,
         *,
         relist_interval: float,
+        idle_factor: Callable[[], int] = lambda: 1,
         feed_gap: float = FEED_GAP_SECONDS,
     ) -> None:
         self._store = store
@@ -56,10 +58,12 @@
         self._log = log
         self._following = True
         self._relist_interval = relist_interval
+        self._idle_factor = idle_factor
         self._feed_gap = feed_gap
         self._position = 0
         self._newest_seen = 0
-        self._list_at = float("-inf")
+        self._list_began = float("-inf")
+        self._list_again_after = 0.0
         self._listed_whole = False
         self.rows: dict[RowKey, Row] = {}
         self.failed_at: float | None = None
@@ -92,7 +96,7 @@
                 await self._step()
                 self._note(following=True)
             except HistoryLostError:
-                self._list_at = float("-inf")
+                self._list_began = float("-inf")
                 self._position = 0
                 self._log.note(Event.STORE, table=self._table, state="history_lost")
             except StoreUnavailableError as error:
@@ -111,10 +115,11 @@
 
     async def _step(self) -> None:
         started = self._clock.now()
-        if started >= self._list_at:
+        if started - self._list_began >= self._list_again_after * self._idle_factor():
             whole = await self._list()
             self._listed_whole = self._listed_whole or whole
-            self._list_at = started + (self._relist_interval if whole else RELIST_SECONDS)
+            self._list_began = started
+            self._list_again_after = self._relist_interval if whole else RELIST_SECONDS
         page = await self._store.changes(self._table, self._position, FEED_WAIT_SECONDS)
         for row in page.rows:
             self._take(row)
--- a/src/larkpost/tasks.py
+++ b/src/larkpost/tasks.py
@@ -24,9 +24,21 @@
         task.add_done_callback(self._finished)
         return task
 
-    def every(self, interval: float, step: Callable[[], Awaitable[None]], name: str) -> None:
-        """Runs ``step`` again and again, one start every ``interval`` seconds."""
-        self.spawn(self._repeat(interval, step, name), name)
+    def every(
+        self,
+        interval: float | Callable[[], float],
+        step: Callable[[], Awaitable[None]],
+        name: str,
+    ) -> None:
+        """Runs ``step`` again and again, one start every ``interval`` seconds.
+
+        Args:
+            interval: seconds, or a function that is asked for them after each step.
+        """
+        if callable(interval):
+            self.spawn(self._repeat(interval, step, name), name)
+        else:
+            self.spawn(self._repeat(lambda: interval, step, name), name)
 
     def cancel_all(self) -> None:
         """Cancels every task."""
@@ -34,7 +46,7 @@
             task.cancel()
 
     async def _repeat(
-        self, interval: float, step: Callable[[], Awaitable[None]], name: str
+        self, interval_of: Callable[[], float], step: Callable[[], Awaitable[None]], name: str
     ) -> None:
         while True:
             started = self._clock.now()
@@ -47,6 +59,7 @@
                 self._telemetry.count("controller_errors", kind=name)
                 self._telemetry.fault(name, error)
             elapsed = self._clock.now() - started
+            interval = interval_of()
             await self._clock.sleep(max(interval - elapsed, interval / 10))
 
     def _finished(self, task: asyncio.Task) -> None:
--- a/tests/test_platform_settings.py
+++ b/tests/test_platform_settings.py
@@ -1,14 +1,19 @@
 """The platform's settings: wrong fields are named with their remedy, changes are taken at once."""
 
+import asyncio
 import signal
 import tempfile
 import unittest
 from pathlib import Path
 
 from larkpost.errors import SettingsError
+from larkpost.eventlog import EventLog
+from larkpost.gateway import GatewaySettings
 from larkpost.ids import Address, ZoneId
+from larkpost.platform.process import watch_settings
 from larkpost.platform.settings import load_platform_settings
 from larkpost.platform.stand_in.daemon_settings import DaemonPlace, write_settings
+from larkpost.platform.store import HttpStore
 from larkpost.rehearsal.processes import ProcessGroup, free_address, wait_for
 
 GOOD = """
@@ -102,6 +107,28 @@
             self.assertEqual(0, daemon.wait(12))
             self.assertTrue(any('"stop"' in line for line in daemon.lines()))
 
+    def test_change_during_the_start_is_not_missed(self):
+        """The file is compared with what was read before the settings were taken from it."""
+
+        async def play() -> GatewaySettings:
+            with tempfile.TemporaryDirectory() as name:
+                path = Path(name) / "node.toml"
+                path.write_text(GOOD.replace("grace-s = 7.5", "grace-s = 4.5"), encoding="utf-8")
+                reload = asyncio.Event()
+                reload.set()
+                current = GatewaySettings("front-1", grace_time=7.5)
+                store = HttpStore(Address("10.9.0.1:8169"), 4096)
+                log = EventLog("front-1")
+                watcher = asyncio.create_task(
+                    watch_settings(path, GOOD.encode(), reload, current, store, log)
+                )
+                await asyncio.sleep(0.05)
+                watcher.cancel()
+                await store.close()
+                return current
+
+        self.assertEqual(4.5, asyncio.run(play()).grace_time)
+
     @staticmethod
     def settings(daemon) -> list[str]:
         """Returns the lines about settings."""
--- a/tests/test_scale_mechanisms.py
+++ b/tests/test_scale_mechanisms.py
@@ -1,6 +1,7 @@
 """Mechanisms whose cost must not grow with the square of the fleet, or with what waits."""
 
 import asyncio
+import socket
 import unittest
 
 from larkpost.clock import LoopClock
@@ -9,13 +10,17 @@
 from larkpost.fleet.members import (
     COORDINATORS,
     DEAD_AFTER_SECONDS,
+    IDLE_HEARTBEATS_PER_SECOND,
     MEMBER_TABLE,
     Membership,
     new_life,
 )
+from larkpost.http_server import HttpServer
+from larkpost.ids import Address
 from larkpost.proxy.balancer import Balancer
 from larkpost.rehearsal.memory_store import MemoryStore, StoreClient
 from larkpost.rollouts.engine_choice import EngineChoice
+from larkpost.rollouts.repository import HEAD_TABLE
 from larkpost.tasks import TaskSet
 from larkpost.telemetry import Telemetry
 from tests.platform_fleet import PlatformFleet, check_results, make_batch
@@ -24,6 +29,13 @@
 DAEMONS = 40
 
 
+def free_port() -> int:
+    """Returns a port on which nobody listens."""
+    with socket.socket() as opened:
+        opened.bind(("127.0.0.1", 0))
+        return opened.getsockname()[1]
+
+
 class LargeMembershipTest(unittest.TestCase):
     """Heartbeats of a fleet that is larger than the number of coordinators."""
 
@@ -109,6 +121,38 @@
 
         run(play())
 
+    def test_owner_that_becomes_idle_is_never_held_dead(self):
+        """The others count on the interval that they were told last."""
+
+        async def play():
+            fleet = self.begin()
+            await self.clock.sleep(6.0)
+            judge = next(member for member in fleet if member.is_coordinator())
+            owner = next(member for member in fleet if not member.is_coordinator())
+            for _ in range(3):
+                self.owners.add(owner)
+                await self.clock.sleep(1.7)
+                self.owners.clear()
+                for _ in range(50):
+                    await self.clock.sleep(0.1)
+                    self.assertTrue(judge.is_alive(owner.own))
+
+        run(play())
+
+    def test_idle_daemons_of_a_large_fleet_beat_slower(self):
+        async def play():
+            fleet = self.begin()
+            fleet += [self.start(f"more-{number}") for number in range(300 - DAEMONS)]
+            await self.clock.sleep(9.0)
+            self.beats = 0
+            await self.clock.sleep(9.0)
+            often = COORDINATORS * 18
+            self.assertLessEqual(self.beats - often, 1.1 * 9.0 * IDLE_HEARTBEATS_PER_SECOND)
+            for membership in fleet:
+                self.assertEqual(300, len(membership.alive()))
+
+        run(play())
+
     def test_owner_beats_often(self):
         async def play():
             fleet = self.begin()
@@ -170,6 +214,61 @@
         run(play())
 
 
+class IdleDaemonTest(unittest.TestCase):
+    """What daemons cost that have nothing to do."""
+
+    def test_idle_daemons_list_batches_seldom_and_still_learn_of_them(self):
+        async def play():
+            fleet = PlatformFleet(20, 2)
+            await fleet.wait(15.0)
+            reads = dict.fromkeys(range(20), 0)
+            for number, client in enumerate(fleet.clients):
+                client.read = self.counted(client.read, reads, number)
+            await fleet.wait(24.0)
+            active = [
+                number
+                for number, gateway in enumerate(fleet.gateways)
+                if gateway.membership.is_coordinator()
+            ]
+            idle = [number for number in reads if number not in active]
+            most_of_an_idle_one = 8 * (24 / 12 + 1)
+            self.assertLessEqual(max(reads[number] for number in idle), most_of_an_idle_one)
+            self.assertGreaterEqual(min(reads[number] for number in active), 8 * (24 / 4 - 1))
+            await fleet.gateways[idle[0]].batches.submit(make_batch("batch"))
+            await fleet.wait(0.5)
+            for gateway in fleet.gateways:
+                self.assertIsNotNone(gateway.keeper.head("batch"))
+
+        run(play())
+
+    def counted(self, read, reads: dict[int, int], number: int):
+        """Returns a reading call that counts those of the table of batches."""
+
+        async def call(table, part, *rest):
+            reads[number] += table == HEAD_TABLE
+            return await read(table, part, *rest)
+
+        return call
+
+    def test_listener_sleeps_while_nobody_calls(self):
+        async def play():
+            ticks = 0
+
+            async def count(self, counter):
+                nonlocal ticks
+                ticks += 1
+                return False
+
+            server = HttpServer(None, Address(f"127.0.0.1:{free_port()}"))
+            server._server.on_tick = count.__get__(server._server)
+            await server.start()
+            await asyncio.sleep(0.35)
+            await server.close()
+            self.assertEqual(0, ticks)
+
+        asyncio.run(play())
+
+
 class PeerUseTest(unittest.TestCase):
     """What the others tell of their use of an instance."""
 
