--- a/src/larkpost/eventlog.py
+++ b/src/larkpost/eventlog.py
@@ -37,6 +37,7 @@
     LEASE_LAPSED = "lease_lapsed"
     ORDER = "order"
     MEMBER = "member"
+    COORDINATOR = "coordinator"
     REQUEST_DONE = "request_done"
     ATTEMPT_FAILED = "attempt_failed"
     REQUEST_FAILED = "request_failed"
--- a/src/larkpost/fleet/members.py
+++ b/src/larkpost/fleet/members.py
@@ -134,6 +134,7 @@
         self._log = log
         self._is_owner = is_owner
         self._noted: set[DaemonId] = set()
+        self._noted_coordinator = False
         self._store = store
         self._clock = clock
         self._started_at = clock.now()
@@ -298,7 +299,7 @@
             return Heartbeat(HEARTBEAT_SECONDS, {})
 
     def _note_changes(self, now: float) -> None:
-        """Notes which daemons are newly held alive or dead."""
+        """Notes who is newly held alive or dead, and whether this daemon coordinates now."""
         alive = set(self._alive)
         for name in sorted(alive ^ self._noted):
             seen = self._seen.get(name)
@@ -306,6 +307,14 @@
             state = "alive" if name in alive else "dead"
             self._log.note(Event.MEMBER, member=name, state=state, heartbeat_age=age)
         self._noted = alive
+        if self.is_coordinator() != self._noted_coordinator:
+            self._noted_coordinator = self.is_coordinator()
+            self._log.note(
+                Event.COORDINATOR,
+                acting=self._noted_coordinator,
+                alive=len(alive),
+                interval=self._interval(),
+            )
 
     async def _forget(self, now: float) -> None:
         """Removes rows of daemons long dead; one daemon does it, so that calls are few."""
--- a/src/larkpost/gateway.py
+++ b/src/larkpost/gateway.py
@@ -244,6 +244,7 @@
         metrics.set(Level.RESULTS_WAITING, sum(batch.waiting for batch in owned))
         metrics.set(Level.LOOP_LAG, self._loop_lag)
         metrics.set(Level.READY, int(self.lifecycle.ready))
+        metrics.set(Level.COORDINATOR, int(self.membership.is_coordinator()))
         self._loop_lag = 0.0
         return metrics.text()
 
--- a/src/larkpost/metrics.py
+++ b/src/larkpost/metrics.py
@@ -51,6 +51,7 @@
     RESULTS_WAITING = "larkpost_results_waiting"
     LOOP_LAG = "larkpost_loop_lag_seconds"
     READY = "larkpost_ready"
+    COORDINATOR = "larkpost_coordinator"
 
 
 LEVELS: dict[Level, tuple[str, tuple[str, ...]]] = {
@@ -63,6 +64,7 @@
     Level.ITEMS_RUNNING: ("Items of owned batches without a result.", ()),
     Level.RESULTS_WAITING: ("Results that wait for their append.", ()),
     Level.LOOP_LAG: ("Largest delay of the event loop since the last reading.", ()),
+    Level.COORDINATOR: ("Whether this daemon gives orders and claims batches (1) or not (0).", ()),
     Level.READY: ("Whether new clients may come (1) or not (0).", ()),
 }
 
--- a/tests/platform_mutants.py
+++ b/tests/platform_mutants.py
@@ -6,6 +6,7 @@
 from larkpost.store.port import Transaction, WriteOutcome, WriteResult
 
 FUZZ = "tests.test_platform_fuzz"
+SCALE = "tests.test_scale_mechanisms"
 
 
 def append_without_condition():
@@ -131,6 +132,33 @@
     return mock.patch.object(TableFollower, "_take", take)
 
 
+def forget_told_interval():
+    """Beats at the interval of the moment, though the others were told a shorter one."""
+    from larkpost.fleet.members import Membership
+
+    original = Membership._is_due
+    return mock.patch.object(
+        Membership, "_is_due", lambda self, last, promised=0.0: original(self, last)
+    )
+
+
+def judge_owner_like_an_idle_daemon():
+    """Waits for the long interval of an idle daemon though it owns a batch."""
+    from larkpost.fleet.members import Membership
+
+    def is_owner_alive(self, owner, since):
+        return self.is_alive(owner)
+
+    return mock.patch.object(Membership, "is_owner_alive", is_owner_alive)
+
+
+def let_everyone_coordinate():
+    """Makes every daemon a coordinator."""
+    from larkpost.fleet import members
+
+    return mock.patch.object(members, "COORDINATORS", 1_000_000)
+
+
 MUTANTS = {
     mutant.__name__: mutant
     for mutant in (
@@ -143,6 +171,9 @@
         skip_echo_check,
         take_lower_version,
         trust_stale_listing,
+        forget_told_interval,
+        judge_owner_like_an_idle_daemon,
+        let_everyone_coordinate,
     )
 }
 TESTS = dict.fromkeys(MUTANTS, FUZZ) | {
@@ -154,6 +185,9 @@
     "skip_echo_check": "tests.test_platform_servers",
     "take_lower_version": "tests.test_store_follower",
     "trust_stale_listing": "tests.test_store_follower",
+    "forget_told_interval": SCALE,
+    "judge_owner_like_an_idle_daemon": SCALE,
+    "let_everyone_coordinate": SCALE,
 }
 EXPECTED_CHECKS = {
     "refuse_after_unknown": ("BatchRefusedError",),
