A request that may run once and timed out is not told that it did not run; streams that do not begin end with their time

Cause: found by the new tests of the forwarder, which had none of its own. An attempt that the request's time cut off counted as not run, so a run-once request that lay at a silent server was answered 503, which promises that it did not run (rule REFUSED). A stream whose server never answered was held until its client left. Change: an attempt that is cut off may have run; a stream's head must come within the request's time (504).

--- a/src/larkpost/proxy/forwarder.py
+++ b/src/larkpost/proxy/forwarder.py
@@ -160,6 +160,7 @@
         Raises:
             RefusedError: the request did not run.
             RequestFailedError: it may have run.
+            RequestTimeoutError: no answer began in its time; it may have run.
         """
         service = self._shares.choose(route)
         attempts = _Attempts()
@@ -169,11 +170,16 @@
                 raise self._failure(request, route, attempts, timed_out=False)
             try:
                 outgoing = self._outgoing(request, route, fresh=True)
-                with self._balancer.placed(instance.id):
-                    async with self._servers.send(instance, outgoing) as answer:
-                        attempts.ran_at.add(instance.id)
-                        yield answer
-                        return
+                async with asyncio.timeout_at(self._end_time(request, route)) as limit:
+                    with self._balancer.placed(instance.id):
+                        async with self._servers.send(instance, outgoing) as answer:
+                            limit.reschedule(None)  # from here on the client decides
+                            attempts.ran_at.add(instance.id)
+                            yield answer
+                            return
+            except TimeoutError:
+                attempts.ran_at.add(instance.id)
+                raise self._failure(request, route, attempts, timed_out=True) from None
             except NotRunError as error:
                 self._note_not_run(instance, attempts, error)
             except BrokenAnswerError as error:
@@ -257,6 +263,8 @@
             self._note_broken(instance, request, attempts, error.message)
             return None
         except asyncio.CancelledError:
+            # Its time is over or another answer came first; the server may have run it.
+            attempts.ran_at.add(instance.id)
             self._note_silence(instance, started, route)
             raise
         attempts.ran_at.add(instance.id)
--- /dev/null
+++ b/tests/test_forwarder.py
@@ -0,0 +1,290 @@
+"""Client requests before servers that are slow, silent, failing, full or leaving."""
+
+import asyncio
+import random
+import unittest
+from contextlib import asynccontextmanager
+
+from larkpost.clock import LoopClock
+from larkpost.eventlog import EventLog
+from larkpost.fleet.configuration import ModelName, Route, RouteKind, ServiceName, ServiceShare
+from larkpost.fleet.directory import Directory, InstanceInfo, InstanceState
+from larkpost.ids import Address, EngineId, ZoneId
+from larkpost.metrics import Metrics
+from larkpost.proxy.balancer import Balancer
+from larkpost.proxy.forwarder import (
+    ClientRequest,
+    Forwarder,
+    RefusedError,
+    RequestFailedError,
+    RequestTimeoutError,
+)
+from larkpost.proxy.port import BrokenAnswerError
+from larkpost.proxy.shares import ShareChooser
+from larkpost.rehearsal.scripted_engines import EngineState, ScriptedAnswer, ScriptedEngines
+from tests.virtual import run
+
+PAGES = ServiceName("pages")
+MODEL = ModelName("model")
+OBJECTIVE = 0.2
+SILENT_SECONDS = 1000.0
+SLOTS = 4
+
+
+def make_route(kind: RouteKind, max_attempts: int = 3, time_limit: float = 2.0) -> Route:
+    """Returns a route to the pages."""
+    shares = (ServiceShare(PAGES, 1.0),)
+    return Route("r", "h", b"/", kind, shares, time_limit, OBJECTIVE, max_attempts=max_attempts)
+
+
+REPEATABLE = make_route(RouteKind.IDEMPOTENT)
+ONCE = make_route(RouteKind.RUN_ONCE)
+STREAM = make_route(RouteKind.STREAM)
+
+
+class RecordingEngines(ScriptedEngines):
+    """Scripted servers that note the time each request may take, and can be late to answer."""
+
+    def __init__(self, clock: LoopClock) -> None:
+        super().__init__(clock, MODEL)
+        self.times_left: list[float | None] = []
+        self.head_delay = 0.0
+
+    @asynccontextmanager
+    async def send(self, instance, request):
+        """Sends a request; see the port."""
+        self.times_left.append(request.time_left)
+        async with super().send(instance, request) as answer:
+            await asyncio.sleep(self.head_delay)
+            yield answer
+
+
+class LosingAnswer(ScriptedAnswer):
+    """An answer that breaks off after the request ran."""
+
+    async def chunks(self):
+        """Yields nothing."""
+        await asyncio.sleep(0.01)
+        raise BrokenAnswerError("the answer was lost")
+        yield b""
+
+
+class ForwarderTest(unittest.TestCase):
+    """Each test scripts some servers and sends requests."""
+
+    def begin(self, **states: EngineState) -> None:
+        """Lists servers by name, each in its state."""
+        self.clock = LoopClock()
+        self.engines = RecordingEngines(self.clock)
+        self.directory = Directory()
+        for name, state in states.items():
+            state.slots = SLOTS
+            self.engines.engines[EngineId(name)] = state
+            self.list(name)
+        self.balancer = Balancer(self.directory, self.clock, random.Random(1))
+        self.forwarder = Forwarder(
+            self.directory,
+            self.balancer,
+            self.engines,
+            self.clock,
+            EventLog("daemon"),
+            Metrics(),
+            ShareChooser(),
+        )
+        self.sent = 0
+
+    def list(self, name: str, state: InstanceState = InstanceState.READY) -> None:
+        """Writes a server's entry."""
+        address = Address("10.0.0.1:1")
+        info = InstanceInfo(EngineId(name), PAGES, address, ZoneId("z"), SLOTS, state, {}, 1)
+        self.directory.update(info)
+
+    def request(self, time_left: float | None = 1.5) -> ClientRequest:
+        """Returns a new request, received now."""
+        self.sent += 1
+        name = f"request-{self.sent}".encode()
+        now = self.clock.now()
+        return ClientRequest(name, "GET", b"h", b"/", (), b"", now, time_left)
+
+    def runs(self) -> int:
+        """Returns how often servers have run a request."""
+        return sum(len(state.runs) for state in self.engines.engines.values())
+
+    def running(self) -> int:
+        """Returns the requests that servers are working on."""
+        return sum(state.running for state in self.engines.engines.values())
+
+    def test_slow_server_is_overtaken_by_a_second_one(self):
+        async def play():
+            self.begin(slow=EngineState(event_seconds=1.4), quick=EngineState())
+            for _ in range(10):
+                began = self.clock.now()
+                answer = await self.forwarder.forward(self.request(), REPEATABLE)
+                self.assertEqual(200, answer.status)
+                self.assertLess(self.clock.now() - began, 0.45)
+            await self.clock.sleep(0.01)
+            self.assertEqual(0, self.running())
+
+        run(play())
+
+    def test_silent_server_costs_few_requests_their_objective(self):
+        async def play():
+            self.begin(silent=EngineState(event_seconds=SILENT_SECONDS), quick=EngineState())
+            late = 0
+            for _ in range(30):
+                began = self.clock.now()
+                await self.forwarder.forward(self.request(), REPEATABLE)
+                late += self.clock.now() - began > OBJECTIVE
+            self.assertLessEqual(late, 5)
+
+        run(play())
+
+    def test_failing_server_is_left_for_another_within_the_budget(self):
+        async def play():
+            self.begin(grey=EngineState(status=500), sound=EngineState())
+            for _ in range(10):
+                answer = await self.forwarder.forward(self.request(), REPEATABLE)
+                self.assertEqual(200, answer.status)
+
+        run(play())
+
+    def test_no_more_servers_than_the_route_allows(self):
+        async def play():
+            self.begin(**{f"grey-{number}": EngineState(status=500) for number in range(5)})
+            for route in (make_route(RouteKind.IDEMPOTENT, 1), make_route(RouteKind.IDEMPOTENT, 3)):
+                before = self.runs()
+                answer = await self.forwarder.forward(self.request(), route)
+                self.assertEqual(500, answer.status)
+                self.assertEqual(route.max_attempts, self.runs() - before)
+                await self.clock.sleep(1.0)
+
+        run(play())
+
+    def test_full_servers_are_refused_at_once_and_nothing_runs(self):
+        """A burst over all places: the final answer comes at once, with when to come back."""
+
+        async def play():
+            self.begin(full=EngineState(running=SLOTS), other=EngineState(running=SLOTS))
+            for route in (REPEATABLE, ONCE):
+                began = self.clock.now()
+                with self.assertRaises(RefusedError) as caught:
+                    await self.forwarder.forward(self.request(), route)
+                self.assertLess(self.clock.now() - began, OBJECTIVE / 2)
+                self.assertGreater(caught.exception.retry_after, 0)
+            self.assertEqual(0, self.runs())
+
+        run(play())
+
+    def test_burst_is_spread_over_all_places(self):
+        async def play():
+            self.begin(**{f"s{number}": EngineState(event_seconds=0.05) for number in range(4)})
+            requests = [
+                self.forwarder.forward(self.request(), REPEATABLE) for _ in range(4 * SLOTS)
+            ]
+            answers = await asyncio.gather(*requests)
+            self.assertEqual({200}, {answer.status for answer in answers})
+            for state in self.engines.engines.values():
+                self.assertGreaterEqual(len(state.runs), SLOTS // 2)
+
+        run(play())
+
+    def test_request_that_may_run_once_is_never_sent_again_after_a_lost_answer(self):
+        async def play():
+            self.begin(a=EngineState(), b=EngineState())
+            original = ScriptedAnswer.chunks
+            ScriptedAnswer.chunks = LosingAnswer.chunks
+            try:
+                with self.assertRaises(RequestFailedError):
+                    await self.forwarder.forward(self.request(), ONCE)
+            finally:
+                ScriptedAnswer.chunks = original
+            self.assertEqual(1, self.runs())
+
+        run(play())
+
+    def test_request_that_may_run_once_goes_on_after_proof_that_it_did_not_run(self):
+        async def play():
+            self.begin(
+                down=EngineState(down=True), full=EngineState(running=SLOTS), ok=EngineState()
+            )
+            for _ in range(6):
+                answer = await self.forwarder.forward(self.request(), ONCE)
+                self.assertEqual(200, answer.status)
+            self.assertEqual(6, self.runs())
+
+        run(play())
+
+    def test_servers_get_the_time_that_is_left_and_no_more(self):
+        async def play():
+            self.begin(silent=EngineState(event_seconds=SILENT_SECONDS))
+            cases = ((0.7, REPEATABLE, 0.7), (9.0, REPEATABLE, 2.0), (None, ONCE, 2.0))
+            for time_left, route, expected in cases:
+                self.engines.times_left.clear()
+                began = self.clock.now()
+                with self.assertRaises(RequestTimeoutError):
+                    await self.forwarder.forward(self.request(time_left), route)
+                self.assertAlmostEqual(expected, self.clock.now() - began, delta=0.05)
+                for given in self.engines.times_left:
+                    self.assertLessEqual(given, expected)
+            self.assertEqual(0, self.running())
+
+        run(play())
+
+    def test_timed_out_request_that_may_run_once_is_not_told_that_it_did_not_run(self):
+        """It was sent, so a refusal would be a false promise."""
+
+        async def play():
+            self.begin(silent=EngineState(event_seconds=SILENT_SECONDS))
+            with self.assertRaises(RequestTimeoutError) as caught:
+                await self.forwarder.forward(self.request(0.5), ONCE)
+            self.assertEqual(504, caught.exception.status)
+            self.assertEqual(1, self.runs())
+
+        run(play())
+
+    def test_stream_that_does_not_begin_ends_with_its_time(self):
+        async def play():
+            self.begin(silent=EngineState())
+            self.engines.head_delay = SILENT_SECONDS
+            began = self.clock.now()
+            with self.assertRaises(RequestTimeoutError):
+                async with self.forwarder.stream(self.request(0.5), STREAM):
+                    self.fail("no answer was to begin")
+            self.assertAlmostEqual(0.5, self.clock.now() - began, delta=0.05)
+            self.assertEqual(0, self.running())
+
+        run(play())
+
+    def test_stream_that_has_begun_is_not_cut_by_its_time(self):
+        async def play():
+            self.begin(slow=EngineState(event_seconds=1.0))
+            async with self.forwarder.stream(self.request(0.5), STREAM) as answer:
+                self.assertTrue([chunk async for chunk in answer.chunks()])
+
+        run(play())
+
+    def test_leaving_server_gets_no_new_request(self):
+        async def play():
+            self.begin(leaving=EngineState(), stays=EngineState())
+            self.list("leaving", InstanceState.LEAVING)
+            for _ in range(10):
+                await self.forwarder.forward(self.request(), REPEATABLE)
+            self.assertEqual([], self.engines.engines[EngineId("leaving")].runs)
+
+        run(play())
+
+    def test_client_that_leaves_ends_the_work_at_the_server(self):
+        async def play():
+            self.begin(slow=EngineState(event_seconds=1.0))
+            work = asyncio.create_task(self.forwarder.forward(self.request(), REPEATABLE))
+            await self.clock.sleep(0.1)
+            self.assertEqual(1, self.running())
+            work.cancel()
+            await self.clock.sleep(0.01)
+            self.assertEqual(0, self.running())
+
+        run(play())
+
+
+if __name__ == "__main__":
+    unittest.main()
