A soak of our own: long runs of a fleet under overlapping faults, on virtual time, judged by the fuzz's oracle

Change: `make soak` (tests/soak.py): trainers draw steps while daemons are killed, stopped, cut off and restarted, the store fails in seven ways and engines go down, break off or turn slow.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 LARKPOST := $(VENV)/bin/larkpost
 READY := $(VENV)/.ready
 
-.PHONY: demo test lint fuzz mutants scale bench proto clean
+.PHONY: demo test lint fuzz mutants soak scale bench proto clean
 
 $(READY): requirements.txt pyproject.toml
 	test -x $(PYTHON) || python3 -m venv $(VENV)
@@ -25,6 +25,9 @@
 mutants: $(READY) ## breaks each mechanism; the fuzz must catch every one
 	$(PYTHON) -m tests.mutants
 
+soak: $(READY) ## a long run under overlapping faults on virtual time, some seeds
+	PYTHONHASHSEED=0 $(PYTHON) -W ignore -m tests.soak $(SOAK)
+
 scale: $(READY) ## costs per daemon in fleets of growing size
 	$(LARKPOST) rehearsal scale
 
--- /dev/null
+++ b/tests/platform_oracle.py
@@ -0,0 +1,110 @@
+"""What must hold of a fleet on the platform, checked from what callers, engines and store saw."""
+
+from larkpost.errors import LarkpostError
+from larkpost.ids import BatchId
+from larkpost.rollouts.model import BatchSpec, Result, ResultState
+from larkpost.rollouts.service import BatchRefusedError
+from tests.platform_fleet import PlatformFleet, expected_text
+
+LEASE_SECONDS = 3.0
+
+
+class PlatformOracle:
+    """Calls daemons as trainers do, remembers what was promised, and checks it.
+
+    Attributes:
+        accepted: batches that a daemon said it keeps.
+        refused: batches that a daemon said it will never run.
+        ended: batches that someone asked to end.
+        read: what was read of each batch, by position.
+        unavailable: calls that a daemon could not answer, with a promise of nothing.
+    """
+
+    def __init__(self, fleet: PlatformFleet) -> None:
+        self.fleet = fleet
+        self.accepted: dict[BatchId, BatchSpec] = {}
+        self.refused: dict[BatchId, BatchSpec] = {}
+        self.ended: set[BatchId] = set()
+        self.read: dict[BatchId, list[Result]] = {}
+        self.unavailable = 0
+
+    async def submit(self, gateway, spec: BatchSpec) -> bool:
+        """Submits a batch and tells whether it was accepted."""
+        try:
+            await gateway.batches.submit(spec)
+        except BatchRefusedError:
+            if spec.id not in self.accepted:
+                self.refused[spec.id] = spec
+            return False
+        except LarkpostError:
+            self.unavailable += 1
+            return False  # nothing is promised
+        self.accepted[spec.id] = spec
+        self.refused.pop(spec.id, None)
+        return True
+
+    async def look(self, gateway, batch: BatchId, position: int, wait: float = 0.3) -> None:
+        """Reads a batch from a position on; what was read before must come again."""
+        try:
+            page = await gateway.batches.read(batch, position, wait)
+        except LarkpostError as error:
+            assert error.status == 503, f"{batch} is accepted, but reading gives {error.code}"
+            self.unavailable += 1
+            return
+        known = self.read.setdefault(batch, [])
+        for number, result in enumerate(page.results, position):
+            if number < len(known):
+                assert known[number] == result, f"{batch}: position {number} has changed"
+            else:
+                known.append(result)
+
+    async def end(self, gateway, batch: BatchId) -> bool:
+        """Asks to end a batch and tells whether that was confirmed."""
+        self.ended.add(batch)
+        try:
+            await gateway.batches.end(batch)
+        except LarkpostError:
+            self.unavailable += 1
+            return False
+        return True
+
+    def check(self) -> None:
+        """Checks everything that must hold at all times."""
+        self.check_orders()
+        self.check_refused()
+        self.check_listed()
+
+    def check_orders(self) -> None:
+        """Holders never take turns at an engine within a lease; tokens rise."""
+        for state in self.fleet.engines.engines.values():
+            for before, after in zip(state.orders, state.orders[1:], strict=False):
+                assert before[1] < after[1], state.orders
+                assert before[0] == after[0] or after[4] - before[4] >= LEASE_SECONDS
+
+    def check_refused(self) -> None:
+        """Nothing of a batch that was refused has run."""
+        ran = {name for state in self.fleet.engines.engines.values() for name in state.runs}
+        for spec in self.refused.values():
+            assert not ran & {item.id for item in spec.items}, f"{spec.id} was refused, but runs"
+
+    def check_listed(self) -> None:
+        """The store lists each item once, whole, and under versions that are new enough."""
+        for batch, spec in self.accepted.items():
+            listed = self.fleet.stored_results(batch)
+            assert len({result.item for result in listed}) == len(listed), f"{batch} doubled"
+            assert listed[: len(self.read.get(batch, ()))] == self.read.get(batch, [])
+            for result in listed:
+                if result.state is ResultState.DONE:
+                    assert result.text == expected_text(result.item)
+                    assert min(result.versions) >= spec.minimum_version
+
+    def missing(self) -> list[BatchId]:
+        """Returns the accepted batches that are neither whole nor ended."""
+        return [
+            batch
+            for batch in self.accepted
+            if batch not in self.ended and not self._is_whole(batch)
+        ]
+
+    def _is_whole(self, batch: BatchId) -> bool:
+        return len(self.fleet.stored_results(batch)) == len(self.accepted[batch].items)
--- /dev/null
+++ b/tests/soak.py
@@ -0,0 +1,284 @@
+"""A long run of a fleet under overlapping faults, on virtual time: `make soak`.
+
+Trainers draw steps one after the other while faults come at random moments, several at once:
+daemons are killed, stopped as planned, added and cut off; the store is down, refuses, loses
+answers, writes late, is slow, loses some parts or its history; engines go down, break streams off
+and turn slow. The oracle of the fuzz checks everything every few seconds; at the end all heals, and
+every accepted batch must become whole. Prints one line of JSON for each seed, with what was
+promised, what broke, and how long steps took. Exits 1 if anything broke.
+"""
+
+import asyncio
+import json
+import random
+import sys
+import traceback
+from dataclasses import asdict, dataclass, field
+from statistics import quantiles
+
+import typer
+
+from larkpost.ids import EngineId
+from larkpost.rehearsal.memory_store import StoreFaults
+from tests.platform_fleet import MODEL, PlatformFleet, make_batch
+from tests.platform_oracle import PlatformOracle
+from tests.virtual import run
+
+CHECK_SECONDS = 5.0
+STEP_PATIENCE_SECONDS = 30.0
+RETRY_SECONDS = 0.3
+READ_WAIT_SECONDS = 1.0
+HEAL_SECONDS = 90
+BROKEN_CHARACTERS = 600
+RESTART_SECONDS = (0.3, 3.0)
+FAULT_SECONDS = (0.5, 5.0)
+STORE_TROUBLES = (
+    StoreFaults(down=True),
+    StoreFaults(refuses=True),
+    StoreFaults(lost_answers=0.3),
+    StoreFaults(late_writes=0.3),
+    StoreFaults(slow_seconds=0.25),
+    StoreFaults(parts_down=frozenset({"b0", "b1", "b2", "b3"})),
+    StoreFaults(parts_down=frozenset({"all"})),
+)
+
+
+@dataclass(slots=True)
+class Report:
+    """What one run saw; durations in virtual seconds.
+
+    Attributes:
+        steps: batches that were read whole.
+        abandoned: batches that a trainer gave up after its patience.
+        unavailable: calls that were answered with a promise of nothing.
+        step_seconds: from the first submission until a batch was read whole.
+        faults: how often each kind of fault began.
+        broken: what the oracle found; empty if everything held.
+    """
+
+    seed: int
+    daemons: int
+    steps: int = 0
+    abandoned: int = 0
+    refused: int = 0
+    unavailable: int = 0
+    step_seconds: list[float] = field(default_factory=list)
+    faults: dict[str, int] = field(default_factory=dict)
+    broken: str = ""
+
+    def summary(self) -> dict[str, object]:
+        """Returns the report with quantiles in place of all durations."""
+        document = asdict(self)
+        seconds = document.pop("step_seconds")
+        if len(seconds) > 1:
+            cuts = quantiles(seconds, n=20)
+            document |= {"step_p50": round(cuts[9], 2), "step_p95": round(cuts[18], 2)}
+        return document
+
+
+class Soak:
+    """One fleet, its trainers and its troubles."""
+
+    def __init__(self, seed: int, daemons: int, engines: int, gap: float) -> None:
+        self.chance = random.Random(seed)
+        self.fleet = PlatformFleet(daemons, engines, seed)
+        self.oracle = PlatformOracle(self.fleet)
+        self.report = Report(seed, daemons)
+        self.gone: set[int] = set()
+        self.version = 1
+        self.gap = gap
+        self.over = False
+
+    async def play(self, seconds: float, trainers: int) -> Report:
+        """Plays a run."""
+        await self.fleet.wait(1.0)
+        work = [asyncio.create_task(self._train(number)) for number in range(trainers)]
+        troubles = asyncio.create_task(self._trouble())
+        try:
+            for _ in range(int(seconds / CHECK_SECONDS)):
+                await self.fleet.wait(CHECK_SECONDS)
+                self.oracle.check()
+            self.over = True
+            troubles.cancel()
+            await asyncio.gather(*work)
+            await self._heal()
+            self.oracle.check()
+        except AssertionError:
+            # A bare assertion has no text of its own: the line that failed tells what broke.
+            self.report.broken = traceback.format_exc()[-BROKEN_CHARACTERS:]
+        self.report.refused = len(self.oracle.refused)
+        self.report.unavailable = self.oracle.unavailable
+        return self.report
+
+    def _living(self):
+        """Returns any gateway that has not been ended, or None."""
+        alive = [n for n in range(len(self.fleet.gateways)) if n not in self.gone]
+        return self.fleet.gateways[self.chance.choice(alive)] if alive else None
+
+    async def _train(self, trainer: int) -> None:
+        step = 0
+        while not self.over:
+            step += 1
+            minimum = max(1, self.version - 1)
+            spec = make_batch(f"t{trainer}-s{step}", self.chance.randint(8, 40), minimum)
+            await self._step(spec)
+            self.version += 1
+            self.fleet.put("operator", MODEL, str(self.version).encode())
+
+    async def _step(self, spec) -> None:
+        """Submits a batch at one daemon after another and reads it to its end."""
+        clock = self.fleet.clock
+        began = clock.now()
+        accepted = False
+        while clock.now() - began < STEP_PATIENCE_SECONDS:
+            gateway = self._living()
+            if gateway is not None and not accepted:
+                accepted = await self.oracle.submit(gateway, spec)
+            elif gateway is not None:
+                position = len(self.oracle.read.get(spec.id, ()))
+                await self.oracle.look(gateway, spec.id, position, READ_WAIT_SECONDS)
+                if len(self.oracle.read.get(spec.id, ())) == len(spec.items):
+                    self.report.steps += 1
+                    self.report.step_seconds.append(clock.now() - began)
+                    return
+            await clock.sleep(0.0 if accepted else RETRY_SECONDS)
+        self.report.abandoned += 1
+        if accepted and (gateway := self._living()) is not None:
+            await self.oracle.end(gateway, spec.id)
+
+    async def _trouble(self) -> None:
+        """Begins faults at random moments; each heals by itself after a while."""
+        kinds = (
+            self._kill,
+            self._stop,
+            self._cut,
+            self._trouble_store,
+            self._forget_history,
+            self._trouble_engine,
+            self._slow_engine,
+        )
+        running: set[asyncio.Task] = set()
+        try:
+            while True:
+                await self.fleet.wait(self.chance.expovariate(1 / self.gap))
+                kind = self.chance.choice(kinds)
+                name = kind.__name__.strip("_")
+                self.report.faults[name] = self.report.faults.get(name, 0) + 1
+                task = asyncio.create_task(kind())
+                running.add(task)
+                task.add_done_callback(running.discard)
+        finally:
+            for task in running:
+                task.cancel()
+
+    async def _pause(self, bounds: tuple[float, float] = FAULT_SECONDS) -> None:
+        await self.fleet.wait(self.chance.uniform(*bounds))
+
+    def _pick(self) -> int | None:
+        alive = [n for n in range(len(self.fleet.gateways)) if n not in self.gone]
+        return self.chance.choice(alive) if len(alive) > 1 else None
+
+    def _restart(self, number: int) -> None:
+        """Starts a new life of a machine."""
+        self.fleet.add_gateway(self.fleet.gateways[number].settings.machine)
+
+    async def _kill(self) -> None:
+        number = self._pick()
+        if number is not None:
+            self.gone.add(number)
+            self.fleet.kill(number)
+            await self._pause(RESTART_SECONDS)
+            self._restart(number)
+
+    async def _stop(self) -> None:
+        number = self._pick()
+        if number is not None:
+            self.gone.add(number)
+            await self.fleet.gateways[number].drain()
+            self.fleet.kill(number)
+            await self._pause(RESTART_SECONDS)
+            self._restart(number)
+
+    async def _cut(self) -> None:
+        client = self.chance.choice(self.fleet.clients)
+        client.cut_off = True
+        await self._pause()
+        client.cut_off = False
+
+    async def _trouble_store(self) -> None:
+        self.fleet.store.faults = self.chance.choice(STORE_TROUBLES)
+        await self._pause()
+        self.fleet.store.faults = StoreFaults()
+
+    async def _forget_history(self) -> None:
+        self.fleet.store.forget_history()
+
+    def _engine(self):
+        names = sorted(self.fleet.engines.engines)
+        return self.fleet.engines.engines[EngineId(self.chance.choice(names))]
+
+    async def _trouble_engine(self) -> None:
+        engine = self._engine()
+        engine.down = self.chance.random() < 0.5
+        engine.break_after = None if engine.down else self.chance.randint(0, 4)
+        await self._pause()
+        engine.down = False
+        engine.break_after = None
+
+    async def _slow_engine(self) -> None:
+        engine = self._engine()
+        usual = 0.03
+        engine.event_seconds = usual * self.chance.choice((3, 10, 1000))
+        await self._pause()
+        engine.event_seconds = usual
+
+    async def _heal(self) -> None:
+        fleet = self.fleet
+        fleet.store.faults = StoreFaults()
+        for client in fleet.clients:
+            client.cut_off = False
+        for engine in fleet.engines.engines.values():
+            engine.down = False
+            engine.break_after = None
+            engine.event_seconds = 0.03
+        if self._living() is None:
+            self._restart(0)
+        for _ in range(HEAL_SECONDS):
+            if not self.oracle.missing():
+                return
+            await fleet.wait(1.0)
+        raise AssertionError(f"accepted batches are not whole: {self.oracle.missing()}")
+
+
+def soak(
+    seed: int, seconds: float, daemons: int, engines: int, trainers: int, gap: float
+) -> Report:
+    """Plays one run and returns what it saw."""
+
+    async def play() -> Report:
+        return await Soak(seed, daemons, engines, gap).play(seconds, trainers)
+
+    return run(play())
+
+
+def main(
+    seconds: float = typer.Option(120.0, help="virtual seconds of each run"),
+    seeds: int = typer.Option(3, help="how many runs, each with another seed"),
+    first_seed: int = typer.Option(1, help="seed of the first run"),
+    daemons: int = typer.Option(14, help="daemons; more than twelve, so that some are idle"),
+    engines: int = typer.Option(6, help="engines of 8 places"),
+    trainers: int = typer.Option(3, help="trainers that draw steps at the same time"),
+    gap: float = typer.Option(1.5, help="mean virtual seconds between two faults"),
+) -> None:
+    """Plays some runs and prints a line of JSON for each."""
+    broken = 0
+    for seed in range(first_seed, first_seed + seeds):
+        report = soak(seed, seconds, daemons, engines, trainers, gap)
+        broken += bool(report.broken)
+        print(json.dumps(report.summary()), flush=True)
+    print(f"{seeds - broken} passed, {broken} failed")
+    sys.exit(1 if broken else 0)
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- a/tests/test_platform_fuzz.py
+++ b/tests/test_platform_fuzz.py
@@ -14,12 +14,10 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
-from larkpost.errors import LarkpostError
-from larkpost.ids import BatchId, EngineId
+from larkpost.ids import EngineId
 from larkpost.rehearsal.memory_store import StoreFaults
-from larkpost.rollouts.model import BatchSpec, Result, ResultState
-from larkpost.rollouts.service import BatchRefusedError
-from tests.platform_fleet import MODEL, PlatformFleet, expected_text, make_batch
+from tests.platform_fleet import MODEL, PlatformFleet, make_batch
+from tests.platform_oracle import PlatformOracle
 
 EXAMPLES = int(os.environ.get("LARKPOST_PLATFORM_FUZZ_EXAMPLES", "12"))
 FRESH = "LARKPOST_FUZZ_FRESH" in os.environ
@@ -27,23 +25,18 @@
 STEPS = 25
 GATEWAYS = 3
 ENGINES = 4
-LEASE_SECONDS = 3.0
 MAX_VERSION_GAP = 1
 LIVENESS_SECONDS = 90
 """Seconds after all faults within which every accepted batch is whole."""
 
 
 class PlatformMachine(RuleBasedStateMachine):
-    """The oracle remembers what was promised and read."""
+    """What happens; the oracle remembers what was promised and read."""
 
     @initialize()
     def begin(self):
         """Starts a fleet."""
         self.loop = async_solipsism.EventLoop()
-        self.accepted: dict[BatchId, BatchSpec] = {}
-        self.refused: dict[BatchId, BatchSpec] = {}
-        self.ended: set[BatchId] = set()
-        self.read: dict[BatchId, list[Result]] = {}
         self.dead: set[int] = set()
         self.version = 1
         self.count = 0
@@ -51,6 +44,7 @@
 
     async def _begin(self):
         self.fleet = PlatformFleet(GATEWAYS, ENGINES)
+        self.oracle = PlatformOracle(self.fleet)
         await self.fleet.wait(1.0)
 
     def run(self, work):
@@ -71,55 +65,27 @@
         self.count += 1
         minimum = max(1, self.version - MAX_VERSION_GAP) if behind else 0
         spec = make_batch(f"batch-{self.count}", items, minimum)
-        self.run(self._submit(gateway, spec))
-
-    async def _submit(self, gateway, spec):
-        try:
-            await gateway.batches.submit(spec)
-            self.accepted[spec.id] = spec
-        except BatchRefusedError:
-            self.refused[spec.id] = spec
-        except LarkpostError:
-            return  # nothing is promised
+        self.run(self.oracle.submit(gateway, spec))
 
     @rule(choice=st.integers(0, 9), which=st.integers(0, 9), back=st.integers(0, 3))
     def look(self, choice, which, back):
         """A caller reads a batch at any daemon, from the end or an earlier position."""
         gateway = self.living(choice)
-        if gateway is None or not self.accepted:
-            return
-        batch = sorted(self.accepted)[which % len(self.accepted)]
-        position = max(0, len(self.read.get(batch, ())) - back)
-        self.run(self._look(gateway, batch, position))
-
-    async def _look(self, gateway, batch, position):
-        try:
-            page = await gateway.batches.read(batch, position, 0.3)
-        except LarkpostError as error:
-            assert error.status == 503, f"{batch} is accepted, but reading gives {error.code}"
+        accepted = sorted(self.oracle.accepted)
+        if gateway is None or not accepted:
             return
-        known = self.read.setdefault(batch, [])
-        for number, result in enumerate(page.results, position):
-            if number < len(known):
-                assert known[number] == result, f"{batch}: position {number} has changed"
-            else:
-                known.append(result)
+        batch = accepted[which % len(accepted)]
+        position = max(0, len(self.oracle.read.get(batch, ())) - back)
+        self.run(self.oracle.look(gateway, batch, position))
 
     @rule(choice=st.integers(0, 9), which=st.integers(0, 9))
     def end(self, choice, which):
         """A trainer ends a batch."""
         gateway = self.living(choice)
-        open_batches = sorted(set(self.accepted) - self.ended)
+        open_batches = sorted(set(self.oracle.accepted) - self.oracle.ended)
         if gateway is None or len(open_batches) < 2:
             return
-        self.run(self._end(gateway, open_batches[which % len(open_batches)]))
-
-    async def _end(self, gateway, batch):
-        self.ended.add(batch)
-        try:
-            await gateway.batches.end(batch)
-        except LarkpostError:
-            return
+        self.run(self.oracle.end(gateway, open_batches[which % len(open_batches)]))
 
     @rule(seconds=st.sampled_from([0.05, 0.3, 1.0, 2.5]))
     def advance(self, seconds):
@@ -189,47 +155,18 @@
         action(*arguments)
 
     @invariant()
-    def orders_are_exclusive(self):
-        """Holders never take turns at an engine within a lease; tokens rise."""
-        if not hasattr(self, "fleet"):
-            return
-        for state in self.fleet.engines.engines.values():
-            for before, after in zip(state.orders, state.orders[1:], strict=False):
-                assert before[1] < after[1], state.orders
-                assert before[0] == after[0] or after[4] - before[4] >= LEASE_SECONDS
-
-    @invariant()
-    def refused_batches_do_not_run(self):
-        """Nothing of a batch that was refused has run."""
-        if not hasattr(self, "fleet"):
-            return
-        ran = {name for state in self.fleet.engines.engines.values() for name in state.runs}
-        for spec in self.refused.values():
-            assert not ran & {item.id for item in spec.items}, f"{spec.id} was refused, but runs"
-
-    @invariant()
-    def listed_results_are_right(self):
-        """The store lists each item once, whole, and under versions that are new enough."""
-        if not hasattr(self, "fleet"):
-            return
-        for batch, spec in self.accepted.items():
-            listed = self.fleet.stored_results(batch)
-            assert len({result.item for result in listed}) == len(listed), f"{batch} doubled"
-            assert listed[: len(self.read.get(batch, ()))] == self.read.get(batch, [])
-            for result in listed:
-                if result.state is ResultState.DONE:
-                    assert result.text == expected_text(result.item)
-                    assert min(result.versions) >= spec.minimum_version
+    def promises_hold(self):
+        """What must hold at all times; see the oracle."""
+        if hasattr(self, "oracle"):
+            self.oracle.check()
 
     def teardown(self):
         """Heals everything; then every accepted batch must become whole."""
-        if not hasattr(self, "fleet"):
+        if not hasattr(self, "oracle"):
             return
         try:
             self.run(self._heal())
-            self.listed_results_are_right()
-            self.orders_are_exclusive()
-            self.refused_batches_do_not_run()
+            self.oracle.check()
         finally:
             pending = asyncio.all_tasks(self.loop)
             for task in pending:
@@ -249,13 +186,9 @@
             fleet.add_gateway(f"daemon-{len(fleet.gateways)}")
         for _ in range(LIVENESS_SECONDS):
             await fleet.wait(1.0)
-            if all(self._is_whole(batch) for batch in set(self.accepted) - self.ended):
+            if not self.oracle.missing():
                 return
-        missing = [b for b in set(self.accepted) - self.ended if not self._is_whole(b)]
-        raise AssertionError(f"accepted batches are not whole: {missing}")
-
-    def _is_whole(self, batch) -> bool:
-        return len(self.fleet.stored_results(batch)) == len(self.accepted[batch].items)
+        raise AssertionError(f"accepted batches are not whole: {self.oracle.missing()}")
 
 
 PlatformMachine.TestCase.settings = settings(
