--- a/tests/soak.py
+++ b/tests/soak.py
@@ -15,6 +15,7 @@
 import traceback
 from dataclasses import asdict, dataclass, field
 from statistics import quantiles
+from unittest import mock
 
 import typer
 
@@ -49,7 +50,8 @@
 
     Attributes:
         steps: batches that were read whole.
-        abandoned: batches that a trainer gave up after its patience.
+        abandoned: batches that a trainer gave up after its patience: id, when it was first
+            submitted, whether it was accepted, and how many of its results were read.
         unavailable: calls that were answered with a promise of nothing.
         step_seconds: from the first submission until a batch was read whole.
         faults: how often each kind of fault began.
@@ -59,7 +61,7 @@
     seed: int
     daemons: int
     steps: int = 0
-    abandoned: int = 0
+    abandoned: list[tuple[str, float, bool, int]] = field(default_factory=list)
     refused: int = 0
     unavailable: int = 0
     step_seconds: list[float] = field(default_factory=list)
@@ -142,7 +144,8 @@
                     self.report.step_seconds.append(clock.now() - began)
                     return
             await clock.sleep(0.0 if accepted else RETRY_SECONDS)
-        self.report.abandoned += 1
+        read = len(self.oracle.read.get(spec.id, ()))
+        self.report.abandoned.append((spec.id, round(began, 1), accepted, read))
         if accepted and (gateway := self._living()) is not None:
             await self.oracle.end(gateway, spec.id)
 
@@ -253,12 +256,18 @@
 def soak(
     seed: int, seconds: float, daemons: int, engines: int, trainers: int, gap: float
 ) -> Report:
-    """Plays one run and returns what it saw."""
+    """Plays one run and returns what it saw; the same seed gives the same run.
+
+    Names that daemons draw at random decide much (who coordinates, who claims), so they are drawn
+    from the seed as well; sets of names need a fixed PYTHONHASHSEED.
+    """
 
     async def play() -> Report:
         return await Soak(seed, daemons, engines, gap).play(seconds, trainers)
 
-    return run(play())
+    names = random.Random(seed)
+    with mock.patch("secrets.token_hex", lambda size: names.randbytes(size).hex()):
+        return run(play())
 
 
 def main(
