--- a/src/larkpost/eventlog.py
+++ b/src/larkpost/eventlog.py
@@ -52,6 +52,7 @@
     BATCH_READ = "batch_read"
     ITEM_RUN = "item_run"
     ITEM_DEAD = "item_dead"
+    REWARD_CALL = "reward_call"
     APPENDED = "appended"
     APPEND_FAILED = "append_failed"
     READ_FAILED = "read_failed"
--- a/src/larkpost/gateway.py
+++ b/src/larkpost/gateway.py
@@ -1,5 +1,6 @@
 """One daemon on the platform: all its parts, wired together, and its planned stop."""
 
+import asyncio
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -22,6 +23,7 @@
 from larkpost.rollouts.context import RunServices
 from larkpost.rollouts.keeper import BatchKeeper
 from larkpost.rollouts.repository import HEAD_TABLE, PARTS, BatchRepository
+from larkpost.rollouts.reward import MAX_CALLS_IN_FLIGHT
 from larkpost.rollouts.service import BatchService
 from larkpost.rollouts.view import ViewCache
 from larkpost.store.follower import TableFollower
@@ -137,6 +139,7 @@
             ports.metrics,
             ShareChooser(),
             ports.store.time,
+            asyncio.Semaphore(MAX_CALLS_IN_FLIGHT),
         )
         repository = BatchRepository(ports.store, ports.clock)
         views = ViewCache()
@@ -241,6 +244,7 @@
         owned = self.keeper.owned()
         metrics.set(Level.BATCHES_OWNED, len(owned))
         metrics.set(Level.ITEMS_RUNNING, sum(batch.running for batch in owned))
+        metrics.set(Level.REWARDS_WAITING, sum(batch.unscored for batch in owned))
         metrics.set(Level.RESULTS_WAITING, sum(batch.waiting for batch in owned))
         metrics.set(Level.LOOP_LAG, self._loop_lag)
         metrics.set(Level.READY, int(self.lifecycle.ready))
--- a/src/larkpost/metrics.py
+++ b/src/larkpost/metrics.py
@@ -17,6 +17,7 @@
     STORE_CALLS = "larkpost_store_calls_total"
     BATCH_CALLS = "larkpost_batch_calls_total"
     ITEM_RUNS = "larkpost_item_runs_total"
+    REWARD_CALLS = "larkpost_reward_calls_total"
     RESULTS = "larkpost_results_total"
     APPENDS = "larkpost_appends_total"
     ORDERS = "larkpost_orders_total"
@@ -30,6 +31,7 @@
     Count.STORE_CALLS: ("Calls to the store.", ("call", "outcome")),
     Count.BATCH_CALLS: ("Calls that concern batches.", ("call", "outcome")),
     Count.ITEM_RUNS: ("Runs of batch items at engines.", ("outcome",)),
+    Count.REWARD_CALLS: ("Reward calls of batch items at servers.", ("outcome",)),
     Count.RESULTS: ("Results appended to batches.", ("state",)),
     Count.APPENDS: ("Appends to batches.", ("outcome",)),
     Count.ORDERS: ("Orders given to engines.", ("outcome",)),
@@ -48,6 +50,7 @@
     OPEN_REQUESTS = "larkpost_open_requests"
     BATCHES_OWNED = "larkpost_batches_owned"
     ITEMS_RUNNING = "larkpost_items_running"
+    REWARDS_WAITING = "larkpost_rewards_waiting"
     RESULTS_WAITING = "larkpost_results_waiting"
     LOOP_LAG = "larkpost_loop_lag_seconds"
     READY = "larkpost_ready"
@@ -62,6 +65,7 @@
     Level.OPEN_REQUESTS: ("Requests being answered.", ()),
     Level.BATCHES_OWNED: ("Batches that this daemon runs.", ()),
     Level.ITEMS_RUNNING: ("Items of owned batches without a result.", ()),
+    Level.REWARDS_WAITING: ("Whole outputs of owned batches without a score.", ()),
     Level.RESULTS_WAITING: ("Results that wait for their append.", ()),
     Level.LOOP_LAG: ("Largest delay of the event loop since the last reading.", ()),
     Level.COORDINATOR: ("Whether this daemon gives orders and claims batches (1) or not (0).", ()),
@@ -77,6 +81,8 @@
     ITEM_QUEUE = "larkpost_item_queue_seconds"
     ITEM_FIRST_EVENT = "larkpost_item_first_event_seconds"
     ITEM_RUN = "larkpost_item_run_seconds"
+    REWARD = "larkpost_reward_seconds"
+    REWARD_CALL = "larkpost_reward_call_seconds"
     APPEND_WAIT = "larkpost_append_wait_seconds"
 
 
@@ -86,6 +92,8 @@
     Timing.ITEM_QUEUE: ("Time until an item's first run began.", (), LONG_SECONDS),
     Timing.ITEM_FIRST_EVENT: ("Time from a run's start to its first event.", (), SHORT_SECONDS),
     Timing.ITEM_RUN: ("Time of a run at an engine.", (), LONG_SECONDS),
+    Timing.REWARD: ("Time from a whole output to its score.", (), SHORT_SECONDS),
+    Timing.REWARD_CALL: ("Time of one reward call at a server.", (), SHORT_SECONDS),
     Timing.APPEND_WAIT: ("Time from a result's end to its append.", (), SHORT_SECONDS),
 }
 
--- a/src/larkpost/platform/batches.py
+++ b/src/larkpost/platform/batches.py
@@ -9,7 +9,7 @@
 from larkpost.fleet.configuration import ModelName
 from larkpost.ids import BatchId
 from larkpost.platform import names
-from larkpost.rollouts.model import BatchSpec, GroupId, Item, ItemId
+from larkpost.rollouts.model import BatchSpec, GroupId, Item, ItemId, RewardCall, RewardCallId
 from larkpost.rollouts.service import ResultPage
 
 MAX_ID_LENGTH = 120
@@ -66,6 +66,8 @@
         entry: dict[str, Any] = {"id": result.item, "state": result.state, "message": result.text}
         if result.versions:
             entry["versions"] = result.versions
+        if result.score is not None:
+            entry["score"] = result.score
         results.append(entry)
     return {
         "total": page.total,
@@ -85,4 +87,16 @@
         tokens=int(entry.get("tokens", 0)),
         group=GroupId(str(entry.get("group", entry["id"]))),
         length_hint=int(hints[0]) if hints and hints[0].isdigit() else 0,
+        reward_call=_reward_call(entry.get("scorer-url")),
+    )
+
+
+def _reward_call(entry: dict[str, Any] | None) -> RewardCall | None:
+    if not entry:
+        return None
+    return RewardCall(
+        id=RewardCallId(entry["id"]),
+        host=str(entry["host"]).lower(),
+        path=str(entry["path"]),
+        body=base64.b64decode(entry.get("body") or "", validate=True),
     )
--- a/src/larkpost/platform/servers.py
+++ b/src/larkpost/platform/servers.py
@@ -58,7 +58,7 @@
         self.headers: Headers = tuple(response.raw_headers)
         self.load = _read_load(response.headers)
         self.version = _read_whole(response.headers, names.WEIGHT_VERSIONS)
-        self.of_server = names.SERVER_STAMP.decode() in response.headers
+        self.signature = response.headers.get(names.SERVER_STAMP.decode())
 
     async def chunks(self) -> AsyncIterator[bytes]:
         """Yields the body; see the port."""
--- a/src/larkpost/platform/stand_in/callers.py
+++ b/src/larkpost/platform/stand_in/callers.py
@@ -151,6 +151,7 @@
                     "body": base64.b64encode(item.encode()).decode(),
                     "tokens": 1000,
                     "group": f"g{number // self._group_size}",
+                    "scorer-url": _reward_call(item),
                 }
                 for number, item in enumerate(items)
             ],
@@ -164,11 +165,26 @@
         for result in found:
             whole = b"\n".join(output_of(result["id"])).decode()
             fresh = min(result.get("versions", [0])) >= max(1, step)
-            if result["state"] != "done" or result["message"] != whole or not fresh:
+            scored = result.get("score", "").endswith(f".{_reward_call_id(result['id'])}")
+            if result["state"] != "done" or result["message"] != whole or not (fresh and scored):
                 self._record.results_wrong += 1
         self._record.batches_whole += 1
 
 
+def _reward_call_id(item: str) -> str:
+    return f"score-{item}"
+
+
+def _reward_call(item: str) -> dict[str, str]:
+    """Returns the call that has an item's output scored; the page servers answer it."""
+    return {
+        "id": _reward_call_id(item),
+        "host": HOST,
+        "path": f"{PAGE_PREFIX}{item}",
+        "body": base64.b64encode(b"score it").decode(),
+    }
+
+
 class StandInClient:
     """Sends requests for pages at a steady rate."""
 
--- a/src/larkpost/proxy/balancer.py
+++ b/src/larkpost/proxy/balancer.py
@@ -10,7 +10,7 @@
 from larkpost.fleet.directory import Directory, InstanceInfo
 from larkpost.fleet.members import UseSummary
 from larkpost.ids import DaemonId, EngineId
-from larkpost.proxy.port import ServerLoad
+from larkpost.proxy.port import NotRunReason, ServerLoad
 
 LOAD_LIFETIME_SECONDS = 1.0
 """How long a load that a server told of itself is used."""
@@ -21,6 +21,7 @@
 """How long the requests that another daemon told of are counted."""
 PEER_PACE_LIFETIME_SECONDS = 12.0
 MAX_PACE_RATIO = 8.0
+UNREACHABLE_AVOID_SECONDS = 1.0
 
 
 @dataclass(slots=True)
@@ -190,6 +191,17 @@
         use = self.use(instance)
         use.avoid_until = max(use.avoid_until, self._clock.now() + seconds)
 
+    def note_not_run(self, instance: EngineId, reason: NotRunReason, full_seconds: float) -> None:
+        """Takes that an instance certainly did not run a request.
+
+        Args:
+            full_seconds: how long to avoid it if it was full.
+        """
+        if reason is NotRunReason.REPLACED:
+            self._directory.bury(instance)
+        full = reason is NotRunReason.FULL
+        self.avoid(instance, full_seconds if full else UNREACHABLE_AVOID_SECONDS)
+
     def is_avoided(self, instance: EngineId) -> bool:
         """Tells whether an instance is only a last resort at the moment."""
         return self._clock.now() < self.use(instance).avoid_until
--- a/src/larkpost/proxy/forwarder.py
+++ b/src/larkpost/proxy/forwarder.py
@@ -32,7 +32,6 @@
 MIN_HEDGE_SECONDS = 0.1
 HEDGE_PACE_FACTOR = 3.0
 RETRY_AFTER_SECONDS = 0.2
-UNREACHABLE_AVOID_SECONDS = 1.0
 FULL_AVOID_SECONDS = 0.05
 BROKEN_AVOID_SECONDS = 0.3
 SILENT_AVOID_SECONDS = 1.0
@@ -254,7 +253,7 @@
                     self._balancer.note_load(instance.id, answer.load)
                     body = b"".join([chunk async for chunk in answer.chunks()])
                     whole = WholeAnswer(answer.status, answer.headers, body)
-                    of_server = answer.of_server
+                    of_server = answer.signature is not None
         except NotRunError as error:
             attempts.ran_at.discard(instance.id)
             self._note_not_run(instance, attempts, error)
@@ -338,11 +337,7 @@
     ) -> None:
         attempts.refused_by.add(instance.id)
         self._metrics.count(Count.ATTEMPTS, instance.service, error.reason)
-        if error.reason is NotRunReason.REPLACED:
-            self._directory.bury(instance.id)
-        full = error.reason is NotRunReason.FULL
-        seconds = FULL_AVOID_SECONDS if full else UNREACHABLE_AVOID_SECONDS
-        self._balancer.avoid(instance.id, seconds)
+        self._balancer.note_not_run(instance.id, error.reason, FULL_AVOID_SECONDS)
 
     def _note_broken(
         self, instance: InstanceInfo, request: ClientRequest, attempts: _Attempts, reason: str
--- a/src/larkpost/proxy/port.py
+++ b/src/larkpost/proxy/port.py
@@ -71,14 +71,14 @@
 
     Attributes:
         version: the weight version the answer began under, or None if not told.
-        of_server: whether the answer carries the signature that marks it as the server's own.
+        signature: marks the answer as the server's own and names the run; None if it has none.
     """
 
     status: int
     headers: Headers
     load: ServerLoad | None
     version: int | None
-    of_server: bool
+    signature: str | None
 
     def chunks(self) -> AsyncIterator[bytes]:
         """Yields the body. It ends only if the body is whole.
--- a/src/larkpost/rehearsal/scripted_engines.py
+++ b/src/larkpost/rehearsal/scripted_engines.py
@@ -1,5 +1,6 @@
 """Engines in memory that speak larkpost's server port, for tests and simulations."""
 
+from collections import Counter
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
@@ -42,7 +43,12 @@
         down: it does not answer.
         break_after: its next streams break off after so many events, or never.
         status: answered instead of a stream, if set.
+        unsigned: its answers carry no signature.
         runs: ids of all requests it has run.
+        whole_at: when each stream that came to its end ended, in seconds.
+        signatures: of all its answers by request, each with the time at which the run began.
+        failures: how often it answered each request with its failure status.
+        most_running: the most requests it has run at once.
         orders: (holder, fencing token, model, version, time) of each order that arrived.
     """
 
@@ -51,12 +57,17 @@
     down: bool = False
     break_after: int | None = None
     status: int | None = None
+    unsigned: bool = False
     running: int = 0
+    most_running: int = 0
     versions: dict[ModelName, int] = field(default_factory=dict)
     highest_token: int = 0
     orders_taken: int = 0
     loading_until: float = 0.0
     runs: list[str] = field(default_factory=list)
+    whole_at: dict[str, float] = field(default_factory=dict)
+    signatures: dict[str, list[tuple[str, float]]] = field(default_factory=dict)
+    failures: Counter[str] = field(default_factory=Counter)
     orders: list[tuple[str, int, ModelName, int, float]] = field(default_factory=list)
 
 
@@ -90,13 +101,17 @@
         self.headers: Headers = ()
         self.load = ServerLoad(state.running, 0, state.slots)
         self.version = state.versions.get(model, 1)
-        self.of_server = True
+        name = request.request_id.decode()
+        signature = f"{name}.{id(state)}.{len(state.runs)}"  # no other answer has it
+        self.signature = None if state.unsigned else signature
+        state.signatures.setdefault(name, []).append((signature, clock.now()))
+        state.failures[name] += state.status is not None
 
     async def chunks(self) -> AsyncIterator[bytes]:
         """Yields the body; see the port."""
         await self._clock.sleep(self._state.event_seconds)
-        if self._state.down:
-            raise BrokenAnswerError("the server went down")
+        if self._state.down or self._state.break_after is not None:
+            raise BrokenAnswerError("the answer broke off")
         yield b"answer to " + self._request.request_id
 
     async def events(self) -> AsyncIterator[StreamEvent]:
@@ -112,6 +127,8 @@
             changed = newest if newest != version else None
             version = newest
             data = output[number - 1]
+            if number == len(output):
+                self._state.whole_at[self._request.request_id.decode()] = self._clock.now()
             yield StreamEvent(number, data, data, changed)
 
 
@@ -135,6 +152,7 @@
         if state.running >= state.slots or self._clock.now() < state.loading_until:
             raise NotRunError(NotRunReason.FULL)
         state.running += 1
+        state.most_running = max(state.most_running, state.running)
         state.runs.append(request.request_id.decode())
         try:
             yield ScriptedAnswer(self._clock, state, request, self._model)
--- a/src/larkpost/rollouts/attempt.py
+++ b/src/larkpost/rollouts/attempt.py
@@ -20,6 +20,8 @@
         failed_runs: runs that the engine itself answered as failed.
         impossible_answers: answers that say the item can never be done.
         moves: how often it was moved to a faster engine.
+        whole: whether the output is complete, so that no engine has to run the item again.
+        failed_calls: reward calls of the whole output that the server itself answered as failed.
     """
 
     item: Item
@@ -29,6 +31,8 @@
     failed_runs: int = 0
     impossible_answers: int = 0
     moves: int = 0
+    whole: bool = False
+    failed_calls: int = 0
 
     @property
     def versions(self) -> set[int]:
@@ -54,12 +58,28 @@
         self.events.clear()
         self.event_versions.clear()
         self.last_event = None
+        self.whole = False
+        self.failed_calls = 0
 
-    def result(self) -> Result:
-        """Returns the result of a whole output.
+    def complete(self) -> None:
+        """Notes that the output is whole.
+
+        Raises:
+            ValueError: there is no output, or it is not text.
+        """
+        if not self.events:
+            raise ValueError("an output without events")
+        self._text()
+        self.whole = True
+
+    def result(self, score: str | None = None) -> Result:
+        """Returns the result of a whole output with its score, if it has one.
 
         Raises:
             ValueError: the output is not text.
         """
-        text = b"\n".join(self.events).decode()
-        return Result(self.item.id, ResultState.DONE, text, tuple(sorted(self.versions)))
+        versions = tuple(sorted(self.versions))
+        return Result(self.item.id, ResultState.DONE, self._text(), versions, score)
+
+    def _text(self) -> str:
+        return b"\n".join(self.events).decode()
--- a/src/larkpost/rollouts/codec.py
+++ b/src/larkpost/rollouts/codec.py
@@ -15,6 +15,8 @@
     ItemId,
     Result,
     ResultState,
+    RewardCall,
+    RewardCallId,
     Tail,
 )
 
@@ -82,6 +84,7 @@
                 item.tokens,
                 item.group,
                 item.length_hint,
+                _reward_call_fields(item.reward_call),
             ]
             for item in items
         ]
@@ -90,38 +93,72 @@
 
 def decode_items(content: bytes) -> tuple[Item, ...]:
     """Reads a document of items."""
-    return tuple(
-        Item(
-            ItemId(item_id),
-            path,
-            tuple((name, value) for name, value in headers),
-            base64.b64decode(body),
-            tokens,
-            GroupId(group),
-            length_hint,
-        )
-        for item_id, path, headers, body, tokens, group, length_hint in orjson.loads(content)
+    return tuple(_item(*fields) for fields in orjson.loads(content))
+
+
+def _item(
+    item_id: str,
+    path: str,
+    headers: list[list[str]],
+    body: str,
+    tokens: int,
+    group: str,
+    length_hint: int,
+    reward_call: list[str] | None = None,
+) -> Item:
+    """Returns an item; rows of earlier versions have no reward call."""
+    return Item(
+        ItemId(item_id),
+        path,
+        tuple((name, value) for name, value in headers),
+        base64.b64decode(body),
+        tokens,
+        GroupId(group),
+        length_hint,
+        _reward_call(*reward_call) if reward_call is not None else None,
     )
 
 
+def _reward_call_fields(call: RewardCall | None) -> list[str] | None:
+    if call is None:
+        return None
+    return [call.id, call.host, call.path, base64.b64encode(call.body).decode()]
+
+
+def _reward_call(call_id: str, host: str, path: str, body: str) -> RewardCall:
+    return RewardCall(RewardCallId(call_id), host, path, base64.b64decode(body))
+
+
 def encode_result(result: Result) -> bytes:
     """Returns a result as a document."""
-    return orjson.dumps([result.item, result.state, result.text, result.versions])
+    return orjson.dumps([result.item, result.state, result.text, result.versions, result.score])
 
 
 def decode_result(content: bytes) -> Result:
-    """Reads a document of a result."""
-    item, state, text, versions = orjson.loads(content)
-    return Result(ItemId(item), ResultState(state), text, tuple(versions))
+    """Reads a document of a result; rows of earlier versions have no score."""
+    item, state, text, versions, *score = orjson.loads(content)
+    known_score = score[0] if score else None
+    return Result(ItemId(item), ResultState(state), text, tuple(versions), known_score)
 
 
 def encode_progress(progress: Progress, limit: int) -> bytes:
-    """Returns as much of an item's output so far as fits in ``limit`` bytes."""
+    """Returns as much of an item's output so far as fits in ``limit`` bytes.
+
+    Only an output that fits altogether is told to be whole.
+    """
     count = len(progress.events)
     while True:
         events = [base64.b64encode(data).decode() for data in progress.events[:count]]
         first = 0 if progress.last_event is None else progress.last_event - len(progress.events) + 1
-        document = [events, progress.event_versions[:count], first, progress.failed_runs]
+        whole = progress.whole and count == len(progress.events)
+        document = [
+            events,
+            progress.event_versions[:count],
+            first,
+            progress.failed_runs,
+            whole,
+            progress.failed_calls if whole else 0,
+        ]
         content = orjson.dumps(document)
         if len(content) <= limit or count == 0:
             return content
@@ -129,11 +166,13 @@
 
 
 def decode_progress(item: Item, content: bytes) -> Progress:
-    """Reads an item's output so far."""
-    events, versions, first, failed_runs = orjson.loads(content)
+    """Reads an item's output so far; rows of earlier versions know nothing of reward calls."""
+    events, versions, first, failed_runs, *scoring = orjson.loads(content)
     progress = Progress(item, failed_runs=failed_runs)
     for number, (data, version) in enumerate(zip(events, versions, strict=True)):
         progress.take(first + number, base64.b64decode(data), version)
+    if scoring:
+        progress.whole, progress.failed_calls = scoring
     return progress
 
 
--- a/src/larkpost/rollouts/context.py
+++ b/src/larkpost/rollouts/context.py
@@ -1,5 +1,6 @@
 """What running batches needs of its daemon."""
 
+import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -15,7 +16,12 @@
 
 @dataclass(slots=True)
 class RunServices:
-    """The parts of a daemon that batches use; `store_time` is the store's clock, if known."""
+    """The parts of a daemon that batches use.
+
+    Attributes:
+        store_time: returns the store's clock in seconds, or None if it is not known.
+        reward_places: bounds the reward calls that the daemon has at servers at once.
+    """
 
     configuration: ConfigurationState
     directory: Directory
@@ -26,3 +32,4 @@
     metrics: Metrics
     shares: ShareChooser
     store_time: Callable[[], float | None]
+    reward_places: asyncio.Semaphore
--- a/src/larkpost/rollouts/model.py
+++ b/src/larkpost/rollouts/model.py
@@ -9,6 +9,23 @@
 
 ItemId = NewType("ItemId", str)
 GroupId = NewType("GroupId", str)
+RewardCallId = NewType("RewardCallId", str)
+
+
+@dataclass(frozen=True, slots=True)
+class RewardCall:
+    """The request that has an item's whole output scored, as the trainer wrote it.
+
+    It is sent by the route of its host and path once the output is whole, and may be repeated.
+
+    Attributes:
+        path: the target at the server.
+    """
+
+    id: RewardCallId
+    host: str
+    path: str
+    body: bytes
 
 
 @dataclass(frozen=True, slots=True)
@@ -19,6 +36,7 @@
         path: the target at the server, as the trainer wrote it.
         tokens: tokens of the prompt and most tokens out, summed.
         length_hint: the trainer's guess of the tokens out; often far off. 0 if none.
+        reward_call: has the output scored, or None if the result needs no score.
     """
 
     id: ItemId
@@ -28,6 +46,7 @@
     tokens: int
     group: GroupId
     length_hint: int = 0
+    reward_call: RewardCall | None = None
 
     @property
     def expected_work(self) -> int:
@@ -95,12 +114,14 @@
     Attributes:
         text: data of all events in order, parted by line feeds.
         versions: the weight versions that made an event of the text, rising.
+        score: the signature of the answer to the item's reward call; None if it has no such call.
     """
 
     item: ItemId
     state: ResultState
     text: str = ""
     versions: tuple[int, ...] = ()
+    score: str | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/larkpost/rollouts/owned.py
+++ b/src/larkpost/rollouts/owned.py
@@ -5,6 +5,7 @@
 from larkpost.clock import Clock
 from larkpost.eventlog import Event, EventLog
 from larkpost.metrics import Count, Timing
+from larkpost.rollouts.attempt import Progress
 from larkpost.rollouts.context import RunServices
 from larkpost.rollouts.model import BatchHead, Item, ItemId, Result, Tail
 from larkpost.rollouts.repository import BatchRepository
@@ -19,6 +20,8 @@
 PARTIAL_INTERVAL_SECONDS = 1.0
 MIN_NEW_EVENTS = 4
 """An item's output is kept again once it has grown by this many events."""
+FAULT_PAUSE_SECONDS = 1.0
+"""Pause before a batch is worked on again after an unexpected error."""
 
 
 class OwnedBatch:
@@ -44,6 +47,7 @@
         self._listed: set[ItemId] = set()
         self._wake = asyncio.Event()
         self._kept_events: dict[ItemId, int] = {}
+        self._kept_whole: set[ItemId] = set()
         self._ended_at: dict[ItemId, float] = {}
         self._tasks: list[asyncio.Task] = []
 
@@ -62,6 +66,13 @@
         """Items without a result."""
         return len(self._run.progress) if self._run is not None else 0
 
+    @property
+    def unscored(self) -> int:
+        """Whole outputs that wait for their score."""
+        if self._run is None:
+            return 0
+        return sum(progress.whole for progress in self._run.progress.values())
+
     @property
     def waiting(self) -> int:
         """Results that wait for their append."""
@@ -88,12 +99,19 @@
             return  # the next owner runs them again
 
     async def _work(self, items: tuple[Item, ...] | None, fresh: bool) -> None:
-        try:
-            await self._load(items, fresh)
-            await self._append_all()
-        except Exception as error:
-            self._log.note(Event.FAULT, where=f"batch {self.head.id}", error=repr(error))
-            raise
+        """Works on the batch until it is over, whatever errors come between."""
+        while True:
+            try:
+                await self._load(items, fresh)
+                await self._append_all()
+                return
+            except Exception as error:
+                self._log.note(Event.FAULT, where=f"batch {self.head.id}", error=repr(error))
+            if self._run is not None:
+                self._run.cancel()
+                self._run = None
+            fresh = False
+            await self._clock.sleep(FAULT_PAUSE_SECONDS)
 
     async def _load(self, items: tuple[Item, ...] | None, fresh: bool) -> None:
         kept = {}
@@ -110,7 +128,8 @@
                     break
                 await self._clock.sleep(RETRY_SECONDS)
         self._view.items = {item.id: item for item in items}
-        open_items = tuple(item for item in items if item.id not in self._listed)
+        ended_items = self._listed | {result.item for result in self._pending}
+        open_items = tuple(item for item in items if item.id not in ended_items)
         self._log.note(
             Event.BATCH_LOADED,
             batch=self.head.id,
@@ -232,16 +251,24 @@
             await self._keep(MIN_NEW_EVENTS)
 
     async def _keep(self, minimum: int) -> None:
-        """Keeps the output of items that have grown by ``minimum`` events or more."""
+        """Keeps the output of items that are whole or have grown by ``minimum`` events or more."""
         if self._run is None:
             return
         grown = [
             progress
             for progress in self._run.progress.values()
-            if len(progress.events) - self._kept_events.get(progress.item.id, 0) >= minimum
+            if self._has_grown(progress, minimum)
         ]
         if not grown:
             return
         for progress in grown:
             self._kept_events[progress.item.id] = len(progress.events)
+            if progress.whole:
+                self._kept_whole.add(progress.item.id)
         await self._repository.keep_partials(self.head.id, grown)
+
+    def _has_grown(self, progress: Progress, minimum: int) -> bool:
+        """Tells whether an output is worth keeping once more."""
+        if progress.whole and progress.item.id not in self._kept_whole:
+            return True
+        return len(progress.events) - self._kept_events.get(progress.item.id, 0) >= minimum
--- a/src/larkpost/rollouts/run.py
+++ b/src/larkpost/rollouts/run.py
@@ -21,8 +21,9 @@
 from larkpost.rollouts.attempt import DiscontinuityError, Progress
 from larkpost.rollouts.context import RunServices
 from larkpost.rollouts.engine_choice import EngineChoice
-from larkpost.rollouts.model import BatchHead, Item, ItemId, Result, ResultState
+from larkpost.rollouts.model import BatchHead, Item, ItemId, Result, ResultState, RewardCall
 from larkpost.rollouts.place_queue import PlaceQueue
+from larkpost.rollouts.reward import RewardScorer, RewardState
 
 FIRST_EVENT_SECONDS = 2.5
 """Longest wait for an answer's head and for its first event."""
@@ -30,13 +31,14 @@
 """Longest pause between two events before the run is continued elsewhere."""
 AGAIN_PAUSE_SECONDS = 0.03
 REFUSED_AVOID_SECONDS = 0.15
-UNREACHABLE_AVOID_SECONDS = 1.0
 BROKEN_AVOID_SECONDS = 0.3
 SILENT_AVOID_SECONDS = 1.5
 MAX_MOVES = 2
 """An item is moved this often at most: what it has made is read again at each new engine."""
 EVENTS_BETWEEN_LOOKS = 4
 """How often a run looks for a faster engine."""
+FAULT_PAUSE_SECONDS = 1.0
+"""Pause before an item is run again after an unexpected error."""
 
 
 class RunEnd(StrEnum):
@@ -72,6 +74,7 @@
         self._services = services
         self._finished = finished
         self._engines = EngineChoice(head, services)
+        self._scorer = RewardScorer(head, services)
         self._places = PlaceQueue(self._engines, services.balancer, services.clock)
         self._waiting = sorted(items, key=lambda item: item.expected_work, reverse=True)
         self._tasks: dict[ItemId, asyncio.Task] = {}
@@ -79,7 +82,7 @@
     def start(self) -> None:
         """Starts all items; each waits for its place at an engine, the longest first."""
         for item in self._waiting:
-            task = asyncio.create_task(self._run_item(item), name=item.id)
+            task = asyncio.create_task(self._finish_item(item), name=item.id)
             self._tasks[item.id] = task
             task.add_done_callback(self._task_done)
         self._waiting = []
@@ -98,15 +101,43 @@
 
     def _task_done(self, task: asyncio.Task) -> None:
         self._tasks.pop(ItemId(task.get_name()), None)
-        if not task.cancelled() and task.exception() is not None:
-            self._services.log.note(
-                Event.FAULT, where=f"item {task.get_name()}", error=repr(task.exception())
-            )
 
-    async def _run_item(self, item: Item) -> None:
+    async def _finish_item(self, item: Item) -> None:
+        """Runs an item and has it scored until it has a result, whatever errors come between."""
         progress = self.progress[item.id]
-        queued_at: float | None = self._services.clock.now()
         while True:
+            try:
+                is_done = await self._make_whole(item, progress)
+                score = None
+                if is_done and item.reward_call is not None:
+                    score = await self._score(item, item.reward_call, progress)
+                    is_done = score is not None
+                break
+            except Exception as error:
+                where = f"item {item.id}"
+                self._services.log.note(Event.FAULT, where=where, error=repr(error))
+            await self._services.clock.sleep(FAULT_PAUSE_SECONDS)
+        self.progress.pop(item.id, None)
+        if is_done:
+            self._finished(progress.result(score))
+        else:
+            self._finish_dead(item, progress)
+
+    async def _score(self, item: Item, call: RewardCall, progress: Progress) -> str | None:
+        """Returns the score of a whole output; None if it can have none."""
+        route = self._route(item)
+        outcome = await self._scorer.score(
+            progress,
+            call,
+            route.max_attempts if route is not None else 1,
+            lambda: self._is_given_up(self._route(item)),
+        )
+        return outcome.score if outcome.state is RewardState.SCORED else None
+
+    async def _make_whole(self, item: Item, progress: Progress) -> bool:
+        """Runs an item at engines until its output is whole; False if it can never be."""
+        queued_at: float | None = self._services.clock.now()
+        while not progress.whole:
             end = RunEnd.AGAIN
             route = self._route(item)
             if self._is_given_up(route):
@@ -119,17 +150,11 @@
                         self._services.metrics.observe(Timing.ITEM_QUEUE, queued)
                         queued_at = None
                     end = await self._run_at(engine, item, route, progress)
-            if end is RunEnd.WHOLE:
-                self._finish_whole(progress)
-                return
             if end is RunEnd.DEAD:
-                self._finish_dead(item, progress)
-                return
-            await self._services.clock.sleep(AGAIN_PAUSE_SECONDS)
-
-    def _finish_whole(self, progress: Progress) -> None:
-        self.progress.pop(progress.item.id, None)
-        self._finished(progress.result())
+                return False
+            if end is RunEnd.AGAIN:
+                await self._services.clock.sleep(AGAIN_PAUSE_SECONDS)
+        return True
 
     def _finish_dead(self, item: Item, progress: Progress) -> None:
         self._services.log.note(
@@ -138,8 +163,8 @@
             item=item.id,
             failed_runs=progress.failed_runs,
             impossible=progress.impossible_answers,
+            failed_calls=progress.failed_calls,
         )
-        self.progress.pop(item.id, None)
         self._finished(Result(item.id, ResultState.DEAD))
 
     def _route(self, item: Item) -> Route | None:
@@ -174,7 +199,7 @@
             end = await self._stream(engine, item, route, progress)
             reason = end.value if end is not RunEnd.AGAIN else "failed"
         except NotRunError as error:
-            self._note_not_run(engine, error)
+            balancer.note_not_run(engine.id, error.reason, REFUSED_AVOID_SECONDS)
             reason = error.reason
         except MoveAwayError:
             progress.moves += 1
@@ -186,7 +211,11 @@
             progress.restart()
             balancer.avoid(engine.id, BROKEN_AVOID_SECONDS)
             reason = f"broken: {error}"
-        except (BrokenAnswerError, UnicodeDecodeError) as error:
+        except UnicodeDecodeError as error:
+            progress.restart()  # an output that is no text has no good beginning
+            balancer.avoid(engine.id, BROKEN_AVOID_SECONDS)
+            reason = f"broken: {error}"
+        except BrokenAnswerError as error:
             balancer.avoid(engine.id, BROKEN_AVOID_SECONDS)
             reason = f"broken: {error}"
         finally:
@@ -228,13 +257,6 @@
         if progress.versions != {version}:
             progress.restart()
 
-    def _note_not_run(self, engine: InstanceInfo, error: NotRunError) -> None:
-        if error.reason is NotRunReason.REPLACED:
-            self._services.directory.bury(engine.id)
-        full = error.reason is NotRunReason.FULL
-        seconds = REFUSED_AVOID_SECONDS if full else UNREACHABLE_AVOID_SECONDS
-        self._services.balancer.avoid(engine.id, seconds)
-
     async def _stream(
         self,
         engine: InstanceInfo,
@@ -254,7 +276,7 @@
                 await self._take_events(engine, route, progress, answer, limit, began)
         if not progress.events:
             raise BrokenAnswerError("a stream without events")
-        progress.result()
+        progress.complete()
         return RunEnd.WHOLE
 
     def _request(self, item: Item, progress: Progress) -> OutgoingRequest:
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from dataclasses import replace
 
 import orjson
 
@@ -22,11 +23,24 @@
 from larkpost.ids import Address, BatchId, EngineId, ZoneId
 from larkpost.rehearsal.memory_store import MemoryStore, StoreClient
 from larkpost.rehearsal.scripted_engines import EngineState, ScriptedEngines, output_of
-from larkpost.rollouts.model import BatchSpec, GroupId, Item, ItemId, Result, ResultState
+from larkpost.rollouts.model import (
+    BatchSpec,
+    GroupId,
+    Item,
+    ItemId,
+    Result,
+    ResultState,
+    RewardCall,
+    RewardCallId,
+)
 from larkpost.rollouts.repository import RESULT_TABLE, BatchRepository
 from larkpost.store.port import Row, RowKey, Transaction
 
 MODEL = ModelName("model")
+SCORERS = ServiceName("scorers")
+OTHER_SCORERS = ServiceName("other-scorers")
+SCORER_HOST = "scorers.example"
+SCORER_SLOTS = 6
 ENGINES = ServiceName("engines")
 PAGES = ServiceName("pages")
 HEARTBEAT_SECONDS = 0.4
@@ -44,18 +58,39 @@
     due=7.5,
     queue_lifetime=40.0,
 )
+SCORER_ROUTE = Route(
+    name="scores",
+    host=SCORER_HOST,
+    path_prefix=b"/s/",
+    kind=RouteKind.IDEMPOTENT,
+    shares=(ServiceShare(SCORERS, 1.0),),
+    time_limit=1.5,
+    objective=0.2,
+    max_attempts=4,
+)
 CONFIGURATION = Configuration(
     version=1,
-    routes=(ROUTE,),
+    routes=(ROUTE, SCORER_ROUTE),
     services={
         ENGINES: Service(ENGINES, 100, slots=8, models=(MODEL,)),
         PAGES: Service(PAGES, 100),
+        SCORERS: Service(SCORERS, 100),
+        OTHER_SCORERS: Service(OTHER_SCORERS, 100),
     },
 )
 
 
+MOVED_CONFIGURATION = replace(
+    CONFIGURATION,
+    version=2,
+    routes=(ROUTE, replace(SCORER_ROUTE, shares=(ServiceShare(OTHER_SCORERS, 1.0),))),
+)
+"""The scorers' route leads to another service."""
+CONFIGURATIONS = {b"": CONFIGURATION, b"moved": MOVED_CONFIGURATION}
+
+
 def _read_configuration(row: Row) -> Configuration | None:
-    return CONFIGURATION if row.key.key == "configuration" else None
+    return CONFIGURATIONS[row.value] if row.key.key == "configuration" else None
 
 
 def _read_target(row: Row) -> WeightTarget | None:
@@ -84,7 +119,9 @@
 class PlatformFleet:
     """Some gateways, engines and a store."""
 
-    def __init__(self, gateways: int = 3, engines: int = 4, seed: int = 0) -> None:
+    def __init__(
+        self, gateways: int = 3, engines: int = 4, seed: int = 0, scorers: int = 0
+    ) -> None:
         self.clock = LoopClock()
         self.store = MemoryStore(self.clock, random.Random(seed))
         self.engines = ScriptedEngines(self.clock, MODEL)
@@ -93,6 +130,8 @@
         self.put("operator", "configuration", b"")
         for number in range(engines):
             self.add_engine(EngineId(f"engine-{number}"))
+        for number in range(scorers):
+            self.add_scorer(EngineId(f"scorer-{number}"))
         for number in range(gateways):
             self.add_gateway(f"daemon-{number}")
         self._heartbeats = asyncio.create_task(self._beat())
@@ -109,13 +148,38 @@
         entry = {"service": ENGINES, "slots": 8, "state": state, "version": version}
         self.put("instances", engine, orjson.dumps(entry))
 
+    def add_scorer(
+        self,
+        scorer: EngineId,
+        service: ServiceName = SCORERS,
+        state: InstanceState = InstanceState.READY,
+    ) -> None:
+        """Lists a server that scores outputs."""
+        if scorer not in self.engines.engines:
+            self.engines.engines[scorer] = EngineState(slots=SCORER_SLOTS)
+        entry = {"service": service, "slots": SCORER_SLOTS, "state": state, "version": 0}
+        self.put("instances", scorer, orjson.dumps(entry))
+
+    def scorers(self) -> list[EngineState]:
+        """Returns the servers that score outputs."""
+        return [state for state in self.engines.engines.values() if not state.versions]
+
+    def answers_of_failure(self, request: str) -> int:
+        """Returns how often servers have answered a request with their failure status."""
+        return sum(state.failures[request] for state in self.engines.engines.values())
+
+    def model_engines(self) -> list[EngineState]:
+        """Returns the engines."""
+        return [state for state in self.engines.engines.values() if state.versions]
+
     async def _beat(self) -> None:
         """Writes the engines' entries anew when their versions have changed."""
         written = {name: 1 for name in self.engines.engines}
         while True:
             await self.clock.sleep(HEARTBEAT_SECONDS)
             for name, state in self.engines.engines.items():
-                if not state.down and state.versions[MODEL] != written.get(name):
+                is_model = MODEL in state.versions
+                if is_model and not state.down and state.versions[MODEL] != written.get(name):
                     written[name] = state.versions[MODEL]
                     self.add_engine(name)
 
@@ -170,8 +234,14 @@
         return BatchRepository(StoreClient(self.store), self.clock)
 
 
-def make_batch(name: str = "batch", items: int = 12, minimum_version: int = 0) -> BatchSpec:
-    """Returns a batch of items in groups of four."""
+def make_batch(
+    name: str = "batch", items: int = 12, minimum_version: int = 0, *, scored: bool = False
+) -> BatchSpec:
+    """Returns a batch of items in groups of four.
+
+    Args:
+        scored: whether each item has a reward call.
+    """
     return BatchSpec(
         id=BatchId(name),
         host=HOST,
@@ -188,12 +258,18 @@
                 f"body {number}".encode(),
                 100 + number,
                 GroupId(f"g{number // 4}"),
+                reward_call=make_reward_call(f"{name}-{number}") if scored else None,
             )
             for number in range(items)
         ),
     )
 
 
+def make_reward_call(item: str) -> RewardCall:
+    """Returns the reward call of an item."""
+    return RewardCall(RewardCallId(f"score-{item}"), SCORER_HOST, f"/s/{item}", b"score it")
+
+
 def expected_text(item: str) -> str:
     """Returns the whole output of an item."""
     return b"\n".join(output_of(item)).decode()
--- a/tests/platform_mutants.py
+++ b/tests/platform_mutants.py
@@ -159,6 +159,71 @@
     return mock.patch.object(members, "COORDINATORS", 1_000_000)
 
 
+def list_without_score():
+    """Lists whole outputs without their scores."""
+    from larkpost.rollouts.owned import OwnedBatch
+
+    original = OwnedBatch._finished
+
+    def finished(self, result):
+        original(self, replace(result, score=None))
+
+    return mock.patch.object(OwnedBatch, "_finished", finished)
+
+
+def score_before_the_text():
+    """Sends an item's reward call before the item runs."""
+    from larkpost.rollouts.run import BatchRun
+
+    async def finish_item(self, item):
+        progress = self.progress[item.id]
+        score = None
+        if item.reward_call is not None:
+            score = await self._score(item, item.reward_call, progress)
+        await self._make_whole(item, progress)
+        self.progress.pop(item.id, None)
+        self._finished(progress.result(score))
+
+    return mock.patch.object(BatchRun, "_finish_item", finish_item)
+
+
+def score_unsigned_answers():
+    """Takes any success for a score."""
+    from larkpost.rollouts import reward
+
+    original = reward._judge
+    return mock.patch.object(
+        reward, "_judge", lambda status, signature: original(status, signature or "unsigned")
+    )
+
+
+def give_up_after_one_failed_call():
+    """Ends an item with the first failure of its reward call."""
+    from larkpost.rollouts.reward import RewardScorer
+
+    original = RewardScorer.score
+
+    async def score(self, progress, call, item_attempts, is_given_up):
+        progress.failed_calls = 100
+        return await original(self, progress, call, item_attempts, is_given_up)
+
+    return mock.patch.object(RewardScorer, "score", score)
+
+
+def forget_whole_texts():
+    """Keeps whole outputs as if they were not whole."""
+    from larkpost.rollouts import repository
+
+    original = repository.codec.decode_progress
+
+    def decode_progress(item, content):
+        progress = original(item, content)
+        progress.whole = False
+        return progress
+
+    return mock.patch.object(repository.codec, "decode_progress", decode_progress)
+
+
 MUTANTS = {
     mutant.__name__: mutant
     for mutant in (
@@ -174,6 +239,11 @@
         forget_told_interval,
         judge_owner_like_an_idle_daemon,
         let_everyone_coordinate,
+        list_without_score,
+        score_before_the_text,
+        score_unsigned_answers,
+        give_up_after_one_failed_call,
+        forget_whole_texts,
     )
 }
 TESTS = dict.fromkeys(MUTANTS, FUZZ) | {
@@ -188,10 +258,15 @@
     "forget_told_interval": SCALE,
     "judge_owner_like_an_idle_daemon": SCALE,
     "let_everyone_coordinate": SCALE,
+    "forget_whole_texts": "tests.test_reward_calls",
 }
 EXPECTED_CHECKS = {
     "refuse_after_unknown": ("BatchRefusedError",),
     "take_unknown_for_done": ("doubled", "listed", "not whole", "has changed"),
     "accept_any_version": ("minimum_version",),
+    "list_without_score": ("nobody's signature",),
+    "score_before_the_text": ("scored before",),
+    "score_unsigned_answers": ("nobody's signature",),
+    "give_up_after_one_failed_call": ("given up early",),
 }
 """What the failure must name: another failure proves nothing about the mutant."""
--- a/tests/platform_oracle.py
+++ b/tests/platform_oracle.py
@@ -2,9 +2,9 @@
 
 from larkpost.errors import LarkpostError
 from larkpost.ids import BatchId
-from larkpost.rollouts.model import BatchSpec, Result, ResultState
+from larkpost.rollouts.model import BatchSpec, Result, ResultState, RewardCallId
 from larkpost.rollouts.service import BatchRefusedError
-from tests.platform_fleet import PlatformFleet, expected_text
+from tests.platform_fleet import SCORER_ROUTE, PlatformFleet, expected_text
 
 LEASE_SECONDS = 3.0
 
@@ -28,6 +28,13 @@
         self.read: dict[BatchId, list[Result]] = {}
         self.unavailable = 0
 
+    @classmethod
+    def of_batch(cls, fleet: PlatformFleet, spec: BatchSpec) -> "PlatformOracle":
+        """Returns an oracle that knows one batch, which was accepted without its help."""
+        oracle = cls(fleet)
+        oracle.accepted[spec.id] = spec
+        return oracle
+
     async def submit(self, gateway, spec: BatchSpec) -> bool:
         """Submits a batch and tells whether it was accepted."""
         try:
@@ -73,6 +80,7 @@
         self.check_orders()
         self.check_refused()
         self.check_listed()
+        self.check_scores()
 
     def check_orders(self) -> None:
         """Holders never take turns at an engine within a lease; tokens rise."""
@@ -98,6 +106,38 @@
                     assert result.text == expected_text(result.item)
                     assert min(result.versions) >= spec.minimum_version
 
+    def check_scores(self) -> None:
+        """A score is the signature of a call that began after the text was first whole.
+
+        An item without a score is dead, and only after as many failures as its call's route allows.
+        """
+        for batch, spec in self.accepted.items():
+            calls = {item.id: item.reward_call for item in spec.items if item.reward_call}
+            for result in self.fleet.stored_results(batch):
+                if result.item not in calls:
+                    assert result.score is None, f"{result.item} has a score without a call"
+                elif result.state is ResultState.DONE:
+                    self._check_score(result, calls[result.item].id)
+                else:
+                    failures = self.fleet.answers_of_failure(calls[result.item].id)
+                    assert failures >= SCORER_ROUTE.max_attempts, f"{result.item} given up early"
+
+    def _check_score(self, result: Result, call: RewardCallId) -> None:
+        """Checks the score of a result that is done."""
+        engines = self.fleet.engines.engines.values()
+        whole_at = min(
+            (state.whole_at[result.item] for state in engines if result.item in state.whole_at),
+            default=float("inf"),
+        )
+        began = [
+            at
+            for state in engines
+            for signature, at in state.signatures.get(call, ())
+            if signature == result.score
+        ]
+        assert began, f"the score of {result.item} is nobody's signature"
+        assert min(began) >= whole_at, f"{result.item} was scored before its text was whole"
+
     def missing(self) -> list[BatchId]:
         """Returns the accepted batches that are neither whole nor ended."""
         return [
--- a/tests/test_platform_fuzz.py
+++ b/tests/test_platform_fuzz.py
@@ -25,6 +25,8 @@
 STEPS = 25
 GATEWAYS = 3
 ENGINES = 4
+SCORERS = 2
+SCORER_TROUBLES = ("none", "down", "broken", "unsigned", "failing")
 MAX_VERSION_GAP = 1
 LIVENESS_SECONDS = 90
 """Seconds after all faults within which every accepted batch is whole."""
@@ -33,17 +35,19 @@
 class PlatformMachine(RuleBasedStateMachine):
     """What happens; the oracle remembers what was promised and read."""
 
-    @initialize()
-    def begin(self):
-        """Starts a fleet."""
+    @initialize(troubles=st.tuples(*[st.sampled_from(SCORER_TROUBLES)] * SCORERS))
+    def begin(self, troubles):
+        """Starts a fleet whose scoring servers may be ill from the beginning."""
         self.loop = async_solipsism.EventLoop()
         self.dead: set[int] = set()
         self.version = 1
         self.count = 0
         self.run(self._begin())
+        for number, trouble in enumerate(troubles):
+            self.trouble_scorer(number, trouble)
 
     async def _begin(self):
-        self.fleet = PlatformFleet(GATEWAYS, ENGINES)
+        self.fleet = PlatformFleet(GATEWAYS, ENGINES, scorers=SCORERS)
         self.oracle = PlatformOracle(self.fleet)
         await self.fleet.wait(1.0)
 
@@ -56,15 +60,20 @@
         alive = [n for n in range(len(self.fleet.gateways)) if n not in self.dead]
         return self.fleet.gateways[alive[choice % len(alive)]] if alive else None
 
-    @rule(choice=st.integers(0, 9), items=st.integers(1, 14), behind=st.booleans())
-    def submit(self, choice, items, behind):
+    @rule(
+        choice=st.integers(0, 9),
+        items=st.integers(1, 14),
+        behind=st.booleans(),
+        scored=st.booleans(),
+    )
+    def submit(self, choice, items, behind, scored):
         """A trainer submits a batch."""
         gateway = self.living(choice)
         if gateway is None:
             return
         self.count += 1
         minimum = max(1, self.version - MAX_VERSION_GAP) if behind else 0
-        spec = make_batch(f"batch-{self.count}", items, minimum)
+        spec = make_batch(f"batch-{self.count}", items, minimum, scored=scored)
         self.run(self.oracle.submit(gateway, spec))
 
     @rule(choice=st.integers(0, 9), which=st.integers(0, 9), back=st.integers(0, 3))
@@ -145,6 +154,15 @@
         """An engine begins or ceases to break its streams off."""
         self.fleet.engines.engines[EngineId(f"engine-{number}")].break_after = after
 
+    @rule(number=st.integers(0, SCORERS - 1), trouble=st.sampled_from(SCORER_TROUBLES))
+    def trouble_scorer(self, number, trouble):
+        """A server that scores outputs falls ill, or heals."""
+        state = self.fleet.engines.engines[EngineId(f"scorer-{number}")]
+        state.down = trouble == "down"
+        state.break_after = 0 if trouble == "broken" else None
+        state.unsigned = trouble == "unsigned"
+        state.status = 500 if trouble == "failing" else None
+
     @rule()
     def name_version(self):
         """A trainer names the next version."""
@@ -182,6 +200,8 @@
         for state in fleet.engines.engines.values():
             state.down = False
             state.break_after = None
+            state.unsigned = False
+            state.status = None
         while len(fleet.gateways) - len(self.dead) < GATEWAYS:
             fleet.add_gateway(f"daemon-{len(fleet.gateways)}")
         for _ in range(LIVENESS_SECONDS):
