--- a/src/larkpost/cli.py
+++ b/src/larkpost/cli.py
@@ -11,6 +11,7 @@
 from rich.console import Console
 
 from larkpost import operator_calls
+from larkpost.batch_times import COLUMNS, read_batch_times, table
 from larkpost.config.plan import Plan
 from larkpost.errors import LarkpostError
 from larkpost.explain import explain
@@ -61,6 +62,25 @@
         print(line)
 
 
+@app.command(name="batches")
+def show_batches(
+    files: Annotated[
+        list[Path] | None, typer.Argument(help="Logs of the daemons; standard input if none.")
+    ] = None,
+) -> None:
+    """Print a table of where the time of each batch went, from all daemons' logs."""
+    with fileinput.input(files or (), encoding="utf-8", errors="replace") as lines:
+        try:
+            batches = read_batch_times(lines)
+        except OSError as error:
+            error_console.print(f"error unreadable_log: {error}", markup=False)
+            error_console.print("remedy: Name readable files, one for each log.", markup=False)
+            raise typer.Exit(1) from None
+    print("\t".join(COLUMNS))
+    for row in table(batches):
+        print("\t".join(row))
+
+
 @app.command()
 def run() -> None:
     """Run a daemon on the platform, with the settings that the platform has written."""
