--- a/src/larkpost/rollouts/repository.py
+++ b/src/larkpost/rollouts/repository.py
@@ -42,6 +42,10 @@
 MAX_TRANSACTION_BYTES = 600_000
 MAX_TRANSACTION_ROWS = 90
 WRITE_TIMEOUT_SECONDS = 1.5
+ACCEPT_TIMEOUT_SECONDS = 0.7
+"""First time limit of the write that accepts a batch; doubled after each silence."""
+ACCEPT_TIMEOUT_FACTOR = 4.0
+"""After an answer, the next write that accepts a batch may take this many times as long."""
 RETRY_SECONDS = 0.1
 FIRST_AFTER_SLASH = "0"
 """The character after the slash; ends the key range of one batch."""
@@ -80,6 +84,7 @@
         self._store = store
         self._clock = clock
         self._piece_bytes = store.row_bytes * 3 // 4
+        self._accept_timeout = ACCEPT_TIMEOUT_SECONDS
 
     async def accept(
         self, spec: BatchSpec, owner: DaemonId, upload: str, patience: float
@@ -106,7 +111,7 @@
             if outcome is WriteOutcome.DONE:
                 uploaded = True
                 commit = self._accept_transaction(spec, owner, upload, rows)
-                outcome = (await self._store.write(commit, WRITE_TIMEOUT_SECONDS)).outcome
+                outcome = await self._write_acceptance(commit)
                 uncertain = uncertain or outcome is WriteOutcome.UNKNOWN
             if outcome in (WriteOutcome.DONE, WriteOutcome.CONFLICT):
                 return AcceptOutcome.ACCEPTED
@@ -114,6 +119,21 @@
                 return AcceptOutcome.UNCERTAIN if uncertain else AcceptOutcome.REFUSED
             await self._clock.sleep(RETRY_SECONDS)
 
+    async def _write_acceptance(self, change: Transaction) -> WriteOutcome:
+        """Writes a batch's head, and learns how long the store may take for the next one.
+
+        A store that is silent to this daemon alone must not hold a trainer up that another daemon
+        could serve; one that is slow to all must be given its time.
+        """
+        started = self._clock.now()
+        outcome = (await self._store.write(change, self._accept_timeout)).outcome
+        if outcome is WriteOutcome.UNKNOWN:
+            wanted = 2 * self._accept_timeout
+        else:
+            wanted = ACCEPT_TIMEOUT_FACTOR * (self._clock.now() - started)
+        self._accept_timeout = min(WRITE_TIMEOUT_SECONDS, max(ACCEPT_TIMEOUT_SECONDS, wanted))
+        return outcome
+
     async def head(self, batch: BatchId) -> BatchHead | None:
         """Returns a batch's head, or None if there is no such batch.
 
