--- a/src/larkpost/fleet/members.py
+++ b/src/larkpost/fleet/members.py
@@ -33,22 +33,29 @@
 MEMBER_PART = "all"
 COORDINATORS = 12
 """Daemons that give orders and claim batches: enough that not all of them fail at once."""
-HEARTBEAT_SECONDS = 0.5
+HEARTBEAT_SECONDS = 0.25
 """Interval of a coordinator, of an owner of batches, and of a daemon that was restarted."""
+LISTED_ROWS_PER_SECOND = 200.0
+"""Most rows that such a daemon lists a second; in a larger fleet it beats and lists slower."""
 IDLE_HEARTBEAT_SECONDS = 2.0
 """Interval of all other daemons, in a fleet small enough for it."""
-IDLE_HEARTBEATS_PER_SECOND = 100.0
+IDLE_HEARTBEATS_PER_SECOND = 80.0
 """Most heartbeats that the idle daemons of a fleet write together; a larger fleet beats slower."""
 RESTARTED_SECONDS = 3.0
 """How long a restarted daemon beats often: its earlier life is to be found dead soon."""
 MISSED_HEARTBEATS = 3.2
 """A daemon is held dead once this many of its intervals have gone by without a heartbeat."""
 DEAD_AFTER_SECONDS = MISSED_HEARTBEATS * HEARTBEAT_SECONDS
-SUPERSEDED_SECONDS = 0.45
-"""Nearly a heartbeat: a life that missed one which a later life made is over."""
+"""The time until a daemon that beats often is held dead, in a small fleet over a quick store."""
+STORE_CALLS_ALLOWED = 4.0
+"""Calls to the store, as they take now, that are added to the time until a daemon is held dead."""
+STORE_CALL_WEIGHT = 0.3
+"""Weight of the newest call in the usual time of one."""
+SUPERSEDED_HEARTBEATS = 0.9
+"""A life that missed a heartbeat which a later life of its machine made is over."""
 BLIND_HEARTBEATS = 2.2
 """Intervals between two successful listings after which all observations start afresh."""
-TIMER_SLACK_SECONDS = 0.1
+TIMER_SLACK_SECONDS = 0.05
 FORGET_AFTER_SECONDS = 60.0
 MAX_REMOVALS = 40
 """Rows of dead daemons removed at once: a transaction takes a hundred entries."""
@@ -142,6 +149,7 @@
         self._beat_at: float | None = None
         self._promised_interval = HEARTBEAT_SECONDS
         self._listed_at: float | None = None
+        self._usual_call = 0.0
         self._seen: dict[DaemonId, _Observation] = {}
         self._newest_of_machine: dict[str, float] = {}
         self._alive: frozenset[DaemonId] = frozenset({own})
@@ -178,10 +186,11 @@
         if self._listed_at is None:
             return False
         if owner not in self._seen:
-            return self._listed_at - since < HEARTBEAT_SECONDS  # it may have just started
+            return self._listed_at - since < self._active_interval()  # it may have just started
         if owner not in self._alive:
             return False
-        return self._listed_at - max(self._seen[owner].changed_at, since) < DEAD_AFTER_SECONDS
+        silent_for = self._listed_at - max(self._seen[owner].changed_at, since)
+        return silent_for < self._patience(self._active_interval())
 
     def is_coordinator(self) -> bool:
         """Tells whether this daemon gives orders and claims batches."""
@@ -200,9 +209,20 @@
     def _interval(self) -> float:
         """Returns the seconds between two heartbeats, and between two listings, of this daemon."""
         if self.is_coordinator() or self._is_owner() or self._was_restarted():
-            return HEARTBEAT_SECONDS
+            return self._active_interval()
         return max(IDLE_HEARTBEAT_SECONDS, len(self._alive) / IDLE_HEARTBEATS_PER_SECOND)
 
+    def _active_interval(self) -> float:
+        """Returns the interval of daemons that others wait for, in a fleet of this size."""
+        return max(HEARTBEAT_SECONDS, len(self._seen) / LISTED_ROWS_PER_SECOND)
+
+    def _patience(self, interval: float) -> float:
+        """Returns the silence after which a daemon with this interval is held dead.
+
+        A slow store delays the heartbeat, its listing and what lies between, and blames nobody.
+        """
+        return MISSED_HEARTBEATS * interval + STORE_CALLS_ALLOWED * self._usual_call
+
     def _was_restarted(self) -> bool:
         """Tells whether this life is young and an earlier one of its machine is still listed."""
         if self._clock.now() - self._started_at >= RESTARTED_SECONDS:
@@ -230,9 +250,9 @@
         if self._listed_at is None:
             return False
         later = self._newest_of_machine[machine_of(daemon)]
-        if later - seen.changed_at >= SUPERSEDED_SECONDS:
+        if later - seen.changed_at >= SUPERSEDED_HEARTBEATS * self._active_interval():
             return False
-        return self._listed_at - seen.changed_at < MISSED_HEARTBEATS * seen.interval
+        return self._listed_at - seen.changed_at < self._patience(seen.interval)
 
     def _row(self) -> RowKey:
         return RowKey(MEMBER_TABLE, MEMBER_PART, self.own)
@@ -262,14 +282,17 @@
         if not self._is_due(self._listed_at):
             return
         interval = self._interval()
+        asked_at = self._clock.now()
         try:
             page = await read_all(self._store, MEMBER_TABLE, MEMBER_PART)
         except StoreUnavailableError:
             return
         now = self._clock.now()
+        self._usual_call += STORE_CALL_WEIGHT * (now - asked_at - self._usual_call)
         gap = now - self._listed_at if self._listed_at is not None else float("inf")
         self._listed_at = now
-        self._take(page.rows, now, blind=gap > BLIND_HEARTBEATS * interval)
+        usual_gap = interval + STORE_CALLS_ALLOWED * self._usual_call
+        self._take(page.rows, now, blind=gap > BLIND_HEARTBEATS * usual_gap)
         self._judge()
         self._note_changes(now)
         await self._forget(now)
