--- a/src/larkpost/fleet/directory.py
+++ b/src/larkpost/fleet/directory.py
@@ -16,7 +16,7 @@
     """
 
     READY = "ready"
-    UNLISTED = "unlisted"  # its entry went while the store was not sound; it may still serve
+    UNLISTED = "unlisted"  # its entry went while the store was not sound; it may be back soon
     LEAVING = "leaving"
 
 
@@ -44,7 +44,9 @@
     """All instances known, by id.
 
     An entry that goes while the store is sound ends the instance at once. While the store is not
-    sound entries also go for no reason of the instance's, so it is kept as a last resort.
+    sound entries also go for no reason of the instance's; those of living instances are back soon
+    after the store is. So the instance is kept until then, and serves like the others: if only
+    those listed again did, all work would fall on the first few.
     """
 
     def __init__(self) -> None:
@@ -109,12 +111,21 @@
             del self._observed[key]
 
     def of_service(self, service: ServiceName) -> list[InstanceInfo]:
-        """Returns the instances that may take new work: the listed ones, else the unlisted."""
-        fitting = [info for info in self._instances.values() if info.service == service]
-        listed = [info for info in fitting if info.state is InstanceState.READY]
-        if listed:
-            return listed
-        return [info for info in fitting if info.state is InstanceState.UNLISTED]
+        """Returns the instances that may take new work."""
+        return [
+            info
+            for info in self._instances.values()
+            if info.service == service and info.state is not InstanceState.LEAVING
+        ]
+
+    def drop_unlisted(self) -> list[EngineId]:
+        """Drops the instances whose entries are not back, and returns them."""
+        lapsed = [
+            name for name, info in self._instances.items() if info.state is InstanceState.UNLISTED
+        ]
+        for name in lapsed:
+            self.forget(name)
+        return lapsed
 
     def takes_work(self, instance: EngineId) -> bool:
         """Tells whether an instance may be given new work at this moment."""
--- a/src/larkpost/gateway.py
+++ b/src/larkpost/gateway.py
@@ -40,6 +40,9 @@
 """From the request to stop until no new connections are expected."""
 KILL_MARGIN_SECONDS = 1.0
 LOOP_INTERVAL_SECONDS = 0.5
+LAPSED_SECONDS = 2.2
+"""How long the store must have been sound for an entry that is missing to be gone for good."""
+LAPSED_INTERVAL_SECONDS = 0.25
 LATE_LOOP_SECONDS = 0.5
 """A delay of the event loop that is worth a line."""
 BATCH_RETENTION_SLACK_SECONDS = 60.0
@@ -127,7 +130,7 @@
             ports.clock,
             ports.log,
             ports.metrics,
-            ShareChooser(),
+            ShareChooser(ports.chance),
         )
         services = RunServices(
             self.configuration,
@@ -137,7 +140,7 @@
             ports.clock,
             ports.log,
             ports.metrics,
-            ShareChooser(),
+            ShareChooser(ports.chance),
             ports.store.time,
             asyncio.Semaphore(MAX_CALLS_IN_FLIGHT),
         )
@@ -188,6 +191,7 @@
         self.membership.start(self._tasks)
         self.keeper.start(self._tasks)
         self._loader.start(self._tasks)
+        self._tasks.every(LAPSED_INTERVAL_SECONDS, self._drop_lapsed, "lapsed")
         self._tasks.spawn(self._become_ready(), "readiness")
         self._tasks.spawn(self._watch_loop(), "loop")
 
@@ -276,6 +280,13 @@
         self.lifecycle.informed = True
         self._log.note(Event.READY, instances=len(self.directory))
 
+    async def _drop_lapsed(self) -> None:
+        """Gives up instances whose entries lapsed while the store was away and are not back."""
+        if self._instance_rows.sound_for(self._clock.now()) < LAPSED_SECONDS:
+            return
+        for instance in self.directory.drop_unlisted():
+            self._log.note(Event.INSTANCE, instance=instance, state="gone", sound=True)
+
     def _is_active(self) -> bool:
         """Tells whether this daemon has to act on news of batches at once."""
         return self.membership.is_coordinator() or bool(self.keeper.owned())
--- a/src/larkpost/platform/connections.py
+++ b/src/larkpost/platform/connections.py
@@ -1,11 +1,18 @@
 """Client connections: kept, checked before they are used again, and never left hanging."""
 
 import socket
+from time import monotonic
 
 import aiohttp
 
+from larkpost.ids import Address
+
 CONNECT_TIMEOUT_SECONDS = 1.0
 IDLE_SECONDS = 3.0
+"""How long an idle connection is used again if its server does not say how long it keeps it."""
+MOST_IDLE_SECONDS = 30.0
+IDLE_MARGIN_SECONDS = 1.5
+"""A connection is left alone this long before its server would close it."""
 PEER_SILENCE_MS = 3000
 """After this long without an acknowledgement of sent bytes, a connection is given up."""
 
@@ -16,13 +23,29 @@
     """Keeps connections, but never hands out one that holds bytes nobody asked for.
 
     A server may send a second answer after a whole one. On an idle connection those bytes lie in
-    the protocol's buffer, and the library would give them to the next request as its answer.
+    the protocol's buffer, and the library would give them to the next request as its answer. Nor
+    does it hand out a connection that its server is about to close.
     """
 
+    def __init__(self, **options) -> None:
+        super().__init__(**options)
+        self._idle_times: dict[Address, float] = {}
+
+    def note_idle_time(self, server: Address, seconds: float) -> None:
+        """Takes what a server said of how long it keeps connections that rest."""
+        usable = max(0.0, seconds - IDLE_MARGIN_SECONDS)
+        self._idle_times[server] = min(MOST_IDLE_SECONDS, usable)
+
     async def _get(self, key, traces):  # overrides a private method: the version is pinned
         idle = self._conns.get(key)
         if idle is not None:
-            spoiled = [entry for entry in idle if entry[0].should_close]
+            usable = self._idle_times.get(Address(f"{key.host}:{key.port}"), IDLE_SECONDS)
+            oldest = monotonic() - usable
+            spoiled = [
+                (protocol, resting_since)
+                for protocol, resting_since in idle
+                if protocol.should_close or resting_since < oldest
+            ]
             for entry in spoiled:
                 idle.remove(entry)
                 entry[0].close()
@@ -37,7 +60,7 @@
     Args:
         keep: whether connections are kept for later requests.
     """
-    lifetime = {"keepalive_timeout": IDLE_SECONDS} if keep else {"force_close": True}
+    lifetime = {"keepalive_timeout": MOST_IDLE_SECONDS} if keep else {"force_close": True}
     connector = CheckedConnector(limit=0, socket_factory=_open_socket, **lifetime)
     return aiohttp.ClientSession(
         connector=connector,
--- a/src/larkpost/platform/servers.py
+++ b/src/larkpost/platform/servers.py
@@ -1,6 +1,7 @@
 """The server adapter: requests, reports and orders over HTTP."""
 
 import asyncio
+import re
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
@@ -29,6 +30,7 @@
 )
 
 READ_BYTES = 65536
+IDLE_TIME = re.compile(r"timeout=(\d+)")
 CONNECT_FAILURES = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
 ANSWER_FAILURES = (aiohttp.ClientError, asyncio.TimeoutError, OSError, ValueError)
 ORDER_OUTCOMES = {
@@ -128,6 +130,7 @@
         except ANSWER_FAILURES as error:
             raise BrokenAnswerError(f"no answer: {type(error).__name__}: {error}") from None
         try:
+            _note_idle_time(session, instance, response)
             _check_ran(response, instance, request)
             yield HttpAnswer(response)
         finally:
@@ -196,6 +199,15 @@
     return headers
 
 
+def _note_idle_time(
+    session: aiohttp.ClientSession, instance: InstanceInfo, response: aiohttp.ClientResponse
+) -> None:
+    """Keeps how long the server says that it leaves the connection open while it rests."""
+    told = IDLE_TIME.search(response.headers.get("Keep-Alive", ""))
+    if told is not None:
+        session.connector.note_idle_time(instance.address, float(told[1]))
+
+
 def _check_ran(
     response: aiohttp.ClientResponse, instance: InstanceInfo, request: OutgoingRequest
 ) -> None:
--- a/src/larkpost/proxy/balancer.py
+++ b/src/larkpost/proxy/balancer.py
@@ -176,14 +176,18 @@
         use.others = max(0, load.running + load.waiting - use.outstanding)
         use.load_at = self._clock.now()
 
-    def note_pace(self, instance: EngineId, seconds: float) -> None:
-        """Takes a measurement of the time that a unit of work took at an instance."""
+    def note_pace(self, instance: EngineId, seconds: float, weight: float = PACE_WEIGHT) -> None:
+        """Takes a measurement of the time that a unit of work took at an instance.
+
+        Args:
+            weight: share of this measurement in the smoothed pace.
+        """
         use = self.use(instance)
         now = self._clock.now()
         if now - use.pace_at > PACE_LIFETIME_SECONDS:
             use.pace = seconds
         else:
-            use.pace += PACE_WEIGHT * (seconds - use.pace)
+            use.pace += weight * (seconds - use.pace)
         use.pace_at = now
 
     def avoid(self, instance: EngineId, seconds: float) -> None:
--- a/src/larkpost/proxy/shares.py
+++ b/src/larkpost/proxy/shares.py
@@ -1,19 +1,37 @@
 """Divides a route's requests among its services by weight, evenly at any moment."""
 
+import random
+
 from larkpost.fleet.configuration import Route, ServiceName
 
+FIRST_ROUNDS = 97
+"""A route begins after fewer requests than this that are only thought of."""
+
 
 class ShareChooser:
-    """Smooth weighted round robin, for each route on its own."""
+    """Smooth weighted round robin, for each route on its own.
 
-    def __init__(self) -> None:
+    Args:
+        chance: draws the place in the round at which a route begins. If every daemon began at the
+            same one, the first requests of all daemons would go to one service.
+    """
+
+    def __init__(self, chance: random.Random) -> None:
+        self._chance = chance
         self._credits: dict[str, dict[ServiceName, float]] = {}
 
     def choose(self, route: Route) -> ServiceName:
         """Returns the service for the route's next request."""
         if len(route.shares) == 1:
             return route.shares[0].service
-        credits = self._credits.setdefault(route.name, {})
+        if route.name not in self._credits:
+            self._credits[route.name] = {}
+            for _ in range(self._chance.randrange(FIRST_ROUNDS)):
+                self._next(route)
+        return self._next(route)
+
+    def _next(self, route: Route) -> ServiceName:
+        credits = self._credits[route.name]
         total = sum(share.weight for share in route.shares)
         for share in route.shares:
             credits[share.service] = credits.get(share.service, 0.0) + share.weight
--- a/src/larkpost/rollouts/attempt.py
+++ b/src/larkpost/rollouts/attempt.py
@@ -20,6 +20,7 @@
         failed_runs: runs that the engine itself answered as failed.
         impossible_answers: answers that say the item can never be done.
         moves: how often it was moved to a faster engine.
+        pace_left: pace of the engine that it was last moved away from; 0 once it has a new one.
         whole: whether the output is complete, so that no engine has to run the item again.
         failed_calls: reward calls of the whole output that the server itself answered as failed.
     """
@@ -31,6 +32,7 @@
     failed_runs: int = 0
     impossible_answers: int = 0
     moves: int = 0
+    pace_left: float = 0.0
     whole: bool = False
     failed_calls: int = 0
 
--- a/src/larkpost/rollouts/engine_choice.py
+++ b/src/larkpost/rollouts/engine_choice.py
@@ -14,6 +14,8 @@
 LONG_RUN_RATIO = 1.25
 """The same for an item that has made many events: such items are what a batch waits for."""
 LONG_RUN_EVENTS = 30
+PACE_TOLERANCE = 1.05
+"""A moved run takes an engine whose pace is above its limit by no more than this factor."""
 PACES_LIFETIME_SECONDS = 0.05
 """How long the paces of free engines serve: every run of a batch asks for them again and again."""
 
@@ -40,15 +42,22 @@
             self._item_services[item.id] = chosen
         return chosen
 
-    def choose(self, service: ServiceName) -> InstanceInfo | None:
+    def choose(self, service: ServiceName, pace_limit: float = 0.0) -> InstanceInfo | None:
         """Returns an engine with a free place and a version that may make the batch's tokens.
 
         Items come longest first, so that the longest ones get the fastest engines.
+
+        Args:
+            pace_limit: the engine must be known to be about as fast as this, in seconds for an
+                event; 0 for any engine.
         """
+        balancer = self._services.balancer
         candidates = self._with_place(service)
+        if pace_limit:
+            slowest = pace_limit * PACE_TOLERANCE
+            candidates = [info for info in candidates if 0 < balancer.pace(info.id) <= slowest]
         if not candidates:
             return None
-        balancer = self._services.balancer
         best = candidates[0]
         best_pace = balancer.pace(best.id)
         for info in candidates[1:]:
@@ -58,14 +67,19 @@
         return best
 
     def is_outpaced(self, engine: InstanceInfo, progress: Progress) -> bool:
-        """Tells whether an engine much faster than this one has a free place."""
+        """Tells whether an engine much faster than this one has a free place.
+
+        An engine whose weights are older than this one's is about to load and to refuse all work.
+        """
+        directory = self._services.directory
+        version = directory.version_of(engine.id, self._head.model)
         pace = self._services.balancer.pace(engine.id)
         long = len(progress.events) >= LONG_RUN_EVENTS
         ratio = LONG_RUN_RATIO if long else SLOW_RATIO
         return any(
             pace > other * ratio
             for name, other in self._free_paces(engine.service)
-            if name != engine.id
+            if name != engine.id and directory.version_of(name, self._head.model) >= version
         )
 
     def _free_paces(self, service: ServiceName) -> list[tuple[EngineId, float]]:
--- a/src/larkpost/rollouts/owned.py
+++ b/src/larkpost/rollouts/owned.py
@@ -17,7 +17,7 @@
 RETRY_SECONDS = 0.15
 FLUSH_SECONDS = 1.0
 """Longest time to append what waits when the batch is handed over."""
-PARTIAL_INTERVAL_SECONDS = 1.0
+PARTIAL_INTERVAL_SECONDS = 0.4
 MIN_NEW_EVENTS = 4
 """An item's output is kept again once it has grown by this many events."""
 FAULT_PAUSE_SECONDS = 1.0
--- a/src/larkpost/rollouts/place_queue.py
+++ b/src/larkpost/rollouts/place_queue.py
@@ -19,14 +19,21 @@
 """Places free up without notice when other daemons' requests end, so they are looked for."""
 PATIENCE_SECONDS = 0.5
 """How long an item waits before its route and its time are looked at again."""
+LIMITED_PATIENCE_SECONDS = 0.1
+"""The same for an item that wants a fast engine; after that it takes any."""
 
 
 @dataclass(frozen=True, slots=True)
 class _Waiting:
-    """An item in the queue; ``place`` is answered with its engine."""
+    """An item in the queue; ``place`` is answered with its engine.
+
+    Attributes:
+        pace_limit: the engine must be about as fast as this; 0 for any.
+    """
 
     item: Item
     route: Route
+    pace_limit: float
     place: asyncio.Future[InstanceInfo]
 
     @property
@@ -48,18 +55,22 @@
     def __len__(self) -> int:
         return len(self._waiting)
 
-    async def take(self, item: Item, route: Route) -> InstanceInfo | None:
+    async def take(self, item: Item, route: Route, pace_limit: float = 0.0) -> InstanceInfo | None:
         """Waits for a place; None if there was none for a while.
 
         The place counts as occupied from its assignment on; the caller releases it.
+
+        Args:
+            pace_limit: how fast the engine must be, in seconds for an event; 0 for any.
         """
         place: asyncio.Future[InstanceInfo] = asyncio.get_running_loop().create_future()
-        entry = _Waiting(item, route, place)
+        entry = _Waiting(item, route, pace_limit, place)
         bisect.insort(self._waiting, entry, key=lambda waiting: waiting.order)
         if self._server is None or self._server.done():
             self._server = asyncio.create_task(self._serve())
         try:
-            await asyncio.wait({place}, timeout=PATIENCE_SECONDS)
+            patience = LIMITED_PATIENCE_SECONDS if pace_limit else PATIENCE_SECONDS
+            await asyncio.wait({place}, timeout=patience)
         except asyncio.CancelledError:
             if place.done():
                 self._balancer.release(place.result().id)
@@ -87,9 +98,9 @@
             service = self._engines.service_of(entry.item, entry.route)
             engine = None
             if service is not None and service not in full:
-                engine = self._engines.choose(service)
+                engine = self._engines.choose(service, entry.pace_limit)
             if engine is None:
-                if service is not None:
+                if service is not None and not entry.pace_limit:
                     full.add(service)
                 left.append(entry)
                 continue
--- a/src/larkpost/rollouts/run.py
+++ b/src/larkpost/rollouts/run.py
@@ -35,6 +35,8 @@
 SILENT_AVOID_SECONDS = 1.5
 MAX_MOVES = 2
 """An item is moved this often at most: what it has made is read again at each new engine."""
+EVENT_PACE_WEIGHT = 0.06
+"""Weight of one pause between two events in an engine's pace: single pauses vary with prefills."""
 EVENTS_BETWEEN_LOOKS = 4
 """How often a run looks for a faster engine."""
 FAULT_PAUSE_SECONDS = 1.0
@@ -143,8 +145,10 @@
             if self._is_given_up(route):
                 end = RunEnd.DEAD
             elif route is not None:
-                engine = await self._places.take(item, route)
-                if engine is not None:
+                engine = await self._places.take(item, route, progress.pace_left)
+                if engine is None:
+                    progress.pace_left = 0.0  # no engine as fast has a place any more
+                else:
                     if queued_at is not None:
                         queued = self._services.clock.now() - queued_at
                         self._services.metrics.observe(Timing.ITEM_QUEUE, queued)
@@ -203,6 +207,7 @@
             reason = error.reason
         except MoveAwayError:
             progress.moves += 1
+            progress.pace_left = balancer.pace(engine.id)
             reason = "moved"
         except TimeoutError:
             balancer.avoid(engine.id, SILENT_AVOID_SECONDS)
@@ -241,6 +246,7 @@
             Event.ITEM_RUN,
             batch=self.head.id,
             item=progress.item.id,
+            group=progress.item.group,
             engine=engine.id,
             outcome=reason,
             events=len(progress.events),
@@ -327,7 +333,7 @@
             if last_at is None:
                 self._services.metrics.observe(Timing.ITEM_FIRST_EVENT, now - began)
             else:
-                self._services.balancer.note_pace(engine.id, now - last_at)
+                self._services.balancer.note_pace(engine.id, now - last_at, EVENT_PACE_WEIGHT)
             last_at = now
             count += 1
             may_move = progress.moves < MAX_MOVES and count % EVENTS_BETWEEN_LOOKS == 0
--- a/src/larkpost/rollouts/service.py
+++ b/src/larkpost/rollouts/service.py
@@ -15,14 +15,15 @@
 from larkpost.rollouts.view import BatchView, ViewCache
 from larkpost.store.port import StoreUnavailableError
 
-ACCEPT_PATIENCE_SECONDS = 2.5
+ACCEPT_PATIENCE_SECONDS = 0.6
+"""How long a batch is tried for while the store refuses: another daemon may reach the store."""
 END_PATIENCE_SECONDS = 2.0
-READ_POLL_SECONDS = 0.2
+READ_POLL_SECONDS = 0.1
 LEAST_WAIT_SECONDS = 0.001
 """A remaining wait below this counts as over."""
-FRESH_SECONDS = 0.25
+FRESH_SECONDS = 0.08
 """A list confirmed this recently is given without asking the store again."""
-RETRY_AFTER_SECONDS = 0.5
+RETRY_AFTER_SECONDS = 0.2
 MAX_PAGE_BYTES = 900_000
 
 
@@ -115,6 +116,7 @@
             Event.BATCH_ACCEPTED,
             batch=spec.id,
             items=len(spec.items),
+            desired_groups=spec.desired_groups,
             step=spec.step,
             model=spec.model,
             minimum_version=spec.minimum_version,
--- /dev/null
+++ b/tests/test_decisions.py
@@ -0,0 +1,210 @@
+"""How soon and how well a fleet decides: acceptance, taking over, places of moved runs."""
+
+import random
+import unittest
+from dataclasses import replace
+
+from larkpost.errors import LarkpostError
+from larkpost.fleet.configuration import ServiceShare
+from larkpost.fleet.directory import Directory, InstanceInfo, InstanceState
+from larkpost.fleet.members import DEAD_AFTER_SECONDS
+from larkpost.ids import Address, EngineId, ZoneId
+from larkpost.proxy.balancer import Balancer
+from larkpost.proxy.shares import ShareChooser
+from larkpost.rehearsal.memory_store import StoreFaults
+from larkpost.rollouts.attempt import Progress
+from larkpost.rollouts.engine_choice import EngineChoice
+from larkpost.rollouts.model import BatchHead
+from larkpost.store.port import RowKey, Transaction
+from tests.platform_fleet import (
+    ENGINES,
+    MODEL,
+    PAGES,
+    SCORER_ROUTE,
+    PlatformFleet,
+    check_results,
+    make_batch,
+)
+from tests.virtual import run
+
+REFUSAL_SECONDS = 1.0
+"""A trainer that waits longer loses the time in which another daemon would accept."""
+
+
+class AcceptanceTest(unittest.TestCase):
+    """A daemon that does not reach the store says so soon."""
+
+    def test_daemon_cut_off_from_the_store_answers_soon(self):
+        self.assertLess(self.seconds_until_refused(StoreFaults(down=True)), REFUSAL_SECONDS)
+
+    def test_daemon_refused_by_the_store_answers_soon(self):
+        self.assertLess(self.seconds_until_refused(StoreFaults(refuses=True)), REFUSAL_SECONDS)
+
+    def seconds_until_refused(self, faults: StoreFaults) -> float:
+        """Returns how long a submission takes to fail."""
+
+        async def play() -> float:
+            fleet = PlatformFleet()
+            await fleet.wait(1.0)
+            fleet.store.faults = faults
+            began = fleet.clock.now()
+            with self.assertRaises(LarkpostError):
+                await fleet.gateways[0].batches.submit(make_batch())
+            return fleet.clock.now() - began
+
+        return run(play())
+
+    def test_slow_store_is_waited_for(self):
+        async def play():
+            fleet = PlatformFleet()
+            await fleet.wait(1.0)
+            fleet.store.faults = StoreFaults(slow_seconds=0.3)
+            spec = make_batch("first")
+            await fleet.gateways[0].batches.submit(spec)
+            check_results(self, spec, await fleet.read_all(fleet.gateways[0], spec.id))
+            fleet.store.faults = StoreFaults(slow_seconds=0.8)
+            await fleet.wait(6.0)
+            spec = make_batch("second")
+            with self.assertRaises(LarkpostError):  # nothing is known of so slow a store yet
+                await fleet.gateways[1].batches.submit(spec)
+            await fleet.gateways[1].batches.submit(spec)
+            check_results(self, spec, await fleet.read_all(fleet.gateways[1], spec.id))
+
+        run(play())
+
+
+class TakeoverTest(unittest.TestCase):
+    """How soon a dead owner's batch goes on, and that a slow store blames nobody."""
+
+    def test_batch_of_a_dead_owner_is_claimed_soon(self):
+        async def play():
+            fleet = PlatformFleet()
+            await fleet.wait(3.0)
+            for state in fleet.engines.engines.values():
+                state.event_seconds = 0.3
+            spec = make_batch(items=40)
+            await fleet.gateways[0].batches.submit(spec)
+            await fleet.wait(0.5)
+            fleet.kill(0)
+            await fleet.wait(DEAD_AFTER_SECONDS + 0.7)
+            owners = [gateway for gateway in fleet.gateways[1:] if gateway.keeper.owned()]
+            self.assertEqual(1, len(owners))
+
+        run(play())
+
+    def test_slow_store_makes_no_living_daemon_dead(self):
+        async def play():
+            fleet = PlatformFleet()
+            await fleet.wait(3.0)
+            fleet.store.faults = StoreFaults(slow_seconds=0.3)
+            for _ in range(40):
+                await fleet.wait(0.25)
+                for gateway in fleet.gateways:
+                    self.assertEqual(3, len(list(gateway.membership.alive())))
+
+        run(play())
+
+
+class LapsedEntryTest(unittest.TestCase):
+    """Entries of servers that lapse while the store is away."""
+
+    def test_instances_serve_until_their_entries_are_back_or_given_up(self):
+        async def play():
+            fleet = PlatformFleet(engines=3)
+            await fleet.wait(4.0)
+            directory = fleet.gateways[0].directory
+            fleet.store.faults = StoreFaults(down=True)
+            await fleet.wait(2.0)
+            for name in ("engine-0", "engine-1", "engine-2"):
+                key = RowKey("instances", "", name)
+                fleet.store.apply(Transaction(removals=(key,)))
+            fleet.store.faults = StoreFaults()
+            fleet.add_engine(EngineId("engine-0"))
+            await fleet.wait(1.0)
+            self.assertEqual(3, len(directory.of_service(ENGINES)))
+            fleet.add_engine(EngineId("engine-1"))
+            await fleet.wait(3.5)
+            left = {info.id for info in directory.of_service(ENGINES)}
+            self.assertEqual({"engine-0", "engine-1"}, left)
+
+        run(play())
+
+
+class ShareTest(unittest.TestCase):
+    """Weights of a route's services, over many daemons with few requests each."""
+
+    def test_few_requests_at_many_daemons_keep_the_weights(self):
+        shares = (ServiceShare(ENGINES, 0.7), ServiceShare(PAGES, 0.3))
+        route = replace(SCORER_ROUTE, shares=shares)
+        chosen = []
+        for daemon in range(40):
+            chooser = ShareChooser(random.Random(daemon))
+            chosen.extend(chooser.choose(route) for _ in range(2))
+        self.assertAlmostEqual(0.7, chosen.count(ENGINES) / len(chosen), delta=0.1)
+
+
+class MovedRunTest(unittest.TestCase):
+    """Where a run that leaves a slow engine goes on."""
+
+    def begin(self, *paces: float) -> None:
+        """Starts a choice among engines of these paces; the version of each is 1."""
+        fleet = PlatformFleet(gateways=1, engines=0)
+        self.clock = fleet.clock
+        services = fleet.gateways[0].keeper._services
+        services.directory = self.directory = Directory()
+        services.balancer = self.balancer = Balancer(self.directory, self.clock, random.Random(0))
+        for number, pace in enumerate(paces):
+            self.put(number, version=1)
+            if pace:
+                self.balancer.note_pace(EngineId(f"e{number}"), pace)
+        spec = make_batch(items=1)
+        head = BatchHead(
+            spec.id, spec.host, spec.path, MODEL, 0, 0, 1, 1, fleet.gateways[0].id, 0.0, False, "u"
+        )
+        self.choice = EngineChoice(head, services)
+        self.progress = Progress(spec.items[0])
+
+    def put(self, number: int, version: int) -> None:
+        """Lists an engine with a version."""
+        engine = EngineId(f"e{number}")
+        state = InstanceState.READY
+        address = Address("10.0.0.1:1")
+        self.directory.update(
+            InstanceInfo(engine, ENGINES, address, ZoneId("z"), 2, state, {MODEL: version})
+        )
+
+    def fill(self, number: int) -> None:
+        """Takes all places of an engine."""
+        for _ in range(2):
+            self.balancer.occupy(EngineId(f"e{number}"))
+
+    def engine(self, number: int) -> InstanceInfo:
+        """Returns an engine."""
+        return self.directory.get(EngineId(f"e{number}"))
+
+    def test_moved_run_takes_no_slower_engine(self):
+        async def play():
+            self.begin(0.04, 0.02, 0.05, 0.0)
+            self.assertEqual("e1", self.choice.choose(ENGINES, 0.04).id)
+            self.fill(1)
+            self.assertEqual("e0", self.choice.choose(ENGINES, 0.04).id)
+            self.fill(0)
+            self.assertIsNone(self.choice.choose(ENGINES, 0.04))
+            self.assertIsNotNone(self.choice.choose(ENGINES))
+
+        run(play())
+
+    def test_run_stays_while_the_faster_engine_is_about_to_load(self):
+        async def play():
+            self.begin(0.04, 0.02)
+            self.put(0, version=2)
+            self.assertFalse(self.choice.is_outpaced(self.engine(0), self.progress))
+            self.put(1, version=2)
+            await self.clock.sleep(0.1)
+            self.assertTrue(self.choice.is_outpaced(self.engine(0), self.progress))
+
+        run(play())
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -89,7 +89,7 @@
             self.clock,
             EventLog("daemon"),
             Metrics(),
-            ShareChooser(),
+            ShareChooser(random.Random(0)),
         )
         self.sent = 0
 
--- a/tests/test_platform_servers.py
+++ b/tests/test_platform_servers.py
@@ -5,10 +5,12 @@
 import struct
 import unittest
 from dataclasses import replace
+from unittest import mock
 
 from larkpost.fleet.configuration import ServiceName
 from larkpost.fleet.directory import InstanceInfo, InstanceState
 from larkpost.ids import Address, EngineId, ZoneId
+from larkpost.platform import connections
 from larkpost.platform.servers import HttpServers
 from larkpost.proxy.port import BrokenAnswerError, NotRunError, NotRunReason, OutgoingRequest
 
@@ -129,6 +131,23 @@
             return found, error
         return found, None
 
+    async def use_twice(self, told: str, rest: float) -> int:
+        """Returns the connections that two requests take, with a rest between them."""
+        header = ECHO + f"Keep-Alive: timeout={told}\r\n".encode()
+        answers = whole(b"first", header), whole(b"second", header.replace(b"r1", b"r2"))
+        async with ScriptedServer(*answers) as server:
+            await self.fetch(server, request(1))
+            await asyncio.sleep(rest)
+            await self.fetch(server, request(2))
+            return server.connections
+
+    async def test_idle_connection_is_kept_as_long_as_its_server_says(self):
+        with mock.patch.object(connections, "IDLE_SECONDS", 0.05):
+            self.assertEqual(1, await self.use_twice("10", 0.15))
+
+    async def test_idle_connection_is_not_used_when_its_server_is_about_to_close_it(self):
+        self.assertEqual(2, await self.use_twice("1", 0.05))
+
     async def test_answer_too_many_on_an_idle_connection(self):
         """Bytes that arrive on an idle connection are no answer to the next request."""
         second = whole(b"second", ECHO.replace(b"r1", b"r2"))
