--- a/src/larkpost/cli.py
+++ b/src/larkpost/cli.py
@@ -1,7 +1,7 @@
 """The command line: ``serve`` runs a daemon, the other verbs speak to one."""
 
 import fileinput
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from contextlib import contextmanager
 from pathlib import Path
 from typing import Annotated
@@ -43,6 +43,18 @@
         raise typer.Exit(1) from None
 
 
+@contextmanager
+def _log_lines(files: list[Path] | None) -> Iterator[Iterable[str]]:
+    """Yields the lines of logs, or of standard input; ends with status 1 if one is unreadable."""
+    with fileinput.input(files or (), encoding="utf-8", errors="replace") as lines:
+        try:
+            yield lines
+        except OSError as error:
+            error_console.print(f"error unreadable_log: {error}", markup=False)
+            error_console.print("remedy: Name readable files, one for each log.", markup=False)
+            raise typer.Exit(1) from None
+
+
 @app.command(name="explain")
 def explain_id(
     identifier: Annotated[str, typer.Argument(help="Id of a request, batch, item or instance.")],
@@ -51,13 +63,8 @@
     ] = None,
 ) -> None:
     """Print the story of one id across all daemons' logs, and what is missing from it."""
-    with fileinput.input(files or (), encoding="utf-8", errors="replace") as lines:
-        try:
-            story = explain(lines, identifier)
-        except OSError as error:
-            error_console.print(f"error unreadable_log: {error}", markup=False)
-            error_console.print("remedy: Name readable files, one for each log.", markup=False)
-            raise typer.Exit(1) from None
+    with _log_lines(files) as lines:
+        story = explain(lines, identifier)
     for line in story:
         print(line)
 
@@ -69,13 +76,8 @@
     ] = None,
 ) -> None:
     """Print a table of where the time of each batch went, from all daemons' logs."""
-    with fileinput.input(files or (), encoding="utf-8", errors="replace") as lines:
-        try:
-            batches = read_batch_times(lines)
-        except OSError as error:
-            error_console.print(f"error unreadable_log: {error}", markup=False)
-            error_console.print("remedy: Name readable files, one for each log.", markup=False)
-            raise typer.Exit(1) from None
+    with _log_lines(files) as lines:
+        batches = read_batch_times(lines)
     print("\t".join(COLUMNS))
     for row in table(batches):
         print("\t".join(row))
--- a/src/larkpost/platform/batches.py
+++ b/src/larkpost/platform/batches.py
@@ -42,11 +42,27 @@
         )
     except (KeyError, TypeError, AttributeError, binascii.Error) as error:
         raise ValueError(f"the batch cannot be read: {error!r}") from None
+    for item in items:
+        _check_sendable(item)
     if len({item.id for item in items}) != len(items):
         raise ValueError("two requests of the batch have one id")
     return spec
 
 
+def _check_sendable(item: Item) -> None:
+    """Checks that everything of an item that goes into a request's head can be sent.
+
+    Raises:
+        ValueError: a text has characters that no head can carry.
+    """
+    texts = [item.id, item.path, *(text for header in item.headers for text in header)]
+    if item.reward_call is not None:
+        texts += [item.reward_call.id, item.reward_call.host, item.reward_call.path]
+    for text in texts:
+        if not text.isprintable() or not text.isascii():
+            raise ValueError(f"item {item.id!r}: {text!r} cannot be sent in a request's head")
+
+
 def read_position(query: dict[str, list[str]]) -> int:
     """Returns the position from which results are asked for.
 
--- a/src/larkpost/rollouts/attempt.py
+++ b/src/larkpost/rollouts/attempt.py
@@ -20,7 +20,8 @@
         failed_runs: runs that the engine itself answered as failed.
         impossible_answers: answers that say the item can never be done.
         moves: how often it was moved to a faster engine.
-        pace_left: pace of the engine that it was last moved away from; 0 once it has a new one.
+        pace_left: pace of the engine that it was last moved away from, which bounds that of the
+            next one; 0 if it was not moved, or no engine as fast had a place.
         whole: whether the output is complete, so that no engine has to run the item again.
         failed_calls: reward calls of the whole output that the server itself answered as failed.
     """
--- a/src/larkpost/rollouts/run.py
+++ b/src/larkpost/rollouts/run.py
@@ -131,7 +131,7 @@
         outcome = await self._scorer.score(
             progress,
             call,
-            route.max_attempts if route is not None else 1,
+            route.max_attempts if route is not None else 0,
             lambda: self._is_given_up(self._route(item)),
         )
         return outcome.score if outcome.state is RewardState.SCORED else None
--- a/tests/test_reward_calls.py
+++ b/tests/test_reward_calls.py
@@ -327,6 +327,13 @@
         with self.assertRaisesRegex(ValueError, "host"):
             read_batch(b"b1", "trainers.example", b"/r/x", content)
 
+    def test_text_that_no_head_can_carry_is_a_clear_error(self):
+        for field in ("id", "host", "path"):
+            call = {"id": "c1", "host": "h", "path": "/s", "body": ""} | {field: "\u0416\r\n"}
+            content = orjson.dumps({"requests": [{"id": "i1", "path": "/r/1", "scorer-url": call}]})
+            with self.subTest(field), self.assertRaisesRegex(ValueError, "i1"):
+                read_batch(b"b1", "trainers.example", b"/r/x", content)
+
     def test_page_tells_the_score(self):
         result = Result("i1", ResultState.DONE, "text", (1,), "stamp")
         document = write_page(ResultPage(1, 0, (result,)))
