--- a/src/larkpost/eventlog.py
+++ b/src/larkpost/eventlog.py
@@ -33,6 +33,7 @@
     INSTANCE = "instance"
     WEIGHT_TARGET = "weight_target"
     STORE = "store"
+    STORE_RELAY = "store_relay"
     UNREADABLE = "unreadable"
     LEASE_LAPSED = "lease_lapsed"
     ORDER = "order"
--- a/src/larkpost/fleet/members.py
+++ b/src/larkpost/fleet/members.py
@@ -18,7 +18,7 @@
 from larkpost.clock import Clock
 from larkpost.eventlog import Event, EventLog
 from larkpost.hashing import hash64
-from larkpost.ids import DaemonId, EngineId
+from larkpost.ids import Address, DaemonId, EngineId
 from larkpost.store.port import (
     Row,
     RowKey,
@@ -84,15 +84,22 @@
     Attributes:
         interval: seconds until it will write again.
         uses: what it tells the others of its use of instances.
+        address: where it makes calls to the store for daemons that the store turns away, or None.
     """
 
     interval: float
     uses: UseSummary
+    address: Address | None = None
 
 
 def encode_heartbeat(heartbeat: Heartbeat) -> bytes:
     """Returns a heartbeat as a row's value."""
-    return orjson.dumps({"interval": heartbeat.interval, "uses": heartbeat.uses})
+    fields = {
+        "interval": heartbeat.interval,
+        "uses": heartbeat.uses,
+        "address": heartbeat.address,
+    }
+    return orjson.dumps(fields)
 
 
 def decode_heartbeat(value: bytes) -> Heartbeat:
@@ -103,7 +110,12 @@
     """
     try:
         document = orjson.loads(value)
-        return Heartbeat(float(document["interval"]), dict(document["uses"]))
+        address = document.get("address")
+        return Heartbeat(
+            float(document["interval"]),
+            dict(document["uses"]),
+            Address(address) if address else None,
+        )
     except (KeyError, TypeError) as error:
         raise ValueError(f"no heartbeat: {error!r}") from None
 
@@ -113,6 +125,7 @@
     version: int
     changed_at: float
     interval: float
+    address: Address | None
 
 
 class Membership:
@@ -123,6 +136,7 @@
         summary: returns what this daemon tells the others with each heartbeat.
         listener: called with each new summary of another daemon; an empty one when it is gone.
         is_owner: tells whether this daemon owns batches.
+        address: where this daemon makes calls to the store for others, or None.
     """
 
     def __init__(
@@ -134,12 +148,14 @@
         listener: Callable[[DaemonId, UseSummary], None],
         log: EventLog,
         is_owner: Callable[[], bool] = lambda: False,
+        address: Address | None = None,
     ) -> None:
         self.own = own
         self._summary = summary
         self._listener = listener
         self._log = log
         self._is_owner = is_owner
+        self._address = address
         self._noted: set[DaemonId] = set()
         self._noted_coordinator = False
         self._store = store
@@ -169,6 +185,14 @@
         """Returns the daemons held alive; this one too, unless it is leaving."""
         return self._alive
 
+    def peer_addresses(self) -> list[Address]:
+        """Returns where the other daemons held alive make calls to the store for others."""
+        return [
+            seen.address
+            for name, seen in self._seen.items()
+            if seen.address is not None and name in self._alive and name != self.own
+        ]
+
     def is_alive(self, daemon: DaemonId) -> bool:
         """Tells whether a daemon is held alive."""
         return daemon in self._alive
@@ -274,7 +298,8 @@
             return
         self._beat_at = self._clock.now()
         self._promised_interval = self._interval()
-        value = encode_heartbeat(Heartbeat(self._promised_interval, self._summary()))
+        heartbeat = Heartbeat(self._promised_interval, self._summary(), self._address)
+        value = encode_heartbeat(heartbeat)
         put = Transaction(puts=((self._row(), value),))
         await self._store.write(put, WRITE_TIMEOUT_SECONDS)
 
@@ -307,7 +332,9 @@
                 heartbeat = self._read(name, row)
                 if name != self.own:
                     self._listener(name, heartbeat.uses)
-                self._seen[name] = _Observation(row.version, now, heartbeat.interval)
+                self._seen[name] = _Observation(
+                    row.version, now, heartbeat.interval, heartbeat.address
+                )
             elif blind:
                 seen.changed_at = now
         for name in self._seen.keys() - {row.key.key for row in rows}:
--- a/src/larkpost/gateway.py
+++ b/src/larkpost/gateway.py
@@ -14,7 +14,7 @@
 from larkpost.fleet.loader import WeightLoader
 from larkpost.fleet.members import Membership, new_life
 from larkpost.fleet.weights import WeightTarget, WeightTargets
-from larkpost.ids import EngineId
+from larkpost.ids import Address, EngineId
 from larkpost.metrics import Level, Metrics
 from larkpost.proxy.balancer import Balancer
 from larkpost.proxy.forwarder import Forwarder
@@ -28,6 +28,7 @@
 from larkpost.rollouts.view import ViewCache
 from larkpost.store.follower import TableFollower
 from larkpost.store.port import Row, Store
+from larkpost.store.relay import RelayedStore
 from larkpost.tasks import TaskSet
 from larkpost.telemetry import Telemetry
 
@@ -77,6 +78,7 @@
         lease_time: time after a holder's last order before another holder may order.
         grace_time: time between the request to stop and the kill.
         batch_lifetime: time for which a batch must be readable.
+        peer_address: where it makes calls to the store for other daemons, or None.
     """
 
     machine: str
@@ -84,11 +86,16 @@
     lease_time: float = 3.0
     grace_time: float = 8.0
     batch_lifetime: float = 120.0
+    peer_address: Address | None = None
 
 
 @dataclass(slots=True)
 class GatewayPorts:
-    """Everything outside the daemon."""
+    """Everything outside the daemon.
+
+    Attributes:
+        relay: the store itself, if it can be reached by way of peers.
+    """
 
     store: Store
     servers: ServerPort
@@ -96,6 +103,7 @@
     readers: RowReaders
     log: EventLog
     metrics: Metrics = field(default_factory=Metrics)
+    relay: RelayedStore | None = None
     chance: random.Random = field(default_factory=random.Random)
 
 
@@ -122,6 +130,7 @@
             self.balancer.take_summary,
             ports.log,
             lambda: bool(self.keeper.owned()),
+            settings.peer_address,
         )
         self.forwarder = Forwarder(
             self.directory,
@@ -188,6 +197,8 @@
         self._log.note(Event.START, id=self.id)
         for follower in self._followers().values():
             follower.start(self._tasks)
+        if self._ports.relay is not None:
+            self._ports.relay.start(self.membership.peer_addresses, self._tasks)
         self.membership.start(self._tasks)
         self.keeper.start(self._tasks)
         self._loader.start(self._tasks)
@@ -252,6 +263,8 @@
         metrics.set(Level.RESULTS_WAITING, sum(batch.waiting for batch in owned))
         metrics.set(Level.LOOP_LAG, self._loop_lag)
         metrics.set(Level.READY, int(self.lifecycle.ready))
+        relay = self._ports.relay
+        metrics.set(Level.STORE_RELAYED, int(relay is not None and relay.is_relayed))
         metrics.set(Level.COORDINATOR, int(self.membership.is_coordinator()))
         self._loop_lag = 0.0
         return metrics.text()
--- a/src/larkpost/metrics.py
+++ b/src/larkpost/metrics.py
@@ -55,6 +55,7 @@
     LOOP_LAG = "larkpost_loop_lag_seconds"
     READY = "larkpost_ready"
     COORDINATOR = "larkpost_coordinator"
+    STORE_RELAYED = "larkpost_store_relayed"
 
 
 LEVELS: dict[Level, tuple[str, tuple[str, ...]]] = {
@@ -69,6 +70,7 @@
     Level.RESULTS_WAITING: ("Results that wait for their append.", ()),
     Level.LOOP_LAG: ("Largest delay of the event loop since the last reading.", ()),
     Level.COORDINATOR: ("Whether this daemon gives orders and claims batches (1) or not (0).", ()),
+    Level.STORE_RELAYED: ("Whether a peer makes this daemon's calls to the store (1).", ()),
     Level.READY: ("Whether new clients may come (1) or not (0).", ()),
 }
 
--- /dev/null
+++ b/src/larkpost/platform/peer_store.py
@@ -0,0 +1,69 @@
+"""Makes calls to the store for other daemons that the store turns away.
+
+The documents are the store's own and pass unchanged in both directions, so a daemon speaks to a
+peer as it speaks to the store.
+"""
+
+from collections.abc import Awaitable, Callable
+
+from larkpost.platform import names
+from larkpost.platform.store import HttpStore
+
+RELAYED_CALLS = {
+    ("POST", names.TRANSACTION_CALL),
+    ("GET", names.READ_CALL),
+    ("GET", names.FEED_CALL),
+}
+MAX_BODY_BYTES = 1_500_000
+NOT_FOUND = 404
+TOO_LARGE = 413
+UNAVAILABLE = 503
+
+Receive = Callable[[], Awaitable[dict]]
+Send = Callable[[dict], Awaitable[None]]
+
+
+class PeerStoreApp:
+    """The application behind the address at which peers ask for calls to the store."""
+
+    def __init__(self, store: HttpStore) -> None:
+        self._store = store
+
+    async def __call__(self, scope: dict, receive: Receive, send: Send) -> None:
+        """Makes the call, unless the store turns this daemon away as well."""
+        status, content = await self._answer(scope, receive)
+        headers = [
+            (b"content-type", b"application/json"),
+            (b"content-length", str(len(content)).encode()),
+        ]
+        await send({"type": "http.response.start", "status": status, "headers": headers})
+        await send({"type": "http.response.body", "body": content})
+
+    async def _answer(self, scope: dict, receive: Receive) -> tuple[int, bytes]:
+        if (scope["method"], scope["path"]) not in RELAYED_CALLS:
+            return NOT_FOUND, b""
+        body = await _read_body(receive)
+        if body is None:
+            return TOO_LARGE, b""
+        if self._store.is_failing:
+            return UNAVAILABLE, b""
+        query = scope["query_string"].decode("latin-1")
+        target = f"{scope['path']}?{query}" if query else scope["path"]
+        return await self._store.pass_on(scope["method"], target, body or None)
+
+
+async def _read_body(receive: Receive) -> bytes | None:
+    """Returns a request's whole body, or None if it is too large or broke off."""
+    parts: list[bytes] = []
+    size = 0
+    while True:
+        message = await receive()
+        if message["type"] == "http.disconnect":
+            return None
+        part = message.get("body", b"")
+        size += len(part)
+        if size > MAX_BODY_BYTES:
+            return None
+        parts.append(part)
+        if not message.get("more_body", False):
+            return b"".join(parts)
--- a/src/larkpost/platform/process.py
+++ b/src/larkpost/platform/process.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import gc
+import random
 import signal
 from pathlib import Path
 
@@ -14,6 +15,7 @@
 from larkpost.platform import names, operator
 from larkpost.platform.http_protocol import Listener
 from larkpost.platform.ingress import Ingress, MetricsApp, ReadinessApp
+from larkpost.platform.peer_store import PeerStoreApp
 from larkpost.platform.servers import HttpServers
 from larkpost.platform.settings import (
     PlatformSettings,
@@ -21,6 +23,7 @@
     settings_path,
 )
 from larkpost.platform.store import HttpStore
+from larkpost.store.relay import RelayedStore
 
 SETTINGS_POLL_SECONDS = 1.0
 
@@ -48,11 +51,18 @@
     settings = load_platform_settings(path)
     metrics = Metrics()
     log = EventLog(settings.machine, LineWriter(), metrics)
-    store = HttpStore(settings.store, settings.row_bytes, metrics)
+    direct = HttpStore(settings.store, settings.row_bytes, metrics)
+    store = RelayedStore(
+        direct,
+        lambda address: HttpStore(address, settings.row_bytes, metrics),
+        LoopClock(),
+        log,
+        random.Random(),
+    )
     servers = HttpServers()
     gateway = Gateway(
         _gateway_settings(settings),
-        GatewayPorts(store, servers, LoopClock(), READERS, log, metrics),
+        GatewayPorts(store, servers, LoopClock(), READERS, log, metrics, store),
     )
     ingress = Ingress(gateway.configuration, gateway.lifecycle, gateway.forwarder, gateway.batches)
     front = Listener(ingress, settings.front, ingress.limits)
@@ -61,6 +71,8 @@
         port, metrics_path = settings.metrics
         address = Address(f"{settings.ip}:{port}")
         listeners.append(Listener(MetricsApp(gateway.read_metrics, metrics_path), address))
+    if settings.peer is not None:
+        listeners.append(Listener(PeerStoreApp(direct), settings.peer))
     stop = asyncio.Event()
     reload = asyncio.Event()
     loop = asyncio.get_running_loop()
@@ -72,7 +84,7 @@
         await listener.start()
     gc.freeze()
     watcher = asyncio.create_task(
-        watch_settings(path, content, reload, gateway.settings, store, log)
+        watch_settings(path, content, reload, gateway.settings, direct, log)
     )
     await stop.wait()
     await gateway.drain()
@@ -82,6 +94,7 @@
         await listener.close()
     await servers.close()
     await store.close()
+    await direct.close()
 
 
 def _read(path: Path) -> bytes:
@@ -99,6 +112,7 @@
         lease_time=settings.lease_time,
         grace_time=settings.grace_time,
         batch_lifetime=settings.batch_lifetime,
+        peer_address=settings.peer,
     )
 
 
--- a/src/larkpost/platform/settings.py
+++ b/src/larkpost/platform/settings.py
@@ -21,6 +21,7 @@
         lease_time: time after a holder's last order before another holder may order.
         grace_time: time between the request to stop and the kill.
         batch_lifetime: time after its submission for which a batch must be readable.
+        peer: where this daemon makes calls to the store for others; None if no port is free.
         metrics: port and path of the metrics, or None.
     """
 
@@ -30,6 +31,7 @@
     front: Address
     ready: Address
     store: Address
+    peer: Address | None
     row_bytes: int
     contact_time: float
     lease_time: float
@@ -72,6 +74,7 @@
         front=_address(document, "listen", "front"),
         ready=_address(document, "listen", "ready"),
         store=_address(document, "platform", "address"),
+        peer=_peer(document, ip),
         row_bytes=int(_number(document, "platform", "row_bytes", default=65536)),
         contact_time=_number(document, "bounds", "contact-ms", default=3000) / 1000,
         lease_time=_number(document, "bounds", "lease-ms", default=3000) / 1000,
@@ -113,6 +116,15 @@
     return float(value)
 
 
+def _peer(document: dict[str, Any], ip: str) -> Address | None:
+    ports = _find(document, ("port-range",))
+    if not ports:
+        return None
+    if not isinstance(ports, list) or not isinstance(ports[0], int) or not 0 < ports[0] < 65536:
+        raise _wrong(("port-range",), ports, "two ports")
+    return Address(f"{ip}:{ports[0]}")
+
+
 def _metrics(document: dict[str, Any]) -> tuple[int, str] | None:
     value = _find(document, ("metrics",))
     if not value:
--- a/src/larkpost/platform/stand_in/daemon_settings.py
+++ b/src/larkpost/platform/stand_in/daemon_settings.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
+from larkpost.addresses import split_address
 from larkpost.ids import Address, ZoneId
 from larkpost.platform import names
 
@@ -13,6 +14,7 @@
 ip = "127.0.0.1"
 zone = "{zone}"
 region = "demo"
+port-range = [{peer_port},{peer_port}]
 [listen]
 front = "{front}"
 ready = "{ready}"
@@ -35,6 +37,7 @@
     zone: ZoneId
     front: Address
     ready: Address
+    peer: Address
     store: Address
 
 
@@ -46,6 +49,7 @@
         zone=place.zone,
         front=place.front,
         ready=place.ready,
+        peer_port=split_address(place.peer)[1],
         store=place.store,
     )
     path.write_text(text, encoding="utf-8")
--- a/src/larkpost/platform/store.py
+++ b/src/larkpost/platform/store.py
@@ -26,9 +26,13 @@
 )
 
 READ_TIMEOUT_SECONDS = 1.5
+PASS_ON_SECONDS = 3.0
+"""Most time for a call that is made for a peer; its feed waits for a second of it."""
 CALL_KINDS = {names.READ_CALL: "read", names.FEED_CALL: "feed"}
 CALL_FAILURES = (aiohttp.ClientError, asyncio.TimeoutError, OSError, ValueError, KeyError)
 """Everything a call may end with besides an answer; malformed answers included."""
+NOT_SENT = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
+ANSWERED = ("answered", "410", WriteOutcome.DONE, WriteOutcome.CONFLICT)
 
 
 class HttpStore:
@@ -38,6 +42,9 @@
         address: where the store listens.
         row_bytes: most bytes in a row's value.
         metrics: counts and times the calls.
+
+    Attributes:
+        is_failing: whether the last call got no answer, or a refusal.
     """
 
     def __init__(self, address: Address, row_bytes: int, metrics: Metrics | None = None) -> None:
@@ -46,6 +53,7 @@
         self._metrics = metrics or Metrics()
         self._session = make_session()
         self._clock_offset: float | None = None
+        self.is_failing = False
 
     def move(self, address: Address) -> None:
         """Takes another address for all later calls."""
@@ -68,13 +76,32 @@
         try:
             status, answer = await self._call("POST", names.TRANSACTION_CALL, body, timeout)
             result = _write_result(status, answer)
-        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
+        except NOT_SENT:
             result = WriteResult(WriteOutcome.NOT_DONE)
         except CALL_FAILURES:
             result = WriteResult(WriteOutcome.UNKNOWN)
         self._note("write", result.outcome, started)
         return result
 
+    async def pass_on(self, method: str, target: str, body: bytes | None) -> tuple[int, bytes]:
+        """Makes a peer's call and returns the store's status and document as they came.
+
+        Returns:
+            503 if the call was certainly not made, 504 if the store did not answer.
+        """
+        url = URL(self._base + target, encoded=True)
+        headers = {"Content-Type": "application/json"} if body is not None else {}
+        try:
+            async with (
+                asyncio.timeout(PASS_ON_SECONDS),
+                self._session.request(method, url, data=body, headers=headers) as response,
+            ):
+                return response.status, await response.read()
+        except NOT_SENT:
+            return 503, b""
+        except CALL_FAILURES:
+            return 504, b""
+
     async def read(
         self, table: str, part: str, first: str = "", end: str = "", limit: int = 0
     ) -> RowPage:
@@ -109,6 +136,7 @@
         return answer
 
     def _note(self, kind: str, outcome: str, started: float) -> None:
+        self.is_failing = outcome not in ANSWERED
         self._metrics.count(Count.STORE_CALLS, kind, outcome)
         self._metrics.observe(Timing.STORE_CALL, time.monotonic() - started, kind)
 
--- a/src/larkpost/rehearsal/memory_store.py
+++ b/src/larkpost/rehearsal/memory_store.py
@@ -106,6 +106,7 @@
 
     Attributes:
         cut_off: whether this client cannot reach the store.
+        refused: whether the store turns this client away.
     """
 
     row_bytes = 65536
@@ -114,6 +115,10 @@
         self._store = store
         self._answer_seconds = answer_seconds
         self.cut_off = False
+        self.refused = False
+
+    async def close(self) -> None:
+        """Does nothing: there are no connections."""
 
     def time(self) -> float:
         """Returns the store's clock."""
@@ -159,7 +164,7 @@
 
     async def changes(self, table: str, after: int, wait: float) -> RowPage:
         """Returns the changes of a table; see the port."""
-        if await self._is_silent(wait + 1.5) or self._store.faults.refuses:
+        if await self._is_silent(wait + 1.5) or self._is_refused(set()):
             raise StoreUnavailableError("the store does not answer")
         store = self._store
         give_up_at = store.clock.now() + wait
@@ -185,4 +190,4 @@
 
     def _is_refused(self, parts: set[str]) -> bool:
         faults = self._store.faults
-        return faults.refuses or bool(parts & faults.parts_down)
+        return self.refused or faults.refuses or bool(parts & faults.parts_down)
--- a/src/larkpost/rehearsal/platform_fleet.py
+++ b/src/larkpost/rehearsal/platform_fleet.py
@@ -128,7 +128,7 @@
 def _start_daemon(group: ProcessGroup, site: PlatformSite, number: int, folder: Path) -> None:
     zone = site.shape.zones[number % len(site.shape.zones)]
     name = f"front-{zone}-{number}"
-    place = DaemonPlace(name, zone, free_address(), free_address(), site.store)
+    place = DaemonPlace(name, zone, free_address(), free_address(), free_address(), site.store)
     environment = write_settings(place, folder)
     site.daemons[name] = group.start_module(name, DAEMON_MODULE, environment=environment)
     site.fronts[name] = place.front
--- /dev/null
+++ b/src/larkpost/store/relay.py
@@ -0,0 +1,187 @@
+"""A store whose calls another daemon makes while the store turns this one away.
+
+The store may refuse or drop single machines while it serves the others. A daemon that it refuses
+asks a peer to make its calls, so that its batches stay with it and their results are listed at
+once. If no peer reaches the store either, the store is away for all, and nothing is gained: peers
+are left alone for a while then.
+
+Every write that larkpost makes is conditional or harmless when it is done twice, but a write
+without an answer is never sent again from here: its caller reads what became of it.
+"""
+
+import random
+from collections.abc import Awaitable, Callable, Sequence
+from typing import Protocol, TypeVar
+
+from larkpost.clock import Clock
+from larkpost.eventlog import Event, EventLog
+from larkpost.ids import Address
+from larkpost.store.port import (
+    RowPage,
+    Store,
+    StoreUnavailableError,
+    Transaction,
+    WriteOutcome,
+    WriteResult,
+)
+from larkpost.tasks import TaskSet
+
+PROBE_INTERVAL_SECONDS = 0.5
+"""How often a relayed daemon looks whether the store takes its own calls again."""
+NO_PEER_PAUSE_SECONDS = 0.7
+"""How long peers are left alone after none of those asked could help."""
+PEERS_ASKED = 3
+MOST_PEER_SECONDS = 0.8
+"""Most time for a call by way of a peer, besides the time that a feed may wait."""
+PROBE_TABLE = "members"
+PROBE_PART = "all"
+REFUSED = (WriteOutcome.NOT_DONE, WriteOutcome.THROTTLED)
+
+Answer = TypeVar("Answer")
+
+
+class PeerStore(Store, Protocol):
+    """The store as a peer reaches it."""
+
+    async def close(self) -> None:
+        """Closes all connections to the peer."""
+
+
+class RelayedStore:
+    """The store, reached directly or by way of a peer; implements `larkpost.store.port.Store`.
+
+    Args:
+        direct: the store as this daemon reaches it.
+        connect: returns the store by way of the peer at an address.
+    """
+
+    def __init__(
+        self,
+        direct: Store,
+        connect: Callable[[Address], PeerStore],
+        clock: Clock,
+        log: EventLog,
+        chance: random.Random,
+    ) -> None:
+        self.row_bytes = direct.row_bytes
+        self._direct = direct
+        self._connect = connect
+        self._clock = clock
+        self._log = log
+        self._chance = chance
+        self._peers: Callable[[], Sequence[Address]] = tuple
+        self._connected: dict[Address, PeerStore] = {}
+        self._peer: PeerStore | None = None
+        self._no_peer_until = float("-inf")
+
+    def start(self, peers: Callable[[], Sequence[Address]], tasks: TaskSet) -> None:
+        """Starts to look for the store's return whenever calls are relayed.
+
+        Args:
+            peers: returns the addresses of the other daemons held alive.
+        """
+        self._peers = peers
+        tasks.every(PROBE_INTERVAL_SECONDS, self._probe, "store_relay")
+
+    @property
+    def is_relayed(self) -> bool:
+        """Whether a peer makes this daemon's calls at the moment."""
+        return self._peer is not None
+
+    def time(self) -> float | None:
+        """Returns the store's steady clock in seconds; see the port."""
+        relayed = self._peer.time() if self._peer is not None else None
+        return relayed if relayed is not None else self._direct.time()
+
+    async def write(self, transaction: Transaction, timeout: float) -> WriteResult:
+        """Carries out a transaction; see the port."""
+        result = WriteResult(WriteOutcome.NOT_DONE)
+        if self._peer is None:
+            result = await self._direct.write(transaction, timeout)
+        if result.outcome not in REFUSED:
+            return result
+        for _ in range(PEERS_ASKED):
+            peer = self._find_peer()
+            if peer is None:
+                return result
+            result = await peer.write(transaction, min(timeout, MOST_PEER_SECONDS))
+            if result.outcome not in REFUSED:
+                return result
+            self._drop_peer(peer)
+        self._leave_peers_alone()
+        return result
+
+    async def read(
+        self, table: str, part: str, first: str = "", end: str = "", limit: int = 0
+    ) -> RowPage:
+        """Reads rows of a part; see the port."""
+        return await self._ask(lambda store: store.read(table, part, first, end, limit))
+
+    async def changes(self, table: str, after: int, wait: float) -> RowPage:
+        """Returns the changes of a table; see the port."""
+        return await self._ask(lambda store: store.changes(table, after, wait))
+
+    async def close(self) -> None:
+        """Closes the connections to all peers."""
+        for peer in self._connected.values():
+            await peer.close()
+        self._connected.clear()
+
+    async def _ask(self, call: Callable[[Store], Awaitable[Answer]]) -> Answer:
+        """Makes a reading call directly or by way of a peer.
+
+        Raises:
+            HistoryLostError: as the store answered.
+            StoreUnavailableError: neither answered.
+        """
+        failure = StoreUnavailableError("the store turns this daemon away, and no peer helps")
+        if self._peer is None:
+            try:
+                return await call(self._direct)
+            except StoreUnavailableError as error:
+                failure = error
+        for _ in range(PEERS_ASKED):
+            peer = self._find_peer()
+            if peer is None:
+                raise failure
+            try:
+                return await call(peer)
+            except StoreUnavailableError:
+                self._drop_peer(peer)
+        self._leave_peers_alone()
+        raise failure
+
+    def _find_peer(self) -> PeerStore | None:
+        """Returns the peer that makes this daemon's calls, a new one if there is none."""
+        if self._peer is not None:
+            return self._peer
+        addresses = self._peers()
+        if not addresses or self._clock.now() < self._no_peer_until:
+            return None
+        address = self._chance.choice(addresses)
+        if address not in self._connected:
+            self._connected[address] = self._connect(address)
+        self._peer = self._connected[address]
+        self._log.note(Event.STORE_RELAY, peer=address, state="relayed")
+        return self._peer
+
+    def _drop_peer(self, peer: PeerStore) -> None:
+        """Leaves a peer that did not help, unless another call has left it already."""
+        if self._peer is peer:
+            self._peer = None
+
+    def _leave_peers_alone(self) -> None:
+        """Asks no peer for a while: none of those asked reaches the store."""
+        self._no_peer_until = self._clock.now() + NO_PEER_PAUSE_SECONDS
+        self._log.note(Event.STORE_RELAY, state="no_peer")
+
+    async def _probe(self) -> None:
+        """Goes back to direct calls once the store takes them again."""
+        if self._peer is None:
+            return
+        try:
+            await self._direct.read(PROBE_TABLE, PROBE_PART, limit=1)
+        except StoreUnavailableError:
+            return
+        self._peer = None
+        self._log.note(Event.STORE_RELAY, state="direct")
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -35,6 +35,7 @@
 )
 from larkpost.rollouts.repository import RESULT_TABLE, BatchRepository
 from larkpost.store.port import Row, RowKey, Transaction
+from larkpost.store.relay import RelayedStore
 
 MODEL = ModelName("model")
 SCORERS = ServiceName("scorers")
@@ -120,8 +121,19 @@
     """Some gateways, engines and a store."""
 
     def __init__(
-        self, gateways: int = 3, engines: int = 4, seed: int = 0, scorers: int = 0
+        self,
+        gateways: int = 3,
+        engines: int = 4,
+        seed: int = 0,
+        scorers: int = 0,
+        relays: bool = False,
     ) -> None:
+        """Starts a fleet.
+
+        Args:
+            relays: whether daemons make calls to the store for those that it turns away.
+        """
+        self.relays = relays
         self.clock = LoopClock()
         self.store = MemoryStore(self.clock, random.Random(seed))
         self.engines = ScriptedEngines(self.clock, MODEL)
@@ -186,15 +198,31 @@
     def add_gateway(self, name: str) -> Gateway:
         """Starts a gateway."""
         client = StoreClient(self.store)
+        log = EventLog(name)
+        relay = None
+        if self.relays:
+            chance = random.Random(name)
+            relay = RelayedStore(client, self._client_of, self.clock, log, chance)
         ports = GatewayPorts(
-            client, self.engines, self.clock, READERS, EventLog(name), chance=random.Random(name)
+            relay or client,
+            self.engines,
+            self.clock,
+            READERS,
+            log,
+            relay=relay,
+            chance=random.Random(name),
         )
-        gateway = Gateway(GatewaySettings(name), ports)
+        address = Address(f"peer:{len(self.gateways)}")
+        gateway = Gateway(GatewaySettings(name, peer_address=address), ports)
         self.clients.append(client)
         self.gateways.append(gateway)
         gateway.start()
         return gateway
 
+    def _client_of(self, address: Address) -> StoreClient:
+        """Returns the store as the daemon at an address reaches it."""
+        return self.clients[int(address.partition(":")[2])]
+
     def kill(self, number: int) -> None:
         """Ends a gateway without notice."""
         gateway = self.gateways[number]
--- a/tests/platform_mutants.py
+++ b/tests/platform_mutants.py
@@ -210,6 +210,13 @@
     return mock.patch.object(RewardScorer, "score", score)
 
 
+def relay_unanswered_writes():
+    """Sends a write without an answer again by way of a peer."""
+    from larkpost.store import relay
+
+    return mock.patch.object(relay, "REFUSED", (*relay.REFUSED, WriteOutcome.UNKNOWN))
+
+
 def forget_whole_texts():
     """Keeps whole outputs as if they were not whole."""
     from larkpost.rollouts import repository
@@ -244,6 +251,7 @@
         score_unsigned_answers,
         give_up_after_one_failed_call,
         forget_whole_texts,
+        relay_unanswered_writes,
     )
 }
 TESTS = dict.fromkeys(MUTANTS, FUZZ) | {
@@ -259,6 +267,7 @@
     "judge_owner_like_an_idle_daemon": SCALE,
     "let_everyone_coordinate": SCALE,
     "forget_whole_texts": "tests.test_reward_calls",
+    "relay_unanswered_writes": "tests.test_store_relay",
 }
 EXPECTED_CHECKS = {
     "refuse_after_unknown": ("BatchRefusedError",),
--- a/tests/test_platform_settings.py
+++ b/tests/test_platform_settings.py
@@ -22,6 +22,7 @@
 zone = "z"
 unknown = { of = "later" }
 metrics = "9100/figures"
+port-range = [7720, 7735]
 [listen]
 front = "10.0.0.1:80"
 ready = "10.0.0.1:81"
@@ -49,6 +50,8 @@
         self.assertEqual((7.5, 2.0, 3.0), (settings.grace_time, settings.lease_time, 3.0))
         self.assertEqual((4096, 120), (settings.row_bytes, settings.batch_lifetime))
         self.assertEqual((9100, "/figures"), settings.metrics)
+        self.assertEqual("10.0.0.1:7720", settings.peer)
+        self.assertIsNone(self.load(GOOD.replace("port-range = [7720, 7735]", "")).peer)
 
     def test_wrong_fields_are_named_with_their_remedy(self):
         wrong = {
@@ -57,6 +60,7 @@
             "lease-ms = 2000": ("lease-ms = -1", "bounds.lease-ms"),
             'zone = "z"': ("", "zone"),
             'metrics = "9100/figures"': ('metrics = "x"', "metrics"),
+            "port-range = [7720, 7735]": ('port-range = ["x"]', "port-range"),
         }
         for good, (bad, name) in wrong.items():
             with self.assertRaises(SettingsError) as caught:
@@ -83,6 +87,7 @@
                 ZoneId("z"),
                 free_address(),
                 free_address(),
+                free_address(),
                 Address("127.0.0.1:9"),
             )
             environment = write_settings(place, folder)
--- /dev/null
+++ b/tests/test_store_relay.py
@@ -0,0 +1,237 @@
+"""Calls to the store that a peer makes for a daemon that the store turns away."""
+
+import random
+import unittest
+
+import aiohttp
+
+from larkpost.clock import LoopClock
+from larkpost.eventlog import EventLog
+from larkpost.http_server import HttpServer
+from larkpost.ids import Address
+from larkpost.platform import names
+from larkpost.platform.peer_store import PeerStoreApp
+from larkpost.platform.stand_in.store_app import StoreApp
+from larkpost.platform.store import HttpStore
+from larkpost.rehearsal.memory_store import MemoryStore, StoreClient, StoreFaults
+from larkpost.rehearsal.processes import free_address
+from larkpost.store.port import (
+    HistoryLostError,
+    RowKey,
+    StoreUnavailableError,
+    Transaction,
+    WriteOutcome,
+)
+from larkpost.store.relay import NO_PEER_PAUSE_SECONDS, PEERS_ASKED, RelayedStore
+from larkpost.tasks import TaskSet
+from larkpost.telemetry import Telemetry
+from tests.platform_fleet import PlatformFleet, check_results, make_batch
+from tests.virtual import run
+
+KEY = RowKey("table", "part", "key")
+CHANGE = Transaction(puts=((KEY, b"value"),))
+PEERS = [Address("peer:0"), Address("peer:1")]
+
+
+class RelayTest(unittest.TestCase):
+    """One daemon and two peers over a store in memory."""
+
+    def begin(self) -> None:
+        """Starts a daemon whose peers both reach the store."""
+        self.clock = LoopClock()
+        self.memory = MemoryStore(self.clock)
+        self.direct = StoreClient(self.memory)
+        self.peers = {address: StoreClient(self.memory) for address in PEERS}
+        self.asked = 0
+        self.store = RelayedStore(
+            self.direct, self.connect, self.clock, EventLog("d"), random.Random(0)
+        )
+        self.tasks = TaskSet(self.clock, Telemetry("d", log=False))
+        self.store.start(lambda: PEERS, self.tasks)
+
+    def connect(self, address: Address) -> StoreClient:
+        """Returns the store by way of a peer; counts the peers that were asked."""
+        self.asked += 1
+        return self.peers[address]
+
+    def test_refused_calls_are_made_by_a_peer(self):
+        async def play():
+            self.begin()
+            self.direct.refused = True
+            self.assertIs(WriteOutcome.DONE, (await self.store.write(CHANGE, 1.0)).outcome)
+            page = await self.store.read("table", "part")
+            self.assertEqual([b"value"], [row.value for row in page.rows])
+            self.assertEqual(1, len((await self.store.changes("table", 0, 0.1)).rows))
+            self.assertTrue(self.store.is_relayed)
+
+        run(play())
+
+    def test_silence_of_the_store_is_told_from_its_absence_by_reading(self):
+        async def play():
+            self.begin()
+            self.direct.cut_off = True
+            await self.store.read("table", "part")
+            self.assertTrue(self.store.is_relayed)
+            began = self.clock.now()
+            self.assertIs(WriteOutcome.DONE, (await self.store.write(CHANGE, 1.0)).outcome)
+            self.assertLess(self.clock.now() - began, 0.1)
+
+        run(play())
+
+    def test_write_without_an_answer_is_not_sent_again(self):
+        async def play():
+            self.begin()
+            self.direct.cut_off = True
+            self.assertIs(WriteOutcome.UNKNOWN, (await self.store.write(CHANGE, 0.5)).outcome)
+            self.assertEqual({}, self.memory.rows)
+
+        run(play())
+
+    def test_calls_are_direct_again_once_the_store_takes_them(self):
+        async def play():
+            self.begin()
+            self.direct.refused = True
+            await self.store.read("table", "part")
+            self.direct.refused = False
+            await self.clock.sleep(1.2)
+            self.assertFalse(self.store.is_relayed)
+
+        run(play())
+
+    def test_peer_that_is_refused_too_is_left_for_another(self):
+        async def play():
+            self.begin()
+            self.direct.refused = True
+            self.peers[PEERS[0]].refused = True
+            for _ in range(20):
+                try:
+                    await self.store.read("table", "part")
+                    break
+                except StoreUnavailableError:
+                    await self.clock.sleep(0.2)
+            self.assertTrue(self.store.is_relayed)
+            await self.store.read("table", "part")
+
+        run(play())
+
+    def test_peers_are_left_alone_while_the_store_is_away_for_all(self):
+        async def play():
+            self.begin()
+            self.memory.faults = StoreFaults(refuses=True)
+            calls = 0
+            read = StoreClient.read
+
+            async def counted(client, *arguments, **options):
+                nonlocal calls
+                calls += client is not self.direct
+                return await read(client, *arguments, **options)
+
+            StoreClient.read = counted
+            try:
+                for _ in range(20):
+                    with self.assertRaises(StoreUnavailableError):
+                        await self.store.read("table", "part")
+                    await self.clock.sleep(0.1)
+            finally:
+                StoreClient.read = read
+            rounds = 2.1 / NO_PEER_PAUSE_SECONDS + 1
+            self.assertLessEqual(calls, rounds * PEERS_ASKED)
+
+        run(play())
+
+    def test_lost_history_is_told_and_not_asked_of_a_peer(self):
+        async def play():
+            self.begin()
+            self.memory.apply(CHANGE)
+            self.memory.forget_history()
+            with self.assertRaises(HistoryLostError):
+                await self.store.changes("table", 0, 0.1)
+            self.assertEqual(0, self.asked)
+
+        run(play())
+
+
+class RelayedFleetTest(unittest.TestCase):
+    """What a relay is for: a batch stays with an owner that the store turns away."""
+
+    def test_refused_owner_lists_its_results_itself(self):
+        async def play():
+            fleet = PlatformFleet(relays=True)
+            await fleet.wait(3.0)
+            spec = make_batch(items=40)
+            await fleet.gateways[0].batches.submit(spec)
+            await fleet.wait(0.1)
+            fleet.clients[0].refused = True
+            results = await fleet.read_all(fleet.gateways[1], spec.id)
+            check_results(self, spec, results)
+            runs = [name for state in fleet.engines.engines.values() for name in state.runs]
+            self.assertEqual(len(set(runs)), len(runs))
+
+        run(play())
+
+    def test_refused_daemon_accepts_and_reads(self):
+        async def play():
+            fleet = PlatformFleet(relays=True)
+            await fleet.wait(3.0)
+            fleet.clients[0].refused = True
+            spec = make_batch()
+            began = fleet.clock.now()
+            await fleet.gateways[0].batches.submit(spec)
+            self.assertLess(fleet.clock.now() - began, 0.2)
+            check_results(self, spec, await fleet.read_all(fleet.gateways[0], spec.id))
+
+        run(play())
+
+
+class PeerStoreAppTest(unittest.IsolatedAsyncioTestCase):
+    """A peer's listener before a store, over real connections."""
+
+    async def asyncSetUp(self):
+        clock = LoopClock()
+        self.memory = MemoryStore(clock)
+        store_address, peer_address = free_address(), free_address()
+        self.servers = [HttpServer(StoreApp(self.memory, clock).app(), store_address)]
+        self.own = HttpStore(store_address, 65536)
+        self.servers.append(HttpServer(PeerStoreApp(self.own), peer_address))
+        for server in self.servers:
+            await server.start()
+        self.url = f"http://{peer_address}"
+        self.by_peer = HttpStore(peer_address, 65536)
+
+    async def asyncTearDown(self):
+        await self.by_peer.close()
+        await self.own.close()
+        for server in self.servers:
+            await server.close()
+
+    async def test_calls_pass_unchanged(self):
+        self.assertIs(WriteOutcome.DONE, (await self.by_peer.write(CHANGE, 1.0)).outcome)
+        page = await self.by_peer.read("table", "part")
+        self.assertEqual([b"value"], [row.value for row in page.rows])
+        self.assertEqual(1, len((await self.by_peer.changes("table", 0, 0.1)).rows))
+        conflict = Transaction(conditions=((KEY, 0),), puts=CHANGE.puts)
+        self.assertIs(WriteOutcome.CONFLICT, (await self.by_peer.write(conflict, 1.0)).outcome)
+        self.assertIsNotNone(self.by_peer.time())
+
+    async def test_peer_that_the_store_turns_away_says_so_at_once(self):
+        self.own.is_failing = True
+        self.assertIs(WriteOutcome.NOT_DONE, (await self.by_peer.write(CHANGE, 1.0)).outcome)
+        with self.assertRaises(StoreUnavailableError):
+            await self.by_peer.read("table", "part")
+
+    async def test_store_that_is_gone_is_told_from_one_that_is_silent(self):
+        await self.servers[0].close()
+        self.assertIs(WriteOutcome.NOT_DONE, (await self.by_peer.write(CHANGE, 1.0)).outcome)
+
+    async def test_other_calls_are_refused(self):
+        async with aiohttp.ClientSession() as session:
+            for path in ("/", names.REPORT_CALL):
+                async with session.get(self.url + path) as answer:
+                    self.assertEqual(404, answer.status)
+            large = b"x" * 2_000_000
+            async with session.post(self.url + names.TRANSACTION_CALL, data=large) as answer:
+                self.assertEqual(413, answer.status)
+
+
+if __name__ == "__main__":
+    unittest.main()
