--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 LARKPOST := $(VENV)/bin/larkpost
 READY := $(VENV)/.ready
 
-.PHONY: demo test lint fuzz mutants soak bench proto clean
+.PHONY: demo test lint fuzz mutants soak soak-virtual bench proto clean
 
 $(READY): requirements.txt pyproject.toml
 	test -x $(PYTHON) || python3 -m venv $(VENV)
@@ -25,7 +25,10 @@
 mutants: $(READY) ## breaks each mechanism; the fuzz must catch every one
 	$(PYTHON) -m tests.mutants
 
-soak: $(READY) ## a long run under overlapping faults on virtual time, some seeds
+soak: $(READY) ## the real programs under faults from outside; SOAK="--seed 7 --seconds 300"
+	$(PYTHON) -W ignore -m tests.process_soak $(SOAK)
+
+soak-virtual: $(READY) ## a long run under overlapping faults on virtual time, some seeds
 	PYTHONHASHSEED=0 $(PYTHON) -W ignore -m tests.soak $(SOAK)
 
 bench: $(READY) ## larkpost beside a bare relay of the same libraries
--- /dev/null
+++ b/tests/platform_checks.py
@@ -0,0 +1,48 @@
+"""Checks of single promises on the platform, shared by the fuzz's oracle and the process soak."""
+
+from collections.abc import Iterable
+
+LEASE_SECONDS = 3.0
+CALL_ATTEMPTS = 4
+"""Attempts that the route of reward calls allows in tests."""
+
+
+def check_turns(orders: list[tuple[str, int, float]], instance: str) -> None:
+    """Checks that holders never take turns at an engine within a lease, and that tokens rise.
+
+    Args:
+        orders: holder, fencing token and time of each order, as they arrived.
+    """
+    for before, after in zip(orders, orders[1:], strict=False):
+        assert before[1] < after[1], f"{instance}: tokens do not rise: {orders}"
+        same_holder = before[0] == after[0]
+        assert same_holder or after[2] - before[2] >= LEASE_SECONDS, f"{instance}: {orders}"
+
+
+def check_once(batch: str, listed: list[str], items: set[str]) -> None:
+    """Checks that each item listed is the batch's and stands once."""
+    assert len(set(listed)) == len(listed), f"{batch} doubled"
+    assert set(listed) <= items, f"{batch} lists an item of another batch"
+
+
+def check_text(
+    item: str, text: str, whole: str, versions: Iterable[int], minimum_version: int
+) -> None:
+    """Checks that a result's text is whole, and made under versions that are new enough."""
+    assert text == whole, f"{item}: the text is not the whole output"
+    assert min(versions) >= minimum_version, f"{item}: below minimum_version"
+
+
+def check_score(item: str, began: list[float], whole_at: float) -> None:
+    """Checks that a score is a signature, of a call that began after the text was first whole.
+
+    Args:
+        began: when the runs of the item's reward call began that were answered with the score.
+    """
+    assert began, f"the score of {item} is nobody's signature"
+    assert min(began) >= whole_at, f"{item} was scored before its text was whole"
+
+
+def check_given_up(item: str, failures: int) -> None:
+    """Checks that an item with a reward call is dead only after enough failures of the call."""
+    assert failures >= CALL_ATTEMPTS, f"{item} given up early"
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -36,6 +36,7 @@
 from larkpost.rollouts.repository import RESULT_TABLE, BatchRepository
 from larkpost.store.port import Row, RowKey, Transaction
 from larkpost.store.relay import RelayedStore
+from tests.platform_checks import CALL_ATTEMPTS
 
 MODEL = ModelName("model")
 SCORERS = ServiceName("scorers")
@@ -67,7 +68,7 @@
     shares=(ServiceShare(SCORERS, 1.0),),
     time_limit=1.5,
     objective=0.2,
-    max_attempts=4,
+    max_attempts=CALL_ATTEMPTS,
 )
 CONFIGURATION = Configuration(
     version=1,
--- a/tests/platform_oracle.py
+++ b/tests/platform_oracle.py
@@ -4,9 +4,8 @@
 from larkpost.ids import BatchId
 from larkpost.rollouts.model import BatchSpec, Result, ResultState, RewardCallId
 from larkpost.rollouts.service import BatchRefusedError
-from tests.platform_fleet import SCORER_ROUTE, PlatformFleet, expected_text
-
-LEASE_SECONDS = 3.0
+from tests import platform_checks as checks
+from tests.platform_fleet import PlatformFleet, expected_text
 
 
 class PlatformOracle:
@@ -84,10 +83,8 @@
 
     def check_orders(self) -> None:
         """Holders never take turns at an engine within a lease; tokens rise."""
-        for state in self.fleet.engines.engines.values():
-            for before, after in zip(state.orders, state.orders[1:], strict=False):
-                assert before[1] < after[1], state.orders
-                assert before[0] == after[0] or after[4] - before[4] >= LEASE_SECONDS
+        for name, state in self.fleet.engines.engines.items():
+            checks.check_turns([(order[0], order[1], order[4]) for order in state.orders], name)
 
     def check_refused(self) -> None:
         """Nothing of a batch that was refused has run."""
@@ -99,12 +96,19 @@
         """The store lists each item once, whole, and under versions that are new enough."""
         for batch, spec in self.accepted.items():
             listed = self.fleet.stored_results(batch)
-            assert len({result.item for result in listed}) == len(listed), f"{batch} doubled"
+            checks.check_once(
+                batch, [result.item for result in listed], {item.id for item in spec.items}
+            )
             assert listed[: len(self.read.get(batch, ()))] == self.read.get(batch, [])
             for result in listed:
                 if result.state is ResultState.DONE:
-                    assert result.text == expected_text(result.item)
-                    assert min(result.versions) >= spec.minimum_version
+                    checks.check_text(
+                        result.item,
+                        result.text,
+                        expected_text(result.item),
+                        result.versions,
+                        spec.minimum_version,
+                    )
 
     def check_scores(self) -> None:
         """A score is the signature of a call that began after the text was first whole.
@@ -120,7 +124,7 @@
                     self._check_score(result, calls[result.item].id)
                 else:
                     failures = self.fleet.answers_of_failure(calls[result.item].id)
-                    assert failures >= SCORER_ROUTE.max_attempts, f"{result.item} given up early"
+                    checks.check_given_up(result.item, failures)
 
     def _check_score(self, result: Result, call: RewardCallId) -> None:
         """Checks the score of a result that is done."""
@@ -135,8 +139,7 @@
             for signature, at in state.signatures.get(call, ())
             if signature == result.score
         ]
-        assert began, f"the score of {result.item} is nobody's signature"
-        assert min(began) >= whole_at, f"{result.item} was scored before its text was whole"
+        checks.check_score(result.item, began, whole_at)
 
     def missing(self) -> list[BatchId]:
         """Returns the accepted batches that are neither whole nor ended."""
--- /dev/null
+++ b/tests/process_soak/__main__.py
@@ -0,0 +1,176 @@
+"""Runs the soak: ``python -m tests.process_soak``; exit 1 if a promise broke."""
+
+import asyncio
+import random
+import secrets
+import shutil
+import sys
+import tempfile
+import time
+import traceback
+from collections import Counter
+from dataclasses import dataclass, field
+from pathlib import Path
+from statistics import quantiles
+from typing import Annotated
+
+import orjson
+import typer
+
+from larkpost.platform.stand_in.daemon_settings import ready_path
+from larkpost.rehearsal.processes import ProcessGroup, answers
+from tests.process_soak.callers import Callers
+from tests.process_soak.judge import Judge
+from tests.process_soak.plan import Fault, draw_plan
+from tests.process_soak.records import read_records
+from tests.process_soak.site import MODEL, Site
+
+CHECK_SECONDS = 3.0
+HEAL_SECONDS = 60.0
+READY_SECONDS = 30.0
+ITEMS = 24
+REQUESTS_PER_SECOND = 8.0
+BROKEN_CHARACTERS = 800
+LOGS = Path("soak-logs")
+
+
+@dataclass(slots=True)
+class Report:
+    """What one run saw; durations in seconds."""
+
+    seed: int
+    seconds: float
+    mutant: str | None = None
+    steps: int = 0
+    abandoned: int = 0
+    requests: int = 0
+    served: int = 0
+    step_p50: float = 0.0
+    step_p95: float = 0.0
+    faults: dict[str, int] = field(default_factory=dict)
+    broken: str = ""
+
+
+class Soak:
+    """One run."""
+
+    def __init__(
+        self, seed: int, seconds: float, gap: float, folder: Path, mutant: str | None
+    ) -> None:
+        self.report = Report(seed, seconds, mutant)
+        self._mutant = mutant
+        self._plan = draw_plan(seed, seconds, gap)
+        self._folder = folder
+        self._judge = Judge()
+        self._chance = random.Random(seed)
+
+    async def play(self, group: ProcessGroup) -> Report:
+        """Plays a run and returns what it saw."""
+        site = Site(group, self._folder, self._mutant)
+        await site.start()
+        await _until_ready(site)
+        callers = Callers(site.fronts, self._judge, self._chance, site.name_version)
+        until = time.monotonic() + self.report.seconds
+        work = asyncio.gather(
+            callers.train(MODEL, ITEMS, until),
+            callers.ask(REQUESTS_PER_SECOND, until),
+            self._strike(site),
+        )
+        try:
+            while not work.done():
+                await asyncio.wait({work}, timeout=CHECK_SECONDS)
+                self._judge.check(read_records(site.outputs()))
+                print(
+                    f"{callers.served} of {callers.requests} served, "
+                    f"{len(callers.step_seconds)} steps",
+                    file=sys.stderr,
+                )
+            await work
+            await self._heal(callers)
+            self._judge.check(read_records(site.outputs()))
+        except AssertionError:
+            self.report.broken = traceback.format_exc()[-BROKEN_CHARACTERS:]
+        finally:
+            work.cancel()
+            await asyncio.gather(work, return_exceptions=True)
+            await site.close()
+        self._fill_report(callers)
+        return self.report
+
+    async def _strike(self, site: Site) -> None:
+        """Carries the plan out; faults overlap as it says."""
+        started = time.monotonic()
+        running = []
+        for fault in self._plan:
+            await asyncio.sleep(max(0.0, started + fault.at - time.monotonic()))
+            print(f"{fault.at:7.2f} {fault}", file=sys.stderr)
+            running.append(asyncio.create_task(self._strike_once(site, fault)))
+        await asyncio.gather(*running)
+
+    async def _strike_once(self, site: Site, fault: Fault) -> None:
+        self._judge.fault_times.append(time.monotonic())
+        await site.strike(fault)
+        self._judge.fault_times.append(time.monotonic())
+
+    async def _heal(self, callers: Callers) -> None:
+        """Waits until every accepted batch that nobody ended is whole."""
+        until = time.monotonic() + HEAL_SECONDS
+        for name in self._judge.missing():
+            await callers.read_on(self._judge.batches[name], until)
+        missing = self._judge.missing()
+        assert not missing, f"accepted batches are not whole: {missing}"
+
+    def _fill_report(self, callers: Callers) -> None:
+        report = self.report
+        report.steps = len(callers.step_seconds)
+        report.abandoned = callers.abandoned
+        report.requests = callers.requests
+        report.served = callers.served
+        report.faults = dict(Counter(fault.kind.value for fault in self._plan))
+        if report.steps > 1:
+            cuts = quantiles(callers.step_seconds, n=20)
+            report.step_p50, report.step_p95 = round(cuts[9], 2), round(cuts[18], 2)
+
+
+async def _until_ready(site: Site) -> None:
+    until = time.monotonic() + READY_SECONDS
+    while time.monotonic() < until:
+        ready = [
+            await asyncio.to_thread(answers, daemon.place.ready, ready_path())
+            for daemon in site.daemons
+        ]
+        if all(ready):
+            return
+    raise AssertionError("the daemons were not ready in time")
+
+
+def play(seed: int, seconds: float, gap: float, mutant: str | None = None) -> Report:
+    """Plays one run in a folder of its own; logs of a broken run are kept."""
+    with tempfile.TemporaryDirectory(prefix="larkpost-soak-") as name:
+        folder = Path(name)
+        with ProcessGroup(folder) as group:
+            report = asyncio.run(Soak(seed, seconds, gap, folder, mutant).play(group))
+        if report.broken and mutant is None:
+            shutil.copytree(folder, LOGS / str(seed), dirs_exist_ok=True)
+    return report
+
+
+def main(
+    seed: Annotated[int | None, typer.Option(help="Of the first run; drawn if not given.")] = None,
+    seconds: Annotated[float, typer.Option(help="Time of load of a run.")] = 60.0,
+    gap: Annotated[float, typer.Option(help="Mean seconds between two faults.")] = 2.0,
+    mutant: Annotated[str | None, typer.Option(help="Break this mechanism of all daemons.")] = None,
+    runs: Annotated[int, typer.Option(help="Runs, each with the next seed.")] = 1,
+) -> None:
+    """Plays runs and prints one line of JSON for each."""
+    first = secrets.randbelow(1_000_000) if seed is None else seed
+    broken = False
+    for number in range(first, first + runs):
+        report = play(number, seconds, gap, mutant)
+        print(orjson.dumps(report).decode(), flush=True)
+        broken = broken or bool(report.broken)
+    raise typer.Exit(int(broken))
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- /dev/null
+++ b/tests/process_soak/callers.py
@@ -0,0 +1,183 @@
+"""Trainers and clients that speak HTTP to the daemons and tell the judge what they saw."""
+
+import asyncio
+import base64
+import random
+import time
+from collections.abc import Awaitable, Callable
+
+import aiohttp
+import orjson
+
+from larkpost.fleet.configuration import ModelName
+from larkpost.ids import Address
+from larkpost.platform import names
+from larkpost.platform.stand_in.rows import BATCH_PREFIX, HOST, PAGE_PREFIX
+from tests.process_soak.judge import Judge, SubmittedBatch
+
+CALL_SECONDS = 3.0
+PAUSE_SECONDS = 0.1
+SUBMIT_SECONDS = 30.0
+STEP_SECONDS = 40.0
+READ_WAIT_MS = "500"
+GROUP_SIZE = 4
+ONCE_PREFIX = "/orders/"
+PROMISES_NOT_RUN = (408, 421, 429, 503)
+CALL_FAILURES = (aiohttp.ClientError, TimeoutError, OSError)
+
+
+class Callers:
+    """What trainers and clients share: the daemons, the judge, and chance.
+
+    Args:
+        fronts: returns the addresses of the daemons, as callers reach them.
+        name_version: names a weight version for a model.
+    """
+
+    def __init__(
+        self,
+        fronts: Callable[[], list[Address]],
+        judge: Judge,
+        chance: random.Random,
+        name_version: Callable[[ModelName, int], Awaitable[None]],
+    ) -> None:
+        self._fronts = fronts
+        self._judge = judge
+        self._chance = chance
+        self._name_version = name_version
+        self.step_seconds: list[float] = []
+        self.abandoned = 0
+        self.requests = 0
+        self.served = 0
+        self.served_times: list[float] = []
+
+    async def train(self, model: ModelName, items: int, until: float) -> None:
+        """Draws one step after the other until a steady time."""
+        step = 0
+        while time.monotonic() < until:
+            if step:
+                await self._name_version(model, step + 1)
+            await self._step(model, step, items)
+            step += 1
+
+    async def ask(self, per_second: float, until: float) -> None:
+        """Sends requests at a rate until a steady time, every third to be run only once."""
+        running: set[asyncio.Task] = set()
+        while time.monotonic() < until:
+            task = asyncio.create_task(self._request(once=self.requests % 3 == 0))
+            running.add(task)
+            task.add_done_callback(running.discard)
+            self.requests += 1
+            await asyncio.sleep(1 / per_second)
+        await asyncio.gather(*running)
+
+    async def read_on(self, batch: SubmittedBatch, until: float) -> None:
+        """Reads a batch on until it is whole or a steady time has come."""
+        while not batch.is_whole and time.monotonic() < until:
+            position = len(batch.read)
+            if position and self._chance.random() < 0.2:
+                position = self._chance.randrange(position)  # now and then from an earlier one
+            target = f"{names.BATCH_CALL.decode()}{batch.batch}?after-rev={position}"
+            answer = await self._call("GET", target, batch.batch)
+            if answer is None or answer[0] != 200:
+                assert answer is None or answer[0] != 404, f"{batch.batch} is lost"
+                await asyncio.sleep(PAUSE_SECONDS)
+                continue
+            self._judge.take_page(batch, position, orjson.loads(answer[1])["results"])
+
+    async def _step(self, model: ModelName, step: int, items: int) -> None:
+        began = time.monotonic()
+        batch = self._new_batch(step, items)
+        if not await self._submit(batch, model, step, began + SUBMIT_SECONDS):
+            return
+        await self.read_on(batch, began + STEP_SECONDS)
+        if not batch.is_whole:
+            self.abandoned += 1
+            return  # it is to become whole once all has healed
+        self.step_seconds.append(time.monotonic() - began)
+        target = f"{names.BATCH_CALL.decode()}{batch.batch}"
+        answer = await self._call("DELETE", target, batch.batch)
+        if answer is not None and answer[0] == 200:
+            batch.ended_at = time.monotonic()
+
+    def _new_batch(self, step: int, items: int) -> SubmittedBatch:
+        name = f"b{self._chance.getrandbits(60):x}"
+        calls = {f"{name}i{number}": f"{name}s{number}" for number in range(items)}
+        batch = SubmittedBatch(name, calls, minimum_version=max(1, step))
+        self._judge.batches[name] = batch
+        return batch
+
+    async def _submit(
+        self, batch: SubmittedBatch, model: ModelName, step: int, until: float
+    ) -> bool:
+        body = orjson.dumps(_document(batch, model, step))
+        while time.monotonic() < until:
+            answer = await self._call("POST", f"{BATCH_PREFIX}{batch.batch}", batch.batch, body)
+            if answer is not None and answer[0] == 202:
+                batch.accepted = True
+                return True
+            batch.refused = batch.refused and answer is not None and answer[0] in PROMISES_NOT_RUN
+            await asyncio.sleep(PAUSE_SECONDS)
+        return False
+
+    async def _request(self, *, once: bool) -> None:
+        name = f"r{self._chance.getrandbits(60):x}"
+        self._judge.asked[name] = once
+        target = f"{ONCE_PREFIX if once else PAGE_PREFIX}{name}"
+        answer = await self._call("POST" if once else "GET", target, name)
+        if answer is None:
+            return
+        status, body = answer
+        if status == 200:
+            assert body == f"page for {name}".encode(), f"{name} got another request's answer"
+            self.served += 1
+            self.served_times.append(time.monotonic())
+        elif once and status in PROMISES_NOT_RUN:
+            self._judge.told_not_run.add(name)
+
+    async def _call(
+        self, method: str, target: str, request: str, body: bytes | None = None
+    ) -> tuple[int, bytes] | None:
+        """Makes one call at any daemon; None if there was no whole answer."""
+        daemon = self._chance.choice(self._fronts())
+        headers = {
+            "Host": HOST,
+            names.REQUEST_ID.decode(): request,
+            names.WAIT_MS.decode(): READ_WAIT_MS,
+        }
+        url = f"http://{daemon}{target}"
+        try:
+            async with (
+                asyncio.timeout(CALL_SECONDS),
+                aiohttp.ClientSession() as session,
+                session.request(method, url, data=body, headers=headers) as answer,
+            ):
+                return answer.status, await answer.read()
+        except CALL_FAILURES:
+            return None
+
+
+def _document(batch: SubmittedBatch, model: ModelName, step: int) -> dict:
+    return {
+        "step": step,
+        "model": model,
+        "min-version": batch.minimum_version,
+        "desired": len(batch.calls) // GROUP_SIZE,
+        "requests": [
+            {
+                "id": item,
+                "path": f"{BATCH_PREFIX}{item}",
+                "headers": {"Larkpost-Model": model, "Larkpost-Token-Count": "100,900"},
+                "body": base64.b64encode(item.encode()).decode(),
+                "tokens": 1000,
+                "group": f"g{number // GROUP_SIZE}",
+                "scorer-url": {
+                    "id": call,
+                    "host": HOST,
+                    "path": f"{PAGE_PREFIX}{call}",
+                    "body": base64.b64encode(b"score it").decode(),
+                },
+            }
+            for number, (item, call) in enumerate(batch.calls.items())
+        ],
+    }
--- /dev/null
+++ b/tests/process_soak/judge.py
@@ -0,0 +1,130 @@
+"""What must hold, judged by what trainers, clients and servers saw on their sockets.
+
+The checks of single results are those of the fuzz's oracle (`tests.platform_checks`).
+"""
+
+from dataclasses import dataclass, field
+
+from larkpost.rehearsal.scripted_engines import output_of
+from larkpost.rollouts.model import ResultState
+from tests import platform_checks as checks
+from tests.process_soak.records import Records
+
+CANCEL_SECONDS = 3.0
+"""Time after the acknowledgement of a batch's end within which its items may still arrive."""
+FAULT_SLACK_SECONDS = 12.0
+"""Time around a fault in which the rules with time bounds excuse a daemon."""
+
+
+@dataclass(slots=True)
+class SubmittedBatch:
+    """A batch as its trainer knows it; times are steady.
+
+    Attributes:
+        calls: the reward call of each item.
+        accepted: whether a daemon has answered that it keeps it.
+        refused: whether every attempt so far was answered that it does not run.
+        ended_at: when its end was acknowledged.
+        read: what was read of it, by position.
+    """
+
+    batch: str
+    calls: dict[str, str]
+    minimum_version: int
+    accepted: bool = False
+    refused: bool = True
+    ended_at: float | None = None
+    read: list[dict] = field(default_factory=list)
+
+    @property
+    def is_whole(self) -> bool:
+        """Whether all results were read."""
+        return len(self.read) == len(self.calls)
+
+
+@dataclass(slots=True)
+class Judge:
+    """Remembers what was promised and read, and checks it.
+
+    Attributes:
+        asked: ids of all client requests; the value tells whether it may run only once.
+        told_not_run: run-once requests that were told that they did not run and will not.
+        fault_times: when faults struck or ended.
+    """
+
+    batches: dict[str, SubmittedBatch] = field(default_factory=dict)
+    asked: dict[str, bool] = field(default_factory=dict)
+    told_not_run: set[str] = field(default_factory=set)
+    fault_times: list[float] = field(default_factory=list)
+
+    def take_page(self, batch: SubmittedBatch, position: int, results: list[dict]) -> None:
+        """Takes results that a daemon has given; what was read before must come again."""
+        for number, result in enumerate(results, position):
+            if number < len(batch.read):
+                assert batch.read[number] == result, f"{batch.batch}: position {number} has changed"
+            elif number == len(batch.read):
+                batch.read.append(result)
+            else:
+                raise AssertionError(f"{batch.batch}: position {len(batch.read)} was left out")
+
+    def check(self, records: Records) -> None:
+        """Checks everything that must hold at all times."""
+        for batch in self.batches.values():
+            self._check_results(batch, records)
+            self._check_arrivals(batch, records)
+        self._check_requests(records)
+        for instance, orders in records.orders.items():
+            checks.check_turns(
+                [(order.holder, order.token, order.at) for order in orders], instance
+            )
+
+    def _check_results(self, batch: SubmittedBatch, records: Records) -> None:
+        items = [result["id"] for result in batch.read]
+        checks.check_once(batch.batch, items, set(batch.calls))
+        for result in batch.read:
+            call = batch.calls[result["id"]]
+            runs = records.runs.get(call, [])
+            if result["state"] == ResultState.DONE:
+                text = b"\n".join(output_of(result["id"])).decode()
+                checks.check_text(
+                    result["id"],
+                    result["message"],
+                    text,
+                    result["versions"],
+                    batch.minimum_version,
+                )
+                began = [run.began for run in runs if run.signature == result["score"]]
+                whole_at = records.whole_at.get(result["id"], float("inf"))
+                checks.check_score(result["id"], began, whole_at)
+            else:
+                failures = sum(run.status == 500 for run in runs)
+                checks.check_given_up(result["id"], failures)
+
+    def _check_arrivals(self, batch: SubmittedBatch, records: Records) -> None:
+        """Nothing of a refused batch runs, and nothing of an ended one in calm times."""
+        names = [*batch.calls, *batch.calls.values()]
+        for name in names:
+            for run in records.runs.get(name, ()):
+                assert not (batch.refused and not batch.accepted), f"{name} runs, but was refused"
+                late = batch.ended_at is not None and run.began > batch.ended_at + CANCEL_SECONDS
+                assert not (late and self._is_calm(run.began)), f"{name} runs after its batch's end"
+
+    def _is_calm(self, at: float) -> bool:
+        return all(not at - FAULT_SLACK_SECONDS < time < at for time in self.fault_times)
+
+    def _check_requests(self, records: Records) -> None:
+        submitted = {name for batch in self.batches.values() for name in batch.calls}
+        submitted |= {name for batch in self.batches.values() for name in batch.calls.values()}
+        for name, runs in records.runs.items():
+            assert name in submitted or name in self.asked, f"{name} runs, but nobody sent it"
+            if self.asked.get(name):
+                assert len(runs) == 1, f"{name} ran {len(runs)} times"
+                assert name not in self.told_not_run, f"{name} was told not run, but ran"
+
+    def missing(self) -> list[str]:
+        """Returns the accepted batches that are neither whole nor ended."""
+        return [
+            name
+            for name, batch in self.batches.items()
+            if batch.accepted and batch.ended_at is None and not batch.is_whole
+        ]
--- /dev/null
+++ b/tests/process_soak/plan.py
@@ -0,0 +1,72 @@
+"""The faults of a run, drawn from its seed before it begins."""
+
+import random
+from dataclasses import dataclass
+from enum import StrEnum
+
+from tests.process_soak.proxy import LinkFault
+
+
+class Kind(StrEnum):
+    """Kinds of faults; each names the targets it may strike."""
+
+    DAEMON_KILL = "daemon_kill"  # SIGKILL, started again under its address after a while
+    DAEMON_MOVE = "daemon_move"  # SIGKILL, another one starts under a new address
+    DAEMON_STOP = "daemon_stop"  # SIGTERM with work in flight, then started again
+    DAEMON_PAUSE = "daemon_pause"  # SIGSTOP and SIGCONT, also past the lease
+    ALL_DAEMONS_KILL = "all_daemons_kill"
+    GOOD_SETTINGS = "good_settings"  # SIGHUP after a harmless change of the settings
+    BAD_SETTINGS = "bad_settings"  # SIGHUP after a change that must be refused
+    STORE_PAUSE = "store_pause"  # the store is silent to all
+    STORE_LINK = "store_link"  # a daemon's link to the store
+    SERVER_LINK = "server_link"  # all daemons' link to a server
+    FRONT_LINK = "front_link"  # the callers' link to a daemon
+    SERVER_KILL = "server_kill"  # a new instance follows at the same address
+    SERVER_PAUSE = "server_pause"
+    SCORER_FAILS = "scorer_fails"  # a server answers every page with 500
+    CONFIGURATION = "configuration"  # a newer one, with another route
+
+
+LONGEST_SECONDS = {Kind.STORE_PAUSE: 3.0, Kind.SERVER_PAUSE: 3.0, Kind.SCORER_FAILS: 2.0}
+USUAL_LONGEST_SECONDS = 5.0
+SHORTEST_SECONDS = 0.3
+LINK_FAULTS = tuple(fault for fault in LinkFault if fault is not LinkFault.NONE)
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """One fault.
+
+    Attributes:
+        at: seconds from the start of the load.
+        seconds: how long it lasts.
+        target: a number; the site takes it modulo the count of what the kind may strike.
+        link: what becomes of the bytes, if it strikes a link.
+    """
+
+    at: float
+    kind: Kind
+    seconds: float
+    target: int
+    link: LinkFault
+
+
+def draw_plan(seed: int, seconds: float, gap: float) -> list[Fault]:
+    """Returns the faults of a run of so many seconds, one about each ``gap`` seconds."""
+    chance = random.Random(seed)
+    faults = []
+    at = chance.uniform(0.5, 1.5) * gap
+    while at < seconds:
+        kind = chance.choice(list(Kind))
+        longest = LONGEST_SECONDS.get(kind, USUAL_LONGEST_SECONDS)
+        faults.append(
+            Fault(
+                round(at, 2),
+                kind,
+                round(chance.uniform(SHORTEST_SECONDS, longest), 2),
+                chance.randrange(1000),
+                chance.choice(LINK_FAULTS),
+            )
+        )
+        at += chance.expovariate(1 / gap)
+    return faults
--- /dev/null
+++ b/tests/process_soak/proxy.py
@@ -0,0 +1,113 @@
+"""A proxy between two processes that passes bytes and can harm the link."""
+
+import asyncio
+import contextlib
+from enum import StrEnum
+
+from larkpost.addresses import split_address
+from larkpost.ids import Address
+from larkpost.rehearsal.processes import free_address
+
+READ_BYTES = 65536
+DELAY_SECONDS = 0.15
+
+
+class LinkFault(StrEnum):
+    """What a proxy does with the bytes of its connections."""
+
+    NONE = "none"
+    DELAY = "delay"  # passes them late
+    RESET = "reset"  # breaks connections off, old and new ones
+    SILENT = "silent"  # holds all of them back; the connections end with the fault
+    ONE_WAY = "one_way"  # passes what goes to the server, holds back what comes from it
+    HALF = "half"  # passes half of what it reads next in a direction, then holds back
+
+
+class FaultProxy:
+    """Listens at an address of its own and passes connections on to another one."""
+
+    def __init__(self, upstream: Address) -> None:
+        self.address = free_address()
+        self.fault = LinkFault.NONE
+        self.upstream = upstream
+        self._writers: set[asyncio.StreamWriter] = set()
+        self._healed = asyncio.Event()
+        self._healed.set()
+        self._server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        """Starts listening."""
+        host, port = split_address(self.address)
+        self._server = await asyncio.start_server(self._serve, host, port)
+
+    async def close(self) -> None:
+        """Stops listening and breaks all connections off."""
+        if self._server is not None:
+            self._server.close()
+        self._abort_all()
+
+    def harm(self, fault: LinkFault) -> None:
+        """Begins a fault, or ends it with `LinkFault.NONE`.
+
+        Connections whose bytes were held back are broken off when the fault ends: bytes are lost,
+        and none arrives twice or out of order.
+        """
+        held_back = self.fault in (LinkFault.SILENT, LinkFault.ONE_WAY, LinkFault.HALF)
+        self.fault = fault
+        if fault is LinkFault.RESET or held_back:
+            self._abort_all()
+        if fault is LinkFault.NONE:
+            self._healed.set()
+        else:
+            self._healed.clear()
+
+    async def _serve(
+        self, client_reader: asyncio.StreamReader, client_writer: asyncio.StreamWriter
+    ) -> None:
+        self._writers.add(client_writer)
+        try:
+            if self.fault is LinkFault.SILENT:
+                await self._healed.wait()
+                return
+            if self.fault is LinkFault.RESET:
+                return
+            host, port = split_address(self.upstream)
+            server_reader, server_writer = await asyncio.open_connection(host, port)
+            self._writers.add(server_writer)
+            try:
+                to_server = self._pass_on(client_reader, server_writer, from_server=False)
+                to_client = self._pass_on(server_reader, client_writer, from_server=True)
+                await asyncio.gather(to_server, to_client)
+            finally:
+                self._drop(server_writer)
+        except OSError:
+            return  # the server is gone, or a fault broke the connection off
+        finally:
+            self._drop(client_writer)
+
+    async def _pass_on(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, *, from_server: bool
+    ) -> None:
+        while content := await reader.read(READ_BYTES):
+            fault = self.fault
+            if fault is LinkFault.DELAY:
+                await asyncio.sleep(DELAY_SECONDS)
+            if fault is LinkFault.HALF:
+                content = content[: len(content) // 2]
+            held = fault is LinkFault.SILENT or (fault is LinkFault.ONE_WAY and from_server)
+            if not held:
+                writer.write(content)
+                await writer.drain()
+            if held or fault is LinkFault.HALF:
+                await self._healed.wait()
+                raise ConnectionResetError("bytes were held back")
+        with contextlib.suppress(OSError):
+            writer.write_eof()
+
+    def _drop(self, writer: asyncio.StreamWriter) -> None:
+        self._writers.discard(writer)
+        writer.transport.abort()
+
+    def _abort_all(self) -> None:
+        for writer in list(self._writers):
+            writer.transport.abort()
--- /dev/null
+++ b/tests/process_soak/records.py
@@ -0,0 +1,86 @@
+"""What the servers of a soak have told of themselves."""
+
+from collections import defaultdict
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from enum import StrEnum
+from pathlib import Path
+from typing import Any
+
+import orjson
+
+FAILING_CALL = "/-/failing"
+"""Tells a server whether to answer all pages with 500."""
+
+
+class RecordKind(StrEnum):
+    """Kinds of records that a server writes."""
+
+    RUN = "run"
+    WHOLE = "whole"
+    ORDER = "order"
+
+
+@dataclass(frozen=True, slots=True)
+class Run:
+    """One run of a request; `began` is steady time."""
+
+    path: str
+    began: float
+    signature: str
+    status: int
+
+
+@dataclass(frozen=True, slots=True)
+class Order:
+    """An order that reached an instance; `at` is steady time."""
+
+    holder: str
+    token: int
+    at: float
+
+
+@dataclass(slots=True)
+class Records:
+    """All records of all servers so far.
+
+    Attributes:
+        runs: by request.
+        whole_at: when a stream of the request first came to its end.
+        orders: by instance, as they arrived.
+    """
+
+    runs: dict[str, list[Run]] = field(default_factory=lambda: defaultdict(list))
+    whole_at: dict[str, float] = field(default_factory=dict)
+    orders: dict[str, list[Order]] = field(default_factory=lambda: defaultdict(list))
+
+    def take(self, document: dict[str, Any]) -> None:
+        """Takes one record."""
+        match document["kind"]:
+            case RecordKind.RUN:
+                run = Run(
+                    document["path"],
+                    document["began"],
+                    document["signature"],
+                    document["status"],
+                )
+                self.runs[document["request"]].append(run)
+            case RecordKind.WHOLE:
+                name = document["request"]
+                self.whole_at[name] = min(document["at"], self.whole_at.get(name, document["at"]))
+            case RecordKind.ORDER:
+                order = Order(document["holder"], document["token"], document["at"])
+                self.orders[document["instance"]].append(order)
+
+
+def read_records(files: Iterable[Path]) -> Records:
+    """Reads the records in the servers' outputs; a line cut off by a kill is passed over."""
+    records = Records()
+    for file in files:
+        for line in file.read_bytes().splitlines():
+            try:
+                document = orjson.loads(line)
+            except ValueError:
+                continue
+            records.take(document)
+    return records
--- /dev/null
+++ b/tests/process_soak/server_program.py
@@ -0,0 +1,111 @@
+"""A stand-in server that tells on standard output what it ran, so that a judge can read it.
+
+Run as ``python -m tests.process_soak.server_program`` with the instance, its service, the address
+in its entry (a proxy's), the address where it listens, its slots, the store and its models.
+"""
+
+import asyncio
+import sys
+import time
+from collections.abc import AsyncIterator
+
+import orjson
+from starlette.requests import Request
+from starlette.responses import Response
+from starlette.routing import Route
+
+from larkpost.fleet.configuration import ModelName, ServiceName
+from larkpost.http_server import HttpServer
+from larkpost.ids import Address, EngineId, ZoneId
+from larkpost.platform import names
+from larkpost.platform.stand_in.programs import HEARTBEAT_SECONDS, ROW_BYTES, WRITE_SECONDS
+from larkpost.platform.stand_in.rows import StandInServer, server_change
+from larkpost.platform.stand_in.server_app import ServerApp
+from larkpost.platform.store import HttpStore
+from larkpost.rehearsal.scripted_engines import EngineState
+from tests.process_soak.records import FAILING_CALL, RecordKind
+
+
+def tell(kind: RecordKind, **fields) -> None:
+    """Writes a record; all processes of a machine share the steady clock."""
+    print(orjson.dumps({"kind": kind, "at": time.monotonic()} | fields).decode(), flush=True)
+
+
+class RecordingServerApp(ServerApp):
+    """A stand-in server that records its runs, answers and orders, and may fail all pages."""
+
+    def __init__(self, instance: EngineId, state: EngineState) -> None:
+        super().__init__(instance, state)
+        self._failing = False
+
+    def app(self):
+        """Returns the application."""
+        app = super().app()
+        app.router.routes.insert(0, Route(FAILING_CALL, self._fail, methods=["POST"]))
+        return app
+
+    async def _fail(self, request: Request) -> Response:
+        self._failing = (await request.body()) == b"1"
+        return Response()
+
+    async def _serve(self, request: Request) -> Response:
+        began = time.monotonic()
+        runs = len(self._state.runs)
+        response = await super()._serve(request)
+        if len(self._state.runs) == runs:
+            return response  # refused
+        name = request.headers[names.REQUEST_ID.decode()]
+        signature = f"{self._instance}.{len(self._state.runs)}.{name}"
+        response.headers[names.SERVER_STAMP.decode()] = signature
+        if self._failing and not self._state.versions:
+            response.status_code = 500
+        tell(
+            RecordKind.RUN,
+            request=name,
+            path=request.url.path,
+            began=began,
+            signature=signature,
+            status=response.status_code,
+        )
+        return response
+
+    async def _events(self, request_id: str, after: int, model: ModelName) -> AsyncIterator[bytes]:
+        async for event in super()._events(request_id, after, model):
+            yield event
+        tell(RecordKind.WHOLE, request=request_id)
+
+    async def _order(self, request: Request) -> Response:
+        document = orjson.loads(await request.body())
+        tell(
+            RecordKind.ORDER,
+            instance=self._instance,
+            holder=document["holder"],
+            token=document["fence"],
+        )
+        return await super()._order(request)
+
+
+async def serve(
+    instance: str, service: str, listed: str, own: str, slots: int, store: str, models: str
+) -> None:
+    """Serves, and keeps the entry in the store."""
+    versions = dict.fromkeys((ModelName(name) for name in models.split(",") if name), 1)
+    state = EngineState(slots=slots, versions=versions)
+    await HttpServer(RecordingServerApp(EngineId(instance), state).app(), Address(own)).start()
+    client = HttpStore(Address(store), ROW_BYTES)
+    while True:
+        entry = StandInServer(
+            EngineId(instance),
+            ServiceName(service),
+            Address(listed),
+            ZoneId("z"),
+            slots,
+            dict(state.versions),
+        )
+        await client.write(server_change(entry), WRITE_SECONDS)
+        await asyncio.sleep(HEARTBEAT_SECONDS)
+
+
+if __name__ == "__main__":
+    arguments = sys.argv[1:]
+    asyncio.run(serve(*arguments[:4], int(arguments[4]), *arguments[5:]))
--- /dev/null
+++ b/tests/process_soak/site.py
@@ -0,0 +1,291 @@
+"""The processes of a soak, the links between them, and the faults that strike both."""
+
+import asyncio
+import signal
+import time
+from dataclasses import dataclass
+from pathlib import Path
+
+import orjson
+
+from larkpost.fleet.configuration import ModelName, ServiceName
+from larkpost.ids import Address, ZoneId
+from larkpost.platform import names
+from larkpost.platform.stand_in.daemon_settings import DaemonPlace, write_settings
+from larkpost.platform.stand_in.rows import HOST, configuration_change, version_change
+from larkpost.platform.store import HttpStore
+from larkpost.rehearsal.platform_fleet import DAEMON_MODULE, STAND_IN_MODULE
+from larkpost.rehearsal.processes import Process, ProcessGroup, free_address
+from larkpost.store.port import RowKey, Transaction, WriteOutcome
+from tests.platform_checks import CALL_ATTEMPTS
+from tests.process_soak.callers import ONCE_PREFIX
+from tests.process_soak.plan import Fault, Kind
+from tests.process_soak.proxy import FaultProxy, LinkFault
+from tests.process_soak.records import FAILING_CALL
+
+SERVER_MODULE = "tests.process_soak.server_program"
+MUTANT_MODULE = "tests.process_soak.mutant_daemon"
+ENGINES, PAGES = ServiceName("engines"), ServiceName("pages")
+MODEL = ModelName("model")
+DAEMONS, ENGINE_COUNT, PAGE_COUNT = 4, 3, 2
+ENGINE_SLOTS, PAGE_SLOTS = 8, 6
+ROW_BYTES = 65536
+STORE_SECONDS = 2.0
+STOP_SECONDS = 12.0
+
+
+@dataclass(slots=True)
+class Server:
+    """A server's place: its proxy stays, its instances follow one another."""
+
+    service: ServiceName
+    number: int
+    own: Address
+    proxy: FaultProxy
+    process: Process
+    lives: int = 1
+
+
+@dataclass(slots=True)
+class Daemon:
+    """A daemon's place: its settings, its links, and its process."""
+
+    place: DaemonPlace
+    environment: dict[str, str]
+    front: FaultProxy
+    store: FaultProxy
+    process: Process
+
+
+class Site:
+    """All processes and links.
+
+    Args:
+        mutant: the broken mechanism of all daemons, or None.
+    """
+
+    def __init__(self, group: ProcessGroup, folder: Path, mutant: str | None = None) -> None:
+        self._mutant = mutant
+        self._group = group
+        self._folder = folder
+        self._store_address = free_address()
+        self._store = group.start_module("store", STAND_IN_MODULE, "store", self._store_address)
+        self._client = HttpStore(self._store_address, ROW_BYTES)
+        self._configuration = 0
+        self._started = 0
+        self.servers: list[Server] = []
+        self.daemons: list[Daemon] = []
+
+    async def start(self) -> None:
+        """Starts everything."""
+        await self.change_configuration()
+        for number in range(ENGINE_COUNT + PAGE_COUNT):
+            service = ENGINES if number < ENGINE_COUNT else PAGES
+            own = free_address()
+            proxy = FaultProxy(own)
+            await proxy.start()
+            process = self._start_server(service, number, own, proxy, 1)
+            self.servers.append(Server(service, number, own, proxy, process))
+        for _ in range(DAEMONS):
+            self.daemons.append(await self._new_daemon())
+
+    async def close(self) -> None:
+        """Closes the links; the processes are the group's to end."""
+        for proxy in self._proxies():
+            await proxy.close()
+        await self._client.close()
+
+    def fronts(self) -> list[Address]:
+        """Returns the daemons' addresses, as callers reach them."""
+        return [daemon.front.address for daemon in self.daemons]
+
+    def outputs(self) -> list[Path]:
+        """Returns the files that hold the servers' records."""
+        return sorted(self._folder.glob("server-*.out"))
+
+    async def change_configuration(self) -> None:
+        """Writes a newer configuration, with a route that the one before had not."""
+        self._configuration += 1
+        slots = ENGINE_SLOTS
+        change = configuration_change(self._configuration, ENGINES, PAGES, slots, (MODEL,))
+        document = orjson.loads(change.puts[0][1])
+        pages = next(route for route in document["routes"] if route["service"] == PAGES)
+        pages["max-attempts"] = CALL_ATTEMPTS
+        once = pages | {"name": "orders", "path-prefix": ONCE_PREFIX, "kind": "non_idempotent"}
+        added = once | {"name": "added", "path-prefix": f"/added-{self._configuration}/"}
+        document["routes"] += [once, added]
+        key = RowKey(names.OPERATOR_TABLE, "", names.CONFIGURATION_KEY)
+        await self._write(Transaction(puts=((key, orjson.dumps(document)),)))
+
+    async def name_version(self, model: ModelName, version: int) -> None:
+        """Names a weight version."""
+        await self._write(version_change(model, version))
+
+    async def strike(self, fault: Fault) -> None:
+        """Carries a fault out and ends it."""
+        match fault.kind:
+            case Kind.DAEMON_KILL:
+                await self._restart(self._daemon(fault), signal.SIGKILL, fault.seconds)
+            case Kind.DAEMON_STOP:
+                await self._restart(self._daemon(fault), signal.SIGTERM, fault.seconds)
+            case Kind.ALL_DAEMONS_KILL:
+                restarts = (
+                    self._restart(daemon, signal.SIGKILL, fault.seconds) for daemon in self.daemons
+                )
+                await asyncio.gather(*restarts)
+            case Kind.DAEMON_MOVE:
+                await self._move(fault)
+            case Kind.DAEMON_PAUSE:
+                await self._pause(self._daemon(fault).process, fault.seconds)
+            case Kind.STORE_PAUSE:
+                await self._pause(self._store, fault.seconds)
+            case Kind.SERVER_PAUSE:
+                await self._pause(self._server(fault).process, fault.seconds)
+            case Kind.STORE_LINK:
+                await self._harm(self._daemon(fault).store, fault)
+            case Kind.FRONT_LINK:
+                await self._harm(self._daemon(fault).front, fault)
+            case Kind.SERVER_LINK:
+                await self._harm(self._server(fault).proxy, fault)
+            case Kind.SERVER_KILL:
+                await self._replace_server(self._server(fault), fault.seconds)
+            case Kind.SCORER_FAILS:
+                await self._fail_scorer(fault)
+            case Kind.GOOD_SETTINGS | Kind.BAD_SETTINGS:
+                self._change_settings(self._daemon(fault), good=fault.kind is Kind.GOOD_SETTINGS)
+            case Kind.CONFIGURATION:
+                await self.change_configuration()
+
+    def _daemon(self, fault: Fault) -> Daemon:
+        return self.daemons[fault.target % len(self.daemons)]
+
+    def _server(self, fault: Fault) -> Server:
+        return self.servers[fault.target % len(self.servers)]
+
+    def _proxies(self) -> list[FaultProxy]:
+        fronts = [daemon.front for daemon in self.daemons]
+        stores = [daemon.store for daemon in self.daemons]
+        return fronts + stores + [server.proxy for server in self.servers]
+
+    async def _new_daemon(self) -> Daemon:
+        front, store = FaultProxy(free_address()), FaultProxy(self._store_address)
+        place = DaemonPlace(
+            f"daemon-{self._started}",
+            ZoneId("z"),
+            front.upstream,
+            free_address(),
+            free_address(),
+            store.address,
+        )
+        self._started += 1
+        await front.start()
+        await store.start()
+        environment = write_settings(place, self._folder)
+        return Daemon(place, environment, front, store, self._start_daemon(place, environment))
+
+    def _start_daemon(self, place: DaemonPlace, environment: dict[str, str]) -> Process:
+        if self._mutant is None:
+            return self._group.start_module(place.machine, DAEMON_MODULE, environment=environment)
+        return self._group.start_module(
+            place.machine, MUTANT_MODULE, self._mutant, environment=environment
+        )
+
+    def _start_server(
+        self, service: ServiceName, number: int, own: Address, proxy: FaultProxy, life: int
+    ) -> Process:
+        engine = service == ENGINES
+        return self._group.start_module(
+            f"server-{number}-{life}",
+            SERVER_MODULE,
+            f"{service}-{number}-{life}",
+            service,
+            proxy.address,
+            own,
+            str(ENGINE_SLOTS if engine else PAGE_SLOTS),
+            self._store_address,
+            MODEL if engine else "",
+        )
+
+    async def _restart(self, daemon: Daemon, number: signal.Signals, seconds: float) -> None:
+        process = daemon.process
+        process.send(signal.SIGCONT)
+        process.send(number)
+        await _ended(process)
+        await asyncio.sleep(seconds)
+        if daemon.process is process and daemon in self.daemons:
+            daemon.process = self._start_daemon(daemon.place, daemon.environment)
+
+    async def _move(self, fault: Fault) -> None:
+        """Kills a daemon for good; another one starts under a new address."""
+        old = self._daemon(fault)
+        old.process.send(signal.SIGKILL)
+        self.daemons.remove(old)
+        self.daemons.append(await self._new_daemon())
+        await old.front.close()
+        await old.store.close()
+
+    async def _pause(self, process: Process, seconds: float) -> None:
+        process.send(signal.SIGSTOP)
+        await asyncio.sleep(seconds)
+        process.send(signal.SIGCONT)
+
+    async def _harm(self, proxy: FaultProxy, fault: Fault) -> None:
+        proxy.harm(fault.link)
+        await asyncio.sleep(fault.seconds)
+        proxy.harm(LinkFault.NONE)
+
+    async def _replace_server(self, server: Server, seconds: float) -> None:
+        process = server.process
+        process.send(signal.SIGKILL)
+        await _ended(process)
+        await asyncio.sleep(seconds)
+        if server.process is process:
+            server.lives += 1
+            server.process = self._start_server(
+                server.service, server.number, server.own, server.proxy, server.lives
+            )
+
+    async def _fail_scorer(self, fault: Fault) -> None:
+        pages = [server for server in self.servers if server.service == PAGES]
+        server = pages[fault.target % len(pages)]
+        await self._set_failing(server, b"1")
+        await asyncio.sleep(fault.seconds)
+        await self._set_failing(server, b"0")
+
+    async def _set_failing(self, server: Server, value: bytes) -> None:
+        request = (
+            f"POST {FAILING_CALL} HTTP/1.1\r\nHost: {HOST}\r\nConnection: close\r\n"
+            f"Content-Length: {len(value)}\r\n\r\n"
+        ).encode() + value
+        host, _, port = server.own.partition(":")
+        try:
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(request)
+            async with asyncio.timeout(STORE_SECONDS):
+                await reader.read()
+            writer.close()
+        except (OSError, TimeoutError):
+            return  # the server is gone or paused: another fault strikes it too
+
+    def _change_settings(self, daemon: Daemon, *, good: bool) -> None:
+        path = Path(daemon.environment[names.SETTINGS_VARIABLE])
+        text = path.read_text(encoding="utf-8")
+        changed = text + f"# changed at {time.monotonic()}\n"
+        path.write_text(changed if good else "this is no TOML = [", encoding="utf-8")
+        daemon.process.send(signal.SIGHUP)
+        if not good:
+            asyncio.get_running_loop().call_later(1.5, path.write_text, changed)
+
+    async def _write(self, change: Transaction) -> None:
+        """Writes as the operator does, until the store has done it."""
+        while (await self._client.write(change, STORE_SECONDS)).outcome is not WriteOutcome.DONE:
+            await asyncio.sleep(0.1)
+
+
+async def _ended(process: Process) -> None:
+    """Waits for the end of a process; kills it if a planned stop takes too long."""
+    give_up_at = time.monotonic() + STOP_SECONDS
+    while process.popen.poll() is None:
+        if time.monotonic() > give_up_at:
+            process.send(signal.SIGKILL)
+        await asyncio.sleep(0.05)
--- a/tests/run.py
+++ b/tests/run.py
@@ -26,6 +26,7 @@
     "tests.test_processes",
     "tests.test_platform_settings",
     "tests.test_deployment",
+    "tests.test_process_soak",
 )
 """Modules that start processes; they run after the others, one at a time."""
 SLOWEST_FIRST = ("tests.test_fuzz", "tests.test_soak", "tests.test_regressions")
--- /dev/null
+++ b/tests/test_process_soak.py
@@ -0,0 +1,216 @@
+"""The soak of real programs: its proxy, its plan, its judge, and a short run."""
+
+import asyncio
+import time
+import tomllib
+import unittest
+from pathlib import Path
+
+from larkpost.addresses import split_address
+from larkpost.rehearsal.processes import free_address
+from larkpost.rehearsal.scripted_engines import output_of
+from tests.process_soak.__main__ import play
+from tests.process_soak.judge import Judge, SubmittedBatch
+from tests.process_soak.plan import Kind, draw_plan
+from tests.process_soak.proxy import FaultProxy, LinkFault
+from tests.process_soak.records import Order, Records, Run
+
+SEEDS = Path(__file__).resolve().parent / "soak_seeds.toml"
+WAIT_SECONDS = 0.4
+
+
+class ProxyTest(unittest.IsolatedAsyncioTestCase):
+    """An echo server behind a proxy."""
+
+    async def asyncSetUp(self):
+        upstream = free_address()
+        host, port = split_address(upstream)
+        self.received = bytearray()
+        self.server = await asyncio.start_server(self.echo, host, port)
+        self.proxy = FaultProxy(upstream)
+        await self.proxy.start()
+        self.reader, self.writer = await asyncio.open_connection(*split_address(self.proxy.address))
+
+    async def asyncTearDown(self):
+        self.writer.transport.abort()
+        await self.proxy.close()
+        self.server.close()
+
+    async def echo(self, reader, writer):
+        """Answers everything with itself."""
+        while content := await reader.read(100):
+            self.received += content
+            writer.write(content)
+        writer.close()
+
+    async def answer(self, content: bytes) -> bytes | None:
+        """Returns what comes back of some bytes; None if nothing does, and b"" on a break."""
+        self.writer.write(content)
+        try:
+            async with asyncio.timeout(WAIT_SECONDS):
+                return await self.reader.read(100)
+        except TimeoutError:
+            return None
+        except ConnectionError:
+            return b""
+
+    async def test_passes_bytes_and_ends(self):
+        self.assertEqual(b"hello", await self.answer(b"hello"))
+        self.writer.write_eof()
+        self.assertEqual(b"", await self.reader.read(1))
+
+    async def test_delay(self):
+        self.proxy.harm(LinkFault.DELAY)
+        began = time.monotonic()
+        self.assertEqual(b"hello", await self.answer(b"hello"))
+        self.assertGreater(time.monotonic() - began, 0.2)
+
+    async def test_silence_holds_back_and_then_breaks_off(self):
+        self.proxy.harm(LinkFault.SILENT)
+        self.assertIsNone(await self.answer(b"hello"))
+        self.assertEqual(b"", bytes(self.received))
+        self.proxy.harm(LinkFault.NONE)
+        self.assertEqual(b"", await self.answer(b"x"))
+
+    async def test_one_way_reaches_the_server_only(self):
+        self.proxy.harm(LinkFault.ONE_WAY)
+        self.assertIsNone(await self.answer(b"hello"))
+        self.assertEqual(b"hello", bytes(self.received))
+
+    async def test_half_a_message(self):
+        self.proxy.harm(LinkFault.HALF)
+        self.assertEqual(b"h", await self.answer(b"helloo"))  # half of half: both directions
+        self.assertEqual(b"hel", bytes(self.received))
+        self.assertIsNone(await self.answer(b"more"))
+
+    async def test_reset_breaks_old_and_new_connections_off(self):
+        self.assertEqual(b"a", await self.answer(b"a"))
+        self.proxy.harm(LinkFault.RESET)
+        self.assertEqual(b"", await self.answer(b"b"))
+        self.reader, self.writer = await asyncio.open_connection(*split_address(self.proxy.address))
+        self.assertEqual(b"", await self.answer(b"c"))
+
+
+class PlanTest(unittest.TestCase):
+    """What a seed draws."""
+
+    def test_seed_decides_the_plan(self):
+        self.assertEqual(draw_plan(3, 60.0, 1.0), draw_plan(3, 60.0, 1.0))
+        self.assertNotEqual(draw_plan(3, 60.0, 1.0), draw_plan(4, 60.0, 1.0))
+
+    def test_every_kind_is_drawn_and_faults_overlap(self):
+        plan = draw_plan(1, 600.0, 1.0)
+        self.assertEqual(set(Kind), {fault.kind for fault in plan})
+        pairs = zip(plan, plan[1:], strict=False)
+        self.assertTrue(any(first.at + first.seconds > second.at for first, second in pairs))
+
+
+class JudgeTest(unittest.TestCase):
+    """Each promise, broken by hand."""
+
+    def setUp(self):
+        self.judge = Judge()
+        self.batch = SubmittedBatch("b", {"i1": "s1", "i2": "s2"}, 2, accepted=True, refused=False)
+        self.judge.batches["b"] = self.batch
+        self.records = Records()
+        for item, call in self.batch.calls.items():
+            self.records.runs[item].append(Run("/r", 1.0, f"e.{item}", 200))
+            self.records.whole_at[item] = 2.0
+            self.records.runs[call].append(Run("/p", 3.0, f"p.{call}", 200))
+
+    def result(self, item: str, **changes) -> dict:
+        """Returns a sound result, with changes."""
+        text = b"\n".join(output_of(item)).decode()
+        score = f"p.{self.batch.calls[item]}"
+        sound = {"id": item, "state": "done", "message": text, "versions": [2], "score": score}
+        return sound | changes
+
+    def assert_broken(self, words: str) -> None:
+        """Checks that the judge finds what it must."""
+        with self.assertRaisesRegex(AssertionError, words):
+            self.judge.check(self.records)
+
+    def test_sound_results_hold(self):
+        self.judge.take_page(self.batch, 0, [self.result("i1"), self.result("i2")])
+        self.judge.check(self.records)
+        self.assertEqual([], self.judge.missing())
+
+    def test_missing_results_are_named(self):
+        self.judge.take_page(self.batch, 0, [self.result("i1")])
+        self.assertEqual(["b"], self.judge.missing())
+
+    def test_position_that_changes(self):
+        self.judge.take_page(self.batch, 0, [self.result("i1")])
+        with self.assertRaisesRegex(AssertionError, "has changed"):
+            self.judge.take_page(self.batch, 0, [self.result("i2")])
+
+    def test_position_left_out(self):
+        with self.assertRaisesRegex(AssertionError, "left out"):
+            self.judge.take_page(self.batch, 1, [self.result("i1")])
+
+    def test_item_twice(self):
+        self.judge.take_page(self.batch, 0, [self.result("i1"), self.result("i1")])
+        self.assert_broken("doubled")
+
+    def test_text_version_and_score(self):
+        broken = {
+            "whole output": {"message": "x"},
+            "minimum_version": {"versions": [1, 2]},
+            "nobody's signature": {"score": "p.s2"},
+            "given up early": {"state": "dead"},
+        }
+        for words, change in broken.items():
+            with self.subTest(words):
+                self.batch.read = [self.result("i1", **change)]
+                self.assert_broken(words)
+
+    def test_score_of_a_call_before_the_text(self):
+        self.records.whole_at["i1"] = 5.0
+        self.judge.take_page(self.batch, 0, [self.result("i1")])
+        self.assert_broken("scored before")
+
+    def test_refused_batch_that_runs(self):
+        self.batch.accepted, self.batch.refused = False, True
+        self.assert_broken("was refused")
+
+    def test_run_after_the_end_in_calm_times_only(self):
+        self.batch.ended_at = 10.0
+        self.records.runs["i1"].append(Run("/r", 20.0, "e.i1", 200))
+        self.assert_broken("after its batch's end")
+        self.judge.fault_times.append(15.0)
+        self.judge.check(self.records)
+
+    def test_request_that_nobody_sent(self):
+        self.records.runs["r9"].append(Run("/p", 1.0, "p.r9", 200))
+        self.assert_broken("nobody sent")
+
+    def test_run_once_requests(self):
+        self.judge.asked["r1"] = True
+        self.records.runs["r1"].append(Run("/p", 1.0, "p.r1", 200))
+        self.judge.check(self.records)
+        self.judge.told_not_run.add("r1")
+        self.assert_broken("told not run")
+        self.records.runs["r1"].append(Run("/p", 2.0, "p.r1", 200))
+        self.assert_broken("ran 2 times")
+
+    def test_holders_that_take_turns(self):
+        self.records.orders["e"] += [Order("a", 1, 0.0), Order("b", 2, 1.0)]
+        self.assert_broken("Order|'a'")
+        self.records.orders["e"] = [Order("a", 2, 0.0), Order("a", 1, 1.0)]
+        self.assert_broken("do not rise")
+
+
+class RunTest(unittest.TestCase):
+    """Short runs of the seeds that are kept."""
+
+    def test_kept_seeds_break_no_promise(self):
+        kept = tomllib.loads(SEEDS.read_text(encoding="utf-8"))["seeds"]
+        for entry in kept:
+            with self.subTest(entry["seed"]):
+                report = play(entry["seed"], entry["seconds"], entry["gap"])
+                self.assertEqual("", report.broken)
+                self.assertGreater(report.steps, 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
