--- a/tests/process_soak/judge.py
+++ b/tests/process_soak/judge.py
@@ -93,7 +93,7 @@
                     result["versions"],
                     batch.minimum_version,
                 )
-                began = [run.began for run in runs if run.signature == result["score"]]
+                began = [run.began for run in runs if run.signature == result.get("score")]
                 whole_at = records.whole_at.get(result["id"], float("inf"))
                 checks.check_score(result["id"], began, whole_at)
             else:
