--- a/tests/soak.py
+++ b/tests/soak.py
@@ -1,4 +1,4 @@
-"""A long run of a fleet under overlapping faults, on virtual time: `make soak`.
+"""A long run of a fleet under overlapping faults, on virtual time: `make soak-virtual`.
 
 Trainers draw steps one after the other while faults come at random moments, several at once:
 daemons are killed, stopped as planned, added and cut off; the store is down, refuses, loses
