--- a/tests/process_soak/plan.py
+++ b/tests/process_soak/plan.py
@@ -17,6 +17,13 @@
     ALL_DAEMONS_KILL = "all_daemons_kill"
     GOOD_SETTINGS = "good_settings"  # SIGHUP after a harmless change of the settings
     BAD_SETTINGS = "bad_settings"  # SIGHUP after a change that must be refused
+    STORE_REFUSES = "store_refuses"  # all calls of daemons
+    STORE_TURNS_AWAY = "store_turns_away"  # one daemon's calls
+    STORE_LOSES_ANSWERS = "store_loses_answers"
+    STORE_WRITES_LATE = "store_writes_late"  # some writes get no answer and are done later
+    STORE_SLOW = "store_slow"
+    STORE_PARTS_DOWN = "store_parts_down"
+    STORE_FORGETS = "store_forgets"  # its history
     STORE_PAUSE = "store_pause"  # the store is silent to all
     STORE_LINK = "store_link"  # a daemon's link to the store
     SERVER_LINK = "server_link"  # all daemons' link to a server
--- a/tests/process_soak/proxy.py
+++ b/tests/process_soak/proxy.py
@@ -44,7 +44,7 @@
         """Stops listening and breaks all connections off."""
         if self._server is not None:
             self._server.close()
-        self._abort_all()
+        self.break_off()
 
     def harm(self, fault: LinkFault) -> None:
         """Begins a fault, or ends it with `LinkFault.NONE`.
@@ -55,7 +55,7 @@
         held_back = self.fault in (LinkFault.SILENT, LinkFault.ONE_WAY, LinkFault.HALF)
         self.fault = fault
         if fault is LinkFault.RESET or held_back:
-            self._abort_all()
+            self.break_off()
         if fault is LinkFault.NONE:
             self._healed.set()
         else:
@@ -108,6 +108,7 @@
         self._writers.discard(writer)
         writer.transport.abort()
 
-    def _abort_all(self) -> None:
+    def break_off(self) -> None:
+        """Breaks all connections off."""
         for writer in list(self._writers):
             writer.transport.abort()
--- a/tests/process_soak/records.py
+++ b/tests/process_soak/records.py
@@ -13,6 +13,12 @@
 """Tells a server whether to answer all pages with 500."""
 
 
+STORE_FAULTS_CALL = "/-/faults"
+"""Sets the faults that strike the daemons' calls to the store."""
+FORGET_CALL = "/-/forget"
+"""Makes the store forget its history."""
+
+
 class RecordKind(StrEnum):
     """Kinds of records that a server writes."""
 
--- a/tests/process_soak/site.py
+++ b/tests/process_soak/site.py
@@ -6,27 +6,37 @@
 from dataclasses import dataclass
 from pathlib import Path
 
+import aiohttp
 import orjson
 
 from larkpost.fleet.configuration import ModelName, ServiceName
+from larkpost.http_server import HttpServer
 from larkpost.ids import Address, ZoneId
 from larkpost.platform import names
 from larkpost.platform.stand_in.daemon_settings import DaemonPlace, write_settings
-from larkpost.platform.stand_in.rows import HOST, configuration_change, version_change
+from larkpost.platform.stand_in.rows import configuration_change, version_change
 from larkpost.platform.store import HttpStore
-from larkpost.rehearsal.platform_fleet import DAEMON_MODULE, STAND_IN_MODULE
+from larkpost.rehearsal.platform_fleet import DAEMON_MODULE
 from larkpost.rehearsal.processes import Process, ProcessGroup, free_address
 from larkpost.store.port import RowKey, Transaction, WriteOutcome
 from tests.platform_checks import CALL_ATTEMPTS
 from tests.process_soak.callers import ONCE_PREFIX
 from tests.process_soak.plan import Fault, Kind
 from tests.process_soak.proxy import FaultProxy, LinkFault
-from tests.process_soak.records import FAILING_CALL
+from tests.process_soak.records import FAILING_CALL, FORGET_CALL, STORE_FAULTS_CALL
 
+STORE_MODULE = "tests.process_soak.store_program"
 SERVER_MODULE = "tests.process_soak.server_program"
 MUTANT_MODULE = "tests.process_soak.mutant_daemon"
 ENGINES, PAGES = ServiceName("engines"), ServiceName("pages")
 MODEL = ModelName("model")
+STORE_FAULTS = {
+    Kind.STORE_REFUSES: {"refuses": True},
+    Kind.STORE_LOSES_ANSWERS: {"lost_answers": 0.3},
+    Kind.STORE_WRITES_LATE: {"late_writes": 0.3},
+    Kind.STORE_SLOW: {"slow_seconds": 0.2},
+    Kind.STORE_PARTS_DOWN: {"parts_down": ["b0", "b1", "b2", "b3"]},
+}
 DAEMONS, ENGINE_COUNT, PAGE_COUNT = 4, 3, 2
 ENGINE_SLOTS, PAGE_SLOTS = 8, 6
 ROW_BYTES = 65536
@@ -69,7 +79,12 @@
         self._group = group
         self._folder = folder
         self._store_address = free_address()
-        self._store = group.start_module("store", STAND_IN_MODULE, "store", self._store_address)
+        self._daemons_store = free_address()
+        self._store = group.start_module(
+            "store", STORE_MODULE, self._store_address, self._daemons_store
+        )
+        self._refuser_address = free_address()
+        self._refuser = HttpServer(_refuse, self._refuser_address)
         self._client = HttpStore(self._store_address, ROW_BYTES)
         self._configuration = 0
         self._started = 0
@@ -78,6 +93,7 @@
 
     async def start(self) -> None:
         """Starts everything."""
+        await self._refuser.start()
         await self.change_configuration()
         for number in range(ENGINE_COUNT + PAGE_COUNT):
             service = ENGINES if number < ENGINE_COUNT else PAGES
@@ -93,6 +109,7 @@
         """Closes the links; the processes are the group's to end."""
         for proxy in self._proxies():
             await proxy.close()
+        await self._refuser.close()
         await self._client.close()
 
     def fronts(self) -> list[Address]:
@@ -137,6 +154,12 @@
                 await self._move(fault)
             case Kind.DAEMON_PAUSE:
                 await self._pause(self._daemon(fault).process, fault.seconds)
+            case Kind.STORE_TURNS_AWAY:
+                await self._turn_away(self._daemon(fault), fault.seconds)
+            case Kind.STORE_FORGETS:
+                await self._control(self._store_address, FORGET_CALL, b"")
+            case kind if kind in STORE_FAULTS:
+                await self._trouble_store(STORE_FAULTS[kind], fault.seconds)
             case Kind.STORE_PAUSE:
                 await self._pause(self._store, fault.seconds)
             case Kind.SERVER_PAUSE:
@@ -168,7 +191,7 @@
         return fronts + stores + [server.proxy for server in self.servers]
 
     async def _new_daemon(self) -> Daemon:
-        front, store = FaultProxy(free_address()), FaultProxy(self._store_address)
+        front, store = FaultProxy(free_address()), FaultProxy(self._daemons_store)
         place = DaemonPlace(
             f"daemon-{self._started}",
             ZoneId("z"),
@@ -245,27 +268,38 @@
                 server.service, server.number, server.own, server.proxy, server.lives
             )
 
+    async def _turn_away(self, daemon: Daemon, seconds: float) -> None:
+        """Lets the store refuse all calls of one daemon."""
+        upstream, daemon.store.upstream = daemon.store.upstream, self._refuser_address
+        daemon.store.break_off()
+        await asyncio.sleep(seconds)
+        daemon.store.upstream = upstream
+        daemon.store.break_off()
+
+    async def _trouble_store(self, faults: dict, seconds: float) -> None:
+        """Lets faults strike the calls of all daemons; a later fault of the kind replaces them."""
+        await self._control(self._store_address, STORE_FAULTS_CALL, orjson.dumps(faults))
+        await asyncio.sleep(seconds)
+        await self._control(self._store_address, STORE_FAULTS_CALL, b"{}")
+
     async def _fail_scorer(self, fault: Fault) -> None:
         pages = [server for server in self.servers if server.service == PAGES]
         server = pages[fault.target % len(pages)]
-        await self._set_failing(server, b"1")
+        await self._control(server.own, FAILING_CALL, b"1")
         await asyncio.sleep(fault.seconds)
-        await self._set_failing(server, b"0")
-
-    async def _set_failing(self, server: Server, value: bytes) -> None:
-        request = (
-            f"POST {FAILING_CALL} HTTP/1.1\r\nHost: {HOST}\r\nConnection: close\r\n"
-            f"Content-Length: {len(value)}\r\n\r\n"
-        ).encode() + value
-        host, _, port = server.own.partition(":")
+        await self._control(server.own, FAILING_CALL, b"0")
+
+    async def _control(self, address: Address, call: str, body: bytes) -> None:
+        """Tells a stand-in what to do, unless another fault has struck it too."""
         try:
-            reader, writer = await asyncio.open_connection(host, int(port))
-            writer.write(request)
-            async with asyncio.timeout(STORE_SECONDS):
-                await reader.read()
-            writer.close()
-        except (OSError, TimeoutError):
-            return  # the server is gone or paused: another fault strikes it too
+            async with (
+                aiohttp.ClientSession() as session,
+                asyncio.timeout(STORE_SECONDS),
+                session.post(f"http://{address}{call}", data=body) as answer,
+            ):
+                assert answer.status == 200, f"{call}: {answer.status}"
+        except (aiohttp.ClientError, OSError, TimeoutError):
+            return
 
     def _change_settings(self, daemon: Daemon, *, good: bool) -> None:
         path = Path(daemon.environment[names.SETTINGS_VARIABLE])
@@ -282,6 +316,14 @@
             await asyncio.sleep(0.1)
 
 
+async def _refuse(scope: dict, receive, send) -> None:
+    """Answers every call as a store does that turns a machine away."""
+    await receive()
+    headers = [(b"content-length", b"0")]
+    await send({"type": "http.response.start", "status": 503, "headers": headers})
+    await send({"type": "http.response.body", "body": b""})
+
+
 async def _ended(process: Process) -> None:
     """Waits for the end of a process; kills it if a planned stop takes too long."""
     give_up_at = time.monotonic() + STOP_SECONDS
--- /dev/null
+++ b/tests/process_soak/store_program.py
@@ -0,0 +1,76 @@
+"""The store of a soak: faults strike the calls of daemons, not those of the operator and servers.
+
+Run as ``python -m tests.process_soak.store_program`` with the address for the operator and servers,
+and the one for daemons.
+"""
+
+import asyncio
+import sys
+from dataclasses import fields
+from typing import Any
+
+import orjson
+from starlette.requests import Request
+from starlette.responses import Response
+from starlette.routing import Route
+
+from larkpost.clock import LoopClock
+from larkpost.http_server import HttpServer
+from larkpost.ids import Address
+from larkpost.platform.stand_in.programs import HEARTBEAT_SECONDS, _drop_silent
+from larkpost.platform.stand_in.store_app import StoreApp
+from larkpost.rehearsal.memory_store import MemoryStore, StoreFaults
+from tests.process_soak.records import FORGET_CALL, STORE_FAULTS_CALL
+
+
+class FaultFreeStore:
+    """A store in memory as its operator reaches it: the same rows, no faults."""
+
+    def __init__(self, store: MemoryStore) -> None:
+        self._store = store
+        self.faults = StoreFaults()
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._store, name)
+
+
+def read_faults(content: bytes) -> StoreFaults:
+    """Reads faults from a document of the fields that differ from none.
+
+    Raises:
+        ValueError: there is no such field.
+    """
+    document = orjson.loads(content)
+    unknown = set(document) - {field.name for field in fields(StoreFaults)}
+    if unknown:
+        raise ValueError(f"no such faults of the store: {sorted(unknown)}")
+    if "parts_down" in document:
+        document["parts_down"] = frozenset(document["parts_down"])
+    return StoreFaults(**document)
+
+
+async def serve(clean: Address, faulty: Address) -> None:
+    """Serves both addresses, and drops the entries of servers that have fallen silent."""
+    clock = LoopClock()
+    store = MemoryStore(clock)
+
+    async def set_faults(request: Request) -> Response:
+        store.faults = read_faults(await request.body())
+        return Response()
+
+    async def forget(_: Request) -> Response:
+        store.forget_history()
+        return Response()
+
+    app = StoreApp(FaultFreeStore(store), clock).app()
+    app.router.routes.append(Route(STORE_FAULTS_CALL, set_faults, methods=["POST"]))
+    app.router.routes.append(Route(FORGET_CALL, forget, methods=["POST"]))
+    await HttpServer(app, clean).start()
+    await HttpServer(StoreApp(store, clock).app(), faulty).start()
+    while True:
+        await asyncio.sleep(HEARTBEAT_SECONDS)
+        _drop_silent(store, clock)
+
+
+if __name__ == "__main__":
+    asyncio.run(serve(Address(sys.argv[1]), Address(sys.argv[2])))
