--- a/tests/process_soak/plan.py
+++ b/tests/process_soak/plan.py
@@ -28,6 +28,8 @@
     STORE_LINK = "store_link"  # a daemon's link to the store
     SERVER_LINK = "server_link"  # all daemons' link to a server
     FRONT_LINK = "front_link"  # the callers' link to a daemon
+    SERVER_GARBLES = "server_garbles"  # answers too many, or noise in their place
+    ORDERS_LATE = "orders_late"  # an engine leaves orders unanswered and carries them out later
     SERVER_KILL = "server_kill"  # a new instance follows at the same address
     SERVER_PAUSE = "server_pause"
     SCORER_FAILS = "scorer_fails"  # a server answers every page with 500
@@ -37,7 +39,9 @@
 LONGEST_SECONDS = {Kind.STORE_PAUSE: 3.0, Kind.SERVER_PAUSE: 3.0, Kind.SCORER_FAILS: 2.0}
 USUAL_LONGEST_SECONDS = 5.0
 SHORTEST_SECONDS = 0.3
-LINK_FAULTS = tuple(fault for fault in LinkFault if fault is not LinkFault.NONE)
+GARBLES = (LinkFault.EXTRA, LinkFault.GARBLE)
+"""What only servers do: the store and the daemons keep their protocol."""
+LINK_FAULTS = tuple(fault for fault in LinkFault if fault not in (LinkFault.NONE, *GARBLES))
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,7 +76,7 @@
                 kind,
                 round(chance.uniform(SHORTEST_SECONDS, longest), 2),
                 chance.randrange(1000),
-                chance.choice(LINK_FAULTS),
+                chance.choice(GARBLES if kind is Kind.SERVER_GARBLES else LINK_FAULTS),
             )
         )
         at += chance.expovariate(1 / gap)
--- a/tests/process_soak/proxy.py
+++ b/tests/process_soak/proxy.py
@@ -9,6 +9,7 @@
 from larkpost.rehearsal.processes import free_address
 
 READ_BYTES = 65536
+NOISE = bytes(range(192, 256))
 DELAY_SECONDS = 0.15
 
 
@@ -20,6 +21,8 @@
     RESET = "reset"  # breaks connections off, old and new ones
     SILENT = "silent"  # holds all of them back; the connections end with the fault
     ONE_WAY = "one_way"  # passes what goes to the server, holds back what comes from it
+    EXTRA = "extra"  # passes what comes from the server twice
+    GARBLE = "garble"  # passes noise in place of what comes from the server, then breaks off
     HALF = "half"  # passes half of what it reads next in a direction, then holds back
 
 
@@ -94,10 +97,16 @@
                 await asyncio.sleep(DELAY_SECONDS)
             if fault is LinkFault.HALF:
                 content = content[: len(content) // 2]
+            if fault is LinkFault.EXTRA and from_server:
+                content += content
+            if fault is LinkFault.GARBLE and from_server:
+                content = NOISE
             held = fault is LinkFault.SILENT or (fault is LinkFault.ONE_WAY and from_server)
             if not held:
                 writer.write(content)
                 await writer.drain()
+            if fault is LinkFault.GARBLE and from_server:
+                raise ConnectionResetError("the answer was garbled")
             if held or fault is LinkFault.HALF:
                 await self._healed.wait()
                 raise ConnectionResetError("bytes were held back")
--- a/tests/process_soak/records.py
+++ b/tests/process_soak/records.py
@@ -13,6 +13,8 @@
 """Tells a server whether to answer all pages with 500."""
 
 
+LATE_ORDERS_CALL = "/-/late-orders"
+"""Tells an engine whether to leave orders unanswered and carry them out later."""
 STORE_FAULTS_CALL = "/-/faults"
 """Sets the faults that strike the daemons' calls to the store."""
 FORGET_CALL = "/-/forget"
--- a/tests/process_soak/server_program.py
+++ b/tests/process_soak/server_program.py
@@ -23,7 +23,10 @@
 from larkpost.platform.stand_in.server_app import ServerApp
 from larkpost.platform.store import HttpStore
 from larkpost.rehearsal.scripted_engines import EngineState
-from tests.process_soak.records import FAILING_CALL, RecordKind
+from tests.process_soak.records import FAILING_CALL, LATE_ORDERS_CALL, RecordKind
+
+LATE_SECONDS = 2.0
+UNANSWERED_SECONDS = 30.0
 
 
 def tell(kind: RecordKind, **fields) -> None:
@@ -37,17 +40,24 @@
     def __init__(self, instance: EngineId, state: EngineState) -> None:
         super().__init__(instance, state)
         self._failing = False
+        self._late_orders = False
+        self._late: set[asyncio.Task] = set()
 
     def app(self):
         """Returns the application."""
         app = super().app()
         app.router.routes.insert(0, Route(FAILING_CALL, self._fail, methods=["POST"]))
+        app.router.routes.insert(0, Route(LATE_ORDERS_CALL, self._delay_orders, methods=["POST"]))
         return app
 
     async def _fail(self, request: Request) -> Response:
         self._failing = (await request.body()) == b"1"
         return Response()
 
+    async def _delay_orders(self, request: Request) -> Response:
+        self._late_orders = (await request.body()) == b"1"
+        return Response()
+
     async def _serve(self, request: Request) -> Response:
         began = time.monotonic()
         runs = len(self._state.runs)
@@ -82,8 +92,18 @@
             holder=document["holder"],
             token=document["fence"],
         )
+        if self._late_orders:
+            task = asyncio.create_task(self._order_later(request))
+            self._late.add(task)
+            task.add_done_callback(self._late.discard)
+            await asyncio.sleep(UNANSWERED_SECONDS)  # its sender has long given up
+            return Response(status_code=503)
         return await super()._order(request)
 
+    async def _order_later(self, request: Request) -> None:
+        await asyncio.sleep(LATE_SECONDS)
+        await super()._order(request)
+
 
 async def serve(
     instance: str, service: str, listed: str, own: str, slots: int, store: str, models: str
--- a/tests/process_soak/site.py
+++ b/tests/process_soak/site.py
@@ -23,7 +23,12 @@
 from tests.process_soak.callers import ONCE_PREFIX
 from tests.process_soak.plan import Fault, Kind
 from tests.process_soak.proxy import FaultProxy, LinkFault
-from tests.process_soak.records import FAILING_CALL, FORGET_CALL, STORE_FAULTS_CALL
+from tests.process_soak.records import (
+    FAILING_CALL,
+    FORGET_CALL,
+    LATE_ORDERS_CALL,
+    STORE_FAULTS_CALL,
+)
 
 STORE_MODULE = "tests.process_soak.store_program"
 SERVER_MODULE = "tests.process_soak.server_program"
@@ -170,6 +175,10 @@
                 await self._harm(self._daemon(fault).front, fault)
             case Kind.SERVER_LINK:
                 await self._harm(self._server(fault).proxy, fault)
+            case Kind.SERVER_GARBLES:
+                await self._harm(self._server(fault).proxy, fault)
+            case Kind.ORDERS_LATE:
+                await self._delay_orders(fault)
             case Kind.SERVER_KILL:
                 await self._replace_server(self._server(fault), fault.seconds)
             case Kind.SCORER_FAILS:
@@ -289,6 +298,12 @@
         await asyncio.sleep(fault.seconds)
         await self._control(server.own, FAILING_CALL, b"0")
 
+    async def _delay_orders(self, fault: Fault) -> None:
+        engine = self.servers[fault.target % ENGINE_COUNT]
+        await self._control(engine.own, LATE_ORDERS_CALL, b"1")
+        await asyncio.sleep(fault.seconds)
+        await self._control(engine.own, LATE_ORDERS_CALL, b"0")
+
     async def _control(self, address: Address, call: str, body: bytes) -> None:
         """Tells a stand-in what to do, unless another fault has struck it too."""
         try:
--- a/tests/test_process_soak.py
+++ b/tests/test_process_soak.py
@@ -83,6 +83,13 @@
         self.assertEqual(b"hel", bytes(self.received))
         self.assertIsNone(await self.answer(b"more"))
 
+    async def test_extra_and_garbled_answers(self):
+        self.proxy.harm(LinkFault.EXTRA)
+        self.assertEqual(b"aa", await self.answer(b"a"))
+        self.proxy.harm(LinkFault.GARBLE)
+        self.assertNotIn(b"b", await self.answer(b"b"))
+        self.assertEqual(b"", await self.reader.read(1000))
+
     async def test_reset_breaks_old_and_new_connections_off(self):
         self.assertEqual(b"a", await self.answer(b"a"))
         self.proxy.harm(LinkFault.RESET)
