--- a/tests/test_reward_calls.py
+++ b/tests/test_reward_calls.py
@@ -11,7 +11,7 @@
 from larkpost.rehearsal.scripted_engines import EngineState
 from larkpost.rollouts import codec
 from larkpost.rollouts.attempt import Progress
-from larkpost.rollouts.model import Result, ResultState
+from larkpost.rollouts.model import BatchSpec, Result, ResultState
 from larkpost.rollouts.service import ResultPage
 from tests.platform_fleet import (
     OTHER_SCORERS,
@@ -33,6 +33,21 @@
     return fleet
 
 
+async def submit_while_scorers_are_down(fleet: PlatformFleet, **options) -> BatchSpec:
+    """Takes all scorers down and submits a batch whose items want scores."""
+    for state in fleet.scorers():
+        state.down = True
+    spec = make_batch(scored=True, **options)
+    await fleet.gateways[0].batches.submit(spec)
+    return spec
+
+
+def bring_scorers_back(fleet: PlatformFleet) -> None:
+    """Heals all scorers."""
+    for state in fleet.scorers():
+        state.down = False
+
+
 def scores_of(state: EngineState) -> set[str]:
     """Returns all scores that a server has signed."""
     return {name for signed in state.signatures.values() for name, _ in signed}
@@ -61,14 +76,10 @@
     def test_no_result_is_listed_while_the_scorers_are_gone(self):
         async def play():
             fleet = await start_fleet()
-            for state in fleet.scorers():
-                state.down = True
-            spec = make_batch(scored=True)
-            await fleet.gateways[0].batches.submit(spec)
+            spec = await submit_while_scorers_are_down(fleet)
             await fleet.wait(10.0)
             self.assertEqual([], fleet.stored_results(spec.id))
-            for state in fleet.scorers():
-                state.down = False
+            bring_scorers_back(fleet)
             results = await fleet.read_all(fleet.gateways[1], spec.id)
             check_results(self, spec, results)
             PlatformOracle.of_batch(fleet, spec).check()
@@ -78,15 +89,11 @@
     def test_next_owner_asks_only_for_the_score(self):
         async def play():
             fleet = await start_fleet()
-            for state in fleet.scorers():
-                state.down = True
-            spec = make_batch(scored=True)
-            await fleet.gateways[0].batches.submit(spec)
+            spec = await submit_while_scorers_are_down(fleet)
             await fleet.wait(4.0)
             runs = sum(len(state.runs) for state in fleet.model_engines())
             fleet.kill(0)
-            for state in fleet.scorers():
-                state.down = False
+            bring_scorers_back(fleet)
             results = await fleet.read_all(fleet.gateways[1], spec.id)
             check_results(self, spec, results)
             self.assertEqual(runs, sum(len(state.runs) for state in fleet.model_engines()))
@@ -96,18 +103,14 @@
     def test_planned_stop_hands_over_whole_texts(self):
         async def play():
             fleet = await start_fleet()
-            for state in fleet.scorers():
-                state.down = True
-            spec = make_batch(scored=True)
-            await fleet.gateways[0].batches.submit(spec)
+            spec = await submit_while_scorers_are_down(fleet)
             await fleet.wait(0.7)  # before whole texts are kept in the ordinary course
             whole = {name for state in fleet.model_engines() for name in state.whole_at}
             self.assertTrue(whole)
             await fleet.gateways[0].membership.leave()
             await fleet.gateways[0].keeper.hand_over()
             runs_before = [len(state.runs) for state in fleet.model_engines()]
-            for state in fleet.scorers():
-                state.down = False
+            bring_scorers_back(fleet)
             results = await fleet.read_all(fleet.gateways[1], spec.id)
             check_results(self, spec, results)
             engines = zip(fleet.model_engines(), runs_before, strict=True)
@@ -119,14 +122,10 @@
     def test_store_down_between_text_and_score(self):
         async def play():
             fleet = await start_fleet()
-            for state in fleet.scorers():
-                state.down = True
-            spec = make_batch(scored=True)
-            await fleet.gateways[0].batches.submit(spec)
+            spec = await submit_while_scorers_are_down(fleet)
             await fleet.wait(0.7)
             fleet.store.faults = StoreFaults(down=True)
-            for state in fleet.scorers():
-                state.down = False
+            bring_scorers_back(fleet)
             await fleet.wait(3.0)
             fleet.store.faults = StoreFaults()
             results = await fleet.read_all(fleet.gateways[1], spec.id)
@@ -138,15 +137,11 @@
     def test_all_daemons_lost_after_the_last_event(self):
         async def play():
             fleet = await start_fleet()
-            for state in fleet.scorers():
-                state.down = True
-            spec = make_batch(scored=True)
-            await fleet.gateways[0].batches.submit(spec)
+            spec = await submit_while_scorers_are_down(fleet)
             await fleet.wait(0.8)
             for number in range(3):
                 fleet.kill(number)
-            for state in fleet.scorers():
-                state.down = False
+            bring_scorers_back(fleet)
             for number in range(3):
                 fleet.add_gateway(f"daemon-{number}")
             await fleet.wait(1.0)
@@ -215,15 +210,11 @@
         async def play():
             fleet = await start_fleet()
             fleet.add_scorer(EngineId("other-0"), OTHER_SCORERS)
-            for state in fleet.scorers():
-                state.down = True
-            spec = make_batch(items=4, scored=True)
-            await fleet.gateways[0].batches.submit(spec)
+            spec = await submit_while_scorers_are_down(fleet, items=4)
             await fleet.wait(2.0)
             fleet.put("operator", "configuration", b"moved")
             await fleet.wait(1.0)
-            for state in fleet.scorers():
-                state.down = False
+            bring_scorers_back(fleet)
             check_results(self, spec, await fleet.read_all(fleet.gateways[1], spec.id))
             self.assertEqual(4, len(fleet.engines.engines[EngineId("other-0")].runs))
             self.assertEqual(4, calls(fleet))
@@ -233,15 +224,11 @@
     def test_no_call_is_made_after_the_batch_has_ended(self):
         async def play():
             fleet = await start_fleet()
-            for state in fleet.scorers():
-                state.down = True
-            spec = make_batch(scored=True)
-            await fleet.gateways[0].batches.submit(spec)
+            spec = await submit_while_scorers_are_down(fleet)
             await fleet.wait(2.0)
             await fleet.gateways[1].batches.end(spec.id)
             await fleet.wait(CANCEL_SECONDS)
-            for state in fleet.scorers():
-                state.down = False
+            bring_scorers_back(fleet)
             await fleet.wait(10.0)
             self.assertEqual(0, calls(fleet))
 
@@ -254,13 +241,10 @@
             fleet = await start_fleet(scorers=4)
             for state in fleet.model_engines():
                 state.slots = 40
-            for state in fleet.scorers():
-                state.down = True
-            spec = make_batch(items=112, scored=True)
-            await fleet.gateways[0].batches.submit(spec)
+            spec = await submit_while_scorers_are_down(fleet, items=112)
             await fleet.wait(12.0)
+            bring_scorers_back(fleet)
             for state in fleet.scorers():
-                state.down = False
                 state.event_seconds = 0.05
             began = fleet.clock.now()
             check_results(self, spec, await fleet.read_all(fleet.gateways[1], spec.id))
