--- a/tests/process_soak/site.py
+++ b/tests/process_soak/site.py
@@ -173,9 +173,7 @@
                 await self._harm(self._daemon(fault).store, fault)
             case Kind.FRONT_LINK:
                 await self._harm(self._daemon(fault).front, fault)
-            case Kind.SERVER_LINK:
-                await self._harm(self._server(fault).proxy, fault)
-            case Kind.SERVER_GARBLES:
+            case Kind.SERVER_LINK | Kind.SERVER_GARBLES:
                 await self._harm(self._server(fault).proxy, fault)
             case Kind.ORDERS_LATE:
                 await self._delay_orders(fault)
