Policy record: the mechanisms of a daemon that can be switched off, for the ablation

Cause: the users asked what each mechanism is worth; nothing could be switched off without editing its code. Change: larkpost.policy.Policy, frozen and checked, with which a daemon is made (GatewaySettings.policy). The defaults are what ran before; the constants that it holds are gone from the modules. No setting and no variable of the environment changes it.

--- a/src/larkpost/fleet/loader.py
+++ b/src/larkpost/fleet/loader.py
@@ -16,6 +16,7 @@
 from larkpost.fleet.weights import Demands, WeightTarget, WeightTargets, due_loads
 from larkpost.ids import EngineId
 from larkpost.metrics import Count, Metrics
+from larkpost.policy import DEFAULT_POLICY, Policy
 from larkpost.proxy.port import OrderOutcome, RunningWork, ServerPort, VersionOrder
 from larkpost.tasks import TaskSet
 
@@ -49,7 +50,9 @@
         log: EventLog,
         metrics: Metrics,
         demands: Callable[[], Demands],
+        policy: Policy = DEFAULT_POLICY,
     ) -> None:
+        self._policy = policy
         self._configuration = configuration
         self._directory = directory
         self._targets = targets
@@ -82,7 +85,7 @@
                 continue
             now = self._clock.now()
             for engine, target in due_loads(
-                service, self._directory, self._targets, self._demands(), now
+                service, self._directory, self._targets, self._demands(), now, self._policy
             ):
                 if self._should_order(engine):
                     self._under_way.add(engine)
--- a/src/larkpost/fleet/members.py
+++ b/src/larkpost/fleet/members.py
@@ -19,6 +19,7 @@
 from larkpost.eventlog import Event, EventLog
 from larkpost.hashing import hash64
 from larkpost.ids import Address, DaemonId, EngineId
+from larkpost.policy import DEFAULT_POLICY, Policy
 from larkpost.store.port import (
     Row,
     RowKey,
@@ -31,8 +32,6 @@
 
 MEMBER_TABLE = "members"
 MEMBER_PART = "all"
-COORDINATORS = 12
-"""Daemons that give orders and claim batches: enough that not all of them fail at once."""
 HEARTBEAT_SECONDS = 0.25
 """Interval of a coordinator, of an owner of batches, and of a daemon that was restarted."""
 LISTED_ROWS_PER_SECOND = 200.0
@@ -149,7 +148,9 @@
         log: EventLog,
         is_owner: Callable[[], bool] = lambda: False,
         address: Address | None = None,
+        policy: Policy = DEFAULT_POLICY,
     ) -> None:
+        self._policy = policy
         self.own = own
         self._summary = summary
         self._listener = listener
@@ -232,7 +233,8 @@
 
     def _interval(self) -> float:
         """Returns the seconds between two heartbeats, and between two listings, of this daemon."""
-        if self.is_coordinator() or self._is_owner() or self._was_restarted():
+        is_awaited = self.is_coordinator() or self._is_owner() or self._was_restarted()
+        if is_awaited or not self._policy.idle_intervals:
             return self._active_interval()
         return max(IDLE_HEARTBEAT_SECONDS, len(self._alive) / IDLE_HEARTBEATS_PER_SECOND)
 
@@ -267,7 +269,7 @@
             alive.add(self.own)
         self._alive = frozenset(alive)
         ranked = sorted(alive, key=lambda name: hash64(f"coordinator\x00{name}"))
-        self._coordinators = tuple(ranked[:COORDINATORS])
+        self._coordinators = tuple(ranked[: self._policy.coordinators])
 
     def _beats(self, daemon: DaemonId, seen: _Observation) -> bool:
         """Tells whether another daemon has missed neither its heartbeats nor a later life."""
--- a/src/larkpost/fleet/weights.py
+++ b/src/larkpost/fleet/weights.py
@@ -12,10 +12,9 @@
 from larkpost.fleet.directory import Directory, InstanceInfo, InstanceState
 from larkpost.hashing import hash64
 from larkpost.ids import EngineId
+from larkpost.policy import DEFAULT_POLICY, Policy
 
 MIN_ENGINES_PER_MODEL = 2
-GROUPS = 3
-"""A version is loaded by this many groups of a model's engines, one after the other."""
 GROUP_SECONDS = 1.0
 """Time for one group, after which it is the next one's turn."""
 FIRST_SECONDS = 0.3
@@ -73,7 +72,11 @@
 
 
 def assign_models(
-    service: Service, engines: list[InstanceInfo], directory: Directory, demands: Demands
+    service: Service,
+    engines: list[InstanceInfo],
+    directory: Directory,
+    demands: Demands,
+    policy: Policy = DEFAULT_POLICY,
 ) -> dict[ModelName, list[EngineId]]:
     """Divides the engines of a service among its models by the work their batches bring.
 
@@ -87,7 +90,9 @@
     chosen: dict[ModelName, list[EngineId]] = {model: [] for model in service.models}
     burden = dict.fromkeys((engine.id for engine in engines), 0)
     enough = min(MIN_ENGINES_PER_MODEL, len(engines))
-    works = {model: demands.get(model, ModelDemand()).work for model in chosen}
+    works = dict.fromkeys(chosen, 0)
+    if policy.engines_by_work:
+        works = {model: demands.get(model, ModelDemand()).work for model in chosen}
     usual = max(works.values(), default=0) or 1
     while engines and chosen:
         open_models = [model for model in chosen if len(chosen[model]) < enough]
@@ -117,6 +122,7 @@
     targets: WeightTargets,
     demands: Demands,
     now: float,
+    policy: Policy = DEFAULT_POLICY,
 ) -> list[tuple[EngineId, WeightTarget]]:
     """Returns the loads that should be under way now.
 
@@ -129,14 +135,18 @@
     if not _is_any_behind(service, engines, directory, targets):
         return []
     due: list[tuple[EngineId, WeightTarget]] = []
-    for model, engine_ids in assign_models(service, engines, directory, demands).items():
+    assigned = assign_models(service, engines, directory, demands, policy)
+    for model, engine_ids in assigned.items():
         target = WeightTarget(model, targets.version(model))
         versions = {name: directory.version_of(name, model) for name in engine_ids}
         due.extend((name, target) for name in engine_ids if versions[name] < target.version - 1)
         first = BUSY_FIRST_SECONDS if demands.get(model, ModelDemand()).open else FIRST_SECONDS
+        if policy.load_groups == 1:
+            first = 0.0
         elapsed = targets.named_for(model, now) - first
         if elapsed >= 0:
-            group = _group_on_turn(engine_ids, versions, target.version, elapsed)
+            groups = _cut(engine_ids, policy.load_groups)
+            group = _group_on_turn(groups, versions, target.version, elapsed)
             due.extend((name, target) for name in group)
     return due
 
@@ -152,16 +162,20 @@
     )
 
 
+def _cut(engine_ids: list[EngineId], count: int) -> list[list[EngineId]]:
+    """Cuts engines into at most ``count`` groups of about the same size."""
+    size = math.ceil(len(engine_ids) / count) or 1
+    return [engine_ids[start : start + size] for start in range(0, len(engine_ids), size)]
+
+
 def _group_on_turn(
-    engine_ids: list[EngineId], versions: dict[EngineId, int], target: int, elapsed: float
+    groups: list[list[EngineId]], versions: dict[EngineId, int], target: int, elapsed: float
 ) -> list[EngineId]:
     """Returns the engines of the group that loads now.
 
     The groups take turns by time, so that one which can't load holds the others up for its turn
     only; a group whose engines are all done gives its turn to the next.
     """
-    size = math.ceil(len(engine_ids) / GROUPS) or 1
-    groups = [engine_ids[start : start + size] for start in range(0, len(engine_ids), size)]
     behind = [[name for name in group if versions[name] == target - 1] for group in groups]
     turn = int(elapsed / GROUP_SECONDS)
     for step in range(len(groups)):
--- a/src/larkpost/gateway.py
+++ b/src/larkpost/gateway.py
@@ -16,6 +16,7 @@
 from larkpost.fleet.weights import WeightTarget, WeightTargets
 from larkpost.ids import Address, EngineId
 from larkpost.metrics import Level, Metrics
+from larkpost.policy import DEFAULT_POLICY, Policy
 from larkpost.proxy.balancer import Balancer
 from larkpost.proxy.forwarder import Forwarder
 from larkpost.proxy.port import ServerPort
@@ -79,6 +80,7 @@
         grace_time: time between the request to stop and the kill.
         batch_lifetime: time for which a batch must be readable.
         peer_address: where it makes calls to the store for other daemons, or None.
+        policy: how it decides.
     """
 
     machine: str
@@ -87,6 +89,7 @@
     grace_time: float = 8.0
     batch_lifetime: float = 120.0
     peer_address: Address | None = None
+    policy: Policy = DEFAULT_POLICY
 
 
 @dataclass(slots=True)
@@ -121,7 +124,7 @@
         self.directory = Directory()
         self.targets = WeightTargets()
         self.lifecycle = Lifecycle()
-        self.balancer = Balancer(self.directory, ports.clock, ports.chance)
+        self.balancer = Balancer(self.directory, ports.clock, ports.chance, settings.policy)
         self.membership = Membership(
             own,
             ports.store,
@@ -131,6 +134,7 @@
             ports.log,
             lambda: bool(self.keeper.owned()),
             settings.peer_address,
+            settings.policy,
         )
         self.forwarder = Forwarder(
             self.directory,
@@ -140,6 +144,7 @@
             ports.log,
             ports.metrics,
             ShareChooser(ports.chance),
+            settings.policy,
         )
         services = RunServices(
             self.configuration,
@@ -152,6 +157,7 @@
             ShareChooser(ports.chance),
             ports.store.time,
             asyncio.Semaphore(MAX_CALLS_IN_FLIGHT),
+            settings.policy,
         )
         repository = BatchRepository(ports.store, ports.clock)
         views = ViewCache()
@@ -174,6 +180,7 @@
             ports.log,
             ports.metrics,
             self.keeper.demands,
+            settings.policy,
         )
         readers = ports.readers
         self._operator_rows = self._follower(
@@ -197,7 +204,7 @@
         self._log.note(Event.START, id=self.id)
         for follower in self._followers().values():
             follower.start(self._tasks)
-        if self._ports.relay is not None:
+        if self._ports.relay is not None and self.settings.policy.peer_calls:
             self._ports.relay.start(self.membership.peer_addresses, self._tasks)
         self.membership.start(self._tasks)
         self.keeper.start(self._tasks)
@@ -321,6 +328,8 @@
         if row.removed:
             now = self._clock.now()
             sound = self._instance_rows.sound_for(now) >= self.settings.contact_time
+            if not self.settings.policy.lapsed_serve:
+                sound = True
             self.directory.remove(instance, sound=sound)
             self._log.note(Event.INSTANCE, instance=instance, state="gone", sound=sound)
             return
--- /dev/null
+++ b/src/larkpost/policy.py
@@ -0,0 +1,86 @@
+"""How a daemon decides: one record of the mechanisms that can be switched off or set.
+
+The defaults are what runs. A daemon is made with one record; trials and the tests' mutants make
+daemons with another one, so that what a mechanism is worth can be measured (docs/POLICY.md). No
+setting of a deployment and no variable of the environment changes it.
+"""
+
+from dataclasses import dataclass
+
+from larkpost.errors import LarkpostError
+
+
+class PolicyError(LarkpostError):
+    """A policy that no daemon can run."""
+
+    code = "policy"
+    status = 500
+    remedy = "Give the field a value within the bounds that the message names."
+
+
+@dataclass(frozen=True, slots=True)
+class Policy:
+    """The mechanisms of one daemon.
+
+    Attributes:
+        hedged_tries: a second server is tried beside the first when that one is slow.
+        faster_engine_moves: runs go on at a much faster engine once one has a place.
+        partial_seconds: seconds between two times at which the output of running items is kept
+            for another owner; 0 keeps none except at a planned stop. Below the second that a
+            step has to spare (round 24).
+        longest_first: waiting items get their places in the order of their expected work.
+        engines_by_work: the engines are divided among the models by the work of their batches,
+            not evenly.
+        own_paces: this daemon's measurements of the speed of instances count.
+        told_paces: the measurements that other daemons tell count where it has none of its own.
+        load_groups: groups of a model's engines that load a version one after the other; 1 loads
+            all at once, without waiting for running items. Three leave two thirds to serve.
+        avoid_failed: an instance that failed or refused is left alone for a moment.
+        coordinators: daemons that give orders and claim batches: enough that not all of them
+            fail at once, few enough that their heartbeats fit into one part of the store.
+        idle_intervals: daemons that others need not wait for beat and list seldom.
+        peer_calls: a peer makes the calls of a daemon that the store turns away.
+        lapsed_serve: instances whose entries went while the store was away serve on until it has
+            been sound for a while.
+        accept_seconds: seconds for which a batch is tried for while the store refuses it, before
+            the trainer is sent to another daemon, which may reach the store (round 22).
+        client_slots_share: share of a server's slots that reward calls leave to clients.
+    """
+
+    hedged_tries: bool = True
+    faster_engine_moves: bool = True
+    partial_seconds: float = 0.4
+    longest_first: bool = True
+    engines_by_work: bool = True
+    own_paces: bool = True
+    told_paces: bool = True
+    load_groups: int = 3
+    avoid_failed: bool = True
+    coordinators: int = 12
+    idle_intervals: bool = True
+    peer_calls: bool = True
+    lapsed_serve: bool = True
+    accept_seconds: float = 0.6
+    client_slots_share: float = 1 / 3
+
+    def __post_init__(self) -> None:
+        """Checks the values.
+
+        Raises:
+            PolicyError: a value is out of its bounds.
+        """
+        if self.load_groups < 1:
+            raise PolicyError(f"load_groups is {self.load_groups}, it must be 1 or more")
+        if self.coordinators < 1:
+            raise PolicyError(f"coordinators is {self.coordinators}, it must be 1 or more")
+        if self.partial_seconds < 0:
+            raise PolicyError(f"partial_seconds is {self.partial_seconds}, it must not be negative")
+        if self.accept_seconds < 0:
+            raise PolicyError(f"accept_seconds is {self.accept_seconds}, it must not be negative")
+        if not 0 <= self.client_slots_share < 1:
+            raise PolicyError(
+                f"client_slots_share is {self.client_slots_share}, it must be 0 or more, below 1"
+            )
+
+
+DEFAULT_POLICY = Policy()
--- a/src/larkpost/proxy/balancer.py
+++ b/src/larkpost/proxy/balancer.py
@@ -10,6 +10,7 @@
 from larkpost.fleet.directory import Directory, InstanceInfo
 from larkpost.fleet.members import UseSummary
 from larkpost.ids import DaemonId, EngineId
+from larkpost.policy import DEFAULT_POLICY, Policy
 from larkpost.proxy.port import NotRunReason, ServerLoad
 
 LOAD_LIFETIME_SECONDS = 1.0
@@ -55,7 +56,14 @@
 class Balancer:
     """Keeps the use of all instances and chooses among them."""
 
-    def __init__(self, directory: Directory, clock: Clock, chance: random.Random) -> None:
+    def __init__(
+        self,
+        directory: Directory,
+        clock: Clock,
+        chance: random.Random,
+        policy: Policy = DEFAULT_POLICY,
+    ) -> None:
+        self._policy = policy
         self._directory = directory
         self._clock = clock
         self._chance = chance
@@ -113,8 +121,10 @@
         """
         now = self._clock.now()
         use = self.use(instance)
-        if now - use.pace_at < PACE_LIFETIME_SECONDS:
+        if self._policy.own_paces and now - use.pace_at < PACE_LIFETIME_SECONDS:
             return use.pace
+        if not self._policy.told_paces:
+            return 0.0
         told = [
             (peer.at, peer.pace)
             for peer in self._peers.get(instance, {}).values()
@@ -192,6 +202,8 @@
 
     def avoid(self, instance: EngineId, seconds: float) -> None:
         """Makes an instance a last resort for a while."""
+        if not self._policy.avoid_failed:
+            return
         use = self.use(instance)
         use.avoid_until = max(use.avoid_until, self._clock.now() + seconds)
 
--- a/src/larkpost/proxy/forwarder.py
+++ b/src/larkpost/proxy/forwarder.py
@@ -17,6 +17,7 @@
 from larkpost.fleet.directory import Directory, InstanceInfo
 from larkpost.ids import EngineId
 from larkpost.metrics import Count, Metrics, Timing
+from larkpost.policy import DEFAULT_POLICY, Policy
 from larkpost.proxy.balancer import Balancer
 from larkpost.proxy.port import (
     BrokenAnswerError,
@@ -119,7 +120,9 @@
         log: EventLog,
         metrics: Metrics,
         shares: ShareChooser,
+        policy: Policy = DEFAULT_POLICY,
     ) -> None:
+        self._policy = policy
         self._directory = directory
         self._balancer = balancer
         self._servers = servers
@@ -222,7 +225,7 @@
                     await self._clock.sleep(REFUSAL_PAUSE_SECONDS)
                     attempts.refused_by.clear()
                     continue
-                may_hedge = len(attempts.ran_at) < route.max_attempts
+                may_hedge = self._policy.hedged_tries and len(attempts.ran_at) < route.max_attempts
                 delay = self._hedge_delay(route, service) if may_hedge else None
                 done, running = await asyncio.wait(
                     running, timeout=delay, return_when=asyncio.FIRST_COMPLETED
--- a/src/larkpost/rollouts/context.py
+++ b/src/larkpost/rollouts/context.py
@@ -9,6 +9,7 @@
 from larkpost.fleet.configuration import ConfigurationState
 from larkpost.fleet.directory import Directory
 from larkpost.metrics import Metrics
+from larkpost.policy import DEFAULT_POLICY, Policy
 from larkpost.proxy.balancer import Balancer
 from larkpost.proxy.port import ServerPort
 from larkpost.proxy.shares import ShareChooser
@@ -33,3 +34,4 @@
     shares: ShareChooser
     store_time: Callable[[], float | None]
     reward_places: asyncio.Semaphore
+    policy: Policy = DEFAULT_POLICY
--- a/src/larkpost/rollouts/engine_choice.py
+++ b/src/larkpost/rollouts/engine_choice.py
@@ -71,6 +71,8 @@
 
         An engine whose weights are older than this one's is about to load and to refuse all work.
         """
+        if not self._services.policy.faster_engine_moves:
+            return False
         directory = self._services.directory
         version = directory.version_of(engine.id, self._head.model)
         pace = self._services.balancer.pace(engine.id)
--- a/src/larkpost/rollouts/owned.py
+++ b/src/larkpost/rollouts/owned.py
@@ -17,7 +17,6 @@
 RETRY_SECONDS = 0.15
 FLUSH_SECONDS = 1.0
 """Longest time to append what waits when the batch is handed over."""
-PARTIAL_INTERVAL_SECONDS = 0.4
 MIN_NEW_EVENTS = 4
 """An item's output is kept again once it has grown by this many events."""
 FAULT_PAUSE_SECONDS = 1.0
@@ -59,7 +58,9 @@
             fresh: whether the batch was accepted just now, so that nothing is listed yet.
         """
         self._tasks.append(asyncio.create_task(self._work(items, fresh)))
-        self._tasks.append(asyncio.create_task(self._keep_partials()))
+        interval = self._services.policy.partial_seconds
+        if interval:
+            self._tasks.append(asyncio.create_task(self._keep_partials(interval)))
 
     @property
     def running(self) -> int:
@@ -245,9 +246,9 @@
             except StoreUnavailableError:
                 await self._clock.sleep(RETRY_SECONDS)
 
-    async def _keep_partials(self) -> None:
+    async def _keep_partials(self, interval: float) -> None:
         while not self.complete:
-            await self._clock.sleep(PARTIAL_INTERVAL_SECONDS)
+            await self._clock.sleep(interval)
             await self._keep(MIN_NEW_EVENTS)
 
     async def _keep(self, minimum: int) -> None:
--- a/src/larkpost/rollouts/place_queue.py
+++ b/src/larkpost/rollouts/place_queue.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import bisect
+import itertools
 from dataclasses import dataclass
 
 from larkpost.clock import Clock
@@ -29,23 +30,24 @@
 
     Attributes:
         pace_limit: the engine must be about as fast as this; 0 for any.
+        order: the lowest is served first.
     """
 
     item: Item
     route: Route
     pace_limit: float
     place: asyncio.Future[InstanceInfo]
-
-    @property
-    def order(self) -> float:
-        """The longest items come first."""
-        return -self.item.expected_work
+    order: float
 
 
 class PlaceQueue:
     """Gives waiting items places at engines."""
 
-    def __init__(self, engines: EngineChoice, balancer: Balancer, clock: Clock) -> None:
+    def __init__(
+        self, engines: EngineChoice, balancer: Balancer, clock: Clock, *, longest_first: bool = True
+    ) -> None:
+        self._longest_first = longest_first
+        self._arrivals = itertools.count()
         self._engines = engines
         self._balancer = balancer
         self._clock = clock
@@ -64,7 +66,8 @@
             pace_limit: how fast the engine must be, in seconds for an event; 0 for any.
         """
         place: asyncio.Future[InstanceInfo] = asyncio.get_running_loop().create_future()
-        entry = _Waiting(item, route, pace_limit, place)
+        order = -item.expected_work if self._longest_first else next(self._arrivals)
+        entry = _Waiting(item, route, pace_limit, place, order)
         bisect.insort(self._waiting, entry, key=lambda waiting: waiting.order)
         if self._server is None or self._server.done():
             self._server = asyncio.create_task(self._serve())
--- a/src/larkpost/rollouts/reward.py
+++ b/src/larkpost/rollouts/reward.py
@@ -29,8 +29,6 @@
 
 MAX_CALLS_IN_FLIGHT = 24
 """Reward calls of one daemon at servers, or about to be sent; the others wait their turn."""
-CLIENT_SLOTS_SHARE = 1 / 3
-"""Share of a server's slots that reward calls leave to clients."""
 PLACE_PAUSE_SECONDS = 0.03
 """Pause between two looks for a place at a server."""
 AGAIN_PAUSE_SECONDS = 0.05
@@ -164,7 +162,8 @@
         return fresh[0] if fresh else None
 
     def _has_place(self, info: InstanceInfo) -> bool:
-        usable = max(1, int(info.slots * (1 - CLIENT_SLOTS_SHARE)))
+        share = self._services.policy.client_slots_share
+        usable = max(1, int(info.slots * (1 - share)))
         return self._services.balancer.occupied(info) < usable
 
     def _limit(self, server: InstanceInfo, tries: _Tries) -> float:
--- a/src/larkpost/rollouts/run.py
+++ b/src/larkpost/rollouts/run.py
@@ -77,8 +77,13 @@
         self._finished = finished
         self._engines = EngineChoice(head, services)
         self._scorer = RewardScorer(head, services)
-        self._places = PlaceQueue(self._engines, services.balancer, services.clock)
-        self._waiting = sorted(items, key=lambda item: item.expected_work, reverse=True)
+        longest_first = services.policy.longest_first
+        self._places = PlaceQueue(
+            self._engines, services.balancer, services.clock, longest_first=longest_first
+        )
+        self._waiting = list(items)
+        if longest_first:
+            self._waiting.sort(key=lambda item: item.expected_work, reverse=True)
         self._tasks: dict[ItemId, asyncio.Task] = {}
 
     def start(self) -> None:
--- a/src/larkpost/rollouts/service.py
+++ b/src/larkpost/rollouts/service.py
@@ -15,8 +15,6 @@
 from larkpost.rollouts.view import BatchView, ViewCache
 from larkpost.store.port import StoreUnavailableError
 
-ACCEPT_PATIENCE_SECONDS = 0.6
-"""How long a batch is tried for while the store refuses: another daemon may reach the store."""
 END_PATIENCE_SECONDS = 2.0
 READ_POLL_SECONDS = 0.1
 LEAST_WAIT_SECONDS = 0.001
@@ -102,7 +100,8 @@
             return
         began = self._clock.now()
         upload = secrets.token_hex(8)
-        outcome = await self._repository.accept(spec, self._owner, upload, ACCEPT_PATIENCE_SECONDS)
+        patience = self._services.policy.accept_seconds
+        outcome = await self._repository.accept(spec, self._owner, upload, patience)
         if outcome is AcceptOutcome.REFUSED:
             self._services.metrics.count(Count.BATCH_CALLS, "submit", "refused")
             self._log.note(Event.BATCH_REFUSED, batch=spec.id, uncertain=False)
--- a/tests/platform_mutants.py
+++ b/tests/platform_mutants.py
@@ -3,6 +3,7 @@
 from dataclasses import replace
 from unittest import mock
 
+from larkpost.policy import Policy
 from larkpost.store.port import Transaction, WriteOutcome, WriteResult
 
 FUZZ = "tests.test_platform_fuzz"
@@ -154,9 +155,16 @@
 
 def let_everyone_coordinate():
     """Makes every daemon a coordinator."""
-    from larkpost.fleet import members
+    from larkpost.fleet.members import Membership
+
+    policy = Policy(coordinators=1_000_000)
+    original = Membership._judge
+
+    def judge(self):
+        self._policy = policy
+        original(self)
 
-    return mock.patch.object(members, "COORDINATORS", 1_000_000)
+    return mock.patch.object(Membership, "_judge", judge)
 
 
 def list_without_score():
--- a/tests/test_scale_mechanisms.py
+++ b/tests/test_scale_mechanisms.py
@@ -8,7 +8,6 @@
 from larkpost.eventlog import EventLog
 from larkpost.fleet.directory import Directory
 from larkpost.fleet.members import (
-    COORDINATORS,
     DEAD_AFTER_SECONDS,
     HEARTBEAT_SECONDS,
     IDLE_HEARTBEAT_SECONDS,
@@ -19,6 +18,7 @@
 )
 from larkpost.http_server import HttpServer
 from larkpost.ids import Address
+from larkpost.policy import DEFAULT_POLICY
 from larkpost.proxy.balancer import Balancer
 from larkpost.rehearsal.memory_store import MemoryStore, StoreClient
 from larkpost.rollouts.engine_choice import EngineChoice
@@ -28,6 +28,7 @@
 from tests.platform_fleet import PlatformFleet, check_results, make_batch
 from tests.virtual import run
 
+COORDINATORS = DEFAULT_POLICY.coordinators
 DAEMONS = 40
 PART_WRITES_PER_SECOND = 200
 """What the users' store writes in one part a second."""
