--- a/src/larkpost/fleet/loader.py
+++ b/src/larkpost/fleet/loader.py
@@ -149,9 +149,7 @@
             return TAKEN_SECONDS
         if outcome is OrderOutcome.UNKNOWN:
             return UNANSWERED_SECONDS
-        if outcome is OrderOutcome.HOLDS:
-            self._directory.observe_version(engine.id, target.model, target.version)
-        return RETRY_SECONDS
+        return RETRY_SECONDS  # whatever it holds, its next report tells
 
     def _running_work(self, service: Service) -> RunningWork:
         """Runs go on under the new version unless a route wants one version in each result."""
--- a/src/larkpost/gateway.py
+++ b/src/larkpost/gateway.py
@@ -124,7 +124,13 @@
         self.directory = Directory()
         self.targets = WeightTargets()
         self.lifecycle = Lifecycle()
-        self.balancer = Balancer(self.directory, ports.clock, ports.chance, settings.policy)
+        self.balancer = Balancer(
+            self.directory,
+            ports.clock,
+            ports.chance,
+            settings.policy,
+            ports.servers.is_connected,
+        )
         self.membership = Membership(
             own,
             ports.store,
--- a/src/larkpost/platform/connections.py
+++ b/src/larkpost/platform/connections.py
@@ -4,6 +4,7 @@
 from time import monotonic
 
 import aiohttp
+from aiohttp.client_reqrep import ConnectionKey
 
 from larkpost.ids import Address
 
@@ -30,17 +31,37 @@
     def __init__(self, **options) -> None:
         super().__init__(**options)
         self._idle_times: dict[Address, float] = {}
+        self._keys: dict[Address, ConnectionKey] = {}
+        """The library's name for each server, under which it keeps the idle connections."""
 
     def note_idle_time(self, server: Address, seconds: float) -> None:
         """Takes what a server said of how long it keeps connections that rest."""
         usable = max(0.0, seconds - IDLE_MARGIN_SECONDS)
         self._idle_times[server] = min(MOST_IDLE_SECONDS, usable)
 
+    def has_idle(self, server: Address) -> bool:
+        """Tells whether a connection to a server rests that is likely to serve again."""
+        idle = self._conns.get(self._keys.get(server))
+        if not idle:
+            return False
+        protocol, resting_since = idle[-1]
+        return not protocol.should_close and resting_since >= self._oldest_usable(server)
+
+    def close_idle(self, server: Address) -> None:
+        """Closes all connections to a server that rest."""
+        for protocol, _ in self._conns.pop(self._keys.get(server), ()):
+            protocol.close()
+
+    def _oldest_usable(self, server: Address) -> float:
+        """Returns the steady time since which a connection may rest and still be used."""
+        return monotonic() - self._idle_times.get(server, IDLE_SECONDS)
+
     async def _get(self, key, traces):  # overrides a private method: the version is pinned
+        server = Address(f"{key.host}:{key.port}")
+        self._keys[server] = key
         idle = self._conns.get(key)
         if idle is not None:
-            usable = self._idle_times.get(Address(f"{key.host}:{key.port}"), IDLE_SECONDS)
-            oldest = monotonic() - usable
+            oldest = self._oldest_usable(server)
             spoiled = [
                 (protocol, resting_since)
                 for protocol, resting_since in idle
--- a/src/larkpost/platform/servers.py
+++ b/src/larkpost/platform/servers.py
@@ -29,7 +29,10 @@
     VersionOrder,
 )
 
-READ_BYTES = 65536
+REFUSAL_BYTES = 4096
+"""Longest body of a refusal that is read so that its connection serves again."""
+REFUSAL_BODY_SECONDS = 0.05
+"""Longest wait for it: it comes with its head, and the request wants another server at once."""
 IDLE_TIME = re.compile(r"timeout=(\d+)")
 CONNECT_FAILURES = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
 ANSWER_FAILURES = (aiohttp.ClientError, asyncio.TimeoutError, OSError, ValueError)
@@ -131,13 +134,20 @@
             raise BrokenAnswerError(f"no answer: {type(error).__name__}: {error}") from None
         try:
             _note_idle_time(session, instance, response)
-            _check_ran(response, instance, request)
+            try:
+                _check_ran(response, instance, request)
+            except NotRunError:
+                await self._read_refusal(response, instance, request)
+                raise
             yield HttpAnswer(response)
         finally:
             response.close()
 
     async def report(self, instance: InstanceInfo, timeout: float) -> EngineReport | None:
-        """Asks an engine for its report; see the port."""
+        """Asks an engine for its report; see the port.
+
+        A late answer to an earlier request on the connection names that request, or is no report.
+        """
         headers = {names.EXPECT_INSTANCE.decode(): instance.id}
         try:
             status, content = await self._call(
@@ -146,7 +156,7 @@
             if status != 200:
                 return None
             return _read_report(content)
-        except (*ANSWER_FAILURES, *UNREADABLE):
+        except (BrokenAnswerError, *ANSWER_FAILURES, *UNREADABLE):
             return None
 
     async def order(
@@ -160,10 +170,35 @@
         body = orjson.dumps(_order_document(order))
         try:
             status, _ = await self._call("POST", instance, names.ORDER_CALL, body, headers, timeout)
-        except ANSWER_FAILURES:
-            return OrderOutcome.UNKNOWN
+        except (BrokenAnswerError, *ANSWER_FAILURES):
+            return OrderOutcome.UNKNOWN  # the next report shows whether it was carried out
         return ORDER_OUTCOMES.get(status, OrderOutcome.UNKNOWN)
 
+    def is_connected(self, instance: InstanceInfo) -> bool:
+        """Tells whether an idle connection to a server is kept; see the port."""
+        return self._kept.connector.has_idle(instance.address)
+
+    async def _read_refusal(
+        self, response: aiohttp.ClientResponse, instance: InstanceInfo, request: OutgoingRequest
+    ) -> None:
+        """Reads a short refusal to its end, so that its connection serves again.
+
+        A refusal that does not name its request loses the connection: were it to come a second
+        time, it would pass for the refusal of the next request.
+        """
+        if response.headers.get(names.REQUEST_ID.decode()) != request.request_id.decode("latin-1"):
+            response.close()
+            self._kept.connector.close_idle(instance.address)
+            return
+        length = response.content_length
+        if length is None or length > REFUSAL_BYTES:
+            return
+        try:
+            async with asyncio.timeout(REFUSAL_BODY_SECONDS):
+                await response.read()
+        except ANSWER_FAILURES:
+            return  # only the connection is lost: the head has said that the request did not run
+
     async def _call(
         self,
         method: str,
@@ -173,11 +208,20 @@
         headers: dict[str, str],
         timeout: float,
     ) -> tuple[int, bytes]:
+        """Makes a call that may be lost or made twice without harm, on a kept connection.
+
+        Raises:
+            BrokenAnswerError: the answer belongs to a request that was sent earlier.
+        """
         url = URL(f"http://{instance.address}{call}", encoded=True)
         async with (
             asyncio.timeout(timeout),
-            self._fresh.request(method, url, data=body, headers=headers) as response,
+            self._kept.request(method, url, data=body, headers=headers) as response,
         ):
+            if names.REQUEST_ID.decode() in response.headers:
+                response.close()
+                raise BrokenAnswerError("the answer belongs to an earlier request")
+            _note_idle_time(self._kept, instance, response)
             return response.status, await response.read()
 
 
--- a/src/larkpost/policy.py
+++ b/src/larkpost/policy.py
@@ -33,6 +33,8 @@
             not evenly.
         own_paces: this daemon's measurements of the speed of instances count.
         told_paces: the measurements that other daemons tell count where it has none of its own.
+        kept_connections_first: among instances that are about as good, those to which a connection
+            is kept come first.
         load_groups: groups of a model's engines that load a version one after the other; 1 loads
             all at once, without waiting for running items. Three leave two thirds to serve.
         avoid_failed: an instance that failed or refused is left alone for a moment.
@@ -54,6 +56,7 @@
     engines_by_work: bool = True
     own_paces: bool = True
     told_paces: bool = True
+    kept_connections_first: bool = True
     load_groups: int = 3
     avoid_failed: bool = True
     coordinators: int = 12
--- a/src/larkpost/proxy/balancer.py
+++ b/src/larkpost/proxy/balancer.py
@@ -23,6 +23,12 @@
 PEER_PACE_LIFETIME_SECONDS = 12.0
 MAX_PACE_RATIO = 8.0
 UNREACHABLE_AVOID_SECONDS = 1.0
+NEW_CONNECTION_FACTOR = 1.2
+"""By how much longer the wait counts at an instance to which no connection is kept.
+
+More than the paces of equal servers differ by chance, less than one request more in a queue of
+five (6/5) does: a new connection costs a server time, but not as much as a request.
+"""
 
 
 @dataclass(slots=True)
@@ -62,8 +68,15 @@
         clock: Clock,
         chance: random.Random,
         policy: Policy = DEFAULT_POLICY,
+        is_connected: Callable[[InstanceInfo], bool] = lambda _: False,
     ) -> None:
+        """Makes an empty record.
+
+        Args:
+            is_connected: tells whether a connection to an instance is kept.
+        """
         self._policy = policy
+        self._is_connected = is_connected
         self._directory = directory
         self._clock = clock
         self._chance = chance
@@ -224,4 +237,6 @@
 
     def _expected_wait(self, info: InstanceInfo, pace: float, best_pace: float) -> float:
         ratio = min(pace / best_pace, MAX_PACE_RATIO) if pace and best_pace else 1.0
+        if self._policy.kept_connections_first and not self._is_connected(info):
+            ratio *= NEW_CONNECTION_FACTOR
         return (self.occupied(info) + 1) / max(1, info.slots) * ratio
--- a/src/larkpost/proxy/port.py
+++ b/src/larkpost/proxy/port.py
@@ -195,6 +195,9 @@
             BrokenAnswerError: it may have run.
         """
 
+    def is_connected(self, instance: InstanceInfo) -> bool:
+        """Tells whether a connection to a server is kept that a request could use."""
+
     async def report(self, instance: InstanceInfo, timeout: float) -> EngineReport | None:
         """Asks an engine for its report; None if it gave none."""
 
--- a/src/larkpost/rehearsal/scripted_engines.py
+++ b/src/larkpost/rehearsal/scripted_engines.py
@@ -139,6 +139,7 @@
         self._clock = clock
         self._model = model
         self.engines: dict[EngineId, EngineState] = {}
+        self.connected: set[EngineId] = set()
 
     @asynccontextmanager
     async def send(
@@ -159,6 +160,10 @@
         finally:
             state.running -= 1
 
+    def is_connected(self, instance: InstanceInfo) -> bool:
+        """Tells whether a connection is kept; see the port. None is made here at all."""
+        return instance.id in self.connected
+
     async def report(self, instance: InstanceInfo, timeout: float) -> EngineReport | None:
         """Asks an engine for its report; see the port."""
         await self._clock.sleep(0.001)
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -4,11 +4,13 @@
 import unittest
 from dataclasses import replace
 
+from larkpost.clock import LoopClock
 from larkpost.errors import LarkpostError
 from larkpost.fleet.configuration import ServiceShare
 from larkpost.fleet.directory import Directory, InstanceInfo, InstanceState
 from larkpost.fleet.members import DEAD_AFTER_SECONDS
 from larkpost.ids import Address, EngineId, ZoneId
+from larkpost.policy import DEFAULT_POLICY, Policy
 from larkpost.proxy.balancer import Balancer
 from larkpost.proxy.shares import ShareChooser
 from larkpost.rehearsal.memory_store import StoreFaults
@@ -143,6 +145,46 @@
         self.assertAlmostEqual(0.7, chosen.count(ENGINES) / len(chosen), delta=0.1)
 
 
+class ConnectedInstanceTest(unittest.TestCase):
+    """The choice between instances to which a connection is kept and others."""
+
+    def begin(self, policy: Policy = DEFAULT_POLICY) -> Balancer:
+        """Returns a balancer of four instances, connected to the first only."""
+        directory = Directory()
+        for number in range(4):
+            state = InstanceState.READY
+            address = Address("10.0.0.1:1")
+            name = EngineId(f"e{number}")
+            directory.update(InstanceInfo(name, ENGINES, address, ZoneId("z"), 6, state))
+        chance = random.Random(0)
+        return Balancer(directory, LoopClock(), chance, policy, lambda info: info.id == "e0")
+
+    def first_choices(self, balancer: Balancer) -> set[EngineId]:
+        """Returns the instances that come first in some choices."""
+        return {balancer.candidates(ENGINES)[0].id for _ in range(20)}
+
+    def test_connected_instance_comes_first_among_equals(self):
+        async def play():
+            self.assertEqual({"e0"}, self.first_choices(self.begin()))
+            switched_off = self.begin(Policy(kept_connections_first=False))
+            self.assertEqual(4, len(self.first_choices(switched_off)))
+
+        run(play())
+
+    def test_a_request_more_or_a_slower_pace_outweighs_the_connection(self):
+        async def play():
+            balancer = self.begin()
+            balancer.occupy(EngineId("e0"))
+            self.assertNotIn("e0", self.first_choices(balancer))
+            balancer.release(EngineId("e0"))
+            balancer.note_pace(EngineId("e0"), 0.05)
+            for number in (1, 2, 3):
+                balancer.note_pace(EngineId(f"e{number}"), 0.04)
+            self.assertNotIn("e0", self.first_choices(balancer))
+
+        run(play())
+
+
 class MovedRunTest(unittest.TestCase):
     """Where a run that leaves a slow engine goes on."""
 
--- a/tests/test_platform_servers.py
+++ b/tests/test_platform_servers.py
@@ -7,12 +7,19 @@
 from dataclasses import replace
 from unittest import mock
 
-from larkpost.fleet.configuration import ServiceName
+from larkpost.fleet.configuration import ModelName, ServiceName
 from larkpost.fleet.directory import InstanceInfo, InstanceState
 from larkpost.ids import Address, EngineId, ZoneId
 from larkpost.platform import connections
 from larkpost.platform.servers import HttpServers
-from larkpost.proxy.port import BrokenAnswerError, NotRunError, NotRunReason, OutgoingRequest
+from larkpost.proxy.port import (
+    BrokenAnswerError,
+    NotRunError,
+    NotRunReason,
+    OrderOutcome,
+    OutgoingRequest,
+    VersionOrder,
+)
 
 ECHO = b"Larkpost-Attempt-Id: r1\r\nLarkpost-Server-Stamp: s\r\n"
 
@@ -141,6 +148,54 @@
             await self.fetch(server, request(2))
             return server.connections
 
+    async def test_refusal_leaves_its_connection_for_the_next_request(self):
+        full = whole(b"full", ECHO + b"Larkpost-Not-Executed: 1\r\n", b"503 Service Unavailable")
+        done = whole(b"done", ECHO.replace(b"r1", b"r2"))
+        async with ScriptedServer(full, done) as server:
+            with self.assertRaises(NotRunError):
+                await self.fetch(server, request(1))
+            self.assertTrue(self.servers.is_connected(server.instance))
+            self.assertEqual(b"done", await self.fetch(server, request(2)))
+            self.assertEqual(1, server.connections)
+
+    async def test_refusal_whose_body_does_not_come_is_proof_all_the_same(self):
+        head = b"HTTP/1.1 503 Service Unavailable\r\nLarkpost-Not-Executed: 1\r\n" + ECHO
+        began = asyncio.get_running_loop().time()
+        async with ScriptedServer(head + b"Content-Length: 9\r\n\r\nfu") as server:
+            with self.assertRaises(NotRunError):
+                await self.fetch(server, request(1))
+            self.assertLess(asyncio.get_running_loop().time() - began, 0.25)
+            self.assertFalse(self.servers.is_connected(server.instance))
+
+    async def test_refusal_that_names_no_request_closes_its_connection(self):
+        """It could come a second time, and pass for the refusal of the next request."""
+        full = whole(b"full", b"Larkpost-Not-Executed: 1\r\n", b"503 Service Unavailable")
+        done = whole(b"done", ECHO.replace(b"r1", b"r2"))
+        async with ScriptedServer(full, done) as server:
+            with self.assertRaises(NotRunError):
+                await self.fetch(server, request(1))
+            self.assertFalse(self.servers.is_connected(server.instance))
+
+    async def test_report_and_order_take_one_connection(self):
+        report = whole(b'{"seq":3,"busy":false,"models":[]}', b"")
+        taken = whole(b"", b"", b"202 Accepted")
+        async with ScriptedServer(report, taken) as server:
+            self.servers = HttpServers()
+            self.addAsyncCleanup(self.servers.close)
+            found = await self.servers.report(server.instance, 1.0)
+            self.assertEqual(3, found.orders)
+            order = VersionOrder(ModelName("m"), 2, "daemon", 5, 3)
+            outcome = await self.servers.order(server.instance, order, 1.0)
+            self.assertEqual((OrderOutcome.TAKEN, 1), (outcome, server.connections))
+
+    async def test_answer_of_an_earlier_request_is_none_to_an_order(self):
+        async with ScriptedServer(whole(b"late", ECHO)) as server:
+            self.servers = HttpServers()
+            self.addAsyncCleanup(self.servers.close)
+            order = VersionOrder(ModelName("m"), 2, "daemon", 5, 3)
+            outcome = await self.servers.order(server.instance, order, 1.0)
+            self.assertEqual(OrderOutcome.UNKNOWN, outcome)
+
     async def test_idle_connection_is_kept_as_long_as_its_server_says(self):
         with mock.patch.object(connections, "IDLE_SECONDS", 0.05):
             self.assertEqual(1, await self.use_twice("10", 0.15))
