--- /dev/null
+++ b/src/larkpost/fleet/heartbeat.py
@@ -0,0 +1,76 @@
+"""Heartbeats: what a daemon writes into the store of itself, and how its rows are named."""
+
+import secrets
+from dataclasses import dataclass, field
+
+import orjson
+
+from larkpost.ids import Address, DaemonId, EngineId
+
+LIFE_SEPARATOR = "/"
+
+UseSummary = dict[EngineId, tuple[int, float]]
+"""For each instance in use: requests there, and seconds a unit of work takes (0: unknown)."""
+
+
+def new_life(machine: str) -> DaemonId:
+    """Returns the id of a new life of a machine's daemon."""
+    return DaemonId(f"{machine}{LIFE_SEPARATOR}{secrets.token_hex(4)}")
+
+
+def machine_of(daemon: DaemonId) -> str:
+    """Returns the machine that a daemon runs on."""
+    return daemon.rpartition(LIFE_SEPARATOR)[0]
+
+
+@dataclass(frozen=True, slots=True)
+class Heartbeat:
+    """What a daemon writes into its row.
+
+    Attributes:
+        interval: seconds until it will write again.
+        uses: what it tells the others of its use of instances.
+        address: where it makes calls to the store for daemons that the store turns away, or None.
+        coordinates: whether it gives orders and claims batches.
+        leaving: whether this is its last heartbeat.
+    """
+
+    interval: float
+    uses: UseSummary = field(default_factory=dict)
+    address: Address | None = None
+    coordinates: bool = False
+    leaving: bool = False
+
+
+def encode_heartbeat(heartbeat: Heartbeat) -> bytes:
+    """Returns a heartbeat as a row's value; fields that tell nothing are left out."""
+    fields: dict[str, object] = {"interval": heartbeat.interval}
+    if heartbeat.uses:
+        fields["uses"] = heartbeat.uses
+    if heartbeat.address is not None:
+        fields["address"] = heartbeat.address
+    if heartbeat.coordinates:
+        fields["coordinates"] = True
+    if heartbeat.leaving:
+        fields["leaving"] = True
+    return orjson.dumps(fields)
+
+
+def decode_heartbeat(value: bytes) -> Heartbeat:
+    """Reads a row's value.
+
+    Raises:
+        ValueError: it is no heartbeat.
+    """
+    try:
+        document = orjson.loads(value)
+        address = document.get("address")
+        return Heartbeat(
+            float(document["interval"]),
+            dict(document.get("uses") or {}),
+            Address(address) if address else None,
+            bool(document.get("coordinates")),
+            bool(document.get("leaving")),
+        )
+    except (AttributeError, KeyError, TypeError) as error:
+        raise ValueError(f"no heartbeat: {error!r}") from None
--- /dev/null
+++ b/src/larkpost/fleet/heartbeat_list.py
@@ -0,0 +1,138 @@
+"""The heartbeats in one part of the store, as listed again and again by this daemon.
+
+A daemon has fallen silent once its row has not changed for a time during which this daemon's own
+listings succeeded: a store that is down, or a daemon that was frozen, blames nobody.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from larkpost.clock import Clock
+from larkpost.eventlog import Event, EventLog
+from larkpost.fleet.heartbeat import Heartbeat, UseSummary, decode_heartbeat
+from larkpost.ids import DaemonId
+from larkpost.store.port import Row, RowKey, Store, StoreUnavailableError, read_all
+
+MEMBER_TABLE = "members"
+MISSED_HEARTBEATS = 3.2
+"""A daemon has fallen silent once this many of its intervals have gone by without a heartbeat."""
+STORE_CALLS_ALLOWED = 4.0
+"""Calls to the store, as they take now, that are added to the time until a daemon is silent."""
+STORE_CALL_WEIGHT = 0.3
+"""Weight of the newest call in the usual time of one."""
+BLIND_INTERVALS = 2.2
+"""Intervals between two successful listings after which all observations start afresh."""
+UNREADABLE_INTERVAL_SECONDS = 0.25
+"""Interval that counts for a row that cannot be read: the shortest that a daemon tells."""
+
+
+@dataclass(slots=True)
+class Observation:
+    """A daemon's row as last listed.
+
+    Attributes:
+        version: version of the row.
+        changed_at: steady time of the first listing that showed this version.
+    """
+
+    version: int
+    changed_at: float
+    heartbeat: Heartbeat
+
+
+class HeartbeatList:
+    """The rows of one part.
+
+    Args:
+        listener: called with what each daemon newly told of its use; nothing once it is gone.
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        clock: Clock,
+        log: EventLog,
+        part: str,
+        listener: Callable[[DaemonId, UseSummary], None] = lambda *_: None,
+    ) -> None:
+        self.part = part
+        self.listed_at: float | None = None
+        self.seen: dict[DaemonId, Observation] = {}
+        self._store = store
+        self._clock = clock
+        self._log = log
+        self._listener = listener
+        self._usual_call = 0.0
+
+    def row_of(self, daemon: DaemonId) -> RowKey:
+        """Returns the key of a daemon's row."""
+        return RowKey(MEMBER_TABLE, self.part, daemon)
+
+    def patience(self, interval: float) -> float:
+        """Returns the seconds after which a daemon with this interval has fallen silent.
+
+        A slow store delays the heartbeat, its listing and what lies between, and blames nobody.
+        """
+        return MISSED_HEARTBEATS * interval + STORE_CALLS_ALLOWED * self._usual_call
+
+    def silence(self, daemon: DaemonId) -> float:
+        """Returns for how many seconds a listed daemon's row has not changed, as of now known."""
+        if self.listed_at is None:
+            return 0.0
+        return self.listed_at - self.seen[daemon].changed_at
+
+    def is_heard(self, daemon: DaemonId) -> bool:
+        """Tells whether a daemon has a row here, has not fallen silent and is not leaving."""
+        seen = self.seen.get(daemon)
+        if seen is None or seen.heartbeat.leaving:
+            return False
+        return self.silence(daemon) < self.patience(seen.heartbeat.interval)
+
+    def silent_for(self, seconds: float) -> list[tuple[RowKey, int]]:
+        """Returns the rows, with their versions, that have not changed for as long as this."""
+        return [
+            (self.row_of(name), seen.version)
+            for name, seen in self.seen.items()
+            if self.silence(name) > seconds
+        ]
+
+    async def update(self, interval: float) -> bool:
+        """Lists the rows, and tells whether the store answered.
+
+        Args:
+            interval: seconds between two listings, as planned now.
+        """
+        asked_at = self._clock.now()
+        try:
+            page = await read_all(self._store, MEMBER_TABLE, self.part)
+        except StoreUnavailableError:
+            return False  # the store's adapter has counted it; nobody is blamed meanwhile
+        now = self._clock.now()
+        self._usual_call += STORE_CALL_WEIGHT * (now - asked_at - self._usual_call)
+        gap = now - self.listed_at if self.listed_at is not None else float("inf")
+        self.listed_at = now
+        usual_gap = interval + STORE_CALLS_ALLOWED * self._usual_call
+        self._take(page.rows, now, blind=gap > BLIND_INTERVALS * usual_gap)
+        return True
+
+    def _take(self, rows: tuple[Row, ...], now: float, *, blind: bool) -> None:
+        """Takes the rows of all daemons; if ``blind``, none is blamed for the time before."""
+        for row in rows:
+            name = DaemonId(row.key.key)
+            seen = self.seen.get(name)
+            if seen is None or seen.version != row.version:
+                heartbeat = self._read(name, row)
+                self.seen[name] = Observation(row.version, now, heartbeat)
+                self._listener(name, heartbeat.uses)
+            elif blind:
+                seen.changed_at = now
+        for name in self.seen.keys() - {row.key.key for row in rows}:
+            del self.seen[name]
+            self._listener(name, {})
+
+    def _read(self, name: DaemonId, row: Row) -> Heartbeat:
+        try:
+            return decode_heartbeat(row.value)
+        except ValueError as error:
+            self._log.note(Event.UNREADABLE, row=name, error=str(error))
+            return Heartbeat(UNREADABLE_INTERVAL_SECONDS)
--- a/src/larkpost/gateway.py
+++ b/src/larkpost/gateway.py
@@ -9,10 +9,11 @@
 from larkpost.eventlog import Event, EventLog
 from larkpost.fleet.configuration import Configuration, ConfigurationState
 from larkpost.fleet.directory import Directory, InstanceInfo
+from larkpost.fleet.heartbeat import new_life
 from larkpost.fleet.leases import LeaseTable
 from larkpost.fleet.lifecycle import Lifecycle
 from larkpost.fleet.loader import WeightLoader
-from larkpost.fleet.members import Membership, new_life
+from larkpost.fleet.members import Membership
 from larkpost.fleet.weights import WeightTarget, WeightTargets
 from larkpost.ids import Address, EngineId
 from larkpost.metrics import Level, Metrics
@@ -138,7 +139,7 @@
             self.balancer.summary,
             self.balancer.take_summary,
             ports.log,
-            lambda: bool(self.keeper.owned()),
+            lambda: self.keeper.is_owner(),
             settings.peer_address,
             settings.policy,
         )
--- a/src/larkpost/proxy/balancer.py
+++ b/src/larkpost/proxy/balancer.py
@@ -8,7 +8,7 @@
 from larkpost.clock import Clock
 from larkpost.fleet.configuration import ServiceName
 from larkpost.fleet.directory import Directory, InstanceInfo
-from larkpost.fleet.members import UseSummary
+from larkpost.fleet.heartbeat import UseSummary
 from larkpost.ids import DaemonId, EngineId
 from larkpost.policy import DEFAULT_POLICY, Policy
 from larkpost.proxy.port import NotRunReason, ServerLoad
--- a/src/larkpost/rollouts/keeper.py
+++ b/src/larkpost/rollouts/keeper.py
@@ -104,6 +104,12 @@
         known = self._heads.get(batch)
         return known.head if known is not None else None
 
+    def is_owner(self) -> bool:
+        """Tells whether this daemon runs batches, or is named as the owner of one not ended."""
+        own = self._membership.own
+        named = (known.head for known in self._heads.values())
+        return bool(self._owned) or any(head.owner == own and not head.ended for head in named)
+
     def owned(self) -> list[OwnedBatch]:
         """Returns the batches that this daemon runs."""
         return list(self._owned.values())
@@ -124,7 +130,7 @@
     async def own_accepted(self, spec: BatchSpec, upload: str) -> None:
         """Starts an accepted batch at once if it is this daemon's, without waiting for the feed."""
         try:
-            head = await self._repository.head(spec.id)
+            head, _ = await asyncio.gather(self._repository.head(spec.id), self._membership.look())
         except StoreUnavailableError:
             return
         if head is None or head.upload != upload or self._leaving or spec.id in self._owned:
--- a/src/larkpost/store/relay.py
+++ b/src/larkpost/store/relay.py
@@ -34,7 +34,7 @@
 MOST_PEER_SECONDS = 0.8
 """Most time for a call by way of a peer, besides the time that a feed may wait."""
 PROBE_TABLE = "members"
-PROBE_PART = "all"
+PROBE_PART = "known"
 REFUSED = (WriteOutcome.NOT_DONE, WriteOutcome.THROTTLED)
 
 Answer = TypeVar("Answer")
--- a/tests/platform_mutants.py
+++ b/tests/platform_mutants.py
@@ -133,14 +133,21 @@
     return mock.patch.object(TableFollower, "_take", take)
 
 
-def forget_told_interval():
-    """Beats at the interval of the moment, though the others were told a shorter one."""
+def own_without_awaited_heartbeats():
+    """Owns batches, but beats like an idle daemon."""
     from larkpost.fleet.members import Membership
 
-    original = Membership._is_due
-    return mock.patch.object(
-        Membership, "_is_due", lambda self, last, promised=0.0: original(self, last)
-    )
+    return mock.patch.object(Membership, "_is_awaited", lambda self: self.is_coordinator())
+
+
+def keep_rows_of_earlier_lives():
+    """Leaves the rows of the machine's earlier lives, so that others wait for them."""
+    from larkpost.fleet.members import Membership
+
+    async def remove_old(self, rows):
+        return None
+
+    return mock.patch.object(Membership, "_remove_old", remove_old)
 
 
 def judge_owner_like_an_idle_daemon():
@@ -251,7 +258,8 @@
         skip_echo_check,
         take_lower_version,
         trust_stale_listing,
-        forget_told_interval,
+        own_without_awaited_heartbeats,
+        keep_rows_of_earlier_lives,
         judge_owner_like_an_idle_daemon,
         let_everyone_coordinate,
         list_without_score,
@@ -271,7 +279,8 @@
     "skip_echo_check": "tests.test_platform_servers",
     "take_lower_version": "tests.test_store_follower",
     "trust_stale_listing": "tests.test_store_follower",
-    "forget_told_interval": SCALE,
+    "own_without_awaited_heartbeats": SCALE,
+    "keep_rows_of_earlier_lives": "tests.test_members",
     "judge_owner_like_an_idle_daemon": SCALE,
     "let_everyone_coordinate": SCALE,
     "forget_whole_texts": "tests.test_reward_calls",
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -4,7 +4,8 @@
 
 from larkpost.clock import LoopClock
 from larkpost.eventlog import EventLog
-from larkpost.fleet.members import DEAD_AFTER_SECONDS, Membership, machine_of, new_life
+from larkpost.fleet.heartbeat import machine_of, new_life
+from larkpost.fleet.members import AWAITED_PART, DEAD_AFTER_SECONDS, HEARTBEAT_SECONDS, Membership
 from larkpost.rehearsal.memory_store import MemoryStore, StoreClient, StoreFaults
 from larkpost.tasks import TaskSet
 from larkpost.telemetry import Telemetry
@@ -37,10 +38,14 @@
             await self.clock.sleep(2.0)
             self.assertTrue(first.is_alive(second.own))
             second.tasks.cancel_all()
-            await self.clock.sleep(0.8)
-            self.assertTrue(first.is_alive(second.own))
-            await self.clock.sleep(DEAD_AFTER_SECONDS)
-            self.assertFalse(first.is_alive(second.own))
+            last_heartbeat = self.store.written_at[second._awaited.row_of(second.own)]
+            latest = DEAD_AFTER_SECONDS + 2 * HEARTBEAT_SECONDS
+            while (silence := self.clock.now() - last_heartbeat) < 2 * DEAD_AFTER_SECONDS:
+                if silence < DEAD_AFTER_SECONDS:
+                    self.assertTrue(first.is_alive(second.own), silence)
+                if silence > latest:
+                    self.assertFalse(first.is_alive(second.own), silence)
+                await self.clock.sleep(0.05)
 
         run(play())
 
@@ -106,5 +111,38 @@
 
         run(play())
 
+    def test_new_life_removes_the_rows_of_the_earlier_one(self):
+        """So its batches are claimed without waiting for it to fall silent."""
+
+        async def play():
+            self.begin()
+            old, observer = self.start("a"), self.start("b")
+            await self.clock.sleep(2.0)
+            since = self.clock.now()
+            old.tasks.cancel_all()
+            self.start("a")
+            await self.clock.sleep(2 * HEARTBEAT_SECONDS)
+            self.assertFalse(observer._awaited.seen.get(old.own))
+            self.assertFalse([key for key in self.store.rows if key.key == old.own])
+            await self.clock.sleep(DEAD_AFTER_SECONDS - HEARTBEAT_SECONDS)
+            self.assertFalse(observer.is_owner_alive(old.own, since))
+
+        run(play())
+
+    def test_part_that_is_down_blames_nobody(self):
+        async def play():
+            self.begin()
+            first, second = self.start("a"), self.start("b")
+            await self.clock.sleep(2.0)
+            self.store.faults = StoreFaults(parts_down=frozenset({AWAITED_PART}))
+            await self.clock.sleep(8.0)
+            self.assertTrue(first.is_owner_alive(second.own, 0.0))
+            self.store.faults = StoreFaults()
+            for _ in range(30):
+                await self.clock.sleep(0.1)
+                self.assertTrue(first.is_owner_alive(second.own, 0.0))
+
+        run(play())
+
     def test_machine_of_a_life(self):
         self.assertEqual("front-a-1", machine_of(new_life("front-a-1")))
--- a/tests/test_scale_mechanisms.py
+++ b/tests/test_scale_mechanisms.py
@@ -3,18 +3,21 @@
 import asyncio
 import socket
 import unittest
+from collections import Counter
 
 from larkpost.clock import LoopClock
 from larkpost.eventlog import EventLog
 from larkpost.fleet.directory import Directory
+from larkpost.fleet.heartbeat import machine_of, new_life
+from larkpost.fleet.heartbeat_list import MEMBER_TABLE
 from larkpost.fleet.members import (
+    AWAITED_PART,
     DEAD_AFTER_SECONDS,
     HEARTBEAT_SECONDS,
     IDLE_HEARTBEAT_SECONDS,
     IDLE_HEARTBEATS_PER_SECOND,
-    MEMBER_TABLE,
+    KNOWN_PART,
     Membership,
-    new_life,
 )
 from larkpost.http_server import HttpServer
 from larkpost.ids import Address
@@ -49,13 +52,16 @@
         self.clock = LoopClock()
         self.store = MemoryStore(self.clock)
         self.beats = 0
+        self.part_beats = Counter()
         self.store.watchers.append(self.count)
         self.owners: set[Membership] = set()
         return [self.start(f"machine-{number}") for number in range(DAEMONS)]
 
     def count(self, transaction) -> None:
         """Counts the heartbeats written."""
-        self.beats += sum(1 for key, _ in transaction.puts if key.table == MEMBER_TABLE)
+        parts = [key.part for key, _ in transaction.puts if key.table == MEMBER_TABLE]
+        self.beats += len(parts)
+        self.part_beats.update(parts)
 
     def start(self, machine: str) -> Membership:
         """Starts a daemon's heartbeat."""
@@ -152,14 +158,60 @@
             fleet += [self.start(f"more-{number}") for number in range(300 - DAEMONS)]
             await self.clock.sleep(9.0)
             self.beats = 0
+            self.part_beats.clear()
             await self.clock.sleep(9.0)
-            often = COORDINATORS * 18
-            self.assertLessEqual(self.beats - often, 1.1 * 9.0 * IDLE_HEARTBEATS_PER_SECOND)
+            often = COORDINATORS * 9.0 / HEARTBEAT_SECONDS
+            self.assertLessEqual(self.part_beats[AWAITED_PART], 1.1 * often)
+            seldom = 9.0 * IDLE_HEARTBEATS_PER_SECOND
+            self.assertLessEqual(self.part_beats[KNOWN_PART], 1.1 * seldom)
+            self.assertEqual(self.beats, self.part_beats.total())
             for membership in fleet:
                 self.assertEqual(300, len(membership.alive()))
 
         run(play())
 
+    def test_dead_owner_of_a_large_fleet_is_found_within_a_second(self):
+        """However many daemons there are, few are listed often."""
+
+        async def play():
+            fleet = self.begin()
+            fleet += [self.start(f"more-{number}") for number in range(200 - DAEMONS)]
+            await self.clock.sleep(9.0)
+            judge = next(member for member in fleet if member.is_coordinator())
+            owner = next(member for member in fleet if not member.is_coordinator())
+            self.owners.add(owner)
+            since = self.clock.now()
+            await self.clock.sleep(2.0)
+            self.assertTrue(judge.is_owner_alive(owner.own, since))
+            owner.tasks.cancel_all()
+            await self.clock.sleep(DEAD_AFTER_SECONDS + 2 * HEARTBEAT_SECONDS)
+            self.assertFalse(judge.is_owner_alive(owner.own, since))
+
+        run(play())
+
+    def test_all_daemons_of_a_large_fleet_lost_at_once(self):
+        """The new lives agree on coordinators, all of them alive, within two seconds."""
+
+        async def play():
+            fleet = self.begin()
+            fleet += [self.start(f"more-{number}") for number in range(200 - DAEMONS)]
+            await self.clock.sleep(9.0)
+            machines = [machine_of(member.own) for member in fleet]
+            for member in fleet:
+                member.tasks.cancel_all()
+            await self.clock.sleep(0.5)
+            fleet = [self.start(machine) for machine in machines]
+            await self.clock.sleep(2.5)
+            alive = {member.own for member in fleet}
+            judges = [member for member in fleet if member.is_coordinator()]
+            self.assertGreaterEqual(len(judges), COORDINATORS)
+            for key in ("one", "two", "three"):
+                choices = {judge.first_choice(key) for judge in judges}
+                self.assertEqual(1, len(choices))
+                self.assertLessEqual(choices, alive)
+
+        run(play())
+
     def test_owner_beats_often(self):
         async def play():
             fleet = self.begin()
