Tests: each field of the policy record has one; test servers end their connections with them

Change: tests/test_policy.py (a test a field, and one that demands it), tests/connections.py used by the adapter's tests, the soak's proxy and its echo server.

--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -21,6 +21,7 @@
 from larkpost.fleet.weights import WeightTarget
 from larkpost.gateway import Gateway, GatewayPorts, GatewaySettings, RowReaders
 from larkpost.ids import Address, BatchId, EngineId, ZoneId
+from larkpost.policy import DEFAULT_POLICY, Policy
 from larkpost.rehearsal.memory_store import MemoryStore, StoreClient
 from larkpost.rehearsal.scripted_engines import EngineState, ScriptedEngines, output_of
 from larkpost.rollouts.model import (
@@ -128,12 +129,15 @@
         seed: int = 0,
         scorers: int = 0,
         relays: bool = False,
+        policy: Policy = DEFAULT_POLICY,
     ) -> None:
         """Starts a fleet.
 
         Args:
             relays: whether daemons make calls to the store for those that it turns away.
+            policy: how the daemons decide.
         """
+        self.policy = policy
         self.relays = relays
         self.clock = LoopClock()
         self.store = MemoryStore(self.clock, random.Random(seed))
@@ -214,7 +218,7 @@
             chance=random.Random(name),
         )
         address = Address(f"peer:{len(self.gateways)}")
-        gateway = Gateway(GatewaySettings(name, peer_address=address), ports)
+        gateway = Gateway(GatewaySettings(name, peer_address=address, policy=self.policy), ports)
         self.clients.append(client)
         self.gateways.append(gateway)
         gateway.start()
--- a/tests/process_soak/proxy.py
+++ b/tests/process_soak/proxy.py
@@ -7,6 +7,7 @@
 from larkpost.addresses import split_address
 from larkpost.ids import Address
 from larkpost.rehearsal.processes import free_address
+from tests.connections import ConnectionServer
 
 READ_BYTES = 65536
 NOISE = bytes(range(192, 256))
@@ -36,18 +37,17 @@
         self._writers: set[asyncio.StreamWriter] = set()
         self._healed = asyncio.Event()
         self._healed.set()
-        self._server: asyncio.Server | None = None
+        self._server = ConnectionServer(self._serve)
 
     async def start(self) -> None:
         """Starts listening."""
         host, port = split_address(self.address)
-        self._server = await asyncio.start_server(self._serve, host, port)
+        await self._server.start(host, port)
 
     async def close(self) -> None:
         """Stops listening and breaks all connections off."""
-        if self._server is not None:
-            self._server.close()
         self.break_off()
+        await self._server.close()
 
     def harm(self, fault: LinkFault) -> None:
         """Begins a fault, or ends it with `LinkFault.NONE`.
--- a/tests/test_engine_adapter.py
+++ b/tests/test_engine_adapter.py
@@ -15,6 +15,7 @@
 )
 from larkpost.ids import Address, AttemptId, RequestId
 from larkpost.rehearsal.processes import free_address
+from tests.connections import ConnectionServer
 
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
 REQUEST = GenerateRequest(RequestId("r"), AttemptId("a"), "prompt", 8, 0)
@@ -49,7 +50,8 @@
 
         address = free_address()
         host, port = address.split(":")
-        server = await asyncio.start_server(serve, host, int(port))
+        server = ConnectionServer(serve)
+        await server.start(host, int(port))
         chunks = []
         error = None
         async with server, aiohttp.ClientSession() as session:
@@ -121,7 +123,8 @@
 
         address = free_address()
         host, port = address.split(":")
-        server = await asyncio.start_server(serve, host, int(port))
+        server = ConnectionServer(serve)
+        await server.start(host, int(port))
         async with server, aiohttp.ClientSession() as session:
             with self.assertRaises(EngineBrokenError):
                 await HttpEnginePort(session).report(Address(address), 1.0)
--- /dev/null
+++ b/tests/test_policy.py
@@ -0,0 +1,294 @@
+"""The record of mechanisms: its bounds, and that each field changes what it says."""
+
+import asyncio
+import random
+import unittest
+from collections import Counter
+from contextlib import suppress
+from dataclasses import fields
+
+from larkpost.clock import LoopClock
+from larkpost.errors import LarkpostError
+from larkpost.eventlog import EventLog
+from larkpost.fleet.configuration import ModelName, RouteKind, Service, ServiceName
+from larkpost.fleet.directory import Directory, InstanceInfo, InstanceState
+from larkpost.fleet.weights import (
+    ModelDemand,
+    WeightTarget,
+    WeightTargets,
+    assign_models,
+    due_loads,
+)
+from larkpost.ids import Address, EngineId, ZoneId
+from larkpost.metrics import Metrics
+from larkpost.policy import DEFAULT_POLICY, Policy, PolicyError
+from larkpost.proxy.balancer import Balancer
+from larkpost.proxy.forwarder import Forwarder
+from larkpost.proxy.shares import ShareChooser
+from larkpost.rehearsal.memory_store import StoreFaults
+from larkpost.rehearsal.scripted_engines import EngineState, ScriptedEngines
+from larkpost.rollouts.attempt import Progress
+from larkpost.rollouts.engine_choice import EngineChoice
+from larkpost.rollouts.model import BatchHead
+from larkpost.rollouts.repository import PARTIAL_TABLE
+from larkpost.rollouts.reward import RewardScorer
+from larkpost.store.port import RowKey, Transaction
+from tests.platform_fleet import ENGINES, MODEL, SCORERS, PlatformFleet, make_batch
+from tests.test_forwarder import PAGES, make_route
+from tests.virtual import run
+
+FIRST = ModelName("first")
+SECOND = ModelName("second")
+SERVICE = Service(ServiceName("s"), 100, slots=8, models=(FIRST, SECOND))
+
+
+def make_info(name: str, service: ServiceName = ENGINES, slots: int = 4) -> InstanceInfo:
+    """Returns an instance's entry."""
+    address = Address("10.0.0.1:1")
+    versions = {FIRST: 1, SECOND: 1, MODEL: 1}
+    state = InstanceState.READY
+    return InstanceInfo(EngineId(name), service, address, ZoneId("z"), slots, state, versions)
+
+
+def make_directory(count: int, service: ServiceName = ENGINES) -> Directory:
+    """Returns a directory of some instances: e0, e1 and so on."""
+    directory = Directory()
+    for number in range(count):
+        directory.update(make_info(f"e{number}", service))
+    return directory
+
+
+def make_head(fleet: PlatformFleet) -> BatchHead:
+    """Returns the head of a batch of a fleet's first daemon."""
+    spec = make_batch(items=1)
+    owner = fleet.gateways[0].id
+    return BatchHead(spec.id, spec.host, spec.path, MODEL, 0, 0, 1, 1, owner, 0.0, False, "u")
+
+
+class PolicyBoundsTest(unittest.TestCase):
+    """Values that no daemon can run."""
+
+    def test_values_out_of_bounds_are_refused_by_name(self):
+        bad = {
+            "load_groups": 0,
+            "coordinators": 0,
+            "partial_seconds": -0.1,
+            "accept_seconds": -1.0,
+            "client_slots_share": 1.0,
+        }
+        for name, value in bad.items():
+            with self.assertRaisesRegex(PolicyError, name):
+                Policy(**{name: value})
+
+
+class PolicyFieldsTest(unittest.TestCase):
+    """One test a field: what runs by default, and what a trial gets that switches it off."""
+
+    def test_every_field_has_its_test(self):
+        for known in fields(Policy):
+            self.assertTrue(hasattr(self, f"test_{known.name}"), known.name)
+
+    def test_hedged_tries(self):
+        async def seconds(policy: Policy) -> float:
+            clock = LoopClock()
+            servers = ScriptedEngines(clock, MODEL)
+            for name, state in (("e0", EngineState(event_seconds=1.4)), ("e1", EngineState())):
+                servers.engines[EngineId(name)] = state
+            directory = make_directory(2, PAGES)
+            balancer = Balancer(directory, clock, random.Random(1), policy)
+            balancer.note_pace(EngineId("e0"), 0.01)  # so that the slow one is tried first
+            balancer.note_pace(EngineId("e1"), 0.05)
+            shares = ShareChooser(random.Random(0))
+            log = EventLog("daemon")
+            forwarder = Forwarder(
+                directory, balancer, servers, clock, log, Metrics(), shares, policy
+            )
+            sent = self.client_request(clock)
+            await forwarder.forward(sent, make_route(RouteKind.IDEMPOTENT))
+            return clock.now() - sent.received_at
+
+        self.assertLess(run(seconds(DEFAULT_POLICY)), 0.5)
+        self.assertGreater(run(seconds(Policy(hedged_tries=False))), 1.0)
+
+    def client_request(self, clock: LoopClock):
+        """Returns a client's request."""
+        from larkpost.proxy.forwarder import ClientRequest
+
+        return ClientRequest(b"r1", "GET", b"h", b"/", (), b"", clock.now(), 1.9)
+
+    def test_faster_engine_moves(self):
+        async def is_outpaced(policy: Policy) -> bool:
+            fleet = PlatformFleet(gateways=1, engines=0, policy=policy)
+            services = fleet.gateways[0].keeper._services
+            services.directory = make_directory(2)
+            services.balancer = Balancer(services.directory, fleet.clock, random.Random(0))
+            services.balancer.note_pace(EngineId("e0"), 0.09)
+            services.balancer.note_pace(EngineId("e1"), 0.04)
+            choice = EngineChoice(make_head(fleet), services)
+            return choice.is_outpaced(make_info("e0"), Progress(make_batch(items=1).items[0]))
+
+        self.assertTrue(run(is_outpaced(DEFAULT_POLICY)))
+        self.assertFalse(run(is_outpaced(Policy(faster_engine_moves=False))))
+
+    def test_partial_seconds(self):
+        async def kept(policy: Policy) -> int:
+            fleet = PlatformFleet(1, 1, policy=policy)
+            await fleet.wait(1.0)
+            await fleet.gateways[0].batches.submit(make_batch("batch", 40))
+            await fleet.wait(1.5)
+            return sum(key.table == PARTIAL_TABLE for key in fleet.store.rows)
+
+        self.assertGreater(run(kept(DEFAULT_POLICY)), 0)
+        self.assertEqual(0, run(kept(Policy(partial_seconds=0.0))))
+
+    def test_longest_first(self):
+        async def first_placed(policy: Policy) -> set[str]:
+            fleet = PlatformFleet(1, 1, policy=policy)
+            await fleet.wait(1.0)
+            await fleet.gateways[0].batches.submit(make_batch("batch", 40))
+            await fleet.wait(0.2)
+            engine = next(iter(fleet.engines.engines.values()))
+            return set(engine.runs[:8])
+
+        items = make_batch("batch", 40).items
+        longest = sorted(items, key=lambda item: item.expected_work)[-8:]
+        self.assertEqual({item.id for item in longest}, run(first_placed(DEFAULT_POLICY)))
+        arrived = run(first_placed(Policy(longest_first=False)))
+        self.assertEqual({item.id for item in items[:8]}, arrived)
+
+    def test_engines_by_work(self):
+        directory = make_directory(6)
+        demands = {FIRST: ModelDemand(100), SECOND: ModelDemand(210)}
+        for policy, sizes in ((DEFAULT_POLICY, (2, 4)), (Policy(engines_by_work=False), (3, 3))):
+            engines = directory.of_service(ENGINES)
+            chosen = assign_models(SERVICE, engines, directory, demands, policy)
+            self.assertEqual(sizes, (len(chosen[FIRST]), len(chosen[SECOND])))
+
+    def paces(self, policy: Policy) -> tuple[float, float]:
+        """Returns the pace of an instance measured here, and of one told by another daemon."""
+
+        async def play() -> tuple[float, float]:
+            balancer = Balancer(make_directory(2), LoopClock(), random.Random(0), policy)
+            balancer.note_pace(EngineId("e0"), 0.04)
+            balancer.take_summary("other", {EngineId("e1"): (1, 0.05)})
+            return balancer.pace(EngineId("e0")), balancer.pace(EngineId("e1"))
+
+        return run(play())
+
+    def test_own_paces(self):
+        self.assertEqual((0.04, 0.05), self.paces(DEFAULT_POLICY))
+        self.assertEqual((0.0, 0.05), self.paces(Policy(own_paces=False)))
+
+    def test_told_paces(self):
+        self.assertEqual((0.04, 0.0), self.paces(Policy(told_paces=False)))
+
+    def test_kept_connections_first(self):
+        async def first(policy: Policy) -> int:
+            chance = random.Random(0)
+            clock = LoopClock()
+            directory = make_directory(4)
+            balancer = Balancer(directory, clock, chance, policy, lambda info: info.id == "e0")
+            return len({balancer.candidates(ENGINES)[0].id for _ in range(30)})
+
+        self.assertEqual(1, run(first(DEFAULT_POLICY)))
+        self.assertEqual(4, run(first(Policy(kept_connections_first=False))))
+
+    def test_load_groups(self):
+        directory = make_directory(6)
+        service = Service(ENGINES, 100, slots=8, models=(FIRST,))
+        targets = WeightTargets()
+        targets.update(WeightTarget(FIRST, 2), now=10.0)
+        demands = {FIRST: ModelDemand(100, True)}
+        for policy, count in ((DEFAULT_POLICY, 0), (Policy(load_groups=1), 6)):
+            loads = due_loads(service, directory, targets, demands, 10.1, policy)
+            self.assertEqual(count, len(loads))
+
+    def test_avoid_failed(self):
+        async def is_avoided(policy: Policy) -> bool:
+            balancer = Balancer(make_directory(1), LoopClock(), random.Random(0), policy)
+            balancer.avoid(EngineId("e0"), 1.0)
+            return balancer.is_avoided(EngineId("e0"))
+
+        self.assertTrue(run(is_avoided(DEFAULT_POLICY)))
+        self.assertFalse(run(is_avoided(Policy(avoid_failed=False))))
+
+    def active(self, policy: Policy) -> Counter[str]:
+        """Returns how many of 20 idle daemons coordinate, and how many beat often."""
+
+        async def play() -> Counter[str]:
+            fleet = PlatformFleet(20, 1, policy=policy)
+            await fleet.wait(8.0)
+            members = [gateway.membership for gateway in fleet.gateways]
+            return Counter(
+                coordinators=sum(member.is_coordinator() for member in members),
+                awaited=len(members[0]._awaited.seen),
+            )
+
+        return run(play())
+
+    def test_coordinators(self):
+        found = self.active(DEFAULT_POLICY)
+        self.assertEqual(Counter(coordinators=12, awaited=12), found)
+        found = self.active(Policy(coordinators=2))
+        self.assertEqual(Counter(coordinators=2, awaited=2), found)
+
+    def test_idle_intervals(self):
+        found = self.active(Policy(idle_intervals=False))
+        self.assertEqual(Counter(coordinators=12, awaited=20), found)
+
+    def test_peer_calls(self):
+        async def is_relayed(policy: Policy) -> bool:
+            fleet = PlatformFleet(3, 1, relays=True, policy=policy)
+            await fleet.wait(2.0)
+            fleet.clients[0].refused = True
+            await fleet.wait(2.0)
+            return fleet.gateways[0]._ports.relay.is_relayed
+
+        self.assertTrue(run(is_relayed(DEFAULT_POLICY)))
+        self.assertFalse(run(is_relayed(Policy(peer_calls=False))))
+
+    def test_lapsed_serve(self):
+        async def left(policy: Policy) -> int:
+            fleet = PlatformFleet(1, 3, policy=policy)
+            await fleet.wait(4.0)
+            fleet.store.faults = StoreFaults(down=True)
+            await fleet.wait(4.0)
+            key = RowKey("instances", "", "engine-0")
+            fleet.store.apply(Transaction(removals=(key,)))
+            fleet.store.faults = StoreFaults()
+            await fleet.wait(1.9)
+            return len(fleet.gateways[0].directory.of_service(ENGINES))
+
+        self.assertEqual(3, run(left(DEFAULT_POLICY)))
+        self.assertEqual(2, run(left(Policy(lapsed_serve=False))))
+
+    def test_accept_seconds(self):
+        async def seconds(policy: Policy) -> float:
+            fleet = PlatformFleet(1, 1, policy=policy)
+            await fleet.wait(1.0)
+            fleet.store.faults = StoreFaults(refuses=True)
+            began = fleet.clock.now()
+            with suppress(LarkpostError):
+                await fleet.gateways[0].batches.submit(make_batch())
+            return fleet.clock.now() - began
+
+        self.assertLess(run(seconds(DEFAULT_POLICY)), 1.0)
+        self.assertGreater(run(seconds(Policy(accept_seconds=3.0))), 2.9)
+
+    def test_client_slots_share(self):
+        async def has_place(policy: Policy) -> bool:
+            fleet = PlatformFleet(1, 1, scorers=1, policy=policy)
+            services = fleet.gateways[0].keeper._services
+            scorer = RewardScorer(make_head(fleet), services)
+            info = make_info("scorer-0", SCORERS, slots=6)
+            for _ in range(4):
+                services.balancer.occupy(info.id)
+            await asyncio.sleep(0)
+            return scorer._has_place(info)
+
+        self.assertFalse(run(has_place(DEFAULT_POLICY)))
+        self.assertTrue(run(has_place(Policy(client_slots_share=0.0))))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_process_soak.py
+++ b/tests/test_process_soak.py
@@ -9,6 +9,7 @@
 from larkpost.addresses import split_address
 from larkpost.rehearsal.processes import free_address
 from larkpost.rehearsal.scripted_engines import output_of
+from tests.connections import ConnectionServer
 from tests.process_soak.__main__ import play
 from tests.process_soak.judge import Judge, SubmittedBatch
 from tests.process_soak.plan import Kind, draw_plan
@@ -26,7 +27,8 @@
         upstream = free_address()
         host, port = split_address(upstream)
         self.received = bytearray()
-        self.server = await asyncio.start_server(self.echo, host, port)
+        self.server = ConnectionServer(self.echo)
+        await self.server.start(host, port)
         self.proxy = FaultProxy(upstream)
         await self.proxy.start()
         self.reader, self.writer = await asyncio.open_connection(*split_address(self.proxy.address))
@@ -34,7 +36,7 @@
     async def asyncTearDown(self):
         self.writer.transport.abort()
         await self.proxy.close()
-        self.server.close()
+        await self.server.close()
 
     async def echo(self, reader, writer):
         """Answers everything with itself."""
