--- a/src/larkpost/policy.py
+++ b/src/larkpost/policy.py
@@ -44,6 +44,9 @@
         peer_calls: a peer makes the calls of a daemon that the store turns away.
         lapsed_serve: instances whose entries went while the store was away serve on until it has
             been sound for a while.
+        assigned_owners: a batch is run by the coordinator that its model and the parity of its
+            step name, not by the daemon that accepts it: that one's loss right after it has
+            accepted harms nothing, and connections to engines are kept from step to step.
         accept_seconds: seconds for which a batch is tried for while the store refuses it, before
             the trainer is sent to another daemon, which may reach the store (round 22).
         client_slots_share: share of a server's slots that reward calls leave to clients.
@@ -63,6 +66,7 @@
     idle_intervals: bool = True
     peer_calls: bool = True
     lapsed_serve: bool = True
+    assigned_owners: bool = True
     accept_seconds: float = 0.6
     client_slots_share: float = 1 / 3
 
--- a/src/larkpost/store/relay.py
+++ b/src/larkpost/store/relay.py
@@ -9,6 +9,7 @@
 without an answer is never sent again from here: its caller reads what became of it.
 """
 
+import asyncio
 import random
 from collections.abc import Awaitable, Callable, Sequence
 from typing import Protocol, TypeVar
@@ -33,6 +34,8 @@
 PEERS_ASKED = 3
 MOST_PEER_SECONDS = 0.8
 """Most time for a call by way of a peer, besides the time that a feed may wait."""
+PEER_REST_SECONDS = 3.0
+"""How long a peer that did not answer is not asked again: it may be frozen, or cut off as well."""
 PROBE_TABLE = "members"
 PROBE_PART = "known"
 REFUSED = (WriteOutcome.NOT_DONE, WriteOutcome.THROTTLED)
@@ -72,6 +75,7 @@
         self._peers: Callable[[], Sequence[Address]] = tuple
         self._connected: dict[Address, PeerStore] = {}
         self._peer: PeerStore | None = None
+        self._silent_at: dict[Address, float] = {}
         self._no_peer_until = float("-inf")
 
     def start(self, peers: Callable[[], Sequence[Address]], tasks: TaskSet) -> None:
@@ -105,6 +109,8 @@
             if peer is None:
                 return result
             result = await peer.write(transaction, min(timeout, MOST_PEER_SECONDS))
+            if result.outcome is WriteOutcome.UNKNOWN:
+                self._drop_peer(peer, silent=True)  # the next call goes elsewhere, this one not
             if result.outcome not in REFUSED:
                 return result
             self._drop_peer(peer)
@@ -119,7 +125,7 @@
 
     async def changes(self, table: str, after: int, wait: float) -> RowPage:
         """Returns the changes of a table; see the port."""
-        return await self._ask(lambda store: store.changes(table, after, wait))
+        return await self._ask(lambda store: store.changes(table, after, wait), wait)
 
     async def close(self) -> None:
         """Closes the connections to all peers."""
@@ -127,9 +133,12 @@
             await peer.close()
         self._connected.clear()
 
-    async def _ask(self, call: Callable[[Store], Awaitable[Answer]]) -> Answer:
+    async def _ask(self, call: Callable[[Store], Awaitable[Answer]], wait: float = 0.0) -> Answer:
         """Makes a reading call directly or by way of a peer.
 
+        Args:
+            wait: seconds that the store itself may wait before it answers.
+
         Raises:
             HistoryLostError: as the store answered.
             StoreUnavailableError: neither answered.
@@ -145,9 +154,12 @@
             if peer is None:
                 raise failure
             try:
-                return await call(peer)
+                async with asyncio.timeout(wait + MOST_PEER_SECONDS):
+                    return await call(peer)
             except StoreUnavailableError:
                 self._drop_peer(peer)
+            except TimeoutError:
+                self._drop_peer(peer, silent=True)
         self._leave_peers_alone()
         raise failure
 
@@ -155,8 +167,13 @@
         """Returns the peer that makes this daemon's calls, a new one if there is none."""
         if self._peer is not None:
             return self._peer
-        addresses = self._peers()
-        if not addresses or self._clock.now() < self._no_peer_until:
+        now = self._clock.now()
+        addresses = [
+            address
+            for address in self._peers()
+            if now - self._silent_at.get(address, float("-inf")) >= PEER_REST_SECONDS
+        ]
+        if not addresses or now < self._no_peer_until:
             return None
         address = self._chance.choice(addresses)
         if address not in self._connected:
@@ -165,8 +182,11 @@
         self._log.note(Event.STORE_RELAY, peer=address, state="relayed")
         return self._peer
 
-    def _drop_peer(self, peer: PeerStore) -> None:
-        """Leaves a peer that did not help, unless another call has left it already."""
+    def _drop_peer(self, peer: PeerStore, *, silent: bool = False) -> None:
+        """Leaves a peer that did not help; a silent one is not asked again for a while."""
+        if silent:
+            address = next(name for name, known in self._connected.items() if known is peer)
+            self._silent_at[address] = self._clock.now()
         if self._peer is peer:
             self._peer = None
 
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -236,6 +236,16 @@
             owned.stop()
         gateway.keeper._owned.clear()
 
+    async def submit(self, spec: BatchSpec, number: int = 0) -> int:
+        """Submits a batch at a gateway; returns the number of the one that is to run it."""
+        owner = self.gateways[number].keeper.owner_of_new(spec)
+        await self.gateways[number].batches.submit(spec)
+        return next(i for i, gateway in enumerate(self.gateways) if gateway.id == owner)
+
+    def other(self, number: int) -> Gateway:
+        """Returns a gateway besides a given one."""
+        return self.gateways[(number + 1) % len(self.gateways)]
+
     async def wait(self, seconds: float) -> None:
         """Lets time pass."""
         await self.clock.sleep(seconds)
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -85,11 +85,11 @@
             for state in fleet.engines.engines.values():
                 state.event_seconds = 0.3
             spec = make_batch(items=40)
-            await fleet.gateways[0].batches.submit(spec)
+            owner = await fleet.submit(spec)
             await fleet.wait(0.5)
-            fleet.kill(0)
+            fleet.kill(owner)
             await fleet.wait(DEAD_AFTER_SECONDS + 0.7)
-            owners = [gateway for gateway in fleet.gateways[1:] if gateway.keeper.owned()]
+            owners = [gateway for gateway in fleet.gateways if gateway.keeper.owned()]
             self.assertEqual(1, len(owners))
 
         run(play())
--- a/tests/test_durable_batches.py
+++ b/tests/test_durable_batches.py
@@ -28,10 +28,10 @@
             fleet = PlatformFleet()
             await fleet.wait(1.0)
             spec = make_batch(items=40)
-            await fleet.gateways[0].batches.submit(spec)
+            owner = await fleet.submit(spec)
             await fleet.wait(0.2)
-            fleet.kill(0)
-            check_results(self, spec, await fleet.read_all(fleet.gateways[1], spec.id))
+            fleet.kill(owner)
+            check_results(self, spec, await fleet.read_all(fleet.other(owner), spec.id))
 
         run(play())
 
@@ -44,12 +44,12 @@
                 state.event_seconds = 0.4
             await fleet.wait(1.0)
             spec = make_batch(items=30)
-            await fleet.gateways[0].batches.submit(spec)
+            owner = await fleet.submit(spec)
             await fleet.wait(0.3)
-            fleet.clients[0].cut_off = True
+            fleet.clients[owner].cut_off = True
             await fleet.wait(4.0)
-            fleet.clients[0].cut_off = False
-            results = await fleet.read_all(fleet.gateways[1], spec.id)
+            fleet.clients[owner].cut_off = False
+            results = await fleet.read_all(fleet.other(owner), spec.id)
             await fleet.wait(5.0)
             self.assertEqual(results, fleet.stored_results(spec.id))
             check_results(self, spec, results)
@@ -142,12 +142,12 @@
                 state.event_seconds = 0.3
             await fleet.wait(1.0)
             spec = make_batch(items=8)
-            await fleet.gateways[0].batches.submit(spec)
+            owner = await fleet.submit(spec)
             await fleet.wait(1.0)
             began = fleet.clock.now()
-            await fleet.gateways[0].drain()
-            fleet.kill(0)
-            results = await fleet.read_all(fleet.gateways[1], spec.id)
+            await fleet.gateways[owner].drain()
+            fleet.kill(owner)
+            results = await fleet.read_all(fleet.other(owner), spec.id)
             check_results(self, spec, results)
             longest = 15 * 0.3
             self.assertLess(fleet.clock.now() - began, longest + 1.0)
@@ -161,14 +161,19 @@
             fleet = PlatformFleet()
             await fleet.wait(1.0)
             spec = make_batch(items=8)
-            await fleet.gateways[0].batches.submit(spec)
+            for state in fleet.engines.engines.values():
+                state.event_seconds = 0.06
+            owner = await fleet.submit(spec)
+            await fleet.wait(0.2)  # the owner has read the batch, and no item is whole yet
             fleet.store.faults = StoreFaults(refuses=True)
             await fleet.wait(1.5)
             runs = sum(len(state.runs) for state in fleet.engines.engines.values())
+            self.assertEqual(len(spec.items), runs)
+            self.assertEqual([], fleet.stored_results(spec.id))
             fleet.store.faults = StoreFaults()
-            await fleet.gateways[0].drain()
-            fleet.kill(0)
-            check_results(self, spec, await fleet.read_all(fleet.gateways[1], spec.id))
+            await fleet.gateways[owner].drain()
+            fleet.kill(owner)
+            check_results(self, spec, await fleet.read_all(fleet.other(owner), spec.id))
             after = sum(len(state.runs) for state in fleet.engines.engines.values())
             self.assertEqual(runs, after)
 
@@ -181,15 +186,15 @@
             fleet = PlatformFleet()
             await fleet.wait(1.0)
             spec = make_batch(items=40)
-            await fleet.gateways[0].batches.submit(spec)
+            owner = await fleet.submit(spec)
             down = next(part for part in PARTS if part != part_of(spec.id))
             fleet.store.faults = StoreFaults(parts_down=frozenset({down}))
             await fleet.wait(0.2)
             fleet.store.forget_history()
-            fleet.kill(0)
-            check_results(self, spec, await fleet.read_all(fleet.gateways[1], spec.id))
+            fleet.kill(owner)
+            check_results(self, spec, await fleet.read_all(fleet.other(owner), spec.id))
             listed = await fleet.repository().head(spec.id)
-            self.assertIn(listed.owner, {gateway.id for gateway in fleet.gateways[1:]})
+            self.assertNotEqual(fleet.gateways[owner].id, listed.owner)
 
         run(play())
 
--- a/tests/test_reward_calls.py
+++ b/tests/test_reward_calls.py
@@ -33,13 +33,12 @@
     return fleet
 
 
-async def submit_while_scorers_are_down(fleet: PlatformFleet, **options) -> BatchSpec:
-    """Takes all scorers down and submits a batch whose items want scores."""
+async def submit_while_scorers_are_down(fleet: PlatformFleet, **options) -> tuple[BatchSpec, int]:
+    """Takes all scorers down, submits a batch whose items want scores; returns it and its owner."""
     for state in fleet.scorers():
         state.down = True
     spec = make_batch(scored=True, **options)
-    await fleet.gateways[0].batches.submit(spec)
-    return spec
+    return spec, await fleet.submit(spec)
 
 
 def bring_scorers_back(fleet: PlatformFleet) -> None:
@@ -76,7 +75,7 @@
     def test_no_result_is_listed_while_the_scorers_are_gone(self):
         async def play():
             fleet = await start_fleet()
-            spec = await submit_while_scorers_are_down(fleet)
+            spec, _ = await submit_while_scorers_are_down(fleet)
             await fleet.wait(10.0)
             self.assertEqual([], fleet.stored_results(spec.id))
             bring_scorers_back(fleet)
@@ -89,12 +88,12 @@
     def test_next_owner_asks_only_for_the_score(self):
         async def play():
             fleet = await start_fleet()
-            spec = await submit_while_scorers_are_down(fleet)
+            spec, owner = await submit_while_scorers_are_down(fleet)
             await fleet.wait(4.0)
             runs = sum(len(state.runs) for state in fleet.model_engines())
-            fleet.kill(0)
+            fleet.kill(owner)
             bring_scorers_back(fleet)
-            results = await fleet.read_all(fleet.gateways[1], spec.id)
+            results = await fleet.read_all(fleet.other(owner), spec.id)
             check_results(self, spec, results)
             self.assertEqual(runs, sum(len(state.runs) for state in fleet.model_engines()))
 
@@ -103,15 +102,15 @@
     def test_planned_stop_hands_over_whole_texts(self):
         async def play():
             fleet = await start_fleet()
-            spec = await submit_while_scorers_are_down(fleet)
+            spec, owner = await submit_while_scorers_are_down(fleet)
             await fleet.wait(0.7)  # before whole texts are kept in the ordinary course
             whole = {name for state in fleet.model_engines() for name in state.whole_at}
             self.assertTrue(whole)
-            await fleet.gateways[0].membership.leave()
-            await fleet.gateways[0].keeper.hand_over()
+            await fleet.gateways[owner].membership.leave()
+            await fleet.gateways[owner].keeper.hand_over()
             runs_before = [len(state.runs) for state in fleet.model_engines()]
             bring_scorers_back(fleet)
-            results = await fleet.read_all(fleet.gateways[1], spec.id)
+            results = await fleet.read_all(fleet.other(owner), spec.id)
             check_results(self, spec, results)
             engines = zip(fleet.model_engines(), runs_before, strict=True)
             again = {name for state, count in engines for name in state.runs[count:]}
@@ -122,7 +121,7 @@
     def test_store_down_between_text_and_score(self):
         async def play():
             fleet = await start_fleet()
-            spec = await submit_while_scorers_are_down(fleet)
+            spec, _ = await submit_while_scorers_are_down(fleet)
             await fleet.wait(0.7)
             fleet.store.faults = StoreFaults(down=True)
             bring_scorers_back(fleet)
@@ -137,7 +136,7 @@
     def test_all_daemons_lost_after_the_last_event(self):
         async def play():
             fleet = await start_fleet()
-            spec = await submit_while_scorers_are_down(fleet)
+            spec, _ = await submit_while_scorers_are_down(fleet)
             await fleet.wait(0.8)
             for number in range(3):
                 fleet.kill(number)
@@ -210,7 +209,7 @@
         async def play():
             fleet = await start_fleet()
             fleet.add_scorer(EngineId("other-0"), OTHER_SCORERS)
-            spec = await submit_while_scorers_are_down(fleet, items=4)
+            spec, _ = await submit_while_scorers_are_down(fleet, items=4)
             await fleet.wait(2.0)
             fleet.put("operator", "configuration", b"moved")
             await fleet.wait(1.0)
@@ -224,7 +223,7 @@
     def test_no_call_is_made_after_the_batch_has_ended(self):
         async def play():
             fleet = await start_fleet()
-            spec = await submit_while_scorers_are_down(fleet)
+            spec, _ = await submit_while_scorers_are_down(fleet)
             await fleet.wait(2.0)
             await fleet.gateways[1].batches.end(spec.id)
             await fleet.wait(CANCEL_SECONDS)
@@ -241,7 +240,7 @@
             fleet = await start_fleet(scorers=4)
             for state in fleet.model_engines():
                 state.slots = 40
-            spec = await submit_while_scorers_are_down(fleet, items=112)
+            spec, _ = await submit_while_scorers_are_down(fleet, items=112)
             await fleet.wait(12.0)
             bring_scorers_back(fleet)
             for state in fleet.scorers():
--- a/tests/test_store_relay.py
+++ b/tests/test_store_relay.py
@@ -22,7 +22,12 @@
     Transaction,
     WriteOutcome,
 )
-from larkpost.store.relay import NO_PEER_PAUSE_SECONDS, PEERS_ASKED, RelayedStore
+from larkpost.store.relay import (
+    MOST_PEER_SECONDS,
+    NO_PEER_PAUSE_SECONDS,
+    PEERS_ASKED,
+    RelayedStore,
+)
 from larkpost.tasks import TaskSet
 from larkpost.telemetry import Telemetry
 from tests.platform_fleet import PlatformFleet, check_results, make_batch
@@ -139,6 +144,48 @@
 
         run(play())
 
+    def test_silent_peer_is_left_soon_and_not_asked_again_at_once(self):
+        """Frozen peers must not hold a daemon up that others could help."""
+
+        async def play():
+            self.begin()
+            self.direct.refused = True
+            self.peers[PEERS[0]].cut_off = True
+            self.direct_peer_first(PEERS[0])
+            began = self.clock.now()
+            await self.store.read("table", "part")
+            self.assertLess(self.clock.now() - began, MOST_PEER_SECONDS + 0.1)
+            self.peers[PEERS[1]].refused = True
+            with self.assertRaises(StoreUnavailableError):
+                await self.store.read("table", "part")
+            self.peers[PEERS[1]].refused = False
+            await self.clock.sleep(NO_PEER_PAUSE_SECONDS)
+            began = self.clock.now()
+            await self.store.read("table", "part")
+            self.assertLess(self.clock.now() - began, 0.1)
+
+        run(play())
+
+    def test_peer_that_does_not_answer_a_write_is_left(self):
+        async def play():
+            self.begin()
+            self.direct.refused = True
+            self.direct_peer_first(PEERS[0])
+            await self.store.read("table", "part")
+            self.peers[PEERS[0]].cut_off = True
+            self.assertIs(WriteOutcome.UNKNOWN, (await self.store.write(CHANGE, 0.5)).outcome)
+            began = self.clock.now()
+            self.assertIs(WriteOutcome.DONE, (await self.store.write(CHANGE, 0.5)).outcome)
+            self.assertLess(self.clock.now() - began, 0.1)
+
+        run(play())
+
+    def direct_peer_first(self, address: Address) -> None:
+        """Makes a peer the first one to be asked; the others are drawn as ever."""
+        choice = self.store._chance.choice
+        first = [address]
+        self.store._chance.choice = lambda found: first.pop() if first else choice(found)
+
     def test_lost_history_is_told_and_not_asked_of_a_peer(self):
         async def play():
             self.begin()
@@ -159,10 +206,10 @@
             fleet = PlatformFleet(relays=True)
             await fleet.wait(3.0)
             spec = make_batch(items=40)
-            await fleet.gateways[0].batches.submit(spec)
+            owner = await fleet.submit(spec)
             await fleet.wait(0.1)
-            fleet.clients[0].refused = True
-            results = await fleet.read_all(fleet.gateways[1], spec.id)
+            fleet.clients[owner].refused = True
+            results = await fleet.read_all(fleet.other(owner), spec.id)
             check_results(self, spec, results)
             runs = [name for state in fleet.engines.engines.values() for name in state.runs]
             self.assertEqual(len(set(runs)), len(runs))
