--- a/src/larkpost/policy.py
+++ b/src/larkpost/policy.py
@@ -33,8 +33,9 @@
             not evenly.
         own_paces: this daemon's measurements of the speed of instances count.
         told_paces: the measurements that other daemons tell count where it has none of its own.
-        kept_connections_first: among instances that are about as good, those to which a connection
-            is kept come first.
+        kept_connections_first: client requests go to an instance to which a connection is kept
+            before others that are about as good. Items of batches do not: their engines would
+            fill up one by one while others had free places (round 33).
         load_groups: groups of a model's engines that load a version one after the other; 1 loads
             all at once, without waiting for running items. Three leave two thirds to serve.
         avoid_failed: an instance that failed or refused is left alone for a moment.
@@ -44,9 +45,6 @@
         peer_calls: a peer makes the calls of a daemon that the store turns away.
         lapsed_serve: instances whose entries went while the store was away serve on until it has
             been sound for a while.
-        assigned_owners: a batch is run by the coordinator that its model and the parity of its
-            step name, not by the daemon that accepts it: that one's loss right after it has
-            accepted harms nothing, and connections to engines are kept from step to step.
         accept_seconds: seconds for which a batch is tried for while the store refuses it, before
             the trainer is sent to another daemon, which may reach the store (round 22).
         client_slots_share: share of a server's slots that reward calls leave to clients.
@@ -66,7 +64,6 @@
     idle_intervals: bool = True
     peer_calls: bool = True
     lapsed_serve: bool = True
-    assigned_owners: bool = True
     accept_seconds: float = 0.6
     client_slots_share: float = 1 / 3
 
--- a/src/larkpost/proxy/balancer.py
+++ b/src/larkpost/proxy/balancer.py
@@ -94,10 +94,14 @@
         *,
         exclude: Collection[EngineId] = (),
         eligible: Callable[[InstanceInfo], bool] | None = None,
+        for_client: bool = False,
     ) -> list[InstanceInfo]:
         """Returns the instances that may take a request now, the best first.
 
         Instances that failed a moment ago come last.
+
+        Args:
+            for_client: whether it is a client's request, which rather takes a kept connection.
         """
         fitting = [
             info
@@ -110,7 +114,8 @@
             fitting,
             key=lambda info: (
                 self.is_avoided(info.id),
-                self._expected_wait(info, paces[info.id], best_pace),
+                self._expected_wait(info, paces[info.id], best_pace)
+                * (self._connection_factor(info) if for_client else 1.0),
                 self._chance.random(),
             ),
         )
@@ -235,8 +240,10 @@
         """Tells whether an instance is only a last resort at the moment."""
         return self._clock.now() < self.use(instance).avoid_until
 
+    def _connection_factor(self, info: InstanceInfo) -> float:
+        is_new = self._policy.kept_connections_first and not self._is_connected(info)
+        return NEW_CONNECTION_FACTOR if is_new else 1.0
+
     def _expected_wait(self, info: InstanceInfo, pace: float, best_pace: float) -> float:
         ratio = min(pace / best_pace, MAX_PACE_RATIO) if pace and best_pace else 1.0
-        if self._policy.kept_connections_first and not self._is_connected(info):
-            ratio *= NEW_CONNECTION_FACTOR
         return (self.occupied(info) + 1) / max(1, info.slots) * ratio
--- a/src/larkpost/proxy/forwarder.py
+++ b/src/larkpost/proxy/forwarder.py
@@ -283,7 +283,7 @@
 
     def _choose(self, service: ServiceName, attempts: _Attempts) -> InstanceInfo | None:
         tried = attempts.ran_at | attempts.refused_by
-        candidates = self._balancer.candidates(service, exclude=tried)
+        candidates = self._balancer.candidates(service, exclude=tried, for_client=True)
         return candidates[0] if candidates else None
 
     def _outgoing(self, request: ClientRequest, route: Route, *, fresh: bool) -> OutgoingRequest:
--- a/src/larkpost/rollouts/keeper.py
+++ b/src/larkpost/rollouts/keeper.py
@@ -28,8 +28,6 @@
 INTERVAL_SECONDS = 0.1
 IDLE_INTERVAL_SECONDS = 0.5
 CLAIM_PAUSE_SECONDS = 0.5
-OWNERS_OF_A_MODEL = 2
-"""A trainer has two steps open, and no owner has both: its death would harm the two of them."""
 REMOVAL_INTERVAL_SECONDS = 5.0
 
 
@@ -100,8 +98,6 @@
         same_owner = known is not None and known.head.owner == head.owner
         owner_since = known.owner_since if same_owner else self._clock.now()
         self._heads[batch] = _KnownHead(head, row.version, owner_since)
-        if head.owner == self._membership.own and not same_owner:
-            self._look_after(batch, self._heads[batch])  # assigned by the daemon that accepted it
 
     def head(self, batch: BatchId) -> BatchHead | None:
         """Returns the head of a batch, if it is known."""
@@ -131,14 +127,6 @@
                 newest[head.model] = head
         return {model: ModelDemand(head.work, model in running) for model, head in newest.items()}
 
-    def owner_of_new(self, spec: BatchSpec) -> DaemonId:
-        """Returns the daemon that is to run a batch which this one is about to accept."""
-        own = self._membership.own
-        if not self._services.policy.assigned_owners or not self._membership.listed:
-            return own
-        turn = spec.step % OWNERS_OF_A_MODEL
-        return self._membership.first_choice(f"owner\x00{spec.model}\x00{turn}") or own
-
     async def own_accepted(self, spec: BatchSpec, upload: str) -> None:
         """Starts an accepted batch at once if it is this daemon's, without waiting for the feed."""
         try:
--- a/src/larkpost/rollouts/service.py
+++ b/src/larkpost/rollouts/service.py
@@ -70,7 +70,7 @@
     """All batch calls of one daemon.
 
     Args:
-        owner: this daemon.
+        owner: this daemon, which runs what it accepts.
     """
 
     def __init__(
@@ -101,8 +101,7 @@
         began = self._clock.now()
         upload = secrets.token_hex(8)
         patience = self._services.policy.accept_seconds
-        owner = self._keeper.owner_of_new(spec)
-        outcome = await self._repository.accept(spec, owner, upload, patience)
+        outcome = await self._repository.accept(spec, self._owner, upload, patience)
         if outcome is AcceptOutcome.REFUSED:
             self._services.metrics.count(Count.BATCH_CALLS, "submit", "refused")
             self._log.note(Event.BATCH_REFUSED, batch=spec.id, uncertain=False)
@@ -120,11 +119,9 @@
             step=spec.step,
             model=spec.model,
             minimum_version=spec.minimum_version,
-            owner=owner,
             seconds=round(self._clock.now() - began, 3),
         )
-        if owner == self._owner:
-            await self._keeper.own_accepted(spec, upload)
+        await self._keeper.own_accepted(spec, upload)
 
     async def read(self, batch: BatchId, position: int, wait: float) -> ResultPage:
         """Returns the results from a position on, waiting for one if there is none yet.
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -238,9 +238,9 @@
 
     async def submit(self, spec: BatchSpec, number: int = 0) -> int:
         """Submits a batch at a gateway; returns the number of the one that is to run it."""
-        owner = self.gateways[number].keeper.owner_of_new(spec)
         await self.gateways[number].batches.submit(spec)
-        return next(i for i, gateway in enumerate(self.gateways) if gateway.id == owner)
+        head = self.gateways[number].keeper.head(spec.id) or await self.repository().head(spec.id)
+        return next(i for i, gateway in enumerate(self.gateways) if gateway.id == head.owner)
 
     def other(self, number: int) -> Gateway:
         """Returns a gateway besides a given one."""
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -161,7 +161,8 @@
 
     def first_choices(self, balancer: Balancer) -> set[EngineId]:
         """Returns the instances that come first in some choices."""
-        return {balancer.candidates(ENGINES)[0].id for _ in range(20)}
+        choices = [balancer.candidates(ENGINES, for_client=True)[0] for _ in range(20)]
+        return {info.id for info in choices}
 
     def test_connected_instance_comes_first_among_equals(self):
         async def play():
@@ -171,6 +172,14 @@
 
         run(play())
 
+    def test_items_of_batches_are_spread_whatever_is_connected(self):
+        async def play():
+            balancer = self.begin()
+            first = {balancer.candidates(ENGINES)[0].id for _ in range(30)}
+            self.assertEqual(4, len(first))
+
+        run(play())
+
     def test_a_request_more_or_a_slower_pace_outweighs_the_connection(self):
         async def play():
             balancer = self.begin()
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -188,7 +188,8 @@
             clock = LoopClock()
             directory = make_directory(4)
             balancer = Balancer(directory, clock, chance, policy, lambda info: info.id == "e0")
-            return len({balancer.candidates(ENGINES)[0].id for _ in range(30)})
+            choices = [balancer.candidates(ENGINES, for_client=True)[0] for _ in range(30)]
+            return len({info.id for info in choices})
 
         self.assertEqual(1, run(first(DEFAULT_POLICY)))
         self.assertEqual(4, run(first(Policy(kept_connections_first=False))))
@@ -262,21 +263,6 @@
         self.assertEqual(3, run(left(DEFAULT_POLICY)))
         self.assertEqual(2, run(left(Policy(lapsed_serve=False))))
 
-    def test_assigned_owners(self):
-        async def owners(policy: Policy) -> set[str]:
-            fleet = PlatformFleet(6, 2, policy=policy)
-            await fleet.wait(3.0)
-            for number, gateway in enumerate(fleet.gateways):
-                await gateway.batches.submit(make_batch(f"batch-{number}"))
-            await fleet.wait(0.3)
-            heads = [gateway.keeper.head("batch-0") for gateway in fleet.gateways]
-            self.assertEqual(1, len({head.owner for head in heads}))
-            first = fleet.gateways[0].keeper
-            return {first.head(f"batch-{number}").owner for number in range(6)}
-
-        self.assertLessEqual(len(run(owners(DEFAULT_POLICY))), 2)
-        self.assertEqual(6, len(run(owners(Policy(assigned_owners=False)))))
-
     def test_accept_seconds(self):
         async def seconds(policy: Policy) -> float:
             fleet = PlatformFleet(1, 1, policy=policy)
