--- a/src/larkpost/eventlog.py
+++ b/src/larkpost/eventlog.py
@@ -84,7 +84,7 @@
         try:
             written = os.write(self._descriptor, self._pending)
         except (BlockingIOError, BrokenPipeError):
-            return
+            return  # the line waits, or is counted as dropped once too many do
         except OSError:
             self.dropped += 1
             self._pending.clear()
--- a/src/larkpost/fleet/leases.py
+++ b/src/larkpost/fleet/leases.py
@@ -71,7 +71,7 @@
         try:
             known = await self._read(key)
         except StoreUnavailableError:
-            return None
+            return None  # the loader notes it and tries again
         started = self._clock.now()
         store_time = self._store.time()
         if store_time is None or not self._may_take(known, store_time):
--- a/src/larkpost/fleet/loader.py
+++ b/src/larkpost/fleet/loader.py
@@ -113,7 +113,10 @@
     ) -> float:
         """Gives one order and returns the seconds to wait before the engine is looked at again."""
         report = await self._servers.report(engine, REPORT_TIMEOUT_SECONDS)
-        if report is None or report.busy:
+        if report is None:
+            self._note_no_order(engine, target, "no_report")
+            return RETRY_SECONDS
+        if report.busy:
             return RETRY_SECONDS
         for model, version in report.versions.items():
             self._directory.observe_version(engine.id, model, version)
@@ -121,6 +124,7 @@
             return 0.0
         lease = await self._leases.take(engine.id)
         if lease is None:
+            self._note_no_order(engine, target, "no_lease")
             return RETRY_SECONDS
         if self._clock.now() >= lease.usable_until or not self._directory.takes_work(engine.id):
             self._log.note(Event.LEASE_LAPSED, engine=engine.id, token=lease.token)
@@ -151,6 +155,17 @@
             return UNANSWERED_SECONDS
         return RETRY_SECONDS  # whatever it holds, its next report tells
 
+    def _note_no_order(self, engine: InstanceInfo, target: WeightTarget, reason: str) -> None:
+        """Notes that an order which is due could not be given."""
+        self._metrics.count(Count.ORDERS, reason)
+        self._log.note(
+            Event.ORDER,
+            engine=engine.id,
+            model=target.model,
+            version=target.version,
+            outcome=reason,
+        )
+
     def _running_work(self, service: Service) -> RunningWork:
         """Runs go on under the new version unless a route wants one version in each result."""
         configuration = self._configuration.current
--- a/src/larkpost/platform/ingress.py
+++ b/src/larkpost/platform/ingress.py
@@ -82,7 +82,7 @@
             try:
                 await self._answer(exchange)
             except ClientLeftError:
-                return
+                return  # nobody is left to be answered
             except LarkpostError as error:
                 await exchange.fail(error)
 
--- a/src/larkpost/platform/process.py
+++ b/src/larkpost/platform/process.py
@@ -102,7 +102,7 @@
     try:
         return path.read_bytes()
     except OSError:
-        return b""
+        return b""  # loading it tells what is wrong
 
 
 def _gateway_settings(settings: PlatformSettings) -> GatewaySettings:
@@ -135,7 +135,7 @@
             async with asyncio.timeout(SETTINGS_POLL_SECONDS):
                 await reload.wait()
         except TimeoutError:
-            pass
+            pass  # no signal: look at the file
         reload.clear()
         try:
             found = _read(path)
--- a/src/larkpost/platform/servers.py
+++ b/src/larkpost/platform/servers.py
@@ -157,7 +157,7 @@
                 return None
             return _read_report(content)
         except (BrokenAnswerError, *ANSWER_FAILURES, *UNREADABLE):
-            return None
+            return None  # the loader notes it and asks again
 
     async def order(
         self, instance: InstanceInfo, order: VersionOrder, timeout: float
--- a/src/larkpost/platform/stand_in/callers.py
+++ b/src/larkpost/platform/stand_in/callers.py
@@ -73,7 +73,7 @@
             ):
                 return answer.status, await answer.read()
         except FAILURES:
-            return None
+            return None  # the caller counts it as unanswered
 
     async def call_until(
         self, method: str, target: str, request_id: str, body: bytes | None, wanted: int
--- a/src/larkpost/platform/store.py
+++ b/src/larkpost/platform/store.py
@@ -98,9 +98,9 @@
             ):
                 return response.status, await response.read()
         except NOT_SENT:
-            return 503, b""
+            return 503, b""  # the peer is told that the call was not made
         except CALL_FAILURES:
-            return 504, b""
+            return 504, b""  # the peer is told that nobody answered
 
     async def read(
         self, table: str, part: str, first: str = "", end: str = "", limit: int = 0
--- a/src/larkpost/proxy/balancer.py
+++ b/src/larkpost/proxy/balancer.py
@@ -146,7 +146,7 @@
         told = [
             (peer.at, peer.pace)
             for peer in self._peers.get(instance, {}).values()
-            if now - peer.at < PEER_PACE_LIFETIME_SECONDS
+            if peer.pace and now - peer.at < PEER_PACE_LIFETIME_SECONDS
         ]
         return max(told, default=(0.0, 0.0))[1]
 
--- a/src/larkpost/rollouts/keeper.py
+++ b/src/larkpost/rollouts/keeper.py
@@ -132,7 +132,7 @@
         try:
             head, _ = await asyncio.gather(self._repository.head(spec.id), self._membership.look())
         except StoreUnavailableError:
-            return
+            return  # the feed will tell of the head
         if head is None or head.upload != upload or self._leaving or spec.id in self._owned:
             return
         if head.ended or spec.id in self._complete:
@@ -170,7 +170,7 @@
                 try:
                     await self._repository.remove(known.head)
                 except StoreUnavailableError:
-                    return
+                    return  # tried again after the next interval
 
     def _look_after(self, batch: BatchId, known: _KnownHead) -> None:
         head = known.head
@@ -214,7 +214,7 @@
         try:
             row = await self._repository.head_row(batch)
         except StoreUnavailableError:
-            return
+            return  # the feed will tell what the head is
         if row is not None:
             self.take_head(row)
 
--- a/src/larkpost/rollouts/service.py
+++ b/src/larkpost/rollouts/service.py
@@ -234,7 +234,7 @@
         try:
             results = await self._repository.results(view.head.id, known)
         except StoreUnavailableError:
-            return False
+            return False  # the reader is told if nothing is known
         view.add(known, results)
         view.confirm(started)
         return True
--- a/src/larkpost/rollouts/view.py
+++ b/src/larkpost/rollouts/view.py
@@ -46,7 +46,7 @@
             async with asyncio.timeout(timeout):
                 await self._changed.wait()
         except TimeoutError:
-            return
+            return  # the wait is over; the reader asks the store
 
     @property
     def size(self) -> int:
--- a/src/larkpost/store/relay.py
+++ b/src/larkpost/store/relay.py
@@ -202,6 +202,6 @@
         try:
             await self._direct.read(PROBE_TABLE, PROBE_PART, limit=1)
         except StoreUnavailableError:
-            return
+            return  # the store still turns this daemon away
         self._peer = None
         self._log.note(Event.STORE_RELAY, state="direct")
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -1,5 +1,6 @@
 """How soon and how well a fleet decides: acceptance, taking over, places of moved runs."""
 
+import asyncio
 import random
 import unittest
 from dataclasses import replace
@@ -194,6 +195,21 @@
         run(play())
 
 
+class PaceTest(unittest.TestCase):
+    """What other daemons tell of the speed of instances."""
+
+    def test_pace_that_a_daemon_does_not_know_hides_none_that_another_told(self):
+        async def play():
+            balancer = Balancer(Directory(), LoopClock(), random.Random(0))
+            engine = EngineId("e0")
+            balancer.take_summary("first", {engine: (1, 0.04)})
+            await asyncio.sleep(0.1)
+            balancer.take_summary("second", {engine: (2, 0.0)})
+            self.assertEqual(0.04, balancer.pace(engine))
+
+        run(play())
+
+
 class MovedRunTest(unittest.TestCase):
     """Where a run that leaves a slow engine goes on."""
 
