--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 LARKPOST := $(VENV)/bin/larkpost
 READY := $(VENV)/.ready
 
-.PHONY: demo test lint fuzz mutants soak soak-virtual bench proto clean
+.PHONY: demo test lint fuzz mutants soak soak-virtual bench regressions proto clean
 
 $(READY): requirements.txt pyproject.toml
 	test -x $(PYTHON) || python3 -m venv $(VENV)
@@ -34,6 +34,14 @@
 bench: $(READY) ## larkpost beside a bare relay of the same libraries
 	$(LARKPOST) rehearsal bench
 
+regressions: ## scores of the users' sites: BENCH=PROGRAM SITES="FILE..."; one day at a time
+	@test -x "$(BENCH)" || { echo "regressions: name the users' bench, BENCH=PROGRAM; it is not part of this repository"; exit 2; }
+	@test -n "$(SITES)" || { echo "regressions: name the site files, SITES=\"FILE...\""; exit 2; }
+	@for site in $(SITES); do \
+		test -r "$$site" || { echo "regressions: $$site cannot be read"; exit 2; }; \
+		"$(BENCH)" score "$$site" --jobs 1 --why "regression run" || exit 1; \
+	done
+
 lint: $(READY)
 	$(VENV)/bin/ruff format --check .
 	$(VENV)/bin/ruff check .
--- a/src/larkpost/rollouts/codec.py
+++ b/src/larkpost/rollouts/codec.py
@@ -20,6 +20,9 @@
     Tail,
 )
 
+LENGTH_DIGITS = 8
+"""Digits of the length that stands before a document which is written again and again."""
+
 
 def encode_head(head: BatchHead) -> bytes:
     """Returns the value of a head row."""
@@ -176,6 +179,21 @@
     return progress
 
 
+def split_rewritten(content: bytes, size: int) -> list[bytes]:
+    """Cuts a document that is written again and again, and may become shorter, into pieces.
+
+    It begins with its length, so that pieces left of a longer one are not taken for its end.
+    """
+    return split(b"%0*d" % (LENGTH_DIGITS, len(content)) + content, size)
+
+
+def join_rewritten(pieces: Iterable[bytes]) -> bytes:
+    """Returns a document from its pieces in order; see `split_rewritten`."""
+    content = b"".join(pieces)
+    end = LENGTH_DIGITS + int(content[:LENGTH_DIGITS])
+    return content[LENGTH_DIGITS:end]
+
+
 def split(content: bytes, size: int) -> list[bytes]:
     """Cuts a document into pieces of at most ``size`` bytes; an empty one into one piece."""
     return [content[start : start + size] for start in range(0, len(content), size)] or [b""]
--- a/src/larkpost/rollouts/owned.py
+++ b/src/larkpost/rollouts/owned.py
@@ -262,11 +262,11 @@
         ]
         if not grown:
             return
-        for progress in grown:
-            self._kept_events[progress.item.id] = len(progress.events)
-            if progress.whole:
-                self._kept_whole.add(progress.item.id)
-        await self._repository.keep_partials(self.head.id, grown)
+        counts = {progress.item.id: len(progress.events) for progress in grown}
+        whole = {progress.item.id for progress in grown if progress.whole}
+        if await self._repository.keep_partials(self.head.id, grown):
+            self._kept_events |= counts
+            self._kept_whole |= whole
 
     def _has_grown(self, progress: Progress, minimum: int) -> bool:
         """Tells whether an output is worth keeping once more."""
--- a/src/larkpost/rollouts/repository.py
+++ b/src/larkpost/rollouts/repository.py
@@ -6,7 +6,7 @@
     batch_items    <id>/<upload>/<piece>      the items, cut into pieces
     batch_tails    <id>                       count of results, and whether the batch is ended
     batch_results  <id>/<position>/<piece>    one result
-    batch_partials <id>/<item>                output so far of an item that runs
+    batch_partials <id>/<item>/<piece>        output so far of an item that runs
 
 A batch is there once its head is. Each append is made on condition of the tail's version, so two
 daemons that run the same batch cost work, but never a second result at a place.
@@ -41,6 +41,8 @@
 
 MAX_TRANSACTION_BYTES = 600_000
 MAX_TRANSACTION_ROWS = 90
+MAX_KEPT_BYTES = 300_000
+"""Longest output of an item that is kept, some 700 events: one transaction must take it."""
 WRITE_TIMEOUT_SECONDS = 1.5
 ACCEPT_TIMEOUT_SECONDS = 0.7
 """First time limit of the write that accepts a batch; doubled after each silence."""
@@ -107,7 +109,7 @@
         uploaded = self._fits(rows)
         uncertain = False
         while True:
-            outcome = WriteOutcome.DONE if uploaded else await self._upload(rows)
+            outcome = WriteOutcome.DONE if uploaded else await self._upload([[row] for row in rows])
             if outcome is WriteOutcome.DONE:
                 uploaded = True
                 commit = self._accept_transaction(spec, owner, upload, rows)
@@ -262,16 +264,21 @@
         result = await self._store.write(change, WRITE_TIMEOUT_SECONDS)
         return result.outcome is WriteOutcome.DONE
 
-    async def keep_partials(self, batch: BatchId, partials: list[Progress]) -> None:
-        """Keeps output so far, so that another daemon can go on from it; failures are harmless."""
-        rows = [
-            (
-                self._key(PARTIAL_TABLE, batch, f"/{progress.item.id}"),
-                codec.encode_progress(progress, self._piece_bytes),
-            )
-            for progress in partials
+    async def keep_partials(self, batch: BatchId, partials: list[Progress]) -> bool:
+        """Keeps output so far, so that another daemon can go on from it.
+
+        Returns:
+            Whether all of it is kept; a failure is harmless.
+        """
+        groups = [self._partial_rows(batch, progress) for progress in partials]
+        return await self._upload(groups) is WriteOutcome.DONE
+
+    def _partial_rows(self, batch: BatchId, progress: Progress) -> list[tuple[RowKey, bytes]]:
+        content = codec.encode_progress(progress, MAX_KEPT_BYTES)
+        return [
+            (self._key(PARTIAL_TABLE, batch, f"/{progress.item.id}/{number:02d}"), piece)
+            for number, piece in enumerate(codec.split_rewritten(content, self._piece_bytes))
         ]
-        await self._upload(rows)
 
     async def partials(self, batch: BatchId, items: tuple[Item, ...]) -> dict[ItemId, Progress]:
         """Returns the kept output of a batch's items.
@@ -281,11 +288,14 @@
         """
         last = f"{batch}{FIRST_AFTER_SLASH}"
         page = await read_all(self._store, PARTIAL_TABLE, part_of(batch), f"{batch}/", last)
-        values = {row.key.key.partition("/")[2]: row.value for row in page.rows}
+        pieces: dict[str, list[bytes]] = {}
+        for row in page.rows:
+            item_id = row.key.key.partition("/")[2].rpartition("/")[0]
+            pieces.setdefault(item_id, []).append(row.value)
         return {
-            item.id: codec.decode_progress(item, values[item.id])
+            item.id: codec.decode_progress(item, codec.join_rewritten(pieces[item.id]))
             for item in items
-            if item.id in values
+            if item.id in pieces
         }
 
     async def remove(self, head: BatchHead) -> None:
@@ -337,21 +347,17 @@
             puts.extend(rows)
         return Transaction(conditions=((head_key, ABSENT),), puts=tuple(puts))
 
-    async def _upload(self, rows: list[tuple[RowKey, bytes]]) -> WriteOutcome:
-        """Writes item rows ahead of the head, a few at a time; nobody reads them before it."""
-        start = 0
-        while start < len(rows):
-            end = start + 1
-            size = len(rows[start][1])
-            full = min(len(rows), start + MAX_TRANSACTION_ROWS)
-            while end < full and size + len(rows[end][1]) <= MAX_TRANSACTION_BYTES:
-                size += len(rows[end][1])
-                end += 1
-            change = Transaction(puts=tuple(rows[start:end]))
+    async def _upload(self, groups: list[list[tuple[RowKey, bytes]]]) -> WriteOutcome:
+        """Writes groups of rows, as many at once as fit, the rows of a group always together."""
+        left = list(groups)
+        while left:
+            rows = left.pop(0)
+            while left and self._fits(rows + left[0]):
+                rows = rows + left.pop(0)
+            change = Transaction(puts=tuple(rows))
             outcome = (await self._store.write(change, WRITE_TIMEOUT_SECONDS)).outcome
             if outcome is not WriteOutcome.DONE:
                 return outcome if outcome is not WriteOutcome.CONFLICT else WriteOutcome.NOT_DONE
-            start = end
         return WriteOutcome.DONE
 
     @staticmethod
--- a/tests/test_durable_batches.py
+++ b/tests/test_durable_batches.py
@@ -4,6 +4,7 @@
 
 from larkpost.ids import BatchId
 from larkpost.rehearsal.memory_store import StoreFaults
+from larkpost.rollouts.attempt import Progress
 from larkpost.rollouts.repository import PARTS, part_of
 from larkpost.rollouts.service import BatchRefusedError, BatchUncertainError
 from tests.platform_fleet import PlatformFleet, check_results, make_batch
@@ -135,6 +136,28 @@
 
         run(play())
 
+    def test_long_outputs_are_kept_whole(self):
+        """The longest items are those that a step waits for, and fill more than a row."""
+
+        async def play():
+            fleet = PlatformFleet(gateways=1)
+            repository = fleet.repository()
+            spec = make_batch(items=3)
+            long, whole, anew = (Progress(item) for item in spec.items)
+            for progress, events in ((long, 400), (whole, 300), (anew, 300)):
+                for number in range(1, events + 1):
+                    progress.take(number, b"%320d" % number, 1)
+            whole.complete()
+            self.assertTrue(await repository.keep_partials(spec.id, [long, whole, anew]))
+            anew.restart()
+            anew.take(1, b"new", 2)
+            self.assertTrue(await repository.keep_partials(spec.id, [anew]))
+            kept = await repository.partials(spec.id, spec.items)
+            for progress in (long, whole, anew):
+                self.assertEqual(progress, kept[progress.item.id])
+
+        run(play())
+
     def test_planned_stop_hands_over_what_was_made(self):
         async def play():
             fleet = PlatformFleet()
--- a/tests/test_reward_calls.py
+++ b/tests/test_reward_calls.py
@@ -99,6 +99,25 @@
 
         run(play())
 
+    def test_whole_text_that_the_store_refused_to_keep_is_kept_later(self):
+        async def play():
+            fleet = await start_fleet()
+            spec, owner = await submit_while_scorers_are_down(fleet)
+            await fleet.wait(0.1)
+            fleet.store.faults = StoreFaults(refuses=True)
+            await fleet.wait(4.0)
+            whole = {name for state in fleet.model_engines() for name in state.whole_at}
+            self.assertEqual({item.id for item in spec.items}, whole)
+            fleet.store.faults = StoreFaults()
+            await fleet.wait(1.0)
+            runs = sum(len(state.runs) for state in fleet.model_engines())
+            fleet.kill(owner)
+            bring_scorers_back(fleet)
+            check_results(self, spec, await fleet.read_all(fleet.other(owner), spec.id))
+            self.assertEqual(runs, sum(len(state.runs) for state in fleet.model_engines()))
+
+        run(play())
+
     def test_planned_stop_hands_over_whole_texts(self):
         async def play():
             fleet = await start_fleet()
