--- a/tests/platform_mutants.py
+++ b/tests/platform_mutants.py
@@ -232,6 +232,40 @@
     return mock.patch.object(relay, "REFUSED", (*relay.REFUSED, WriteOutcome.UNKNOWN))
 
 
+def keep_one_row_of_an_output():
+    """Keeps of an output only what fits in one row."""
+    from larkpost.rollouts import repository
+
+    return mock.patch.object(repository, "MAX_KEPT_BYTES", 48_000)
+
+
+def believe_that_outputs_are_kept():
+    """Takes an output for kept, whatever the store answered."""
+    from larkpost.rollouts.repository import BatchRepository
+
+    original = BatchRepository.keep_partials
+
+    async def keep_partials(self, batch, partials):
+        await original(self, batch, partials)
+        return True
+
+    return mock.patch.object(BatchRepository, "keep_partials", keep_partials)
+
+
+def ask_silent_peers_again():
+    """Asks a peer that did not answer again at once."""
+    from larkpost.store import relay
+
+    return mock.patch.object(relay, "PEER_REST_SECONDS", 0.0)
+
+
+def keep_connections_of_nameless_refusals():
+    """Uses a connection again after a refusal that names no request."""
+    from larkpost.platform.connections import CheckedConnector
+
+    return mock.patch.object(CheckedConnector, "close_idle", lambda *_: None)
+
+
 def forget_whole_texts():
     """Keeps whole outputs as if they were not whole."""
     from larkpost.rollouts import repository
@@ -267,6 +301,10 @@
         score_unsigned_answers,
         give_up_after_one_failed_call,
         forget_whole_texts,
+        keep_one_row_of_an_output,
+        believe_that_outputs_are_kept,
+        ask_silent_peers_again,
+        keep_connections_of_nameless_refusals,
         relay_unanswered_writes,
     )
 }
@@ -284,6 +322,10 @@
     "judge_owner_like_an_idle_daemon": SCALE,
     "let_everyone_coordinate": SCALE,
     "forget_whole_texts": "tests.test_reward_calls",
+    "keep_one_row_of_an_output": "tests.test_durable_batches",
+    "believe_that_outputs_are_kept": "tests.test_reward_calls",
+    "ask_silent_peers_again": "tests.test_store_relay",
+    "keep_connections_of_nameless_refusals": "tests.test_platform_servers",
     "relay_unanswered_writes": "tests.test_store_relay",
 }
 EXPECTED_CHECKS = {
--- a/tests/test_store_relay.py
+++ b/tests/test_store_relay.py
@@ -181,10 +181,8 @@
         run(play())
 
     def direct_peer_first(self, address: Address) -> None:
-        """Makes a peer the first one to be asked; the others are drawn as ever."""
-        choice = self.store._chance.choice
-        first = [address]
-        self.store._chance.choice = lambda found: first.pop() if first else choice(found)
+        """Makes a peer the one that is asked whenever it may be."""
+        self.store._chance.choice = lambda found: address if address in found else found[0]
 
     def test_lost_history_is_told_and_not_asked_of_a_peer(self):
         async def play():
