--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -23,7 +23,7 @@
 from larkpost.metrics import Metrics
 from larkpost.policy import DEFAULT_POLICY, Policy, PolicyError
 from larkpost.proxy.balancer import Balancer
-from larkpost.proxy.forwarder import Forwarder
+from larkpost.proxy.forwarder import ClientRequest, Forwarder
 from larkpost.proxy.shares import ShareChooser
 from larkpost.rehearsal.memory_store import StoreFaults
 from larkpost.rehearsal.scripted_engines import EngineState, ScriptedEngines
@@ -110,10 +110,8 @@
         self.assertLess(run(seconds(DEFAULT_POLICY)), 0.5)
         self.assertGreater(run(seconds(Policy(hedged_tries=False))), 1.0)
 
-    def client_request(self, clock: LoopClock):
+    def client_request(self, clock: LoopClock) -> ClientRequest:
         """Returns a client's request."""
-        from larkpost.proxy.forwarder import ClientRequest
-
         return ClientRequest(b"r1", "GET", b"h", b"/", (), b"", clock.now(), 1.9)
 
     def test_faster_engine_moves(self):
