--- a/src/larkpost/fleet/configuration.py
+++ b/src/larkpost/fleet/configuration.py
@@ -1,4 +1,4 @@
-"""The configuration in force: routes, services and limits, replaced only by a newer version."""
+"""The configuration in force: routes, services, tenants, limits; only a newer one replaces it."""
 
 from collections.abc import Mapping
 from dataclasses import dataclass, field
@@ -6,6 +6,8 @@
 from functools import cached_property
 from typing import NewType
 
+from larkpost.fleet.tenants import KeyDigest, Tenant, index_by_key
+
 ServiceName = NewType("ServiceName", str)
 ModelName = NewType("ModelName", str)
 
@@ -40,6 +42,7 @@
         due: seconds from a batch's first sending until all its results are due.
         queue_lifetime: seconds after which an item of a batch may be given up.
         single_version: whether a result must be made under one weight version.
+        is_public: whether requests need no key where the configuration has tenants.
     """
 
     name: str
@@ -55,6 +58,7 @@
     due: float = 0.0
     queue_lifetime: float = 0.0
     single_version: bool = False
+    is_public: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -92,12 +96,25 @@
 
 @dataclass(frozen=True)
 class Configuration:
-    """One version of the whole configuration."""
+    """One version of the whole configuration.
+
+    Attributes:
+        tenants: whose keys are taken; None if requests need no keys.
+    """
 
     version: int
     routes: tuple[Route, ...]
     services: Mapping[ServiceName, Service]
     limits: RequestLimits = field(default_factory=RequestLimits)
+    tenants: tuple[Tenant, ...] | None = None
+
+    @cached_property
+    def _tenants_by_key(self) -> Mapping[KeyDigest, Tenant]:
+        return index_by_key(self.tenants or ())
+
+    def tenant_of(self, key: KeyDigest | None) -> Tenant | None:
+        """Returns the tenant that holds a key, or None."""
+        return self._tenants_by_key.get(key) if key is not None else None
 
     @cached_property
     def _routes_by_host(self) -> dict[str, list[Route]]:
--- a/src/larkpost/fleet/heartbeat.py
+++ b/src/larkpost/fleet/heartbeat.py
@@ -33,6 +33,7 @@
         address: where it makes calls to the store for daemons that the store turns away, or None.
         coordinates: whether it gives orders and claims batches.
         leaving: whether this is its last heartbeat.
+        clock_offset: seconds by which its time of day is ahead of the store's clock, or None.
     """
 
     interval: float
@@ -40,6 +41,7 @@
     address: Address | None = None
     coordinates: bool = False
     leaving: bool = False
+    clock_offset: float | None = None
 
 
 def encode_heartbeat(heartbeat: Heartbeat) -> bytes:
@@ -53,6 +55,8 @@
         fields["coordinates"] = True
     if heartbeat.leaving:
         fields["leaving"] = True
+    if heartbeat.clock_offset is not None:
+        fields["clock_offset"] = round(heartbeat.clock_offset, 4)
     return orjson.dumps(fields)
 
 
@@ -71,6 +75,7 @@
             Address(address) if address else None,
             bool(document.get("coordinates")),
             bool(document.get("leaving")),
+            document.get("clock_offset"),
         )
     except (AttributeError, KeyError, TypeError) as error:
         raise ValueError(f"no heartbeat: {error!r}") from None
--- a/src/larkpost/fleet/leases.py
+++ b/src/larkpost/fleet/leases.py
@@ -1,17 +1,19 @@
-"""Leases on engines: the right to give one engine orders, with a fencing token.
+"""Leases: the right to act on one matter, with a fencing token.
 
-A lease is a row in the store. It names its holder and the store's time before which nobody else
-may take it. The row's version is the fencing token. A lease is taken for one order and serves only
-for a moment, measured on the steady clock from before the call that took it; so a holder that was
-paused in between does not use it.
+A matter is a duty and what it is about: the orders of one engine, the usage reports. Its lease is a
+row in the store that names its holder and the store's time before which nobody else may take it.
+The row's version is the fencing token. A lease is taken for one act and serves only for a moment,
+measured on the steady clock from before the call that took it; so a holder that was paused in
+between does not use it, and after a refusal the token is not used again.
 """
 
 from dataclasses import dataclass
+from enum import StrEnum
 
 import orjson
 
 from larkpost.clock import Clock
-from larkpost.ids import DaemonId, EngineId
+from larkpost.ids import DaemonId
 from larkpost.store.port import (
     ABSENT,
     RowKey,
@@ -22,24 +24,47 @@
 )
 
 LEASE_TABLE = "leases"
-LEASE_PART = "engines"
 USE_SECONDS = 0.5
 """How long after the call was sent a lease may be used."""
 SLACK_SECONDS = 0.5
-"""Added for the time an order travels and for the error of the estimated store clock."""
+"""Added for the time an act travels and for the error of the estimated store clock."""
 WRITE_TIMEOUT_SECONDS = 1.0
 
 
+class Duty(StrEnum):
+    """What one daemon at a time does; the value is the part of the store that has its leases."""
+
+    ENGINE_ORDERS = "engines"
+    USAGE = "usage"
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseSubject:
+    """What a lease is about.
+
+    Attributes:
+        name: which of the duty's subjects; an engine's id, for instance.
+    """
+
+    duty: Duty
+    name: str
+
+    @property
+    def key(self) -> str:
+        """Names the subject among those of all duties."""
+        return f"{self.duty}\x00{self.name}"
+
+
 @dataclass(frozen=True, slots=True)
 class Lease:
-    """The right to give one order.
+    """The right to act once.
 
     Attributes:
         token: the fencing token.
         usable_until: steady time of this process after which the lease must not be used.
     """
 
-    engine: EngineId
+    subject: LeaseSubject
     token: int
     usable_until: float
 
@@ -56,7 +81,7 @@
 
     Args:
         own: this process's id.
-        exclusive_time: seconds after a holder's last order before another holder may order.
+        exclusive_time: seconds after a holder's last act before another holder may act.
     """
 
     def __init__(self, own: DaemonId, store: Store, clock: Clock, exclusive_time: float) -> None:
@@ -65,13 +90,13 @@
         self._clock = clock
         self._exclusive_time = exclusive_time
 
-    async def take(self, engine: EngineId) -> Lease | None:
-        """Takes the lease on an engine, or returns None if another holds it or the store fails."""
-        key = RowKey(LEASE_TABLE, LEASE_PART, engine)
+    async def take(self, subject: LeaseSubject) -> Lease | None:
+        """Takes a lease, or returns None if another holds it or the store fails."""
+        key = RowKey(LEASE_TABLE, subject.duty.value, subject.name)
         try:
             known = await self._read(key)
         except StoreUnavailableError:
-            return None  # the loader notes it and tries again
+            return None  # whoever wants it notes it and tries again
         started = self._clock.now()
         store_time = self._store.time()
         if store_time is None or not self._may_take(known, store_time):
@@ -83,7 +108,7 @@
         result = await self._store.write(change, WRITE_TIMEOUT_SECONDS)
         if result.outcome is not WriteOutcome.DONE:
             return None
-        return Lease(engine, result.version, started + USE_SECONDS)
+        return Lease(subject, result.version, started + USE_SECONDS)
 
     def _may_take(self, known: _LeaseRow | None, store_time: float) -> bool:
         return known is None or known.holder == self._own or store_time >= known.free_at
--- a/src/larkpost/fleet/loader.py
+++ b/src/larkpost/fleet/loader.py
@@ -11,7 +11,7 @@
 from larkpost.eventlog import Event, EventLog
 from larkpost.fleet.configuration import ConfigurationState, RouteKind, Service
 from larkpost.fleet.directory import Directory, InstanceInfo
-from larkpost.fleet.leases import LeaseTable
+from larkpost.fleet.leases import Duty, LeaseSubject, LeaseTable
 from larkpost.fleet.members import Membership
 from larkpost.fleet.weights import Demands, WeightTarget, WeightTargets, due_loads
 from larkpost.ids import EngineId
@@ -122,12 +122,12 @@
             self._directory.observe_version(engine.id, model, version)
         if report.versions.get(target.model, 0) >= target.version:
             return 0.0
-        lease = await self._leases.take(engine.id)
+        lease = await self._leases.take(LeaseSubject(Duty.ENGINE_ORDERS, engine.id))
         if lease is None:
             self._note_no_order(engine, target, "no_lease")
             return RETRY_SECONDS
         if self._clock.now() >= lease.usable_until or not self._directory.takes_work(engine.id):
-            self._log.note(Event.LEASE_LAPSED, engine=engine.id, token=lease.token)
+            self._log.note(Event.LEASE_LAPSED, subject=lease.subject.key, token=lease.token)
             return RETRY_SECONDS
         order = VersionOrder(
             target.model,
--- a/src/larkpost/fleet/members.py
+++ b/src/larkpost/fleet/members.py
@@ -64,6 +64,8 @@
         listener: called with each new summary of another daemon; an empty one when it is gone.
         is_owner: tells whether this daemon owns batches that are not ended.
         address: where this daemon makes calls to the store for others, or None.
+        clock_offset: returns the seconds by which this machine's time of day is ahead of the
+            store's clock, or None if that is not known.
     """
 
     def __init__(
@@ -77,8 +79,10 @@
         is_owner: Callable[[], bool] = lambda: False,
         address: Address | None = None,
         policy: Policy = DEFAULT_POLICY,
+        clock_offset: Callable[[], float | None] = lambda: None,
     ) -> None:
         self.own = own
+        self._clock_offset = clock_offset
         self._policy = policy
         self._summary = summary
         self._listener = listener
@@ -121,6 +125,11 @@
             if seen.heartbeat.address is not None and name in self._alive and name != self.own
         ]
 
+    def clock_offsets(self) -> list[float]:
+        """Returns by how many seconds the clock of each daemon is ahead of the store's."""
+        told = (seen.heartbeat.clock_offset for seen in self._known.seen.values())
+        return [offset for offset in told if offset is not None]
+
     def is_alive(self, daemon: DaemonId) -> bool:
         """Tells whether a daemon is held alive."""
         return daemon in self._alive
@@ -208,7 +217,10 @@
             await self._leave_awaited()
         if self._is_due(self._known_beat_at, self._known_interval()):
             self._known_beat_at = self._clock.now()
-            await self._put(self._known, Heartbeat(self._known_interval(), {}, self._address))
+            heartbeat = Heartbeat(
+                self._known_interval(), {}, self._address, clock_offset=self._clock_offset()
+            )
+            await self._put(self._known, heartbeat)
 
     async def _beat_awaited(self) -> None:
         self._awaited_beat_at = self._clock.now()
--- a/src/larkpost/gateway.py
+++ b/src/larkpost/gateway.py
@@ -14,10 +14,12 @@
 from larkpost.fleet.lifecycle import Lifecycle
 from larkpost.fleet.loader import WeightLoader
 from larkpost.fleet.members import Membership
+from larkpost.fleet.true_time import TrueTime
 from larkpost.fleet.weights import WeightTarget, WeightTargets
 from larkpost.ids import Address, EngineId
 from larkpost.metrics import Level, Metrics
 from larkpost.policy import DEFAULT_POLICY, Policy
+from larkpost.proxy.admission import Admission
 from larkpost.proxy.balancer import Balancer
 from larkpost.proxy.forwarder import Forwarder
 from larkpost.proxy.port import ServerPort
@@ -33,6 +35,10 @@
 from larkpost.store.relay import RelayedStore
 from larkpost.tasks import TaskSet
 from larkpost.telemetry import Telemetry
+from larkpost.usage.counter import UsageCounter
+from larkpost.usage.port import UsagePort, UsageTerms
+from larkpost.usage.reporter import UsageReporter
+from larkpost.usage.repository import UsageRepository
 
 FAST_RELIST_SECONDS = 1.5
 SLOW_RELIST_SECONDS = 3.0
@@ -78,19 +84,23 @@
         machine: name of the machine, for logs.
         contact_time: time without a fault after which the store's news are believed.
         lease_time: time after a holder's last order before another holder may order.
+        apply_time: time within which a new configuration is to be in force everywhere.
         grace_time: time between the request to stop and the kill.
         batch_lifetime: time for which a batch must be readable.
         peer_address: where it makes calls to the store for other daemons, or None.
         policy: how it decides.
+        usage: what is agreed about usage reports; None if there are none.
     """
 
     machine: str
     contact_time: float = 3.0
     lease_time: float = 3.0
+    apply_time: float = 2.0
     grace_time: float = 8.0
     batch_lifetime: float = 120.0
     peer_address: Address | None = None
     policy: Policy = DEFAULT_POLICY
+    usage: UsageTerms | None = None
 
 
 @dataclass(slots=True)
@@ -99,6 +109,7 @@
 
     Attributes:
         relay: the store itself, if it can be reached by way of peers.
+        usage: takes usage reports; None if nobody does.
     """
 
     store: Store
@@ -108,6 +119,7 @@
     log: EventLog
     metrics: Metrics = field(default_factory=Metrics)
     relay: RelayedStore | None = None
+    usage: UsagePort | None = None
     chance: random.Random = field(default_factory=random.Random)
 
 
@@ -125,6 +137,9 @@
         self.directory = Directory()
         self.targets = WeightTargets()
         self.lifecycle = Lifecycle()
+        self.true_time = TrueTime(
+            ports.clock, ports.store.time, lambda: self.membership.clock_offsets()
+        )
         self.balancer = Balancer(
             self.directory,
             ports.clock,
@@ -142,7 +157,26 @@
             lambda: self.keeper.is_owner(),
             settings.peer_address,
             settings.policy,
+            self.true_time.own_offset,
         )
+        leases = LeaseTable(own, ports.store, ports.clock, settings.lease_time)
+        counter = None
+        self._usage: UsageReporter | None = None
+        if ports.usage is not None and settings.usage is not None:
+            counter = UsageCounter(self.true_time, settings.usage.window_length)
+            self._usage = UsageReporter(
+                UsageRepository(ports.store),
+                counter,
+                self.true_time,
+                leases,
+                self.membership,
+                ports.usage,
+                ports.clock,
+                ports.log,
+                ports.metrics,
+                settings.usage,
+                lambda: self._instance_rows.sound_for(self._clock.now()),
+            )
         self.forwarder = Forwarder(
             self.directory,
             self.balancer,
@@ -152,6 +186,7 @@
             ports.metrics,
             ShareChooser(ports.chance),
             settings.policy,
+            counter,
         )
         services = RunServices(
             self.configuration,
@@ -181,7 +216,7 @@
             self.directory,
             self.targets,
             self.membership,
-            LeaseTable(own, ports.store, ports.clock, settings.lease_time),
+            leases,
             ports.servers,
             ports.clock,
             ports.log,
@@ -203,6 +238,13 @@
             SLOW_RELIST_SECONDS,
             idle_factor=lambda: 1 if self._is_active() else IDLE_RELIST_FACTOR,
         )
+        self.admission = Admission(
+            self.configuration,
+            lambda: self._operator_rows.age(self._clock.now()),
+            lambda: settings.apply_time,
+            ports.log,
+            ports.metrics,
+        )
         self._loop_lag = 0.0
         self._tasks = TaskSet(ports.clock, Telemetry(settings.machine, log=False))
 
@@ -216,6 +258,8 @@
         self.membership.start(self._tasks)
         self.keeper.start(self._tasks)
         self._loader.start(self._tasks)
+        if self._usage is not None:
+            self._usage.start(self._tasks)
         self._tasks.every(LAPSED_INTERVAL_SECONDS, self._drop_lapsed, "lapsed")
         self._tasks.spawn(self._become_ready(), "readiness")
         self._tasks.spawn(self._watch_loop(), "loop")
@@ -233,6 +277,8 @@
             if waited >= LEAVE_SECONDS and self.lifecycle.open_requests == 0:
                 break
             await self._clock.sleep(0.05)
+        if self._usage is not None:
+            await self._usage.save()
         self._log.note(Event.STOP, open_requests=self.lifecycle.open_requests)
 
     def stop(self) -> None:
--- a/src/larkpost/metrics.py
+++ b/src/larkpost/metrics.py
@@ -13,6 +13,7 @@
     """All counters; the value is the name, `COUNTS` has their labels and meanings."""
 
     REQUESTS = "larkpost_requests_total"
+    DENIALS = "larkpost_denials_total"
     ATTEMPTS = "larkpost_attempts_total"
     STORE_CALLS = "larkpost_store_calls_total"
     BATCH_CALLS = "larkpost_batch_calls_total"
@@ -22,11 +23,13 @@
     APPENDS = "larkpost_appends_total"
     ORDERS = "larkpost_orders_total"
     CLAIMS = "larkpost_batch_claims_total"
+    USAGE_REPORTS = "larkpost_usage_reports_total"
     LINES_LEFT_OUT = "larkpost_log_lines_left_out_total"
 
 
 COUNTS: dict[Count, tuple[str, tuple[str, ...]]] = {
     Count.REQUESTS: ("Client requests answered.", ("route", "outcome")),
+    Count.DENIALS: ("Calls that the configuration does not allow.", ("reason",)),
     Count.ATTEMPTS: ("Attempts of client requests at servers.", ("service", "outcome")),
     Count.STORE_CALLS: ("Calls to the store.", ("call", "outcome")),
     Count.BATCH_CALLS: ("Calls that concern batches.", ("call", "outcome")),
@@ -36,6 +39,7 @@
     Count.APPENDS: ("Appends to batches.", ("outcome",)),
     Count.ORDERS: ("Orders given to engines.", ("outcome",)),
     Count.CLAIMS: ("Batches claimed from daemons held dead.", ("outcome",)),
+    Count.USAGE_REPORTS: ("Usage reports sent, or not.", ("outcome",)),
     Count.LINES_LEFT_OUT: ("Log lines left out.", ("event",)),
 }
 
--- a/src/larkpost/platform/batches.py
+++ b/src/larkpost/platform/batches.py
@@ -7,6 +7,7 @@
 import orjson
 
 from larkpost.fleet.configuration import ModelName
+from larkpost.fleet.tenants import TenantName
 from larkpost.ids import BatchId
 from larkpost.platform import names
 from larkpost.rollouts.model import BatchSpec, GroupId, Item, ItemId, RewardCall, RewardCallId
@@ -15,9 +16,14 @@
 MAX_ID_LENGTH = 120
 
 
-def read_batch(batch: bytes, host: str, path: bytes, content: bytes) -> BatchSpec:
+def read_batch(
+    batch: bytes, host: str, path: bytes, content: bytes, tenant: TenantName | None = None
+) -> BatchSpec:
     """Reads a submitted batch.
 
+    Args:
+        tenant: whose batch it is; None if it is no tenant's.
+
     Raises:
         ValueError: the document or the id cannot be read; the message names the field.
     """
@@ -39,6 +45,7 @@
             minimum_version=int(document.get("min-version", 0)),
             desired_groups=int(document.get("desired", 0)),
             items=items,
+            tenant=tenant,
         )
     except (KeyError, TypeError, AttributeError, binascii.Error) as error:
         raise ValueError(f"the batch cannot be read: {error!r}") from None
@@ -93,7 +100,11 @@
 
 
 def _item(entry: dict[str, Any]) -> Item:
-    headers = tuple((str(name), str(value)) for name, value in (entry.get("headers") or {}).items())
+    headers = tuple(
+        (str(name), str(value))
+        for name, value in (entry.get("headers") or {}).items()
+        if str(name).lower().encode() not in names.CALLER_HEADERS
+    )
     hints = [value for name, value in headers if name.lower().encode() == names.LENGTH_HINT]
     return Item(
         id=ItemId(entry["id"]),
--- a/src/larkpost/platform/ingress.py
+++ b/src/larkpost/platform/ingress.py
@@ -10,11 +10,13 @@
 from larkpost.errors import LarkpostError
 from larkpost.fleet.configuration import ConfigurationState, RequestLimits, Route, RouteKind
 from larkpost.fleet.lifecycle import Lifecycle
+from larkpost.fleet.tenants import Caller, KeyDigest, TenantName, digest_key
 from larkpost.ids import BatchId
 from larkpost.metrics import CONTENT_TYPE
 from larkpost.platform import names
 from larkpost.platform.batches import read_batch, read_position, write_page
 from larkpost.platform.http_protocol import OVERSIZED
+from larkpost.proxy.admission import Admission, Admitted
 from larkpost.proxy.forwarder import ClientRequest, Forwarder
 from larkpost.proxy.port import BrokenAnswerError, Headers
 from larkpost.rollouts.model import ItemId
@@ -37,13 +39,17 @@
 )
 """Headers that concern one connection, or that are set anew for each."""
 
-OWN_REQUEST_HEADERS = frozenset({b"host", b"expect", names.REQUEST_ID, names.DEADLINE_MS})
+OWN_REQUEST_HEADERS = names.CALLER_HEADERS | {
+    b"host",
+    b"expect",
+    names.REQUEST_ID,
+    names.DEADLINE_MS,
+}
 NOT_FOUND = 404
 NOT_ALLOWED = 405
 TOO_LARGE = 413
 HEAD_TOO_LARGE = 431
 BAD_REQUEST = 400
-UNAVAILABLE = 503
 MAX_WAIT_SECONDS = 10.0
 
 
@@ -62,10 +68,12 @@
         self,
         configuration: ConfigurationState,
         lifecycle: Lifecycle,
+        admission: Admission,
         forwarder: Forwarder,
         batches: BatchService,
     ) -> None:
         self._configuration = configuration
+        self._admission = admission
         self._lifecycle = lifecycle
         self._forwarder = forwarder
         self._batches = batches
@@ -111,27 +119,31 @@
         if exchange.path.startswith(names.OWN_CALLS):
             await self._serve_batch_call(exchange)
             return
-        configuration = self._configuration.current
-        if configuration is None:
-            await exchange.reply(UNAVAILABLE, retry_after=0.3)
-            return
-        route = configuration.match(exchange.host_name, exchange.path)
-        if route is None:
-            await exchange.reply(NOT_FOUND)
-        elif route.kind is RouteKind.BATCH:
-            await self._submit(exchange, body)
+        admitted = self._admit(exchange)
+        route = admitted.route
+        if route.kind is RouteKind.BATCH:
+            await self._submit(exchange, body, admitted.tenant)
         elif route.kind is RouteKind.STREAM:
-            await self._stream(exchange, exchange.request(body), route)
+            await self._stream(exchange, exchange.request(body, admitted.tenant), route)
         else:
-            answer = await self._forwarder.forward(exchange.request(body), route)
+            request = exchange.request(body, admitted.tenant)
+            answer = await self._forwarder.forward(request, route)
             await exchange.reply(answer.status, answer.body, answer.headers)
 
-    async def _submit(self, exchange: "Exchange", body: bytes) -> None:
+    def _admit(self, exchange: "Exchange") -> Admitted:
+        return self._admission.admit(
+            exchange.request_id.decode("latin-1"),
+            exchange.host_name,
+            exchange.path,
+            exchange.key,
+        )
+
+    async def _submit(self, exchange: "Exchange", body: bytes, tenant: TenantName | None) -> None:
         if exchange.method != "POST":
             await exchange.reply(NOT_ALLOWED)
             return
         try:
-            spec = read_batch(exchange.request_id, exchange.host_name, exchange.path, body)
+            spec = read_batch(exchange.request_id, exchange.host_name, exchange.path, body, tenant)
         except ValueError as error:
             await exchange.reply(BAD_REQUEST, str(error).encode())
             return
@@ -139,23 +151,26 @@
         await exchange.reply(202)
 
     async def _serve_batch_call(self, exchange: "Exchange") -> None:
+        caller = self._admission.caller(
+            exchange.request_id.decode("latin-1"), exchange.host_name, exchange.key
+        )
         if exchange.path.startswith(names.BATCH_CALL):
             batch = BatchId(unquote(exchange.path[len(names.BATCH_CALL) :].decode("latin-1")))
             if exchange.method == "GET":
-                await self._read_results(exchange, batch)
+                await self._read_results(exchange, batch, caller)
             elif exchange.method == "DELETE":
-                await self._batches.end(batch)
+                await self._batches.end(batch, caller)
                 await exchange.reply(200)
             else:
                 await exchange.reply(NOT_ALLOWED)
         elif exchange.path.startswith(names.ITEM_CALL) and exchange.method == "GET":
             batch = BatchId(unquote(exchange.path[len(names.ITEM_CALL) :].decode("latin-1")))
             item = exchange.query.get("id", [""])[0]
-            await exchange.reply(200, await self._batches.body(batch, ItemId(item)))
+            await exchange.reply(200, await self._batches.body(batch, ItemId(item), caller))
         else:
             await exchange.reply(NOT_FOUND)
 
-    async def _read_results(self, exchange: "Exchange", batch: BatchId) -> None:
+    async def _read_results(self, exchange: "Exchange", batch: BatchId, caller: Caller) -> None:
         try:
             position = read_position(exchange.query)
         except ValueError as error:
@@ -163,7 +178,7 @@
             return
         wait_ms = exchange.whole_header(names.WAIT_MS) or 0
         wait = min(wait_ms / 1000, MAX_WAIT_SECONDS)
-        page = await self._batches.read(batch, position, wait)
+        page = await self._batches.read(batch, position, wait, caller)
         await exchange.reply_json(write_page(page))
 
     async def _stream(self, exchange: "Exchange", request: ClientRequest, route: Route) -> None:
@@ -207,6 +222,12 @@
         """The host without its port, in lower case."""
         return self.host.decode("latin-1").partition(":")[0].lower()
 
+    @property
+    def key(self) -> KeyDigest | None:
+        """The digest of the caller's key; None if there is none, or several that differ."""
+        keys = {value for name, value in self.headers if name == names.API_KEY}
+        return digest_key(keys.pop()) if len(keys) == 1 else None
+
     @property
     def query(self) -> dict[str, list[str]]:
         """The parameters of the query."""
@@ -221,8 +242,8 @@
         text = self.header(name)
         return int(text) if text.isdigit() else None
 
-    def request(self, body: bytes) -> ClientRequest:
-        """Returns the request as it is to be forwarded."""
+    def request(self, body: bytes, tenant: TenantName | None) -> ClientRequest:
+        """Returns the request as it is to be forwarded on behalf of a tenant."""
         query = self._scope["query_string"]
         deadline_ms = self.whole_header(names.DEADLINE_MS)
         return ClientRequest(
@@ -238,6 +259,7 @@
             body=body,
             received_at=self.received_at,
             time_left=deadline_ms / 1000 if deadline_ms is not None else None,
+            tenant=tenant,
         )
 
     async def read_body(self, limit: int) -> bytes | None:
--- a/src/larkpost/platform/names.py
+++ b/src/larkpost/platform/names.py
@@ -19,12 +19,23 @@
 TOKEN_COUNT = b"larkpost-token-count"
 MODEL = b"larkpost-model"
 LAST_EVENT_ID = b"last-event-id"
+API_KEY = b"api-key"
+TENANT = b"larkpost-tenant"
+CALLER_HEADERS = frozenset({API_KEY, TENANT})
+"""Headers that tell who calls: a server gets the tenant's name from larkpost, and never a key."""
+
+LEASE_HOLDER = b"larkpost-lease-holder"
+FENCING_TOKEN = b"larkpost-fencing-token"
 
 # Calls to the store.
 TRANSACTION_CALL = "/-/rows-tx"
 READ_CALL = "/-/rows-get"
 FEED_CALL = "/-/rows-feed"
 
+# Calls to the platform that one daemon at a time makes.
+USAGE_CALL = "/usage"
+USAGE_DUTY = "usage"
+
 # Calls to servers.
 REPORT_CALL = "/-/report"
 ORDER_CALL = "/-/order"
--- a/src/larkpost/platform/operator.py
+++ b/src/larkpost/platform/operator.py
@@ -15,6 +15,7 @@
     ServiceShare,
 )
 from larkpost.fleet.directory import InstanceInfo, InstanceState
+from larkpost.fleet.tenants import Tenant, TenantName, digest_key
 from larkpost.fleet.weights import WeightTarget
 from larkpost.ids import Address, EngineId, ZoneId
 from larkpost.platform import names
@@ -50,6 +51,7 @@
             routes=tuple(_route(entry) for entry in document["routes"]),
             services={service.name: service for service in services},
             limits=_limits(document.get("limits") or {}),
+            tenants=_tenants(document.get("tenants")),
         )
     except UNREADABLE as error:
         raise UnreadableRowError(f"configuration: {error!r}") from None
@@ -121,6 +123,24 @@
         due=float(entry.get("result-due-ms", 0)) / 1000,
         queue_lifetime=float(entry.get("queue-ttl-s", 0)),
         single_version=bool(entry.get("single-version", False)),
+        is_public=bool(entry.get("public", False)),
+    )
+
+
+def _tenants(entries: list[dict[str, Any]] | None) -> tuple[Tenant, ...] | None:
+    """Returns the tenants; None where the configuration does not speak of any."""
+    return tuple(_tenant(entry) for entry in entries) if entries is not None else None
+
+
+def _tenant(entry: dict[str, Any]) -> Tenant:
+    name = str(entry["name"])
+    if not name or not name.isprintable() or not name.isascii():
+        raise ValueError(f"tenant name {name!r} cannot be sent in a request's head")
+    priority = entry.get("priority")
+    return Tenant(
+        TenantName(name),
+        frozenset(digest_key(str(key).encode()) for key in entry.get("api-keys") or ()),
+        int(priority) if priority is not None else None,
     )
 
 
--- a/src/larkpost/platform/process.py
+++ b/src/larkpost/platform/process.py
@@ -13,6 +13,7 @@
 from larkpost.ids import Address
 from larkpost.metrics import Metrics
 from larkpost.platform import names, operator
+from larkpost.platform.duties import HttpDuties
 from larkpost.platform.http_protocol import Listener
 from larkpost.platform.ingress import Ingress, MetricsApp, ReadinessApp
 from larkpost.platform.peer_store import PeerStoreApp
@@ -60,11 +61,18 @@
         random.Random(),
     )
     servers = HttpServers()
+    duties = HttpDuties(settings.duties) if settings.duties is not None else None
     gateway = Gateway(
         _gateway_settings(settings),
-        GatewayPorts(store, servers, LoopClock(), READERS, log, metrics, store),
+        GatewayPorts(store, servers, LoopClock(), READERS, log, metrics, store, duties),
+    )
+    ingress = Ingress(
+        gateway.configuration,
+        gateway.lifecycle,
+        gateway.admission,
+        gateway.forwarder,
+        gateway.batches,
     )
-    ingress = Ingress(gateway.configuration, gateway.lifecycle, gateway.forwarder, gateway.batches)
     front = Listener(ingress, settings.front, ingress.limits)
     listeners = [front, Listener(ReadinessApp(gateway.lifecycle), settings.ready)]
     if settings.metrics is not None:
@@ -84,7 +92,7 @@
         await listener.start()
     gc.freeze()
     watcher = asyncio.create_task(
-        watch_settings(path, content, reload, gateway.settings, direct, log)
+        watch_settings(path, content, reload, gateway.settings, direct, duties, log)
     )
     await stop.wait()
     await gateway.drain()
@@ -93,6 +101,8 @@
     for listener in listeners:
         await listener.close()
     await servers.close()
+    if duties is not None:
+        await duties.close()
     await store.close()
     await direct.close()
 
@@ -110,9 +120,11 @@
         machine=settings.machine,
         contact_time=settings.contact_time,
         lease_time=settings.lease_time,
+        apply_time=settings.apply_time,
         grace_time=settings.grace_time,
         batch_lifetime=settings.batch_lifetime,
         peer_address=settings.peer,
+        usage=settings.usage,
     )
 
 
@@ -122,6 +134,7 @@
     reload: asyncio.Event,
     current: GatewaySettings,
     store: HttpStore,
+    duties: HttpDuties | None,
     log: EventLog,
 ) -> None:
     """Takes changed settings, told by a signal or by the file alone; bad ones change nothing.
@@ -147,8 +160,10 @@
             log.note(Event.SETTINGS, outcome="refused", error=str(error))
             continue
         store.move(settings.store)
+        if duties is not None and settings.duties is not None:
+            duties.move(settings.duties)
         changed = _gateway_settings(settings)
-        for name in ("contact_time", "lease_time", "grace_time", "batch_lifetime"):
+        for name in ("contact_time", "lease_time", "apply_time", "grace_time", "batch_lifetime"):
             setattr(current, name, getattr(changed, name))
         log.note(Event.SETTINGS, outcome="taken")
 
--- a/src/larkpost/platform/servers.py
+++ b/src/larkpost/platform/servers.py
@@ -238,6 +238,8 @@
         headers[names.LAST_EVENT_ID.decode()] = str(request.resume_after)
     if request.expected_version is not None:
         headers[names.EXPECT_VERSION.decode()] = str(request.expected_version)
+    if request.tenant is not None:
+        headers[names.TENANT.decode()] = request.tenant
     if request.priority is not None:
         headers[names.REQUEST_PRIORITY.decode()] = str(request.priority)
     return headers
--- a/src/larkpost/platform/settings.py
+++ b/src/larkpost/platform/settings.py
@@ -10,6 +10,7 @@
 from larkpost.errors import SettingsError
 from larkpost.ids import Address, ZoneId
 from larkpost.platform import names
+from larkpost.usage.port import UsageTerms
 
 
 @dataclass(frozen=True, slots=True)
@@ -19,10 +20,13 @@
     Attributes:
         contact_time: time without disturbance after which the store counts as sound.
         lease_time: time after a holder's last order before another holder may order.
+        apply_time: time within which a new configuration is to be in force everywhere.
         grace_time: time between the request to stop and the kill.
         batch_lifetime: time after its submission for which a batch must be readable.
         peer: where this daemon makes calls to the store for others; None if no port is free.
         metrics: port and path of the metrics, or None.
+        duties: where the platform takes the calls of duties; None if there are none.
+        usage: what is agreed about usage reports; None if none are asked for.
     """
 
     machine: str
@@ -35,9 +39,12 @@
     row_bytes: int
     contact_time: float
     lease_time: float
+    apply_time: float
     grace_time: float
     batch_lifetime: float
     metrics: tuple[int, str] | None
+    duties: Address | None
+    usage: UsageTerms | None
 
 
 def settings_path() -> Path:
@@ -78,9 +85,12 @@
         row_bytes=int(_number(document, "platform", "row_bytes", default=65536)),
         contact_time=_number(document, "bounds", "contact-ms", default=3000) / 1000,
         lease_time=_number(document, "bounds", "lease-ms", default=3000) / 1000,
+        apply_time=_number(document, "bounds", "config-apply-ms", default=2000) / 1000,
         grace_time=_number(document, "bounds", "grace-s", default=8),
         batch_lifetime=_number(document, "bounds", "status-s", default=120),
         metrics=_metrics(document),
+        duties=_optional_address(document, "cloud-api", "address"),
+        usage=_usage(document),
     )
 
 
@@ -107,6 +117,19 @@
     return Address(value)
 
 
+def _optional_address(document: dict[str, Any], *path: str) -> Address | None:
+    return _address(document, *path) if _find(document, path) else None
+
+
+def _usage(document: dict[str, Any]) -> UsageTerms | None:
+    if names.USAGE_DUTY not in (_find(document, ("cloud-api", "duties")) or ()):
+        return None
+    return UsageTerms(
+        window_length=_number(document, "bounds", "report-window-s", default=5),
+        due_after=_number(document, "bounds", "usage-late-s", default=10),
+    )
+
+
 def _number(document: dict[str, Any], *path: str, default: float) -> float:
     value = _find(document, path)
     if value is None:
--- a/src/larkpost/proxy/forwarder.py
+++ b/src/larkpost/proxy/forwarder.py
@@ -15,6 +15,7 @@
 from larkpost.eventlog import Event, EventLog
 from larkpost.fleet.configuration import Route, RouteKind, ServiceName
 from larkpost.fleet.directory import Directory, InstanceInfo
+from larkpost.fleet.tenants import TenantName
 from larkpost.ids import EngineId
 from larkpost.metrics import Count, Metrics, Timing
 from larkpost.policy import DEFAULT_POLICY, Policy
@@ -29,6 +30,7 @@
     ServerPort,
 )
 from larkpost.proxy.shares import ShareChooser
+from larkpost.usage.counter import UsageCounter
 
 MIN_HEDGE_SECONDS = 0.1
 HEDGE_PACE_FACTOR = 3.0
@@ -72,6 +74,7 @@
     Attributes:
         received_at: steady time at which its head was read.
         time_left: seconds the client still waited then, or None if it did not say.
+        tenant: whose request it is; None if it is no tenant's.
     """
 
     request_id: bytes
@@ -82,6 +85,7 @@
     body: bytes
     received_at: float
     time_left: float | None
+    tenant: TenantName | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -121,8 +125,10 @@
         metrics: Metrics,
         shares: ShareChooser,
         policy: Policy = DEFAULT_POLICY,
+        usage: UsageCounter | None = None,
     ) -> None:
         self._policy = policy
+        self._usage = usage
         self._directory = directory
         self._balancer = balancer
         self._servers = servers
@@ -176,6 +182,7 @@
                     with self._balancer.placed(instance.id):
                         async with self._servers.send(instance, outgoing) as answer:
                             limit.reschedule(None)  # from here on the client decides
+                            self._note_begun(request, self._clock.now())
                             attempts.ran_at.add(instance.id)
                             yield answer
                             return
@@ -262,13 +269,16 @@
             self._note_not_run(instance, attempts, error)
             return None
         except BrokenAnswerError as error:
+            self._note_begun(request, started)
             self._note_broken(instance, request, attempts, error.message)
             return None
         except asyncio.CancelledError:
             # Its time is over or another answer came first; the server may have run it.
+            self._note_begun(request, started)
             attempts.ran_at.add(instance.id)
             self._note_silence(instance, started, route)
             raise
+        self._note_begun(request, started)
         attempts.ran_at.add(instance.id)
         self._balancer.note_pace(instance.id, self._clock.now() - started)
         if whole.status < 300 and not of_server:
@@ -297,6 +307,7 @@
             body=request.body,
             time_left=max(0.001, left),
             fresh_connection=fresh,
+            tenant=request.tenant,
         )
 
     def _end_time(self, request: ClientRequest, route: Route) -> float:
@@ -329,12 +340,18 @@
             Event.REQUEST_DONE,
             request=request.request_id.decode("latin-1"),
             route=route.name,
+            tenant=request.tenant,
             status=answer.status,
             held=round(held, 3),
             tried=sorted(attempts.ran_at),
             refused_by=sorted(attempts.refused_by),
         )
 
+    def _note_begun(self, request: ClientRequest, at: float) -> None:
+        """Counts a run at a server for its tenant; one that may have begun counts as well."""
+        if self._usage is not None and request.tenant is not None:
+            self._usage.note_begun(request.tenant, at)
+
     def _note_not_run(
         self, instance: InstanceInfo, attempts: _Attempts, error: NotRunError
     ) -> None:
--- a/src/larkpost/proxy/port.py
+++ b/src/larkpost/proxy/port.py
@@ -9,6 +9,7 @@
 from larkpost.errors import LarkpostError, Ran
 from larkpost.fleet.configuration import ModelName
 from larkpost.fleet.directory import InstanceInfo
+from larkpost.fleet.tenants import TenantName
 
 Headers = tuple[tuple[bytes, bytes], ...]
 
@@ -26,6 +27,7 @@
         expected_version: the weight version the server must have, or None for any.
         fresh_connection: whether to open a connection for this request alone. Then an answer
             cannot be one that belongs to an earlier request.
+        tenant: whose request it is, which the server is told; None if it is no tenant's.
     """
 
     request_id: bytes
@@ -39,6 +41,7 @@
     expected_version: int | None = None
     priority: int | None = None
     fresh_connection: bool = False
+    tenant: TenantName | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/larkpost/rollouts/codec.py
+++ b/src/larkpost/rollouts/codec.py
@@ -40,12 +40,13 @@
             "ended": head.ended,
             "upload": head.upload,
             "work": head.work,
+            "tenant": head.tenant,
         }
     )
 
 
 def decode_head(batch: BatchId, value: bytes) -> BatchHead:
-    """Reads a head row's value."""
+    """Reads a head row's value; rows of earlier versions name no tenant."""
     fields = orjson.loads(value)
     return BatchHead(
         id=batch,
@@ -61,6 +62,7 @@
         ended=fields["ended"],
         upload=fields["upload"],
         work=fields["work"],
+        tenant=fields.get("tenant"),
     )
 
 
--- a/src/larkpost/rollouts/model.py
+++ b/src/larkpost/rollouts/model.py
@@ -5,6 +5,7 @@
 from typing import NewType
 
 from larkpost.fleet.configuration import ModelName
+from larkpost.fleet.tenants import TenantName
 from larkpost.ids import BatchId, DaemonId
 
 ItemId = NewType("ItemId", str)
@@ -61,6 +62,7 @@
     Attributes:
         minimum_version: the oldest weight version that may make a token of a result.
         desired_groups: whole groups after which the trainer goes on.
+        tenant: whose batch it is; None if it is no tenant's.
     """
 
     id: BatchId
@@ -71,6 +73,7 @@
     minimum_version: int
     desired_groups: int
     items: tuple[Item, ...]
+    tenant: TenantName | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -83,6 +86,7 @@
         ended: whether the trainer has ended it.
         upload: names the rows that hold the items.
         work: expected tokens of all items together.
+        tenant: whose batch it is, as which its items run; None if it is no tenant's.
     """
 
     id: BatchId
@@ -98,6 +102,7 @@
     ended: bool
     upload: str
     work: int = 0
+    tenant: TenantName | None = None
 
 
 class ResultState(StrEnum):
--- a/src/larkpost/rollouts/repository.py
+++ b/src/larkpost/rollouts/repository.py
@@ -59,6 +59,7 @@
     ACCEPTED = "accepted"
     REFUSED = "refused"  # certainly not accepted, and it never will be by this call
     UNCERTAIN = "uncertain"  # it may have been accepted, or may be yet
+    TAKEN = "taken"  # the id is that of another tenant's batch
 
 
 class EndOutcome(StrEnum):
@@ -79,6 +80,12 @@
     return codec.decode_head(BatchId(row.key.key), row.value)
 
 
+def _is_of_another(spec: BatchSpec, rows: tuple[Row, ...]) -> bool:
+    """Tells whether the rows hold the head of a batch of this id that is another tenant's."""
+    heads = [head_of_row(row) for row in rows if row.key.table == HEAD_TABLE and row.value]
+    return any(head.id == spec.id and head.tenant != spec.tenant for head in heads)
+
+
 class BatchRepository:
     """Reads and writes batches."""
 
@@ -113,28 +120,31 @@
             if outcome is WriteOutcome.DONE:
                 uploaded = True
                 commit = self._accept_transaction(spec, owner, upload, rows)
-                outcome = await self._write_acceptance(commit)
+                result = await self._write_acceptance(commit)
+                outcome = result.outcome
                 uncertain = uncertain or outcome is WriteOutcome.UNKNOWN
+                if outcome is WriteOutcome.CONFLICT and _is_of_another(spec, result.rows):
+                    return AcceptOutcome.TAKEN
             if outcome in (WriteOutcome.DONE, WriteOutcome.CONFLICT):
                 return AcceptOutcome.ACCEPTED
             if self._clock.now() + RETRY_SECONDS >= give_up_at:
                 return AcceptOutcome.UNCERTAIN if uncertain else AcceptOutcome.REFUSED
             await self._clock.sleep(RETRY_SECONDS)
 
-    async def _write_acceptance(self, change: Transaction) -> WriteOutcome:
+    async def _write_acceptance(self, change: Transaction) -> WriteResult:
         """Writes a batch's head, and learns how long the store may take for the next one.
 
         A store that is silent to this daemon alone must not hold a trainer up that another daemon
         could serve; one that is slow to all must be given its time.
         """
         started = self._clock.now()
-        outcome = (await self._store.write(change, self._accept_timeout)).outcome
-        if outcome is WriteOutcome.UNKNOWN:
+        result = await self._store.write(change, self._accept_timeout)
+        if result.outcome is WriteOutcome.UNKNOWN:
             wanted = 2 * self._accept_timeout
         else:
             wanted = ACCEPT_TIMEOUT_FACTOR * (self._clock.now() - started)
         self._accept_timeout = min(WRITE_TIMEOUT_SECONDS, max(ACCEPT_TIMEOUT_SECONDS, wanted))
-        return outcome
+        return result
 
     async def head(self, batch: BatchId) -> BatchHead | None:
         """Returns a batch's head, or None if there is no such batch.
@@ -336,6 +346,7 @@
             ended=False,
             upload=upload,
             work=sum(item.expected_work for item in spec.items),
+            tenant=spec.tenant,
         )
         head_key = self._key(HEAD_TABLE, spec.id)
         tail_key = self._key(TAIL_TABLE, spec.id)
--- a/src/larkpost/rollouts/run.py
+++ b/src/larkpost/rollouts/run.py
@@ -301,6 +301,7 @@
             ),
             body=item.body,
             resume_after=progress.last_event,
+            tenant=self.head.tenant,
         )
 
     async def _take_events(
--- a/src/larkpost/rollouts/service.py
+++ b/src/larkpost/rollouts/service.py
@@ -6,6 +6,7 @@
 from larkpost.clock import Clock
 from larkpost.errors import LarkpostError, Ran
 from larkpost.eventlog import Event, EventLog
+from larkpost.fleet.tenants import ANYONE, Caller
 from larkpost.ids import BatchId, DaemonId
 from larkpost.metrics import Count
 from larkpost.rollouts.context import RunServices
@@ -49,6 +50,14 @@
     remedy = "Ask again after the time in Retry-After."
 
 
+class BatchIdTakenError(LarkpostError):
+    """The id is that of another tenant's batch; nothing of this one runs."""
+
+    code = "batch_id_taken"
+    status = 409
+    remedy = "Submit the batch under an id that nobody else uses."
+
+
 class NoSuchBatchError(LarkpostError):
     """There is no such batch or item."""
 
@@ -95,8 +104,10 @@
         Raises:
             BatchRefusedError: it was certainly not accepted.
             BatchUncertainError: it may have been accepted.
+            BatchIdTakenError: another tenant has a batch of this id.
         """
-        if self._keeper.head(spec.id) is not None:
+        known = self._keeper.head(spec.id)
+        if known is not None and known.tenant == spec.tenant:
             return
         began = self._clock.now()
         upload = secrets.token_hex(8)
@@ -110,10 +121,15 @@
             self._services.metrics.count(Count.BATCH_CALLS, "submit", "uncertain")
             self._log.note(Event.BATCH_REFUSED, batch=spec.id, uncertain=True)
             raise BatchUncertainError("the store did not answer", ran=Ran.UNKNOWN)
+        if outcome is AcceptOutcome.TAKEN:
+            self._services.metrics.count(Count.BATCH_CALLS, "submit", "taken")
+            self._log.note(Event.BATCH_REFUSED, batch=spec.id, uncertain=False, taken=True)
+            raise BatchIdTakenError(f"there is another batch {spec.id}")
         self._services.metrics.count(Count.BATCH_CALLS, "submit", "accepted")
         self._log.note(
             Event.BATCH_ACCEPTED,
             batch=spec.id,
+            tenant=spec.tenant,
             items=len(spec.items),
             desired_groups=spec.desired_groups,
             step=spec.step,
@@ -123,14 +139,16 @@
         )
         await self._keeper.own_accepted(spec, upload)
 
-    async def read(self, batch: BatchId, position: int, wait: float) -> ResultPage:
+    async def read(
+        self, batch: BatchId, position: int, wait: float, caller: Caller = ANYONE
+    ) -> ResultPage:
         """Returns the results from a position on, waiting for one if there is none yet.
 
         Raises:
             NoSuchBatchError: there is no such batch.
             BatchUnreadableError: the store does not answer.
         """
-        view = await self._view(batch)
+        view = await self._view(batch, caller)
         give_up_at = self._clock.now() + wait
         while True:
             failed = not await self._refresh(view, position)
@@ -163,14 +181,14 @@
         )
         return page
 
-    async def body(self, batch: BatchId, item: ItemId) -> bytes:
+    async def body(self, batch: BatchId, item: ItemId, caller: Caller = ANYONE) -> bytes:
         """Returns the body of an item.
 
         Raises:
             NoSuchBatchError: there is no such batch or item.
             BatchUnreadableError: the store does not answer.
         """
-        view = await self._view(batch)
+        view = await self._view(batch, caller)
         items = view.items
         if items is None:
             try:
@@ -184,7 +202,7 @@
             raise NoSuchBatchError(f"batch {batch} has no item {item}")
         return found.body
 
-    async def end(self, batch: BatchId) -> None:
+    async def end(self, batch: BatchId, caller: Caller = ANYONE) -> None:
         """Ends a batch: nothing of it is run or listed any more.
 
         Raises:
@@ -192,6 +210,8 @@
             BatchUnreadableError: the store does not answer.
             BatchUncertainError: it may have been ended.
         """
+        if caller.is_restricted:
+            await self._find_head(batch, caller)
         try:
             outcome = await self._repository.end(batch, END_PATIENCE_SECONDS)
         except StoreUnavailableError as error:
@@ -204,23 +224,24 @@
         self._log.note(Event.BATCH_ENDED, batch=batch)
         self._keeper.finish(batch)
 
-    async def _view(self, batch: BatchId) -> BatchView:
+    async def _view(self, batch: BatchId, caller: Caller) -> BatchView:
         view = self._views.get(batch)
         if view is None:
-            view = self._views.get_or_add(await self._find_head(batch))
+            view = self._views.get_or_add(await self._find_head(batch, caller))
+        _check_seen(view.head, caller)
         view.used_at = self._clock.now()
         return view
 
-    async def _find_head(self, batch: BatchId) -> BatchHead:
+    async def _find_head(self, batch: BatchId, caller: Caller) -> BatchHead:
         head = self._keeper.head(batch)
-        if head is not None:
-            return head
-        try:
-            head = await self._repository.head(batch)
-        except StoreUnavailableError as error:
-            raise BatchUnreadableError(error.message, retry_after=RETRY_AFTER_SECONDS) from None
+        if head is None:
+            try:
+                head = await self._repository.head(batch)
+            except StoreUnavailableError as error:
+                raise BatchUnreadableError(error.message, retry_after=RETRY_AFTER_SECONDS) from None
         if head is None:
             raise NoSuchBatchError(f"there is no batch {batch}")
+        _check_seen(head, caller)
         return head
 
     async def _refresh(self, view: BatchView, position: int) -> bool:
@@ -240,6 +261,16 @@
         return True
 
 
+def _check_seen(head: BatchHead, caller: Caller) -> None:
+    """Raises unless a caller may see a batch; another tenant's is as good as none.
+
+    Raises:
+        NoSuchBatchError: it is another tenant's.
+    """
+    if not caller.may_see(head.tenant):
+        raise NoSuchBatchError(f"there is no batch {head.id}")
+
+
 def _page(view: BatchView, position: int) -> ResultPage:
     chosen: list[Result] = []
     size = 0
--- /dev/null
+++ b/src/larkpost/usage/repository.py
@@ -0,0 +1,145 @@
+"""Usage in the store: what each daemon counted, and what was decided for each window.
+
+    usage_counts   <window>/<daemon>  the counts of one daemon, written again as they grow
+    usage_reports  <window>           the decided counts, and whether the report was taken
+
+The decision is written on condition that there is none, so it is made once, whoever makes it.
+Counts are written on condition of the row's version, so a write that is carried out late does not
+take the place of a later one.
+"""
+
+from collections import Counter
+from dataclasses import dataclass
+
+import orjson
+
+from larkpost.fleet.tenants import TenantName
+from larkpost.ids import DaemonId
+from larkpost.store.port import (
+    ABSENT,
+    RowKey,
+    Store,
+    Transaction,
+    WriteOutcome,
+    read_all,
+)
+from larkpost.usage.port import TenantCounts, UsageReport, WindowNumber
+
+COUNT_TABLE = "usage_counts"
+REPORT_TABLE = "usage_reports"
+PART = "usage"
+WRITE_TIMEOUT_SECONDS = 1.0
+MAX_REMOVALS = 90
+"""Rows removed at once: a transaction takes a hundred entries."""
+
+
+@dataclass(frozen=True, slots=True)
+class DecidedReport:
+    """A report as the store holds it.
+
+    Attributes:
+        is_taken: whether the report is known to have been taken.
+        version: version of its row.
+    """
+
+    report: UsageReport
+    is_taken: bool
+    version: int
+
+
+class UsageRepository:
+    """Reads and writes usage."""
+
+    def __init__(self, store: Store) -> None:
+        self._store = store
+        self._count_versions: dict[RowKey, int] = {}
+        """Versions of the rows of this daemon's counts, as far as they are known."""
+
+    async def save_counts(
+        self, daemon: DaemonId, counts: dict[WindowNumber, TenantCounts], timeout: float
+    ) -> bool:
+        """Writes this daemon's counts of some windows, in place of what it wrote before.
+
+        Returns:
+            Whether they are written; if not, another call may succeed.
+        """
+        puts = {
+            RowKey(COUNT_TABLE, PART, f"{_key(window)}/{daemon}"): orjson.dumps(tenants)
+            for window, tenants in counts.items()
+        }
+        versions = {key: self._count_versions.get(key, ABSENT) for key in puts}
+        change = Transaction(conditions=tuple(versions.items()), puts=tuple(puts.items()))
+        result = await self._store.write(change, timeout)
+        if result.outcome is WriteOutcome.CONFLICT:
+            found = {row.key: row.version for row in result.rows}
+            self._count_versions = {key: found.get(key, ABSENT) for key in puts}
+        if result.outcome is not WriteOutcome.DONE:
+            return False
+        self._count_versions = dict.fromkeys(puts, result.version)
+        return True
+
+    async def sum_counts(self, window: WindowNumber) -> UsageReport:
+        """Returns what all daemons together have counted in a window.
+
+        Raises:
+            StoreUnavailableError: the store did not answer.
+        """
+        first, end = f"{_key(window)}/", _key(WindowNumber(window + 1))
+        page = await read_all(self._store, COUNT_TABLE, PART, first, end)
+        total: Counter[TenantName] = Counter()
+        for row in page.rows:
+            total.update(orjson.loads(row.value))
+        return UsageReport(window, dict(sorted(total.items())))
+
+    async def decide(self, report: UsageReport) -> WriteOutcome:
+        """Decides the counts of a window, unless they are decided already."""
+        key = RowKey(REPORT_TABLE, PART, _key(report.window))
+        change = Transaction(
+            conditions=((key, ABSENT),), puts=((key, _encode(report, is_taken=False)),)
+        )
+        return (await self._store.write(change, WRITE_TIMEOUT_SECONDS)).outcome
+
+    async def note_taken(self, decided: DecidedReport) -> WriteOutcome:
+        """Keeps that a report was taken, so that nobody sends it again."""
+        key = RowKey(REPORT_TABLE, PART, _key(decided.report.window))
+        change = Transaction(
+            conditions=((key, decided.version),),
+            puts=((key, _encode(decided.report, is_taken=True)),),
+        )
+        return (await self._store.write(change, WRITE_TIMEOUT_SECONDS)).outcome
+
+    async def decided_since(self, window: WindowNumber) -> dict[WindowNumber, DecidedReport]:
+        """Returns the decided reports from a window on.
+
+        Raises:
+            StoreUnavailableError: the store did not answer.
+        """
+        page = await read_all(self._store, REPORT_TABLE, PART, _key(window))
+        reports = {}
+        for row in page.rows:
+            number = WindowNumber(int(row.key.key))
+            fields = orjson.loads(row.value)
+            report = UsageReport(number, fields["counts"])
+            reports[number] = DecidedReport(report, fields["is_taken"], row.version)
+        return reports
+
+    async def remove_before(self, window: WindowNumber) -> None:
+        """Removes the counts and reports of windows before one.
+
+        Raises:
+            StoreUnavailableError: the store did not answer.
+        """
+        for table in (COUNT_TABLE, REPORT_TABLE):
+            page = await self._store.read(table, PART, "", _key(window), MAX_REMOVALS)
+            keys = tuple(row.key for row in page.rows)
+            if keys:
+                await self._store.write(Transaction(removals=keys), WRITE_TIMEOUT_SECONDS)
+
+
+def _key(window: WindowNumber) -> str:
+    """Returns a window's key; keys rise with the windows."""
+    return f"{window:012d}"
+
+
+def _encode(report: UsageReport, *, is_taken: bool) -> bytes:
+    return orjson.dumps({"counts": report.counts, "is_taken": is_taken})
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -18,12 +18,14 @@
     ServiceShare,
 )
 from larkpost.fleet.directory import InstanceInfo, InstanceState
+from larkpost.fleet.tenants import TenantName
 from larkpost.fleet.weights import WeightTarget
 from larkpost.gateway import Gateway, GatewayPorts, GatewaySettings, RowReaders
 from larkpost.ids import Address, BatchId, EngineId, ZoneId
 from larkpost.policy import DEFAULT_POLICY, Policy
 from larkpost.rehearsal.memory_store import MemoryStore, StoreClient
 from larkpost.rehearsal.scripted_engines import EngineState, ScriptedEngines, output_of
+from larkpost.rehearsal.scripted_usage import ScriptedUsage
 from larkpost.rollouts.model import (
     BatchSpec,
     GroupId,
@@ -37,6 +39,7 @@
 from larkpost.rollouts.repository import RESULT_TABLE, BatchRepository
 from larkpost.store.port import Row, RowKey, Transaction
 from larkpost.store.relay import RelayedStore
+from larkpost.usage.port import UsageTerms
 from tests.platform_checks import CALL_ATTEMPTS
 
 MODEL = ModelName("model")
@@ -119,6 +122,25 @@
 READERS = RowReaders("operator", "instances", _read_configuration, _read_target, _read_instance)
 
 
+EPOCH_SECONDS = 1_700_000_000.0
+"""The time of day at which each test begins."""
+USAGE_TERMS = UsageTerms(window_length=5.0, due_after=10.0)
+
+
+class MachineClock(LoopClock):
+    """The clock of one machine: its time of day goes with the test's clock, but may be off.
+
+    Attributes:
+        ahead: seconds by which its time of day is ahead of the true one.
+    """
+
+    ahead = 0.0
+
+    def wall_ms(self) -> int:
+        """Returns milliseconds since the Unix epoch."""
+        return int((EPOCH_SECONDS + self.now() + self.ahead) * 1000)
+
+
 class PlatformFleet:
     """Some gateways, engines and a store."""
 
@@ -144,6 +166,8 @@
         self.engines = ScriptedEngines(self.clock, MODEL)
         self.clients: list[StoreClient] = []
         self.gateways: list[Gateway] = []
+        self.clocks: list[MachineClock] = []
+        self.usage = ScriptedUsage(self.clock)
         self.put("operator", "configuration", b"")
         for number in range(engines):
             self.add_engine(EngineId(f"engine-{number}"))
@@ -203,6 +227,7 @@
     def add_gateway(self, name: str) -> Gateway:
         """Starts a gateway."""
         client = StoreClient(self.store)
+        clock = MachineClock()
         log = EventLog(name)
         relay = None
         if self.relays:
@@ -211,15 +236,22 @@
         ports = GatewayPorts(
             relay or client,
             self.engines,
-            self.clock,
+            clock,
             READERS,
             log,
             relay=relay,
+            usage=self.usage,
             chance=random.Random(name),
         )
-        address = Address(f"peer:{len(self.gateways)}")
-        gateway = Gateway(GatewaySettings(name, peer_address=address, policy=self.policy), ports)
+        settings = GatewaySettings(
+            name,
+            peer_address=Address(f"peer:{len(self.gateways)}"),
+            policy=self.policy,
+            usage=USAGE_TERMS,
+        )
+        gateway = Gateway(settings, ports)
         self.clients.append(client)
+        self.clocks.append(clock)
         self.gateways.append(gateway)
         gateway.start()
         return gateway
@@ -278,12 +310,18 @@
 
 
 def make_batch(
-    name: str = "batch", items: int = 12, minimum_version: int = 0, *, scored: bool = False
+    name: str = "batch",
+    items: int = 12,
+    minimum_version: int = 0,
+    *,
+    scored: bool = False,
+    tenant: TenantName | None = None,
 ) -> BatchSpec:
     """Returns a batch of items in groups of four.
 
     Args:
         scored: whether each item has a reward call.
+        tenant: whose batch it is.
     """
     return BatchSpec(
         id=BatchId(name),
@@ -293,6 +331,7 @@
         step=1,
         minimum_version=minimum_version,
         desired_groups=items // 4,
+        tenant=tenant,
         items=tuple(
             Item(
                 ItemId(f"{name}-{number}"),
--- a/tests/test_platform_ingress.py
+++ b/tests/test_platform_ingress.py
@@ -4,6 +4,7 @@
 import unittest
 from contextlib import asynccontextmanager
 
+from larkpost.eventlog import EventLog
 from larkpost.fleet.configuration import (
     Configuration,
     ConfigurationState,
@@ -16,14 +17,17 @@
 )
 from larkpost.fleet.lifecycle import Lifecycle
 from larkpost.ids import Address
+from larkpost.metrics import Metrics
 from larkpost.platform.http_protocol import Listener
 from larkpost.platform.ingress import Ingress
+from larkpost.proxy.admission import Admission
 from larkpost.proxy.forwarder import RefusedError, WholeAnswer
 from larkpost.proxy.port import BrokenAnswerError
 from larkpost.rehearsal.processes import free_address
 
 LIMITS = RequestLimits(header_bytes=2000, body_bytes=5000, header_time=0.3, idle_time=0.4)
 PAGES = ServiceName("pages")
+APPLY_SECONDS = 2.0
 
 
 def route(prefix: bytes, kind: RouteKind) -> Route:
@@ -79,7 +83,15 @@
         self.configuration = ConfigurationState()
         self.lifecycle = Lifecycle()
         self.forwarder = ScriptedForwarder()
-        ingress = Ingress(self.configuration, self.lifecycle, self.forwarder, None)
+        self.configuration_age = 0.0
+        admission = Admission(
+            self.configuration,
+            lambda: self.configuration_age,
+            lambda: APPLY_SECONDS,
+            EventLog("daemon"),
+            Metrics(),
+        )
+        ingress = Ingress(self.configuration, self.lifecycle, admission, self.forwarder, None)
         address = Address(free_address())
         self.listener = Listener(ingress, address, ingress.limits)
         await self.listener.start()
--- a/tests/test_platform_settings.py
+++ b/tests/test_platform_settings.py
@@ -15,6 +15,7 @@
 from larkpost.platform.stand_in.daemon_settings import DaemonPlace, write_settings
 from larkpost.platform.store import HttpStore
 from larkpost.rehearsal.processes import ProcessGroup, free_address, wait_for
+from larkpost.usage.port import UsageTerms
 
 GOOD = """
 node = "front-1"
@@ -53,6 +54,16 @@
         self.assertEqual("10.0.0.1:7720", settings.peer)
         self.assertIsNone(self.load(GOOD.replace("port-range = [7720, 7735]", "")).peer)
 
+    def test_duties_and_usage_are_asked_for_or_not(self):
+        self.assertIsNone(self.load(GOOD).duties)
+        self.assertIsNone(self.load(GOOD).usage)
+        asked = GOOD.replace("[platform]", "report-window-s = 4\nusage-late-s = 9\n[platform]")
+        asked += '[cloud-api]\naddress = "10.9.0.2:80"\nduties = ["usage", "autoscale"]\n'
+        settings = self.load(asked)
+        self.assertEqual("10.9.0.2:80", settings.duties)
+        self.assertEqual(UsageTerms(4, 9), settings.usage)
+        self.assertIsNone(self.load(asked.replace('"usage", ', "")).usage)
+
     def test_wrong_fields_are_named_with_their_remedy(self):
         wrong = {
             'front = "10.0.0.1:80"': ("front = 5", "listen.front"),
@@ -125,7 +136,7 @@
                 store = HttpStore(Address("10.9.0.1:8169"), 4096)
                 log = EventLog("front-1")
                 watcher = asyncio.create_task(
-                    watch_settings(path, GOOD.encode(), reload, current, store, log)
+                    watch_settings(path, GOOD.encode(), reload, current, store, None, log)
                 )
                 await asyncio.sleep(0.05)
                 watcher.cancel()
--- /dev/null
+++ b/tests/test_usage.py
@@ -0,0 +1,257 @@
+"""Usage reports: each window once, with the counts of all daemons, whatever fails meanwhile."""
+
+import unittest
+from collections import Counter
+
+from larkpost.clock import LoopClock
+from larkpost.fleet.configuration import Route, RouteKind, ServiceShare
+from larkpost.fleet.leases import Duty, LeaseSubject, LeaseTable
+from larkpost.fleet.tenants import TenantName
+from larkpost.fleet.true_time import TrueTime
+from larkpost.ids import DaemonId, EngineId
+from larkpost.proxy.forwarder import ClientRequest
+from larkpost.rehearsal.memory_store import MemoryStore, StoreClient, StoreFaults
+from larkpost.usage.counter import UsageCounter
+from larkpost.usage.port import ReportOutcome
+from larkpost.usage.repository import COUNT_TABLE, REPORT_TABLE
+from tests.platform_checks import check_turns
+from tests.platform_fleet import EPOCH_SECONDS, PAGES, USAGE_TERMS, PlatformFleet
+from tests.virtual import run
+
+FIRST = TenantName("first")
+SECOND = TenantName("second")
+ROUTE = Route(
+    "pages",
+    "h",
+    b"/",
+    RouteKind.IDEMPOTENT,
+    (ServiceShare(PAGES, 1.0),),
+    2.0,
+    0.2,
+    max_attempts=2,
+)
+WINDOW = USAGE_TERMS.window_length
+
+
+class Traffic:
+    """Sends requests of tenants through a fleet, and knows the truth."""
+
+    def __init__(self, fleet: PlatformFleet) -> None:
+        self.fleet = fleet
+        self.sent = 0
+        self.truth: dict[int, Counter] = {}
+        fleet.add_scorer(EngineId("page-0"), PAGES)
+
+    async def send(self, number: int, tenant: TenantName) -> None:
+        """Sends a request at one gateway and waits for its answer."""
+        self.sent += 1
+        now = self.fleet.clock.now()
+        window = int((EPOCH_SECONDS + now) // WINDOW)
+        self.truth.setdefault(window, Counter())[tenant] += 1
+        request = ClientRequest(
+            f"r{self.sent}".encode(), "GET", b"h", b"/", (), b"", now, 1.5, tenant
+        )
+        await self.fleet.gateways[number].forwarder.forward(request, ROUTE)
+
+    async def run(self, seconds: float, gateways: int) -> None:
+        """Sends requests at the first gateways, off the borders of windows."""
+        end = self.fleet.clock.now() + seconds
+        while self.fleet.clock.now() < end:
+            await self.send(self.sent % gateways, SECOND if self.sent % 3 == 0 else FIRST)
+            await self.fleet.wait(0.17)
+
+
+class UsageTest(unittest.TestCase):
+    """Each test plays a small fleet on virtual time."""
+
+    def check(self, fleet: PlatformFleet, truth: dict[int, Counter]) -> None:
+        """Checks that each window was reported, rightly, in time and by one holder at a time."""
+        taken = fleet.usage.taken()
+        for window, counts in truth.items():
+            self.assertIn(window, taken)
+            self.assertEqual(dict(counts), dict(taken[window][0].counts), window)
+        for reports in taken.values():
+            self.assertEqual(1, len({tuple(sorted(r.counts.items())) for r in reports}))
+        turns = [(report.holder, report.token, report.at) for report in fleet.usage.received]
+        check_turns(turns, "usage")
+        self.assertEqual(set(), {r.outcome for r in fleet.usage.received} - {ReportOutcome.TAKEN})
+
+    def check_in_time(self, fleet: PlatformFleet) -> None:
+        """Checks that all reports came before they were due."""
+        for window, reports in fleet.usage.taken().items():
+            late = EPOCH_SECONDS + reports[0].at - (window + 1) * WINDOW
+            self.assertLess(late, USAGE_TERMS.due_after, window)
+
+    def test_each_window_is_reported_once_with_the_counts_of_all_daemons(self):
+        async def play():
+            fleet = PlatformFleet()
+            traffic = Traffic(fleet)
+            await fleet.wait(3.1)
+            await traffic.run(22.0, 3)
+            await fleet.wait(12.0)
+            self.check(fleet, traffic.truth)
+            self.check_in_time(fleet)
+            windows = sorted(fleet.usage.taken())
+            self.assertEqual(list(range(windows[0], windows[-1] + 1)), windows)
+            self.assertTrue(all(len(found) == 1 for found in fleet.usage.taken().values()))
+
+        run(play())
+
+    def test_windows_follow_true_time_when_clocks_are_off_and_jump(self):
+        async def play():
+            fleet = PlatformFleet(gateways=5)
+            traffic = Traffic(fleet)
+            fleet.clocks[0].ahead = 0.02
+            fleet.clocks[1].ahead = -0.02
+            await fleet.wait(3.1)
+            await traffic.run(8.0, 5)
+            fleet.clocks[0].ahead = 7.0
+            fleet.clocks[2].ahead = -4.0
+            await traffic.run(12.0, 5)
+            fleet.clocks[0].ahead = 0.0
+            await traffic.run(5.0, 5)
+            await fleet.wait(12.0)
+            self.check(fleet, traffic.truth)
+
+        run(play())
+
+    def test_a_successor_repeats_what_was_decided(self):
+        """The holder dies after its report was taken and before it heard so."""
+
+        async def play():
+            fleet = PlatformFleet(gateways=4)
+            traffic = Traffic(fleet)
+            await fleet.wait(3.1)
+            await traffic.run(10.0, 4)
+            before = len(fleet.usage.received)
+            fleet.usage.lost_answers = 1
+            while len(fleet.usage.received) == before:
+                await fleet.wait(0.01)
+            name = fleet.usage.received[-1].holder
+            number = next(i for i, gateway in enumerate(fleet.gateways) if gateway.id == name)
+            fleet.kill(number)
+            await fleet.wait(14.0)
+            self.check(fleet, traffic.truth)
+            window = fleet.usage.received[before].window
+            holders = {report.holder for report in fleet.usage.taken()[window]}
+            self.assertEqual(2, len(holders))
+
+        run(play())
+
+    def test_counts_survive_a_store_that_is_away(self):
+        async def play():
+            fleet = PlatformFleet()
+            traffic = Traffic(fleet)
+            await fleet.wait(3.1)
+            await traffic.run(5.0, 3)
+            fleet.store.faults = StoreFaults(down=True)
+            await traffic.run(4.5, 3)
+            fleet.store.faults = StoreFaults()
+            await traffic.run(8.0, 3)
+            await fleet.wait(12.0)
+            self.check(fleet, traffic.truth)
+            self.check_in_time(fleet)
+
+        run(play())
+
+    def test_lost_and_late_answers_of_the_store_change_no_report(self):
+        async def play():
+            fleet = PlatformFleet(seed=5)
+            traffic = Traffic(fleet)
+            await fleet.wait(3.1)
+            fleet.store.faults = StoreFaults(lost_answers=0.2, late_writes=0.1)
+            await traffic.run(12.0, 3)
+            fleet.store.faults = StoreFaults()
+            await fleet.wait(14.0)
+            self.check(fleet, traffic.truth)
+
+        run(play())
+
+    def test_a_planned_stop_saves_its_counts(self):
+        async def play():
+            fleet = PlatformFleet(gateways=4)
+            traffic = Traffic(fleet)
+            await fleet.wait(3.1)
+            await traffic.run(6.0, 4)
+            await fleet.gateways[3].drain()
+            fleet.kill(3)
+            await fleet.wait(12.0)
+            self.check(fleet, traffic.truth)
+
+        run(play())
+
+    def test_counts_that_come_after_the_decision_change_nothing(self):
+        async def play():
+            fleet = PlatformFleet(gateways=4)
+            traffic = Traffic(fleet)
+            await fleet.wait(3.1)
+            client = fleet.clients[3]
+            await traffic.run(4.0, 3)
+            truth = {window: Counter(counts) for window, counts in traffic.truth.items()}
+            client.cut_off = True
+            await traffic.send(3, FIRST)
+            await fleet.wait(16.0)
+            client.cut_off = False
+            await fleet.wait(10.0)
+            self.check(fleet, {w: c for w, c in truth.items() if w < max(truth)})
+
+        run(play())
+
+    def test_old_rows_are_removed(self):
+        async def play():
+            fleet = PlatformFleet(gateways=1)
+            traffic = Traffic(fleet)
+            await fleet.wait(3.1)
+            await traffic.run(400.0, 1)
+            for table in (COUNT_TABLE, REPORT_TABLE):
+                rows = [key for key in fleet.store.rows if key.table == table]
+                self.assertLess(len(rows), 60, table)
+
+        run(play())
+
+
+class CounterTest(unittest.TestCase):
+    """The counts of one daemon."""
+
+    def test_requests_wait_for_the_time_of_day(self):
+        async def play():
+            clock = LoopClock()
+            offsets: list[float] = []
+            counter = UsageCounter(TrueTime(clock, clock.now, lambda: offsets), WINDOW)
+            counter.note_begun(FIRST, clock.now())
+            self.assertEqual({}, counter.unsaved())
+            await clock.sleep(7.0)
+            offsets.append(1000.0)
+            counts = counter.unsaved()
+            self.assertEqual({200: {FIRST: 1}}, counts)
+            counter.note_begun(FIRST, 0.5)
+            counter.note_saved(counts)
+            self.assertEqual({200: {FIRST: 2}}, counter.unsaved())
+
+        run(play())
+
+
+class LeaseTest(unittest.TestCase):
+    """Leases of any duty."""
+
+    def test_subjects_of_different_duties_do_not_meet(self):
+        async def play():
+            clock = LoopClock()
+            store = MemoryStore(clock)
+            first = LeaseTable(DaemonId("a/1"), StoreClient(store), clock, 3.0)
+            second = LeaseTable(DaemonId("b/1"), StoreClient(store), clock, 3.0)
+            usage = LeaseSubject(Duty.USAGE, "x")
+            orders = LeaseSubject(Duty.ENGINE_ORDERS, "x")
+            taken = await first.take(usage)
+            self.assertIsNone(await second.take(usage))
+            self.assertIsNotNone(await second.take(orders))
+            again = await first.take(usage)
+            self.assertGreater(again.token, taken.token)
+            await clock.sleep(4.1)
+            self.assertGreater((await second.take(usage)).token, again.token)
+
+        run(play())
+
+
+if __name__ == "__main__":
+    unittest.main()
