--- a/src/larkpost/fleet/configuration.py
+++ b/src/larkpost/fleet/configuration.py
@@ -6,7 +6,7 @@
 from functools import cached_property
 from typing import NewType
 
-from larkpost.fleet.tenants import KeyDigest, Tenant, index_by_key
+from larkpost.fleet.tenants import KeyDigest, Tenant, TenantName, index_by_key
 
 ServiceName = NewType("ServiceName", str)
 ModelName = NewType("ModelName", str)
@@ -116,6 +116,21 @@
         """Returns the tenant that holds a key, or None."""
         return self._tenants_by_key.get(key) if key is not None else None
 
+    def priority_of(self, tenant: TenantName | None, route: Route) -> int:
+        """Returns a request's priority, 0 highest: its tenant's if that has one, else its route's.
+
+        Args:
+            tenant: whose request it is; None if it is no tenant's.
+        """
+        known = self._tenants_by_name.get(tenant)
+        if known is None or known.priority is None:
+            return route.priority
+        return known.priority
+
+    @cached_property
+    def _tenants_by_name(self) -> Mapping[TenantName | None, Tenant]:
+        return {tenant.name: tenant for tenant in self.tenants or ()}
+
     @cached_property
     def _routes_by_host(self) -> dict[str, list[Route]]:
         """Routes of each host, the longest prefix first."""
--- a/src/larkpost/gateway.py
+++ b/src/larkpost/gateway.py
@@ -9,6 +9,7 @@
 from larkpost.eventlog import Event, EventLog
 from larkpost.fleet.configuration import Configuration, ConfigurationState
 from larkpost.fleet.directory import Directory, InstanceInfo
+from larkpost.fleet.division import EngineDivision
 from larkpost.fleet.heartbeat import new_life
 from larkpost.fleet.leases import LeaseTable
 from larkpost.fleet.lifecycle import Lifecycle
@@ -199,6 +200,14 @@
             ShareChooser(ports.chance),
             ports.store.time,
             asyncio.Semaphore(MAX_CALLS_IN_FLIGHT),
+            EngineDivision(
+                self.configuration,
+                self.directory,
+                self.targets,
+                ports.clock,
+                lambda: self.keeper.demands(),
+                settings.policy,
+            ),
             settings.policy,
         )
         repository = BatchRepository(ports.store, ports.clock)
--- a/src/larkpost/platform/stand_in/callers.py
+++ b/src/larkpost/platform/stand_in/callers.py
@@ -13,12 +13,21 @@
 from larkpost.fleet.configuration import ModelName
 from larkpost.ids import Address
 from larkpost.platform import names
-from larkpost.platform.stand_in.rows import BATCH_PREFIX, HOST, PAGE_PREFIX
+from larkpost.platform.stand_in.rows import (
+    BATCH_PREFIX,
+    HOST,
+    PAGE_PREFIX,
+    READING,
+    TRAINING,
+    key_of,
+)
 from larkpost.rehearsal.scripted_engines import output_of
 
 READ_WAIT_MS = "500"
 RETRY_SECONDS = 0.1
 CALL_SECONDS = 3.0
+CONFIGURATION_VERSION = 1
+"""The only one that the demonstration writes; its keys are used."""
 FAILURES = (aiohttp.ClientError, TimeoutError, OSError)
 
 
@@ -58,8 +67,10 @@
     ) -> tuple[int, bytes] | None:
         """Makes one call at one daemon; None if there was no whole answer."""
         daemon = self._chance.choice(self._daemons)
+        tenant = READING if target.startswith(PAGE_PREFIX) else TRAINING
         headers = {
             "Host": HOST,
+            names.API_KEY.decode(): key_of(tenant, CONFIGURATION_VERSION),
             names.REQUEST_ID.decode(): request_id,
             names.WAIT_MS.decode(): READ_WAIT_MS,
         }
--- a/src/larkpost/platform/stand_in/daemon_settings.py
+++ b/src/larkpost/platform/stand_in/daemon_settings.py
@@ -23,9 +23,15 @@
 lease-ms = 3000
 grace-s = 8
 status-s = 120
+config-apply-ms = 2000
+report-window-s = 5
+usage-late-s = 10
 [platform]
 address = "{store}"
 row_bytes = 65536
+[cloud-api]
+address = "{store}"
+duties = ["usage"]
 """
 
 
--- a/src/larkpost/platform/stand_in/rows.py
+++ b/src/larkpost/platform/stand_in/rows.py
@@ -5,11 +5,16 @@
 import orjson
 
 from larkpost.fleet.configuration import ModelName, ServiceName
+from larkpost.fleet.tenants import TenantName
 from larkpost.ids import Address, EngineId, ZoneId
 from larkpost.platform import names
 from larkpost.store.port import RowKey, Transaction
 
 HOST = "users.example"
+TRAINING = TenantName("training")
+READING = TenantName("reading")
+TENANTS = (TRAINING, READING)
+"""Who submits batches, and who asks for pages."""
 BATCH_PREFIX = "/rollouts/"
 PAGE_PREFIX = "/pages/"
 
@@ -31,6 +36,14 @@
     leaving: bool = False
 
 
+def key_of(tenant: TenantName, version: int) -> str:
+    """Returns the key that a tenant gets with a version of the configuration.
+
+    It is taken away again with the second version after that one.
+    """
+    return f"key-of-{tenant}-{version}"
+
+
 def configuration_change(
     version: int,
     engines: ServiceName,
@@ -77,6 +90,10 @@
             },
             {"name": pages, "health-path": "/health", "max-conns": 100},
         ],
+        "tenants": [
+            {"name": tenant, "api-keys": [key_of(tenant, version), key_of(tenant, version - 1)]}
+            for tenant in TENANTS
+        ],
         "limits": {
             "max-header-bytes": 16384,
             "max-body-bytes": 33554432,
--- a/src/larkpost/platform/stand_in/server_app.py
+++ b/src/larkpost/platform/stand_in/server_app.py
@@ -42,6 +42,8 @@
         )
 
     async def _serve(self, request: Request) -> Response:
+        if names.API_KEY.decode() in request.headers:
+            return Response("a key was passed on", status_code=400)
         refusal = self._refusal(request)
         if refusal is not None:
             return refusal
--- a/src/larkpost/platform/stand_in/store_app.py
+++ b/src/larkpost/platform/stand_in/store_app.py
@@ -36,17 +36,26 @@
     def __init__(self, store: MemoryStore, clock: Clock) -> None:
         self._client = StoreClient(store)
         self._clock = clock
+        self._highest_token = 0
 
     def app(self) -> Starlette:
-        """Returns the application."""
+        """Returns the application; it takes usage reports as well."""
         return Starlette(
             routes=[
+                Route(names.USAGE_CALL, self._take_usage, methods=["POST"]),
                 Route(names.TRANSACTION_CALL, self._write, methods=["POST"]),
                 Route(names.READ_CALL, self._read),
                 Route(names.FEED_CALL, self._changes),
             ]
         )
 
+    async def _take_usage(self, request: Request) -> Response:
+        token = int(request.headers[names.FENCING_TOKEN.decode()])
+        if token < self._highest_token:
+            return Response(status_code=409)
+        self._highest_token = token
+        return Response()
+
     async def _write(self, request: Request) -> Response:
         document = orjson.loads(await request.body())
         transaction = Transaction(
--- a/src/larkpost/policy.py
+++ b/src/larkpost/policy.py
@@ -25,6 +25,16 @@
     Attributes:
         hedged_tries: a second server is tried beside the first when that one is slow.
         faster_engine_moves: runs go on at a much faster engine once one has a place.
+        stalled_moves: runs that make nothing for a while go on at an engine with a free place.
+        long_items_urgent: engines are told how urgent an item is, the longest ones most.
+        loading_last: engines that load a version, or are about to, get items only if no others
+            have a place.
+        long_runs_wish: a long run at a slow engine gets the next free place at a fast one, before
+            the items that wait.
+        held_reads: a read that may wait is answered once the trainer has its step, not with each
+            result, until the batch is due.
+        own_engines_first: for a moment after a batch began its items take places only at the
+            engines of their model, as it is not known yet what others take.
         partial_seconds: seconds between two times at which the output of running items is kept
             for another owner; 0 keeps none except at a planned stop. Below the second that a
             step has to spare (round 24).
@@ -52,6 +62,12 @@
 
     hedged_tries: bool = True
     faster_engine_moves: bool = True
+    stalled_moves: bool = True
+    long_items_urgent: bool = True
+    long_runs_wish: bool = True
+    held_reads: bool = True
+    own_engines_first: bool = True
+    loading_last: bool = True
     partial_seconds: float = 0.4
     longest_first: bool = True
     engines_by_work: bool = True
--- a/src/larkpost/rehearsal/scripted_engines.py
+++ b/src/larkpost/rehearsal/scripted_engines.py
@@ -26,11 +26,16 @@
 MIN_EVENTS = 4
 SPREAD_EVENTS = 12
 LOAD_SECONDS = 0.9
+STALL_SECONDS = 1000.0
 
 
-def output_of(request_id: str) -> list[bytes]:
-    """Returns the events' data that every engine makes for a request."""
-    count = MIN_EVENTS + hash64(request_id) % SPREAD_EVENTS
+def output_of(request_id: str, events: int | None = None) -> list[bytes]:
+    """Returns the events' data that every engine makes for a request.
+
+    Args:
+        events: how many; None for a number that hangs on the request.
+    """
+    count = MIN_EVENTS + hash64(request_id) % SPREAD_EVENTS if events is None else events
     return [f"{request_id}-{number}".encode() for number in range(1, count + 1)]
 
 
@@ -41,11 +46,13 @@
     Attributes:
         event_seconds: time it takes for an event.
         down: it does not answer.
+        stall_after: its streams make nothing more after so many events, or never.
         break_after: its next streams break off after so many events, or never.
         status: answered instead of a stream, if set.
         unsigned: its answers carry no signature.
         runs: ids of all requests it has run.
         whole_at: when each stream that came to its end ended, in seconds.
+        ranks: what each request that ran was told of its urgency.
         signatures: of all its answers by request, each with the time at which the run began.
         failures: how often it answered each request with its failure status.
         most_running: the most requests it has run at once.
@@ -56,6 +63,7 @@
     event_seconds: float = 0.03
     down: bool = False
     break_after: int | None = None
+    stall_after: int | None = None
     status: int | None = None
     unsigned: bool = False
     running: int = 0
@@ -66,6 +74,7 @@
     loading_until: float = 0.0
     runs: list[str] = field(default_factory=list)
     whole_at: dict[str, float] = field(default_factory=dict)
+    ranks: dict[str, int | None] = field(default_factory=dict)
     signatures: dict[str, list[tuple[str, float]]] = field(default_factory=dict)
     failures: Counter[str] = field(default_factory=Counter)
     orders: list[tuple[str, int, ModelName, int, float]] = field(default_factory=list)
@@ -91,8 +100,14 @@
     """An answer of a scripted engine; implements `larkpost.proxy.port.ServerAnswer`."""
 
     def __init__(
-        self, clock: Clock, state: EngineState, request: OutgoingRequest, model: ModelName
+        self,
+        clock: Clock,
+        state: EngineState,
+        request: OutgoingRequest,
+        model: ModelName,
+        output_events: int | None = None,
     ) -> None:
+        self._output_events = output_events
         self._clock = clock
         self._state = state
         self._request = request
@@ -116,10 +131,12 @@
 
     async def events(self) -> AsyncIterator[StreamEvent]:
         """Yields the body's events; see the port."""
-        output = output_of(self._request.request_id.decode())
+        output = output_of(self._request.request_id.decode(), self._output_events)
         first = (self._request.resume_after or 0) + 1
         version = self.version
         for made, number in enumerate(range(first, len(output) + 1)):
+            if made == self._state.stall_after:
+                await self._clock.sleep(STALL_SECONDS)
             await self._clock.sleep(self._state.event_seconds)
             if self._state.down or made == self._state.break_after:
                 raise BrokenAnswerError("the stream broke off")
@@ -140,6 +157,7 @@
         self._model = model
         self.engines: dict[EngineId, EngineState] = {}
         self.connected: set[EngineId] = set()
+        self.output_events: int | None = None
 
     @asynccontextmanager
     async def send(
@@ -155,8 +173,9 @@
         state.running += 1
         state.most_running = max(state.most_running, state.running)
         state.runs.append(request.request_id.decode())
+        state.ranks[request.request_id.decode()] = request.priority
         try:
-            yield ScriptedAnswer(self._clock, state, request, self._model)
+            yield ScriptedAnswer(self._clock, state, request, self._model, self.output_events)
         finally:
             state.running -= 1
 
--- a/src/larkpost/rollouts/attempt.py
+++ b/src/larkpost/rollouts/attempt.py
@@ -82,7 +82,9 @@
             ValueError: the output is not text.
         """
         versions = tuple(sorted(self.versions))
-        return Result(self.item.id, ResultState.DONE, self._text(), versions, score)
+        return Result(
+            self.item.id, ResultState.DONE, self._text(), versions, score, self.item.group
+        )
 
     def _text(self) -> str:
         return b"\n".join(self.events).decode()
--- a/src/larkpost/rollouts/codec.py
+++ b/src/larkpost/rollouts/codec.py
@@ -41,12 +41,13 @@
             "upload": head.upload,
             "work": head.work,
             "tenant": head.tenant,
+            "group_size": head.group_size,
         }
     )
 
 
 def decode_head(batch: BatchId, value: bytes) -> BatchHead:
-    """Reads a head row's value; rows of earlier versions name no tenant."""
+    """Reads a head row's value; rows of earlier versions have no tenant and no size of groups."""
     fields = orjson.loads(value)
     return BatchHead(
         id=batch,
@@ -63,6 +64,7 @@
         upload=fields["upload"],
         work=fields["work"],
         tenant=fields.get("tenant"),
+        group_size=fields.get("group_size", 0),
     )
 
 
@@ -136,14 +138,16 @@
 
 def encode_result(result: Result) -> bytes:
     """Returns a result as a document."""
-    return orjson.dumps([result.item, result.state, result.text, result.versions, result.score])
+    return orjson.dumps(
+        [result.item, result.state, result.text, result.versions, result.score, result.group]
+    )
 
 
 def decode_result(content: bytes) -> Result:
-    """Reads a document of a result; rows of earlier versions have no score."""
-    item, state, text, versions, *score = orjson.loads(content)
-    known_score = score[0] if score else None
-    return Result(ItemId(item), ResultState(state), text, tuple(versions), known_score)
+    """Reads a document of a result; rows of earlier versions have no score or no group."""
+    item, state, text, versions, *later = orjson.loads(content)
+    score, group, *_ = (*later, None, None)
+    return Result(ItemId(item), ResultState(state), text, tuple(versions), score, group)
 
 
 def encode_progress(progress: Progress, limit: int) -> bytes:
--- a/src/larkpost/rollouts/context.py
+++ b/src/larkpost/rollouts/context.py
@@ -8,6 +8,7 @@
 from larkpost.eventlog import EventLog
 from larkpost.fleet.configuration import ConfigurationState
 from larkpost.fleet.directory import Directory
+from larkpost.fleet.division import EngineDivision
 from larkpost.metrics import Metrics
 from larkpost.policy import DEFAULT_POLICY, Policy
 from larkpost.proxy.balancer import Balancer
@@ -21,6 +22,7 @@
 
     Attributes:
         store_time: returns the store's clock in seconds, or None if it is not known.
+        division: tells which engines are a model's own.
         reward_places: bounds the reward calls that the daemon has at servers at once.
     """
 
@@ -34,4 +36,5 @@
     shares: ShareChooser
     store_time: Callable[[], float | None]
     reward_places: asyncio.Semaphore
+    division: EngineDivision
     policy: Policy = DEFAULT_POLICY
--- a/src/larkpost/rollouts/engine_choice.py
+++ b/src/larkpost/rollouts/engine_choice.py
@@ -16,6 +16,9 @@
 LONG_RUN_EVENTS = 30
 PACE_TOLERANCE = 1.05
 """A moved run takes an engine whose pace is above its limit by no more than this factor."""
+OWN_ENGINES_SECONDS = 0.6
+"""For so long a batch takes places at its model's own engines only: batches often come at the same
+moment, and what the others take is known a heartbeat and its listing (0.25 s each) later."""
 PACES_LIFETIME_SECONDS = 0.05
 """How long the paces of free engines serve: every run of a batch asks for them again and again."""
 
@@ -26,6 +29,7 @@
     def __init__(self, head: BatchHead, services: RunServices) -> None:
         self._head = head
         self._services = services
+        self._began_at = services.clock.now()
         self._item_services: dict[ItemId, ServiceName] = {}
         self._paces: dict[ServiceName, tuple[float, list[tuple[EngineId, float]]]] = {}
 
@@ -52,12 +56,13 @@
                 event; 0 for any engine.
         """
         balancer = self._services.balancer
-        candidates = self._with_place(service)
+        candidates = self._allowed(service, self._with_place(service))
         if pace_limit:
             slowest = pace_limit * PACE_TOLERANCE
             candidates = [info for info in candidates if 0 < balancer.pace(info.id) <= slowest]
         if not candidates:
             return None
+        candidates = self._without_loading(service, candidates)
         best = candidates[0]
         best_pace = balancer.pace(best.id)
         for info in candidates[1:]:
@@ -66,6 +71,28 @@
                 best, best_pace = info, pace
         return best
 
+    def _allowed(self, service: ServiceName, candidates: list[InstanceInfo]) -> list[InstanceInfo]:
+        """Returns the engines that a batch may use now: at first only its model's own."""
+        is_new = self._services.clock.now() - self._began_at < OWN_ENGINES_SECONDS
+        if not is_new or not self._services.policy.own_engines_first:
+            return candidates
+        own = self._services.division.engines_of(service, self._head.model)
+        return [info for info in candidates if info.id in own] if own else candidates
+
+    def _without_loading(
+        self, service: ServiceName, candidates: list[InstanceInfo]
+    ) -> list[InstanceInfo]:
+        """Leaves out the engines that load or are about to, unless there are no others."""
+        if not self._services.policy.loading_last:
+            return candidates
+        loading = self._services.division.loading(service)
+        return [info for info in candidates if info.id not in loading] or candidates
+
+    def count_places(self, service: ServiceName) -> int:
+        """Returns how many places the engines that fit are believed to have free."""
+        balancer = self._services.balancer
+        return sum(info.slots - balancer.occupied(info) for info in self._with_place(service))
+
     def is_outpaced(self, engine: InstanceInfo, progress: Progress) -> bool:
         """Tells whether an engine much faster than this one has a free place.
 
@@ -84,6 +111,24 @@
             if name != engine.id and directory.version_of(name, self._head.model) >= version
         )
 
+    def fast_pace(self, engine: InstanceInfo) -> float:
+        """Returns the pace that a long run at an engine should go on at elsewhere; 0 if at none.
+
+        Whether an engine of that pace has a free place is not asked.
+        """
+        balancer = self._services.balancer
+        directory = self._services.directory
+        version = directory.version_of(engine.id, self._head.model)
+        paces = [
+            pace
+            for info in directory.of_service(engine.service)
+            if (pace := balancer.pace(info.id))
+            and directory.version_of(info.id, self._head.model) >= version
+            and not balancer.is_avoided(info.id)
+        ]
+        best = min(paces, default=0.0)
+        return best * FASTER_RATIO if balancer.pace(engine.id) > best * LONG_RUN_RATIO else 0.0
+
     def _free_paces(self, service: ServiceName) -> list[tuple[EngineId, float]]:
         """Returns the known paces of the engines with a free place, as of a moment ago."""
         now = self._services.clock.now()
--- /dev/null
+++ b/src/larkpost/rollouts/engine_run.py
@@ -0,0 +1,262 @@
+"""One run of an item at an engine: the request, its events, and how they end."""
+
+import asyncio
+from enum import StrEnum
+
+from larkpost.fleet.configuration import Route
+from larkpost.fleet.directory import InstanceInfo
+from larkpost.metrics import Timing
+from larkpost.proxy.port import (
+    BrokenAnswerError,
+    NotRunError,
+    NotRunReason,
+    OutgoingRequest,
+    ServerAnswer,
+)
+from larkpost.rollouts.attempt import Progress
+from larkpost.rollouts.context import RunServices
+from larkpost.rollouts.engine_choice import LONG_RUN_EVENTS, EngineChoice
+from larkpost.rollouts.model import BatchHead, Item
+from larkpost.rollouts.place_queue import PlaceQueue
+from larkpost.rollouts.stalls import RunWatch, StallWatcher
+from larkpost.rollouts.urgency import Urgency
+
+FIRST_EVENT_SECONDS = 2.5
+"""Longest wait for an answer's head and for its first event."""
+EVENT_GAP_SECONDS = 1.2
+"""Longest pause between two events before the run is continued elsewhere."""
+MAX_MOVES = 2
+"""An item is moved this often at most: what it has made is read again at each new engine."""
+EVENT_PACE_WEIGHT = 0.06
+"""Weight of one pause between two events in an engine's pace: single pauses vary with prefills."""
+EVENTS_BETWEEN_LOOKS = 4
+"""How often a run looks for a faster engine."""
+
+
+class RunEnd(StrEnum):
+    """How one run of an item ended."""
+
+    WHOLE = "whole"
+    AGAIN = "again"
+    DEAD = "dead"
+
+
+class MoveAwayError(Exception):
+    """The run is to go on at a faster engine.
+
+    Attributes:
+        engine: where a place was taken for it, or None if it has to find one.
+    """
+
+    def __init__(self, engine: InstanceInfo | None = None) -> None:
+        super().__init__("a faster engine has a place")
+        self.engine = engine
+
+
+class StalledError(Exception):
+    """The run made nothing, and is to go on at an engine with a free place."""
+
+
+class FasterPlace:
+    """The wish of a long run at a slow engine for a place at a fast one."""
+
+    def __init__(
+        self,
+        places: PlaceQueue,
+        engines: EngineChoice,
+        engine: InstanceInfo,
+        route: Route,
+        progress: Progress,
+    ) -> None:
+        self._places = places
+        self._engines = engines
+        self._engine = engine
+        self._route = route
+        self._progress = progress
+        self._place: asyncio.Future[InstanceInfo] | None = None
+
+    def look(self) -> None:
+        """Wishes for a place if the run has shown itself long and the engine is slow."""
+        if self._place is not None or len(self._progress.events) < LONG_RUN_EVENTS:
+            return
+        pace = self._engines.fast_pace(self._engine)
+        if pace:
+            self._place = self._places.wish(self._progress, self._route, pace)
+
+    def raise_if_given(self) -> None:
+        """Ends the run once the wish is granted.
+
+        Raises:
+            MoveAwayError: there is a place, which is the caller's from now on.
+        """
+        if self._place is not None and self._place.done():
+            engine = self._place.result()
+            self._place = None
+            raise MoveAwayError(engine)
+
+    def withdraw(self) -> None:
+        """Gives up the wish."""
+        if self._place is not None:
+            self._places.withdraw(self._place)
+            self._place = None
+
+
+class EngineRuns:
+    """Makes the runs of one batch's items at engines.
+
+    Args:
+        items: all items of the batch that are to run.
+    """
+
+    def __init__(
+        self,
+        head: BatchHead,
+        items: tuple[Item, ...],
+        engines: EngineChoice,
+        stalls: StallWatcher,
+        places: PlaceQueue,
+        services: RunServices,
+    ) -> None:
+        self._head = head
+        self._engines = engines
+        self._stalls = stalls
+        self._places = places
+        self._services = services
+        self._urgency = Urgency(items)
+
+    async def run(
+        self, engine: InstanceInfo, item: Item, route: Route, progress: Progress
+    ) -> RunEnd:
+        """Runs an item at an engine from where it is, and tells how that ended.
+
+        Raises:
+            NotRunError: it certainly did not run.
+            BrokenAnswerError: the stream broke off, or its version is not to be used.
+            DiscontinuityError: an event does not follow the last one.
+            UnicodeDecodeError: the whole output is no text.
+            MoveAwayError: a faster engine is free.
+            StalledError: the run was ended by the watcher of stalls.
+            TimeoutError: the engine was silent.
+        """
+        if progress.last_event is not None and route.single_version:
+            self._keep_pure(engine, progress)
+        watch: RunWatch | None = None
+        try:
+            async with asyncio.timeout(FIRST_EVENT_SECONDS) as limit:
+                with self._stalls.watch(engine, limit) as watch:
+                    return await self._stream(engine, item, route, progress, watch)
+        except TimeoutError:
+            if watch is not None and watch.is_stalled:
+                raise StalledError from None
+            raise
+
+    async def _stream(
+        self,
+        engine: InstanceInfo,
+        item: Item,
+        route: Route,
+        progress: Progress,
+        watch: RunWatch,
+    ) -> RunEnd:
+        if not self._services.directory.takes_work(engine.id):
+            raise NotRunError(NotRunReason.LEAVING)
+        request = self._request(item, route, progress)
+        async with self._services.servers.send(engine, request) as answer:
+            self._services.balancer.note_load(engine.id, answer.load)
+            if answer.status != 200:
+                return _judge_failure(route, progress, answer)
+            wish = FasterPlace(self._places, self._engines, engine, route, progress)
+            try:
+                await self._take_events(engine, route, progress, answer, watch, wish)
+            finally:
+                wish.withdraw()
+        if not progress.events:
+            raise BrokenAnswerError("a stream without events")
+        progress.complete()
+        return RunEnd.WHOLE
+
+    async def _take_events(
+        self,
+        engine: InstanceInfo,
+        route: Route,
+        progress: Progress,
+        answer: ServerAnswer,
+        watch: RunWatch,
+        wish: "FasterPlace",
+    ) -> None:
+        """Takes the events of a run.
+
+        Raises:
+            BrokenAnswerError: the stream broke off, or its version is not to be used.
+            MoveAwayError: a faster engine is free.
+        """
+        loop = asyncio.get_running_loop()
+        began = watch.began_at
+        version = answer.version or 0
+        self._services.directory.observe_version(engine.id, self._head.model, version)
+        last_at: float | None = None
+        count = 0
+        async for event in answer.events():
+            now = loop.time()
+            watch.heard(now, EVENT_GAP_SECONDS)
+            if event.version is not None:
+                version = event.version
+                self._services.directory.observe_version(engine.id, self._head.model, version)
+            if version < self._head.minimum_version:
+                raise BrokenAnswerError(f"version {version} is too old")
+            if route.single_version and progress.versions - {version}:
+                progress.restart()
+                raise BrokenAnswerError("the version changed within a result")
+            progress.take(event.id, event.data, version)
+            if last_at is None:
+                self._services.metrics.observe(Timing.ITEM_FIRST_EVENT, now - began)
+            else:
+                self._services.balancer.note_pace(engine.id, now - last_at, EVENT_PACE_WEIGHT)
+            last_at = now
+            count += 1
+            wish.raise_if_given()
+            may_move = progress.moves < MAX_MOVES and count % EVENTS_BETWEEN_LOOKS == 0
+            if may_move and self._engines.is_outpaced(engine, progress):
+                raise MoveAwayError
+            if may_move and self._services.policy.long_runs_wish:
+                wish.look()
+
+    def _request(self, item: Item, route: Route, progress: Progress) -> OutgoingRequest:
+        return OutgoingRequest(
+            request_id=item.id.encode("latin-1"),
+            method="POST",
+            host=self._head.host.encode("latin-1"),
+            target=item.path.encode("latin-1"),
+            headers=tuple(
+                (name.encode("latin-1"), value.encode("latin-1")) for name, value in item.headers
+            ),
+            body=item.body,
+            resume_after=progress.last_event,
+            tenant=self._head.tenant,
+            priority=self._priority(item, route, progress),
+        )
+
+    def _priority(self, item: Item, route: Route, progress: Progress) -> int | None:
+        """Returns the rank that an engine is told; None for none."""
+        configuration = self._services.configuration.current
+        if configuration is None or not self._services.policy.long_items_urgent:
+            return None
+        priority = configuration.priority_of(self._head.tenant, route)
+        return self._urgency.rank(item, progress, priority)
+
+    def _keep_pure(self, engine: InstanceInfo, progress: Progress) -> None:
+        version = self._services.directory.version_of(engine.id, self._head.model)
+        if progress.versions != {version}:
+            progress.restart()
+
+
+def _judge_failure(route: Route, progress: Progress, answer: ServerAnswer) -> RunEnd:
+    """Returns what an answer means that is no stream, and counts it."""
+    if answer.status == 422:
+        progress.impossible_answers += 1
+        return RunEnd.DEAD
+    if answer.status == 500:
+        progress.failed_runs += 1
+        if progress.failed_runs >= route.max_attempts:
+            return RunEnd.DEAD
+    return RunEnd.AGAIN
--- a/src/larkpost/rollouts/model.py
+++ b/src/larkpost/rollouts/model.py
@@ -1,5 +1,6 @@
 """What a batch of rollouts consists of."""
 
+from collections import Counter
 from dataclasses import dataclass
 from enum import StrEnum
 from typing import NewType
@@ -75,6 +76,12 @@
     items: tuple[Item, ...]
     tenant: TenantName | None = None
 
+    @property
+    def group_size(self) -> int:
+        """Items of each group; 0 if the groups differ."""
+        sizes = set(Counter(item.group for item in self.items).values())
+        return sizes.pop() if len(sizes) == 1 else 0
+
 
 @dataclass(frozen=True, slots=True)
 class BatchHead:
@@ -87,6 +94,7 @@
         upload: names the rows that hold the items.
         work: expected tokens of all items together.
         tenant: whose batch it is, as which its items run; None if it is no tenant's.
+        group_size: items of each group; 0 if the groups differ.
     """
 
     id: BatchId
@@ -103,6 +111,7 @@
     upload: str
     work: int = 0
     tenant: TenantName | None = None
+    group_size: int = 0
 
 
 class ResultState(StrEnum):
@@ -120,6 +129,7 @@
         text: data of all events in order, parted by line feeds.
         versions: the weight versions that made an event of the text, rising.
         score: the signature of the answer to the item's reward call; None if it has no such call.
+        group: the item's group; None in rows of earlier versions.
     """
 
     item: ItemId
@@ -127,6 +137,7 @@
     text: str = ""
     versions: tuple[int, ...] = ()
     score: str | None = None
+    group: GroupId | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/larkpost/rollouts/place_queue.py
+++ b/src/larkpost/rollouts/place_queue.py
@@ -1,5 +1,8 @@
 """The items of one batch that wait for a place at an engine, served longest first.
 
+Items that have shown themselves long come before all others: a step waits for them. One that runs
+at a slow engine may wish for a place at a fast one, and goes on meanwhile.
+
 One pass looks at the engines once for each item that it serves, however many wait: the first item
 of a service that finds no place ends the pass for all items of that service.
 """
@@ -13,11 +16,14 @@
 from larkpost.fleet.configuration import Route, ServiceName
 from larkpost.fleet.directory import InstanceInfo
 from larkpost.proxy.balancer import Balancer
-from larkpost.rollouts.engine_choice import EngineChoice
+from larkpost.rollouts.attempt import Progress
+from larkpost.rollouts.engine_choice import LONG_RUN_EVENTS, EngineChoice
 from larkpost.rollouts.model import Item
 
 PASS_INTERVAL_SECONDS = 0.03
 """Places free up without notice when other daemons' requests end, so they are looked for."""
+PLACES_AT_ONCE = 8
+"""Places given before the loop turns: what is placed first, the longest items, is sent first."""
 PATIENCE_SECONDS = 0.5
 """How long an item waits before its route and its time are looked at again."""
 LIMITED_PATIENCE_SECONDS = 0.1
@@ -37,7 +43,7 @@
     route: Route
     pace_limit: float
     place: asyncio.Future[InstanceInfo]
-    order: float
+    order: tuple[bool, float]
 
 
 class PlaceQueue:
@@ -57,31 +63,53 @@
     def __len__(self) -> int:
         return len(self._waiting)
 
-    async def take(self, item: Item, route: Route, pace_limit: float = 0.0) -> InstanceInfo | None:
+    async def take(
+        self, progress: Progress, route: Route, pace_limit: float = 0.0
+    ) -> InstanceInfo | None:
         """Waits for a place; None if there was none for a while.
 
         The place counts as occupied from its assignment on; the caller releases it.
 
         Args:
+            progress: of the item that wants the place.
             pace_limit: how fast the engine must be, in seconds for an event; 0 for any.
         """
-        place: asyncio.Future[InstanceInfo] = asyncio.get_running_loop().create_future()
-        order = -item.expected_work if self._longest_first else next(self._arrivals)
-        entry = _Waiting(item, route, pace_limit, place, order)
-        bisect.insort(self._waiting, entry, key=lambda waiting: waiting.order)
-        if self._server is None or self._server.done():
-            self._server = asyncio.create_task(self._serve())
+        place = self.wish(progress, route, pace_limit)
         try:
             patience = LIMITED_PATIENCE_SECONDS if pace_limit else PATIENCE_SECONDS
             await asyncio.wait({place}, timeout=patience)
         except asyncio.CancelledError:
-            if place.done():
-                self._balancer.release(place.result().id)
+            self.withdraw(place)
             raise
-        finally:
-            if not place.done():
-                self._waiting.remove(entry)
-        return place.result() if place.done() else None
+        if place.done():
+            return place.result()
+        self.withdraw(place)
+        return None
+
+    def wish(
+        self, progress: Progress, route: Route, pace_limit: float = 0.0
+    ) -> asyncio.Future[InstanceInfo]:
+        """Asks for a place without waiting; see `take`. It must be used, or withdrawn from."""
+        place: asyncio.Future[InstanceInfo] = asyncio.get_running_loop().create_future()
+        entry = _Waiting(progress.item, route, pace_limit, place, self._order(progress))
+        bisect.insort(self._waiting, entry, key=lambda waiting: waiting.order)
+        if self._server is None or self._server.done():
+            self._server = asyncio.create_task(self._serve())
+        return place
+
+    def withdraw(self, place: asyncio.Future[InstanceInfo]) -> None:
+        """Gives up a wish; a place that was given meanwhile is free again."""
+        if place.done():
+            self._balancer.release(place.result().id)
+            return
+        self._waiting = [entry for entry in self._waiting if entry.place is not place]
+
+    def _order(self, progress: Progress) -> tuple[bool, float]:
+        """Returns an item's place in the queue: the lowest is served first."""
+        if not self._longest_first:
+            return True, next(self._arrivals)
+        is_ordinary = len(progress.events) < LONG_RUN_EVENTS
+        return is_ordinary, -progress.item.expected_work
 
     def cancel(self) -> None:
         """Stops serving."""
@@ -90,14 +118,19 @@
 
     async def _serve(self) -> None:
         while self._waiting:
-            self._pass()
+            while self._pass() == PLACES_AT_ONCE:
+                await self._clock.sleep(0)
             await self._clock.sleep(PASS_INTERVAL_SECONDS)
 
-    def _pass(self) -> None:
-        """Gives places to the longest items, as long as there are any."""
+    def _pass(self) -> int:
+        """Gives some places to the longest items, as long as there are any, and counts them."""
         full: set[ServiceName] = set()
         left: list[_Waiting] = []
+        given = 0
         for entry in self._waiting:
+            if given == PLACES_AT_ONCE:
+                left.append(entry)
+                continue
             service = self._engines.service_of(entry.item, entry.route)
             engine = None
             if service is not None and service not in full:
@@ -109,4 +142,6 @@
                 continue
             self._balancer.occupy(engine.id)
             entry.place.set_result(engine)
+            given += 1
         self._waiting = left
+        return given
--- a/src/larkpost/rollouts/repository.py
+++ b/src/larkpost/rollouts/repository.py
@@ -347,6 +347,7 @@
             upload=upload,
             work=sum(item.expected_work for item in spec.items),
             tenant=spec.tenant,
+            group_size=spec.group_size,
         )
         head_key = self._key(HEAD_TABLE, spec.id)
         tail_key = self._key(TAIL_TABLE, spec.id)
--- a/src/larkpost/rollouts/run.py
+++ b/src/larkpost/rollouts/run.py
@@ -2,59 +2,38 @@
 
 import asyncio
 from collections.abc import Callable
-from enum import StrEnum
 
 from larkpost.eventlog import Event
 from larkpost.fleet.configuration import (
     Configuration,
     Route,
+    ServiceName,
 )
 from larkpost.fleet.directory import InstanceInfo
 from larkpost.metrics import Count, Timing
 from larkpost.proxy.port import (
     BrokenAnswerError,
     NotRunError,
-    NotRunReason,
-    OutgoingRequest,
-    ServerAnswer,
 )
 from larkpost.rollouts.attempt import DiscontinuityError, Progress
 from larkpost.rollouts.context import RunServices
 from larkpost.rollouts.engine_choice import EngineChoice
+from larkpost.rollouts.engine_run import EngineRuns, MoveAwayError, RunEnd, StalledError
 from larkpost.rollouts.model import BatchHead, Item, ItemId, Result, ResultState, RewardCall
 from larkpost.rollouts.place_queue import PlaceQueue
 from larkpost.rollouts.reward import RewardScorer, RewardState
+from larkpost.rollouts.stalls import LOOK_SECONDS, StallWatcher
 
-FIRST_EVENT_SECONDS = 2.5
-"""Longest wait for an answer's head and for its first event."""
-EVENT_GAP_SECONDS = 1.2
-"""Longest pause between two events before the run is continued elsewhere."""
 AGAIN_PAUSE_SECONDS = 0.03
 REFUSED_AVOID_SECONDS = 0.15
 BROKEN_AVOID_SECONDS = 0.3
 SILENT_AVOID_SECONDS = 1.5
-MAX_MOVES = 2
-"""An item is moved this often at most: what it has made is read again at each new engine."""
-EVENT_PACE_WEIGHT = 0.06
-"""Weight of one pause between two events in an engine's pace: single pauses vary with prefills."""
-EVENTS_BETWEEN_LOOKS = 4
-"""How often a run looks for a faster engine."""
+STALLED_AVOID_SECONDS = 0.3
+"""How long an engine gets no more items after it left one of them waiting."""
 FAULT_PAUSE_SECONDS = 1.0
 """Pause before an item is run again after an unexpected error."""
 
 
-class RunEnd(StrEnum):
-    """How one run of an item ended."""
-
-    WHOLE = "whole"
-    AGAIN = "again"
-    DEAD = "dead"
-
-
-class MoveAwayError(Exception):
-    """The run is to go on at a faster engine."""
-
-
 class BatchRun:
     """Runs the unfinished items of a batch that this daemon owns, each until it has a result.
 
@@ -81,13 +60,20 @@
         self._places = PlaceQueue(
             self._engines, services.balancer, services.clock, longest_first=longest_first
         )
+        self._stalls = StallWatcher(services.clock)
+        self._runs = EngineRuns(head, items, self._engines, self._stalls, self._places, services)
+        self._granted: dict[ItemId, InstanceInfo] = {}
+        """Places that runs have taken for their items before they ended, by item."""
         self._waiting = list(items)
         if longest_first:
             self._waiting.sort(key=lambda item: item.expected_work, reverse=True)
+        self._stall_task: asyncio.Task | None = None
         self._tasks: dict[ItemId, asyncio.Task] = {}
 
     def start(self) -> None:
         """Starts all items; each waits for its place at an engine, the longest first."""
+        if self._services.policy.stalled_moves:
+            self._stall_task = asyncio.create_task(self._move_stalled())
         for item in self._waiting:
             task = asyncio.create_task(self._finish_item(item), name=item.id)
             self._tasks[item.id] = task
@@ -97,6 +83,8 @@
     def cancel(self) -> None:
         """Stops all runs; their connections close at once."""
         self._places.cancel()
+        if self._stall_task is not None:
+            self._stall_task.cancel()
         for task in list(self._tasks.values()):
             task.cancel()
 
@@ -107,7 +95,24 @@
             self.progress.pop(item, None)
 
     def _task_done(self, task: asyncio.Task) -> None:
-        self._tasks.pop(ItemId(task.get_name()), None)
+        item = ItemId(task.get_name())
+        self._tasks.pop(item, None)
+        unused = self._granted.pop(item, None)
+        if unused is not None:
+            self._services.balancer.release(unused.id)
+
+    async def _move_stalled(self) -> None:
+        """Ends runs that make nothing, as many as there are free places elsewhere."""
+        while self._waiting or self._tasks:
+            await self._services.clock.sleep(LOOK_SECONDS)
+            free: dict[ServiceName, int] = {}
+            for watch in self._stalls.stalled(self._services.balancer.pace):
+                service = watch.engine.service
+                if service not in free:
+                    free[service] = self._engines.count_places(service)
+                if free[service] > len(self._places):
+                    free[service] -= 1
+                    self._stalls.end(watch)
 
     async def _finish_item(self, item: Item) -> None:
         """Runs an item and has it scored until it has a result, whatever errors come between."""
@@ -150,7 +155,9 @@
             if self._is_given_up(route):
                 end = RunEnd.DEAD
             elif route is not None:
-                engine = await self._places.take(item, route, progress.pace_left)
+                engine = self._granted.pop(item.id, None)
+                if engine is None:
+                    engine = await self._places.take(progress, route, progress.pace_left)
                 if engine is None:
                     progress.pace_left = 0.0  # no engine as fast has a place any more
                 else:
@@ -161,7 +168,7 @@
                     end = await self._run_at(engine, item, route, progress)
             if end is RunEnd.DEAD:
                 return False
-            if end is RunEnd.AGAIN:
+            if end is RunEnd.AGAIN and item.id not in self._granted:
                 await self._services.clock.sleep(AGAIN_PAUSE_SECONDS)
         return True
 
@@ -174,7 +181,7 @@
             impossible=progress.impossible_answers,
             failed_calls=progress.failed_calls,
         )
-        self._finished(Result(item.id, ResultState.DEAD))
+        self._finished(Result(item.id, ResultState.DEAD, group=item.group))
 
     def _route(self, item: Item) -> Route | None:
         configuration: Configuration | None = self._services.configuration.current
@@ -198,22 +205,25 @@
     ) -> RunEnd:
         """Runs an item at its place at an engine from where it is, and tells how that ended."""
         balancer = self._services.balancer
-        if progress.last_event is not None and route.single_version:
-            self._keep_pure(engine, progress)
         began = self._services.clock.now()
         resumed_after = progress.last_event
         end = RunEnd.AGAIN
         reason = ""
         try:
-            end = await self._stream(engine, item, route, progress)
+            end = await self._runs.run(engine, item, route, progress)
             reason = end.value if end is not RunEnd.AGAIN else "failed"
         except NotRunError as error:
             balancer.note_not_run(engine.id, error.reason, REFUSED_AVOID_SECONDS)
             reason = error.reason
-        except MoveAwayError:
+        except MoveAwayError as move:
             progress.moves += 1
+            if move.engine is not None:
+                self._granted[item.id] = move.engine
             progress.pace_left = balancer.pace(engine.id)
             reason = "moved"
+        except StalledError:
+            balancer.avoid(engine.id, STALLED_AVOID_SECONDS)
+            reason = "stalled"
         except TimeoutError:
             balancer.avoid(engine.id, SILENT_AVOID_SECONDS)
             reason = "silent"
@@ -262,96 +272,3 @@
             version=directory.version_of(engine.id, self.head.model),
             minimum_version=self.head.minimum_version,
         )
-
-    def _keep_pure(self, engine: InstanceInfo, progress: Progress) -> None:
-        version = self._services.directory.version_of(engine.id, self.head.model)
-        if progress.versions != {version}:
-            progress.restart()
-
-    async def _stream(
-        self,
-        engine: InstanceInfo,
-        item: Item,
-        route: Route,
-        progress: Progress,
-    ) -> RunEnd:
-        if not self._services.directory.takes_work(engine.id):
-            raise NotRunError(NotRunReason.LEAVING)
-        request = self._request(item, progress)
-        began = self._services.clock.now()
-        async with asyncio.timeout(FIRST_EVENT_SECONDS) as limit:
-            async with self._services.servers.send(engine, request) as answer:
-                self._services.balancer.note_load(engine.id, answer.load)
-                if answer.status != 200:
-                    return self._judge_failure(route, progress, answer)
-                await self._take_events(engine, route, progress, answer, limit, began)
-        if not progress.events:
-            raise BrokenAnswerError("a stream without events")
-        progress.complete()
-        return RunEnd.WHOLE
-
-    def _request(self, item: Item, progress: Progress) -> OutgoingRequest:
-        return OutgoingRequest(
-            request_id=item.id.encode("latin-1"),
-            method="POST",
-            host=self.head.host.encode("latin-1"),
-            target=item.path.encode("latin-1"),
-            headers=tuple(
-                (name.encode("latin-1"), value.encode("latin-1")) for name, value in item.headers
-            ),
-            body=item.body,
-            resume_after=progress.last_event,
-            tenant=self.head.tenant,
-        )
-
-    async def _take_events(
-        self,
-        engine: InstanceInfo,
-        route: Route,
-        progress: Progress,
-        answer: ServerAnswer,
-        limit: asyncio.Timeout,
-        began: float,
-    ) -> None:
-        """Takes the events of a run.
-
-        Raises:
-            BrokenAnswerError: the stream broke off, or its version is not to be used.
-            MoveAwayError: a faster engine is free.
-        """
-        loop = asyncio.get_running_loop()
-        version = answer.version or 0
-        self._services.directory.observe_version(engine.id, self.head.model, version)
-        last_at: float | None = None
-        count = 0
-        async for event in answer.events():
-            now = loop.time()
-            limit.reschedule(now + EVENT_GAP_SECONDS)
-            if event.version is not None:
-                version = event.version
-                self._services.directory.observe_version(engine.id, self.head.model, version)
-            if version < self.head.minimum_version:
-                raise BrokenAnswerError(f"version {version} is too old")
-            if route.single_version and progress.versions - {version}:
-                progress.restart()
-                raise BrokenAnswerError("the version changed within a result")
-            progress.take(event.id, event.data, version)
-            if last_at is None:
-                self._services.metrics.observe(Timing.ITEM_FIRST_EVENT, now - began)
-            else:
-                self._services.balancer.note_pace(engine.id, now - last_at, EVENT_PACE_WEIGHT)
-            last_at = now
-            count += 1
-            may_move = progress.moves < MAX_MOVES and count % EVENTS_BETWEEN_LOOKS == 0
-            if may_move and self._engines.is_outpaced(engine, progress):
-                raise MoveAwayError
-
-    def _judge_failure(self, route: Route, progress: Progress, answer: ServerAnswer) -> RunEnd:
-        if answer.status == 422:
-            progress.impossible_answers += 1
-            return RunEnd.DEAD
-        if answer.status == 500:
-            progress.failed_runs += 1
-            if progress.failed_runs >= route.max_attempts:
-                return RunEnd.DEAD
-        return RunEnd.AGAIN
--- a/src/larkpost/rollouts/service.py
+++ b/src/larkpost/rollouts/service.py
@@ -17,10 +17,11 @@
 from larkpost.store.port import StoreUnavailableError
 
 END_PATIENCE_SECONDS = 2.0
-READ_POLL_SECONDS = 0.1
+READ_POLL_SECONDS = 0.05
+"""How often a held read looks for what another daemon appends: a step waits for the last one."""
 LEAST_WAIT_SECONDS = 0.001
 """A remaining wait below this counts as over."""
-FRESH_SECONDS = 0.08
+FRESH_SECONDS = 0.04
 """A list confirmed this recently is given without asking the store again."""
 RETRY_AFTER_SECONDS = 0.2
 MAX_PAGE_BYTES = 900_000
@@ -144,6 +145,9 @@
     ) -> ResultPage:
         """Returns the results from a position on, waiting for one if there is none yet.
 
+        Until the batch is due the wait goes on, as long as the caller allows, until the trainer
+        has the groups that it waits for: one that is answered early asks again only after a pause.
+
         Raises:
             NoSuchBatchError: there is no such batch.
             BatchUnreadableError: the store does not answer.
@@ -151,9 +155,13 @@
         view = await self._view(batch, caller)
         give_up_at = self._clock.now() + wait
         while True:
-            failed = not await self._refresh(view, position)
+            may_hold = self._may_hold(view)
+            failed = not await self._refresh(view, position, may_hold)
             remaining = give_up_at - self._clock.now()
-            if len(view.results) > position or len(view.results) >= view.head.total:
+            is_over = failed or not may_hold or remaining < LEAST_WAIT_SECONDS
+            has_new = len(view.results) > position
+            is_complete = len(view.results) >= view.head.total
+            if is_complete or (has_new and (is_over or view.has_step())):
                 return self._give(view, position, from_memory=failed)
             if remaining < LEAST_WAIT_SECONDS:
                 if failed:
@@ -165,6 +173,18 @@
                 return self._give(view, position, from_memory=False)
             await view.wait_for_change(min(READ_POLL_SECONDS, remaining))
 
+    def _may_hold(self, view: BatchView) -> bool:
+        """Tells whether results may be held back until there are enough for the trainer."""
+        head = view.head
+        now = self._services.store_time()
+        configuration = self._services.configuration.current
+        if not self._services.policy.held_reads or not head.group_size or not head.desired_groups:
+            return False
+        if now is None or configuration is None:
+            return False
+        route = configuration.match(head.host, head.path.encode("latin-1"))
+        return route is not None and now - head.created_at < route.due
+
     def _give(self, view: BatchView, position: int, *, from_memory: bool) -> ResultPage:
         """Returns a page and notes it, with the age of what was known."""
         page = _page(view, position)
@@ -244,13 +264,17 @@
         _check_seen(head, caller)
         return head
 
-    async def _refresh(self, view: BatchView, position: int) -> bool:
-        """Brings a view up to date; False if the store did not answer."""
+    async def _refresh(self, view: BatchView, position: int, may_hold: bool) -> bool:
+        """Brings a view up to date; False if the store did not answer.
+
+        Args:
+            may_hold: whether more is wanted though there are results from the position on.
+        """
         started = self._clock.now()
         known = len(view.results)
         if known >= view.head.total or started - view.confirmed_at < FRESH_SECONDS:
             return True
-        if known > position:
+        if known > position and not may_hold:
             return True
         try:
             results = await self._repository.results(view.head.id, known)
--- /dev/null
+++ b/src/larkpost/rollouts/stalls.py
@@ -0,0 +1,89 @@
+"""Finds runs that make nothing for a while although another engine could go on with them.
+
+An engine takes more requests than it runs at once, and more texts than its memory has room for.
+The others wait there, or are put off, and their streams are silent. The daemon that sent them
+cannot see why, but a silence of several events is plain, and so is a free place elsewhere.
+"""
+
+import asyncio
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass
+
+from larkpost.clock import Clock
+from larkpost.fleet.directory import InstanceInfo
+from larkpost.ids import EngineId
+
+LOOK_SECONDS = 0.1
+"""Interval at which the runs of a batch are looked at."""
+LEAST_SILENCE_SECONDS = 0.3
+"""A run is not stalled before: the first event takes about 0.1 s, a queue at least as long."""
+SILENCE_PACES = 6.0
+"""Nor before as many events could have come at the engine's pace: slow engines are not silent."""
+
+
+@dataclass(slots=True)
+class RunWatch:
+    """One run at an engine.
+
+    Attributes:
+        limit: ends the run when its time is over; moved forward to end it at once.
+        began_at: steady time at which the run began.
+        heard_at: steady time of the last sign of progress.
+        is_stalled: whether the run was ended because it made nothing.
+    """
+
+    engine: InstanceInfo
+    limit: asyncio.Timeout
+    began_at: float
+    heard_at: float
+    is_stalled: bool = False
+
+    def heard(self, now: float, longest_gap: float) -> None:
+        """Takes that an event has come, and gives the run time for the next one."""
+        self.heard_at = now
+        if not self.is_stalled:
+            self.limit.reschedule(now + longest_gap)
+
+
+class StallWatcher:
+    """Watches the runs of one batch."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._watches: list[RunWatch] = []
+
+    @contextmanager
+    def watch(self, engine: InstanceInfo, limit: asyncio.Timeout) -> Iterator[RunWatch]:
+        """Watches a run until the context is left."""
+        now = self._clock.now()
+        watch = RunWatch(engine, limit, now, now)
+        self._watches.append(watch)
+        try:
+            yield watch
+        finally:
+            self._watches.remove(watch)
+
+    def stalled(self, pace_of: Callable[[EngineId], float]) -> list[RunWatch]:
+        """Returns the runs that have been silent for too long, the longest silence first.
+
+        Args:
+            pace_of: returns the seconds for an event at an engine, 0 if unknown.
+        """
+        now = self._clock.now()
+        silent = [
+            watch
+            for watch in self._watches
+            if not watch.is_stalled and now - watch.heard_at >= _patience(pace_of(watch.engine.id))
+        ]
+        return sorted(silent, key=lambda watch: watch.heard_at)
+
+    def end(self, watch: RunWatch) -> None:
+        """Ends a run, so that it goes on elsewhere."""
+        watch.is_stalled = True
+        watch.limit.reschedule(self._clock.now())
+
+
+def _patience(pace: float) -> float:
+    """Returns the silence, in seconds, after which a run at an engine of this pace is stalled."""
+    return max(LEAST_SILENCE_SECONDS, SILENCE_PACES * pace)
--- /dev/null
+++ b/src/larkpost/rollouts/urgency.py
@@ -0,0 +1,54 @@
+"""How urgent the items of a batch are to an engine: the longest first, as a step waits for them.
+
+Engines admit more urgent requests first, and put less urgent ones off when their memory runs out.
+Priorities of tenants and routes come before lengths. An item that has shown itself long is urgent
+whatever its trainer guessed.
+"""
+
+import math
+from collections.abc import Sequence
+
+from larkpost.rollouts.attempt import Progress
+from larkpost.rollouts.model import Item
+
+HIGHEST_PRIORITY = 0
+LOWEST_PRIORITY = 9
+"""The ranks that an engine tells apart; requests without one have the middle of them."""
+LENGTH_CLASSES = 3
+LONG_SHARE = 0.15
+"""Share of a batch's items that count as long: about one in ten is several times the others."""
+SHORT_SHARE = 0.5
+"""Share of them that count as short."""
+LONG_RUN_EVENTS = 30
+"""Events after which an item has shown itself long; three in four items have fewer."""
+
+
+class Urgency:
+    """Ranks the items of one batch."""
+
+    def __init__(self, items: Sequence[Item]) -> None:
+        works = sorted((item.expected_work for item in items), reverse=True)
+        self._long_from = _at_share(works, LONG_SHARE)
+        self._short_to = _at_share(works, 1 - SHORT_SHARE)
+
+    def rank(self, item: Item, progress: Progress, priority: int) -> int:
+        """Returns the rank that an engine is told, from 0, the most urgent, to 9.
+
+        Args:
+            priority: of the item's tenant or route, 0 highest.
+        """
+        rank = priority * LENGTH_CLASSES + self._length_class(item, progress)
+        return max(HIGHEST_PRIORITY, min(LOWEST_PRIORITY, rank))
+
+    def _length_class(self, item: Item, progress: Progress) -> int:
+        """Returns 0 for a long item, 2 for a short one."""
+        if len(progress.events) >= LONG_RUN_EVENTS or item.expected_work >= self._long_from:
+            return 0
+        return 1 if item.expected_work > self._short_to else 2
+
+
+def _at_share(works: list[int], share: float) -> float:
+    """Returns the work that a share of the items, sorted by falling work, reaches."""
+    if not works:
+        return math.inf
+    return works[min(len(works) - 1, int(len(works) * share))]
--- a/src/larkpost/rollouts/view.py
+++ b/src/larkpost/rollouts/view.py
@@ -1,9 +1,10 @@
 """What one daemon knows of a batch's list of results. Places never change, so it only grows."""
 
 import asyncio
+from collections import Counter
 
 from larkpost.ids import BatchId
-from larkpost.rollouts.model import BatchHead, Item, ItemId, Result
+from larkpost.rollouts.model import BatchHead, GroupId, Item, ItemId, Result
 
 MAX_CACHE_BYTES = 24_000_000
 
@@ -20,6 +21,7 @@
     def __init__(self, head: BatchHead) -> None:
         self.head = head
         self.results: list[Result] = []
+        self._group_counts: Counter[GroupId | None] = Counter()
         self.items: dict[ItemId, Item] | None = None
         self.confirmed_at = float("-inf")
         self.used_at = float("-inf")
@@ -33,9 +35,16 @@
         new = results[known - position :]
         if new:
             self.results.extend(new)
+            self._group_counts.update(result.group for result in new)
             self._changed.set()
             self._changed = asyncio.Event()
 
+    def has_step(self) -> bool:
+        """Tells whether enough groups are whole for the trainer to go on."""
+        size = self.head.group_size
+        whole = sum(count >= size for group, count in self._group_counts.items() if group)
+        return bool(size) and whole >= self.head.desired_groups
+
     def confirm(self, at: float) -> None:
         """Notes that the list was complete at a time."""
         self.confirmed_at = max(self.confirmed_at, at)
--- a/tests/platform_checks.py
+++ b/tests/platform_checks.py
@@ -1,6 +1,6 @@
 """Checks of single promises on the platform, shared by the fuzz's oracle and the process soak."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 LEASE_SECONDS = 3.0
 CALL_ATTEMPTS = 4
@@ -19,6 +19,14 @@
         assert same_holder or after[2] - before[2] >= LEASE_SECONDS, f"{instance}: {orders}"
 
 
+def check_reports(reports: Iterable[tuple[int, Mapping[str, int]]]) -> None:
+    """Checks that no window of usage was reported with two different counts."""
+    known: dict[int, Mapping[str, int]] = {}
+    for window, counts in reports:
+        before = known.setdefault(window, counts)
+        assert before == counts, f"window {window} was reported as {before} and as {counts}"
+
+
 def check_once(batch: str, listed: list[str], items: set[str]) -> None:
     """Checks that each item listed is the batch's and stands once."""
     assert len(set(listed)) == len(listed), f"{batch} doubled"
--- a/tests/platform_mutants.py
+++ b/tests/platform_mutants.py
@@ -280,6 +280,79 @@
     return mock.patch.object(repository.codec, "decode_progress", decode_progress)
 
 
+def admit_unknown_keys():
+    """Lets callers in whose key nobody holds."""
+    from larkpost.fleet.configuration import Configuration
+
+    return mock.patch.object(Configuration, "tenant_of", lambda self, _: (self.tenants or [])[0])
+
+
+def pass_keys_on():
+    """Passes a caller's key, and what it says of its tenant, on to the server."""
+    from larkpost.platform import ingress
+
+    return mock.patch.object(ingress, "OWN_REQUEST_HEADERS", frozenset({b"host", b"expect"}))
+
+
+def show_batches_to_other_tenants():
+    """Lets every tenant see every batch."""
+    from larkpost.fleet.tenants import Caller
+
+    return mock.patch.object(Caller, "may_see", lambda *_: True)
+
+
+def refuse_for_good_by_old_configurations():
+    """Says that there is no such key or route however old the configuration is."""
+    from larkpost.proxy import admission
+
+    original = admission.Admission.__init__
+
+    def init(self, configuration, _age, *others):
+        original(self, configuration, lambda: 0.0, *others)
+
+    return mock.patch.object(admission.Admission, "__init__", init)
+
+
+def decide_usage_anew():
+    """Sends whatever the counts are now, not what was decided."""
+    from larkpost.usage import reporter
+    from larkpost.usage.repository import DecidedReport
+
+    async def decide(self, window):
+        return DecidedReport(await self._repository.sum_counts(window), False, 0)
+
+    return mock.patch.object(reporter.UsageReporter, "_decide", decide)
+
+
+def save_counts_without_condition():
+    """Writes counts whatever the row's version is, so that late writes undo later ones."""
+    from larkpost.rehearsal.memory_store import StoreClient
+    from larkpost.usage.repository import COUNT_TABLE
+
+    original = StoreClient.write
+
+    async def write(self, transaction, timeout):
+        if any(key.table == COUNT_TABLE for key, _ in transaction.puts):
+            transaction = Transaction(puts=transaction.puts)
+        return await original(self, transaction, timeout)
+
+    return mock.patch.object(StoreClient, "write", write)
+
+
+def believe_own_clock():
+    """Takes this machine's time of day for the true one."""
+    from larkpost.fleet.true_time import TrueTime
+
+    return mock.patch.object(TrueTime, "now", lambda self: self._clock.wall_ms() / 1000)
+
+
+def end_stalled_runs_without_places():
+    """Ends every run that makes nothing, whether another engine has a place or not."""
+    from larkpost.rollouts.engine_choice import EngineChoice
+
+    return mock.patch.object(EngineChoice, "count_places", lambda *_: 1000)
+
+
 MUTANTS = {
     mutant.__name__: mutant
     for mutant in (
@@ -306,6 +379,14 @@
         ask_silent_peers_again,
         keep_connections_of_nameless_refusals,
         relay_unanswered_writes,
+        admit_unknown_keys,
+        pass_keys_on,
+        show_batches_to_other_tenants,
+        refuse_for_good_by_old_configurations,
+        decide_usage_anew,
+        save_counts_without_condition,
+        believe_own_clock,
+        end_stalled_runs_without_places,
     )
 }
 TESTS = dict.fromkeys(MUTANTS, FUZZ) | {
@@ -327,6 +408,14 @@
     "ask_silent_peers_again": "tests.test_store_relay",
     "keep_connections_of_nameless_refusals": "tests.test_platform_servers",
     "relay_unanswered_writes": "tests.test_store_relay",
+    "admit_unknown_keys": "tests.test_tenants",
+    "pass_keys_on": "tests.test_tenants",
+    "show_batches_to_other_tenants": "tests.test_tenants",
+    "refuse_for_good_by_old_configurations": "tests.test_tenants",
+    "decide_usage_anew": "tests.test_usage",
+    "save_counts_without_condition": "tests.test_usage",
+    "believe_own_clock": "tests.test_usage",
+    "end_stalled_runs_without_places": "tests.test_urgency",
 }
 EXPECTED_CHECKS = {
     "refuse_after_unknown": ("BatchRefusedError",),
@@ -336,5 +425,6 @@
     "score_before_the_text": ("scored before",),
     "score_unsigned_answers": ("nobody's signature",),
     "give_up_after_one_failed_call": ("given up early",),
+    "refuse_for_good_by_old_configurations": ("UnknownKeyError",),
 }
 """What the failure must name: another failure proves nothing about the mutant."""
--- a/tests/platform_oracle.py
+++ b/tests/platform_oracle.py
@@ -80,12 +80,21 @@
         self.check_refused()
         self.check_listed()
         self.check_scores()
+        self.check_usage()
 
     def check_orders(self) -> None:
         """Holders never take turns at an engine within a lease; tokens rise."""
         for name, state in self.fleet.engines.engines.items():
             checks.check_turns([(order[0], order[1], order[4]) for order in state.orders], name)
 
+    def check_usage(self) -> None:
+        """Each window of usage has one report; holders of the duty never take turns in a lease."""
+        received = self.fleet.usage.received
+        checks.check_turns(
+            [(report.holder, report.token, report.at) for report in received], "usage"
+        )
+        checks.check_reports((report.window, report.counts) for report in received)
+
     def check_refused(self) -> None:
         """Nothing of a batch that was refused has run."""
         ran = {name for state in self.fleet.engines.engines.values() for name in state.runs}
--- a/tests/process_soak/__main__.py
+++ b/tests/process_soak/__main__.py
@@ -69,7 +69,9 @@
         site = Site(group, self._folder, self._mutant)
         await site.start()
         await _until_ready(site)
-        callers = Callers(site.fronts, self._judge, self._chance, site.name_version)
+        callers = Callers(
+            site.fronts, self._judge, self._chance, site.name_version, lambda: site.configured_at
+        )
         until = time.monotonic() + self.report.seconds
         work = asyncio.gather(
             callers.train(MODEL, ITEMS, until),
--- a/tests/process_soak/callers.py
+++ b/tests/process_soak/callers.py
@@ -12,7 +12,14 @@
 from larkpost.fleet.configuration import ModelName
 from larkpost.ids import Address
 from larkpost.platform import names
-from larkpost.platform.stand_in.rows import BATCH_PREFIX, HOST, PAGE_PREFIX
+from larkpost.platform.stand_in.rows import (
+    BATCH_PREFIX,
+    HOST,
+    PAGE_PREFIX,
+    READING,
+    TRAINING,
+    key_of,
+)
 from tests.process_soak.judge import Judge, SubmittedBatch
 
 CALL_SECONDS = 3.0
@@ -22,6 +29,10 @@
 READ_WAIT_MS = "500"
 GROUP_SIZE = 4
 ONCE_PREFIX = "/orders/"
+KEPT_VERSIONS = 2
+"""A key is in force in the version that brings it and in the next one."""
+DROPPED_KEY_EVERY = 7
+"""Every so manieth request carries a key that was taken away."""
 PROMISES_NOT_RUN = (408, 421, 429, 503)
 CALL_FAILURES = (aiohttp.ClientError, TimeoutError, OSError)
 
@@ -32,6 +43,7 @@
     Args:
         fronts: returns the addresses of the daemons, as callers reach them.
         name_version: names a weight version for a model.
+        configured_at: returns when each version of the configuration was acknowledged.
     """
 
     def __init__(
@@ -40,7 +52,9 @@
         judge: Judge,
         chance: random.Random,
         name_version: Callable[[ModelName, int], Awaitable[None]],
+        configured_at: Callable[[], dict[int, float]],
     ) -> None:
+        self._configured_at = configured_at
         self._fronts = fronts
         self._judge = judge
         self._chance = chance
@@ -125,8 +139,13 @@
     async def _request(self, *, once: bool) -> None:
         name = f"r{self._chance.getrandbits(60):x}"
         self._judge.asked[name] = once
+        self._judge.tenants[name] = READING
+        version = self._newest_version()
+        if self.requests % DROPPED_KEY_EVERY == 0 and version > KEPT_VERSIONS:
+            self._judge.dropped[name] = self._configured_at()[version]
+            version -= KEPT_VERSIONS
         target = f"{ONCE_PREFIX if once else PAGE_PREFIX}{name}"
-        answer = await self._call("POST" if once else "GET", target, name)
+        answer = await self._call("POST" if once else "GET", target, name, version=version)
         if answer is None:
             return
         status, body = answer
@@ -137,13 +156,28 @@
         elif once and status in PROMISES_NOT_RUN:
             self._judge.told_not_run.add(name)
 
+    def _newest_version(self) -> int:
+        """Returns the newest version of the configuration that was acknowledged."""
+        return max(self._configured_at())
+
     async def _call(
-        self, method: str, target: str, request: str, body: bytes | None = None
+        self,
+        method: str,
+        target: str,
+        request: str,
+        body: bytes | None = None,
+        version: int | None = None,
     ) -> tuple[int, bytes] | None:
-        """Makes one call at any daemon; None if there was no whole answer."""
+        """Makes one call at any daemon; None if there was no whole answer.
+
+        Args:
+            version: of the configuration whose key is sent; None for the newest.
+        """
         daemon = self._chance.choice(self._fronts())
+        tenant = TRAINING if request.startswith("b") else READING
         headers = {
             "Host": HOST,
+            names.API_KEY.decode(): key_of(tenant, version or self._newest_version()),
             names.REQUEST_ID.decode(): request,
             names.WAIT_MS.decode(): READ_WAIT_MS,
         }
--- a/tests/process_soak/judge.py
+++ b/tests/process_soak/judge.py
@@ -5,11 +5,14 @@
 
 from dataclasses import dataclass, field
 
+from larkpost.platform.stand_in.rows import TRAINING
 from larkpost.rehearsal.scripted_engines import output_of
 from larkpost.rollouts.model import ResultState
 from tests import platform_checks as checks
 from tests.process_soak.records import Records
 
+APPLY_SECONDS = 2.0
+"""Time after the acknowledgement of a configuration until it is in force everywhere."""
 CANCEL_SECONDS = 3.0
 """Time after the acknowledgement of a batch's end within which its items may still arrive."""
 FAULT_SLACK_SECONDS = 12.0
@@ -49,12 +52,16 @@
     Attributes:
         asked: ids of all client requests; the value tells whether it may run only once.
         told_not_run: run-once requests that were told that they did not run and will not.
+        tenants: whose key each client request carried.
+        dropped: requests with a key that was taken away, each with the time of that.
         fault_times: when faults struck or ended.
     """
 
     batches: dict[str, SubmittedBatch] = field(default_factory=dict)
     asked: dict[str, bool] = field(default_factory=dict)
     told_not_run: set[str] = field(default_factory=set)
+    tenants: dict[str, str] = field(default_factory=dict)
+    dropped: dict[str, float] = field(default_factory=dict)
     fault_times: list[float] = field(default_factory=list)
 
     def take_page(self, batch: SubmittedBatch, position: int, results: list[dict]) -> None:
@@ -73,6 +80,13 @@
             self._check_results(batch, records)
             self._check_arrivals(batch, records)
         self._check_requests(records)
+        self._check_tenants(records)
+        checks.check_reports(
+            [(report.window, report.counts) for report in records.usage],
+        )
+        checks.check_turns(
+            [(report.holder, report.token, report.at) for report in records.usage], "usage"
+        )
         for instance, orders in records.orders.items():
             checks.check_turns(
                 [(order.holder, order.token, order.at) for order in orders], instance
@@ -121,6 +135,19 @@
                 assert len(runs) == 1, f"{name} ran {len(runs)} times"
                 assert name not in self.told_not_run, f"{name} was told not run, but ran"
 
+    def _check_tenants(self, records: Records) -> None:
+        """Servers are told whose request it is; what carried a dropped key does not run."""
+        owners = {name: None for batch in self.batches.values() for name in batch.calls.values()}
+        owners |= {name: TRAINING for batch in self.batches.values() for name in batch.calls}
+        owners |= self.tenants
+        for name, runs in records.runs.items():
+            for run in runs:
+                assert run.tenant == owners.get(name), f"{name} ran as {run.tenant}"
+        for name, dropped_at in self.dropped.items():
+            for run in records.runs.get(name, ()):
+                late = run.began > dropped_at + APPLY_SECONDS
+                assert not (late and self._is_calm(run.began)), f"{name} ran with a dropped key"
+
     def missing(self) -> list[str]:
         """Returns the accepted batches that are neither whole nor ended."""
         return [
--- a/tests/process_soak/records.py
+++ b/tests/process_soak/records.py
@@ -1,5 +1,6 @@
 """What the servers of a soak have told of themselves."""
 
+import time
 from collections import defaultdict
 from collections.abc import Iterable
 from dataclasses import dataclass, field
@@ -27,16 +28,34 @@
     RUN = "run"
     WHOLE = "whole"
     ORDER = "order"
+    USAGE = "usage"
+
+
+def tell(kind: RecordKind, **fields) -> None:
+    """Writes a record; all processes of a machine share the steady clock."""
+    print(orjson.dumps({"kind": kind, "at": time.monotonic()} | fields).decode(), flush=True)
 
 
 @dataclass(frozen=True, slots=True)
 class Run:
-    """One run of a request; `began` is steady time."""
+    """One run of a request; `began` is steady time, `tenant` what the server was told."""
 
     path: str
     began: float
     signature: str
     status: int
+    tenant: str | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Usage:
+    """A usage report that was taken; `at` is steady time."""
+
+    window: int
+    counts: dict[str, int]
+    holder: str
+    token: int
+    at: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,11 +75,13 @@
         runs: by request.
         whole_at: when a stream of the request first came to its end.
         orders: by instance, as they arrived.
+        usage: all usage reports that were taken, as they arrived.
     """
 
     runs: dict[str, list[Run]] = field(default_factory=lambda: defaultdict(list))
     whole_at: dict[str, float] = field(default_factory=dict)
     orders: dict[str, list[Order]] = field(default_factory=lambda: defaultdict(list))
+    usage: list[Usage] = field(default_factory=list)
 
     def take(self, document: dict[str, Any]) -> None:
         """Takes one record."""
@@ -71,6 +92,7 @@
                     document["began"],
                     document["signature"],
                     document["status"],
+                    document["tenant"],
                 )
                 self.runs[document["request"]].append(run)
             case RecordKind.WHOLE:
@@ -79,6 +101,9 @@
             case RecordKind.ORDER:
                 order = Order(document["holder"], document["token"], document["at"])
                 self.orders[document["instance"]].append(order)
+            case RecordKind.USAGE:
+                fields = ("window", "counts", "holder", "token", "at")
+                self.usage.append(Usage(*(document[name] for name in fields)))
 
 
 def read_records(files: Iterable[Path]) -> Records:
--- a/tests/process_soak/server_program.py
+++ b/tests/process_soak/server_program.py
@@ -23,17 +23,12 @@
 from larkpost.platform.stand_in.server_app import ServerApp
 from larkpost.platform.store import HttpStore
 from larkpost.rehearsal.scripted_engines import EngineState
-from tests.process_soak.records import FAILING_CALL, LATE_ORDERS_CALL, RecordKind
+from tests.process_soak.records import FAILING_CALL, LATE_ORDERS_CALL, RecordKind, tell
 
 LATE_SECONDS = 2.0
 UNANSWERED_SECONDS = 30.0
 
 
-def tell(kind: RecordKind, **fields) -> None:
-    """Writes a record; all processes of a machine share the steady clock."""
-    print(orjson.dumps({"kind": kind, "at": time.monotonic()} | fields).decode(), flush=True)
-
-
 class RecordingServerApp(ServerApp):
     """A stand-in server that records its runs, answers and orders, and may fail all pages."""
 
@@ -76,6 +71,7 @@
             began=began,
             signature=signature,
             status=response.status_code,
+            tenant=request.headers.get(names.TENANT.decode()),
         )
         return response
 
--- a/tests/process_soak/site.py
+++ b/tests/process_soak/site.py
@@ -92,6 +92,7 @@
         self._refuser = HttpServer(_refuse, self._refuser_address)
         self._client = HttpStore(self._store_address, ROW_BYTES)
         self._configuration = 0
+        self.configured_at: dict[int, float] = {}
         self._started = 0
         self.servers: list[Server] = []
         self.daemons: list[Daemon] = []
@@ -123,7 +124,7 @@
 
     def outputs(self) -> list[Path]:
         """Returns the files that hold the servers' records."""
-        return sorted(self._folder.glob("server-*.out"))
+        return sorted([*self._folder.glob("server-*.out"), *self._folder.glob("store.out")])
 
     async def change_configuration(self) -> None:
         """Writes a newer configuration, with a route that the one before had not."""
@@ -138,6 +139,7 @@
         document["routes"] += [once, added]
         key = RowKey(names.OPERATOR_TABLE, "", names.CONFIGURATION_KEY)
         await self._write(Transaction(puts=((key, orjson.dumps(document)),)))
+        self.configured_at[self._configuration] = time.monotonic()
 
     async def name_version(self, model: ModelName, version: int) -> None:
         """Names a weight version."""
--- a/tests/process_soak/store_program.py
+++ b/tests/process_soak/store_program.py
@@ -17,10 +17,11 @@
 from larkpost.clock import LoopClock
 from larkpost.http_server import HttpServer
 from larkpost.ids import Address
+from larkpost.platform import names
 from larkpost.platform.stand_in.programs import HEARTBEAT_SECONDS, _drop_silent
 from larkpost.platform.stand_in.store_app import StoreApp
 from larkpost.rehearsal.memory_store import MemoryStore, StoreFaults
-from tests.process_soak.records import FORGET_CALL, STORE_FAULTS_CALL
+from tests.process_soak.records import FORGET_CALL, STORE_FAULTS_CALL, RecordKind, tell
 
 
 class FaultFreeStore:
@@ -34,6 +35,23 @@
         return getattr(self._store, name)
 
 
+class RecordingStoreApp(StoreApp):
+    """The store as daemons reach it; it records the usage reports that it takes."""
+
+    async def _take_usage(self, request: Request) -> Response:
+        response = await super()._take_usage(request)
+        if response.status_code == 200:
+            document = orjson.loads(await request.body())
+            tell(
+                RecordKind.USAGE,
+                window=document["window-id"],
+                counts=document["counts"],
+                holder=request.headers[names.LEASE_HOLDER.decode()],
+                token=int(request.headers[names.FENCING_TOKEN.decode()]),
+            )
+        return response
+
+
 def read_faults(content: bytes) -> StoreFaults:
     """Reads faults from a document of the fields that differ from none.
 
@@ -66,7 +84,7 @@
     app.router.routes.append(Route(STORE_FAULTS_CALL, set_faults, methods=["POST"]))
     app.router.routes.append(Route(FORGET_CALL, forget, methods=["POST"]))
     await HttpServer(app, clean).start()
-    await HttpServer(StoreApp(store, clock).app(), faulty).start()
+    await HttpServer(RecordingStoreApp(store, clock).app(), faulty).start()
     while True:
         await asyncio.sleep(HEARTBEAT_SECONDS)
         _drop_silent(store, clock)
--- /dev/null
+++ b/tests/test_held_reads.py
@@ -0,0 +1,110 @@
+"""Reads that wait for a trainer's step: how long, and when not."""
+
+import unittest
+from dataclasses import replace
+
+from larkpost.ids import BatchId
+from larkpost.policy import Policy
+from larkpost.rehearsal.memory_store import StoreFaults
+from larkpost.rollouts.model import GroupId, Item, ItemId
+from tests.platform_fleet import ROUTE, PlatformFleet, make_batch
+from tests.virtual import run
+
+WAIT_SECONDS = 1.0
+SLOW_SECONDS = 1.1
+"""For an event: below the silence after which a run goes on elsewhere."""
+STAY = Policy(stalled_moves=False, faster_engine_moves=False, long_runs_wish=False)
+"""Runs stay where they are, so that some last long."""
+
+
+class HeldReadTest(unittest.TestCase):
+    """Each test reads a batch while it runs."""
+
+    async def begin(self, spec, slow: float = 0.03) -> PlatformFleet:
+        """Submits a batch at one of two daemons, and waits until some results are there."""
+        fleet = PlatformFleet(2, 4, policy=STAY)
+        for number, state in enumerate(fleet.model_engines()):
+            state.event_seconds = slow if number == 0 else 0.03
+        await fleet.wait(1.0)
+        await fleet.gateways[0].batches.submit(spec)
+        await fleet.wait(0.3)
+        return fleet
+
+    async def read(self, fleet: PlatformFleet, position: int = 0, wait: float = WAIT_SECONDS):
+        """Reads at the daemon that does not run the batch; returns the page and the seconds."""
+        began = fleet.clock.now()
+        page = await fleet.gateways[1].batches.read(BatchId("batch"), position, wait)
+        return page, fleet.clock.now() - began
+
+    def test_answers_once_enough_groups_are_whole(self):
+        async def play():
+            fleet = await self.begin(make_batch(items=12))
+            page, seconds = await self.read(fleet)
+            self.assertEqual(12, len(page.results))
+            self.assertLess(seconds, WAIT_SECONDS - 0.1)
+
+        run(play())
+
+    def test_never_waits_longer_than_the_caller_allows(self):
+        async def play():
+            fleet = await self.begin(make_batch(items=12), slow=SLOW_SECONDS)
+            page, seconds = await self.read(fleet)
+            self.assertAlmostEqual(WAIT_SECONDS, seconds, delta=0.1)
+            self.assertLess(0, len(page.results))
+            self.assertLess(len(page.results), 12)
+            _, seconds = await self.read(fleet, wait=0.0)
+            self.assertLess(seconds, 0.1)
+
+        run(play())
+
+    def test_holds_nothing_back_once_the_batch_is_due(self):
+        async def play():
+            fleet = await self.begin(make_batch(items=12), slow=SLOW_SECONDS)
+            await fleet.wait(ROUTE.due)
+            page, seconds = await self.read(fleet)
+            self.assertLess(seconds, 0.1)
+            self.assertLess(0, len(page.results))
+            self.assertLess(len(page.results), 12)
+
+        run(play())
+
+    def test_does_not_wait_for_a_store_that_fails(self):
+        async def play():
+            fleet = await self.begin(make_batch(items=12), slow=SLOW_SECONDS)
+            await self.read(fleet, wait=0.0)
+            fleet.store.faults = StoreFaults(refuses=True)
+            page, seconds = await self.read(fleet)
+            self.assertLess(seconds, 0.2)
+            self.assertLess(0, len(page.results))
+
+        run(play())
+
+    def test_reads_beyond_the_step_wait_for_a_result(self):
+        """A trainer that reads on once it has its groups is not answered with nothing at once."""
+
+        async def play():
+            spec = replace(make_batch(items=12), desired_groups=1)
+            fleet = await self.begin(spec, slow=SLOW_SECONDS)
+            page, _ = await self.read(fleet)
+            while page.results:
+                known = page.position + len(page.results)
+                page, seconds = await self.read(fleet, known)
+            self.assertAlmostEqual(WAIT_SECONDS, seconds, delta=0.1)
+
+        run(play())
+
+    def test_groups_that_differ_are_not_waited_for(self):
+        async def play():
+            spec = make_batch(items=12)
+            extra = Item(ItemId("batch-x"), "/r/x", (), b"", 100, GroupId("g0"))
+            spec = replace(spec, items=(*spec.items, extra))
+            self.assertEqual(0, spec.group_size)
+            fleet = await self.begin(spec, slow=SLOW_SECONDS)
+            _, seconds = await self.read(fleet)
+            self.assertLess(seconds, 0.5)
+
+        run(play())
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -128,6 +128,93 @@
         self.assertTrue(run(is_outpaced(DEFAULT_POLICY)))
         self.assertFalse(run(is_outpaced(Policy(faster_engine_moves=False))))
 
+    def test_stalled_moves(self):
+        async def seconds(policy: Policy) -> float:
+            """Returns the time in which a batch is whole though an engine stalls."""
+            fleet = PlatformFleet(1, 2, policy=policy)
+            first = next(iter(fleet.engines.engines.values()))
+            first.stall_after = 1
+            await fleet.wait(1.0)
+            began = fleet.clock.now()
+            spec = make_batch(items=8)
+            await fleet.gateways[0].batches.submit(spec)
+            await fleet.read_all(fleet.gateways[0], spec.id)
+            return fleet.clock.now() - began
+
+        self.assertLess(run(seconds(DEFAULT_POLICY)), 1.2)
+        self.assertGreater(run(seconds(Policy(stalled_moves=False))), 1.5)
+
+    def test_long_items_urgent(self):
+        async def ranks(policy: Policy) -> set[int | None]:
+            fleet = PlatformFleet(1, 1, policy=policy)
+            await fleet.wait(1.0)
+            await fleet.gateways[0].batches.submit(make_batch("batch", 40))
+            await fleet.wait(0.2)
+            return set(next(iter(fleet.engines.engines.values())).ranks.values())
+
+        self.assertEqual({0, 1}, run(ranks(DEFAULT_POLICY)))
+        self.assertEqual({None}, run(ranks(Policy(long_items_urgent=False))))
+
+    def test_own_engines_first(self):
+        async def engines(policy: Policy) -> int:
+            """Returns how many engines a new batch uses, of which two are its model's own."""
+            fleet = PlatformFleet(1, 4, policy=policy)
+            own = frozenset({EngineId("engine-0"), EngineId("engine-1")})
+            await fleet.wait(1.0)
+            services = fleet.gateways[0].keeper._services
+            services.division.engines_of = lambda *_: own
+            await fleet.gateways[0].batches.submit(make_batch("batch", 40))
+            await fleet.wait(0.4)
+            return sum(bool(state.runs) for state in fleet.model_engines())
+
+        self.assertEqual(2, run(engines(DEFAULT_POLICY)))
+        self.assertEqual(4, run(engines(Policy(own_engines_first=False))))
+
+    def test_long_runs_wish(self):
+        async def wished(policy: Policy) -> bool:
+            """Tells whether long runs leave a slow engine though waiting items take all places."""
+            fleet = PlatformFleet(1, 2, policy=policy)
+            slow, fast = fleet.model_engines()
+            slow.event_seconds, fast.event_seconds = 0.085, 0.03
+            fleet.engines.output_events = 60
+            await fleet.wait(1.0)
+            await fleet.gateways[0].batches.submit(make_batch("batch", 64))
+            await fleet.wait(6.0)
+            return bool(set(slow.runs[:8]) & set(fast.runs))
+
+        self.assertTrue(run(wished(DEFAULT_POLICY)))
+        self.assertFalse(run(wished(Policy(long_runs_wish=False))))
+
+    def test_held_reads(self):
+        async def results(policy: Policy) -> int:
+            """Returns how many results a read gets that may wait while some are there already."""
+            fleet = PlatformFleet(1, 4, policy=policy)
+            await fleet.wait(1.0)
+            spec = make_batch("batch", 12)
+            await fleet.gateways[0].batches.submit(spec)
+            await fleet.wait(0.25)
+            page = await fleet.gateways[0].batches.read(spec.id, 0, 1.0)
+            self.assertGreater(len(page.results), 0)
+            return len(page.results)
+
+        self.assertEqual(12, run(results(DEFAULT_POLICY)))
+        self.assertLess(run(results(Policy(held_reads=False))), 12)
+
+    def test_loading_last(self):
+        async def chosen(policy: Policy, loading: set[str]) -> str:
+            fleet = PlatformFleet(gateways=1, engines=0, policy=policy)
+            services = fleet.gateways[0].keeper._services
+            services.directory = make_directory(2)
+            services.balancer = Balancer(services.directory, fleet.clock, random.Random(0))
+            services.balancer.occupy(EngineId("e1"))
+            services.division.loading = lambda _: frozenset(loading)
+            return EngineChoice(make_head(fleet), services).choose(ENGINES).id
+
+        self.assertEqual("e0", run(chosen(DEFAULT_POLICY, set())))
+        self.assertEqual("e1", run(chosen(DEFAULT_POLICY, {"e0"})))
+        self.assertEqual("e0", run(chosen(DEFAULT_POLICY, {"e0", "e1"})))
+        self.assertEqual("e0", run(chosen(Policy(loading_last=False), {"e0"})))
+
     def test_partial_seconds(self):
         async def kept(policy: Policy) -> int:
             fleet = PlatformFleet(1, 1, policy=policy)
--- a/tests/test_process_soak.py
+++ b/tests/test_process_soak.py
@@ -7,6 +7,7 @@
 from pathlib import Path
 
 from larkpost.addresses import split_address
+from larkpost.platform.stand_in.rows import READING, TRAINING
 from larkpost.rehearsal.processes import free_address
 from larkpost.rehearsal.scripted_engines import output_of
 from tests.connections import ConnectionServer
@@ -14,7 +15,7 @@
 from tests.process_soak.judge import Judge, SubmittedBatch
 from tests.process_soak.plan import Kind, draw_plan
 from tests.process_soak.proxy import FaultProxy, LinkFault
-from tests.process_soak.records import Order, Records, Run
+from tests.process_soak.records import Order, Records, Run, Usage
 
 SEEDS = Path(__file__).resolve().parent / "soak_seeds.toml"
 WAIT_SECONDS = 0.4
@@ -123,7 +124,7 @@
         self.judge.batches["b"] = self.batch
         self.records = Records()
         for item, call in self.batch.calls.items():
-            self.records.runs[item].append(Run("/r", 1.0, f"e.{item}", 200))
+            self.records.runs[item].append(Run("/r", 1.0, f"e.{item}", 200, TRAINING))
             self.records.whole_at[item] = 2.0
             self.records.runs[call].append(Run("/p", 3.0, f"p.{call}", 200))
 
@@ -184,7 +185,7 @@
 
     def test_run_after_the_end_in_calm_times_only(self):
         self.batch.ended_at = 10.0
-        self.records.runs["i1"].append(Run("/r", 20.0, "e.i1", 200))
+        self.records.runs["i1"].append(Run("/r", 20.0, "e.i1", 200, TRAINING))
         self.assert_broken("after its batch's end")
         self.judge.fault_times.append(15.0)
         self.judge.check(self.records)
@@ -202,6 +203,39 @@
         self.records.runs["r1"].append(Run("/p", 2.0, "p.r1", 200))
         self.assert_broken("ran 2 times")
 
+    def test_request_that_runs_as_another_tenant(self):
+        self.judge.asked["r1"] = False
+        self.judge.tenants["r1"] = READING
+        self.records.runs["r1"].append(Run("/p", 1.0, "p.r1", 200, READING))
+        self.judge.check(self.records)
+        self.records.runs["r1"].append(Run("/p", 2.0, "p.r1", 200, TRAINING))
+        self.assert_broken("ran as training")
+
+    def test_item_that_runs_as_nobody(self):
+        self.records.runs["i1"].append(Run("/r", 2.0, "e.i1", 200))
+        self.assert_broken("ran as None")
+
+    def test_dropped_key_that_runs_in_calm_times(self):
+        self.judge.asked["r1"] = False
+        self.judge.tenants["r1"] = READING
+        self.judge.dropped["r1"] = 10.0
+        self.records.runs["r1"].append(Run("/p", 11.0, "p.r1", 200, READING))
+        self.judge.check(self.records)
+        self.records.runs["r1"].append(Run("/p", 13.0, "p.r1", 200, READING))
+        self.assert_broken("dropped key")
+        self.judge.fault_times.append(12.0)
+        self.judge.check(self.records)
+
+    def test_window_with_two_counts(self):
+        self.records.usage += [Usage(7, {"a": 1}, "h", 1, 0.0), Usage(7, {"a": 1}, "h", 2, 1.0)]
+        self.judge.check(self.records)
+        self.records.usage.append(Usage(7, {"a": 2}, "h", 3, 2.0))
+        self.assert_broken("window 7 was reported")
+
+    def test_reporters_that_take_turns(self):
+        self.records.usage += [Usage(7, {}, "a", 1, 0.0), Usage(8, {}, "b", 2, 1.0)]
+        self.assert_broken("usage: ")
+
     def test_holders_that_take_turns(self):
         self.records.orders["e"] += [Order("a", 1, 0.0), Order("b", 2, 1.0)]
         self.assert_broken("Order|'a'")
--- /dev/null
+++ b/tests/test_urgency.py
@@ -0,0 +1,113 @@
+"""How urgent an item is to an engine, and runs that make nothing."""
+
+import asyncio
+import unittest
+
+import orjson
+
+from larkpost.clock import LoopClock
+from larkpost.fleet.configuration import Configuration, Route, RouteKind, ServiceName, ServiceShare
+from larkpost.fleet.tenants import Tenant, TenantName
+from larkpost.rollouts.attempt import Progress
+from larkpost.rollouts.stalls import LEAST_SILENCE_SECONDS, StallWatcher
+from larkpost.rollouts.urgency import LONG_RUN_EVENTS, Urgency
+from tests.platform_fleet import ENGINES, PlatformFleet, check_results, make_batch
+from tests.test_policy import make_info
+from tests.virtual import run
+
+FIRST = TenantName("first")
+SECOND = TenantName("second")
+ROUTE = Route(
+    "r", "h", b"/", RouteKind.BATCH, (ServiceShare(ServiceName("s"), 1.0),), 2.0, 0.2, priority=2
+)
+
+
+class UrgencyTest(unittest.TestCase):
+    """Ranks within a batch."""
+
+    def setUp(self):
+        self.items = make_batch(items=40).items
+        self.urgency = Urgency(self.items)
+
+    def test_long_items_come_before_short_ones_within_a_priority(self):
+        ranks = [self.urgency.rank(item, Progress(item), 1) for item in self.items]
+        self.assertEqual(sorted(ranks, reverse=True), ranks)  # later items are longer
+        self.assertEqual({3, 4, 5}, set(ranks))
+        self.assertLess(ranks.count(3), 10)
+
+    def test_priority_comes_before_length(self):
+        long, short = self.items[-1], self.items[0]
+        urgent = self.urgency.rank(short, Progress(short), 0)
+        self.assertLess(urgent, self.urgency.rank(long, Progress(long), 1))
+
+    def test_ranks_stay_within_what_engines_know(self):
+        item = self.items[0]
+        for priority in (-3, 0, 3, 50):
+            self.assertIn(self.urgency.rank(item, Progress(item), priority), range(10))
+
+    def test_an_item_that_shows_itself_long_is_urgent(self):
+        item = self.items[0]
+        progress = Progress(item)
+        for number in range(1, LONG_RUN_EVENTS + 1):
+            progress.take(number, b"x", 1)
+        self.assertEqual(0, self.urgency.rank(item, progress, 0))
+
+    def test_a_batch_without_items_has_no_lengths(self):
+        self.assertEqual(2, Urgency(()).rank(self.items[0], Progress(self.items[0]), 0))
+
+
+class PriorityTest(unittest.TestCase):
+    """A tenant's priority goes before its route's."""
+
+    def test_the_tenant_decides_where_it_has_a_priority(self):
+        tenants = (Tenant(FIRST, frozenset(), 0), Tenant(SECOND, frozenset()))
+        configuration = Configuration(1, (ROUTE,), {}, tenants=tenants)
+        for tenant, priority in ((FIRST, 0), (SECOND, 2), (None, 2), (TenantName("gone"), 2)):
+            self.assertEqual(priority, configuration.priority_of(tenant, ROUTE))
+
+
+class StallTest(unittest.TestCase):
+    """Silent runs, and what becomes of them."""
+
+    def test_a_run_is_stalled_after_a_silence_of_several_events(self):
+        async def play():
+            clock = LoopClock()
+            watcher = StallWatcher(clock)
+            async with asyncio.timeout(10.0) as limit:
+                with watcher.watch(make_info("fast"), limit) as watch:
+                    await clock.sleep(LEAST_SILENCE_SECONDS - 0.01)
+                    self.assertEqual([], watcher.stalled(lambda _: 0.0))
+                    await clock.sleep(0.02)
+                    self.assertEqual([watch], watcher.stalled(lambda _: 0.0))
+                    self.assertEqual([], watcher.stalled(lambda _: 0.2))  # a slow engine
+                    watch.heard(clock.now(), 1.0)
+                    self.assertEqual([], watcher.stalled(lambda _: 0.0))
+                self.assertEqual([], watcher.stalled(lambda _: 0.0))
+
+        run(play())
+
+    def test_a_stalled_run_stays_while_there_is_no_place(self):
+        """Only as many runs are ended as there are free places; the others wait where they are."""
+
+        async def play():
+            fleet = PlatformFleet(1, 2)
+            first, second = fleet.model_engines()
+            first.stall_after = 1
+            second.slots = 2
+            second.event_seconds = 0.5
+            entry = {"service": ENGINES, "slots": 2, "state": "ready", "version": 1}
+            fleet.put("instances", "engine-1", orjson.dumps(entry))
+            await fleet.wait(1.0)
+            spec = make_batch(items=16)
+            await fleet.gateways[0].batches.submit(spec)
+            await fleet.wait(1.1)
+            self.assertEqual(8, len(first.runs))
+            first.stall_after = None
+            second.event_seconds = 0.03
+            check_results(self, spec, await fleet.read_all(fleet.gateways[0], spec.id))
+
+        run(play())
+
+
+if __name__ == "__main__":
+    unittest.main()
