Preemptible servers are ordered for items without a place; reads hold results for half a second

Cause: on the shifted deployment 400 items come at once before 184 places. The size of the service is larkpost's to set, and nobody did.

Reads hold results for hold_seconds (0.5) in place of the caller's whole time.

--- /dev/null
+++ b/src/larkpost/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""Capacity: how many servers a service has in each zone, and who orders them."""
--- a/src/larkpost/fleet/leases.py
+++ b/src/larkpost/fleet/leases.py
@@ -36,6 +36,7 @@
 
     ENGINE_ORDERS = "engines"
     USAGE = "usage"
+    SERVICE_SIZE = "sizes"
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/larkpost/platform/duties.py
+++ b/src/larkpost/platform/duties.py
@@ -6,6 +6,7 @@
 import orjson
 from yarl import URL
 
+from larkpost.capacity.port import SizeOrder, SizeOutcome
 from larkpost.fleet.leases import Lease
 from larkpost.ids import Address
 from larkpost.platform import names
@@ -14,10 +15,25 @@
 
 CALL_FAILURES = (aiohttp.ClientError, asyncio.TimeoutError, OSError)
 """Everything a call may end with besides an answer."""
+UNANSWERED = 0
+"""Stands for the status of a call without an answer."""
+REPORT_OUTCOMES = {
+    200: ReportOutcome.TAKEN,
+    409: ReportOutcome.FENCED,
+    500: ReportOutcome.UNKNOWN,
+    UNANSWERED: ReportOutcome.UNKNOWN,
+}
+SIZE_OUTCOMES = {
+    200: SizeOutcome.TAKEN,
+    409: SizeOutcome.REFUSED,
+    500: SizeOutcome.UNKNOWN,
+    UNANSWERED: SizeOutcome.UNKNOWN,
+}
+"""A 409 does not tell whether there are no servers or a higher fencing token was seen."""
 
 
 class HttpDuties:
-    """Makes the calls; implements `larkpost.usage.port.UsagePort`.
+    """Makes the calls; implements the ports to usage reports and to the sizes of services.
 
     Args:
         address: where the platform takes them.
@@ -39,27 +55,40 @@
         self, report: UsageReport, holder: str, lease: Lease, timeout: float
     ) -> ReportOutcome:
         """Sends a report; see the port."""
-        body = orjson.dumps({"window-id": report.window, "counts": report.counts})
+        document = {"window-id": report.window, "counts": report.counts}
+        status = await self._call(names.USAGE_CALL, document, holder, lease, timeout)
+        return REPORT_OUTCOMES.get(status, ReportOutcome.NOT_TAKEN)
+
+    async def order_size(
+        self, order: SizeOrder, holder: str, lease: Lease, timeout: float
+    ) -> SizeOutcome:
+        """Orders servers; see the port."""
+        document: dict[str, object] = {
+            "service": order.service,
+            "zone": order.zone,
+            "desired": order.servers,
+        }
+        if order.preemptible:
+            document["preemptible"] = True
+        status = await self._call(names.SIZE_CALL, document, holder, lease, timeout)
+        return SIZE_OUTCOMES.get(status, SizeOutcome.NOT_TAKEN)
+
+    async def _call(
+        self, call: str, document: dict[str, object], holder: str, lease: Lease, timeout: float
+    ) -> int:
+        """Makes a call under a lease and returns its status; UNANSWERED if there was none."""
         headers = {
             names.LEASE_HOLDER.decode(): holder,
             names.FENCING_TOKEN.decode(): str(lease.token),
             "Content-Type": "application/json",
         }
-        url = URL(self._base + names.USAGE_CALL, encoded=True)
+        url = URL(self._base + call, encoded=True)
         try:
             async with (
                 asyncio.timeout(timeout),
-                self._session.post(url, data=body, headers=headers) as response,
+                self._session.post(url, data=orjson.dumps(document), headers=headers) as response,
             ):
                 await response.read()
-                return _outcome(response.status)
+                return response.status
         except CALL_FAILURES:
-            return ReportOutcome.UNKNOWN  # the reporter notes it and repeats it
-
-
-def _outcome(status: int) -> ReportOutcome:
-    if status == 200:
-        return ReportOutcome.TAKEN
-    if status == 409:
-        return ReportOutcome.FENCED
-    return ReportOutcome.NOT_TAKEN if status < 500 or status == 503 else ReportOutcome.UNKNOWN
+            return UNANSWERED  # whoever has the duty notes it and tries again
--- a/src/larkpost/platform/process.py
+++ b/src/larkpost/platform/process.py
@@ -64,7 +64,17 @@
     duties = HttpDuties(settings.duties) if settings.duties is not None else None
     gateway = Gateway(
         _gateway_settings(settings),
-        GatewayPorts(store, servers, LoopClock(), READERS, log, metrics, store, duties),
+        GatewayPorts(
+            store,
+            servers,
+            LoopClock(),
+            READERS,
+            log,
+            metrics,
+            relay=store,
+            usage=duties,
+            sizes=duties if settings.may_size else None,
+        ),
     )
     ingress = Ingress(
         gateway.configuration,
--- a/src/larkpost/policy.py
+++ b/src/larkpost/policy.py
@@ -31,8 +31,11 @@
             have a place.
         long_runs_wish: a long run at a slow engine gets the next free place at a fast one, before
             the items that wait.
-        held_reads: a read that may wait is answered once the trainer has its step, not with each
-            result, until the batch is due.
+        ordered_servers: preemptible servers are ordered for the items that have no place, where the
+            operator leaves the size of a service to larkpost.
+        hold_seconds: how long a read that may wait holds results back for those that make a step
+            whole; 0 answers with the first one. The last items of a step often end within half a
+            second of each other, and a trainer that is answered asks again after as long.
         own_engines_first: for a moment after a batch began its items take places only at the
             engines of their model, as it is not known yet what others take.
         partial_seconds: seconds between two times at which the output of running items is kept
@@ -65,7 +68,8 @@
     stalled_moves: bool = True
     long_items_urgent: bool = True
     long_runs_wish: bool = True
-    held_reads: bool = True
+    ordered_servers: bool = True
+    hold_seconds: float = 0.5
     own_engines_first: bool = True
     loading_last: bool = True
     partial_seconds: float = 0.4
@@ -95,6 +99,8 @@
             raise PolicyError(f"coordinators is {self.coordinators}, it must be 1 or more")
         if self.partial_seconds < 0:
             raise PolicyError(f"partial_seconds is {self.partial_seconds}, it must not be negative")
+        if self.hold_seconds < 0:
+            raise PolicyError(f"hold_seconds is {self.hold_seconds}, it must not be negative")
         if self.accept_seconds < 0:
             raise PolicyError(f"accept_seconds is {self.accept_seconds}, it must not be negative")
         if not 0 <= self.client_slots_share < 1:
--- a/src/larkpost/rollouts/service.py
+++ b/src/larkpost/rollouts/service.py
@@ -145,8 +145,9 @@
     ) -> ResultPage:
         """Returns the results from a position on, waiting for one if there is none yet.
 
-        Until the batch is due the wait goes on, as long as the caller allows, until the trainer
-        has the groups that it waits for: one that is answered early asks again only after a pause.
+        Until the batch is due, results are held back for a moment, as long as the caller allows,
+        for the ones that make the trainer's step whole: who is answered with results asks again
+        only after a pause.
 
         Raises:
             NoSuchBatchError: there is no such batch.
@@ -157,13 +158,15 @@
         while True:
             may_hold = self._may_hold(view)
             failed = not await self._refresh(view, position, may_hold)
-            remaining = give_up_at - self._clock.now()
-            is_over = failed or not may_hold or remaining < LEAST_WAIT_SECONDS
+            now = self._clock.now()
             has_new = len(view.results) > position
+            if has_new:
+                give_up_at = min(give_up_at, now + self._services.policy.hold_seconds)
+            is_over = failed or not may_hold or give_up_at - now < LEAST_WAIT_SECONDS
             is_complete = len(view.results) >= view.head.total
             if is_complete or (has_new and (is_over or view.has_step())):
                 return self._give(view, position, from_memory=failed)
-            if remaining < LEAST_WAIT_SECONDS:
+            if give_up_at - now < LEAST_WAIT_SECONDS:
                 if failed:
                     self._services.metrics.count(Count.BATCH_CALLS, "read", "failed")
                     self._log.note(Event.READ_FAILED, batch=batch, position=position)
@@ -171,14 +174,14 @@
                         "the store does not answer", retry_after=RETRY_AFTER_SECONDS
                     )
                 return self._give(view, position, from_memory=False)
-            await view.wait_for_change(min(READ_POLL_SECONDS, remaining))
+            await view.wait_for_change(min(READ_POLL_SECONDS, give_up_at - now))
 
     def _may_hold(self, view: BatchView) -> bool:
         """Tells whether results may be held back until there are enough for the trainer."""
         head = view.head
         now = self._services.store_time()
         configuration = self._services.configuration.current
-        if not self._services.policy.held_reads or not head.group_size or not head.desired_groups:
+        if not self._services.policy.hold_seconds or not head.group_size or not head.desired_groups:
             return False
         if now is None or configuration is None:
             return False
