--- /dev/null
+++ b/src/larkpost/fleet/row_intake.py
@@ -0,0 +1,103 @@
+"""Takes the rows that operators, trainers and servers write into what a daemon believes."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from larkpost.clock import Clock
+from larkpost.eventlog import Event, EventLog
+from larkpost.fleet.configuration import Configuration, ConfigurationState
+from larkpost.fleet.directory import Directory, InstanceInfo
+from larkpost.fleet.weights import WeightTarget, WeightTargets
+from larkpost.ids import EngineId
+from larkpost.store.port import Row
+
+LAPSED_SECONDS = 2.2
+"""How long the store must have been sound for an entry that is missing to be gone for good."""
+
+
+@dataclass(frozen=True, slots=True)
+class RowReaders:
+    """Reads rows that others write, in whatever format they write them.
+
+    Attributes:
+        operator_table: the table of the configuration and the named weight versions.
+        instance_table: the table of the instances.
+        configuration: reads a configuration, or None if the row holds something else.
+        weight_target: reads a named version, or None if the row holds something else.
+        instance: reads an instance. All three raise ValueError for what they cannot read.
+    """
+
+    operator_table: str
+    instance_table: str
+    configuration: Callable[[Row], Configuration | None]
+    weight_target: Callable[[Row], WeightTarget | None]
+    instance: Callable[[Row], InstanceInfo]
+
+
+class RowIntake:
+    """Takes rows, and notes what changes by them; rows that cannot be read change nothing.
+
+    Args:
+        store_sound_for: returns for how many seconds each call to the store was answered.
+        trust_after: returns for how many it must have been for a row that is gone to be believed.
+    """
+
+    def __init__(
+        self,
+        readers: RowReaders,
+        configuration: ConfigurationState,
+        targets: WeightTargets,
+        directory: Directory,
+        clock: Clock,
+        log: EventLog,
+        store_sound_for: Callable[[], float],
+        trust_after: Callable[[], float],
+    ) -> None:
+        self._readers = readers
+        self._configuration = configuration
+        self._targets = targets
+        self._directory = directory
+        self._clock = clock
+        self._log = log
+        self._store_sound_for = store_sound_for
+        self._trust_after = trust_after
+
+    async def drop_lapsed(self) -> None:
+        """Gives up instances whose entries lapsed while the store was away and are not back."""
+        if self._store_sound_for() < LAPSED_SECONDS:
+            return
+        for instance in self._directory.drop_unlisted():
+            self._log.note(Event.INSTANCE, instance=instance, state="gone", sound=True)
+
+    def take_operator_row(self, row: Row) -> None:
+        """Takes a row with a configuration or a named weight version."""
+        try:
+            configuration = self._readers.configuration(row)
+            target = self._readers.weight_target(row)
+        except ValueError as error:
+            self._log.note(Event.UNREADABLE, row=row.key.key, error=str(error))
+            return
+        if configuration is not None and self._configuration.update(configuration):
+            self._log.note(Event.CONFIGURATION, version=configuration.version)
+        if target is not None and self._targets.update(target, self._clock.now()):
+            self._log.note(Event.WEIGHT_TARGET, model=target.model, version=target.version)
+
+    def take_instance_row(self, row: Row) -> None:
+        """Takes an instance's entry, or the news that it is gone."""
+        instance = EngineId(row.key.key)
+        if row.removed:
+            sound = self._store_sound_for() >= self._trust_after()
+            self._directory.remove(instance, sound=sound)
+            self._log.note(Event.INSTANCE, instance=instance, state="gone", sound=sound)
+            return
+        try:
+            info = self._readers.instance(row)
+        except ValueError as error:
+            self._log.note(Event.UNREADABLE, row=row.key.key, error=str(error))
+            return
+        known = self._directory.get(instance)
+        self._directory.update(info)
+        if known is None or known.state != info.state:
+            self._log.note(
+                Event.INSTANCE, instance=instance, state=info.state, service=info.service
+            )
--- a/src/larkpost/gateway.py
+++ b/src/larkpost/gateway.py
@@ -9,17 +9,18 @@
 from larkpost.capacity.sizer import ServiceSizer
 from larkpost.clock import Clock
 from larkpost.eventlog import Event, EventLog
-from larkpost.fleet.configuration import Configuration, ConfigurationState
-from larkpost.fleet.directory import Directory, InstanceInfo
+from larkpost.fleet.configuration import ConfigurationState
+from larkpost.fleet.directory import Directory
 from larkpost.fleet.division import EngineDivision
 from larkpost.fleet.heartbeat import new_life
 from larkpost.fleet.leases import LeaseTable
 from larkpost.fleet.lifecycle import Lifecycle
 from larkpost.fleet.loader import WeightLoader
 from larkpost.fleet.members import Membership
+from larkpost.fleet.row_intake import RowIntake, RowReaders
 from larkpost.fleet.true_time import TrueTime
-from larkpost.fleet.weights import WeightTarget, WeightTargets
-from larkpost.ids import Address, EngineId
+from larkpost.fleet.weights import WeightTargets
+from larkpost.ids import Address
 from larkpost.metrics import Level, Metrics
 from larkpost.policy import DEFAULT_POLICY, Policy
 from larkpost.proxy.admission import Admission
@@ -52,33 +53,12 @@
 """From the request to stop until no new connections are expected."""
 KILL_MARGIN_SECONDS = 1.0
 LOOP_INTERVAL_SECONDS = 0.5
-LAPSED_SECONDS = 2.2
-"""How long the store must have been sound for an entry that is missing to be gone for good."""
 LAPSED_INTERVAL_SECONDS = 0.25
 LATE_LOOP_SECONDS = 0.5
 """A delay of the event loop that is worth a line."""
 BATCH_RETENTION_SLACK_SECONDS = 60.0
 
 
-@dataclass(frozen=True, slots=True)
-class RowReaders:
-    """Reads rows that others write, in whatever format they write them.
-
-    Attributes:
-        operator_table: the table of the configuration and the named weight versions.
-        instance_table: the table of the instances.
-        configuration: reads a configuration, or None if the row holds something else.
-        weight_target: reads a named version, or None if the row holds something else.
-        instance: reads an instance. All three raise ValueError for what they cannot read.
-    """
-
-    operator_table: str
-    instance_table: str
-    configuration: Callable[[Row], Configuration | None]
-    weight_target: Callable[[Row], WeightTarget | None]
-    instance: Callable[[Row], InstanceInfo]
-
-
 @dataclass(slots=True)
 class GatewaySettings:
     """What a daemon needs to know of its surroundings; durations in seconds.
@@ -180,7 +160,7 @@
                 ports.log,
                 ports.metrics,
                 settings.usage,
-                lambda: self._instance_rows.sound_for(self._clock.now()),
+                self._store_sound_for,
             )
         self.forwarder = Forwarder(
             self.directory,
@@ -251,11 +231,22 @@
             settings.policy,
         )
         readers = ports.readers
+        intake = RowIntake(
+            readers,
+            self.configuration,
+            self.targets,
+            self.directory,
+            ports.clock,
+            ports.log,
+            self._store_sound_for,
+            lambda: settings.contact_time if settings.policy.lapsed_serve else 0.0,
+        )
+        self._intake = intake
         self._operator_rows = self._follower(
-            readers.operator_table, ("",), self._take_operator_row, SLOW_RELIST_SECONDS
+            readers.operator_table, ("",), intake.take_operator_row, SLOW_RELIST_SECONDS
         )
         self._instance_rows = self._follower(
-            readers.instance_table, ("",), self._take_instance_row, FAST_RELIST_SECONDS
+            readers.instance_table, ("",), intake.take_instance_row, FAST_RELIST_SECONDS
         )
         self._head_rows = self._follower(
             HEAD_TABLE,
@@ -288,7 +279,7 @@
             self._usage.start(self._tasks)
         if self._sizer is not None:
             self._sizer.start(self._tasks)
-        self._tasks.every(LAPSED_INTERVAL_SECONDS, self._drop_lapsed, "lapsed")
+        self._tasks.every(LAPSED_INTERVAL_SECONDS, self._intake.drop_lapsed, "lapsed")
         self._tasks.spawn(self._become_ready(), "readiness")
         self._tasks.spawn(self._watch_loop(), "loop")
 
@@ -306,7 +297,7 @@
                 break
             await self._clock.sleep(0.05)
         if self._usage is not None:
-            await self._usage.save()
+            await self._usage.save_last()
         self._log.note(Event.STOP, open_requests=self.lifecycle.open_requests)
 
     def stop(self) -> None:
@@ -381,47 +372,10 @@
         self.lifecycle.informed = True
         self._log.note(Event.READY, instances=len(self.directory))
 
-    async def _drop_lapsed(self) -> None:
-        """Gives up instances whose entries lapsed while the store was away and are not back."""
-        if self._instance_rows.sound_for(self._clock.now()) < LAPSED_SECONDS:
-            return
-        for instance in self.directory.drop_unlisted():
-            self._log.note(Event.INSTANCE, instance=instance, state="gone", sound=True)
+    def _store_sound_for(self) -> float:
+        """Returns for how many seconds each call to the store was answered."""
+        return self._instance_rows.sound_for(self._clock.now())
 
     def _is_active(self) -> bool:
         """Tells whether this daemon has to act on news of batches at once."""
         return self.membership.is_coordinator() or bool(self.keeper.owned())
-
-    def _take_operator_row(self, row: Row) -> None:
-        try:
-            configuration = self._ports.readers.configuration(row)
-            target = self._ports.readers.weight_target(row)
-        except ValueError as error:
-            self._log.note(Event.UNREADABLE, row=row.key.key, error=str(error))
-            return
-        if configuration is not None and self.configuration.update(configuration):
-            self._log.note(Event.CONFIGURATION, version=configuration.version)
-        if target is not None and self.targets.update(target, self._clock.now()):
-            self._log.note(Event.WEIGHT_TARGET, model=target.model, version=target.version)
-
-    def _take_instance_row(self, row: Row) -> None:
-        instance = EngineId(row.key.key)
-        if row.removed:
-            now = self._clock.now()
-            sound = self._instance_rows.sound_for(now) >= self.settings.contact_time
-            if not self.settings.policy.lapsed_serve:
-                sound = True
-            self.directory.remove(instance, sound=sound)
-            self._log.note(Event.INSTANCE, instance=instance, state="gone", sound=sound)
-            return
-        try:
-            info = self._ports.readers.instance(row)
-        except ValueError as error:
-            self._log.note(Event.UNREADABLE, row=row.key.key, error=str(error))
-            return
-        known = self.directory.get(instance)
-        self.directory.update(info)
-        if known is None or known.state != info.state:
-            self._log.note(
-                Event.INSTANCE, instance=instance, state=info.state, service=info.service
-            )
--- a/src/larkpost/platform/ingress.py
+++ b/src/larkpost/platform/ingress.py
@@ -17,8 +17,11 @@
 from larkpost.platform.batches import read_batch, read_position, write_page
 from larkpost.platform.http_protocol import OVERSIZED
 from larkpost.proxy.admission import Admission, Admitted
-from larkpost.proxy.forwarder import ClientRequest, Forwarder
+from larkpost.proxy.forwarder import Forwarder
 from larkpost.proxy.port import BrokenAnswerError, Headers
+from larkpost.proxy.request import (
+    ClientRequest,
+)
 from larkpost.rollouts.model import ItemId
 from larkpost.rollouts.service import BatchService
 
--- a/src/larkpost/platform/process.py
+++ b/src/larkpost/platform/process.py
@@ -9,7 +9,8 @@
 from larkpost.clock import LoopClock
 from larkpost.errors import SettingsError
 from larkpost.eventlog import Event, EventLog, LineWriter
-from larkpost.gateway import Gateway, GatewayPorts, GatewaySettings, RowReaders
+from larkpost.fleet.row_intake import RowReaders
+from larkpost.gateway import Gateway, GatewayPorts, GatewaySettings
 from larkpost.ids import Address
 from larkpost.metrics import Metrics
 from larkpost.platform import names, operator
--- /dev/null
+++ b/src/larkpost/proxy/request.py
@@ -0,0 +1,61 @@
+"""A client's request, its whole answer, and the errors in which it may end."""
+
+from dataclasses import dataclass
+
+from larkpost.errors import LarkpostError
+from larkpost.fleet.tenants import TenantName
+from larkpost.proxy.port import Headers
+
+
+class RefusedError(LarkpostError):
+    """The request did not run and will not; the client may come back."""
+
+    code = "refused"
+    status = 503
+    remedy = "Ask again after the time in Retry-After."
+
+
+class RequestFailedError(LarkpostError):
+    """No whole answer came; the request may have run."""
+
+    code = "request_failed"
+    status = 502
+    remedy = "Ask again only if a second run is harmless."
+
+
+class RequestTimeoutError(LarkpostError):
+    """The time of the request is over; it may have run."""
+
+    code = "request_timeout"
+    status = 504
+    remedy = "Ask again with a later deadline, if a second run is harmless."
+
+
+@dataclass(frozen=True, slots=True)
+class ClientRequest:
+    """A client's request, read whole.
+
+    Attributes:
+        received_at: steady time at which its head was read.
+        time_left: seconds the client still waited then, or None if it did not say.
+        tenant: whose request it is; None if it is no tenant's.
+    """
+
+    request_id: bytes
+    method: str
+    host: bytes
+    target: bytes
+    headers: Headers
+    body: bytes
+    received_at: float
+    time_left: float | None
+    tenant: TenantName | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class WholeAnswer:
+    """A server's whole answer."""
+
+    status: int
+    headers: Headers
+    body: bytes
--- a/src/larkpost/usage/reporter.py
+++ b/src/larkpost/usage/reporter.py
@@ -4,6 +4,8 @@
 the duty later repeats exactly what was sent before.
 """
 
+import asyncio
+import contextlib
 from collections.abc import Callable
 
 from larkpost.clock import Clock
@@ -28,6 +30,8 @@
 """Least time between two savings of a daemon's counts: what it counts meanwhile dies with it."""
 SAVE_TIMEOUTS = (0.5, 1.0, 1.5)
 """Time limits of the tries to save, in seconds: an answer may be lost, or the store may be slow."""
+LAST_SAVE_SECONDS = 0.8
+"""Longest time that a planned stop waits for its counts to be saved: its kill is near."""
 SAVES_PER_SECOND = 120.0
 """Most savings that a fleet makes together: one part of the store takes 200 writes a second."""
 UPDATE_SECONDS = 0.5
@@ -100,6 +104,12 @@
                 self._counter.note_saved(counts)
                 return
 
+    async def save_last(self) -> None:
+        """Saves at a planned stop, which must not take long."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(LAST_SAVE_SECONDS):
+                await self.save()
+
     async def update(self) -> None:
         """Decides and reports the windows that are due, if the duty is this daemon's."""
         if self._membership.first_choice(SUBJECT.key) != self._membership.own:
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -18,9 +18,10 @@
     ServiceShare,
 )
 from larkpost.fleet.directory import InstanceInfo, InstanceState
+from larkpost.fleet.row_intake import RowReaders
 from larkpost.fleet.tenants import TenantName
 from larkpost.fleet.weights import WeightTarget
-from larkpost.gateway import Gateway, GatewayPorts, GatewaySettings, RowReaders
+from larkpost.gateway import Gateway, GatewayPorts, GatewaySettings
 from larkpost.ids import Address, BatchId, EngineId, ZoneId
 from larkpost.policy import DEFAULT_POLICY, Policy
 from larkpost.rehearsal.memory_store import MemoryStore, StoreClient
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -12,14 +12,14 @@
 from larkpost.ids import Address, EngineId, ZoneId
 from larkpost.metrics import Metrics
 from larkpost.proxy.balancer import Balancer
-from larkpost.proxy.forwarder import (
+from larkpost.proxy.forwarder import Forwarder
+from larkpost.proxy.port import BrokenAnswerError
+from larkpost.proxy.request import (
     ClientRequest,
-    Forwarder,
     RefusedError,
     RequestFailedError,
     RequestTimeoutError,
 )
-from larkpost.proxy.port import BrokenAnswerError
 from larkpost.proxy.shares import ShareChooser
 from larkpost.rehearsal.scripted_engines import EngineState, ScriptedAnswer, ScriptedEngines
 from tests.virtual import run
--- a/tests/test_platform_ingress.py
+++ b/tests/test_platform_ingress.py
@@ -21,8 +21,11 @@
 from larkpost.platform.http_protocol import Listener
 from larkpost.platform.ingress import Ingress
 from larkpost.proxy.admission import Admission
-from larkpost.proxy.forwarder import RefusedError, WholeAnswer
 from larkpost.proxy.port import BrokenAnswerError
+from larkpost.proxy.request import (
+    RefusedError,
+    WholeAnswer,
+)
 from larkpost.rehearsal.processes import free_address
 
 LIMITS = RequestLimits(header_bytes=2000, body_bytes=5000, header_time=0.3, idle_time=0.4)
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -23,7 +23,10 @@
 from larkpost.metrics import Metrics
 from larkpost.policy import DEFAULT_POLICY, Policy, PolicyError
 from larkpost.proxy.balancer import Balancer
-from larkpost.proxy.forwarder import ClientRequest, Forwarder
+from larkpost.proxy.forwarder import Forwarder
+from larkpost.proxy.request import (
+    ClientRequest,
+)
 from larkpost.proxy.shares import ShareChooser
 from larkpost.rehearsal.memory_store import StoreFaults
 from larkpost.rehearsal.scripted_engines import EngineState, ScriptedEngines
--- a/tests/test_tenants.py
+++ b/tests/test_tenants.py
@@ -33,7 +33,9 @@
     NotConfiguredError,
     UnknownKeyError,
 )
-from larkpost.proxy.forwarder import WholeAnswer
+from larkpost.proxy.request import (
+    WholeAnswer,
+)
 from larkpost.rehearsal.processes import free_address
 from larkpost.rollouts.model import ItemId
 from larkpost.rollouts.service import BatchIdTakenError, NoSuchBatchError
--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -9,7 +9,9 @@
 from larkpost.fleet.tenants import TenantName
 from larkpost.fleet.true_time import TrueTime
 from larkpost.ids import DaemonId, EngineId
-from larkpost.proxy.forwarder import ClientRequest
+from larkpost.proxy.request import (
+    ClientRequest,
+)
 from larkpost.rehearsal.memory_store import MemoryStore, StoreClient, StoreFaults
 from larkpost.usage.counter import UsageCounter
 from larkpost.usage.port import ReportOutcome
