Ordered servers reverted: more engines cost more than they serve

Hypothesis: a place for each item of the newest batches, by preemptible servers, lets no long item wait.

Conclusion: engines are not what steps wait for once long items are placed first; reverted. Leases stay open for further duties.

--- a/src/larkpost/capacity/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Capacity: how many servers a service has in each zone, and who orders them."""
--- a/src/larkpost/eventlog.py
+++ b/src/larkpost/eventlog.py
@@ -37,7 +37,6 @@
     UNREADABLE = "unreadable"
     LEASE_LAPSED = "lease_lapsed"
     ORDER = "order"
-    SIZE_ORDER = "size_order"
     USAGE_DECIDED = "usage_decided"
     USAGE_REPORTED = "usage_reported"
     MEMBER = "member"
--- a/src/larkpost/fleet/configuration.py
+++ b/src/larkpost/fleet/configuration.py
@@ -7,7 +7,6 @@
 from typing import NewType
 
 from larkpost.fleet.tenants import KeyDigest, Tenant, TenantName, index_by_key
-from larkpost.ids import ZoneId
 
 ServiceName = NewType("ServiceName", str)
 ModelName = NewType("ModelName", str)
@@ -62,21 +61,6 @@
     is_public: bool = False
 
 
-@dataclass(frozen=True, slots=True)
-class ServiceSizes:
-    """The bounds within which the number of a service's servers may be set, and their prices.
-
-    Attributes:
-        maximum: most servers in a zone, preemptible ones included.
-        boot_time: seconds until a new server begins to serve.
-        zone_prices: price of a server in each zone where there may be some.
-    """
-
-    maximum: int
-    boot_time: float
-    zone_prices: Mapping[ZoneId, float]
-
-
 @dataclass(frozen=True, slots=True)
 class Service:
     """A group of servers that do the same.
@@ -86,7 +70,6 @@
         slots: requests a model engine runs at once; 0 if the servers are no engines.
         models: the models that the engines hold; empty if the servers are no engines.
         tokens_per_event: tokens that one event of a stream holds at most.
-        sizes: bounds of its size; None if nobody may change it.
     """
 
     name: ServiceName
@@ -94,7 +77,6 @@
     slots: int = 0
     models: tuple[ModelName, ...] = ()
     tokens_per_event: int = 1
-    sizes: ServiceSizes | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/larkpost/fleet/directory.py
+++ b/src/larkpost/fleet/directory.py
@@ -28,7 +28,6 @@
         slots: requests it handles at once.
         versions: weight version of each model it holds.
         listed_version: version of the entry in the store.
-        preemptible: whether it may be taken away at short notice, at any time.
     """
 
     id: EngineId
@@ -39,7 +38,6 @@
     state: InstanceState
     versions: dict[ModelName, int] = field(default_factory=dict)
     listed_version: int = 0
-    preemptible: bool = False
 
 
 class Directory:
--- a/src/larkpost/fleet/leases.py
+++ b/src/larkpost/fleet/leases.py
@@ -36,7 +36,6 @@
 
     ENGINE_ORDERS = "engines"
     USAGE = "usage"
-    SERVICE_SIZE = "sizes"
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/larkpost/fleet/weights.py
+++ b/src/larkpost/fleet/weights.py
@@ -62,12 +62,10 @@
     Attributes:
         work: expected tokens of the newest batch; 0 if none is known.
         open: whether a batch runs now.
-        items: items of the newest batch; 0 if none is known.
     """
 
     work: int = 0
     open: bool = False
-    items: int = 0
 
 
 Demands = Mapping[ModelName, ModelDemand]
--- a/src/larkpost/gateway.py
+++ b/src/larkpost/gateway.py
@@ -5,8 +5,6 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from larkpost.capacity.port import SizePort
-from larkpost.capacity.sizer import ServiceSizer
 from larkpost.clock import Clock
 from larkpost.eventlog import Event, EventLog
 from larkpost.fleet.configuration import ConfigurationState
@@ -93,7 +91,6 @@
     Attributes:
         relay: the store itself, if it can be reached by way of peers.
         usage: takes usage reports; None if nobody does.
-        sizes: takes orders of servers; None if nobody does.
     """
 
     store: Store
@@ -104,7 +101,6 @@
     metrics: Metrics = field(default_factory=Metrics)
     relay: RelayedStore | None = None
     usage: UsagePort | None = None
-    sizes: SizePort | None = None
     chance: random.Random = field(default_factory=random.Random)
 
 
@@ -204,19 +200,6 @@
             lambda: settings.batch_lifetime + BATCH_RETENTION_SLACK_SECONDS,
         )
         self.batches = BatchService(own, repository, self.keeper, views, services)
-        self._sizer: ServiceSizer | None = None
-        if ports.sizes is not None and settings.policy.ordered_servers:
-            self._sizer = ServiceSizer(
-                self.configuration,
-                self.directory,
-                self.membership,
-                leases,
-                ports.sizes,
-                ports.clock,
-                ports.log,
-                ports.metrics,
-                self.keeper.demands,
-            )
         self._loader = WeightLoader(
             self.configuration,
             self.directory,
@@ -277,8 +260,6 @@
         self._loader.start(self._tasks)
         if self._usage is not None:
             self._usage.start(self._tasks)
-        if self._sizer is not None:
-            self._sizer.start(self._tasks)
         self._tasks.every(LAPSED_INTERVAL_SECONDS, self._intake.drop_lapsed, "lapsed")
         self._tasks.spawn(self._become_ready(), "readiness")
         self._tasks.spawn(self._watch_loop(), "loop")
--- a/src/larkpost/metrics.py
+++ b/src/larkpost/metrics.py
@@ -24,7 +24,6 @@
     ORDERS = "larkpost_orders_total"
     CLAIMS = "larkpost_batch_claims_total"
     USAGE_REPORTS = "larkpost_usage_reports_total"
-    SIZE_ORDERS = "larkpost_size_orders_total"
     LINES_LEFT_OUT = "larkpost_log_lines_left_out_total"
 
 
@@ -41,7 +40,6 @@
     Count.ORDERS: ("Orders given to engines.", ("outcome",)),
     Count.CLAIMS: ("Batches claimed from daemons held dead.", ("outcome",)),
     Count.USAGE_REPORTS: ("Usage reports sent, or not.", ("outcome",)),
-    Count.SIZE_ORDERS: ("Orders of servers.", ("outcome",)),
     Count.LINES_LEFT_OUT: ("Log lines left out.", ("event",)),
 }
 
--- a/src/larkpost/platform/duties.py
+++ b/src/larkpost/platform/duties.py
@@ -6,7 +6,6 @@
 import orjson
 from yarl import URL
 
-from larkpost.capacity.port import SizeOrder, SizeOutcome
 from larkpost.fleet.leases import Lease
 from larkpost.ids import Address
 from larkpost.platform import names
@@ -23,17 +22,10 @@
     500: ReportOutcome.UNKNOWN,
     UNANSWERED: ReportOutcome.UNKNOWN,
 }
-SIZE_OUTCOMES = {
-    200: SizeOutcome.TAKEN,
-    409: SizeOutcome.REFUSED,
-    500: SizeOutcome.UNKNOWN,
-    UNANSWERED: SizeOutcome.UNKNOWN,
-}
-"""A 409 does not tell whether there are no servers or a higher fencing token was seen."""
 
 
 class HttpDuties:
-    """Makes the calls; implements the ports to usage reports and to the sizes of services.
+    """Makes the calls; implements `larkpost.usage.port.UsagePort`.
 
     Args:
         address: where the platform takes them.
@@ -59,20 +51,6 @@
         status = await self._call(names.USAGE_CALL, document, holder, lease, timeout)
         return REPORT_OUTCOMES.get(status, ReportOutcome.NOT_TAKEN)
 
-    async def order_size(
-        self, order: SizeOrder, holder: str, lease: Lease, timeout: float
-    ) -> SizeOutcome:
-        """Orders servers; see the port."""
-        document: dict[str, object] = {
-            "service": order.service,
-            "zone": order.zone,
-            "desired": order.servers,
-        }
-        if order.preemptible:
-            document["preemptible"] = True
-        status = await self._call(names.SIZE_CALL, document, holder, lease, timeout)
-        return SIZE_OUTCOMES.get(status, SizeOutcome.NOT_TAKEN)
-
     async def _call(
         self, call: str, document: dict[str, object], holder: str, lease: Lease, timeout: float
     ) -> int:
--- a/src/larkpost/platform/names.py
+++ b/src/larkpost/platform/names.py
@@ -35,8 +35,6 @@
 # Calls to the platform that one daemon at a time makes.
 USAGE_CALL = "/usage"
 USAGE_DUTY = "usage"
-SIZE_CALL = "/scale"
-SIZE_DUTY = "autoscale"
 
 # Calls to servers.
 REPORT_CALL = "/-/report"
--- a/src/larkpost/platform/operator.py
+++ b/src/larkpost/platform/operator.py
@@ -13,7 +13,6 @@
     Service,
     ServiceName,
     ServiceShare,
-    ServiceSizes,
 )
 from larkpost.fleet.directory import InstanceInfo, InstanceState
 from larkpost.fleet.tenants import Tenant, TenantName, digest_key
@@ -91,7 +90,6 @@
             state=InstanceState.LEAVING if draining else InstanceState.READY,
             versions=read_versions(document),
             listed_version=row.version,
-            preemptible=bool(document.get("preemptible", False)),
         )
     except UNREADABLE as error:
         raise UnreadableRowError(f"server {row.key.key}: {error!r}") from None
@@ -154,18 +152,6 @@
         slots=int(engine.get("slots", 0)),
         models=tuple(ModelName(model["name"]) for model in engine.get("models", ())),
         tokens_per_event=int(engine.get("stride", 1)),
-        sizes=_sizes(entry.get("autoscale")),
-    )
-
-
-def _sizes(entry: dict[str, Any] | None) -> ServiceSizes | None:
-    if not entry:
-        return None
-    prices = entry.get("zone-prices") or {}
-    return ServiceSizes(
-        maximum=int(entry["max"]),
-        boot_time=float(entry.get("boot-s", 0)),
-        zone_prices={ZoneId(zone): float(price) for zone, price in prices.items()},
     )
 
 
--- a/src/larkpost/platform/process.py
+++ b/src/larkpost/platform/process.py
@@ -74,7 +74,6 @@
             metrics,
             relay=store,
             usage=duties,
-            sizes=duties if settings.may_size else None,
         ),
     )
     ingress = Ingress(
--- a/src/larkpost/platform/settings.py
+++ b/src/larkpost/platform/settings.py
@@ -2,7 +2,6 @@
 
 import os
 import tomllib
-from collections.abc import Sequence
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
@@ -28,7 +27,6 @@
         metrics: port and path of the metrics, or None.
         duties: where the platform takes the calls of duties; None if there are none.
         usage: what is agreed about usage reports; None if none are asked for.
-        may_size: whether larkpost orders the servers of services.
     """
 
     machine: str
@@ -47,7 +45,6 @@
     metrics: tuple[int, str] | None
     duties: Address | None
     usage: UsageTerms | None
-    may_size: bool
 
 
 def settings_path() -> Path:
@@ -94,7 +91,6 @@
         metrics=_metrics(document),
         duties=_optional_address(document, "cloud-api", "address"),
         usage=_usage(document),
-        may_size=names.SIZE_DUTY in _duties(document),
     )
 
 
@@ -125,13 +121,8 @@
     return _address(document, *path) if _find(document, path) else None
 
 
-def _duties(document: dict[str, Any]) -> Sequence[str]:
-    """Returns the names of the duties that are larkpost's."""
-    return _find(document, ("cloud-api", "duties")) or ()
-
-
 def _usage(document: dict[str, Any]) -> UsageTerms | None:
-    if names.USAGE_DUTY not in _duties(document):
+    if names.USAGE_DUTY not in (_find(document, ("cloud-api", "duties")) or ()):
         return None
     return UsageTerms(
         window_length=_number(document, "bounds", "report-window-s", default=5),
--- a/src/larkpost/policy.py
+++ b/src/larkpost/policy.py
@@ -31,8 +31,6 @@
             have a place.
         long_runs_wish: a long run at a slow engine gets the next free place at a fast one, before
             the items that wait.
-        ordered_servers: preemptible servers are ordered for the items that have no place, where the
-            operator leaves the size of a service to larkpost.
         hold_seconds: how long a read that may wait holds results back for those that make a step
             whole; 0 answers with the first one. The last items of a step often end within half a
             second of each other, and a trainer that is answered asks again after as long.
@@ -68,7 +66,6 @@
     stalled_moves: bool = True
     long_items_urgent: bool = True
     long_runs_wish: bool = True
-    ordered_servers: bool = True
     hold_seconds: float = 0.5
     own_engines_first: bool = True
     loading_last: bool = True
--- a/src/larkpost/rollouts/keeper.py
+++ b/src/larkpost/rollouts/keeper.py
@@ -125,10 +125,7 @@
             before = newest.get(head.model)
             if before is None or head.created_at > before.created_at:
                 newest[head.model] = head
-        return {
-            model: ModelDemand(head.work, model in running, head.total)
-            for model, head in newest.items()
-        }
+        return {model: ModelDemand(head.work, model in running) for model, head in newest.items()}
 
     async def own_accepted(self, spec: BatchSpec, upload: str) -> None:
         """Starts an accepted batch at once if it is this daemon's, without waiting for the feed."""
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -26,7 +26,6 @@
 from larkpost.policy import DEFAULT_POLICY, Policy
 from larkpost.rehearsal.memory_store import MemoryStore, StoreClient
 from larkpost.rehearsal.scripted_engines import EngineState, ScriptedEngines, output_of
-from larkpost.rehearsal.scripted_sizes import ScriptedSizes
 from larkpost.rehearsal.scripted_usage import ScriptedUsage
 from larkpost.rollouts.model import (
     BatchSpec,
@@ -170,7 +169,6 @@
         self.gateways: list[Gateway] = []
         self.clocks: list[MachineClock] = []
         self.usage = ScriptedUsage(self.clock)
-        self.sizes = ScriptedSizes(self.clock)
         self.put("operator", "configuration", b"")
         for number in range(engines):
             self.add_engine(EngineId(f"engine-{number}"))
@@ -244,7 +242,6 @@
             log,
             relay=relay,
             usage=self.usage,
-            sizes=self.sizes,
             chance=random.Random(name),
         )
         settings = GatewaySettings(
--- a/tests/platform_oracle.py
+++ b/tests/platform_oracle.py
@@ -93,8 +93,6 @@
         checks.check_turns(
             [(report.holder, report.token, report.at) for report in received], "usage"
         )
-        for subject, orders in self.fleet.sizes.by_subject().items():
-            checks.check_turns([(o.holder, o.token, o.at) for o in orders], subject)
         checks.check_reports((report.window, report.counts) for report in received)
 
     def check_refused(self) -> None:
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -37,7 +37,6 @@
 from larkpost.rollouts.reward import RewardScorer
 from larkpost.store.port import RowKey, Transaction
 from tests.platform_fleet import ENGINES, MODEL, SCORERS, PlatformFleet, make_batch
-from tests.test_capacity import SIZED_CONFIGURATION
 from tests.test_forwarder import PAGES, make_route
 from tests.virtual import run
 
@@ -189,18 +188,6 @@
         self.assertTrue(run(wished(DEFAULT_POLICY)))
         self.assertFalse(run(wished(Policy(long_runs_wish=False))))
 
-    def test_ordered_servers(self):
-        async def ordered(policy: Policy) -> int:
-            fleet = PlatformFleet(1, 2, policy=policy)
-            await fleet.wait(1.0)
-            fleet.gateways[0].configuration.current = SIZED_CONFIGURATION
-            await fleet.gateways[0].batches.submit(make_batch("batch", 40))
-            await fleet.wait(2.0)
-            return len(fleet.sizes.received)
-
-        self.assertEqual(2, run(ordered(DEFAULT_POLICY)))
-        self.assertEqual(0, run(ordered(Policy(ordered_servers=False))))
-
     def test_hold_seconds(self):
         async def results(policy: Policy) -> int:
             """Returns how many results a read gets that may wait while some are there already."""
