Three faults found while reading the change: an ended limit, hopeless wishes, a clock that slow answers spoil

Cause and change: - A run whose time ends in the same turn of the loop in which the watcher of stalls looks at it raised within the watcher, which then watched nothing more of its batch. Such runs are left out (a test that failed before). - Each wish for a fast place looked at all engines 33 times a second though another wish had just found none. One look a pass serves them now. - The store's clock was taken from each answer's middle, so a slow store moved it by up to half a call, for all daemons alike, and with it the borders of usage windows.

--- a/src/larkpost/platform/store.py
+++ b/src/larkpost/platform/store.py
@@ -26,6 +26,8 @@
 )
 
 READ_TIMEOUT_SECONDS = 1.5
+CLOCK_DRIFT = 0.001
+"""Seconds by which two steady clocks may drift apart in a second; far more than clocks do."""
 PASS_ON_SECONDS = 3.0
 """Most time for a call that is made for a peer; its feed waits for a second of it."""
 CALL_KINDS = {names.READ_CALL: "read", names.FEED_CALL: "feed"}
@@ -53,6 +55,8 @@
         self._metrics = metrics or Metrics()
         self._session = make_session()
         self._clock_offset: float | None = None
+        self._offset_error = 0.0
+        self._offset_at = 0.0
         self.is_failing = False
 
     def move(self, address: Address) -> None:
@@ -158,10 +162,23 @@
         return response.status, answer
 
     def _note_time(self, answer: Any, sent: float) -> None:
-        """Keeps a lower bound of the store's clock: its reading is no older than the call."""
+        """Takes the store's clock from an answer, unless a quicker one told it better.
+
+        The store read its clock some time between the call and its answer. Both clocks are
+        steady, so what a quick call has told holds on, but for their drift; only an answer that
+        contradicts it shows that it no longer does.
+        """
         now_ms = answer.get("now_ms") if isinstance(answer, dict) else None
-        if isinstance(now_ms, int | float):
-            self._clock_offset = now_ms / 1000 - (sent + time.monotonic()) / 2
+        if not isinstance(now_ms, int | float):
+            return
+        received = time.monotonic()
+        error = (received - sent) / 2
+        offset = now_ms / 1000 - (sent + received) / 2
+        known_error = self._offset_error + CLOCK_DRIFT * (received - self._offset_at)
+        known = self._clock_offset
+        is_better = known is None or error <= known_error
+        if is_better or abs(offset - known) > error + known_error:
+            self._clock_offset, self._offset_error, self._offset_at = offset, error, received
 
 
 def _write_result(status: int, answer: Any) -> WriteResult:
--- a/src/larkpost/rollouts/place_queue.py
+++ b/src/larkpost/rollouts/place_queue.py
@@ -125,6 +125,7 @@
     def _pass(self) -> int:
         """Gives some places to the longest items, as long as there are any, and counts them."""
         full: set[ServiceName] = set()
+        no_place_below: dict[ServiceName, float] = {}
         left: list[_Waiting] = []
         given = 0
         for entry in self._waiting:
@@ -133,10 +134,14 @@
                 continue
             service = self._engines.service_of(entry.item, entry.route)
             engine = None
-            if service is not None and service not in full:
+            is_too_fast = 0 < entry.pace_limit <= no_place_below.get(service, 0.0)
+            if service is not None and service not in full and not is_too_fast:
                 engine = self._engines.choose(service, entry.pace_limit)
             if engine is None:
-                if service is not None and not entry.pace_limit:
+                if service is not None and entry.pace_limit:
+                    known = no_place_below.get(service, 0.0)
+                    no_place_below[service] = max(known, entry.pace_limit)
+                elif service is not None:
                     full.add(service)
                 left.append(entry)
                 continue
--- a/src/larkpost/rollouts/stalls.py
+++ b/src/larkpost/rollouts/stalls.py
@@ -74,7 +74,8 @@
         silent = [
             watch
             for watch in self._watches
-            if not watch.is_stalled and now - watch.heard_at >= _patience(pace_of(watch.engine.id))
+            if not (watch.is_stalled or watch.limit.expired())
+            and now - watch.heard_at >= _patience(pace_of(watch.engine.id))
         ]
         return sorted(silent, key=lambda watch: watch.heard_at)
 
--- a/tests/test_urgency.py
+++ b/tests/test_urgency.py
@@ -86,6 +86,27 @@
 
         run(play())
 
+    def test_a_run_whose_time_is_over_is_not_ended_again(self):
+        """Its time may be over in the turn of the loop in which it is looked at."""
+
+        async def play():
+            watcher = StallWatcher(LoopClock())
+            found = []
+            loop = asyncio.get_running_loop()
+            with self.assertRaises(TimeoutError):
+                async with asyncio.timeout(1.0) as limit:
+                    with watcher.watch(make_info("e"), limit):
+                        # Called after the limit's own timer, before the run hears of it.
+                        loop.call_at(loop.time() + 1.0, self._look, watcher, limit, found)
+                        await asyncio.sleep(5.0)
+            self.assertEqual([(True, [])], found)
+
+        run(play())
+
+    @staticmethod
+    def _look(watcher, limit, found) -> None:
+        found.append((limit.expired(), watcher.stalled(lambda _: 0.0)))
+
     def test_a_stalled_run_stays_while_there_is_no_place(self):
         """Only as many runs are ended as there are free places; the others wait where they are."""
 
