--- a/tests/process_soak/callers.py
+++ b/tests/process_soak/callers.py
@@ -32,7 +32,7 @@
 KEPT_VERSIONS = 2
 """A key is in force in the version that brings it and in the next one."""
 DROPPED_KEY_EVERY = 7
-"""Every so manieth request carries a key that was taken away."""
+"""One request in this many carries a key that was taken away."""
 PROMISES_NOT_RUN = (408, 421, 429, 503)
 CALL_FAILURES = (aiohttp.ClientError, TimeoutError, OSError)
 
