One answer to whether work may go to an instance, asked at the choice and before the send

Cause: directory, balancer, choice of engines, reward calls, forwarder and runs each filtered instances on their own; evacuation, cold servers and regions would have been conditions in six places. Change: placement/ with a typed verdict and its reason, rules that judge and admit; Beliefs as the blackboard that feeds write.

--- /dev/null
+++ b/src/larkpost/fleet/beliefs.py
@@ -0,0 +1,32 @@
+"""What a daemon believes of the world: the blackboard that its controllers write.
+
+Feeds and answers write it (`row_intake`, `directory`); forwarding, runs and orders read it. Each
+part says by itself how old its news are or which version it holds.
+"""
+
+from dataclasses import dataclass, field
+
+from larkpost.fleet.configuration import ConfigurationState
+from larkpost.fleet.directory import Directory
+from larkpost.fleet.evacuations import Evacuations
+from larkpost.fleet.regions import RegionMap
+from larkpost.fleet.weights import WeightTargets
+
+
+@dataclass(slots=True)
+class Beliefs:
+    """The beliefs of one daemon.
+
+    Attributes:
+        configuration: routes, services, tenants and limits in force.
+        directory: the server instances, their states and versions.
+        targets: the weight version that each model should have.
+        evacuations: the zones that are to get nothing.
+        regions: where zones lie.
+    """
+
+    regions: RegionMap = field(default_factory=RegionMap)
+    configuration: ConfigurationState = field(default_factory=ConfigurationState)
+    directory: Directory = field(default_factory=Directory)
+    targets: WeightTargets = field(default_factory=WeightTargets)
+    evacuations: Evacuations = field(default_factory=Evacuations)
--- a/src/larkpost/fleet/loader.py
+++ b/src/larkpost/fleet/loader.py
@@ -126,9 +126,12 @@
         if lease is None:
             self._note_no_order(engine, target, "no_lease")
             return RETRY_SECONDS
-        if self._clock.now() >= lease.usable_until or not self._directory.takes_work(engine.id):
+        if self._clock.now() >= lease.usable_until:
             self._log.note(Event.LEASE_LAPSED, subject=lease.subject.key, token=lease.token)
             return RETRY_SECONDS
+        if not self._directory.takes_work(engine.id):
+            self._note_no_order(engine, target, "leaving")
+            return RETRY_SECONDS
         order = VersionOrder(
             target.model,
             target.version,
--- a/src/larkpost/fleet/row_intake.py
+++ b/src/larkpost/fleet/row_intake.py
@@ -5,9 +5,10 @@
 
 from larkpost.clock import Clock
 from larkpost.eventlog import Event, EventLog
-from larkpost.fleet.configuration import Configuration, ConfigurationState
-from larkpost.fleet.directory import Directory, InstanceInfo
-from larkpost.fleet.weights import WeightTarget, WeightTargets
+from larkpost.fleet.beliefs import Beliefs
+from larkpost.fleet.configuration import Configuration
+from larkpost.fleet.directory import InstanceInfo
+from larkpost.fleet.weights import WeightTarget
 from larkpost.ids import EngineId
 from larkpost.store.port import Row
 
@@ -45,18 +46,16 @@
     def __init__(
         self,
         readers: RowReaders,
-        configuration: ConfigurationState,
-        targets: WeightTargets,
-        directory: Directory,
+        beliefs: Beliefs,
         clock: Clock,
         log: EventLog,
         store_sound_for: Callable[[], float],
         trust_after: Callable[[], float],
     ) -> None:
         self._readers = readers
-        self._configuration = configuration
-        self._targets = targets
-        self._directory = directory
+        self._configuration = beliefs.configuration
+        self._targets = beliefs.targets
+        self._directory = beliefs.directory
         self._clock = clock
         self._log = log
         self._store_sound_for = store_sound_for
--- a/src/larkpost/gateway.py
+++ b/src/larkpost/gateway.py
@@ -7,19 +7,19 @@
 
 from larkpost.clock import Clock
 from larkpost.eventlog import Event, EventLog
-from larkpost.fleet.configuration import ConfigurationState
-from larkpost.fleet.directory import Directory
+from larkpost.fleet.beliefs import Beliefs
 from larkpost.fleet.division import EngineDivision
 from larkpost.fleet.heartbeat import new_life
 from larkpost.fleet.leases import LeaseTable
 from larkpost.fleet.lifecycle import Lifecycle
 from larkpost.fleet.loader import WeightLoader
 from larkpost.fleet.members import Membership
+from larkpost.fleet.regions import RegionMap
 from larkpost.fleet.row_intake import RowIntake, RowReaders
 from larkpost.fleet.true_time import TrueTime
-from larkpost.fleet.weights import WeightTargets
 from larkpost.ids import Address
 from larkpost.metrics import Level, Metrics
+from larkpost.placement.rules import Placement, PlacementRule
 from larkpost.policy import DEFAULT_POLICY, Policy
 from larkpost.proxy.admission import Admission
 from larkpost.proxy.balancer import Balancer
@@ -71,6 +71,7 @@
         peer_address: where it makes calls to the store for other daemons, or None.
         policy: how it decides.
         usage: what is agreed about usage reports; None if there are none.
+        regions: where the deployment's zones lie, seen from this daemon's.
     """
 
     machine: str
@@ -82,6 +83,7 @@
     peer_address: Address | None = None
     policy: Policy = DEFAULT_POLICY
     usage: UsageTerms | None = None
+    regions: RegionMap = field(default_factory=RegionMap)
 
 
 @dataclass(slots=True)
@@ -114,9 +116,10 @@
         self._log = ports.log
         own = new_life(settings.machine)
         self.id = own
-        self.configuration = ConfigurationState()
-        self.directory = Directory()
-        self.targets = WeightTargets()
+        self.beliefs = Beliefs(settings.regions)
+        self.configuration = self.beliefs.configuration
+        self.directory = self.beliefs.directory
+        self.targets = self.beliefs.targets
         self.lifecycle = Lifecycle()
         self.true_time = TrueTime(
             ports.clock, ports.store.time, lambda: self.membership.clock_offsets()
@@ -127,6 +130,7 @@
             ports.chance,
             settings.policy,
             ports.servers.is_connected,
+            Placement(self.directory, self._placement_rules(), ports.metrics),
         )
         self.membership = Membership(
             own,
@@ -216,9 +220,7 @@
         readers = ports.readers
         intake = RowIntake(
             readers,
-            self.configuration,
-            self.targets,
-            self.directory,
+            self.beliefs,
             ports.clock,
             ports.log,
             self._store_sound_for,
@@ -285,6 +287,10 @@
         """Ends all background work."""
         self._tasks.cancel_all()
 
+    def _placement_rules(self) -> tuple[PlacementRule, ...]:
+        """Returns the rules of placement; those that count sends come last."""
+        return ()
+
     def _follower(
         self,
         table: str,
--- a/src/larkpost/ids.py
+++ b/src/larkpost/ids.py
@@ -5,6 +5,7 @@
 DaemonId = NewType("DaemonId", str)
 EngineId = NewType("EngineId", str)
 ZoneId = NewType("ZoneId", str)
+RegionId = NewType("RegionId", str)
 PoolId = NewType("PoolId", str)
 BatchId = NewType("BatchId", str)
 TrainerId = NewType("TrainerId", str)
--- a/src/larkpost/metrics.py
+++ b/src/larkpost/metrics.py
@@ -15,6 +15,7 @@
     REQUESTS = "larkpost_requests_total"
     DENIALS = "larkpost_denials_total"
     ATTEMPTS = "larkpost_attempts_total"
+    NOT_PLACED = "larkpost_not_placed_total"
     STORE_CALLS = "larkpost_store_calls_total"
     BATCH_CALLS = "larkpost_batch_calls_total"
     ITEM_RUNS = "larkpost_item_runs_total"
@@ -31,6 +32,10 @@
     Count.REQUESTS: ("Client requests answered.", ("route", "outcome")),
     Count.DENIALS: ("Calls that the configuration does not allow.", ("reason",)),
     Count.ATTEMPTS: ("Attempts of client requests at servers.", ("service", "outcome")),
+    Count.NOT_PLACED: (
+        "Sends that were not made, as a rule of placement forbade them.",
+        ("work", "verdict"),
+    ),
     Count.STORE_CALLS: ("Calls to the store.", ("call", "outcome")),
     Count.BATCH_CALLS: ("Calls that concern batches.", ("call", "outcome")),
     Count.ITEM_RUNS: ("Runs of batch items at engines.", ("outcome",)),
--- /dev/null
+++ b/src/larkpost/placement/rules.py
@@ -0,0 +1,126 @@
+"""The rules of placement, asked by everything that sends work to instances.
+
+`judge` answers for a choice among instances and takes nothing. `admit` answers right before the
+send, from what is known then, and counts the send where a rule limits how many there may be. The
+choice and the send may be some time apart, so both are asked.
+"""
+
+from collections.abc import Iterable
+from typing import Protocol
+
+from larkpost.fleet.directory import Directory, InstanceInfo, InstanceState
+from larkpost.ids import EngineId
+from larkpost.metrics import Count, Metrics
+from larkpost.placement.verdict import Verdict
+from larkpost.placement.work import Work
+from larkpost.proxy.port import NotRunError, NotRunReason
+
+NOT_RUN_REASONS = {
+    Verdict.UNKNOWN: NotRunReason.LEAVING,
+    Verdict.LEAVING: NotRunReason.LEAVING,
+    Verdict.EVACUATED: NotRunReason.EVACUATED,
+    Verdict.COLD: NotRunReason.COLD,
+    Verdict.OUTSIDE_REGIONS: NotRunReason.OUTSIDE_REGIONS,
+    Verdict.OLD_VERSION: NotRunReason.MISDIRECTED,
+    Verdict.AVOIDED: NotRunReason.FULL,
+}
+"""What a send that is not made is told to have ended in."""
+
+
+class PlacementRule(Protocol):
+    """One reason why work may not go to an instance."""
+
+    def judge(self, instance: InstanceInfo, work: Work) -> Verdict:
+        """Tells whether work may go to an instance now; takes nothing."""
+
+    def admit(self, instance: InstanceInfo, work: Work) -> Verdict:
+        """Tells the same right before the send, and counts the send if it is allowed."""
+
+
+class PlainRule:
+    """A rule that counts nothing; subclasses define `judge`."""
+
+    def judge(self, instance: InstanceInfo, work: Work) -> Verdict:
+        """Tells whether work may go to an instance now."""
+        raise NotImplementedError
+
+    def admit(self, instance: InstanceInfo, work: Work) -> Verdict:
+        """Tells the same right before the send."""
+        return self.judge(instance, work)
+
+
+class LeavingRule(PlainRule):
+    """Nothing new goes to an instance that leaves."""
+
+    def judge(self, instance: InstanceInfo, work: Work) -> Verdict:
+        """Tells whether the instance stays."""
+        leaves = instance.state is InstanceState.LEAVING
+        return Verdict.LEAVING if leaves else Verdict.ALLOWED
+
+
+class VersionRule(PlainRule):
+    """Work that names a model goes only to instances whose version of it is new enough."""
+
+    def __init__(self, directory: Directory) -> None:
+        self._directory = directory
+
+    def judge(self, instance: InstanceInfo, work: Work) -> Verdict:
+        """Tells whether the instance's weights will do."""
+        if work.model is None:
+            return Verdict.ALLOWED
+        version = self._directory.version_of(instance.id, work.model)
+        return Verdict.ALLOWED if version >= work.minimum_version else Verdict.OLD_VERSION
+
+
+class Placement:
+    """Asks all rules in turn; the first one that objects decides.
+
+    Args:
+        rules: those of the deployment, besides leaving instances and weight versions. A rule that
+            counts sends comes last, so that it counts none that another rule forbids.
+    """
+
+    def __init__(
+        self,
+        directory: Directory,
+        rules: Iterable[PlacementRule] = (),
+        metrics: Metrics | None = None,
+    ) -> None:
+        self._directory = directory
+        self._rules = (LeavingRule(), VersionRule(directory), *rules)
+        self._metrics = metrics
+
+    def judge(self, instance: InstanceInfo, work: Work) -> Verdict:
+        """Tells whether work may go to an instance now, or why not."""
+        for rule in self._rules:
+            verdict = rule.judge(instance, work)
+            if not verdict.is_allowed:
+                return verdict
+        return Verdict.ALLOWED
+
+    def allows(self, instance: InstanceInfo, work: Work) -> bool:
+        """Tells whether work may go to an instance now."""
+        return self.judge(instance, work).is_allowed
+
+    def admit(self, instance: EngineId, work: Work) -> None:
+        """Asks once more right before a send, by what is known of the instance now.
+
+        Raises:
+            NotRunError: the send must not be made; nothing was sent.
+        """
+        verdict = self._admit(instance, work)
+        if verdict.is_allowed:
+            return
+        if self._metrics is not None:
+            self._metrics.count(Count.NOT_PLACED, work.kind, verdict)
+        raise NotRunError(NOT_RUN_REASONS[verdict])
+
+    def _admit(self, instance: EngineId, work: Work) -> Verdict:
+        info = self._directory.get(instance)
+        if info is None:
+            return Verdict.UNKNOWN
+        for rule in self._rules:
+            verdict = rule.admit(info, work)
+            if not verdict.is_allowed:
+                return verdict
+        return Verdict.ALLOWED
--- a/src/larkpost/proxy/balancer.py
+++ b/src/larkpost/proxy/balancer.py
@@ -1,6 +1,7 @@
 """Chooses an instance of a service by its load and speed, as far as this daemon knows them."""
 
 import random
+from collections import Counter
 from collections.abc import Callable, Collection, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass
@@ -10,6 +11,9 @@
 from larkpost.fleet.directory import Directory, InstanceInfo
 from larkpost.fleet.heartbeat import UseSummary
 from larkpost.ids import DaemonId, EngineId
+from larkpost.placement.rules import Placement
+from larkpost.placement.verdict import Verdict
+from larkpost.placement.work import CLIENT_WORK, Work
 from larkpost.policy import DEFAULT_POLICY, Policy
 from larkpost.proxy.port import NotRunReason, ServerLoad
 
@@ -69,12 +73,16 @@
         chance: random.Random,
         policy: Policy = DEFAULT_POLICY,
         is_connected: Callable[[InstanceInfo], bool] = lambda _: False,
+        placement: Placement | None = None,
     ) -> None:
         """Makes an empty record.
 
         Args:
             is_connected: tells whether a connection to an instance is kept.
+            placement: the rules by which instances are judged; None for no more than that they
+                do not leave.
         """
+        self._placement = placement or Placement(directory)
         self._policy = policy
         self._is_connected = is_connected
         self._directory = directory
@@ -91,6 +99,7 @@
     def candidates(
         self,
         service: ServiceName,
+        work: Work = CLIENT_WORK,
         *,
         exclude: Collection[EngineId] = (),
         eligible: Callable[[InstanceInfo], bool] | None = None,
@@ -101,12 +110,16 @@
         Instances that failed a moment ago come last.
 
         Args:
+            work: what is to be sent.
+            eligible: tells what else the caller wants of an instance.
             for_client: whether it is a client's request, which rather takes a kept connection.
         """
         fitting = [
             info
             for info in self._directory.of_service(service)
-            if info.id not in exclude and (eligible is None or eligible(info))
+            if info.id not in exclude
+            and (eligible is None or eligible(info))
+            and self._placement.allows(info, work)
         ]
         paces = {info.id: self.pace(info.id) for info in fitting}
         best_pace = min((pace for pace in paces.values() if pace), default=0.0)
@@ -240,6 +253,20 @@
         """Tells whether an instance is only a last resort at the moment."""
         return self._clock.now() < self.use(instance).avoid_until
 
+    def verdicts(self, service: ServiceName, work: Work = CLIENT_WORK) -> dict[Verdict, int]:
+        """Returns how many instances of a service get each verdict; for the line on a refusal."""
+        return dict(
+            Counter(
+                Verdict.AVOIDED if self.is_avoided(info.id) else self._placement.judge(info, work)
+                for info in self._directory.of_service(service)
+            )
+        )
+
+    @property
+    def placement(self) -> Placement:
+        """The rules by which instances are judged."""
+        return self._placement
+
     def _connection_factor(self, info: InstanceInfo) -> float:
         is_new = self._policy.kept_connections_first and not self._is_connected(info)
         return NEW_CONNECTION_FACTOR if is_new else 1.0
--- a/src/larkpost/proxy/forwarder.py
+++ b/src/larkpost/proxy/forwarder.py
@@ -17,12 +17,12 @@
 from larkpost.fleet.directory import Directory, InstanceInfo
 from larkpost.ids import EngineId
 from larkpost.metrics import Count, Metrics, Timing
+from larkpost.placement.work import CLIENT_WORK, Work
 from larkpost.policy import DEFAULT_POLICY, Policy
 from larkpost.proxy.balancer import Balancer
 from larkpost.proxy.port import (
     BrokenAnswerError,
     NotRunError,
-    NotRunReason,
     OutgoingRequest,
     ServerAnswer,
     ServerPort,
@@ -56,11 +56,13 @@
         ran_at: servers that may have run it.
         refused_by: servers that certainly did not.
         last: the last failure that a server answered in full.
+        work: what the rules of placement ask of it.
     """
 
     ran_at: set[EngineId] = field(default_factory=set)
     refused_by: set[EngineId] = field(default_factory=set)
     last: WholeAnswer | None = None
+    work: Work = CLIENT_WORK
 
 
 class Forwarder:
@@ -106,9 +108,9 @@
                 else:
                     answer = await self._forward_once(request, route, service, attempts)
         except TimeoutError:
-            raise self._failure(request, route, attempts, timed_out=True) from None
+            raise self._failure(request, route, service, attempts, timed_out=True) from None
         if answer is None:
-            raise self._failure(request, route, attempts, timed_out=False)
+            raise self._failure(request, route, service, attempts, timed_out=False)
         self._note_done(request, route, attempts, answer)
         return answer
 
@@ -126,9 +128,10 @@
         while True:
             instance = self._choose(service, attempts)
             if instance is None or len(attempts.ran_at) >= route.max_attempts:
-                raise self._failure(request, route, attempts, timed_out=False)
+                raise self._failure(request, route, service, attempts, timed_out=False)
             try:
                 outgoing = self._outgoing(request, route, fresh=True)
+                self._balancer.placement.admit(instance.id, attempts.work)
                 async with asyncio.timeout_at(self._end_time(request, route)) as limit:
                     with self._balancer.placed(instance.id):
                         async with self._servers.send(instance, outgoing) as answer:
@@ -139,7 +142,7 @@
                             return
             except TimeoutError:
                 attempts.ran_at.add(instance.id)
-                raise self._failure(request, route, attempts, timed_out=True) from None
+                raise self._failure(request, route, service, attempts, timed_out=True) from None
             except NotRunError as error:
                 self._note_not_run(instance, attempts, error)
             except BrokenAnswerError as error:
@@ -207,8 +210,7 @@
         outgoing = self._outgoing(request, route, fresh=route.kind is not RouteKind.IDEMPOTENT)
         started = self._clock.now()
         try:
-            if not self._directory.takes_work(instance.id):
-                raise NotRunError(NotRunReason.LEAVING)
+            self._balancer.placement.admit(instance.id, attempts.work)
             with self._balancer.placed(instance.id):
                 async with self._servers.send(instance, outgoing) as answer:
                     self._balancer.note_load(instance.id, answer.load)
@@ -244,7 +246,9 @@
 
     def _choose(self, service: ServiceName, attempts: _Attempts) -> InstanceInfo | None:
         tried = attempts.ran_at | attempts.refused_by
-        candidates = self._balancer.candidates(service, exclude=tried, for_client=True)
+        candidates = self._balancer.candidates(
+            service, attempts.work, exclude=tried, for_client=True
+        )
         return candidates[0] if candidates else None
 
     def _outgoing(self, request: ClientRequest, route: Route, *, fresh: bool) -> OutgoingRequest:
@@ -331,7 +335,13 @@
             self._balancer.avoid(instance.id, SILENT_AVOID_SECONDS)
 
     def _failure(
-        self, request: ClientRequest, route: Route, attempts: _Attempts, *, timed_out: bool
+        self,
+        request: ClientRequest,
+        route: Route,
+        service: ServiceName,
+        attempts: _Attempts,
+        *,
+        timed_out: bool,
     ) -> LarkpostError:
         """Returns the error that a request ends in, and notes it."""
         ran = bool(attempts.ran_at)
@@ -351,5 +361,6 @@
             held=round(self._clock.now() - request.received_at, 3),
             tried=sorted(attempts.ran_at),
             refused_by=sorted(attempts.refused_by),
+            verdicts=self._balancer.verdicts(service, attempts.work),
         )
         return error
--- a/src/larkpost/proxy/port.py
+++ b/src/larkpost/proxy/port.py
@@ -106,6 +106,9 @@
     MISDIRECTED = "misdirected"  # it has another instance or weight version than expected
     REPLACED = "replaced"  # another instance answers at the address
     LEAVING = "leaving"  # the instance left before anything was sent
+    EVACUATED = "evacuated"  # its zone is to get nothing; nothing was sent
+    COLD = "cold"  # it is cold and bears no more requests now; nothing was sent
+    OUTSIDE_REGIONS = "outside_regions"  # the request may not go there; nothing was sent
 
 
 class NotRunError(LarkpostError):
--- a/src/larkpost/rollouts/engine_choice.py
+++ b/src/larkpost/rollouts/engine_choice.py
@@ -3,6 +3,7 @@
 from larkpost.fleet.configuration import Route, RouteKind, ServiceName
 from larkpost.fleet.directory import InstanceInfo
 from larkpost.ids import EngineId
+from larkpost.placement.work import Work, WorkKind
 from larkpost.rollouts.attempt import Progress
 from larkpost.rollouts.context import RunServices
 from larkpost.rollouts.model import BatchHead, Item, ItemId
@@ -24,10 +25,15 @@
 
 
 class EngineChoice:
-    """Chooses engines for the items of one batch."""
+    """Chooses engines for the items of one batch.
+
+    Attributes:
+        work: what the rules of placement ask of the batch's items.
+    """
 
     def __init__(self, head: BatchHead, services: RunServices) -> None:
         self._head = head
+        self.work = Work(WorkKind.ITEM, model=head.model, minimum_version=head.minimum_version)
         self._services = services
         self._began_at = services.clock.now()
         self._item_services: dict[ItemId, ServiceName] = {}
@@ -125,6 +131,7 @@
             if (pace := balancer.pace(info.id))
             and directory.version_of(info.id, self._head.model) >= version
             and not balancer.is_avoided(info.id)
+            and balancer.placement.allows(info, self.work)
         ]
         best = min(paces, default=0.0)
         return best * FASTER_RATIO if balancer.pace(engine.id) > best * LONG_RUN_RATIO else 0.0
@@ -149,13 +156,10 @@
         balancer = self._services.balancer
         return [
             info
-            for info in balancer.candidates(service, eligible=self._is_fit)
+            for info in balancer.candidates(service, self.work, eligible=self._is_unspoiled)
             if balancer.occupied(info) < max(1, info.slots)
         ]
 
-    def _is_fit(self, info: InstanceInfo) -> bool:
-        """Tells whether an engine has a version that will do and did not fail a moment ago."""
-        if self._services.balancer.is_avoided(info.id):
-            return False
-        version = self._services.directory.version_of(info.id, self._head.model)
-        return version >= self._head.minimum_version
+    def _is_unspoiled(self, info: InstanceInfo) -> bool:
+        """Tells whether an engine did not fail a moment ago."""
+        return not self._services.balancer.is_avoided(info.id)
--- a/src/larkpost/rollouts/engine_run.py
+++ b/src/larkpost/rollouts/engine_run.py
@@ -8,8 +8,6 @@
 from larkpost.metrics import Timing
 from larkpost.proxy.port import (
     BrokenAnswerError,
-    NotRunError,
-    NotRunReason,
     OutgoingRequest,
     ServerAnswer,
 )
@@ -158,8 +156,7 @@
         progress: Progress,
         watch: RunWatch,
     ) -> RunEnd:
-        if not self._services.directory.takes_work(engine.id):
-            raise NotRunError(NotRunReason.LEAVING)
+        self._services.balancer.placement.admit(engine.id, self._engines.work)
         request = self._request(item, route, progress)
         async with self._services.servers.send(engine, request) as answer:
             self._services.balancer.note_load(engine.id, answer.load)
--- a/src/larkpost/rollouts/reward.py
+++ b/src/larkpost/rollouts/reward.py
@@ -17,6 +17,7 @@
 from larkpost.fleet.directory import InstanceInfo
 from larkpost.ids import EngineId
 from larkpost.metrics import Count, Timing
+from larkpost.placement.work import REWARD_WORK
 from larkpost.proxy.port import (
     BrokenAnswerError,
     NotRunError,
@@ -154,7 +155,7 @@
     def _choose(self, service: ServiceName, tries: _Tries) -> InstanceInfo | None:
         """Returns the best server with a place, one that was not tried yet if there is one."""
         balancer = self._services.balancer
-        candidates = balancer.candidates(service, eligible=self._has_place)
+        candidates = balancer.candidates(service, REWARD_WORK, eligible=self._has_place)
         fresh = [info for info in candidates if info.id not in tries.servers]
         if candidates and not fresh:
             tries.servers.clear()
@@ -175,8 +176,7 @@
         balancer = self._services.balancer
         began = self._services.clock.now()
         try:
-            if not self._services.directory.takes_work(server.id):
-                raise NotRunError(NotRunReason.LEAVING)
+            balancer.placement.admit(server.id, REWARD_WORK)
             with balancer.placed(server.id):
                 async with (
                     asyncio.timeout(limit),
--- /dev/null
+++ b/tests/test_placement.py
@@ -0,0 +1,96 @@
+"""The one answer to whether work may go to an instance: asked for a choice, and before a send."""
+
+import unittest
+from dataclasses import replace
+
+from larkpost.fleet.configuration import ModelName, ServiceName
+from larkpost.fleet.directory import Directory, InstanceInfo, InstanceState
+from larkpost.ids import Address, EngineId, ZoneId
+from larkpost.metrics import Metrics
+from larkpost.placement.rules import NOT_RUN_REASONS, Placement
+from larkpost.placement.verdict import Verdict
+from larkpost.placement.work import CLIENT_WORK, Work, WorkKind
+from larkpost.proxy.port import NotRunError, NotRunReason
+
+MODEL = ModelName("model")
+ENGINE = InstanceInfo(
+    EngineId("e0"),
+    ServiceName("engines"),
+    Address("10.0.0.1:1"),
+    ZoneId("z"),
+    8,
+    InstanceState.READY,
+    {MODEL: 3},
+)
+
+
+class OnceRule:
+    """Lets one send through, as a rule that counts sends does."""
+
+    def __init__(self) -> None:
+        self.left = 1
+
+    def judge(self, instance: InstanceInfo, work: Work) -> Verdict:
+        """Tells whether a send is left."""
+        return Verdict.ALLOWED if self.left else Verdict.COLD
+
+    def admit(self, instance: InstanceInfo, work: Work) -> Verdict:
+        """Takes a send."""
+        verdict = self.judge(instance, work)
+        self.left = 0
+        return verdict
+
+
+class PlacementTest(unittest.TestCase):
+    """Each rule forbids both the choice and the send."""
+
+    def setUp(self) -> None:
+        self.directory = Directory()
+        self.directory.update(ENGINE)
+        self.metrics = Metrics()
+        self.rule = OnceRule()
+        self.placement = Placement(self.directory, (self.rule,), self.metrics)
+
+    def refusal(self, work: Work = CLIENT_WORK) -> NotRunReason | None:
+        """Returns why a send must not be made; None if it may."""
+        try:
+            self.placement.admit(ENGINE.id, work)
+        except NotRunError as error:
+            return error.reason
+        return None
+
+    def test_instance_that_left_between_choice_and_send_gets_nothing(self) -> None:
+        self.assertTrue(self.placement.allows(ENGINE, CLIENT_WORK))
+        self.directory.update(replace(ENGINE, state=InstanceState.LEAVING))
+        self.assertIs(self.refusal(), NotRunReason.LEAVING)
+        self.directory.forget(ENGINE.id)
+        self.assertIs(self.refusal(), NotRunReason.LEAVING)
+        self.assertIn(
+            b'larkpost_not_placed_total{verdict="leaving",work="client"} 1.0', self.metrics.text()
+        )
+
+    def test_older_weights_than_the_work_allows(self) -> None:
+        fitting = Work(WorkKind.ITEM, model=MODEL, minimum_version=3)
+        newer = replace(fitting, minimum_version=4)
+        self.assertIs(self.placement.judge(ENGINE, fitting), Verdict.ALLOWED)
+        self.assertIs(self.placement.judge(ENGINE, newer), Verdict.OLD_VERSION)
+        self.assertIs(self.refusal(newer), NotRunReason.MISDIRECTED)
+
+    def test_forbidden_send_takes_nothing_of_a_rule_that_counts(self) -> None:
+        self.assertIsNotNone(self.refusal(Work(WorkKind.ITEM, model=MODEL, minimum_version=9)))
+        self.assertEqual(self.rule.left, 1)
+        self.assertIsNone(self.refusal())
+        self.assertIs(self.refusal(), NotRunReason.COLD)
+
+    def test_choice_takes_nothing(self) -> None:
+        for _ in range(3):
+            self.assertTrue(self.placement.allows(ENGINE, CLIENT_WORK))
+        self.assertIsNone(self.refusal())
+
+    def test_each_objection_has_a_reason_to_answer_with(self) -> None:
+        objections = set(Verdict) - {Verdict.ALLOWED}
+        self.assertEqual(objections, set(NOT_RUN_REASONS))
+
+
+if __name__ == "__main__":
+    unittest.main()
