A planned stop ends within its grace time, whatever is silent

Cause: leaving the fleet and handing batches over had no time limit, and the listeners waited without limit for answers under way. Change: each step of the stop has a limit, listeners close together within 0.4 s, the rest is left for the last counts of usage.

--- a/src/larkpost/eventlog.py
+++ b/src/larkpost/eventlog.py
@@ -27,6 +27,7 @@
     START = "start"
     STOP = "stop"
     STOPPING = "stopping"
+    STOP_STEP_LEFT = "stop_step_left"
     SETTINGS = "settings"
     CONFIGURATION = "configuration"
     READY = "ready"
--- a/src/larkpost/gateway.py
+++ b/src/larkpost/gateway.py
@@ -20,6 +20,7 @@
 from larkpost.ids import Address
 from larkpost.metrics import Level, Metrics
 from larkpost.placement.rules import Placement, PlacementRule
+from larkpost.planned_stop import PlannedStop
 from larkpost.policy import DEFAULT_POLICY, Policy
 from larkpost.proxy.admission import Admission
 from larkpost.proxy.balancer import Balancer
@@ -47,9 +48,6 @@
 IDLE_RELIST_FACTOR = 4
 """How much less often a daemon lists the batches that neither coordinates nor owns any."""
 READINESS_INTERVAL_SECONDS = 0.05
-LEAVE_SECONDS = 2.6
-"""From the request to stop until no new connections are expected."""
-KILL_MARGIN_SECONDS = 1.0
 LOOP_INTERVAL_SECONDS = 0.5
 LAPSED_INTERVAL_SECONDS = 0.25
 LATE_LOOP_SECONDS = 0.5
@@ -268,20 +266,16 @@
 
     async def drain(self) -> None:
         """Stops as planned: hands its work over and waits for the answers under way."""
-        began = self._clock.now()
-        self.lifecycle.stopping = True
-        self._log.note(Event.STOPPING, open_requests=self.lifecycle.open_requests)
-        await self.membership.leave()
-        await self.keeper.hand_over()
-        latest = began + self.settings.grace_time - KILL_MARGIN_SECONDS
-        while self._clock.now() < latest:
-            waited = self._clock.now() - began
-            if waited >= LEAVE_SECONDS and self.lifecycle.open_requests == 0:
-                break
-            await self._clock.sleep(0.05)
-        if self._usage is not None:
-            await self._usage.save_last()
-        self._log.note(Event.STOP, open_requests=self.lifecycle.open_requests)
+        steps = (("leave", self.membership.leave), ("hand_over", self.keeper.hand_over))
+        stop = PlannedStop(
+            self.lifecycle,
+            self._clock,
+            self._log,
+            steps,
+            self._usage.save_last if self._usage is not None else None,
+            lambda: self.settings.grace_time,
+        )
+        await stop.run()
 
     def stop(self) -> None:
         """Ends all background work."""
--- a/src/larkpost/http_server.py
+++ b/src/larkpost/http_server.py
@@ -13,6 +13,9 @@
 BACKLOG = 1024
 KEEP_ALIVE_SECONDS = 75
 START_POLL_SECONDS = 0.005
+CLOSE_SECONDS = 0.4
+"""Longest wait for answers under way once the server is to end: whoever closes it has waited for
+them before, and a process that stays too long is killed."""
 
 
 Application = Callable[[dict, Callable, Callable], Awaitable[None]]
@@ -76,6 +79,7 @@
             proxy_headers=False,
             backlog=BACKLOG,
             timeout_keep_alive=idle_seconds,
+            timeout_graceful_shutdown=CLOSE_SECONDS,
         )
         logging.getLogger("uvicorn.error").disabled = True
         self._server = EmbeddedServer(config)
@@ -95,7 +99,7 @@
             await asyncio.sleep(START_POLL_SECONDS)
 
     async def close(self) -> None:
-        """Stops listening, and closes connections once their answers are complete."""
+        """Stops listening, and closes connections once their answers are complete, or late."""
         self._server.close()
         if self._task is not None:
             await self._task
--- a/src/larkpost/platform/process.py
+++ b/src/larkpost/platform/process.py
@@ -108,8 +108,7 @@
     await gateway.drain()
     watcher.cancel()
     gateway.stop()
-    for listener in listeners:
-        await listener.close()
+    await asyncio.gather(*(listener.close() for listener in listeners))
     await servers.close()
     if duties is not None:
         await duties.close()
--- /dev/null
+++ b/tests/test_planned_stop.py
@@ -0,0 +1,67 @@
+"""A planned stop ends within its grace time, whatever is silent meanwhile."""
+
+import asyncio
+import unittest
+
+from larkpost.addresses import split_address
+from larkpost.http_server import HttpServer
+from larkpost.ids import Address
+from larkpost.planned_stop import KILL_MARGIN_SECONDS, LEAVE_SECONDS
+from tests.platform_fleet import PlatformFleet, make_batch
+from tests.virtual import run as run_virtual
+
+GRACE_SECONDS = 8.0
+
+
+class SilentStoreTest(unittest.TestCase):
+    """The store is down while a daemon that owns a batch is asked to stop."""
+
+    def test_stop_ends_before_the_kill(self) -> None:
+        async def play() -> float:
+            fleet = PlatformFleet(gateways=3)
+            await fleet.wait(3.0)
+            owner = await fleet.submit(make_batch(items=40))
+            fleet.store.faults.down = True
+            began = fleet.clock.now()
+            await fleet.gateways[owner].drain()
+            return fleet.clock.now() - began
+
+        self.assertLessEqual(run_virtual(play()), GRACE_SECONDS - KILL_MARGIN_SECONDS + 0.8)
+
+    def test_stop_waits_for_an_answer_no_longer_than_it_may(self) -> None:
+        async def play() -> float:
+            fleet = PlatformFleet(gateways=2)
+            await fleet.wait(1.0)
+            began = fleet.clock.now()
+            with fleet.gateways[0].lifecycle.request():
+                await fleet.gateways[0].drain()
+            return fleet.clock.now() - began
+
+        seconds = run_virtual(play())
+        self.assertGreater(seconds, LEAVE_SECONDS)
+        self.assertLess(seconds, GRACE_SECONDS - KILL_MARGIN_SECONDS + 1.0)
+
+
+class ListenerTest(unittest.IsolatedAsyncioTestCase):
+    """A listener that is closed does not wait for an answer that never ends."""
+
+    async def test_close_cuts_an_answer_that_does_not_end(self) -> None:
+        called = asyncio.Event()
+
+        async def never_answers(scope, receive, send) -> None:
+            called.set()
+            await asyncio.sleep(60)
+
+        server = HttpServer(never_answers, Address("127.0.0.1:18931"))
+        await server.start()
+        host, port = split_address(Address("127.0.0.1:18931"))
+        _, writer = await asyncio.open_connection(host, port)
+        writer.write(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+        await called.wait()
+        async with asyncio.timeout(2.0):
+            await server.close()
+        writer.close()
+
+
+if __name__ == "__main__":
+    unittest.main()
