Size of services: planned by demand and price, announced, ordered under a lease if the policy says so

Cause: terms of services that can be sized were not read, and servers lost for good were never replaced. Change: scaling/ (planner, census, demand, controller under the lease mechanism), the platform's call, terms in the configuration.

--- a/src/larkpost/eventlog.py
+++ b/src/larkpost/eventlog.py
@@ -38,6 +38,8 @@
     UNREADABLE = "unreadable"
     LEASE_LAPSED = "lease_lapsed"
     ORDER = "order"
+    SCALING_PLAN = "scaling_plan"
+    SERVERS_ORDERED = "servers_ordered"
     USAGE_DECIDED = "usage_decided"
     USAGE_REPORTED = "usage_reported"
     MEMBER = "member"
--- a/src/larkpost/fleet/configuration.py
+++ b/src/larkpost/fleet/configuration.py
@@ -7,6 +7,7 @@
 from typing import NewType
 
 from larkpost.fleet.tenants import KeyDigest, Tenant, TenantName, index_by_key
+from larkpost.scaling.terms import ScalingTerms
 
 ServiceName = NewType("ServiceName", str)
 ModelName = NewType("ModelName", str)
@@ -70,6 +71,7 @@
         slots: requests a model engine runs at once; 0 if the servers are no engines.
         models: the models that the engines hold; empty if the servers are no engines.
         tokens_per_event: tokens that one event of a stream holds at most.
+        scaling: what is agreed about its size; None if its servers cannot be ordered.
     """
 
     name: ServiceName
@@ -77,6 +79,7 @@
     slots: int = 0
     models: tuple[ModelName, ...] = ()
     tokens_per_event: int = 1
+    scaling: ScalingTerms | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/larkpost/fleet/leases.py
+++ b/src/larkpost/fleet/leases.py
@@ -36,6 +36,7 @@
 
     ENGINE_ORDERS = "engines"
     USAGE = "usage"
+    SCALING = "scaling"
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/larkpost/gateway.py
+++ b/src/larkpost/gateway.py
@@ -33,6 +33,9 @@
 from larkpost.rollouts.reward import MAX_CALLS_IN_FLIGHT
 from larkpost.rollouts.service import BatchService
 from larkpost.rollouts.view import ViewCache
+from larkpost.scaling.controller import ScalingController, ScalingMode
+from larkpost.scaling.demand import DemandForecast
+from larkpost.scaling.port import ScalingPort
 from larkpost.store.follower import TableFollower
 from larkpost.store.port import Row, Store
 from larkpost.store.relay import RelayedStore
@@ -91,6 +94,7 @@
     Attributes:
         relay: the store itself, if it can be reached by way of peers.
         usage: takes usage reports; None if nobody does.
+        scaling: takes orders of servers; None if nobody does.
     """
 
     store: Store
@@ -101,6 +105,7 @@
     metrics: Metrics = field(default_factory=Metrics)
     relay: RelayedStore | None = None
     usage: UsagePort | None = None
+    scaling: ScalingPort | None = None
     chance: random.Random = field(default_factory=random.Random)
 
 
@@ -215,6 +220,7 @@
             self.keeper.demands,
             settings.policy,
         )
+        self._scaling = self._make_scaling(ports.scaling, leases) if ports.scaling else None
         readers = ports.readers
         intake = RowIntake(
             readers,
@@ -248,6 +254,23 @@
         self._loop_lag = 0.0
         self._tasks = TaskSet(ports.clock, Telemetry(settings.machine, log=False))
 
+    def _make_scaling(self, port: ScalingPort, leases: LeaseTable) -> ScalingController:
+        ports = self._ports
+        demand = DemandForecast(self.directory, self.keeper.demands, self.balancer.pace)
+        replaces = self.settings.policy.replace_servers
+        return ScalingController(
+            self.beliefs,
+            self.membership,
+            leases,
+            port,
+            ports.clock,
+            ports.log,
+            ports.metrics,
+            demand,
+            self._store_sound_for,
+            ScalingMode.REPLACE if replaces else ScalingMode.ANNOUNCE,
+        )
+
     def start(self) -> None:
         """Starts all background work."""
         self._log.note(Event.START, id=self.id)
@@ -260,6 +283,8 @@
         self._loader.start(self._tasks)
         if self._usage is not None:
             self._usage.start(self._tasks)
+        if self._scaling is not None:
+            self._scaling.start(self._tasks)
         self._tasks.every(LAPSED_INTERVAL_SECONDS, self._intake.drop_lapsed, "lapsed")
         self._tasks.spawn(self._become_ready(), "readiness")
         self._tasks.spawn(self._watch_loop(), "loop")
--- a/src/larkpost/metrics.py
+++ b/src/larkpost/metrics.py
@@ -24,6 +24,7 @@
     APPENDS = "larkpost_appends_total"
     ORDERS = "larkpost_orders_total"
     CLAIMS = "larkpost_batch_claims_total"
+    SERVER_ORDERS = "larkpost_server_orders_total"
     USAGE_REPORTS = "larkpost_usage_reports_total"
     LINES_LEFT_OUT = "larkpost_log_lines_left_out_total"
 
@@ -44,6 +45,7 @@
     Count.APPENDS: ("Appends to batches.", ("outcome",)),
     Count.ORDERS: ("Orders given to engines.", ("outcome",)),
     Count.CLAIMS: ("Batches claimed from daemons held dead.", ("outcome",)),
+    Count.SERVER_ORDERS: ("Orders of servers, or due ones not given.", ("outcome",)),
     Count.USAGE_REPORTS: ("Usage reports sent, or not.", ("outcome",)),
     Count.LINES_LEFT_OUT: ("Log lines left out.", ("event",)),
 }
@@ -63,6 +65,7 @@
     RESULTS_WAITING = "larkpost_results_waiting"
     LOOP_LAG = "larkpost_loop_lag_seconds"
     READY = "larkpost_ready"
+    SERVERS_NEEDED = "larkpost_servers_needed"
     COORDINATOR = "larkpost_coordinator"
     STORE_RELAYED = "larkpost_store_relayed"
 
@@ -80,6 +83,7 @@
     Level.LOOP_LAG: ("Largest delay of the event loop since the last reading.", ()),
     Level.COORDINATOR: ("Whether this daemon gives orders and claims batches (1) or not (0).", ()),
     Level.STORE_RELAYED: ("Whether a peer makes this daemon's calls to the store (1).", ()),
+    Level.SERVERS_NEEDED: ("Servers that the demand takes; 0 if not known.", ("service",)),
     Level.READY: ("Whether new clients may come (1) or not (0).", ()),
 }
 
--- a/src/larkpost/platform/duties.py
+++ b/src/larkpost/platform/duties.py
@@ -10,6 +10,7 @@
 from larkpost.ids import Address
 from larkpost.platform import names
 from larkpost.platform.connections import make_session
+from larkpost.scaling.port import ScalingOrder, ScalingOutcome, ServerKind
 from larkpost.usage.port import ReportOutcome, UsageReport
 
 CALL_FAILURES = (aiohttp.ClientError, asyncio.TimeoutError, OSError)
@@ -23,9 +24,16 @@
     UNANSWERED: ReportOutcome.UNKNOWN,
 }
 
+SCALING_OUTCOMES = {
+    200: ScalingOutcome.TAKEN,
+    409: ScalingOutcome.REFUSED,
+    500: ScalingOutcome.UNKNOWN,
+    UNANSWERED: ScalingOutcome.UNKNOWN,
+}
+
 
 class HttpDuties:
-    """Makes the calls; implements `larkpost.usage.port.UsagePort`.
+    """Makes the calls; implements `UsagePort` and `ScalingPort`.
 
     Args:
         address: where the platform takes them.
@@ -51,6 +59,20 @@
         status = await self._call(names.USAGE_CALL, document, holder, lease, timeout)
         return REPORT_OUTCOMES.get(status, ReportOutcome.NOT_TAKEN)
 
+    async def order_servers(
+        self, order: ScalingOrder, holder: str, lease: Lease, timeout: float
+    ) -> ScalingOutcome:
+        """Sends an order of servers; see the port."""
+        document: dict[str, object] = {
+            "service": order.service,
+            "zone": order.zone,
+            "desired": order.desired,
+        }
+        if order.kind is ServerKind.PREEMPTIBLE:
+            document["preemptible"] = True
+        status = await self._call(names.SCALING_CALL, document, holder, lease, timeout)
+        return SCALING_OUTCOMES.get(status, ScalingOutcome.NOT_TAKEN)
+
     async def _call(
         self, call: str, document: dict[str, object], holder: str, lease: Lease, timeout: float
     ) -> int:
--- a/src/larkpost/platform/names.py
+++ b/src/larkpost/platform/names.py
@@ -35,6 +35,8 @@
 # Calls to the platform that one daemon at a time makes.
 USAGE_CALL = "/usage"
 USAGE_DUTY = "usage"
+SCALING_CALL = "/scale"
+SCALING_DUTY = "autoscale"
 
 # Calls to servers.
 REPORT_CALL = "/-/report"
--- a/src/larkpost/platform/operator.py
+++ b/src/larkpost/platform/operator.py
@@ -19,6 +19,7 @@
 from larkpost.fleet.weights import WeightTarget
 from larkpost.ids import Address, EngineId, ZoneId
 from larkpost.platform import names
+from larkpost.scaling.terms import ScalingTerms
 from larkpost.store.port import Row
 
 KINDS = {
@@ -90,6 +91,7 @@
             state=InstanceState.LEAVING if draining else InstanceState.READY,
             versions=read_versions(document),
             listed_version=row.version,
+            is_preemptible=bool(document.get("preemptible", False)),
         )
     except UNREADABLE as error:
         raise UnreadableRowError(f"server {row.key.key}: {error!r}") from None
@@ -152,6 +154,25 @@
         slots=int(engine.get("slots", 0)),
         models=tuple(ModelName(model["name"]) for model in engine.get("models", ())),
         tokens_per_event=int(engine.get("stride", 1)),
+        scaling=_scaling(entry.get("autoscale")),
+    )
+
+
+def _scaling(entry: dict[str, Any] | None) -> ScalingTerms | None:
+    if not entry:
+        return None
+    minimum, maximum = int(entry["min"]), int(entry["max"])
+    if not 0 <= minimum <= maximum:
+        raise ValueError(f"autoscale from {minimum} to {maximum} servers")
+    cheap = entry.get("spot-price")
+    return ScalingTerms(
+        minimum=minimum,
+        maximum=maximum,
+        boot_time=float(entry.get("boot-s", 0)),
+        preemptible_price=float(cheap) if cheap else None,
+        zone_prices={
+            ZoneId(zone): float(price) for zone, price in (entry.get("zone-prices") or {}).items()
+        },
     )
 
 
--- a/src/larkpost/platform/process.py
+++ b/src/larkpost/platform/process.py
@@ -74,6 +74,7 @@
             metrics,
             relay=store,
             usage=duties,
+            scaling=duties if settings.orders_servers else None,
         ),
     )
     ingress = Ingress(
--- a/src/larkpost/platform/settings.py
+++ b/src/larkpost/platform/settings.py
@@ -27,6 +27,7 @@
         metrics: port and path of the metrics, or None.
         duties: where the platform takes the calls of duties; None if there are none.
         usage: what is agreed about usage reports; None if none are asked for.
+        orders_servers: whether the platform takes orders of servers.
     """
 
     machine: str
@@ -45,6 +46,7 @@
     metrics: tuple[int, str] | None
     duties: Address | None
     usage: UsageTerms | None
+    orders_servers: bool
 
 
 def settings_path() -> Path:
@@ -91,6 +93,7 @@
         metrics=_metrics(document),
         duties=_optional_address(document, "cloud-api", "address"),
         usage=_usage(document),
+        orders_servers=_has_duty(document, names.SCALING_DUTY),
     )
 
 
@@ -121,8 +124,12 @@
     return _address(document, *path) if _find(document, path) else None
 
 
+def _has_duty(document: dict[str, Any], duty: str) -> bool:
+    return duty in (_find(document, ("cloud-api", "duties")) or ())
+
+
 def _usage(document: dict[str, Any]) -> UsageTerms | None:
-    if names.USAGE_DUTY not in (_find(document, ("cloud-api", "duties")) or ()):
+    if not _has_duty(document, names.USAGE_DUTY):
         return None
     return UsageTerms(
         window_length=_number(document, "bounds", "report-window-s", default=5),
--- a/src/larkpost/policy.py
+++ b/src/larkpost/policy.py
@@ -58,6 +58,8 @@
             been sound for a while.
         accept_seconds: seconds for which a batch is tried for while the store refuses it, before
             the trainer is sent to another daemon, which may reach the store (round 22).
+        replace_servers: servers that are lost for good are ordered anew where they can be ordered;
+            else larkpost only says what it would order.
         client_slots_share: share of a server's slots that reward calls leave to clients.
     """
 
@@ -83,6 +85,7 @@
     lapsed_serve: bool = True
     accept_seconds: float = 0.6
     client_slots_share: float = 1 / 3
+    replace_servers: bool = False
 
     def __post_init__(self) -> None:
         """Checks the values.
--- /dev/null
+++ b/src/larkpost/rehearsal/scripted_scaling.py
@@ -0,0 +1,49 @@
+"""A taker of orders of servers in memory, with the platform's contract and its faults."""
+
+from dataclasses import dataclass, field
+
+from larkpost.clock import Clock
+from larkpost.fleet.leases import Lease
+from larkpost.scaling.port import ScalingOrder, ScalingOutcome, ServerKind
+
+
+@dataclass(frozen=True, slots=True)
+class ReceivedOrder:
+    """An order that arrived; `at`: seconds on the taker's clock."""
+
+    order: ScalingOrder
+    holder: str
+    token: int
+    at: float
+    outcome: ScalingOutcome
+
+
+@dataclass(slots=True)
+class ScriptedScaling:
+    """Takes orders; implements `larkpost.scaling.port.ScalingPort`.
+
+    Attributes:
+        down: nothing is answered and nothing is taken.
+        has_preemptible: whether there are preemptible servers.
+        received: all orders that arrived, in order.
+    """
+
+    clock: Clock
+    down: bool = False
+    has_preemptible: bool = True
+    received: list[ReceivedOrder] = field(default_factory=list)
+
+    async def order_servers(
+        self, order: ScalingOrder, holder: str, lease: Lease, timeout: float
+    ) -> ScalingOutcome:
+        """Takes an order; see the port."""
+        await self.clock.sleep(0.002)
+        if self.down:
+            await self.clock.sleep(timeout)
+            return ScalingOutcome.UNKNOWN
+        is_cheap = order.kind is ServerKind.PREEMPTIBLE
+        outcome = ScalingOutcome.TAKEN
+        if is_cheap and not self.has_preemptible:
+            outcome = ScalingOutcome.REFUSED
+        self.received.append(ReceivedOrder(order, holder, lease.token, self.clock.now(), outcome))
+        return outcome
--- /dev/null
+++ b/src/larkpost/scaling/controller.py
@@ -0,0 +1,161 @@
+"""Plans the size of services, says so, and orders what the policy lets it order.
+
+Each service and zone is a matter of its own: the coordinator that rendezvous hashing names for it
+orders under its lease. An order says how many servers there are to be, so one that is repeated or
+carried out late does no harm that the next one does not mend. Nothing is ordered while the store
+is not sound: what is known of the servers may be old then.
+"""
+
+from collections.abc import Callable
+from enum import StrEnum
+
+from larkpost.clock import Clock
+from larkpost.eventlog import Event, EventLog
+from larkpost.fleet.beliefs import Beliefs
+from larkpost.fleet.configuration import Configuration, Service, ServiceName
+from larkpost.fleet.leases import Duty, LeaseSubject, LeaseTable
+from larkpost.fleet.members import Membership
+from larkpost.ids import ZoneId
+from larkpost.metrics import Count, Level, Metrics
+from larkpost.scaling.census import ServerCensus
+from larkpost.scaling.demand import DemandForecast
+from larkpost.scaling.planner import Plan, plan_servers
+from larkpost.scaling.port import ScalingOrder, ScalingOutcome, ScalingPort, ServerKind
+from larkpost.tasks import TaskSet
+
+INTERVAL_SECONDS = 1.0
+LOST_SECONDS = 8.0
+"""After this long a missing server is held lost for good: one that crashed is back before, listed
+anew, and its entry lapses three heartbeats (3.6 s) after its end."""
+SOUND_SECONDS = 4.0
+"""How long the store must have answered for counts to be believed."""
+ORDER_TIMEOUT_SECONDS = 1.0
+RETRY_SECONDS = 2.0
+"""Pause after an order that was not taken, or not for certain."""
+REFUSED_SECONDS = 20.0
+"""How long a zone that has no preemptible servers is not asked for them."""
+
+
+class ScalingMode(StrEnum):
+    """What a daemon does with a plan."""
+
+    ANNOUNCE = "announce"  # says what it would order
+    REPLACE = "replace"  # orders in place of servers that were lost
+
+
+class ScalingController:
+    """Plans for all services that have terms; orders for those that are this daemon's."""
+
+    def __init__(
+        self,
+        beliefs: Beliefs,
+        membership: Membership,
+        leases: LeaseTable,
+        port: ScalingPort,
+        clock: Clock,
+        log: EventLog,
+        metrics: Metrics,
+        demand: DemandForecast,
+        store_sound_for: Callable[[], float],
+        mode: ScalingMode,
+    ) -> None:
+        """Makes a controller.
+
+        Args:
+            demand: works out what is asked of a service.
+            store_sound_for: returns for how many seconds each call to the store was answered.
+        """
+        self._beliefs = beliefs
+        self._membership = membership
+        self._leases = leases
+        self._port = port
+        self._clock = clock
+        self._log = log
+        self._metrics = metrics
+        self._demand = demand
+        self._store_sound_for = store_sound_for
+        self._mode = mode
+        self._census = ServerCensus(beliefs.directory, beliefs.evacuations)
+        self._announced: dict[ServiceName, Plan] = {}
+        self._next_order: dict[tuple[ServiceName, ZoneId], float] = {}
+        self._no_preemptible_until: dict[ZoneId, float] = {}
+
+    def start(self, tasks: TaskSet) -> None:
+        """Starts planning."""
+        tasks.every(INTERVAL_SECONDS, self.update, "scaling")
+
+    async def update(self) -> None:
+        """Plans each service, and orders what is due and this daemon's to order."""
+        configuration = self._beliefs.configuration.current
+        if configuration is None or self._store_sound_for() < SOUND_SECONDS:
+            return
+        for service in configuration.services.values():
+            if service.scaling is not None:
+                await self._update_service(service, configuration)
+
+    async def _update_service(self, service: Service, configuration: Configuration) -> None:
+        now = self._clock.now()
+        zones = self._census.take(service.name, now)
+        refused = frozenset(
+            zone for zone, until in self._no_preemptible_until.items() if now < until
+        )
+        demand = self._demand.of(service, configuration)
+        plan = plan_servers(service.name, service.scaling, zones, demand, LOST_SECONDS, refused)
+        self._announce(service.name, plan, sum(known.count for known in zones.values()))
+        if self._mode is ScalingMode.ANNOUNCE:
+            return
+        for order in plan.orders:
+            if self._is_mine(order) and now >= self._next_order.get((order.service, order.zone), 0):
+                pause = await self._order(order, service.scaling.boot_time)
+                self._next_order[order.service, order.zone] = self._clock.now() + pause
+
+    def _announce(self, service: ServiceName, plan: Plan, present: int) -> None:
+        """Says what should be ordered, once for each change."""
+        self._metrics.set(Level.SERVERS_NEEDED, plan.needed, service)
+        if self._announced.get(service) == plan or not self._membership.is_coordinator():
+            return
+        self._announced[service] = plan
+        self._log.note(
+            Event.SCALING_PLAN,
+            service=service,
+            present=present,
+            needed=plan.needed,
+            mode=self._mode,
+            orders=[f"{order.zone} {order.kind} {order.desired}" for order in plan.orders],
+        )
+
+    def _is_mine(self, order: ScalingOrder) -> bool:
+        return self._membership.first_choice(_subject(order).key) == self._membership.own
+
+    async def _order(self, order: ScalingOrder, boot_time: float) -> float:
+        """Orders, and returns the seconds until the zone is looked at again."""
+        lease = await self._leases.take(_subject(order))
+        if lease is None or self._clock.now() >= lease.usable_until:
+            self._note(order, "no_lease", None)
+            return RETRY_SECONDS
+        outcome = await self._port.order_servers(
+            order, self._membership.own, lease, ORDER_TIMEOUT_SECONDS
+        )
+        self._note(order, outcome, lease.token)
+        if outcome is ScalingOutcome.TAKEN:
+            return boot_time + LOST_SECONDS
+        if outcome is ScalingOutcome.REFUSED and order.kind is ServerKind.PREEMPTIBLE:
+            self._no_preemptible_until[order.zone] = self._clock.now() + REFUSED_SECONDS
+        return RETRY_SECONDS
+
+    def _note(self, order: ScalingOrder, outcome: str, token: int | None) -> None:
+        self._metrics.count(Count.SERVER_ORDERS, outcome)
+        self._log.note(
+            Event.SERVERS_ORDERED,
+            service=order.service,
+            zone=order.zone,
+            kind=order.kind,
+            desired=order.desired,
+            token=token,
+            outcome=outcome,
+        )
+
+
+def _subject(order: ScalingOrder) -> LeaseSubject:
+    """A service together with a zone is one matter, whatever the kind."""
+    return LeaseSubject(Duty.SCALING, f"{order.service}\x00{order.zone}")
--- /dev/null
+++ b/src/larkpost/scaling/demand.py
@@ -0,0 +1,57 @@
+"""What is asked of a service of engines, from its open batches and the pace of its engines."""
+
+from collections.abc import Callable
+
+from larkpost.fleet.configuration import Configuration, RouteKind, Service
+from larkpost.fleet.directory import Directory
+from larkpost.fleet.weights import Demands
+from larkpost.ids import EngineId
+from larkpost.scaling.planner import Demand
+
+
+class DemandForecast:
+    """Works out the demand of services.
+
+    Args:
+        demands: tells what the batches of each model ask for.
+        pace: returns the seconds between two events of a run at an engine; 0 if not known.
+    """
+
+    def __init__(
+        self,
+        directory: Directory,
+        demands: Callable[[], Demands],
+        pace: Callable[[EngineId], float],
+    ) -> None:
+        self._directory = directory
+        self._demands = demands
+        self._pace = pace
+
+    def of(self, service: Service, configuration: Configuration) -> Demand:
+        """Returns the demand of a service: the tokens of each open batch within its due time."""
+        due = min(
+            (
+                route.due
+                for route in configuration.routes
+                if route.kind is RouteKind.BATCH
+                and route.due
+                and any(share.service == service.name for share in route.shares)
+            ),
+            default=0.0,
+        )
+        if not due:
+            return Demand()
+        demands = self._demands()
+        work = sum(demands[model].work for model in service.models if model in demands)
+        return Demand(work / due, self._server_rate(service))
+
+    def _server_rate(self, service: Service) -> float:
+        """Returns the tokens that an engine of middling pace makes a second; 0 if not known."""
+        paces = sorted(
+            pace
+            for info in self._directory.of_service(service.name)
+            if (pace := self._pace(info.id))
+        )
+        if not paces:
+            return 0.0
+        return service.slots * service.tokens_per_event / paces[len(paces) // 2]
--- /dev/null
+++ b/src/larkpost/scaling/planner.py
@@ -0,0 +1,135 @@
+"""What servers a service should have, worked out from what it has, needs and pays.
+
+Servers that were lost for good are replaced in the zone that lost them, so that a service stays
+spread as its operator laid it out. Preemptible servers come first where they are cheap enough, but
+never more than a share of a zone: all of them may go at once.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from larkpost.fleet.configuration import ServiceName
+from larkpost.ids import ZoneId
+from larkpost.scaling.port import ScalingOrder, ServerKind
+from larkpost.scaling.terms import ScalingTerms
+
+PREEMPTIBLE_SHARE = 0.5
+"""Most of a zone's servers that are preemptible: the zone serves on when all of them go."""
+PREEMPTIBLE_WORTH = 0.6
+"""Highest price of a preemptible server, as a share of one on demand, at which one is taken: what
+is lost with it, its runs and its weights, must cost less than it saves."""
+HEADROOM = 1.25
+"""Servers are planned for this multiple of the demand: batches come in bursts."""
+
+
+@dataclass(frozen=True, slots=True)
+class ZoneServers:
+    """The servers of one service in one zone.
+
+    Attributes:
+        on_demand: those that serve now and are on demand.
+        preemptible: those that serve now and are preemptible.
+        usual: most that served at once within the last while.
+        lost_for: seconds since there were as many as usual; 0 if there are.
+        is_evacuated: whether the operator wants the zone to get nothing.
+    """
+
+    on_demand: int
+    preemptible: int
+    usual: int
+    lost_for: float
+    is_evacuated: bool = False
+
+    @property
+    def count(self) -> int:
+        """Servers of both kinds."""
+        return self.on_demand + self.preemptible
+
+
+@dataclass(frozen=True, slots=True)
+class Demand:
+    """What is asked of a service.
+
+    Attributes:
+        work: tokens wanted a second; 0 if nothing is known.
+        server_rate: tokens that one server makes a second; 0 if it is not known.
+    """
+
+    work: float = 0.0
+    server_rate: float = 0.0
+
+    @property
+    def servers(self) -> int:
+        """Servers that the demand takes; 0 if it is not known."""
+        if not self.work or not self.server_rate:
+            return 0
+        return -int(-self.work * HEADROOM // self.server_rate)
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """What a service should have.
+
+    Attributes:
+        needed: servers that the demand takes; 0 if it is not known.
+        orders: what is to be ordered for that.
+    """
+
+    needed: int
+    orders: tuple[ScalingOrder, ...]
+
+
+def plan_servers(
+    service: ServiceName,
+    terms: ScalingTerms,
+    zones: Mapping[ZoneId, ZoneServers],
+    demand: Demand,
+    lost_after: float,
+    refused: frozenset[ZoneId] = frozenset(),
+) -> Plan:
+    """Returns the orders that replace what is missing, as far as it is needed.
+
+    Args:
+        zones: what the service has; zones without a price are passed over.
+        lost_after: seconds after which a missing server is held lost for good.
+        refused: zones that have no preemptible servers at the moment.
+    """
+    needed = demand.servers
+    present = sum(known.count for known in zones.values())
+    if needed and present >= needed:
+        return Plan(needed, ())  # what is missing is not needed: it would cost more than it serves
+    orders = []
+    for zone in sorted(zones, key=lambda name: terms.zone_prices.get(name, 0.0)):
+        known = zones[zone]
+        missing = _missing(known, lost_after)
+        if zone not in terms.zone_prices or not missing:
+            continue
+        orders.append(_order(service, terms, zone, known, zone not in refused))
+    return Plan(needed, tuple(order for order in orders if order is not None))
+
+
+def _missing(known: ZoneServers, lost_after: float) -> int:
+    """Returns how many servers a zone has lost for good and may have back."""
+    if known.is_evacuated or known.lost_for < lost_after:
+        return 0
+    return max(0, known.usual - known.count)
+
+
+def _order(
+    service: ServiceName, terms: ScalingTerms, zone: ZoneId, known: ZoneServers, has_cheap: bool
+) -> ScalingOrder | None:
+    """Returns the order for one zone; None if its limits leave no room."""
+    wanted = max(terms.minimum, min(known.usual, terms.maximum))
+    if wanted <= known.count:
+        return None
+    if has_cheap and is_preemptible_worth(terms):
+        cheap = min(wanted - known.on_demand, int(wanted * PREEMPTIBLE_SHARE))
+        if cheap > known.preemptible:
+            return ScalingOrder(service, zone, ServerKind.PREEMPTIBLE, cheap)
+    return ScalingOrder(service, zone, ServerKind.ON_DEMAND, wanted - known.preemptible)
+
+
+def is_preemptible_worth(terms: ScalingTerms) -> bool:
+    """Tells whether preemptible servers are cheap enough for the chance that they go."""
+    price = terms.preemptible_price
+    return price is not None and price <= PREEMPTIBLE_WORTH
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -26,6 +26,7 @@
 from larkpost.policy import DEFAULT_POLICY, Policy
 from larkpost.rehearsal.memory_store import MemoryStore, StoreClient
 from larkpost.rehearsal.scripted_engines import EngineState, ScriptedEngines, output_of
+from larkpost.rehearsal.scripted_scaling import ScriptedScaling
 from larkpost.rehearsal.scripted_usage import ScriptedUsage
 from larkpost.rollouts.model import (
     BatchSpec,
@@ -38,6 +39,7 @@
     RewardCallId,
 )
 from larkpost.rollouts.repository import RESULT_TABLE, BatchRepository
+from larkpost.scaling.terms import ScalingTerms
 from larkpost.store.port import Row, RowKey, Transaction
 from larkpost.store.relay import RelayedStore
 from larkpost.usage.port import UsageTerms
@@ -93,7 +95,21 @@
     routes=(ROUTE, replace(SCORER_ROUTE, shares=(ServiceShare(OTHER_SCORERS, 1.0),))),
 )
 """The scorers' route leads to another service."""
-CONFIGURATIONS = {b"": CONFIGURATION, b"moved": MOVED_CONFIGURATION}
+SCALING_TERMS = ScalingTerms(1, 8, 4.0, 0.22, {ZoneId("z"): 1.0})
+SCALED_CONFIGURATION = replace(
+    CONFIGURATION,
+    version=3,
+    services={
+        **CONFIGURATION.services,
+        ENGINES: replace(CONFIGURATION.services[ENGINES], scaling=SCALING_TERMS),
+    },
+)
+"""Engines can be ordered."""
+CONFIGURATIONS = {
+    b"": CONFIGURATION,
+    b"moved": MOVED_CONFIGURATION,
+    b"scaled": SCALED_CONFIGURATION,
+}
 
 
 def _read_configuration(row: Row) -> Configuration | None:
@@ -169,6 +185,7 @@
         self.gateways: list[Gateway] = []
         self.clocks: list[MachineClock] = []
         self.usage = ScriptedUsage(self.clock)
+        self.scaling = ScriptedScaling(self.clock)
         self.put("operator", "configuration", b"")
         for number in range(engines):
             self.add_engine(EngineId(f"engine-{number}"))
@@ -242,6 +259,7 @@
             log,
             relay=relay,
             usage=self.usage,
+            scaling=self.scaling,
             chance=random.Random(name),
         )
         settings = GatewaySettings(
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -292,6 +292,18 @@
             loads = due_loads(service, directory, targets, demands, 10.1, policy)
             self.assertEqual(count, len(loads))
 
+    def test_replace_servers(self):
+        async def orders(policy: Policy) -> int:
+            fleet = PlatformFleet(gateways=2, policy=policy)
+            fleet.put("operator", "configuration", b"scaled")
+            await fleet.wait(8.0)
+            fleet.store.apply(Transaction(removals=(RowKey("instances", "", "engine-0"),)))
+            await fleet.wait(12.0)
+            return len(fleet.scaling.received)
+
+        self.assertEqual(0, run(orders(DEFAULT_POLICY)))
+        self.assertEqual(1, run(orders(Policy(replace_servers=True))))
+
     def test_avoid_failed(self):
         async def is_avoided(policy: Policy) -> bool:
             balancer = Balancer(make_directory(1), LoopClock(), random.Random(0), policy)
