Client requests wait or are refused by a forecast, not after a fifth of the objective

The fixed share of the objective refused requests that would have been served late, and each waiter asked all full servers again every 20 ms. Change: proxy/forecast.py (in time, late, not at all; with the time to come back), proxy/waiting.py (one line a service: urgent first, then those that can be in time, then the earliest end; one try for each place or look), patience.py (estimate of the first try), attempts.py and outcomes.py split off the forwarder. Streams wait as well. Lines have `forecast`, larkpost_forecasts_total counts what became of them.

--- a/src/larkpost/gateway.py
+++ b/src/larkpost/gateway.py
@@ -8,6 +8,7 @@
 from larkpost.clock import Clock
 from larkpost.eventlog import Event, EventLog
 from larkpost.fleet.beliefs import Beliefs
+from larkpost.fleet.configuration import Route
 from larkpost.fleet.division import EngineDivision
 from larkpost.fleet.heartbeat import new_life
 from larkpost.fleet.leases import LeaseTable
@@ -16,6 +17,7 @@
 from larkpost.fleet.members import Membership
 from larkpost.fleet.regions import RegionMap
 from larkpost.fleet.row_intake import RowIntake, RowReaders
+from larkpost.fleet.tenants import TenantName
 from larkpost.fleet.true_time import TrueTime
 from larkpost.ids import Address
 from larkpost.metrics import Level, Metrics
@@ -172,6 +174,7 @@
             ShareChooser(ports.chance),
             settings.policy,
             counter,
+            self._priority_of,
         )
         services = RunServices(
             self.configuration,
@@ -287,6 +290,11 @@
         """Ends all background work."""
         self._tasks.cancel_all()
 
+    def _priority_of(self, tenant: TenantName | None, route: Route) -> int:
+        """Returns how urgent a client's request is by the configuration in force."""
+        current = self.configuration.current
+        return current.priority_of(tenant, route) if current is not None else route.priority
+
     def _placement_rules(self) -> tuple[PlacementRule, ...]:
         """Returns the rules of placement; those that count sends come last."""
         return ()
--- a/src/larkpost/metrics.py
+++ b/src/larkpost/metrics.py
@@ -16,6 +16,7 @@
     DENIALS = "larkpost_denials_total"
     ATTEMPTS = "larkpost_attempts_total"
     NOT_PLACED = "larkpost_not_placed_total"
+    FORECASTS = "larkpost_forecasts_total"
     STORE_CALLS = "larkpost_store_calls_total"
     BATCH_CALLS = "larkpost_batch_calls_total"
     ITEM_RUNS = "larkpost_item_runs_total"
@@ -36,6 +37,10 @@
         "Sends that were not made, as a rule of placement forbade them.",
         ("work", "verdict"),
     ),
+    Count.FORECASTS: (
+        "Forecasts at the arrival of client requests, and what became of them.",
+        ("route", "forecast", "outcome"),
+    ),
     Count.STORE_CALLS: ("Calls to the store.", ("call", "outcome")),
     Count.BATCH_CALLS: ("Calls that concern batches.", ("call", "outcome")),
     Count.ITEM_RUNS: ("Runs of batch items at engines.", ("outcome",)),
--- /dev/null
+++ b/src/larkpost/proxy/attempts.py
@@ -0,0 +1,32 @@
+"""What is known of one client request while it is forwarded."""
+
+from dataclasses import dataclass, field
+
+from larkpost.fleet.configuration import Route
+from larkpost.ids import EngineId
+from larkpost.proxy.forecast import Forecast
+from larkpost.proxy.request import ClientRequest, WholeAnswer
+from larkpost.proxy.waiting import Waiter
+
+
+@dataclass(slots=True)
+class Attempts:
+    """The attempts of one request.
+
+    Attributes:
+        waiter: its service, its work, its times, and its place in the line.
+        first_forecast: what was foreseen when it came.
+        forecast: what was foreseen last.
+        ran_at: servers that may have run it.
+        refused_by: servers that certainly did not, since it last waited.
+        last: the last failure that a server answered in full.
+    """
+
+    request: ClientRequest
+    route: Route
+    waiter: Waiter
+    first_forecast: Forecast
+    forecast: Forecast
+    ran_at: set[EngineId] = field(default_factory=set)
+    refused_by: set[EngineId] = field(default_factory=set)
+    last: WholeAnswer | None = None
--- a/src/larkpost/proxy/balancer.py
+++ b/src/larkpost/proxy/balancer.py
@@ -91,6 +91,7 @@
         self._uses: dict[EngineId, InstanceUse] = {}
         self._peers: dict[EngineId, dict[DaemonId, _PeerUse]] = {}
         """For each instance, only the daemons that use it: most daemons use few."""
+        self._release_listeners: list[Callable[[EngineId], None]] = []
 
     def use(self, instance: EngineId) -> InstanceUse:
         """Returns the record of an instance."""
@@ -208,6 +209,12 @@
     def release(self, instance: EngineId) -> None:
         """Ends the count of a request at an instance."""
         self.use(instance).outstanding -= 1
+        for listener in self._release_listeners:
+            listener(instance)
+
+    def when_released(self, listener: Callable[[EngineId], None]) -> None:
+        """Has a listener told of each request that ends at an instance, or did not run there."""
+        self._release_listeners.append(listener)
 
     def note_load(self, instance: EngineId, load: ServerLoad | None) -> None:
         """Takes what an instance told of its load while this daemon's requests were there."""
--- a/src/larkpost/proxy/forwarder.py
+++ b/src/larkpost/proxy/forwarder.py
@@ -3,23 +3,29 @@
 A request that may run more than once is tried at a second server when the first has failed or has
 been silent for long; the first whole answer wins and the other attempt is cancelled. A request
 that must run at most once goes on to another server only after proof that it did not run.
+
+A request that no server takes waits in the line of its service while its forecast says that it can
+still be answered; once it says otherwise, the request is refused.
 """
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
-from dataclasses import dataclass, field
 
 from larkpost.clock import Clock
-from larkpost.errors import LarkpostError, Ran
-from larkpost.eventlog import Event, EventLog
+from larkpost.eventlog import EventLog
 from larkpost.fleet.configuration import Route, RouteKind, ServiceName
 from larkpost.fleet.directory import Directory, InstanceInfo
+from larkpost.fleet.tenants import TenantName
 from larkpost.ids import EngineId
-from larkpost.metrics import Count, Metrics, Timing
+from larkpost.metrics import Metrics
 from larkpost.placement.work import CLIENT_WORK, Work
 from larkpost.policy import DEFAULT_POLICY, Policy
+from larkpost.proxy.attempts import Attempts
 from larkpost.proxy.balancer import Balancer
+from larkpost.proxy.forecast import Limits, Places, survey
+from larkpost.proxy.outcomes import Outcomes
+from larkpost.proxy.patience import FirstTries
 from larkpost.proxy.port import (
     BrokenAnswerError,
     NotRunError,
@@ -27,46 +33,26 @@
     ServerAnswer,
     ServerPort,
 )
-from larkpost.proxy.request import (
-    ClientRequest,
-    RefusedError,
-    RequestFailedError,
-    RequestTimeoutError,
-    WholeAnswer,
-)
+from larkpost.proxy.request import ClientRequest, WholeAnswer
 from larkpost.proxy.shares import ShareChooser
+from larkpost.proxy.waiting import Waiter, WaitingLines
 from larkpost.usage.counter import UsageCounter
 
 MIN_HEDGE_SECONDS = 0.1
 HEDGE_PACE_FACTOR = 3.0
-RETRY_AFTER_SECONDS = 0.2
-FULL_AVOID_SECONDS = 0.05
-BROKEN_AVOID_SECONDS = 0.3
-SILENT_AVOID_SECONDS = 1.0
-REFUSAL_PAUSE_SECONDS = 0.02
-REFUSE_AFTER_SHARE = 0.2
-"""Share of the objective after which a request that found no place is refused."""
-
-
-@dataclass(slots=True)
-class _Attempts:
-    """The attempts of one request.
+UNKNOWN_PACE_SHARE = 0.25
+"""Share of the objective that a request is taken to need where no pace is known: objectives leave
+room for a few requests one after the other."""
 
-    Attributes:
-        ran_at: servers that may have run it.
-        refused_by: servers that certainly did not.
-        last: the last failure that a server answered in full.
-        work: what the rules of placement ask of it.
-    """
-
-    ran_at: set[EngineId] = field(default_factory=set)
-    refused_by: set[EngineId] = field(default_factory=set)
-    last: WholeAnswer | None = None
-    work: Work = CLIENT_WORK
+PriorityOf = Callable[[TenantName | None, Route], int]
 
 
 class Forwarder:
-    """Forwards requests to the servers of their route's service."""
+    """Forwards requests to the servers of their route's service.
+
+    Args:
+        priority_of: returns how urgent a request is, 0 the most.
+    """
 
     def __init__(
         self,
@@ -79,16 +65,24 @@
         shares: ShareChooser,
         policy: Policy = DEFAULT_POLICY,
         usage: UsageCounter | None = None,
+        priority_of: PriorityOf = lambda _, route: route.priority,
     ) -> None:
         self._policy = policy
-        self._usage = usage
         self._directory = directory
         self._balancer = balancer
         self._servers = servers
         self._clock = clock
-        self._log = log
-        self._metrics = metrics
         self._shares = shares
+        self._priority_of = priority_of
+        self._first_tries = FirstTries(clock)
+        self._lines = WaitingLines(clock, self._survey)
+        self._outcomes = Outcomes(balancer, clock, log, metrics, usage)
+        balancer.when_released(self._note_released)
+
+    @property
+    def waiting(self) -> int:
+        """The requests that wait for a place."""
+        return len(self._lines)
 
     async def forward(self, request: ClientRequest, route: Route) -> WholeAnswer:
         """Returns a server's whole answer.
@@ -98,20 +92,20 @@
             RequestFailedError: it may have run.
             RequestTimeoutError: its time is over.
         """
-        service = self._shares.choose(route)
-        attempts = _Attempts()
-        end_at = self._end_time(request, route)
+        attempts, must_wait = self._begin(request, route)
+        answer = None
         try:
-            async with asyncio.timeout_at(end_at):
-                if route.kind is RouteKind.IDEMPOTENT:
-                    answer = await self._forward_repeatable(request, route, service, attempts)
-                else:
-                    answer = await self._forward_once(request, route, service, attempts)
+            async with asyncio.timeout_at(attempts.waiter.limits.end_at):
+                if await self._may_try(attempts, must_wait=must_wait):
+                    if route.kind is RouteKind.IDEMPOTENT:
+                        answer = await self._forward_repeatable(attempts)
+                    else:
+                        answer = await self._forward_once(attempts)
         except TimeoutError:
-            raise self._failure(request, route, service, attempts, timed_out=True) from None
+            raise self._outcomes.failure(attempts, timed_out=True) from None
         if answer is None:
-            raise self._failure(request, route, service, attempts, timed_out=False)
-        self._note_done(request, route, attempts, answer)
+            raise self._outcomes.failure(attempts, timed_out=False)
+        self._outcomes.done(attempts, answer.status)
         return answer
 
     @asynccontextmanager
@@ -123,71 +117,90 @@
             RequestFailedError: it may have run.
             RequestTimeoutError: no answer began in its time; it may have run.
         """
-        service = self._shares.choose(route)
-        attempts = _Attempts()
+        attempts, must_wait = self._begin(request, route)
+        if not await self._may_try(attempts, must_wait=must_wait):
+            raise self._outcomes.failure(attempts, timed_out=False)
         while True:
-            instance = self._choose(service, attempts)
-            if instance is None or len(attempts.ran_at) >= route.max_attempts:
-                raise self._failure(request, route, service, attempts, timed_out=False)
+            instance = await self._find(attempts)
+            if instance is None:
+                raise self._outcomes.failure(attempts, timed_out=False)
             try:
-                outgoing = self._outgoing(request, route, fresh=True)
-                self._balancer.placement.admit(instance.id, attempts.work)
-                async with asyncio.timeout_at(self._end_time(request, route)) as limit:
+                outgoing = self._outgoing(attempts, fresh=True)
+                self._balancer.placement.admit(instance.id, attempts.waiter.work)
+                async with asyncio.timeout_at(attempts.waiter.limits.end_at) as limit:
                     with self._balancer.placed(instance.id):
                         async with self._servers.send(instance, outgoing) as answer:
                             limit.reschedule(None)  # from here on the client decides
-                            self._note_begun(request, self._clock.now())
+                            self._lines.note_taken(instance.service)
+                            self._outcomes.begun(request, self._clock.now())
                             attempts.ran_at.add(instance.id)
+                            self._outcomes.forecast_served(attempts, answer.status)
                             yield answer
                             return
             except TimeoutError:
                 attempts.ran_at.add(instance.id)
-                raise self._failure(request, route, service, attempts, timed_out=True) from None
+                raise self._outcomes.failure(attempts, timed_out=True) from None
             except NotRunError as error:
-                self._note_not_run(instance, attempts, error)
-            except BrokenAnswerError as error:
+                self._outcomes.not_run(instance, attempts, error)
+            except BrokenAnswerError:
                 attempts.ran_at.add(instance.id)
-                raise RequestFailedError(error.message, ran=Ran.UNKNOWN) from None
+                raise self._outcomes.failure(attempts, timed_out=False) from None
+
+    def _begin(self, request: ClientRequest, route: Route) -> tuple[Attempts, bool]:
+        """Returns a request's attempts with their forecast, and whether others come before it."""
+        waiter = Waiter(
+            self._shares.choose(route),
+            CLIENT_WORK,
+            self._priority_of(request.tenant, route),
+            self._limits(request, route),
+            request.received_at,
+        )
+        forecast, must_wait = self._lines.foresee(waiter)
+        return Attempts(request, route, waiter, forecast, forecast), must_wait
+
+    async def _may_try(self, attempts: Attempts, *, must_wait: bool) -> bool:
+        """Waits for a request's turn if it must; tells whether it may be served at all."""
+        if must_wait and not attempts.forecast.is_hopeless:
+            attempts.forecast = await self._lines.turn(attempts.waiter)
+            attempts.refused_by.clear()
+        return not attempts.forecast.is_hopeless
+
+    async def _find(self, attempts: Attempts) -> InstanceInfo | None:
+        """Returns the server to try next, once there is one; None if the request is hopeless."""
+        while True:
+            instance = self._choose(attempts)
+            if instance is not None:
+                return instance
+            if not await self._may_try(attempts, must_wait=True):
+                return None
 
-    async def _forward_once(
-        self, request: ClientRequest, route: Route, service: ServiceName, attempts: _Attempts
-    ) -> WholeAnswer | None:
+    async def _forward_once(self, attempts: Attempts) -> WholeAnswer | None:
         """Sends a request on until a server may have run it."""
         while True:
-            instance = self._choose(service, attempts)
+            instance = await self._find(attempts)
             if instance is None:
-                if self._should_refuse(request, route):
-                    return None
-                await self._clock.sleep(REFUSAL_PAUSE_SECONDS)
-                attempts.refused_by.clear()
-                continue
-            answer = await self._attempt(instance, request, route, attempts)
+                return None
+            answer = await self._attempt(instance, attempts)
             if answer is not None or attempts.ran_at:
                 return answer or attempts.last
 
-    async def _forward_repeatable(
-        self, request: ClientRequest, route: Route, service: ServiceName, attempts: _Attempts
-    ) -> WholeAnswer | None:
+    async def _forward_repeatable(self, attempts: Attempts) -> WholeAnswer | None:
         """Sends a request to one server after another, a second one early if the first is slow."""
+        most = attempts.route.max_attempts
         running: set[asyncio.Task] = set()
         try:
             while True:
-                instance = None
-                if len(attempts.ran_at) < route.max_attempts:
-                    instance = self._choose(service, attempts)
+                instance = self._choose(attempts) if len(attempts.ran_at) < most else None
                 if instance is not None:
                     # Until it is known not to have run, the attempt counts as one that may have.
                     attempts.ran_at.add(instance.id)
-                    attempt = self._attempt(instance, request, route, attempts)
-                    running.add(asyncio.create_task(attempt))
+                    running.add(asyncio.create_task(self._attempt(instance, attempts)))
                 elif not running:
-                    if attempts.ran_at or self._should_refuse(request, route):
+                    if attempts.ran_at or not await self._may_try(attempts, must_wait=True):
                         return attempts.last
-                    await self._clock.sleep(REFUSAL_PAUSE_SECONDS)
-                    attempts.refused_by.clear()
                     continue
-                may_hedge = self._policy.hedged_tries and len(attempts.ran_at) < route.max_attempts
-                delay = self._hedge_delay(route, service) if may_hedge else None
+                may_hedge = self._policy.hedged_tries and len(attempts.ran_at) < most
+                delay = self._hedge_delay(attempts) if may_hedge else None
                 done, running = await asyncio.wait(
                     running, timeout=delay, return_when=asyncio.FIRST_COMPLETED
                 )
@@ -199,60 +212,59 @@
             for task in running:
                 task.cancel()
 
-    async def _attempt(
-        self,
-        instance: InstanceInfo,
-        request: ClientRequest,
-        route: Route,
-        attempts: _Attempts,
-    ) -> WholeAnswer | None:
+    async def _attempt(self, instance: InstanceInfo, attempts: Attempts) -> WholeAnswer | None:
         """Tries one server; None if it gave no answer that the client should get."""
-        outgoing = self._outgoing(request, route, fresh=route.kind is not RouteKind.IDEMPOTENT)
+        request = attempts.request
+        outgoing = self._outgoing(attempts, fresh=attempts.route.kind is not RouteKind.IDEMPOTENT)
         started = self._clock.now()
         try:
-            self._balancer.placement.admit(instance.id, attempts.work)
+            self._balancer.placement.admit(instance.id, attempts.waiter.work)
             with self._balancer.placed(instance.id):
                 async with self._servers.send(instance, outgoing) as answer:
+                    self._lines.note_taken(instance.service)
                     self._balancer.note_load(instance.id, answer.load)
                     body = b"".join([chunk async for chunk in answer.chunks()])
                     whole = WholeAnswer(answer.status, answer.headers, body)
                     of_server = answer.signature is not None
         except NotRunError as error:
             attempts.ran_at.discard(instance.id)
-            self._note_not_run(instance, attempts, error)
+            self._outcomes.not_run(instance, attempts, error)
             return None
         except BrokenAnswerError as error:
-            self._note_begun(request, started)
-            self._note_broken(instance, request, attempts, error.message)
+            self._outcomes.begun(request, started)
+            self._outcomes.broken(instance, attempts, error.message)
             return None
         except asyncio.CancelledError:
             # Its time is over or another answer came first; the server may have run it.
-            self._note_begun(request, started)
+            self._outcomes.begun(request, started)
             attempts.ran_at.add(instance.id)
-            self._note_silence(instance, started, route)
+            self._outcomes.silence(instance, attempts, started)
             raise
-        self._note_begun(request, started)
+        self._outcomes.begun(request, started)
         attempts.ran_at.add(instance.id)
         self._balancer.note_pace(instance.id, self._clock.now() - started)
         if whole.status < 300 and not of_server:
-            self._note_broken(instance, request, attempts, "a success without a signature")
+            self._outcomes.broken(instance, attempts, "a success without a signature")
             return None
         if whole.status >= 500:
-            self._note_broken(instance, request, attempts, f"status {whole.status}")
+            self._outcomes.broken(instance, attempts, f"status {whole.status}")
             attempts.last = whole if of_server else attempts.last
             return None
-        self._metrics.count(Count.ATTEMPTS, instance.service, "answered")
+        self._outcomes.answered(instance)
         return whole
 
-    def _choose(self, service: ServiceName, attempts: _Attempts) -> InstanceInfo | None:
-        tried = attempts.ran_at | attempts.refused_by
+    def _choose(self, attempts: Attempts) -> InstanceInfo | None:
         candidates = self._balancer.candidates(
-            service, attempts.work, exclude=tried, for_client=True
+            attempts.waiter.service,
+            attempts.waiter.work,
+            exclude=attempts.ran_at | attempts.refused_by,
+            for_client=True,
         )
         return candidates[0] if candidates else None
 
-    def _outgoing(self, request: ClientRequest, route: Route, *, fresh: bool) -> OutgoingRequest:
-        left = self._end_time(request, route) - self._clock.now()
+    def _outgoing(self, attempts: Attempts, *, fresh: bool) -> OutgoingRequest:
+        request = attempts.request
+        left = attempts.waiter.limits.end_at - self._clock.now()
         return OutgoingRequest(
             request_id=request.request_id,
             method=request.method,
@@ -265,102 +277,36 @@
             tenant=request.tenant,
         )
 
-    def _end_time(self, request: ClientRequest, route: Route) -> float:
+    def _limits(self, request: ClientRequest, route: Route) -> Limits:
         time_left = route.time_limit
         if request.time_left is not None:
             time_left = min(time_left, request.time_left)
-        return request.received_at + time_left
+        gone_by = self._first_tries.gone_by(route.name, request.time_left)
+        return Limits(
+            objective_at=request.received_at - gone_by + route.objective,
+            end_at=request.received_at + time_left,
+            usual_pace=route.objective * UNKNOWN_PACE_SHARE,
+        )
 
-    def _hedge_delay(self, route: Route, service: ServiceName) -> float:
+    def _hedge_delay(self, attempts: Attempts) -> float:
         """Returns the seconds after which a second server is tried beside the first."""
         paces = [
             pace
-            for info in self._directory.of_service(service)
+            for info in self._directory.of_service(attempts.waiter.service)
             if (pace := self._balancer.pace(info.id))
         ]
-        usual = min(paces, default=route.objective / 2)
+        usual = min(paces, default=attempts.route.objective / 2)
         return max(MIN_HEDGE_SECONDS, HEDGE_PACE_FACTOR * usual)
 
-    def _should_refuse(self, request: ClientRequest, route: Route) -> bool:
-        held = self._clock.now() - request.received_at
-        return held >= route.objective * REFUSE_AFTER_SHARE
-
-    def _note_done(
-        self, request: ClientRequest, route: Route, attempts: _Attempts, answer: WholeAnswer
-    ) -> None:
-        held = self._clock.now() - request.received_at
-        self._metrics.count(Count.REQUESTS, route.name, "answered")
-        self._metrics.observe(Timing.REQUEST, held, route.name)
-        self._log.note(
-            Event.REQUEST_DONE,
-            request=request.request_id.decode("latin-1"),
-            route=route.name,
-            tenant=request.tenant,
-            status=answer.status,
-            held=round(held, 3),
-            tried=sorted(attempts.ran_at),
-            refused_by=sorted(attempts.refused_by),
-        )
-
-    def _note_begun(self, request: ClientRequest, at: float) -> None:
-        """Counts a run at a server for its tenant; one that may have begun counts as well."""
-        if self._usage is not None and request.tenant is not None:
-            self._usage.note_begun(request.tenant, at)
+    def _survey(self, service: ServiceName, work: Work) -> Places:
+        return survey(self._directory, self._balancer, service, work)
 
-    def _note_not_run(
-        self, instance: InstanceInfo, attempts: _Attempts, error: NotRunError
-    ) -> None:
-        attempts.refused_by.add(instance.id)
-        self._metrics.count(Count.ATTEMPTS, instance.service, error.reason)
-        self._balancer.note_not_run(instance.id, error.reason, FULL_AVOID_SECONDS)
+    def _note_released(self, instance: EngineId) -> None:
+        """Moves a line when a place came free, once it is known whether the server was full."""
+        info = self._directory.get(instance)
+        if info is not None and self._lines.is_waited_for(info.service):
+            asyncio.get_running_loop().call_soon(self._note_end, info)
 
-    def _note_broken(
-        self, instance: InstanceInfo, request: ClientRequest, attempts: _Attempts, reason: str
-    ) -> None:
-        attempts.ran_at.add(instance.id)
-        self._metrics.count(Count.ATTEMPTS, instance.service, "broken")
-        self._balancer.avoid(instance.id, BROKEN_AVOID_SECONDS)
-        self._log.note(
-            Event.ATTEMPT_FAILED,
-            request=request.request_id.decode("latin-1"),
-            instance=instance.id,
-            reason=reason,
-        )
-
-    def _note_silence(self, instance: InstanceInfo, started: float, route: Route) -> None:
-        """Notes an attempt that was overtaken: its server is slower than it then had time for."""
-        elapsed = self._clock.now() - started
-        self._balancer.note_pace(instance.id, elapsed)
-        if elapsed > route.objective:
-            self._balancer.avoid(instance.id, SILENT_AVOID_SECONDS)
-
-    def _failure(
-        self,
-        request: ClientRequest,
-        route: Route,
-        service: ServiceName,
-        attempts: _Attempts,
-        *,
-        timed_out: bool,
-    ) -> LarkpostError:
-        """Returns the error that a request ends in, and notes it."""
-        ran = bool(attempts.ran_at)
-        error: LarkpostError
-        if not ran:
-            error = RefusedError("no server could take it", retry_after=RETRY_AFTER_SECONDS)
-        elif timed_out:
-            error = RequestTimeoutError("its time is over", ran=Ran.UNKNOWN)
-        else:
-            error = RequestFailedError("no whole answer came", ran=Ran.UNKNOWN)
-        self._metrics.count(Count.REQUESTS, route.name, error.code)
-        self._log.note(
-            Event.REQUEST_FAILED,
-            request=request.request_id.decode("latin-1"),
-            route=route.name,
-            outcome=error.code,
-            held=round(self._clock.now() - request.received_at, 3),
-            tried=sorted(attempts.ran_at),
-            refused_by=sorted(attempts.refused_by),
-            verdicts=self._balancer.verdicts(service, attempts.work),
-        )
-        return error
+    def _note_end(self, info: InstanceInfo) -> None:
+        if not self._balancer.is_avoided(info.id):
+            self._lines.note_end(info.service)
--- /dev/null
+++ b/src/larkpost/proxy/waiting.py
@@ -0,0 +1,154 @@
+"""Client requests that found no place, in one line for each service.
+
+The more urgent kind comes first; among equals those that can still be in time, then those whose
+time ends first. A request is called when its turn has come to try the servers. It is told at once
+if its forecast has turned hopeless.
+
+A line moves when a request of this daemon ends at the service, and by a timer, as the requests of
+others end without notice. Then one request tries, or as many as there are places believed free.
+"""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from larkpost.clock import Clock
+from larkpost.fleet.configuration import ServiceName
+from larkpost.placement.work import Work
+from larkpost.proxy.forecast import Forecast, Limits, Places, foresee, is_late_anyway
+
+LOOK_INTERVAL_SECONDS = 0.02
+"""Between two tries at servers that were full: a tenth of the shortest objectives, and less than
+what requests take there."""
+BLOCKED_MEMORY_SECONDS = 1.0
+"""How long it is believed, without a further try, that no place comes free."""
+
+Survey = Callable[[ServiceName, Work], Places]
+
+
+@dataclass(eq=False, slots=True)
+class Waiter:
+    """One request that wants a place; it may come back into its line.
+
+    Attributes:
+        priority: 0 is the most urgent.
+        since: steady time at which the request was received.
+        call: answered with the forecast when its turn has come, or when it is hopeless.
+    """
+
+    service: ServiceName
+    work: Work
+    priority: int
+    limits: Limits
+    since: float
+    call: asyncio.Future[Forecast] | None = None
+
+
+@dataclass(slots=True)
+class _Line:
+    """The requests that wait for one service.
+
+    Attributes:
+        blocked_since: when a request first found no place, since one was last seen to be free.
+        seen_at: when that was last found to be so.
+    """
+
+    waiters: list[Waiter] = field(default_factory=list)
+    blocked_since: float = float("-inf")
+    seen_at: float = float("-inf")
+    watch: asyncio.Task | None = None
+
+
+class WaitingLines:
+    """The lines of all services."""
+
+    def __init__(self, clock: Clock, survey: Survey) -> None:
+        self._clock = clock
+        self._survey = survey
+        self._lines: dict[ServiceName, _Line] = {}
+
+    def __len__(self) -> int:
+        return sum(len(line.waiters) for line in self._lines.values())
+
+    def is_waited_for(self, service: ServiceName) -> bool:
+        """Tells whether any request waits for a service."""
+        line = self._lines.get(service)
+        return line is not None and bool(line.waiters)
+
+    def foresee(self, waiter: Waiter) -> tuple[Forecast, bool]:
+        """Foresees a request that has just come, and tells whether others come before it."""
+        now = self._clock.now()
+        places = self._survey(waiter.service, waiter.work)
+        line = self._lines.get(waiter.service)
+        if line is None:
+            return foresee(places, waiter.limits, now), False
+        key = self._rank(waiter, places, now)
+        ahead = sum(self._rank(other, places, now) < key for other in line.waiters)
+        forecast = foresee(places, waiter.limits, now, ahead, self._blocked_for(line, now))
+        return forecast, ahead > 0 and not places.are_mostly_free
+
+    async def turn(self, waiter: Waiter) -> Forecast:
+        """Waits until a request may try the servers, or is hopeless."""
+        line = self._lines.setdefault(waiter.service, _Line())
+        now = self._clock.now()
+        if now - line.seen_at > BLOCKED_MEMORY_SECONDS:
+            line.blocked_since = now
+        line.seen_at = now
+        forecast, _ = self.foresee(waiter)
+        if forecast.is_hopeless:
+            return forecast
+        waiter.call = asyncio.get_running_loop().create_future()
+        line.waiters.append(waiter)
+        if line.watch is None or line.watch.done():
+            line.watch = asyncio.create_task(self._watch(line))
+        try:
+            return await waiter.call
+        finally:
+            if waiter in line.waiters:
+                line.waiters.remove(waiter)
+
+    def note_taken(self, service: ServiceName) -> None:
+        """Takes that a server of a service had a place."""
+        line = self._lines.get(service)
+        if line is not None:
+            line.blocked_since = line.seen_at = float("-inf")
+
+    def note_end(self, service: ServiceName) -> None:
+        """Takes that a request of this daemon has ended at a service."""
+        line = self._lines.get(service)
+        if line is not None and line.waiters:
+            self._move(line)
+
+    async def _watch(self, line: _Line) -> None:
+        while line.waiters:
+            await self._clock.sleep(LOOK_INTERVAL_SECONDS)
+            self._move(line)
+
+    def _move(self, line: _Line) -> None:
+        """Calls those whose turn it is, and those that have become hopeless."""
+        now = self._clock.now()
+        surveys = {
+            work: self._survey(service, work)
+            for service, work in {(waiter.service, waiter.work) for waiter in line.waiters}
+        }
+        turns = {work: max(1, places.free) for work, places in surveys.items()}
+        order = sorted(line.waiters, key=lambda other: self._rank(other, surveys[other.work], now))
+        ahead = 0
+        for waiter in order:
+            places = surveys[waiter.work]
+            forecast = foresee(places, waiter.limits, now, ahead, self._blocked_for(line, now))
+            ahead += not forecast.is_hopeless
+            if forecast.is_hopeless or turns[waiter.work] > 0:
+                turns[waiter.work] -= not forecast.is_hopeless
+                line.waiters.remove(waiter)
+                if not waiter.call.done():
+                    waiter.call.set_result(forecast)
+
+    def _blocked_for(self, line: _Line, now: float) -> float:
+        if now - line.seen_at > BLOCKED_MEMORY_SECONDS:
+            return 0.0
+        return now - line.blocked_since
+
+    def _rank(self, waiter: Waiter, places: Places, now: float) -> tuple[int, bool, float, float]:
+        late = is_late_anyway(places, waiter.limits, now)
+        return waiter.priority, late, waiter.limits.end_at, waiter.since
--- /dev/null
+++ b/tests/test_forecast.py
@@ -0,0 +1,394 @@
+"""Client requests before servers without a free place: what is foreseen, who waits, who is refused.
+
+The scripted servers have no queue: a request beyond their slots is answered "full".
+"""
+
+import asyncio
+import random
+import unittest
+
+from larkpost.clock import LoopClock
+from larkpost.eventlog import EventLog
+from larkpost.fleet.configuration import ModelName, Route, RouteKind, ServiceName, ServiceShare
+from larkpost.fleet.directory import Directory, InstanceInfo, InstanceState
+from larkpost.ids import Address, EngineId, ZoneId
+from larkpost.metrics import Metrics
+from larkpost.placement.work import CLIENT_WORK
+from larkpost.proxy.balancer import Balancer
+from larkpost.proxy.forecast import (
+    HEEDED_SHARE,
+    MOST_RETRY_SECONDS,
+    Limits,
+    Outlook,
+    Places,
+    foresee,
+    survey,
+)
+from larkpost.proxy.forwarder import Forwarder
+from larkpost.proxy.patience import WINDOW_SECONDS, FirstTries
+from larkpost.proxy.request import ClientRequest, RefusedError
+from larkpost.proxy.shares import ShareChooser
+from larkpost.proxy.waiting import LOOK_INTERVAL_SECONDS
+from larkpost.rehearsal.scripted_engines import EngineState, ScriptedEngines
+from tests.virtual import run
+
+PAGES = ServiceName("pages")
+SLOTS = 2
+OBJECTIVE = 0.2
+TIME_LIMIT = 2.0
+PACE = 0.1
+LIMITS = Limits(objective_at=OBJECTIVE, end_at=0.8, usual_pace=0.05)
+SETTLE_SECONDS = 0.01
+"""Longer than an answer "full" takes, shorter than the pace."""
+
+
+def make_route(kind: RouteKind = RouteKind.RUN_ONCE, priority: int = 0) -> Route:
+    """Returns a route to the pages."""
+    shares = (ServiceShare(PAGES, 1.0),)
+    name = f"{kind}-{priority}"
+    return Route(name, "h", b"/", kind, shares, TIME_LIMIT, OBJECTIVE, priority, 3)
+
+
+class ForeseeTest(unittest.TestCase):
+    """The forecast alone; the time is 0."""
+
+    def outlook(self, places: Places, ahead: int = 0, blocked_for: float = 0.0) -> Outlook:
+        """Returns what is foreseen."""
+        return foresee(places, LIMITS, 0.0, ahead, blocked_for).outlook
+
+    def test_more_requests_in_front_turn_it_from_in_time_to_late_to_hopeless(self):
+        outlooks = [self.outlook(Places(4, 4, 0.1), ahead) for ahead in (0, 3, 4, 29, 30, 60)]
+        expected = [Outlook.IN_TIME, Outlook.IN_TIME, Outlook.LATE, Outlook.LATE]
+        self.assertEqual([*expected, Outlook.NOT_AT_ALL, Outlook.NOT_AT_ALL], outlooks)
+
+    def test_slow_servers_are_no_hope_for_short_times(self):
+        self.assertIs(Outlook.NOT_AT_ALL, self.outlook(Places(4, 3, 1.7)))
+
+    def test_nothing_is_refused_while_most_places_are_free(self):
+        self.assertIs(Outlook.LATE, self.outlook(Places(4, 1, 1.7), blocked_for=9.0))
+
+    def test_service_without_places_is_hopeless(self):
+        self.assertIs(Outlook.NOT_AT_ALL, self.outlook(Places(0, 0, 0.0)))
+
+    def test_request_whose_time_is_over_is_hopeless_whatever_is_free(self):
+        forecast = foresee(Places(4, 0, 0.1), LIMITS, LIMITS.end_at)
+        self.assertIs(Outlook.NOT_AT_ALL, forecast.outlook)
+
+    def test_places_that_stay_taken_are_expected_to_stay_so_for_as_long(self):
+        places = Places(4, 4, 0.1)
+        self.assertIs(Outlook.IN_TIME, self.outlook(places, blocked_for=0.05))
+        self.assertIs(Outlook.LATE, self.outlook(places, blocked_for=0.3))
+        self.assertIs(Outlook.NOT_AT_ALL, self.outlook(places, blocked_for=0.77))
+
+    def test_caller_is_told_the_wait_but_never_more_than_it_can_use(self):
+        for ahead in (0, 1, 5, 40, 4000):
+            forecast = foresee(Places(4, 4, 0.1), LIMITS, 0.3, ahead)
+            self.assertGreater(forecast.retry_after, 0)
+            self.assertLessEqual(forecast.retry_after, 0.5 * HEEDED_SHARE)
+        patient = Limits(objective_at=0.2, end_at=100.0, usual_pace=0.05)
+        told = foresee(Places(4, 4, 0.4), patient, 0.0, ahead=1).retry_after
+        self.assertAlmostEqual(0.2, told)
+        told = foresee(Places(4, 4, 0.4), patient, 0.0, ahead=900).retry_after
+        self.assertEqual(MOST_RETRY_SECONDS, told)
+
+
+class FirstTriesTest(unittest.TestCase):
+    """The estimate of how long ago a caller first tried."""
+
+    def test_caller_that_came_back_lacks_what_went_by(self):
+        async def play():
+            tries = FirstTries(LoopClock())
+            self.assertEqual(0.0, tries.gone_by("r", 0.8))
+            self.assertAlmostEqual(0.3, tries.gone_by("r", 0.5))
+            self.assertEqual(0.0, tries.gone_by("other", 0.5))
+            self.assertEqual(0.0, tries.gone_by("r", None))
+            await asyncio.sleep(3 * WINDOW_SECONDS)
+            self.assertEqual(0.0, tries.gone_by("r", 0.5))
+
+        run(play())
+
+
+class WaitingTest(unittest.TestCase):
+    """Requests through the forwarder, on virtual time."""
+
+    def begin(self, count: int = 1, pace: float = PACE) -> None:
+        """Lists some servers of which all places are free."""
+        self.clock = LoopClock()
+        self.engines = ScriptedEngines(self.clock, ModelName("model"))
+        self.directory = Directory()
+        self.balancer = Balancer(self.directory, self.clock, random.Random(1))
+        for number in range(count):
+            name = EngineId(f"e{number}")
+            self.engines.engines[name] = EngineState(slots=SLOTS, event_seconds=pace)
+            self.list(name, InstanceState.READY)
+            self.balancer.note_pace(name, pace)
+        self.metrics = Metrics()
+        self.forwarder = Forwarder(
+            self.directory,
+            self.balancer,
+            self.engines,
+            self.clock,
+            EventLog("daemon"),
+            self.metrics,
+            ShareChooser(random.Random(0)),
+        )
+        self.sent = 0
+
+    def list(self, name: EngineId, state: InstanceState) -> None:
+        """Writes a server's entry."""
+        self.directory.update(
+            InstanceInfo(name, PAGES, Address("10.0.0.1:1"), ZoneId("z"), SLOTS, state)
+        )
+
+    def state(self) -> EngineState:
+        """Returns the first server."""
+        return self.engines.engines[EngineId("e0")]
+
+    def send(self, route: Route, time_left: float = 1.5) -> asyncio.Task:
+        """Sends a request."""
+        self.sent += 1
+        name = f"request-{self.sent}".encode()
+        request = ClientRequest(name, "GET", b"h", b"/", (), b"", self.clock.now(), time_left)
+        return asyncio.create_task(self.forwarder.forward(request, route))
+
+    def stream(self, route: Route, time_left: float = 1.5) -> asyncio.Task:
+        """Sends a request for a stream and reads it to its end."""
+        self.sent += 1
+        name = f"request-{self.sent}".encode()
+        request = ClientRequest(name, "GET", b"h", b"/", (), b"", self.clock.now(), time_left)
+
+        async def read() -> bytes:
+            async with self.forwarder.stream(request, route) as answer:
+                return b"".join([chunk async for chunk in answer.chunks()])
+
+        return asyncio.create_task(read())
+
+    async def refusal(self, task: asyncio.Task) -> tuple[float, RefusedError]:
+        """Returns how long a request took to be refused, and the refusal."""
+        began = self.clock.now()
+        with self.assertRaises(RefusedError) as caught:
+            await task
+        return self.clock.now() - began, caught.exception
+
+    def take_places(self, seconds: float) -> None:
+        """Has other daemons' requests take all places of the first server for a while."""
+        state = self.state()
+        state.running += SLOTS
+
+        def free() -> None:
+            state.running -= SLOTS
+
+        asyncio.get_running_loop().call_later(seconds, free)
+
+    def test_hopeless_request_is_refused_at_once_with_the_forecast_s_time(self):
+        async def play():
+            for send in (self.send, self.stream):
+                self.begin(pace=1.0)
+                others = [self.send(make_route(), 1.9) for _ in range(SLOTS)]
+                await self.clock.sleep(SETTLE_SECONDS)
+                seconds, error = await self.refusal(send(make_route(), 0.6))
+                self.assertLess(seconds, LOOK_INTERVAL_SECONDS)
+                self.assertLessEqual(error.retry_after, 0.6 * HEEDED_SHARE)
+                self.assertEqual(SLOTS, len(self.state().runs))
+                await asyncio.gather(*others)
+
+        run(play())
+
+    def test_service_without_instances_is_refused_at_once(self):
+        async def play():
+            self.begin()
+            self.list(EngineId("e0"), InstanceState.LEAVING)
+            seconds, _ = await self.refusal(self.send(make_route()))
+            self.assertLess(seconds, LOOK_INTERVAL_SECONDS)
+
+        run(play())
+
+    def test_late_request_waits_and_is_served(self):
+        async def play():
+            for send in (self.send, self.stream):
+                self.begin(pace=0.3)
+                others = [self.send(make_route()) for _ in range(SLOTS)]
+                await self.clock.sleep(SETTLE_SECONDS)
+                began = self.clock.now()
+                await send(make_route())
+                self.assertGreater(self.clock.now() - began, OBJECTIVE)
+                await asyncio.gather(*others)
+
+        run(play())
+
+    def test_place_that_comes_free_here_is_taken_at_once(self):
+        async def play():
+            self.begin()
+            others = [self.send(make_route()) for _ in range(SLOTS)]
+            await self.clock.sleep(SETTLE_SECONDS)
+            began = self.clock.now()
+            await self.send(make_route())
+            await asyncio.gather(*others)
+            self.assertLess(self.clock.now() - began, 2 * PACE + LOOK_INTERVAL_SECONDS / 2)
+
+        run(play())
+
+    def test_place_that_another_daemon_leaves_is_found(self):
+        async def play():
+            for kind in (RouteKind.IDEMPOTENT, RouteKind.RUN_ONCE):
+                self.begin()
+                self.take_places(0.15)
+                began = self.clock.now()
+                await self.send(make_route(kind))
+                waited = self.clock.now() - began - PACE
+                self.assertLess(waited, 0.15 + 2 * LOOK_INTERVAL_SECONDS)
+
+        run(play())
+
+    def test_more_urgent_request_overtakes(self):
+        async def play():
+            self.begin()
+            others = [self.send(make_route()) for _ in range(SLOTS)]
+            await self.clock.sleep(SETTLE_SECONDS)
+            waiting = [self.send(make_route(priority=5)) for _ in range(3)]
+            await self.clock.sleep(LOOK_INTERVAL_SECONDS)
+            urgent = [self.send(make_route(priority=1)) for _ in range(2)]
+            await asyncio.gather(*others, *waiting, *urgent)
+            first = set(self.state().runs[SLOTS : SLOTS + 2])
+            self.assertEqual({"request-6", "request-7"}, first)
+
+        run(play())
+
+    def test_less_urgent_request_waits_behind_those_in_line(self):
+        """A newcomer does not take the place that came free for one that waits."""
+
+        async def play():
+            self.begin()
+            self.take_places(0.1)
+            waiting = self.send(make_route(priority=1))
+            await self.clock.sleep(SETTLE_SECONDS)
+            self.balancer.occupy(EngineId("e0"))
+            self.balancer.occupy(EngineId("e0"))
+            await self.clock.sleep(0.1 - SETTLE_SECONDS + 0.001)
+            newcomer = self.send(make_route(priority=3))
+            await asyncio.gather(waiting, newcomer)
+            self.assertEqual(["request-1", "request-2"], self.state().runs)
+
+        run(play())
+
+    def test_request_that_is_late_anyway_comes_after_one_that_is_not(self):
+        async def play():
+            self.begin()
+            self.take_places(0.15)
+            route = make_route(priority=1)
+            early = self.send(route, 1.0)
+            await self.clock.sleep(0.12)
+            fresh = self.send(route, 1.5)
+            await asyncio.gather(early, fresh)
+            self.assertEqual(["request-2", "request-1"], self.state().runs)
+
+        run(play())
+
+    def test_request_that_turns_hopeless_while_it_waits_is_refused_then(self):
+        async def play():
+            self.begin()
+            self.take_places(10.0)
+            seconds, error = await self.refusal(self.send(make_route(), 0.8))
+            self.assertGreater(seconds, OBJECTIVE)
+            self.assertLess(seconds, 0.5)
+            self.assertGreater(error.retry_after, 0)
+            self.assertEqual([], self.state().runs)
+            seconds, _ = await self.refusal(self.send(make_route(), 0.7))
+            self.assertLess(seconds, 0.25)  # it is known by now that no place comes free
+
+        run(play())
+
+    def test_refusals_of_full_servers_do_not_wake_the_line(self):
+        """Each look costs one try; else the requests in line would call each other for ever."""
+
+        async def play():
+            self.begin()
+            self.take_places(10.0)
+            tried = 0
+            original = self.engines.send
+
+            def send(instance, request):
+                nonlocal tried
+                tried += 1
+                return original(instance, request)
+
+            self.engines.send = send
+            tasks = [self.send(make_route(), 0.8) for _ in range(5)]
+            await self.clock.sleep(0.2)
+            self.assertLess(tried, 5 + 0.2 / LOOK_INTERVAL_SECONDS + 2)
+            for task in tasks:
+                task.cancel()
+
+        run(play())
+
+    def test_client_that_leaves_the_line_reaches_no_server(self):
+        async def play():
+            for send in (self.send, self.stream):
+                self.begin()
+                self.take_places(0.1)
+                leaving = send(make_route())
+                await self.clock.sleep(0.05)
+                self.assertEqual(1, self.forwarder.waiting)
+                leaving.cancel()
+                await self.clock.sleep(0.5)
+                self.assertEqual(0, self.forwarder.waiting)
+                self.assertEqual([], self.state().runs)
+
+        run(play())
+
+    def test_client_that_leaves_between_two_tries_reaches_no_other_server(self):
+        async def play():
+            for kind in (RouteKind.IDEMPOTENT, RouteKind.RUN_ONCE):
+                self.begin(count=2)
+                self.take_places(10.0)
+                self.balancer.note_pace(EngineId("e1"), 2 * PACE, weight=1.0)  # tried second
+                leaving = self.send(make_route(kind))
+                await self.clock.sleep(0.0005)  # before the first has answered "full"
+                leaving.cancel()
+                await self.clock.sleep(0.5)
+                self.assertEqual([], self.engines.engines[EngineId("e1")].runs)
+
+        run(play())
+
+    def test_waiting_request_whose_time_ends_is_not_sent(self):
+        async def play():
+            self.begin()
+            seconds, _ = await self.refusal(self.send(make_route(), 0.0))
+            self.assertLess(seconds, LOOK_INTERVAL_SECONDS)
+            self.assertEqual([], self.state().runs)
+
+        run(play())
+
+    def test_forecasts_are_counted_with_what_became_of_them(self):
+        async def play():
+            self.begin(pace=0.3)
+            others = [self.send(make_route()) for _ in range(SLOTS)]
+            await self.clock.sleep(SETTLE_SECONDS)
+            await self.send(make_route())
+            await self.refusal(self.send(make_route(), 0.0))
+            await asyncio.gather(*others)
+            text = self.metrics.text().decode()
+            for forecast, outcome, count in (("late", "late", 3), ("not_at_all", "not_served", 1)):
+                labels = f'forecast="{forecast}",outcome="{outcome}",route="run_once-0"'
+                self.assertIn(f"larkpost_forecasts_total{{{labels}}} {count}.0", text)
+
+        run(play())
+
+    def test_survey_counts_no_free_place_where_a_server_refused(self):
+        async def play():
+            self.begin(count=2)
+            self.assertEqual(2 * SLOTS, survey(*self.surveyed()).free)
+            self.balancer.avoid(EngineId("e0"), 1.0)
+            self.assertEqual(SLOTS, survey(*self.surveyed()).free)
+            self.list(EngineId("e1"), InstanceState.LEAVING)
+            self.assertEqual(Places(SLOTS, SLOTS, PACE), survey(*self.surveyed()))
+
+        run(play())
+
+    def surveyed(self):
+        """Returns what a survey is made of."""
+        return self.directory, self.balancer, PAGES, CLIENT_WORK
+
+
+if __name__ == "__main__":
+    unittest.main()
