Nothing is forwarded for a caller that left before it was read, or with a request sent ahead

Cause: a busy or frozen daemon reads a request whose close already lies behind it in the socket; the request was served before the loop saw the close. Where a client had sent a second request ahead, the library stopped reading, and told only that second one of the close: the first ran on. Change: four turns of the loop between reading and serving (calls about batches excepted, whose end must hold though the caller left), the request that is served is told, one request sent ahead does not stop reading.

--- a/src/larkpost/http_server.py
+++ b/src/larkpost/http_server.py
@@ -81,6 +81,11 @@
         self._server = EmbeddedServer(config)
         self._task: asyncio.Task | None = None
 
+    @property
+    def connections(self) -> set[asyncio.Protocol]:
+        """The connections of clients."""
+        return self._server.server_state.connections
+
     async def start(self) -> None:
         """Starts listening.
 
--- a/src/larkpost/platform/http_protocol.py
+++ b/src/larkpost/platform/http_protocol.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Callable
 
-from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
+from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol, RequestResponseCycle
 
 from larkpost.fleet.configuration import RequestLimits
 from larkpost.http_server import HttpServer
@@ -32,6 +32,8 @@
         self._in_head = False
         self._head_bytes = 0
         self._head_timer: asyncio.TimerHandle | None = None
+        self.resting_since: float | None = self.loop.time()
+        self._served: RequestResponseCycle | None = None
 
     def data_received(self, data: bytes) -> None:
         """Takes bytes from the client; the head's are counted."""
@@ -44,14 +46,28 @@
             self._refuse(HEAD_TOO_LARGE)
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Forgets the connection."""
+        """Forgets the connection, and tells the request that is served of it.
+
+        The library tells only the newest request, which may be one that was sent ahead.
+        """
         self._stop_head_timer()
+        self.pipeline.clear()
+        if self._served is not None and not self._served.response_complete:
+            self._served.disconnected = True
+            self._served.message_event.set()
         super().connection_lost(exc)
 
     def on_message_begin(self) -> None:
         """Starts a request."""
         super().on_message_begin()
         self._in_head = True
+        self.resting_since = None
+
+    def on_response_complete(self) -> None:
+        """Notes that the connection rests, unless a request was sent ahead."""
+        if not self.pipeline:
+            self.resting_since = self.loop.time()
+        super().on_response_complete()
 
     def on_headers_complete(self) -> None:
         """Ends a request's head, and marks it if it is too large."""
@@ -63,6 +79,13 @@
             self.scope["state"][OVERSIZED] = True
         self.timeout_keep_alive = limits.idle_time
         super().on_headers_complete()
+        if len(self.pipeline) == 1:
+            # The library stops reading at a request sent ahead, and would not see a close.
+            self.flow.resume_reading()
+
+    def _start_asgi_task(self, cycle: RequestResponseCycle, app) -> None:
+        self._served = cycle  # overrides a private method: the version is pinned
+        super()._start_asgi_task(cycle, app)
 
     def _is_between_requests(self) -> bool:
         return self.cycle is None or self.cycle.response_complete
@@ -91,3 +114,11 @@
     def __init__(self, app, address: Address, limits: LimitSource = RequestLimits) -> None:
         protocol = type("Protocol", (LimitedProtocol,), {"limits": staticmethod(limits)})
         super().__init__(app, address, protocol, idle_seconds=LONGEST_IDLE_SECONDS)
+
+    def shed(self, most: int) -> int:
+        """Closes up to ``most`` connections that rest, the longest first, and counts them."""
+        resting = [one for one in self.connections if one.resting_since is not None]
+        resting.sort(key=lambda one: one.resting_since)
+        for one in resting[:most]:
+            one.transport.close()
+        return len(resting[:most])
--- a/src/larkpost/platform/ingress.py
+++ b/src/larkpost/platform/ingress.py
@@ -12,7 +12,6 @@
 from larkpost.fleet.lifecycle import Lifecycle
 from larkpost.fleet.tenants import Caller, KeyDigest, TenantName, digest_key
 from larkpost.ids import BatchId
-from larkpost.metrics import CONTENT_TYPE
 from larkpost.platform import names
 from larkpost.platform.batches import read_batch, read_position, write_page
 from larkpost.platform.http_protocol import OVERSIZED
@@ -54,6 +53,9 @@
 HEAD_TOO_LARGE = 431
 BAD_REQUEST = 400
 MAX_WAIT_SECONDS = 10.0
+TURNS_TO_SEE_A_CLOSE = 4
+"""Turns of the event loop from reading the last byte of a request to knowing of a close right
+behind it: reading the end, telling the protocol, waking who waits for it, and its answer."""
 
 
 class ClientLeftError(Exception):
@@ -105,8 +107,21 @@
         if body is None:
             await exchange.reply(TOO_LARGE)
             return
-        work = asyncio.create_task(self._serve(exchange, body))
         gone = asyncio.create_task(exchange.wait_for_close())
+        try:
+            if not exchange.path.startswith(names.OWN_CALLS):
+                await _see_close(gone)
+            await self._serve_until(gone, exchange, body)
+        finally:
+            gone.cancel()
+
+    async def _serve_until(self, gone: asyncio.Task, exchange: "Exchange", body: bytes) -> None:
+        """Serves a request as long as its client is there.
+
+        Raises:
+            ClientLeftError: the client closed its connection; nothing goes on for it.
+        """
+        work = asyncio.create_task(self._serve(exchange, body))
         try:
             await asyncio.wait({work, gone}, return_when=asyncio.FIRST_COMPLETED)
             if not work.done():
@@ -114,7 +129,6 @@
             await work
         finally:
             work.cancel()
-            gone.cancel()
             with contextlib.suppress(asyncio.CancelledError, Exception):
                 await work
 
@@ -195,6 +209,20 @@
             await exchange.finish()
 
 
+async def _see_close(gone: asyncio.Task) -> None:
+    """Lets the loop see a close that lies in the socket behind the request.
+
+    A daemon that was busy or frozen reads requests whose clients have given up meanwhile.
+
+    Raises:
+        ClientLeftError: the client has closed its connection.
+    """
+    for _ in range(TURNS_TO_SEE_A_CLOSE):
+        await asyncio.sleep(0)
+    if gone.done():
+        raise ClientLeftError
+
+
 class Exchange:
     """One request and its answer."""
 
@@ -339,43 +367,3 @@
             own.append((b"connection", b"close"))
         self._started = True
         await self._send({"type": "http.response.start", "status": status, "headers": passed + own})
-
-
-class ReadinessApp:
-    """The application behind the address that tells whether this daemon takes clients."""
-
-    def __init__(self, lifecycle: Lifecycle) -> None:
-        self._lifecycle = lifecycle
-
-    async def __call__(self, scope: dict, receive: Receive, send: Send) -> None:
-        """Answers 200 if ready, else 503."""
-        known = scope["path"] == names.READY_CALL
-        status = (200 if self._lifecycle.ready else 503) if known else 404
-        headers = [(b"content-length", b"0")]
-        await send({"type": "http.response.start", "status": status, "headers": headers})
-        await send({"type": "http.response.body", "body": b""})
-
-
-class MetricsApp:
-    """The application behind the address for metrics.
-
-    Args:
-        read: returns the metrics as text.
-        path: where they are.
-    """
-
-    def __init__(self, read: Callable[[], bytes], path: str) -> None:
-        self._read = read
-        self._path = path
-
-    async def __call__(self, scope: dict, receive: Receive, send: Send) -> None:
-        """Answers with the metrics."""
-        known = scope["path"] == self._path
-        body = self._read() if known else b""
-        headers = [
-            (b"content-type", CONTENT_TYPE.encode()),
-            (b"content-length", str(len(body)).encode()),
-        ]
-        status = 200 if known else 404
-        await send({"type": "http.response.start", "status": status, "headers": headers})
-        await send({"type": "http.response.body", "body": body})
--- a/src/larkpost/platform/process.py
+++ b/src/larkpost/platform/process.py
@@ -16,7 +16,7 @@
 from larkpost.platform import names, operator
 from larkpost.platform.duties import HttpDuties
 from larkpost.platform.http_protocol import Listener
-from larkpost.platform.ingress import Ingress, MetricsApp, ReadinessApp
+from larkpost.platform.ingress import Ingress
 from larkpost.platform.peer_store import PeerStoreApp
 from larkpost.platform.servers import HttpServers
 from larkpost.platform.settings import (
@@ -24,6 +24,7 @@
     load_platform_settings,
     settings_path,
 )
+from larkpost.platform.status_apps import MetricsApp, ReadinessApp
 from larkpost.platform.store import HttpStore
 from larkpost.store.relay import RelayedStore
 
--- a/tests/platform_mutants.py
+++ b/tests/platform_mutants.py
@@ -353,6 +353,13 @@
     return mock.patch.object(EngineChoice, "count_places", lambda *_: 1000)
 
 
+def forward_for_callers_that_left():
+    """Forwards requests whose callers had left before they were read."""
+    from larkpost.platform import ingress
+
+    return mock.patch.object(ingress, "TURNS_TO_SEE_A_CLOSE", 0)
+
+
 MUTANTS = {
     mutant.__name__: mutant
     for mutant in (
@@ -387,6 +394,7 @@
         save_counts_without_condition,
         believe_own_clock,
         end_stalled_runs_without_places,
+        forward_for_callers_that_left,
     )
 }
 TESTS = dict.fromkeys(MUTANTS, FUZZ) | {
@@ -416,6 +424,7 @@
     "save_counts_without_condition": "tests.test_usage",
     "believe_own_clock": "tests.test_usage",
     "end_stalled_runs_without_places": "tests.test_urgency",
+    "forward_for_callers_that_left": "tests.test_platform_ingress",
 }
 EXPECTED_CHECKS = {
     "refuse_after_unknown": ("BatchRefusedError",),
--- a/tests/test_platform_ingress.py
+++ b/tests/test_platform_ingress.py
@@ -1,6 +1,8 @@
 """The client side against clients that send too much, too slowly, or leave."""
 
 import asyncio
+import socket
+import struct
 import unittest
 from contextlib import asynccontextmanager
 
@@ -64,7 +66,11 @@
     async def stream(self, request, _route):
         """Answers with a stream that breaks off."""
         self.requests.append(request)
-        yield BrokenStream()
+        try:
+            yield BrokenStream(self.delay)
+        except (asyncio.CancelledError, GeneratorExit):
+            self.cancelled.set()
+            raise
 
 
 class BrokenStream:
@@ -73,9 +79,13 @@
     status = 200
     headers = ((b"Content-Type", b"text/event-stream"),)
 
+    def __init__(self, delay: float) -> None:
+        self._delay = delay
+
     async def chunks(self):
         """Yields the body."""
         yield b"id: 1\ndata: a\n\n"
+        await asyncio.sleep(self._delay)
         raise BrokenAnswerError("broke off")
 
 
@@ -198,6 +208,58 @@
         writer.close()
         await asyncio.wait_for(self.forwarder.cancelled.wait(), 0.5)
 
+    async def test_client_that_leaves_while_its_body_arrives_is_not_served(self):
+        _, writer = await self.connect()
+        writer.write(b"POST /p/x HTTP/1.1\r\nHost: pages.example\r\nContent-Length: 4\r\n\r\nab")
+        await asyncio.sleep(0.05)
+        writer.close()
+        await self.rest()
+        self.assertEqual([], self.forwarder.requests)
+
+    async def test_client_that_left_before_it_was_read_is_not_served(self):
+        """Its whole request and its close lie in the socket when a busy loop reads it."""
+        for prefix in (b"/p/", b"/s/"):
+            for body in (b"", b"a" * 4000):
+                head = b"POST %bx HTTP/1.1\r\nHost: pages.example\r\nContent-Length: %d\r\n\r\n"
+                self.send_and_leave(head % (prefix, len(body)) + body)
+                await self.rest()
+                self.assertEqual([], self.forwarder.requests)
+
+    async def test_client_that_left_by_a_reset_before_it_was_read_is_not_served(self):
+        linger = struct.pack("ii", 1, 0)  # closing discards what is unsent, and resets
+        self.send_and_leave(b"GET /p/x HTTP/1.1\r\nHost: pages.example\r\n\r\n", linger)
+        await self.rest()
+        self.assertEqual([], self.forwarder.requests)
+
+    async def test_client_that_leaves_a_stream_ends_it(self):
+        self.forwarder.delay = 5.0
+        reader, writer = await self.connect()
+        writer.write(b"GET /s/x HTTP/1.1\r\nHost: pages.example\r\n\r\n")
+        await reader.readuntil(b"data: a")
+        writer.close()
+        await asyncio.wait_for(self.forwarder.cancelled.wait(), 0.5)
+
+    async def test_client_that_leaves_with_a_second_request_sent_ahead_is_noticed(self):
+        self.forwarder.delay = 5.0
+        _, writer = await self.connect()
+        writer.write(b"GET /p/x HTTP/1.1\r\nHost: pages.example\r\n\r\n" * 2)
+        await asyncio.sleep(0.1)
+        writer.close()
+        await asyncio.wait_for(self.forwarder.cancelled.wait(), 0.5)
+        await self.rest()
+        self.assertEqual(1, len(self.forwarder.requests))
+
+    def send_and_leave(self, content: bytes, linger: bytes | None = None) -> None:
+        """Sends bytes and closes the connection before the loop turns."""
+        with socket.create_connection((self.host, int(self.port))) as client:
+            client.sendall(content)
+            if linger is not None:
+                client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
+    async def rest(self) -> None:
+        """Lets the listener do all that it has to do."""
+        await asyncio.sleep(0.1)
+
     async def test_broken_stream_does_not_look_complete(self):
         answer = await self.exchange(b"GET /s/x HTTP/1.1\r\nHost: pages.example\r\n\r\n")
         self.assertIn(b"data: a", answer)
