Resting connections are closed before the descriptors run out; a full daemon is not ready

Cause: where accept() finds no descriptor, the event loop stops accepting for a second, again and again, while readiness still said 200. `descriptors` lines.

--- a/src/larkpost/eventlog.py
+++ b/src/larkpost/eventlog.py
@@ -42,6 +42,7 @@
     MEMBER = "member"
     COORDINATOR = "coordinator"
     REQUEST_DENIED = "request_denied"
+    DESCRIPTORS = "descriptors"
     REQUEST_DONE = "request_done"
     ATTEMPT_FAILED = "attempt_failed"
     REQUEST_FAILED = "request_failed"
--- a/src/larkpost/fleet/lifecycle.py
+++ b/src/larkpost/fleet/lifecycle.py
@@ -9,19 +9,21 @@
 
     Attributes:
         informed: whether it knows a configuration and the instances.
+        accepting: whether it has room for more connections.
         stopping: whether a planned stop has begun; it is final.
         open_requests: requests being answered.
     """
 
     def __init__(self) -> None:
         self.informed = False
+        self.accepting = True
         self.stopping = False
         self.open_requests = 0
 
     @property
     def ready(self) -> bool:
         """Whether new clients may come."""
-        return self.informed and not self.stopping
+        return self.informed and self.accepting and not self.stopping
 
     @contextmanager
     def request(self) -> Iterator[None]:
--- a/src/larkpost/platform/connections.py
+++ b/src/larkpost/platform/connections.py
@@ -34,6 +34,11 @@
         self._keys: dict[Address, ConnectionKey] = {}
         """The library's name for each server, under which it keeps the idle connections."""
 
+    @property
+    def held(self) -> int:
+        """The connections that are open, in use or resting."""
+        return len(self._acquired) + sum(len(idle) for idle in self._conns.values())
+
     def note_idle_time(self, server: Address, seconds: float) -> None:
         """Takes what a server said of how long it keeps connections that rest."""
         usable = max(0.0, seconds - IDLE_MARGIN_SECONDS)
--- a/src/larkpost/platform/process.py
+++ b/src/larkpost/platform/process.py
@@ -14,6 +14,7 @@
 from larkpost.ids import Address
 from larkpost.metrics import Metrics
 from larkpost.platform import names, operator
+from larkpost.platform.descriptors import DescriptorGuard
 from larkpost.platform.duties import HttpDuties
 from larkpost.platform.http_protocol import Listener
 from larkpost.platform.ingress import Ingress
@@ -92,12 +93,20 @@
         listeners.append(Listener(MetricsApp(gateway.read_metrics, metrics_path), address))
     if settings.peer is not None:
         listeners.append(Listener(PeerStoreApp(direct), settings.peer))
+    guard = DescriptorGuard(
+        settings.max_descriptors,
+        lambda: servers.held + sum(len(listener.connections) for listener in listeners),
+        front.shed,
+        gateway.lifecycle,
+        log,
+    )
     stop = asyncio.Event()
     reload = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     loop.add_signal_handler(signal.SIGHUP, reload.set)
+    loop.set_exception_handler(guard.note_failure)
     gateway.start()
     for listener in listeners:
         await listener.start()
@@ -105,9 +114,11 @@
     watcher = asyncio.create_task(
         watch_settings(path, content, reload, gateway.settings, direct, duties, log)
     )
+    guarding = asyncio.create_task(guard.watch())
     await stop.wait()
     await gateway.drain()
     watcher.cancel()
+    guarding.cancel()
     gateway.stop()
     for listener in listeners:
         await listener.close()
--- a/src/larkpost/platform/servers.py
+++ b/src/larkpost/platform/servers.py
@@ -174,6 +174,11 @@
             return OrderOutcome.UNKNOWN  # the next report shows whether it was carried out
         return ORDER_OUTCOMES.get(status, OrderOutcome.UNKNOWN)
 
+    @property
+    def held(self) -> int:
+        """The connections to servers that are open."""
+        return self._kept.connector.held + self._fresh.connector.held
+
     def is_connected(self, instance: InstanceInfo) -> bool:
         """Tells whether an idle connection to a server is kept; see the port."""
         return self._kept.connector.has_idle(instance.address)
--- a/src/larkpost/platform/settings.py
+++ b/src/larkpost/platform/settings.py
@@ -1,6 +1,7 @@
 """Reads the settings file that the platform writes for a process."""
 
 import os
+import resource
 import tomllib
 from dataclasses import dataclass
 from pathlib import Path
@@ -26,6 +27,7 @@
         peer: where this daemon makes calls to the store for others; None if no port is free.
         metrics: port and path of the metrics, or None.
         duties: where the platform takes the calls of duties; None if there are none.
+        max_descriptors: the most that this daemon may hold.
         usage: what is agreed about usage reports; None if none are asked for.
     """
 
@@ -44,6 +46,7 @@
     batch_lifetime: float
     metrics: tuple[int, str] | None
     duties: Address | None
+    max_descriptors: int
     usage: UsageTerms | None
 
 
@@ -90,10 +93,16 @@
         batch_lifetime=_number(document, "bounds", "status-s", default=120),
         metrics=_metrics(document),
         duties=_optional_address(document, "cloud-api", "address"),
+        max_descriptors=int(_number(document, "limits", "max-fds", default=_own_limit())),
         usage=_usage(document),
     )
 
 
+def _own_limit() -> int:
+    """Returns how many descriptors the system lets this process hold."""
+    return resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+
+
 def _find(document: dict[str, Any], path: tuple[str, ...]) -> Any:
     value: Any = document
     for name in path:
--- /dev/null
+++ b/tests/test_descriptors.py
@@ -0,0 +1,123 @@
+"""A daemon whose descriptors run out: resting connections go first, then it is not ready."""
+
+import asyncio
+import errno
+import unittest
+
+from larkpost.eventlog import EventLog
+from larkpost.fleet.lifecycle import Lifecycle
+from larkpost.ids import Address
+from larkpost.platform.descriptors import FILE_DESCRIPTORS, DescriptorGuard
+from larkpost.platform.http_protocol import Listener
+from larkpost.rehearsal.processes import free_address
+
+SOCKETS = 20
+"""The most sockets that the daemon under test may hold."""
+REQUEST = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+
+
+class SlowApp:
+    """Answers calls of ``/`` at once, others when the test lets it."""
+
+    def __init__(self) -> None:
+        self.release = asyncio.Event()
+
+    async def __call__(self, scope, receive, send) -> None:
+        """Answers one request."""
+        if scope["path"] != "/":
+            await self.release.wait()
+        headers = [(b"content-length", b"2")]
+        await send({"type": "http.response.start", "status": 200, "headers": headers})
+        await send({"type": "http.response.body", "body": b"ok"})
+
+
+class DescriptorTest(unittest.IsolatedAsyncioTestCase):
+    """A listener on loopback, its guard, and some clients."""
+
+    async def asyncSetUp(self):
+        self.lifecycle = Lifecycle()
+        self.lifecycle.informed = True
+        self.app = SlowApp()
+        address = Address(free_address())
+        self.listener = Listener(self.app, address)
+        await self.listener.start()
+        self.addAsyncCleanup(self.listener.close)
+        self.host, port = address.split(":")
+        self.port = int(port)
+        self.guard = DescriptorGuard(
+            FILE_DESCRIPTORS + SOCKETS,
+            lambda: len(self.listener.connections),
+            self.listener.shed,
+            self.lifecycle,
+            EventLog("daemon"),
+        )
+
+    async def connect(self, request: bytes):
+        """Opens a connection and sends a request."""
+        reader, writer = await asyncio.open_connection(self.host, self.port)
+        self.addCleanup(writer.close)
+        writer.write(request)
+        return reader, writer
+
+    async def rest(self, count: int) -> list:
+        """Opens connections that rest after an answer, and returns their readers."""
+        readers = []
+        for _ in range(count):
+            reader, _ = await self.connect(REQUEST)
+            await reader.readuntil(b"ok")
+            readers.append(reader)
+        return readers
+
+    async def work(self, count: int) -> list:
+        """Opens connections whose requests are being answered, and returns their readers."""
+        slow = REQUEST.replace(b"/ ", b"/slow ", 1)
+        readers = [(await self.connect(slow))[0] for _ in range(count)]
+        await asyncio.sleep(0.05)
+        return readers
+
+    async def test_few_resting_connections_are_left_alone(self):
+        readers = await self.rest(SOCKETS // 2)
+        self.guard.look()
+        await asyncio.sleep(0.05)
+        self.assertFalse(any(reader.at_eof() for reader in readers))
+
+    async def test_longest_resting_connections_are_closed_before_descriptors_run_out(self):
+        working = await self.work(4)
+        resting = await self.rest(14)
+        self.guard.look()
+        await asyncio.sleep(0.05)
+        self.assertEqual([True] * 3 + [False] * 11, [reader.at_eof() for reader in resting])
+        self.assertTrue(self.lifecycle.ready)
+        self.app.release.set()
+        for reader in working:
+            await asyncio.wait_for(reader.readuntil(b"ok"), 1)
+
+    async def test_daemon_whose_connections_are_all_in_use_is_not_ready_until_some_end(self):
+        working = await self.work(SOCKETS)
+        self.guard.look()
+        self.assertFalse(self.lifecycle.ready)
+        self.app.release.set()
+        for reader in working:
+            await asyncio.wait_for(reader.readuntil(b"ok"), 1)
+        self.guard.look()
+        self.assertTrue(self.lifecycle.ready)
+
+    async def test_failure_to_accept_closes_resting_connections_at_once(self):
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(self.guard.note_failure)
+        self.addCleanup(loop.set_exception_handler, None)
+        context = {
+            "message": "socket.accept() out of system resource",
+            "exception": OSError(errno.EMFILE, "Too many open files"),
+        }
+        loop.call_exception_handler(context)
+        self.assertFalse(self.lifecycle.ready)
+        (reader,) = await self.rest(1)
+        loop.call_exception_handler(context)
+        await asyncio.sleep(0.05)
+        self.assertTrue(reader.at_eof())
+        self.assertTrue(self.lifecycle.ready)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_platform_settings.py
+++ b/tests/test_platform_settings.py
@@ -1,6 +1,7 @@
 """The platform's settings: wrong fields are named with their remedy, changes are taken at once."""
 
 import asyncio
+import resource
 import signal
 import tempfile
 import unittest
@@ -54,6 +55,12 @@
         self.assertEqual("10.0.0.1:7720", settings.peer)
         self.assertIsNone(self.load(GOOD.replace("port-range = [7720, 7735]", "")).peer)
 
+    def test_most_descriptors_are_the_given_ones_or_the_system_s(self):
+        given = self.load(GOOD + "[limits]\nmax-fds = 900\n")
+        self.assertEqual(900, given.max_descriptors)
+        system = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+        self.assertEqual(system, self.load(GOOD).max_descriptors)
+
     def test_duties_and_usage_are_asked_for_or_not(self):
         self.assertIsNone(self.load(GOOD).duties)
         self.assertIsNone(self.load(GOOD).usage)
