A body is not sent on for a caller that left; who reaches no server is refused at once

Cause: found by tests from end to end over loopback: when a caller left while a server was slow to read, the transport still delivered the whole body (8 MB of 8 MB) after half a second. And a daemon that reaches no server kept requests for half of their time, though another daemon may reach them. Change: the connector aborts connections that are closed with unsent bytes; a request that was sent to all servers and reached none is refused at once.

--- a/src/larkpost/platform/connections.py
+++ b/src/larkpost/platform/connections.py
@@ -79,6 +79,16 @@
                 del self._conns[key]
         return await super()._get(key, traces)
 
+    def _release(self, key, protocol, *, should_close: bool = False) -> None:
+        """Takes a connection back; one that is closed sends nothing more of its request.
+
+        The transport would go on sending what it holds of a body, whoever has left meanwhile.
+        """
+        transport = protocol.transport
+        super()._release(key, protocol, should_close=should_close)
+        if transport is not None and transport.is_closing() and transport.get_write_buffer_size():
+            transport.abort()
+
 
 def make_session(*, keep: bool = True) -> aiohttp.ClientSession:
     """Returns a client session that sends and returns bytes as they are.
--- a/src/larkpost/proxy/attempts.py
+++ b/src/larkpost/proxy/attempts.py
@@ -5,6 +5,7 @@
 from larkpost.fleet.configuration import Route
 from larkpost.ids import EngineId
 from larkpost.proxy.forecast import Forecast
+from larkpost.proxy.port import NotRunReason
 from larkpost.proxy.request import ClientRequest, WholeAnswer
 from larkpost.proxy.waiting import Waiter
 
@@ -19,6 +20,7 @@
         forecast: what was foreseen last.
         ran_at: servers that may have run it.
         refused_by: servers that certainly did not, since it last waited.
+        reasons: why they did not.
         last: the last failure that a server answered in full.
     """
 
@@ -29,4 +31,15 @@
     forecast: Forecast
     ran_at: set[EngineId] = field(default_factory=set)
     refused_by: set[EngineId] = field(default_factory=set)
+    reasons: set[NotRunReason] = field(default_factory=set)
     last: WholeAnswer | None = None
+
+    @property
+    def are_all_unreachable(self) -> bool:
+        """Whether each server that it was sent to since it last waited could not be reached."""
+        return self.reasons == {NotRunReason.UNREACHABLE}
+
+    def begin_round(self) -> None:
+        """Has all servers that did not run it tried again."""
+        self.refused_by.clear()
+        self.reasons.clear()
--- a/src/larkpost/proxy/forecast.py
+++ b/src/larkpost/proxy/forecast.py
@@ -142,6 +142,12 @@
     return Forecast(outlook, wait, _retry_after(wait, limits.end_at - now))
 
 
+def unreachable(limits: Limits, now: float) -> Forecast:
+    """Foresees a request that reached no server, though it was sent to all."""
+    wait = NO_PLACE_RETRY_SECONDS
+    return Forecast(Outlook.NOT_AT_ALL, wait, _retry_after(wait, limits.end_at - now))
+
+
 def is_late_anyway(places: Places, limits: Limits, now: float) -> bool:
     """Tells whether a request would be late even if it got a place now."""
     return now + (places.pace or limits.usual_pace) > limits.objective_at
--- a/src/larkpost/proxy/forwarder.py
+++ b/src/larkpost/proxy/forwarder.py
@@ -23,7 +23,7 @@
 from larkpost.policy import DEFAULT_POLICY, Policy
 from larkpost.proxy.attempts import Attempts
 from larkpost.proxy.balancer import Balancer
-from larkpost.proxy.forecast import Limits, Places, survey
+from larkpost.proxy.forecast import Limits, Places, survey, unreachable
 from larkpost.proxy.outcomes import Outcomes
 from larkpost.proxy.patience import FirstTries
 from larkpost.proxy.port import (
@@ -160,9 +160,12 @@
 
     async def _may_try(self, attempts: Attempts, *, must_wait: bool) -> bool:
         """Waits for a request's turn if it must; tells whether it may be served at all."""
-        if must_wait and not attempts.forecast.is_hopeless:
+        if attempts.are_all_unreachable:
+            # No place comes free by waiting here, but another daemon may reach the servers.
+            attempts.forecast = unreachable(attempts.waiter.limits, self._clock.now())
+        elif must_wait and not attempts.forecast.is_hopeless:
             attempts.forecast = await self._lines.turn(attempts.waiter)
-            attempts.refused_by.clear()
+            attempts.begin_round()
         return not attempts.forecast.is_hopeless
 
     async def _find(self, attempts: Attempts) -> InstanceInfo | None:
--- a/src/larkpost/proxy/outcomes.py
+++ b/src/larkpost/proxy/outcomes.py
@@ -48,6 +48,7 @@
     def not_run(self, instance: InstanceInfo, attempts: Attempts, error: NotRunError) -> None:
         """Notes that a server certainly did not run a request."""
         attempts.refused_by.add(instance.id)
+        attempts.reasons.add(error.reason)
         self._metrics.count(Count.ATTEMPTS, instance.service, error.reason)
         self._balancer.note_not_run(instance.id, error.reason, FULL_AVOID_SECONDS)
 
--- a/tests/test_forecast.py
+++ b/tests/test_forecast.py
@@ -208,6 +208,23 @@
 
         run(play())
 
+    def test_request_is_refused_at_once_if_no_server_can_be_reached(self):
+        """Another daemon may reach them; while one of them is only full, it waits."""
+
+        async def play():
+            for kind in (RouteKind.IDEMPOTENT, RouteKind.RUN_ONCE):
+                self.begin(count=2)
+                for state in self.engines.engines.values():
+                    state.down = True
+                seconds, error = await self.refusal(self.send(make_route(kind)))
+                self.assertLess(seconds, LOOK_INTERVAL_SECONDS)
+                self.assertGreater(error.retry_after, 0)
+                self.state().down = False
+                self.take_places(0.1)
+                await self.send(make_route(kind))
+
+        run(play())
+
     def test_late_request_waits_and_is_served(self):
         async def play():
             for send in (self.send, self.stream):
--- /dev/null
+++ b/tests/test_leaving_clients.py
@@ -0,0 +1,158 @@
+"""Clients that leave, from their connection to that of the server: nothing goes on for them.
+
+A listener, the forwarder and the server adapter stand between real sockets on loopback.
+"""
+
+import asyncio
+import random
+import unittest
+
+from larkpost.clock import LoopClock
+from larkpost.eventlog import EventLog
+from larkpost.fleet.configuration import (
+    Configuration,
+    ConfigurationState,
+    Route,
+    RouteKind,
+    Service,
+    ServiceName,
+    ServiceShare,
+)
+from larkpost.fleet.directory import Directory, InstanceInfo, InstanceState
+from larkpost.fleet.lifecycle import Lifecycle
+from larkpost.ids import Address, EngineId, ZoneId
+from larkpost.metrics import Metrics
+from larkpost.platform.http_protocol import Listener
+from larkpost.platform.ingress import Ingress
+from larkpost.platform.servers import HttpServers
+from larkpost.proxy.admission import Admission
+from larkpost.proxy.balancer import Balancer
+from larkpost.proxy.forwarder import Forwarder
+from larkpost.proxy.shares import ShareChooser
+from larkpost.rehearsal.processes import free_address
+
+PAGES = ServiceName("pages")
+KINDS = {b"/p/": RouteKind.IDEMPOTENT, b"/o/": RouteKind.RUN_ONCE, b"/s/": RouteKind.STREAM}
+STOP_SECONDS = 0.5
+"""Within so long nothing may go on for a client that left."""
+FULL = (
+    b"HTTP/1.1 503 Full\r\nLarkpost-Attempt-Id: r1\r\nLarkpost-Not-Executed: 1\r\n"
+    b"Content-Length: 0\r\n\r\n"
+)
+LARGE = 8_000_000
+"""More than the buffers of both ends of a connection hold."""
+
+
+class StallingServer:
+    """Reads requests and never answers them, says that it is full, or does not read at all."""
+
+    def __init__(self) -> None:
+        self.is_full = False
+        self.reads = asyncio.Event()
+        self.reads.set()
+        self.heads = 0
+        self.working = 0
+        self.received = 0
+
+    async def serve(self, reader, writer) -> None:
+        """Serves one connection."""
+        try:
+            await self.reads.wait()
+            while await reader.readuntil(b"\r\n\r\n"):
+                self.heads += 1
+                if self.is_full:
+                    writer.write(FULL)
+                    continue
+                self.working += 1
+                while content := await reader.read(65536):
+                    self.received += len(content)
+                return
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return
+        finally:
+            self.working = 0
+            writer.close()
+
+
+class LeavingClientTest(unittest.IsolatedAsyncioTestCase):
+    """Each test sends a request, leaves, and looks at the server half a second later."""
+
+    async def asyncSetUp(self):
+        self.server = StallingServer()
+        listening = await asyncio.start_server(self.server.serve, "127.0.0.1", 0)
+        self.addCleanup(listening.close)
+        own = Address(f"127.0.0.1:{listening.sockets[0].getsockname()[1]}")
+        directory = Directory()
+        directory.update(
+            InstanceInfo(EngineId("e0"), PAGES, own, ZoneId("z"), 4, InstanceState.READY)
+        )
+        servers = HttpServers()
+        self.addAsyncCleanup(servers.close)
+        clock, log, metrics = LoopClock(), EventLog("daemon"), Metrics()
+        balancer = Balancer(directory, clock, random.Random(1))
+        self.forwarder = Forwarder(
+            directory, balancer, servers, clock, log, metrics, ShareChooser(random.Random(0))
+        )
+        configuration = ConfigurationState()
+        shares = (ServiceShare(PAGES, 1.0),)
+        routes = [Route("r", "h", path, kind, shares, 5.0, 0.5) for path, kind in KINDS.items()]
+        configuration.update(Configuration(1, tuple(routes), {PAGES: Service(PAGES, 10)}))
+        admission = Admission(configuration, lambda: 0.0, lambda: 2.0, log, metrics)
+        ingress = Ingress(configuration, Lifecycle(), admission, self.forwarder, None)
+        address = Address(free_address())
+        listener = Listener(ingress, address, ingress.limits)
+        await listener.start()
+        self.addAsyncCleanup(listener.close)
+        self.host, self.port = address.split(":")
+
+    async def send(self, path: bytes, body: bytes = b"", length: int | None = None):
+        """Sends a request, or the begin of one, and returns its connection."""
+        _, writer = await asyncio.open_connection(self.host, int(self.port))
+        self.addCleanup(writer.close)
+        size = len(body) if length is None else length
+        head = b"POST %bx HTTP/1.1\r\nHost: h\r\nLarkpost-Attempt-Id: r1\r\nContent-Length: %d\r\n"
+        writer.write(head % (path, size) + b"\r\n" + body)
+        await writer.drain()
+        await asyncio.sleep(0.15)
+        return writer
+
+    async def leave(self, writer) -> None:
+        """Closes a client's connection, and waits until nothing may go on for it."""
+        writer.close()
+        await asyncio.sleep(STOP_SECONDS)
+
+    async def test_work_at_the_server_is_stopped(self):
+        for path in KINDS:
+            writer = await self.send(path)
+            self.assertEqual(1, self.server.working)
+            await self.leave(writer)
+            self.assertEqual(0, self.server.working)
+
+    async def test_waiting_request_is_not_sent_any_more(self):
+        for path in KINDS:
+            self.server.is_full = True
+            writer = await self.send(path)
+            self.assertGreater(self.server.heads, 1)  # it waits, and asks again
+            await self.leave(writer)
+            self.server.heads, self.server.is_full = 0, False
+            await asyncio.sleep(0.2)
+            self.assertEqual((0, 0), (self.forwarder.waiting, self.server.heads))
+
+    async def test_request_whose_body_arrives_is_not_sent(self):
+        for path in KINDS:
+            await self.leave(await self.send(path, b"a" * 100_000, length=200_000))
+            self.assertEqual(0, self.server.heads)
+
+    async def test_body_that_a_server_has_not_read_is_not_sent_on(self):
+        for path in KINDS:
+            self.server.reads.clear()
+            writer = await self.send(path, b"a" * LARGE)
+            await self.leave(writer)
+            self.server.received = 0
+            self.server.reads.set()
+            await asyncio.sleep(0.3)
+            self.assertLess(self.server.received, LARGE)
+
+
+if __name__ == "__main__":
+    unittest.main()
