--- a/src/larkpost/platform/process.py
+++ b/src/larkpost/platform/process.py
@@ -14,9 +14,10 @@
 from larkpost.ids import Address
 from larkpost.metrics import Metrics
 from larkpost.platform import names, operator
+from larkpost.platform.descriptors import DescriptorGuard
 from larkpost.platform.duties import HttpDuties
 from larkpost.platform.http_protocol import Listener
-from larkpost.platform.ingress import Ingress, MetricsApp, ReadinessApp
+from larkpost.platform.ingress import Ingress
 from larkpost.platform.peer_store import PeerStoreApp
 from larkpost.platform.servers import HttpServers
 from larkpost.platform.settings import (
@@ -24,6 +25,7 @@
     load_platform_settings,
     settings_path,
 )
+from larkpost.platform.status_apps import MetricsApp, ReadinessApp
 from larkpost.platform.store import HttpStore
 from larkpost.store.relay import RelayedStore
 
@@ -92,12 +94,20 @@
         listeners.append(Listener(MetricsApp(gateway.read_metrics, metrics_path), address))
     if settings.peer is not None:
         listeners.append(Listener(PeerStoreApp(direct), settings.peer))
+    guard = DescriptorGuard(
+        settings.max_descriptors,
+        lambda: servers.held + sum(len(listener.connections) for listener in listeners),
+        front.shed,
+        gateway.lifecycle,
+        log,
+    )
     stop = asyncio.Event()
     reload = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     loop.add_signal_handler(signal.SIGHUP, reload.set)
+    loop.set_exception_handler(guard.note_failure)
     gateway.start()
     for listener in listeners:
         await listener.start()
@@ -105,9 +115,11 @@
     watcher = asyncio.create_task(
         watch_settings(path, content, reload, gateway.settings, direct, duties, log)
     )
+    guarding = asyncio.create_task(guard.watch())
     await stop.wait()
     await gateway.drain()
     watcher.cancel()
+    guarding.cancel()
     gateway.stop()
     await asyncio.gather(*(listener.close() for listener in listeners))
     await servers.close()
--- a/src/larkpost/proxy/balancer.py
+++ b/src/larkpost/proxy/balancer.py
@@ -15,7 +15,7 @@
 from larkpost.placement.verdict import Verdict
 from larkpost.placement.work import CLIENT_WORK, Work
 from larkpost.policy import DEFAULT_POLICY, Policy
-from larkpost.proxy.port import NotRunReason, ServerLoad
+from larkpost.proxy.port import NotRunError, NotRunReason, ServerLoad
 
 LOAD_LIFETIME_SECONDS = 1.0
 """How long a load that a server told of itself is used."""
@@ -91,6 +91,7 @@
         self._uses: dict[EngineId, InstanceUse] = {}
         self._peers: dict[EngineId, dict[DaemonId, _PeerUse]] = {}
         """For each instance, only the daemons that use it: most daemons use few."""
+        self._release_listeners: list[Callable[[EngineId], None]] = []
 
     def use(self, instance: EngineId) -> InstanceUse:
         """Returns the record of an instance."""
@@ -194,12 +195,17 @@
 
     @contextmanager
     def placed(self, instance: EngineId) -> Iterator[None]:
-        """Counts a request at an instance while it is there."""
+        """Counts a request while it is at an instance; if it did not run, no place came free."""
         self.occupy(instance)
         try:
             yield
-        finally:
+        except NotRunError:
+            self.use(instance).outstanding -= 1
+            raise
+        except BaseException:
             self.release(instance)
+            raise
+        self.release(instance)
 
     def occupy(self, instance: EngineId) -> None:
         """Counts a request at an instance until `release` is called for it."""
@@ -208,6 +214,12 @@
     def release(self, instance: EngineId) -> None:
         """Ends the count of a request at an instance."""
         self.use(instance).outstanding -= 1
+        for listener in self._release_listeners:
+            listener(instance)
+
+    def when_released(self, listener: Callable[[EngineId], None]) -> None:
+        """Has a listener told of each request of this daemon that ends at an instance."""
+        self._release_listeners.append(listener)
 
     def note_load(self, instance: EngineId, load: ServerLoad | None) -> None:
         """Takes what an instance told of its load while this daemon's requests were there."""
