Cold servers: each daemon sends only its share of what a cold one bears in a second

Cause: a server that has just started bears few requests; nothing counted what all daemons together send there, so three owners of batches filled a new engine of 8 places at once.

Change: entries, answers and ended evacuations tell that an instance is cold (fleet/cold.py); a rule that counts every send in a sliding window (placement/cold.py) lets a daemon's share through, worked out from the owners of open batches it has heard of (placement/cold_senders.py, cold_share.py). Cold engines come last.

--- a/src/larkpost/eventlog.py
+++ b/src/larkpost/eventlog.py
@@ -31,6 +31,7 @@
     CONFIGURATION = "configuration"
     READY = "ready"
     INSTANCE = "instance"
+    INSTANCE_COLD = "instance_cold"
     WEIGHT_TARGET = "weight_target"
     STORE = "store"
     STORE_RELAY = "store_relay"
--- a/src/larkpost/fleet/beliefs.py
+++ b/src/larkpost/fleet/beliefs.py
@@ -6,6 +6,7 @@
 
 from dataclasses import dataclass, field
 
+from larkpost.fleet.cold import ColdInstances
 from larkpost.fleet.configuration import ConfigurationState
 from larkpost.fleet.directory import Directory
 from larkpost.fleet.evacuations import Evacuations
@@ -23,6 +24,7 @@
         targets: the weight version that each model should have.
         evacuations: the zones that are to get nothing.
         regions: where zones lie.
+        cold: the instances that are cold.
     """
 
     regions: RegionMap = field(default_factory=RegionMap)
@@ -30,3 +32,4 @@
     directory: Directory = field(default_factory=Directory)
     targets: WeightTargets = field(default_factory=WeightTargets)
     evacuations: Evacuations = field(default_factory=Evacuations)
+    cold: ColdInstances = field(default_factory=ColdInstances)
--- a/src/larkpost/fleet/configuration.py
+++ b/src/larkpost/fleet/configuration.py
@@ -70,6 +70,8 @@
         slots: requests a model engine runs at once; 0 if the servers are no engines.
         models: the models that the engines hold; empty if the servers are no engines.
         tokens_per_event: tokens that one event of a stream holds at most.
+        cold_start: seconds for which a server is cold after a start during traffic.
+        cold_rate: requests a second that a cold server bears; 0 if there is no such limit.
     """
 
     name: ServiceName
@@ -77,6 +79,8 @@
     slots: int = 0
     models: tuple[ModelName, ...] = ()
     tokens_per_event: int = 1
+    cold_start: float = 0.0
+    cold_rate: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -164,3 +168,7 @@
             return False
         self.current = configuration
         return True
+
+    def service(self, name: ServiceName) -> Service | None:
+        """Returns a service of the configuration in force; None if there is none."""
+        return self.current.services.get(name) if self.current is not None else None
--- a/src/larkpost/fleet/directory.py
+++ b/src/larkpost/fleet/directory.py
@@ -28,6 +28,7 @@
         slots: requests it handles at once.
         versions: weight version of each model it holds.
         listed_version: version of the entry in the store.
+        cold_left: seconds, from the entry's writing, for which it stays cold; None if not told.
     """
 
     id: EngineId
@@ -38,6 +39,7 @@
     state: InstanceState
     versions: dict[ModelName, int] = field(default_factory=dict)
     listed_version: int = 0
+    cold_left: float | None = None
 
 
 class Directory:
--- a/src/larkpost/fleet/members.py
+++ b/src/larkpost/fleet/members.py
@@ -108,6 +108,11 @@
         """Whether the daemons were listed at least once."""
         return self._known.listed_at is not None and self._awaited.listed_at is not None
 
+    @property
+    def awaited_listed_at(self) -> float | None:
+        """Steady time at which the awaited daemons were last listed; None if never."""
+        return self._awaited.listed_at
+
     def start(self, tasks: TaskSet) -> None:
         """Starts the heartbeats and the listings."""
         tasks.every(HEARTBEAT_SECONDS, self._beat, "heartbeat")
--- a/src/larkpost/fleet/row_intake.py
+++ b/src/larkpost/fleet/row_intake.py
@@ -41,6 +41,7 @@
     Args:
         store_sound_for: returns for how many seconds each call to the store was answered.
         trust_after: returns for how many it must have been for a row that is gone to be believed.
+        had_whole_list: tells whether all instances were listed: one that is new then has started.
     """
 
     def __init__(
@@ -51,6 +52,7 @@
         log: EventLog,
         store_sound_for: Callable[[], float],
         trust_after: Callable[[], float],
+        had_whole_list: Callable[[], bool] = lambda: False,
     ) -> None:
         self._readers = readers
         self._configuration = beliefs.configuration
@@ -60,6 +62,8 @@
         self._log = log
         self._store_sound_for = store_sound_for
         self._trust_after = trust_after
+        self._had_whole_list = had_whole_list
+        self._cold = beliefs.cold
 
     async def drop_lapsed(self) -> None:
         """Gives up instances whose entries lapsed while the store was away and are not back."""
@@ -96,7 +100,16 @@
             return
         known = self._directory.get(instance)
         self._directory.update(info)
+        self._note_cold(info, is_new=known is None and self._had_whole_list())
         if known is None or known.state != info.state:
             self._log.note(
                 Event.INSTANCE, instance=instance, state=info.state, service=info.service
             )
+
+    def _note_cold(self, info: InstanceInfo, *, is_new: bool) -> None:
+        """Takes how long an instance stays cold; one that has just started may not say it yet."""
+        left = info.cold_left
+        if is_new and left != 0.0:
+            service = self._configuration.service(info.service)
+            left = max(left or 0.0, service.cold_start if service is not None else 0.0)
+        self._cold.note(info.id, left, self._clock.now())
--- a/src/larkpost/gateway.py
+++ b/src/larkpost/gateway.py
@@ -8,6 +8,7 @@
 from larkpost.clock import Clock
 from larkpost.eventlog import Event, EventLog
 from larkpost.fleet.beliefs import Beliefs
+from larkpost.fleet.cold import ColdTerms
 from larkpost.fleet.division import EngineDivision
 from larkpost.fleet.heartbeat import new_life
 from larkpost.fleet.leases import LeaseTable
@@ -19,6 +20,8 @@
 from larkpost.fleet.true_time import TrueTime
 from larkpost.ids import Address
 from larkpost.metrics import Level, Metrics
+from larkpost.placement.cold import LOOK_SECONDS, ColdRule
+from larkpost.placement.cold_senders import ColdSenders
 from larkpost.placement.rules import Placement, PlacementRule
 from larkpost.policy import DEFAULT_POLICY, Policy
 from larkpost.proxy.admission import Admission
@@ -72,6 +75,7 @@
         policy: how it decides.
         usage: what is agreed about usage reports; None if there are none.
         regions: where the deployment's zones lie, seen from this daemon's.
+        cold: what is agreed about cold instances; None if they have no limits.
     """
 
     machine: str
@@ -84,6 +88,7 @@
     policy: Policy = DEFAULT_POLICY
     usage: UsageTerms | None = None
     regions: RegionMap = field(default_factory=RegionMap)
+    cold: ColdTerms | None = None
 
 
 @dataclass(slots=True)
@@ -124,13 +129,18 @@
         self.true_time = TrueTime(
             ports.clock, ports.store.time, lambda: self.membership.clock_offsets()
         )
+        senders = ColdSenders(own, ports.clock)
+        self.cold = ColdRule(settings.cold, self.beliefs, ports.clock, ports.log, senders)
         self.balancer = Balancer(
             self.directory,
             ports.clock,
             ports.chance,
             settings.policy,
             ports.servers.is_connected,
-            Placement(self.directory, self._placement_rules(), ports.metrics),
+            Placement(
+                self.directory, self._placement_rules(), ports.metrics, self.cold.send_within
+            ),
+            self.cold,
         )
         self.membership = Membership(
             own,
@@ -193,6 +203,7 @@
                 settings.policy,
             ),
             settings.policy,
+            self.cold,
         )
         repository = BatchRepository(ports.store, ports.clock)
         views = ViewCache()
@@ -225,6 +236,7 @@
             ports.log,
             self._store_sound_for,
             lambda: settings.contact_time if settings.policy.lapsed_serve else 0.0,
+            lambda: self._instance_rows.listed,
         )
         self._intake = intake
         self._operator_rows = self._follower(
@@ -240,6 +252,7 @@
             SLOW_RELIST_SECONDS,
             idle_factor=lambda: 1 if self._is_active() else IDLE_RELIST_FACTOR,
         )
+        senders.follow(self.keeper.open_owners, self.membership, self._head_rows)
         self.admission = Admission(
             self.configuration,
             lambda: self._operator_rows.age(self._clock.now()),
@@ -262,6 +275,8 @@
         self._loader.start(self._tasks)
         if self._usage is not None:
             self._usage.start(self._tasks)
+        if self.settings.cold is not None:
+            self._tasks.every(LOOK_SECONDS, self.cold.look, "cold")
         self._tasks.every(LAPSED_INTERVAL_SECONDS, self._intake.drop_lapsed, "lapsed")
         self._tasks.spawn(self._become_ready(), "readiness")
         self._tasks.spawn(self._watch_loop(), "loop")
@@ -289,7 +304,7 @@
 
     def _placement_rules(self) -> tuple[PlacementRule, ...]:
         """Returns the rules of placement; those that count sends come last."""
-        return ()
+        return (self.cold,)
 
     def _follower(
         self,
@@ -320,6 +335,7 @@
             metrics.set(Level.FEED_AGE, follower.age(now), name)
         for state, count in self.directory.counts().items():
             metrics.set(Level.INSTANCES, count, state)
+        metrics.set(Level.INSTANCES_COLD, self.cold.count_cold())
         metrics.set(Level.MEMBERS, len(list(self.membership.alive())))
         metrics.set(Level.OPEN_REQUESTS, self.lifecycle.open_requests)
         owned = self.keeper.owned()
--- a/src/larkpost/metrics.py
+++ b/src/larkpost/metrics.py
@@ -55,6 +55,7 @@
     CONFIGURATION_VERSION = "larkpost_configuration_version"
     FEED_AGE = "larkpost_feed_age_seconds"
     INSTANCES = "larkpost_instances"
+    INSTANCES_COLD = "larkpost_instances_cold"
     MEMBERS = "larkpost_members_alive"
     OPEN_REQUESTS = "larkpost_open_requests"
     BATCHES_OWNED = "larkpost_batches_owned"
@@ -71,6 +72,7 @@
     Level.CONFIGURATION_VERSION: ("Version of the configuration in force here.", ()),
     Level.FEED_AGE: ("Seconds since a table's feed was last confirmed.", ("table",)),
     Level.INSTANCES: ("Instances known.", ("state",)),
+    Level.INSTANCES_COLD: ("Instances that are cold and bear few requests.", ()),
     Level.MEMBERS: ("Daemons held alive.", ()),
     Level.OPEN_REQUESTS: ("Requests being answered.", ()),
     Level.BATCHES_OWNED: ("Batches that this daemon runs.", ()),
--- /dev/null
+++ b/src/larkpost/placement/cold_senders.py
@@ -0,0 +1,116 @@
+"""Who else sends to cold instances, as this daemon has learnt it from heads and heartbeats."""
+
+from collections.abc import Callable, Iterable
+from typing import Protocol
+
+from larkpost.clock import Clock
+from larkpost.ids import DaemonId
+from larkpost.placement.cold_share import SenderView
+
+OWNER_MEMORY_SECONDS = 2.0
+"""For so long an owner counts after it is named no longer: it may not know yet."""
+NEWCOMER_SECONDS = 1.0
+"""For so long a new owner takes the least share, as the others may not have heard of it."""
+BLIND_SECONDS = 1.6
+"""Age of the feed of heads from which this daemon does not know the other owners: an answer of the
+feed may wait for a second."""
+OWNER_BLIND_SECONDS = 0.75
+"""The same of the listing of awaited heartbeats, which an owner makes each quarter of a second:
+less than it takes until its batches are claimed by others."""
+YOUNG_SECONDS = 3.0
+"""For so long after its start a daemon may not know all members."""
+UNHEARD_SECONDS = 4.0
+"""Age of the feed from which others may soon hold this daemon dead, and name another."""
+UPDATE_SECONDS = 0.1
+"""How old a view may be."""
+
+
+class Members(Protocol):
+    """What is asked of the heartbeats."""
+
+    listed: bool
+    awaited_listed_at: float | None
+
+    def alive(self) -> Iterable[DaemonId]:
+        """Returns the daemons held alive."""
+
+
+class Heads(Protocol):
+    """What is asked of the feed of heads."""
+
+    listed: bool
+
+    def age(self, now: float) -> float:
+        """Returns the seconds since the heads were last known to be current."""
+
+
+class ColdSenders:
+    """The view of one daemon, which knows nobody until it is told whom to ask."""
+
+    def __init__(self, own: DaemonId, clock: Clock) -> None:
+        self._own = own
+        self._clock = clock
+        self._owners: Callable[[], Iterable[DaemonId]] = tuple
+        self._members: Members | None = None
+        self._heads: Heads | None = None
+        self._started_at = clock.now()
+        self._updated_at = float("-inf")
+        self._named_at: dict[DaemonId, float] = {}
+        self._owner_since: float | None = None
+        self._view = SenderView(own, frozenset(), frozenset())
+
+    def follow(
+        self, owners: Callable[[], Iterable[DaemonId]], members: Members, heads: Heads
+    ) -> None:
+        """Takes whom to ask.
+
+        Args:
+            owners: returns the owners of open batches.
+        """
+        self._owners = owners
+        self._members = members
+        self._heads = heads
+
+    def view(self) -> SenderView:
+        """Returns who may send, as of a moment ago; the same object as long as it holds."""
+        now = self._clock.now()
+        if now - self._updated_at < UPDATE_SECONDS:
+            return self._view
+        self._updated_at = now
+        if self._members is not None and self._heads is not None:
+            self._remember_owners(now)
+            view = self._look(now, self._members, self._heads)
+            if view != self._view:
+                self._view = view
+        return self._view
+
+    def _look(self, now: float, members: Members, heads: Heads) -> SenderView:
+        since = self._owner_since
+        is_known = since is not None and now - since >= NEWCOMER_SECONDS
+        is_old = now - self._started_at >= YOUNG_SECONDS and members.listed
+        is_blind = self._is_blind(now, members, heads)
+        return SenderView(
+            self._own,
+            frozenset(self._named_at),
+            frozenset(members.alive()),
+            is_settled=is_known and not is_blind,
+            is_informed=is_old and heads.age(now) < UNHEARD_SECONDS,
+            is_blind=is_blind,
+        )
+
+    def _is_blind(self, now: float, members: Members, heads: Heads) -> bool:
+        listed_at = members.awaited_listed_at
+        if listed_at is None or not heads.listed or heads.age(now) > BLIND_SECONDS:
+            return True
+        return self._own in self._named_at and now - listed_at > OWNER_BLIND_SECONDS
+
+    def _remember_owners(self, now: float) -> None:
+        """Takes the owners named now, and forgets those that were named a while ago."""
+        self._named_at |= dict.fromkeys(self._owners(), now)
+        self._named_at = {
+            name: at for name, at in self._named_at.items() if now - at < OWNER_MEMORY_SECONDS
+        }
+        if self._own not in self._named_at:
+            self._owner_since = None
+        elif self._owner_since is None:
+            self._owner_since = now
--- /dev/null
+++ b/src/larkpost/placement/cold_share.py
@@ -0,0 +1,91 @@
+"""How many requests one daemon may send to a cold instance in a span of time.
+
+The bound holds for all daemons together, also while they disagree on who there is, so nothing is
+agreed on at the moment of a send. Only two kinds of daemon send at all: owners of open batches,
+whom everyone knows from the heads, and a few that rendezvous hashing names for clients' requests.
+Each kind has its part of the bound. The owners' part is divided by one more than there are, so
+that one of whom the others have not heard yet takes what is left over.
+"""
+
+from collections.abc import Collection
+from dataclasses import dataclass
+
+from larkpost.hashing import hash64
+from larkpost.ids import DaemonId, EngineId
+
+MAIN_PART = 0.8
+"""Part of the bound that is the owners' at engines, and the clients' at other instances."""
+MIN_OWNERS_COUNTED = 2
+"""Batches come from several trainers at once: one owner alone leaves as much as two do."""
+UNHEARD_OWNERS = 1
+"""Shares left for owners of whom this daemon has not heard yet."""
+LEAST_SENDS = 1
+"""What a daemon may send that cannot know how many others do."""
+DISAGREEMENT_FACTOR = 2
+"""By how much fewer daemons are named than might send: views may differ in all of them."""
+
+
+@dataclass(frozen=True, slots=True)
+class SenderView:
+    """Who may send to cold instances, as one daemon sees it.
+
+    Attributes:
+        own: this daemon.
+        owners: owners of open batches, now or a moment ago.
+        members: daemons held alive.
+        is_settled: whether the other owners have heard of this one, and it of them.
+        is_informed: whether this daemon knows the members well enough to tell who is named.
+        is_blind: whether it may not have heard of late what the others have.
+    """
+
+    own: DaemonId
+    owners: frozenset[DaemonId]
+    members: frozenset[DaemonId]
+    is_settled: bool = False
+    is_informed: bool = False
+    is_blind: bool = True
+
+
+def owner_sends(bound: float, view: SenderView, instance: EngineId, *, is_engine: bool) -> int:
+    """Returns how many runs of items and reward calls this daemon may send."""
+    part = bound * (MAIN_PART if is_engine else 1 - MAIN_PART)
+    share = _even_share(part, view)
+    if share and view.is_settled:
+        return share
+    named = _is_named(view.owners | {view.own}, view.own, instance, _count_named(part))
+    return LEAST_SENDS if named else 0
+
+
+def unheard_sends(bound: float, view: SenderView, *, is_engine: bool) -> int:
+    """Returns what a blind owner may send to an instance that was not cold when it last heard."""
+    part = bound * (MAIN_PART if is_engine else 1 - MAIN_PART)
+    return max(LEAST_SENDS, _even_share(part, view))
+
+
+def client_sends(bound: float, view: SenderView, instance: EngineId, *, is_engine: bool) -> int:
+    """Returns how many clients' requests this daemon may send."""
+    part = bound * (1 - MAIN_PART if is_engine else MAIN_PART)
+    named = _is_named(view.members, view.own, instance, _count_named(part))
+    return LEAST_SENDS if named and view.is_informed else 0
+
+
+def _even_share(part: float, view: SenderView) -> int:
+    counted = max(len(view.owners | {view.own}), MIN_OWNERS_COUNTED) + UNHEARD_OWNERS
+    return int(part / counted)
+
+
+def _count_named(part: float) -> int:
+    """Returns how many daemons may take the least share; one wherever a request is allowed."""
+    return max(int(part / (DISAGREEMENT_FACTOR * LEAST_SENDS)), int(part >= 1))
+
+
+def _is_named(daemons: Collection[DaemonId], own: DaemonId, instance: EngineId, count: int) -> bool:
+    """Tells whether rendezvous hashing names this daemon among the first for an instance."""
+    if own not in daemons:
+        return False
+    rank = _weight(own, instance)
+    return sum(_weight(name, instance) > rank for name in daemons) < count
+
+
+def _weight(daemon: DaemonId, instance: EngineId) -> int:
+    return hash64(f"cold\x00{daemon}\x00{instance}")
--- a/src/larkpost/placement/rules.py
+++ b/src/larkpost/placement/rules.py
@@ -5,7 +5,7 @@
 choice and the send may be some time apart, so both are asked.
 """
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import Protocol
 
 from larkpost.fleet.directory import Directory, InstanceInfo, InstanceState
@@ -78,6 +78,7 @@
     Args:
         rules: those of the deployment, besides leaving instances and weight versions. A rule that
             counts sends comes last, so that it counts none that another rule forbids.
+        send_within: tells how soon an admitted send must be made at an instance; None for any.
     """
 
     def __init__(
@@ -85,10 +86,12 @@
         directory: Directory,
         rules: Iterable[PlacementRule] = (),
         metrics: Metrics | None = None,
+        send_within: Callable[[InstanceInfo], float | None] = lambda _: None,
     ) -> None:
         self._directory = directory
         self._rules = (LeavingRule(), VersionRule(directory), *rules)
         self._metrics = metrics
+        self._send_within = send_within
 
     def judge(self, instance: InstanceInfo, work: Work) -> Verdict:
         """Tells whether work may go to an instance now, or why not."""
@@ -102,15 +105,19 @@
         """Tells whether work may go to an instance now."""
         return self.judge(instance, work).is_allowed
 
-    def admit(self, instance: EngineId, work: Work) -> None:
+    def admit(self, instance: EngineId, work: Work) -> float | None:
         """Asks once more right before a send, by what is known of the instance now.
 
+        Returns:
+            The seconds within which the send must be made, else it must not be; None for any.
+
         Raises:
             NotRunError: the send must not be made; nothing was sent.
         """
         verdict = self._admit(instance, work)
         if verdict.is_allowed:
-            return
+            info = self._directory.get(instance)
+            return self._send_within(info) if info is not None else None
         if self._metrics is not None:
             self._metrics.count(Count.NOT_PLACED, work.kind, verdict)
         raise NotRunError(NOT_RUN_REASONS[verdict])
--- a/src/larkpost/platform/connections.py
+++ b/src/larkpost/platform/connections.py
@@ -56,6 +56,18 @@
         """Returns the steady time since which a connection may rest and still be used."""
         return monotonic() - self._idle_times.get(server, IDLE_SECONDS)
 
+    async def connect(self, req, traces, timeout: aiohttp.ClientTimeout):
+        """Returns a connection, never later than the request's limit says.
+
+        A process that was frozen meanwhile finds its connection open and its timer not yet run.
+        """
+        began = monotonic()
+        connection = await super().connect(req, traces, timeout)
+        if timeout.connect is not None and monotonic() - began > timeout.connect:
+            connection.close()
+            raise aiohttp.ConnectionTimeoutError("the connection came too late")
+        return connection
+
     async def _get(self, key, traces):  # overrides a private method: the version is pinned
         server = Address(f"{key.host}:{key.port}")
         self._keys[server] = key
@@ -75,6 +87,11 @@
         return await super()._get(key, traces)
 
 
+def connect_limit(seconds: float | None) -> aiohttp.ClientTimeout:
+    """Returns the time limits of a request, which is not sent after so many seconds."""
+    return aiohttp.ClientTimeout(total=None, connect=seconds, sock_connect=CONNECT_TIMEOUT_SECONDS)
+
+
 def make_session(*, keep: bool = True) -> aiohttp.ClientSession:
     """Returns a client session that sends and returns bytes as they are.
 
@@ -87,7 +104,7 @@
         connector=connector,
         auto_decompress=False,
         cookie_jar=aiohttp.DummyCookieJar(),
-        timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_SECONDS),
+        timeout=connect_limit(None),
         skip_auto_headers=("Accept", "Accept-Encoding", "User-Agent", "Content-Type"),
         requote_redirect_url=False,
         max_field_size=65536,
--- a/src/larkpost/platform/operator.py
+++ b/src/larkpost/platform/operator.py
@@ -81,6 +81,7 @@
     try:
         document = orjson.loads(row.value)
         draining = document.get("state") == "draining"
+        cold = document.get("cold-left-ms")
         return InstanceInfo(
             id=EngineId(row.key.key),
             service=ServiceName(document["service"]),
@@ -90,6 +91,7 @@
             state=InstanceState.LEAVING if draining else InstanceState.READY,
             versions=read_versions(document),
             listed_version=row.version,
+            cold_left=max(0.0, float(cold) / 1000) if cold is not None else None,
         )
     except UNREADABLE as error:
         raise UnreadableRowError(f"server {row.key.key}: {error!r}") from None
@@ -152,6 +154,8 @@
         slots=int(engine.get("slots", 0)),
         models=tuple(ModelName(model["name"]) for model in engine.get("models", ())),
         tokens_per_event=int(engine.get("stride", 1)),
+        cold_start=float(entry.get("cold-start-s", 0)),
+        cold_rate=float(entry.get("cold-per-s", 0)),
     )
 
 
--- a/src/larkpost/platform/process.py
+++ b/src/larkpost/platform/process.py
@@ -135,6 +135,7 @@
         batch_lifetime=settings.batch_lifetime,
         peer_address=settings.peer,
         usage=settings.usage,
+        cold=settings.cold,
     )
 
 
--- a/src/larkpost/platform/servers.py
+++ b/src/larkpost/platform/servers.py
@@ -12,7 +12,7 @@
 
 from larkpost.fleet.directory import InstanceInfo
 from larkpost.platform import names
-from larkpost.platform.connections import make_session
+from larkpost.platform.connections import connect_limit, make_session
 from larkpost.platform.events import EventDecoder
 from larkpost.platform.operator import UNREADABLE, read_versions
 from larkpost.proxy.port import (
@@ -63,6 +63,7 @@
         self.headers: Headers = tuple(response.raw_headers)
         self.load = _read_load(response.headers)
         self.version = _read_whole(response.headers, names.WEIGHT_VERSIONS)
+        self.cold_left = _read_cold(response.headers)
         self.signature = response.headers.get(names.SERVER_STAMP.decode())
 
     async def chunks(self) -> AsyncIterator[bytes]:
@@ -127,6 +128,7 @@
                 data=request.body or None,
                 headers=_headers(instance, request),
                 allow_redirects=False,
+                timeout=connect_limit(request.send_within),
             )
         except CONNECT_FAILURES:
             raise NotRunError(NotRunReason.UNREACHABLE) from None
@@ -272,7 +274,7 @@
         replaced = found != instance.id
         raise NotRunError(NotRunReason.REPLACED if replaced else NotRunReason.MISDIRECTED)
     if names.NOT_EXECUTED.decode() in response.headers:
-        raise NotRunError(NotRunReason.FULL)
+        raise NotRunError(NotRunReason.FULL, _read_cold(response.headers))
     if echo is None:
         raise BrokenAnswerError("the answer names no request")
 
@@ -282,6 +284,12 @@
     return int(text) if text is not None and text.isdigit() else None
 
 
+def _read_cold(headers) -> float | None:
+    """Returns the seconds for which a server says that it stays cold; None if it says nothing."""
+    left = _read_whole(headers, names.COLD_MS)
+    return left / 1000 if left is not None else None
+
+
 def _read_load(headers) -> ServerLoad | None:
     parts = headers.get(names.INSTANCE_LOAD.decode(), "").split(",")
     if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
--- a/src/larkpost/platform/settings.py
+++ b/src/larkpost/platform/settings.py
@@ -8,6 +8,7 @@
 
 from larkpost.addresses import split_address
 from larkpost.errors import SettingsError
+from larkpost.fleet.cold import ColdTerms
 from larkpost.ids import Address, ZoneId
 from larkpost.platform import names
 from larkpost.usage.port import UsageTerms
@@ -27,6 +28,7 @@
         metrics: port and path of the metrics, or None.
         duties: where the platform takes the calls of duties; None if there are none.
         usage: what is agreed about usage reports; None if none are asked for.
+        cold: what is agreed about cold servers; None if nothing is.
     """
 
     machine: str
@@ -45,6 +47,7 @@
     metrics: tuple[int, str] | None
     duties: Address | None
     usage: UsageTerms | None
+    cold: ColdTerms | None
 
 
 def settings_path() -> Path:
@@ -91,6 +94,7 @@
         metrics=_metrics(document),
         duties=_optional_address(document, "cloud-api", "address"),
         usage=_usage(document),
+        cold=_cold(document),
     )
 
 
@@ -130,6 +134,16 @@
     )
 
 
+def _cold(document: dict[str, Any]) -> ColdTerms | None:
+    if _find(document, ("bounds", "cold-overage")) is None:
+        return None
+    slack = _find(document, ("bounds", "cold-slack"))
+    return ColdTerms(
+        overage=_number(document, "bounds", "cold-overage", default=1.0),
+        slack=_number(document, "bounds", "cold-slack", default=1) if slack else 0.0,
+    )
+
+
 def _number(document: dict[str, Any], *path: str, default: float) -> float:
     value = _find(document, path)
     if value is None:
--- a/src/larkpost/proxy/balancer.py
+++ b/src/larkpost/proxy/balancer.py
@@ -11,6 +11,7 @@
 from larkpost.fleet.directory import Directory, InstanceInfo
 from larkpost.fleet.heartbeat import UseSummary
 from larkpost.ids import DaemonId, EngineId
+from larkpost.placement.cold import ColdRule
 from larkpost.placement.rules import Placement
 from larkpost.placement.verdict import Verdict
 from larkpost.placement.work import CLIENT_WORK, Work
@@ -74,6 +75,7 @@
         policy: Policy = DEFAULT_POLICY,
         is_connected: Callable[[InstanceInfo], bool] = lambda _: False,
         placement: Placement | None = None,
+        cold: ColdRule | None = None,
     ) -> None:
         """Makes an empty record.
 
@@ -81,10 +83,12 @@
             is_connected: tells whether a connection to an instance is kept.
             placement: the rules by which instances are judged; None for no more than that they
                 do not leave.
+            cold: knows which instances are cold; None if none ever is.
         """
         self._placement = placement or Placement(directory)
         self._policy = policy
         self._is_connected = is_connected
+        self._cold = cold
         self._directory = directory
         self._clock = clock
         self._chance = chance
@@ -107,7 +111,7 @@
     ) -> list[InstanceInfo]:
         """Returns the instances that may take a request now, the best first.
 
-        Instances that failed a moment ago come last.
+        Instances that failed a moment ago come last, and those that are cold before them.
 
         Args:
             work: what is to be sent.
@@ -127,6 +131,7 @@
             fitting,
             key=lambda info: (
                 self.is_avoided(info.id),
+                self.is_cold(info),
                 self._expected_wait(info, paces[info.id], best_pace)
                 * (self._connection_factor(info) if for_client else 1.0),
                 self._chance.random(),
@@ -217,6 +222,15 @@
         use.others = max(0, load.running + load.waiting - use.outstanding)
         use.load_at = self._clock.now()
 
+    def note_cold(self, instance: EngineId, left: float | None) -> None:
+        """Takes for how many seconds an instance says that it stays cold; None: it says nothing."""
+        if self._cold is not None:
+            self._cold.note(instance, left)
+
+    def is_cold(self, info: InstanceInfo) -> bool:
+        """Tells whether an instance is cold and gets few requests."""
+        return self._cold is not None and self._cold.is_cold(info)
+
     def note_pace(self, instance: EngineId, seconds: float, weight: float = PACE_WEIGHT) -> None:
         """Takes a measurement of the time that a unit of work took at an instance.
 
@@ -244,6 +258,8 @@
         Args:
             full_seconds: how long to avoid it if it was full.
         """
+        if reason is NotRunReason.COLD:
+            return  # it was not asked at all, and may have room for another daemon's
         if reason is NotRunReason.REPLACED:
             self._directory.bury(instance)
         full = reason is NotRunReason.FULL
--- a/src/larkpost/proxy/forwarder.py
+++ b/src/larkpost/proxy/forwarder.py
@@ -8,7 +8,7 @@
 import asyncio
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from larkpost.clock import Clock
 from larkpost.errors import LarkpostError, Ran
@@ -131,10 +131,12 @@
                 raise self._failure(request, route, service, attempts, timed_out=False)
             try:
                 outgoing = self._outgoing(request, route, fresh=True)
-                self._balancer.placement.admit(instance.id, attempts.work)
+                within = self._balancer.placement.admit(instance.id, attempts.work)
+                outgoing = replace(outgoing, send_within=within)
                 async with asyncio.timeout_at(self._end_time(request, route)) as limit:
                     with self._balancer.placed(instance.id):
                         async with self._servers.send(instance, outgoing) as answer:
+                            self._balancer.note_cold(instance.id, answer.cold_left)
                             limit.reschedule(None)  # from here on the client decides
                             self._note_begun(request, self._clock.now())
                             attempts.ran_at.add(instance.id)
@@ -210,10 +212,12 @@
         outgoing = self._outgoing(request, route, fresh=route.kind is not RouteKind.IDEMPOTENT)
         started = self._clock.now()
         try:
-            self._balancer.placement.admit(instance.id, attempts.work)
+            within = self._balancer.placement.admit(instance.id, attempts.work)
+            outgoing = replace(outgoing, send_within=within)
             with self._balancer.placed(instance.id):
                 async with self._servers.send(instance, outgoing) as answer:
                     self._balancer.note_load(instance.id, answer.load)
+                    self._balancer.note_cold(instance.id, answer.cold_left)
                     body = b"".join([chunk async for chunk in answer.chunks()])
                     whole = WholeAnswer(answer.status, answer.headers, body)
                     of_server = answer.signature is not None
@@ -312,6 +316,7 @@
     ) -> None:
         attempts.refused_by.add(instance.id)
         self._metrics.count(Count.ATTEMPTS, instance.service, error.reason)
+        self._balancer.note_cold(instance.id, error.cold_left)
         self._balancer.note_not_run(instance.id, error.reason, FULL_AVOID_SECONDS)
 
     def _note_broken(
--- a/src/larkpost/proxy/port.py
+++ b/src/larkpost/proxy/port.py
@@ -28,6 +28,8 @@
         fresh_connection: whether to open a connection for this request alone. Then an answer
             cannot be one that belongs to an earlier request.
         tenant: whose request it is, which the server is told; None if it is no tenant's.
+        send_within: seconds within which it must be on a connection, or it is not sent; None for
+            the connection's own limit.
     """
 
     request_id: bytes
@@ -42,6 +44,7 @@
     priority: int | None = None
     fresh_connection: bool = False
     tenant: TenantName | None = None
+    send_within: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,6 +78,7 @@
     Attributes:
         version: the weight version the answer began under, or None if not told.
         signature: marks the answer as the server's own and names the run; None if it has none.
+        cold_left: seconds for which the server says that it stays cold; None if not told.
     """
 
     status: int
@@ -82,6 +86,7 @@
     load: ServerLoad | None
     version: int | None
     signature: str | None
+    cold_left: float | None
 
     def chunks(self) -> AsyncIterator[bytes]:
         """Yields the body. It ends only if the body is whole.
@@ -112,15 +117,20 @@
 
 
 class NotRunError(LarkpostError):
-    """The request certainly did not run at this server, and never will."""
+    """The request certainly did not run at this server, and never will.
+
+    Attributes:
+        cold_left: seconds for which the server says that it stays cold; None if not told.
+    """
 
     code = "not_run"
     status = 503
     remedy = "Send it to another server."
 
-    def __init__(self, reason: NotRunReason) -> None:
+    def __init__(self, reason: NotRunReason, cold_left: float | None = None) -> None:
         super().__init__(f"not run: {reason}")
         self.reason = reason
+        self.cold_left = cold_left
 
 
 class BrokenAnswerError(LarkpostError):
--- a/src/larkpost/rehearsal/scripted_engines.py
+++ b/src/larkpost/rehearsal/scripted_engines.py
@@ -55,6 +55,9 @@
         ranks: what each request that ran was told of its urgency.
         signatures: of all its answers by request, each with the time at which the run began.
         failures: how often it answered each request with its failure status.
+        cold_until: when it is warm, in seconds; its answers say how long it stays cold.
+        cold_known_from: when every daemon can know that it is cold, in seconds.
+        cold_arrivals: when requests arrived from then on while it was cold, in seconds.
         most_running: the most requests it has run at once.
         orders: (holder, fencing token, model, version, time) of each order that arrived.
     """
@@ -66,6 +69,9 @@
     stall_after: int | None = None
     status: int | None = None
     unsigned: bool = False
+    cold_until: float = 0.0
+    cold_known_from: float = 0.0
+    cold_arrivals: list[float] = field(default_factory=list)
     running: int = 0
     most_running: int = 0
     versions: dict[ModelName, int] = field(default_factory=dict)
@@ -115,6 +121,7 @@
         self.status = state.status or 200
         self.headers: Headers = ()
         self.load = ServerLoad(state.running, 0, state.slots)
+        self.cold_left = max(0.0, state.cold_until - clock.now())
         self.version = state.versions.get(model, 1)
         name = request.request_id.decode()
         signature = f"{name}.{id(state)}.{len(state.runs)}"  # no other answer has it
@@ -168,6 +175,8 @@
         state = self.engines.get(instance.id)
         if state is None or state.down:
             raise NotRunError(NotRunReason.UNREACHABLE)
+        if state.cold_known_from <= self._clock.now() < state.cold_until:
+            state.cold_arrivals.append(self._clock.now())
         if state.running >= state.slots or self._clock.now() < state.loading_until:
             raise NotRunError(NotRunReason.FULL)
         state.running += 1
--- a/src/larkpost/rollouts/context.py
+++ b/src/larkpost/rollouts/context.py
@@ -10,6 +10,7 @@
 from larkpost.fleet.directory import Directory
 from larkpost.fleet.division import EngineDivision
 from larkpost.metrics import Metrics
+from larkpost.placement.cold import ColdRule
 from larkpost.policy import DEFAULT_POLICY, Policy
 from larkpost.proxy.balancer import Balancer
 from larkpost.proxy.port import ServerPort
@@ -23,6 +24,7 @@
     Attributes:
         store_time: returns the store's clock in seconds, or None if it is not known.
         division: tells which engines are a model's own.
+        cold: limits what is sent to cold engines; None if nothing does.
         reward_places: bounds the reward calls that the daemon has at servers at once.
     """
 
@@ -38,3 +40,4 @@
     reward_places: asyncio.Semaphore
     division: EngineDivision
     policy: Policy = DEFAULT_POLICY
+    cold: ColdRule | None = None
--- a/src/larkpost/rollouts/engine_choice.py
+++ b/src/larkpost/rollouts/engine_choice.py
@@ -68,7 +68,7 @@
             candidates = [info for info in candidates if 0 < balancer.pace(info.id) <= slowest]
         if not candidates:
             return None
-        candidates = self._without_loading(service, candidates)
+        candidates = self._without_cold(self._without_loading(service, candidates))
         best = candidates[0]
         best_pace = balancer.pace(best.id)
         for info in candidates[1:]:
@@ -94,10 +94,26 @@
         loading = self._services.division.loading(service)
         return [info for info in candidates if info.id not in loading] or candidates
 
+    def _without_cold(self, candidates: list[InstanceInfo]) -> list[InstanceInfo]:
+        """Leaves out the engines that are cold, unless there are no others."""
+        balancer = self._services.balancer
+        return [info for info in candidates if not balancer.is_cold(info)] or candidates
+
+    def note_given(self, engine: InstanceInfo) -> None:
+        """Takes that a place at an engine was given to an item, which will send in a moment."""
+        if self._services.cold is not None:
+            self._services.cold.promise(engine)
+
     def count_places(self, service: ServiceName) -> int:
         """Returns how many places the engines that fit are believed to have free."""
-        balancer = self._services.balancer
-        return sum(info.slots - balancer.occupied(info) for info in self._with_place(service))
+        return sum(self._places_at(info) for info in self._with_place(service))
+
+    def _places_at(self, info: InstanceInfo) -> int:
+        """Returns an engine's free places; at a cold one, those that may be used now."""
+        free = info.slots - self._services.balancer.occupied(info)
+        cold = self._services.cold
+        left = cold.sends_left(info, self.work) if cold is not None else None
+        return free if left is None else min(free, left)
 
     def is_outpaced(self, engine: InstanceInfo, progress: Progress) -> bool:
         """Tells whether an engine much faster than this one has a free place.
@@ -129,6 +145,7 @@
             pace
             for info in directory.of_service(engine.service)
             if (pace := balancer.pace(info.id))
+            and not balancer.is_cold(info)
             and directory.version_of(info.id, self._head.model) >= version
             and not balancer.is_avoided(info.id)
             and balancer.placement.allows(info, self.work)
@@ -146,7 +163,7 @@
         paces = [
             (info.id, pace)
             for info in self._with_place(service)
-            if (pace := balancer.pace(info.id))
+            if (pace := balancer.pace(info.id)) and not balancer.is_cold(info)
         ]
         self._paces[service] = (now, paces)
         return paces
--- a/src/larkpost/rollouts/engine_run.py
+++ b/src/larkpost/rollouts/engine_run.py
@@ -1,6 +1,7 @@
 """One run of an item at an engine: the request, its events, and how they end."""
 
 import asyncio
+from dataclasses import replace
 from enum import StrEnum
 
 from larkpost.fleet.configuration import Route
@@ -156,10 +157,12 @@
         progress: Progress,
         watch: RunWatch,
     ) -> RunEnd:
-        self._services.balancer.placement.admit(engine.id, self._engines.work)
         request = self._request(item, route, progress)
+        within = self._services.balancer.placement.admit(engine.id, self._engines.work)
+        request = replace(request, send_within=within)
         async with self._services.servers.send(engine, request) as answer:
             self._services.balancer.note_load(engine.id, answer.load)
+            self._services.balancer.note_cold(engine.id, answer.cold_left)
             if answer.status != 200:
                 return _judge_failure(route, progress, answer)
             wish = FasterPlace(self._places, self._engines, engine, route, progress)
--- a/src/larkpost/rollouts/keeper.py
+++ b/src/larkpost/rollouts/keeper.py
@@ -110,6 +110,11 @@
         named = (known.head for known in self._heads.values())
         return bool(self._owned) or any(head.owner == own and not head.ended for head in named)
 
+    def open_owners(self) -> set[DaemonId]:
+        """Returns the daemons that run batches now, as far as is known here; maybe this one."""
+        owners = {known.head.owner for known in self._heads.values() if not known.head.ended}
+        return owners | ({self._membership.own} if self._owned else set())
+
     def owned(self) -> list[OwnedBatch]:
         """Returns the batches that this daemon runs."""
         return list(self._owned.values())
--- a/src/larkpost/rollouts/reward.py
+++ b/src/larkpost/rollouts/reward.py
@@ -9,7 +9,7 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import StrEnum
 
 from larkpost.eventlog import Event
@@ -176,17 +176,20 @@
         balancer = self._services.balancer
         began = self._services.clock.now()
         try:
-            balancer.placement.admit(server.id, REWARD_WORK)
+            within = balancer.placement.admit(server.id, REWARD_WORK)
+            request = replace(_request(call, limit), send_within=within)
             with balancer.placed(server.id):
                 async with (
                     asyncio.timeout(limit),
-                    self._services.servers.send(server, _request(call, limit)) as answer,
+                    self._services.servers.send(server, request) as answer,
                 ):
                     balancer.note_load(server.id, answer.load)
+                    balancer.note_cold(server.id, answer.cold_left)
                     async for _ in answer.chunks():
                         pass  # only the signature matters, but the body must come whole
                     status, signature = answer.status, answer.signature
         except NotRunError as error:
+            balancer.note_cold(server.id, error.cold_left)
             balancer.note_not_run(server.id, error.reason, FULL_AVOID_SECONDS)
             return _Try(error.reason)
         except BrokenAnswerError:
--- a/src/larkpost/rollouts/run.py
+++ b/src/larkpost/rollouts/run.py
@@ -213,6 +213,7 @@
             end = await self._runs.run(engine, item, route, progress)
             reason = end.value if end is not RunEnd.AGAIN else "failed"
         except NotRunError as error:
+            balancer.note_cold(engine.id, error.cold_left)
             balancer.note_not_run(engine.id, error.reason, REFUSED_AVOID_SECONDS)
             reason = error.reason
         except MoveAwayError as move:
--- a/tests/platform_checks.py
+++ b/tests/platform_checks.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable, Mapping
 
 LEASE_SECONDS = 3.0
+SECOND = 1.0
 CALL_ATTEMPTS = 4
 """Attempts that the route of reward calls allows in tests."""
 
@@ -54,3 +55,14 @@
 def check_given_up(item: str, failures: int) -> None:
     """Checks that an item with a reward call is dead only after enough failures of the call."""
     assert failures >= CALL_ATTEMPTS, f"{item} given up early"
+
+
+def check_cold(instance: str, arrivals: list[float], bound: float) -> None:
+    """Checks that no second has more requests at a cold instance than it bears.
+
+    Args:
+        arrivals: when each request arrived while it was cold, in order.
+    """
+    most = int(bound)
+    for first, last in zip(arrivals, arrivals[most:], strict=False):
+        assert last - first > SECOND, f"{instance}: over {most} requests a second while cold"
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -8,6 +8,7 @@
 
 from larkpost.clock import LoopClock
 from larkpost.eventlog import EventLog
+from larkpost.fleet.cold import ColdTerms
 from larkpost.fleet.configuration import (
     Configuration,
     ModelName,
@@ -75,11 +76,15 @@
     objective=0.2,
     max_attempts=CALL_ATTEMPTS,
 )
+COLD_SECONDS = 3.0
+COLD_TERMS = ColdTerms(overage=1.5, slack=5)
 CONFIGURATION = Configuration(
     version=1,
     routes=(ROUTE, SCORER_ROUTE),
     services={
-        ENGINES: Service(ENGINES, 100, slots=8, models=(MODEL,)),
+        ENGINES: Service(
+            ENGINES, 100, slots=8, models=(MODEL,), cold_start=COLD_SECONDS, cold_rate=9.3
+        ),
         PAGES: Service(PAGES, 100),
         SCORERS: Service(SCORERS, 100),
         OTHER_SCORERS: Service(OTHER_SCORERS, 100),
@@ -117,6 +122,7 @@
         InstanceState(fields["state"]),
         {MODEL: fields["version"]},
         row.version,
+        fields.get("cold_left"),
     )
 
 
@@ -153,14 +159,17 @@
         scorers: int = 0,
         relays: bool = False,
         policy: Policy = DEFAULT_POLICY,
+        cold: ColdTerms | None = None,
     ) -> None:
         """Starts a fleet.
 
         Args:
             relays: whether daemons make calls to the store for those that it turns away.
             policy: how the daemons decide.
+            cold: what is agreed about cold engines; None if they have no limits.
         """
         self.policy = policy
+        self.cold = cold
         self.relays = relays
         self.clock = LoopClock()
         self.store = MemoryStore(self.clock, random.Random(seed))
@@ -186,10 +195,35 @@
         """Lists an engine."""
         if engine not in self.engines.engines:
             self.engines.engines[engine] = EngineState(versions={MODEL: 1})
-        version = self.engines.engines[engine].versions[MODEL]
-        entry = {"service": ENGINES, "slots": 8, "state": state, "version": version}
+        known = self.engines.engines[engine]
+        entry = {
+            "service": ENGINES,
+            "slots": 8,
+            "state": state,
+            "version": known.versions[MODEL],
+            "cold_left": max(0.0, known.cold_until - self.clock.now()),
+        }
         self.put("instances", engine, orjson.dumps(entry))
 
+    def start_cold_engine(self, engine: EngineId, seconds: float = COLD_SECONDS) -> EngineState:
+        """Starts an engine that is cold for some seconds, and lists it."""
+        state = EngineState(versions={MODEL: 1}, cold_until=self.clock.now() + seconds)
+        self.engines.engines[engine] = state
+        self.add_engine(engine)
+        return state
+
+    def turn_cold(self, engine: EngineId, seconds: float, known_after: float) -> EngineState:
+        """Turns an engine cold again, which its entry says.
+
+        Args:
+            known_after: seconds after which requests are counted: news take a while.
+        """
+        state = self.engines.engines[engine]
+        state.cold_known_from = self.clock.now() + known_after
+        state.cold_until = self.clock.now() + seconds
+        self.add_engine(engine)
+        return state
+
     def add_scorer(
         self,
         scorer: EngineId,
@@ -249,6 +283,7 @@
             peer_address=Address(f"peer:{len(self.gateways)}"),
             policy=self.policy,
             usage=USAGE_TERMS,
+            cold=self.cold,
         )
         gateway = Gateway(settings, ports)
         self.clients.append(client)
--- a/tests/platform_mutants.py
+++ b/tests/platform_mutants.py
@@ -353,6 +353,13 @@
     return mock.patch.object(EngineChoice, "count_places", lambda *_: 1000)
 
 
+def ignore_permits():
+    """Sends to cold engines as to others."""
+    from larkpost.placement.cold import ColdRule
+
+    return mock.patch.object(ColdRule, "_limit", lambda *_: None)
+
+
 MUTANTS = {
     mutant.__name__: mutant
     for mutant in (
@@ -387,6 +394,7 @@
         save_counts_without_condition,
         believe_own_clock,
         end_stalled_runs_without_places,
+        ignore_permits,
     )
 }
 TESTS = dict.fromkeys(MUTANTS, FUZZ) | {
@@ -416,8 +424,10 @@
     "save_counts_without_condition": "tests.test_usage",
     "believe_own_clock": "tests.test_usage",
     "end_stalled_runs_without_places": "tests.test_urgency",
+    "ignore_permits": "tests.test_cold_servers",
 }
 EXPECTED_CHECKS = {
+    "ignore_permits": ("while cold",),
     "refuse_after_unknown": ("BatchRefusedError",),
     "take_unknown_for_done": ("doubled", "listed", "not whole", "has changed"),
     "accept_any_version": ("minimum_version",),
--- a/tests/platform_oracle.py
+++ b/tests/platform_oracle.py
@@ -5,7 +5,7 @@
 from larkpost.rollouts.model import BatchSpec, Result, ResultState, RewardCallId
 from larkpost.rollouts.service import BatchRefusedError
 from tests import platform_checks as checks
-from tests.platform_fleet import PlatformFleet, expected_text
+from tests.platform_fleet import CONFIGURATION, ENGINES, PlatformFleet, expected_text
 
 
 class PlatformOracle:
@@ -81,6 +81,15 @@
         self.check_listed()
         self.check_scores()
         self.check_usage()
+        self.check_cold()
+
+    def check_cold(self) -> None:
+        """All daemons together send few requests to a cold engine in any second."""
+        if self.fleet.cold is None:
+            return
+        bound = self.fleet.cold.bound(CONFIGURATION.services[ENGINES].cold_rate)
+        for name, state in self.fleet.engines.engines.items():
+            checks.check_cold(name, state.cold_arrivals, bound)
 
     def check_orders(self) -> None:
         """Holders never take turns at an engine within a lease; tokens rise."""
--- a/tests/test_platform_fuzz.py
+++ b/tests/test_platform_fuzz.py
@@ -14,6 +14,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
+from larkpost.fleet.cold import ColdTerms
 from larkpost.ids import EngineId
 from larkpost.rehearsal.memory_store import StoreFaults
 from tests.platform_fleet import MODEL, PlatformFleet, make_batch
@@ -26,6 +27,12 @@
 GATEWAYS = 3
 ENGINES = 4
 SCORERS = 2
+COLD_TERMS = ColdTerms(overage=0.25, slack=4)
+"""So few requests a second that most plays come to the bound: 6."""
+NEWS_SECONDS = 2.0
+"""After this long a daemon has heard that an engine is cold, or counts itself as one that hears
+nothing."""
+MAX_STARTED = 3
 SCORER_TROUBLES = ("none", "down", "broken", "unsigned", "failing")
 MAX_VERSION_GAP = 1
 LIVENESS_SECONDS = 90
@@ -42,12 +49,13 @@
         self.dead: set[int] = set()
         self.version = 1
         self.count = 0
+        self.started = 0
         self.run(self._begin())
         for number, trouble in enumerate(troubles):
             self.trouble_scorer(number, trouble)
 
     async def _begin(self):
-        self.fleet = PlatformFleet(GATEWAYS, ENGINES, scorers=SCORERS)
+        self.fleet = PlatformFleet(GATEWAYS, ENGINES, scorers=SCORERS, cold=COLD_TERMS)
         self.oracle = PlatformOracle(self.fleet)
         await self.fleet.wait(1.0)
 
@@ -149,6 +157,20 @@
         """An engine goes down or comes back."""
         self.fleet.engines.engines[EngineId(f"engine-{number}")].down = down
 
+    @rule(seconds=st.sampled_from([1.0, 3.0, 10.0]))
+    def start_engine(self, seconds):
+        """An engine starts, and is cold."""
+        if self.started < MAX_STARTED:
+            self.started += 1
+            name = EngineId(f"started-{self.started}")
+            self.run(self._do(self.fleet.start_cold_engine, name, seconds))
+
+    @rule(number=st.integers(0, ENGINES - 1), seconds=st.sampled_from([3.0, 10.0]))
+    def turn_cold(self, number, seconds):
+        """An engine turns cold again."""
+        engine = EngineId(f"engine-{number}")
+        self.run(self._do(self.fleet.turn_cold, engine, seconds, NEWS_SECONDS))
+
     @rule(number=st.integers(0, ENGINES - 1), after=st.sampled_from([None, 0, 2]))
     def break_streams(self, number, after):
         """An engine begins or ceases to break its streams off."""
--- a/tests/test_platform_servers.py
+++ b/tests/test_platform_servers.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 import struct
+import time
 import unittest
 from dataclasses import replace
 from unittest import mock
@@ -11,6 +12,7 @@
 from larkpost.fleet.directory import InstanceInfo, InstanceState
 from larkpost.ids import Address, EngineId, ZoneId
 from larkpost.platform import connections
+from larkpost.platform.connections import CheckedConnector
 from larkpost.platform.servers import HttpServers
 from larkpost.proxy.port import (
     BrokenAnswerError,
@@ -111,6 +113,11 @@
     return OutgoingRequest(**fields)
 
 
+def stand_still(seconds: float) -> None:
+    """Holds the whole process up, as a freeze does."""
+    time.sleep(seconds)
+
+
 class ServerAdapterTest(unittest.IsolatedAsyncioTestCase):
     """Each test serves scripted bytes."""
 
@@ -342,6 +349,39 @@
                     break
             await asyncio.wait_for(server.closed.wait(), 0.25)
 
+    async def test_frozen_before_its_connection_it_sends_nothing_with_an_old_permission(self):
+        original = CheckedConnector._create_connection
+
+        async def freeze(self, *arguments):
+            protocol = await original(self, *arguments)
+            stand_still(0.15)
+            return protocol
+
+        async with ScriptedServer(whole(b"a", ECHO), whole(b"a", ECHO)) as server:
+            with mock.patch.object(CheckedConnector, "_create_connection", freeze):
+                with self.assertRaises(NotRunError) as caught:
+                    await self.fetch(server, request(1, send_within=0.1))
+                self.assertIs(NotRunReason.UNREACHABLE, caught.exception.reason)
+                await asyncio.sleep(0.05)
+                self.assertEqual([], server.heads)
+                self.assertEqual(b"a", await self.fetch(server, request(1)))
+
+    async def test_server_says_how_long_it_stays_cold(self):
+        cold = ECHO + b"Larkpost-Cold-Ms: 1500\r\n"
+        async with ScriptedServer(whole(b"a", cold), whole(b"a", ECHO)) as server:
+            self.servers = HttpServers()
+            self.addAsyncCleanup(self.servers.close)
+            for told in (1.5, None):
+                async with self.servers.send(server.instance, request(1)) as answer:
+                    self.assertEqual(told, answer.cold_left)
+                    async for _ in answer.chunks():
+                        pass
+        full = b"HTTP/1.1 503 X\r\nLarkpost-Not-Executed: 1\r\nContent-Length: 0\r\n"
+        async with ScriptedServer(full + cold + b"\r\n") as server:
+            with self.assertRaises(NotRunError) as caught:
+                await self.fetch(server, request(1))
+        self.assertEqual(1.5, caught.exception.cold_left)
+
     async def test_stream_of_events_with_a_change_of_version(self):
         content = chunked(
             b"id: 1\ndata: a\n\nid: 2\nda",
--- a/tests/test_platform_settings.py
+++ b/tests/test_platform_settings.py
@@ -8,6 +8,7 @@
 
 from larkpost.errors import SettingsError
 from larkpost.eventlog import EventLog
+from larkpost.fleet.cold import ColdTerms
 from larkpost.gateway import GatewaySettings
 from larkpost.ids import Address, ZoneId
 from larkpost.platform.process import watch_settings
@@ -64,6 +65,13 @@
         self.assertEqual(UsageTerms(4, 9), settings.usage)
         self.assertIsNone(self.load(asked.replace('"usage", ', "")).usage)
 
+    def test_limits_of_cold_servers_are_agreed_or_not(self):
+        self.assertIsNone(self.load(GOOD).cold)
+        agreed = GOOD.replace("[platform]", "cold-overage = 1.5\ncold-slack = 5\n[platform]")
+        self.assertEqual(ColdTerms(1.5, 5), self.load(agreed).cold)
+        without = self.load(agreed.replace("cold-slack = 5", "cold-slack = 0"))
+        self.assertEqual(ColdTerms(1.5, 0), without.cold)
+
     def test_wrong_fields_are_named_with_their_remedy(self):
         wrong = {
             'front = "10.0.0.1:80"': ("front = 5", "listen.front"),
