--- a/src/larkpost/fleet/members.py
+++ b/src/larkpost/fleet/members.py
@@ -46,6 +46,9 @@
 """How old a daemon must be to coordinate: when all start at once, the first listings show few."""
 STAY_SECONDS = 5.0
 """How long a daemon stays awaited after its last reason: the next step's batch is near."""
+HEARING_INTERVALS = 3.0
+"""Intervals without a listing after which an awaited daemon takes it that it hears nothing; fewer
+than those after which others hold it dead."""
 DEAD_AFTER_SECONDS = MISSED_HEARTBEATS * HEARTBEAT_SECONDS
 """The time until an awaited daemon is held dead over a quick store."""
 TIMER_SLACK_SECONDS = 0.05
@@ -108,10 +111,15 @@
         """Whether the daemons were listed at least once."""
         return self._known.listed_at is not None and self._awaited.listed_at is not None
 
-    @property
-    def awaited_listed_at(self) -> float | None:
-        """Steady time at which the awaited daemons were last listed; None if never."""
-        return self._awaited.listed_at
+    def is_hearing(self) -> bool:
+        """Tells whether this daemon, if it is awaited, has listed the others a moment ago.
+
+        One that has not may be held dead soon, and another be at its work.
+        """
+        listed_at = self._awaited.listed_at
+        if listed_at is None:
+            return False
+        return self._clock.now() - listed_at < HEARING_INTERVALS * self._awaited_interval()
 
     def start(self, tasks: TaskSet) -> None:
         """Starts the heartbeats and the listings."""
--- a/src/larkpost/placement/cold.py
+++ b/src/larkpost/placement/cold.py
@@ -139,7 +139,7 @@
 
     def send_within(self, instance: InstanceInfo) -> float | None:
         """Returns the seconds within which an admitted send must be made; None for any."""
-        return SEND_WITHIN_SECONDS if self._limited(instance) is not None else None
+        return SEND_WITHIN_SECONDS if self.is_cold(instance) else None
 
     def count_cold(self) -> int:
         """Returns how many instances are cold."""
--- a/src/larkpost/placement/cold_senders.py
+++ b/src/larkpost/placement/cold_senders.py
@@ -14,9 +14,6 @@
 BLIND_SECONDS = 1.6
 """Age of the feed of heads from which this daemon does not know the other owners: an answer of the
 feed may wait for a second."""
-OWNER_BLIND_SECONDS = 0.75
-"""The same of the listing of awaited heartbeats, which an owner makes each quarter of a second:
-less than it takes until its batches are claimed by others."""
 YOUNG_SECONDS = 3.0
 """For so long after its start a daemon may not know all members."""
 UNHEARD_SECONDS = 4.0
@@ -29,7 +26,9 @@
     """What is asked of the heartbeats."""
 
     listed: bool
-    awaited_listed_at: float | None
+
+    def is_hearing(self) -> bool:
+        """Tells whether this daemon, if it is awaited, has listed the others a moment ago."""
 
     def alive(self) -> Iterable[DaemonId]:
         """Returns the daemons held alive."""
@@ -99,10 +98,9 @@
         )
 
     def _is_blind(self, now: float, members: Members, heads: Heads) -> bool:
-        listed_at = members.awaited_listed_at
-        if listed_at is None or not heads.listed or heads.age(now) > BLIND_SECONDS:
+        if not members.listed or not heads.listed or heads.age(now) > BLIND_SECONDS:
             return True
-        return self._own in self._named_at and now - listed_at > OWNER_BLIND_SECONDS
+        return self._own in self._named_at and not members.is_hearing()
 
     def _remember_owners(self, now: float) -> None:
         """Takes the owners named now, and forgets those that were named a while ago."""
--- a/src/larkpost/placement/cold_share.py
+++ b/src/larkpost/placement/cold_share.py
@@ -19,6 +19,9 @@
 """Batches come from several trainers at once: one owner alone leaves as much as two do."""
 UNHEARD_OWNERS = 1
 """Shares left for owners of whom this daemon has not heard yet."""
+NEWCOMERS_DIVISOR = 6
+"""A new owner takes this part of the owners' part: three trainers hand their batches in at the same
+moment, and three owners of the step before may not have heard of it."""
 LEAST_SENDS = 1
 """What a daemon may send that cannot know how many others do."""
 DISAGREEMENT_FACTOR = 2
@@ -52,6 +55,8 @@
     share = _even_share(part, view)
     if share and view.is_settled:
         return share
+    if share and not view.is_blind:
+        return min(share, max(LEAST_SENDS, int(part / NEWCOMERS_DIVISOR)))
     named = _is_named(view.owners | {view.own}, view.own, instance, _count_named(part))
     return LEAST_SENDS if named else 0
 
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -129,6 +129,23 @@
 
         run(play())
 
+    def test_awaited_daemon_knows_that_it_hears_nothing_before_others_hold_it_dead(self):
+        async def play():
+            self.begin()
+            first, second = self.start("a"), self.start("b")
+            self.assertFalse(first.is_hearing())
+            await self.clock.sleep(2.0)
+            self.assertTrue(first.is_hearing())
+            first._store.cut_off = True
+            while second.is_owner_alive(first.own, 0.0):
+                await self.clock.sleep(0.01)
+            self.assertFalse(first.is_hearing())
+            first._store.cut_off = False
+            await self.clock.sleep(3.0)  # a call that was cut off hangs for a while
+            self.assertTrue(first.is_hearing())
+
+        run(play())
+
     def test_part_that_is_down_blames_nobody(self):
         async def play():
             self.begin()
