Cold servers: an owner of long ago is new again; a simulation of greedy owners

Cause: a daemon asked who the owners are only while it sent, so one that had owned a batch long ago passed for known at its next batch, and remembered no owner of a moment ago. Found by a simulation of owners that send all they may: 19 requests in a second against 18.95. With that mended, four daemons that were cut off for good still broke one second in 100 minutes: three owners of the last step, three new ones with two sends each and the four.

Conclusion: the share holds in the simulation up to four cut off owners at once; more were not played.

--- a/src/larkpost/placement/cold.py
+++ b/src/larkpost/placement/cold.py
@@ -146,7 +146,11 @@
         return len(self._cold_now())
 
     async def look(self) -> None:
-        """Notes which instances have turned cold or warm, and forgets those that are gone."""
+        """Notes which instances have turned cold or warm, and who the owners are now.
+
+        A daemon that owns nothing asks for no view, but must know who owned a moment ago.
+        """
+        self._senders.view()
         cold = self._cold_now()
         for name in sorted(cold ^ self._noted):
             left = self._beliefs.cold.left(name, self._clock.now())
--- a/src/larkpost/placement/cold_senders.py
+++ b/src/larkpost/placement/cold_senders.py
@@ -103,12 +103,12 @@
         return self._own in self._named_at and not members.is_hearing()
 
     def _remember_owners(self, now: float) -> None:
-        """Takes the owners named now, and forgets those that were named a while ago."""
-        self._named_at |= dict.fromkeys(self._owners(), now)
+        """Forgets the owners that were named a while ago, and takes those named now."""
         self._named_at = {
             name: at for name, at in self._named_at.items() if now - at < OWNER_MEMORY_SECONDS
         }
         if self._own not in self._named_at:
             self._owner_since = None
-        elif self._owner_since is None:
+        self._named_at |= dict.fromkeys(self._owners(), now)
+        if self._own in self._named_at and self._owner_since is None:
             self._owner_since = now
--- a/src/larkpost/placement/cold_share.py
+++ b/src/larkpost/placement/cold_share.py
@@ -19,9 +19,11 @@
 """Batches come from several trainers at once: one owner alone leaves as much as two do."""
 UNHEARD_OWNERS = 1
 """Shares left for owners of whom this daemon has not heard yet."""
-NEWCOMERS_DIVISOR = 6
-"""A new owner takes this part of the owners' part: three trainers hand their batches in at the same
-moment, and three owners of the step before may not have heard of it."""
+NEWCOMERS_DIVISOR = 12
+"""A new owner takes this part of the owners' part. Three trainers hand their batches in at the same
+moment; three owners of the step before have sent their shares within the same second, and others
+that are cut off and do not know of their successors go on. With a sixth, four of those were too
+many."""
 LEAST_SENDS = 1
 """What a daemon may send that cannot know how many others do."""
 DISAGREEMENT_FACTOR = 2
