--- a/src/larkpost/fleet/configuration.py
+++ b/src/larkpost/fleet/configuration.py
@@ -72,6 +72,8 @@
         models: the models that the engines hold; empty if the servers are no engines.
         tokens_per_event: tokens that one event of a stream holds at most.
         scaling: what is agreed about its size; None if its servers cannot be ordered.
+        cold_start: seconds for which a server is cold after a start during traffic.
+        cold_rate: requests a second that a cold server bears; 0 if there is no such limit.
     """
 
     name: ServiceName
@@ -80,6 +82,8 @@
     models: tuple[ModelName, ...] = ()
     tokens_per_event: int = 1
     scaling: ScalingTerms | None = None
+    cold_start: float = 0.0
+    cold_rate: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -167,3 +171,7 @@
             return False
         self.current = configuration
         return True
+
+    def service(self, name: ServiceName) -> Service | None:
+        """Returns a service of the configuration in force; None if there is none."""
+        return self.current.services.get(name) if self.current is not None else None
--- a/src/larkpost/fleet/directory.py
+++ b/src/larkpost/fleet/directory.py
@@ -29,6 +29,7 @@
         versions: weight version of each model it holds.
         listed_version: version of the entry in the store.
         is_preemptible: whether it may be taken away at short notice.
+        cold_left: seconds, from the entry's writing, for which it stays cold; None if not told.
     """
 
     id: EngineId
@@ -40,6 +41,7 @@
     versions: dict[ModelName, int] = field(default_factory=dict)
     listed_version: int = 0
     is_preemptible: bool = False
+    cold_left: float | None = None
 
 
 class Directory:
--- a/src/larkpost/platform/settings.py
+++ b/src/larkpost/platform/settings.py
@@ -9,6 +9,7 @@
 
 from larkpost.addresses import split_address
 from larkpost.errors import SettingsError
+from larkpost.fleet.cold import ColdTerms
 from larkpost.ids import Address, ZoneId
 from larkpost.platform import names
 from larkpost.usage.port import UsageTerms
@@ -30,6 +31,7 @@
         max_descriptors: the most that this daemon may hold.
         usage: what is agreed about usage reports; None if none are asked for.
         orders_servers: whether the platform takes orders of servers.
+        cold: what is agreed about cold servers; None if nothing is.
     """
 
     machine: str
@@ -50,6 +52,7 @@
     max_descriptors: int
     usage: UsageTerms | None
     orders_servers: bool
+    cold: ColdTerms | None
 
 
 def settings_path() -> Path:
@@ -98,6 +101,7 @@
         max_descriptors=int(_number(document, "limits", "max-fds", default=_own_limit())),
         usage=_usage(document),
         orders_servers=_has_duty(document, names.SCALING_DUTY),
+        cold=_cold(document),
     )
 
 
@@ -146,6 +150,16 @@
     )
 
 
+def _cold(document: dict[str, Any]) -> ColdTerms | None:
+    if _find(document, ("bounds", "cold-overage")) is None:
+        return None
+    slack = _find(document, ("bounds", "cold-slack"))
+    return ColdTerms(
+        overage=_number(document, "bounds", "cold-overage", default=1.0),
+        slack=_number(document, "bounds", "cold-slack", default=1) if slack else 0.0,
+    )
+
+
 def _number(document: dict[str, Any], *path: str, default: float) -> float:
     value = _find(document, path)
     if value is None:
--- a/src/larkpost/proxy/forwarder.py
+++ b/src/larkpost/proxy/forwarder.py
@@ -11,6 +11,7 @@
 import asyncio
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
+from dataclasses import replace
 
 from larkpost.clock import Clock
 from larkpost.eventlog import EventLog
@@ -126,10 +127,12 @@
                 raise self._outcomes.failure(attempts, timed_out=False)
             try:
                 outgoing = self._outgoing(attempts, fresh=True)
-                self._balancer.placement.admit(instance.id, attempts.waiter.work)
+                within = self._balancer.placement.admit(instance.id, attempts.waiter.work)
+                outgoing = replace(outgoing, send_within=within)
                 async with asyncio.timeout_at(attempts.waiter.limits.end_at) as limit:
                     with self._balancer.placed(instance.id):
                         async with self._servers.send(instance, outgoing) as answer:
+                            self._balancer.note_cold(instance.id, answer.cold_left)
                             limit.reschedule(None)  # from here on the client decides
                             self._lines.note_taken(instance.service)
                             self._outcomes.begun(request, self._clock.now())
@@ -221,11 +224,13 @@
         outgoing = self._outgoing(attempts, fresh=attempts.route.kind is not RouteKind.IDEMPOTENT)
         started = self._clock.now()
         try:
-            self._balancer.placement.admit(instance.id, attempts.waiter.work)
+            within = self._balancer.placement.admit(instance.id, attempts.waiter.work)
+            outgoing = replace(outgoing, send_within=within)
             with self._balancer.placed(instance.id):
                 async with self._servers.send(instance, outgoing) as answer:
                     self._lines.note_taken(instance.service)
                     self._balancer.note_load(instance.id, answer.load)
+                    self._balancer.note_cold(instance.id, answer.cold_left)
                     body = b"".join([chunk async for chunk in answer.chunks()])
                     whole = WholeAnswer(answer.status, answer.headers, body)
                     of_server = answer.signature is not None
--- a/src/larkpost/proxy/outcomes.py
+++ b/src/larkpost/proxy/outcomes.py
@@ -50,6 +50,7 @@
         attempts.refused_by.add(instance.id)
         attempts.reasons.add(error.reason)
         self._metrics.count(Count.ATTEMPTS, instance.service, error.reason)
+        self._balancer.note_cold(instance.id, error.cold_left)
         self._balancer.note_not_run(instance.id, error.reason, FULL_AVOID_SECONDS)
 
     def broken(self, instance: InstanceInfo, attempts: Attempts, reason: str) -> None:
--- a/tests/platform_mutants.py
+++ b/tests/platform_mutants.py
@@ -360,6 +360,13 @@
     return mock.patch.object(ingress, "TURNS_TO_SEE_A_CLOSE", 0)
 
 
+def ignore_permits():
+    """Sends to cold engines as to others."""
+    from larkpost.placement.cold import ColdRule
+
+    return mock.patch.object(ColdRule, "_limit", lambda *_: None)
+
+
 MUTANTS = {
     mutant.__name__: mutant
     for mutant in (
@@ -395,6 +402,7 @@
         believe_own_clock,
         end_stalled_runs_without_places,
         forward_for_callers_that_left,
+        ignore_permits,
     )
 }
 TESTS = dict.fromkeys(MUTANTS, FUZZ) | {
@@ -425,8 +433,10 @@
     "believe_own_clock": "tests.test_usage",
     "end_stalled_runs_without_places": "tests.test_urgency",
     "forward_for_callers_that_left": "tests.test_platform_ingress",
+    "ignore_permits": "tests.test_cold_servers",
 }
 EXPECTED_CHECKS = {
+    "ignore_permits": ("while cold",),
     "refuse_after_unknown": ("BatchRefusedError",),
     "take_unknown_for_done": ("doubled", "listed", "not whole", "has changed"),
     "accept_any_version": ("minimum_version",),
