Homes of routes and tenants: engines, claims and relayed bodies keep to allowed regions

A route or tenant may name the only regions in which it is served. The configuration reads allowed-regions, the settings read zones, their regions and the own one; both route and tenant bind. HomeRule asks it of clients' requests, items and reward calls, of items and calls afresh at each look. Daemons tell their zones in known heartbeats. Each region has its share of the coordinators, so that a batch bound to a region is claimed there; who removes a batch reads its rows, so it is bound too. Calls to the store by way of a peer go to near peers first, the last try to a far one; rows of items stay in the region while the configuration has homes.

A wrapper in test_scale_mechanisms passes all arguments on, as choose has one more; it counts as before.

--- a/src/larkpost/fleet/configuration.py
+++ b/src/larkpost/fleet/configuration.py
@@ -7,6 +7,7 @@
 from typing import NewType
 
 from larkpost.fleet.tenants import KeyDigest, Tenant, TenantName, index_by_key
+from larkpost.ids import RegionId
 
 ServiceName = NewType("ServiceName", str)
 ModelName = NewType("ModelName", str)
@@ -43,6 +44,7 @@
         queue_lifetime: seconds after which an item of a batch may be given up.
         single_version: whether a result must be made under one weight version.
         is_public: whether requests need no key where the configuration has tenants.
+        regions: the only regions in which its requests may be served; None for all.
     """
 
     name: str
@@ -59,6 +61,7 @@
     queue_lifetime: float = 0.0
     single_version: bool = False
     is_public: bool = False
+    regions: frozenset[RegionId] | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -127,6 +130,36 @@
             return route.priority
         return known.priority
 
+    def homes_of(
+        self, tenant: TenantName | None, route: Route | None
+    ) -> frozenset[RegionId] | None:
+        """Returns the only regions in which a request may be served; None for all.
+
+        Both the route's and the tenant's regions bind.
+
+        Args:
+            tenant: whose request it is; None if it is no tenant's.
+            route: the request's; None if it has none any more.
+        """
+        known = self._tenants_by_name.get(tenant)
+        of_tenant = known.regions if known is not None else None
+        of_route = route.regions if route is not None else None
+        if of_tenant is None or of_route is None:
+            return of_tenant if of_route is None else of_route
+        return of_tenant & of_route
+
+    def homes_at(
+        self, tenant: TenantName | None, host: str, path: bytes
+    ) -> frozenset[RegionId] | None:
+        """Returns the only regions in which a request to a path may be served; None for all."""
+        return self.homes_of(tenant, self.match(host, path))
+
+    @cached_property
+    def has_homes(self) -> bool:
+        """Whether a route or a tenant has regions of its own."""
+        holders = (*self.routes, *(self.tenants or ()))
+        return any(holder.regions is not None for holder in holders)
+
     @cached_property
     def _tenants_by_name(self) -> Mapping[TenantName | None, Tenant]:
         return {tenant.name: tenant for tenant in self.tenants or ()}
--- a/src/larkpost/fleet/heartbeat.py
+++ b/src/larkpost/fleet/heartbeat.py
@@ -5,7 +5,7 @@
 
 import orjson
 
-from larkpost.ids import Address, DaemonId, EngineId
+from larkpost.ids import Address, DaemonId, EngineId, ZoneId
 
 LIFE_SEPARATOR = "/"
 
@@ -34,6 +34,7 @@
         coordinates: whether it gives orders and claims batches.
         leaving: whether this is its last heartbeat.
         clock_offset: seconds by which its time of day is ahead of the store's clock, or None.
+        zone: where it stands; None in rows of earlier versions.
     """
 
     interval: float
@@ -42,6 +43,7 @@
     coordinates: bool = False
     leaving: bool = False
     clock_offset: float | None = None
+    zone: ZoneId | None = None
 
 
 def encode_heartbeat(heartbeat: Heartbeat) -> bytes:
@@ -57,6 +59,8 @@
         fields["leaving"] = True
     if heartbeat.clock_offset is not None:
         fields["clock_offset"] = round(heartbeat.clock_offset, 4)
+    if heartbeat.zone is not None:
+        fields["zone"] = heartbeat.zone
     return orjson.dumps(fields)
 
 
@@ -69,6 +73,7 @@
     try:
         document = orjson.loads(value)
         address = document.get("address")
+        zone = document.get("zone")
         return Heartbeat(
             float(document["interval"]),
             dict(document.get("uses") or {}),
@@ -76,6 +81,7 @@
             bool(document.get("coordinates")),
             bool(document.get("leaving")),
             document.get("clock_offset"),
+            ZoneId(zone) if zone else None,
         )
     except (AttributeError, KeyError, TypeError) as error:
         raise ValueError(f"no heartbeat: {error!r}") from None
--- a/src/larkpost/fleet/members.py
+++ b/src/larkpost/fleet/members.py
@@ -6,22 +6,25 @@
     known    every daemon, seldom: who there is, and where it makes calls for others
     awaited  coordinators and owners of batches, often: they are alive, what they use, who acts
 
-A fixed number of daemons, the coordinators, give orders and claim batches. Each daemon works out
-from the known ones whether it is to be one, and tells so with its awaited heartbeat; the others go
-by that. Coordinators and owners list the awaited ones often, all others seldom.
+A fixed number of daemons, the coordinators, give orders and claim batches. Each region has its
+share of them, as a batch may be bound to one. Each daemon works out from the known ones whether it
+is to be one, and tells so with its awaited heartbeat; the others go by that. Coordinators and
+owners list the awaited ones often, all others seldom.
 
 Each machine runs one daemon. A new one removes the rows of its predecessors, so that their batches
 are claimed without a wait.
 """
 
+import math
 from collections.abc import Callable, Iterable
 
 from larkpost.clock import Clock
 from larkpost.eventlog import Event, EventLog
 from larkpost.fleet.heartbeat import Heartbeat, UseSummary, encode_heartbeat, machine_of
 from larkpost.fleet.heartbeat_list import MISSED_HEARTBEATS, HeartbeatList
+from larkpost.fleet.regions import Distance, RegionMap
 from larkpost.hashing import hash64
-from larkpost.ids import Address, DaemonId
+from larkpost.ids import Address, DaemonId, RegionId, ZoneId
 from larkpost.policy import DEFAULT_POLICY, Policy
 from larkpost.store.port import Store, Transaction, WriteOutcome
 from larkpost.tasks import TaskSet
@@ -66,6 +69,7 @@
         address: where this daemon makes calls to the store for others, or None.
         clock_offset: returns the seconds by which this machine's time of day is ahead of the
             store's clock, or None if that is not known.
+        regions: where zones lie, this daemon's among them.
     """
 
     def __init__(
@@ -80,9 +84,11 @@
         address: Address | None = None,
         policy: Policy = DEFAULT_POLICY,
         clock_offset: Callable[[], float | None] = lambda: None,
+        regions: RegionMap | None = None,
     ) -> None:
         self.own = own
         self._clock_offset = clock_offset
+        self._regions = regions or RegionMap()
         self._policy = policy
         self._summary = summary
         self._listener = listener
@@ -117,13 +123,13 @@
         """Returns the daemons held alive; this one too, unless it is leaving."""
         return self._alive
 
-    def peer_addresses(self) -> list[Address]:
-        """Returns where the other daemons held alive make calls to the store for others."""
-        return [
-            seen.heartbeat.address
+    def peers(self) -> dict[Address, Distance]:
+        """Returns where the other daemons held alive make calls for others, and how far that is."""
+        return {
+            seen.heartbeat.address: self._regions.distance(seen.heartbeat.zone or ZoneId(""))
             for name, seen in self._known.seen.items()
             if seen.heartbeat.address is not None and name in self._alive and name != self.own
-        ]
+        }
 
     def clock_offsets(self) -> list[float]:
         """Returns by how many seconds the clock of each daemon is ahead of the store's."""
@@ -157,9 +163,26 @@
         """Tells whether this daemon gives orders and claims batches."""
         return self.own in self._coordinators
 
-    def first_choice(self, key: str) -> DaemonId | None:
-        """Returns the coordinator that rendezvous hashing names for a key."""
-        return max(self._coordinators, key=lambda name: hash64(f"{name}\x00{key}"), default=None)
+    def first_choice(self, key: str, regions: frozenset[RegionId] | None = None) -> DaemonId | None:
+        """Returns the coordinator that rendezvous hashing names for a key.
+
+        Args:
+            regions: it must be in one of these; None for anywhere.
+        """
+        fitting = [
+            name
+            for name in self._coordinators
+            if regions is None or self.region_of(name) in regions
+        ]
+        return max(fitting, key=lambda name: hash64(f"{name}\x00{key}"), default=None)
+
+    def region_of(self, daemon: DaemonId) -> RegionId | None:
+        """Returns the region of a daemon; None if it is not known."""
+        if daemon == self.own:
+            return self._regions.own_region
+        seen = self._known.seen.get(daemon)
+        zone = seen.heartbeat.zone if seen is not None else None
+        return self._regions.region_of(zone) if zone is not None else None
 
     async def look(self) -> None:
         """Learns at once what the awaited daemons use, before this one joins them."""
@@ -218,7 +241,11 @@
         if self._is_due(self._known_beat_at, self._known_interval()):
             self._known_beat_at = self._clock.now()
             heartbeat = Heartbeat(
-                self._known_interval(), {}, self._address, clock_offset=self._clock_offset()
+                self._known_interval(),
+                {},
+                self._address,
+                clock_offset=self._clock_offset(),
+                zone=self._regions.own_zone,
             )
             await self._put(self._known, heartbeat)
 
@@ -290,12 +317,15 @@
         return is_newest and self._known.is_heard(daemon)
 
     def _is_among_first(self, alive: set[DaemonId]) -> bool:
-        """Tells whether this daemon is one of those that are to coordinate."""
+        """Tells whether this daemon is one of those of its region that are to coordinate."""
         if self._clock.now() - self._started_at < JOIN_SECONDS:
             return False
         rank = hash64(f"coordinator\x00{self.own}")
-        before = sum(hash64(f"coordinator\x00{name}") < rank for name in alive)
-        return before < self._policy.coordinators
+        regions = {name: self.region_of(name) for name in alive}
+        neighbours = [name for name in alive if regions[name] == regions[self.own]]
+        share = math.ceil(self._policy.coordinators / len(set(regions.values())))
+        before = sum(hash64(f"coordinator\x00{name}") < rank for name in neighbours)
+        return before < share
 
     async def _remove_old(self, rows: HeartbeatList) -> None:
         """Removes the rows of this machine's earlier lives, and those of daemons long dead.
--- a/src/larkpost/fleet/regions.py
+++ b/src/larkpost/fleet/regions.py
@@ -23,26 +23,42 @@
     Args:
         own_zone: this daemon's zone; None if it is not known.
         regions: the region of each zone.
+        own_region: this daemon's region; None to take that of its zone.
     """
 
     def __init__(
-        self, own_zone: ZoneId | None = None, regions: Mapping[ZoneId, RegionId] | None = None
+        self,
+        own_zone: ZoneId | None = None,
+        regions: Mapping[ZoneId, RegionId] | None = None,
+        own_region: RegionId | None = None,
     ) -> None:
         self.own_zone = own_zone
         self._regions = dict(regions or {})
+        self._own_region = own_region
 
     @property
     def own_region(self) -> RegionId | None:
         """This daemon's region; None if it is not known."""
-        return self.region_of(self.own_zone) if self.own_zone is not None else None
+        if self._own_region is not None or self.own_zone is None:
+            return self._own_region
+        return self._regions.get(self.own_zone)
+
+    def take(self, other: "RegionMap") -> None:
+        """Takes what changed settings say of zones."""
+        self.own_zone = other.own_zone
+        self._regions = other._regions
+        self._own_region = other._own_region
 
     def region_of(self, zone: ZoneId) -> RegionId | None:
         """Returns a zone's region; None if it is not known."""
+        if not self._regions or zone == self.own_zone:
+            return self.own_region
         return self._regions.get(zone)
 
     def distance(self, zone: ZoneId) -> Distance:
         """Returns how far a zone is."""
         if zone == self.own_zone:
             return Distance.SAME_ZONE
-        is_same = not self._regions or self.region_of(zone) == self.own_region
+        region = self.region_of(zone)
+        is_same = not self._regions or (region is not None and region == self.own_region)
         return Distance.SAME_REGION if is_same else Distance.OTHER_REGION
--- a/src/larkpost/fleet/tenants.py
+++ b/src/larkpost/fleet/tenants.py
@@ -10,6 +10,8 @@
 from dataclasses import dataclass
 from typing import NewType
 
+from larkpost.ids import RegionId
+
 TenantName = NewType("TenantName", str)
 KeyDigest = NewType("KeyDigest", bytes)
 
@@ -26,11 +28,13 @@
     Attributes:
         priority: its rank, 0 highest, which goes before its route's; None if it has none.
         keys: digests of the keys that it may call with.
+        regions: the only regions in which its requests may be served; None for all.
     """
 
     name: TenantName
     keys: frozenset[KeyDigest]
     priority: int | None = None
+    regions: frozenset[RegionId] | None = None
 
 
 def index_by_key(tenants: Iterable[Tenant]) -> Mapping[KeyDigest, Tenant]:
--- a/src/larkpost/gateway.py
+++ b/src/larkpost/gateway.py
@@ -19,6 +19,7 @@
 from larkpost.fleet.true_time import TrueTime
 from larkpost.ids import Address
 from larkpost.metrics import Level, Metrics
+from larkpost.placement.homes import HomeRule
 from larkpost.placement.rules import Placement, PlacementRule
 from larkpost.policy import DEFAULT_POLICY, Policy
 from larkpost.proxy.admission import Admission
@@ -28,7 +29,7 @@
 from larkpost.proxy.shares import ShareChooser
 from larkpost.rollouts.context import RunServices
 from larkpost.rollouts.keeper import BatchKeeper
-from larkpost.rollouts.repository import HEAD_TABLE, PARTS, BatchRepository
+from larkpost.rollouts.repository import HEAD_TABLE, ITEM_TABLE, PARTS, BatchRepository
 from larkpost.rollouts.reward import MAX_CALLS_IN_FLIGHT
 from larkpost.rollouts.service import BatchService
 from larkpost.rollouts.view import ViewCache
@@ -143,6 +144,7 @@
             settings.peer_address,
             settings.policy,
             self.true_time.own_offset,
+            self.beliefs.regions,
         )
         leases = LeaseTable(own, ports.store, ports.clock, settings.lease_time)
         counter = None
@@ -256,7 +258,7 @@
         for follower in self._followers().values():
             follower.start(self._tasks)
         if self._ports.relay is not None and self.settings.policy.peer_calls:
-            self._ports.relay.start(self.membership.peer_addresses, self._tasks)
+            self._ports.relay.start(self.membership.peers, self._tasks, self._is_confined)
         self.membership.start(self._tasks)
         self.keeper.start(self._tasks)
         self._loader.start(self._tasks)
@@ -289,7 +291,12 @@
 
     def _placement_rules(self) -> tuple[PlacementRule, ...]:
         """Returns the rules of placement; those that count sends come last."""
-        return ()
+        return (HomeRule(self.beliefs.regions),)
+
+    def _is_confined(self, table: str) -> bool:
+        """Tells whether rows of a table hold bodies that may be bound to this daemon's region."""
+        current = self.configuration.current
+        return table == ITEM_TABLE and current is not None and current.has_homes
 
     def _follower(
         self,
--- a/src/larkpost/platform/ingress.py
+++ b/src/larkpost/platform/ingress.py
@@ -127,9 +127,9 @@
         if route.kind is RouteKind.BATCH:
             await self._submit(exchange, body, admitted.tenant)
         elif route.kind is RouteKind.STREAM:
-            await self._stream(exchange, exchange.request(body, admitted.tenant), route)
+            await self._stream(exchange, exchange.request(body, admitted), route)
         else:
-            request = exchange.request(body, admitted.tenant)
+            request = exchange.request(body, admitted)
             answer = await self._forwarder.forward(request, route)
             await exchange.reply(answer.status, answer.body, answer.headers)
 
@@ -245,8 +245,8 @@
         text = self.header(name)
         return int(text) if text.isdigit() else None
 
-    def request(self, body: bytes, tenant: TenantName | None) -> ClientRequest:
-        """Returns the request as it is to be forwarded on behalf of a tenant."""
+    def request(self, body: bytes, admitted: Admitted) -> ClientRequest:
+        """Returns the request as it is to be forwarded."""
         query = self._scope["query_string"]
         deadline_ms = self.whole_header(names.DEADLINE_MS)
         return ClientRequest(
@@ -262,7 +262,8 @@
             body=body,
             received_at=self.received_at,
             time_left=deadline_ms / 1000 if deadline_ms is not None else None,
-            tenant=tenant,
+            tenant=admitted.tenant,
+            regions=admitted.regions,
         )
 
     async def read_body(self, limit: int) -> bytes | None:
--- a/src/larkpost/platform/operator.py
+++ b/src/larkpost/platform/operator.py
@@ -17,7 +17,7 @@
 from larkpost.fleet.directory import InstanceInfo, InstanceState
 from larkpost.fleet.tenants import Tenant, TenantName, digest_key
 from larkpost.fleet.weights import WeightTarget
-from larkpost.ids import Address, EngineId, ZoneId
+from larkpost.ids import Address, EngineId, RegionId, ZoneId
 from larkpost.platform import names
 from larkpost.store.port import Row
 
@@ -124,6 +124,7 @@
         queue_lifetime=float(entry.get("queue-ttl-s", 0)),
         single_version=bool(entry.get("single-version", False)),
         is_public=bool(entry.get("public", False)),
+        regions=_regions(entry),
     )
 
 
@@ -141,9 +142,18 @@
         TenantName(name),
         frozenset(digest_key(str(key).encode()) for key in entry.get("api-keys") or ()),
         int(priority) if priority is not None else None,
+        _regions(entry),
     )
 
 
+def _regions(entry: dict[str, Any]) -> frozenset[RegionId] | None:
+    """Returns the only regions in which a route or a tenant may be served; None for all."""
+    regions = entry.get("allowed-regions") or []
+    if not isinstance(regions, list) or not all(isinstance(name, str) for name in regions):
+        raise TypeError(f"allowed-regions {regions!r} is no list of names")
+    return frozenset(map(RegionId, regions)) or None
+
+
 def _service(entry: dict[str, Any]) -> Service:
     engine = entry.get("engine") or {}
     return Service(
--- a/src/larkpost/platform/process.py
+++ b/src/larkpost/platform/process.py
@@ -135,6 +135,7 @@
         batch_lifetime=settings.batch_lifetime,
         peer_address=settings.peer,
         usage=settings.usage,
+        regions=settings.regions,
     )
 
 
@@ -175,6 +176,7 @@
         changed = _gateway_settings(settings)
         for name in ("contact_time", "lease_time", "apply_time", "grace_time", "batch_lifetime"):
             setattr(current, name, getattr(changed, name))
+        current.regions.take(changed.regions)
         log.note(Event.SETTINGS, outcome="taken")
 
 
--- a/src/larkpost/platform/settings.py
+++ b/src/larkpost/platform/settings.py
@@ -8,7 +8,8 @@
 
 from larkpost.addresses import split_address
 from larkpost.errors import SettingsError
-from larkpost.ids import Address, ZoneId
+from larkpost.fleet.regions import RegionMap
+from larkpost.ids import Address, RegionId, ZoneId
 from larkpost.platform import names
 from larkpost.usage.port import UsageTerms
 
@@ -18,6 +19,7 @@
     """What larkpost needs of the platform's settings; durations in seconds.
 
     Attributes:
+        regions: where the deployment's zones lie, seen from this daemon's.
         contact_time: time without disturbance after which the store counts as sound.
         lease_time: time after a holder's last order before another holder may order.
         apply_time: time within which a new configuration is to be in force everywhere.
@@ -32,6 +34,7 @@
     machine: str
     ip: str
     zone: ZoneId
+    regions: RegionMap
     front: Address
     ready: Address
     store: Address
@@ -74,10 +77,12 @@
 
 def _read(document: dict[str, Any]) -> PlatformSettings:
     ip = _text(document, "ip")
+    zone = ZoneId(_text(document, "zone"))
     return PlatformSettings(
         machine=_text(document, "node"),
         ip=ip,
-        zone=ZoneId(_text(document, "zone")),
+        zone=zone,
+        regions=_regions(document, zone),
         front=_address(document, "listen", "front"),
         ready=_address(document, "listen", "ready"),
         store=_address(document, "platform", "address"),
@@ -94,6 +99,19 @@
     )
 
 
+def _regions(document: dict[str, Any], zone: ZoneId) -> RegionMap:
+    named = _find(document, ("zones",))
+    if named is None:
+        named = {}
+    if not isinstance(named, dict):
+        raise _wrong(("zones",), named, "a table of zones with their regions")
+    regions = {ZoneId(name): RegionId(_text(named, name, of=("zones",))) for name in named}
+    own = RegionId(_text(document, "region")) if "region" in document else None
+    if own is not None and regions.get(zone, own) != own:
+        raise _wrong(("region",), own, f"the region of zone {zone}, {regions[zone]!r}")
+    return RegionMap(zone, regions, own)
+
+
 def _find(document: dict[str, Any], path: tuple[str, ...]) -> Any:
     value: Any = document
     for name in path:
@@ -101,10 +119,11 @@
     return value
 
 
-def _text(document: dict[str, Any], *path: str) -> str:
+def _text(document: dict[str, Any], *path: str, of: tuple[str, ...] = ()) -> str:
+    """Returns a text; ``of`` names the table that the document is."""
     value = _find(document, path)
     if not isinstance(value, str) or not value:
-        raise _wrong(path, value, "a text")
+        raise _wrong((*of, *path), value, "a text")
     return value
 
 
--- a/src/larkpost/proxy/admission.py
+++ b/src/larkpost/proxy/admission.py
@@ -13,6 +13,7 @@
 from larkpost.eventlog import Event, EventLog
 from larkpost.fleet.configuration import Configuration, ConfigurationState, Route
 from larkpost.fleet.tenants import ANYONE, Caller, KeyDigest, TenantName
+from larkpost.ids import RegionId
 from larkpost.metrics import Count, Metrics
 
 RETRY_AFTER_SECONDS = 0.3
@@ -49,10 +50,12 @@
 
     Attributes:
         tenant: whose call it is; None on a public route, or where there are no tenants.
+        regions: the only regions in which it may be served; None for all.
     """
 
     route: Route
     tenant: TenantName | None
+    regions: frozenset[RegionId] | None = None
 
 
 class Admission:
@@ -93,9 +96,9 @@
             raise self._refusal(NoRouteError(f"no route for {host}"), request_id, configuration)
         tenant = configuration.tenant_of(key)
         if tenant is not None:
-            return Admitted(route, tenant.name)
+            return Admitted(route, tenant.name, configuration.homes_of(tenant.name, route))
         if configuration.tenants is None or route.is_public:
-            return Admitted(route, None)
+            return Admitted(route, None, route.regions)
         error = UnknownKeyError(f"route {route.name} needs a key that is in force")
         raise self._refusal(error, request_id, configuration)
 
--- a/src/larkpost/proxy/balancer.py
+++ b/src/larkpost/proxy/balancer.py
@@ -256,12 +256,20 @@
     def verdicts(self, service: ServiceName, work: Work = CLIENT_WORK) -> dict[Verdict, int]:
         """Returns how many instances of a service get each verdict; for the line on a refusal."""
         return dict(
-            Counter(
-                Verdict.AVOIDED if self.is_avoided(info.id) else self._placement.judge(info, work)
-                for info in self._directory.of_service(service)
-            )
+            Counter(self._verdict(info, work) for info in self._directory.of_service(service))
         )
 
+    def is_homeless(self, service: ServiceName, work: Work) -> bool:
+        """Tells whether no server of a service lies where work may be served."""
+        if work.regions is None:
+            return False
+        verdicts = self.verdicts(service, work).keys()
+        return not work.regions or verdicts == {Verdict.OUTSIDE_REGIONS}
+
+    def _verdict(self, info: InstanceInfo, work: Work) -> Verdict:
+        verdict = self._placement.judge(info, work)
+        return Verdict.AVOIDED if verdict.is_allowed and self.is_avoided(info.id) else verdict
+
     @property
     def placement(self) -> Placement:
         """The rules by which instances are judged."""
--- a/src/larkpost/proxy/forwarder.py
+++ b/src/larkpost/proxy/forwarder.py
@@ -17,7 +17,7 @@
 from larkpost.fleet.directory import Directory, InstanceInfo
 from larkpost.ids import EngineId
 from larkpost.metrics import Count, Metrics, Timing
-from larkpost.placement.work import CLIENT_WORK, Work
+from larkpost.placement.work import CLIENT_WORK, Work, WorkKind
 from larkpost.policy import DEFAULT_POLICY, Policy
 from larkpost.proxy.balancer import Balancer
 from larkpost.proxy.port import (
@@ -99,7 +99,7 @@
             RequestTimeoutError: its time is over.
         """
         service = self._shares.choose(route)
-        attempts = _Attempts()
+        attempts = self._begin(request, route, service)
         end_at = self._end_time(request, route)
         try:
             async with asyncio.timeout_at(end_at):
@@ -124,7 +124,7 @@
             RequestTimeoutError: no answer began in its time; it may have run.
         """
         service = self._shares.choose(route)
-        attempts = _Attempts()
+        attempts = self._begin(request, route, service)
         while True:
             instance = self._choose(service, attempts)
             if instance is None or len(attempts.ran_at) >= route.max_attempts:
@@ -149,6 +149,17 @@
                 attempts.ran_at.add(instance.id)
                 raise RequestFailedError(error.message, ran=Ran.UNKNOWN) from None
 
+    def _begin(self, request: ClientRequest, route: Route, service: ServiceName) -> _Attempts:
+        """Returns a request's attempts, none so far.
+
+        Raises:
+            RefusedError: no server of the service lies where the request may be served.
+        """
+        attempts = _Attempts(work=Work(WorkKind.CLIENT, request.regions))
+        if self._balancer.is_homeless(service, attempts.work):
+            raise self._failure(request, route, service, attempts, timed_out=False)
+        return attempts
+
     async def _forward_once(
         self, request: ClientRequest, route: Route, service: ServiceName, attempts: _Attempts
     ) -> WholeAnswer | None:
--- a/src/larkpost/proxy/request.py
+++ b/src/larkpost/proxy/request.py
@@ -4,6 +4,7 @@
 
 from larkpost.errors import LarkpostError
 from larkpost.fleet.tenants import TenantName
+from larkpost.ids import RegionId
 from larkpost.proxy.port import Headers
 
 
@@ -39,6 +40,7 @@
         received_at: steady time at which its head was read.
         time_left: seconds the client still waited then, or None if it did not say.
         tenant: whose request it is; None if it is no tenant's.
+        regions: the only regions in which it may be served; None for all.
     """
 
     request_id: bytes
@@ -50,6 +52,7 @@
     received_at: float
     time_left: float | None
     tenant: TenantName | None = None
+    regions: frozenset[RegionId] | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/larkpost/rollouts/engine_choice.py
+++ b/src/larkpost/rollouts/engine_choice.py
@@ -1,6 +1,6 @@
 """Where the items of a batch run: engines that fit, the fastest ones for the longest items."""
 
-from larkpost.fleet.configuration import Route, RouteKind, ServiceName
+from larkpost.fleet.configuration import Configuration, Route, RouteKind, ServiceName
 from larkpost.fleet.directory import InstanceInfo
 from larkpost.ids import EngineId
 from larkpost.placement.work import Work, WorkKind
@@ -25,19 +25,40 @@
 
 
 class EngineChoice:
-    """Chooses engines for the items of one batch.
-
-    Attributes:
-        work: what the rules of placement ask of the batch's items.
-    """
+    """Chooses engines for the items of one batch."""
 
     def __init__(self, head: BatchHead, services: RunServices) -> None:
         self._head = head
-        self.work = Work(WorkKind.ITEM, model=head.model, minimum_version=head.minimum_version)
         self._services = services
         self._began_at = services.clock.now()
+        self._works: dict[str, Work] = {}
+        """What is asked of the items of each path, by the configuration `_works_of`."""
+        self._works_of: Configuration | None = None
         self._item_services: dict[ItemId, ServiceName] = {}
-        self._paces: dict[ServiceName, tuple[float, list[tuple[EngineId, float]]]] = {}
+        self._paces: dict[tuple[ServiceName, Work], tuple[float, list[tuple[EngineId, float]]]] = {}
+
+    def work_of(self, item: Item | None = None) -> Work:
+        """Returns what the rules of placement ask of an item, as the configuration stands now.
+
+        Args:
+            item: None for what they ask of the batch's own path.
+        """
+        configuration = self._services.configuration.current
+        if configuration is not self._works_of:
+            self._works_of = configuration
+            self._works.clear()
+        path = item.path if item is not None else self._head.path
+        if path not in self._works:
+            self._works[path] = self._make_work(configuration, path)
+        return self._works[path]
+
+    def _make_work(self, configuration: Configuration | None, path: str) -> Work:
+        head = self._head
+        regions = None
+        if configuration is not None:
+            place = path.partition("?")[0].encode()
+            regions = configuration.homes_at(head.tenant, head.host, place)
+        return Work(WorkKind.ITEM, regions, head.model, head.minimum_version)
 
     def service_of(self, item: Item, route: Route) -> ServiceName | None:
         """Returns the service of an item, or None if its route takes no batches.
@@ -52,7 +73,9 @@
             self._item_services[item.id] = chosen
         return chosen
 
-    def choose(self, service: ServiceName, pace_limit: float = 0.0) -> InstanceInfo | None:
+    def choose(
+        self, service: ServiceName, pace_limit: float = 0.0, work: Work | None = None
+    ) -> InstanceInfo | None:
         """Returns an engine with a free place and a version that may make the batch's tokens.
 
         Items come longest first, so that the longest ones get the fastest engines.
@@ -60,9 +83,11 @@
         Args:
             pace_limit: the engine must be known to be about as fast as this, in seconds for an
                 event; 0 for any engine.
+            work: what the rules of placement ask of the item; None for the batch's own.
         """
         balancer = self._services.balancer
-        candidates = self._allowed(service, self._with_place(service))
+        candidates = self._with_place(service, work or self.work_of())
+        candidates = self._allowed(service, candidates)
         if pace_limit:
             slowest = pace_limit * PACE_TOLERANCE
             candidates = [info for info in candidates if 0 < balancer.pace(info.id) <= slowest]
@@ -97,7 +122,8 @@
     def count_places(self, service: ServiceName) -> int:
         """Returns how many places the engines that fit are believed to have free."""
         balancer = self._services.balancer
-        return sum(info.slots - balancer.occupied(info) for info in self._with_place(service))
+        fitting = self._with_place(service, self.work_of())
+        return sum(info.slots - balancer.occupied(info) for info in fitting)
 
     def is_outpaced(self, engine: InstanceInfo, progress: Progress) -> bool:
         """Tells whether an engine much faster than this one has a free place.
@@ -113,17 +139,18 @@
         ratio = LONG_RUN_RATIO if long else SLOW_RATIO
         return any(
             pace > other * ratio
-            for name, other in self._free_paces(engine.service)
+            for name, other in self._free_paces(engine.service, self.work_of(progress.item))
             if name != engine.id and directory.version_of(name, self._head.model) >= version
         )
 
-    def fast_pace(self, engine: InstanceInfo) -> float:
+    def fast_pace(self, engine: InstanceInfo, item: Item) -> float:
         """Returns the pace that a long run at an engine should go on at elsewhere; 0 if at none.
 
         Whether an engine of that pace has a free place is not asked.
         """
         balancer = self._services.balancer
         directory = self._services.directory
+        work = self.work_of(item)
         version = directory.version_of(engine.id, self._head.model)
         paces = [
             pace
@@ -131,32 +158,32 @@
             if (pace := balancer.pace(info.id))
             and directory.version_of(info.id, self._head.model) >= version
             and not balancer.is_avoided(info.id)
-            and balancer.placement.allows(info, self.work)
+            and balancer.placement.allows(info, work)
         ]
         best = min(paces, default=0.0)
         return best * FASTER_RATIO if balancer.pace(engine.id) > best * LONG_RUN_RATIO else 0.0
 
-    def _free_paces(self, service: ServiceName) -> list[tuple[EngineId, float]]:
+    def _free_paces(self, service: ServiceName, work: Work) -> list[tuple[EngineId, float]]:
         """Returns the known paces of the engines with a free place, as of a moment ago."""
         now = self._services.clock.now()
-        known = self._paces.get(service)
+        known = self._paces.get((service, work))
         if known is not None and now - known[0] < PACES_LIFETIME_SECONDS:
             return known[1]
         balancer = self._services.balancer
         paces = [
             (info.id, pace)
-            for info in self._with_place(service)
+            for info in self._with_place(service, work)
             if (pace := balancer.pace(info.id))
         ]
-        self._paces[service] = (now, paces)
+        self._paces[service, work] = (now, paces)
         return paces
 
-    def _with_place(self, service: ServiceName) -> list[InstanceInfo]:
+    def _with_place(self, service: ServiceName, work: Work) -> list[InstanceInfo]:
         """Returns the engines that fit and have a free place, the least occupied first."""
         balancer = self._services.balancer
         return [
             info
-            for info in balancer.candidates(service, self.work, eligible=self._is_unspoiled)
+            for info in balancer.candidates(service, work, eligible=self._is_unspoiled)
             if balancer.occupied(info) < max(1, info.slots)
         ]
 
--- a/src/larkpost/rollouts/engine_run.py
+++ b/src/larkpost/rollouts/engine_run.py
@@ -77,7 +77,7 @@
         """Wishes for a place if the run has shown itself long and the engine is slow."""
         if self._place is not None or len(self._progress.events) < LONG_RUN_EVENTS:
             return
-        pace = self._engines.fast_pace(self._engine)
+        pace = self._engines.fast_pace(self._engine, self._progress.item)
         if pace:
             self._place = self._places.wish(self._progress, self._route, pace)
 
@@ -156,7 +156,7 @@
         progress: Progress,
         watch: RunWatch,
     ) -> RunEnd:
-        self._services.balancer.placement.admit(engine.id, self._engines.work)
+        self._services.balancer.placement.admit(engine.id, self._engines.work_of(item))
         request = self._request(item, route, progress)
         async with self._services.servers.send(engine, request) as answer:
             self._services.balancer.note_load(engine.id, answer.load)
--- a/src/larkpost/rollouts/keeper.py
+++ b/src/larkpost/rollouts/keeper.py
@@ -15,7 +15,7 @@
 from larkpost.fleet.configuration import ModelName
 from larkpost.fleet.members import Membership
 from larkpost.fleet.weights import ModelDemand
-from larkpost.ids import BatchId, DaemonId
+from larkpost.ids import BatchId, DaemonId, RegionId
 from larkpost.metrics import Count
 from larkpost.rollouts.context import RunServices
 from larkpost.rollouts.model import BatchHead, BatchSpec, Item
@@ -163,10 +163,10 @@
         now = self._services.store_time()
         if now is None:
             return
-        for batch, known in list(self._heads.items()):
+        for known in list(self._heads.values()):
             if now - known.head.created_at < self._retention():
                 continue
-            if self._membership.first_choice(batch) == self._membership.own:
+            if self._successor(known.head) == self._membership.own:
                 try:
                     await self._repository.remove(known.head)
                 except StoreUnavailableError:
@@ -196,7 +196,21 @@
             return False
         if self._clock.now() - self._claimed_at.get(batch, float("-inf")) < CLAIM_PAUSE_SECONDS:
             return False
-        return membership.first_choice(batch) == membership.own
+        return self._successor(known.head) == membership.own
+
+    def _successor(self, head: BatchHead) -> DaemonId | None:
+        """Returns the daemon that is to claim a batch; None if none may.
+
+        Who runs or removes a batch reads its items, so it must be where they may be served.
+        """
+        return self._membership.first_choice(head.id, self._homes(head))
+
+    def _homes(self, head: BatchHead) -> frozenset[RegionId] | None:
+        """Returns the only regions in which a batch may be served; None for all."""
+        configuration = self._services.configuration.current
+        if configuration is None:
+            return frozenset()
+        return configuration.homes_at(head.tenant, head.host, head.path.encode("latin-1"))
 
     async def _claim(self, known: _KnownHead, owner: DaemonId) -> None:
         """Writes an owner into a head; if another change came first, learns the head as it is."""
@@ -237,7 +251,7 @@
         await owned.hand_over()
         self._release(batch)
         known = self._heads.get(batch)
-        successor = self._membership.first_choice(batch)
+        successor = self._successor(known.head) if known is not None else None
         if known is None or successor is None or known.head.ended:
             return
         await self._claim(known, successor)
--- a/src/larkpost/rollouts/place_queue.py
+++ b/src/larkpost/rollouts/place_queue.py
@@ -4,7 +4,7 @@
 at a slow engine may wish for a place at a fast one, and goes on meanwhile.
 
 One pass looks at the engines once for each item that it serves, however many wait: the first item
-of a service that finds no place ends the pass for all items of that service.
+of a service that finds no place ends the pass for all items of that service and those regions.
 """
 
 import asyncio
@@ -15,6 +15,7 @@
 from larkpost.clock import Clock
 from larkpost.fleet.configuration import Route, ServiceName
 from larkpost.fleet.directory import InstanceInfo
+from larkpost.placement.work import Work
 from larkpost.proxy.balancer import Balancer
 from larkpost.rollouts.attempt import Progress
 from larkpost.rollouts.engine_choice import LONG_RUN_EVENTS, EngineChoice
@@ -124,8 +125,8 @@
 
     def _pass(self) -> int:
         """Gives some places to the longest items, as long as there are any, and counts them."""
-        full: set[ServiceName] = set()
-        no_place_below: dict[ServiceName, float] = {}
+        full: set[tuple[ServiceName, Work]] = set()
+        no_place_below: dict[tuple[ServiceName, Work], float] = {}
         left: list[_Waiting] = []
         given = 0
         for entry in self._waiting:
@@ -133,16 +134,20 @@
                 left.append(entry)
                 continue
             service = self._engines.service_of(entry.item, entry.route)
+            if service is None:
+                left.append(entry)
+                continue
+            wanted = (service, self._engines.work_of(entry.item))
             engine = None
-            is_too_fast = 0 < entry.pace_limit <= no_place_below.get(service, 0.0)
-            if service is not None and service not in full and not is_too_fast:
-                engine = self._engines.choose(service, entry.pace_limit)
+            is_too_fast = 0 < entry.pace_limit <= no_place_below.get(wanted, 0.0)
+            if wanted not in full and not is_too_fast:
+                engine = self._engines.choose(service, entry.pace_limit, wanted[1])
             if engine is None:
-                if service is not None and entry.pace_limit:
-                    known = no_place_below.get(service, 0.0)
-                    no_place_below[service] = max(known, entry.pace_limit)
-                elif service is not None:
-                    full.add(service)
+                if entry.pace_limit:
+                    known = no_place_below.get(wanted, 0.0)
+                    no_place_below[wanted] = max(known, entry.pace_limit)
+                else:
+                    full.add(wanted)
                 left.append(entry)
                 continue
             self._balancer.occupy(engine.id)
--- a/src/larkpost/rollouts/reward.py
+++ b/src/larkpost/rollouts/reward.py
@@ -17,7 +17,7 @@
 from larkpost.fleet.directory import InstanceInfo
 from larkpost.ids import EngineId
 from larkpost.metrics import Count, Timing
-from larkpost.placement.work import REWARD_WORK
+from larkpost.placement.work import REWARD_WORK, Work, WorkKind
 from larkpost.proxy.port import (
     BrokenAnswerError,
     NotRunError,
@@ -139,7 +139,7 @@
     ) -> _Try | None:
         """Sends a call once; None if no server had a place."""
         async with self._services.reward_places:
-            server = self._choose(self._services.shares.choose(route), tries)
+            server = self._choose(self._services.shares.choose(route), call, tries)
             if server is None:
                 await self._services.clock.sleep(PLACE_PAUSE_SECONDS)
                 return None
@@ -152,10 +152,19 @@
             self._note(progress, call, server, ended, self._services.clock.now() - began)
             return ended
 
-    def _choose(self, service: ServiceName, tries: _Tries) -> InstanceInfo | None:
+    def _work(self, call: RewardCall) -> Work:
+        """Returns what the rules of placement ask of a call, as the configuration stands now."""
+        configuration = self._services.configuration.current
+        if configuration is None:
+            return REWARD_WORK
+        path = call.path.partition("?")[0].encode("latin-1")
+        regions = configuration.homes_at(self._head.tenant, call.host, path)
+        return Work(WorkKind.REWARD, regions)
+
+    def _choose(self, service: ServiceName, call: RewardCall, tries: _Tries) -> InstanceInfo | None:
         """Returns the best server with a place, one that was not tried yet if there is one."""
         balancer = self._services.balancer
-        candidates = balancer.candidates(service, REWARD_WORK, eligible=self._has_place)
+        candidates = balancer.candidates(service, self._work(call), eligible=self._has_place)
         fresh = [info for info in candidates if info.id not in tries.servers]
         if candidates and not fresh:
             tries.servers.clear()
@@ -176,7 +185,7 @@
         balancer = self._services.balancer
         began = self._services.clock.now()
         try:
-            balancer.placement.admit(server.id, REWARD_WORK)
+            balancer.placement.admit(server.id, self._work(call))
             with balancer.placed(server.id):
                 async with (
                     asyncio.timeout(limit),
--- a/src/larkpost/store/relay.py
+++ b/src/larkpost/store/relay.py
@@ -5,17 +5,21 @@
 once. If no peer reaches the store either, the store is away for all, and nothing is gained: peers
 are left alone for a while then.
 
+Near peers are asked first. The last of those asked is a far one: whatever cuts this daemon off may
+cut its whole region off. Calls whose content must not leave the region go to near peers only.
+
 Every write that larkpost makes is conditional or harmless when it is done twice, but a write
 without an answer is never sent again from here: its caller reads what became of it.
 """
 
 import asyncio
 import random
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Awaitable, Callable, Mapping
 from typing import Protocol, TypeVar
 
 from larkpost.clock import Clock
 from larkpost.eventlog import Event, EventLog
+from larkpost.fleet.regions import Distance
 from larkpost.ids import Address
 from larkpost.store.port import (
     RowPage,
@@ -72,18 +76,27 @@
         self._clock = clock
         self._log = log
         self._chance = chance
-        self._peers: Callable[[], Sequence[Address]] = tuple
+        self._peers: Callable[[], Mapping[Address, Distance]] = dict
+        self._is_confined: Callable[[str], bool] = lambda _: False
         self._connected: dict[Address, PeerStore] = {}
         self._peer: PeerStore | None = None
+        self._peer_distance = Distance.SAME_ZONE
         self._silent_at: dict[Address, float] = {}
         self._no_peer_until = float("-inf")
 
-    def start(self, peers: Callable[[], Sequence[Address]], tasks: TaskSet) -> None:
+    def start(
+        self,
+        peers: Callable[[], Mapping[Address, Distance]],
+        tasks: TaskSet,
+        is_confined: Callable[[str], bool] = lambda _: False,
+    ) -> None:
         """Starts to look for the store's return whenever calls are relayed.
 
         Args:
-            peers: returns the addresses of the other daemons held alive.
+            peers: returns the addresses of the other daemons held alive, and how far they are.
+            is_confined: tells whether rows of a table must not pass through another region.
         """
+        self._is_confined = is_confined
         self._peers = peers
         tasks.every(PROBE_INTERVAL_SECONDS, self._probe, "store_relay")
 
@@ -104,8 +117,9 @@
             result = await self._direct.write(transaction, timeout)
         if result.outcome not in REFUSED:
             return result
-        for _ in range(PEERS_ASKED):
-            peer = self._find_peer()
+        confined = any(self._is_confined(key.table) for key, _ in transaction.puts)
+        for tried in range(PEERS_ASKED):
+            peer = self._find_peer(tried, confined=confined)
             if peer is None:
                 return result
             result = await peer.write(transaction, min(timeout, MOST_PEER_SECONDS))
@@ -121,7 +135,10 @@
         self, table: str, part: str, first: str = "", end: str = "", limit: int = 0
     ) -> RowPage:
         """Reads rows of a part; see the port."""
-        return await self._ask(lambda store: store.read(table, part, first, end, limit))
+        return await self._ask(
+            lambda store: store.read(table, part, first, end, limit),
+            confined=self._is_confined(table),
+        )
 
     async def changes(self, table: str, after: int, wait: float) -> RowPage:
         """Returns the changes of a table; see the port."""
@@ -133,11 +150,18 @@
             await peer.close()
         self._connected.clear()
 
-    async def _ask(self, call: Callable[[Store], Awaitable[Answer]], wait: float = 0.0) -> Answer:
+    async def _ask(
+        self,
+        call: Callable[[Store], Awaitable[Answer]],
+        wait: float = 0.0,
+        *,
+        confined: bool = False,
+    ) -> Answer:
         """Makes a reading call directly or by way of a peer.
 
         Args:
             wait: seconds that the store itself may wait before it answers.
+            confined: whether the answer must not pass through another region.
 
         Raises:
             HistoryLostError: as the store answered.
@@ -149,8 +173,8 @@
                 return await call(self._direct)
             except StoreUnavailableError as error:
                 failure = error
-        for _ in range(PEERS_ASKED):
-            peer = self._find_peer()
+        for tried in range(PEERS_ASKED):
+            peer = self._find_peer(tried, confined=confined)
             if peer is None:
                 raise failure
             try:
@@ -163,19 +187,31 @@
         self._leave_peers_alone()
         raise failure
 
-    def _find_peer(self) -> PeerStore | None:
-        """Returns the peer that makes this daemon's calls, a new one if there is none."""
-        if self._peer is not None:
+    def _find_peer(self, tried: int, *, confined: bool) -> PeerStore | None:
+        """Returns the peer that makes this daemon's calls, a new one if there is none.
+
+        Args:
+            tried: peers that were asked in vain for this call.
+            confined: whether the peer must be in this daemon's region.
+        """
+        if self._peer is not None and not (
+            confined and self._peer_distance is Distance.OTHER_REGION
+        ):
             return self._peer
         now = self._clock.now()
-        addresses = [
-            address
-            for address in self._peers()
+        rested = {
+            address: distance
+            for address, distance in self._peers().items()
             if now - self._silent_at.get(address, float("-inf")) >= PEER_REST_SECONDS
-        ]
-        if not addresses or now < self._no_peer_until:
+            and not (confined and distance is Distance.OTHER_REGION)
+        }
+        if not rested or now < self._no_peer_until:
             return None
-        address = self._chance.choice(addresses)
+        is_last = tried == PEERS_ASKED - 1
+        self._peer_distance = max(rested.values()) if is_last else min(rested.values())
+        address = self._chance.choice(
+            [name for name, distance in rested.items() if distance is self._peer_distance]
+        )
         if address not in self._connected:
             self._connected[address] = self._connect(address)
         self._peer = self._connected[address]
--- a/tests/test_scale_mechanisms.py
+++ b/tests/test_scale_mechanisms.py
@@ -235,10 +235,10 @@
             looks = 0
             choose = EngineChoice.choose
 
-            def counted(self, service, pace_limit=0.0):
+            def counted(self, *arguments):
                 nonlocal looks
                 looks += 1
-                return choose(self, service, pace_limit)
+                return choose(self, *arguments)
 
             EngineChoice.choose = counted
             try:
--- a/tests/test_store_relay.py
+++ b/tests/test_store_relay.py
@@ -7,6 +7,7 @@
 
 from larkpost.clock import LoopClock
 from larkpost.eventlog import EventLog
+from larkpost.fleet.regions import Distance
 from larkpost.http_server import HttpServer
 from larkpost.ids import Address
 from larkpost.platform import names
@@ -52,7 +53,7 @@
             self.direct, self.connect, self.clock, EventLog("d"), random.Random(0)
         )
         self.tasks = TaskSet(self.clock, Telemetry("d", log=False))
-        self.store.start(lambda: PEERS, self.tasks)
+        self.store.start(lambda: dict.fromkeys(PEERS, Distance.SAME_REGION), self.tasks)
 
     def connect(self, address: Address) -> StoreClient:
         """Returns the store by way of a peer; counts the peers that were asked."""
