--- a/tests/platform_checks.py
+++ b/tests/platform_checks.py
@@ -1,6 +1,6 @@
 """Checks of single promises on the platform, shared by the fuzz's oracle and the process soak."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 
 LEASE_SECONDS = 3.0
 CALL_ATTEMPTS = 4
@@ -54,3 +54,12 @@
 def check_given_up(item: str, failures: int) -> None:
     """Checks that an item with a reward call is dead only after enough failures of the call."""
     assert failures >= CALL_ATTEMPTS, f"{item} given up early"
+
+
+def check_home(what: str, region: str | None, homes: Collection[str] | None) -> None:
+    """Checks that something that holds a request's body is where the request may be served.
+
+    Args:
+        homes: the only regions in which it may be served; None for all.
+    """
+    assert homes is None or region in homes, f"{what} in {region} is outside its homes {homes}"
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -18,11 +18,12 @@
     ServiceShare,
 )
 from larkpost.fleet.directory import InstanceInfo, InstanceState
+from larkpost.fleet.regions import RegionMap
 from larkpost.fleet.row_intake import RowReaders
 from larkpost.fleet.tenants import TenantName
 from larkpost.fleet.weights import WeightTarget
 from larkpost.gateway import Gateway, GatewayPorts, GatewaySettings
-from larkpost.ids import Address, BatchId, EngineId, ZoneId
+from larkpost.ids import Address, BatchId, EngineId, RegionId, ZoneId
 from larkpost.policy import DEFAULT_POLICY, Policy
 from larkpost.rehearsal.memory_store import MemoryStore, StoreClient
 from larkpost.rehearsal.scripted_engines import EngineState, ScriptedEngines, output_of
@@ -42,6 +43,7 @@
 from larkpost.store.relay import RelayedStore
 from larkpost.usage.port import UsageTerms
 from tests.platform_checks import CALL_ATTEMPTS
+from tests.platform_places import EAST, REGIONS, WatchedClient
 
 MODEL = ModelName("model")
 SCORERS = ServiceName("scorers")
@@ -93,7 +95,13 @@
     routes=(ROUTE, replace(SCORER_ROUTE, shares=(ServiceShare(OTHER_SCORERS, 1.0),))),
 )
 """The scorers' route leads to another service."""
-CONFIGURATIONS = {b"": CONFIGURATION, b"moved": MOVED_CONFIGURATION}
+EAST_CONFIGURATION = replace(
+    CONFIGURATION,
+    version=3,
+    routes=tuple(replace(route, regions=frozenset({EAST})) for route in CONFIGURATION.routes),
+)
+"""Only servers in the east may serve."""
+CONFIGURATIONS = {b"": CONFIGURATION, b"moved": MOVED_CONFIGURATION, b"east": EAST_CONFIGURATION}
 
 
 def _read_configuration(row: Row) -> Configuration | None:
@@ -112,7 +120,7 @@
         EngineId(row.key.key),
         ServiceName(fields["service"]),
         Address("10.0.0.1:1"),
-        ZoneId("z"),
+        ZoneId(fields["zone"]),
         fields["slots"],
         InstanceState(fields["state"]),
         {MODEL: fields["version"]},
@@ -153,23 +161,30 @@
         scorers: int = 0,
         relays: bool = False,
         policy: Policy = DEFAULT_POLICY,
+        zones: tuple[ZoneId, ...] = (),
+        configuration: bytes = b"",
     ) -> None:
         """Starts a fleet.
 
         Args:
+            zones: where daemons and engines stand, in turn; empty if zones are not spoken of.
+            configuration: names the configuration that it begins with.
             relays: whether daemons make calls to the store for those that it turns away.
             policy: how the daemons decide.
         """
         self.policy = policy
+        self.zones = zones
+        self.gateway_zones: list[ZoneId] = []
+        self.engine_zones: dict[EngineId, ZoneId] = {}
         self.relays = relays
         self.clock = LoopClock()
         self.store = MemoryStore(self.clock, random.Random(seed))
         self.engines = ScriptedEngines(self.clock, MODEL)
-        self.clients: list[StoreClient] = []
+        self.clients: list[WatchedClient] = []
         self.gateways: list[Gateway] = []
         self.clocks: list[MachineClock] = []
         self.usage = ScriptedUsage(self.clock)
-        self.put("operator", "configuration", b"")
+        self.put("operator", "configuration", configuration)
         for number in range(engines):
             self.add_engine(EngineId(f"engine-{number}"))
         for number in range(scorers):
@@ -187,7 +202,8 @@
         if engine not in self.engines.engines:
             self.engines.engines[engine] = EngineState(versions={MODEL: 1})
         version = self.engines.engines[engine].versions[MODEL]
-        entry = {"service": ENGINES, "slots": 8, "state": state, "version": version}
+        zone = self.engine_zones.setdefault(engine, self._zone(len(self.engine_zones)))
+        entry = {"service": ENGINES, "slots": 8, "state": state, "version": version, "zone": zone}
         self.put("instances", engine, orjson.dumps(entry))
 
     def add_scorer(
@@ -199,8 +215,17 @@
         """Lists a server that scores outputs."""
         if scorer not in self.engines.engines:
             self.engines.engines[scorer] = EngineState(slots=SCORER_SLOTS)
+        zone = self.engine_zones.setdefault(scorer, self._zone(len(self.engine_zones)))
         entry = {"service": service, "slots": SCORER_SLOTS, "state": state, "version": 0}
-        self.put("instances", scorer, orjson.dumps(entry))
+        self.put("instances", scorer, orjson.dumps(entry | {"zone": zone}))
+
+    def _zone(self, number: int) -> ZoneId:
+        """Returns where a daemon or an engine stands."""
+        return self.zones[number % len(self.zones)] if self.zones else ZoneId("z")
+
+    def region_of_gateway(self, number: int) -> RegionId | None:
+        """Returns a daemon's region; None if zones are not spoken of."""
+        return REGIONS.get(self.gateway_zones[number])
 
     def scorers(self) -> list[EngineState]:
         """Returns the servers that score outputs."""
@@ -225,9 +250,10 @@
                     written[name] = state.versions[MODEL]
                     self.add_engine(name)
 
-    def add_gateway(self, name: str) -> Gateway:
-        """Starts a gateway."""
-        client = StoreClient(self.store)
+    def add_gateway(self, name: str, zone: ZoneId | None = None) -> Gateway:
+        """Starts a gateway; in the next zone in turn if none is named."""
+        client = WatchedClient(self.store)
+        self.gateway_zones.append(zone or self._zone(len(self.gateway_zones)))
         clock = MachineClock()
         log = EventLog(name)
         relay = None
@@ -249,6 +275,7 @@
             peer_address=Address(f"peer:{len(self.gateways)}"),
             policy=self.policy,
             usage=USAGE_TERMS,
+            regions=RegionMap(self.gateway_zones[-1], REGIONS) if self.zones else RegionMap(),
         )
         gateway = Gateway(settings, ports)
         self.clients.append(client)
--- a/tests/platform_mutants.py
+++ b/tests/platform_mutants.py
@@ -353,6 +353,21 @@
     return mock.patch.object(EngineChoice, "count_places", lambda *_: 1000)
 
 
+def claim_outside_homes():
+    """Has a batch claimed by any coordinator, wherever it may be served."""
+    from larkpost.rollouts.keeper import BatchKeeper
+
+    return mock.patch.object(BatchKeeper, "_homes", lambda *_: None)
+
+
+def serve_anywhere():
+    """Sends work to instances in any region."""
+    from larkpost.placement.homes import HomeRule
+    from larkpost.placement.verdict import Verdict
+
+    return mock.patch.object(HomeRule, "judge", lambda *_: Verdict.ALLOWED)
+
+
 MUTANTS = {
     mutant.__name__: mutant
     for mutant in (
@@ -387,6 +402,8 @@
         save_counts_without_condition,
         believe_own_clock,
         end_stalled_runs_without_places,
+        claim_outside_homes,
+        serve_anywhere,
     )
 }
 TESTS = dict.fromkeys(MUTANTS, FUZZ) | {
@@ -426,5 +443,7 @@
     "score_unsigned_answers": ("nobody's signature",),
     "give_up_after_one_failed_call": ("given up early",),
     "refuse_for_good_by_old_configurations": ("UnknownKeyError",),
+    "claim_outside_homes": ("outside its homes",),
+    "serve_anywhere": ("outside its homes",),
 }
 """What the failure must name: another failure proves nothing about the mutant."""
--- a/tests/platform_oracle.py
+++ b/tests/platform_oracle.py
@@ -1,11 +1,12 @@
 """What must hold of a fleet on the platform, checked from what callers, engines and store saw."""
 
 from larkpost.errors import LarkpostError
-from larkpost.ids import BatchId
+from larkpost.ids import BatchId, RegionId
 from larkpost.rollouts.model import BatchSpec, Result, ResultState, RewardCallId
 from larkpost.rollouts.service import BatchRefusedError
 from tests import platform_checks as checks
 from tests.platform_fleet import PlatformFleet, expected_text
+from tests.platform_places import REGIONS
 
 
 class PlatformOracle:
@@ -17,6 +18,8 @@
         ended: batches that someone asked to end.
         read: what was read of each batch, by position.
         unavailable: calls that a daemon could not answer, with a promise of nothing.
+        asked: the numbers of the daemons that a trainer itself sent each batch to.
+        homes: the only regions in which batches may be served all the time; None for all.
     """
 
     def __init__(self, fleet: PlatformFleet) -> None:
@@ -26,6 +29,8 @@
         self.ended: set[BatchId] = set()
         self.read: dict[BatchId, list[Result]] = {}
         self.unavailable = 0
+        self.asked: dict[BatchId, set[int]] = {}
+        self.homes: frozenset[RegionId] | None = None
 
     @classmethod
     def of_batch(cls, fleet: PlatformFleet, spec: BatchSpec) -> "PlatformOracle":
@@ -36,6 +41,7 @@
 
     async def submit(self, gateway, spec: BatchSpec) -> bool:
         """Submits a batch and tells whether it was accepted."""
+        self.asked.setdefault(spec.id, set()).add(self.fleet.gateways.index(gateway))
         try:
             await gateway.batches.submit(spec)
         except BatchRefusedError:
@@ -81,6 +87,26 @@
         self.check_listed()
         self.check_scores()
         self.check_usage()
+        self.check_homes()
+
+    def check_homes(self) -> None:
+        """No engine or daemon outside the homes holds a body, but those a trainer sent it to.
+
+        A peer that writes items for a daemon may also be in that daemon's region.
+        """
+        if self.homes is None:
+            return
+        for name, state in self.fleet.engines.engines.items():
+            if state.runs:
+                checks.check_home(name, REGIONS.get(self.fleet.engine_zones[name]), self.homes)
+        for number, client in enumerate(self.fleet.clients):
+            region = self.fleet.region_of_gateway(number)
+            for batch in client.items_read | client.items_written:
+                asked = self.asked.get(BatchId(batch), set())
+                near = {self.fleet.region_of_gateway(other) for other in asked}
+                is_relay = batch not in client.items_read and region in near
+                if number not in asked and not is_relay:
+                    checks.check_home(f"reader {number} of {batch}", region, self.homes)
 
     def check_orders(self) -> None:
         """Holders never take turns at an engine within a lease; tokens rise."""
--- /dev/null
+++ b/tests/platform_places.py
@@ -0,0 +1,44 @@
+"""Two regions for tests, and daemons' ways to the store that tell whose items passed there."""
+
+from larkpost.ids import RegionId, ZoneId
+from larkpost.rehearsal.memory_store import MemoryStore, StoreClient
+from larkpost.rollouts.repository import ITEM_TABLE
+from larkpost.store.port import RowPage, Transaction, WriteResult
+
+EAST = RegionId("east")
+WEST = RegionId("west")
+EAST_ZONES = (ZoneId("east-1"), ZoneId("east-2"))
+WEST_ZONE = ZoneId("west-1")
+REGIONS = dict.fromkeys(EAST_ZONES, EAST) | {WEST_ZONE: WEST}
+TWO_REGIONS = (EAST_ZONES[0], WEST_ZONE, EAST_ZONES[1], WEST_ZONE)
+"""Zones of the daemons and of the engines, in their order, over two regions."""
+
+
+class WatchedClient(StoreClient):
+    """A daemon's way to the store that remembers whose items passed through it.
+
+    Attributes:
+        items_read: batches whose items it read.
+        items_written: batches whose items it wrote.
+    """
+
+    def __init__(self, store: MemoryStore) -> None:
+        super().__init__(store)
+        self.items_read: set[str] = set()
+        self.items_written: set[str] = set()
+
+    async def read(
+        self, table: str, part: str, first: str = "", end: str = "", limit: int = 0
+    ) -> RowPage:
+        """Reads rows of a part; see the port."""
+        page = await super().read(table, part, first, end, limit)
+        if table == ITEM_TABLE:
+            self.items_read |= {row.key.key.partition("/")[0] for row in page.rows}
+        return page
+
+    async def write(self, transaction: Transaction, timeout: float) -> WriteResult:
+        """Carries out a transaction; see the port."""
+        self.items_written |= {
+            key.key.partition("/")[0] for key, _ in transaction.puts if key.table == ITEM_TABLE
+        }
+        return await super().write(transaction, timeout)
--- a/tests/test_platform_fuzz.py
+++ b/tests/test_platform_fuzz.py
@@ -18,6 +18,7 @@
 from larkpost.rehearsal.memory_store import StoreFaults
 from tests.platform_fleet import MODEL, PlatformFleet, make_batch
 from tests.platform_oracle import PlatformOracle
+from tests.platform_places import EAST, EAST_ZONES, TWO_REGIONS
 
 EXAMPLES = int(os.environ.get("LARKPOST_PLATFORM_FUZZ_EXAMPLES", "12"))
 FRESH = "LARKPOST_FUZZ_FRESH" in os.environ
@@ -35,20 +36,32 @@
 class PlatformMachine(RuleBasedStateMachine):
     """What happens; the oracle remembers what was promised and read."""
 
-    @initialize(troubles=st.tuples(*[st.sampled_from(SCORER_TROUBLES)] * SCORERS))
-    def begin(self, troubles):
-        """Starts a fleet whose scoring servers may be ill from the beginning."""
+    @initialize(
+        troubles=st.tuples(*[st.sampled_from(SCORER_TROUBLES)] * SCORERS), at_home=st.booleans()
+    )
+    def begin(self, troubles, at_home):
+        """Starts a fleet whose scoring servers may be ill from the beginning.
+
+        Its daemons and engines may stand in two regions, of which only one may serve.
+        """
         self.loop = async_solipsism.EventLoop()
         self.dead: set[int] = set()
         self.version = 1
         self.count = 0
-        self.run(self._begin())
+        self.run(self._begin(at_home))
         for number, trouble in enumerate(troubles):
             self.trouble_scorer(number, trouble)
 
-    async def _begin(self):
-        self.fleet = PlatformFleet(GATEWAYS, ENGINES, scorers=SCORERS)
+    async def _begin(self, at_home):
+        if at_home:
+            self.fleet = PlatformFleet(
+                GATEWAYS, ENGINES, scorers=SCORERS, zones=TWO_REGIONS, configuration=b"east"
+            )
+        else:
+            self.fleet = PlatformFleet(GATEWAYS, ENGINES, scorers=SCORERS)
         self.oracle = PlatformOracle(self.fleet)
+        if at_home:
+            self.oracle.homes = frozenset({EAST})
         await self.fleet.wait(1.0)
 
     def run(self, work):
@@ -204,6 +217,8 @@
             state.status = None
         while len(fleet.gateways) - len(self.dead) < GATEWAYS:
             fleet.add_gateway(f"daemon-{len(fleet.gateways)}")
+        if self.oracle.homes is not None:
+            fleet.add_gateway(f"daemon-{len(fleet.gateways)}", EAST_ZONES[0])  # one must live there
         for _ in range(LIVENESS_SECONDS):
             await fleet.wait(1.0)
             if not self.oracle.missing():
