Nearness: of servers about equally fast and loaded the nearest is taken

Clients' requests count the longer way as measured by this daemon's whole answers, by service and distance; a default stands in until then. The way counts only while a nearer server has a place, and a pace measured here has it in already. Items take the engine nearest to their owner among its likes. Named tests of homes and nearness.

--- a/src/larkpost/fleet/regions.py
+++ b/src/larkpost/fleet/regions.py
@@ -56,9 +56,11 @@
         return self._regions.get(zone)
 
     def distance(self, zone: ZoneId) -> Distance:
-        """Returns how far a zone is."""
+        """Returns how far a zone is; all are equally far if the settings name no zones."""
+        if not self._regions:
+            return Distance.SAME_REGION
         if zone == self.own_zone:
             return Distance.SAME_ZONE
         region = self.region_of(zone)
-        is_same = not self._regions or (region is not None and region == self.own_region)
+        is_same = region is not None and region == self.own_region
         return Distance.SAME_REGION if is_same else Distance.OTHER_REGION
--- a/src/larkpost/gateway.py
+++ b/src/larkpost/gateway.py
@@ -132,6 +132,7 @@
             settings.policy,
             ports.servers.is_connected,
             Placement(self.directory, self._placement_rules(), ports.metrics),
+            self.beliefs.regions,
         )
         self.membership = Membership(
             own,
--- a/src/larkpost/policy.py
+++ b/src/larkpost/policy.py
@@ -49,6 +49,7 @@
             fill up one by one while others had free places (round 33).
         load_groups: groups of a model's engines that load a version one after the other; 1 loads
             all at once, without waiting for running items. Three leave two thirds to serve.
+        near_first: of servers that are about equally fast and loaded, the nearest is taken.
         avoid_failed: an instance that failed or refused is left alone for a moment.
         coordinators: daemons that give orders and claim batches: enough that not all of them
             fail at once, few enough that their heartbeats fit into one part of the store.
@@ -76,6 +77,7 @@
     told_paces: bool = True
     kept_connections_first: bool = True
     load_groups: int = 3
+    near_first: bool = True
     avoid_failed: bool = True
     coordinators: int = 12
     idle_intervals: bool = True
--- a/src/larkpost/proxy/balancer.py
+++ b/src/larkpost/proxy/balancer.py
@@ -10,11 +10,13 @@
 from larkpost.fleet.configuration import ServiceName
 from larkpost.fleet.directory import Directory, InstanceInfo
 from larkpost.fleet.heartbeat import UseSummary
+from larkpost.fleet.regions import Distance, RegionMap
 from larkpost.ids import DaemonId, EngineId
 from larkpost.placement.rules import Placement
 from larkpost.placement.verdict import Verdict
 from larkpost.placement.work import CLIENT_WORK, Work
 from larkpost.policy import DEFAULT_POLICY, Policy
+from larkpost.proxy.closeness import Closeness
 from larkpost.proxy.port import NotRunReason, ServerLoad
 
 LOAD_LIFETIME_SECONDS = 1.0
@@ -44,6 +46,7 @@
         others: requests of other daemons there, when it last told its load.
         avoid_until: steady time before which it is only a last resort.
         pace: seconds a unit of work takes there, smoothed; 0 if unknown.
+        answered_at: when the pace last was that of a whole answer, the way there and back in it.
     """
 
     outstanding: int = 0
@@ -52,6 +55,7 @@
     avoid_until: float = float("-inf")
     pace: float = 0.0
     pace_at: float = float("-inf")
+    answered_at: float = float("-inf")
 
 
 @dataclass(frozen=True, slots=True)
@@ -74,6 +78,7 @@
         policy: Policy = DEFAULT_POLICY,
         is_connected: Callable[[InstanceInfo], bool] = lambda _: False,
         placement: Placement | None = None,
+        regions: RegionMap | None = None,
     ) -> None:
         """Makes an empty record.
 
@@ -81,7 +86,10 @@
             is_connected: tells whether a connection to an instance is kept.
             placement: the rules by which instances are judged; None for no more than that they
                 do not leave.
+            regions: where zones lie; None if that is not known.
         """
+        self._regions = regions or RegionMap()
+        self._closeness = Closeness(clock)
         self._placement = placement or Placement(directory)
         self._policy = policy
         self._is_connected = is_connected
@@ -112,7 +120,8 @@
         Args:
             work: what is to be sent.
             eligible: tells what else the caller wants of an instance.
-            for_client: whether it is a client's request, which rather takes a kept connection.
+            for_client: whether it is a client's request, which rather takes a kept connection
+                and a near instance.
         """
         fitting = [
             info
@@ -121,18 +130,53 @@
             and (eligible is None or eligible(info))
             and self._placement.allows(info, work)
         ]
-        paces = {info.id: self.pace(info.id) for info in fitting}
+        ways = self._way_factors(service, fitting) if for_client else {}
+        paces = {info.id: self._pace_here(info.id, ways.get(info.id, 1.0)) for info in fitting}
         best_pace = min((pace for pace in paces.values() if pace), default=0.0)
         return sorted(
             fitting,
             key=lambda info: (
                 self.is_avoided(info.id),
                 self._expected_wait(info, paces[info.id], best_pace)
+                * ways.get(info.id, 1.0)
                 * (self._connection_factor(info) if for_client else 1.0),
                 self._chance.random(),
             ),
         )
 
+    def distance(self, info: InstanceInfo) -> Distance:
+        """Returns how far an instance is."""
+        return self._regions.distance(info.zone)
+
+    def _way_factors(
+        self, service: ServiceName, fitting: list[InstanceInfo]
+    ) -> dict[EngineId, float]:
+        """Returns by how much longer an answer takes than from the nearest that has a place.
+
+        Only instances from which it takes longer are named.
+        """
+        distances = {info.id: self.distance(info) for info in fitting}
+        if not self._policy.near_first or len(set(distances.values())) < 2:
+            return {}
+        nearest = min(
+            (
+                distances[info.id]
+                for info in fitting
+                if not self.is_avoided(info.id) and self.occupied(info) < max(1, info.slots)
+            ),
+            default=Distance.OTHER_REGION,
+        )
+        return {
+            name: self._closeness.factor(service, distance, nearest)
+            for name, distance in distances.items()
+            if distance > nearest
+        }
+
+    def _pace_here(self, instance: EngineId, way: float) -> float:
+        """Returns an instance's pace, without the longer way if this daemon measured it in."""
+        is_answer = self._clock.now() - self.use(instance).answered_at < PACE_LIFETIME_SECONDS
+        return self.pace(instance) / (way if is_answer else 1.0)
+
     def occupied(self, info: InstanceInfo) -> int:
         """Returns the requests believed to be at an instance, this daemon's and others'."""
         now = self._clock.now()
@@ -231,6 +275,12 @@
             use.pace += weight * (seconds - use.pace)
         use.pace_at = now
 
+    def note_answer(self, info: InstanceInfo, seconds: float) -> None:
+        """Takes the time from a client's request to its whole answer."""
+        self.note_pace(info.id, seconds)
+        self.use(info.id).answered_at = self._clock.now()
+        self._closeness.note(info.service, self.distance(info), seconds)
+
     def avoid(self, instance: EngineId, seconds: float) -> None:
         """Makes an instance a last resort for a while."""
         if not self._policy.avoid_failed:
--- /dev/null
+++ b/src/larkpost/proxy/closeness.py
@@ -0,0 +1,62 @@
+"""How much longer answers take from servers farther away, as this daemon's own requests show."""
+
+from dataclasses import dataclass
+
+from larkpost.clock import Clock
+from larkpost.fleet.configuration import ServiceName
+from larkpost.fleet.regions import Distance
+
+DEFAULT_FACTORS = {
+    Distance.SAME_ZONE: 1.0,
+    Distance.SAME_REGION: 1.05,
+    Distance.OTHER_REGION: 1.5,
+}
+"""By how much longer an answer is taken to take until it was measured: a little, so that the
+nearer one of two equal servers is taken, and load and pace decide otherwise."""
+MAX_FACTOR = 4.0
+"""A single late answer must not close a region for long."""
+RISE_WEIGHT = 0.05
+"""Weight of an answer slower than the usual one: the quickest tell the way, the others the load."""
+LIFETIME_SECONDS = 120.0
+"""How long a measurement counts: servers and links change, and a far one is seldom asked."""
+
+
+@dataclass(slots=True)
+class _Quickest:
+    """About the quickest answers lately, in seconds, and when the last one came."""
+
+    seconds: float
+    at: float
+
+
+class Closeness:
+    """The quickest answers of each service from each distance."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._quickest: dict[tuple[ServiceName, Distance], _Quickest] = {}
+
+    def note(self, service: ServiceName, distance: Distance, seconds: float) -> None:
+        """Takes the time that one whole answer took."""
+        now = self._clock.now()
+        known = self._quickest.get((service, distance))
+        if known is None or now - known.at > LIFETIME_SECONDS or seconds < known.seconds:
+            self._quickest[service, distance] = _Quickest(seconds, now)
+            return
+        known.seconds += RISE_WEIGHT * (seconds - known.seconds)
+        known.at = now
+
+    def factor(self, service: ServiceName, distance: Distance, nearest: Distance) -> float:
+        """Returns how many times as long an answer takes from a distance as from a nearer one."""
+        if distance <= nearest:
+            return 1.0
+        far, near = (self._measured(service, place) for place in (distance, nearest))
+        if far is None or not near:
+            return DEFAULT_FACTORS[distance] / DEFAULT_FACTORS[nearest]
+        return min(MAX_FACTOR, max(1.0, far / near))
+
+    def _measured(self, service: ServiceName, distance: Distance) -> float | None:
+        known = self._quickest.get((service, distance))
+        if known is None or self._clock.now() - known.at > LIFETIME_SECONDS:
+            return None
+        return known.seconds
--- a/src/larkpost/proxy/forwarder.py
+++ b/src/larkpost/proxy/forwarder.py
@@ -244,7 +244,7 @@
             raise
         self._note_begun(request, started)
         attempts.ran_at.add(instance.id)
-        self._balancer.note_pace(instance.id, self._clock.now() - started)
+        self._balancer.note_answer(instance, self._clock.now() - started)
         if whole.status < 300 and not of_server:
             self._note_broken(instance, request, attempts, "a success without a signature")
             return None
--- a/src/larkpost/rollouts/engine_choice.py
+++ b/src/larkpost/rollouts/engine_choice.py
@@ -17,6 +17,8 @@
 LONG_RUN_EVENTS = 30
 PACE_TOLERANCE = 1.05
 """A moved run takes an engine whose pace is above its limit by no more than this factor."""
+ALIKE_OCCUPIED = 1
+"""Items by which a nearer engine may be fuller than the best one and still count as its like."""
 OWN_ENGINES_SECONDS = 0.6
 """For so long a batch takes places at its model's own engines only: batches often come at the same
 moment, and what the others take is known a heartbeat and its listing (0.25 s each) later."""
@@ -100,7 +102,23 @@
             pace = balancer.pace(info.id)
             if pace and best_pace > pace * FASTER_RATIO:
                 best, best_pace = info, pace
-        return best
+        return self._nearest_like(best, candidates)
+
+    def _nearest_like(self, best: InstanceInfo, candidates: list[InstanceInfo]) -> InstanceInfo:
+        """Returns the nearest of the engines that are about as fast and loaded as the best one."""
+        balancer = self._services.balancer
+        if not self._services.policy.near_first:
+            return best
+        pace, occupied = balancer.pace(best.id), balancer.occupied(best)
+        alike = [
+            info
+            for info in candidates
+            if balancer.distance(info) < balancer.distance(best)
+            and balancer.occupied(info) <= occupied + ALIKE_OCCUPIED
+            and balancer.pace(info.id) <= pace * FASTER_RATIO
+            and bool(balancer.pace(info.id)) == bool(pace)
+        ]
+        return min(alike, key=balancer.distance, default=best)
 
     def _allowed(self, service: ServiceName, candidates: list[InstanceInfo]) -> list[InstanceInfo]:
         """Returns the engines that a batch may use now: at first only its model's own."""
--- /dev/null
+++ b/tests/test_nearness.py
@@ -0,0 +1,251 @@
+"""What is near: servers for clients' requests in two regions, and peers of the store."""
+
+import random
+import unittest
+
+from larkpost.clock import LoopClock
+from larkpost.eventlog import EventLog
+from larkpost.fleet.configuration import (
+    Route,
+    RouteKind,
+    ServiceShare,
+)
+from larkpost.fleet.directory import Directory, InstanceInfo, InstanceState
+from larkpost.fleet.regions import Distance, RegionMap
+from larkpost.ids import Address, EngineId, RegionId, ZoneId
+from larkpost.metrics import Metrics
+from larkpost.placement.homes import HomeRule
+from larkpost.placement.rules import Placement
+from larkpost.proxy.balancer import Balancer
+from larkpost.proxy.forwarder import Forwarder
+from larkpost.proxy.request import ClientRequest, RefusedError
+from larkpost.proxy.shares import ShareChooser
+from larkpost.rehearsal.memory_store import MemoryStore, StoreClient
+from larkpost.rehearsal.scripted_engines import EngineState, ScriptedEngines
+from larkpost.rollouts.repository import ITEM_TABLE
+from larkpost.store.port import RowKey, StoreUnavailableError, Transaction, WriteOutcome
+from larkpost.store.relay import PEERS_ASKED, RelayedStore
+from larkpost.tasks import TaskSet
+from larkpost.telemetry import Telemetry
+from tests.platform_fleet import (
+    MODEL,
+    PAGES,
+)
+from tests.platform_places import EAST, EAST_ZONES, REGIONS, WEST, WEST_ZONE
+from tests.virtual import run
+
+ROUTE = Route(
+    "r", "h", b"/", RouteKind.IDEMPOTENT, (ServiceShare(PAGES, 1.0),), 2.0, 0.2, max_attempts=2
+)
+HERE = RegionMap(EAST_ZONES[0], REGIONS)
+
+
+class ServersTest(unittest.TestCase):
+    """Client requests before servers in two regions."""
+
+    def begin(self, *zones: ZoneId, regions: RegionMap = HERE) -> None:
+        """Lists a server in each zone, named s0, s1 and so on."""
+        self.clock = LoopClock()
+        self.servers = ScriptedEngines(self.clock, MODEL)
+        self.directory = Directory()
+        for number, zone in enumerate(zones):
+            name = EngineId(f"s{number}")
+            self.servers.engines[name] = EngineState(slots=4)
+            address = Address("10.0.0.1:1")
+            self.directory.update(
+                InstanceInfo(name, PAGES, address, zone, 4, InstanceState.READY, {MODEL: 1})
+            )
+        placement = Placement(self.directory, (HomeRule(regions),))
+        chance = random.Random(1)
+        self.balancer = Balancer(
+            self.directory, self.clock, chance, placement=placement, regions=regions
+        )
+        shares = ShareChooser(random.Random(0))
+        self.forwarder = Forwarder(
+            self.directory,
+            self.balancer,
+            self.servers,
+            self.clock,
+            EventLog("d"),
+            Metrics(),
+            shares,
+        )
+
+    def request(self, *regions: RegionId) -> ClientRequest:
+        """Returns a request that may be served in these regions only."""
+        now = self.clock.now()
+        homes = frozenset(regions)
+        return ClientRequest(b"1", "GET", b"h", b"/", (), b"", now, 1.5, regions=homes)
+
+    def first(self) -> str:
+        """Returns the server that a client's request would be sent to."""
+        return self.balancer.candidates(PAGES, for_client=True)[0].id
+
+    def firsts(self) -> set[str]:
+        """Returns all servers that it might be sent to, by chance."""
+        return {self.first() for _ in range(30)}
+
+    async def seconds_until_refused(self, *regions: RegionId) -> float:
+        """Returns how long it takes to refuse a request that may be served there only."""
+        began = self.clock.now()
+        with self.assertRaises(RefusedError) as caught:
+            await self.forwarder.forward(self.request(*regions), ROUTE)
+        self.assertGreater(caught.exception.retry_after, 0)
+        return self.clock.now() - began
+
+    def test_request_with_homes_goes_there_only(self):
+        async def play():
+            self.begin(EAST_ZONES[0], WEST_ZONE)
+            for _ in range(5):
+                await self.forwarder.forward(self.request(WEST), ROUTE)
+            self.assertEqual(5, len(self.servers.engines[EngineId("s1")].runs))
+
+        run(play())
+
+    def test_no_server_in_the_homes_is_refused_at_once(self):
+        async def play():
+            self.begin(WEST_ZONE, ZoneId("nowhere"))
+            self.balancer.avoid(EngineId("s0"), 5.0)
+            self.assertEqual(0.0, await self.seconds_until_refused(EAST))
+
+        run(play())
+
+    def test_no_home_at_all_is_refused_at_once(self):
+        async def play():
+            self.begin(EAST_ZONES[0], WEST_ZONE)
+            self.assertEqual(0.0, await self.seconds_until_refused())
+            self.begin()
+            self.assertEqual(0.0, await self.seconds_until_refused())
+
+        run(play())
+
+    def test_nearest_of_equal_servers_is_taken(self):
+        async def play():
+            self.begin(WEST_ZONE, EAST_ZONES[1], EAST_ZONES[0])
+            self.assertEqual({"s2"}, self.firsts())
+            self.directory.forget(EngineId("s2"))
+            self.assertEqual({"s1"}, self.firsts())
+
+        run(play())
+
+    def test_nearness_does_not_beat_load(self):
+        async def play():
+            self.begin(WEST_ZONE, EAST_ZONES[0])
+            for _ in range(3):
+                self.balancer.occupy(EngineId("s1"))
+            self.assertEqual({"s0"}, self.firsts())
+
+        run(play())
+
+    def test_full_near_server_is_not_preferred_however_far_the_other(self):
+        async def play():
+            self.begin(WEST_ZONE, EAST_ZONES[0])
+            far, near = (self.directory.get(EngineId(name)) for name in ("s0", "s1"))
+            self.balancer.note_answer(far, 0.5)
+            self.balancer.note_answer(near, 0.01)
+            self.assertEqual({"s1"}, self.firsts())
+            await self.clock.sleep(5.0)  # the paces are forgotten, the way is not
+            for _ in range(3):
+                self.balancer.occupy(far.id)
+            for _ in range(4):
+                self.balancer.occupy(near.id)
+            self.assertEqual({"s0"}, self.firsts())
+
+        run(play())
+
+    def test_slow_near_server_is_not_preferred(self):
+        async def play():
+            self.begin(WEST_ZONE, EAST_ZONES[0])
+            self.balancer.note_answer(self.directory.get(EngineId("s1")), 0.4)
+            self.balancer.take_summary("other", {EngineId("s0"): (0, 0.04)})
+            self.assertEqual({"s0"}, self.firsts())
+
+        run(play())
+
+    def test_the_way_is_counted_as_measured_and_once(self):
+        async def play():
+            self.begin(WEST_ZONE, EAST_ZONES[0])
+            far, near = (self.directory.get(EngineId(name)) for name in ("s0", "s1"))
+            self.balancer.note_answer(near, 0.04)
+            self.balancer.note_answer(far, 0.08)
+            self.assertEqual({"s1"}, self.firsts())
+            for _ in range(2):  # three in four slots wait longer than one that has twice the way
+                self.balancer.occupy(near.id)
+            self.assertEqual({"s0"}, self.firsts())
+
+        run(play())
+
+    def test_settings_without_zones_change_nothing(self):
+        async def play():
+            self.begin(WEST_ZONE, EAST_ZONES[0], regions=RegionMap(EAST_ZONES[0]))
+            self.assertEqual({"s0", "s1"}, self.firsts())
+
+        run(play())
+
+
+class NearPeerTest(unittest.TestCase):
+    """Which peers make the calls of a daemon that the store turns away."""
+
+    KEY = RowKey(ITEM_TABLE, "b0", "key")
+    CHANGE = Transaction(puts=((KEY, b"value"),))
+
+    def begin(self, **distances: Distance) -> None:
+        """Starts a daemon with these peers; it is refused."""
+        self.clock = LoopClock()
+        self.memory = MemoryStore(self.clock)
+        self.direct = StoreClient(self.memory)
+        self.direct.refused = True
+        self.peers = {name: StoreClient(self.memory) for name in distances}
+        self.asked: list[str] = []
+        self.store = RelayedStore(
+            self.direct, self.connect, self.clock, EventLog("d"), random.Random(0)
+        )
+        tasks = TaskSet(self.clock, Telemetry("d", log=False))
+        peers = {Address(name): distance for name, distance in distances.items()}
+        self.store.start(lambda: peers, tasks, lambda table: table == ITEM_TABLE)
+
+    def connect(self, address: Address) -> StoreClient:
+        """Returns the store by way of a peer."""
+        self.asked.append(address)
+        return self.peers[address]
+
+    def test_nearest_peer_is_asked(self):
+        async def play():
+            self.begin(
+                far=Distance.OTHER_REGION, near=Distance.SAME_ZONE, middle=Distance.SAME_REGION
+            )
+            await self.store.read("table", "part")
+            self.assertEqual(["near"], self.asked)
+
+        run(play())
+
+    def test_last_peer_asked_is_a_far_one(self):
+        async def play():
+            near = {f"near{number}": Distance.SAME_ZONE for number in range(PEERS_ASKED)}
+            self.begin(**near, far=Distance.OTHER_REGION)
+            for name in near:
+                self.peers[name].refused = True
+            await self.store.read("table", "part")
+            self.assertTrue(self.store.is_relayed)
+            self.assertEqual("far", self.asked[-1])
+
+        run(play())
+
+    def test_items_pass_through_no_other_region(self):
+        async def play():
+            self.begin(far=Distance.OTHER_REGION)
+            result = await self.store.write(self.CHANGE, 1.0)
+            self.assertIs(WriteOutcome.NOT_DONE, result.outcome)
+            with self.assertRaises(StoreUnavailableError):
+                await self.store.read(ITEM_TABLE, "b0")
+            self.assertEqual([], self.asked)
+            await self.store.read("table", "part")
+            self.assertEqual(["far"], self.asked)
+            with self.assertRaises(StoreUnavailableError):  # also while a far peer is in use
+                await self.store.read(ITEM_TABLE, "b0")
+
+        run(play())
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_regions.py
@@ -0,0 +1,278 @@
+"""Homes of routes and tenants: which regions get what, and who may claim."""
+
+import unittest
+from dataclasses import replace
+
+import orjson
+
+from larkpost.eventlog import EventLog
+from larkpost.fleet.configuration import (
+    Configuration,
+    ConfigurationState,
+    Route,
+    RouteKind,
+    ServiceShare,
+)
+from larkpost.fleet.heartbeat import Heartbeat, decode_heartbeat, encode_heartbeat
+from larkpost.fleet.members import DEAD_AFTER_SECONDS
+from larkpost.fleet.regions import Distance, RegionMap
+from larkpost.fleet.tenants import Tenant, TenantName
+from larkpost.ids import ZoneId
+from larkpost.metrics import Metrics
+from larkpost.platform import names, operator
+from larkpost.platform.operator import UnreadableRowError
+from larkpost.proxy.admission import Admission
+from larkpost.rollouts.engine_choice import EngineChoice
+from larkpost.rollouts.model import BatchHead
+from larkpost.rollouts.repository import ITEM_TABLE
+from larkpost.store.port import Row, RowKey
+from tests.platform_fleet import (
+    CONFIGURATION,
+    ENGINES,
+    MODEL,
+    PAGES,
+    PlatformFleet,
+    check_results,
+    make_batch,
+)
+from tests.platform_oracle import PlatformOracle
+from tests.platform_places import EAST, EAST_ZONES, REGIONS, TWO_REGIONS, WEST, WEST_ZONE
+from tests.virtual import run
+
+ROUTE = Route(
+    "r", "h", b"/", RouteKind.IDEMPOTENT, (ServiceShare(PAGES, 1.0),), 2.0, 0.2, max_attempts=2
+)
+HERE = RegionMap(EAST_ZONES[0], REGIONS)
+
+
+def read_configuration(route: dict, tenants: list[dict] | None = None) -> Configuration | None:
+    """Reads a configuration of one route as the operator writes it."""
+    entry = {"host": "h", "path-prefix": "/", "kind": "idempotent", "service": "pages"}
+    document = {"version": 1, "routes": [entry | route]}
+    if tenants is not None:
+        document["tenants"] = tenants
+    key = RowKey(names.OPERATOR_TABLE, "", names.CONFIGURATION_KEY)
+    return operator.read_configuration(Row(key, orjson.dumps(document), 1))
+
+
+class ConfigurationTest(unittest.TestCase):
+    """The regions that routes and tenants are read with."""
+
+    def test_absent_and_empty_regions_allow_all(self):
+        for entry in ({}, {"allowed-regions": []}, {"allowed-regions": None}):
+            configuration = read_configuration(entry)
+            self.assertIsNone(configuration.routes[0].regions)
+            self.assertFalse(configuration.has_homes)
+
+    def test_wrong_regions_make_the_document_unreadable(self):
+        for wrong in ("east", [1], {"east": 1}):
+            with self.assertRaises(UnreadableRowError):
+                read_configuration({"allowed-regions": wrong})
+
+    def test_route_and_tenant_both_bind(self):
+        tenant = {"name": "t", "api-keys": ["k"], "allowed-regions": ["east", "south"]}
+        configuration = read_configuration({"allowed-regions": ["east", "west"]}, [tenant])
+        self.assertTrue(configuration.has_homes)
+        admission = Admission(
+            _state_of(configuration), lambda: 0.0, lambda: 1.0, EventLog("d"), Metrics()
+        )
+        key = next(iter(configuration.tenants[0].keys))
+        self.assertEqual(frozenset({EAST}), admission.admit("id", "h", b"/x", key).regions)
+
+    def test_regions_that_have_none_in_common_allow_none(self):
+        tenant = Tenant(TenantName("t"), frozenset(), regions=frozenset({WEST}))
+        configuration = replace(CONFIGURATION, tenants=(tenant,))
+        route = replace(ROUTE, regions=frozenset({EAST}))
+        self.assertEqual(frozenset(), configuration.homes_of(tenant.name, route))
+        self.assertEqual(frozenset({WEST}), configuration.homes_of(tenant.name, None))
+
+
+def _state_of(configuration: Configuration) -> ConfigurationState:
+    state = ConfigurationState()
+    state.update(configuration)
+    return state
+
+
+class RegionMapTest(unittest.TestCase):
+    """How far zones are."""
+
+    def test_distances(self):
+        found = [HERE.distance(ZoneId(zone)) for zone in ("east-1", "east-2", "west-1", "new")]
+        far = Distance.OTHER_REGION
+        self.assertEqual([Distance.SAME_ZONE, Distance.SAME_REGION, far, far], found)
+
+    def test_without_named_zones_all_are_alike(self):
+        regions = RegionMap(ZoneId("z"), {}, EAST)
+        self.assertEqual(EAST, regions.region_of(ZoneId("other")))
+        self.assertEqual(
+            {Distance.SAME_REGION}, {regions.distance(ZoneId(zone)) for zone in ("z", "other")}
+        )
+
+
+class HomeFleetTest(unittest.TestCase):
+    """Batches that may be served in the east only, in a fleet over two regions."""
+
+    def begin(self, configuration: bytes = b"east", **arguments) -> PlatformFleet:
+        """Starts four daemons and four engines, every other one in the west."""
+        return PlatformFleet(4, 4, zones=TWO_REGIONS, configuration=configuration, **arguments)
+
+    def oracle(self, fleet: PlatformFleet) -> PlatformOracle:
+        """Returns an oracle that knows of the homes."""
+        oracle = PlatformOracle(fleet)
+        oracle.homes = frozenset({EAST})
+        return oracle
+
+    def test_items_and_reward_calls_stay_at_home(self):
+        async def play():
+            fleet = self.begin(scorers=4)
+            oracle = self.oracle(fleet)
+            await fleet.wait(1.0)
+            spec = make_batch(items=40, scored=True)
+            self.assertTrue(await oracle.submit(fleet.gateways[1], spec))
+            check_results(self, spec, await fleet.read_all(fleet.gateways[0], spec.id))
+            oracle.check()
+
+        run(play())
+
+    def test_regions_named_while_items_run_bind_the_next_runs(self):
+        async def play():
+            fleet = self.begin(b"")
+            for state in fleet.engines.engines.values():
+                state.event_seconds = 0.1
+            await fleet.wait(1.0)
+            spec = make_batch(items=80)
+            await fleet.submit(spec)
+            await fleet.wait(0.3)
+            western = [
+                state
+                for name, state in fleet.engines.engines.items()
+                if REGIONS[fleet.engine_zones[name]] == WEST
+            ]
+            self.assertTrue(all(state.runs for state in western))
+            fleet.put("operator", "configuration", b"east")
+            await fleet.wait(0.1)
+            before = [len(state.runs) for state in western]
+            check_results(self, spec, await fleet.read_all(fleet.gateways[0], spec.id))
+            self.assertEqual(before, [len(state.runs) for state in western])
+
+        run(play())
+
+    def test_batch_of_an_owner_outside_is_claimed_inside(self):
+        async def play():
+            for seed in range(6):
+                fleet = self.begin(seed=seed)
+                oracle = self.oracle(fleet)
+                await fleet.wait(3.0)
+                for state in fleet.engines.engines.values():
+                    state.event_seconds = 0.3
+                spec = make_batch(f"batch-{seed}", items=40)
+                await oracle.submit(fleet.gateways[1], spec)
+                await fleet.wait(0.5)
+                fleet.kill(1)
+                await fleet.wait(DEAD_AFTER_SECONDS + 0.7)
+                owners = [n for n, one in enumerate(fleet.gateways) if one.keeper.owned()]
+                self.assertEqual([EAST], [fleet.region_of_gateway(owner) for owner in owners])
+                check_results(self, spec, await fleet.read_all(fleet.gateways[3], spec.id))
+                oracle.check()
+
+        run(play())
+
+    def test_planned_stop_hands_over_inside(self):
+        async def play():
+            for seed in range(4):
+                fleet = self.begin(seed=seed)
+                await fleet.wait(3.0)
+                for state in fleet.engines.engines.values():
+                    state.event_seconds = 0.3
+                spec = make_batch(f"batch-{seed}", items=40)
+                await fleet.submit(spec, 1)
+                await fleet.wait(0.3)
+                await fleet.gateways[1].membership.leave()
+                await fleet.gateways[1].keeper.hand_over()
+                head = await fleet.repository().head(spec.id)
+                owner = next(n for n, one in enumerate(fleet.gateways) if one.id == head.owner)
+                self.assertEqual(EAST, fleet.region_of_gateway(owner))
+
+        run(play())
+
+    def test_batch_that_no_daemon_may_claim_waits_for_one(self):
+        async def play():
+            fleet = self.begin()
+            oracle = self.oracle(fleet)
+            await fleet.wait(3.0)
+            for state in fleet.engines.engines.values():
+                state.event_seconds = 0.3
+            spec = make_batch(items=40)
+            await oracle.submit(fleet.gateways[1], spec)
+            for number in (0, 1, 2):  # all of the east, and the owner
+                fleet.kill(number)
+            await fleet.wait(6.0)
+            self.assertEqual([], fleet.gateways[3].keeper.owned())
+            fleet.add_gateway("late", EAST_ZONES[0])
+            check_results(self, spec, await fleet.read_all(fleet.gateways[3], spec.id))
+            oracle.check()
+
+        run(play())
+
+    def test_old_batch_is_removed_by_a_daemon_inside(self):
+        async def play():
+            fleet = self.begin()
+            oracle = self.oracle(fleet)
+            await fleet.wait(1.0)
+            for number in range(6):
+                spec = make_batch(f"batch-{number}", items=4)
+                await oracle.submit(fleet.gateways[0], spec)
+            for gateway in fleet.gateways:
+                gateway.settings.batch_lifetime = -50.0
+            await fleet.wait(30.0)
+            self.assertFalse([key for key in fleet.store.rows if key.table == ITEM_TABLE])
+            oracle.check()
+
+        run(play())
+
+    def test_each_region_has_coordinators(self):
+        async def play():
+            fleet = PlatformFleet(30, 1, zones=(*[WEST_ZONE] * 14, EAST_ZONES[0]))
+            await fleet.wait(6.0)
+            acting = [one.membership.is_coordinator() for one in fleet.gateways]
+            regions = [fleet.region_of_gateway(n) for n, acts in enumerate(acting) if acts]
+            self.assertEqual((2, 6), (regions.count(EAST), regions.count(WEST)))
+
+        run(play())
+
+    def test_engine_near_the_owner_is_taken_unless_it_is_fuller_or_slower(self):
+        async def play():
+            fleet = self.begin(b"")
+            await fleet.wait(1.0)
+            services = fleet.gateways[1].keeper._services
+            head = BatchHead(
+                "b", "h", "/r/x", MODEL, 0, 0, 1, 1, fleet.gateways[1].id, 0.0, False, "u"
+            )
+            choice = EngineChoice(head, services)
+            near = {name for name, zone in fleet.engine_zones.items() if zone == WEST_ZONE}
+            self.assertLessEqual({choice.choose(ENGINES).id for _ in range(20)}, near)
+            for name in near:
+                services.balancer.occupy(name)
+                services.balancer.occupy(name)
+            self.assertFalse({choice.choose(ENGINES).id for _ in range(20)} & near)
+            for name in near:
+                services.balancer.release(name)
+                services.balancer.release(name)
+            for name in fleet.engine_zones:
+                services.balancer.note_pace(name, 0.04 if name in near else 0.03)
+            self.assertFalse({choice.choose(ENGINES).id for _ in range(20)} & near)
+
+        run(play())
+
+
+class HeartbeatZoneTest(unittest.TestCase):
+    """What daemons tell of where they stand."""
+
+    def test_zone_is_told_and_rows_without_it_are_read(self):
+        told = decode_heartbeat(encode_heartbeat(Heartbeat(2.0, zone=WEST_ZONE)))
+        self.assertEqual(WEST_ZONE, told.zone)
+        self.assertIsNone(decode_heartbeat(b'{"interval":2.0}').zone)
+
+
+if __name__ == "__main__":
+    unittest.main()
