What a daemon behind a slow link tells of its heartbeats; batches without a home are refused

An awaited heartbeat tells its interval longer by the time of a call, at most 0.4 s, and owners are judged by what they tell: over a link of 0.3 s two lost heartbeats ended a living owner (test in test_members, red without either half). A batch whose homes hold no engine is refused at once. The store of the tests stands in the east: the west has its answers after 42 ms.

--- a/src/larkpost/fleet/heartbeat_list.py
+++ b/src/larkpost/fleet/heartbeat_list.py
@@ -75,6 +75,11 @@
         """
         return MISSED_HEARTBEATS * interval + STORE_CALLS_ALLOWED * self._usual_call
 
+    @property
+    def usual_call(self) -> float:
+        """The seconds that a listing has taken lately."""
+        return self._usual_call
+
     def silence(self, daemon: DaemonId) -> float:
         """Returns for how many seconds a listed daemon's row has not changed, as of now known."""
         if self.listed_at is None:
--- a/src/larkpost/fleet/members.py
+++ b/src/larkpost/fleet/members.py
@@ -51,6 +51,9 @@
 """How long a daemon stays awaited after its last reason: the next step's batch is near."""
 DEAD_AFTER_SECONDS = MISSED_HEARTBEATS * HEARTBEAT_SECONDS
 """The time until an awaited daemon is held dead over a quick store."""
+MOST_TOLD_CALL_SECONDS = 0.4
+"""Most time of a call that a daemon's interval is told longer by: a full link between regions takes
+0.3 s. Others wait 3.2 times as long for it, so more would hold up its batches once it is dead."""
 TIMER_SLACK_SECONDS = 0.05
 FORGET_AFTER_SECONDS = 60.0
 MAX_REMOVALS = 40
@@ -157,7 +160,8 @@
         if seen is not None and seen.heartbeat.leaving:
             return False
         heard_at = max(seen.changed_at, since) if seen is not None else since
-        return listed_at - heard_at < self._awaited.patience(self._awaited_interval())
+        told = seen.heartbeat.interval if seen is not None else 0.0
+        return listed_at - heard_at < self._awaited.patience(max(told, self._awaited_interval()))
 
     def is_coordinator(self) -> bool:
         """Tells whether this daemon gives orders and claims batches."""
@@ -251,7 +255,8 @@
 
     async def _beat_awaited(self) -> None:
         self._awaited_beat_at = self._clock.now()
-        interval = self._awaited_interval()
+        call = min(self._awaited.usual_call, MOST_TOLD_CALL_SECONDS)
+        interval = round(self._awaited_interval() + call, 3)
         heartbeat = Heartbeat(interval, self._summary(), coordinates=self.is_coordinator())
         await self._put(self._awaited, heartbeat)
 
--- a/src/larkpost/rollouts/service.py
+++ b/src/larkpost/rollouts/service.py
@@ -9,6 +9,7 @@
 from larkpost.fleet.tenants import ANYONE, Caller
 from larkpost.ids import BatchId, DaemonId
 from larkpost.metrics import Count
+from larkpost.placement.work import Work, WorkKind
 from larkpost.rollouts.context import RunServices
 from larkpost.rollouts.keeper import BatchKeeper
 from larkpost.rollouts.model import BatchHead, BatchSpec, ItemId, Result
@@ -110,6 +111,12 @@
         known = self._keeper.head(spec.id)
         if known is not None and known.tenant == spec.tenant:
             return
+        if self._is_homeless(spec):
+            self._services.metrics.count(Count.BATCH_CALLS, "submit", "homeless")
+            self._log.note(Event.BATCH_REFUSED, batch=spec.id, uncertain=False, homeless=True)
+            raise BatchRefusedError(
+                "no engine lies where the batch may be served", retry_after=RETRY_AFTER_SECONDS
+            )
         began = self._clock.now()
         upload = secrets.token_hex(8)
         patience = self._services.policy.accept_seconds
@@ -140,6 +147,17 @@
         )
         await self._keeper.own_accepted(spec, upload)
 
+    def _is_homeless(self, spec: BatchSpec) -> bool:
+        """Tells whether no engine lies where a batch may be served."""
+        configuration = self._services.configuration.current
+        path = spec.path.encode("latin-1")
+        route = configuration.match(spec.host, path) if configuration is not None else None
+        if configuration is None or route is None:
+            return False
+        work = Work(WorkKind.ITEM, configuration.homes_of(spec.tenant, route))
+        balancer = self._services.balancer
+        return all(balancer.is_homeless(share.service, work) for share in route.shares)
+
     async def read(
         self, batch: BatchId, position: int, wait: float, caller: Caller = ANYONE
     ) -> ResultPage:
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -252,8 +252,8 @@
 
     def add_gateway(self, name: str, zone: ZoneId | None = None) -> Gateway:
         """Starts a gateway; in the next zone in turn if none is named."""
-        client = WatchedClient(self.store)
         self.gateway_zones.append(zone or self._zone(len(self.gateway_zones)))
+        client = WatchedClient(self.store, self.gateway_zones[-1])
         clock = MachineClock()
         log = EventLog(name)
         relay = None
--- a/tests/platform_places.py
+++ b/tests/platform_places.py
@@ -9,6 +9,9 @@
 WEST = RegionId("west")
 EAST_ZONES = (ZoneId("east-1"), ZoneId("east-2"))
 WEST_ZONE = ZoneId("west-1")
+NEAR_STORE_SECONDS = 0.004
+FAR_STORE_SECONDS = 0.042
+"""How long the store, which stands in the east, takes for an answer to the west."""
 REGIONS = dict.fromkeys(EAST_ZONES, EAST) | {WEST_ZONE: WEST}
 TWO_REGIONS = (EAST_ZONES[0], WEST_ZONE, EAST_ZONES[1], WEST_ZONE)
 """Zones of the daemons and of the engines, in their order, over two regions."""
@@ -22,8 +25,8 @@
         items_written: batches whose items it wrote.
     """
 
-    def __init__(self, store: MemoryStore) -> None:
-        super().__init__(store)
+    def __init__(self, store: MemoryStore, zone: ZoneId) -> None:
+        super().__init__(store, FAR_STORE_SECONDS if zone == WEST_ZONE else NEAR_STORE_SECONDS)
         self.items_read: set[str] = set()
         self.items_written: set[str] = set()
 
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -20,9 +20,9 @@
         self.clock = LoopClock()
         self.store = MemoryStore(self.clock)
 
-    def start(self, machine: str) -> Membership:
-        """Starts a daemon's heartbeat."""
-        client = StoreClient(self.store)
+    def start(self, machine: str, answer_seconds: float = 0.004) -> Membership:
+        """Starts a daemon's heartbeat; the store answers it after a time."""
+        client = StoreClient(self.store, answer_seconds)
         membership = Membership(
             new_life(machine), client, self.clock, dict, lambda *_: None, EventLog(machine)
         )
@@ -49,6 +49,24 @@
 
         run(play())
 
+    def test_two_heartbeats_lost_on_a_slow_link_end_nobody(self):
+        """One daemon is near the store; the other is behind a link that is full."""
+
+        async def play():
+            self.begin()
+            near, far = self.start("a"), self.start("b", 0.3)
+            await self.clock.sleep(4.0)
+            for _ in range(5):
+                far.client.refused = True
+                await self.clock.sleep(0.65)
+                far.client.refused = False
+                for _ in range(30):
+                    self.assertTrue(near.is_alive(far.own))
+                    self.assertTrue(near.is_owner_alive(far.own, 0.0))
+                    await self.clock.sleep(0.1)
+
+        run(play())
+
     def test_store_that_is_down_blames_nobody(self):
         async def play():
             self.begin()
--- a/tests/test_nearness.py
+++ b/tests/test_nearness.py
@@ -175,6 +175,21 @@
 
         run(play())
 
+    def test_the_way_is_known_when_the_paces_are_forgotten(self):
+        async def play():
+            self.begin(WEST_ZONE, EAST_ZONES[0])
+            far, near = (self.directory.get(EngineId(name)) for name in ("s0", "s1"))
+            self.balancer.note_answer(near, 0.04)
+            self.balancer.note_answer(far, 0.12)
+            await self.clock.sleep(5.0)
+            self.balancer.occupy(near.id)
+            self.assertEqual({"s1"}, self.firsts())  # 2/4 is less than three times 1/4
+            self.balancer.occupy(near.id)
+            self.balancer.occupy(near.id)
+            self.assertEqual({"s0"}, self.firsts())
+
+        run(play())
+
     def test_settings_without_zones_change_nothing(self):
         async def play():
             self.begin(WEST_ZONE, EAST_ZONES[0], regions=RegionMap(EAST_ZONES[0]))
--- a/tests/test_platform_settings.py
+++ b/tests/test_platform_settings.py
@@ -79,6 +79,29 @@
             self.assertIn(name, caught.exception.message)
             self.assertIn(name, caught.exception.remedy)
 
+    def test_zones_and_their_regions(self):
+        zones = '[zones]\nz = "east"\ny = "east"\nx = "west"\n'
+        for named in ("", 'region = "east"\n'):
+            regions = self.load(named + GOOD + zones).regions
+            found = [regions.region_of(ZoneId(zone)) for zone in "zyxw"]
+            self.assertEqual(["east", "east", "west", None], found)
+        only_own = self.load('region = "east"\n' + GOOD).regions
+        self.assertEqual(("east", "east"), (only_own.own_region, only_own.region_of(ZoneId("y"))))
+        self.assertIsNone(self.load(GOOD).regions.own_region)
+
+    def test_wrong_zones_and_regions_are_named(self):
+        for before, after, name in (
+            ("region = 5\n", "", "region"),
+            ('region = "west"\n', '[zones]\nz = "east"\n', "region"),
+            ('zones = "z"\n', "", "zones"),
+            ("", "[zones]\nz = 5\n", "zones.z"),
+            ("", '[zones]\ny = ""\n', "zones.y"),
+        ):
+            with self.assertRaises(SettingsError) as caught:
+                self.load(before + GOOD + after)
+            self.assertTrue(caught.exception.message.startswith(f"{name} is"))
+            self.assertIn(name, caught.exception.remedy)
+
     def test_missing_and_unreadable_files(self):
         for text in ("= no toml", GOOD.replace("[listen]", "[listen")):
             with self.assertRaises(SettingsError):
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -5,13 +5,14 @@
 import unittest
 from collections import Counter
 from contextlib import suppress
-from dataclasses import fields
+from dataclasses import fields, replace
 
 from larkpost.clock import LoopClock
 from larkpost.errors import LarkpostError
 from larkpost.eventlog import EventLog
 from larkpost.fleet.configuration import ModelName, RouteKind, Service, ServiceName
 from larkpost.fleet.directory import Directory, InstanceInfo, InstanceState
+from larkpost.fleet.regions import RegionMap
 from larkpost.fleet.weights import (
     ModelDemand,
     WeightTarget,
@@ -19,7 +20,7 @@
     assign_models,
     due_loads,
 )
-from larkpost.ids import Address, EngineId, ZoneId
+from larkpost.ids import Address, EngineId, RegionId, ZoneId
 from larkpost.metrics import Metrics
 from larkpost.policy import DEFAULT_POLICY, Policy, PolicyError
 from larkpost.proxy.balancer import Balancer
@@ -292,6 +293,20 @@
             loads = due_loads(service, directory, targets, demands, 10.1, policy)
             self.assertEqual(count, len(loads))
 
+    def test_near_first(self):
+        async def first(policy: Policy) -> set[str]:
+            directory = make_directory(2)
+            directory.update(replace(make_info("e0"), zone=ZoneId("far")))
+            regions = RegionMap(
+                ZoneId("z"), {ZoneId("z"): RegionId("here"), ZoneId("far"): RegionId("there")}
+            )
+            clock = LoopClock()
+            balancer = Balancer(directory, clock, random.Random(0), policy, regions=regions)
+            return {balancer.candidates(ENGINES, for_client=True)[0].id for _ in range(20)}
+
+        self.assertEqual({"e1"}, run(first(DEFAULT_POLICY)))
+        self.assertEqual({"e0", "e1"}, run(first(Policy(near_first=False))))
+
     def test_avoid_failed(self):
         async def is_avoided(policy: Policy) -> bool:
             balancer = Balancer(make_directory(1), LoopClock(), random.Random(0), policy)
--- a/tests/test_regions.py
+++ b/tests/test_regions.py
@@ -25,6 +25,7 @@
 from larkpost.rollouts.engine_choice import EngineChoice
 from larkpost.rollouts.model import BatchHead
 from larkpost.rollouts.repository import ITEM_TABLE
+from larkpost.rollouts.service import BatchRefusedError
 from larkpost.store.port import Row, RowKey
 from tests.platform_fleet import (
     CONFIGURATION,
@@ -230,6 +231,18 @@
 
         run(play())
 
+    def test_batch_without_an_engine_at_home_is_refused_at_once(self):
+        async def play():
+            fleet = PlatformFleet(2, 2, zones=(WEST_ZONE,), configuration=b"east")
+            await fleet.wait(1.0)
+            began = fleet.clock.now()
+            with self.assertRaises(BatchRefusedError):
+                await fleet.gateways[0].batches.submit(make_batch())
+            self.assertEqual(began, fleet.clock.now())
+            self.assertFalse([key for key in fleet.store.rows if key.table == ITEM_TABLE])
+
+        run(play())
+
     def test_each_region_has_coordinators(self):
         async def play():
             fleet = PlatformFleet(30, 1, zones=(*[WEST_ZONE] * 14, EAST_ZONES[0]))
