--- a/src/larkpost/gateway.py
+++ b/src/larkpost/gateway.py
@@ -24,6 +24,7 @@
 from larkpost.metrics import Level, Metrics
 from larkpost.placement.cold import LOOK_SECONDS, ColdRule
 from larkpost.placement.cold_senders import ColdSenders
+from larkpost.placement.homes import HomeRule
 from larkpost.placement.rules import Placement, PlacementRule
 from larkpost.planned_stop import PlannedStop
 from larkpost.policy import DEFAULT_POLICY, Policy
@@ -34,7 +35,7 @@
 from larkpost.proxy.shares import ShareChooser
 from larkpost.rollouts.context import RunServices
 from larkpost.rollouts.keeper import BatchKeeper
-from larkpost.rollouts.repository import HEAD_TABLE, PARTS, BatchRepository
+from larkpost.rollouts.repository import HEAD_TABLE, ITEM_TABLE, PARTS, BatchRepository
 from larkpost.rollouts.reward import MAX_CALLS_IN_FLIGHT
 from larkpost.rollouts.service import BatchService
 from larkpost.rollouts.view import ViewCache
@@ -146,6 +147,7 @@
                 self.directory, self._placement_rules(), ports.metrics, self.cold.send_within
             ),
             self.cold,
+            self.beliefs.regions,
         )
         self.membership = Membership(
             own,
@@ -158,6 +160,7 @@
             settings.peer_address,
             settings.policy,
             self.true_time.own_offset,
+            self.beliefs.regions,
         )
         leases = LeaseTable(own, ports.store, ports.clock, settings.lease_time)
         counter = None
@@ -293,7 +296,7 @@
         for follower in self._followers().values():
             follower.start(self._tasks)
         if self._ports.relay is not None and self.settings.policy.peer_calls:
-            self._ports.relay.start(self.membership.peer_addresses, self._tasks)
+            self._ports.relay.start(self.membership.peers, self._tasks, self._is_confined)
         self.membership.start(self._tasks)
         self.keeper.start(self._tasks)
         self._loader.start(self._tasks)
@@ -331,7 +334,12 @@
 
     def _placement_rules(self) -> tuple[PlacementRule, ...]:
         """Returns the rules of placement; those that count sends come last."""
-        return (self.cold,)
+        return (HomeRule(self.beliefs.regions), self.cold)
+
+    def _is_confined(self, table: str) -> bool:
+        """Tells whether rows of a table hold bodies that may be bound to this daemon's region."""
+        current = self.configuration.current
+        return table == ITEM_TABLE and current is not None and current.has_homes
 
     def _follower(
         self,
--- a/src/larkpost/platform/process.py
+++ b/src/larkpost/platform/process.py
@@ -148,6 +148,7 @@
         peer_address=settings.peer,
         usage=settings.usage,
         cold=settings.cold,
+        regions=settings.regions,
     )
 
 
@@ -188,6 +189,7 @@
         changed = _gateway_settings(settings)
         for name in ("contact_time", "lease_time", "apply_time", "grace_time", "batch_lifetime"):
             setattr(current, name, getattr(changed, name))
+        current.regions.take(changed.regions)
         log.note(Event.SETTINGS, outcome="taken")
 
 
--- a/src/larkpost/proxy/forwarder.py
+++ b/src/larkpost/proxy/forwarder.py
@@ -20,7 +20,7 @@
 from larkpost.fleet.tenants import TenantName
 from larkpost.ids import EngineId
 from larkpost.metrics import Metrics
-from larkpost.placement.work import CLIENT_WORK, Work
+from larkpost.placement.work import Work, WorkKind
 from larkpost.policy import DEFAULT_POLICY, Policy
 from larkpost.proxy.attempts import Attempts
 from larkpost.proxy.balancer import Balancer
@@ -153,7 +153,7 @@
         """Returns a request's attempts with their forecast, and whether others come before it."""
         waiter = Waiter(
             self._shares.choose(route),
-            CLIENT_WORK,
+            Work(WorkKind.CLIENT, request.regions),
             self._priority_of(request.tenant, route),
             self._limits(request, route),
             request.received_at,
@@ -250,7 +250,7 @@
             raise
         self._outcomes.begun(request, started)
         attempts.ran_at.add(instance.id)
-        self._balancer.note_pace(instance.id, self._clock.now() - started)
+        self._balancer.note_answer(instance, self._clock.now() - started)
         if whole.status < 300 and not of_server:
             self._outcomes.broken(instance, attempts, "a success without a signature")
             return None
--- a/tests/platform_checks.py
+++ b/tests/platform_checks.py
@@ -1,6 +1,6 @@
 """Checks of single promises on the platform, shared by the fuzz's oracle and the process soak."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 
 LEASE_SECONDS = 3.0
 SECOND = 1.0
@@ -66,3 +66,12 @@
     most = int(bound)
     for first, last in zip(arrivals, arrivals[most:], strict=False):
         assert last - first > SECOND, f"{instance}: over {most} requests a second while cold"
+
+
+def check_home(what: str, region: str | None, homes: Collection[str] | None) -> None:
+    """Checks that something that holds a request's body is where the request may be served.
+
+    Args:
+        homes: the only regions in which it may be served; None for all.
+    """
+    assert homes is None or region in homes, f"{what} in {region} is outside its homes {homes}"
--- a/tests/platform_mutants.py
+++ b/tests/platform_mutants.py
@@ -367,6 +367,21 @@
     return mock.patch.object(ColdRule, "_limit", lambda *_: None)
 
 
+def claim_outside_homes():
+    """Has a batch claimed by any coordinator, wherever it may be served."""
+    from larkpost.rollouts.keeper import BatchKeeper
+
+    return mock.patch.object(BatchKeeper, "_homes", lambda *_: None)
+
+
+def serve_anywhere():
+    """Sends work to instances in any region."""
+    from larkpost.placement.homes import HomeRule
+    from larkpost.placement.verdict import Verdict
+
+    return mock.patch.object(HomeRule, "judge", lambda *_: Verdict.ALLOWED)
+
+
 MUTANTS = {
     mutant.__name__: mutant
     for mutant in (
@@ -403,6 +418,8 @@
         end_stalled_runs_without_places,
         forward_for_callers_that_left,
         ignore_permits,
+        claim_outside_homes,
+        serve_anywhere,
     )
 }
 TESTS = dict.fromkeys(MUTANTS, FUZZ) | {
@@ -434,6 +451,8 @@
     "end_stalled_runs_without_places": "tests.test_urgency",
     "forward_for_callers_that_left": "tests.test_platform_ingress",
     "ignore_permits": "tests.test_cold_servers",
+    # 60 examples of the fuzz caught it, 120 with a far store did not.
+    "claim_outside_homes": "tests.test_regions",
 }
 EXPECTED_CHECKS = {
     "ignore_permits": ("while cold",),
@@ -445,5 +464,7 @@
     "score_unsigned_answers": ("nobody's signature",),
     "give_up_after_one_failed_call": ("given up early",),
     "refuse_for_good_by_old_configurations": ("UnknownKeyError",),
+    "claim_outside_homes": ("outside its homes",),
+    "serve_anywhere": ("outside its homes",),
 }
 """What the failure must name: another failure proves nothing about the mutant."""
