--- a/src/larkpost/eventlog.py
+++ b/src/larkpost/eventlog.py
@@ -32,6 +32,7 @@
     READY = "ready"
     INSTANCE = "instance"
     WEIGHT_TARGET = "weight_target"
+    EVACUATION = "evacuation"
     STORE = "store"
     STORE_RELAY = "store_relay"
     UNREADABLE = "unreadable"
--- a/src/larkpost/fleet/division.py
+++ b/src/larkpost/fleet/division.py
@@ -6,7 +6,14 @@
 from larkpost.clock import Clock
 from larkpost.fleet.configuration import ConfigurationState, ModelName, Service, ServiceName
 from larkpost.fleet.directory import Directory, InstanceState
-from larkpost.fleet.weights import Demands, WeightTargets, assign_models, due_loads
+from larkpost.fleet.evacuations import Evacuations
+from larkpost.fleet.weights import (
+    Demands,
+    WeightTargets,
+    assign_models,
+    due_loads,
+    split_evacuated,
+)
 from larkpost.ids import EngineId
 from larkpost.policy import DEFAULT_POLICY, Policy
 
@@ -44,7 +51,9 @@
         clock: Clock,
         demands: Callable[[], Demands],
         policy: Policy = DEFAULT_POLICY,
+        evacuations: Evacuations | None = None,
     ) -> None:
+        self._evacuations = evacuations or Evacuations()
         self._configuration = configuration
         self._directory = directory
         self._targets = targets
@@ -54,7 +63,10 @@
         self._known: dict[ServiceName, Division] = {}
 
     def engines_of(self, service: ServiceName, model: ModelName) -> frozenset[EngineId]:
-        """Returns a model's own engines; none if the service does not hold the model."""
+        """Returns a model's own engines; none if the service does not hold the model.
+
+        None of them is in an evacuated zone: a batch would wait for engines that get nothing.
+        """
         return self._division(service).own.get(model, frozenset())
 
     def loading(self, service: ServiceName) -> frozenset[EngineId]:
@@ -83,9 +95,18 @@
             for info in self._directory.of_service(service.name)
             if info.state is InstanceState.READY
         ]
-        division = assign_models(service, ready, self._directory, demands, self._policy)
+        serving, _ = split_evacuated(ready, self._evacuations.zones())
+        division = assign_models(service, serving, self._directory, demands, self._policy)
         return {model: frozenset(engines) for model, engines in division.items()}
 
     def _loading(self, service: Service, demands: Demands, now: float) -> frozenset[EngineId]:
-        due = due_loads(service, self._directory, self._targets, demands, now, self._policy)
+        due = due_loads(
+            service,
+            self._directory,
+            self._targets,
+            demands,
+            now,
+            self._policy,
+            self._evacuations.zones(),
+        )
         return frozenset(engine for engine, _ in due)
--- a/src/larkpost/fleet/evacuations.py
+++ b/src/larkpost/fleet/evacuations.py
@@ -1,8 +1,22 @@
 """The zones that the operator has evacuated: nothing new is sent to their instances."""
 
+from dataclasses import dataclass
+
 from larkpost.ids import ZoneId
 
 
+@dataclass(frozen=True, slots=True)
+class ZoneEvacuation:
+    """The operator's word on one zone.
+
+    Attributes:
+        is_on: whether the zone is evacuated from now on, or no longer.
+    """
+
+    zone: ZoneId
+    is_on: bool
+
+
 class Evacuations:
     """Zones evacuated now, each since the steady time at which this daemon learnt of it."""
 
@@ -20,6 +34,12 @@
         """Takes that a zone is evacuated no longer, and tells whether that was news."""
         return self._since.pop(zone, None) is not None
 
+    def update(self, evacuation: ZoneEvacuation, now: float) -> bool:
+        """Takes the operator's word on a zone, and tells whether it was news."""
+        if evacuation.is_on:
+            return self.begin(evacuation.zone, now)
+        return self.end(evacuation.zone)
+
     def is_evacuated(self, zone: ZoneId) -> bool:
         """Tells whether nothing new may be sent to a zone's instances."""
         return zone in self._since
--- a/src/larkpost/fleet/loader.py
+++ b/src/larkpost/fleet/loader.py
@@ -11,6 +11,7 @@
 from larkpost.eventlog import Event, EventLog
 from larkpost.fleet.configuration import ConfigurationState, RouteKind, Service
 from larkpost.fleet.directory import Directory, InstanceInfo
+from larkpost.fleet.evacuations import Evacuations
 from larkpost.fleet.leases import Duty, LeaseSubject, LeaseTable
 from larkpost.fleet.members import Membership
 from larkpost.fleet.weights import Demands, WeightTarget, WeightTargets, due_loads
@@ -51,7 +52,9 @@
         metrics: Metrics,
         demands: Callable[[], Demands],
         policy: Policy = DEFAULT_POLICY,
+        evacuations: Evacuations | None = None,
     ) -> None:
+        self._evacuations = evacuations or Evacuations()
         self._policy = policy
         self._configuration = configuration
         self._directory = directory
@@ -85,7 +88,13 @@
                 continue
             now = self._clock.now()
             for engine, target in due_loads(
-                service, self._directory, self._targets, self._demands(), now, self._policy
+                service,
+                self._directory,
+                self._targets,
+                self._demands(),
+                now,
+                self._policy,
+                self._evacuations.zones(),
             ):
                 if self._should_order(engine):
                     self._under_way.add(engine)
--- a/src/larkpost/fleet/row_intake.py
+++ b/src/larkpost/fleet/row_intake.py
@@ -8,6 +8,7 @@
 from larkpost.fleet.beliefs import Beliefs
 from larkpost.fleet.configuration import Configuration
 from larkpost.fleet.directory import InstanceInfo
+from larkpost.fleet.evacuations import ZoneEvacuation
 from larkpost.fleet.weights import WeightTarget
 from larkpost.ids import EngineId
 from larkpost.store.port import Row
@@ -21,11 +22,14 @@
     """Reads rows that others write, in whatever format they write them.
 
     Attributes:
-        operator_table: the table of the configuration and the named weight versions.
+        operator_table: the table of the configuration, the named weight versions and the
+            evacuated zones.
         instance_table: the table of the instances.
         configuration: reads a configuration, or None if the row holds something else.
         weight_target: reads a named version, or None if the row holds something else.
-        instance: reads an instance. All three raise ValueError for what they cannot read.
+        instance: reads an instance.
+        evacuation: reads the begin of a zone's evacuation, or its end from a removed row; None if
+            the row holds something else. All of them raise ValueError for what they cannot read.
     """
 
     operator_table: str
@@ -33,6 +37,7 @@
     configuration: Callable[[Row], Configuration | None]
     weight_target: Callable[[Row], WeightTarget | None]
     instance: Callable[[Row], InstanceInfo]
+    evacuation: Callable[[Row], ZoneEvacuation | None]
 
 
 class RowIntake:
@@ -56,6 +61,7 @@
         self._configuration = beliefs.configuration
         self._targets = beliefs.targets
         self._directory = beliefs.directory
+        self._evacuations = beliefs.evacuations
         self._clock = clock
         self._log = log
         self._store_sound_for = store_sound_for
@@ -69,10 +75,14 @@
             self._log.note(Event.INSTANCE, instance=instance, state="gone", sound=True)
 
     def take_operator_row(self, row: Row) -> None:
-        """Takes a row with a configuration or a named weight version."""
+        """Takes a row with a configuration, a named weight version or an evacuated zone.
+
+        Rows that are gone change nothing but evacuations, which end by it.
+        """
         try:
             configuration = self._readers.configuration(row)
             target = self._readers.weight_target(row)
+            evacuation = self._readers.evacuation(row)
         except ValueError as error:
             self._log.note(Event.UNREADABLE, row=row.key.key, error=str(error))
             return
@@ -80,6 +90,15 @@
             self._log.note(Event.CONFIGURATION, version=configuration.version)
         if target is not None and self._targets.update(target, self._clock.now()):
             self._log.note(Event.WEIGHT_TARGET, model=target.model, version=target.version)
+        if evacuation is not None:
+            self._take_evacuation(evacuation)
+
+    def _take_evacuation(self, evacuation: ZoneEvacuation) -> None:
+        if not self._evacuations.update(evacuation, self._clock.now()):
+            return
+        instances = sum(info.zone == evacuation.zone for info in self._directory.all())
+        state = "begun" if evacuation.is_on else "ended"
+        self._log.note(Event.EVACUATION, zone=evacuation.zone, state=state, instances=instances)
 
     def take_instance_row(self, row: Row) -> None:
         """Takes an instance's entry, or the news that it is gone."""
--- a/src/larkpost/fleet/weights.py
+++ b/src/larkpost/fleet/weights.py
@@ -1,7 +1,9 @@
 """Weight versions: which version each engine should have.
 
 Engines are divided among the models of their service, so that a new version is loaded only where
-its model runs. The engines of one model load in waves, so that some always serve.
+its model runs. The engines of one model load in waves, so that some always serve. Those of
+evacuated zones are divided by themselves and load last: nobody waits for them, but they may be back
+at any moment.
 """
 
 import math
@@ -11,7 +13,7 @@
 from larkpost.fleet.configuration import ModelName, Service
 from larkpost.fleet.directory import Directory, InstanceInfo, InstanceState
 from larkpost.hashing import hash64
-from larkpost.ids import EngineId
+from larkpost.ids import EngineId, ZoneId
 from larkpost.policy import DEFAULT_POLICY, Policy
 
 MIN_ENGINES_PER_MODEL = 2
@@ -123,11 +125,15 @@
     demands: Demands,
     now: float,
     policy: Policy = DEFAULT_POLICY,
+    evacuated: frozenset[ZoneId] = frozenset(),
 ) -> list[tuple[EngineId, WeightTarget]]:
     """Returns the loads that should be under way now.
 
     An engine two versions behind loads at once: it is of no use to the next step. The others load
     in groups, once the items of a running batch have found their places.
+
+    Args:
+        evacuated: zones whose engines get no work; they load after the others.
     """
     engines = [
         info for info in directory.of_service(service.name) if info.state is InstanceState.READY
@@ -135,22 +141,69 @@
     if not _is_any_behind(service, engines, directory, targets):
         return []
     due: list[tuple[EngineId, WeightTarget]] = []
-    assigned = assign_models(service, engines, directory, demands, policy)
+    serving, resting = split_evacuated(engines, evacuated)
+    assigned = assign_models(service, serving, directory, demands, policy)
+    assigned_resting = assign_models(service, resting, directory, demands, policy)
     for model, engine_ids in assigned.items():
         target = WeightTarget(model, targets.version(model))
-        versions = {name: directory.version_of(name, model) for name in engine_ids}
-        due.extend((name, target) for name in engine_ids if versions[name] < target.version - 1)
         first = BUSY_FIRST_SECONDS if demands.get(model, ModelDemand()).open else FIRST_SECONDS
         if policy.load_groups == 1:
             first = 0.0
         elapsed = targets.named_for(model, now) - first
-        if elapsed >= 0:
-            groups = _cut(engine_ids, policy.load_groups)
-            group = _group_on_turn(groups, versions, target.version, elapsed)
-            due.extend((name, target) for name in group)
+        versions = {name: directory.version_of(name, model) for name in engine_ids}
+        names = _serving_loads(engine_ids, versions, target.version, elapsed, policy)
+        if not names or elapsed >= policy.load_groups * GROUP_SECONDS:
+            resting_ids = assigned_resting[model]
+            versions = {name: directory.version_of(name, model) for name in resting_ids}
+            names += _resting_loads(resting_ids, versions, target.version, elapsed, policy)
+        due.extend((name, target) for name in names)
     return due
 
 
+def split_evacuated(
+    engines: list[InstanceInfo], evacuated: frozenset[ZoneId]
+) -> tuple[list[InstanceInfo], list[InstanceInfo]]:
+    """Returns the engines that get work, and those in evacuated zones, which get none."""
+    serving = [info for info in engines if info.zone not in evacuated]
+    resting = [info for info in engines if info.zone in evacuated]
+    return serving, resting
+
+
+def _serving_loads(
+    engine_ids: list[EngineId],
+    versions: dict[EngineId, int],
+    target: int,
+    elapsed: float,
+    policy: Policy,
+) -> list[EngineId]:
+    """Returns the engines that get work and load a version now."""
+    late = [name for name in engine_ids if versions[name] < target - 1]
+    if elapsed < 0:
+        return late
+    groups = _cut(engine_ids, policy.load_groups)
+    behind = [[name for name in group if versions[name] == target - 1] for group in groups]
+    return late + _group_on_turn(behind, elapsed)
+
+
+def _resting_loads(
+    engine_ids: list[EngineId],
+    versions: dict[EngineId, int],
+    target: int,
+    elapsed: float,
+    policy: Policy,
+) -> list[EngineId]:
+    """Returns the engines of evacuated zones that load a version now, in groups all the same.
+
+    Many loads at once slow each other down, also those of engines that serve.
+    """
+    if elapsed < 0:
+        return []
+    groups = _cut(engine_ids, policy.load_groups)
+    return _group_on_turn(
+        [[name for name in group if versions[name] < target] for group in groups], elapsed
+    )
+
+
 def _is_any_behind(
     service: Service, engines: list[InstanceInfo], directory: Directory, targets: WeightTargets
 ) -> bool:
@@ -168,18 +221,15 @@
     return [engine_ids[start : start + size] for start in range(0, len(engine_ids), size)]
 
 
-def _group_on_turn(
-    groups: list[list[EngineId]], versions: dict[EngineId, int], target: int, elapsed: float
-) -> list[EngineId]:
+def _group_on_turn(behind: list[list[EngineId]], elapsed: float) -> list[EngineId]:
     """Returns the engines of the group that loads now.
 
     The groups take turns by time, so that one which can't load holds the others up for its turn
     only; a group whose engines are all done gives its turn to the next.
     """
-    behind = [[name for name in group if versions[name] == target - 1] for group in groups]
     turn = int(elapsed / GROUP_SECONDS)
-    for step in range(len(groups)):
-        group = behind[(turn + step) % len(groups)]
+    for step in range(len(behind)):
+        group = behind[(turn + step) % len(behind)]
         if group:
             return group
     return []
--- a/src/larkpost/gateway.py
+++ b/src/larkpost/gateway.py
@@ -19,6 +19,7 @@
 from larkpost.fleet.true_time import TrueTime
 from larkpost.ids import Address
 from larkpost.metrics import Level, Metrics
+from larkpost.placement.evacuated import EvacuatedRule
 from larkpost.placement.rules import Placement, PlacementRule
 from larkpost.policy import DEFAULT_POLICY, Policy
 from larkpost.proxy.admission import Admission
@@ -191,6 +192,7 @@
                 ports.clock,
                 lambda: self.keeper.demands(),
                 settings.policy,
+                self.beliefs.evacuations,
             ),
             settings.policy,
         )
@@ -216,6 +218,7 @@
             ports.metrics,
             self.keeper.demands,
             settings.policy,
+            self.beliefs.evacuations,
         )
         readers = ports.readers
         intake = RowIntake(
@@ -289,7 +292,7 @@
 
     def _placement_rules(self) -> tuple[PlacementRule, ...]:
         """Returns the rules of placement; those that count sends come last."""
-        return ()
+        return (EvacuatedRule(self.beliefs.evacuations),)
 
     def _follower(
         self,
@@ -332,6 +335,10 @@
         relay = self._ports.relay
         metrics.set(Level.STORE_RELAYED, int(relay is not None and relay.is_relayed))
         metrics.set(Level.COORDINATOR, int(self.membership.is_coordinator()))
+        zones = self.beliefs.evacuations.zones()
+        metrics.replace(Level.EVACUATED, dict.fromkeys(zones, 1))
+        in_zones = {zone: self.balancer.outstanding_in(zone) for zone in zones}
+        metrics.replace(Level.EVACUATED_REQUESTS, in_zones)
         self._loop_lag = 0.0
         return metrics.text()
 
--- a/src/larkpost/metrics.py
+++ b/src/larkpost/metrics.py
@@ -1,5 +1,6 @@
 """Counters and latency histograms of one daemon on the platform, in the Prometheus text format."""
 
+from collections.abc import Mapping
 from enum import StrEnum
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
@@ -65,6 +66,8 @@
     READY = "larkpost_ready"
     COORDINATOR = "larkpost_coordinator"
     STORE_RELAYED = "larkpost_store_relayed"
+    EVACUATED = "larkpost_evacuated"
+    EVACUATED_REQUESTS = "larkpost_evacuated_requests"
 
 
 LEVELS: dict[Level, tuple[str, tuple[str, ...]]] = {
@@ -80,6 +83,11 @@
     Level.LOOP_LAG: ("Largest delay of the event loop since the last reading.", ()),
     Level.COORDINATOR: ("Whether this daemon gives orders and claims batches (1) or not (0).", ()),
     Level.STORE_RELAYED: ("Whether a peer makes this daemon's calls to the store (1).", ()),
+    Level.EVACUATED: ("Zones whose evacuation this daemon knows of (1).", ("zone",)),
+    Level.EVACUATED_REQUESTS: (
+        "Requests and runs of this daemon at instances of evacuated zones.",
+        ("zone",),
+    ),
     Level.READY: ("Whether new clients may come (1) or not (0).", ()),
 }
 
@@ -137,6 +145,13 @@
         metric = self._levels[level]
         (metric.labels(*labels) if labels else metric).set(value)
 
+    def replace(self, level: Level, values: Mapping[str, float]) -> None:
+        """Sets a gauge of one label, and drops the values of labels that are not given."""
+        metric = self._levels[level]
+        metric.clear()
+        for label, value in values.items():
+            metric.labels(label).set(value)
+
     def observe(self, timing: Timing, seconds: float, *labels: str) -> None:
         """Adds to a histogram."""
         metric = self._timings[timing]
--- a/src/larkpost/platform/operator.py
+++ b/src/larkpost/platform/operator.py
@@ -15,6 +15,7 @@
     ServiceShare,
 )
 from larkpost.fleet.directory import InstanceInfo, InstanceState
+from larkpost.fleet.evacuations import ZoneEvacuation
 from larkpost.fleet.tenants import Tenant, TenantName, digest_key
 from larkpost.fleet.weights import WeightTarget
 from larkpost.ids import Address, EngineId, ZoneId
@@ -72,6 +73,22 @@
         raise UnreadableRowError(f"weight version: {error!r}") from None
 
 
+def read_evacuation(row: Row) -> ZoneEvacuation | None:
+    """Returns the evacuation in a row of the operator's table, or None if it holds another.
+
+    The row's standing is the evacuation, whatever its value is; its removal is the end.
+
+    Raises:
+        UnreadableRowError: the row names no zone.
+    """
+    if not row.key.key.startswith(names.EVACUATION_KEY_PREFIX):
+        return None
+    zone = row.key.key.removeprefix(names.EVACUATION_KEY_PREFIX)
+    if not zone:
+        raise UnreadableRowError("evacuation: the row names no zone")
+    return ZoneEvacuation(ZoneId(zone), is_on=not row.removed)
+
+
 def read_instance(row: Row) -> InstanceInfo:
     """Returns the instance in a row of the servers' table.
 
--- a/src/larkpost/platform/process.py
+++ b/src/larkpost/platform/process.py
@@ -35,6 +35,7 @@
     configuration=operator.read_configuration,
     weight_target=operator.read_weight_target,
     instance=operator.read_instance,
+    evacuation=operator.read_evacuation,
 )
 
 
--- a/src/larkpost/platform/stand_in/rows.py
+++ b/src/larkpost/platform/stand_in/rows.py
@@ -112,6 +112,12 @@
     return Transaction(puts=((key, value),))
 
 
+def evacuation_change(zone: ZoneId, *, is_on: bool) -> Transaction:
+    """Returns the operator's begin, or end, of a zone's evacuation."""
+    key = RowKey(names.OPERATOR_TABLE, "", f"{names.EVACUATION_KEY_PREFIX}{zone}")
+    return Transaction(puts=((key, b"{}"),)) if is_on else Transaction(removals=(key,))
+
+
 def server_change(server: StandInServer) -> Transaction:
     """Returns a server's writing of its own entry."""
     document = {
--- a/src/larkpost/proxy/balancer.py
+++ b/src/larkpost/proxy/balancer.py
@@ -10,7 +10,7 @@
 from larkpost.fleet.configuration import ServiceName
 from larkpost.fleet.directory import Directory, InstanceInfo
 from larkpost.fleet.heartbeat import UseSummary
-from larkpost.ids import DaemonId, EngineId
+from larkpost.ids import DaemonId, EngineId, ZoneId
 from larkpost.placement.rules import Placement
 from larkpost.placement.verdict import Verdict
 from larkpost.placement.work import CLIENT_WORK, Work
@@ -44,6 +44,7 @@
         others: requests of other daemons there, when it last told its load.
         avoid_until: steady time before which it is only a last resort.
         pace: seconds a unit of work takes there, smoothed; 0 if unknown.
+        zone: where it is, kept for requests that outlast its entry; None if not known.
     """
 
     outstanding: int = 0
@@ -52,6 +53,7 @@
     avoid_until: float = float("-inf")
     pace: float = 0.0
     pace_at: float = float("-inf")
+    zone: ZoneId | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -203,7 +205,10 @@
 
     def occupy(self, instance: EngineId) -> None:
         """Counts a request at an instance until `release` is called for it."""
-        self.use(instance).outstanding += 1
+        use = self.use(instance)
+        use.outstanding += 1
+        info = self._directory.get(instance)
+        use.zone = info.zone if info is not None else use.zone
 
     def release(self, instance: EngineId) -> None:
         """Ends the count of a request at an instance."""
@@ -262,6 +267,14 @@
             )
         )
 
+    def objections(self, service: ServiceName, work: Work) -> set[Verdict]:
+        """Returns every verdict that some instance of a service gets by the rules."""
+        return {self._placement.judge(info, work) for info in self._directory.of_service(service)}
+
+    def outstanding_in(self, zone: ZoneId) -> int:
+        """Returns this daemon's requests at a zone's instances, also those that left the list."""
+        return sum(use.outstanding for use in self._uses.values() if use.zone == zone)
+
     @property
     def placement(self) -> Placement:
         """The rules by which instances are judged."""
--- a/src/larkpost/proxy/forwarder.py
+++ b/src/larkpost/proxy/forwarder.py
@@ -20,6 +20,7 @@
 from larkpost.placement.work import CLIENT_WORK, Work
 from larkpost.policy import DEFAULT_POLICY, Policy
 from larkpost.proxy.balancer import Balancer
+from larkpost.proxy.evacuated import EVACUATED_RETRY_SECONDS, is_evacuated
 from larkpost.proxy.port import (
     BrokenAnswerError,
     NotRunError,
@@ -156,7 +157,7 @@
         while True:
             instance = self._choose(service, attempts)
             if instance is None:
-                if self._should_refuse(request, route):
+                if self._should_refuse(request, route, service, attempts):
                     return None
                 await self._clock.sleep(REFUSAL_PAUSE_SECONDS)
                 attempts.refused_by.clear()
@@ -181,7 +182,7 @@
                     attempt = self._attempt(instance, request, route, attempts)
                     running.add(asyncio.create_task(attempt))
                 elif not running:
-                    if attempts.ran_at or self._should_refuse(request, route):
+                    if attempts.ran_at or self._should_refuse(request, route, service, attempts):
                         return attempts.last
                     await self._clock.sleep(REFUSAL_PAUSE_SECONDS)
                     attempts.refused_by.clear()
@@ -281,7 +282,11 @@
         usual = min(paces, default=route.objective / 2)
         return max(MIN_HEDGE_SECONDS, HEDGE_PACE_FACTOR * usual)
 
-    def _should_refuse(self, request: ClientRequest, route: Route) -> bool:
+    def _should_refuse(
+        self, request: ClientRequest, route: Route, service: ServiceName, attempts: _Attempts
+    ) -> bool:
+        if is_evacuated(self._balancer, service, attempts.work):
+            return True
         held = self._clock.now() - request.received_at
         return held >= route.objective * REFUSE_AFTER_SHARE
 
@@ -334,6 +339,13 @@
         if elapsed > route.objective:
             self._balancer.avoid(instance.id, SILENT_AVOID_SECONDS)
 
+    def _refusal(self, service: ServiceName, attempts: _Attempts) -> RefusedError:
+        """Returns the error of a request that did not run."""
+        if is_evacuated(self._balancer, service, attempts.work):
+            message = "the zones of its servers are evacuated"
+            return RefusedError(message, retry_after=EVACUATED_RETRY_SECONDS)
+        return RefusedError("no server could take it", retry_after=RETRY_AFTER_SECONDS)
+
     def _failure(
         self,
         request: ClientRequest,
@@ -347,7 +359,7 @@
         ran = bool(attempts.ran_at)
         error: LarkpostError
         if not ran:
-            error = RefusedError("no server could take it", retry_after=RETRY_AFTER_SECONDS)
+            error = self._refusal(service, attempts)
         elif timed_out:
             error = RequestTimeoutError("its time is over", ran=Ran.UNKNOWN)
         else:
--- a/tests/platform_checks.py
+++ b/tests/platform_checks.py
@@ -5,6 +5,8 @@
 LEASE_SECONDS = 3.0
 CALL_ATTEMPTS = 4
 """Attempts that the route of reward calls allows in tests."""
+EVACUATE_SECONDS = 5.0
+"""Within this of the store's answer nothing new is sent to an evacuated zone."""
 
 
 def check_turns(orders: list[tuple[str, int, float]], instance: str) -> None:
@@ -27,6 +29,28 @@
         assert before == counts, f"window {window} was reported as {before} and as {counts}"
 
 
+def known_by(began_at: float, troubles: Iterable[tuple[float, float]]) -> float:
+    """Returns when a daemon must know of an evacuation that began at a time.
+
+    Args:
+        troubles: spans in which it could not read the store, in their order. One that began after
+            it had to know, and so knew, is no excuse.
+    """
+    latest = began_at + EVACUATE_SECONDS
+    for start, end in troubles:
+        if start <= latest and end >= began_at:
+            latest = max(latest, end + EVACUATE_SECONDS)
+    return latest
+
+
+def check_evacuated(instance: str, sent_at: float, known_at: float, ended_at: float) -> None:
+    """Checks that a request was not sent to an evacuated zone after its sender had to know."""
+    assert not known_at < sent_at < ended_at, (
+        f"{instance} is in a zone evacuated until {ended_at}, "
+        f"as its sender knows since {known_at}, but got a request at {sent_at}"
+    )
+
+
 def check_once(batch: str, listed: list[str], items: set[str]) -> None:
     """Checks that each item listed is the batch's and stands once."""
     assert len(set(listed)) == len(listed), f"{batch} doubled"
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from dataclasses import replace
+from dataclasses import dataclass, replace
 
 import orjson
 
@@ -18,6 +18,7 @@
     ServiceShare,
 )
 from larkpost.fleet.directory import InstanceInfo, InstanceState
+from larkpost.fleet.evacuations import ZoneEvacuation
 from larkpost.fleet.row_intake import RowReaders
 from larkpost.fleet.tenants import TenantName
 from larkpost.fleet.weights import WeightTarget
@@ -51,6 +52,9 @@
 ENGINES = ServiceName("engines")
 PAGES = ServiceName("pages")
 HEARTBEAT_SECONDS = 0.4
+EVACUATION = "evacuate-"
+ZONES = (ZoneId("north"), ZoneId("south"))
+"""Servers are listed in turn in either."""
 HOST = "trainers.example"
 ROUTE = Route(
     name="rollouts",
@@ -101,18 +105,24 @@
 
 
 def _read_target(row: Row) -> WeightTarget | None:
-    if row.key.key == "configuration":
+    if row.key.key == "configuration" or row.key.key.startswith(EVACUATION):
         return None
     return WeightTarget(ModelName(row.key.key), int(row.value))
 
 
+def _read_evacuation(row: Row) -> ZoneEvacuation | None:
+    if not row.key.key.startswith(EVACUATION):
+        return None
+    return ZoneEvacuation(ZoneId(row.key.key.removeprefix(EVACUATION)), is_on=not row.removed)
+
+
 def _read_instance(row: Row) -> InstanceInfo:
     fields = orjson.loads(row.value)
     return InstanceInfo(
         EngineId(row.key.key),
         ServiceName(fields["service"]),
         Address("10.0.0.1:1"),
-        ZoneId("z"),
+        ZoneId(fields["zone"]),
         fields["slots"],
         InstanceState(fields["state"]),
         {MODEL: fields["version"]},
@@ -120,7 +130,14 @@
     )
 
 
-READERS = RowReaders("operator", "instances", _read_configuration, _read_target, _read_instance)
+READERS = RowReaders(
+    "operator",
+    "instances",
+    _read_configuration,
+    _read_target,
+    _read_instance,
+    _read_evacuation,
+)
 
 
 EPOCH_SECONDS = 1_700_000_000.0
@@ -142,6 +159,43 @@
         return int((EPOCH_SECONDS + self.now() + self.ahead) * 1000)
 
 
+@dataclass(frozen=True, slots=True)
+class Send:
+    """A request that a daemon sent to an instance, whatever became of it."""
+
+    daemon: int
+    instance: EngineId
+    zone: ZoneId
+    at: float
+
+
+@dataclass(slots=True)
+class EvacuationSpan:
+    """An evacuation as the store holds it."""
+
+    zone: ZoneId
+    began_at: float
+    ended_at: float = float("inf")
+
+
+class NotingServers:
+    """The servers as one daemon reaches them; notes what it sends."""
+
+    def __init__(self, servers: ScriptedEngines, daemon: int, fleet: "PlatformFleet") -> None:
+        self._servers = servers
+        self._daemon = daemon
+        self._fleet = fleet
+        self.is_connected = servers.is_connected
+        self.report = servers.report
+        self.order = servers.order
+
+    def send(self, instance, request):
+        """Sends a request; see the port."""
+        now = self._fleet.clock.now()
+        self._fleet.sends.append(Send(self._daemon, instance.id, instance.zone, now))
+        return self._servers.send(instance, request)
+
+
 class PlatformFleet:
     """Some gateways, engines and a store."""
 
@@ -163,12 +217,16 @@
         self.policy = policy
         self.relays = relays
         self.clock = LoopClock()
+        self._loop = asyncio.get_running_loop()
         self.store = MemoryStore(self.clock, random.Random(seed))
         self.engines = ScriptedEngines(self.clock, MODEL)
         self.clients: list[StoreClient] = []
         self.gateways: list[Gateway] = []
         self.clocks: list[MachineClock] = []
         self.usage = ScriptedUsage(self.clock)
+        self.zones: dict[EngineId, ZoneId] = {}
+        self.sends: list[Send] = []
+        self.evacuations: list[EvacuationSpan] = []
         self.put("operator", "configuration", b"")
         for number in range(engines):
             self.add_engine(EngineId(f"engine-{number}"))
@@ -182,12 +240,43 @@
         """Writes a row as the operator or an engine does."""
         self.store.apply(Transaction(puts=((RowKey(table, "", key), value),)))
 
+    def now(self) -> float:
+        """Returns the test's time, also while its loop stands."""
+        return self._loop.time()
+
+    def evacuate(self, zone: ZoneId) -> None:
+        """Begins a zone's evacuation as the operator does."""
+        if zone not in self.evacuated_zones():
+            self.evacuations.append(EvacuationSpan(zone, self.clock.now()))
+        self.put("operator", f"{EVACUATION}{zone}", b"{}")
+
+    def end_evacuation(self, zone: ZoneId) -> None:
+        """Ends a zone's evacuation as the operator does."""
+        for span in self.evacuations:
+            if span.zone == zone:
+                span.ended_at = min(span.ended_at, self.clock.now())
+        self.store.apply(Transaction(removals=(RowKey("operator", "", f"{EVACUATION}{zone}"),)))
+
+    def evacuated_zones(self) -> list[ZoneId]:
+        """Returns the zones that are evacuated by the store."""
+        return [span.zone for span in self.evacuations if span.ended_at == float("inf")]
+
+    def zone_of(self, instance: EngineId) -> ZoneId:
+        """Returns an instance's zone, which it gets when it is first asked for."""
+        return self.zones.setdefault(instance, ZONES[len(self.zones) % len(ZONES)])
+
     def add_engine(self, engine: EngineId, state: InstanceState = InstanceState.READY) -> None:
         """Lists an engine."""
         if engine not in self.engines.engines:
             self.engines.engines[engine] = EngineState(versions={MODEL: 1})
         version = self.engines.engines[engine].versions[MODEL]
-        entry = {"service": ENGINES, "slots": 8, "state": state, "version": version}
+        entry = {
+            "service": ENGINES,
+            "zone": self.zone_of(engine),
+            "slots": 8,
+            "state": state,
+            "version": version,
+        }
         self.put("instances", engine, orjson.dumps(entry))
 
     def add_scorer(
@@ -199,7 +288,13 @@
         """Lists a server that scores outputs."""
         if scorer not in self.engines.engines:
             self.engines.engines[scorer] = EngineState(slots=SCORER_SLOTS)
-        entry = {"service": service, "slots": SCORER_SLOTS, "state": state, "version": 0}
+        entry = {
+            "service": service,
+            "zone": self.zone_of(scorer),
+            "slots": SCORER_SLOTS,
+            "state": state,
+            "version": 0,
+        }
         self.put("instances", scorer, orjson.dumps(entry))
 
     def scorers(self) -> list[EngineState]:
@@ -236,7 +331,7 @@
             relay = RelayedStore(client, self._client_of, self.clock, log, chance)
         ports = GatewayPorts(
             relay or client,
-            self.engines,
+            NotingServers(self.engines, len(self.gateways), self),
             clock,
             READERS,
             log,
--- a/tests/platform_mutants.py
+++ b/tests/platform_mutants.py
@@ -353,6 +353,36 @@
     return mock.patch.object(EngineChoice, "count_places", lambda *_: 1000)
 
 
+def forget_evacuations():
+    """Lets an evacuation lapse by itself after a while."""
+    from larkpost.fleet.row_intake import RowIntake
+
+    original = RowIntake.drop_lapsed
+    lapse_seconds = 2.0
+
+    async def drop_lapsed(self):
+        known = self._evacuations
+        for zone, since in list(known._since.items()):
+            if self._clock.now() - since > lapse_seconds:
+                known.end(zone)
+        await original(self)
+
+    return mock.patch.object(RowIntake, "drop_lapsed", drop_lapsed)
+
+
+def miss_ends_of_evacuations():
+    """Passes rows over that are gone, as those of configurations are."""
+    from larkpost.fleet.row_intake import RowIntake
+
+    original = RowIntake.take_operator_row
+
+    def take_operator_row(self, row):
+        if not row.removed:
+            original(self, row)
+
+    return mock.patch.object(RowIntake, "take_operator_row", take_operator_row)
+
+
 MUTANTS = {
     mutant.__name__: mutant
     for mutant in (
@@ -387,6 +417,8 @@
         save_counts_without_condition,
         believe_own_clock,
         end_stalled_runs_without_places,
+        forget_evacuations,
+        miss_ends_of_evacuations,
     )
 }
 TESTS = dict.fromkeys(MUTANTS, FUZZ) | {
@@ -416,6 +448,7 @@
     "save_counts_without_condition": "tests.test_usage",
     "believe_own_clock": "tests.test_usage",
     "end_stalled_runs_without_places": "tests.test_urgency",
+    "miss_ends_of_evacuations": "tests.test_evacuations",
 }
 EXPECTED_CHECKS = {
     "refuse_after_unknown": ("BatchRefusedError",),
@@ -426,5 +459,6 @@
     "score_unsigned_answers": ("nobody's signature",),
     "give_up_after_one_failed_call": ("given up early",),
     "refuse_for_good_by_old_configurations": ("UnknownKeyError",),
+    "forget_evacuations": ("is in a zone evacuated",),
 }
 """What the failure must name: another failure proves nothing about the mutant."""
--- a/tests/platform_oracle.py
+++ b/tests/platform_oracle.py
@@ -17,6 +17,8 @@
         ended: batches that someone asked to end.
         read: what was read of each batch, by position.
         unavailable: calls that a daemon could not answer, with a promise of nothing.
+        troubles: for each daemon the spans in which it could not read the store, as far as
+            seen by the checks, which come after each step.
     """
 
     def __init__(self, fleet: PlatformFleet) -> None:
@@ -26,6 +28,9 @@
         self.ended: set[BatchId] = set()
         self.read: dict[BatchId, list[Result]] = {}
         self.unavailable = 0
+        self.troubles: dict[int, list[tuple[float, float]]] = {}
+        self._in_trouble: set[int] = set()
+        self._sends_checked = 0
 
     @classmethod
     def of_batch(cls, fleet: PlatformFleet, spec: BatchSpec) -> "PlatformOracle":
@@ -81,6 +86,33 @@
         self.check_listed()
         self.check_scores()
         self.check_usage()
+        self.check_evacuated()
+
+    def check_evacuated(self) -> None:
+        """No daemon has sent anything to an evacuated zone after it had to know."""
+        self._note_troubles()
+        sends = self.fleet.sends[self._sends_checked :]
+        self._sends_checked = len(self.fleet.sends)
+        for send in sends:
+            troubles = self.troubles.get(send.daemon, ())
+            for span in self.fleet.evacuations:
+                if span.zone == send.zone:
+                    known_at = checks.known_by(span.began_at, troubles)
+                    checks.check_evacuated(send.instance, send.at, known_at, span.ended_at)
+
+    def _note_troubles(self) -> None:
+        """Notes which daemons cannot read the store, or only slowly."""
+        now = self.fleet.now()
+        faults = self.fleet.store.faults
+        is_ill = faults.down or faults.refuses or faults.slow_seconds > 0
+        for daemon, client in enumerate(self.fleet.clients):
+            if not (is_ill or client.cut_off or client.refused):
+                self._in_trouble.discard(daemon)
+                continue
+            spans = self.troubles.setdefault(daemon, [])
+            start = spans.pop()[0] if daemon in self._in_trouble else now
+            spans.append((start, now))
+            self._in_trouble.add(daemon)
 
     def check_orders(self) -> None:
         """Holders never take turns at an engine within a lease; tokens rise."""
--- /dev/null
+++ b/tests/test_evacuations.py
@@ -0,0 +1,535 @@
+"""Evacuated zones: nothing new is sent there, whatever happens to the news of it."""
+
+import asyncio
+import random
+import unittest
+from dataclasses import replace
+
+from larkpost.clock import LoopClock
+from larkpost.eventlog import Event, EventLog
+from larkpost.fleet.configuration import Route, RouteKind, ServiceName, ServiceShare
+from larkpost.fleet.directory import Directory, InstanceInfo, InstanceState
+from larkpost.fleet.division import EngineDivision
+from larkpost.fleet.evacuations import Evacuations, ZoneEvacuation
+from larkpost.fleet.weights import (
+    FIRST_SECONDS,
+    GROUP_SECONDS,
+    WeightTarget,
+    WeightTargets,
+    due_loads,
+)
+from larkpost.ids import Address, EngineId, ZoneId
+from larkpost.metrics import Metrics
+from larkpost.placement.evacuated import EvacuatedRule
+from larkpost.placement.rules import Placement
+from larkpost.placement.verdict import Verdict
+from larkpost.placement.work import CLIENT_WORK, ORDER_WORK, REWARD_WORK, Work, WorkKind
+from larkpost.platform import names, operator
+from larkpost.platform.stand_in.rows import evacuation_change
+from larkpost.policy import DEFAULT_POLICY, Policy
+from larkpost.proxy.balancer import Balancer
+from larkpost.proxy.evacuated import EVACUATED_RETRY_SECONDS
+from larkpost.proxy.forwarder import Forwarder
+from larkpost.proxy.request import ClientRequest, RefusedError
+from larkpost.proxy.shares import ShareChooser
+from larkpost.rehearsal.memory_store import StoreFaults
+from larkpost.rehearsal.scripted_engines import EngineState, ScriptedEngines
+from larkpost.store.port import Row, RowKey
+from tests.platform_checks import EVACUATE_SECONDS, known_by
+from tests.platform_fleet import (
+    CONFIGURATION,
+    ENGINES,
+    MODEL,
+    ZONES,
+    PlatformFleet,
+    check_results,
+    make_batch,
+)
+from tests.platform_oracle import PlatformOracle
+from tests.virtual import run
+
+NORTH, SOUTH = ZONES
+PAGES = ServiceName("pages")
+OBJECTIVE_SECONDS = 0.2
+ANY_ENGINE = replace(DEFAULT_POLICY, own_engines_first=False)
+CHANGE_SECONDS = 1.5
+"""Time for news of the store to have reached every daemon that can read it."""
+
+
+class ReaderTest(unittest.TestCase):
+    """What the platform's rows say."""
+
+    def read(self, key: str, *, removed: bool = False) -> ZoneEvacuation | None:
+        """Reads a row of the operator's table."""
+        row = Row(RowKey(names.OPERATOR_TABLE, "", key), b"{}", 1, removed=removed)
+        return operator.read_evacuation(row)
+
+    def test_row_begins_and_its_removal_ends(self):
+        ((key, value),) = evacuation_change(NORTH, is_on=True).puts
+        row = Row(key, value, 1)
+        self.assertEqual(ZoneEvacuation(NORTH, is_on=True), operator.read_evacuation(row))
+        (removal,) = evacuation_change(NORTH, is_on=False).removals
+        gone = Row(removal, b"", 2, removed=True)
+        self.assertEqual(ZoneEvacuation(NORTH, is_on=False), operator.read_evacuation(gone))
+
+    def test_other_rows_say_nothing_also_when_they_are_gone(self):
+        for key in (names.CONFIGURATION_KEY, f"{names.VERSION_KEY_PREFIX}m", "evacuates"):
+            for removed in (False, True):
+                self.assertIsNone(self.read(key, removed=removed))
+
+    def test_row_without_a_zone_is_unreadable(self):
+        with self.assertRaises(operator.UnreadableRowError):
+            self.read(names.EVACUATION_KEY_PREFIX)
+
+
+def make_info(name: str, zone: ZoneId, service: ServiceName = PAGES) -> InstanceInfo:
+    """Returns an instance's entry."""
+    address = Address("10.0.0.1:1")
+    return InstanceInfo(EngineId(name), service, address, zone, 4, InstanceState.READY, {MODEL: 1})
+
+
+class RuleTest(unittest.TestCase):
+    """Which work an evacuation forbids."""
+
+    def test_requests_are_forbidden_and_orders_are_not(self):
+        evacuations = Evacuations()
+        evacuations.begin(NORTH, 0.0)
+        rule = EvacuatedRule(evacuations)
+        inside, outside = make_info("a", NORTH), make_info("b", SOUTH)
+        for work in (CLIENT_WORK, REWARD_WORK, Work(WorkKind.ITEM)):
+            self.assertIs(Verdict.EVACUATED, rule.judge(inside, work))
+            self.assertIs(Verdict.EVACUATED, rule.admit(inside, work))
+            self.assertIs(Verdict.ALLOWED, rule.judge(outside, work))
+        self.assertIs(Verdict.ALLOWED, rule.judge(inside, ORDER_WORK))
+
+
+class ForwarderTest(unittest.TestCase):
+    """Client requests of a service with a server in either zone."""
+
+    def begin(self, *evacuated: ZoneId, slow: ZoneId | None = None) -> None:
+        """Lists a server in either zone, one of them silent."""
+        self.clock = LoopClock()
+        self.engines = ScriptedEngines(self.clock, MODEL)
+        directory = Directory()
+        evacuations = Evacuations()
+        for zone in evacuated:
+            evacuations.begin(zone, 0.0)
+        for zone in ZONES:
+            pace = 1.0 if zone == slow else 0.03
+            self.engines.engines[EngineId(zone)] = EngineState(slots=4, event_seconds=pace)
+            directory.update(make_info(zone, zone))
+        chance = random.Random(1)
+        placement = Placement(directory, (EvacuatedRule(evacuations),))
+        balancer = Balancer(directory, self.clock, chance, placement=placement)
+        self.forwarder = Forwarder(
+            directory,
+            balancer,
+            self.engines,
+            self.clock,
+            EventLog("daemon"),
+            Metrics(),
+            ShareChooser(chance),
+        )
+
+    def forward(self, kind: RouteKind):
+        """Forwards a request that is received now."""
+        shares = (ServiceShare(PAGES, 1.0),)
+        route = Route("r", "h", b"/", kind, shares, 2.0, OBJECTIVE_SECONDS, max_attempts=3)
+        now = self.clock.now()
+        return self.forwarder.forward(
+            ClientRequest(b"request", "GET", b"h", b"/", (), b"", now, 1.8), route
+        )
+
+    def runs(self, zone: ZoneId) -> int:
+        """Returns how many requests a zone's server has run."""
+        return len(self.engines.engines[EngineId(zone)].runs)
+
+    def test_second_try_avoids_the_zone(self):
+        async def play():
+            self.begin(NORTH, slow=SOUTH)
+            answer = await self.forward(RouteKind.IDEMPOTENT)
+            self.assertEqual(200, answer.status)
+            self.assertEqual((0, 1), (self.runs(NORTH), self.runs(SOUTH)))
+
+        run(play())
+
+    def test_no_server_elsewhere_is_refused_at_once(self):
+        async def play():
+            self.begin(*ZONES)
+            for kind in (RouteKind.IDEMPOTENT, RouteKind.RUN_ONCE):
+                began = self.clock.now()
+                with self.assertRaises(RefusedError) as refusal:
+                    await self.forward(kind)
+                self.assertLess(self.clock.now() - began, 0.01)
+                self.assertEqual(EVACUATED_RETRY_SECONDS, refusal.exception.retry_after)
+            self.assertEqual((0, 0), (self.runs(NORTH), self.runs(SOUTH)))
+
+        run(play())
+
+    def test_full_server_elsewhere_is_waited_for(self):
+        async def play():
+            self.begin(NORTH)
+            self.engines.engines[EngineId(SOUTH)].slots = 0
+            began = self.clock.now()
+            with self.assertRaises(RefusedError) as refusal:
+                await self.forward(RouteKind.RUN_ONCE)
+            self.assertGreater(self.clock.now() - began, 0.03)
+            self.assertLess(refusal.exception.retry_after, EVACUATED_RETRY_SECONDS)
+
+        run(play())
+
+
+class LoadTest(unittest.TestCase):
+    """Which engines load when, and which are a model's own."""
+
+    def setUp(self) -> None:
+        self.service = CONFIGURATION.services[ENGINES]
+        self.directory = Directory()
+        for number in range(6):
+            self.directory.update(make_info(f"e{number}", ZONES[number % 2], ENGINES))
+        self.targets = WeightTargets()
+        self.targets.update(WeightTarget(MODEL, 2), now=10.0)
+        self.north = {EngineId(f"e{number}") for number in (0, 2, 4)}
+        self.south = {EngineId(f"e{number}") for number in (1, 3, 5)}
+
+    def due(self, seconds: float, zone: ZoneId = NORTH) -> set[EngineId]:
+        """Returns the engines that load so long after the version was named."""
+        now = 10.0 + FIRST_SECONDS + seconds
+        evacuated = frozenset({zone})
+        loads = due_loads(
+            self.service, self.directory, self.targets, {}, now, DEFAULT_POLICY, evacuated
+        )
+        return {engine for engine, _ in loads}
+
+    def load(self, engines: set[EngineId]) -> None:
+        """Brings engines to the version."""
+        for engine in engines:
+            self.directory.observe_version(engine, MODEL, 2)
+
+    def test_engines_that_serve_load_first(self):
+        for zone, serving in ((NORTH, self.south), (SOUTH, self.north)):
+            self.assertTrue(self.due(0.1, zone))
+            self.assertLessEqual(self.due(0.1, zone), serving)
+        self.load(self.south)
+        self.assertTrue(self.due(0.2))
+        self.assertLessEqual(self.due(0.2), self.north)
+
+    def test_all_engines_load_in_the_end(self):
+        for _ in range(6):
+            self.load(self.due(0.1))
+        self.assertEqual(set(), self.due(0.1))
+        for engine in self.north | self.south:
+            self.assertEqual(2, self.directory.version_of(engine, MODEL))
+
+    def test_engine_that_cannot_load_holds_up_the_evacuated_ones_for_its_turns_only(self):
+        late = DEFAULT_POLICY.load_groups * GROUP_SECONDS + 0.1
+        self.assertTrue(self.due(late) & self.north)
+
+    def test_no_evacuated_engine_is_a_models_own(self):
+        async def play():
+            evacuations = Evacuations()
+            configuration = PlatformFleet(gateways=1).gateways[0].configuration
+            configuration.update(CONFIGURATION)
+            division = EngineDivision(
+                configuration,
+                self.directory,
+                self.targets,
+                LoopClock(),
+                dict,
+                evacuations=evacuations,
+            )
+            self.assertEqual(self.north | self.south, division.engines_of(ENGINES, MODEL))
+            evacuations.begin(NORTH, 0.0)
+            await asyncio.sleep(1.0)
+            self.assertEqual(self.south, division.engines_of(ENGINES, MODEL))
+
+        run(play())
+
+
+class NotingLog(EventLog):
+    """Keeps the events of one daemon."""
+
+    def __init__(self) -> None:
+        super().__init__("daemon")
+        self.events: list[tuple[Event, dict]] = []
+
+    def note(self, event: Event, **fields) -> None:
+        """Keeps an event."""
+        self.events.append((event, fields))
+
+
+class FleetTest(unittest.TestCase):
+    """A fleet of daemons with two engines in either zone."""
+
+    async def begin(self, policy: Policy = ANY_ENGINE, **options) -> None:
+        """Starts a fleet, and waits until it has learnt all that it must.
+
+        Items may go to any engine from the start, so that nothing but the rule keeps them away.
+        """
+        self.fleet = PlatformFleet(policy=policy, **options)
+        self.batches = 0
+        await self.fleet.wait(CHANGE_SECONDS)
+
+    async def run_batch(self, number: int = 0, items: int = 12, **options) -> set[ZoneId]:
+        """Runs a batch at a daemon and returns the zones to which anything was sent meanwhile."""
+        self.batches += 1
+        spec = make_batch(f"batch-{self.batches}", items, **options)
+        first = len(self.fleet.sends)
+        gateway = self.fleet.gateways[number]
+        await gateway.batches.submit(spec)
+        check_results(self, spec, await self.fleet.read_all(gateway, spec.id))
+        return {send.zone for send in self.fleet.sends[first:]}
+
+    async def change(self, *zones: ZoneId, on: bool = True) -> None:
+        """Begins or ends evacuations, and waits until every daemon knows."""
+        for zone in zones:
+            (self.fleet.evacuate if on else self.fleet.end_evacuation)(zone)
+        await self.fleet.wait(CHANGE_SECONDS)
+
+    def check_bound(self) -> None:
+        """Checks all sends so far against the operator's word."""
+        PlatformOracle(self.fleet).check_evacuated()
+
+    def test_evacuation_begins_and_ends(self):
+        async def play():
+            await self.begin(scorers=2)
+            self.assertEqual(set(ZONES), await self.run_batch(scored=True))
+            await self.change(NORTH)
+            self.assertEqual({SOUTH}, await self.run_batch(scored=True))
+            await self.change(NORTH, on=False)
+            self.assertEqual(set(ZONES), await self.run_batch(scored=True))
+            self.check_bound()
+
+        run(play())
+
+    def test_begin_and_end_have_one_line_each(self):
+        async def play():
+            await self.begin(gateways=1)
+            log = NotingLog()
+            self.fleet.gateways[0]._intake._log = log
+            await self.change(NORTH)
+            self.fleet.put("operator", f"evacuate-{NORTH}", b"{}")  # said again: no news
+            await self.change(NORTH, on=False)
+            lines = [fields for event, fields in log.events if event is Event.EVACUATION]
+            self.assertEqual(["begun", "ended"], [line["state"] for line in lines])
+            self.assertEqual(
+                [(NORTH, 2)] * 2, [(line["zone"], line["instances"]) for line in lines]
+            )
+
+        run(play())
+
+    def test_end_and_new_begin_within_one_answer_of_the_feed(self):
+        async def play():
+            await self.begin()
+            await self.change(NORTH)
+            self.fleet.end_evacuation(NORTH)
+            await self.change(NORTH)
+            self.assertEqual({SOUTH}, await self.run_batch())
+
+        run(play())
+
+    def test_begin_and_end_within_one_answer_of_the_feed(self):
+        async def play():
+            await self.begin()
+            self.fleet.evacuate(NORTH)
+            await self.change(NORTH, on=False)
+            self.assertEqual(set(ZONES), await self.run_batch())
+
+        run(play())
+
+    def test_two_zones_at_once(self):
+        async def play():
+            await self.begin()
+            await self.change(*ZONES)
+            first = len(self.fleet.sends)
+            spec = make_batch("waiting")
+            await self.fleet.gateways[0].batches.submit(spec)
+            await self.fleet.wait(3.0)
+            self.assertEqual([], self.fleet.sends[first:])
+            await self.change(SOUTH, on=False)
+            check_results(self, spec, await self.fleet.read_all(self.fleet.gateways[0], spec.id))
+            self.assertEqual({SOUTH}, {send.zone for send in self.fleet.sends[first:]})
+
+        run(play())
+
+    def test_zone_without_servers(self):
+        async def play():
+            await self.begin()
+            await self.change(ZoneId("nowhere"))
+            self.assertEqual(set(ZONES), await self.run_batch())
+
+        run(play())
+
+    def test_other_rows_that_are_removed_end_nothing(self):
+        async def play():
+            await self.begin()
+            await self.change(NORTH, ZoneId("nowhere"))
+            await self.change(ZoneId("nowhere"), on=False)
+            self.assertEqual({SOUTH}, await self.run_batch())
+
+        run(play())
+
+    def test_daemon_that_was_just_started(self):
+        async def play():
+            await self.begin()
+            await self.change(NORTH)
+            self.fleet.add_gateway("late")
+            while not self.fleet.gateways[-1].lifecycle.informed:
+                await self.fleet.wait(0.01)
+            self.assertEqual({SOUTH}, await self.run_batch(number=-1))
+
+        run(play())
+
+    def test_end_is_learnt_when_the_feed_lost_it(self):
+        async def play():
+            await self.begin(gateways=1)
+            await self.change(NORTH)
+            self.fleet.store.faults = StoreFaults(refuses=True)
+            await self.fleet.wait(1.0)
+            self.fleet.end_evacuation(NORTH)
+            self.fleet.store.forget_history()
+            self.fleet.store.faults = StoreFaults()
+            await self.fleet.wait(CHANGE_SECONDS)
+            self.assertEqual(set(ZONES), await self.run_batch())
+
+        run(play())
+
+    def test_begin_is_learnt_when_the_feed_lost_it(self):
+        async def play():
+            await self.begin(gateways=1)
+            self.fleet.evacuate(NORTH)
+            self.fleet.store.forget_history()
+            await self.fleet.wait(CHANGE_SECONDS)
+            self.assertEqual({SOUTH}, await self.run_batch())
+
+        run(play())
+
+    def test_evacuation_outlasts_a_lost_store(self):
+        async def play():
+            await self.begin(gateways=1)
+            await self.change(NORTH)
+            self.fleet.store.faults = StoreFaults(down=True)
+            await self.fleet.wait(60.0)
+            self.fleet.store.forget_history()
+            self.fleet.store.faults = StoreFaults()
+            self.assertEqual({SOUTH}, await self.run_batch())
+
+        run(play())
+
+    def test_daemon_that_the_store_turns_away_hears_through_a_peer(self):
+        async def play():
+            await self.begin(relays=True)
+            self.fleet.clients[0].refused = True
+            await self.fleet.wait(1.0)
+            self.fleet.evacuate(NORTH)
+            await self.fleet.wait(EVACUATE_SECONDS)
+            self.assertTrue(self.fleet.gateways[0].beliefs.evacuations.is_evacuated(NORTH))
+            self.assertEqual({SOUTH}, await self.run_batch())
+
+        run(play())
+
+    def test_broken_run_goes_on_outside_the_zone(self):
+        async def play():
+            await self.begin(replace(ANY_ENGINE, avoid_failed=False), gateways=1)
+            spec = make_batch(items=28)
+            await self.fleet.gateways[0].batches.submit(spec)
+            await self.fleet.wait(0.08)
+            north = [name for name, zone in self.fleet.zones.items() if zone == NORTH]
+            self.assertTrue(any(self.fleet.engines.engines[name].running for name in north))
+            self.fleet.gateways[0].beliefs.evacuations.begin(NORTH, 0.0)
+            first = len(self.fleet.sends)
+            for name in north:
+                self.fleet.engines.engines[name].break_after = 3
+            check_results(self, spec, await self.fleet.read_all(self.fleet.gateways[0], spec.id))
+            self.assertEqual({SOUTH}, {send.zone for send in self.fleet.sends[first:]})
+
+        run(play())
+
+    def test_run_under_way_ends_where_it_is(self):
+        async def play():
+            await self.begin(gateways=1)
+            spec = make_batch(items=8)
+            await self.fleet.gateways[0].batches.submit(spec)
+            await self.fleet.wait(0.08)
+            self.fleet.gateways[0].beliefs.evacuations.begin(NORTH, 0.0)
+            sent = len(self.fleet.sends)
+            check_results(self, spec, await self.fleet.read_all(self.fleet.gateways[0], spec.id))
+            self.assertEqual(sent, len(self.fleet.sends))
+
+        run(play())
+
+    def test_gauges_tell_when_a_zone_is_empty(self):
+        async def play():
+            await self.begin(gateways=1)
+            gateway = self.fleet.gateways[0]
+            spec = make_batch(items=8)
+            await gateway.batches.submit(spec)
+            await self.fleet.wait(0.08)
+            gateway.beliefs.evacuations.begin(NORTH, 0.0)
+            count = sum(
+                state.running
+                for name, state in self.fleet.engines.engines.items()
+                if self.fleet.zones[name] == NORTH
+            )
+            self.assertGreater(count, 0)
+            self.check_gauges(count)
+            await self.fleet.read_all(gateway, spec.id)
+            self.check_gauges(0)
+            gateway.beliefs.evacuations.end(NORTH)
+            self.assertNotIn(b'larkpost_evacuated{zone="north"}', gateway.read_metrics())
+            self.assertNotIn(b'larkpost_evacuated_requests{zone="north"}', gateway.read_metrics())
+
+        run(play())
+
+    def check_gauges(self, count: int) -> None:
+        """Checks that the evacuated zone is told to hold some requests."""
+        text = self.fleet.gateways[0].read_metrics().decode()
+        self.assertIn('larkpost_evacuated{zone="north"} 1.0', text)
+        self.assertIn(f'larkpost_evacuated_requests{{zone="north"}} {count}.0', text)
+
+    def test_request_at_an_instance_that_left_the_list_is_counted(self):
+        async def play():
+            await self.begin(gateways=1)
+            gateway = self.fleet.gateways[0]
+            with gateway.balancer.placed(EngineId("engine-0")):
+                gateway.directory.forget(EngineId("engine-0"))
+                self.assertEqual(1, gateway.balancer.outstanding_in(NORTH))
+            self.assertEqual(0, gateway.balancer.outstanding_in(NORTH))
+
+        run(play())
+
+    def test_daemon_in_the_zone_serves_its_callers(self):
+        async def play():
+            await self.begin(gateways=1)
+            self.fleet.gateways[0].beliefs.regions.own_zone = NORTH
+            await self.change(NORTH)
+            self.assertEqual({SOUTH}, await self.run_batch())
+
+        run(play())
+
+    def test_weights_are_loaded_in_the_zone(self):
+        async def play():
+            await self.begin()
+            await self.change(NORTH)
+            self.fleet.put("operator", MODEL, b"2")
+            await self.fleet.wait(8.0)
+            for state in self.fleet.model_engines():
+                self.assertEqual(2, state.versions[MODEL])
+            await self.change(NORTH, on=False)
+            self.assertEqual(set(ZONES), await self.run_batch(minimum_version=2))
+
+        run(play())
+
+
+class CheckTest(unittest.TestCase):
+    """The check of the bound, by which the fuzz judges."""
+
+    def test_trouble_within_the_bound_excuses_and_later_trouble_does_not(self):
+        self.assertEqual(15.0, known_by(10.0, []))
+        self.assertEqual(18.0, known_by(10.0, [(12.0, 13.0)]))
+        self.assertEqual(23.0, known_by(10.0, [(12.0, 13.0), (17.0, 18.0)]))
+        self.assertEqual(15.0, known_by(10.0, [(3.0, 9.0), (16.0, 17.0)]))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_platform_fuzz.py
+++ b/tests/test_platform_fuzz.py
@@ -2,8 +2,9 @@
 
 Hypothesis chooses what happens: batches come, daemons are killed, cut off and added, the store is
 down, refuses, loses answers, carries writes out late and forgets its history, engines go down and
-break streams, versions are named, batches are ended. What must hold at all times is checked after
-each step; at the end everything heals, and every accepted batch must become whole.
+break streams, versions are named, zones are evacuated, batches are ended. What must hold at all
+times is checked after each step; at the end everything heals but one zone's evacuation, and every
+accepted batch must become whole, also one that comes then.
 """
 
 import asyncio
@@ -16,18 +17,21 @@
 
 from larkpost.ids import EngineId
 from larkpost.rehearsal.memory_store import StoreFaults
-from tests.platform_fleet import MODEL, PlatformFleet, make_batch
+from tests.platform_checks import EVACUATE_SECONDS
+from tests.platform_fleet import MODEL, ZONES, PlatformFleet, make_batch
 from tests.platform_oracle import PlatformOracle
 
 EXAMPLES = int(os.environ.get("LARKPOST_PLATFORM_FUZZ_EXAMPLES", "12"))
 FRESH = "LARKPOST_FUZZ_FRESH" in os.environ
 SHRINK = "LARKPOST_FUZZ_SHRINK" in os.environ
-STEPS = 25
+STEPS = 30
 GATEWAYS = 3
 ENGINES = 4
 SCORERS = 2
 SCORER_TROUBLES = ("none", "down", "broken", "unsigned", "failing")
 MAX_VERSION_GAP = 1
+LAST_ITEMS = 28
+"""More than one zone's engines have places for, when every daemon knows what is evacuated."""
 LIVENESS_SECONDS = 90
 """Seconds after all faults within which every accepted batch is whole."""
 
@@ -169,6 +173,12 @@
         self.version += 1
         self.run(self._do(self.fleet.put, "operator", MODEL, str(self.version).encode()))
 
+    @rule(zone=st.sampled_from(ZONES), on=st.booleans())
+    def evacuate(self, zone, on):
+        """The operator evacuates a zone, or ends that."""
+        change = self.fleet.evacuate if on else self.fleet.end_evacuation
+        self.run(self._do(change, zone))
+
     async def _do(self, action, *arguments):
         action(*arguments)
 
@@ -202,10 +212,19 @@
             state.break_after = None
             state.unsigned = False
             state.status = None
+        if len(fleet.evacuated_zones()) == len(ZONES):
+            fleet.end_evacuation(ZONES[0])  # the other one stays: batches become whole without it
         while len(fleet.gateways) - len(self.dead) < GATEWAYS:
             fleet.add_gateway(f"daemon-{len(fleet.gateways)}")
+        await self._finish()
+        await fleet.wait(EVACUATE_SECONDS)
+        last = make_batch("last", LAST_ITEMS, scored=True)
+        assert await self.oracle.submit(self.living(0), last), "a sound fleet refuses a batch"
+        await self._finish()
+
+    async def _finish(self):
         for _ in range(LIVENESS_SECONDS):
-            await fleet.wait(1.0)
+            await self.fleet.wait(1.0)
             if not self.oracle.missing():
                 return
         raise AssertionError(f"accepted batches are not whole: {self.oracle.missing()}")
