The soak of real programs evacuates zones, and its judge holds every run against that

Cause: the bound of an evacuation was proved on virtual time only. Change: servers stand in two zones and tell theirs with each run; a fault of the plan evacuates one for up to 20 s. Faults that keep news from daemons or requests from servers excuse until the bound after their end, kills and moves of daemons, a forgotten history and the evacuation itself do not.

--- a/tests/process_soak/__main__.py
+++ b/tests/process_soak/__main__.py
@@ -21,7 +21,7 @@
 from larkpost.rehearsal.processes import ProcessGroup, answers
 from tests.process_soak.callers import Callers
 from tests.process_soak.judge import Judge
-from tests.process_soak.plan import Fault, draw_plan
+from tests.process_soak.plan import HINDERING, Fault, Kind, draw_plan
 from tests.process_soak.records import read_records
 from tests.process_soak.site import MODEL, Site
 
@@ -68,6 +68,7 @@
         """Plays a run and returns what it saw."""
         site = Site(group, self._folder, self._mutant)
         await site.start()
+        self._judge.evacuations = site.evacuations
         await _until_ready(site)
         callers = Callers(
             site.fronts, self._judge, self._chance, site.name_version, lambda: site.configured_at
@@ -110,9 +111,18 @@
         await asyncio.gather(*running)
 
     async def _strike_once(self, site: Site, fault: Fault) -> None:
-        self._judge.fault_times.append(time.monotonic())
+        began_at = time.monotonic()
+        hindrances = self._judge.hindrances
+        if fault.kind in HINDERING:
+            hindrances.append((began_at, float("inf")))
+        if fault.kind is not Kind.EVACUATION:  # which excuses nothing
+            self._judge.fault_times.append(began_at)
         await site.strike(fault)
-        self._judge.fault_times.append(time.monotonic())
+        if fault.kind is not Kind.EVACUATION:
+            self._judge.fault_times.append(time.monotonic())
+        if fault.kind in HINDERING:
+            hindrances.remove((began_at, float("inf")))
+            hindrances.append((began_at, time.monotonic()))
 
     async def _heal(self, callers: Callers) -> None:
         """Waits until every accepted batch that nobody ended is whole."""
--- a/tests/process_soak/judge.py
+++ b/tests/process_soak/judge.py
@@ -3,13 +3,14 @@
 The checks of single results are those of the fuzz's oracle (`tests.platform_checks`).
 """
 
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 
 from larkpost.platform.stand_in.rows import TRAINING
 from larkpost.rehearsal.scripted_engines import output_of
 from larkpost.rollouts.model import ResultState
 from tests import platform_checks as checks
-from tests.process_soak.records import Records
+from tests.process_soak.records import Evacuation, Records
 
 APPLY_SECONDS = 2.0
 """Time after the acknowledgement of a configuration until it is in force everywhere."""
@@ -55,6 +56,9 @@
         tenants: whose key each client request carried.
         dropped: requests with a key that was taken away, each with the time of that.
         fault_times: when faults struck or ended.
+        hindrances: spans of the faults that keep news from daemons or requests from servers, as
+            begin and end; the end is infinite until it has come.
+        evacuations: the site's, as they happen.
     """
 
     batches: dict[str, SubmittedBatch] = field(default_factory=dict)
@@ -63,6 +67,8 @@
     tenants: dict[str, str] = field(default_factory=dict)
     dropped: dict[str, float] = field(default_factory=dict)
     fault_times: list[float] = field(default_factory=list)
+    hindrances: list[tuple[float, float]] = field(default_factory=list)
+    evacuations: Sequence[Evacuation] = ()
 
     def take_page(self, batch: SubmittedBatch, position: int, results: list[dict]) -> None:
         """Takes results that a daemon has given; what was read before must come again."""
@@ -81,6 +87,7 @@
             self._check_arrivals(batch, records)
         self._check_requests(records)
         self._check_tenants(records)
+        self._check_evacuated(records)
         checks.check_reports(
             [(report.window, report.counts) for report in records.usage],
         )
@@ -148,6 +155,15 @@
                 late = run.began > dropped_at + APPLY_SECONDS
                 assert not (late and self._is_calm(run.began)), f"{name} ran with a dropped key"
 
+    def _check_evacuated(self, records: Records) -> None:
+        """Nothing reaches an evacuated zone once every daemon had to know."""
+        for span in self.evacuations:
+            known_at = checks.known_by(span.began_at, sorted(self.hindrances))
+            for name, runs in records.runs.items():
+                for run in runs:
+                    if run.zone == span.zone:
+                        checks.check_evacuated(name, run.began, known_at, span.ended_at)
+
     def missing(self) -> list[str]:
         """Returns the accepted batches that are neither whole nor ended."""
         return [
--- a/tests/process_soak/plan.py
+++ b/tests/process_soak/plan.py
@@ -34,9 +34,26 @@
     SERVER_PAUSE = "server_pause"
     SCORER_FAILS = "scorer_fails"  # a server answers every page with 500
     CONFIGURATION = "configuration"  # a newer one, with another route
+    EVACUATION = "evacuation"  # of a zone, ended after a while
 
 
-LONGEST_SECONDS = {Kind.STORE_PAUSE: 3.0, Kind.SERVER_PAUSE: 3.0, Kind.SCORER_FAILS: 2.0}
+LONGEST_SECONDS = {
+    Kind.STORE_PAUSE: 3.0,
+    Kind.SERVER_PAUSE: 3.0,
+    Kind.SCORER_FAILS: 2.0,
+    Kind.EVACUATION: 20.0,
+}
+HINDERING = {
+    Kind.DAEMON_PAUSE,
+    Kind.STORE_REFUSES,
+    Kind.STORE_TURNS_AWAY,
+    Kind.STORE_SLOW,
+    Kind.STORE_PAUSE,
+    Kind.STORE_LINK,
+    Kind.SERVER_LINK,
+    Kind.SERVER_PAUSE,
+}
+"""What keeps news from daemons, or requests on their way to servers."""
 USUAL_LONGEST_SECONDS = 5.0
 SHORTEST_SECONDS = 0.3
 GARBLES = (LinkFault.EXTRA, LinkFault.GARBLE)
--- a/tests/process_soak/records.py
+++ b/tests/process_soak/records.py
@@ -10,6 +10,8 @@
 
 import orjson
 
+from larkpost.ids import ZoneId
+
 FAILING_CALL = "/-/failing"
 """Tells a server whether to answer all pages with 500."""
 
@@ -38,13 +40,18 @@
 
 @dataclass(frozen=True, slots=True)
 class Run:
-    """One run of a request; `began` is steady time, `tenant` what the server was told."""
+    """One run of a request; `began` is steady time, `tenant` what the server was told.
+
+    Attributes:
+        zone: of the server that ran it.
+    """
 
     path: str
     began: float
     signature: str
     status: int
     tenant: str | None = None
+    zone: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -67,6 +74,15 @@
     at: float
 
 
+@dataclass(slots=True)
+class Evacuation:
+    """An evacuation; `began_at` is when the store acknowledged it, `ended_at` when its end went."""
+
+    zone: ZoneId
+    began_at: float
+    ended_at: float = float("inf")
+
+
 @dataclass(slots=True)
 class Records:
     """All records of all servers so far.
@@ -93,6 +109,7 @@
                     document["signature"],
                     document["status"],
                     document["tenant"],
+                    document["zone"],
                 )
                 self.runs[document["request"]].append(run)
             case RecordKind.WHOLE:
--- a/tests/process_soak/server_program.py
+++ b/tests/process_soak/server_program.py
@@ -1,7 +1,7 @@
 """A stand-in server that tells on standard output what it ran, so that a judge can read it.
 
 Run as ``python -m tests.process_soak.server_program`` with the instance, its service, the address
-in its entry (a proxy's), the address where it listens, its slots, the store and its models.
+in its entry (a proxy's), the address where it listens, its zone, slots, the store and its models.
 """
 
 import asyncio
@@ -32,8 +32,9 @@
 class RecordingServerApp(ServerApp):
     """A stand-in server that records its runs, answers and orders, and may fail all pages."""
 
-    def __init__(self, instance: EngineId, state: EngineState) -> None:
+    def __init__(self, instance: EngineId, state: EngineState, zone: ZoneId) -> None:
         super().__init__(instance, state)
+        self._zone = zone
         self._failing = False
         self._late_orders = False
         self._late: set[asyncio.Task] = set()
@@ -72,6 +73,7 @@
             signature=signature,
             status=response.status_code,
             tenant=request.headers.get(names.TENANT.decode()),
+            zone=self._zone,
         )
         return response
 
@@ -102,19 +104,27 @@
 
 
 async def serve(
-    instance: str, service: str, listed: str, own: str, slots: int, store: str, models: str
+    instance: str,
+    service: str,
+    listed: str,
+    own: str,
+    zone: str,
+    slots: int,
+    store: str,
+    models: str,
 ) -> None:
     """Serves, and keeps the entry in the store."""
     versions = dict.fromkeys((ModelName(name) for name in models.split(",") if name), 1)
     state = EngineState(slots=slots, versions=versions)
-    await HttpServer(RecordingServerApp(EngineId(instance), state).app(), Address(own)).start()
+    app = RecordingServerApp(EngineId(instance), state, ZoneId(zone)).app()
+    await HttpServer(app, Address(own)).start()
     client = HttpStore(Address(store), ROW_BYTES)
     while True:
         entry = StandInServer(
             EngineId(instance),
             ServiceName(service),
             Address(listed),
-            ZoneId("z"),
+            ZoneId(zone),
             slots,
             dict(state.versions),
         )
@@ -124,4 +134,4 @@
 
 if __name__ == "__main__":
     arguments = sys.argv[1:]
-    asyncio.run(serve(*arguments[:4], int(arguments[4]), *arguments[5:]))
+    asyncio.run(serve(*arguments[:5], int(arguments[5]), *arguments[6:]))
--- a/tests/process_soak/site.py
+++ b/tests/process_soak/site.py
@@ -14,7 +14,11 @@
 from larkpost.ids import Address, ZoneId
 from larkpost.platform import names
 from larkpost.platform.stand_in.daemon_settings import DaemonPlace, write_settings
-from larkpost.platform.stand_in.rows import configuration_change, version_change
+from larkpost.platform.stand_in.rows import (
+    configuration_change,
+    evacuation_change,
+    version_change,
+)
 from larkpost.platform.store import HttpStore
 from larkpost.rehearsal.platform_fleet import DAEMON_MODULE
 from larkpost.rehearsal.processes import Process, ProcessGroup, free_address
@@ -28,6 +32,7 @@
     FORGET_CALL,
     LATE_ORDERS_CALL,
     STORE_FAULTS_CALL,
+    Evacuation,
 )
 
 STORE_MODULE = "tests.process_soak.store_program"
@@ -35,6 +40,8 @@
 MUTANT_MODULE = "tests.process_soak.mutant_daemon"
 ENGINES, PAGES = ServiceName("engines"), ServiceName("pages")
 MODEL = ModelName("model")
+ZONES = (ZoneId("north"), ZoneId("south"))
+"""Servers stand in turn in either."""
 STORE_FAULTS = {
     Kind.STORE_REFUSES: {"refuses": True},
     Kind.STORE_LOSES_ANSWERS: {"lost_answers": 0.3},
@@ -93,6 +100,7 @@
         self._client = HttpStore(self._store_address, ROW_BYTES)
         self._configuration = 0
         self.configured_at: dict[int, float] = {}
+        self.evacuations: list[Evacuation] = []
         self._started = 0
         self.servers: list[Server] = []
         self.daemons: list[Daemon] = []
@@ -187,6 +195,20 @@
                 self._change_settings(self._daemon(fault), good=fault.kind is Kind.GOOD_SETTINGS)
             case Kind.CONFIGURATION:
                 await self.change_configuration()
+            case Kind.EVACUATION:
+                await self._evacuate(ZONES[fault.target % len(ZONES)], fault.seconds)
+
+    async def _evacuate(self, zone: ZoneId, seconds: float) -> None:
+        """Evacuates a zone for a while, unless it is evacuated already."""
+        if any(span.zone == zone and span.ended_at == float("inf") for span in self.evacuations):
+            return
+        span = Evacuation(zone, float("inf"))
+        self.evacuations.append(span)
+        await self._write(evacuation_change(zone, is_on=True))
+        span.began_at = time.monotonic()
+        await asyncio.sleep(seconds)
+        span.ended_at = time.monotonic()
+        await self._write(evacuation_change(zone, is_on=False))
 
     def _daemon(self, fault: Fault) -> Daemon:
         return self.daemons[fault.target % len(self.daemons)]
@@ -233,6 +255,7 @@
             service,
             proxy.address,
             own,
+            ZONES[number % len(ZONES)],
             str(ENGINE_SLOTS if engine else PAGE_SLOTS),
             self._store_address,
             MODEL if engine else "",
--- a/tests/test_process_soak.py
+++ b/tests/test_process_soak.py
@@ -15,7 +15,8 @@
 from tests.process_soak.judge import Judge, SubmittedBatch
 from tests.process_soak.plan import Kind, draw_plan
 from tests.process_soak.proxy import FaultProxy, LinkFault
-from tests.process_soak.records import Order, Records, Run, Usage
+from tests.process_soak.records import Evacuation, Order, Records, Run, Usage
+from tests.process_soak.site import ZONES
 
 SEEDS = Path(__file__).resolve().parent / "soak_seeds.toml"
 WAIT_SECONDS = 0.4
@@ -226,6 +227,17 @@
         self.judge.fault_times.append(12.0)
         self.judge.check(self.records)
 
+    def test_request_in_an_evacuated_zone(self):
+        self.judge.asked["r1"] = False
+        self.judge.evacuations = [Evacuation(ZONES[0], 10.0, 30.0)]
+        for began, zone in ((14.0, ZONES[0]), (20.0, ZONES[1]), (31.0, ZONES[0])):
+            self.records.runs["r1"].append(Run("/p", began, "p.r1", 200, zone=zone))
+        self.judge.check(self.records)
+        self.records.runs["r1"].append(Run("/p", 16.0, "p.r1", 200, zone=ZONES[0]))
+        self.assert_broken("evacuated")
+        self.judge.hindrances.append((12.0, 13.0))
+        self.judge.check(self.records)
+
     def test_window_with_two_counts(self):
         self.records.usage += [Usage(7, {"a": 1}, "h", 1, 0.0), Usage(7, {"a": 1}, "h", 2, 1.0)]
         self.judge.check(self.records)
