--- a/src/larkpost/eventlog.py
+++ b/src/larkpost/eventlog.py
@@ -34,6 +34,7 @@
     INSTANCE = "instance"
     INSTANCE_COLD = "instance_cold"
     WEIGHT_TARGET = "weight_target"
+    EVACUATION = "evacuation"
     STORE = "store"
     STORE_RELAY = "store_relay"
     UNREADABLE = "unreadable"
--- a/src/larkpost/gateway.py
+++ b/src/larkpost/gateway.py
@@ -24,6 +24,7 @@
 from larkpost.metrics import Level, Metrics
 from larkpost.placement.cold import LOOK_SECONDS, ColdRule
 from larkpost.placement.cold_senders import ColdSenders
+from larkpost.placement.evacuated import EvacuatedRule
 from larkpost.placement.homes import HomeRule
 from larkpost.placement.rules import Placement, PlacementRule
 from larkpost.planned_stop import PlannedStop
@@ -210,6 +211,7 @@
                 ports.clock,
                 lambda: self.keeper.demands(),
                 settings.policy,
+                self.beliefs.evacuations,
             ),
             settings.policy,
             self.cold,
@@ -236,6 +238,7 @@
             ports.metrics,
             self.keeper.demands,
             settings.policy,
+            self.beliefs.evacuations,
         )
         self._scaling = self._make_scaling(ports.scaling, leases) if ports.scaling else None
         readers = ports.readers
@@ -334,7 +337,11 @@
 
     def _placement_rules(self) -> tuple[PlacementRule, ...]:
         """Returns the rules of placement; those that count sends come last."""
-        return (HomeRule(self.beliefs.regions), self.cold)
+        return (
+            EvacuatedRule(self.beliefs.evacuations),
+            HomeRule(self.beliefs.regions),
+            self.cold,
+        )
 
     def _is_confined(self, table: str) -> bool:
         """Tells whether rows of a table hold bodies that may be bound to this daemon's region."""
@@ -383,6 +390,10 @@
         relay = self._ports.relay
         metrics.set(Level.STORE_RELAYED, int(relay is not None and relay.is_relayed))
         metrics.set(Level.COORDINATOR, int(self.membership.is_coordinator()))
+        zones = self.beliefs.evacuations.zones()
+        metrics.replace(Level.EVACUATED, dict.fromkeys(zones, 1))
+        in_zones = {zone: self.balancer.outstanding_in(zone) for zone in zones}
+        metrics.replace(Level.EVACUATED_REQUESTS, in_zones)
         self._loop_lag = 0.0
         return metrics.text()
 
--- a/src/larkpost/metrics.py
+++ b/src/larkpost/metrics.py
@@ -1,5 +1,6 @@
 """Counters and latency histograms of one daemon on the platform, in the Prometheus text format."""
 
+from collections.abc import Mapping
 from enum import StrEnum
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
@@ -74,6 +75,8 @@
     SERVERS_NEEDED = "larkpost_servers_needed"
     COORDINATOR = "larkpost_coordinator"
     STORE_RELAYED = "larkpost_store_relayed"
+    EVACUATED = "larkpost_evacuated"
+    EVACUATED_REQUESTS = "larkpost_evacuated_requests"
 
 
 LEVELS: dict[Level, tuple[str, tuple[str, ...]]] = {
@@ -91,6 +94,11 @@
     Level.COORDINATOR: ("Whether this daemon gives orders and claims batches (1) or not (0).", ()),
     Level.STORE_RELAYED: ("Whether a peer makes this daemon's calls to the store (1).", ()),
     Level.SERVERS_NEEDED: ("Servers that the demand takes; 0 if not known.", ("service",)),
+    Level.EVACUATED: ("Zones whose evacuation this daemon knows of (1).", ("zone",)),
+    Level.EVACUATED_REQUESTS: (
+        "Requests and runs of this daemon at instances of evacuated zones.",
+        ("zone",),
+    ),
     Level.READY: ("Whether new clients may come (1) or not (0).", ()),
 }
 
@@ -148,6 +156,13 @@
         metric = self._levels[level]
         (metric.labels(*labels) if labels else metric).set(value)
 
+    def replace(self, level: Level, values: Mapping[str, float]) -> None:
+        """Sets a gauge of one label, and drops the values of labels that are not given."""
+        metric = self._levels[level]
+        metric.clear()
+        for label, value in values.items():
+            metric.labels(label).set(value)
+
     def observe(self, timing: Timing, seconds: float, *labels: str) -> None:
         """Adds to a histogram."""
         metric = self._timings[timing]
--- a/src/larkpost/proxy/balancer.py
+++ b/src/larkpost/proxy/balancer.py
@@ -11,7 +11,7 @@
 from larkpost.fleet.directory import Directory, InstanceInfo
 from larkpost.fleet.heartbeat import UseSummary
 from larkpost.fleet.regions import Distance, RegionMap
-from larkpost.ids import DaemonId, EngineId
+from larkpost.ids import DaemonId, EngineId, ZoneId
 from larkpost.placement.cold import ColdRule
 from larkpost.placement.rules import Placement
 from larkpost.placement.verdict import Verdict
@@ -48,6 +48,7 @@
         avoid_until: steady time before which it is only a last resort.
         pace: seconds a unit of work takes there, smoothed; 0 if unknown.
         answered_at: when the pace last was that of a whole answer, the way there and back in it.
+        zone: where it is, kept for requests that outlast its entry; None if not known.
     """
 
     outstanding: int = 0
@@ -57,6 +58,7 @@
     pace: float = 0.0
     pace_at: float = float("-inf")
     answered_at: float = float("-inf")
+    zone: ZoneId | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -258,7 +260,10 @@
 
     def occupy(self, instance: EngineId) -> None:
         """Counts a request at an instance until `release` is called for it."""
-        self.use(instance).outstanding += 1
+        use = self.use(instance)
+        use.outstanding += 1
+        info = self._directory.get(instance)
+        use.zone = info.zone if info is not None else use.zone
 
     def release(self, instance: EngineId) -> None:
         """Ends the count of a request at an instance."""
@@ -344,6 +349,10 @@
         verdicts = self.verdicts(service, work).keys()
         return not work.regions or verdicts == {Verdict.OUTSIDE_REGIONS}
 
+    def outstanding_in(self, zone: ZoneId) -> int:
+        """Returns this daemon's requests at a zone's instances, also those that left the list."""
+        return sum(use.outstanding for use in self._uses.values() if use.zone == zone)
+
     def _verdict(self, info: InstanceInfo, work: Work) -> Verdict:
         verdict = self._placement.judge(info, work)
         return Verdict.AVOIDED if verdict.is_allowed and self.is_avoided(info.id) else verdict
--- a/tests/platform_mutants.py
+++ b/tests/platform_mutants.py
@@ -382,6 +382,36 @@
     return mock.patch.object(HomeRule, "judge", lambda *_: Verdict.ALLOWED)
 
 
+def forget_evacuations():
+    """Lets an evacuation lapse by itself after a while."""
+    from larkpost.fleet.row_intake import RowIntake
+
+    original = RowIntake.drop_lapsed
+    lapse_seconds = 2.0
+
+    async def drop_lapsed(self):
+        known = self._evacuations
+        for zone, since in list(known._since.items()):
+            if self._clock.now() - since > lapse_seconds:
+                known.end(zone)
+        await original(self)
+
+    return mock.patch.object(RowIntake, "drop_lapsed", drop_lapsed)
+
+
+def miss_ends_of_evacuations():
+    """Passes rows over that are gone, as those of configurations are."""
+    from larkpost.fleet.row_intake import RowIntake
+
+    original = RowIntake.take_operator_row
+
+    def take_operator_row(self, row):
+        if not row.removed:
+            original(self, row)
+
+    return mock.patch.object(RowIntake, "take_operator_row", take_operator_row)
+
+
 MUTANTS = {
     mutant.__name__: mutant
     for mutant in (
@@ -420,6 +450,8 @@
         ignore_permits,
         claim_outside_homes,
         serve_anywhere,
+        forget_evacuations,
+        miss_ends_of_evacuations,
     )
 }
 TESTS = dict.fromkeys(MUTANTS, FUZZ) | {
@@ -453,6 +485,7 @@
     "ignore_permits": "tests.test_cold_servers",
     # 60 examples of the fuzz caught it, 120 with a far store did not.
     "claim_outside_homes": "tests.test_regions",
+    "miss_ends_of_evacuations": "tests.test_evacuations",
 }
 EXPECTED_CHECKS = {
     "ignore_permits": ("while cold",),
@@ -466,5 +499,6 @@
     "refuse_for_good_by_old_configurations": ("UnknownKeyError",),
     "claim_outside_homes": ("outside its homes",),
     "serve_anywhere": ("outside its homes",),
+    "forget_evacuations": ("is in a zone evacuated",),
 }
 """What the failure must name: another failure proves nothing about the mutant."""
