Connections that go silent for good are told from slow servers, and left

Cause: open connections may go silent without a reset while new ones work. A write waited 1.5 s on one, a feed 2.5 s, a request as long as its client; then the next call took the next silent connection from the pool. Change: platform/silence.py judges an address by calls that outlast its usual time on connections that answered before, while no other old one brings bytes; none of the connections open at that moment is used again. Calls to the store and repeatable requests end at once then, readings and repeatable requests are made again once on a new connection; a write is unknown and never sent again. The system probes connections on both sides. The process soak's links learn the fault.

--- a/src/larkpost/eventlog.py
+++ b/src/larkpost/eventlog.py
@@ -34,6 +34,7 @@
     WEIGHT_TARGET = "weight_target"
     STORE = "store"
     STORE_RELAY = "store_relay"
+    CONNECTIONS_SILENT = "connections_silent"
     UNREADABLE = "unreadable"
     LEASE_LAPSED = "lease_lapsed"
     ORDER = "order"
--- a/src/larkpost/metrics.py
+++ b/src/larkpost/metrics.py
@@ -25,6 +25,7 @@
     ORDERS = "larkpost_orders_total"
     CLAIMS = "larkpost_batch_claims_total"
     USAGE_REPORTS = "larkpost_usage_reports_total"
+    SILENT_CONNECTIONS = "larkpost_silent_connections_total"
     LINES_LEFT_OUT = "larkpost_log_lines_left_out_total"
 
 
@@ -45,6 +46,10 @@
     Count.ORDERS: ("Orders given to engines.", ("outcome",)),
     Count.CLAIMS: ("Batches claimed from daemons held dead.", ("outcome",)),
     Count.USAGE_REPORTS: ("Usage reports sent, or not.", ("outcome",)),
+    Count.SILENT_CONNECTIONS: (
+        "Addresses whose open connections were taken to be silent for good.",
+        ("to",),
+    ),
     Count.LINES_LEFT_OUT: ("Log lines left out.", ("event",)),
 }
 
--- a/src/larkpost/platform/duties.py
+++ b/src/larkpost/platform/duties.py
@@ -10,6 +10,7 @@
 from larkpost.ids import Address
 from larkpost.platform import names
 from larkpost.platform.connections import make_session
+from larkpost.platform.silence import Peer, Silences
 from larkpost.usage.port import ReportOutcome, UsageReport
 
 CALL_FAILURES = (aiohttp.ClientError, asyncio.TimeoutError, OSError)
@@ -33,7 +34,7 @@
 
     def __init__(self, address: Address) -> None:
         self._base = f"http://{address}"
-        self._session = make_session()
+        self._session = make_session(Silences(Peer.STORE))
 
     def move(self, address: Address) -> None:
         """Takes another address for all later calls."""
--- a/src/larkpost/platform/http_protocol.py
+++ b/src/larkpost/platform/http_protocol.py
@@ -1,6 +1,7 @@
 """The server side of HTTP: the library's protocol, with the configured limits on clients."""
 
 import asyncio
+import socket
 from collections.abc import Callable
 
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
@@ -8,9 +9,17 @@
 from larkpost.fleet.configuration import RequestLimits
 from larkpost.http_server import HttpServer
 from larkpost.ids import Address
+from larkpost.platform.connections import TCP_USER_TIMEOUT, probe_for_silence
 
 LONGEST_IDLE_SECONDS = 3600
 """Until a connection's first request; then the limit in force holds."""
+PROBE_AFTER_SECONDS = 3
+PROBE_INTERVAL_SECONDS = 1
+PROBES = 3
+"""The system asks a client that sends nothing for a sign of life: one whose connection has gone
+silent for good, or whose machine has, holds its request and its place for six seconds."""
+UNTAKEN_ANSWER_MS = 6000
+"""So long may an answer wait for its client's machine to acknowledge it."""
 OVERSIZED = "oversized"
 """Marks, in a request's state, that its head is larger than allowed."""
 HEAD_TOO_LARGE = (
@@ -33,6 +42,13 @@
         self._head_bytes = 0
         self._head_timer: asyncio.TimerHandle | None = None
 
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        """Takes a connection, and has the system watch it."""
+        super().connection_made(transport)
+        accepted = transport.get_extra_info("socket")
+        probe_for_silence(accepted, PROBE_AFTER_SECONDS, PROBE_INTERVAL_SECONDS, PROBES)
+        accepted.setsockopt(socket.IPPROTO_TCP, TCP_USER_TIMEOUT, UNTAKEN_ANSWER_MS)
+
     def data_received(self, data: bytes) -> None:
         """Takes bytes from the client; the head's are counted."""
         if self._in_head or self._is_between_requests():
--- a/src/larkpost/platform/process.py
+++ b/src/larkpost/platform/process.py
@@ -24,6 +24,7 @@
     load_platform_settings,
     settings_path,
 )
+from larkpost.platform.silence import Peer
 from larkpost.platform.store import HttpStore
 from larkpost.store.relay import RelayedStore
 
@@ -53,15 +54,15 @@
     settings = load_platform_settings(path)
     metrics = Metrics()
     log = EventLog(settings.machine, LineWriter(), metrics)
-    direct = HttpStore(settings.store, settings.row_bytes, metrics)
+    direct = HttpStore(settings.store, settings.row_bytes, metrics, log)
     store = RelayedStore(
         direct,
-        lambda address: HttpStore(address, settings.row_bytes, metrics),
+        lambda address: HttpStore(address, settings.row_bytes, metrics, log, Peer.PEER),
         LoopClock(),
         log,
         random.Random(),
     )
-    servers = HttpServers()
+    servers = HttpServers(metrics, log)
     duties = HttpDuties(settings.duties) if settings.duties is not None else None
     gateway = Gateway(
         _gateway_settings(settings),
--- a/src/larkpost/platform/servers.py
+++ b/src/larkpost/platform/servers.py
@@ -2,19 +2,24 @@
 
 import asyncio
 import re
+import time
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from dataclasses import replace
 
 import aiohttp
 import orjson
 from multidict import CIMultiDict
 from yarl import URL
 
+from larkpost.eventlog import EventLog
 from larkpost.fleet.directory import InstanceInfo
+from larkpost.metrics import Metrics
 from larkpost.platform import names
-from larkpost.platform.connections import make_session
+from larkpost.platform.connections import CallLimits, SilentConnectionError, make_session
 from larkpost.platform.events import EventDecoder
 from larkpost.platform.operator import UNREADABLE, read_versions
+from larkpost.platform.silence import CallKind, Peer, Silences
 from larkpost.proxy.port import (
     BrokenAnswerError,
     EngineReport,
@@ -50,6 +55,7 @@
     RunningWork.INTERRUPT: "preempt",
 }
 EMPTY_STATUSES = (204, 304)
+CONTROL_LIMITS = CallLimits(kind=CallKind.CONTROL)
 
 
 class HttpAnswer:
@@ -101,11 +107,17 @@
 
 
 class HttpServers:
-    """Sends requests and orders to servers; implements `larkpost.proxy.port.ServerPort`."""
+    """Sends requests and orders to servers; implements `larkpost.proxy.port.ServerPort`.
 
-    def __init__(self) -> None:
-        self._kept = make_session()
-        self._fresh = make_session(keep=False)
+    Args:
+        metrics: counts connections that go silent.
+        log: notes them.
+    """
+
+    def __init__(self, metrics: Metrics | None = None, log: EventLog | None = None) -> None:
+        silences = Silences(Peer.SERVER, metrics, log)
+        self._kept = make_session(silences)
+        self._fresh = make_session(silences, keep=False)
 
     async def close(self) -> None:
         """Closes all connections."""
@@ -118,16 +130,8 @@
     ) -> AsyncIterator[HttpAnswer]:
         """Sends a request; see the port."""
         session = self._fresh if request.fresh_connection else self._kept
-        url = URL(f"http://{instance.address}{request.target.decode('latin-1')}", encoded=True)
-        response = None
         try:
-            response = await session.request(
-                request.method,
-                url,
-                data=request.body or None,
-                headers=_headers(instance, request),
-                allow_redirects=False,
-            )
+            response = await self._begin(session, instance, request)
         except CONNECT_FAILURES:
             raise NotRunError(NotRunReason.UNREACHABLE) from None
         except ANSWER_FAILURES as error:
@@ -178,6 +182,26 @@
         """Tells whether an idle connection to a server is kept; see the port."""
         return self._kept.connector.has_idle(instance.address)
 
+    async def _begin(
+        self, session: aiohttp.ClientSession, instance: InstanceInfo, request: OutgoingRequest
+    ) -> aiohttp.ClientResponse:
+        """Sends a request and returns the head of its answer.
+
+        One that may be repeated is sent again, once, if its connection has gone silent.
+        """
+        if not request.repeat_if_silent:
+            return await _send_once(session, instance, request, CallLimits())
+        began = time.monotonic()
+        try:
+            limits = CallLimits(ends_if_silent=True)
+            return await _send_once(session, instance, request, limits)
+        except SilentConnectionError:
+            left = request.time_left
+            if left is not None:
+                left -= time.monotonic() - began
+            again = replace(request, time_left=left)
+        return await _send_once(self._kept, instance, again, CallLimits())
+
     async def _read_refusal(
         self, response: aiohttp.ClientResponse, instance: InstanceInfo, request: OutgoingRequest
     ) -> None:
@@ -216,7 +240,9 @@
         url = URL(f"http://{instance.address}{call}", encoded=True)
         async with (
             asyncio.timeout(timeout),
-            self._kept.request(method, url, data=body, headers=headers) as response,
+            self._kept.request(
+                method, url, data=body, headers=headers, timeout=CONTROL_LIMITS
+            ) as response,
         ):
             if names.REQUEST_ID.decode() in response.headers:
                 response.close()
@@ -225,6 +251,22 @@
             return response.status, await response.read()
 
 
+async def _send_once(
+    session: aiohttp.ClientSession,
+    instance: InstanceInfo,
+    request: OutgoingRequest,
+    limits: CallLimits,
+) -> aiohttp.ClientResponse:
+    return await session.request(
+        request.method,
+        URL(f"http://{instance.address}{request.target.decode('latin-1')}", encoded=True),
+        data=request.body or None,
+        headers=_headers(instance, request),
+        allow_redirects=False,
+        timeout=limits,
+    )
+
+
 def _headers(instance: InstanceInfo, request: OutgoingRequest) -> CIMultiDict[str]:
     headers: CIMultiDict[str] = CIMultiDict()
     for name, value in request.headers:
--- a/src/larkpost/platform/store.py
+++ b/src/larkpost/platform/store.py
@@ -10,10 +10,12 @@
 import orjson
 from yarl import URL
 
+from larkpost.eventlog import EventLog
 from larkpost.ids import Address
 from larkpost.metrics import Count, Metrics, Timing
 from larkpost.platform import names
-from larkpost.platform.connections import make_session
+from larkpost.platform.connections import CallLimits, SilentConnectionError, make_session
+from larkpost.platform.silence import Peer, Silences
 from larkpost.store.port import (
     HistoryLostError,
     Row,
@@ -26,6 +28,8 @@
 )
 
 READ_TIMEOUT_SECONDS = 1.5
+FEED_WAIT_SECONDS = 1.0
+"""Most time that the feed is held for a peer."""
 CLOCK_DRIFT = 0.001
 """Seconds by which two steady clocks may drift apart in a second; far more than clocks do."""
 PASS_ON_SECONDS = 3.0
@@ -44,16 +48,25 @@
         address: where the store listens.
         row_bytes: most bytes in a row's value.
         metrics: counts and times the calls.
+        log: notes connections that go silent.
+        peer: whether a daemon makes the calls for this one.
 
     Attributes:
         is_failing: whether the last call got no answer, or a refusal.
     """
 
-    def __init__(self, address: Address, row_bytes: int, metrics: Metrics | None = None) -> None:
+    def __init__(
+        self,
+        address: Address,
+        row_bytes: int,
+        metrics: Metrics | None = None,
+        log: EventLog | None = None,
+        peer: Peer = Peer.STORE,
+    ) -> None:
         self.row_bytes = row_bytes
         self._base = f"http://{address}"
         self._metrics = metrics or Metrics()
-        self._session = make_session()
+        self._session = make_session(Silences(peer, self._metrics, log))
         self._clock_offset: float | None = None
         self._offset_error = 0.0
         self._offset_at = 0.0
@@ -93,14 +106,9 @@
         Returns:
             503 if the call was certainly not made, 504 if the store did not answer.
         """
-        url = URL(self._base + target, encoded=True)
-        headers = {"Content-Type": "application/json"} if body is not None else {}
+        held = FEED_WAIT_SECONDS if target.startswith(names.FEED_CALL) else 0.0
         try:
-            async with (
-                asyncio.timeout(PASS_ON_SECONDS),
-                self._session.request(method, url, data=body, headers=headers) as response,
-            ):
-                return response.status, await response.read()
+            return await self._exchange(method, target, body, PASS_ON_SECONDS, held)
         except NOT_SENT:
             return 503, b""  # the peer is told that the call was not made
         except CALL_FAILURES:
@@ -123,15 +131,18 @@
     async def changes(self, table: str, after: int, wait: float) -> RowPage:
         """Returns the changes of a table; see the port."""
         query = {"table": table, "after-rev": str(after), "wait-ms": str(int(wait * 1000))}
-        status, answer = await self._get(names.FEED_CALL, query, wait + READ_TIMEOUT_SECONDS)
+        limit = wait + READ_TIMEOUT_SECONDS
+        status, answer = await self._get(names.FEED_CALL, query, limit, held=wait)
         if status == 410:
             raise HistoryLostError(f"the feed of {table} has no changes after {after}")
         return _page(status, answer)
 
-    async def _get(self, call: str, query: dict[str, str], timeout: float) -> tuple[int, Any]:
+    async def _get(
+        self, call: str, query: dict[str, str], timeout: float, held: float = 0.0
+    ) -> tuple[int, Any]:
         started = time.monotonic()
         try:
-            answer = await self._call("GET", f"{call}?{urlencode(query)}", None, timeout)
+            answer = await self._call("GET", f"{call}?{urlencode(query)}", None, timeout, held)
         except CALL_FAILURES as error:
             self._note(CALL_KINDS[call], "unanswered", started)
             raise StoreUnavailableError(f"{call}: {type(error).__name__}: {error}") from None
@@ -145,21 +156,45 @@
         self._metrics.observe(Timing.STORE_CALL, time.monotonic() - started, kind)
 
     async def _call(
-        self, method: str, target: str, body: bytes | None, timeout: float
+        self, method: str, target: str, body: bytes | None, timeout: float, held: float = 0.0
     ) -> tuple[int, Any]:
-        headers = {"Content-Type": "application/json"} if body is not None else {}
-        url = URL(self._base + target, encoded=True)
         sent = time.monotonic()
-        async with (
-            asyncio.timeout(timeout),
-            self._session.request(method, url, data=body, headers=headers) as response,
-        ):
-            content = await response.read()
-        if response.status not in (200, 412):
-            return response.status, None
+        status, content = await self._exchange(method, target, body, timeout, held)
+        if status not in (200, 412):
+            return status, None
         answer = orjson.loads(content)
         self._note_time(answer, sent)
-        return response.status, answer
+        return status, answer
+
+    async def _exchange(
+        self, method: str, target: str, body: bytes | None, timeout: float, held: float
+    ) -> tuple[int, bytes]:
+        """Makes a call, a reading one again if its connection has gone silent.
+
+        Args:
+            held: seconds that the store may hold the call.
+
+        Raises:
+            SilentConnectionError: a writing call's connection has gone silent; it may be done.
+        """
+        async with asyncio.timeout(timeout):
+            try:
+                return await self._exchange_once(method, target, body, held)
+            except SilentConnectionError:
+                if body is not None:
+                    raise
+            return await self._exchange_once(method, target, body, held)
+
+    async def _exchange_once(
+        self, method: str, target: str, body: bytes | None, held: float
+    ) -> tuple[int, bytes]:
+        headers = {"Content-Type": "application/json"} if body is not None else {}
+        url = URL(self._base + target, encoded=True)
+        limits = CallLimits(held=held, ends_if_silent=True)
+        async with self._session.request(
+            method, url, data=body, headers=headers, timeout=limits
+        ) as response:
+            return response.status, await response.read()
 
     def _note_time(self, answer: Any, sent: float) -> None:
         """Takes the store's clock from an answer, unless a quicker one told it better.
--- a/src/larkpost/proxy/forwarder.py
+++ b/src/larkpost/proxy/forwarder.py
@@ -262,6 +262,7 @@
             body=request.body,
             time_left=max(0.001, left),
             fresh_connection=fresh,
+            repeat_if_silent=not fresh,
             tenant=request.tenant,
         )
 
--- a/src/larkpost/proxy/port.py
+++ b/src/larkpost/proxy/port.py
@@ -27,6 +27,8 @@
         expected_version: the weight version the server must have, or None for any.
         fresh_connection: whether to open a connection for this request alone. Then an answer
             cannot be one that belongs to an earlier request.
+        repeat_if_silent: whether a second run is harmless, so that the request may be sent to the
+            server again if the kept connection it went on has gone silent for good.
         tenant: whose request it is, which the server is told; None if it is no tenant's.
     """
 
@@ -41,6 +43,7 @@
     expected_version: int | None = None
     priority: int | None = None
     fresh_connection: bool = False
+    repeat_if_silent: bool = False
     tenant: TenantName | None = None
 
 
--- a/src/larkpost/rollouts/reward.py
+++ b/src/larkpost/rollouts/reward.py
@@ -239,4 +239,5 @@
         headers=(),
         body=call.body,
         time_left=limit,
+        repeat_if_silent=True,
     )
--- a/tests/platform_mutants.py
+++ b/tests/platform_mutants.py
@@ -353,6 +353,20 @@
     return mock.patch.object(EngineChoice, "count_places", lambda *_: 1000)
 
 
+def trust_silent_connections():
+    """Goes on using the other connections to an address of which one has gone silent."""
+    from larkpost.platform.silence import Silences
+
+    return mock.patch.object(Silences, "is_suspect", lambda *_: False)
+
+
+def wait_on_silent_connections():
+    """Leaves a call on a silent connection until its time is over."""
+    from larkpost.platform.connections import WatchedConnection
+
+    return mock.patch.object(WatchedConnection, "_look_again", lambda *_: None)
+
+
 MUTANTS = {
     mutant.__name__: mutant
     for mutant in (
@@ -387,6 +401,8 @@
         save_counts_without_condition,
         believe_own_clock,
         end_stalled_runs_without_places,
+        trust_silent_connections,
+        wait_on_silent_connections,
     )
 }
 TESTS = dict.fromkeys(MUTANTS, FUZZ) | {
@@ -416,6 +432,8 @@
     "save_counts_without_condition": "tests.test_usage",
     "believe_own_clock": "tests.test_usage",
     "end_stalled_runs_without_places": "tests.test_urgency",
+    "trust_silent_connections": "tests.test_silent_connections",
+    "wait_on_silent_connections": "tests.test_silent_connections",
 }
 EXPECTED_CHECKS = {
     "refuse_after_unknown": ("BatchRefusedError",),
--- a/tests/process_soak/proxy.py
+++ b/tests/process_soak/proxy.py
@@ -24,6 +24,7 @@
     ONE_WAY = "one_way"  # passes what goes to the server, holds back what comes from it
     EXTRA = "extra"  # passes what comes from the server twice
     GARBLE = "garble"  # passes noise in place of what comes from the server, then breaks off
+    OLD_SILENT = "old_silent"  # swallows all bytes of the connections that are open, for good
     HALF = "half"  # passes half of what it reads next in a direction, then holds back
 
 
@@ -35,6 +36,9 @@
         self.fault = LinkFault.NONE
         self.upstream = upstream
         self._writers: set[asyncio.StreamWriter] = set()
+        self.connections = 0
+        self._silent_up_to = 0
+        """The last connection, counted from 1, that was open when they went silent for good."""
         self._healed = asyncio.Event()
         self._healed.set()
         self._server = ConnectionServer(self._serve)
@@ -57,6 +61,8 @@
         """
         held_back = self.fault in (LinkFault.SILENT, LinkFault.ONE_WAY, LinkFault.HALF)
         self.fault = fault
+        if fault is LinkFault.OLD_SILENT:
+            self._silent_up_to = self.connections
         if fault is LinkFault.RESET or held_back:
             self.break_off()
         if fault is LinkFault.NONE:
@@ -68,6 +74,8 @@
         self, client_reader: asyncio.StreamReader, client_writer: asyncio.StreamWriter
     ) -> None:
         self._writers.add(client_writer)
+        self.connections += 1
+        number = self.connections
         try:
             if self.fault is LinkFault.SILENT:
                 await self._healed.wait()
@@ -78,8 +86,8 @@
             server_reader, server_writer = await asyncio.open_connection(host, port)
             self._writers.add(server_writer)
             try:
-                to_server = self._pass_on(client_reader, server_writer, from_server=False)
-                to_client = self._pass_on(server_reader, client_writer, from_server=True)
+                to_server = self._pass_on(number, client_reader, server_writer, from_server=False)
+                to_client = self._pass_on(number, server_reader, client_writer, from_server=True)
                 await asyncio.gather(to_server, to_client)
             finally:
                 self._drop(server_writer)
@@ -89,9 +97,16 @@
             self._drop(client_writer)
 
     async def _pass_on(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, *, from_server: bool
+        self,
+        number: int,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        *,
+        from_server: bool,
     ) -> None:
         while content := await reader.read(READ_BYTES):
+            if number <= self._silent_up_to:
+                continue
             fault = self.fault
             if fault is LinkFault.DELAY:
                 await asyncio.sleep(DELAY_SECONDS)
@@ -110,8 +125,9 @@
             if held or fault is LinkFault.HALF:
                 await self._healed.wait()
                 raise ConnectionResetError("bytes were held back")
-        with contextlib.suppress(OSError):
-            writer.write_eof()
+        if number > self._silent_up_to:
+            with contextlib.suppress(OSError):
+                writer.write_eof()
 
     def _drop(self, writer: asyncio.StreamWriter) -> None:
         self._writers.discard(writer)
--- a/tests/test_process_soak.py
+++ b/tests/test_process_soak.py
@@ -75,6 +75,17 @@
         self.proxy.harm(LinkFault.NONE)
         self.assertEqual(b"", await self.answer(b"x"))
 
+    async def test_old_connections_are_silent_for_good_while_new_ones_work(self):
+        self.assertEqual(b"a", await self.answer(b"a"))
+        self.proxy.harm(LinkFault.OLD_SILENT)
+        self.assertIsNone(await self.answer(b"b"))
+        self.proxy.harm(LinkFault.NONE)
+        self.assertIsNone(await self.answer(b"c"))
+        self.writer.transport.abort()
+        self.reader, self.writer = await asyncio.open_connection(*split_address(self.proxy.address))
+        self.assertEqual(b"d", await self.answer(b"d"))
+        self.assertEqual(b"ad", bytes(self.received))
+
     async def test_one_way_reaches_the_server_only(self):
         self.proxy.harm(LinkFault.ONE_WAY)
         self.assertIsNone(await self.answer(b"hello"))
--- /dev/null
+++ b/tests/test_silent_connections.py
@@ -0,0 +1,546 @@
+"""Connections that go silent for good, without a reset, while new ones work."""
+
+import asyncio
+import random
+import socket
+import unittest
+
+from larkpost.addresses import split_address
+from larkpost.clock import LoopClock
+from larkpost.eventlog import Event, EventLog
+from larkpost.fleet.configuration import ModelName, Route, RouteKind, ServiceName, ServiceShare
+from larkpost.fleet.directory import Directory, InstanceInfo, InstanceState
+from larkpost.http_server import HttpServer
+from larkpost.ids import Address, EngineId, ZoneId
+from larkpost.metrics import Count, Metrics
+from larkpost.platform.http_protocol import Listener
+from larkpost.platform.peer_store import PeerStoreApp
+from larkpost.platform.servers import HttpServers
+from larkpost.platform.silence import (
+    GAP_SECONDS,
+    LEAST_PATIENCE_SECONDS,
+    REST_SECONDS,
+    CallKind,
+    Peer,
+    Silences,
+)
+from larkpost.platform.stand_in.store_app import StoreApp
+from larkpost.platform.store import READ_TIMEOUT_SECONDS, HttpStore
+from larkpost.proxy.balancer import Balancer
+from larkpost.proxy.forwarder import MIN_HEDGE_SECONDS, Forwarder
+from larkpost.proxy.port import OrderOutcome, OutgoingRequest, VersionOrder
+from larkpost.proxy.request import ClientRequest
+from larkpost.proxy.shares import ShareChooser
+from larkpost.rehearsal.memory_store import MemoryStore
+from larkpost.rehearsal.processes import free_address
+from larkpost.store.port import RowKey, Transaction, WriteOutcome
+from tests.connections import ConnectionServer
+from tests.process_soak.proxy import FaultProxy, LinkFault
+
+KEY = RowKey("table", "part", "key")
+CHANGE = Transaction(puts=((KEY, b"value"),))
+ADDRESS = Address("10.0.0.1:1")
+ROW_BYTES = 65536
+LONGEST_SECONDS = 3.0
+"""A request that is not answered by then has failed."""
+SLACK_SECONDS = 0.25
+"""What a busy machine adds to a time."""
+LATE_SECONDS = LEAST_PATIENCE_SECONDS + SLACK_SECONDS
+"""An answer to a call that met a silent connection is here by then."""
+SETTLING_CALLS = 15
+"""Calls one after another, after which the time that many at once take is no longer the usual."""
+REPORT = b'{"seq":0,"busy":false,"models":[]}'
+
+
+class Notes:
+    """A log that keeps what it is told."""
+
+    def __init__(self) -> None:
+        self.lines: list[tuple[Event, dict]] = []
+
+    def note(self, event: Event, **fields) -> None:
+        """Keeps a line."""
+        self.lines.append((event, fields))
+
+
+def count_silences(metrics: Metrics, peer: Peer) -> float:
+    """Returns how often connections of a kind were taken for silent."""
+    name = Count.SILENT_CONNECTIONS.value
+    return metrics.registry.get_sample_value(name, {"to": peer}) or 0.0
+
+
+class StoreTest(unittest.IsolatedAsyncioTestCase):
+    """A daemon before the store, and one that a peer helps; all links may fall silent."""
+
+    async def asyncSetUp(self):
+        clock = LoopClock()
+        self.memory = MemoryStore(clock)
+        store_address, peer_address = free_address(), free_address()
+        self.link, self.peer_link = FaultProxy(store_address), FaultProxy(peer_address)
+        self.metrics = Metrics()
+        self.store = HttpStore(self.link.address, ROW_BYTES, self.metrics)
+        helper = HttpStore(store_address, ROW_BYTES)
+        self.by_peer = HttpStore(self.peer_link.address, ROW_BYTES, self.metrics, None, Peer.PEER)
+        for part in (
+            HttpServer(StoreApp(self.memory, clock).app(), store_address),
+            HttpServer(PeerStoreApp(helper), peer_address),
+            self.link,
+            self.peer_link,
+        ):
+            await part.start()
+            self.addAsyncCleanup(part.close)
+        for store in (self.store, helper, self.by_peer):
+            self.addAsyncCleanup(store.close)
+
+    async def open_connections(self, store: HttpStore) -> None:
+        """Makes three calls at once, so that a store has three connections."""
+        reads = (store.read("table", "part") for _ in range(3))
+        await asyncio.gather(*reads)
+
+    async def test_write_is_unknown_soon_and_is_not_sent_again(self):
+        await self.open_connections(self.store)
+        self.link.harm(LinkFault.OLD_SILENT)
+        async with asyncio.timeout(LATE_SECONDS):
+            result = await self.store.write(CHANGE, 1.5)
+        self.assertIs(WriteOutcome.UNKNOWN, result.outcome)
+        self.assertEqual({}, self.memory.rows)
+        self.assertEqual(1.0, count_silences(self.metrics, Peer.STORE))
+
+    async def test_next_write_goes_on_a_new_connection(self):
+        await self.open_connections(self.store)
+        self.link.harm(LinkFault.OLD_SILENT)
+        await self.store.write(CHANGE, 0.6)
+        async with asyncio.timeout(SLACK_SECONDS):
+            result = await self.store.write(CHANGE, 1.5)
+        self.assertIs(WriteOutcome.DONE, result.outcome)
+        self.assertEqual(4, self.link.connections)
+
+    async def test_read_is_answered_on_a_new_connection(self):
+        await self.open_connections(self.store)
+        self.link.harm(LinkFault.OLD_SILENT)
+        async with asyncio.timeout(LATE_SECONDS):
+            await self.store.read("table", "part")
+        self.assertEqual(4, self.link.connections)
+
+    async def test_held_feed_is_answered_on_a_new_connection(self):
+        wait = 0.4
+        await self.open_connections(self.store)
+        feed = asyncio.create_task(self.store.changes("table", 0, wait))
+        await asyncio.sleep(0.1)
+        self.link.harm(LinkFault.OLD_SILENT)
+        async with asyncio.timeout(2 * wait + LATE_SECONDS):
+            await feed
+        self.assertEqual(1.0, count_silences(self.metrics, Peer.STORE))
+
+    async def test_held_feed_that_nothing_changes_is_not_taken_for_silent(self):
+        await self.open_connections(self.store)
+        await self.store.changes("table", 0, 3 * LEAST_PATIENCE_SECONDS)
+        self.assertEqual(3, self.link.connections)
+        self.assertEqual(0.0, count_silences(self.metrics, Peer.STORE))
+
+    async def test_peer_is_reached_on_a_new_connection(self):
+        await self.open_connections(self.by_peer)
+        self.peer_link.harm(LinkFault.OLD_SILENT)
+        async with asyncio.timeout(LATE_SECONDS):
+            await self.by_peer.read("table", "part")
+        self.assertEqual(4, self.peer_link.connections)
+        self.assertEqual(1.0, count_silences(self.metrics, Peer.PEER))
+
+    async def test_many_calls_at_once_open_no_more_connections_than_they_need(self):
+        await self.open_connections(self.store)
+        self.link.harm(LinkFault.OLD_SILENT)
+        await self.open_connections(self.store)
+        self.assertEqual(6, self.link.connections)
+        self.assertEqual(1.0, count_silences(self.metrics, Peer.STORE))
+
+    async def test_store_that_is_gone_is_not_tried_for_longer_than_before(self):
+        await self.open_connections(self.store)
+        self.link.harm(LinkFault.SILENT)
+        result = await asyncio.wait_for(self.store.write(CHANGE, 1.5), LATE_SECONDS)
+        self.assertIs(WriteOutcome.UNKNOWN, result.outcome)
+        async with asyncio.timeout(READ_TIMEOUT_SECONDS + SLACK_SECONDS):
+            result = await self.store.write(CHANGE, 0.5)
+        self.assertIs(WriteOutcome.UNKNOWN, result.outcome)
+        self.assertEqual(1.0, count_silences(self.metrics, Peer.STORE))
+
+
+class Pages:
+    """A server that answers after a while, or in events."""
+
+    def __init__(self, name: str) -> None:
+        address = free_address()
+        self.delay = 0.0
+        self.runs = 0
+        self.events = 0
+        self.gap = 0.0
+        self.link = FaultProxy(address)
+        self.instance = InstanceInfo(
+            EngineId(name),
+            ServiceName("s"),
+            self.link.address,
+            ZoneId("z"),
+            4,
+            InstanceState.READY,
+        )
+        self._address = address
+        self._server = ConnectionServer(self._serve)
+
+    async def start(self) -> None:
+        """Starts the server and its link."""
+        await self._server.start(*split_address(self._address))
+        await self.link.start()
+
+    async def close(self) -> None:
+        """Ends both."""
+        await self.link.close()
+        await self._server.close()
+
+    async def _serve(self, reader, writer) -> None:
+        while True:
+            try:
+                head = await reader.readuntil(b"\r\n\r\n")
+            except (asyncio.IncompleteReadError, ConnectionError):
+                return
+            await asyncio.sleep(self.delay)
+            self.runs += 1
+            writer.write(b"HTTP/1.1 200 OK\r\n")
+            if b"/page" not in head:
+                writer.write(b"Content-Length: %d\r\n\r\n%s" % (len(REPORT), REPORT))
+                continue
+            sent = next(line for line in head.split(b"\r\n") if b"attempt-id" in line.lower())
+            writer.write(
+                sent + b"\r\nLarkpost-Server-Stamp: s\r\nTransfer-Encoding: chunked\r\n\r\n"
+            )
+            for number in range(self.events):
+                event = b"id: %d\ndata: x\n\n" % (number + 1)
+                writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+                await asyncio.sleep(self.gap)
+            writer.write(b"0\r\n\r\n")
+
+
+def page_request(number: int, *, repeat: bool = True) -> OutgoingRequest:
+    """Returns a request for a page, which may be repeated if not told otherwise."""
+    return OutgoingRequest(
+        b"r%d" % number, "POST", b"h", b"/page", (), b"", time_left=2.0, repeat_if_silent=repeat
+    )
+
+
+class ServerTest(unittest.IsolatedAsyncioTestCase):
+    """Servers behind links that may fall silent."""
+
+    async def asyncSetUp(self):
+        self.metrics = Metrics()
+        self.log = Notes()
+        self.servers = HttpServers(self.metrics, self.log)
+        self.addAsyncCleanup(self.servers.close)
+        self.pages = await self.serve("i-1")
+        self.instance = self.pages.instance
+
+    async def serve(self, name: str) -> Pages:
+        """Starts a server."""
+        pages = Pages(name)
+        await pages.start()
+        self.addAsyncCleanup(pages.close)
+        return pages
+
+    async def ask(self, number: int, *, repeat: bool = True) -> None:
+        """Sends a request and reads its answer."""
+        request = page_request(number, repeat=repeat)
+        async with (
+            asyncio.timeout(LONGEST_SECONDS),
+            self.servers.send(self.instance, request) as answer,
+        ):
+            async for _ in answer.chunks():
+                pass
+
+    async def open_connections(self, count: int = 3) -> None:
+        """Makes requests at once, so that so many connections are kept."""
+        await asyncio.gather(*(self.ask(number) for number in range(count)))
+        self.assertEqual(count, self.pages.link.connections)
+
+    async def test_request_is_answered_by_the_same_server_on_a_new_connection(self):
+        await self.open_connections()
+        self.pages.link.harm(LinkFault.OLD_SILENT)
+        async with asyncio.timeout(LATE_SECONDS):
+            await self.ask(9)
+        self.assertEqual((4, 4), (self.pages.link.connections, self.pages.runs))
+        event, fields = self.log.lines[0]
+        self.assertIs(Event.CONNECTIONS_SILENT, event)
+        self.assertEqual(self.instance.address, fields["address"])
+
+    async def test_connections_that_rest_are_not_handed_out_any_more(self):
+        await self.open_connections()
+        self.pages.link.harm(LinkFault.OLD_SILENT)
+        await self.ask(9)
+        async with asyncio.timeout(SLACK_SECONDS):
+            for number in range(10, 14):
+                await self.ask(number)
+        self.assertEqual(4, self.pages.link.connections)
+
+    async def test_given_up_attempt_makes_its_server_suspect(self):
+        """It was overtaken by another server's answer, or its time was over."""
+        await self.open_connections()
+        self.pages.link.harm(LinkFault.OLD_SILENT)
+        with self.assertRaises(TimeoutError):
+            async with asyncio.timeout(2 * MIN_HEDGE_SECONDS):
+                await self.ask(9, repeat=False)
+        self.assertFalse(self.servers.is_connected(self.instance))
+        async with asyncio.timeout(SLACK_SECONDS):
+            await self.ask(10, repeat=False)
+
+    async def test_attempt_that_is_given_up_at_once_shows_nothing(self):
+        await self.open_connections()
+        self.pages.delay = 0.1
+        with self.assertRaises(TimeoutError):
+            async with asyncio.timeout(0.03):
+                await self.ask(9)
+        self.assertTrue(self.servers.is_connected(self.instance))
+        self.assertEqual(0.0, count_silences(self.metrics, Peer.SERVER))
+
+    async def test_connections_in_use_are_not_kept_once_they_are_free(self):
+        await self.open_connections(2)
+        self.pages.events, self.pages.gap = 3, LEAST_PATIENCE_SECONDS
+        long = asyncio.create_task(self.ask(8))
+        await asyncio.sleep(0.05)
+        self.pages.events = 0
+        silences = self.servers._kept.connector._silences
+        lines = silences._lines[self.instance.address]
+        silences.suspect(next(iter(lines)))
+        await long
+        self.assertFalse(self.servers.is_connected(self.instance))
+
+    async def test_slow_server_keeps_its_connections(self):
+        """New ones are as slow, and a connection that has never answered shows nothing."""
+        await self.open_connections()
+        self.pages.delay = 3 * LEAST_PATIENCE_SECONDS
+        for number in range(10, 15):
+            await self.ask(number)
+        self.assertLessEqual(self.pages.link.connections, 4)
+        self.assertLessEqual(count_silences(self.metrics, Peer.SERVER), 1.0)
+
+    async def test_single_slow_request_beside_others_shows_nothing(self):
+        await self.open_connections()
+        self.pages.delay = 3 * LEAST_PATIENCE_SECONDS
+        slow = asyncio.create_task(self.ask(9))
+        await asyncio.sleep(0.05)
+        self.pages.delay = 0.0
+        while not slow.done():
+            await self.ask(10)
+            await asyncio.sleep(0.02)
+        self.assertEqual(3, self.pages.link.connections)
+        self.assertEqual(0.0, count_silences(self.metrics, Peer.SERVER))
+
+    async def test_stream_that_falls_silent_midway_goes_on_over_a_new_connection(self):
+        await self.open_connections()
+        self.pages.events, self.pages.gap = 20, 0.1
+        seen = []
+        with self.assertRaises(TimeoutError):
+            async with asyncio.timeout(GAP_SECONDS + 0.5) as limit:
+                request = page_request(9, repeat=False)
+                async with self.servers.send(self.instance, request) as answer:
+                    async for event in answer.events():
+                        seen.append(event.id)
+                        if event.id == 3:
+                            self.pages.link.harm(LinkFault.OLD_SILENT)
+                            now = asyncio.get_running_loop().time()
+                            limit.reschedule(now + GAP_SECONDS + 0.2)
+        self.assertEqual([1, 2, 3], seen)
+        self.pages.events = 1
+        async with asyncio.timeout(2 * SLACK_SECONDS):
+            await self.ask(10, repeat=False)
+
+    async def test_order_after_an_unanswered_one_goes_on_a_new_connection(self):
+        order = VersionOrder(ModelName("m"), 2, "daemon", 5, 3)
+        reports = (self.servers.report(self.instance, 1.0) for _ in range(3))
+        await asyncio.gather(*reports)
+        self.pages.link.harm(LinkFault.OLD_SILENT)
+        outcome = await self.servers.order(self.instance, order, 0.4)
+        self.assertIs(OrderOutcome.UNKNOWN, outcome)
+        outcome = await self.servers.order(self.instance, order, 0.4)
+        self.assertIs(OrderOutcome.HOLDS, outcome)
+        self.assertEqual(4, self.pages.link.connections)
+
+    async def test_orders_are_judged_by_the_time_of_orders(self):
+        """An engine's first event may take seconds; its answer to an order never does."""
+        await self.servers.report(self.instance, 1.0)
+        self.pages.delay = 0.5
+        await self.ask(9, repeat=False)
+        self.pages.delay = 0.0
+        self.pages.link.harm(LinkFault.OLD_SILENT)
+        self.assertIsNone(await self.servers.report(self.instance, 0.4))
+        self.assertEqual(1.0, count_silences(self.metrics, Peer.SERVER))
+
+
+class ForwardedTest(unittest.IsolatedAsyncioTestCase):
+    """Clients' requests before servers whose connections fall silent."""
+
+    async def begin(self, *names: str) -> None:
+        """Starts servers, and makes requests until connections to all of them are kept."""
+        self.servers = HttpServers()
+        self.addAsyncCleanup(self.servers.close)
+        directory = Directory()
+        self.all_pages = [Pages(name) for name in names]
+        for pages in self.all_pages:
+            await pages.start()
+            self.addAsyncCleanup(pages.close)
+            directory.update(pages.instance)
+        clock = LoopClock()
+        chance = random.Random(1)
+        self.forwarder = Forwarder(
+            directory,
+            Balancer(directory, clock, chance),
+            self.servers,
+            clock,
+            EventLog("daemon"),
+            Metrics(),
+            ShareChooser(chance),
+        )
+        await asyncio.gather(*(self.ask() for _ in range(8 * len(names))))
+        for pages in self.all_pages:
+            self.assertGreater(pages.link.connections, 1)
+        for _ in range(SETTLING_CALLS * len(names)):
+            await self.ask()
+
+    async def ask(self) -> None:
+        """Makes a request that may be repeated."""
+        now = asyncio.get_running_loop().time()
+        request = ClientRequest(b"r", "GET", b"h", b"/page", (), b"", now, 2.0)
+        shares = (ServiceShare(ServiceName("s"), 1.0),)
+        route = Route("r", "h", b"/", RouteKind.IDEMPOTENT, shares, 2.0, 0.4, max_attempts=2)
+        answer = await self.forwarder.forward(request, route)
+        self.assertEqual(200, answer.status)
+
+    async def test_only_server(self):
+        await self.begin("i-1")
+        self.all_pages[0].link.harm(LinkFault.OLD_SILENT)
+        async with asyncio.timeout(LATE_SECONDS):
+            await self.ask()
+        async with asyncio.timeout(SLACK_SECONDS):
+            await self.ask()
+
+    async def test_all_connections_to_both_servers(self):
+        await self.begin("i-1", "i-2")
+        for pages in self.all_pages:
+            pages.link.harm(LinkFault.OLD_SILENT)
+        async with asyncio.timeout(LATE_SECONDS):
+            await asyncio.gather(*(self.ask() for _ in range(4)))
+        for _ in range(4):
+            async with asyncio.timeout(LATE_SECONDS):
+                await self.ask()
+
+    async def test_connections_to_one_of_two_servers(self):
+        await self.begin("i-1", "i-2")
+        self.all_pages[0].link.harm(LinkFault.OLD_SILENT)
+        late = 0
+        for _ in range(20):
+            began = asyncio.get_running_loop().time()
+            await self.ask()
+            late += asyncio.get_running_loop().time() - began > MIN_HEDGE_SECONDS
+        self.assertLessEqual(late, 2)
+
+
+class SilencesTest(unittest.TestCase):
+    """The judgement alone, with a clock of its own."""
+
+    def setUp(self):
+        self.time = 100.0
+        self.silences = Silences(Peer.SERVER, now=lambda: self.time)
+
+    def open(self):
+        """Returns a connection that has answered a call."""
+        line = self.silences.open(ADDRESS)
+        self.call(line, 0.01)
+        return line
+
+    def call(self, line, seconds: float | None, held: float = 0.0) -> None:
+        """Makes a call that is answered after some time, or never."""
+        self.silences.ask(line, CallKind.REQUEST, held)
+        if seconds is not None:
+            self.time += seconds
+            self.silences.hear(line)
+
+    def test_silence_is_long_by_the_usual_time(self):
+        line = self.open()
+        self.call(line, 0.3)
+        self.call(line, None)
+        self.time += 1.1
+        self.assertFalse(self.silences.is_silent(line))
+        self.time += 0.2
+        self.assertTrue(self.silences.is_silent(line))
+
+    def test_held_call_is_silent_only_after_its_time(self):
+        line = self.open()
+        self.call(line, None, held=1.0)
+        self.time += 1.2
+        self.assertFalse(self.silences.is_silent(line))
+        self.time += 0.1
+        self.assertTrue(self.silences.is_silent(line))
+
+    def test_held_call_teaches_no_usual_time(self):
+        line = self.open()
+        self.call(line, 1.0, held=1.0)
+        self.call(line, None)
+        self.time += LEAST_PATIENCE_SECONDS + 0.01
+        self.assertTrue(self.silences.is_silent(line))
+
+    def test_new_connection_that_never_answered_shows_nothing(self):
+        line = self.silences.open(ADDRESS)
+        self.call(line, None)
+        self.time += 100.0
+        self.assertFalse(self.silences.is_silent(line))
+
+    def test_bytes_on_new_connections_prove_nothing_for_old_ones(self):
+        line = self.open()
+        self.call(line, None)
+        self.time += 0.2
+        self.open()
+        self.time += 0.1
+        self.assertTrue(self.silences.is_silent(line))
+
+    def test_connections_opened_since_are_trusted_for_a_while(self):
+        old = self.open()
+        self.silences.suspect(old)
+        self.time += 0.1
+        young = self.open()
+        self.silences.suspect(young)
+        self.assertEqual((True, False), tuple(map(self.silences.is_suspect, (old, young))))
+        self.time += REST_SECONDS
+        self.silences.suspect(young)
+        self.assertTrue(self.silences.is_suspect(young))
+
+    def test_closed_connections_are_forgotten(self):
+        self.silences.close(self.open())
+        self.assertEqual({}, self.silences._lines)
+
+
+class AcceptedTest(unittest.IsolatedAsyncioTestCase):
+    """The connections of clients."""
+
+    async def test_system_watches_accepted_connections(self):
+        accepted = []
+
+        async def app(scope, receive, send):
+            accepted.extend(
+                connection.transport for connection in listener._server.server_state.connections
+            )
+            await send({"type": "http.response.start", "status": 200, "headers": []})
+            await send({"type": "http.response.body", "body": b""})
+
+        address = free_address()
+        listener = Listener(app, address)
+        await listener.start()
+        self.addAsyncCleanup(listener.close)
+        reader, writer = await asyncio.open_connection(*split_address(address))
+        writer.write(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+        await reader.readuntil(b"\r\n\r\n")
+        found = accepted[0].get_extra_info("socket")
+        self.assertEqual(1, found.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE))
+        options = (socket.TCP_KEEPIDLE, socket.TCP_KEEPINTVL, socket.TCP_KEEPCNT)
+        values = [found.getsockopt(socket.IPPROTO_TCP, option) for option in options]
+        self.assertEqual([3, 1, 3], values)
+        self.assertEqual(6000, found.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT))
+        writer.close()
+
+
+if __name__ == "__main__":
+    unittest.main()
