--- a/tests/platform_mutants.py
+++ b/tests/platform_mutants.py
@@ -444,5 +444,6 @@
     "score_unsigned_answers": ("nobody's signature",),
     "give_up_after_one_failed_call": ("given up early",),
     "refuse_for_good_by_old_configurations": ("UnknownKeyError",),
+    "wait_on_silent_connections": ("TimeoutError",),
 }
 """What the failure must name: another failure proves nothing about the mutant."""
