--- a/src/larkpost/eventlog.py
+++ b/src/larkpost/eventlog.py
@@ -37,6 +37,7 @@
     EVACUATION = "evacuation"
     STORE = "store"
     STORE_RELAY = "store_relay"
+    CONNECTIONS_SILENT = "connections_silent"
     UNREADABLE = "unreadable"
     LEASE_LAPSED = "lease_lapsed"
     ORDER = "order"
--- a/src/larkpost/metrics.py
+++ b/src/larkpost/metrics.py
@@ -28,6 +28,7 @@
     CLAIMS = "larkpost_batch_claims_total"
     SERVER_ORDERS = "larkpost_server_orders_total"
     USAGE_REPORTS = "larkpost_usage_reports_total"
+    SILENT_CONNECTIONS = "larkpost_silent_connections_total"
     LINES_LEFT_OUT = "larkpost_log_lines_left_out_total"
 
 
@@ -53,6 +54,10 @@
     Count.CLAIMS: ("Batches claimed from daemons held dead.", ("outcome",)),
     Count.SERVER_ORDERS: ("Orders of servers, or due ones not given.", ("outcome",)),
     Count.USAGE_REPORTS: ("Usage reports sent, or not.", ("outcome",)),
+    Count.SILENT_CONNECTIONS: (
+        "Addresses whose open connections were taken to be silent for good.",
+        ("to",),
+    ),
     Count.LINES_LEFT_OUT: ("Log lines left out.", ("event",)),
 }
 
--- a/src/larkpost/platform/duties.py
+++ b/src/larkpost/platform/duties.py
@@ -10,6 +10,7 @@
 from larkpost.ids import Address
 from larkpost.platform import names
 from larkpost.platform.connections import make_session
+from larkpost.platform.silence import Peer, Silences
 from larkpost.scaling.port import ScalingOrder, ScalingOutcome, ServerKind
 from larkpost.usage.port import ReportOutcome, UsageReport
 
@@ -41,7 +42,7 @@
 
     def __init__(self, address: Address) -> None:
         self._base = f"http://{address}"
-        self._session = make_session()
+        self._session = make_session(Silences(Peer.STORE))
 
     def move(self, address: Address) -> None:
         """Takes another address for all later calls."""
--- a/tests/platform_mutants.py
+++ b/tests/platform_mutants.py
@@ -412,6 +412,20 @@
     return mock.patch.object(RowIntake, "take_operator_row", take_operator_row)
 
 
+def trust_silent_connections():
+    """Goes on using the other connections to an address of which one has gone silent."""
+    from larkpost.platform.silence import Silences
+
+    return mock.patch.object(Silences, "is_suspect", lambda *_: False)
+
+
+def wait_on_silent_connections():
+    """Leaves a call on a silent connection until its time is over."""
+    from larkpost.platform.connections import WatchedConnection
+
+    return mock.patch.object(WatchedConnection, "_look_again", lambda *_: None)
+
+
 MUTANTS = {
     mutant.__name__: mutant
     for mutant in (
@@ -452,6 +466,8 @@
         serve_anywhere,
         forget_evacuations,
         miss_ends_of_evacuations,
+        trust_silent_connections,
+        wait_on_silent_connections,
     )
 }
 TESTS = dict.fromkeys(MUTANTS, FUZZ) | {
@@ -486,6 +502,8 @@
     # 60 examples of the fuzz caught it, 120 with a far store did not.
     "claim_outside_homes": "tests.test_regions",
     "miss_ends_of_evacuations": "tests.test_evacuations",
+    "trust_silent_connections": "tests.test_silent_connections",
+    "wait_on_silent_connections": "tests.test_silent_connections",
 }
 EXPECTED_CHECKS = {
     "ignore_permits": ("while cold",),
@@ -500,5 +518,6 @@
     "claim_outside_homes": ("outside its homes",),
     "serve_anywhere": ("outside its homes",),
     "forget_evacuations": ("is in a zone evacuated",),
+    "wait_on_silent_connections": ("TimeoutError",),
 }
 """What the failure must name: another failure proves nothing about the mutant."""
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -434,7 +434,7 @@
             spec = make_batch(items=28)
             await self.fleet.gateways[0].batches.submit(spec)
             await self.fleet.wait(0.08)
-            north = [name for name, zone in self.fleet.zones.items() if zone == NORTH]
+            north = [name for name, zone in self.fleet.engine_zones.items() if zone == NORTH]
             self.assertTrue(any(self.fleet.engines.engines[name].running for name in north))
             self.fleet.gateways[0].beliefs.evacuations.begin(NORTH, 0.0)
             first = len(self.fleet.sends)
@@ -469,7 +469,7 @@
             count = sum(
                 state.running
                 for name, state in self.fleet.engines.engines.items()
-                if self.fleet.zones[name] == NORTH
+                if self.fleet.engine_zones[name] == NORTH
             )
             self.assertGreater(count, 0)
             self.check_gauges(count)
