--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -157,7 +157,7 @@
         InstanceState(fields["state"]),
         {MODEL: fields["version"]},
         row.version,
-        fields.get("cold_left"),
+        cold_left=fields.get("cold_left"),
     )
 
 
--- a/tests/test_scaling.py
+++ b/tests/test_scaling.py
@@ -74,7 +74,7 @@
 
     async def begin(self) -> PlatformFleet:
         """Starts a fleet whose service has been whole for a while, and takes an engine."""
-        fleet = PlatformFleet(gateways=4, policy=Policy(replace_servers=True))
+        fleet = PlatformFleet(gateways=4, engines=12, policy=Policy(replace_servers=True))
         fleet.put("operator", "configuration", b"scaled")
         await fleet.wait(8.0)
         self.take(fleet, 0)
@@ -97,7 +97,7 @@
             self.assertEqual([], fleet.scaling.received)
             await fleet.wait(5.0)
             orders = [received.order for received in fleet.scaling.received]
-            expected = ScalingOrder(ENGINES, ZoneId("z"), ServerKind.PREEMPTIBLE, 1)
+            expected = ScalingOrder(ENGINES, NORTH, ServerKind.PREEMPTIBLE, 1)
             self.assertEqual([expected], orders)
             self.check(fleet)
 
@@ -110,7 +110,7 @@
             holder = fleet.scaling.received[0].holder
             number = next(i for i, known in enumerate(fleet.gateways) if known.id == holder)
             fleet.kill(number)
-            self.take(fleet, 1)
+            self.take(fleet, 2)  # of the same zone
             await fleet.wait(40.0)
             self.assertIn(2, [received.order.desired for received in fleet.scaling.received])
             self.check(fleet)
