--- /dev/null
+++ b/src/larkpost/assembly/duties.py
@@ -0,0 +1,118 @@
+"""What one daemon at a time does, under leases: weight orders, usage reports, sizes of services."""
+
+from dataclasses import dataclass
+
+from larkpost.assembly.environment import GatewayPorts, GatewaySettings
+from larkpost.assembly.feeds import Feeds
+from larkpost.fleet.beliefs import Beliefs
+from larkpost.fleet.leases import LeaseTable
+from larkpost.fleet.loader import WeightLoader
+from larkpost.fleet.members import Membership
+from larkpost.fleet.true_time import TrueTime
+from larkpost.proxy.balancer import Balancer
+from larkpost.rollouts.keeper import BatchKeeper
+from larkpost.scaling.controller import ScalingController, ScalingMode
+from larkpost.scaling.demand import DemandForecast
+from larkpost.tasks import TaskSet
+from larkpost.usage.counter import UsageCounter
+from larkpost.usage.reporter import UsageReporter
+from larkpost.usage.repository import UsageRepository
+
+
+@dataclass(frozen=True, slots=True)
+class DutyNeeds:
+    """What duties need of the other groups.
+
+    Attributes:
+        counter: counts this daemon's requests by tenant; None if no usage is reported.
+    """
+
+    beliefs: Beliefs
+    membership: Membership
+    balancer: Balancer
+    keeper: BatchKeeper
+    feeds: Feeds
+    true_time: TrueTime
+    counter: UsageCounter | None
+
+
+class Duties:
+    """The duties of one daemon; each acts only while the matter is this daemon's."""
+
+    def __init__(self, settings: GatewaySettings, ports: GatewayPorts, needs: DutyNeeds) -> None:
+        self._settings = settings
+        self._ports = ports
+        self._needs = needs
+        self._leases = LeaseTable(
+            needs.membership.own, ports.store, ports.clock, settings.lease_time
+        )
+        self.loader = self._make_loader()
+        self.usage = self._make_usage()
+        self.scaling = self._make_scaling()
+
+    def start(self, tasks: TaskSet) -> None:
+        """Starts all duties."""
+        self.loader.start(tasks)
+        if self.usage is not None:
+            self.usage.start(tasks)
+        if self.scaling is not None:
+            self.scaling.start(tasks)
+
+    async def save_last(self) -> None:
+        """Saves at a planned stop what would die with this process."""
+        if self.usage is not None:
+            await self.usage.save_last()
+
+    def _make_loader(self) -> WeightLoader:
+        beliefs = self._needs.beliefs
+        return WeightLoader(
+            beliefs.configuration,
+            beliefs.directory,
+            beliefs.targets,
+            self._needs.membership,
+            self._leases,
+            self._ports.servers,
+            self._ports.clock,
+            self._ports.log,
+            self._ports.metrics,
+            self._needs.keeper.demands,
+            self._settings.policy,
+            beliefs.evacuations,
+        )
+
+    def _make_usage(self) -> UsageReporter | None:
+        counter = self._needs.counter
+        if counter is None or self._ports.usage is None or self._settings.usage is None:
+            return None
+        return UsageReporter(
+            UsageRepository(self._ports.store),
+            counter,
+            self._needs.true_time,
+            self._leases,
+            self._needs.membership,
+            self._ports.usage,
+            self._ports.clock,
+            self._ports.log,
+            self._ports.metrics,
+            self._settings.usage,
+            self._needs.feeds.sound_for,
+        )
+
+    def _make_scaling(self) -> ScalingController | None:
+        if self._ports.scaling is None:
+            return None
+        needs = self._needs
+        demand = DemandForecast(needs.beliefs.directory, needs.keeper.demands, needs.balancer.pace)
+        replaces = self._settings.policy.replace_servers
+        return ScalingController(
+            needs.beliefs,
+            needs.membership,
+            self._leases,
+            self._ports.scaling,
+            self._ports.clock,
+            self._ports.log,
+            self._ports.metrics,
+            demand,
+            needs.feeds.sound_for,
+            ScalingMode.REPLACE if replaces else ScalingMode.ANNOUNCE,
+        )
--- /dev/null
+++ b/src/larkpost/assembly/environment.py
@@ -0,0 +1,71 @@
+"""What a daemon is given: its settings, and the ports to everything outside it."""
+
+import random
+from dataclasses import dataclass, field
+
+from larkpost.clock import Clock
+from larkpost.eventlog import EventLog
+from larkpost.fleet.cold import ColdTerms
+from larkpost.fleet.regions import RegionMap
+from larkpost.fleet.row_intake import RowReaders
+from larkpost.ids import Address
+from larkpost.metrics import Metrics
+from larkpost.policy import DEFAULT_POLICY, Policy
+from larkpost.proxy.port import ServerPort
+from larkpost.scaling.port import ScalingPort
+from larkpost.store.port import Store
+from larkpost.store.relay import RelayedStore
+from larkpost.usage.port import UsagePort, UsageTerms
+
+
+@dataclass(slots=True)
+class GatewaySettings:
+    """What a daemon needs to know of its surroundings; durations in seconds.
+
+    Attributes:
+        machine: name of the machine, for logs.
+        contact_time: time without a fault after which the store's news are believed.
+        lease_time: time after a holder's last order before another holder may order.
+        apply_time: time within which a new configuration is to be in force everywhere.
+        grace_time: time between the request to stop and the kill.
+        batch_lifetime: time for which a batch must be readable.
+        peer_address: where it makes calls to the store for other daemons, or None.
+        policy: how it decides.
+        usage: what is agreed about usage reports; None if there are none.
+        regions: where the deployment's zones lie, seen from this daemon's.
+        cold: what is agreed about cold instances; None if they have no limits.
+    """
+
+    machine: str
+    contact_time: float = 3.0
+    lease_time: float = 3.0
+    apply_time: float = 2.0
+    grace_time: float = 8.0
+    batch_lifetime: float = 120.0
+    peer_address: Address | None = None
+    policy: Policy = DEFAULT_POLICY
+    usage: UsageTerms | None = None
+    regions: RegionMap = field(default_factory=RegionMap)
+    cold: ColdTerms | None = None
+
+
+@dataclass(slots=True)
+class GatewayPorts:
+    """Everything outside the daemon.
+
+    Attributes:
+        relay: the store itself, if it can be reached by way of peers.
+        usage: takes usage reports; None if nobody does.
+        scaling: takes orders of servers; None if nobody does.
+    """
+
+    store: Store
+    servers: ServerPort
+    clock: Clock
+    readers: RowReaders
+    log: EventLog
+    metrics: Metrics = field(default_factory=Metrics)
+    relay: RelayedStore | None = None
+    usage: UsagePort | None = None
+    scaling: ScalingPort | None = None
+    chance: random.Random = field(default_factory=random.Random)
--- /dev/null
+++ b/src/larkpost/assembly/loop_watch.py
@@ -0,0 +1,36 @@
+"""Measures how late the event loop is; a long delay means a freeze or a busy machine."""
+
+from larkpost.clock import Clock
+from larkpost.eventlog import Event, EventLog
+from larkpost.tasks import TaskSet
+
+LOOP_INTERVAL_SECONDS = 0.5
+LATE_LOOP_SECONDS = 0.5
+"""A delay of the event loop that is worth a line."""
+
+
+class LoopWatch:
+    """The largest delay since it was last asked for."""
+
+    def __init__(self, clock: Clock, log: EventLog) -> None:
+        self._clock = clock
+        self._log = log
+        self._largest = 0.0
+
+    def start(self, tasks: TaskSet) -> None:
+        """Starts measuring."""
+        tasks.spawn(self._run(), "loop")
+
+    def take_largest(self) -> float:
+        """Returns the largest delay in seconds since the last call, and begins anew."""
+        largest, self._largest = self._largest, 0.0
+        return largest
+
+    async def _run(self) -> None:
+        while True:
+            started = self._clock.now()
+            await self._clock.sleep(LOOP_INTERVAL_SECONDS)
+            lag = self._clock.now() - started - LOOP_INTERVAL_SECONDS
+            self._largest = max(self._largest, lag)
+            if lag > LATE_LOOP_SECONDS:
+                self._log.note(Event.LOOP_LATE, seconds=round(lag, 3))
--- a/src/larkpost/eventlog.py
+++ b/src/larkpost/eventlog.py
@@ -19,6 +19,8 @@
 STANDARD_OUTPUT = 1
 LINES_PER_SECOND = 40
 MAX_PENDING_BYTES = 262144
+LINE_OPTIONS = orjson.OPT_APPEND_NEWLINE | orjson.OPT_NON_STR_KEYS
+"""Fields may be tables by an enumeration's members, which are no plain texts."""
 
 
 class Event(StrEnum):
@@ -153,5 +155,5 @@
             eliot.log_message(Event.LEFT_OUT.value, daemon=self._daemon, counts=counts)
 
     def _write(self, message: dict[str, Any]) -> None:
-        line = orjson.dumps(message, default=str, option=orjson.OPT_APPEND_NEWLINE)
+        line = orjson.dumps(message, default=str, option=LINE_OPTIONS)
         self._writer.write(line)
--- a/src/larkpost/planned_stop.py
+++ b/src/larkpost/planned_stop.py
@@ -29,8 +29,8 @@
     """The planned stop of one daemon.
 
     Args:
-        steps: what is done at once and in this order: leave the fleet, hand batches over.
-        save_last: what is done once all answers are given, by name.
+        steps: what is done at once and in this order, by name: leave the fleet, hand over.
+        save_last: what is done once all answers are given.
         grace_time: returns the seconds from the request to stop to the kill.
     """
 
@@ -40,7 +40,7 @@
         clock: Clock,
         log: EventLog,
         steps: tuple[tuple[str, Step], ...],
-        save_last: Step | None,
+        save_last: Step,
         grace_time: Callable[[], float],
     ) -> None:
         self._lifecycle = lifecycle
@@ -58,8 +58,7 @@
         latest = began + max(LOOK_SECONDS, self._grace_time() - KILL_MARGIN_SECONDS)
         await self._hand_over(began + (latest - began) * HAND_OVER_SHARE)
         await self._wait_for_answers(began + LEAVE_SECONDS, latest)
-        if self._save_last is not None:
-            await self._save_last()
+        await self._save_last()
         self._log.note(
             Event.STOP,
             open_requests=self._lifecycle.open_requests,
--- a/src/larkpost/platform/process.py
+++ b/src/larkpost/platform/process.py
@@ -6,11 +6,12 @@
 import signal
 from pathlib import Path
 
+from larkpost.assembly.environment import GatewayPorts, GatewaySettings
 from larkpost.clock import LoopClock
 from larkpost.errors import SettingsError
 from larkpost.eventlog import Event, EventLog, LineWriter
 from larkpost.fleet.row_intake import RowReaders
-from larkpost.gateway import Gateway, GatewayPorts, GatewaySettings
+from larkpost.gateway import Gateway
 from larkpost.ids import Address
 from larkpost.metrics import Metrics
 from larkpost.platform import names, operator
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -6,6 +6,7 @@
 
 import orjson
 
+from larkpost.assembly.environment import GatewayPorts, GatewaySettings
 from larkpost.clock import LoopClock
 from larkpost.eventlog import EventLog
 from larkpost.fleet.cold import ColdTerms
@@ -24,7 +25,7 @@
 from larkpost.fleet.row_intake import RowReaders
 from larkpost.fleet.tenants import TenantName
 from larkpost.fleet.weights import WeightTarget
-from larkpost.gateway import Gateway, GatewayPorts, GatewaySettings
+from larkpost.gateway import Gateway
 from larkpost.ids import Address, BatchId, EngineId, RegionId, ZoneId
 from larkpost.policy import DEFAULT_POLICY, Policy
 from larkpost.rehearsal.memory_store import MemoryStore, StoreClient
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -306,7 +306,7 @@
         async def play():
             await self.begin(gateways=1)
             log = NotingLog()
-            self.fleet.gateways[0]._intake._log = log
+            self.fleet.gateways[0]._feeds.intake._log = log
             await self.change(NORTH)
             self.fleet.put("operator", f"evacuate-{NORTH}", b"{}")  # said again: no news
             await self.change(NORTH, on=False)
--- /dev/null
+++ b/tests/test_eventlog.py
@@ -0,0 +1,28 @@
+"""Lines of the log can be read back, whatever their fields hold."""
+
+import os
+import unittest
+
+import orjson
+
+from larkpost.eventlog import Event, EventLog, LineWriter
+from larkpost.placement.verdict import Verdict
+
+
+class LineTest(unittest.TestCase):
+    """Lines written to a pipe."""
+
+    def test_tables_by_members_of_an_enumeration(self) -> None:
+        reader, writer = os.pipe()
+        log = EventLog("daemon-1", LineWriter(writer))
+        log.note(Event.REQUEST_FAILED, request="r1", verdicts={Verdict.COLD: 2})
+        log.close()
+        os.close(writer)
+        with os.fdopen(reader, "rb") as lines:
+            fields = orjson.loads(lines.readline())
+        self.assertEqual(Event.REQUEST_FAILED, fields["message_type"])
+        self.assertEqual({"cold": 2}, fields["verdicts"])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_platform_settings.py
+++ b/tests/test_platform_settings.py
@@ -7,10 +7,10 @@
 import unittest
 from pathlib import Path
 
+from larkpost.assembly.environment import GatewaySettings
 from larkpost.errors import SettingsError
 from larkpost.eventlog import EventLog
 from larkpost.fleet.cold import ColdTerms
-from larkpost.gateway import GatewaySettings
 from larkpost.ids import Address, ZoneId
 from larkpost.platform.process import watch_settings
 from larkpost.platform.settings import load_platform_settings
