An engine that refused gets one item at a time until it takes one

Change: after a refusal an engine has one place until it takes an item (policy field probe_refusing).

--- a/src/larkpost/policy.py
+++ b/src/larkpost/policy.py
@@ -50,6 +50,7 @@
         load_groups: groups of a model's engines that load a version one after the other; 1 loads
             all at once, without waiting for running items. Three leave two thirds to serve.
         avoid_failed: an instance that failed or refused is left alone for a moment.
+        probe_refusing: an engine that refused gets one item at a time until it takes one.
         coordinators: daemons that give orders and claim batches: enough that not all of them
             fail at once, few enough that their heartbeats fit into one part of the store.
         idle_intervals: daemons that others need not wait for beat and list seldom.
@@ -77,6 +78,7 @@
     kept_connections_first: bool = True
     load_groups: int = 3
     avoid_failed: bool = True
+    probe_refusing: bool = True
     coordinators: int = 12
     idle_intervals: bool = True
     peer_calls: bool = True
--- a/src/larkpost/proxy/balancer.py
+++ b/src/larkpost/proxy/balancer.py
@@ -42,6 +42,7 @@
     Attributes:
         outstanding: this daemon's requests there.
         others: requests of other daemons there, when it last told its load.
+        is_refusing: whether it refused the last request that it answered.
         avoid_until: steady time before which it is only a last resort.
         pace: seconds a unit of work takes there, smoothed; 0 if unknown.
     """
@@ -49,6 +50,7 @@
     outstanding: int = 0
     others: int = 0
     load_at: float = float("-inf")
+    is_refusing: bool = False
     avoid_until: float = float("-inf")
     pace: float = 0.0
     pace_at: float = float("-inf")
@@ -210,7 +212,8 @@
         self.use(instance).outstanding -= 1
 
     def note_load(self, instance: EngineId, load: ServerLoad | None) -> None:
-        """Takes what an instance told of its load while this daemon's requests were there."""
+        """Takes that an instance answers a request, and what it told of its load meanwhile."""
+        self.use(instance).is_refusing = False
         if load is None:
             return
         use = self.use(instance)
@@ -247,8 +250,20 @@
         if reason is NotRunReason.REPLACED:
             self._directory.bury(instance)
         full = reason is NotRunReason.FULL
+        self.use(instance).is_refusing = full
         self.avoid(instance, full_seconds if full else UNREACHABLE_AVOID_SECONDS)
 
+    def has_place(self, info: InstanceInfo) -> bool:
+        """Tells whether an instance is believed to have a free place.
+
+        One that refused is asked with a single request until it takes one: while it loads weights
+        it refuses all that come, however few it has.
+        """
+        use = self.use(info.id)
+        if use.is_refusing and use.outstanding and self._policy.probe_refusing:
+            return False
+        return self.occupied(info) < max(1, info.slots)
+
     def is_avoided(self, instance: EngineId) -> bool:
         """Tells whether an instance is only a last resort at the moment."""
         return self._clock.now() < self.use(instance).avoid_until
--- a/src/larkpost/rollouts/engine_choice.py
+++ b/src/larkpost/rollouts/engine_choice.py
@@ -157,7 +157,7 @@
         return [
             info
             for info in balancer.candidates(service, self.work, eligible=self._is_unspoiled)
-            if balancer.occupied(info) < max(1, info.slots)
+            if balancer.has_place(info)
         ]
 
     def _is_unspoiled(self, info: InstanceInfo) -> bool:
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -24,6 +24,7 @@
 from larkpost.policy import DEFAULT_POLICY, Policy, PolicyError
 from larkpost.proxy.balancer import Balancer
 from larkpost.proxy.forwarder import Forwarder
+from larkpost.proxy.port import NotRunReason
 from larkpost.proxy.request import (
     ClientRequest,
 )
@@ -292,6 +293,21 @@
             loads = due_loads(service, directory, targets, demands, 10.1, policy)
             self.assertEqual(count, len(loads))
 
+    def test_probe_refusing(self):
+        async def places(policy: Policy) -> list[bool]:
+            """Tells whether an engine has a place at first, while it refuses, and after."""
+            balancer = Balancer(make_directory(1), LoopClock(), random.Random(0), policy)
+            engine = make_info("e0")
+            balancer.note_not_run(engine.id, NotRunReason.FULL, 0.0)
+            before = balancer.has_place(engine)
+            balancer.occupy(engine.id)
+            during = balancer.has_place(engine)
+            balancer.note_load(engine.id, None)
+            return [before, during, balancer.has_place(engine)]
+
+        self.assertEqual([True, False, True], run(places(DEFAULT_POLICY)))
+        self.assertEqual([True, True, True], run(places(Policy(probe_refusing=False))))
+
     def test_avoid_failed(self):
         async def is_avoided(policy: Policy) -> bool:
             balancer = Balancer(make_directory(1), LoopClock(), random.Random(0), policy)
