--- a/src/larkpost/policy.py
+++ b/src/larkpost/policy.py
@@ -51,6 +51,7 @@
             all at once, without waiting for running items. Three leave two thirds to serve.
         near_first: of servers that are about equally fast and loaded, the nearest is taken.
         avoid_failed: an instance that failed or refused is left alone for a moment.
+        probe_refusing: an engine that refused gets one item at a time until it takes one.
         coordinators: daemons that give orders and claim batches: enough that not all of them
             fail at once, few enough that their heartbeats fit into one part of the store.
         idle_intervals: daemons that others need not wait for beat and list seldom.
@@ -81,6 +82,7 @@
     load_groups: int = 3
     near_first: bool = True
     avoid_failed: bool = True
+    probe_refusing: bool = True
     coordinators: int = 12
     idle_intervals: bool = True
     peer_calls: bool = True
--- a/src/larkpost/proxy/balancer.py
+++ b/src/larkpost/proxy/balancer.py
@@ -30,6 +30,8 @@
 PEER_PACE_LIFETIME_SECONDS = 12.0
 MAX_PACE_RATIO = 8.0
 UNREACHABLE_AVOID_SECONDS = 1.0
+PROBE_SECONDS = 0.15
+"""Pause between two requests to an instance that refuses: loads of weights take about a second."""
 NEW_CONNECTION_FACTOR = 1.2
 """By how much longer the wait counts at an instance to which no connection is kept.
 
@@ -45,6 +47,8 @@
     Attributes:
         outstanding: this daemon's requests there.
         others: requests of other daemons there, when it last told its load.
+        is_refusing: whether it refused the last request that it answered.
+        asked_at: when it was last sent a request while it was refusing.
         avoid_until: steady time before which it is only a last resort.
         pace: seconds a unit of work takes there, smoothed; 0 if unknown.
         answered_at: when the pace last was that of a whole answer, the way there and back in it.
@@ -54,6 +58,8 @@
     outstanding: int = 0
     others: int = 0
     load_at: float = float("-inf")
+    is_refusing: bool = False
+    asked_at: float = float("-inf")
     avoid_until: float = float("-inf")
     pace: float = 0.0
     pace_at: float = float("-inf")
@@ -262,6 +268,8 @@
         """Counts a request at an instance until `release` is called for it."""
         use = self.use(instance)
         use.outstanding += 1
+        if use.is_refusing:
+            use.asked_at = self._clock.now()
         info = self._directory.get(instance)
         use.zone = info.zone if info is not None else use.zone
 
@@ -276,7 +284,8 @@
         self._release_listeners.append(listener)
 
     def note_load(self, instance: EngineId, load: ServerLoad | None) -> None:
-        """Takes what an instance told of its load while this daemon's requests were there."""
+        """Takes that an instance answers a request, and what it told of its load meanwhile."""
+        self.use(instance).is_refusing = False
         if load is None:
             return
         use = self.use(instance)
@@ -330,8 +339,21 @@
         if reason is NotRunReason.REPLACED:
             self._directory.bury(instance)
         full = reason is NotRunReason.FULL
+        self.use(instance).is_refusing = full
         self.avoid(instance, full_seconds if full else UNREACHABLE_AVOID_SECONDS)
 
+    def has_place(self, info: InstanceInfo) -> bool:
+        """Tells whether an instance is believed to have a free place.
+
+        One that refused is asked with a single request at a time until it takes one: while it
+        loads weights it refuses all that come, however few it has.
+        """
+        use = self.use(info.id)
+        is_asked = use.is_refusing and self._clock.now() - use.asked_at < PROBE_SECONDS
+        if is_asked and self._policy.probe_refusing:
+            return False
+        return self.occupied(info) < max(1, info.slots)
+
     def is_avoided(self, instance: EngineId) -> bool:
         """Tells whether an instance is only a last resort at the moment."""
         return self._clock.now() < self.use(instance).avoid_until
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -23,8 +23,9 @@
 from larkpost.ids import Address, EngineId, RegionId, ZoneId
 from larkpost.metrics import Metrics
 from larkpost.policy import DEFAULT_POLICY, Policy, PolicyError
-from larkpost.proxy.balancer import Balancer
+from larkpost.proxy.balancer import PROBE_SECONDS, Balancer
 from larkpost.proxy.forwarder import Forwarder
+from larkpost.proxy.port import NotRunReason
 from larkpost.proxy.request import (
     ClientRequest,
 )
@@ -319,6 +320,25 @@
         self.assertEqual({"e1"}, run(first(DEFAULT_POLICY)))
         self.assertEqual({"e0", "e1"}, run(first(Policy(near_first=False))))
 
+    def test_probe_refusing(self):
+        async def places(policy: Policy) -> list[bool]:
+            """Tells whether an engine that refused has a place, at four moments."""
+            balancer = Balancer(make_directory(1), LoopClock(), random.Random(0), policy)
+            engine = make_info("e0")
+            balancer.occupy(engine.id)  # runs there all the time
+            balancer.note_not_run(engine.id, NotRunReason.FULL, 0.0)
+            found = [balancer.has_place(engine)]
+            balancer.occupy(engine.id)
+            found.append(balancer.has_place(engine))
+            await asyncio.sleep(PROBE_SECONDS + 0.01)
+            found.append(balancer.has_place(engine))
+            balancer.occupy(engine.id)
+            balancer.note_load(engine.id, None)
+            return [*found, balancer.has_place(engine)]
+
+        self.assertEqual([True, False, True, True], run(places(DEFAULT_POLICY)))
+        self.assertEqual([True] * 4, run(places(Policy(probe_refusing=False))))
+
     def test_avoid_failed(self):
         async def is_avoided(policy: Policy) -> bool:
             balancer = Balancer(make_directory(1), LoopClock(), random.Random(0), policy)
