A send that a rule forbade makes no server avoided

Cause: a send that was not made as its server's zone is evacuated, or as it lies outside the work's homes, made the server a last resort for 1 s: for all other work, and beyond the evacuation's end. Only cold servers were spared that. Change: the three reasons by which a rule forbids one send are named in one place; the rule judges the next send anew, so the item or request does not come back there while it holds. Tests: NotSentTest failed before.

--- a/src/larkpost/proxy/balancer.py
+++ b/src/larkpost/proxy/balancer.py
@@ -30,6 +30,8 @@
 PEER_PACE_LIFETIME_SECONDS = 12.0
 MAX_PACE_RATIO = 8.0
 UNREACHABLE_AVOID_SECONDS = 1.0
+RULED_OUT = (NotRunReason.COLD, NotRunReason.EVACUATED, NotRunReason.OUTSIDE_REGIONS)
+"""Reasons that tell nothing of an instance: a rule forbade one send, and judges the next anew."""
 NEW_CONNECTION_FACTOR = 1.2
 """By how much longer the wait counts at an instance to which no connection is kept.
 
@@ -325,8 +327,8 @@
         Args:
             full_seconds: how long to avoid it if it was full.
         """
-        if reason is NotRunReason.COLD:
-            return  # it was not asked at all, and may have room for another daemon's
+        if reason in RULED_OUT:
+            return  # it was not asked at all, and may have room for other work
         if reason is NotRunReason.REPLACED:
             self._directory.bury(instance)
         full = reason is NotRunReason.FULL
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -30,6 +30,7 @@
 from larkpost.proxy.balancer import Balancer
 from larkpost.proxy.forecast import MOST_RETRY_SECONDS, NO_PLACE_RETRY_SECONDS
 from larkpost.proxy.forwarder import Forwarder
+from larkpost.proxy.port import NotRunReason
 from larkpost.proxy.request import ClientRequest, RefusedError
 from larkpost.proxy.shares import ShareChooser
 from larkpost.rehearsal.memory_store import StoreFaults
@@ -179,6 +180,21 @@
         run(play())
 
 
+class NotSentTest(unittest.TestCase):
+    """Sends that a rule forbids at the last moment tell nothing of the server."""
+
+    def test_server_is_there_for_other_work_and_once_the_evacuation_has_ended(self):
+        async def play():
+            balancer = Balancer(Directory(), LoopClock(), random.Random(1))
+            for reason in (NotRunReason.EVACUATED, NotRunReason.OUTSIDE_REGIONS):
+                balancer.note_not_run(EngineId("a"), reason, 1.0)
+                self.assertFalse(balancer.is_avoided(EngineId("a")), reason)
+            balancer.note_not_run(EngineId("a"), NotRunReason.UNREACHABLE, 1.0)
+            self.assertTrue(balancer.is_avoided(EngineId("a")))
+
+        run(play())
+
+
 class LoadTest(unittest.TestCase):
     """Which engines load when, and which are a model's own."""
 
