An evacuation outside the homes does not hide that no engine is at home

With one such server outside the homes the batch was accepted, and waited until its time was over. Change: the zones of the service's servers are asked, not the verdicts. A batch whose engines at home are evacuated is accepted and waits, as before. Tests: test_evacuation_outside_does_not_hide_that_no_engine_is_at_home failed before; the other one, on engines evacuated at home, passed before as well.

--- a/src/larkpost/proxy/balancer.py
+++ b/src/larkpost/proxy/balancer.py
@@ -348,8 +348,9 @@
         """Tells whether no server of a service lies where work may be served."""
         if work.regions is None:
             return False
-        verdicts = self.verdicts(service, work).keys()
-        return not work.regions or verdicts == {Verdict.OUTSIDE_REGIONS}
+        infos = self._directory.of_service(service)
+        regions = {self._regions.region_of(info.zone) for info in infos}
+        return not work.regions or bool(regions) and not regions & work.regions
 
     def outstanding_in(self, zone: ZoneId) -> int:
         """Returns this daemon's requests at a zone's instances, also those that left the list."""
--- a/tests/test_regions.py
+++ b/tests/test_regions.py
@@ -243,6 +243,32 @@
 
         run(play())
 
+    def test_evacuation_outside_does_not_hide_that_no_engine_is_at_home(self):
+        async def play():
+            fleet = PlatformFleet(2, 2, zones=(WEST_ZONE,), configuration=b"east")
+            fleet.evacuate(WEST_ZONE)
+            await fleet.wait(3.0)
+            with self.assertRaises(BatchRefusedError):
+                await fleet.gateways[0].batches.submit(make_batch())
+
+        run(play())
+
+    def test_batch_whose_engines_at_home_are_evacuated_is_accepted_and_waits(self):
+        async def play():
+            fleet = self.begin()
+            for zone in EAST_ZONES:
+                fleet.evacuate(zone)
+            await fleet.wait(3.0)
+            spec = make_batch()
+            await fleet.gateways[0].batches.submit(spec)
+            await fleet.wait(1.0)
+            self.assertFalse(fleet.stored_results(spec.id))
+            for zone in EAST_ZONES:
+                fleet.end_evacuation(zone)
+            check_results(self, spec, await fleet.read_all(fleet.gateways[0], spec.id))
+
+        run(play())
+
     def test_each_region_has_coordinators(self):
         async def play():
             fleet = PlatformFleet(30, 1, zones=(*[WEST_ZONE] * 14, EAST_ZONES[0]))
