Moved runs take no cold engine; a batch whose own engines are all cold uses others

Cause: a wish for a fast place, and a run that had left a slow engine, were given cold engines whose pace was known from before, so a run that went well took one of the few sends there. And a new batch kept to its model's own engines for 0.6 s also when all of them were cold (a zone that is back), while warm ones of other models had places. Change: a place with a limit of pace is one at a warm engine. Own engines that are all cold bind nobody. Tests: two of tests/test_cold_choices.py failed before; the third, that a warm engine of its own still binds a batch, passed before as well.

--- a/src/larkpost/rollouts/engine_choice.py
+++ b/src/larkpost/rollouts/engine_choice.py
@@ -83,8 +83,8 @@
         Items come longest first, so that the longest ones get the fastest engines.
 
         Args:
-            pace_limit: the engine must be known to be about as fast as this, in seconds for an
-                event; 0 for any engine.
+            pace_limit: the engine must be warm and known to be about as fast as this, in seconds
+                for an event; 0 for any engine.
             work: what the rules of placement ask of the item; None for the batch's own.
         """
         balancer = self._services.balancer
@@ -92,7 +92,11 @@
         candidates = self._allowed(service, candidates)
         if pace_limit:
             slowest = pace_limit * PACE_TOLERANCE
-            candidates = [info for info in candidates if 0 < balancer.pace(info.id) <= slowest]
+            candidates = [
+                info
+                for info in candidates
+                if 0 < balancer.pace(info.id) <= slowest and not balancer.is_cold(info)
+            ]
         if not candidates:
             return None
         candidates = self._without_cold(self._without_loading(service, candidates))
@@ -121,12 +125,19 @@
         return min(alike, key=balancer.distance, default=best)
 
     def _allowed(self, service: ServiceName, candidates: list[InstanceInfo]) -> list[InstanceInfo]:
-        """Returns the engines that a batch may use now: at first only its model's own."""
+        """Returns the engines that a batch may use now: at first only its model's own.
+
+        If all of those are cold, as after the return of a zone, it need not wait for them.
+        """
         is_new = self._services.clock.now() - self._began_at < OWN_ENGINES_SECONDS
         if not is_new or not self._services.policy.own_engines_first:
             return candidates
         own = self._services.division.engines_of(service, self._head.model)
-        return [info for info in candidates if info.id in own] if own else candidates
+        directory, balancer = self._services.directory, self._services.balancer
+        known = (info for name in own if (info := directory.get(name)) is not None)
+        if all(balancer.is_cold(info) for info in known):
+            return candidates
+        return [info for info in candidates if info.id in own]
 
     def _without_loading(
         self, service: ServiceName, candidates: list[InstanceInfo]
--- /dev/null
+++ b/tests/test_cold_choices.py
@@ -0,0 +1,86 @@
+"""Cold engines among those that items choose: moved runs, and a model's own engines."""
+
+import unittest
+from unittest import mock
+
+from larkpost.ids import EngineId
+from larkpost.rollouts.engine_choice import OWN_ENGINES_SECONDS, EngineChoice
+from larkpost.rollouts.model import BatchHead
+from tests.cold_views import ENGINE, LONG_SECONDS, OTHER_ENGINE
+from tests.platform_fleet import COLD_TERMS, ENGINES, MODEL, PlatformFleet, make_batch
+from tests.virtual import run
+
+PACE = 0.03
+
+
+class ChoiceTest(unittest.TestCase):
+    """The choice of one batch among two engines of one pace."""
+
+    async def begin(self) -> None:
+        """Starts a daemon, and a choice for a batch that has just come."""
+        self.fleet = PlatformFleet(gateways=1, engines=2, cold=COLD_TERMS)
+        await self.fleet.wait(4.0)
+        gateway = self.fleet.gateways[0]
+        self.beliefs, self.balancer = gateway.beliefs, gateway.balancer
+        self.services = gateway.keeper._services
+        for name in (ENGINE, OTHER_ENGINE):
+            self.balancer.note_pace(name, PACE)
+        spec = make_batch(items=1)
+        head = BatchHead(
+            spec.id, spec.host, spec.path, MODEL, 0, 0, 1, 1, gateway.id, 0.0, False, "u"
+        )
+        self.choice = EngineChoice(head, self.services)
+
+    def cool(self, engine: EngineId) -> None:
+        """Makes an engine cold."""
+        self.beliefs.cold.note(engine, LONG_SECONDS, self.fleet.clock.now())
+
+    def fill(self, engine: EngineId) -> None:
+        """Takes all places of an engine."""
+        for _ in range(self.beliefs.directory.get(engine).slots):
+            self.balancer.occupy(engine)
+
+    def own(self, *engines: EngineId) -> None:
+        """Makes some engines the model's own."""
+        self.services.division = mock.Mock()
+        self.services.division.engines_of.return_value = frozenset(engines)
+        self.services.division.loading.return_value = frozenset()
+
+    def test_moved_run_takes_no_cold_engine(self):
+        async def play():
+            await self.begin()
+            self.fill(ENGINE)
+            self.assertEqual(OTHER_ENGINE, self.choice.choose(ENGINES, PACE).id)
+            self.cool(OTHER_ENGINE)
+            self.assertIsNone(self.choice.choose(ENGINES, PACE))
+            self.assertEqual(OTHER_ENGINE, self.choice.choose(ENGINES).id)  # an item that waits
+
+        run(play())
+
+    def test_batch_whose_own_engines_are_all_cold_takes_a_warm_one(self):
+        async def play():
+            await self.begin()
+            self.own(OTHER_ENGINE)
+            self.assertEqual(OTHER_ENGINE, self.choice.choose(ENGINES).id)
+            self.cool(OTHER_ENGINE)
+            self.assertEqual(ENGINE, self.choice.choose(ENGINES).id)
+            self.fill(ENGINE)
+            self.assertEqual(OTHER_ENGINE, self.choice.choose(ENGINES).id)
+
+        run(play())
+
+    def test_batch_with_a_warm_engine_of_its_own_leaves_the_others_alone_at_first(self):
+        async def play():
+            await self.begin()
+            self.own(ENGINE)
+            self.cool(OTHER_ENGINE)
+            self.fill(ENGINE)
+            self.assertIsNone(self.choice.choose(ENGINES))
+            await self.fleet.wait(OWN_ENGINES_SECONDS + 0.1)
+            self.assertEqual(OTHER_ENGINE, self.choice.choose(ENGINES).id)
+
+        run(play())
+
+
+if __name__ == "__main__":
+    unittest.main()
