A run does not leave its engine for a place that it may use no longer

Cause: a place that a long run had wished for was taken at its next event, also when its engine's zone had been evacuated meanwhile, or the engine left or turned cold: the run ended, its send was refused, and its prompt was read anew somewhere. Tests: GrantedPlaceTest; the one on evacuated zones failed before.

--- a/src/larkpost/rollouts/engine_choice.py
+++ b/src/larkpost/rollouts/engine_choice.py
@@ -189,6 +189,14 @@
             if name != engine.id and directory.version_of(name, self._head.model) >= version
         )
 
+    def may_move_to(self, engine: InstanceInfo, item: Item) -> bool:
+        """Tells whether a run may move to an engine where it was given a place a moment ago."""
+        known = self._services.directory.get(engine.id)
+        balancer = self._services.balancer
+        if known is None or balancer.is_cold(known):
+            return False
+        return balancer.placement.allows(known, self.work_of(item))
+
     def fast_pace(self, engine: InstanceInfo, item: Item) -> float:
         """Returns the pace that a long run at an engine should go on at elsewhere; 0 if at none.
 
--- a/src/larkpost/rollouts/engine_run.py
+++ b/src/larkpost/rollouts/engine_run.py
@@ -83,15 +83,19 @@
             self._place = self._places.wish(self._progress, self._route, pace)
 
     def raise_if_given(self) -> None:
-        """Ends the run once the wish is granted.
+        """Ends the run once the wish is granted; a place that may be used no longer is given back.
 
         Raises:
             MoveAwayError: there is a place, which is the caller's from now on.
         """
-        if self._place is not None and self._place.done():
-            engine = self._place.result()
-            self._place = None
-            raise MoveAwayError(engine)
+        if self._place is None or not self._place.done():
+            return
+        engine = self._place.result()
+        if not self._engines.may_move_to(engine, self._progress.item):
+            self.withdraw()
+            return
+        self._place = None
+        raise MoveAwayError(engine)
 
     def withdraw(self) -> None:
         """Gives up the wish."""
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -16,8 +16,10 @@
 from larkpost.proxy.shares import ShareChooser
 from larkpost.rehearsal.memory_store import StoreFaults
 from larkpost.rollouts.attempt import Progress
-from larkpost.rollouts.engine_choice import EngineChoice
+from larkpost.rollouts.engine_choice import LONG_RUN_EVENTS, EngineChoice
+from larkpost.rollouts.engine_run import FasterPlace, MoveAwayError
 from larkpost.rollouts.model import BatchHead
+from larkpost.rollouts.place_queue import PlaceQueue
 from larkpost.store.port import RowKey, Transaction
 from tests.platform_fleet import (
     ENGINES,
@@ -273,5 +275,53 @@
         run(play())
 
 
+class GrantedPlaceTest(unittest.TestCase):
+    """The wish of a long run for a place at a faster engine, once it is granted."""
+
+    async def begin(self) -> None:
+        """Has a run at a slow engine wish for a place at a fast one, which it is given."""
+        self.fleet = PlatformFleet(gateways=1, engines=2)
+        await self.fleet.wait(1.0)
+        gateway = self.fleet.gateways[0]
+        self.beliefs, self.balancer = gateway.beliefs, gateway.balancer
+        self.slow, self.fast = self.beliefs.directory.of_service(ENGINES)
+        self.balancer.note_pace(self.slow.id, 0.09)
+        self.balancer.note_pace(self.fast.id, 0.03)
+        spec = make_batch(items=1)
+        head = BatchHead(
+            spec.id, spec.host, spec.path, MODEL, 0, 0, 1, 1, gateway.id, 0.0, False, "u"
+        )
+        engines = EngineChoice(head, gateway.keeper._services)
+        places = PlaceQueue(engines, self.balancer, self.fleet.clock)
+        route = self.beliefs.configuration.current.match(spec.host, spec.path.encode())
+        progress = Progress(spec.items[0])
+        progress.events = [b"x"] * LONG_RUN_EVENTS
+        self.wish = FasterPlace(places, engines, self.slow, route, progress)
+        self.wish.look()
+        await self.fleet.wait(0.1)
+        self.assertEqual(1, self.balancer.use(self.fast.id).outstanding)
+
+    def test_run_goes_to_the_place(self):
+        async def play():
+            await self.begin()
+            with self.assertRaises(MoveAwayError) as caught:
+                self.wish.raise_if_given()
+            self.assertEqual(self.fast.id, caught.exception.engine.id)
+
+        run(play())
+
+    def test_run_stays_if_the_place_is_in_an_evacuated_zone_by_then(self):
+        async def play():
+            await self.begin()
+            self.beliefs.evacuations.begin(self.fast.zone, self.fleet.clock.now())
+            self.wish.raise_if_given()
+            self.assertEqual(0, self.balancer.use(self.fast.id).outstanding)
+            self.wish.look()
+            await self.fleet.wait(0.1)
+            self.wish.raise_if_given()  # no other engine is as fast
+
+        run(play())
+
+
 if __name__ == "__main__":
     unittest.main()
