--- a/src/larkpost/proxy/balancer.py
+++ b/src/larkpost/proxy/balancer.py
@@ -32,6 +32,8 @@
 UNREACHABLE_AVOID_SECONDS = 1.0
 PROBE_SECONDS = 0.15
 """Pause between two requests to an instance that refuses: loads of weights take about a second."""
+RULED_OUT = (NotRunReason.COLD, NotRunReason.EVACUATED, NotRunReason.OUTSIDE_REGIONS)
+"""Reasons that tell nothing of an instance: a rule forbade one send, and judges the next anew."""
 NEW_CONNECTION_FACTOR = 1.2
 """By how much longer the wait counts at an instance to which no connection is kept.
 
@@ -334,8 +336,8 @@
         Args:
             full_seconds: how long to avoid it if it was full.
         """
-        if reason is NotRunReason.COLD:
-            return  # it was not asked at all, and may have room for another daemon's
+        if reason in RULED_OUT:
+            return  # it was not asked at all, and may have room for other work
         if reason is NotRunReason.REPLACED:
             self._directory.bury(instance)
         full = reason is NotRunReason.FULL
@@ -368,8 +370,9 @@
         """Tells whether no server of a service lies where work may be served."""
         if work.regions is None:
             return False
-        verdicts = self.verdicts(service, work).keys()
-        return not work.regions or verdicts == {Verdict.OUTSIDE_REGIONS}
+        infos = self._directory.of_service(service)
+        regions = {self._regions.region_of(info.zone) for info in infos}
+        return not work.regions or bool(regions) and not regions & work.regions
 
     def outstanding_in(self, zone: ZoneId) -> int:
         """Returns this daemon's requests at a zone's instances, also those that left the list."""
