A write on a connection that looks silent waits for proof

Cause: a store that turned slow all at once, from 5 or 42 ms to 0.3 s a call, ended each write under way as unknown after 0.25 s, though its answer was coming; appends then resynchronised.

Change: such a write asks for proof by one read on a new connection, and ends once a newer connection has brought bytes, or 0.2 s later. Reads are made again at once, as before.

Tests: a write to a store whose answers all take 0.3 s more is done (failed before: unknown); three writes on silent connections end as unknown and ask once. A trial over loopback, three writers each 0.25 s: 3 unknown of 30 at 0.3 s and 3 of 24 at 0.4 s before, none after; at 0.6 s 3 of 18 both times, and the first done then is at 1.07 s in place of 0.88 s.

--- a/src/larkpost/platform/connections.py
+++ b/src/larkpost/platform/connections.py
@@ -3,6 +3,7 @@
 import asyncio
 import functools
 import socket
+from collections.abc import Callable
 from time import monotonic
 
 import aiohttp
@@ -11,7 +12,7 @@
 from aiohttp.client_reqrep import ConnectionKey
 
 from larkpost.ids import Address
-from larkpost.platform.silence import CallKind, Line, Silences
+from larkpost.platform.silence import PROOF_SECONDS, CallKind, Line, Silences
 
 CONNECT_TIMEOUT_SECONDS = 1.0
 IDLE_SECONDS = 3.0
@@ -25,6 +26,8 @@
 PROBE_AFTER_SECONDS = 2
 PROBE_INTERVAL_SECONDS = 1
 PROBES = 2
+PROOF_LOOK_SECONDS = 0.01
+"""Between two looks at whether a new connection has proven that an old one is silent."""
 """The system asks a connection that rests this long for a sign of life, so often, so many times:
 a stream that waits for its next event on a silent connection ends after four seconds."""
 
@@ -44,12 +47,15 @@
         held: seconds that the other end may hold the call before it answers.
         ends_if_silent: whether the call ends with `SilentConnectionError` once its connection is
             taken to be silent for good; if not, its own time limit shows that.
+        prove: asks for proof on a new connection, as it harms to end this call without need; it
+            ends once there is proof, or `PROOF_SECONDS` later. None if it ends without.
     """
 
     sock_connect: float | None = CONNECT_TIMEOUT_SECONDS
     kind: CallKind = CallKind.REQUEST
     held: float = 0.0
     ends_if_silent: bool = False
+    prove: Callable[[], None] | None = None
 
 
 class WatchedConnection(ResponseHandler):
@@ -63,6 +69,8 @@
         super().__init__(loop)
         self._silences = silences
         self._watch: asyncio.TimerHandle | None = None
+        self._prove: Callable[[], None] | None = None
+        self._proof_until: float | None = None
         self.line: Line | None = None
 
     def begin_call(self, address: Address, limits: CallLimits) -> None:
@@ -70,6 +78,7 @@
         if self.line is None:
             self.line = self._silences.open(address)
         self._silences.ask(self.line, limits.kind, limits.held)
+        self._prove, self._proof_until = limits.prove, None
         if limits.ends_if_silent and self.line.heard_at is not None:
             self._look_again(limits.held + self._silences.patience(self.line))
 
@@ -106,9 +115,21 @@
             self._look_again(self._silences.patience(self.line))
             return
         self._silences.suspect(self.line)
+        if self._waits_for_proof():
+            self._look_again(PROOF_LOOK_SECONDS)
+            return
         self.set_exception(SilentConnectionError(f"{self.line.address} is silent"))
         self.transport.abort()
 
+    def _waits_for_proof(self) -> bool:
+        """Tells whether a new connection may yet show that this one is silent; asks for it once."""
+        if self._prove is None:
+            return False
+        if self._proof_until is None:
+            self._proof_until = self._loop.time() + PROOF_SECONDS
+            self._prove()
+        return self._loop.time() < self._proof_until and not self._silences.is_proven(self.line)
+
     def _stop_watch(self) -> None:
         if self._watch is not None:
             self._watch.cancel()
--- a/src/larkpost/platform/silence.py
+++ b/src/larkpost/platform/silence.py
@@ -25,6 +25,9 @@
 """Share by which the usual time of an address nears that of a quicker call; it rises at once."""
 GAP_SECONDS = 1.0
 """The same for a pause within an answer: engines that put a stream off make shorter ones."""
+PROOF_SECONDS = 0.2
+"""How much longer a call that must not be given up lightly waits for proof from a new connection:
+a server that turned slow all at once answers both late, and is not to blame."""
 REST_SECONDS = 2.0
 """After a suspicion, before connections opened since may be suspected as well: a server that is
 slow now and then does not have its connections closed again and again."""
@@ -177,6 +180,13 @@
             if other.opened_at < line.asked_at
         )
 
+    def is_proven(self, line: Line) -> bool:
+        """Tells whether a connection opened since its call began has brought bytes."""
+        return any(
+            other.heard_at is not None and other.opened_at > line.asked_at
+            for other in self._lines.get(line.address, ())
+        )
+
     def suspect(self, line: Line) -> None:
         """Trusts no connection to an address any more that is open now."""
         now = self._now()
--- a/src/larkpost/platform/store.py
+++ b/src/larkpost/platform/store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import contextlib
 import time
 from typing import Any
 from urllib.parse import urlencode
@@ -34,6 +35,8 @@
 """Seconds by which two steady clocks may drift apart in a second; far more than clocks do."""
 PASS_ON_SECONDS = 3.0
 """Most time for a call that is made for a peer; its feed waits for a second of it."""
+PROOF_TARGET = f"{names.READ_CALL}?table=members&part=proof&limit=1"
+"""A read of no rows, made to see whether the store answers on a new connection."""
 CALL_KINDS = {names.READ_CALL: "read", names.FEED_CALL: "feed"}
 CALL_FAILURES = (aiohttp.ClientError, asyncio.TimeoutError, OSError, ValueError, KeyError)
 """Everything a call may end with besides an answer; malformed answers included."""
@@ -67,6 +70,7 @@
         self._base = f"http://{address}"
         self._metrics = metrics or Metrics()
         self._session = make_session(Silences(peer, self._metrics, log))
+        self._proof: asyncio.Task | None = None
         self._clock_offset: float | None = None
         self._offset_error = 0.0
         self._offset_at = 0.0
@@ -78,6 +82,8 @@
 
     async def close(self) -> None:
         """Closes all connections."""
+        if self._proof is not None:
+            self._proof.cancel()
         await self._session.close()
 
     def time(self) -> float | None:
@@ -190,12 +196,27 @@
     ) -> tuple[int, bytes]:
         headers = {"Content-Type": "application/json"} if body is not None else {}
         url = URL(self._base + target, encoded=True)
-        limits = CallLimits(held=held, ends_if_silent=True)
+        prove = self._begin_proof if body is not None else None
+        limits = CallLimits(held=held, ends_if_silent=True, prove=prove)
         async with self._session.request(
             method, url, data=body, headers=headers, timeout=limits
         ) as response:
             return response.status, await response.read()
 
+    def _begin_proof(self) -> None:
+        """Asks on a new connection, unless that is being done: an answer shows old ones silent."""
+        if self._proof is None or self._proof.done():
+            self._proof = asyncio.create_task(self._ask_for_proof())
+
+    async def _ask_for_proof(self) -> None:
+        url = URL(f"{self._base}{PROOF_TARGET}", encoded=True)
+        with contextlib.suppress(*CALL_FAILURES):  # no answer is no proof
+            async with (
+                asyncio.timeout(READ_TIMEOUT_SECONDS),
+                self._session.get(url) as response,
+            ):
+                await response.read()
+
     def _note_time(self, answer: Any, sent: float) -> None:
         """Takes the store's clock from an answer, unless a quicker one told it better.
 
--- a/tests/test_silent_connections.py
+++ b/tests/test_silent_connections.py
@@ -106,6 +106,24 @@
         self.assertEqual({}, self.memory.rows)
         self.assertEqual(1.0, count_silences(self.metrics, Peer.STORE))
 
+    async def test_write_to_a_store_that_turns_slow_is_answered(self):
+        """All its answers come late, also those on new connections."""
+        await self.open_connections(self.store)
+        self.link.harm(LinkFault.DELAY)  # for 0.15 s there and 0.15 s back
+        writes = (self.store.write(CHANGE, 1.0) for _ in range(3))
+        async with asyncio.timeout(LATE_SECONDS):
+            results = await asyncio.gather(*writes)
+        self.assertEqual({WriteOutcome.DONE}, {result.outcome for result in results})
+
+    async def test_writes_on_silent_connections_ask_once_for_proof(self):
+        await self.open_connections(self.store)
+        self.link.harm(LinkFault.OLD_SILENT)
+        writes = (self.store.write(CHANGE, 1.5) for _ in range(3))
+        async with asyncio.timeout(LATE_SECONDS):
+            results = await asyncio.gather(*writes)
+        self.assertEqual({WriteOutcome.UNKNOWN}, {result.outcome for result in results})
+        self.assertEqual(4, self.link.connections)
+
     async def test_next_write_goes_on_a_new_connection(self):
         await self.open_connections(self.store)
         self.link.harm(LinkFault.OLD_SILENT)
