The line of a large service waits for its next look when a request ends

Tests: twenty ends cost no look before 3,200 servers (failed before: twenty), and one each before 24.

--- a/src/larkpost/proxy/waiting.py
+++ b/src/larkpost/proxy/waiting.py
@@ -119,9 +119,12 @@
             line.blocked_since = line.seen_at = float("-inf")
 
     def note_end(self, service: ServiceName) -> None:
-        """Takes that a request of this daemon has ended at a service."""
+        """Takes that a request of this daemon has ended at a service.
+
+        The line of a large service waits for its next look: each look counts all places.
+        """
         line = self._lines.get(service)
-        if line is not None and line.waiters:
+        if line is not None and line.waiters and line.places <= PLACES_PER_LOOK:
             self._move(line)
 
     async def _watch(self, line: _Line) -> None:
--- a/tests/test_forecast.py
+++ b/tests/test_forecast.py
@@ -33,7 +33,7 @@
     RequestTimeoutError,
 )
 from larkpost.proxy.shares import ShareChooser
-from larkpost.proxy.waiting import LOOK_INTERVAL_SECONDS, look_interval
+from larkpost.proxy.waiting import LOOK_INTERVAL_SECONDS, Waiter, WaitingLines, look_interval
 from larkpost.rehearsal.scripted_engines import EngineState, ScriptedEngines
 from tests.virtual import run
 
@@ -417,6 +417,33 @@
         self.assertEqual(LOOK_INTERVAL_SECONDS, look_interval(24 * 8))
         self.assertGreater(look_interval(3200 * 8), 10 * LOOK_INTERVAL_SECONDS)
 
+    def test_line_of_a_large_service_is_not_looked_at_for_each_end(self):
+        for places, looks in ((24 * 8, 20), (3200 * 8, 0)):
+            self.assertEqual(looks, run(self.looks_for_ends(Places(places, places, PACE))))
+
+    async def looks_for_ends(self, places: Places) -> int:
+        """Returns how many looks at a line twenty requests cost that end at once."""
+        surveys = []
+
+        def look(service, work) -> Places:
+            surveys.append(service)
+            return places
+
+        lines = WaitingLines(LoopClock(), look)
+        limits = Limits(1.0, 60.0, PACE)
+        turns = [
+            asyncio.create_task(lines.turn(Waiter(PAGES, CLIENT_WORK, 0, limits, 0.0)))
+            for _ in range(40)
+        ]
+        await asyncio.sleep(look_interval(places.total) + SETTLE_SECONDS)
+        before = len(surveys)
+        for _ in range(20):
+            lines.note_end(PAGES)
+        looks = len(surveys) - before
+        for turn in turns:
+            turn.cancel()
+        return looks
+
     def test_forecasts_are_counted_with_what_became_of_them(self):
         async def play():
             self.begin(pace=0.3)
