Connections: servers at addresses left for good are forgotten

Cause: the usual time, the suspicion, the idle time and the library's key of each address ever called were kept for the life of the daemon; servers come back at new addresses for months.

Change: an address without connections is forgotten after a minute; above a thousand keys those without a resting connection are dropped.

Tests: 500 addresses in turn (failed before), 3,000 keys (failed before), an open one is remembered.

--- a/src/larkpost/platform/connections.py
+++ b/src/larkpost/platform/connections.py
@@ -26,6 +26,8 @@
 PROBE_AFTER_SECONDS = 2
 PROBE_INTERVAL_SECONDS = 1
 PROBES = 2
+LEAST_ADDRESSES_KEPT = 1000
+"""So many servers are remembered before those without a resting connection are forgotten."""
 PROOF_LOOK_SECONDS = 0.01
 """Between two looks at whether a new connection has proven that an old one is silent."""
 """The system asks a connection that rests this long for a sign of life, so often, so many times:
@@ -154,6 +156,7 @@
         self._idle_times: dict[Address, float] = {}
         self._keys: dict[Address, ConnectionKey] = {}
         """The library's name for each server, under which it keeps the idle connections."""
+        self._most_keys = LEAST_ADDRESSES_KEPT
 
     @property
     def held(self) -> int:
@@ -212,7 +215,7 @@
 
     async def _get(self, key, traces):  # overrides a private method: the version is pinned
         server = Address(f"{key.host}:{key.port}")
-        self._keys[server] = key
+        self._keep_key(server, key)
         idle = self._conns.get(key)
         if idle is not None:
             oldest = self._oldest_usable(server)
@@ -224,6 +227,21 @@
                 del self._conns[key]
         return await super()._get(key, traces)
 
+    def _keep_key(self, server: Address, key: ConnectionKey) -> None:
+        """Remembers a server; now and then those are forgotten to which no connection rests."""
+        self._keys[server] = key
+        if len(self._keys) <= self._most_keys:
+            return
+        self._keys = {
+            name: known
+            for name, known in self._keys.items()
+            if known in self._conns or known == key
+        }
+        self._idle_times = {
+            name: seconds for name, seconds in self._idle_times.items() if name in self._keys
+        }
+        self._most_keys = max(LEAST_ADDRESSES_KEPT, 2 * len(self._keys))
+
     def _release(self, key, protocol, *, should_close: bool = False) -> None:
         """Takes a connection back; one that may be silent is not kept.
 
--- a/src/larkpost/platform/silence.py
+++ b/src/larkpost/platform/silence.py
@@ -31,6 +31,8 @@
 REST_SECONDS = 2.0
 """After a suspicion, before connections opened since may be suspected as well: a server that is
 slow now and then does not have its connections closed again and again."""
+FORGET_SECONDS = 60.0
+"""How long an address without connections is remembered: servers come back at new ones."""
 
 
 class Peer(StrEnum):
@@ -115,10 +117,14 @@
         self._lines: dict[Address, set[Line]] = {}
         self._usual: dict[tuple[Address, CallKind], float] = {}
         self._suspected_at: dict[Address, float] = {}
+        self._left_at: dict[Address, float] = {}
+        """When the last connection to each address without one was closed, in that order."""
 
     def open(self, address: Address) -> Line:
         """Returns the line of a connection that has just been opened."""
         line = Line(address, self._now())
+        self._left_at.pop(address, None)
+        self._forget_old()
         self._lines.setdefault(address, set()).add(line)
         return line
 
@@ -129,6 +135,7 @@
             lines.discard(line)
             if not lines:
                 del self._lines[line.address]
+                self._left_at[line.address] = self._now()
 
     def ask(self, line: Line, kind: CallKind, held: float) -> None:
         """Takes that a call begins on a connection."""
@@ -210,6 +217,17 @@
         """Tells whether a connection was open when its address became suspect."""
         return line.opened_at <= self._suspected_at.get(line.address, float("-inf"))
 
+    def _forget_old(self) -> None:
+        oldest = self._now() - FORGET_SECONDS
+        while self._left_at:
+            address, left_at = next(iter(self._left_at.items()))
+            if left_at > oldest:
+                return
+            del self._left_at[address]
+            self._suspected_at.pop(address, None)
+            for kind in CallKind:
+                self._usual.pop((address, kind), None)
+
     def _learn(self, line: Line, seconds: float) -> None:
         key = (line.address, line.kind)
         usual = self._usual.get(key, 0.0)
--- a/tests/test_silent_connections.py
+++ b/tests/test_silent_connections.py
@@ -5,6 +5,8 @@
 import socket
 import unittest
 
+from aiohttp.client_reqrep import ConnectionKey
+
 from larkpost.addresses import split_address
 from larkpost.clock import LoopClock
 from larkpost.eventlog import Event, EventLog
@@ -13,10 +15,12 @@
 from larkpost.http_server import HttpServer
 from larkpost.ids import Address, EngineId, ZoneId
 from larkpost.metrics import Count, Metrics
+from larkpost.platform.connections import LEAST_ADDRESSES_KEPT, make_session
 from larkpost.platform.http_protocol import Listener
 from larkpost.platform.peer_store import PeerStoreApp
 from larkpost.platform.servers import HttpServers
 from larkpost.platform.silence import (
+    FORGET_SECONDS,
     GAP_SECONDS,
     LEAST_PATIENCE_SECONDS,
     REST_SECONDS,
@@ -182,6 +186,46 @@
         self.assertEqual(1.0, count_silences(self.metrics, Peer.STORE))
 
 
+class MemoryTest(unittest.IsolatedAsyncioTestCase):
+    """Servers come back at new addresses for months."""
+
+    def test_addresses_without_connections_are_forgotten_after_a_while(self):
+        now = 0.0
+        silences = Silences(Peer.SERVER, now=lambda: now)
+        for number in range(500):
+            now += 1.0
+            line = silences.open(Address(f"10.0.0.1:{number}"))
+            silences.ask(line, CallKind.REQUEST, 0.0)
+            silences.hear(line)
+            silences.suspect(line)
+            silences.close(line)
+        for kept in (silences._usual, silences._suspected_at, silences._left_at):
+            self.assertLessEqual(len(kept), FORGET_SECONDS + 1)
+
+    def test_address_with_a_connection_is_remembered(self):
+        now = 0.0
+        silences = Silences(Peer.SERVER, now=lambda: now)
+        line = silences.open(ADDRESS)
+        silences.close(silences.open(ADDRESS))
+        silences.ask(line, CallKind.REQUEST, 0.0)
+        now = 0.3
+        silences.hear(line)
+        now += 10 * FORGET_SECONDS
+        silences.open(Address("10.0.0.2:1"))
+        silences.ask(line, CallKind.REQUEST, 0.0)
+        self.assertGreater(silences.patience(line), LEAST_PATIENCE_SECONDS)
+
+    async def test_connector_forgets_servers_to_which_no_connection_rests(self):
+        async with make_session(Silences(Peer.SERVER)) as session:
+            for number in range(3 * LEAST_ADDRESSES_KEPT):
+                server = Address(f"10.0.0.1:{number}")
+                key = ConnectionKey("10.0.0.1", number, False, True, None, None, None)
+                session.connector.note_idle_time(server, 5.0)
+                self.assertIsNone(await session.connector._get(key, ()))
+            self.assertLessEqual(len(session.connector._keys), LEAST_ADDRESSES_KEPT + 1)
+            self.assertLessEqual(len(session.connector._idle_times), LEAST_ADDRESSES_KEPT + 1)
+
+
 class Pages:
     """A server that answers after a while, or in events."""
 
