Balancer: records of instances and daemons long gone are forgotten

Cause: what was known of the use of each instance, and what each daemon told of it, was kept for the daemon's life; each heartbeat and each look at an instance's pace went over it. A new record was made and dropped at each look at a known instance.

Change: once a minute records are dropped that are too old to be used, of instances that are not listed and hold no request; a record is made only where there is none.

Tests: a hundred instances and daemons one after another (failed before: 100 records kept); one with a request under way is kept.

--- a/src/larkpost/proxy/balancer.py
+++ b/src/larkpost/proxy/balancer.py
@@ -29,6 +29,8 @@
 """How long the requests that another daemon told of are counted."""
 PEER_PACE_LIFETIME_SECONDS = 12.0
 MAX_PACE_RATIO = 8.0
+TIDY_SECONDS = 60.0
+"""Between two looks for records of instances and daemons that are gone."""
 UNREACHABLE_AVOID_SECONDS = 1.0
 NEW_CONNECTION_FACTOR = 1.2
 """By how much longer the wait counts at an instance to which no connection is kept.
@@ -105,11 +107,15 @@
         self._uses: dict[EngineId, InstanceUse] = {}
         self._peers: dict[EngineId, dict[DaemonId, _PeerUse]] = {}
         """For each instance, only the daemons that use it: most daemons use few."""
+        self._tidy_at = float("-inf")
         self._release_listeners: list[Callable[[EngineId], None]] = []
 
     def use(self, instance: EngineId) -> InstanceUse:
         """Returns the record of an instance."""
-        return self._uses.setdefault(instance, InstanceUse())
+        use = self._uses.get(instance)
+        if use is None:
+            use = self._uses[instance] = InstanceUse()
+        return use
 
     def candidates(
         self,
@@ -231,6 +237,7 @@
         Of instances that it uses no longer, the paces are kept for a while.
         """
         now = self._clock.now()
+        self._tidy(now)
         for instance, (requests, pace) in summary.items():
             self._peers.setdefault(instance, {})[daemon] = _PeerUse(requests, pace, now)
         for instance, peers in list(self._peers.items()):
@@ -244,6 +251,21 @@
             if not peers:
                 del self._peers[instance]
 
+    def _tidy(self, now: float) -> None:
+        """Forgets now and then what is too old to be used, of instances and daemons long gone."""
+        if now < self._tidy_at:
+            return
+        self._tidy_at = now + TIDY_SECONDS
+        for instance, use in list(self._uses.items()):
+            last = max(use.pace_at + TIDY_SECONDS, use.avoid_until)
+            if not use.outstanding and last < now and self._directory.get(instance) is None:
+                del self._uses[instance]
+        for instance, peers in list(self._peers.items()):
+            for daemon in [name for name, peer in peers.items() if now - peer.at > TIDY_SECONDS]:
+                del peers[daemon]
+            if not peers:
+                del self._peers[instance]
+
     @contextmanager
     def placed(self, instance: EngineId) -> Iterator[None]:
         """Counts a request while it is at an instance; if it did not run, no place came free."""
@@ -260,6 +282,7 @@
 
     def occupy(self, instance: EngineId) -> None:
         """Counts a request at an instance until `release` is called for it."""
+        self._tidy(self._clock.now())
         use = self.use(instance)
         use.outstanding += 1
         info = self._directory.get(instance)
--- a/tests/test_scale_mechanisms.py
+++ b/tests/test_scale_mechanisms.py
@@ -346,6 +346,35 @@
 
         run(play())
 
+    def test_instances_and_daemons_that_are_gone_are_forgotten(self):
+        """Both come back under new names for months."""
+
+        async def play():
+            balancer = Balancer(Directory(), LoopClock(), None)
+            for number in range(100):
+                instance = f"engine-{number}"
+                balancer.take_summary(f"daemon-{number}", {instance: (1, 0.05)})
+                balancer.take_summary(f"daemon-{number}", {})
+                with balancer.placed(instance):
+                    balancer.note_pace(instance, 0.05)
+                await asyncio.sleep(10.0)
+            self.assertLess(len(balancer._uses), 25)
+            self.assertLess(len(balancer._peers), 25)
+
+        run(play())
+
+    def test_instance_with_a_request_is_remembered_when_its_entry_is_gone(self):
+        async def play():
+            balancer = Balancer(Directory(), LoopClock(), None)
+            with balancer.placed("engine"):
+                for _ in range(5):
+                    await asyncio.sleep(60.0)
+                    balancer.take_summary("a", {})
+                self.assertEqual(1, balancer.use("engine").outstanding)
+            self.assertEqual(0, balancer.use("engine").outstanding)
+
+        run(play())
+
 
 if __name__ == "__main__":
     unittest.main()
