Forecasts: free servers that failed a moment ago are tried before a refusal

Cause: all places of a server that failed, was silent or refused count as taken for 0.05 to 1 s. Where that was all servers, as of a service with one, a request with little time left was refused unsent, though nothing waited and under half of the places held a request.

Change: such a request is offered once; where a place was sought in vain within the last second the forecast holds as before.

Tests: one server that failed takes a request (failed before: refused); the second request before a server that has just refused one is refused at once, unsent.

--- a/src/larkpost/proxy/forecast.py
+++ b/src/larkpost/proxy/forecast.py
@@ -6,7 +6,7 @@
 """
 
 import math
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import StrEnum
 
 from larkpost.fleet.configuration import ServiceName
@@ -62,11 +62,13 @@
         total: of all instances that placement allows, now or in a moment.
         taken: those believed taken; more than all if instances let requests wait.
         pace: seconds a request takes there; 0 if not known lately.
+        closed: those of the taken that hold no request: their instance failed, refused or is cold.
     """
 
     total: int
     taken: int
     pace: float
+    closed: int = field(default=0, compare=False)
 
     @property
     def free(self) -> int:
@@ -78,6 +80,11 @@
         """Whether so few are taken that nothing need wait."""
         return self.taken < self.total * FREE_SHARE
 
+    @property
+    def hold_little(self) -> bool:
+        """Whether so few hold a request that instances which failed may well take another."""
+        return self.taken - self.closed < self.total * FREE_SHARE
+
 
 @dataclass(frozen=True, slots=True)
 class Forecast:
@@ -103,7 +110,7 @@
 
     An instance that failed or refused a moment ago, or that is cold, has no free place.
     """
-    total = taken = 0
+    total = taken = closed = 0
     paced_slots, rate = 0, 0.0
     for info in directory.of_service(service):
         verdict = balancer.placement.judge(info, work)
@@ -114,11 +121,12 @@
         is_closed = not verdict.is_allowed or balancer.is_avoided(info.id)
         total += slots
         taken += max(occupied, slots) if is_closed else occupied
+        closed += max(0, slots - occupied) if is_closed else 0
         pace = balancer.pace(info.id)
         if pace:
             paced_slots += slots
             rate += slots / pace
-    return Places(total, taken, paced_slots / rate if rate else 0.0)
+    return Places(total, taken, paced_slots / rate if rate else 0.0, closed)
 
 
 def foresee(
@@ -133,7 +141,8 @@
     """
     pace = places.pace or limits.usual_pace
     wait = _wait(places, pace, ahead, blocked_for)
-    if _is_hopeless(places, limits, now, wait, pace):
+    is_untried = places.hold_little and not ahead and not blocked_for
+    if _is_hopeless(places, limits, now, wait + pace * LEAST_SHARE_OF_PACE, is_untried):
         outlook = Outlook.NOT_AT_ALL
     elif now + wait + pace <= limits.objective_at:
         outlook = Outlook.IN_TIME
@@ -162,12 +171,20 @@
     return max(blocked_for, missing * pace / places.total)
 
 
-def _is_hopeless(places: Places, limits: Limits, now: float, wait: float, pace: float) -> bool:
+def _is_hopeless(
+    places: Places, limits: Limits, now: float, least: float, is_untried: bool
+) -> bool:
+    """Tells whether a request that takes ``least`` seconds or more will not be served.
+
+    Args:
+        is_untried: whether few places hold a request and none was found closed lately: one offer
+            in vain costs less than a refusal for nothing.
+    """
     if now >= limits.end_at or not places.total:
         return True
-    if places.are_mostly_free:
+    if places.are_mostly_free or is_untried:
         return False
-    return now + wait + pace * LEAST_SHARE_OF_PACE > limits.end_at
+    return now + least > limits.end_at
 
 
 def _retry_after(wait: float, time_left: float) -> float:
--- a/tests/test_forecast.py
+++ b/tests/test_forecast.py
@@ -413,6 +413,29 @@
 
         run(play())
 
+    def test_request_is_tried_at_free_servers_that_failed_a_moment_ago(self):
+        """No place is known to be taken, and nothing waits: a refusal would be for nothing."""
+
+        async def play():
+            self.begin()
+            self.balancer.note_pace(EngineId("e0"), 0.5, weight=1.0)  # others' requests took long
+            self.balancer.avoid(EngineId("e0"), 0.3)
+            answer = await self.send(make_route(), 0.4)
+            self.assertEqual(200, answer.status)
+
+        run(play())
+
+    def test_request_is_refused_soon_where_free_servers_have_just_refused_others(self):
+        async def play():
+            self.begin(pace=0.5)
+            self.state().running = SLOTS
+            seconds, _ = await self.refusal(self.send(make_route(), 0.4))
+            self.assertLess(seconds, 0.2)
+            seconds, _ = await self.refusal(self.send(make_route(), 0.4))
+            self.assertEqual(0.0, seconds)  # it was not sent
+
+        run(play())
+
     def test_line_of_a_large_service_is_looked_at_less_often(self):
         self.assertEqual(LOOK_INTERVAL_SECONDS, look_interval(24 * 8))
         self.assertGreater(look_interval(3200 * 8), 10 * LOOK_INTERVAL_SECONDS)
