--- a/tests/platform_mutants.py
+++ b/tests/platform_mutants.py
@@ -426,6 +426,13 @@
     return mock.patch.object(WatchedConnection, "_look_again", lambda *_: None)
 
 
+def give_up_writes_without_proof():
+    """Ends a write on a connection that looks silent, though the store may only be slow."""
+    from larkpost.platform.connections import WatchedConnection
+
+    return mock.patch.object(WatchedConnection, "_waits_for_proof", lambda _: False)
+
+
 MUTANTS = {
     mutant.__name__: mutant
     for mutant in (
@@ -468,6 +475,7 @@
         miss_ends_of_evacuations,
         trust_silent_connections,
         wait_on_silent_connections,
+        give_up_writes_without_proof,
     )
 }
 TESTS = dict.fromkeys(MUTANTS, FUZZ) | {
@@ -504,6 +512,7 @@
     "miss_ends_of_evacuations": "tests.test_evacuations",
     "trust_silent_connections": "tests.test_silent_connections",
     "wait_on_silent_connections": "tests.test_silent_connections",
+    "give_up_writes_without_proof": "tests.test_silent_connections",
 }
 EXPECTED_CHECKS = {
     "ignore_permits": ("while cold",),
