--- a/src/larkpost/proxy/balancer.py
+++ b/src/larkpost/proxy/balancer.py
@@ -4,7 +4,6 @@
 from collections import Counter
 from collections.abc import Callable, Collection, Iterator
 from contextlib import contextmanager
-from dataclasses import dataclass
 
 from larkpost.clock import Clock
 from larkpost.fleet.configuration import ServiceName
@@ -18,6 +17,7 @@
 from larkpost.placement.work import CLIENT_WORK, Work
 from larkpost.policy import DEFAULT_POLICY, Policy
 from larkpost.proxy.closeness import Closeness
+from larkpost.proxy.instance_use import InstanceUse, PeerUse
 from larkpost.proxy.port import NotRunError, NotRunReason, ServerLoad
 
 LOAD_LIFETIME_SECONDS = 1.0
@@ -44,42 +44,6 @@
 """
 
 
-@dataclass(slots=True)
-class InstanceUse:
-    """What this daemon knows of one instance from its own requests.
-
-    Attributes:
-        outstanding: this daemon's requests there.
-        others: requests of other daemons there, when it last told its load.
-        is_refusing: whether it refused the last request that it answered.
-        asked_at: when it was last sent a request while it was refusing.
-        avoid_until: steady time before which it is only a last resort.
-        pace: seconds a unit of work takes there, smoothed; 0 if unknown.
-        answered_at: when the pace last was that of a whole answer, the way there and back in it.
-        zone: where it is, kept for requests that outlast its entry; None if not known.
-    """
-
-    outstanding: int = 0
-    others: int = 0
-    load_at: float = float("-inf")
-    is_refusing: bool = False
-    asked_at: float = float("-inf")
-    avoid_until: float = float("-inf")
-    pace: float = 0.0
-    pace_at: float = float("-inf")
-    answered_at: float = float("-inf")
-    zone: ZoneId | None = None
-
-
-@dataclass(frozen=True, slots=True)
-class _PeerUse:
-    """What another daemon told of its use of one instance, and when."""
-
-    requests: int
-    pace: float
-    at: float
-
-
 class Balancer:
     """Keeps the use of all instances and chooses among them."""
 
@@ -113,7 +77,7 @@
         self._clock = clock
         self._chance = chance
         self._uses: dict[EngineId, InstanceUse] = {}
-        self._peers: dict[EngineId, dict[DaemonId, _PeerUse]] = {}
+        self._peers: dict[EngineId, dict[DaemonId, PeerUse]] = {}
         """For each instance, only the daemons that use it: most daemons use few."""
         self._tidy_at = float("-inf")
         self._release_listeners: list[Callable[[EngineId], None]] = []
@@ -247,7 +211,7 @@
         now = self._clock.now()
         self._tidy(now)
         for instance, (requests, pace) in summary.items():
-            self._peers.setdefault(instance, {})[daemon] = _PeerUse(requests, pace, now)
+            self._peers.setdefault(instance, {})[daemon] = PeerUse(requests, pace, now)
         for instance, peers in list(self._peers.items()):
             known = peers.get(daemon)
             if known is None or instance in summary:
@@ -255,7 +219,7 @@
             if now - known.at > PEER_PACE_LIFETIME_SECONDS:
                 del peers[daemon]
             elif known.requests:
-                peers[daemon] = _PeerUse(0, known.pace, known.at)
+                peers[daemon] = PeerUse(0, known.pace, known.at)
             if not peers:
                 del self._peers[instance]
 
