The due loads of weights come from one plan; an output tells by itself whether it is long

Cause: loader and engine division took the same seven parts and made the same call of due_loads; the 30 events of a long run stood in two modules and were compared in five places. Change: fleet/load_plan.py, which both ask; both take the beliefs instead of their parts; Progress.is_long. No behaviour changes. 133 tests of the touched modules passed; the tests' assertions are as they were, only what they build and import has changed.

--- a/src/larkpost/assembly/duties.py
+++ b/src/larkpost/assembly/duties.py
@@ -6,6 +6,7 @@
 from larkpost.assembly.feeds import Feeds
 from larkpost.fleet.beliefs import Beliefs
 from larkpost.fleet.leases import LeaseTable
+from larkpost.fleet.load_plan import LoadPlan
 from larkpost.fleet.loader import WeightLoader
 from larkpost.fleet.members import Membership
 from larkpost.fleet.true_time import TrueTime
@@ -28,6 +29,7 @@
     """
 
     beliefs: Beliefs
+    load_plan: LoadPlan
     membership: Membership
     balancer: Balancer
     keeper: BatchKeeper
@@ -64,20 +66,15 @@
             await self.usage.save_last()
 
     def _make_loader(self) -> WeightLoader:
-        beliefs = self._needs.beliefs
         return WeightLoader(
-            beliefs.configuration,
-            beliefs.directory,
-            beliefs.targets,
+            self._needs.beliefs,
+            self._needs.load_plan,
             self._needs.membership,
             self._leases,
             self._ports.servers,
             self._ports.clock,
             self._ports.log,
             self._ports.metrics,
-            self._needs.keeper.demands,
-            self._settings.policy,
-            beliefs.evacuations,
         )
 
     def _make_usage(self) -> UsageReporter | None:
--- a/src/larkpost/fleet/division.py
+++ b/src/larkpost/fleet/division.py
@@ -4,16 +4,11 @@
 from dataclasses import dataclass
 
 from larkpost.clock import Clock
-from larkpost.fleet.configuration import ConfigurationState, ModelName, Service, ServiceName
-from larkpost.fleet.directory import Directory, InstanceState
-from larkpost.fleet.evacuations import Evacuations
-from larkpost.fleet.weights import (
-    Demands,
-    WeightTargets,
-    assign_models,
-    due_loads,
-    split_evacuated,
-)
+from larkpost.fleet.beliefs import Beliefs
+from larkpost.fleet.configuration import ModelName, Service, ServiceName
+from larkpost.fleet.directory import InstanceState
+from larkpost.fleet.load_plan import LoadPlan
+from larkpost.fleet.weights import Demands, assign_models, split_evacuated
 from larkpost.ids import EngineId
 from larkpost.policy import DEFAULT_POLICY, Policy
 
@@ -40,23 +35,20 @@
     """The division of each service's engines among its models, as of a moment ago.
 
     Args:
+        plan: tells which loads are due.
         demands: tells what the batches of each model ask for.
     """
 
     def __init__(
         self,
-        configuration: ConfigurationState,
-        directory: Directory,
-        targets: WeightTargets,
+        beliefs: Beliefs,
+        plan: LoadPlan,
         clock: Clock,
         demands: Callable[[], Demands],
         policy: Policy = DEFAULT_POLICY,
-        evacuations: Evacuations | None = None,
     ) -> None:
-        self._evacuations = evacuations or Evacuations()
-        self._configuration = configuration
-        self._directory = directory
-        self._targets = targets
+        self._beliefs = beliefs
+        self._plan = plan
         self._clock = clock
         self._demands = demands
         self._policy = policy
@@ -82,31 +74,18 @@
         return known
 
     def _divide(self, name: ServiceName, now: float) -> Division:
-        configuration = self._configuration.current
+        configuration = self._beliefs.configuration.current
         service = configuration.services.get(name) if configuration is not None else None
         if service is None or not service.models:
             return Division(now, {}, frozenset())
-        demands = self._demands()
-        return Division(now, self._own(service, demands), self._loading(service, demands, now))
+        loading = frozenset(engine for engine, _ in self._plan.due(service, now))
+        return Division(now, self._own(service), loading)
 
-    def _own(self, service: Service, demands: Demands) -> dict[ModelName, frozenset[EngineId]]:
+    def _own(self, service: Service) -> dict[ModelName, frozenset[EngineId]]:
+        directory = self._beliefs.directory
         ready = [
-            info
-            for info in self._directory.of_service(service.name)
-            if info.state is InstanceState.READY
+            info for info in directory.of_service(service.name) if info.state is InstanceState.READY
         ]
-        serving, _ = split_evacuated(ready, self._evacuations.zones())
-        division = assign_models(service, serving, self._directory, demands, self._policy)
+        serving, _ = split_evacuated(ready, self._beliefs.evacuations.zones())
+        division = assign_models(service, serving, directory, self._demands(), self._policy)
         return {model: frozenset(engines) for model, engines in division.items()}
-
-    def _loading(self, service: Service, demands: Demands, now: float) -> frozenset[EngineId]:
-        due = due_loads(
-            service,
-            self._directory,
-            self._targets,
-            demands,
-            now,
-            self._policy,
-            self._evacuations.zones(),
-        )
-        return frozenset(engine for engine, _ in due)
--- /dev/null
+++ b/src/larkpost/fleet/load_plan.py
@@ -0,0 +1,36 @@
+"""The loads of weights that are due now: asked by who gives the orders, and by who avoids them."""
+
+from collections.abc import Callable
+
+from larkpost.fleet.beliefs import Beliefs
+from larkpost.fleet.configuration import Service
+from larkpost.fleet.weights import Demands, WeightTarget, due_loads
+from larkpost.ids import EngineId
+from larkpost.policy import DEFAULT_POLICY, Policy
+
+
+class LoadPlan:
+    """Works the due loads out from what this daemon believes; all daemons work out the same.
+
+    Args:
+        demands: tells what the batches of each model ask for.
+    """
+
+    def __init__(
+        self, beliefs: Beliefs, demands: Callable[[], Demands], policy: Policy = DEFAULT_POLICY
+    ) -> None:
+        self._beliefs = beliefs
+        self._demands = demands
+        self._policy = policy
+
+    def due(self, service: Service, now: float) -> list[tuple[EngineId, WeightTarget]]:
+        """Returns the engines of a service that should be loading now, and what."""
+        return due_loads(
+            service,
+            self._beliefs.directory,
+            self._beliefs.targets,
+            self._demands(),
+            now,
+            self._policy,
+            self._beliefs.evacuations.zones(),
+        )
--- a/src/larkpost/fleet/loader.py
+++ b/src/larkpost/fleet/loader.py
@@ -5,19 +5,17 @@
 must have taken, so one that is carried out late does nothing.
 """
 
-from collections.abc import Callable
-
 from larkpost.clock import Clock
 from larkpost.eventlog import Event, EventLog
-from larkpost.fleet.configuration import ConfigurationState, RouteKind, Service
-from larkpost.fleet.directory import Directory, InstanceInfo
-from larkpost.fleet.evacuations import Evacuations
+from larkpost.fleet.beliefs import Beliefs
+from larkpost.fleet.configuration import RouteKind, Service
+from larkpost.fleet.directory import InstanceInfo
 from larkpost.fleet.leases import Duty, LeaseSubject, LeaseTable
+from larkpost.fleet.load_plan import LoadPlan
 from larkpost.fleet.members import Membership
-from larkpost.fleet.weights import Demands, WeightTarget, WeightTargets, due_loads
+from larkpost.fleet.weights import WeightTarget
 from larkpost.ids import EngineId
 from larkpost.metrics import Count, Metrics
-from larkpost.policy import DEFAULT_POLICY, Policy
 from larkpost.proxy.port import OrderOutcome, RunningWork, ServerPort, VersionOrder
 from larkpost.tasks import TaskSet
 
@@ -36,36 +34,29 @@
     """Reconciles the engines' weight versions with the named ones.
 
     Args:
-        demands: tells what the batches of each model ask for.
+        plan: tells which loads are due.
     """
 
     def __init__(
         self,
-        configuration: ConfigurationState,
-        directory: Directory,
-        targets: WeightTargets,
+        beliefs: Beliefs,
+        plan: LoadPlan,
         membership: Membership,
         leases: LeaseTable,
         servers: ServerPort,
         clock: Clock,
         log: EventLog,
         metrics: Metrics,
-        demands: Callable[[], Demands],
-        policy: Policy = DEFAULT_POLICY,
-        evacuations: Evacuations | None = None,
     ) -> None:
-        self._evacuations = evacuations or Evacuations()
-        self._policy = policy
-        self._configuration = configuration
-        self._directory = directory
-        self._targets = targets
+        self._configuration = beliefs.configuration
+        self._directory = beliefs.directory
+        self._plan = plan
         self._membership = membership
         self._leases = leases
         self._servers = servers
         self._clock = clock
         self._log = log
         self._metrics = metrics
-        self._demands = demands
         self._tasks: TaskSet | None = None
         self._next_try: dict[EngineId, float] = {}
         self._under_way: set[EngineId] = set()
@@ -86,16 +77,7 @@
         for service in configuration.services.values():
             if not service.models:
                 continue
-            now = self._clock.now()
-            for engine, target in due_loads(
-                service,
-                self._directory,
-                self._targets,
-                self._demands(),
-                now,
-                self._policy,
-                self._evacuations.zones(),
-            ):
+            for engine, target in self._plan.due(service, self._clock.now()):
                 if self._should_order(engine):
                     self._under_way.add(engine)
                     self._tasks.spawn(self._order(service, engine, target), "order")
--- a/src/larkpost/gateway.py
+++ b/src/larkpost/gateway.py
@@ -21,6 +21,7 @@
 from larkpost.fleet.division import EngineDivision
 from larkpost.fleet.heartbeat import new_life
 from larkpost.fleet.lifecycle import Lifecycle
+from larkpost.fleet.load_plan import LoadPlan
 from larkpost.fleet.members import Membership
 from larkpost.fleet.tenants import TenantName
 from larkpost.fleet.true_time import TrueTime
@@ -72,6 +73,7 @@
             ports,
             DutyNeeds(
                 self.beliefs,
+                self._load_plan,
                 self.membership,
                 self.balancer,
                 self.keeper,
@@ -160,6 +162,9 @@
 
     def _make_rollouts(self) -> None:
         ports = self._ports
+        self._load_plan = LoadPlan(
+            self.beliefs, lambda: self.keeper.demands(), self.settings.policy
+        )
         services = RunServices(
             self.configuration,
             self.directory,
@@ -189,13 +194,11 @@
 
     def _make_division(self) -> EngineDivision:
         return EngineDivision(
-            self.configuration,
-            self.directory,
-            self.targets,
+            self.beliefs,
+            self._load_plan,
             self._clock,
             lambda: self.keeper.demands(),
             self.settings.policy,
-            self.beliefs.evacuations,
         )
 
     def start(self) -> None:
--- a/src/larkpost/rollouts/attempt.py
+++ b/src/larkpost/rollouts/attempt.py
@@ -4,6 +4,9 @@
 
 from larkpost.rollouts.model import Item, Result, ResultState
 
+LONG_RUN_EVENTS = 30
+"""Events after which an item has shown itself long; three in four items have fewer."""
+
 
 class DiscontinuityError(ValueError):
     """An event does not follow the last one that is known."""
@@ -37,6 +40,11 @@
     whole: bool = False
     failed_calls: int = 0
 
+    @property
+    def is_long(self) -> bool:
+        """Whether the item has shown itself long; such items are what a step waits for."""
+        return len(self.events) >= LONG_RUN_EVENTS
+
     @property
     def versions(self) -> set[int]:
         """The weight versions that made an event of the output."""
--- a/src/larkpost/rollouts/engine_choice.py
+++ b/src/larkpost/rollouts/engine_choice.py
@@ -14,7 +14,6 @@
 """A run moves away from an engine that is slower than another one by this factor."""
 LONG_RUN_RATIO = 1.25
 """The same for an item that has made many events: such items are what a batch waits for."""
-LONG_RUN_EVENTS = 30
 PACE_TOLERANCE = 1.05
 """A moved run takes an engine whose pace is above its limit by no more than this factor."""
 ALIKE_OCCUPIED = 1
@@ -181,8 +180,7 @@
         directory = self._services.directory
         version = directory.version_of(engine.id, self._head.model)
         pace = self._services.balancer.pace(engine.id)
-        long = len(progress.events) >= LONG_RUN_EVENTS
-        ratio = LONG_RUN_RATIO if long else SLOW_RATIO
+        ratio = LONG_RUN_RATIO if progress.is_long else SLOW_RATIO
         return any(
             pace > other * ratio
             for name, other in self._free_paces(engine.service, self.work_of(progress.item))
--- a/src/larkpost/rollouts/engine_run.py
+++ b/src/larkpost/rollouts/engine_run.py
@@ -14,7 +14,7 @@
 )
 from larkpost.rollouts.attempt import Progress
 from larkpost.rollouts.context import RunServices
-from larkpost.rollouts.engine_choice import LONG_RUN_EVENTS, EngineChoice
+from larkpost.rollouts.engine_choice import EngineChoice
 from larkpost.rollouts.model import BatchHead, Item
 from larkpost.rollouts.place_queue import PlaceQueue
 from larkpost.rollouts.stalls import RunWatch, StallWatcher
@@ -76,7 +76,7 @@
 
     def look(self) -> None:
         """Wishes for a place if the run has shown itself long and the engine is slow."""
-        if self._place is not None or len(self._progress.events) < LONG_RUN_EVENTS:
+        if self._place is not None or not self._progress.is_long:
             return
         pace = self._engines.fast_pace(self._engine, self._progress.item)
         if pace:
--- a/src/larkpost/rollouts/place_queue.py
+++ b/src/larkpost/rollouts/place_queue.py
@@ -18,7 +18,7 @@
 from larkpost.placement.work import Work
 from larkpost.proxy.balancer import Balancer
 from larkpost.rollouts.attempt import Progress
-from larkpost.rollouts.engine_choice import LONG_RUN_EVENTS, EngineChoice
+from larkpost.rollouts.engine_choice import EngineChoice
 from larkpost.rollouts.model import Item
 
 PASS_INTERVAL_SECONDS = 0.03
@@ -109,8 +109,7 @@
         """Returns an item's place in the queue: the lowest is served first."""
         if not self._longest_first:
             return True, next(self._arrivals)
-        is_ordinary = len(progress.events) < LONG_RUN_EVENTS
-        return is_ordinary, -progress.item.expected_work
+        return not progress.is_long, -progress.item.expected_work
 
     def cancel(self) -> None:
         """Stops serving."""
--- a/src/larkpost/rollouts/urgency.py
+++ b/src/larkpost/rollouts/urgency.py
@@ -19,8 +19,6 @@
 """Share of a batch's items that count as long: about one in ten is several times the others."""
 SHORT_SHARE = 0.5
 """Share of them that count as short."""
-LONG_RUN_EVENTS = 30
-"""Events after which an item has shown itself long; three in four items have fewer."""
 
 
 class Urgency:
@@ -42,7 +40,7 @@
 
     def _length_class(self, item: Item, progress: Progress) -> int:
         """Returns 0 for a long item, 2 for a short one."""
-        if len(progress.events) >= LONG_RUN_EVENTS or item.expected_work >= self._long_from:
+        if progress.is_long or item.expected_work >= self._long_from:
             return 0
         return 1 if item.expected_work > self._short_to else 2
 
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -15,8 +15,8 @@
 from larkpost.proxy.balancer import Balancer
 from larkpost.proxy.shares import ShareChooser
 from larkpost.rehearsal.memory_store import StoreFaults
-from larkpost.rollouts.attempt import Progress
-from larkpost.rollouts.engine_choice import LONG_RUN_EVENTS, EngineChoice
+from larkpost.rollouts.attempt import LONG_RUN_EVENTS, Progress
+from larkpost.rollouts.engine_choice import EngineChoice
 from larkpost.rollouts.engine_run import FasterPlace, MoveAwayError
 from larkpost.rollouts.model import BatchHead
 from larkpost.rollouts.place_queue import PlaceQueue
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -7,10 +7,13 @@
 
 from larkpost.clock import LoopClock
 from larkpost.eventlog import Event, EventLog
+from larkpost.fleet.beliefs import Beliefs
 from larkpost.fleet.configuration import Route, RouteKind, ServiceName, ServiceShare
 from larkpost.fleet.directory import Directory, InstanceInfo, InstanceState
 from larkpost.fleet.division import EngineDivision
 from larkpost.fleet.evacuations import Evacuations, ZoneEvacuation
+from larkpost.fleet.load_plan import LoadPlan
+from larkpost.fleet.regions import RegionMap
 from larkpost.fleet.weights import (
     FIRST_SECONDS,
     GROUP_SECONDS,
@@ -243,17 +246,11 @@
 
     def test_no_evacuated_engine_is_a_models_own(self):
         async def play():
-            evacuations = Evacuations()
             configuration = PlatformFleet(gateways=1).gateways[0].configuration
             configuration.update(CONFIGURATION)
-            division = EngineDivision(
-                configuration,
-                self.directory,
-                self.targets,
-                LoopClock(),
-                dict,
-                evacuations=evacuations,
-            )
+            beliefs = Beliefs(RegionMap(), configuration, self.directory, self.targets)
+            evacuations = beliefs.evacuations
+            division = EngineDivision(beliefs, LoadPlan(beliefs, dict), LoopClock(), dict)
             self.assertEqual(self.north | self.south, division.engines_of(ENGINES, MODEL))
             evacuations.begin(NORTH, 0.0)
             await asyncio.sleep(1.0)
