The test that failed once on a loaded machine is traced: its bound took calls alone for quick

Cause: a connection is waited for four times as long as calls to its server usually take, 0.25 s at least. The test's bound allowed for the least only, and its settling calls all went to the quicker of two servers, so the other one kept the time of sixteen calls at once. Change: each server gets settling calls of its own, and the bound follows what calls alone take; where they take under 0.06 s it is the 0.65 s that it was. Checks are as strict as before on an idle machine; nothing is left out.

--- a/tests/test_silent_connections.py
+++ b/tests/test_silent_connections.py
@@ -20,6 +20,7 @@
 from larkpost.platform.peer_store import PeerStoreApp
 from larkpost.platform.servers import HttpServers
 from larkpost.platform.silence import (
+    ENDING,
     FORGET_SECONDS,
     GAP_SECONDS,
     LEAST_PATIENCE_SECONDS,
@@ -51,7 +52,7 @@
 """What a busy machine adds to a time."""
 LATE_SECONDS = LEAST_PATIENCE_SECONDS + SLACK_SECONDS
 """An answer to a call that met a silent connection is here by then."""
-SETTLING_CALLS = 15
+SETTLING_CALLS = 40
 """Calls one after another, after which the time that many at once take is no longer the usual."""
 REPORT = b'{"seq":0,"busy":false,"models":[]}'
 
@@ -443,6 +444,7 @@
         self.addAsyncCleanup(self.servers.close)
         directory = Directory()
         self.all_pages = [Pages(name) for name in names]
+        self.slowest = 0.0
         for pages in self.all_pages:
             await pages.start()
             self.addAsyncCleanup(pages.close)
@@ -461,8 +463,30 @@
         await asyncio.gather(*(self.ask() for _ in range(8 * len(names))))
         for pages in self.all_pages:
             self.assertGreater(pages.link.connections, 1)
-        for _ in range(SETTLING_CALLS * len(names)):
-            await self.ask()
+        for pages in self.all_pages:
+            await self.settle(pages)
+
+    async def settle(self, pages: Pages) -> None:
+        """Makes calls to one server until its usual time is that of a call alone.
+
+        Requests through the forwarder would all go to the quicker server, and the other one would
+        keep the time of the many calls at once, for four times which it is waited for.
+        """
+        loop = asyncio.get_running_loop()
+        for number in range(SETTLING_CALLS):
+            began = loop.time()
+            async with self.servers.send(pages.instance, page_request(number)) as answer:
+                async for _ in answer.chunks():
+                    pass
+            self.slowest = max(self.slowest, loop.time() - began)
+
+    def late(self) -> float:
+        """Returns the seconds by which a call that met a silent connection is answered.
+
+        `LATE_SECONDS`, unless calls alone take so long here that a connection is waited for longer:
+        beside 14 busy processes they took 0.14 s, and the test failed in 2 of 30 runs.
+        """
+        return max(LATE_SECONDS, ENDING.factor * self.slowest + SLACK_SECONDS)
 
     async def ask(self) -> None:
         """Makes a request that may be repeated."""
@@ -476,7 +500,7 @@
     async def test_only_server(self):
         await self.begin("i-1")
         self.all_pages[0].link.harm(LinkFault.OLD_SILENT)
-        async with asyncio.timeout(LATE_SECONDS):
+        async with asyncio.timeout(self.late()):
             await self.ask()
         async with asyncio.timeout(SLACK_SECONDS):
             await self.ask()
@@ -485,10 +509,10 @@
         await self.begin("i-1", "i-2")
         for pages in self.all_pages:
             pages.link.harm(LinkFault.OLD_SILENT)
-        async with asyncio.timeout(LATE_SECONDS):
+        async with asyncio.timeout(self.late()):
             await asyncio.gather(*(self.ask() for _ in range(4)))
         for _ in range(4):
-            async with asyncio.timeout(LATE_SECONDS):
+            async with asyncio.timeout(self.late()):
                 await self.ask()
 
     async def test_connections_to_one_of_two_servers(self):
