--- a/src/larkpost/proxy/outcomes.py
+++ b/src/larkpost/proxy/outcomes.py
@@ -14,6 +14,7 @@
     RequestFailedError,
     RequestTimeoutError,
 )
+from larkpost.quarantine.content import digest_request
 from larkpost.usage.counter import UsageCounter
 
 FULL_AVOID_SECONDS = 0.05
@@ -61,6 +62,7 @@
         self._log.note(
             Event.ATTEMPT_FAILED,
             request=attempts.request.request_id.decode("latin-1"),
+            content=digest_request(attempts.request),
             instance=instance.id,
             reason=reason,
         )
@@ -118,6 +120,7 @@
         self._log.note(
             Event.REQUEST_FAILED,
             request=request.request_id.decode("latin-1"),
+            content=digest_request(request),
             route=route.name,
             outcome=error.code,
             held=round(self._clock.now() - request.received_at, 3),
--- a/src/larkpost/rollouts/engine_run.py
+++ b/src/larkpost/rollouts/engine_run.py
@@ -15,7 +15,7 @@
 from larkpost.rollouts.attempt import Progress
 from larkpost.rollouts.context import RunServices
 from larkpost.rollouts.engine_choice import EngineChoice
-from larkpost.rollouts.model import BatchHead, Item
+from larkpost.rollouts.model import ITEM_METHOD, BatchHead, Item
 from larkpost.rollouts.place_queue import PlaceQueue
 from larkpost.rollouts.stalls import RunWatch, StallWatcher
 from larkpost.rollouts.urgency import Urgency
@@ -228,7 +228,7 @@
     def _request(self, item: Item, route: Route, progress: Progress) -> OutgoingRequest:
         return OutgoingRequest(
             request_id=item.id.encode("latin-1"),
-            method="POST",
+            method=ITEM_METHOD,
             host=self._head.host.encode("latin-1"),
             target=item.path.encode("latin-1"),
             headers=tuple(
--- a/src/larkpost/rollouts/model.py
+++ b/src/larkpost/rollouts/model.py
@@ -8,10 +8,13 @@
 from larkpost.fleet.configuration import ModelName
 from larkpost.fleet.tenants import TenantName
 from larkpost.ids import BatchId, DaemonId
+from larkpost.quarantine.content import ContentDigest, digest_content
 
 ItemId = NewType("ItemId", str)
 GroupId = NewType("GroupId", str)
 RewardCallId = NewType("RewardCallId", str)
+ITEM_METHOD = "POST"
+"""Items and reward calls are sent by this method."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -29,6 +32,12 @@
     path: str
     body: bytes
 
+    @property
+    def content(self) -> ContentDigest:
+        """What names the call among those that ask the same."""
+        host, target = self.host.encode("latin-1"), self.path.encode("latin-1")
+        return digest_content(None, ITEM_METHOD, host, target, self.body)
+
 
 @dataclass(frozen=True, slots=True)
 class Item:
@@ -50,6 +59,11 @@
     length_hint: int = 0
     reward_call: RewardCall | None = None
 
+    def content(self, batch: "BatchHead | BatchSpec") -> ContentDigest:
+        """Returns what names the item's request among those that ask the same."""
+        host, target = batch.host.encode("latin-1"), self.path.encode("latin-1")
+        return digest_content(batch.tenant, ITEM_METHOD, host, target, self.body)
+
     @property
     def expected_work(self) -> int:
         """Tokens that the item is expected to take."""
--- a/src/larkpost/rollouts/reward.py
+++ b/src/larkpost/rollouts/reward.py
@@ -26,7 +26,7 @@
 )
 from larkpost.rollouts.attempt import Progress
 from larkpost.rollouts.context import RunServices
-from larkpost.rollouts.model import BatchHead, RewardCall
+from larkpost.rollouts.model import ITEM_METHOD, BatchHead, RewardCall
 
 MAX_CALLS_IN_FLIGHT = 24
 """Reward calls of one daemon at servers, or about to be sent; the others wait their turn."""
@@ -225,6 +225,7 @@
             batch=self._head.id,
             item=progress.item.id,
             call=call.id,
+            content=call.content,
             instance=server.id,
             outcome=ended.end,
             seconds=round(seconds, 3),
@@ -245,7 +246,7 @@
 def _request(call: RewardCall, limit: float) -> OutgoingRequest:
     return OutgoingRequest(
         request_id=call.id.encode("latin-1"),
-        method="POST",
+        method=ITEM_METHOD,
         host=call.host.encode("latin-1"),
         target=call.path.encode("latin-1"),
         headers=(),
--- a/src/larkpost/rollouts/run.py
+++ b/src/larkpost/rollouts/run.py
@@ -262,6 +262,7 @@
             Event.ITEM_RUN,
             batch=self.head.id,
             item=progress.item.id,
+            content=progress.item.content(self.head),
             group=progress.item.group,
             engine=engine.id,
             outcome=reason,
