Reproduced: a request that crashes its servers is sent on again and again, as are items and reward calls

The fleet in memory learns to crash: an engine that begins a crashing request is dead 0.08 s later, its entry goes after three heartbeats, another instance follows at its address after 3 s; instances have addresses of their own. No product code has changed.

--- a/src/larkpost/rehearsal/scripted_engines.py
+++ b/src/larkpost/rehearsal/scripted_engines.py
@@ -1,7 +1,8 @@
 """Engines in memory that speak larkpost's server port, for tests and simulations."""
 
+import functools
 from collections import Counter
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 
@@ -27,6 +28,8 @@
 SPREAD_EVENTS = 12
 LOAD_SECONDS = 0.9
 STALL_SECONDS = 1000.0
+CRASH_SECONDS = 0.08
+"""From the begin of a request that crashes its server to the crash."""
 
 
 def output_of(request_id: str, events: int | None = None) -> list[bytes]:
@@ -112,7 +115,9 @@
         request: OutgoingRequest,
         model: ModelName,
         output_events: int | None = None,
+        crash: Callable[[], None] | None = None,
     ) -> None:
+        self._crash = crash
         self._output_events = output_events
         self._clock = clock
         self._state = state
@@ -131,6 +136,7 @@
 
     async def chunks(self) -> AsyncIterator[bytes]:
         """Yields the body; see the port."""
+        await self._crash_if_so()
         await self._clock.sleep(self._state.event_seconds)
         if self._state.down or self._state.break_after is not None:
             raise BrokenAnswerError("the answer broke off")
@@ -138,6 +144,7 @@
 
     async def events(self) -> AsyncIterator[StreamEvent]:
         """Yields the body's events; see the port."""
+        await self._crash_if_so()
         output = output_of(self._request.request_id.decode(), self._output_events)
         first = (self._request.resume_after or 0) + 1
         version = self.version
@@ -155,9 +162,26 @@
                 self._state.whole_at[self._request.request_id.decode()] = self._clock.now()
             yield StreamEvent(number, data, data, changed)
 
+    async def _crash_if_so(self) -> None:
+        """Crashes the engine a moment after its begin, if the request is one that does so.
+
+        Raises:
+            BrokenAnswerError: the engine has crashed.
+        """
+        if self._crash is None:
+            return
+        await self._clock.sleep(CRASH_SECONDS)
+        self._crash()
+        raise BrokenAnswerError("the server has crashed")
+
 
 class ScriptedEngines:
-    """All engines; implements `larkpost.proxy.port.ServerPort`."""
+    """All engines; implements `larkpost.proxy.port.ServerPort`.
+
+    Attributes:
+        crashing: targets of the requests that crash each engine that begins to run them.
+        when_crashed: called with an engine that such a request has crashed.
+    """
 
     def __init__(self, clock: Clock, model: ModelName) -> None:
         self._clock = clock
@@ -165,6 +189,8 @@
         self.engines: dict[EngineId, EngineState] = {}
         self.connected: set[EngineId] = set()
         self.output_events: int | None = None
+        self.crashing: set[bytes] = set()
+        self.when_crashed: Callable[[EngineId], None] = lambda _: None
 
     @asynccontextmanager
     async def send(
@@ -184,10 +210,25 @@
         state.runs.append(request.request_id.decode())
         state.ranks[request.request_id.decode()] = request.priority
         try:
-            yield ScriptedAnswer(self._clock, state, request, self._model, self.output_events)
+            crash = functools.partial(self.crash, instance.id)
+            yield ScriptedAnswer(
+                self._clock,
+                state,
+                request,
+                self._model,
+                self.output_events,
+                crash if request.target in self.crashing else None,
+            )
         finally:
             state.running -= 1
 
+    def crash(self, engine: EngineId) -> None:
+        """Crashes an engine: all that it runs breaks off, and its port is dead."""
+        state = self.engines[engine]
+        if not state.down:
+            state.down = True
+            self.when_crashed(engine)
+
     def is_connected(self, instance: InstanceInfo) -> bool:
         """Tells whether a connection is kept; see the port. None is made here at all."""
         return instance.id in self.connected
--- a/tests/platform_checks.py
+++ b/tests/platform_checks.py
@@ -6,6 +6,11 @@
 SECOND = 1.0
 CALL_ATTEMPTS = 4
 """Attempts that the route of reward calls allows in tests."""
+CRASHES_TO_KNOW = 3
+"""Servers that a request has crashed when it must be known to do so."""
+RETRIES_ALLOWED = 3
+CONTACT_SECONDS = 3.0
+"""Within this of a change or the end of a fault a daemon has heard of it."""
 EVACUATE_SECONDS = 5.0
 """Within this of the store's answer nothing new is sent to an evacuated zone."""
 
@@ -52,6 +57,33 @@
     )
 
 
+def check_crashes(
+    content: str,
+    crashed: list[float],
+    arrivals: list[float],
+    excused: Iterable[tuple[float, float]] = (),
+) -> None:
+    """Checks that a request that crashes servers is hardly sent on once it has crashed three.
+
+    Args:
+        crashed: when it crashed a server, in order.
+        arrivals: when servers began to run it.
+        excused: spans after which, for `CONTACT_SECONDS`, arrivals do not count.
+    """
+    if len(crashed) < CRASHES_TO_KNOW:
+        return
+    known_at = crashed[CRASHES_TO_KNOW - 1] + CONTACT_SECONDS
+    late = [
+        at
+        for at in arrivals
+        if at > known_at and not any(start <= at <= end + CONTACT_SECONDS for start, end in excused)
+    ]
+    assert len(late) <= RETRIES_ALLOWED, (
+        f"{content} had crashed {CRASHES_TO_KNOW} servers by {known_at - CONTACT_SECONDS}, "
+        f"but reached servers at {late}"
+    )
+
+
 def check_once(batch: str, listed: list[str], items: set[str]) -> None:
     """Checks that each item listed is the batch's and stands once."""
     assert len(set(listed)) == len(listed), f"{batch} doubled"
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from contextlib import asynccontextmanager
 from dataclasses import dataclass, replace
 
 import orjson
@@ -58,6 +59,10 @@
 ENGINES = ServiceName("engines")
 PAGES = ServiceName("pages")
 HEARTBEAT_SECONDS = 0.4
+MISSED_HEARTBEATS = 3
+"""After so many of them an instance's entry goes."""
+RESTART_SECONDS = 3.0
+"""From a crash until another instance serves at the address."""
 EVACUATION = "evacuate-"
 ZONES = (ZoneId("north"), ZoneId("south"))
 """Servers are listed in turn in either."""
@@ -152,7 +157,7 @@
     return InstanceInfo(
         EngineId(row.key.key),
         ServiceName(fields["service"]),
-        Address("10.0.0.1:1"),
+        Address(fields["address"]),
         ZoneId(fields["zone"]),
         fields["slots"],
         InstanceState(fields["state"]),
@@ -201,6 +206,16 @@
     at: float
 
 
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """A request that an instance began to run."""
+
+    daemon: int
+    instance: EngineId
+    target: bytes
+    at: float
+
+
 @dataclass(slots=True)
 class EvacuationSpan:
     """An evacuation as the store holds it."""
@@ -221,11 +236,15 @@
         self.report = servers.report
         self.order = servers.order
 
-    def send(self, instance, request):
+    @asynccontextmanager
+    async def send(self, instance, request):
         """Sends a request; see the port."""
         now = self._fleet.clock.now()
         self._fleet.sends.append(Send(self._daemon, instance.id, instance.zone, now))
-        return self._servers.send(instance, request)
+        async with self._servers.send(instance, request) as answer:
+            now = self._fleet.clock.now()
+            self._fleet.arrivals.append(Arrival(self._daemon, instance.id, request.target, now))
+            yield answer
 
 
 class PlatformFleet:
@@ -268,6 +287,11 @@
         self.usage = ScriptedUsage(self.clock)
         self.scaling = ScriptedScaling(self.clock)
         self.sends: list[Send] = []
+        self.arrivals: list[Arrival] = []
+        self.crashed_at: dict[EngineId, float] = {}
+        self._restarts: set[asyncio.Task] = set()
+        self._addresses: dict[EngineId, Address] = {}
+        self.engines.when_crashed = self._note_crash
         self.evacuations: list[EvacuationSpan] = []
         self.put("operator", "configuration", configuration)
         for number in range(engines):
@@ -308,6 +332,34 @@
         zones = self.zones or ZONES
         return self.engine_zones.setdefault(instance, zones[len(self.engine_zones) % len(zones)])
 
+    def address_of(self, instance: EngineId) -> Address:
+        """Returns an instance's address, which it gets when it is first asked for."""
+        number = len(self._addresses) + 1
+        return self._addresses.setdefault(instance, Address(f"10.0.0.{number}:1"))
+
+    def _note_crash(self, instance: EngineId) -> None:
+        """Takes that a request has crashed an instance; another one follows at its address."""
+        self.crashed_at[instance] = self.clock.now()
+        task = asyncio.create_task(self._restart(instance))
+        self._restarts.add(task)
+        task.add_done_callback(self._restarts.discard)
+
+    async def _restart(self, instance: EngineId) -> None:
+        """Drops a crashed instance's entry, and starts the one that follows it."""
+        await self.clock.sleep(MISSED_HEARTBEATS * HEARTBEAT_SECONDS)
+        self.store.apply(Transaction(removals=(RowKey("instances", "", instance),)))
+        await self.clock.sleep(RESTART_SECONDS - MISSED_HEARTBEATS * HEARTBEAT_SECONDS)
+        lives = int(instance.partition("+")[2] or "1") + 1
+        follower = EngineId(f"{instance.partition('+')[0]}+{lives}")
+        self._addresses[follower] = self.address_of(instance)
+        self.engine_zones[follower] = self.zone_of(instance)
+        versions = dict(self.engines.engines[instance].versions)
+        if versions:
+            self.engines.engines[follower] = EngineState(versions=versions)
+            self.add_engine(follower)
+        else:
+            self.add_scorer(follower)
+
     def add_engine(self, engine: EngineId, state: InstanceState = InstanceState.READY) -> None:
         """Lists an engine."""
         if engine not in self.engines.engines:
@@ -320,6 +372,7 @@
             "state": state,
             "version": known.versions[MODEL],
             "cold_left": max(0.0, known.cold_until - self.clock.now()),
+            "address": self.address_of(engine),
         }
         self.put("instances", engine, orjson.dumps(entry))
 
@@ -357,6 +410,7 @@
             "slots": SCORER_SLOTS,
             "state": state,
             "version": 0,
+            "address": self.address_of(scorer),
         }
         self.put("instances", scorer, orjson.dumps(entry))
 
