--- a/src/larkpost/assembly/feeds.py
+++ b/src/larkpost/assembly/feeds.py
@@ -6,6 +6,7 @@
 from larkpost.assembly.environment import GatewayPorts, GatewaySettings
 from larkpost.fleet.beliefs import Beliefs
 from larkpost.fleet.row_intake import RowIntake
+from larkpost.quarantine.repository import CRASH_PART
 from larkpost.rollouts.repository import HEAD_TABLE, PARTS
 from larkpost.store.follower import TableFollower
 from larkpost.store.port import Row
@@ -32,7 +33,11 @@
 
 
 class Feeds:
-    """The operator's rows, the instances' entries and the heads of batches, each followed."""
+    """The operator's rows, the instances' entries and the heads of batches, each followed.
+
+    Args:
+        crashes: takes the rows of crashes, which lie in a part of the table of batches.
+    """
 
     def __init__(
         self,
@@ -40,6 +45,7 @@
         ports: GatewayPorts,
         beliefs: Beliefs,
         heads: HeadListener,
+        crashes: Callable[[Row], None],
     ) -> None:
         self._ports = ports
         self.intake = RowIntake(
@@ -65,8 +71,8 @@
         )
         self.heads = self._follow(
             HEAD_TABLE,
-            PARTS,
-            heads.take,
+            (*PARTS, CRASH_PART),
+            lambda row: crashes(row) if row.key.part == CRASH_PART else heads.take(row),
             SLOW_RELIST_SECONDS,
             lambda: 1 if heads.is_active() else IDLE_RELIST_FACTOR,
         )
--- a/src/larkpost/eventlog.py
+++ b/src/larkpost/eventlog.py
@@ -53,6 +53,8 @@
     DESCRIPTORS = "descriptors"
     REQUEST_DONE = "request_done"
     ATTEMPT_FAILED = "attempt_failed"
+    SERVER_CRASH = "server_crash"
+    QUARANTINE = "quarantine"
     REQUEST_FAILED = "request_failed"
     BATCH_ACCEPTED = "batch_accepted"
     BATCH_REFUSED = "batch_refused"
--- a/src/larkpost/fleet/beliefs.py
+++ b/src/larkpost/fleet/beliefs.py
@@ -12,6 +12,7 @@
 from larkpost.fleet.evacuations import Evacuations
 from larkpost.fleet.regions import RegionMap
 from larkpost.fleet.weights import WeightTargets
+from larkpost.quarantine.known_crashes import KnownCrashes
 
 
 @dataclass(slots=True)
@@ -25,6 +26,7 @@
         evacuations: the zones that are to get nothing.
         regions: where zones lie.
         cold: the instances that are cold.
+        crashes: the servers that have crashed, and under which requests.
     """
 
     regions: RegionMap = field(default_factory=RegionMap)
@@ -33,3 +35,4 @@
     targets: WeightTargets = field(default_factory=WeightTargets)
     evacuations: Evacuations = field(default_factory=Evacuations)
     cold: ColdInstances = field(default_factory=ColdInstances)
+    crashes: KnownCrashes = field(default_factory=KnownCrashes)
--- a/src/larkpost/gateway.py
+++ b/src/larkpost/gateway.py
@@ -4,6 +4,7 @@
 feeds         the tables that it follows
 placement     whether work may go to an instance, and which instance is best
 fleet         which daemons are alive, and what the time is
+quarantine    which requests crash servers; the way to servers for all others
 proxy         client requests
 rollouts      batches
 duties        what one daemon at a time does
@@ -36,6 +37,10 @@
 from larkpost.proxy.balancer import Balancer
 from larkpost.proxy.forwarder import Forwarder
 from larkpost.proxy.shares import ShareChooser
+from larkpost.quarantine.guard import GuardedServers
+from larkpost.quarantine.recorder import CrashRecorder
+from larkpost.quarantine.repository import CrashRepository
+from larkpost.quarantine.watch import CrashWatch
 from larkpost.rollouts.context import RunServices
 from larkpost.rollouts.keeper import BatchKeeper
 from larkpost.rollouts.repository import ITEM_TABLE, BatchRepository
@@ -65,6 +70,7 @@
         self._make_beliefs()
         self._make_placement()
         self._make_fleet()
+        self._make_quarantine()
         counter = self._make_counter()
         self._make_proxy(counter)
         self._make_rollouts()
@@ -89,7 +95,13 @@
         self.directory = self.beliefs.directory
         self.targets = self.beliefs.targets
         heads = HeadListener(lambda row: self.keeper.take_head(row), self._is_active)
-        self._feeds = Feeds(self.settings, self._ports, self.beliefs, heads)
+        self._feeds = Feeds(
+            self.settings,
+            self._ports,
+            self.beliefs,
+            heads,
+            lambda row: self._crash_recorder.take_row(row),
+        )
 
     def _make_placement(self) -> None:
         ports = self._ports
@@ -133,6 +145,27 @@
             self.beliefs.regions,
         )
 
+    def _make_quarantine(self) -> None:
+        ports = self._ports
+        self._crash_recorder = CrashRecorder(
+            self.beliefs.crashes,
+            CrashRepository(ports.store),
+            ports.clock,
+            ports.log,
+            ports.metrics,
+            lambda: self.membership.first_choice("crashes") == self.id,
+        )
+        watch = CrashWatch(
+            self.directory,
+            ports.servers,
+            ports.clock,
+            self._tasks,
+            self._crash_recorder.crashed,
+        )
+        self._servers = GuardedServers(
+            ports.servers, self.beliefs.crashes, watch, self._crash_recorder
+        )
+
     def _make_counter(self) -> UsageCounter | None:
         if self._ports.usage is None or self.settings.usage is None:
             return None
@@ -143,7 +176,7 @@
         self.forwarder = Forwarder(
             self.directory,
             self.balancer,
-            ports.servers,
+            self._servers,
             ports.clock,
             ports.log,
             ports.metrics,
@@ -151,6 +184,7 @@
             self.settings.policy,
             counter,
             self._priority_of,
+            self.beliefs.crashes,
         )
         self.admission = Admission(
             self.configuration,
@@ -169,7 +203,7 @@
             self.configuration,
             self.directory,
             self.balancer,
-            ports.servers,
+            self._servers,
             ports.clock,
             ports.log,
             ports.metrics,
@@ -179,6 +213,7 @@
             self._make_division(),
             self.settings.policy,
             self.cold,
+            self.beliefs.crashes,
         )
         repository = BatchRepository(ports.store, ports.clock)
         views = ViewCache()
@@ -205,6 +240,7 @@
         """Starts all background work."""
         self._log.note(Event.START, id=self.id)
         self._feeds.start(self._tasks)
+        self._crash_recorder.start(self._tasks)
         if self._ports.relay is not None and self.settings.policy.peer_calls:
             self._ports.relay.start(self.membership.peers, self._tasks, self._is_confined)
         self.membership.start(self._tasks)
@@ -260,6 +296,8 @@
         for state, count in self.directory.counts().items():
             metrics.set(Level.INSTANCES, count, state)
         metrics.set(Level.INSTANCES_COLD, self.cold.count_cold())
+        metrics.set(Level.QUARANTINED, self.beliefs.crashes.held())
+        metrics.set(Level.CRASHES_KNOWN, len(self.beliefs.crashes))
         zones = self.beliefs.evacuations.zones()
         metrics.replace(Level.EVACUATED, dict.fromkeys(zones, 1))
         in_zones = {zone: self.balancer.outstanding_in(zone) for zone in zones}
--- a/src/larkpost/metrics.py
+++ b/src/larkpost/metrics.py
@@ -16,6 +16,7 @@
     REQUESTS = "larkpost_requests_total"
     DENIALS = "larkpost_denials_total"
     ATTEMPTS = "larkpost_attempts_total"
+    CRASHES = "larkpost_server_crashes_total"
     NOT_PLACED = "larkpost_not_placed_total"
     FORECASTS = "larkpost_forecasts_total"
     STORE_CALLS = "larkpost_store_calls_total"
@@ -36,6 +37,7 @@
     Count.REQUESTS: ("Client requests answered.", ("route", "outcome")),
     Count.DENIALS: ("Calls that the configuration does not allow.", ("reason",)),
     Count.ATTEMPTS: ("Attempts of client requests at servers.", ("service", "outcome")),
+    Count.CRASHES: ("Servers that crashed under requests of this daemon.", ("evidence",)),
     Count.NOT_PLACED: (
         "Sends that were not made, as a rule of placement forbade them.",
         ("work", "verdict"),
@@ -80,6 +82,8 @@
     SERVERS_NEEDED = "larkpost_servers_needed"
     COORDINATOR = "larkpost_coordinator"
     STORE_RELAYED = "larkpost_store_relayed"
+    QUARANTINED = "larkpost_quarantined"
+    CRASHES_KNOWN = "larkpost_crashes_known"
     EVACUATED = "larkpost_evacuated"
     EVACUATED_REQUESTS = "larkpost_evacuated_requests"
 
@@ -99,6 +103,8 @@
     Level.COORDINATOR: ("Whether this daemon gives orders and claims batches (1) or not (0).", ()),
     Level.STORE_RELAYED: ("Whether a peer makes this daemon's calls to the store (1).", ()),
     Level.SERVERS_NEEDED: ("Servers that the demand takes; 0 if not known.", ("service",)),
+    Level.QUARANTINED: ("Contents that no client's request is sent on with.", ()),
+    Level.CRASHES_KNOWN: ("Crashes of servers that are remembered, of all daemons.", ()),
     Level.EVACUATED: ("Zones whose evacuation this daemon knows of (1).", ("zone",)),
     Level.EVACUATED_REQUESTS: (
         "Requests and runs of this daemon at instances of evacuated zones.",
--- a/src/larkpost/platform/ingress.py
+++ b/src/larkpost/platform/ingress.py
@@ -17,7 +17,7 @@
 from larkpost.platform.http_protocol import OVERSIZED
 from larkpost.proxy.admission import Admission, Admitted
 from larkpost.proxy.forwarder import Forwarder
-from larkpost.proxy.port import BrokenAnswerError, Headers
+from larkpost.proxy.port import Headers
 from larkpost.proxy.request import (
     ClientRequest,
 )
@@ -201,11 +201,8 @@
     async def _stream(self, exchange: "Exchange", request: ClientRequest, route: Route) -> None:
         async with self._forwarder.stream(request, route) as answer:
             await exchange.begin(answer.status, answer.headers)
-            try:
-                async for chunk in answer.chunks():
-                    await exchange.send_part(chunk)
-            except BrokenAnswerError as error:
-                raise StreamCutError(str(error)) from None
+            async for chunk in answer.chunks():
+                await exchange.send_part(chunk)
             await exchange.finish()
 
 
--- a/src/larkpost/platform/servers.py
+++ b/src/larkpost/platform/servers.py
@@ -12,6 +12,7 @@
 from multidict import CIMultiDict
 from yarl import URL
 
+from larkpost.addresses import split_address
 from larkpost.eventlog import EventLog
 from larkpost.fleet.directory import InstanceInfo
 from larkpost.metrics import Metrics
@@ -28,6 +29,7 @@
     NotRunReason,
     OrderOutcome,
     OutgoingRequest,
+    PortState,
     RunningWork,
     ServerLoad,
     StreamEvent,
@@ -40,6 +42,13 @@
 """Longest wait for it: it comes with its head, and the request wants another server at once."""
 IDLE_TIME = re.compile(r"timeout=(\d+)")
 CONNECT_FAILURES = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
+LOST_CONNECTIONS = (
+    aiohttp.ServerDisconnectedError,
+    aiohttp.ClientOSError,
+    aiohttp.ClientPayloadError,
+    ConnectionError,
+)
+"""How it shows that a connection was closed or reset before the whole answer had come."""
 ANSWER_FAILURES = (aiohttp.ClientError, asyncio.TimeoutError, OSError, ValueError)
 ORDER_OUTCOMES = {
     200: OrderOutcome.HOLDS,
@@ -80,9 +89,11 @@
             async for chunk in self._response.content.iter_any():
                 yield chunk
         except ANSWER_FAILURES as error:
-            raise BrokenAnswerError(f"{type(error).__name__}: {error}") from None
+            raise _broken("", error) from None
         if self._was_reset():
-            raise BrokenAnswerError("a body without a length ended in a reset")
+            raise BrokenAnswerError(
+                "a body without a length ended in a reset", connection_lost=True
+            )
 
     async def events(self) -> AsyncIterator[StreamEvent]:
         """Yields the body's events; see the port."""
@@ -94,7 +105,7 @@
             except ValueError as error:
                 raise BrokenAnswerError(f"no event stream: {error}") from None
         if decoder.partial:
-            raise BrokenAnswerError("the stream ended within an event")
+            raise BrokenAnswerError("the stream ended within an event", connection_lost=True)
 
     def _was_reset(self) -> bool:
         """Tells whether a body without a length ended otherwise than by an orderly close."""
@@ -136,7 +147,7 @@
         except CONNECT_FAILURES:
             raise NotRunError(NotRunReason.UNREACHABLE) from None
         except ANSWER_FAILURES as error:
-            raise BrokenAnswerError(f"no answer: {type(error).__name__}: {error}") from None
+            raise _broken("no answer: ", error) from None
         try:
             _note_idle_time(session, instance, response)
             try:
@@ -148,6 +159,19 @@
         finally:
             response.close()
 
+    async def probe(self, instance: InstanceInfo, timeout: float) -> PortState:
+        """Sees whether a server listens; see the port."""
+        host, port = split_address(instance.address)
+        try:
+            async with asyncio.timeout(timeout):
+                _, writer = await asyncio.open_connection(host, port)
+        except ConnectionRefusedError:
+            return PortState.DEAD  # what was asked
+        except (TimeoutError, OSError):
+            return PortState.SILENT  # nothing is known: the machine or the way to it may be gone
+        writer.transport.abort()
+        return PortState.LISTENS
+
     async def report(self, instance: InstanceInfo, timeout: float) -> EngineReport | None:
         """Asks an engine for its report; see the port.
 
@@ -295,6 +319,14 @@
     return headers
 
 
+def _broken(prefix: str, error: Exception) -> BrokenAnswerError:
+    """Returns the error for an answer that did not come whole."""
+    return BrokenAnswerError(
+        f"{prefix}{type(error).__name__}: {error}",
+        connection_lost=isinstance(error, LOST_CONNECTIONS),
+    )
+
+
 def _note_idle_time(
     session: aiohttp.ClientSession, instance: InstanceInfo, response: aiohttp.ClientResponse
 ) -> None:
--- a/src/larkpost/proxy/attempts.py
+++ b/src/larkpost/proxy/attempts.py
@@ -22,6 +22,7 @@
         refused_by: servers that certainly did not, since it last waited.
         reasons: why they did not.
         last: the last failure that a server answered in full.
+        is_quarantined: whether it goes to no server any more, as others crashed under its like.
     """
 
     request: ClientRequest
@@ -33,6 +34,7 @@
     refused_by: set[EngineId] = field(default_factory=set)
     reasons: set[NotRunReason] = field(default_factory=set)
     last: WholeAnswer | None = None
+    is_quarantined: bool = False
 
     @property
     def are_all_unreachable(self) -> bool:
--- a/src/larkpost/proxy/balancer.py
+++ b/src/larkpost/proxy/balancer.py
@@ -34,7 +34,12 @@
 UNREACHABLE_AVOID_SECONDS = 1.0
 PROBE_SECONDS = 0.15
 """Pause between two requests to an instance that refuses: loads of weights take about a second."""
-RULED_OUT = (NotRunReason.COLD, NotRunReason.EVACUATED, NotRunReason.OUTSIDE_REGIONS)
+RULED_OUT = (
+    NotRunReason.COLD,
+    NotRunReason.EVACUATED,
+    NotRunReason.OUTSIDE_REGIONS,
+    NotRunReason.QUARANTINED,
+)
 """Reasons that tell nothing of an instance: a rule forbade one send, and judges the next anew."""
 NEW_CONNECTION_FACTOR = 1.2
 """By how much longer the wait counts at an instance to which no connection is kept.
--- a/src/larkpost/proxy/forwarder.py
+++ b/src/larkpost/proxy/forwarder.py
@@ -37,6 +37,7 @@
 from larkpost.proxy.request import ClientRequest, WholeAnswer
 from larkpost.proxy.shares import ShareChooser
 from larkpost.proxy.waiting import Waiter, WaitingLines
+from larkpost.quarantine.known_crashes import CLIENT_CRASH_LIMIT, KnownCrashes
 from larkpost.usage.counter import UsageCounter
 
 MIN_HEDGE_SECONDS = 0.1
@@ -53,6 +54,7 @@
 
     Args:
         priority_of: returns how urgent a request is, 0 the most.
+        crashes: the servers that have crashed, and under which requests; None for none ever.
     """
 
     def __init__(
@@ -67,6 +69,7 @@
         policy: Policy = DEFAULT_POLICY,
         usage: UsageCounter | None = None,
         priority_of: PriorityOf = lambda _, route: route.priority,
+        crashes: KnownCrashes | None = None,
     ) -> None:
         self._policy = policy
         self._directory = directory
@@ -77,6 +80,7 @@
         self._priority_of = priority_of
         self._first_tries = FirstTries(clock)
         self._lines = WaitingLines(clock, self._survey)
+        self._crashes = KnownCrashes() if crashes is None else crashes
         self._outcomes = Outcomes(balancer, clock, log, metrics, usage)
         balancer.when_released(self._note_released)
 
@@ -163,6 +167,8 @@
 
     async def _may_try(self, attempts: Attempts, *, must_wait: bool) -> bool:
         """Waits for a request's turn if it must; tells whether it may be served at all."""
+        if self._is_quarantined(attempts):
+            return False
         if attempts.are_all_unreachable:
             # No place comes free by waiting here, but another daemon may reach the servers.
             attempts.forecast = unreachable(attempts.waiter.limits, self._clock.now())
@@ -261,7 +267,14 @@
         self._outcomes.answered(instance)
         return whole
 
+    def _is_quarantined(self, attempts: Attempts) -> bool:
+        """Tells whether a request must not go to any server, as others crashed under its like."""
+        attempts.is_quarantined = self._crashes.holds(attempts.request, CLIENT_CRASH_LIMIT)
+        return attempts.is_quarantined
+
     def _choose(self, attempts: Attempts) -> InstanceInfo | None:
+        if self._is_quarantined(attempts):
+            return None
         candidates = self._balancer.candidates(
             attempts.waiter.service,
             attempts.waiter.work,
--- a/src/larkpost/proxy/outcomes.py
+++ b/src/larkpost/proxy/outcomes.py
@@ -10,11 +10,13 @@
 from larkpost.proxy.port import NotRunError
 from larkpost.proxy.request import (
     ClientRequest,
+    QuarantinedError,
     RefusedError,
     RequestFailedError,
     RequestTimeoutError,
 )
 from larkpost.quarantine.content import digest_request
+from larkpost.quarantine.known_crashes import REMEMBERED_SECONDS
 from larkpost.usage.counter import UsageCounter
 
 FULL_AVOID_SECONDS = 0.05
@@ -107,7 +109,11 @@
         """Returns the error that a request ends in, and notes it."""
         request, route = attempts.request, attempts.route
         error: LarkpostError
-        if not attempts.ran_at:
+        if attempts.is_quarantined and not attempts.ran_at:
+            error = QuarantinedError(
+                "servers have crashed under this request", retry_after=REMEMBERED_SECONDS
+            )
+        elif not attempts.ran_at:
             error = RefusedError(
                 "no server could take it", retry_after=attempts.forecast.retry_after
             )
--- a/src/larkpost/proxy/port.py
+++ b/src/larkpost/proxy/port.py
@@ -10,6 +10,7 @@
 from larkpost.fleet.configuration import ModelName
 from larkpost.fleet.directory import InstanceInfo
 from larkpost.fleet.tenants import TenantName
+from larkpost.quarantine.known_crashes import CLIENT_CRASH_LIMIT
 
 Headers = tuple[tuple[bytes, bytes], ...]
 
@@ -32,6 +33,7 @@
         tenant: whose request it is, which the server is told; None if it is no tenant's.
         send_within: seconds within which it must be on a connection, or it is not sent; None for
             the connection's own limit.
+        crash_limit: it is not sent once so many servers have crashed under it.
     """
 
     request_id: bytes
@@ -48,6 +50,7 @@
     repeat_if_silent: bool = False
     tenant: TenantName | None = None
     send_within: float | None = None
+    crash_limit: int = CLIENT_CRASH_LIMIT
 
 
 @dataclass(frozen=True, slots=True)
@@ -117,6 +120,7 @@
     EVACUATED = "evacuated"  # its zone is to get nothing; nothing was sent
     COLD = "cold"  # it is cold and bears no more requests now; nothing was sent
     OUTSIDE_REGIONS = "outside_regions"  # the request may not go there; nothing was sent
+    QUARANTINED = "quarantined"  # servers crashed under the request; it goes to none
 
 
 class NotRunError(LarkpostError):
@@ -137,14 +141,27 @@
 
 
 class BrokenAnswerError(LarkpostError):
-    """No whole answer came, though the request may have run."""
+    """No whole answer came, though the request may have run.
+
+    Attributes:
+        connection_lost: whether that is because the connection was closed or reset.
+    """
 
     code = "broken_answer"
     status = 502
     remedy = "Send it again only if a second run is harmless."
 
-    def __init__(self, message: str) -> None:
+    def __init__(self, message: str, *, connection_lost: bool = False) -> None:
         super().__init__(message, ran=Ran.UNKNOWN)
+        self.connection_lost = connection_lost
+
+
+class PortState(StrEnum):
+    """Whether anything accepts connections at a server's address."""
+
+    LISTENS = "listens"
+    DEAD = "dead"  # connections are refused
+    SILENT = "silent"  # nothing answers
 
 
 class OrderOutcome(StrEnum):
@@ -217,6 +234,9 @@
     def is_connected(self, instance: InstanceInfo) -> bool:
         """Tells whether a connection to a server is kept that a request could use."""
 
+    async def probe(self, instance: InstanceInfo, timeout: float) -> PortState:
+        """Opens a connection to a server and closes it, to see whether it listens."""
+
     async def report(self, instance: InstanceInfo, timeout: float) -> EngineReport | None:
         """Asks an engine for its report; None if it gave none."""
 
--- a/src/larkpost/proxy/request.py
+++ b/src/larkpost/proxy/request.py
@@ -16,6 +16,17 @@
     remedy = "Ask again after the time in Retry-After."
 
 
+class QuarantinedError(LarkpostError):
+    """The request did not run and will not: servers have crashed under its like."""
+
+    code = "quarantined"
+    status = 503
+    remedy = (
+        "Do not send it again as it is before the time in Retry-After; change it, or have the "
+        "servers' software mended."
+    )
+
+
 class RequestFailedError(LarkpostError):
     """No whole answer came; the request may have run."""
 
--- /dev/null
+++ b/src/larkpost/quarantine/guard.py
@@ -0,0 +1,79 @@
+"""The way to servers for all requests: what crashes them is recognised here, and sent on no more.
+
+Client requests, items of batches and reward calls are all sent through this port, so none of them
+can be sent on, or be left out of the count, by a path of its own.
+"""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+from larkpost.fleet.directory import InstanceInfo
+from larkpost.proxy.port import (
+    BrokenAnswerError,
+    EngineReport,
+    NotRunError,
+    NotRunReason,
+    OrderOutcome,
+    OutgoingRequest,
+    PortState,
+    ServerAnswer,
+    ServerPort,
+    VersionOrder,
+)
+from larkpost.quarantine.content import digest_request
+from larkpost.quarantine.known_crashes import KnownCrashes
+from larkpost.quarantine.recorder import CrashRecorder
+from larkpost.quarantine.watch import CrashWatch
+
+LEAST_FAILURE_STATUS = 400
+
+
+class GuardedServers:
+    """Servers that are sent no request that crashes them; implements `ServerPort`."""
+
+    def __init__(
+        self,
+        servers: ServerPort,
+        crashes: KnownCrashes,
+        watch: CrashWatch,
+        recorder: CrashRecorder,
+    ) -> None:
+        self._servers = servers
+        self._crashes = crashes
+        self._watch = watch
+        self._recorder = recorder
+
+    @asynccontextmanager
+    async def send(
+        self, instance: InstanceInfo, request: OutgoingRequest
+    ) -> AsyncIterator[ServerAnswer]:
+        """Sends a request; see the port."""
+        if self._crashes.holds(request, request.crash_limit):
+            raise NotRunError(NotRunReason.QUARANTINED)
+        try:
+            async with self._servers.send(instance, request) as answer:
+                yield answer
+        except BrokenAnswerError as error:
+            if error.connection_lost:
+                self._watch.note_lost(digest_request(request), instance)
+            raise
+        if answer.status < LEAST_FAILURE_STATUS and answer.signature is not None:
+            self._recorder.served(request)
+
+    def is_connected(self, instance: InstanceInfo) -> bool:
+        """Tells whether a connection to a server is kept; see the port."""
+        return self._servers.is_connected(instance)
+
+    async def probe(self, instance: InstanceInfo, timeout: float) -> PortState:
+        """Asks whether a server listens; see the port."""
+        return await self._servers.probe(instance, timeout)
+
+    async def report(self, instance: InstanceInfo, timeout: float) -> EngineReport | None:
+        """Asks an engine for its report; see the port."""
+        return await self._servers.report(instance, timeout)
+
+    async def order(
+        self, instance: InstanceInfo, order: VersionOrder, timeout: float
+    ) -> OrderOutcome:
+        """Gives an engine an order; see the port."""
+        return await self._servers.order(instance, order, timeout)
--- /dev/null
+++ b/src/larkpost/quarantine/recorder.py
@@ -0,0 +1,151 @@
+"""Keeps what daemons know of crashes the same everywhere, and has it forgotten in time."""
+
+import asyncio
+from collections.abc import Callable, Iterable
+
+from larkpost.clock import Clock
+from larkpost.eventlog import Event, EventLog
+from larkpost.ids import EngineId
+from larkpost.metrics import Count, Metrics
+from larkpost.proxy.port import OutgoingRequest
+from larkpost.quarantine.content import ContentDigest
+from larkpost.quarantine.known_crashes import (
+    CLIENT_CRASH_LIMIT,
+    REMEMBERED_SECONDS,
+    Crash,
+    KnownCrashes,
+)
+from larkpost.quarantine.repository import MAX_ROWS, CrashRepository, crash_of_row
+from larkpost.store.port import Row
+from larkpost.tasks import TaskSet
+
+RETRY_SECONDS = 0.2
+FORGET_INTERVAL_SECONDS = 60.0
+MAX_UNSAVED = 2000
+"""Changes that wait for the store; when it is away for long, the oldest ones are dropped."""
+MAX_TOLD = 20
+"""Contents named in a line."""
+
+
+class CrashRecorder:
+    """Takes crashes and whole answers, and tells the other daemons by way of the store.
+
+    Args:
+        may_forget: tells whether this daemon is the one that removes what is old.
+    """
+
+    def __init__(
+        self,
+        crashes: KnownCrashes,
+        repository: CrashRepository,
+        clock: Clock,
+        log: EventLog,
+        metrics: Metrics,
+        may_forget: Callable[[], bool],
+    ) -> None:
+        self._crashes = crashes
+        self._repository = repository
+        self._clock = clock
+        self._log = log
+        self._metrics = metrics
+        self._may_forget = may_forget
+        self._unsaved: dict[tuple[ContentDigest, EngineId], Crash | None] = {}
+        """Changes that the store does not have yet; None for a removal."""
+        self._wake = asyncio.Event()
+
+    def start(self, tasks: TaskSet) -> None:
+        """Starts saving and forgetting."""
+        tasks.spawn(self._save_all(), "crashes")
+        tasks.every(FORGET_INTERVAL_SECONDS, self.forget_old, "old_crashes")
+
+    def take_row(self, row: Row) -> None:
+        """Takes what the store has of a crash."""
+        try:
+            crash = crash_of_row(row)
+        except (ValueError, KeyError, TypeError) as error:
+            self._log.note(Event.UNREADABLE, row=row.key.key, error=repr(error))
+            return
+        if row.removed:
+            self._remove(crash.content, crash.instance)
+        else:
+            self._add(crash)
+
+    def crashed(self, instance: EngineId, contents: Iterable[ContentDigest], evidence: str) -> None:
+        """Takes that a server has crashed under requests of this daemon.
+
+        Args:
+            evidence: how that is known.
+        """
+        at = self._repository.time() or 0.0
+        added = [Crash(content, instance, at) for content in contents]
+        added = [crash for crash in added if self._add(crash)]
+        if not added:
+            return
+        self._metrics.count(Count.CRASHES, evidence)
+        self._log.note(
+            Event.SERVER_CRASH,
+            instance=instance,
+            evidence=evidence,
+            contents=[crash.content for crash in added[:MAX_TOLD]],
+            crashes=max(self._crashes.count(crash.content) for crash in added),
+        )
+        for crash in added:
+            self._keep(crash.content, crash.instance, crash)
+
+    def served(self, request: OutgoingRequest) -> None:
+        """Takes that a server has run a request whole: it was not what crashed the others."""
+        content = self._crashes.suspect(request)
+        if content is None:
+            return
+        for crash in self._crashes.of(content):
+            self._remove(content, crash.instance)
+            self._keep(content, crash.instance, None)
+
+    async def forget_old(self) -> None:
+        """Removes the crashes that are remembered no longer."""
+        now = self._repository.time()
+        if now is None or not self._may_forget():
+            return
+        for crash in self._crashes.older_than(now - REMEMBERED_SECONDS):
+            self._remove(crash.content, crash.instance)
+            self._keep(crash.content, crash.instance, None)
+
+    def _add(self, crash: Crash) -> bool:
+        is_new = self._crashes.add(crash)
+        count = self._crashes.count(crash.content)
+        if is_new and count == CLIENT_CRASH_LIMIT:
+            self._log.note(Event.QUARANTINE, content=crash.content, state="begun", crashes=count)
+        return is_new
+
+    def _remove(self, content: ContentDigest, instance: EngineId) -> None:
+        count = self._crashes.count(content)
+        if self._crashes.remove(content, instance) and count == CLIENT_CRASH_LIMIT:
+            self._log.note(Event.QUARANTINE, content=content, state="ended", crashes=count - 1)
+
+    def _keep(self, content: ContentDigest, instance: EngineId, crash: Crash | None) -> None:
+        """Has a change saved; the newest one for a row replaces those before it."""
+        self._unsaved.pop((content, instance), None)
+        self._unsaved[content, instance] = crash
+        while len(self._unsaved) > MAX_UNSAVED:
+            del self._unsaved[next(iter(self._unsaved))]
+        self._wake.set()
+
+    async def _save_all(self) -> None:
+        while True:
+            await self._wake.wait()
+            self._wake.clear()
+            while self._unsaved:
+                if not await self._save_some():
+                    await self._clock.sleep(RETRY_SECONDS)
+
+    async def _save_some(self) -> bool:
+        """Saves the oldest changes, and tells whether that is done."""
+        taken = dict(list(self._unsaved.items())[:MAX_ROWS])
+        removed = [Crash(*key, 0.0) for key, crash in taken.items() if crash is None]
+        added = [crash for crash in taken.values() if crash is not None]
+        is_done = await self._repository.save(added, removed)
+        if is_done:
+            for key, crash in taken.items():
+                if key in self._unsaved and self._unsaved[key] is crash:
+                    del self._unsaved[key]
+        return is_done
--- /dev/null
+++ b/src/larkpost/quarantine/repository.py
@@ -0,0 +1,60 @@
+"""Crashes in the store: a row for each content and server, so that no two daemons' writes conflict.
+
+The rows lie in a part of the table of batches. Every daemon follows that table, so news of a crash
+reach all within some 60 ms, and cost no call while there are none; a table of their own would cost
+each daemon a call a second.
+"""
+
+import orjson
+
+from larkpost.ids import EngineId
+from larkpost.quarantine.content import ContentDigest
+from larkpost.quarantine.known_crashes import Crash
+from larkpost.rollouts.repository import HEAD_TABLE
+from larkpost.store.port import Row, RowKey, Store, Transaction, WriteOutcome
+
+CRASH_TABLE = HEAD_TABLE
+CRASH_PART = "crashes"
+MAX_ROWS = 90
+"""Rows written at once; a transaction takes a hundred entries."""
+WRITE_TIMEOUT_SECONDS = 1.0
+
+
+def crash_of_row(row: Row) -> Crash:
+    """Reads a row.
+
+    Raises:
+        ValueError: it is no crash.
+    """
+    content, slash, instance = row.key.key.partition("/")
+    if not slash:
+        raise ValueError("the key names no instance")
+    at = 0.0 if row.removed else float(orjson.loads(row.value)["at"])
+    return Crash(ContentDigest(content), EngineId(instance), at)
+
+
+class CrashRepository:
+    """Writes and removes crashes."""
+
+    def __init__(self, store: Store) -> None:
+        self._store = store
+
+    def time(self) -> float | None:
+        """Returns the store's time in seconds; None if it is not known."""
+        return self._store.time()
+
+    async def save(self, added: list[Crash], removed: list[Crash]) -> bool:
+        """Writes some crashes and removes others, `MAX_ROWS` in all, and tells whether it is done.
+
+        What is not certainly done is to be saved again; a second time changes nothing.
+        """
+        change = Transaction(
+            puts=tuple((_key(crash), orjson.dumps({"at": crash.at})) for crash in added),
+            removals=tuple(_key(crash) for crash in removed),
+        )
+        result = await self._store.write(change, WRITE_TIMEOUT_SECONDS)
+        return result.outcome is WriteOutcome.DONE
+
+
+def _key(crash: Crash) -> RowKey:
+    return RowKey(CRASH_TABLE, CRASH_PART, f"{crash.content}/{crash.instance}")
--- /dev/null
+++ b/src/larkpost/quarantine/watch.py
@@ -0,0 +1,125 @@
+"""Finds out whether a server has crashed under the requests that it left without an answer.
+
+A connection that closes without an answer may have been reset on the way, or by a server that
+lives. A server has crashed if its port is dead right afterwards, or if it goes from the directory
+without having said that it leaves, and another follows at its address or nothing answers there.
+"""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+from larkpost.clock import Clock
+from larkpost.fleet.directory import Directory, InstanceInfo, InstanceState
+from larkpost.ids import Address, EngineId
+from larkpost.proxy.port import PortState, ServerPort
+from larkpost.quarantine.content import ContentDigest
+from larkpost.tasks import TaskSet
+
+PROBE_SECONDS = 0.5
+"""Longest wait for a new connection to a server: a dead port answers within the time of the way."""
+LOOK_SECONDS = 0.25
+SUSPICION_SECONDS = 6.0
+"""After this long a server that is still listed has not crashed: an entry goes after three missed
+heartbeats of 1.2 s, and news of that take up to two seconds when the store has just come back."""
+
+CrashListener = Callable[[EngineId, Iterable[ContentDigest], str], None]
+
+
+class Evidence(StrEnum):
+    """How it is known that a server has crashed."""
+
+    DEAD_PORT = "dead_port"  # its port refuses connections
+    REPLACED = "replaced"  # another instance is listed at its address
+    GONE = "gone"  # its entry went, and nothing listens
+
+
+@dataclass(slots=True)
+class _Suspicion:
+    """A server that left requests without an answer, and may have crashed.
+
+    Attributes:
+        since: steady time of the first such request.
+        neighbours: instances that were listed at its address then.
+        contents: of all those requests.
+        crashed: how it is known that it has crashed; None if it is not.
+        was_asked: whether its port was tried.
+    """
+
+    info: InstanceInfo
+    since: float
+    neighbours: frozenset[EngineId]
+    contents: set[ContentDigest] = field(default_factory=set)
+    crashed: Evidence | None = None
+    was_asked: bool = False
+
+
+class CrashWatch:
+    """The servers that left requests of this daemon without an answer a moment ago.
+
+    Args:
+        listener: called with a server that has crashed, the contents of the requests that it
+            left, and how that is known.
+    """
+
+    def __init__(
+        self,
+        directory: Directory,
+        servers: ServerPort,
+        clock: Clock,
+        tasks: TaskSet,
+        listener: CrashListener,
+    ) -> None:
+        self._directory = directory
+        self._servers = servers
+        self._clock = clock
+        self._tasks = tasks
+        self._listener = listener
+        self._suspicions: dict[EngineId, _Suspicion] = {}
+
+    def note_lost(self, content: ContentDigest, instance: InstanceInfo) -> None:
+        """Takes that a server closed the connection of a request without a whole answer."""
+        suspicion = self._suspicions.get(instance.id)
+        if suspicion is None:
+            if not self._directory.takes_work(instance.id):
+                return  # it has said that it leaves, or was known to be gone
+            suspicion = _Suspicion(instance, self._clock.now(), self._at(instance.address))
+            self._suspicions[instance.id] = suspicion
+            self._tasks.spawn(self._investigate(suspicion), "crash_watch")
+        suspicion.contents.add(content)
+        if suspicion.crashed is not None:
+            self._listener(instance.id, (content,), suspicion.crashed)
+
+    async def _investigate(self, suspicion: _Suspicion) -> None:
+        """Seeks evidence for some seconds; what the server left meanwhile counts as well."""
+        try:
+            while self._clock.now() - suspicion.since < SUSPICION_SECONDS:
+                if suspicion.crashed is None:
+                    evidence = await self._seek_evidence(suspicion)
+                    if evidence is not None:
+                        suspicion.crashed = evidence
+                        self._listener(suspicion.info.id, suspicion.contents, evidence)
+                await self._clock.sleep(LOOK_SECONDS)
+        finally:
+            del self._suspicions[suspicion.info.id]
+
+    async def _seek_evidence(self, suspicion: _Suspicion) -> Evidence | None:
+        """Returns how it is known by now that a server has crashed; None if it is not."""
+        info = suspicion.info
+        listed = self._directory.get(info.id)
+        if listed is not None and listed.state is InstanceState.LEAVING:
+            return None
+        if self._at(info.address) - suspicion.neighbours:
+            return Evidence.REPLACED
+        if suspicion.was_asked and listed is not None:
+            return None
+        suspicion.was_asked = True
+        state = await self._servers.probe(info, PROBE_SECONDS)
+        if state is PortState.DEAD:
+            return Evidence.DEAD_PORT
+        is_gone = self._directory.get(info.id) is None
+        return Evidence.GONE if state is PortState.SILENT and is_gone else None
+
+    def _at(self, address: Address) -> frozenset[EngineId]:
+        """Returns the instances that are listed at an address."""
+        return frozenset(info.id for info in self._directory.all() if info.address == address)
--- a/src/larkpost/rehearsal/scripted_engines.py
+++ b/src/larkpost/rehearsal/scripted_engines.py
@@ -19,6 +19,7 @@
     NotRunReason,
     OrderOutcome,
     OutgoingRequest,
+    PortState,
     ServerLoad,
     StreamEvent,
     VersionOrder,
@@ -139,7 +140,7 @@
         await self._crash_if_so()
         await self._clock.sleep(self._state.event_seconds)
         if self._state.down or self._state.break_after is not None:
-            raise BrokenAnswerError("the answer broke off")
+            raise BrokenAnswerError("the answer broke off", connection_lost=True)
         yield b"answer to " + self._request.request_id
 
     async def events(self) -> AsyncIterator[StreamEvent]:
@@ -153,7 +154,7 @@
                 await self._clock.sleep(STALL_SECONDS)
             await self._clock.sleep(self._state.event_seconds)
             if self._state.down or made == self._state.break_after:
-                raise BrokenAnswerError("the stream broke off")
+                raise BrokenAnswerError("the stream broke off", connection_lost=True)
             newest = self._state.versions.get(self._model, 1)
             changed = newest if newest != version else None
             version = newest
@@ -172,7 +173,7 @@
             return
         await self._clock.sleep(CRASH_SECONDS)
         self._crash()
-        raise BrokenAnswerError("the server has crashed")
+        raise BrokenAnswerError("the server has crashed", connection_lost=True)
 
 
 class ScriptedEngines:
@@ -233,6 +234,12 @@
         """Tells whether a connection is kept; see the port. None is made here at all."""
         return instance.id in self.connected
 
+    async def probe(self, instance: InstanceInfo, timeout: float) -> PortState:
+        """Sees whether an engine listens; see the port."""
+        await self._clock.sleep(0.001)
+        state = self.engines.get(instance.id)
+        return PortState.DEAD if state is None or state.down else PortState.LISTENS
+
     async def report(self, instance: InstanceInfo, timeout: float) -> EngineReport | None:
         """Asks an engine for its report; see the port."""
         await self._clock.sleep(0.001)
--- a/src/larkpost/rollouts/context.py
+++ b/src/larkpost/rollouts/context.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from larkpost.clock import Clock
 from larkpost.eventlog import EventLog
@@ -15,6 +15,7 @@
 from larkpost.proxy.balancer import Balancer
 from larkpost.proxy.port import ServerPort
 from larkpost.proxy.shares import ShareChooser
+from larkpost.quarantine.known_crashes import KnownCrashes
 
 
 @dataclass(slots=True)
@@ -25,6 +26,7 @@
         store_time: returns the store's clock in seconds, or None if it is not known.
         division: tells which engines are a model's own.
         cold: limits what is sent to cold engines; None if nothing does.
+        crashes: the servers that have crashed, and under which requests.
         reward_places: bounds the reward calls that the daemon has at servers at once.
     """
 
@@ -41,3 +43,4 @@
     division: EngineDivision
     policy: Policy = DEFAULT_POLICY
     cold: ColdRule | None = None
+    crashes: KnownCrashes = field(default_factory=KnownCrashes)
--- a/src/larkpost/rollouts/engine_run.py
+++ b/src/larkpost/rollouts/engine_run.py
@@ -12,6 +12,7 @@
     OutgoingRequest,
     ServerAnswer,
 )
+from larkpost.quarantine.known_crashes import BATCH_CRASH_LIMIT
 from larkpost.rollouts.attempt import Progress
 from larkpost.rollouts.context import RunServices
 from larkpost.rollouts.engine_choice import EngineChoice
@@ -238,6 +239,7 @@
             resume_after=progress.last_event,
             tenant=self._head.tenant,
             priority=self._priority(item, route, progress),
+            crash_limit=BATCH_CRASH_LIMIT,
         )
 
     def _priority(self, item: Item, route: Route, progress: Progress) -> int | None:
--- a/src/larkpost/rollouts/reward.py
+++ b/src/larkpost/rollouts/reward.py
@@ -24,6 +24,7 @@
     NotRunReason,
     OutgoingRequest,
 )
+from larkpost.quarantine.known_crashes import BATCH_CRASH_LIMIT
 from larkpost.rollouts.attempt import Progress
 from larkpost.rollouts.context import RunServices
 from larkpost.rollouts.model import ITEM_METHOD, BatchHead, RewardCall
@@ -34,6 +35,8 @@
 """Pause between two looks for a place at a server."""
 AGAIN_PAUSE_SECONDS = 0.05
 """Pause before a call is tried again."""
+HELD_PAUSE_SECONDS = 0.5
+"""Between two looks whether a call that crashes servers may be sent again."""
 LEAST_LIMIT_SECONDS = 0.8
 """Least time that a server is given for a call."""
 MOST_LIMIT_SECONDS = 10.0
@@ -115,6 +118,9 @@
         began = self._services.clock.now()
         tries = _Tries(set())
         while not is_given_up():
+            if self._services.crashes.holds_content(call.content, BATCH_CRASH_LIMIT):
+                await self._services.clock.sleep(HELD_PAUSE_SECONDS)
+                continue
             route = self._route(call)
             ended = await self._try(progress, call, route, tries) if route is not None else None
             if ended is not None and ended.end is CallEnd.SCORED:
@@ -253,4 +259,5 @@
         body=call.body,
         time_left=limit,
         repeat_if_silent=True,
+        crash_limit=BATCH_CRASH_LIMIT,
     )
--- a/src/larkpost/rollouts/run.py
+++ b/src/larkpost/rollouts/run.py
@@ -15,6 +15,7 @@
     BrokenAnswerError,
     NotRunError,
 )
+from larkpost.quarantine.known_crashes import BATCH_CRASH_LIMIT
 from larkpost.rollouts.attempt import DiscontinuityError, Progress
 from larkpost.rollouts.context import RunServices
 from larkpost.rollouts.engine_choice import EngineChoice
@@ -30,6 +31,8 @@
 SILENT_AVOID_SECONDS = 1.5
 STALLED_AVOID_SECONDS = 0.3
 """How long an engine gets no more items after it left one of them waiting."""
+HELD_PAUSE_SECONDS = 0.5
+"""Between two looks whether an item that crashes engines may run again, or its time is over."""
 FAULT_PAUSE_SECONDS = 1.0
 """Pause before an item is run again after an unexpected error."""
 
@@ -154,6 +157,8 @@
             route = self._route(item)
             if self._is_given_up(route):
                 end = RunEnd.DEAD
+            elif self._is_held(item):
+                await self._services.clock.sleep(HELD_PAUSE_SECONDS)
             elif route is not None:
                 engine = self._granted.pop(item.id, None)
                 if engine is None:
@@ -172,6 +177,14 @@
                 await self._services.clock.sleep(AGAIN_PAUSE_SECONDS)
         return True
 
+    def _is_held(self, item: Item) -> bool:
+        """Tells whether an item must not run, as too many engines have crashed under its like.
+
+        It is not given up: it runs again if it is cleared, until its time is over.
+        """
+        content = item.content(self.head)
+        return self._services.crashes.holds_content(content, BATCH_CRASH_LIMIT)
+
     def _finish_dead(self, item: Item, progress: Progress) -> None:
         self._services.log.note(
             Event.ITEM_DEAD,
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -234,6 +234,7 @@
         self._fleet = fleet
         self.is_connected = servers.is_connected
         self.report = servers.report
+        self.probe = servers.probe
         self.order = servers.order
 
     @asynccontextmanager
--- /dev/null
+++ b/tests/test_quarantine.py
@@ -0,0 +1,367 @@
+"""What counts as a crash, how daemons tell each other, and how a request is cleared."""
+
+import unittest
+from dataclasses import replace
+
+from larkpost.clock import LoopClock
+from larkpost.eventlog import Event, EventLog
+from larkpost.fleet.configuration import ModelName, ServiceName
+from larkpost.fleet.directory import Directory, InstanceInfo, InstanceState
+from larkpost.ids import Address, EngineId, ZoneId
+from larkpost.metrics import Metrics
+from larkpost.proxy.port import BrokenAnswerError, NotRunError, OutgoingRequest, PortState
+from larkpost.quarantine.content import ContentDigest, digest_request
+from larkpost.quarantine.guard import GuardedServers
+from larkpost.quarantine.known_crashes import (
+    CLIENT_CRASH_LIMIT,
+    REMEMBERED_SECONDS,
+    Crash,
+    KnownCrashes,
+)
+from larkpost.quarantine.recorder import CrashRecorder
+from larkpost.quarantine.repository import CRASH_PART, CRASH_TABLE, CrashRepository
+from larkpost.quarantine.watch import SUSPICION_SECONDS, CrashWatch, Evidence
+from larkpost.rehearsal.memory_store import MemoryStore, StoreClient, StoreFaults
+from larkpost.rehearsal.scripted_engines import EngineState, ScriptedEngines
+from larkpost.store.port import Row, RowKey
+from larkpost.tasks import TaskSet
+from larkpost.telemetry import Telemetry
+from tests.virtual import run
+
+PAGES = ServiceName("pages")
+CONTENT = ContentDigest("aa")
+REQUEST = OutgoingRequest(b"1", "GET", b"h", b"/", (), b"")
+
+
+def make_instance(name: str, number: int = 1) -> InstanceInfo:
+    """Returns an instance at an address."""
+    address = Address(f"10.0.0.{number}:1")
+    return InstanceInfo(EngineId(name), PAGES, address, ZoneId("z"), 4, InstanceState.READY)
+
+
+class Probes:
+    """Servers whose ports are as a test says."""
+
+    def __init__(self, state: PortState) -> None:
+        self.state = state
+        self.asked = 0
+
+    async def probe(self, instance: InstanceInfo, timeout: float) -> PortState:
+        """Sees whether a server listens."""
+        self.asked += 1
+        return self.state
+
+
+class CrashWatchTest(unittest.TestCase):
+    """A server that left a request without an answer, and what shows that it has crashed."""
+
+    def begin(self, state: PortState) -> None:
+        """Lists a server that left a request."""
+        self.clock = LoopClock()
+        self.directory = Directory()
+        self.probes = Probes(state)
+        self.found: list[tuple[EngineId, set[ContentDigest], str]] = []
+        self.instance = make_instance("a")
+        self.directory.update(self.instance)
+        self.watch = CrashWatch(
+            self.directory,
+            self.probes,
+            self.clock,
+            TaskSet(self.clock, Telemetry("t", log=False)),
+            lambda instance, contents, how: self.found.append((instance, set(contents), how)),
+        )
+
+    def check_found(self, *evidence: Evidence) -> None:
+        """Checks how the server was found to have crashed, if at all."""
+        expected = [("a", {CONTENT}, how) for how in evidence]
+        self.assertEqual(expected, self.found)
+
+    def test_dead_port_shows_a_crash_at_once(self):
+        async def play():
+            self.begin(PortState.DEAD)
+            self.watch.note_lost(CONTENT, self.instance)
+            await self.clock.sleep(0.05)
+            self.check_found(Evidence.DEAD_PORT)
+
+        run(play())
+
+    def test_all_that_a_crashed_server_leaves_a_little_later_counts(self):
+        async def play():
+            self.begin(PortState.DEAD)
+            self.watch.note_lost(CONTENT, self.instance)
+            await self.clock.sleep(0.05)
+            self.watch.note_lost(ContentDigest("bb"), self.instance)
+            self.assertEqual(["a", "a"], [found[0] for found in self.found])
+            self.assertEqual({"bb"}, self.found[1][1])
+            self.assertEqual(1, self.probes.asked)
+
+        run(play())
+
+    def test_server_that_listens_and_stays_listed_has_not_crashed(self):
+        async def play():
+            self.begin(PortState.LISTENS)
+            self.watch.note_lost(CONTENT, self.instance)
+            await self.clock.sleep(2 * SUSPICION_SECONDS)
+            self.check_found()
+            self.assertEqual(1, self.probes.asked)
+            self.directory.update(make_instance("b"))
+            await self.clock.sleep(1.0)
+            self.check_found()
+
+        run(play())
+
+    def test_another_instance_at_the_address_shows_a_crash(self):
+        async def play():
+            self.begin(PortState.LISTENS)
+            self.directory.update(make_instance("neighbour"))
+            self.watch.note_lost(CONTENT, self.instance)
+            await self.clock.sleep(3.0)
+            self.check_found()
+            self.directory.update(make_instance("b"))
+            await self.clock.sleep(0.5)
+            self.check_found(Evidence.REPLACED)
+
+        run(play())
+
+    def test_silent_server_has_crashed_once_its_entry_is_gone(self):
+        async def play():
+            self.begin(PortState.SILENT)
+            self.watch.note_lost(CONTENT, self.instance)
+            await self.clock.sleep(3.0)
+            self.check_found()
+            self.directory.forget(self.instance.id)
+            await self.clock.sleep(0.5)
+            self.check_found(Evidence.GONE)
+
+        run(play())
+
+    def test_server_without_an_entry_that_listens_has_not_crashed(self):
+        async def play():
+            self.begin(PortState.LISTENS)
+            self.watch.note_lost(CONTENT, self.instance)
+            self.directory.forget(self.instance.id)
+            await self.clock.sleep(2 * SUSPICION_SECONDS)
+            self.check_found()
+
+        run(play())
+
+    def test_server_that_leaves_has_not_crashed(self):
+        async def play():
+            self.begin(PortState.DEAD)
+            self.directory.update(replace(self.instance, state=InstanceState.LEAVING))
+            self.watch.note_lost(CONTENT, self.instance)
+            await self.clock.sleep(1.0)
+            self.check_found()
+
+        run(play())
+
+
+class NotingLog(EventLog):
+    """A log that keeps its events."""
+
+    def __init__(self) -> None:
+        super().__init__("daemon")
+        self.events: list[tuple[Event, dict]] = []
+
+    def note(self, event: Event, **fields) -> None:
+        """Notes an event."""
+        self.events.append((event, fields))
+
+
+class RecorderTest(unittest.TestCase):
+    """A recorder over a store, and a second one that hears of it by rows."""
+
+    def begin(self) -> None:
+        """Starts both."""
+        self.clock = LoopClock()
+        self.store = MemoryStore(self.clock)
+        self.tasks = TaskSet(self.clock, Telemetry("t", log=False))
+        self.log = NotingLog()
+        self.crashes, self.recorder = self.make()
+        self.others, self.other = self.make()
+
+    def make(self) -> tuple[KnownCrashes, CrashRecorder]:
+        """Returns a recorder that has started, and what it knows."""
+        crashes = KnownCrashes()
+        repository = CrashRepository(StoreClient(self.store))
+        recorder = CrashRecorder(crashes, repository, self.clock, self.log, Metrics(), lambda: True)
+        recorder.start(self.tasks)
+        return crashes, recorder
+
+    def crash(self, count: int, first: int = 0) -> None:
+        """Has some servers crash under the request."""
+        for number in range(first, first + count):
+            contents = (digest_request(REQUEST),)
+            self.recorder.crashed(EngineId(f"i{number}"), contents, Evidence.DEAD_PORT)
+
+    def tell_other(self) -> None:
+        """Has the second recorder hear of all rows, those that are gone too."""
+        stored = {key: row for key, row in self.store.rows.items() if key.part == CRASH_PART}
+        for crash in self.others.older_than(float("inf")):
+            key = RowKey(CRASH_TABLE, CRASH_PART, f"{crash.content}/{crash.instance}")
+            if key not in stored:
+                self.other.take_row(Row(key, b"", 99, removed=True))
+        for row in stored.values():
+            self.other.take_row(row)
+
+    def test_others_hold_the_request_after_the_third_crash(self):
+        async def play():
+            self.begin()
+            self.crash(2)
+            await self.clock.sleep(0.1)
+            self.tell_other()
+            self.assertFalse(self.others.holds(REQUEST, CLIENT_CRASH_LIMIT))
+            self.crash(1, first=2)
+            await self.clock.sleep(0.1)
+            self.tell_other()
+            self.assertTrue(self.others.holds(REQUEST, CLIENT_CRASH_LIMIT))
+            self.assertEqual((1, 3), (self.others.held(), len(self.others)))
+
+        run(play())
+
+    def test_one_crash_that_two_daemons_saw_counts_once(self):
+        async def play():
+            self.begin()
+            for recorder in (self.recorder, self.other):
+                contents = (digest_request(REQUEST),)
+                recorder.crashed(EngineId("i0"), contents, Evidence.DEAD_PORT)
+            await self.clock.sleep(0.1)
+            self.tell_other()
+            self.assertEqual(1, self.others.count(digest_request(REQUEST)))
+            self.assertEqual(1, len(self.store.rows))
+
+        run(play())
+
+    def test_whole_answer_clears_it_everywhere(self):
+        async def play():
+            self.begin()
+            self.crash(3)
+            await self.clock.sleep(0.1)
+            self.tell_other()
+            self.recorder.served(replace(REQUEST, request_id=b"2"))
+            await self.clock.sleep(0.1)
+            self.assertEqual({}, self.store.rows)
+            self.tell_other()
+            for crashes in (self.crashes, self.others):
+                self.assertFalse(crashes.holds(REQUEST, CLIENT_CRASH_LIMIT))
+                self.assertEqual(0, len(crashes))
+            states = [f["state"] for e, f in self.log.events if e is Event.QUARANTINE]
+            self.assertEqual(["begun", "begun", "ended", "ended"], states)
+
+        run(play())
+
+    def test_changes_wait_for_a_store_that_is_away(self):
+        async def play():
+            self.begin()
+            self.store.faults = StoreFaults(refuses=True)
+            self.crash(120)
+            await self.clock.sleep(5.0)
+            self.assertEqual({}, self.store.rows)
+            self.store.faults = StoreFaults()
+            await self.clock.sleep(0.5)
+            self.assertEqual(120, len(self.store.rows))
+
+        run(play())
+
+    def test_old_crashes_are_forgotten(self):
+        async def play():
+            self.begin()
+            self.crash(3)
+            await self.clock.sleep(REMEMBERED_SECONDS - 60.0)
+            self.assertEqual(3, len(self.store.rows))
+            await self.clock.sleep(180.0)
+            self.assertEqual({}, self.store.rows)
+            self.assertEqual(0, len(self.crashes))
+
+        run(play())
+
+    def test_rows_that_cannot_be_read_are_passed_over(self):
+        async def play():
+            self.begin()
+            for key, value in (("aa/i", b"no json"), ("aa/i", b"{}"), ("aa", b'{"at": 1}')):
+                self.recorder.take_row(Row(RowKey(CRASH_TABLE, CRASH_PART, key), value, 1))
+            self.assertEqual(0, len(self.crashes))
+            self.assertEqual({Event.UNREADABLE}, {event for event, _ in self.log.events})
+
+        run(play())
+
+
+class GuardTest(unittest.TestCase):
+    """Requests by way of the guard to one server."""
+
+    def begin(self) -> None:
+        """Starts a server."""
+        self.clock = LoopClock()
+        self.engines = ScriptedEngines(self.clock, ModelName("model"))
+        self.state = EngineState()
+        self.instance = make_instance("a")
+        self.engines.engines[self.instance.id] = self.state
+        self.crashes = KnownCrashes()
+        self.lost: list[ContentDigest] = []
+        self.guard = GuardedServers(self.engines, self.crashes, self, self)
+        self.served_requests: list[OutgoingRequest] = []
+
+    def note_lost(self, content: ContentDigest, instance: InstanceInfo) -> None:
+        """Takes what a watch is told."""
+        self.lost.append(content)
+
+    def served(self, request: OutgoingRequest) -> None:
+        """Takes what a recorder is told."""
+        self.served_requests.append(request)
+
+    async def send(self) -> None:
+        """Sends the request and reads its answer."""
+        async with self.guard.send(self.instance, REQUEST) as answer:
+            async for _ in answer.chunks():
+                pass
+
+    def test_whole_answer_is_told(self):
+        async def play():
+            self.begin()
+            await self.send()
+            self.assertEqual(([], [REQUEST]), (self.lost, self.served_requests))
+
+        run(play())
+
+    def test_failure_and_unsigned_success_clear_nothing(self):
+        async def play():
+            self.begin()
+            self.state.status = 500
+            await self.send()
+            self.state.status, self.state.unsigned = None, True
+            await self.send()
+            self.assertEqual(([], []), (self.lost, self.served_requests))
+
+        run(play())
+
+    def test_lost_connection_is_told(self):
+        async def play():
+            self.begin()
+            self.state.break_after = 0
+            with self.assertRaises(BrokenAnswerError):
+                await self.send()
+            self.assertEqual(([digest_request(REQUEST)], []), (self.lost, self.served_requests))
+
+        run(play())
+
+    def test_answer_that_is_not_wanted_is_no_lost_connection(self):
+        async def play():
+            self.begin()
+            with self.assertRaises(BrokenAnswerError):
+                async with self.guard.send(self.instance, REQUEST):
+                    raise BrokenAnswerError("its version is too old")
+            self.assertEqual(([], []), (self.lost, self.served_requests))
+
+        run(play())
+
+    def test_held_request_is_not_sent(self):
+        async def play():
+            self.begin()
+            for number in range(CLIENT_CRASH_LIMIT):
+                crash = Crash(digest_request(REQUEST), EngineId(f"i{number}"), 0.0)
+                self.crashes.add(crash)
+            with self.assertRaises(NotRunError):
+                await self.send()
+            self.assertEqual([], self.state.runs)
+
+        run(play())
--- a/tests/test_repeated_crashes.py
+++ b/tests/test_repeated_crashes.py
@@ -1,20 +1,28 @@
 """Requests that crash each server that runs them, and come again at any daemon under new ids."""
 
+import asyncio
 import unittest
 
 from larkpost.errors import LarkpostError
 from larkpost.proxy.request import ClientRequest
-from tests.platform_checks import check_crashes
-from tests.platform_fleet import SCORER_HOST, SCORER_ROUTE, PlatformFleet, make_batch
+from larkpost.quarantine.content import digest_content
+from larkpost.rehearsal.memory_store import StoreFaults
+from larkpost.rollouts.model import ResultState
+from tests.platform_checks import CONTACT_SECONDS, check_crashes
+from tests.platform_fleet import ROUTE, SCORER_HOST, SCORER_ROUTE, PlatformFleet, make_batch
 from tests.virtual import run
 
 CRASHING = b"/s/crashing"
+CONTENT = digest_content(None, "POST", SCORER_HOST.encode(), CRASHING, b"")
 SERVERS = 3
 REPEATS = 6
 PAUSE_SECONDS = 4.0
 """Between two repeats: crashed servers are back."""
 CALLER_TRIES = 2
 BATCH_SECONDS = 25.0
+SAVED_SECONDS = 0.1
+"""Within this a crash stands in the store."""
+OUTAGE_SECONDS = 6.0
 
 
 class Caller:
@@ -77,6 +85,86 @@
 
         run(play())
 
+    def test_daemon_that_starts_later_knows(self):
+        async def play():
+            fleet = PlatformFleet(gateways=2, engines=0, scorers=SERVERS)
+            fleet.engines.crashing.add(CRASHING)
+            await fleet.wait(1.0)
+            caller = Caller(fleet)
+            await caller.ask_twice(0, CRASHING)
+            await fleet.wait(SAVED_SECONDS)
+            fleet.kill(0)
+            fleet.kill(1)
+            fleet.add_gateway("daemon-2")
+            await fleet.wait(PAUSE_SECONDS)
+            before = len(fleet.sends)
+            self.assertEqual(503, await caller.ask(2, CRASHING))
+            self.assertEqual(before, len(fleet.sends))
+            self.assertEqual(200, await caller.ask(2, b"/s/another"))
+
+        run(play())
+
+    def test_crashes_seen_while_the_store_was_away_are_told_once_it_is_back(self):
+        async def play():
+            fleet = PlatformFleet(gateways=3, engines=0, scorers=SERVERS)
+            fleet.engines.crashing.add(CRASHING)
+            await fleet.wait(1.0)
+            caller = Caller(fleet)
+            fleet.store.faults = StoreFaults(down=True)
+            await caller.ask_twice(0, CRASHING)
+            await fleet.wait(OUTAGE_SECONDS)
+            fleet.store.faults = StoreFaults()
+            await fleet.wait(CONTACT_SECONDS)
+            self.assertEqual([3, 3, 3], [g.beliefs.crashes.count(CONTENT) for g in fleet.gateways])
+            self.assertEqual(503, await caller.ask(2, CRASHING))
+
+        run(play())
+
+    def test_requests_that_ran_beside_it_are_served_on(self):
+        async def play():
+            fleet = PlatformFleet(gateways=3, engines=0, scorers=SERVERS)
+            fleet.engines.crashing.add(CRASHING)
+            for scorer in fleet.scorers():
+                scorer.event_seconds = 0.2  # so that it is at the servers when they crash
+            await fleet.wait(1.0)
+            caller = Caller(fleet)
+            for repeat in range(REPEATS):
+                beside = [caller.ask_twice(repeat + n, b"/s/beside") for n in range(2)]
+                await asyncio.gather(caller.ask_twice(repeat, CRASHING), *beside)
+                await fleet.wait(PAUSE_SECONDS)
+                self.assertEqual(200, await caller.ask(repeat, b"/s/beside"))
+            check_fleet(fleet)
+
+        run(play())
+
+    def test_next_owner_of_a_batch_counts_on(self):
+        async def play():
+            fleet = PlatformFleet(gateways=3, engines=6)
+            fleet.engines.crashing.add(b"/r/5")
+            await fleet.wait(1.0)
+            owner = await fleet.submit(make_batch(items=12))
+            await fleet.wait(1.0)
+            fleet.kill(owner)
+            await fleet.wait(BATCH_SECONDS)
+            check_fleet(fleet)
+            self.assertEqual(11, len(fleet.stored_results("batch")))
+
+        run(play())
+
+    def test_item_that_crashes_engines_is_dead_once_its_time_is_over(self):
+        async def play():
+            fleet = PlatformFleet(gateways=2, engines=6)
+            fleet.engines.crashing.add(b"/r/5")
+            await fleet.wait(1.0)
+            await fleet.submit(make_batch(items=12))
+            await fleet.wait(ROUTE.queue_lifetime - 2.0)
+            self.assertEqual(11, len(fleet.stored_results("batch")))
+            await fleet.wait(4.0)
+            dead = [r.item for r in fleet.stored_results("batch") if r.state is ResultState.DEAD]
+            self.assertEqual(["batch-5"], dead)
+
+        run(play())
+
     def test_item_that_crashes_engines_does_not_run_on_and_on(self):
         async def play():
             fleet = PlatformFleet(gateways=3, engines=6)
--- a/tests/test_swallowed_errors.py
+++ b/tests/test_swallowed_errors.py
@@ -5,7 +5,7 @@
 from pathlib import Path
 
 SOURCES = Path(__file__).resolve().parent.parent / "src" / "larkpost"
-PACKAGES = ("fleet", "proxy", "rollouts", "store", "usage", "platform")
+PACKAGES = ("fleet", "proxy", "quarantine", "rollouts", "store", "usage", "platform")
 """The system in use; the older core goes with issue 17."""
 MODULES = ("gateway.py", "eventlog.py", "metrics.py", "policy.py", "tasks.py")
 
