Suspended machines: all ages and deadlines go by a clock that counts the time; suspects run apart

(1) The daemon's steady clock was the system's plain one, which stands still while a machine is suspended: leases (0.5 s of use), deadlines of requests, ages of feeds and the estimate of the store's clock all rested on it. Requests under which two servers crashed now run apart from each other (ApartRule), and four crashes hold an item in place of five.

--- a/src/larkpost/eventlog.py
+++ b/src/larkpost/eventlog.py
@@ -7,7 +7,6 @@
 """
 
 import os
-import time
 from enum import StrEnum
 from typing import Any
 
@@ -15,6 +14,7 @@
 import orjson
 
 from larkpost.metrics import Count, Metrics
+from larkpost.steady_time import steady_seconds
 
 STANDARD_OUTPUT = 1
 LINES_PER_SECOND = 40
@@ -130,7 +130,7 @@
         """Notes an event, unless its budget for this second is used up."""
         if self._writer is None:
             return
-        second = int(time.monotonic())
+        second = int(steady_seconds())
         if second != self._second:
             self._begin_second(second)
         lines = self._lines.get(event, 0)
--- a/src/larkpost/gateway.py
+++ b/src/larkpost/gateway.py
@@ -37,6 +37,7 @@
 from larkpost.proxy.balancer import Balancer
 from larkpost.proxy.forwarder import Forwarder
 from larkpost.proxy.shares import ShareChooser
+from larkpost.quarantine.apart import ApartRule
 from larkpost.quarantine.guard import GuardedServers
 from larkpost.quarantine.recorder import CrashRecorder
 from larkpost.quarantine.repository import CrashRepository
@@ -109,10 +110,12 @@
         self.cold = ColdRule(
             self.settings.cold, self.beliefs, ports.clock, ports.log, self._cold_senders
         )
+        self._apart = ApartRule()
         # Rules that count sends come last, so that they count none that another forbids.
         rules = (
             EvacuatedRule(self.beliefs.evacuations),
             HomeRule(self.beliefs.regions),
+            self._apart,
             self.cold,
         )
         self.balancer = Balancer(
@@ -163,7 +166,7 @@
             self._crash_recorder.crashed,
         )
         self._servers = GuardedServers(
-            ports.servers, self.beliefs.crashes, watch, self._crash_recorder
+            ports.servers, self.beliefs.crashes, watch, self._crash_recorder, self._apart
         )
 
     def _make_counter(self) -> UsageCounter | None:
--- a/src/larkpost/placement/rules.py
+++ b/src/larkpost/placement/rules.py
@@ -22,6 +22,7 @@
     Verdict.COLD: NotRunReason.COLD,
     Verdict.OUTSIDE_REGIONS: NotRunReason.OUTSIDE_REGIONS,
     Verdict.OLD_VERSION: NotRunReason.MISDIRECTED,
+    Verdict.APART: NotRunReason.APART,
     Verdict.AVOIDED: NotRunReason.FULL,
 }
 """What a send that is not made is told to have ended in."""
--- a/src/larkpost/placement/work.py
+++ b/src/larkpost/placement/work.py
@@ -24,12 +24,14 @@
         regions: the only regions in which it may be served; None for all.
         model: the model that makes its tokens; None if it names none.
         minimum_version: oldest weight version that may make them.
+        is_suspect: whether servers have crashed repeatedly under such a request.
     """
 
     kind: WorkKind
     regions: frozenset[RegionId] | None = None
     model: ModelName | None = None
     minimum_version: int = 0
+    is_suspect: bool = False
 
 
 CLIENT_WORK = Work(WorkKind.CLIENT)
--- a/src/larkpost/platform/connections.py
+++ b/src/larkpost/platform/connections.py
@@ -4,7 +4,6 @@
 import functools
 import socket
 from collections.abc import Callable
-from time import monotonic
 
 import aiohttp
 import attrs
@@ -13,6 +12,7 @@
 
 from larkpost.ids import Address
 from larkpost.platform.silence import PROOF_SECONDS, CallKind, Line, Silences
+from larkpost.steady_time import steady_seconds
 
 CONNECT_TIMEOUT_SECONDS = 1.0
 IDLE_SECONDS = 3.0
@@ -35,6 +35,10 @@
 
 TCP_USER_TIMEOUT = getattr(socket, "TCP_USER_TIMEOUT", 18)
 
+# The library notes by a clock of its own since when connections rest. By the plain steady clock,
+# one that rested while the machine was suspended would look fresh, though its server closed it.
+aiohttp.connector.monotonic = steady_seconds
+
 
 class SilentConnectionError(aiohttp.ClientError):
     """The connection of a call has gone silent for good; the call may have been made."""
@@ -191,7 +195,7 @@
 
     def _oldest_usable(self, server: Address) -> float:
         """Returns the steady time since which a connection may rest and still be used."""
-        return monotonic() - self._idle_times.get(server, IDLE_SECONDS)
+        return steady_seconds() - self._idle_times.get(server, IDLE_SECONDS)
 
     def _is_usable(self, protocol: WatchedConnection, resting_since: float, oldest: float) -> bool:
         if protocol.should_close or resting_since < oldest:
@@ -203,9 +207,9 @@
 
         A process that was frozen meanwhile finds its connection open and its timer not yet run.
         """
-        began = monotonic()
+        began = steady_seconds()
         connection = await super().connect(req, traces, timeout)
-        if timeout.connect is not None and monotonic() - began > timeout.connect:
+        if timeout.connect is not None and steady_seconds() - began > timeout.connect:
             connection.close()
             raise aiohttp.ConnectionTimeoutError("the connection came too late")
         key = req.connection_key
--- a/src/larkpost/platform/process.py
+++ b/src/larkpost/platform/process.py
@@ -29,6 +29,7 @@
 from larkpost.platform.silence import Peer
 from larkpost.platform.status_apps import MetricsApp, ReadinessApp
 from larkpost.platform.store import HttpStore
+from larkpost.steady_time import run_steadily
 from larkpost.store.relay import RelayedStore
 
 SETTINGS_POLL_SECONDS = 1.0
@@ -45,7 +46,7 @@
 
 def run() -> None:
     """Runs a daemon until it is asked to stop."""
-    asyncio.run(serve(settings_path()))
+    run_steadily(serve(settings_path()))
 
 
 async def serve(path: Path) -> None:
--- a/src/larkpost/platform/servers.py
+++ b/src/larkpost/platform/servers.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import re
-import time
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import replace
@@ -35,6 +34,7 @@
     StreamEvent,
     VersionOrder,
 )
+from larkpost.steady_time import steady_seconds
 
 REFUSAL_BYTES = 4096
 """Longest body of a refusal that is read so that its connection serves again."""
@@ -223,14 +223,14 @@
         if not request.repeat_if_silent or request.send_within is not None:
             # A send that is limited was counted once, so it is made once.
             return await _send_once(session, instance, request, limits)
-        began = time.monotonic()
+        began = steady_seconds()
         try:
             limits = CallLimits(ends_if_silent=True)
             return await _send_once(session, instance, request, limits)
         except SilentConnectionError:
             left = request.time_left
             if left is not None:
-                left -= time.monotonic() - began
+                left -= steady_seconds() - began
             again = replace(request, time_left=left)
         return await _send_once(self._kept, instance, again, CallLimits())
 
--- a/src/larkpost/platform/silence.py
+++ b/src/larkpost/platform/silence.py
@@ -10,11 +10,11 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import StrEnum
-from time import monotonic
 
 from larkpost.eventlog import Event, EventLog
 from larkpost.ids import Address
 from larkpost.metrics import Count, Metrics
+from larkpost.steady_time import steady_seconds
 
 LEAST_PATIENCE_SECONDS = 0.25
 """No silence is taken for one for good before: links lose packets, which come again within it."""
@@ -108,7 +108,7 @@
         peer: Peer,
         metrics: Metrics | None = None,
         log: EventLog | None = None,
-        now: Callable[[], float] = monotonic,
+        now: Callable[[], float] = steady_seconds,
     ) -> None:
         self._peer = peer
         self._metrics = metrics
--- a/src/larkpost/platform/store.py
+++ b/src/larkpost/platform/store.py
@@ -3,7 +3,6 @@
 import asyncio
 import base64
 import contextlib
-import time
 from typing import Any
 from urllib.parse import urlencode
 
@@ -17,6 +16,7 @@
 from larkpost.platform import names
 from larkpost.platform.connections import CallLimits, SilentConnectionError, make_session
 from larkpost.platform.silence import Peer, Silences
+from larkpost.steady_time import steady_seconds
 from larkpost.store.port import (
     HistoryLostError,
     Row,
@@ -90,12 +90,12 @@
         """Returns the store's steady clock in seconds, as estimated here."""
         if self._clock_offset is None:
             return None
-        return time.monotonic() + self._clock_offset
+        return steady_seconds() + self._clock_offset
 
     async def write(self, transaction: Transaction, timeout: float) -> WriteResult:
         """Carries out a transaction; see the port."""
         body = orjson.dumps(_transaction_document(transaction))
-        started = time.monotonic()
+        started = steady_seconds()
         try:
             status, answer = await self._call("POST", names.TRANSACTION_CALL, body, timeout)
             result = _write_result(status, answer)
@@ -146,7 +146,7 @@
     async def _get(
         self, call: str, query: dict[str, str], timeout: float, held: float = 0.0
     ) -> tuple[int, Any]:
-        started = time.monotonic()
+        started = steady_seconds()
         try:
             answer = await self._call("GET", f"{call}?{urlencode(query)}", None, timeout, held)
         except CALL_FAILURES as error:
@@ -159,12 +159,12 @@
     def _note(self, kind: str, outcome: str, started: float) -> None:
         self.is_failing = outcome not in ANSWERED
         self._metrics.count(Count.STORE_CALLS, kind, outcome)
-        self._metrics.observe(Timing.STORE_CALL, time.monotonic() - started, kind)
+        self._metrics.observe(Timing.STORE_CALL, steady_seconds() - started, kind)
 
     async def _call(
         self, method: str, target: str, body: bytes | None, timeout: float, held: float = 0.0
     ) -> tuple[int, Any]:
-        sent = time.monotonic()
+        sent = steady_seconds()
         status, content = await self._exchange(method, target, body, timeout, held)
         if status not in (200, 412):
             return status, None
@@ -227,7 +227,7 @@
         now_ms = answer.get("now_ms") if isinstance(answer, dict) else None
         if not isinstance(now_ms, int | float):
             return
-        received = time.monotonic()
+        received = steady_seconds()
         error = (received - sent) / 2
         offset = now_ms / 1000 - (sent + received) / 2
         known_error = self._offset_error + CLOCK_DRIFT * (received - self._offset_at)
--- a/src/larkpost/proxy/balancer.py
+++ b/src/larkpost/proxy/balancer.py
@@ -38,6 +38,7 @@
     NotRunReason.COLD,
     NotRunReason.EVACUATED,
     NotRunReason.OUTSIDE_REGIONS,
+    NotRunReason.APART,
     NotRunReason.QUARANTINED,
 )
 """Reasons that tell nothing of an instance: a rule forbade one send, and judges the next anew."""
--- a/src/larkpost/proxy/forwarder.py
+++ b/src/larkpost/proxy/forwarder.py
@@ -275,6 +275,8 @@
     def _choose(self, attempts: Attempts) -> InstanceInfo | None:
         if self._is_quarantined(attempts):
             return None
+        if self._crashes.suspect(attempts.request) is not None:
+            attempts.waiter.work = replace(attempts.waiter.work, is_suspect=True)
         candidates = self._balancer.candidates(
             attempts.waiter.service,
             attempts.waiter.work,
--- a/src/larkpost/proxy/port.py
+++ b/src/larkpost/proxy/port.py
@@ -120,6 +120,7 @@
     EVACUATED = "evacuated"  # its zone is to get nothing; nothing was sent
     COLD = "cold"  # it is cold and bears no more requests now; nothing was sent
     OUTSIDE_REGIONS = "outside_regions"  # the request may not go there; nothing was sent
+    APART = "apart"  # servers crashed under it, and a request like it runs there; nothing was sent
     QUARANTINED = "quarantined"  # servers crashed under the request; it goes to none
 
 
--- /dev/null
+++ b/src/larkpost/quarantine/apart.py
@@ -0,0 +1,42 @@
+"""The rule that requests under which servers crashed repeatedly run apart from each other.
+
+All that runs at a server ends with its crash. Two crashes can be one request's fault and leave a
+dozen others as suspect as that one; if they went on side by side, each further crash would count
+for all of them, and harmless items would be held with the one that crashes engines. Apart from each
+other, the next crash counts for one, and those that are served are cleared. A daemon knows only its
+own sends: another daemon's suspect may run at the same server.
+"""
+
+from collections import Counter
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+from larkpost.fleet.directory import InstanceInfo
+from larkpost.ids import EngineId
+from larkpost.placement.rules import PlainRule
+from larkpost.placement.verdict import Verdict
+from larkpost.placement.work import Work
+
+
+class ApartRule(PlainRule):
+    """A suspect request goes to no server at which this daemon has another one."""
+
+    def __init__(self) -> None:
+        self._running: Counter[EngineId] = Counter()
+
+    def judge(self, instance: InstanceInfo, work: Work) -> Verdict:
+        """Tells whether the work is no suspect, or none runs at the instance."""
+        if work.is_suspect and self._running[instance.id]:
+            return Verdict.APART
+        return Verdict.ALLOWED
+
+    @contextmanager
+    def running(self, instance: EngineId) -> Iterator[None]:
+        """Takes that a suspect runs at an instance, until the context is left."""
+        self._running[instance] += 1
+        try:
+            yield
+        finally:
+            self._running[instance] -= 1
+            if not self._running[instance]:
+                del self._running[instance]
--- a/src/larkpost/quarantine/guard.py
+++ b/src/larkpost/quarantine/guard.py
@@ -5,7 +5,7 @@
 """
 
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, nullcontext
 
 from larkpost.fleet.directory import InstanceInfo
 from larkpost.proxy.port import (
@@ -20,6 +20,7 @@
     ServerPort,
     VersionOrder,
 )
+from larkpost.quarantine.apart import ApartRule
 from larkpost.quarantine.content import digest_request
 from larkpost.quarantine.known_crashes import KnownCrashes
 from larkpost.quarantine.recorder import CrashRecorder
@@ -37,11 +38,13 @@
         crashes: KnownCrashes,
         watch: CrashWatch,
         recorder: CrashRecorder,
+        apart: ApartRule,
     ) -> None:
         self._servers = servers
         self._crashes = crashes
         self._watch = watch
         self._recorder = recorder
+        self._apart = apart
 
     @asynccontextmanager
     async def send(
@@ -50,9 +53,11 @@
         """Sends a request; see the port."""
         if self._crashes.holds(request, request.crash_limit):
             raise NotRunError(NotRunReason.QUARANTINED)
+        is_suspect = self._crashes.suspect(request) is not None
         try:
-            async with self._servers.send(instance, request) as answer:
-                yield answer
+            with self._apart.running(instance.id) if is_suspect else nullcontext():
+                async with self._servers.send(instance, request) as answer:
+                    yield answer
         except BrokenAnswerError as error:
             if error.connection_lost:
                 self._watch.note_lost(digest_request(request), instance)
--- a/src/larkpost/quarantine/known_crashes.py
+++ b/src/larkpost/quarantine/known_crashes.py
@@ -13,13 +13,14 @@
 CLIENT_CRASH_LIMIT = 3
 """Servers that may crash under a client's request before it is held. Two crashes may be another
 request's, which ran beside it at both; a small service that loses three servers is gone."""
-BATCH_CRASH_LIMIT = 5
+BATCH_CRASH_LIMIT = 4
 """The same for items of batches and their reward calls. They cannot be refused, so one that is held
-by mistake costs its trainer a group; and as many items run beside the one that crashes an engine as
-it has slots. Two more engines tell them apart."""
+by mistake costs its trainer a group; one crash more than a client's request is granted covers an
+item that was beside two different ones that crash engines."""
 SUSPECT_CRASHES = 2
-"""A content under which so many have crashed is cleared by its next whole answer; one crash is
-forgotten with time, which saves a write for each request that a crash broke off."""
+"""A content under which so many have crashed is suspect: it runs apart from others, and its next
+whole answer clears it. One crash is forgotten with time, which saves a write for each request that
+a crash broke off."""
 REMEMBERED_SECONDS = 3600.0
 """How long a crash counts; software that bears the request may be rolled out by then."""
 
@@ -84,6 +85,15 @@
         content = digest_request(request)
         return content if content in self._suspects else None
 
+    def is_suspect(self, content: ContentDigest) -> bool:
+        """Tells whether servers have crashed repeatedly under a content."""
+        return content in self._suspects
+
+    @property
+    def has_suspects(self) -> bool:
+        """Whether there is any such content."""
+        return bool(self._suspects)
+
     def holds(self, request: Request, limit: int) -> bool:
         """Tells whether a request must not be sent to any server.
 
@@ -95,7 +105,7 @@
 
     def holds_content(self, content: ContentDigest, limit: int) -> bool:
         """Tells the same of a content."""
-        return content in self._suspects and self.count(content) >= limit
+        return self.is_suspect(content) and self.count(content) >= limit
 
     def held(self) -> int:
         """Returns how many contents no client's request is sent on with."""
--- a/src/larkpost/rollouts/engine_choice.py
+++ b/src/larkpost/rollouts/engine_choice.py
@@ -1,5 +1,7 @@
 """Where the items of a batch run: engines that fit, the fastest ones for the longest items."""
 
+from dataclasses import replace
+
 from larkpost.fleet.configuration import Configuration, Route, RouteKind, ServiceName
 from larkpost.fleet.directory import InstanceInfo
 from larkpost.ids import EngineId
@@ -51,7 +53,10 @@
         path = item.path if item is not None else self._head.path
         if path not in self._works:
             self._works[path] = self._make_work(configuration, path)
-        return self._works[path]
+        crashes = self._services.crashes
+        if item is None or not crashes.has_suspects:
+            return self._works[path]
+        return replace(self._works[path], is_suspect=crashes.is_suspect(item.content(self._head)))
 
     def _make_work(self, configuration: Configuration | None, path: str) -> Work:
         head = self._head
--- a/src/larkpost/rollouts/reward.py
+++ b/src/larkpost/rollouts/reward.py
@@ -165,7 +165,8 @@
             return REWARD_WORK
         path = call.path.partition("?")[0].encode("latin-1")
         regions = configuration.homes_at(self._head.tenant, call.host, path)
-        return Work(WorkKind.REWARD, regions)
+        is_suspect = self._services.crashes.is_suspect(call.content)
+        return Work(WorkKind.REWARD, regions, is_suspect=is_suspect)
 
     def _choose(self, service: ServiceName, call: RewardCall, tries: _Tries) -> InstanceInfo | None:
         """Returns the best server with a place, one that was not tried yet if there is one."""
--- a/tests/platform_mutants.py
+++ b/tests/platform_mutants.py
@@ -433,6 +433,71 @@
     return mock.patch.object(WatchedConnection, "_waits_for_proof", lambda _: False)
 
 
+def send_crashing_requests_on():
+    """Sends a request on, however many servers have crashed under it."""
+    from larkpost.quarantine.known_crashes import KnownCrashes
+
+    return mock.patch.object(KnownCrashes, "holds_content", lambda *_: False)
+
+
+def keep_crashes_to_oneself():
+    """Tells no other daemon of crashes."""
+    from larkpost.quarantine.repository import CrashRepository
+
+    async def save(self, added, removed):
+        return True
+
+    return mock.patch.object(CrashRepository, "save", save)
+
+
+def take_lost_connections_for_crashes():
+    """Takes a server for crashed whenever it leaves a request without an answer."""
+    from larkpost.quarantine.watch import CrashWatch, Evidence
+
+    async def seek_evidence(self, suspicion):
+        return Evidence.DEAD_PORT
+
+    return mock.patch.object(CrashWatch, "_seek_evidence", seek_evidence)
+
+
+def run_suspects_together():
+    """Runs requests under which servers crashed side by side."""
+    from larkpost.placement.verdict import Verdict
+    from larkpost.quarantine.apart import ApartRule
+
+    return mock.patch.object(ApartRule, "judge", lambda *_: Verdict.ALLOWED)
+
+
+def never_clear_requests():
+    """Holds a request on though a server has run it whole."""
+    from larkpost.quarantine.recorder import CrashRecorder
+
+    return mock.patch.object(CrashRecorder, "served", lambda *_: None)
+
+
+def stand_still_while_suspended():
+    """Goes by a clock that stands still while the machine is suspended."""
+    from larkpost.clock import LoopClock
+    from tests.platform_fleet import MachineClock
+
+    def now(self):
+        true = LoopClock.now(self)
+        if not self.awake.is_set():
+            true = self.suspended_at
+        return true - self.suspended_seconds
+
+    return mock.patch.object(MachineClock, "now", now)
+
+
+def trust_the_plain_clock():
+    """Reads the system's plain steady clock."""
+    import time
+
+    from larkpost import steady_time
+
+    return mock.patch.object(steady_time, "CLOCK", time.CLOCK_MONOTONIC)
+
+
 MUTANTS = {
     mutant.__name__: mutant
     for mutant in (
@@ -476,6 +541,13 @@
         trust_silent_connections,
         wait_on_silent_connections,
         give_up_writes_without_proof,
+        send_crashing_requests_on,
+        keep_crashes_to_oneself,
+        take_lost_connections_for_crashes,
+        never_clear_requests,
+        run_suspects_together,
+        stand_still_while_suspended,
+        trust_the_plain_clock,
     )
 }
 TESTS = dict.fromkeys(MUTANTS, FUZZ) | {
@@ -513,6 +585,12 @@
     "trust_silent_connections": "tests.test_silent_connections",
     "wait_on_silent_connections": "tests.test_silent_connections",
     "give_up_writes_without_proof": "tests.test_silent_connections",
+    "keep_crashes_to_oneself": "tests.test_repeated_crashes",
+    "take_lost_connections_for_crashes": "tests.test_quarantine",
+    "run_suspects_together": "tests.test_repeated_crashes",
+    "never_clear_requests": "tests.test_repeated_crashes",
+    "stand_still_while_suspended": "tests.test_suspension",
+    "trust_the_plain_clock": "tests.test_suspension",
 }
 EXPECTED_CHECKS = {
     "ignore_permits": ("while cold",),
@@ -528,5 +606,6 @@
     "serve_anywhere": ("outside its homes",),
     "forget_evacuations": ("is in a zone evacuated",),
     "wait_on_silent_connections": ("TimeoutError",),
+    "send_crashing_requests_on": ("but reached servers at",),
 }
 """What the failure must name: another failure proves nothing about the mutant."""
