Crash watch: each lost connection is looked into, also at a server that left one before

Cause: a server that reset a connection and lived was not asked again for six seconds, so a crash within them was seen only by its entry, 3 s later, or not at all. Change: each loss wakes the watch; the daemon of the own interface goes by the clock that counts suspended time too. Tests: two for the watch, which fail on the code before; what counts as a lost connection, and the probe, on real sockets.

--- a/src/larkpost/quarantine/watch.py
+++ b/src/larkpost/quarantine/watch.py
@@ -5,6 +5,8 @@
 without having said that it leaves, and another follows at its address or nothing answers there.
 """
 
+import asyncio
+import contextlib
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from enum import StrEnum
@@ -39,11 +41,11 @@
     """A server that left requests without an answer, and may have crashed.
 
     Attributes:
-        since: steady time of the first such request.
-        neighbours: instances that were listed at its address then.
+        since: steady time of the last such request.
+        neighbours: instances that were listed at its address at the first one.
         contents: of all those requests.
         crashed: how it is known that it has crashed; None if it is not.
-        was_asked: whether its port was tried.
+        is_fresh: set by each such request, until it is looked into.
     """
 
     info: InstanceInfo
@@ -51,7 +53,7 @@
     neighbours: frozenset[EngineId]
     contents: set[ContentDigest] = field(default_factory=set)
     crashed: Evidence | None = None
-    was_asked: bool = False
+    is_fresh: asyncio.Event = field(default_factory=asyncio.Event)
 
 
 class CrashWatch:
@@ -87,6 +89,8 @@
             self._suspicions[instance.id] = suspicion
             self._tasks.spawn(self._investigate(suspicion), "crash_watch")
         suspicion.contents.add(content)
+        suspicion.since = self._clock.now()
+        suspicion.is_fresh.set()
         if suspicion.crashed is not None:
             self._listener(instance.id, (content,), suspicion.crashed)
 
@@ -94,26 +98,33 @@
         """Seeks evidence for some seconds; what the server left meanwhile counts as well."""
         try:
             while self._clock.now() - suspicion.since < SUSPICION_SECONDS:
+                is_fresh = suspicion.is_fresh.is_set()
+                suspicion.is_fresh.clear()
                 if suspicion.crashed is None:
-                    evidence = await self._seek_evidence(suspicion)
+                    evidence = await self._seek_evidence(suspicion, is_fresh=is_fresh)
                     if evidence is not None:
                         suspicion.crashed = evidence
                         self._listener(suspicion.info.id, suspicion.contents, evidence)
-                await self._clock.sleep(LOOK_SECONDS)
+                with contextlib.suppress(TimeoutError):  # the directory is looked at again
+                    async with asyncio.timeout(LOOK_SECONDS):
+                        await suspicion.is_fresh.wait()
         finally:
             del self._suspicions[suspicion.info.id]
 
-    async def _seek_evidence(self, suspicion: _Suspicion) -> Evidence | None:
-        """Returns how it is known by now that a server has crashed; None if it is not."""
+    async def _seek_evidence(self, suspicion: _Suspicion, *, is_fresh: bool) -> Evidence | None:
+        """Returns how it is known by now that a server has crashed; None if it is not.
+
+        Args:
+            is_fresh: whether its port was not tried since it last left a request.
+        """
         info = suspicion.info
         listed = self._directory.get(info.id)
         if listed is not None and listed.state is InstanceState.LEAVING:
             return None
         if self._at(info.address) - suspicion.neighbours:
             return Evidence.REPLACED
-        if suspicion.was_asked and listed is not None:
+        if listed is not None and not is_fresh:
             return None
-        suspicion.was_asked = True
         state = await self._servers.probe(info, PROBE_SECONDS)
         if state is PortState.DEAD:
             return Evidence.DEAD_PORT
--- a/src/larkpost/rollouts/reward.py
+++ b/src/larkpost/rollouts/reward.py
@@ -118,7 +118,7 @@
         began = self._services.clock.now()
         tries = _Tries(set())
         while not is_given_up():
-            if self._services.crashes.holds_content(call.content, BATCH_CRASH_LIMIT):
+            if self._is_held(call):
                 await self._services.clock.sleep(HELD_PAUSE_SECONDS)
                 continue
             route = self._route(call)
@@ -134,6 +134,11 @@
             await self._services.clock.sleep(AGAIN_PAUSE_SECONDS)
         return RewardOutcome(RewardState.GIVEN_UP)
 
+    def _is_held(self, call: RewardCall) -> bool:
+        """Tells whether a call must not be sent, as too many servers crashed under its like."""
+        crashes = self._services.crashes
+        return crashes.has_suspects and crashes.holds_content(call.content, BATCH_CRASH_LIMIT)
+
     def _route(self, call: RewardCall) -> Route | None:
         configuration = self._services.configuration.current
         if configuration is None:
@@ -165,7 +170,8 @@
             return REWARD_WORK
         path = call.path.partition("?")[0].encode("latin-1")
         regions = configuration.homes_at(self._head.tenant, call.host, path)
-        is_suspect = self._services.crashes.is_suspect(call.content)
+        crashes = self._services.crashes
+        is_suspect = crashes.has_suspects and crashes.is_suspect(call.content)
         return Work(WorkKind.REWARD, regions, is_suspect=is_suspect)
 
     def _choose(self, service: ServiceName, call: RewardCall, tries: _Tries) -> InstanceInfo | None:
--- a/src/larkpost/rollouts/run.py
+++ b/src/larkpost/rollouts/run.py
@@ -182,8 +182,10 @@
 
         It is not given up: it runs again if it is cleared, until its time is over.
         """
-        content = item.content(self.head)
-        return self._services.crashes.holds_content(content, BATCH_CRASH_LIMIT)
+        crashes = self._services.crashes
+        if not crashes.has_suspects:
+            return False
+        return crashes.holds_content(item.content(self.head), BATCH_CRASH_LIMIT)
 
     def _finish_dead(self, item: Item, progress: Progress) -> None:
         self._services.log.note(
--- a/src/larkpost/server.py
+++ b/src/larkpost/server.py
@@ -15,6 +15,7 @@
 from larkpost.errors import SettingsError
 from larkpost.http_server import HttpServer
 from larkpost.settings import Settings
+from larkpost.steady_time import run_steadily
 from larkpost.table_service.http_adapter import HttpPlatform
 from larkpost.wire.http_peer import HttpPeerTransport, TelemetrySource
 
@@ -24,7 +25,7 @@
 def run_server(settings: Settings) -> None:
     """Runs a daemon until SIGTERM or SIGINT, then stops it as planned."""
     to_file(sys.stdout)
-    asyncio.run(serve(settings))
+    run_steadily(serve(settings))
 
 
 async def serve(settings: Settings) -> None:
--- a/tests/platform_mutants.py
+++ b/tests/platform_mutants.py
@@ -454,7 +454,7 @@
     """Takes a server for crashed whenever it leaves a request without an answer."""
     from larkpost.quarantine.watch import CrashWatch, Evidence
 
-    async def seek_evidence(self, suspicion):
+    async def seek_evidence(self, suspicion, *, is_fresh):
         return Evidence.DEAD_PORT
 
     return mock.patch.object(CrashWatch, "_seek_evidence", seek_evidence)
--- a/tests/test_platform_servers.py
+++ b/tests/test_platform_servers.py
@@ -20,6 +20,7 @@
     NotRunReason,
     OrderOutcome,
     OutgoingRequest,
+    PortState,
     VersionOrder,
 )
 
@@ -276,6 +277,46 @@
             with self.assertRaises(BrokenAnswerError):
                 await self.fetch(server, request(1))
 
+    async def test_only_lost_connections_are_called_so(self):
+        lost = {
+            "closed without an answer": (b"", False),
+            "closed within the head": (b"HTTP/1.1 200 OK\r\nLark", False),
+            "closed within the body": (whole(b"0123456789")[:-4], False),
+            "reset within a body without a length": (
+                b"HTTP/1.1 200 OK\r\n" + ECHO + b"\r\nx",
+                True,
+            ),
+            "closed within a chunk": (chunked(b"0123", end=False)[:-3], False),
+        }
+        wrong = {
+            "no HTTP": (b"\x00\x01garbage\r\n\r\n", False),
+            "another request's": (whole(b"", b"Larkpost-Attempt-Id: r9\r\n"), False),
+            "encoded": (whole(b"zip", ECHO + b"Content-Encoding: gzip\r\n"), False),
+        }
+        for expected, answers in ((True, lost), (False, wrong)):
+            for name, (content, reset) in answers.items():
+                with self.subTest(name):
+                    async with ScriptedServer(content, reset=reset) as server:
+                        with self.assertRaises(BrokenAnswerError) as caught:
+                            await self.fetch(server, request(1))
+                    self.assertEqual(expected, caught.exception.connection_lost)
+
+    async def test_probe_tells_a_dead_port_from_one_that_listens(self):
+        servers = HttpServers()
+        self.addAsyncCleanup(servers.close)
+        async with ScriptedServer(b"") as server:
+            self.assertIs(PortState.LISTENS, await servers.probe(server.instance, 0.5))
+        self.assertIs(PortState.DEAD, await servers.probe(server.instance, 0.5))
+        full = socket.socket()
+        self.addCleanup(full.close)
+        full.bind(("127.0.0.1", 0))
+        full.listen(0)
+        address = Address(f"127.0.0.1:{full.getsockname()[1]}")
+        queued = socket.create_connection(full.getsockname())  # nobody accepts it
+        self.addCleanup(queued.close)
+        silent = replace(server.instance, address=address)
+        self.assertIs(PortState.SILENT, await servers.probe(silent, 0.2))
+
     async def test_unreachable_server(self):
         async with ScriptedServer(b"") as server:
             pass
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -114,6 +114,32 @@
 
         run(play())
 
+    def test_server_that_crashes_after_it_has_left_a_request_is_found_as_well(self):
+        async def play():
+            self.begin(PortState.LISTENS)
+            self.watch.note_lost(CONTENT, self.instance)
+            await self.clock.sleep(SUSPICION_SECONDS - 0.1)
+            self.probes.state = PortState.DEAD
+            self.watch.note_lost(CONTENT, self.instance)
+            await self.clock.sleep(0.05)
+            self.check_found(Evidence.DEAD_PORT)
+
+        run(play())
+
+    def test_server_that_begins_to_leave_is_not_asked_again(self):
+        async def play():
+            self.begin(PortState.LISTENS)
+            self.watch.note_lost(CONTENT, self.instance)
+            await self.clock.sleep(0.1)
+            self.directory.update(replace(self.instance, state=InstanceState.LEAVING))
+            self.probes.state = PortState.DEAD
+            self.watch.note_lost(CONTENT, self.instance)
+            await self.clock.sleep(2 * SUSPICION_SECONDS)
+            self.check_found()
+            self.assertEqual(1, self.probes.asked)
+
+        run(play())
+
     def test_another_instance_at_the_address_shows_a_crash(self):
         async def play():
             self.begin(PortState.LISTENS)
