Soak and fuzz: requests that crash servers, machines that are suspended

The process soak has two kinds more: a client's request that comes again under new ids and ends the server's process each time, and a daemon that is stopped while its plain steady clock stands still. In calm times at the end each such request comes once more. The judge allows three retries later than 3 s after the third crash.

--- a/tests/process_soak/__main__.py
+++ b/tests/process_soak/__main__.py
@@ -20,12 +20,15 @@
 from larkpost.platform.stand_in.daemon_settings import ready_path
 from larkpost.rehearsal.processes import ProcessGroup, answers
 from tests.process_soak.callers import Callers
-from tests.process_soak.judge import Judge
-from tests.process_soak.plan import HINDERING, Fault, Kind, draw_plan
+from tests.process_soak.judge import TOLD_SECONDS, Judge
+from tests.process_soak.plan import HINDERING, UNTOLD, Fault, Kind, draw_plan
 from tests.process_soak.records import read_records
 from tests.process_soak.site import MODEL, Site
 
 CHECK_SECONDS = 3.0
+CRASHING_PAGES = 2
+"""Pages that crash servers, of which each such fault asks for one: it comes again."""
+CALM_SECONDS = 6.0
 HEAL_SECONDS = 60.0
 READY_SECONDS = 30.0
 ITEMS = 24
@@ -77,7 +80,7 @@
         work = asyncio.gather(
             callers.train(MODEL, ITEMS, until),
             callers.ask(REQUESTS_PER_SECOND, until),
-            self._strike(site),
+            self._strike(site, callers),
         )
         try:
             while not work.done():
@@ -100,24 +103,33 @@
         self._fill_report(callers)
         return self.report
 
-    async def _strike(self, site: Site) -> None:
+    async def _strike(self, site: Site, callers: Callers) -> None:
         """Carries the plan out; faults overlap as it says."""
         started = time.monotonic()
         running = []
         for fault in self._plan:
             await asyncio.sleep(max(0.0, started + fault.at - time.monotonic()))
             print(f"{fault.at:7.2f} {fault}", file=sys.stderr)
-            running.append(asyncio.create_task(self._strike_once(site, fault)))
+            running.append(asyncio.create_task(self._strike_once(site, callers, fault)))
         await asyncio.gather(*running)
 
-    async def _strike_once(self, site: Site, fault: Fault) -> None:
+    async def _strike_once(self, site: Site, callers: Callers, fault: Fault) -> None:
         began_at = time.monotonic()
         hindrances = self._judge.hindrances
         if fault.kind in HINDERING:
             hindrances.append((began_at, float("inf")))
         if fault.kind is not Kind.EVACUATION:  # which excuses nothing
             self._judge.fault_times.append(began_at)
-        await site.strike(fault)
+        untold = self._judge.untold
+        if fault.kind in UNTOLD:
+            untold.append((began_at, float("inf")))
+        if fault.kind is Kind.CRASHING_REQUEST:
+            await callers.ask_again_and_again(fault.target % CRASHING_PAGES, fault.seconds)
+        else:
+            await site.strike(fault)
+        if fault.kind in UNTOLD:
+            untold.remove((began_at, float("inf")))
+            untold.append((began_at, time.monotonic()))
         if fault.kind is not Kind.EVACUATION:
             self._judge.fault_times.append(time.monotonic())
         if fault.kind in HINDERING:
@@ -125,12 +137,18 @@
             hindrances.append((began_at, time.monotonic()))
 
     async def _heal(self, callers: Callers) -> None:
-        """Waits until every accepted batch that nobody ended is whole."""
+        """Waits until every accepted batch that nobody ended is whole.
+
+        Then what has crashed servers comes once more, in calm times, at every daemon.
+        """
         until = time.monotonic() + HEAL_SECONDS
         for name in self._judge.missing():
             await callers.read_on(self._judge.batches[name], until)
         missing = self._judge.missing()
         assert not missing, f"accepted batches are not whole: {missing}"
+        await asyncio.sleep(TOLD_SECONDS)
+        for page in sorted(callers.crashing_pages):
+            await callers.ask_again_and_again(page, CALM_SECONDS)
 
     def _fill_report(self, callers: Callers) -> None:
         report = self.report
--- a/tests/process_soak/callers.py
+++ b/tests/process_soak/callers.py
@@ -21,6 +21,7 @@
     key_of,
 )
 from tests.process_soak.judge import Judge, SubmittedBatch
+from tests.process_soak.records import CRASHING_PAGE
 
 CALL_SECONDS = 3.0
 PAUSE_SECONDS = 0.1
@@ -33,6 +34,8 @@
 """A key is in force in the version that brings it and in the next one."""
 DROPPED_KEY_EVERY = 7
 """One request in this many carries a key that was taken away."""
+CRASHING_TRIES = 2
+CRASHING_PAUSE_SECONDS = 0.7
 PROMISES_NOT_RUN = (408, 421, 429, 503)
 CALL_FAILURES = (aiohttp.ClientError, TimeoutError, OSError)
 
@@ -64,6 +67,7 @@
         self.requests = 0
         self.served = 0
         self.served_times: list[float] = []
+        self.crashing_pages: set[int] = set()
 
     async def train(self, model: ModelName, items: int, until: float) -> None:
         """Draws one step after the other until a steady time."""
@@ -85,6 +89,17 @@
             await asyncio.sleep(1 / per_second)
         await asyncio.gather(*running)
 
+    async def ask_again_and_again(self, page: int, seconds: float) -> None:
+        """Asks for a page that crashes servers, under new ids and at any daemon, for a while."""
+        self.crashing_pages.add(page)
+        until = time.monotonic() + seconds
+        while time.monotonic() < until:
+            for _ in range(CRASHING_TRIES):
+                name = f"r{self._chance.getrandbits(60):x}"
+                self._judge.asked[name] = False
+                await self._call("GET", f"{PAGE_PREFIX}{CRASHING_PAGE}{page}", name)
+            await asyncio.sleep(CRASHING_PAUSE_SECONDS)
+
     async def read_on(self, batch: SubmittedBatch, until: float) -> None:
         """Reads a batch on until it is whole or a steady time has come."""
         while not batch.is_whole and time.monotonic() < until:
--- a/tests/process_soak/judge.py
+++ b/tests/process_soak/judge.py
@@ -16,6 +16,8 @@
 """Time after the acknowledgement of a configuration until it is in force everywhere."""
 CANCEL_SECONDS = 3.0
 """Time after the acknowledgement of a batch's end within which its items may still arrive."""
+TOLD_SECONDS = 4.0
+"""Time after a fault until each daemon has heard of all crashes: 3 s, and a start takes one."""
 FAULT_SLACK_SECONDS = 12.0
 """Time around a fault in which the rules with time bounds excuse a daemon."""
 
@@ -59,6 +61,7 @@
         hindrances: spans of the faults that keep news from daemons or requests from servers, as
             begin and end; the end is infinite until it has come.
         evacuations: the site's, as they happen.
+        untold: spans of the faults that may lose or delay news of a crash, as hindrances.
     """
 
     batches: dict[str, SubmittedBatch] = field(default_factory=dict)
@@ -69,6 +72,7 @@
     fault_times: list[float] = field(default_factory=list)
     hindrances: list[tuple[float, float]] = field(default_factory=list)
     evacuations: Sequence[Evacuation] = ()
+    untold: list[tuple[float, float]] = field(default_factory=list)
 
     def take_page(self, batch: SubmittedBatch, position: int, results: list[dict]) -> None:
         """Takes results that a daemon has given; what was read before must come again."""
@@ -88,6 +92,7 @@
         self._check_requests(records)
         self._check_tenants(records)
         self._check_evacuated(records)
+        self._check_crashes(records)
         checks.check_reports(
             [(report.window, report.counts) for report in records.usage],
         )
@@ -164,6 +169,19 @@
                     if run.zone == span.zone:
                         checks.check_evacuated(name, run.began, known_at, span.ended_at)
 
+    def _check_crashes(self, records: Records) -> None:
+        """A request that has crashed three servers is hardly sent on by daemons that can know."""
+        for path, runs in records.crashes.items():
+            for run in runs:
+                assert run.request in self.asked, f"{run.request} runs, but nobody sent it"
+            counted = [run.began for run in runs if self._is_told(run.began)]
+            checks.check_crashes(path, [run.began for run in runs], counted)
+
+    def _is_told(self, at: float) -> bool:
+        """Tells whether nothing has lost or delayed news of crashes for a while."""
+        since = at - TOLD_SECONDS
+        return not any(start <= at and end >= since for start, end in self.untold)
+
     def missing(self) -> list[str]:
         """Returns the accepted batches that are neither whole nor ended."""
         return [
--- a/tests/process_soak/plan.py
+++ b/tests/process_soak/plan.py
@@ -14,6 +14,7 @@
     DAEMON_MOVE = "daemon_move"  # SIGKILL, another one starts under a new address
     DAEMON_STOP = "daemon_stop"  # SIGTERM with work in flight, then started again
     DAEMON_PAUSE = "daemon_pause"  # SIGSTOP and SIGCONT, also past the lease
+    DAEMON_SUSPEND = "daemon_suspend"  # paused, while its plain steady clock stands still
     ALL_DAEMONS_KILL = "all_daemons_kill"
     GOOD_SETTINGS = "good_settings"  # SIGHUP after a harmless change of the settings
     BAD_SETTINGS = "bad_settings"  # SIGHUP after a change that must be refused
@@ -32,6 +33,7 @@
     ORDERS_LATE = "orders_late"  # an engine leaves orders unanswered and carries them out later
     SERVER_KILL = "server_kill"  # a new instance follows at the same address
     SERVER_PAUSE = "server_pause"
+    CRASHING_REQUEST = "crashing_request"  # comes again and again, and crashes servers
     SCORER_FAILS = "scorer_fails"  # a server answers every page with 500
     CONFIGURATION = "configuration"  # a newer one, with another route
     EVACUATION = "evacuation"  # of a zone, ended after a while
@@ -45,6 +47,7 @@
 }
 HINDERING = {
     Kind.DAEMON_PAUSE,
+    Kind.DAEMON_SUSPEND,
     Kind.STORE_REFUSES,
     Kind.STORE_TURNS_AWAY,
     Kind.STORE_SLOW,
@@ -54,6 +57,16 @@
     Kind.SERVER_PAUSE,
 }
 """What keeps news from daemons, or requests on their way to servers."""
+UNTOLD = HINDERING | {
+    Kind.DAEMON_KILL,
+    Kind.DAEMON_MOVE,
+    Kind.DAEMON_STOP,
+    Kind.ALL_DAEMONS_KILL,
+    Kind.STORE_LOSES_ANSWERS,
+    Kind.STORE_WRITES_LATE,
+    Kind.STORE_PARTS_DOWN,
+}
+"""What may lose or delay the news of a crash: ends of daemons, and all faults of the store."""
 USUAL_LONGEST_SECONDS = 5.0
 SHORTEST_SECONDS = 0.3
 GARBLES = (LinkFault.EXTRA, LinkFault.GARBLE)
--- a/tests/process_soak/records.py
+++ b/tests/process_soak/records.py
@@ -16,6 +16,8 @@
 """Tells a server whether to answer all pages with 500."""
 
 
+CRASHING_PAGE = "crashing-"
+"""Begins the last part of the path of a page that crashes each server that begins to make it."""
 LATE_ORDERS_CALL = "/-/late-orders"
 """Tells an engine whether to leave orders unanswered and carry them out later."""
 STORE_FAULTS_CALL = "/-/faults"
@@ -31,6 +33,7 @@
     WHOLE = "whole"
     ORDER = "order"
     USAGE = "usage"
+    CRASH = "crash"
 
 
 def tell(kind: RecordKind, **fields) -> None:
@@ -74,6 +77,14 @@
     at: float
 
 
+@dataclass(frozen=True, slots=True)
+class CrashingRun:
+    """A run that crashed its server; `began` is steady time."""
+
+    request: str
+    began: float
+
+
 @dataclass(slots=True)
 class Evacuation:
     """An evacuation; `began_at` is when the store acknowledged it, `ended_at` when its end went."""
@@ -92,12 +103,14 @@
         whole_at: when a stream of the request first came to its end.
         orders: by instance, as they arrived.
         usage: all usage reports that were taken, as they arrived.
+        crashes: by path, as they began.
     """
 
     runs: dict[str, list[Run]] = field(default_factory=lambda: defaultdict(list))
     whole_at: dict[str, float] = field(default_factory=dict)
     orders: dict[str, list[Order]] = field(default_factory=lambda: defaultdict(list))
     usage: list[Usage] = field(default_factory=list)
+    crashes: dict[str, list[CrashingRun]] = field(default_factory=lambda: defaultdict(list))
 
     def take(self, document: dict[str, Any]) -> None:
         """Takes one record."""
@@ -118,6 +131,9 @@
             case RecordKind.ORDER:
                 order = Order(document["holder"], document["token"], document["at"])
                 self.orders[document["instance"]].append(order)
+            case RecordKind.CRASH:
+                run = CrashingRun(document["request"], document["at"])
+                self.crashes[document["path"]].append(run)
             case RecordKind.USAGE:
                 fields = ("window", "counts", "holder", "token", "at")
                 self.usage.append(Usage(*(document[name] for name in fields)))
--- a/tests/process_soak/server_program.py
+++ b/tests/process_soak/server_program.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import os
 import sys
 import time
 from collections.abc import AsyncIterator
@@ -23,9 +24,16 @@
 from larkpost.platform.stand_in.server_app import ServerApp
 from larkpost.platform.store import HttpStore
 from larkpost.rehearsal.scripted_engines import EngineState
-from tests.process_soak.records import FAILING_CALL, LATE_ORDERS_CALL, RecordKind, tell
+from tests.process_soak.records import (
+    CRASHING_PAGE,
+    FAILING_CALL,
+    LATE_ORDERS_CALL,
+    RecordKind,
+    tell,
+)
 
 LATE_SECONDS = 2.0
+CRASH_SECONDS = 0.08
 UNANSWERED_SECONDS = 30.0
 
 
@@ -56,6 +64,8 @@
 
     async def _serve(self, request: Request) -> Response:
         began = time.monotonic()
+        if request.url.path.rpartition("/")[2].startswith(CRASHING_PAGE):
+            await self._crash(request)
         runs = len(self._state.runs)
         response = await super()._serve(request)
         if len(self._state.runs) == runs:
@@ -77,6 +87,16 @@
         )
         return response
 
+    async def _crash(self, request: Request) -> None:
+        """Ends the process a moment later, without an answer, as a crash does."""
+        refusal = self._refusal(request)
+        if refusal is not None:
+            return
+        name = request.headers[names.REQUEST_ID.decode()]
+        tell(RecordKind.CRASH, request=name, path=request.url.path)
+        await asyncio.sleep(CRASH_SECONDS)
+        os._exit(1)
+
     async def _events(self, request_id: str, after: int, model: ModelName) -> AsyncIterator[bytes]:
         async for event in super()._events(request_id, after, model):
             yield event
--- a/tests/process_soak/site.py
+++ b/tests/process_soak/site.py
@@ -20,11 +20,11 @@
     version_change,
 )
 from larkpost.platform.store import HttpStore
-from larkpost.rehearsal.platform_fleet import DAEMON_MODULE
 from larkpost.rehearsal.processes import Process, ProcessGroup, free_address
 from larkpost.store.port import RowKey, Transaction, WriteOutcome
 from tests.platform_checks import CALL_ATTEMPTS
 from tests.process_soak.callers import ONCE_PREFIX
+from tests.process_soak.daemon_program import SUSPENDED_SIGNAL
 from tests.process_soak.plan import Fault, Kind
 from tests.process_soak.proxy import FaultProxy, LinkFault
 from tests.process_soak.records import (
@@ -37,7 +37,7 @@
 
 STORE_MODULE = "tests.process_soak.store_program"
 SERVER_MODULE = "tests.process_soak.server_program"
-MUTANT_MODULE = "tests.process_soak.mutant_daemon"
+DAEMON_MODULE = "tests.process_soak.daemon_program"
 ENGINES, PAGES = ServiceName("engines"), ServiceName("pages")
 MODEL = ModelName("model")
 ZONES = (ZoneId("north"), ZoneId("south"))
@@ -54,6 +54,10 @@
 ROW_BYTES = 65536
 STORE_SECONDS = 2.0
 STOP_SECONDS = 12.0
+CRASH_STATUS = 1
+"""Exit status of a server that a request has crashed."""
+CRASH_LOOK_SECONDS = 0.1
+CRASH_RESTART_SECONDS = 2.5
 
 
 @dataclass(slots=True)
@@ -102,6 +106,8 @@
         self.configured_at: dict[int, float] = {}
         self.evacuations: list[Evacuation] = []
         self._started = 0
+        self._crashed: dict[int, asyncio.Task] = {}
+        """Restarts under way of servers that have ended by themselves, by number."""
         self.servers: list[Server] = []
         self.daemons: list[Daemon] = []
 
@@ -118,9 +124,12 @@
             self.servers.append(Server(service, number, own, proxy, process))
         for _ in range(DAEMONS):
             self.daemons.append(await self._new_daemon())
+        self._restarts = asyncio.create_task(self._restart_crashed())
 
     async def close(self) -> None:
         """Closes the links; the processes are the group's to end."""
+        for task in [self._restarts, *self._crashed.values()]:
+            task.cancel()
         for proxy in self._proxies():
             await proxy.close()
         await self._refuser.close()
@@ -169,6 +178,8 @@
                 await self._move(fault)
             case Kind.DAEMON_PAUSE:
                 await self._pause(self._daemon(fault).process, fault.seconds)
+            case Kind.DAEMON_SUSPEND:
+                await self._suspend(self._daemon(fault).process, fault.seconds)
             case Kind.STORE_TURNS_AWAY:
                 await self._turn_away(self._daemon(fault), fault.seconds)
             case Kind.STORE_FORGETS:
@@ -238,10 +249,9 @@
         return Daemon(place, environment, front, store, self._start_daemon(place, environment))
 
     def _start_daemon(self, place: DaemonPlace, environment: dict[str, str]) -> Process:
-        if self._mutant is None:
-            return self._group.start_module(place.machine, DAEMON_MODULE, environment=environment)
+        mutants = [self._mutant] if self._mutant is not None else []
         return self._group.start_module(
-            place.machine, MUTANT_MODULE, self._mutant, environment=environment
+            place.machine, DAEMON_MODULE, *mutants, environment=environment
         )
 
     def _start_server(
@@ -284,6 +294,36 @@
         await asyncio.sleep(seconds)
         process.send(signal.SIGCONT)
 
+    async def _suspend(self, process: Process, seconds: float) -> None:
+        """Stops a daemon's process; its plain steady clock stands still meanwhile."""
+        process.send(signal.SIGSTOP)
+        await asyncio.sleep(seconds)
+        process.send(SUSPENDED_SIGNAL)
+        process.send(signal.SIGCONT)
+
+    async def _restart_crashed(self) -> None:
+        """Starts another instance a while after a server has ended by itself."""
+        while True:
+            for server in self.servers:
+                process = server.process
+                if process.popen.poll() == CRASH_STATUS and server.number not in self._crashed:
+                    self._crashed[server.number] = asyncio.create_task(self._start_next(server))
+            await asyncio.sleep(CRASH_LOOK_SECONDS)
+
+    async def _start_next(self, server: Server) -> None:
+        process = server.process
+        await asyncio.sleep(CRASH_RESTART_SECONDS)
+        self._follow(server, process)
+        del self._crashed[server.number]
+
+    def _follow(self, server: Server, process: Process) -> None:
+        """Starts the instance that follows one that has ended, unless another fault has."""
+        if server.process is process:
+            server.lives += 1
+            server.process = self._start_server(
+                server.service, server.number, server.own, server.proxy, server.lives
+            )
+
     async def _harm(self, proxy: FaultProxy, fault: Fault) -> None:
         proxy.harm(fault.link)
         await asyncio.sleep(fault.seconds)
@@ -294,11 +334,7 @@
         process.send(signal.SIGKILL)
         await _ended(process)
         await asyncio.sleep(seconds)
-        if server.process is process:
-            server.lives += 1
-            server.process = self._start_server(
-                server.service, server.number, server.own, server.proxy, server.lives
-            )
+        self._follow(server, process)
 
     async def _turn_away(self, daemon: Daemon, seconds: float) -> None:
         """Lets the store refuse all calls of one daemon."""
--- a/tests/test_platform_fuzz.py
+++ b/tests/test_platform_fuzz.py
@@ -208,7 +208,9 @@
     @rule(number=st.integers(0, ENGINES - 1), down=st.booleans())
     def trouble_engine(self, number, down):
         """An engine goes down or comes back."""
-        self.fleet.engines.engines[EngineId(f"engine-{number}")].down = down
+        engine = EngineId(f"engine-{number}")
+        if engine not in self.fleet.crashed_at:  # another one follows a crashed engine
+            self.fleet.engines.engines[engine].down = down
 
     @rule(seconds=st.sampled_from([1.0, 3.0, 10.0]))
     def start_engine(self, seconds):
@@ -232,8 +234,9 @@
     @rule(number=st.integers(0, SCORERS - 1), trouble=st.sampled_from(SCORER_TROUBLES))
     def trouble_scorer(self, number, trouble):
         """A server that scores outputs falls ill, or heals."""
-        state = self.fleet.engines.engines[EngineId(f"scorer-{number}")]
-        state.down = trouble == "down"
+        scorer = EngineId(f"scorer-{number}")
+        state = self.fleet.engines.engines[scorer]
+        state.down = trouble == "down" or scorer in self.fleet.crashed_at
         state.break_after = 0 if trouble == "broken" else None
         state.unsigned = trouble == "unsigned"
         state.status = 500 if trouble == "failing" else None
@@ -279,8 +282,8 @@
         for client, clock in zip(fleet.clients, fleet.clocks, strict=True):
             client.cut_off = False
             clock.wake()
-        for state in fleet.engines.engines.values():
-            state.down = False
+        for engine, state in fleet.engines.engines.items():
+            state.down = engine in fleet.crashed_at
             state.break_after = None
             state.unsigned = False
             state.status = None
