A held request of a client is tried again, twice at most, by one daemon of all

Cause: a page that clients ask for beside a request that crashes servers can be at three servers when they crash; it was then held for an hour, as nothing that is not sent can clear it. Change: 5 s after the last crash, and once more 60 s later, one daemon may send it to one server; it claims that by a conditional row, which counts as a crash in advance. A whole answer clears it. A request that crashes servers gets two retries more after its third crash; three are borne.

--- a/src/larkpost/gateway.py
+++ b/src/larkpost/gateway.py
@@ -41,6 +41,7 @@
 from larkpost.quarantine.guard import GuardedServers
 from larkpost.quarantine.recorder import CrashRecorder
 from larkpost.quarantine.repository import CrashRepository
+from larkpost.quarantine.trials import Trials
 from larkpost.quarantine.watch import CrashWatch
 from larkpost.rollouts.context import RunServices
 from larkpost.rollouts.keeper import BatchKeeper
@@ -188,6 +189,7 @@
             counter,
             self._priority_of,
             self.beliefs.crashes,
+            Trials(self.beliefs.crashes, CrashRepository(ports.store), ports.clock, ports.log),
         )
         self.admission = Admission(
             self.configuration,
--- a/src/larkpost/proxy/attempts.py
+++ b/src/larkpost/proxy/attempts.py
@@ -23,6 +23,7 @@
         reasons: why they did not.
         last: the last failure that a server answered in full.
         is_quarantined: whether it goes to no server any more, as others crashed under its like.
+        is_trial: whether it may go to one server all the same, to see if that is a mistake.
     """
 
     request: ClientRequest
@@ -35,6 +36,7 @@
     reasons: set[NotRunReason] = field(default_factory=set)
     last: WholeAnswer | None = None
     is_quarantined: bool = False
+    is_trial: bool = False
 
     @property
     def are_all_unreachable(self) -> bool:
--- a/src/larkpost/proxy/forwarder.py
+++ b/src/larkpost/proxy/forwarder.py
@@ -9,6 +9,7 @@
 """
 
 import asyncio
+import sys
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from dataclasses import replace
@@ -38,6 +39,7 @@
 from larkpost.proxy.shares import ShareChooser
 from larkpost.proxy.waiting import Waiter, WaitingLines
 from larkpost.quarantine.known_crashes import CLIENT_CRASH_LIMIT, KnownCrashes
+from larkpost.quarantine.trials import Trials
 from larkpost.usage.counter import UsageCounter
 
 MIN_HEDGE_SECONDS = 0.1
@@ -55,6 +57,7 @@
     Args:
         priority_of: returns how urgent a request is, 0 the most.
         crashes: the servers that have crashed, and under which requests; None for none ever.
+        trials: lets a held request run once more; None if nothing does.
     """
 
     def __init__(
@@ -70,6 +73,7 @@
         usage: UsageCounter | None = None,
         priority_of: PriorityOf = lambda _, route: route.priority,
         crashes: KnownCrashes | None = None,
+        trials: Trials | None = None,
     ) -> None:
         self._policy = policy
         self._directory = directory
@@ -81,6 +85,7 @@
         self._first_tries = FirstTries(clock)
         self._lines = WaitingLines(clock, self._survey)
         self._crashes = KnownCrashes() if crashes is None else crashes
+        self._trials = trials
         self._outcomes = Outcomes(balancer, clock, log, metrics, usage)
         balancer.when_released(self._note_released)
 
@@ -167,7 +172,7 @@
 
     async def _may_try(self, attempts: Attempts, *, must_wait: bool) -> bool:
         """Waits for a request's turn if it must; tells whether it may be served at all."""
-        if self._is_quarantined(attempts):
+        if self._is_quarantined(attempts) and not await self._claim_trial(attempts):
             return False
         if attempts.are_all_unreachable:
             # No place comes free by waiting here, but another daemon may reach the servers.
@@ -198,7 +203,7 @@
 
     async def _forward_repeatable(self, attempts: Attempts) -> WholeAnswer | None:
         """Sends a request to one server after another, a second one early if the first is slow."""
-        most = attempts.route.max_attempts
+        most = 1 if attempts.is_trial else attempts.route.max_attempts
         running: set[asyncio.Task] = set()
         try:
             while True:
@@ -269,9 +274,18 @@
 
     def _is_quarantined(self, attempts: Attempts) -> bool:
         """Tells whether a request must not go to any server, as others crashed under its like."""
-        attempts.is_quarantined = self._crashes.holds(attempts.request, CLIENT_CRASH_LIMIT)
+        held = self._crashes.holds(attempts.request, CLIENT_CRASH_LIMIT)
+        attempts.is_quarantined = held and not attempts.is_trial
         return attempts.is_quarantined
 
+    async def _claim_trial(self, attempts: Attempts) -> bool:
+        """Claims for a held request that it may be sent to one server all the same."""
+        if self._trials is None or attempts.ran_at:
+            return False
+        attempts.is_trial = await self._trials.claim(attempts.request)
+        attempts.is_quarantined = not attempts.is_trial
+        return attempts.is_trial
+
     def _choose(self, attempts: Attempts) -> InstanceInfo | None:
         if self._is_quarantined(attempts):
             return None
@@ -299,6 +313,7 @@
             fresh_connection=fresh,
             repeat_if_silent=not fresh,
             tenant=request.tenant,
+            crash_limit=sys.maxsize if attempts.is_trial else CLIENT_CRASH_LIMIT,
         )
 
     def _limits(self, request: ClientRequest, route: Route) -> Limits:
--- a/src/larkpost/quarantine/repository.py
+++ b/src/larkpost/quarantine/repository.py
@@ -11,13 +11,15 @@
 from larkpost.quarantine.content import ContentDigest
 from larkpost.quarantine.known_crashes import Crash
 from larkpost.rollouts.repository import HEAD_TABLE
-from larkpost.store.port import Row, RowKey, Store, Transaction, WriteOutcome
+from larkpost.store.port import ABSENT, Row, RowKey, Store, Transaction, WriteOutcome
 
 CRASH_TABLE = HEAD_TABLE
 CRASH_PART = "crashes"
 MAX_ROWS = 90
 """Rows written at once; a transaction takes a hundred entries."""
 WRITE_TIMEOUT_SECONDS = 1.0
+CLAIM_TIMEOUT_SECONDS = 0.3
+"""A client waits for it."""
 
 
 def crash_of_row(row: Row) -> Crash:
@@ -55,6 +57,15 @@
         result = await self._store.write(change, WRITE_TIMEOUT_SECONDS)
         return result.outcome is WriteOutcome.DONE
 
+    async def claim(self, trial: Crash) -> bool:
+        """Writes a trial that no daemon has claimed yet, and tells whether that is done."""
+        key = _key(trial)
+        change = Transaction(
+            conditions=((key, ABSENT),), puts=((key, orjson.dumps({"at": trial.at})),)
+        )
+        result = await self._store.write(change, CLAIM_TIMEOUT_SECONDS)
+        return result.outcome is WriteOutcome.DONE
+
 
 def _key(crash: Crash) -> RowKey:
     return RowKey(CRASH_TABLE, CRASH_PART, f"{crash.content}/{crash.instance}")
--- /dev/null
+++ b/src/larkpost/quarantine/trials.py
@@ -0,0 +1,66 @@
+"""Lets a held request of a client run once more, seldom, to see whether it was held by mistake.
+
+A page that many ask for may be at three servers when each of them crashes under another request.
+It would be held until its crashes are forgotten, and nothing could clear it, as it runs nowhere. So
+one daemon of all may send it to one server, a while after the last crash, and once more later; it
+claims that in the store. A whole answer clears the request; one that does crash servers has crashed
+two more by then.
+"""
+
+from larkpost.clock import Clock
+from larkpost.eventlog import Event, EventLog
+from larkpost.ids import EngineId
+from larkpost.quarantine.content import ContentDigest, Request
+from larkpost.quarantine.known_crashes import Crash, KnownCrashes
+from larkpost.quarantine.repository import CrashRepository
+
+TRIAL_PAUSES_SECONDS = (5.0, 60.0)
+"""From the last crash to the first trial, and from then to the second: crashed servers are back
+after some seconds. Two trials are one less than users bear retries after the third crash."""
+CLAIM_PAUSE_SECONDS = 1.0
+"""Between two claims of this daemon for one content, if the store did not grant the first."""
+TRIAL_PREFIX = "trial-"
+
+
+class Trials:
+    """Claims trials; a claim stands among a content's crashes, as one that is taken in advance."""
+
+    def __init__(
+        self, crashes: KnownCrashes, repository: CrashRepository, clock: Clock, log: EventLog
+    ) -> None:
+        self._crashes = crashes
+        self._log = log
+        self._repository = repository
+        self._clock = clock
+        self._claimed_at: dict[ContentDigest, float] = {}
+
+    async def claim(self, request: Request) -> bool:
+        """Tells whether a held request may be sent to one server now, by this daemon alone."""
+        content = self._crashes.suspect(request)
+        now = self._repository.time()
+        if content is None or now is None:
+            return False
+        known = self._crashes.of(content)
+        used = sum(crash.instance.startswith(TRIAL_PREFIX) for crash in known)
+        if used >= len(TRIAL_PAUSES_SECONDS):
+            return False
+        is_early = now - max(crash.at for crash in known) < TRIAL_PAUSES_SECONDS[used]
+        if is_early or not self._may_claim(content):
+            return False
+        trial = Crash(content, EngineId(f"{TRIAL_PREFIX}{used + 1}"), now)
+        if not await self._repository.claim(trial):
+            return False
+        self._crashes.add(trial)
+        self._log.note(Event.QUARANTINE, content=content, state="trial", crashes=len(known) - used)
+        return True
+
+    def _may_claim(self, content: ContentDigest) -> bool:
+        """Tells whether this daemon has claimed none a moment ago, and notes that it does."""
+        now = self._clock.now()
+        self._claimed_at = {
+            name: at for name, at in self._claimed_at.items() if now - at < CLAIM_PAUSE_SECONDS
+        }
+        if content in self._claimed_at:
+            return False
+        self._claimed_at[content] = now
+        return True
