--- a/tests/process_soak/__main__.py
+++ b/tests/process_soak/__main__.py
@@ -23,7 +23,7 @@
 from tests.process_soak.judge import TOLD_SECONDS, Judge
 from tests.process_soak.plan import HINDERING, UNTOLD, Fault, Kind, draw_plan
 from tests.process_soak.records import read_records
-from tests.process_soak.site import MODEL, Site
+from tests.process_soak.site import DAEMONS, MODEL, Site
 
 CHECK_SECONDS = 3.0
 CRASHING_PAGES = 2
@@ -58,8 +58,15 @@
     """One run."""
 
     def __init__(
-        self, seed: int, seconds: float, gap: float, folder: Path, mutant: str | None
+        self,
+        seed: int,
+        seconds: float,
+        gap: float,
+        folder: Path,
+        mutant: str | None,
+        daemons: int,
     ) -> None:
+        self._daemons = daemons
         self.report = Report(seed, seconds, mutant)
         self._mutant = mutant
         self._plan = draw_plan(seed, seconds, gap)
@@ -69,7 +76,7 @@
 
     async def play(self, group: ProcessGroup) -> Report:
         """Plays a run and returns what it saw."""
-        site = Site(group, self._folder, self._mutant)
+        site = Site(group, self._folder, self._mutant, self._daemons)
         await site.start()
         self._judge.evacuations = site.evacuations
         await _until_ready(site)
@@ -99,6 +106,7 @@
         finally:
             work.cancel()
             await asyncio.gather(work, return_exceptions=True)
+            await callers.close()
             await site.close()
         self._fill_report(callers)
         return self.report
@@ -174,12 +182,14 @@
     raise AssertionError("the daemons were not ready in time")
 
 
-def play(seed: int, seconds: float, gap: float, mutant: str | None = None) -> Report:
+def play(
+    seed: int, seconds: float, gap: float, mutant: str | None = None, daemons: int = DAEMONS
+) -> Report:
     """Plays one run in a folder of its own; logs of a broken run are kept."""
     with tempfile.TemporaryDirectory(prefix="larkpost-soak-") as name:
         folder = Path(name)
         with ProcessGroup(folder) as group:
-            report = asyncio.run(Soak(seed, seconds, gap, folder, mutant).play(group))
+            report = asyncio.run(Soak(seed, seconds, gap, folder, mutant, daemons).play(group))
         if report.broken and mutant is None:
             shutil.copytree(folder, LOGS / str(seed), dirs_exist_ok=True)
     return report
@@ -190,13 +200,14 @@
     seconds: Annotated[float, typer.Option(help="Time of load of a run.")] = 60.0,
     gap: Annotated[float, typer.Option(help="Mean seconds between two faults.")] = 2.0,
     mutant: Annotated[str | None, typer.Option(help="Break this mechanism of all daemons.")] = None,
+    daemons: Annotated[int, typer.Option(help="Daemons, a process each.")] = DAEMONS,
     runs: Annotated[int, typer.Option(help="Runs, each with the next seed.")] = 1,
 ) -> None:
     """Plays runs and prints one line of JSON for each."""
     first = secrets.randbelow(1_000_000) if seed is None else seed
     broken = False
     for number in range(first, first + runs):
-        report = play(number, seconds, gap, mutant)
+        report = play(number, seconds, gap, mutant, daemons)
         print(orjson.dumps(report).decode(), flush=True)
         broken = broken or bool(report.broken)
     raise typer.Exit(int(broken))
--- a/tests/process_soak/callers.py
+++ b/tests/process_soak/callers.py
@@ -2,9 +2,10 @@
 
 import asyncio
 import base64
+import contextlib
 import random
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 
 import aiohttp
 import orjson
@@ -34,6 +35,8 @@
 """A key is in force in the version that brings it and in the next one."""
 DROPPED_KEY_EVERY = 7
 """One request in this many carries a key that was taken away."""
+KEPT_SHARE = 0.5
+"""Share of the clients' requests on connections that are kept until the daemon closes them."""
 CRASHING_TRIES = 2
 CRASHING_PAUSE_SECONDS = 0.7
 PROMISES_NOT_RUN = (408, 421, 429, 503)
@@ -68,6 +71,12 @@
         self.served = 0
         self.served_times: list[float] = []
         self.crashing_pages: set[int] = set()
+        self._sessions: dict[Address, aiohttp.ClientSession] = {}
+
+    async def close(self) -> None:
+        """Closes the connections that are kept."""
+        for session in self._sessions.values():
+            await session.close()
 
     async def train(self, model: ModelName, items: int, until: float) -> None:
         """Draws one step after the other until a steady time."""
@@ -160,7 +169,9 @@
             self._judge.dropped[name] = self._configured_at()[version]
             version -= KEPT_VERSIONS
         target = f"{ONCE_PREFIX if once else PAGE_PREFIX}{name}"
-        answer = await self._call("POST" if once else "GET", target, name, version=version)
+        kept = self._chance.random() < KEPT_SHARE
+        method = "POST" if once else "GET"
+        answer = await self._call(method, target, name, version=version, kept=kept)
         if answer is None:
             return
         status, body = answer
@@ -182,11 +193,13 @@
         request: str,
         body: bytes | None = None,
         version: int | None = None,
+        kept: bool = False,
     ) -> tuple[int, bytes] | None:
         """Makes one call at any daemon; None if there was no whole answer.
 
         Args:
             version: of the configuration whose key is sent; None for the newest.
+            kept: whether it goes on a connection that is kept until the daemon closes it.
         """
         daemon = self._chance.choice(self._fronts())
         tenant = TRAINING if request.startswith("b") else READING
@@ -200,13 +213,26 @@
         try:
             async with (
                 asyncio.timeout(CALL_SECONDS),
-                aiohttp.ClientSession() as session,
+                self._session(daemon, kept=kept) as session,
                 session.request(method, url, data=body, headers=headers) as answer,
             ):
                 return answer.status, await answer.read()
         except CALL_FAILURES:
             return None
 
+    @contextlib.asynccontextmanager
+    async def _session(
+        self, daemon: Address, *, kept: bool
+    ) -> AsyncIterator[aiohttp.ClientSession]:
+        """Gives a session with kept connections to a daemon, or one of its own for a call."""
+        if kept:
+            if daemon not in self._sessions:
+                self._sessions[daemon] = aiohttp.ClientSession()
+            yield self._sessions[daemon]
+            return
+        async with aiohttp.ClientSession() as session:
+            yield session
+
 
 def _document(batch: SubmittedBatch, model: ModelName, step: int) -> dict:
     return {
--- a/tests/process_soak/site.py
+++ b/tests/process_soak/site.py
@@ -88,10 +88,18 @@
 
     Args:
         mutant: the broken mechanism of all daemons, or None.
+        daemons: how many there are.
     """
 
-    def __init__(self, group: ProcessGroup, folder: Path, mutant: str | None = None) -> None:
+    def __init__(
+        self,
+        group: ProcessGroup,
+        folder: Path,
+        mutant: str | None = None,
+        daemons: int = DAEMONS,
+    ) -> None:
         self._mutant = mutant
+        self._daemon_count = daemons
         self._group = group
         self._folder = folder
         self._store_address = free_address()
@@ -122,7 +130,7 @@
             await proxy.start()
             process = self._start_server(service, number, own, proxy, 1)
             self.servers.append(Server(service, number, own, proxy, process))
-        for _ in range(DAEMONS):
+        for _ in range(self._daemon_count):
             self.daemons.append(await self._new_daemon())
         self._restarts = asyncio.create_task(self._restart_crashed())
 
