Soak: the judge counts crashes in the order of their times, and calm times are long enough to show retries

Cause: the records of two servers were read one after the other, so the third crash was taken for a later one; and six calm seconds hold two returns of crashed servers. Change: sorted; 12 s. Test: JudgeTest.test_request_that_crashes_servers_and_is_sent_on, which fails unsorted.

--- a/tests/process_soak/__main__.py
+++ b/tests/process_soak/__main__.py
@@ -28,7 +28,8 @@
 CHECK_SECONDS = 3.0
 CRASHING_PAGES = 2
 """Pages that crash servers, of which each such fault asks for one: it comes again."""
-CALM_SECONDS = 6.0
+CALM_SECONDS = 12.0
+"""So long does each such page come again in calm times: crashed servers are back four times."""
 HEAL_SECONDS = 60.0
 READY_SECONDS = 30.0
 ITEMS = 24
@@ -154,7 +155,7 @@
             await callers.read_on(self._judge.batches[name], until)
         missing = self._judge.missing()
         assert not missing, f"accepted batches are not whole: {missing}"
-        await asyncio.sleep(TOLD_SECONDS)
+        await asyncio.sleep(TOLD_SECONDS + 1.0)
         for page in sorted(callers.crashing_pages):
             await callers.ask_again_and_again(page, CALM_SECONDS)
 
--- a/tests/process_soak/judge.py
+++ b/tests/process_soak/judge.py
@@ -175,7 +175,7 @@
             for run in runs:
                 assert run.request in self.asked, f"{run.request} runs, but nobody sent it"
             counted = [run.began for run in runs if self._is_told(run.began)]
-            checks.check_crashes(path, [run.began for run in runs], counted)
+            checks.check_crashes(path, sorted(run.began for run in runs), counted)
 
     def _is_told(self, at: float) -> bool:
         """Tells whether nothing has lost or delayed news of crashes for a while."""
--- a/tests/test_process_soak.py
+++ b/tests/test_process_soak.py
@@ -15,7 +15,7 @@
 from tests.process_soak.judge import Judge, SubmittedBatch
 from tests.process_soak.plan import Kind, draw_plan
 from tests.process_soak.proxy import FaultProxy, LinkFault
-from tests.process_soak.records import Evacuation, Order, Records, Run, Usage
+from tests.process_soak.records import CrashingRun, Evacuation, Order, Records, Run, Usage
 from tests.process_soak.site import ZONES
 
 SEEDS = Path(__file__).resolve().parent / "soak_seeds.toml"
@@ -238,6 +238,18 @@
         self.judge.fault_times.append(12.0)
         self.judge.check(self.records)
 
+    def test_request_that_crashes_servers_and_is_sent_on(self):
+        self.judge.asked["r1"] = False
+        began = [30.0, 10.0, 20.0, 24.0, 24.5, 28.0, 29.0]  # as two servers tell them
+        self.records.crashes["/p"] += [CrashingRun("r1", at) for at in began]
+        self.judge.check(self.records)
+        self.records.crashes["/p"].append(CrashingRun("r1", 31.0))
+        self.assert_broken("had crashed 3 servers by 24.0")
+        self.judge.untold.append((27.0, 28.0))
+        self.judge.check(self.records)
+        self.records.crashes["/p"].append(CrashingRun("r2", 31.0))
+        self.assert_broken("nobody sent")
+
     def test_request_in_an_evacuated_zone(self):
         self.judge.asked["r1"] = False
         self.judge.evacuations = [Evacuation(ZONES[0], 10.0, 30.0)]
