--- /dev/null
+++ b/tests/noting_log.py
@@ -0,0 +1,15 @@
+"""A log for tests, which keeps what is noted."""
+
+from larkpost.eventlog import Event, EventLog
+
+
+class NotingLog(EventLog):
+    """Keeps the events of one daemon."""
+
+    def __init__(self) -> None:
+        super().__init__("daemon")
+        self.events: list[tuple[Event, dict]] = []
+
+    def note(self, event: Event, **fields) -> None:
+        """Keeps an event."""
+        self.events.append((event, fields))
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -39,6 +39,7 @@
 from larkpost.rehearsal.memory_store import StoreFaults
 from larkpost.rehearsal.scripted_engines import EngineState, ScriptedEngines
 from larkpost.store.port import Row, RowKey
+from tests.noting_log import NotingLog
 from tests.platform_checks import EVACUATE_SECONDS, known_by
 from tests.platform_fleet import (
     CONFIGURATION,
@@ -259,18 +260,6 @@
         run(play())
 
 
-class NotingLog(EventLog):
-    """Keeps the events of one daemon."""
-
-    def __init__(self) -> None:
-        super().__init__("daemon")
-        self.events: list[tuple[Event, dict]] = []
-
-    def note(self, event: Event, **fields) -> None:
-        """Keeps an event."""
-        self.events.append((event, fields))
-
-
 class FleetTest(unittest.TestCase):
     """A fleet of daemons with two engines in either zone."""
 
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -4,7 +4,7 @@
 from dataclasses import replace
 
 from larkpost.clock import LoopClock
-from larkpost.eventlog import Event, EventLog
+from larkpost.eventlog import Event
 from larkpost.fleet.configuration import ModelName, ServiceName
 from larkpost.fleet.directory import Directory, InstanceInfo, InstanceState
 from larkpost.ids import Address, EngineId, ZoneId
@@ -30,6 +30,7 @@
 from larkpost.store.port import Row, RowKey
 from larkpost.tasks import TaskSet
 from larkpost.telemetry import Telemetry
+from tests.noting_log import NotingLog
 from tests.virtual import run
 
 PAGES = ServiceName("pages")
@@ -186,18 +187,6 @@
         run(play())
 
 
-class NotingLog(EventLog):
-    """A log that keeps its events."""
-
-    def __init__(self) -> None:
-        super().__init__("daemon")
-        self.events: list[tuple[Event, dict]] = []
-
-    def note(self, event: Event, **fields) -> None:
-        """Notes an event."""
-        self.events.append((event, fields))
-
-
 class RecorderTest(unittest.TestCase):
     """A recorder over a store, and a second one that hears of it by rows."""
 
--- a/tests/test_repeated_crashes.py
+++ b/tests/test_repeated_crashes.py
@@ -26,15 +26,20 @@
 """So short that no trial is due when every daemon must know."""
 
 
+async def begin(gateways: int = 3) -> tuple[PlatformFleet, Caller]:
+    """Starts a fleet whose servers one request crashes, and returns it with a client."""
+    fleet = PlatformFleet(gateways, engines=0, scorers=SERVERS)
+    fleet.engines.crashing.add(CRASHING)
+    await fleet.wait(1.0)
+    return fleet, Caller(fleet)
+
+
 class RepeatedCrashesTest(unittest.TestCase):
     """A fleet, its servers, and requests that crash them."""
 
     def test_client_request_that_comes_again_at_other_daemons(self):
         async def play():
-            fleet = PlatformFleet(gateways=3, engines=0, scorers=SERVERS)
-            fleet.engines.crashing.add(CRASHING)
-            await fleet.wait(1.0)
-            caller = Caller(fleet)
+            fleet, caller = await begin()
             for repeat in range(REPEATS):
                 self.assertNotEqual(200, await caller.ask_twice(repeat, CRASHING))
                 await fleet.wait(PAUSE_SECONDS)
@@ -45,10 +50,7 @@
 
     def test_daemon_that_starts_later_knows(self):
         async def play():
-            fleet = PlatformFleet(gateways=2, engines=0, scorers=SERVERS)
-            fleet.engines.crashing.add(CRASHING)
-            await fleet.wait(1.0)
-            caller = Caller(fleet)
+            fleet, caller = await begin(gateways=2)
             await caller.ask_twice(0, CRASHING)
             await fleet.wait(SAVED_SECONDS)
             fleet.kill(0)
@@ -64,10 +66,7 @@
 
     def test_crashes_seen_while_the_store_was_away_are_told_once_it_is_back(self):
         async def play():
-            fleet = PlatformFleet(gateways=3, engines=0, scorers=SERVERS)
-            fleet.engines.crashing.add(CRASHING)
-            await fleet.wait(1.0)
-            caller = Caller(fleet)
+            fleet, caller = await begin()
             fleet.store.faults = StoreFaults(down=True)
             await caller.ask_twice(0, CRASHING)
             await fleet.wait(OUTAGE_SECONDS)
@@ -80,9 +79,7 @@
 
     def test_requests_that_ran_beside_it_are_served_on(self):
         async def play():
-            fleet = PlatformFleet(gateways=3, engines=0, scorers=SERVERS)
-            await fleet.wait(1.0)
-            caller = Caller(fleet)
+            fleet, caller = await begin()
             for repeat in range(REPEATS):
                 crashing = f"/s/crashing-{repeat}".encode()
                 fleet.engines.crashing.add(crashing)
@@ -98,10 +95,7 @@
 
     def test_held_request_is_tried_twice_by_one_daemon_of_all(self):
         async def play():
-            fleet = PlatformFleet(gateways=3, engines=0, scorers=SERVERS)
-            fleet.engines.crashing.add(CRASHING)
-            await fleet.wait(1.0)
-            caller = Caller(fleet)
+            fleet, caller = await begin()
             await caller.ask_twice(0, CRASHING)
             for pause in TRIAL_PAUSES_SECONDS:
                 before = len(fleet.arrivals)
@@ -123,10 +117,7 @@
 
     def test_no_trial_is_made_without_the_store(self):
         async def play():
-            fleet = PlatformFleet(gateways=3, engines=0, scorers=SERVERS)
-            fleet.engines.crashing.add(CRASHING)
-            await fleet.wait(1.0)
-            caller = Caller(fleet)
+            fleet, caller = await begin()
             await caller.ask_twice(0, CRASHING)
             fleet.store.faults = StoreFaults(down=True)
             await fleet.wait(TRIAL_PAUSES_SECONDS[0] + SAVED_SECONDS)
