A request that is lost on a kept connection is not sent again by the HTTP library

Cause: the library sends GET and other repeatable methods again, once, when a kept connection is lost. If the server had crashed, the second try met a dead port, and the request passed for not run: no crash was counted, and the client was told 503 though servers had run it. All requests of the users' sites are POST, which it never sent again. Change: a call to a server that runs a request takes one connection. Test: test_request_lost_on_a_kept_connection_is_not_sent_again_unasked, which fails on the code before, with the port dead (unreachable) and alive (sent twice). The soak's links are dead while their server is, as ports are.

--- a/src/larkpost/platform/connections.py
+++ b/src/larkpost/platform/connections.py
@@ -55,6 +55,10 @@
             taken to be silent for good; if not, its own time limit shows that.
         prove: asks for proof on a new connection, as it harms to end this call without need; it
             ends once there is proof, or `PROOF_SECONDS` later. None if it ends without.
+        is_sent_once: whether the call ends when its connection is lost. The library sends some
+            again by itself then, and tells only how that ended: a server that has crashed would
+            look as if it had never been reached.
+        connections: how many connections the call was given.
     """
 
     sock_connect: float | None = CONNECT_TIMEOUT_SECONDS
@@ -62,6 +66,8 @@
     held: float = 0.0
     ends_if_silent: bool = False
     prove: Callable[[], None] | None = None
+    is_sent_once: bool = False
+    connections: list[int] = attrs.field(factory=lambda: [0], eq=False)
 
 
 class WatchedConnection(ResponseHandler):
@@ -207,13 +213,16 @@
 
         A process that was frozen meanwhile finds its connection open and its timer not yet run.
         """
+        limits = timeout if isinstance(timeout, CallLimits) else CallLimits()
+        if limits.is_sent_once and limits.connections[0]:
+            raise aiohttp.ServerDisconnectedError("the connection was lost")
+        limits.connections[0] += 1
         began = steady_seconds()
         connection = await super().connect(req, traces, timeout)
         if timeout.connect is not None and steady_seconds() - began > timeout.connect:
             connection.close()
             raise aiohttp.ConnectionTimeoutError("the connection came too late")
         key = req.connection_key
-        limits = timeout if isinstance(timeout, CallLimits) else CallLimits()
         connection.protocol.begin_call(Address(f"{key.host}:{key.port}"), limits)
         return connection
 
--- /dev/null
+++ b/src/larkpost/platform/server_messages.py
@@ -0,0 +1,63 @@
+"""What servers say of themselves, and what they are told, in the platform's words."""
+
+import orjson
+
+from larkpost.platform import names
+from larkpost.platform.operator import read_versions
+from larkpost.proxy.port import EngineReport, RunningWork, ServerLoad, VersionOrder
+
+ORDER_MODES = {
+    RunningWork.CARRY: "retain",
+    RunningWork.FINISH: "wait",
+    RunningWork.INTERRUPT: "preempt",
+}
+
+
+def read_whole(headers, name: bytes) -> int | None:
+    """Returns a header that is a whole number; None if it is none."""
+    text = headers.get(name.decode())
+    return int(text) if text is not None and text.isdigit() else None
+
+
+def read_cold(headers) -> float | None:
+    """Returns the seconds for which a server says that it stays cold; None if it says nothing."""
+    left = read_whole(headers, names.COLD_MS)
+    return left / 1000 if left is not None else None
+
+
+def read_load(headers) -> ServerLoad | None:
+    """Returns what a server says of its load; None if it says nothing."""
+    parts = headers.get(names.INSTANCE_LOAD.decode(), "").split(",")
+    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
+        return None
+    running, waiting, slots = (int(part) for part in parts)
+    return ServerLoad(running, waiting, slots)
+
+
+def read_report(content: bytes) -> EngineReport:
+    """Reads an engine's report.
+
+    Raises:
+        ValueError, KeyError, TypeError: it is none.
+    """
+    document = orjson.loads(content)
+    return EngineReport(
+        orders=int(document["seq"]),
+        busy=bool(document["busy"]),
+        running=int(document.get("running", 0)),
+        waiting=int(document.get("waiting", 0)),
+        versions=read_versions(document),
+    )
+
+
+def order_document(order: VersionOrder) -> dict[str, object]:
+    """Returns an order as an engine takes it."""
+    return {
+        "op": "version",
+        "model": order.model,
+        "version": order.version,
+        "mode": ORDER_MODES[order.running_work],
+        "holder": order.holder,
+        "fence": order.fencing_token,
+        "expected": order.expected_orders,
+    }
--- a/src/larkpost/platform/servers.py
+++ b/src/larkpost/platform/servers.py
@@ -18,7 +18,14 @@
 from larkpost.platform import names
 from larkpost.platform.connections import CallLimits, SilentConnectionError, make_session
 from larkpost.platform.events import EventDecoder
-from larkpost.platform.operator import UNREADABLE, read_versions
+from larkpost.platform.operator import UNREADABLE
+from larkpost.platform.server_messages import (
+    order_document,
+    read_cold,
+    read_load,
+    read_report,
+    read_whole,
+)
 from larkpost.platform.silence import CallKind, Peer, Silences
 from larkpost.proxy.port import (
     BrokenAnswerError,
@@ -29,8 +36,6 @@
     OrderOutcome,
     OutgoingRequest,
     PortState,
-    RunningWork,
-    ServerLoad,
     StreamEvent,
     VersionOrder,
 )
@@ -58,11 +63,6 @@
     412: OrderOutcome.FENCED,
     421: OrderOutcome.WRONG_INSTANCE,
 }
-ORDER_MODES = {
-    RunningWork.CARRY: "retain",
-    RunningWork.FINISH: "wait",
-    RunningWork.INTERRUPT: "preempt",
-}
 EMPTY_STATUSES = (204, 304)
 CONTROL_LIMITS = CallLimits(kind=CallKind.CONTROL)
 
@@ -76,9 +76,9 @@
         self._protocol = connection.protocol if connection is not None else None
         self.status = response.status
         self.headers: Headers = tuple(response.raw_headers)
-        self.load = _read_load(response.headers)
-        self.version = _read_whole(response.headers, names.WEIGHT_VERSIONS)
-        self.cold_left = _read_cold(response.headers)
+        self.load = read_load(response.headers)
+        self.version = read_whole(response.headers, names.WEIGHT_VERSIONS)
+        self.cold_left = read_cold(response.headers)
         self.signature = response.headers.get(names.SERVER_STAMP.decode())
 
     async def chunks(self) -> AsyncIterator[bytes]:
@@ -184,7 +184,7 @@
             )
             if status != 200:
                 return None
-            return _read_report(content)
+            return read_report(content)
         except (BrokenAnswerError, *ANSWER_FAILURES, *UNREADABLE):
             return None  # the loader notes it and asks again
 
@@ -196,7 +196,7 @@
             names.EXPECT_INSTANCE.decode(): instance.id,
             "Content-Type": "application/json",
         }
-        body = orjson.dumps(_order_document(order))
+        body = orjson.dumps(order_document(order))
         try:
             status, _ = await self._call("POST", instance, names.ORDER_CALL, body, headers, timeout)
         except (BrokenAnswerError, *ANSWER_FAILURES):
@@ -219,20 +219,21 @@
 
         One that may be repeated is sent again, once, if its connection has gone silent.
         """
-        limits = CallLimits(connect=request.send_within)
+        limits = CallLimits(connect=request.send_within, is_sent_once=True)
         if not request.repeat_if_silent or request.send_within is not None:
             # A send that is limited was counted once, so it is made once.
             return await _send_once(session, instance, request, limits)
         began = steady_seconds()
         try:
-            limits = CallLimits(ends_if_silent=True)
+            limits = CallLimits(ends_if_silent=True, is_sent_once=True)
             return await _send_once(session, instance, request, limits)
         except SilentConnectionError:
             left = request.time_left
             if left is not None:
                 left -= steady_seconds() - began
             again = replace(request, time_left=left)
-        return await _send_once(self._kept, instance, again, CallLimits())
+        limits = CallLimits(is_sent_once=True)
+        return await _send_once(self._kept, instance, again, limits)
 
     async def _read_refusal(
         self, response: aiohttp.ClientResponse, instance: InstanceInfo, request: OutgoingRequest
@@ -354,48 +355,6 @@
         replaced = found != instance.id
         raise NotRunError(NotRunReason.REPLACED if replaced else NotRunReason.MISDIRECTED)
     if names.NOT_EXECUTED.decode() in response.headers:
-        raise NotRunError(NotRunReason.FULL, _read_cold(response.headers))
+        raise NotRunError(NotRunReason.FULL, read_cold(response.headers))
     if echo is None:
         raise BrokenAnswerError("the answer names no request")
-
-
-def _read_whole(headers, name: bytes) -> int | None:
-    text = headers.get(name.decode())
-    return int(text) if text is not None and text.isdigit() else None
-
-
-def _read_cold(headers) -> float | None:
-    """Returns the seconds for which a server says that it stays cold; None if it says nothing."""
-    left = _read_whole(headers, names.COLD_MS)
-    return left / 1000 if left is not None else None
-
-
-def _read_load(headers) -> ServerLoad | None:
-    parts = headers.get(names.INSTANCE_LOAD.decode(), "").split(",")
-    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
-        return None
-    running, waiting, slots = (int(part) for part in parts)
-    return ServerLoad(running, waiting, slots)
-
-
-def _read_report(content: bytes) -> EngineReport:
-    document = orjson.loads(content)
-    return EngineReport(
-        orders=int(document["seq"]),
-        busy=bool(document["busy"]),
-        running=int(document.get("running", 0)),
-        waiting=int(document.get("waiting", 0)),
-        versions=read_versions(document),
-    )
-
-
-def _order_document(order: VersionOrder) -> dict[str, object]:
-    return {
-        "op": "version",
-        "model": order.model,
-        "version": order.version,
-        "mode": ORDER_MODES[order.running_work],
-        "holder": order.holder,
-        "fence": order.fencing_token,
-        "expected": order.expected_orders,
-    }
--- a/tests/connections.py
+++ b/tests/connections.py
@@ -29,6 +29,10 @@
         """Starts listening."""
         self._server = await asyncio.start_server(self._serve, host, port)
 
+    def stop_listening(self) -> None:
+        """Lets the port be dead, until it is started again; open connections stay."""
+        self._server.close()
+
     async def close(self) -> None:
         """Stops listening and ends all connections."""
         self._is_closing = True
--- a/tests/process_soak/proxy.py
+++ b/tests/process_soak/proxy.py
@@ -12,6 +12,8 @@
 READ_BYTES = 65536
 NOISE = bytes(range(192, 256))
 DELAY_SECONDS = 0.15
+RETURN_LOOK_SECONDS = 0.05
+"""Between two looks whether a server listens again."""
 
 
 class LinkFault(StrEnum):
@@ -29,9 +31,15 @@
 
 
 class FaultProxy:
-    """Listens at an address of its own and passes connections on to another one."""
+    """Listens at an address of its own and passes connections on to another one.
 
-    def __init__(self, upstream: Address) -> None:
+    Args:
+        is_mirror: whether its port is dead while the other one is.
+    """
+
+    def __init__(self, upstream: Address, *, is_mirror: bool = False) -> None:
+        self._is_mirror = is_mirror
+        self._return: asyncio.Task | None = None
         self.address = free_address()
         self.fault = LinkFault.NONE
         self.upstream = upstream
@@ -50,6 +58,8 @@
 
     async def close(self) -> None:
         """Stops listening and breaks all connections off."""
+        if self._return is not None:
+            self._return.cancel()
         self.break_off()
         await self._server.close()
 
@@ -92,7 +102,7 @@
             finally:
                 self._drop(server_writer)
         except OSError:
-            return  # the server is gone, or a fault broke the connection off
+            await self._mirror()  # the server is gone, or a fault broke the connection off
         finally:
             self._drop(client_writer)
 
@@ -125,10 +135,34 @@
             if held or fault is LinkFault.HALF:
                 await self._healed.wait()
                 raise ConnectionResetError("bytes were held back")
+        if from_server:
+            await self._mirror()
         if number > self._silent_up_to:
             with contextlib.suppress(OSError):
                 writer.write_eof()
 
+    async def _mirror(self) -> None:
+        """Lets the port be dead if the other one is, before anybody hears of it."""
+        is_dead = self._return is not None and not self._return.done()
+        if not self._is_mirror or is_dead or await self._is_upstream_there():
+            return
+        self._server.stop_listening()
+        self._return = asyncio.create_task(self._listen_again())
+
+    async def _listen_again(self) -> None:
+        """Listens again once the other port does."""
+        while not await self._is_upstream_there():
+            await asyncio.sleep(RETURN_LOOK_SECONDS)
+        await self.start()
+
+    async def _is_upstream_there(self) -> bool:
+        try:
+            _, writer = await asyncio.open_connection(*split_address(self.upstream))
+        except OSError:
+            return False
+        writer.transport.abort()
+        return True
+
     def _drop(self, writer: asyncio.StreamWriter) -> None:
         self._writers.discard(writer)
         writer.transport.abort()
--- a/tests/process_soak/site.py
+++ b/tests/process_soak/site.py
@@ -126,7 +126,7 @@
         for number in range(ENGINE_COUNT + PAGE_COUNT):
             service = ENGINES if number < ENGINE_COUNT else PAGES
             own = free_address()
-            proxy = FaultProxy(own)
+            proxy = FaultProxy(own, is_mirror=True)
             await proxy.start()
             process = self._start_server(service, number, own, proxy, 1)
             self.servers.append(Server(service, number, own, proxy, process))
--- a/tests/test_platform_servers.py
+++ b/tests/test_platform_servers.py
@@ -101,6 +101,21 @@
         return b""
 
 
+class ClosingServer(ScriptedServer):
+    """Answers one request, and closes the connection once it has read the next one."""
+
+    def __init__(self, *, is_dead: bool) -> None:
+        super().__init__(whole(b"", ECHO), whole(b"", ECHO))
+        self._is_dead = is_dead
+
+    async def _body(self, reader, head: bytes) -> bytes:
+        if len(self.heads) > 1:
+            if self._is_dead:
+                self._server.close()
+            raise ConnectionError("the server ends")
+        return b""
+
+
 def request(number: int = 1, **changes) -> OutgoingRequest:
     """Returns a request with the id r<number>."""
     fields = {
@@ -301,6 +316,16 @@
                             await self.fetch(server, request(1))
                     self.assertEqual(expected, caught.exception.connection_lost)
 
+    async def test_request_lost_on_a_kept_connection_is_not_sent_again_unasked(self):
+        for is_dead in (False, True):
+            with self.subTest(is_dead=is_dead):
+                async with ClosingServer(is_dead=is_dead) as server:
+                    await self.fetch(server, request(1, method="GET", body=b""))
+                    with self.assertRaises(BrokenAnswerError) as caught:
+                        await self.fetch(server, request(2, method="GET", body=b""))
+                self.assertTrue(caught.exception.connection_lost)
+                self.assertEqual((1, 2), (server.connections, len(server.heads)))
+
     async def test_probe_tells_a_dead_port_from_one_that_listens(self):
         servers = HttpServers()
         self.addAsyncCleanup(servers.close)
--- a/tests/test_process_soak.py
+++ b/tests/test_process_soak.py
@@ -92,6 +92,25 @@
         self.assertIsNone(await self.answer(b"hello"))
         self.assertEqual(b"hello", bytes(self.received))
 
+    async def test_mirror_is_dead_while_its_server_is(self):
+        mirror = FaultProxy(self.proxy.upstream, is_mirror=True)
+        await mirror.start()
+        self.addAsyncCleanup(mirror.close)
+        reader, writer = await asyncio.open_connection(*split_address(mirror.address))
+        writer.write(b"a")
+        self.assertEqual(b"a", await reader.read(1))
+        await self.server.close()
+        self.assertEqual(b"", await reader.read(1))
+        with self.assertRaises(ConnectionRefusedError):
+            await asyncio.open_connection(*split_address(mirror.address))
+        self.server = ConnectionServer(self.echo)
+        await self.server.start(*split_address(self.proxy.upstream))
+        await asyncio.sleep(WAIT_SECONDS)
+        reader, writer = await asyncio.open_connection(*split_address(mirror.address))
+        writer.write(b"b")
+        self.assertEqual(b"b", await reader.read(1))
+        writer.transport.abort()
+
     async def test_half_a_message(self):
         self.proxy.harm(LinkFault.HALF)
         self.assertEqual(b"h", await self.answer(b"helloo"))  # half of half: both directions
