--- a/tests/process_soak/proxy.py
+++ b/tests/process_soak/proxy.py
@@ -39,6 +39,7 @@
 
     def __init__(self, upstream: Address, *, is_mirror: bool = False) -> None:
         self._is_mirror = is_mirror
+        self._is_dead = False
         self._return: asyncio.Task | None = None
         self.address = free_address()
         self.fault = LinkFault.NONE
@@ -143,9 +144,9 @@
 
     async def _mirror(self) -> None:
         """Lets the port be dead if the other one is, before anybody hears of it."""
-        is_dead = self._return is not None and not self._return.done()
-        if not self._is_mirror or is_dead or await self._is_upstream_there():
-            return
+        if not self._is_mirror or await self._is_upstream_there() or self._is_dead:
+            return  # many connections may end at once
+        self._is_dead = True
         self._server.stop_listening()
         self._return = asyncio.create_task(self._listen_again())
 
@@ -154,6 +155,7 @@
         while not await self._is_upstream_there():
             await asyncio.sleep(RETURN_LOOK_SECONDS)
         await self.start()
+        self._is_dead = False
 
     async def _is_upstream_there(self) -> bool:
         try:
--- a/tests/test_process_soak.py
+++ b/tests/test_process_soak.py
@@ -96,11 +96,14 @@
         mirror = FaultProxy(self.proxy.upstream, is_mirror=True)
         await mirror.start()
         self.addAsyncCleanup(mirror.close)
-        reader, writer = await asyncio.open_connection(*split_address(mirror.address))
-        writer.write(b"a")
-        self.assertEqual(b"a", await reader.read(1))
+        address = split_address(mirror.address)
+        opened = [await asyncio.open_connection(*address) for _ in range(3)]
+        for reader, writer in opened:
+            writer.write(b"a")
+            self.assertEqual(b"a", await reader.read(1))
         await self.server.close()
-        self.assertEqual(b"", await reader.read(1))
+        for reader, _ in opened:
+            self.assertEqual(b"", await reader.read(1))
         with self.assertRaises(ConnectionRefusedError):
             await asyncio.open_connection(*split_address(mirror.address))
         self.server = ConnectionServer(self.echo)
