--- a/src/larkpost/client.py
+++ b/src/larkpost/client.py
@@ -28,13 +28,13 @@
 
 Result = TypeVar("Result")
 RETRY_SECONDS = 0.2
-"""The pause after a failure grows by this with each failure in a row. Not measured."""
+"""The pause after a failure grows by this with each failure in a row."""
 RETRY_LIMIT_SECONDS = 2.0
-"""Longest pause after a failure. Not measured."""
+"""Longest pause after a failure."""
 CALL_TIMEOUT_SECONDS = 10.0
-"""Longest time for one call: a daemon holds a pull for two seconds by default. Not measured."""
+"""Longest time for one call: a daemon holds a pull for two seconds by default."""
 CONNECT_TIMEOUT_SECONDS = 1.0
-"""Longest wait for a connection. Not measured."""
+"""Longest wait for a connection."""
 INVALID_REQUEST = 400
 
 
--- a/src/larkpost/common/http_server.py
+++ b/src/larkpost/common/http_server.py
@@ -14,14 +14,14 @@
 from larkpost.common.ids import Address
 
 BACKLOG = 1024
-"""Connections that may wait to be accepted. Not measured."""
+"""Connections that may wait to be accepted."""
 KEEP_ALIVE_SECONDS = 75
-"""How long a connection may be idle. Not measured."""
+"""How long a connection may be idle."""
 START_POLL_SECONDS = 0.005
 """Between two checks whether the server has started: the library has no event for it."""
 CLOSE_SECONDS = 0.4
 """Longest wait for responses under way once the server is to end: whoever closes it has waited for
-them before, and a process that stays too long is killed. Not measured."""
+them before, and a process that stays too long is killed."""
 
 
 Application = Callable[[dict, Callable, Callable], Awaitable[None]]
--- a/src/larkpost/common/tasks.py
+++ b/src/larkpost/common/tasks.py
@@ -12,7 +12,7 @@
 
 MIN_PAUSE_DIVISOR = 10
 """A repeated step pauses for at least this part of its interval, however long it took: a slow step
-must not take the whole loop. Not measured."""
+must not take the whole loop."""
 
 
 class FailureReporter(Protocol):
--- a/src/larkpost/gateway/assembly/loop_watch.py
+++ b/src/larkpost/gateway/assembly/loop_watch.py
@@ -5,9 +5,9 @@
 from larkpost.gateway.observability.eventlog import Event, EventLog
 
 LOOP_INTERVAL_SECONDS = 0.5
-"""Seconds between two measurements. Not measured."""
+"""Seconds between two measurements."""
 LATE_LOOP_SECONDS = 0.5
-"""Seconds of delay of the event loop from which it is logged. Not measured."""
+"""Seconds of delay of the event loop from which it is logged."""
 
 
 class LoopWatch:
--- a/src/larkpost/gateway/blackboard/known_crashes.py
+++ b/src/larkpost/gateway/blackboard/known_crashes.py
@@ -24,8 +24,7 @@
 its next whole response clears it. One crash is forgotten with time, which saves a write for each
 request that a crash broke off."""
 REMEMBERED_SECONDS = 3600.0
-"""How long a crash counts; software that survives the request may be rolled out by then. Not
-measured."""
+"""How long a crash counts; software that survives the request may be rolled out by then."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/larkpost/gateway/controllers/coordinators.py
+++ b/src/larkpost/gateway/controllers/coordinators.py
@@ -13,10 +13,10 @@
 
 COORDINATORS = 12
 """Coordinators of the whole fleet: enough that not all of them fail at once, few enough that their
-heartbeats fit into one part of the store. Not measured."""
+heartbeats fit into one part of the store."""
 JOIN_SECONDS = 0.5
 """Seconds after its start from which a daemon may coordinate: when all start at once, the first
-listings show few. Not measured."""
+listings show few."""
 
 
 def is_to_coordinate(
--- a/src/larkpost/gateway/controllers/division.py
+++ b/src/larkpost/gateway/controllers/division.py
@@ -16,8 +16,8 @@
 from larkpost.gateway.controllers.model_assignment import assign_models, split_evacuated
 
 LIFETIME_SECONDS = 0.1
-"""Seconds for which a division serves: items ask for it again and again. Not measured: as long as
-the loader's interval."""
+"""Seconds for which a division serves: items ask for it again and again. As long as the loader's
+interval."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/larkpost/gateway/controllers/due_loads.py
+++ b/src/larkpost/gateway/controllers/due_loads.py
@@ -22,16 +22,14 @@
 from larkpost.gateway.controllers.model_assignment import assign_models, split_evacuated
 
 LOAD_GROUPS = 3
-"""Groups of a model's engines that load a version one after the other; two thirds serve on.
-Not measured."""
+"""Groups of a model's engines that load a version one after the other; two thirds serve on."""
 GROUP_SECONDS = 1.0
-"""Seconds for one group, after which it is the next one's turn. Not measured: above the time that
-one load takes."""
+"""Seconds for one group, after which it is the next one's turn. Above the time that one load
+takes."""
 FIRST_SECONDS = 0.3
-"""Seconds before the first group loads while no batch of the model runs: one may come at once.
-Not measured."""
+"""Seconds before the first group loads while no batch of the model runs: one may come at once."""
 BUSY_FIRST_SECONDS = 0.9
-"""The same while one runs, so that its items have found their places before. Not measured."""
+"""The same while one runs, so that its items have found their places before."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/larkpost/gateway/controllers/feeds.py
+++ b/src/larkpost/gateway/controllers/feeds.py
@@ -15,14 +15,13 @@
 from larkpost.gateway.store.port import Row, Store
 
 FAST_RELIST_SECONDS = 1.5
-"""Seconds between two listings of the instances. Not measured."""
+"""Seconds between two listings of the instances."""
 SLOW_RELIST_SECONDS = 3.0
-"""Seconds between two listings of the operator's rows and of the heads. Not measured."""
+"""Seconds between two listings of the operator's rows and of the heads."""
 IDLE_RELIST_FACTOR = 4
-"""How much less often a daemon lists the batches that neither coordinates nor owns any.
-Not measured."""
+"""How much less often a daemon lists the batches that neither coordinates nor owns any."""
 LAPSED_INTERVAL_SECONDS = 0.25
-"""Seconds between two checks for instances whose entries lapsed. Not measured."""
+"""Seconds between two checks for instances whose entries lapsed."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/larkpost/gateway/controllers/heartbeat_intervals.py
+++ b/src/larkpost/gateway/controllers/heartbeat_intervals.py
@@ -14,17 +14,15 @@
 HEARTBEAT_SECONDS = 0.25
 """Interval of awaited heartbeats and their listings: a step has less than a second to spare."""
 LISTED_ROWS_PER_SECOND = 200.0
-"""Most rows that a coordinator or owner lists a second; with more of them it lists slower.
-Not measured."""
+"""Most rows that a coordinator or owner lists a second; with more of them it lists slower."""
 IDLE_HEARTBEAT_SECONDS = 2.0
-"""Interval of known heartbeats, in a fleet small enough for it. Not measured."""
+"""Interval of known heartbeats, in a fleet small enough for it."""
 IDLE_HEARTBEATS_PER_SECOND = 80.0
 """Most known heartbeats that a fleet writes together: one part takes 200 writes a second."""
 IDLE_ROWS_PER_SECOND = 38.0
 """Most known heartbeats that a daemon lists a second: of 180 B each, under the 7 KB/s budget."""
 YOUNG_SECONDS = 3.0
-"""Seconds for which a new daemon lists the known ones often: after an outage all are new.
-Not measured."""
+"""Seconds for which a new daemon lists the known ones often: after an outage all are new."""
 YOUNG_ROWS_PER_SECOND = 400.0
 """Most known heartbeats that it lists a second then: two listings a second at 200 daemons."""
 DEAD_AFTER_SECONDS = MISSED_HEARTBEATS * HEARTBEAT_SECONDS
--- a/src/larkpost/gateway/controllers/heartbeat_list.py
+++ b/src/larkpost/gateway/controllers/heartbeat_list.py
@@ -18,15 +18,13 @@
 """Table of the store that has the heartbeats of all daemons, by kind and daemon."""
 MISSED_HEARTBEATS = 3.2
 """A daemon has fallen silent once this many of its intervals have elapsed without a heartbeat.
-Not measured: three may be lost, and a little more for the listing."""
+Three may be lost, and a little more for the listing."""
 STORE_CALLS_ALLOWED = 4.0
-"""Calls to the store, as they take now, that are added to the time until a daemon is silent.
-Not measured."""
+"""Calls to the store, as they take now, that are added to the time until a daemon is silent."""
 STORE_CALL_WEIGHT = 0.3
-"""Weight of the newest call in the usual time of one. Not measured."""
+"""Weight of the newest call in the usual time of one."""
 BLIND_INTERVALS = 2.2
-"""Intervals between two successful listings after which all observations start afresh.
-Not measured."""
+"""Intervals between two successful listings after which all observations start afresh."""
 UNREADABLE_INTERVAL_SECONDS = 0.25
 """Interval that counts for a row that cannot be read: the shortest that a daemon reports."""
 
--- a/src/larkpost/gateway/controllers/heartbeat_writer.py
+++ b/src/larkpost/gateway/controllers/heartbeat_writer.py
@@ -21,17 +21,16 @@
 from larkpost.gateway.store.port import Store, Transaction, WriteOutcome
 
 STAY_SECONDS = 5.0
-"""Seconds for which a daemon stays awaited after its last reason: the next step's batch is near.
-Not measured."""
+"""Seconds for which a daemon stays awaited after its last reason: the next step's batch is near."""
 MOST_REPORTED_CALL_SECONDS = 0.4
 """Most seconds of a call by which a daemon reports its interval longer: a full link between regions
 takes 0.3 s. Others wait 3.2 times as long for it, so more would hold up its batches once it is
 dead."""
 TIMER_SLACK_SECONDS = 0.05
 """Seconds by which a timer may be early and still count: a tick of `HEARTBEAT_SECONDS` that comes a
-little early must not wait for the next one. Not measured."""
+little early must not wait for the next one."""
 WRITE_TIMEOUT_SECONDS = 1.0
-"""Seconds for one call that writes. Not measured."""
+"""Seconds for one call that writes."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/larkpost/gateway/controllers/leases.py
+++ b/src/larkpost/gateway/controllers/leases.py
@@ -26,12 +26,11 @@
 LEASE_TABLE = "leases"
 """Table of the store; its parts are the duties, its keys the subjects."""
 USE_SECONDS = 0.5
-"""Seconds after the call was sent for which a lease may be used. Not measured."""
+"""Seconds after the call was sent for which a lease may be used."""
 SLACK_SECONDS = 0.5
-"""Seconds added for the time an act travels and for the error of the estimated store clock.
-Not measured."""
+"""Seconds added for the time an act travels and for the error of the estimated store clock."""
 WRITE_TIMEOUT_SECONDS = 1.0
-"""Seconds for the call that takes a lease. Not measured."""
+"""Seconds for the call that takes a lease."""
 
 
 class Duty(StrEnum):
--- a/src/larkpost/gateway/controllers/loader.py
+++ b/src/larkpost/gateway/controllers/loader.py
@@ -26,19 +26,19 @@
 )
 
 INTERVAL_SECONDS = 0.1
-"""Seconds between two checks of a coordinator. Not measured."""
+"""Seconds between two checks of a coordinator."""
 IDLE_INTERVAL_SECONDS = 0.5
-"""The same for a daemon that is none: it checks only whether it has become one. Not measured."""
+"""The same for a daemon that is none: it checks only whether it has become one."""
 REPORT_TIMEOUT_SECONDS = 0.7
-"""Seconds for an engine's report. Not measured."""
+"""Seconds for an engine's report."""
 ORDER_TIMEOUT_SECONDS = 0.4
-"""Seconds for an engine's response to an order; under `leases.USE_SECONDS`. Not measured."""
+"""Seconds for an engine's response to an order; under `leases.USE_SECONDS`."""
 TAKEN_SECONDS = 2.5
-"""Seconds after an order was taken before the engine is checked again: it loads. Not measured."""
+"""Seconds after an order was taken before the engine is checked again: it loads."""
 UNANSWERED_SECONDS = 0.6
-"""The same after an order without a response: it may have been lost, or come late. Not measured."""
+"""The same after an order without a response: it may have been lost, or come late."""
 RETRY_SECONDS = 0.4
-"""The same after an order that was refused or could not be given. Not measured."""
+"""The same after an order that was refused or could not be given."""
 
 
 class WeightLoader:
--- a/src/larkpost/gateway/controllers/members.py
+++ b/src/larkpost/gateway/controllers/members.py
@@ -37,8 +37,8 @@
 AWAITED_PART = "awaited"
 """Part of the store that has the awaited heartbeats."""
 FORGET_AFTER_SECONDS = 60.0
-"""Seconds of silence after which a daemon's rows are removed. Not measured: far above any outage
-that its machine survives."""
+"""Seconds of silence after which a daemon's rows are removed. Far above any outage that its machine
+survives."""
 MAX_REMOVALS = 40
 """Rows of dead daemons removed at once: a transaction takes a hundred entries."""
 
--- a/src/larkpost/gateway/controllers/model_assignment.py
+++ b/src/larkpost/gateway/controllers/model_assignment.py
@@ -16,7 +16,7 @@
 
 MIN_ENGINES_PER_MODEL = 2
 """Engines that each model gets at least, so that it is served while one of them is lost or loads.
-Not measured: the least number for which that holds."""
+The least number for which that holds."""
 
 Assignment = dict[ModelName, list[InstanceId]]
 """For each model its engines, in the order in which they load new versions."""
--- a/src/larkpost/gateway/controllers/row_intake.py
+++ b/src/larkpost/gateway/controllers/row_intake.py
@@ -17,8 +17,7 @@
 from larkpost.gateway.store.port import Row
 
 LAPSED_SECONDS = 2.2
-"""Seconds for which the store must have been sound for a missing entry to be gone for good.
-Not measured."""
+"""Seconds for which the store must have been sound for a missing entry to be gone for good."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/larkpost/gateway/daemon.py
+++ b/src/larkpost/gateway/daemon.py
@@ -56,7 +56,7 @@
 from larkpost.gateway.usage.counter import UsageCounter
 
 READINESS_INTERVAL_SECONDS = 0.05
-"""Seconds between two checks whether enough is known to take clients. Not measured."""
+"""Seconds between two checks whether enough is known to take clients."""
 
 
 class Gateway:
--- a/src/larkpost/gateway/observability/eventlog.py
+++ b/src/larkpost/gateway/observability/eventlog.py
@@ -19,9 +19,9 @@
 STANDARD_OUTPUT = 1
 """File descriptor of standard output."""
 LINES_PER_SECOND = 40
-"""Lines of one event that are written a second; the others are counted. Not measured."""
+"""Lines of one event that are written a second; the others are counted."""
 MAX_PENDING_BYTES = 262144
-"""Bytes that may wait for a slow reader; lines beyond are dropped and counted. Not measured."""
+"""Bytes that may wait for a slow reader; lines beyond are dropped and counted."""
 LINE_OPTIONS = orjson.OPT_APPEND_NEWLINE | orjson.OPT_NON_STR_KEYS
 """Fields may be tables by an enumeration's members, which are no plain texts."""
 
--- a/src/larkpost/gateway/placement/cold_rule.py
+++ b/src/larkpost/gateway/placement/cold_rule.py
@@ -22,15 +22,15 @@
 from larkpost.gateway.placement.work import Work, WorkKind
 
 SEND_WITHIN_SECONDS = 0.25
-"""A send that is admitted is on a connection within this time, or it is not made: a daemon that
-was frozen between the two must not send with an old permission. Not measured."""
+"""A send that is admitted is on a connection within this time, or it is not made: a daemon that was
+frozen between the two must not send with an old permission."""
 WINDOW_SECONDS = 1.0 + SEND_WITHIN_SECONDS
 """Sends that may fall into the same second are admitted within this time."""
 RESERVATION_SECONDS = 0.2
 """How long a place reserved for an item counts before its send does; it is sent within
-milliseconds, or not at all. Not measured."""
+milliseconds, or not at all."""
 POLL_SECONDS = 0.25
-"""How often it is logged which instances have turned cold or warm. Not measured."""
+"""How often it is logged which instances have turned cold or warm."""
 OWNER_WORK = (WorkKind.ITEM, WorkKind.REWARD)
 """What owners of batches send; all else are clients' requests."""
 
--- a/src/larkpost/gateway/placement/cold_senders.py
+++ b/src/larkpost/gateway/placement/cold_senders.py
@@ -12,21 +12,18 @@
 from larkpost.gateway.placement.cold_share import SenderView
 
 OWNER_MEMORY_SECONDS = 2.0
-"""For so long an owner counts after it is named no longer: it may not know yet. Not
-measured."""
+"""For so long an owner counts after it is named no longer: it may not know yet."""
 NEWCOMER_SECONDS = 1.0
-"""For so long a new owner takes the least share, as the others may not have heard of it. Not
-measured."""
+"""For so long a new owner takes the least share, as the others may not have heard of it."""
 BLIND_SECONDS = 1.6
 """Age of the feed of heads from which this daemon does not know the other owners: a response
 of the feed may wait for a second."""
 YOUNG_SECONDS = 3.0
-"""For so long after its start a daemon may not know all members. Not measured."""
+"""For so long after its start a daemon may not know all members."""
 UNHEARD_SECONDS = 4.0
-"""Age of the feed from which others may soon consider this daemon dead, and name another. Not
-measured."""
+"""Age of the feed from which others may soon consider this daemon dead, and name another."""
 UPDATE_SECONDS = 0.1
-"""How old a view may be. Not measured."""
+"""How old a view may be."""
 
 
 class Members(Protocol):
--- a/src/larkpost/gateway/placement/cold_share.py
+++ b/src/larkpost/gateway/placement/cold_share.py
@@ -18,7 +18,7 @@
 
 MAIN_PART = 0.8
 """Part of the bound that is the owners' at engines, and the clients' at other instances; without
-unit. Not measured."""
+unit."""
 MIN_OWNERS_COUNTED = 2
 """Batches come from several trainers at once: one owner alone leaves as much as two do."""
 UNHEARD_OWNERS = 1
--- a/src/larkpost/gateway/planned_stop.py
+++ b/src/larkpost/gateway/planned_stop.py
@@ -20,9 +20,9 @@
 counts of usage (0.8 s at most), the listeners (0.4 s at most), and a machine that is slow."""
 HAND_OVER_SHARE = 0.6
 """Share of the grace time, less the margin, within which batches are handed over; those that are
-not are claimed by others once this daemon is considered dead. Not measured."""
+not are claimed by others once this daemon is considered dead."""
 POLL_SECONDS = 0.05
-"""Seconds between two checks for responses under way. Not measured."""
+"""Seconds between two checks for responses under way."""
 
 Step = Callable[[], Awaitable[None]]
 
--- a/src/larkpost/gateway/proxy/admission.py
+++ b/src/larkpost/gateway/proxy/admission.py
@@ -17,8 +17,7 @@
 from larkpost.gateway.observability.metrics import Count, Metrics
 
 RETRY_AFTER_SECONDS = 0.3
-"""When to come back to a daemon that lacks the configuration: others usually have it. Not
-measured."""
+"""When to come back to a daemon that lacks the configuration: others usually have it."""
 
 
 class NotConfiguredError(LarkpostError):
--- a/src/larkpost/gateway/proxy/balancer.py
+++ b/src/larkpost/gateway/proxy/balancer.py
@@ -35,8 +35,7 @@
 from larkpost.gateway.servers.port import NotRunError, NotRunReason, ServerLoad
 
 UNREACHABLE_AVOID_SECONDS = 1.0
-"""For so long an instance is a last resort that did not run a request, unless it was full. Not
-measured."""
+"""For so long an instance is a last resort that did not run a request, unless it was full."""
 NOT_ASKED_REASONS = (
     NotRunReason.COLD,
     NotRunReason.EVACUATED,
--- a/src/larkpost/gateway/proxy/elapsed_time.py
+++ b/src/larkpost/gateway/proxy/elapsed_time.py
@@ -8,7 +8,7 @@
 from larkpost.common.clock import Clock
 
 WINDOW_SECONDS = 30.0
-"""How long the longest time left is remembered, at least; twice as long at most. Not measured."""
+"""How long the longest time left is remembered, at least; twice as long at most."""
 
 
 class ElapsedTimes:
--- a/src/larkpost/gateway/proxy/forecast.py
+++ b/src/larkpost/gateway/proxy/forecast.py
@@ -13,16 +13,13 @@
 
 LEAST_SHARE_OF_PACE = 0.5
 """A request may need half of what requests take: the smallest of a service do, and a refusal that
-was not necessary costs more than an attempt in vain. Not measured."""
+was not necessary costs more than an attempt in vain."""
 LEAST_RETRY_SECONDS = 0.05
-"""A caller that comes back sooner meets the same state: the loads known are as old. Not
-measured."""
+"""A caller that comes back sooner meets the same state: the loads known are as old."""
 MOST_RETRY_SECONDS = 1.0
-"""Nothing is forecast further ahead: reported loads and paces are used for about a second. Not
-measured."""
+"""Nothing is forecast further ahead: reported loads and paces are used for about a second."""
 NO_PLACE_RETRY_SECONDS = 0.5
-"""When to come back to a service without any place: entries of instances take about that long.
-Not measured."""
+"""When to come back to a service without any place: entries of instances take about that long."""
 HEEDED_SHARE = 1 / 3
 """Callers wait at most this share of the time that they have left before they come back."""
 MILLISECONDS = 1000
--- a/src/larkpost/gateway/proxy/instance_use.py
+++ b/src/larkpost/gateway/proxy/instance_use.py
@@ -13,17 +13,17 @@
 from larkpost.gateway.servers.port import ServerLoad
 
 LOAD_LIFETIME_SECONDS = 1.0
-"""How long a load that a server reported of itself is used. Not measured."""
+"""How long a load that a server reported of itself is used."""
 PACE_WEIGHT = 0.25
-"""Share of the newest measurement in an instance's pace, without unit. Not measured."""
+"""Share of the newest measurement in an instance's pace, without unit."""
 PACE_LIFETIME_SECONDS = 4.0
-"""How long a pace that this daemon measured is used. Not measured."""
+"""How long a pace that this daemon measured is used."""
 FORGET_SECONDS = 60.0
-"""After this long without use the records of instances and daemons that are gone are dropped. Not
-measured: it only bounds memory, and is longer than anything in them is used."""
+"""After this long without use the records of instances and daemons that are gone are dropped. It
+only bounds memory, and is longer than anything in them is used."""
 PROBE_SECONDS = 0.15
-"""Pause between two requests to an instance that refuses. Not measured: short beside a load of
-weights, which takes about a second."""
+"""Pause between two requests to an instance that refuses. Short beside a load of weights, which
+takes about a second."""
 SUMMARY_PACE_DIGITS = 4
 """Decimal places of a pace in seconds as it is reported: a tenth of a millisecond."""
 
--- a/src/larkpost/gateway/proxy/latency.py
+++ b/src/larkpost/gateway/proxy/latency.py
@@ -15,18 +15,15 @@
     Distance.SAME_REGION: 1.05,
     Distance.OTHER_REGION: 1.5,
 }
-"""How many times as long a response is taken to take until it was measured, without unit. Not
-measured: a little, so that the nearer of two equal servers is taken, and load and pace decide
-otherwise."""
+"""How many times as long a response is taken to take until it was measured, without unit. A little,
+so that the nearer of two equal servers is taken, and load and pace decide otherwise."""
 MAX_FACTOR = 4.0
-"""Largest factor, without unit. Not measured: a single late response must not close a region for
-long."""
+"""Largest factor, without unit. A single late response must not close a region for long."""
 RISE_WEIGHT = 0.05
-"""Share of a response slower than the usual one, without unit. Not measured: small, as the quickest
-ones tell the latency, the others the load."""
+"""Share of a response slower than the usual one, without unit. Small, as the quickest ones tell the
+latency, the others the load."""
 LIFETIME_SECONDS = 120.0
-"""How long a measurement counts. Not measured: servers and links change, and a far one is seldom
-asked."""
+"""How long a measurement counts. Servers and links change, and a far one is seldom asked."""
 
 
 @dataclass(slots=True)
--- a/src/larkpost/gateway/proxy/outcomes.py
+++ b/src/larkpost/gateway/proxy/outcomes.py
@@ -15,11 +15,11 @@
 from larkpost.gateway.servers.port import NotRunError
 
 FULL_AVOID_SECONDS = 0.05
-"""For so long a server that was full is a last resort. Not measured."""
+"""For so long a server that was full is a last resort."""
 BROKEN_AVOID_SECONDS = 0.3
-"""For so long a server is a last resort that gave no response to pass on. Not measured."""
+"""For so long a server is a last resort that gave no response to pass on."""
 SILENT_AVOID_SECONDS = 1.0
-"""For so long a server is a last resort that was silent beyond the objective. Not measured."""
+"""For so long a server is a last resort that was silent beyond the objective."""
 NOT_SERVED = "not_served"
 """The outcome of a forecast whose request got no response that counts."""
 
--- a/src/larkpost/gateway/proxy/peer_use.py
+++ b/src/larkpost/gateway/proxy/peer_use.py
@@ -8,10 +8,10 @@
 from larkpost.gateway.proxy.instance_use import FORGET_SECONDS
 
 PEER_LIFETIME_SECONDS = 1.2
-"""How long the requests that another daemon reported are counted. Not measured."""
+"""How long the requests that another daemon reported are counted."""
 PEER_PACE_LIFETIME_SECONDS = 12.0
-"""How long a pace that another daemon reported is used. Not measured: longer than one's own, as
-it is used only where there is none of one's own."""
+"""How long a pace that another daemon reported is used. Longer than one's own, as it is used only
+where there is none of one's own."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/larkpost/gateway/proxy/places.py
+++ b/src/larkpost/gateway/proxy/places.py
@@ -13,8 +13,7 @@
 
 FREE_SHARE = 0.5
 """While less than this share of the places is taken, nothing waits and nothing is refused: what is
-known of the others' requests is a second old, and is not believed against so many free places. Not
-measured."""
+known of the others' requests is a second old, and is not believed against so many free places."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/larkpost/gateway/proxy/ranking.py
+++ b/src/larkpost/gateway/proxy/ranking.py
@@ -10,13 +10,13 @@
 from larkpost.gateway.blackboard.directory import InstanceInfo
 
 MAX_PACE_RATIO = 8.0
-"""By how much slower than the fastest an instance is taken to be at most, without unit. Not
-measured: it bounds what a single outlier does."""
+"""By how much slower than the fastest an instance is taken to be at most, without unit. It bounds
+what a single outlier does."""
 NEW_CONNECTION_FACTOR = 1.2
 """By how much longer the wait counts at an instance to which no connection is kept, without unit.
 
 More than the paces of equal servers differ by chance, less than one request more in a queue of
-five (6/5) does: a new connection costs a server time, but not as much as a request. Not measured.
+five (6/5) does: a new connection costs a server time, but not as much as a request.
 """
 
 
--- a/src/larkpost/gateway/proxy/request_queue.py
+++ b/src/larkpost/gateway/proxy/request_queue.py
@@ -22,12 +22,11 @@
 
 POLL_INTERVAL_SECONDS = 0.02
 """Between two tries at servers that were full: a tenth of the shortest objectives, and less than
-what requests take there. Not measured."""
+what requests take there."""
 PLACES_PER_POLL = 2000
-"""Beyond so many places of a service its queue is polled less often, as each poll counts them all:
-17.6 ms of processor time for 3,200 servers of 8 slots, then every 256 ms."""
+"""Beyond so many places of a service its queue is polled less often: each poll counts them all."""
 BLOCKED_MEMORY_SECONDS = 1.0
-"""How long it is believed, without a further attempt, that no place comes free. Not measured."""
+"""How long it is believed, without a further attempt, that no place comes free."""
 
 Survey = Callable[[ServiceName, Work], Places]
 
--- a/src/larkpost/gateway/proxy/server_attempt.py
+++ b/src/larkpost/gateway/proxy/server_attempt.py
@@ -22,7 +22,7 @@
 )
 
 LEAST_TIME_LEFT_SECONDS = 0.001
-"""What a server is told at least that is left of a request's time. Not measured."""
+"""What a server is told at least that is left of a request's time."""
 
 
 class ServerAttempt:
--- a/src/larkpost/gateway/proxy/server_choice.py
+++ b/src/larkpost/gateway/proxy/server_choice.py
@@ -12,12 +12,11 @@
 from larkpost.gateway.proxy.turn_gate import TurnGate
 
 MIN_HEDGE_SECONDS = 0.1
-"""No second server is tried sooner than this. Not measured."""
+"""No second server is tried sooner than this."""
 HEDGE_PACE_FACTOR = 3.0
-"""A second server is tried after so many times the pace of the fastest, without unit. Not
-measured."""
+"""A second server is tried after so many times the pace of the fastest, without unit."""
 UNKNOWN_PACE_DIVISOR = 2
-"""Where no pace is known, this part of the objective stands in for it. Not measured."""
+"""Where no pace is known, this part of the objective stands in for it."""
 
 
 def hedge_delay(paces: Collection[float], objective: float) -> float:
--- a/src/larkpost/gateway/proxy/shares.py
+++ b/src/larkpost/gateway/proxy/shares.py
@@ -8,7 +8,7 @@
 from larkpost.gateway.blackboard.configuration import Route, ServiceName
 
 FIRST_ROUNDS = 97
-"""A route begins as if a random number of requests, below this, had come before. Not measured."""
+"""A route begins as if a random number of requests, below this, had come before."""
 
 
 class ShareChooser:
--- a/src/larkpost/gateway/proxy/turn_gate.py
+++ b/src/larkpost/gateway/proxy/turn_gate.py
@@ -24,7 +24,7 @@
 
 UNKNOWN_PACE_SHARE = 0.25
 """Share of the objective that a request is taken to need where no pace is known: objectives leave
-room for a few requests one after the other. Not measured."""
+room for a few requests one after the other."""
 
 
 class Turn(StrEnum):
--- a/src/larkpost/gateway/quarantine/crash_writer.py
+++ b/src/larkpost/gateway/quarantine/crash_writer.py
@@ -12,10 +12,9 @@
 from larkpost.gateway.quarantine.repository import MAX_ROWS, CrashRepository
 
 RETRY_SECONDS = 0.2
-"""Pause after a write that the store did not carry out. Not measured."""
+"""Pause after a write that the store did not carry out."""
 MAX_UNSAVED = 2000
-"""Changes that wait for the store; when it is away for long, the oldest ones are dropped. Not
-measured."""
+"""Changes that wait for the store; when it is away for long, the oldest ones are dropped."""
 
 
 class CrashWriter:
--- a/src/larkpost/gateway/quarantine/recorder.py
+++ b/src/larkpost/gateway/quarantine/recorder.py
@@ -22,9 +22,9 @@
 from larkpost.gateway.store.port import Row
 
 FORGET_INTERVAL_SECONDS = 60.0
-"""Between two removals of old crashes. Not measured: short beside the time they are remembered."""
+"""Between two removals of old crashes. Short beside the time they are remembered."""
 MAX_LOGGED = 20
-"""Contents named in a line of the log. Not measured."""
+"""Contents named in a line of the log."""
 
 
 class CrashRecorder:
--- a/src/larkpost/gateway/quarantine/repository.py
+++ b/src/larkpost/gateway/quarantine/repository.py
@@ -17,9 +17,9 @@
 MAX_ROWS = 90
 """Rows written at once; a transaction takes a hundred entries."""
 WRITE_TIMEOUT_SECONDS = 1.0
-"""Longest wait for the store. Not measured: nobody waits for it."""
+"""Longest wait for the store. Nobody waits for it."""
 CLAIM_TIMEOUT_SECONDS = 0.3
-"""Longest wait for the claim of a trial. Not measured: short, as a client waits for it."""
+"""Longest wait for the claim of a trial. Short, as a client waits for it."""
 
 
 def crash_of_row(row: Row) -> Crash:
--- a/src/larkpost/gateway/quarantine/trials.py
+++ b/src/larkpost/gateway/quarantine/trials.py
@@ -18,8 +18,7 @@
 """From the last crash to the first trial, and from then to the second: crashed servers are back
 after some seconds. Two trials are one less than users bear retries after the third crash."""
 CLAIM_PAUSE_SECONDS = 1.0
-"""Between two claims of this daemon for one content, if the store did not grant the first. Not
-measured."""
+"""Between two claims of this daemon for one content, if the store did not grant the first."""
 TRIAL_PREFIX = "trial-"
 """Begins the name that stands for the instance in the row of a trial."""
 
--- a/src/larkpost/gateway/quarantine/watch.py
+++ b/src/larkpost/gateway/quarantine/watch.py
@@ -21,10 +21,10 @@
 from larkpost.gateway.servers.port import PortState, ServerPort
 
 PROBE_SECONDS = 0.5
-"""Longest wait for a new connection to a server: a dead port refuses within the
-latency of the network. Not measured."""
+"""Longest wait for a new connection to a server: a dead port refuses within the latency of the
+network."""
 POLL_SECONDS = 0.25
-"""Between two checks of the directory while a server is suspect. Not measured."""
+"""Between two checks of the directory while a server is suspect."""
 SUSPICION_SECONDS = 6.0
 """After this long a server that is still listed has not crashed: an entry goes after three missed
 heartbeats of 1.2 s, and news of that take up to two seconds when the store has just come back."""
--- a/src/larkpost/gateway/rollouts/acceptance.py
+++ b/src/larkpost/gateway/rollouts/acceptance.py
@@ -30,12 +30,11 @@
 )
 
 ACCEPT_TIMEOUT_SECONDS = 0.7
-"""First time limit of the write that accepts a batch; doubled after each silence. Not measured."""
+"""First time limit of the write that accepts a batch; doubled after each silence."""
 ACCEPT_TIMEOUT_FACTOR = 4.0
-"""After a response, the next write that accepts a batch may take this many times as long. Not
-measured."""
+"""After a response, the next write that accepts a batch may take this many times as long."""
 RETRY_SECONDS = 0.1
-"""Pause before a write is tried again. Not measured."""
+"""Pause before a write is tried again."""
 
 
 class AcceptOutcome(StrEnum):
--- a/src/larkpost/gateway/rollouts/batch_rows.py
+++ b/src/larkpost/gateway/rollouts/batch_rows.py
@@ -10,11 +10,11 @@
 from larkpost.gateway.store.port import Row, RowKey, Store, Transaction, WriteOutcome
 
 MAX_TRANSACTION_BYTES = 600_000
-"""Most bytes of values written at once. Not measured: below what the store takes."""
+"""Most bytes of values written at once. Below what the store takes."""
 MAX_TRANSACTION_ROWS = 90
 """Most rows written at once; a transaction takes a hundred entries."""
 WRITE_TIMEOUT_SECONDS = 1.5
-"""How long a write may take before its outcome counts as unknown. Not measured."""
+"""How long a write may take before its outcome counts as unknown."""
 FIRST_AFTER_SLASH = "0"
 """The character after the slash; ends the key range of one batch."""
 
--- a/src/larkpost/gateway/rollouts/claims.py
+++ b/src/larkpost/gateway/rollouts/claims.py
@@ -21,8 +21,7 @@
 from larkpost.gateway.store.port import Row, StoreUnavailableError
 
 CLAIM_PAUSE_SECONDS = 0.5
-"""Pause between two claims of one batch: the feed has to bring what became of the first. Not
-measured."""
+"""Pause between two claims of one batch: the feed has to bring what became of the first."""
 
 
 class BatchClaims:
--- a/src/larkpost/gateway/rollouts/engine_choice.py
+++ b/src/larkpost/gateway/rollouts/engine_choice.py
@@ -25,11 +25,10 @@
 
 OWN_ENGINES_SECONDS = 0.6
 """For so long a batch takes places at its model's own engines only. Batches often come at the same
-moment, and what the others take is known a heartbeat and its listing (0.25 s each) later. In two
-trials of one day, one run each, the day's value was 0.655 of 1 with it and 0.565 without."""
+moment, and what the others take is known a heartbeat and its listing (0.25 s each) later."""
 PACES_LIFETIME_SECONDS = 0.05
 """How long the paces of free engines are reused: each run of a batch asks for them at every few
-events. Not measured: about the time of one event."""
+events. About the time of one event."""
 
 
 class EngineChoice:
--- a/src/larkpost/gateway/rollouts/engine_rules.py
+++ b/src/larkpost/gateway/rollouts/engine_rules.py
@@ -12,25 +12,22 @@
 from larkpost.gateway.blackboard.directory import InstanceInfo
 
 FASTER_RATIO = 1.12
-"""Ratio of paces from which one engine counts as faster than another. Not measured alone: it is to
-be more than the paces of equal engines differ by chance."""
+"""Ratio of paces from which one engine counts as faster than another. It is to be more than the
+paces of equal engines differ by chance."""
 SLOW_RATIO = 1.7
-"""Ratio of paces from which a run leaves its engine for a faster one that has a place. Not measured
-alone: a move costs the new engine the prompt and all output so far, which it reads again."""
+"""Ratio of paces from which a run leaves its engine for a faster one that has a place. A move costs
+the new engine the prompt and all output so far, which it reads again."""
 LONG_RUN_RATIO = 1.25
-"""The same for an item that has shown itself long: a batch waits for such items. At 1.15, engines
-read 1.6 million tokens again in a trial of one day, so that it was given up; 1.25 itself was
-not compared with other figures."""
+"""The same for an item that has shown itself long: a batch waits for such items."""
 PACE_TOLERANCE = 1.05
-"""Factor by which the pace of an engine may be above the limit of a moved run. Not measured alone:
-without any limit, moved runs were seen to end at engines slower than those that they had left."""
+"""Factor by which the pace of an engine may be above the limit of a moved run. Without any limit,
+a moved run may end at an engine slower than the one that it has left."""
 ALIKE_OCCUPIED = 1
 """Items by which a nearer engine may be fuller than the best one and still be taken in its place.
-Not measured: one more item among an engine's slots, most often six, costs less than the way."""
+One more item among an engine's slots, most often six, costs less than the way."""
 
 MAX_MOVES = 2
-"""An item is moved this often at most: what it has made is read again at each new engine. Not
-measured."""
+"""An item is moved this often at most: what it has made is read again at each new engine."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/larkpost/gateway/rollouts/engine_run.py
+++ b/src/larkpost/gateway/rollouts/engine_run.py
@@ -32,9 +32,9 @@
 )
 
 FIRST_EVENT_SECONDS = 2.5
-"""Longest wait for a response's head and for its first event. Not measured."""
+"""Longest wait for a response's head and for its first event."""
 EVENTS_BETWEEN_CHECKS = 4
-"""Events of a run between two checks for a faster engine. Not measured."""
+"""Events of a run between two checks for a faster engine."""
 
 
 class EngineRuns:
--- a/src/larkpost/gateway/rollouts/item_runs.py
+++ b/src/larkpost/gateway/rollouts/item_runs.py
@@ -22,10 +22,9 @@
 from larkpost.gateway.servers.port import BrokenResponseError, NotRunError
 
 AGAIN_PAUSE_SECONDS = 0.03
-"""Pause before an item waits for a place again. Not measured: one pass over the queue."""
+"""Pause before an item waits for a place again. One pass over the queue."""
 QUARANTINE_CHECK_SECONDS = 0.5
-"""Between two checks whether an item that crashes engines may run again, or its time is over. Not
-measured."""
+"""Between two checks whether an item that crashes engines may run again, or its time is over."""
 
 EXPECTED_ERRORS = (
     NotRunError,
--- a/src/larkpost/gateway/rollouts/keeper.py
+++ b/src/larkpost/gateway/rollouts/keeper.py
@@ -24,15 +24,14 @@
 from larkpost.gateway.store.port import Row, StoreUnavailableError
 
 INTERVAL_SECONDS = 0.1
-"""Between two checks of all batches at a daemon that owns batches or may claim them. Not
-measured."""
+"""Between two checks of all batches at a daemon that owns batches or may claim them."""
 IDLE_INTERVAL_SECONDS = 0.5
-"""The same at a daemon that may claim nothing. Not measured."""
+"""The same at a daemon that may claim nothing."""
 REMOVAL_INTERVAL_SECONDS = 5.0
-"""Between two checks for batches to remove. Not measured: nobody waits for a removal."""
+"""Between two checks for batches to remove. Nobody waits for a removal."""
 RETENTION_SLACK_SECONDS = 60.0
 """For so long after its lifetime a batch is stored still, so that a read which began within it is
-answered, whatever the clocks differ by. Not measured."""
+answered, whatever the clocks differ by."""
 
 
 class BatchKeeper:
--- a/src/larkpost/gateway/rollouts/output_saver.py
+++ b/src/larkpost/gateway/rollouts/output_saver.py
@@ -14,7 +14,7 @@
 """Between two times at which the output of running items is stored: less than the second that a
 step has to spare. When it was longer, the death of an owner cost up to 1 s of output."""
 MIN_NEW_EVENTS = 4
-"""An item's output is stored again once it has grown by this many events. Not measured."""
+"""An item's output is stored again once it has grown by this many events."""
 
 
 class OutputSaver:
--- a/src/larkpost/gateway/rollouts/owned.py
+++ b/src/larkpost/gateway/rollouts/owned.py
@@ -23,9 +23,9 @@
 from larkpost.gateway.store.port import StoreUnavailableError
 
 FLUSH_SECONDS = 1.0
-"""Longest time to append what waits when the batch is handed over. Not measured."""
+"""Longest time to append what waits when the batch is handed over."""
 FAULT_PAUSE_SECONDS = 1.0
-"""Pause before a batch is worked on again after an unexpected error. Not measured."""
+"""Pause before a batch is worked on again after an unexpected error."""
 
 
 class OwnedBatch:
--- a/src/larkpost/gateway/rollouts/place_queue.py
+++ b/src/larkpost/gateway/rollouts/place_queue.py
@@ -24,17 +24,14 @@
 from larkpost.gateway.rollouts.progress import Progress
 
 PASS_INTERVAL_SECONDS = 0.03
-"""Pause between two passes: places free up without notice when other daemons' requests end. Not
-measured: about the time that one event takes."""
+"""Pause between two passes: places free up without notice when other daemons' requests end. About
+the time that one event takes."""
 PLACES_AT_ONCE = 8
-"""Places assigned before the loop turns: what is placed first, the longest items, is sent first.
-Not measured alone: with it and more frequent reads a day's value was 0.623 of 1, without both
-0.569, in one trial each."""
+"""Places assigned before the loop turns: what is placed first, the longest items, is sent first."""
 TIMEOUT_SECONDS = 0.5
-"""How long an item waits before its route and its time are checked again. Not measured."""
+"""How long an item waits before its route and its time are checked again."""
 LIMITED_TIMEOUT_SECONDS = 0.1
-"""The same for an item that wants a fast engine; after that it takes any. Not measured: some three
-passes."""
+"""The same for an item that wants a fast engine; after that it takes any. Some three passes."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/larkpost/gateway/rollouts/progress.py
+++ b/src/larkpost/gateway/rollouts/progress.py
@@ -10,8 +10,7 @@
 from larkpost.gateway.rollouts.model import Item, Result, ResultState
 
 LONG_RUN_EVENTS = 30
-"""Events after which an item has shown itself long; three in four items have fewer. Not compared
-with other figures."""
+"""Events after which an item has shown itself long; three in four items have fewer."""
 
 
 class DiscontinuityError(ValueError):
--- a/src/larkpost/gateway/rollouts/reader.py
+++ b/src/larkpost/gateway/rollouts/reader.py
@@ -26,14 +26,12 @@
 from larkpost.gateway.store.port import StoreUnavailableError
 
 READ_POLL_SECONDS = 0.05
-"""How often a held read checks for what another daemon appends: a step waits for the last one. At
-0.2 to 0.4 s, listed results were seen to be given 0.1 to 0.4 s late."""
+"""How often a held read checks for what another daemon appends: a step waits for the last one."""
 FRESH_SECONDS = 0.04
-"""A list confirmed this recently is given without asking the store again. Not measured: less than
-the interval of checks."""
+"""A list confirmed this recently is given without asking the store again. Less than the interval of
+checks."""
 RETRY_AFTER_SECONDS = 0.2
-"""What a caller is asked to wait, in seconds, after a call that the store did not answer. Not
-measured alone."""
+"""What a caller is asked to wait, in seconds, after a call that the store did not answer."""
 MAX_PAGE_BYTES = 900_000
 """Most bytes of texts in one page, unless a single text is longer."""
 
--- a/src/larkpost/gateway/rollouts/result_list.py
+++ b/src/larkpost/gateway/rollouts/result_list.py
@@ -18,9 +18,9 @@
 from larkpost.gateway.store.port import StoreUnavailableError, WriteOutcome
 
 APPEND_GAP_SECONDS = 0.06
-"""Pause between two appends, in which results gather. Not measured."""
+"""Pause between two appends, in which results gather."""
 RETRY_SECONDS = 0.15
-"""Pause after a call that the store refused or did not answer. Not measured."""
+"""Pause after a call that the store refused or did not answer."""
 
 
 class ResultList:
--- a/src/larkpost/gateway/rollouts/retry_rules.py
+++ b/src/larkpost/gateway/rollouts/retry_rules.py
@@ -15,13 +15,13 @@
 FAILED_STATUS = 500
 """The engine says that this run has failed."""
 REFUSED_AVOID_SECONDS = 0.15
-"""How long an engine that refused an item gets no more of them. Not measured."""
+"""How long an engine that refused an item gets no more of them."""
 BROKEN_AVOID_SECONDS = 0.3
-"""The same after a stream that broke off or can't be used. Not measured."""
+"""The same after a stream that broke off or can't be used."""
 SILENT_AVOID_SECONDS = 1.5
-"""The same after a silence beyond the run's time limit. Not measured."""
+"""The same after a silence beyond the run's time limit."""
 STALLED_AVOID_SECONDS = 0.3
-"""The same after it left an item waiting though another engine had a place. Not measured."""
+"""The same after it left an item waiting though another engine had a place."""
 
 
 class RunEnd(StrEnum):
--- a/src/larkpost/gateway/rollouts/reward.py
+++ b/src/larkpost/gateway/rollouts/reward.py
@@ -17,9 +17,9 @@
 from larkpost.gateway.rollouts.reward_rules import CallEnd, CallHistory
 
 AGAIN_PAUSE_SECONDS = 0.05
-"""Pause before a call is tried again. Not measured."""
+"""Pause before a call is tried again."""
 QUARANTINE_CHECK_SECONDS = 0.5
-"""Between two checks whether a call that crashes servers may be sent again. Not measured."""
+"""Between two checks whether a call that crashes servers may be sent again."""
 
 
 class RewardScorer:
--- a/src/larkpost/gateway/rollouts/reward_attempt.py
+++ b/src/larkpost/gateway/rollouts/reward_attempt.py
@@ -29,16 +29,15 @@
 from larkpost.gateway.servers.port import BrokenResponseError, NotRunError, OutgoingRequest
 
 MAX_CALLS_IN_FLIGHT = 24
-"""Reward calls of one daemon at servers, or about to be sent; the others wait their turn. Not
-measured."""
+"""Reward calls of one daemon at servers, or about to be sent; the others wait their turn."""
 PLACE_PAUSE_SECONDS = 0.03
-"""Pause between two checks for a place at a server. Not measured."""
+"""Pause between two checks for a place at a server."""
 FULL_AVOID_SECONDS = 0.05
-"""How long a server that was full gets no more work. Not measured."""
+"""How long a server that was full gets no more work."""
 BROKEN_AVOID_SECONDS = 0.3
-"""The same after a response that broke off. Not measured."""
+"""The same after a response that broke off."""
 SILENT_AVOID_SECONDS = 1.0
-"""The same after a silence beyond the call's time limit. Not measured."""
+"""The same after a silence beyond the call's time limit."""
 
 
 class RewardAttempts:
--- a/src/larkpost/gateway/rollouts/reward_rules.py
+++ b/src/larkpost/gateway/rollouts/reward_rules.py
@@ -12,15 +12,13 @@
 from larkpost.gateway.servers.port import NotRunReason
 
 CLIENT_SLOTS_SHARE = 1 / 3
-"""Share of a server's slots that reward calls leave to clients. Switching it off made differences
-of up to 0.024 of a day's value in trials, within their noise."""
+"""Share of a server's slots that reward calls leave to clients."""
 LEAST_LIMIT_SECONDS = 0.8
-"""Least time that a server is given for a call. Not measured."""
+"""Least time that a server is given for a call."""
 MOST_LIMIT_SECONDS = 10.0
-"""Most time that a server is given for a call. Not measured."""
+"""Most time that a server is given for a call."""
 LIMIT_PACE_FACTOR = 8.0
-"""A server is given this many times what calls take there, twice as much after each silence. Not
-measured."""
+"""A server is given this many times what calls take there, twice as much after each silence."""
 
 
 class CallEnd(StrEnum):
--- a/src/larkpost/gateway/rollouts/run.py
+++ b/src/larkpost/gateway/rollouts/run.py
@@ -22,7 +22,7 @@
 
 FAULT_PAUSE_SECONDS = 1.0
 """Pause before an item is run again after an unexpected error, so that a fault that comes each time
-costs little. Not measured."""
+costs little."""
 
 
 class BatchRun:
--- a/src/larkpost/gateway/rollouts/service.py
+++ b/src/larkpost/gateway/rollouts/service.py
@@ -31,10 +31,9 @@
 
 ACCEPT_SECONDS = 0.6
 """For so long a batch is tried for while the store refuses it, before the trainer is sent to
-another daemon, which may reach the store. Against 3 s, no difference was seen in trials of four
-days."""
+another daemon, which may reach the store."""
 END_SECONDS = 2.0
-"""For so long an end is tried for. Not measured."""
+"""For so long an end is tried for."""
 
 
 class BatchService:
--- a/src/larkpost/gateway/rollouts/stalls.py
+++ b/src/larkpost/gateway/rollouts/stalls.py
@@ -17,13 +17,12 @@
 from larkpost.gateway.blackboard.directory import InstanceInfo
 
 CHECK_INTERVAL_SECONDS = 0.1
-"""Interval at which the runs of a batch are checked. Not measured: a third of the shortest silence
-that counts."""
+"""Interval at which the runs of a batch are checked. A third of the shortest silence that
+counts."""
 LEAST_SILENCE_SECONDS = 0.3
 """A run is not stalled before: the first event takes about 0.1 s, a queue at least as long."""
 SILENCE_PACES = 6.0
-"""Nor before as many events could have come at the engine's pace: slow engines are not silent. Not
-measured."""
+"""Nor before as many events could have come at the engine's pace: slow engines are not silent."""
 
 
 class StalledError(Exception):
--- a/src/larkpost/gateway/rollouts/urgency.py
+++ b/src/larkpost/gateway/rollouts/urgency.py
@@ -21,7 +21,7 @@
 LONG_SHARE = 0.15
 """Share of a batch's items that count as long: about one in ten is several times the others."""
 SHORT_SHARE = 0.5
-"""Share of them that count as short. Not measured."""
+"""Share of them that count as short."""
 
 
 class Urgency:
--- a/src/larkpost/gateway/rollouts/view.py
+++ b/src/larkpost/gateway/rollouts/view.py
@@ -10,7 +10,7 @@
 from larkpost.gateway.rollouts.model import BatchHead, GroupId, Item, ItemId, Result
 
 MAX_CACHE_BYTES = 24_000_000
-"""Most bytes of texts and bodies that the views of batches not run here hold. Not measured."""
+"""Most bytes of texts and bodies that the views of batches not run here hold."""
 
 
 class BatchView:
--- a/src/larkpost/gateway/scaling/census.py
+++ b/src/larkpost/gateway/scaling/census.py
@@ -14,7 +14,7 @@
 
 USUAL_SECONDS = 60.0
 """Seconds for which the most servers seen at once count as usual: longer than a release takes,
-shorter than an operator needs to change the size by hand and wonder. Not measured."""
+shorter than an operator needs to change the size by hand and wonder."""
 
 
 @dataclass(slots=True)
--- a/src/larkpost/gateway/scaling/controller.py
+++ b/src/larkpost/gateway/scaling/controller.py
@@ -30,18 +30,18 @@
 )
 
 INTERVAL_SECONDS = 1.0
-"""Seconds between two plans. Not measured."""
+"""Seconds between two plans."""
 LOST_SECONDS = 8.0
 """Seconds after which a missing server is considered lost for good: one that crashed is back
 before, listed anew, and its entry lapses three heartbeats (3.6 s) after its end."""
 SOUND_SECONDS = 4.0
-"""Seconds for which the store must have responded for counts to be believed. Not measured."""
+"""Seconds for which the store must have responded for counts to be believed."""
 ORDER_TIMEOUT_SECONDS = 1.0
-"""Seconds for one call that orders. Not measured."""
+"""Seconds for one call that orders."""
 RETRY_SECONDS = 2.0
-"""Seconds after an order that was not taken, or not for certain, before the next. Not measured."""
+"""Seconds after an order that was not taken, or not for certain, before the next."""
 REFUSED_SECONDS = 20.0
-"""Seconds for which a zone that has no preemptible servers is not asked for them. Not measured."""
+"""Seconds for which a zone that has no preemptible servers is not asked for them."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/larkpost/gateway/scaling/planner.py
+++ b/src/larkpost/gateway/scaling/planner.py
@@ -14,13 +14,12 @@
 from larkpost.gateway.scaling.port import ScalingOrder, ServerKind
 
 PREEMPTIBLE_SHARE = 0.5
-"""Most of a zone's servers that are preemptible: the zone serves on when all of them go.
-Not measured."""
+"""Most of a zone's servers that are preemptible: the zone serves on when all of them go."""
 PREEMPTIBLE_WORTH = 0.6
 """Highest price of a preemptible server, as a share of one on demand, at which one is taken: what
-is lost with it, its runs and its weights, must cost less than it saves. Not measured."""
+is lost with it, its runs and its weights, must cost less than it saves."""
 HEADROOM = 1.25
-"""Servers are planned for this multiple of the demand: batches come in bursts. Not measured."""
+"""Servers are planned for this multiple of the demand: batches come in bursts."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/larkpost/gateway/store/batch_tables.py
+++ b/src/larkpost/gateway/store/batch_tables.py
@@ -20,8 +20,8 @@
 RESULT_TABLE = "batch_results"
 PARTIAL_TABLE = "batch_partials"
 PARTS = tuple(f"b{number}" for number in range(8))
-"""Parts of each table. Not measured how many serve best; the count can't change while batches are
-stored, as the part of a batch follows from it."""
+"""Parts of each table. The count can't change while batches are stored, as the part of a batch
+follows from it."""
 CRASH_PART = "crashes"
 """Part of the table of heads that holds crashes of servers: every daemon follows that table."""
 
--- a/src/larkpost/gateway/store/follower.py
+++ b/src/larkpost/gateway/store/follower.py
@@ -21,13 +21,13 @@
 )
 
 FEED_WAIT_SECONDS = 1.0
-"""Seconds for which a call of the feed may wait for a change. Not measured."""
+"""Seconds for which a call of the feed may wait for a change."""
 FEED_GAP_SECONDS = 0.05
-"""Seconds between two calls of the feed, so that changes are grouped. Not measured."""
+"""Seconds between two calls of the feed, so that changes are grouped."""
 RETRY_SECONDS = 0.15
-"""Seconds after a call that failed before the next one. Not measured."""
+"""Seconds after a call that failed before the next one."""
 RELIST_SECONDS = 0.5
-"""Seconds after a listing in which some parts could not be read before the next. Not measured."""
+"""Seconds after a listing in which some parts could not be read before the next."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/larkpost/gateway/store/peers.py
+++ b/src/larkpost/gateway/store/peers.py
@@ -15,12 +15,12 @@
 from larkpost.gateway.store.port import Store
 
 PEERS_ASKED = 3
-"""Peers that are asked for one call, the last of them a far one. Not measured."""
+"""Peers that are asked for one call, the last of them a far one."""
 PEER_REST_SECONDS = 3.0
 """Seconds for which a peer that did not respond is not asked again: it may be frozen, or cut off as
-well. Not measured."""
+well."""
 NO_PEER_PAUSE_SECONDS = 0.7
-"""Seconds for which no peer is asked after none of those asked could help. Not measured."""
+"""Seconds for which no peer is asked after none of those asked could help."""
 
 PeerDistances = Mapping[Address, Distance]
 """Where peers make calls for others, and how far each is."""
--- a/src/larkpost/gateway/store/relay.py
+++ b/src/larkpost/gateway/store/relay.py
@@ -31,10 +31,9 @@
 )
 
 PROBE_INTERVAL_SECONDS = 0.5
-"""Seconds between two checks of a relayed daemon whether the store takes its own calls again.
-Not measured."""
+"""Seconds between two checks of a relayed daemon whether the store takes its own calls again."""
 MOST_PEER_SECONDS = 0.8
-"""Most seconds for a call by way of a peer, besides the time that a feed may wait. Not measured."""
+"""Most seconds for a call by way of a peer, besides the time that a feed may wait."""
 PROBE_TABLE = "members"
 PROBE_PART = "known"
 """What a probe reads: a row that is there, in a part that every daemon reads."""
--- a/src/larkpost/gateway/usage/count_writer.py
+++ b/src/larkpost/gateway/usage/count_writer.py
@@ -12,13 +12,12 @@
 from larkpost.gateway.usage.repository import UsageRepository
 
 SAVE_SECONDS = 0.5
-"""Least seconds between two savings of a daemon's counts: what it counts meanwhile dies with it.
-Not measured."""
+"""Least seconds between two savings of a daemon's counts: what it counts meanwhile dies with it."""
 SAVES_PER_SECOND = 120.0
 """Most savings that a fleet makes together: one part of the store takes 200 writes a second."""
 SAVE_TIMEOUTS = (0.5, 1.0, 1.5)
-"""Time limits of the tries to save, in seconds: a response may be lost, or the store may be slow.
-Not measured."""
+"""Time limits of the tries to save, in seconds: a response may be lost, or the store may be
+slow."""
 LAST_SAVE_SECONDS = 0.8
 """Most seconds that a planned stop waits for its counts to be saved: its kill is near.
 Part of `planned_stop.KILL_MARGIN_SECONDS`."""
--- a/src/larkpost/gateway/usage/reporter.py
+++ b/src/larkpost/gateway/usage/reporter.py
@@ -26,21 +26,20 @@
 from larkpost.gateway.usage.repository import DecidedReport, UsageRepository
 
 UPDATE_SECONDS = 0.5
-"""Seconds between two checks for windows to report. Not measured."""
+"""Seconds between two checks for windows to report."""
 SETTLE_SECONDS = 3.5
 """Seconds from a window's end until its requests have ended and their daemons have been heard,
-besides the interval at which those save their counts. Not measured."""
+besides the interval at which those save their counts."""
 SOUND_SECONDS = 2.0
-"""Seconds for which the store must have responded, so that daemons have saved what they held back.
-Not measured."""
+"""Seconds for which the store must have responded, so that daemons have saved what they held
+back."""
 LAST_CHANCE_SECONDS = 2.0
-"""So many seconds before a report is due it is decided from the counts that there are.
-Not measured."""
+"""So many seconds before a report is due it is decided from the counts that there are."""
 REPORT_TIMEOUT_SECONDS = 0.8
-"""Seconds for one call that reports. Not measured."""
+"""Seconds for one call that reports."""
 LOOK_BACK_WINDOWS = 24
-"""How far back a daemon that begins to report searches for windows that were not reported.
-Not measured: as many as `usage.counter.KEPT_WINDOWS`."""
+"""How far back a daemon that begins to report searches for windows that were not reported. As many
+as `usage.counter.KEPT_WINDOWS`."""
 KEPT_WINDOWS = 2 * LOOK_BACK_WINDOWS
 """Windows whose rows are kept, so that a search finds them all."""
 SUBJECT = LeaseSubject(Duty.USAGE, "windows")
--- a/src/larkpost/gateway/usage/repository.py
+++ b/src/larkpost/gateway/usage/repository.py
@@ -32,7 +32,7 @@
 PART = "usage"
 """The only part of both tables."""
 WRITE_TIMEOUT_SECONDS = 1.0
-"""Seconds for one call that writes. Not measured."""
+"""Seconds for one call that writes."""
 MAX_REMOVALS = 90
 """Rows removed at once: a transaction takes a hundred entries."""
 
--- a/src/larkpost/platform/batch_calls.py
+++ b/src/larkpost/platform/batch_calls.py
@@ -21,7 +21,7 @@
 NOT_FOUND = 404
 NOT_ALLOWED = 405
 MAX_WAIT_SECONDS = 10.0
-"""Longest time for which a call for results is held. Not measured: ten times what callers ask."""
+"""Longest time for which a call for results is held. Ten times what callers ask."""
 
 
 class BatchCalls:
--- a/src/larkpost/platform/batches.py
+++ b/src/larkpost/platform/batches.py
@@ -26,7 +26,7 @@
 from larkpost.platform import names
 
 MAX_ID_LENGTH = 120
-"""Longest id of a batch in characters: it is part of keys in the store. Not measured."""
+"""Longest id of a batch in characters: it is part of keys in the store."""
 
 
 def read_batch(
--- a/src/larkpost/platform/configuration_document.py
+++ b/src/larkpost/platform/configuration_document.py
@@ -22,7 +22,7 @@
 DEFAULT_TIMEOUT_MS = 30000
 DEFAULT_OBJECTIVE_MS = 1000
 DEFAULT_CONNECTIONS = 100
-"""What holds where a route or a service does not say it. Not measured."""
+"""What holds where a route or a service does not say it."""
 
 ROUTE_KINDS = {
     "idempotent": RouteKind.IDEMPOTENT,
--- a/src/larkpost/platform/connections.py
+++ b/src/larkpost/platform/connections.py
@@ -16,19 +16,18 @@
 from larkpost.platform.watched_connection import CallLimits, WatchedConnection
 
 IDLE_SECONDS = 3.0
-"""How long an idle connection is used again if its server does not say how long it keeps it. Not
-measured."""
+"""How long an idle connection is used again if its server does not say how long it keeps it."""
 MAX_IDLE_SECONDS = 30.0
-"""The same, however long its server says that it keeps it. Not measured."""
+"""The same, however long its server says that it keeps it."""
 IDLE_MARGIN_SECONDS = 1.5
 """A connection is left alone this long before its server would close it: servers say it in whole
-seconds. Not measured."""
+seconds."""
 MIN_ADDRESSES_KEPT = 1000
-"""So many servers are remembered before those without an idle connection are forgotten. Not
-measured: a few hundred bytes each."""
+"""So many servers are remembered before those without an idle connection are forgotten. A few
+hundred bytes each."""
 MAX_HEAD_BYTES = 65536
-"""Longest status line and longest header that is read of a response. Not measured: eight times the
-library's own limit."""
+"""Longest status line and longest header that is read of a response. Eight times the library's own
+limit."""
 
 # The library records by a clock of its own since when connections are idle. By the plain steady
 # clock, one that was idle while the machine was suspended would look fresh, though its server
--- a/src/larkpost/platform/descriptors.py
+++ b/src/larkpost/platform/descriptors.py
@@ -15,17 +15,15 @@
 from larkpost.gateway.observability.eventlog import Event, EventLog
 
 CHECK_INTERVAL_SECONDS = 0.5
-"""Between two checks. Not measured: a check counts sets, and connections come in more slowly."""
+"""Between two checks. A check counts sets, and connections come in more slowly."""
 RESERVED_DESCRIPTORS = 200
-"""Left to files, listeners and the event loop itself, and to what is not counted. Not measured."""
+"""Left to files, listeners and the event loop itself, and to what is not counted."""
 SHED_SHARE = 0.85
-"""Share of the descriptors from which on idle connections are closed. Not measured."""
+"""Share of the descriptors from which on idle connections are closed."""
 CALM_SHARE = 0.75
-"""They are closed until no more than this share is used, so that it is not done at each check. Not
-measured."""
+"""They are closed until no more than this share is used, so that it is not done at each check."""
 FULL_SHARE = 0.95
-"""Share from which on the daemon is not ready: the rest is for connections to servers. Not
-measured."""
+"""Share from which on the daemon is not ready: the rest is for connections to servers."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/larkpost/platform/http_protocol.py
+++ b/src/larkpost/platform/http_protocol.py
@@ -17,16 +17,15 @@
 from larkpost.platform.sockets import TCP_USER_TIMEOUT, probe_for_silence
 
 MAX_FIRST_IDLE_SECONDS = 3600
-"""How long a connection may wait with its first request; then the limit in force holds. Not
-measured."""
+"""How long a connection may wait with its first request; then the limit in force holds."""
 PROBE_AFTER_SECONDS = 3
 PROBE_INTERVAL_SECONDS = 1
 PROBES = 3
 """The system probes a client that sends nothing: one whose connection has gone silent for good, or
-whose machine has, holds its request and its place for six seconds. Not measured."""
+whose machine has, holds its request and its place for six seconds."""
 UNACKNOWLEDGED_MS = 6000
 """So long may a response wait for its client's machine to acknowledge it: as long as the probes
-take. Not measured."""
+take."""
 OVERSIZED = "oversized"
 """Marks, in a request's state, that its head is larger than allowed."""
 HEAD_TOO_LARGE = (
--- a/src/larkpost/platform/server_refusals.py
+++ b/src/larkpost/platform/server_refusals.py
@@ -24,11 +24,10 @@
 
 MISDIRECTED = 421
 REFUSAL_BYTES = 4096
-"""Longest body of a refusal that is read so that its connection serves again. Not measured: a
-refusal's body is a line of text."""
+"""Longest body of a refusal that is read so that its connection serves again. A refusal's body is a
+line of text."""
 REFUSAL_BODY_SECONDS = 0.05
-"""Longest wait for it: it comes with its head, and the request wants another server at once. Not
-measured."""
+"""Longest wait for it: it comes with its head, and the request wants another server at once."""
 
 
 class ResponseOwner(Enum):
--- a/src/larkpost/platform/settings.py
+++ b/src/larkpost/platform/settings.py
@@ -27,8 +27,7 @@
 DEFAULT_BATCH_LIFETIME_SECONDS = 120
 DEFAULT_WINDOW_SECONDS = 5
 DEFAULT_REPORT_DUE_SECONDS = 10
-"""What holds where the file does not say it; most are figures of the platform's sample file. Not
-measured."""
+"""What holds where the file does not say it; most are figures of the platform's sample file."""
 MAX_PORT = 65535
 
 
--- a/src/larkpost/platform/settings_watch.py
+++ b/src/larkpost/platform/settings_watch.py
@@ -17,8 +17,8 @@
 from larkpost.platform.store import HttpStore
 
 SETTINGS_POLL_SECONDS = 1.0
-"""Between two checks of the file when no signal comes. Not measured: a changed file is in force
-within about a second, and a check is one read of a small file."""
+"""Between two checks of the file when no signal comes. A changed file is in force within about a
+second, and a check is one read of a small file."""
 
 CHANGEABLE_TIMES = ("contact_time", "lease_time", "apply_time", "grace_time", "batch_lifetime")
 
--- a/src/larkpost/platform/silence.py
+++ b/src/larkpost/platform/silence.py
@@ -25,14 +25,12 @@
 )
 
 USUAL_TIME_DECAY = 0.1
-"""Share by which the usual time of an address nears that of a quicker call; it rises at once. Not
-measured."""
+"""Share by which the usual time of an address nears that of a quicker call; it rises at once."""
 SUSPICION_PAUSE_SECONDS = 2.0
 """After a suspicion, before connections opened since may be suspected as well: a server that is
-slow now and then does not have its connections closed again and again. Not measured."""
+slow now and then does not have its connections closed again and again."""
 FORGET_SECONDS = 60.0
-"""How long an address without connections is remembered: servers come back at new ones. Not
-measured."""
+"""How long an address without connections is remembered: servers come back at new ones."""
 
 
 class Peer(StrEnum):
--- a/src/larkpost/platform/silence_rule.py
+++ b/src/larkpost/platform/silence_rule.py
@@ -9,17 +9,16 @@
 from dataclasses import dataclass
 
 MIN_SILENCE_SECONDS = 0.25
-"""No shorter silence ends a call: links lose packets, and what is lost is sent again within it. Not
-measured."""
+"""No shorter silence ends a call: links lose packets, and what is lost is sent again within it."""
 MIN_ABANDONED_SILENCE_SECONDS = 0.08
 """The same for a call that is given up anyway: less than the 0.1 s after which a second server is
 tried at the earliest, so that an overtaken call can show a silent connection."""
 MAX_SILENCE_SECONDS = 1.5
-"""However slow the calls to an address are, a longer silence counts. Not measured: as long as the
-store's reading calls may take."""
+"""However slow the calls to an address are, a longer silence counts. As long as the store's reading
+calls may take."""
 MAX_PAUSE_SECONDS = 1.0
 """A longer pause within a response counts as silence: engines that put a stream off make shorter
-pauses. Not measured."""
+pauses."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -28,7 +27,7 @@
 
     Attributes:
         least: seconds, however quick the calls to its address are.
-        factor: by how much it must outlast the usual time of such calls. Not measured.
+        factor: by how much it must outlast the usual time of such calls.
     """
 
     least: float
--- a/src/larkpost/platform/sockets.py
+++ b/src/larkpost/platform/sockets.py
@@ -3,14 +3,13 @@
 import socket
 
 PEER_SILENCE_MS = 3000
-"""After this long without an acknowledgement of sent bytes, a connection is given up. Not
-measured."""
+"""After this long without an acknowledgement of sent bytes, a connection is given up."""
 PROBE_AFTER_SECONDS = 2
 PROBE_INTERVAL_SECONDS = 1
 PROBES = 2
 """The system probes a connection that is idle this long, so often, so many times: a stream that
-waits for its next event on a silent connection ends after four seconds. Not measured: the system
-counts whole seconds, and one lost probe must not end a connection."""
+waits for its next event on a silent connection ends after four seconds. The system counts whole
+seconds, and one lost probe must not end a connection."""
 
 TCP_USER_TIMEOUT = getattr(socket, "TCP_USER_TIMEOUT", 18)
 """Milliseconds for which sent bytes may stay without an acknowledgement; 18 is Linux's number."""
--- a/src/larkpost/platform/stand_in/engine_state.py
+++ b/src/larkpost/platform/stand_in/engine_state.py
@@ -11,9 +11,9 @@
 
 MIN_EVENTS = 4
 SPREAD_EVENTS = 12
-"""A request's output has `MIN_EVENTS` events and up to `SPREAD_EVENTS` - 1 more. Not measured."""
+"""A request's output has `MIN_EVENTS` events and up to `SPREAD_EVENTS` - 1 more."""
 LOAD_SECONDS = 0.9
-"""A load of weights, in seconds. Not measured: short, so that a demonstration has several."""
+"""A load of weights, in seconds. Short, so that a demonstration has several."""
 
 
 def output_of(request_id: str, events: int | None = None) -> list[bytes]:
--- a/src/larkpost/platform/stand_in/rows.py
+++ b/src/larkpost/platform/stand_in/rows.py
@@ -24,7 +24,7 @@
     "header-timeout-ms": 3000,
     "idle-timeout-ms": 15000,
 }
-"""The daemons' limits for each request and connection. Not measured."""
+"""The daemons' limits for each request and connection."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/larkpost/platform/store.py
+++ b/src/larkpost/platform/store.py
@@ -43,12 +43,11 @@
 from larkpost.platform.watched_connection import CallLimits, SilentConnectionError
 
 READ_TIMEOUT_SECONDS = 1.5
-"""Longest time for a reading call, beside the time for which it may be held. Not measured."""
+"""Longest time for a reading call, beside the time for which it may be held."""
 RELAYED_HOLD_SECONDS = 1.0
 """Longest time for which the feed is held for a peer. It is what peers ask for."""
 RELAYED_TIMEOUT_SECONDS = 3.0
-"""Longest time for a call that is made for a peer; its feed is held for a second of it. Not
-measured."""
+"""Longest time for a call that is made for a peer; its feed is held for a second of it."""
 NOT_MADE = 503
 """The status that a peer gets for a call that was certainly not made."""
 NO_RESPONSE = 504
--- a/src/larkpost/platform/store_clock.py
+++ b/src/larkpost/platform/store_clock.py
@@ -5,8 +5,7 @@
 from larkpost.common.steady_time import steady_seconds
 
 CLOCK_DRIFT = 0.001
-"""Seconds by which two steady clocks may drift apart in a second; far more than clocks do. Not
-measured."""
+"""Seconds by which two steady clocks may drift apart in a second; far more than clocks do."""
 
 
 class StoreClock:
--- a/src/larkpost/platform/watched_connection.py
+++ b/src/larkpost/platform/watched_connection.py
@@ -14,14 +14,12 @@
 from larkpost.platform.silence import CallKind, ConnectionRecord, SilenceWatch
 
 CONNECT_TIMEOUT_SECONDS = 1.0
-"""Longest wait for a new connection. Not measured."""
+"""Longest wait for a new connection."""
 PROOF_SECONDS = 0.2
 """How much longer a call that must not be given up lightly waits for proof from a new connection: a
-server that turned slow all at once answers both late, and is not to blame. Measured with a store
-that turned from 5 or 42 ms a call to 0.3 or 0.4 s: without proof, each write under way ended as
-unknown after 0.25 s; at 0.6 s a call they still do, at 0.45 s."""
+server that turned slow all at once answers both late, and is not to blame."""
 PROOF_POLL_SECONDS = 0.01
-"""Between two checks whether a new connection has proven an old one silent. Not measured."""
+"""Between two checks whether a new connection has proven an old one silent."""
 
 
 class SilentConnectionError(aiohttp.ClientError):
--- a/src/larkpost/rehearsal/clients.py
+++ b/src/larkpost/rehearsal/clients.py
@@ -18,7 +18,7 @@
 MAX_TRIES = 6
 RETRY_SECONDS = 0.2
 TRY_TIMEOUT = aiohttp.ClientTimeout(total=30, sock_connect=1.0)
-"""Seconds that a try may take, and to connect. Not measured."""
+"""Seconds that a try may take, and to connect."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/larkpost/rehearsal/engine_load.py
+++ b/src/larkpost/rehearsal/engine_load.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 
 KEPT_POINTS = 512
-"""Changes of load that are kept. Not measured: some seconds of a busy engine."""
+"""Changes of load that are kept. Some seconds of a busy engine."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/larkpost/rehearsal/platform_site.py
+++ b/src/larkpost/rehearsal/platform_site.py
@@ -18,7 +18,7 @@
 DAEMON_MODULE = "larkpost.platform.process"
 STAND_IN_MODULE = "larkpost.platform.stand_in.programs"
 PAGE_SLOTS = 6
-"""Requests that a server of pages answers at once. Not measured."""
+"""Requests that a server of pages answers at once."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/larkpost/rehearsal/simulation/fabric.py
+++ b/src/larkpost/rehearsal/simulation/fabric.py
@@ -21,8 +21,8 @@
 WEIGHT_TRIES = 10
 WEIGHT_PAUSE_SECONDS = 0.3
 WEIGHT_TIMEOUT_SECONDS = 5.0
-"""An engine asks so often for weights, and so long each time. Not measured: far above the time
-until the platform's rate limit lets a fetch through."""
+"""An engine asks so often for weights, and so long each time. Far above the time until the
+platform's rate limit lets a fetch through."""
 
 
 @dataclass(slots=True)
--- a/src/larkpost/rehearsal/simulation/world.py
+++ b/src/larkpost/rehearsal/simulation/world.py
@@ -30,7 +30,7 @@
 
 READY_SECONDS = 60.0
 READY_POLL_SECONDS = 0.1
-"""How long a fleet may take until it is ready, and how often it is looked at. Not measured."""
+"""How long a fleet may take until it is ready, and how often it is looked at."""
 SIMULATED_ENGINE = EngineShape(
     slots=6,
     queue_limit=12,
--- a/src/larkpost/standalone/api/schema.py
+++ b/src/larkpost/standalone/api/schema.py
@@ -10,7 +10,7 @@
 from larkpost.standalone.batches.service import Pull
 
 MAX_HELD = 65_536
-"""Most slots that one pull may name. Not measured."""
+"""Most slots that one pull may name."""
 
 
 class _Document(BaseModel):
--- a/src/larkpost/standalone/batches/checks.py
+++ b/src/larkpost/standalone/batches/checks.py
@@ -7,7 +7,7 @@
 from larkpost.standalone.config.intent import Intent
 
 MAX_SLOTS = 65_536
-"""Most samples of one batch. Not measured."""
+"""Most samples of one batch."""
 
 
 def check_spec(spec: BatchSpec, intent: Intent) -> BatchSpec:
--- a/src/larkpost/standalone/batches/replication.py
+++ b/src/larkpost/standalone/batches/replication.py
@@ -25,11 +25,11 @@
 from larkpost.standalone.wire.peer import PeerError, PeerMethod, PeerTransport
 
 STANDBY_CANDIDATES = 3
-"""Daemons among which a standby is sought, of other zones first. Not measured."""
+"""Daemons among which a standby is sought, of other zones first."""
 REPLICATE_TIMEOUT = 1.0
-"""Seconds to wait for the answer of a standby. Not measured."""
+"""Seconds to wait for the answer of a standby."""
 MAX_REPLICAS = 1024
-"""Batches of other daemons that a daemon keeps copies of, the newest. Not measured."""
+"""Batches of other daemons that a daemon keeps copies of, the newest."""
 
 
 @dataclass(slots=True)
--- a/src/larkpost/standalone/batches/service.py
+++ b/src/larkpost/standalone/batches/service.py
@@ -30,9 +30,9 @@
 from larkpost.standalone.wire import larkpost_pb2 as pb
 
 SCHEDULE_INTERVAL = 0.05
-"""Seconds between rounds that start samples. Not measured."""
+"""Seconds between rounds that start samples."""
 MAX_PULL_WAIT = 30.0
-"""Longest time in seconds for which a pull is held. Not measured."""
+"""Longest time in seconds for which a pull is held."""
 RunnerFactory = Callable[[BatchLedger, Callable[[Sample], None]], BatchRunner]
 
 
--- a/src/larkpost/standalone/controllers/configuration.py
+++ b/src/larkpost/standalone/controllers/configuration.py
@@ -23,13 +23,13 @@
 from larkpost.standalone.table_service.ports import Row, TableStore
 
 HISTORY_LENGTH = 64
-"""Confirmations that the row remembers. Not measured."""
+"""Confirmations that the row remembers."""
 WRITE_ATTEMPTS = 3
-"""Writes of one confirmation whose outcome is unknown. Not measured."""
+"""Writes of one confirmation whose outcome is unknown."""
 IN_FORCE_WAIT = 5.0
 """Seconds a confirmation waits for the zones before it reports those that are still pending."""
 IN_FORCE_POLL = 0.2
-"""Seconds between two checks of the zones while a confirmation waits. Not measured."""
+"""Seconds between two checks of the zones while a confirmation waits."""
 
 
 class ConfigurationRow(BaseModel):
--- a/src/larkpost/standalone/controllers/facts.py
+++ b/src/larkpost/standalone/controllers/facts.py
@@ -16,13 +16,13 @@
 from larkpost.standalone.wire.peer import PeerError, PeerMethod, PeerTransport
 
 FANOUT = 4
-"""Daemons to which a new fact is pushed by each that first learns it. Not measured."""
+"""Daemons to which a new fact is pushed by each that first learns it."""
 PUSH_GROUPING = 0.02
 """Seconds over which new facts are gathered into one push."""
 MAX_PUSHED = 32
 """More new facts than this at once are left to the comparison of digests."""
 PUSH_TIMEOUT = 1.0
-"""Seconds to wait for the answer to a push. Not measured."""
+"""Seconds to wait for the answer to a push."""
 REPAIR_DELAY = 0.5
 """Seconds a difference must last before it is repaired; pushes under way mend most by then."""
 
--- a/src/larkpost/standalone/controllers/membership.py
+++ b/src/larkpost/standalone/controllers/membership.py
@@ -34,7 +34,6 @@
 """Tables to read on joining; probes and exchanges bring what two peers do not know."""
 SYNC_INTERVAL = 30.0
 """Seconds between exchanges of the whole table with one random daemon."""
-# None of these figures is measured.
 
 
 class Membership:
--- a/src/larkpost/standalone/controllers/monitor.py
+++ b/src/larkpost/standalone/controllers/monitor.py
@@ -19,11 +19,11 @@
 from larkpost.standalone.wire import larkpost_pb2 as pb
 
 SUBSCRIPTION_LIFETIME = 10.0
-"""Seconds for which a subscription holds: a renewal may be lost. Not measured."""
+"""Seconds for which a subscription holds: a renewal may be lost."""
 SUBSCRIBE_INTERVAL = 4.0
-"""Seconds between two renewals of the subscriptions. Not measured."""
+"""Seconds between two renewals of the subscriptions."""
 LOADS_PER_DATAGRAM = 24
-"""Loads of engines that one datagram carries. Not measured."""
+"""Loads of engines that one datagram carries."""
 
 
 class Monitor:
--- a/src/larkpost/standalone/controllers/probing.py
+++ b/src/larkpost/standalone/controllers/probing.py
@@ -13,11 +13,11 @@
 from larkpost.standalone.wire import larkpost_pb2 as pb
 
 ACK_POLLS = 8
-"""Checks for an acknowledgement within a probe's time limit. Not measured."""
+"""Checks for an acknowledgement within a probe's time limit."""
 LATE_DIVISOR = 2
-"""A loop that is late by more than this part of the time limit is itself to blame. Not measured."""
+"""A loop that is late by more than this part of the time limit is itself to blame."""
 RELAY_TIMEOUTS = 2
-"""Time limits of a probe for which a relayed one is remembered. Not measured."""
+"""Time limits of a probe for which a relayed one is remembered."""
 
 
 class Prober:
--- a/src/larkpost/standalone/controllers/readiness.py
+++ b/src/larkpost/standalone/controllers/readiness.py
@@ -21,9 +21,9 @@
 from larkpost.standalone.wire.peer import PeerError, PeerMethod, PeerTransport
 
 STATE_TIMEOUT = 0.5
-"""Seconds to wait for a daemon's configuration state. Not measured."""
+"""Seconds to wait for a daemon's configuration state."""
 RETRY_AFTER_NOT_READY = 1.0
-"""Seconds after which a refused caller may come back. Not measured."""
+"""Seconds after which a refused caller may come back."""
 
 
 class Readiness:
--- a/src/larkpost/standalone/controllers/weights.py
+++ b/src/larkpost/standalone/controllers/weights.py
@@ -21,9 +21,9 @@
 from larkpost.standalone.runtime import Runtime
 
 RETRY_BASE = 0.5
-"""Seconds after a first failed order before the next one; doubles with each. Not measured."""
+"""Seconds after a first failed order before the next one; doubles with each."""
 RETRY_LIMIT = 8.0
-"""Most seconds between two orders to an engine that fails them. Not measured."""
+"""Most seconds between two orders to an engine that fails them."""
 
 
 class WeightController:
--- a/src/larkpost/standalone/daemon.py
+++ b/src/larkpost/standalone/daemon.py
@@ -56,7 +56,6 @@
 """Seconds between measurements of the event loop's delay."""
 REPLICA_LIFETIME_FACTOR = 2
 """A replica is kept so many times as long as an idle batch: its owner must drop the batch first."""
-# None of the intervals is measured.
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/larkpost/standalone/engines/http_adapter.py
+++ b/src/larkpost/standalone/engines/http_adapter.py
@@ -26,9 +26,9 @@
 )
 
 CONNECT_TIMEOUT = 2.0
-"""Longest wait in seconds for a connection to an engine. Not measured."""
+"""Longest wait in seconds for a connection to an engine."""
 CANCEL_TIMEOUT = 1.0
-"""Longest wait in seconds for the cancelling of an attempt. Not measured."""
+"""Longest wait in seconds for the cancelling of an attempt."""
 EVENT_PREFIX = b"data: "
 REFUSED_STATUSES = (409, 429, 503)
 NETWORK_ERRORS = (aiohttp.ClientError, TimeoutError, OSError)
--- a/src/larkpost/standalone/operator_calls.py
+++ b/src/larkpost/standalone/operator_calls.py
@@ -18,7 +18,7 @@
 from larkpost.standalone.settings import describe_validation
 
 CALL_TIMEOUT = 30.0
-"""Seconds to wait for a daemon, which waits itself for zones. Not measured."""
+"""Seconds to wait for a daemon, which waits itself for zones."""
 
 
 def call_daemon(daemon: Address, verb: str, path: str, body: bytes = b"") -> dict:
--- a/src/larkpost/standalone/routing/dispatcher.py
+++ b/src/larkpost/standalone/routing/dispatcher.py
@@ -37,13 +37,13 @@
 from larkpost.standalone.runtime import Runtime
 
 MAX_ATTEMPTS = 6
-"""Attempts at one piece of work. Not measured."""
+"""Attempts at one piece of work."""
 RETRY_AFTER_NO_ENGINE = 1.0
-"""Seconds after which a caller may come back that found no engine. Not measured."""
+"""Seconds after which a caller may come back that found no engine."""
 MAX_PROBES = 3
-"""Engines asked for a report at once when no report is fresh. Not measured."""
+"""Engines asked for a report at once when no report is fresh."""
 RESUME_ATTEMPTS = 2
-"""Streams of one attempt: the first, and one that goes on where it broke. Not measured."""
+"""Streams of one attempt: the first, and one that goes on where it broke."""
 
 
 class Dispatcher:
--- a/src/larkpost/standalone/routing/inference.py
+++ b/src/larkpost/standalone/routing/inference.py
@@ -20,9 +20,9 @@
 from larkpost.standalone.runtime import Runtime
 
 RETRY_AFTER_OVERLOAD = 0.5
-"""Seconds after which a refused caller may come back. Not measured."""
+"""Seconds after which a refused caller may come back."""
 MAX_TOKENS_LIMIT = 131_072
-"""Most tokens that one request may ask for. Not measured."""
+"""Most tokens that one request may ask for."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/larkpost/standalone/routing/run_once.py
+++ b/src/larkpost/standalone/routing/run_once.py
@@ -20,9 +20,9 @@
 TICKET_PREFIX = "ticket"
 ROW_PREFIX = "run-once/"
 REMOTE_TIMEOUT = 1.0
-"""Seconds to wait for the daemon that issued a ticket. Not measured."""
+"""Seconds to wait for the daemon that issued a ticket."""
 MAX_CONSUMED = 1_000_000
-"""Tickets after whose number an older one counts as used. Not measured."""
+"""Tickets after whose number an older one counts as used."""
 
 
 class KeyStoreUnavailableError(LarkpostError):
--- a/src/larkpost/standalone/routing/work.py
+++ b/src/larkpost/standalone/routing/work.py
@@ -8,7 +8,7 @@
 CLIENT_CHUNK_TOKENS = 1
 """The same for client requests, which are to see each token as it is made."""
 ROLLOUT_CHUNK_TOKENS = 16
-"""Tokens that an engine may gather in a chunk. Not measured."""
+"""Tokens that an engine may gather in a chunk."""
 
 
 class WorkClass(StrEnum):
--- a/src/larkpost/standalone/server.py
+++ b/src/larkpost/standalone/server.py
@@ -20,7 +20,7 @@
 from larkpost.standalone.wire.http_peer import HttpPeerTransport, TelemetrySource
 
 IDLE_CONNECTION_SECONDS = 30
-"""Seconds for which a connection may rest between two requests. Not measured."""
+"""Seconds for which a connection may rest between two requests."""
 
 
 def run_server(settings: Settings) -> None:
--- a/src/larkpost/standalone/wire/http_peer.py
+++ b/src/larkpost/standalone/wire/http_peer.py
@@ -11,7 +11,7 @@
 
 PEER_PATH = "/internal/v1/"
 HTTP_OVERHEAD = 300
-"""Bytes of headers counted for one request and its answer, as measured on loopback."""
+"""Bytes of headers counted for one request and its answer."""
 
 
 class HttpPeerTransport:
