Interfaces: incarnations of servers, their slowness, what heartbeats report; entries are read strictly

Cause: an entry of a server was taken with an unknown state, a negative number of slots or an address that is none, and a load with a fourth figure was dropped whole. Change: one typed reader; what is missing, of another type, out of bounds or not among the agreed words makes the entry no server. Loads may say how slow a server is at the moment. Heartbeats carry a typed report; earlier builds pass over its fields, and what they don't say is unknown.

--- a/src/larkpost/gateway/blackboard/directory.py
+++ b/src/larkpost/gateway/blackboard/directory.py
@@ -31,6 +31,8 @@
         is_preemptible: whether it may be taken away at short notice.
         cold_left: seconds, from the entry's writing, for which it stays cold; None if not
             known.
+        born: Unix millisecond of its start, which tells its incarnations apart; None if it does
+            not say it.
     """
 
     id: InstanceId
@@ -43,6 +45,7 @@
     listed_version: int = 0
     is_preemptible: bool = False
     cold_left: float | None = None
+    born: int | None = None
 
 
 class Directory:
--- a/src/larkpost/gateway/controllers/heartbeat.py
+++ b/src/larkpost/gateway/controllers/heartbeat.py
@@ -6,7 +6,9 @@
 import orjson
 
 from larkpost.common.ids import Address, DaemonId, ZoneId
+from larkpost.gateway.blackboard.daemon_report import DaemonReport
 from larkpost.gateway.blackboard.use_summary import UseSummary
+from larkpost.gateway.controllers.report_codec import read_report, report_fields
 
 INCARNATION_SEPARATOR = "/"
 """Between a machine's name and what tells its incarnations apart; part of stored rows' keys."""
@@ -34,6 +36,7 @@
         leaving: whether this is its last heartbeat.
         clock_offset: seconds by which its time of day is ahead of the store's clock, or None.
         zone: where it runs; None in rows of earlier versions.
+        report: what else it reports to the others; empty in rows of earlier versions.
     """
 
     interval: float
@@ -43,6 +46,7 @@
     leaving: bool = False
     clock_offset: float | None = None
     zone: ZoneId | None = None
+    report: DaemonReport = field(default_factory=DaemonReport)
 
 
 def encode_heartbeat(heartbeat: Heartbeat) -> bytes:
@@ -60,6 +64,7 @@
         fields["clock_offset"] = round(heartbeat.clock_offset, 4)
     if heartbeat.zone is not None:
         fields["zone"] = heartbeat.zone
+    fields.update(report_fields(heartbeat.report))
     return orjson.dumps(fields)
 
 
@@ -81,6 +86,7 @@
             bool(document.get("leaving")),
             document.get("clock_offset"),
             ZoneId(zone) if zone else None,
+            read_report(document),
         )
     except (AttributeError, KeyError, TypeError) as error:
         raise ValueError(f"no heartbeat: {error!r}") from None
--- a/src/larkpost/gateway/controllers/heartbeat_list.py
+++ b/src/larkpost/gateway/controllers/heartbeat_list.py
@@ -9,6 +9,7 @@
 
 from larkpost.common.clock import Clock
 from larkpost.common.ids import DaemonId
+from larkpost.gateway.blackboard.daemon_report import DaemonReport
 from larkpost.gateway.blackboard.use_summary import UseSummary
 from larkpost.gateway.controllers.heartbeat import Heartbeat, decode_heartbeat
 from larkpost.gateway.observability.eventlog import Event, EventLog
@@ -49,6 +50,8 @@
     Args:
         listener: called with what each daemon newly reports of its use; an empty summary once it
             is gone.
+        report_listener: called with what else each daemon newly reports; an empty report once it
+            is gone.
     """
 
     def __init__(
@@ -58,6 +61,7 @@
         log: EventLog,
         part: str,
         listener: Callable[[DaemonId, UseSummary], None] = lambda *_: None,
+        report_listener: Callable[[DaemonId, DaemonReport], None] = lambda *_: None,
     ) -> None:
         self.part = part
         self.listed_at: float | None = None
@@ -66,6 +70,7 @@
         self._clock = clock
         self._log = log
         self._listener = listener
+        self._report_listener = report_listener
         self._usual_call = 0.0
 
     def row_of(self, daemon: DaemonId) -> RowKey:
@@ -136,11 +141,13 @@
                 heartbeat = self._read(name, row)
                 self.seen[name] = Observation(row.version, now, heartbeat)
                 self._listener(name, heartbeat.uses)
+                self._report_listener(name, heartbeat.report)
             elif blind:
                 seen.changed_at = now
         for name in self.seen.keys() - {row.key.key for row in rows}:
             del self.seen[name]
             self._listener(name, {})
+            self._report_listener(name, DaemonReport())
 
     def _read(self, name: DaemonId, row: Row) -> Heartbeat:
         try:
--- a/src/larkpost/gateway/controllers/heartbeat_writer.py
+++ b/src/larkpost/gateway/controllers/heartbeat_writer.py
@@ -8,6 +8,7 @@
 
 from larkpost.common.clock import Clock
 from larkpost.common.ids import Address, DaemonId
+from larkpost.gateway.blackboard.daemon_report import DaemonReport
 from larkpost.gateway.blackboard.regions import RegionMap
 from larkpost.gateway.blackboard.use_summary import UseSummary
 from larkpost.gateway.controllers.fleet_view import FleetView
@@ -44,6 +45,7 @@
         clock_offset: returns the seconds by which this machine's time of day is ahead of the
             store's clock, or None if that is not known.
         address: where it makes calls to the store for others, or None.
+        report: returns what else it reports to the others with each heartbeat.
     """
 
     id: DaemonId
@@ -51,6 +53,7 @@
     is_owner: Callable[[], bool] = lambda: False
     clock_offset: Callable[[], float | None] = lambda: None
     address: Address | None = None
+    report: Callable[[], DaemonReport] = DaemonReport
 
 
 class HeartbeatWriter:
@@ -106,6 +109,7 @@
             address=self._own.address,
             clock_offset=self._own.clock_offset(),
             zone=self._regions.own_zone,
+            report=self._own.report(),
         )
         await self._put(self._view.known, heartbeat)
 
@@ -115,7 +119,8 @@
         interval = round(self._awaited_interval() + call, 3)
         is_acting = self._view.is_coordinator()
         await self._put(
-            self._view.awaited, Heartbeat(interval, self._own.use(), coordinates=is_acting)
+            self._view.awaited,
+            Heartbeat(interval, self._own.use(), coordinates=is_acting, report=self._own.report()),
         )
 
     async def _remove_awaited(self) -> None:
--- a/src/larkpost/gateway/controllers/members.py
+++ b/src/larkpost/gateway/controllers/members.py
@@ -12,6 +12,7 @@
 
 from larkpost.common.ids import DaemonId
 from larkpost.common.tasks import TaskSet
+from larkpost.gateway.blackboard.daemon_report import DaemonReport
 from larkpost.gateway.blackboard.regions import RegionMap
 from larkpost.gateway.blackboard.use_summary import UseSummary
 from larkpost.gateway.controllers.fleet_view import FleetView
@@ -54,6 +55,8 @@
         own: what this daemon shows of itself.
         regions: where zones lie, this daemon's among them.
         listener: called with each new summary of another daemon; an empty one when it is gone.
+        report_listener: called with what else another daemon newly reports, by either heartbeat;
+            an empty report when that one is gone.
     """
 
     def __init__(
@@ -63,14 +66,20 @@
         instruments: Instruments,
         regions: RegionMap,
         listener: Callable[[DaemonId, UseSummary], None] = _ignore,
+        report_listener: Callable[[DaemonId, DaemonReport], None] = _ignore,
     ) -> None:
         clock, log = instruments.clock, instruments.log
-        known = HeartbeatList(store, clock, log, KNOWN_PART)
-        awaited = HeartbeatList(store, clock, log, AWAITED_PART, self._record_use)
+        known = HeartbeatList(
+            store, clock, log, KNOWN_PART, report_listener=self._record_known_report
+        )
+        awaited = HeartbeatList(
+            store, clock, log, AWAITED_PART, self._record_use, self._record_awaited_report
+        )
         super().__init__(own.id, known, awaited, regions, clock)
         self._store = store
         self._log = log
         self._listener = listener
+        self._report_listener = report_listener
         self._writer = HeartbeatWriter(own, self, regions, store, clock)
         self._logged_alive: frozenset[DaemonId] = frozenset()
         self._logged_coordinator = False
@@ -95,6 +104,15 @@
         if daemon != self.own:
             self._listener(daemon, use)
 
+    def _record_known_report(self, daemon: DaemonId, report: DaemonReport) -> None:
+        """Passes on what a known heartbeat reports, unless the awaited one comes more often."""
+        if daemon != self.own and daemon not in self.awaited.seen:
+            self._report_listener(daemon, report)
+
+    def _record_awaited_report(self, daemon: DaemonId, report: DaemonReport) -> None:
+        if daemon != self.own:
+            self._report_listener(daemon, report)
+
     def _known_listing_interval(self) -> float:
         return known_listing_interval(len(self.known.seen), self.age())
 
--- a/src/larkpost/gateway/servers/port.py
+++ b/src/larkpost/gateway/servers/port.py
@@ -58,11 +58,20 @@
 
 @dataclass(frozen=True, slots=True)
 class ServerLoad:
-    """What a server reported of itself: requests running and waiting, and its slots."""
+    """What a server reported of itself.
+
+    Attributes:
+        running: requests that run there.
+        waiting: requests that wait there.
+        slots: requests that it runs at once.
+        slowness: how many times as long as usual work takes there at this moment, without unit; it
+            changes many times a second. None if the server does not say it.
+    """
 
     running: int
     waiting: int
     slots: int
+    slowness: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -215,6 +224,7 @@
     Attributes:
         orders: how many orders it has taken since its start.
         busy: whether an order is under way.
+        born: Unix millisecond of its start; None if it does not say it.
     """
 
     orders: int
@@ -222,6 +232,7 @@
     running: int
     waiting: int
     versions: dict[ModelName, int] = field(default_factory=dict)
+    born: int | None = None
 
 
 class ServerPort(Protocol):
--- a/src/larkpost/platform/instance_rows.py
+++ b/src/larkpost/platform/instance_rows.py
@@ -1,43 +1,142 @@
-"""Reads what servers write of themselves into the store."""
+"""Reads what servers write of themselves into the store, and their reports.
 
+An entry may come from another writer. Whatever is missing, of another type, out of bounds or not
+among the agreed words makes it no server at all; what else it says is not used either.
+"""
+
+import ipaddress
+import math
+from collections.abc import Mapping
 from typing import Any
 
 import orjson
 
+from larkpost.common.addresses import split_address
 from larkpost.common.ids import Address, InstanceId, ZoneId
 from larkpost.gateway.blackboard.configuration import ModelName, ServiceName
 from larkpost.gateway.blackboard.directory import InstanceInfo, InstanceState
 from larkpost.gateway.store.port import Row
-from larkpost.platform.operator import UNREADABLE, UnreadableRowError
+from larkpost.platform.operator import UnreadableRowError
+
+STATES = {"ready": InstanceState.READY, "draining": InstanceState.LEAVING}
+MAX_SLOTS = 65_535
+"""A server serves each request on a connection of its own, and a port has no more of them to one
+caller."""
+MAX_COLD_MS = 86_400_000
+"""One day."""
+MAX_WHOLE_NUMBER = 2**53
+"""The largest whole number that all JSON writers keep exactly."""
 
 
 def read_instance(row: Row) -> InstanceInfo:
     """Returns the instance in a row of the servers' table.
 
     Raises:
-        UnreadableRowError: the document cannot be read.
+        UnreadableRowError: the row holds no server's entry; the message names the field.
     """
     try:
-        document = orjson.loads(row.value)
-        is_leaving = document.get("state") == "draining"
-        cold_ms = document.get("cold-left-ms")
-        return InstanceInfo(
-            id=InstanceId(row.key.key),
-            service=ServiceName(document["service"]),
-            address=Address(document["address"]),
-            zone=ZoneId(document.get("zone", "")),
-            slots=int(document.get("slots", 1)),
-            state=InstanceState.LEAVING if is_leaving else InstanceState.READY,
-            versions=read_versions(document),
-            listed_version=row.version,
-            is_preemptible=bool(document.get("preemptible", False)),
-            cold_left=max(0.0, float(cold_ms) / 1000) if cold_ms is not None else None,
-        )
-    except UNREADABLE as error:
-        raise UnreadableRowError(f"server {row.key.key}: {error!r}") from None
-
-
-def read_versions(document: dict[str, Any]) -> dict[ModelName, int]:
-    """Returns the weight version of each model named in a server's entry or report."""
-    models = document.get("models") or ()
-    return {ModelName(model["name"]): int(model["version"]) for model in models}
+        return _read_entry(row)
+    except ValueError as error:
+        raise UnreadableRowError(f"server {row.key.key}: {error}") from None
+
+
+def _read_entry(row: Row) -> InstanceInfo:
+    document = read_document(row.value)
+    _text(document, "version")  # the release of its software, which nothing depends on
+    whole_number(document, "seq")  # counts its writes, and is checked only as all of the entry is
+    return InstanceInfo(
+        id=InstanceId(row.key.key),
+        service=ServiceName(_text(document, "service")),
+        address=_address(document),
+        zone=ZoneId(_text(document, "zone")),
+        slots=whole_number(document, "slots", least=1, most=MAX_SLOTS),
+        state=_state(document),
+        versions=read_versions(document),
+        listed_version=row.version,
+        is_preemptible=_flag(document, "preemptible"),
+        cold_left=_cold_milliseconds(document) / 1000,
+        born=read_born(document),
+    )
+
+
+def read_document(content: bytes) -> dict[str, Any]:
+    """Returns the table that a text of JSON holds.
+
+    Raises:
+        ValueError: it is not JSON, or holds something else.
+    """
+    document = orjson.loads(content)
+    if not isinstance(document, dict):
+        raise ValueError("no table of fields")
+    return document
+
+
+def read_versions(document: Mapping[str, Any]) -> dict[ModelName, int]:
+    """Returns the weight version of each model named in a server's entry or report.
+
+    Raises:
+        ValueError: the models are not in the agreed form.
+    """
+    models = document.get("models", [])
+    if not isinstance(models, list) or not all(isinstance(model, dict) for model in models):
+        raise ValueError("models is no list of tables")
+    return {ModelName(_text(model, "name")): whole_number(model, "version") for model in models}
+
+
+def read_born(document: Mapping[str, Any]) -> int | None:
+    """Returns the Unix millisecond of a server's start; None if it does not say it.
+
+    Raises:
+        ValueError: it is no whole number.
+    """
+    return whole_number(document, "born") if "born" in document else None
+
+
+def whole_number(
+    document: Mapping[str, Any], name: str, *, least: int = 0, most: int = MAX_WHOLE_NUMBER
+) -> int:
+    """Returns a field that is a whole number within bounds.
+
+    Raises:
+        ValueError: it is missing, or something else.
+    """
+    value = document.get(name)
+    if isinstance(value, bool) or not isinstance(value, int) or not least <= value <= most:
+        raise ValueError(f"{name} is {value!r}, not a whole number from {least} to {most}")
+    return value
+
+
+def _cold_milliseconds(document: Mapping[str, Any]) -> float:
+    value = document.get("cold-left-ms")
+    is_number = isinstance(value, int | float) and not isinstance(value, bool)
+    if not is_number or not math.isfinite(value) or not 0 <= value <= MAX_COLD_MS:
+        raise ValueError(f"cold-left-ms is {value!r}, not milliseconds from 0 to {MAX_COLD_MS}")
+    return float(value)
+
+
+def _text(document: Mapping[str, Any], name: str) -> str:
+    value = document.get(name)
+    if not isinstance(value, str) or not value:
+        raise ValueError(f"{name} is {value!r}, not a text")
+    return value
+
+
+def _flag(document: Mapping[str, Any], name: str) -> bool:
+    value = document.get(name, False)
+    if not isinstance(value, bool):
+        raise ValueError(f"{name} is {value!r}, not true or false")
+    return value
+
+
+def _address(document: Mapping[str, Any]) -> Address:
+    value = _text(document, "address")
+    host, _ = split_address(value)
+    ipaddress.ip_address(host)
+    return Address(value)
+
+
+def _state(document: Mapping[str, Any]) -> InstanceState:
+    value = _text(document, "state")
+    if value not in STATES:
+        raise ValueError(f"state is {value!r}, not one of {', '.join(STATES)}")
+    return STATES[value]
--- a/src/larkpost/platform/server_messages.py
+++ b/src/larkpost/platform/server_messages.py
@@ -3,11 +3,14 @@
 import re
 from collections.abc import Mapping
 
-import orjson
-
 from larkpost.gateway.servers.port import EngineReport, RunningWork, ServerLoad, VersionOrder
 from larkpost.platform import names
-from larkpost.platform.instance_rows import read_versions
+from larkpost.platform.instance_rows import (
+    read_born,
+    read_document,
+    read_versions,
+    whole_number,
+)
 
 ORDER_MODES = {
     RunningWork.CARRY: "retain",
@@ -15,6 +18,10 @@
     RunningWork.INTERRUPT: "preempt",
 }
 """How a server treats the work that runs under the old version while it changes to the new one."""
+LOAD_LENGTHS = (3, 4)
+"""How many figures a server's load has: running, waiting and slots; some servers add, in per cent,
+how long work takes there now."""
+LOAD_FIGURE = re.compile(r"[0-9]{1,6}")
 IDLE_TIME = re.compile(r"timeout=(\d+)")
 
 
@@ -38,26 +45,31 @@
 
 def read_load(headers: Mapping[str, str]) -> ServerLoad | None:
     """Returns what a server says of its load; None if it says nothing."""
-    parts = headers.get(names.INSTANCE_LOAD.decode(), "").split(",")
-    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
+    parts = [part.strip() for part in headers.get(names.INSTANCE_LOAD.decode(), "").split(",")]
+    if len(parts) not in LOAD_LENGTHS or not all(LOAD_FIGURE.fullmatch(part) for part in parts):
         return None
-    running, waiting, slots = (int(part) for part in parts)
-    return ServerLoad(running, waiting, slots)
+    running, waiting, slots = (int(part) for part in parts[:3])
+    per_cent = int(parts[3]) if len(parts) > 3 else 0
+    return ServerLoad(running, waiting, slots, per_cent / 100 if per_cent else None)
 
 
 def read_report(content: bytes) -> EngineReport:
     """Reads an engine's report.
 
     Raises:
-        ValueError, KeyError, TypeError: it is none.
+        ValueError: it is none.
     """
-    document = orjson.loads(content)
+    document = read_document(content)
+    busy = document.get("busy")
+    if not isinstance(busy, bool):
+        raise ValueError(f"busy is {busy!r}, not true or false")
     return EngineReport(
-        orders=int(document["seq"]),  # the count of orders, not of reports
-        busy=bool(document["busy"]),
-        running=int(document.get("running", 0)),
-        waiting=int(document.get("waiting", 0)),
+        orders=whole_number(document, "seq"),  # the count of orders, not of reports
+        busy=busy,
+        running=whole_number(document, "running") if "running" in document else 0,
+        waiting=whole_number(document, "waiting") if "waiting" in document else 0,
         versions=read_versions(document),
+        born=read_born(document),
     )
 
 
--- a/src/larkpost/platform/stand_in/rows.py
+++ b/src/larkpost/platform/stand_in/rows.py
@@ -134,8 +134,11 @@
         "service": server.service,
         "address": server.address,
         "zone": server.zone,
+        "version": "1",
         "slots": server.slots,
         "state": "draining" if server.leaving else "ready",
+        "cold-left-ms": 0,
+        "seq": 0,
         "models": [
             {"name": model, "version": version} for model, version in server.versions.items()
         ],
