Servers that start again under their name are instances of their own; spoiled entries name no server

Cause: an entry's start (born) was read nowhere. What was remembered of a server (versions, load, pace, avoidance, leaving, the time of the next order) was taken for its next start, and a request that crashed one server three times counted once. Change: an instance's id is its name and its start, where it says it, so all that is remembered ends with it. The directory knows one incarnation of each name, the latest; a late word of an earlier one changes nothing. Requests name the server, leases too, as builds before do; heartbeats name servers and add the starts in a field of their own, which earlier builds pass over. Crashes count by incarnation; a start under the same name is evidence of a crash. An engine whose report is of another start than its entry is not ordered. An entry that cannot be read, or whose service no configuration has named, is no server to use; it is counted and logged once. Weighed: guards at each of some twenty places that remember something by a name; one missed place would be a fault. Tests: before and after the store's word, while it is away, under requests, runs and orders; heartbeats of the earlier build as pinned bytes.

--- a/src/larkpost/common/ids.py
+++ b/src/larkpost/common/ids.py
@@ -3,7 +3,10 @@
 from typing import NewType
 
 DaemonId = NewType("DaemonId", str)
+InstanceName = NewType("InstanceName", str)
+"""What a server calls itself; it keeps the name when it starts again."""
 InstanceId = NewType("InstanceId", str)
+"""One incarnation of a server; see `larkpost.common.incarnations`."""
 EngineId = NewType("EngineId", str)
 ZoneId = NewType("ZoneId", str)
 RegionId = NewType("RegionId", str)
--- /dev/null
+++ b/src/larkpost/common/incarnations.py
@@ -0,0 +1,30 @@
+"""Tells the incarnations of a server apart, which may start again under the name that it had.
+
+An id is a server's name and the time of its start, so whatever is remembered by an id ends with the
+incarnation: nothing that was learnt of an earlier one is ever taken for the new one's. A server
+that does not say when it started is known by its name alone.
+"""
+
+from larkpost.common.ids import InstanceId, InstanceName
+
+BORN_SEPARATOR = "@"
+
+
+def instance_id(name: InstanceName, born: int | None) -> InstanceId:
+    """Returns the id of an incarnation.
+
+    Args:
+        born: Unix millisecond of its start; None if it does not say it.
+    """
+    if born is not None:
+        return InstanceId(f"{name}{BORN_SEPARATOR}{born}")
+    is_ambiguous = BORN_SEPARATOR in name
+    return InstanceId(f"{name}{BORN_SEPARATOR}" if is_ambiguous else name)
+
+
+def split_instance_id(instance: InstanceId) -> tuple[InstanceName, int | None]:
+    """Returns a server's name and the Unix millisecond of its start; None if it does not say it."""
+    name, separator, born = instance.rpartition(BORN_SEPARATOR)
+    if not separator:
+        return InstanceName(instance), None
+    return InstanceName(name), int(born) if born else None
--- a/src/larkpost/gateway/blackboard/daemon_report.py
+++ b/src/larkpost/gateway/blackboard/daemon_report.py
@@ -7,18 +7,6 @@
 from larkpost.gateway.blackboard.tenants import TenantName
 
 
-class LastingPace(NamedTuple):
-    """How long a unit of work takes at an incarnation of an instance, its bursts taken out.
-
-    Attributes:
-        born: Unix millisecond of the incarnation's start; None if it does not say it.
-        seconds: seconds a unit of work takes there.
-    """
-
-    born: int | None
-    seconds: float
-
-
 class TenantUse(NamedTuple):
     """What one daemon holds for one tenant at a moment.
 
@@ -36,11 +24,12 @@
     """What one daemon reports; what it does not say is unknown.
 
     Attributes:
-        paces: lasting paces that it has learnt itself.
+        paces: seconds that a unit of work lastingly takes at instances, short bursts of slowness
+            left out, as far as it has learnt that itself.
         tenants: use by its tenants with the greatest use, of bounded number.
         capacity: what its machine can bear beside clients, without unit; None if not known.
     """
 
-    paces: dict[InstanceId, LastingPace] = field(default_factory=dict)
+    paces: dict[InstanceId, float] = field(default_factory=dict)
     tenants: dict[TenantName, TenantUse] = field(default_factory=dict)
     capacity: float | None = None
--- a/src/larkpost/gateway/blackboard/directory.py
+++ b/src/larkpost/gateway/blackboard/directory.py
@@ -1,10 +1,11 @@
 """The directory of server instances: who serves which service, where, and in which state."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field, replace
 from enum import StrEnum
 
-from larkpost.common.ids import Address, InstanceId, ZoneId
+from larkpost.common.ids import Address, InstanceId, InstanceName, ZoneId
+from larkpost.common.incarnations import split_instance_id
 from larkpost.gateway.blackboard.configuration import ModelName, ServiceName
 
 
@@ -12,7 +13,7 @@
     """Whether an instance takes new work.
 
     READY may become LEAVING or UNLISTED. UNLISTED becomes READY again once its entry is back.
-    LEAVING is final: an instance that comes back has a new id.
+    LEAVING is final: a server that comes back is another instance.
     """
 
     READY = "ready"
@@ -31,8 +32,6 @@
         is_preemptible: whether it may be taken away at short notice.
         cold_left: seconds, from the entry's writing, for which it stays cold; None if not
             known.
-        born: Unix millisecond of its start, which tells its incarnations apart; None if it does
-            not say it.
     """
 
     id: InstanceId
@@ -45,11 +44,20 @@
     listed_version: int = 0
     is_preemptible: bool = False
     cold_left: float | None = None
-    born: int | None = None
+
+    @property
+    def name(self) -> InstanceName:
+        """What the server calls itself, whichever incarnation it is."""
+        return split_instance_id(self.id)[0]
+
+    @property
+    def born(self) -> int | None:
+        """The Unix millisecond of its start; None if it does not say it."""
+        return split_instance_id(self.id)[1]
 
 
 class Directory:
-    """All instances known, by id.
+    """All instances known, by id; of each server one incarnation at the most.
 
     An entry that goes while the store is sound ends the instance at once. While the store is not
     sound entries also go for no reason of the instance's; those of living instances are back soon
@@ -61,6 +69,8 @@
         self._instances: dict[InstanceId, InstanceInfo] = {}
         self._observed: dict[tuple[InstanceId, ModelName], int] = {}
         self._retired: set[InstanceId] = set()
+        self._current: dict[InstanceName, InstanceId] = {}
+        self._end_listeners: list[Callable[[InstanceId], None]] = []
 
     def __len__(self) -> int:
         return len(self._instances)
@@ -69,29 +79,62 @@
         """Returns an instance, or None if it is unknown."""
         return self._instances.get(instance)
 
+    def named(self, name: InstanceName) -> InstanceInfo | None:
+        """Returns the incarnation of a server that is known, or None if none is."""
+        current = self._current.get(name)
+        return self._instances.get(current) if current is not None else None
+
+    def resolve(self, instance: InstanceId) -> InstanceId:
+        """Returns the incarnation that is known of a server of which only the name was said."""
+        name, born = split_instance_id(instance)
+        return self._current.get(name, instance) if born is None else instance
+
+    def add_end_listener(self, listener: Callable[[InstanceId], None]) -> None:
+        """Calls a listener whenever an instance is dropped for good."""
+        self._end_listeners.append(listener)
+
     def update(self, info: InstanceInfo) -> None:
-        """Stores an entry that is new or has changed."""
+        """Stores an entry that is new or has changed.
+
+        A later incarnation ends the one before; a late word of an earlier one changes nothing. An
+        entry that does not say when its server started is of the incarnation that is known.
+        """
+        known = self.named(info.name)
+        if known is not None and known.born is not None:
+            if info.born is None:
+                info = replace(info, id=known.id)
+            elif info.born < known.born:
+                return
         if info.id in self._retired:
             return
+        if known is not None and known.id != info.id:
+            self.forget(known.id)
         known = self._instances.get(info.id)
         if known is not None and known.state is InstanceState.LEAVING:
             info = replace(info, state=InstanceState.LEAVING)
         self._instances[info.id] = info
+        self._current[info.name] = info.id
 
-    def remove(self, instance: InstanceId, *, sound: bool) -> None:
-        """Records that an entry is gone.
+    def remove(self, name: InstanceName, *, sound: bool) -> None:
+        """Records that a server's entry is gone.
 
         Args:
             sound: whether the store has been without fault for long enough to be believed.
         """
-        self._retired.discard(instance)
-        known = self._instances.get(instance)
+        self._retired = {known for known in self._retired if split_instance_id(known)[0] != name}
+        known = self.named(name)
         if known is None:
             return
         if sound or known.state is InstanceState.LEAVING:
-            self.forget(instance)
+            self.forget(known.id)
         else:
-            self._instances[instance] = replace(known, state=InstanceState.UNLISTED)
+            self._instances[known.id] = replace(known, state=InstanceState.UNLISTED)
+
+    def drop_unreadable(self, name: InstanceName) -> None:
+        """Records that a server's entry names no server any more; one that leaves goes on to."""
+        known = self.named(name)
+        if known is not None and known.state is not InstanceState.LEAVING:
+            self.forget(known.id)
 
     def observe_version(self, instance: InstanceId, model: ModelName, version: int) -> None:
         """Records a weight version that an instance reports; it may be ahead of its entry."""
@@ -107,16 +150,22 @@
     def retire(self, instance: InstanceId) -> None:
         """Drops an instance for good: another one has responded at its address.
 
-        Its entry may stand for a while; each start has an id of its own, so it never comes back.
+        Its entry may stand for a while. A server that starts again is another instance.
         """
         self.forget(instance)
         self._retired.add(instance)
 
     def forget(self, instance: InstanceId) -> None:
         """Drops an instance."""
-        self._instances.pop(instance, None)
+        info = self._instances.pop(instance, None)
+        if info is None:
+            return
+        if self._current.get(info.name) == instance:
+            del self._current[info.name]
         for key in [key for key in self._observed if key[0] == instance]:
             del self._observed[key]
+        for listener in self._end_listeners:
+            listener(instance)
 
     def of_service(self, service: ServiceName) -> list[InstanceInfo]:
         """Returns the instances that may take new work."""
--- a/src/larkpost/gateway/controllers/heartbeat.py
+++ b/src/larkpost/gateway/controllers/heartbeat.py
@@ -2,10 +2,12 @@
 
 import secrets
 from dataclasses import dataclass, field
+from typing import Any
 
 import orjson
 
-from larkpost.common.ids import Address, DaemonId, ZoneId
+from larkpost.common.ids import Address, DaemonId, InstanceName, ZoneId
+from larkpost.common.incarnations import instance_id, split_instance_id
 from larkpost.gateway.blackboard.daemon_report import DaemonReport
 from larkpost.gateway.blackboard.use_summary import UseSummary
 from larkpost.gateway.controllers.report_codec import read_report, report_fields
@@ -53,7 +55,7 @@
     """Returns a heartbeat as a row's value; fields that hold nothing are left out."""
     fields: dict[str, object] = {"interval": heartbeat.interval}
     if heartbeat.uses:
-        fields["uses"] = heartbeat.uses
+        fields.update(_use_fields(heartbeat.uses))
     if heartbeat.address is not None:
         fields["address"] = heartbeat.address
     if heartbeat.coordinates:
@@ -80,7 +82,7 @@
         zone = document.get("zone")
         return Heartbeat(
             float(document["interval"]),
-            dict(document.get("uses") or {}),
+            _read_uses(document),
             Address(address) if address else None,
             bool(document.get("coordinates")),
             bool(document.get("leaving")),
@@ -90,3 +92,22 @@
         )
     except (AttributeError, KeyError, TypeError) as error:
         raise ValueError(f"no heartbeat: {error!r}") from None
+
+
+def _use_fields(uses: UseSummary) -> dict[str, object]:
+    """Returns the fields of a summary: by name, as earlier versions read it, and the starts."""
+    named = {split_instance_id(instance): use for instance, use in uses.items()}
+    fields: dict[str, object] = {"uses": {name: use for (name, _), use in named.items()}}
+    starts = {name: born for name, born in named if born is not None}
+    if starts:
+        fields["born"] = starts
+    return fields
+
+
+def _read_uses(document: dict[str, Any]) -> UseSummary:
+    """Returns a summary; where no start is said, the id is the name alone."""
+    starts = document.get("born") or {}
+    return {
+        instance_id(InstanceName(name), starts.get(name)): use
+        for name, use in (document.get("uses") or {}).items()
+    }
--- a/src/larkpost/gateway/controllers/loader.py
+++ b/src/larkpost/gateway/controllers/loader.py
@@ -63,12 +63,17 @@
         self._tasks: TaskSet | None = None
         self._next_try: dict[InstanceId, float] = {}
         self._under_way: set[InstanceId] = set()
+        blackboard.directory.add_end_listener(self._forget)
 
     def start(self, tasks: TaskSet) -> None:
         """Starts reconciling."""
         self._tasks = tasks
         tasks.every(self._interval, self.update, "weights")
 
+    def _forget(self, engine: InstanceId) -> None:
+        """Forgets an engine that has ended; its next incarnation is checked at once."""
+        self._next_try.pop(engine, None)
+
     def _interval(self) -> float:
         return INTERVAL_SECONDS if self._coordination.is_coordinator() else IDLE_INTERVAL_SECONDS
 
@@ -101,7 +106,8 @@
             if info is not None:
                 pause = await self._order_once(service, info, target)
         finally:
-            self._next_try[engine] = self._clock.now() + pause
+            if self._directory.get(engine) is not None:
+                self._next_try[engine] = self._clock.now() + pause
             self._under_way.discard(engine)
 
     async def _order_once(
@@ -112,6 +118,9 @@
         if report is None:
             self._record_no_order(engine, target, "no_report")
             return RETRY_SECONDS
+        if is_of_another_start(report, engine):
+            self._record_no_order(engine, target, "restarted")
+            return RETRY_SECONDS
         if report.busy:
             return RETRY_SECONDS
         for model, version in report.versions.items():
@@ -128,7 +137,7 @@
 
     async def _take_lease(self, engine: InstanceInfo, target: WeightTarget) -> Lease | None:
         """Takes the lease for one order; returns None, and records why, if none may be given."""
-        lease = await self._coordination.take_lease(LeaseSubject(Duty.ENGINE_ORDERS, engine.id))
+        lease = await self._coordination.take_lease(LeaseSubject(Duty.ENGINE_ORDERS, engine.name))
         if lease is None:
             self._record_no_order(engine, target, "no_lease")
             return None
@@ -183,6 +192,15 @@
         )
 
 
+def is_of_another_start(report: EngineReport, engine: InstanceInfo) -> bool:
+    """Returns whether a report is not of the incarnation that is known.
+
+    Its count of orders is then not the one that an order must name.
+    """
+    is_known = report.born is not None and engine.born is not None
+    return is_known and report.born != engine.born
+
+
 def seconds_until_next_check(outcome: OrderOutcome) -> float:
     """Returns the seconds from an order's outcome until the engine is checked again."""
     if outcome is OrderOutcome.TAKEN:
--- a/src/larkpost/gateway/controllers/report_codec.py
+++ b/src/larkpost/gateway/controllers/report_codec.py
@@ -8,7 +8,7 @@
 from typing import Any, TypeVar
 
 from larkpost.common.ids import InstanceId
-from larkpost.gateway.blackboard.daemon_report import DaemonReport, LastingPace, TenantUse
+from larkpost.gateway.blackboard.daemon_report import DaemonReport, TenantUse
 from larkpost.gateway.blackboard.tenants import TenantName
 
 PACES_FIELD = "paces"
@@ -31,7 +31,7 @@
 
 def read_report(document: Mapping[str, Any]) -> DaemonReport:
     """Returns the report in a heartbeat's row; what is missing or unreadable is not said."""
-    paces = _read_table(document.get(PACES_FIELD), _read_pace)
+    paces = _read_table(document.get(PACES_FIELD), _read_number)
     tenants = _read_table(document.get(TENANTS_FIELD), _read_tenant_use)
     return DaemonReport(
         {InstanceId(name): pace for name, pace in paces.items()},
@@ -48,15 +48,6 @@
     return {name: entry for name, entry in entries if entry is not None}
 
 
-def _read_pace(value: Any) -> LastingPace | None:
-    if not isinstance(value, list) or len(value) != len(LastingPace._fields):
-        return None
-    born, seconds = value[0], _read_number(value[1])
-    if seconds is None or not (born is None or _is_whole(born)):
-        return None
-    return LastingPace(born, seconds)
-
-
 def _read_tenant_use(value: Any) -> TenantUse | None:
     if not isinstance(value, list) or len(value) != len(TenantUse._fields):
         return None
--- a/src/larkpost/gateway/controllers/row_intake.py
+++ b/src/larkpost/gateway/controllers/row_intake.py
@@ -1,12 +1,13 @@
 """Records on the blackboard the rows that operators, trainers and servers write.
 
-Owns the rule by which an instance's entry that is gone ends the instance.
+Owns the rule by which an instance's entry that is gone ends the instance, and the entries of
+services that no configuration has named yet.
 """
 
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from larkpost.common.ids import InstanceId
+from larkpost.common.ids import InstanceName
 from larkpost.gateway.blackboard.board import Blackboard
 from larkpost.gateway.blackboard.configuration import Configuration
 from larkpost.gateway.blackboard.directory import InstanceInfo
@@ -14,6 +15,7 @@
 from larkpost.gateway.blackboard.weight_targets import WeightTarget
 from larkpost.gateway.observability.eventlog import Event
 from larkpost.gateway.observability.instruments import Instruments
+from larkpost.gateway.observability.metrics import Count
 from larkpost.gateway.store.port import Row
 
 LAPSED_SECONDS = 2.2
@@ -62,8 +64,24 @@
         return self.sound_for() >= self.trust_after()
 
 
+@dataclass(frozen=True, slots=True)
+class _Entry:
+    """An instance's entry.
+
+    Attributes:
+        is_new: whether an instance that was not known before has just started.
+    """
+
+    info: InstanceInfo
+    is_new: bool
+
+
 class RowIntake:
-    """Records rows, and logs what changes by them; rows that cannot be read change nothing."""
+    """Records rows, and logs what changes by them.
+
+    A row that cannot be read is passed over; what stood in it before goes on to hold, but for an
+    instance's entry, which then names no server.
+    """
 
     def __init__(
         self,
@@ -79,6 +97,9 @@
         self._evacuations = blackboard.evacuations
         self._clock = instruments.clock
         self._log = instruments.log
+        self._metrics = instruments.metrics
+        self._unnamed: dict[InstanceName, _Entry] = {}
+        """Entries whose service no configuration has named; they are no servers to use."""
         self._trust = trust
         self._cold = blackboard.cold
 
@@ -101,13 +122,23 @@
         except ValueError as error:
             self._log.record(Event.UNREADABLE, row=row.key.key, error=str(error))
             return
-        if configuration is not None and self._configuration.update(configuration):
-            self._log.record(Event.CONFIGURATION, version=configuration.version)
+        if configuration is not None:
+            self._record_configuration(configuration)
         if target is not None and self._targets.update(target, self._clock.now()):
             self._log.record(Event.WEIGHT_TARGET, model=target.model, version=target.version)
         if evacuation is not None:
             self._record_evacuation(evacuation)
 
+    def _record_configuration(self, configuration: Configuration) -> None:
+        is_first = self._configuration.current is None
+        if not self._configuration.update(configuration):
+            return
+        self._log.record(Event.CONFIGURATION, version=configuration.version)
+        self._take_named()
+        if is_first:
+            for entry in self._unnamed.values():
+                self._record_unnamed(entry.info)
+
     def _record_evacuation(self, evacuation: ZoneEvacuation) -> None:
         now = self._clock.now()
         if not self._evacuations.update(evacuation, now):
@@ -121,23 +152,62 @@
 
     def record_instance_row(self, row: Row) -> None:
         """Records an instance's entry, or that it is gone."""
-        instance = InstanceId(row.key.key)
+        name = InstanceName(row.key.key)
+        self._unnamed.pop(name, None)
         if row.removed:
             sound = self._trust.is_removal_believed()
-            self._directory.remove(instance, sound=sound)
-            self._log.record(Event.INSTANCE, instance=instance, state="gone", sound=sound)
+            self._directory.remove(name, sound=sound)
+            self._log.record(Event.INSTANCE, instance=name, state="gone", sound=sound)
             return
         try:
             info = self._readers.instance(row)
         except ValueError as error:
-            self._log.record(Event.UNREADABLE, row=row.key.key, error=str(error))
+            self._record_spoiled(name, str(error))
             return
-        known = self._directory.get(instance)
+        entry = _Entry(info, is_new=self._trust.had_whole_list())
+        if self._is_service_named(info):
+            self._take(entry)
+        else:
+            self._unnamed[name] = entry
+            if self._configuration.current is not None:
+                self._record_unnamed(info)
+
+    def _record_spoiled(self, name: InstanceName, error: str) -> None:
+        """Records that an entry names no server to use; it was perhaps another writer's."""
+        self._directory.drop_unreadable(name)
+        self._metrics.count(Count.SPOILED_ENTRIES)
+        self._log.record(Event.UNREADABLE, row=name, error=error)
+
+    def _record_unnamed(self, info: InstanceInfo) -> None:
+        self._record_spoiled(info.name, f"no configuration names service {info.service}")
+
+    def _is_service_named(self, info: InstanceInfo) -> bool:
+        """Returns whether a configuration names an instance's service, or has named it before."""
+        known = self._directory.named(info.name)
+        was_named = known is not None and known.service == info.service
+        current = self._configuration.current
+        return was_named or (current is not None and info.service in current.services)
+
+    def _take_named(self) -> None:
+        """Takes the entries whose services the configuration names now."""
+        for name, entry in list(self._unnamed.items()):
+            if self._is_service_named(entry.info):
+                del self._unnamed[name]
+                self._take(entry)
+
+    def _take(self, entry: _Entry) -> None:
+        """Stores an entry that names a server to use."""
+        info = entry.info
+        known = self._directory.named(info.name)
         self._directory.update(info)
-        self._record_cold(info, is_new=known is None and self._trust.had_whole_list())
-        if known is None or known.state != info.state:
+        current = self._directory.named(info.name)
+        if current is None:
+            return  # it was replaced at its address, and this is a late word of it
+        has_started = known is None or known.id != current.id
+        self._record_cold(info, is_new=has_started and entry.is_new)
+        if has_started or known.state != info.state:
             self._log.record(
-                Event.INSTANCE, instance=instance, state=info.state, service=info.service
+                Event.INSTANCE, instance=current.id, state=info.state, service=info.service
             )
 
     def _record_cold(self, info: InstanceInfo, *, is_new: bool) -> None:
--- a/src/larkpost/gateway/observability/explain.py
+++ b/src/larkpost/gateway/observability/explain.py
@@ -11,6 +11,7 @@
 
 import orjson
 
+from larkpost.common.incarnations import BORN_SEPARATOR
 from larkpost.gateway.observability.eventlog import Event
 
 HIDDEN_FIELDS = frozenset({"timestamp", "task_uuid", "task_level", "message_type", "daemon"})
@@ -31,10 +32,19 @@
     fields: dict[str, Any]
 
     def names(self, wanted: str) -> bool:
-        """Returns whether the line names an id, alone or in a list."""
-        return any(
-            value == wanted or (isinstance(value, list) and wanted in value)
+        """Returns whether the line names an id, alone or in a list.
+
+        A server's name stands for all its incarnations.
+        """
+        values = (
+            item
             for value in self.fields.values()
+            for item in (value if isinstance(value, list) else (value,))
+        )
+        prefix = f"{wanted}{BORN_SEPARATOR}"
+        return any(
+            value == wanted or (isinstance(value, str) and value.startswith(prefix))
+            for value in values
         )
 
 
--- a/src/larkpost/gateway/observability/metrics.py
+++ b/src/larkpost/gateway/observability/metrics.py
@@ -32,6 +32,7 @@
     SERVER_ORDERS = "larkpost_server_orders_total"
     USAGE_REPORTS = "larkpost_usage_reports_total"
     SILENT_CONNECTIONS = "larkpost_silent_connections_total"
+    SPOILED_ENTRIES = "larkpost_spoiled_entries_total"
     LINES_LEFT_OUT = "larkpost_log_lines_left_out_total"
 
 
@@ -62,6 +63,7 @@
         "Addresses whose open connections were taken to be silent for good.",
         ("to",),
     ),
+    Count.SPOILED_ENTRIES: ("Entries of servers that name no server to use.", ()),
     Count.LINES_LEFT_OUT: ("Log lines left out.", ("event",)),
 }
 
--- a/src/larkpost/gateway/proxy/balancer.py
+++ b/src/larkpost/gateway/proxy/balancer.py
@@ -196,7 +196,8 @@
     def record_peer_summary(self, daemon: DaemonId, summary: UseSummary) -> None:
         """Records what another daemon reports of its use, in place of its last report."""
         self._forget_unused()
-        self._peers.record(daemon, summary)
+        resolved = {self._directory.resolve(name): use for name, use in summary.items()}
+        self._peers.record(daemon, resolved)
 
     # Requests in flight.
 
--- a/src/larkpost/platform/instance_rows.py
+++ b/src/larkpost/platform/instance_rows.py
@@ -12,7 +12,8 @@
 import orjson
 
 from larkpost.common.addresses import split_address
-from larkpost.common.ids import Address, InstanceId, ZoneId
+from larkpost.common.ids import Address, InstanceName, ZoneId
+from larkpost.common.incarnations import instance_id
 from larkpost.gateway.blackboard.configuration import ModelName, ServiceName
 from larkpost.gateway.blackboard.directory import InstanceInfo, InstanceState
 from larkpost.gateway.store.port import Row
@@ -45,7 +46,7 @@
     _text(document, "version")  # the release of its software, which nothing depends on
     whole_number(document, "seq")  # counts its writes, and is checked only as all of the entry is
     return InstanceInfo(
-        id=InstanceId(row.key.key),
+        id=instance_id(InstanceName(row.key.key), read_born(document)),
         service=ServiceName(_text(document, "service")),
         address=_address(document),
         zone=ZoneId(_text(document, "zone")),
@@ -55,7 +56,6 @@
         listed_version=row.version,
         is_preemptible=_flag(document, "preemptible"),
         cold_left=_cold_milliseconds(document) / 1000,
-        born=read_born(document),
     )
 
 
--- a/src/larkpost/platform/server_control.py
+++ b/src/larkpost/platform/server_control.py
@@ -53,7 +53,7 @@
 
     def headers(self, instance: InstanceInfo) -> dict[str, str]:
         """Returns the headers; an engine that is not the instance meant refuses the call."""
-        headers = {names.EXPECT_INSTANCE.decode(): instance.id}
+        headers = {names.EXPECT_INSTANCE.decode(): instance.name}
         if self.body is not None:
             headers["Content-Type"] = "application/json"
         return headers
--- a/src/larkpost/platform/server_refusals.py
+++ b/src/larkpost/platform/server_refusals.py
@@ -65,8 +65,8 @@
     if owner is ResponseOwner.OTHER_REQUEST:
         raise BrokenResponseError("the answer belongs to another request")
     if response.status == MISDIRECTED:
-        found = response.headers.get(names.INSTANCE_ID.decode(), instance.id)
-        is_replaced = found != instance.id
+        found = response.headers.get(names.INSTANCE_ID.decode(), instance.name)
+        is_replaced = found != instance.name
         raise NotRunError(NotRunReason.REPLACED if is_replaced else NotRunReason.MISDIRECTED)
     if names.NOT_EXECUTED.decode() in response.headers:
         raise NotRunError(NotRunReason.FULL, read_cold(response.headers))
--- a/src/larkpost/platform/server_requests.py
+++ b/src/larkpost/platform/server_requests.py
@@ -47,7 +47,7 @@
         headers.add(name.decode("latin-1"), value.decode("latin-1"))
     headers["Host"] = request.host.decode("latin-1")
     headers[names.REQUEST_ID.decode()] = request.request_id.decode("latin-1")
-    headers[names.EXPECT_INSTANCE.decode()] = instance.id
+    headers[names.EXPECT_INSTANCE.decode()] = instance.name
     if request.time_left is not None:
         left_ms = max(LEAST_DEADLINE_MS, int(request.time_left * 1000))
         headers[names.DEADLINE_MS.decode()] = str(left_ms)
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -52,6 +52,14 @@
         self.assertEqual(1, len(story))
         self.assertIn("outcome=refused", story[0])
 
+    def test_name_of_a_server_stands_for_all_its_starts(self):
+        lines = [
+            f'{{"timestamp":{at},"message_type":"instance","instance":"{instance}"}}'
+            for at, instance in ((1, "i-7@1700000000000"), (2, "i-7@1700000004000"), (3, "i-70"))
+        ]
+        self.assertEqual(2, len(explain(lines, "i-7")))
+        self.assertEqual(1, len(explain(lines, "i-7@1700000004000")))
+
     def test_unknown_id_is_said_to_be_unknown(self):
         self.assertIn("no line names", explain(LINES, "nobody")[0])
 
--- /dev/null
+++ b/tests/test_incarnations.py
@@ -0,0 +1,364 @@
+"""A server that starts again under its name: what was learnt before is not taken for the new one."""
+
+import asyncio
+import random
+import unittest
+from unittest import mock
+
+import orjson
+from hypothesis import given
+from hypothesis import strategies as st
+
+from larkpost.common.clock import LoopClock
+from larkpost.common.ids import Address, DaemonId, InstanceId, InstanceName, ZoneId
+from larkpost.common.incarnations import instance_id, split_instance_id
+from larkpost.gateway.blackboard.board import Blackboard
+from larkpost.gateway.blackboard.configuration import ServiceName
+from larkpost.gateway.blackboard.directory import Directory, InstanceInfo, InstanceState
+from larkpost.gateway.blackboard.known_crashes import CLIENT_CRASH_LIMIT, Crash, KnownCrashes
+from larkpost.gateway.blackboard.request_content import ContentDigest
+from larkpost.gateway.controllers import loader
+from larkpost.gateway.controllers.heartbeat import Heartbeat, decode_heartbeat, encode_heartbeat
+from larkpost.gateway.controllers.row_intake import InstanceTrust, RowIntake
+from larkpost.gateway.observability.eventlog import Event, EventLog
+from larkpost.gateway.observability.instruments import Instruments
+from larkpost.gateway.proxy.balancer import Balancer
+from larkpost.gateway.quarantine.repository import crash_of_row
+from larkpost.gateway.quarantine.watch import CrashWatch, Evidence
+from larkpost.gateway.servers.port import EngineReport, NotRunReason, PortState, ServerLoad
+from larkpost.gateway.store.port import Row, RowKey
+from larkpost.platform.assembly import READERS
+from tests.virtual import run
+
+NAME = InstanceName("engine-3")
+FIRST_START = 1_700_000_000_000
+SECOND_START = FIRST_START + 4_000
+SERVICE = ServiceName("engines")
+MODEL = "small"
+
+
+def incarnation(born: int | None, state: InstanceState = InstanceState.READY) -> InstanceInfo:
+    """Returns an incarnation of the server."""
+    return InstanceInfo(
+        instance_id(NAME, born),
+        SERVICE,
+        Address("10.0.0.3:8000"),
+        ZoneId("north"),
+        8,
+        state,
+        {MODEL: 1},
+    )
+
+
+FIRST = incarnation(FIRST_START)
+SECOND = incarnation(SECOND_START)
+
+
+def entry_row(version: int, born: int | None, **changed: object) -> Row:
+    """Returns the server's entry in the store."""
+    document = {
+        "service": SERVICE,
+        "address": "10.0.0.3:8000",
+        "zone": "north",
+        "version": "v1",
+        "slots": 8,
+        "state": "ready",
+        "cold-left-ms": 0,
+        "seq": version,
+        "models": [{"name": MODEL, "version": 1}],
+    }
+    if born is not None:
+        document["born"] = born
+    return Row(RowKey("servers", "", NAME), orjson.dumps({**document, **changed}), version)
+
+
+class IdTest(unittest.TestCase):
+    """Ids of incarnations."""
+
+    @given(st.text(min_size=1), st.none() | st.integers(min_value=0))
+    def test_each_id_names_one_server_and_one_start(self, name: str, born: int | None) -> None:
+        made = instance_id(InstanceName(name), born)
+        self.assertEqual((name, born), split_instance_id(made))
+
+    def test_server_that_does_not_say_its_start_is_known_by_its_name(self) -> None:
+        self.assertEqual("engine-3", instance_id(NAME, None))
+
+
+class DirectoryTest(unittest.TestCase):
+    """One incarnation of each server is known, the latest."""
+
+    def setUp(self) -> None:
+        self.directory = Directory()
+        self.ended: list[InstanceId] = []
+        self.directory.add_end_listener(self.ended.append)
+
+    def test_later_incarnation_ends_the_one_before(self) -> None:
+        self.directory.update(FIRST)
+        self.directory.observe_version(FIRST.id, MODEL, 9)
+        self.directory.update(SECOND)
+        self.assertEqual([FIRST.id], self.ended)
+        self.assertEqual([SECOND], list(self.directory.all()))
+        self.assertEqual(1, self.directory.version_of(SECOND.id, MODEL))
+
+    def test_late_word_of_the_earlier_one_changes_nothing(self) -> None:
+        self.directory.update(SECOND)
+        self.directory.update(incarnation(FIRST_START, InstanceState.LEAVING))
+        self.directory.observe_version(FIRST.id, MODEL, 9)
+        self.assertEqual([SECOND], list(self.directory.all()))
+        self.assertEqual(1, self.directory.version_of(SECOND.id, MODEL))
+        self.assertEqual([], self.ended)
+
+    def test_server_that_was_leaving_serves_once_it_has_started_again(self) -> None:
+        self.directory.update(incarnation(FIRST_START, InstanceState.LEAVING))
+        self.assertEqual([], self.directory.of_service(SERVICE))
+        self.directory.update(SECOND)
+        self.assertEqual([SECOND], self.directory.of_service(SERVICE))
+
+    def test_server_that_was_replaced_at_its_address_serves_once_it_has_started_again(self) -> None:
+        self.directory.update(FIRST)
+        self.directory.retire(FIRST.id)
+        self.directory.update(FIRST)
+        self.assertEqual([], list(self.directory.all()))
+        self.directory.update(SECOND)
+        self.assertEqual([SECOND], list(self.directory.all()))
+
+    def test_entry_without_a_start_is_of_the_incarnation_that_is_known(self) -> None:
+        self.directory.update(FIRST)
+        self.directory.update(incarnation(None, InstanceState.LEAVING))
+        self.assertEqual(InstanceState.LEAVING, self.directory.get(FIRST.id).state)
+
+    def test_entry_that_is_gone_ends_the_incarnation_that_is_known(self) -> None:
+        self.directory.update(SECOND)
+        self.directory.remove(NAME, sound=True)
+        self.assertEqual([SECOND.id], self.ended)
+
+    def test_server_back_while_the_store_is_away(self) -> None:
+        self.directory.update(FIRST)
+        self.directory.remove(NAME, sound=False)
+        self.assertEqual(InstanceState.UNLISTED, self.directory.get(FIRST.id).state)
+        self.directory.update(SECOND)
+        self.assertEqual([SECOND], list(self.directory.all()))
+
+
+class IntakeTest(unittest.TestCase):
+    """Entries that come in, whoever wrote them."""
+
+    def setUp(self) -> None:
+        self.blackboard = Blackboard()
+        self.log = mock.Mock(spec=EventLog)
+        self.instruments = Instruments(mock.Mock(now=lambda: 0.0), self.log)
+        trust = InstanceTrust(lambda: 100.0, lambda: 3.0, lambda: True)
+        self.intake = RowIntake(READERS, self.blackboard, self.instruments, trust)
+
+    def configure(self, version: int, *services: str) -> None:
+        """Has a configuration come in."""
+        named = [{"name": name} for name in services]
+        document = {"version": version, "routes": [], "services": named}
+        row = Row(RowKey("op", "", "config"), orjson.dumps(document), version)
+        self.intake.record_operator_row(row)
+
+    def spoiled(self) -> float:
+        """Returns how many entries were counted as no server's."""
+        name = "larkpost_spoiled_entries_total"
+        return self.instruments.metrics.registry.get_sample_value(name)
+
+    def events(self) -> list[Event]:
+        """Returns the events of the log so far."""
+        return [call.args[0] for call in self.log.record.call_args_list]
+
+    def test_restart_is_logged_as_a_new_instance(self) -> None:
+        self.configure(1, SERVICE)
+        self.intake.record_instance_row(entry_row(1, FIRST_START))
+        self.intake.record_instance_row(entry_row(2, SECOND_START))
+        self.assertEqual(2, self.events().count(Event.INSTANCE))
+        self.assertEqual(SECOND_START, self.blackboard.directory.named(NAME).born)
+
+    def test_spoiled_entry_names_no_server_and_the_next_whole_one_does(self) -> None:
+        self.configure(1, SERVICE)
+        self.intake.record_instance_row(entry_row(1, FIRST_START))
+        other = Row(RowKey("servers", "", "engine-4"), entry_row(1, 7).value, 1)
+        self.intake.record_instance_row(other)
+        self.intake.record_instance_row(entry_row(2, FIRST_START, state="zombie"))
+        self.assertIsNone(self.blackboard.directory.named(NAME))
+        self.assertEqual(1, len(self.blackboard.directory))
+        self.assertEqual(1, self.spoiled())
+        self.assertEqual(1, self.events().count(Event.UNREADABLE))
+        self.intake.record_instance_row(entry_row(3, FIRST_START))
+        self.assertIsNotNone(self.blackboard.directory.named(NAME))
+
+    def test_spoiled_entry_of_a_server_that_leaves_does_not_bring_it_back(self) -> None:
+        self.configure(1, SERVICE)
+        self.intake.record_instance_row(entry_row(1, FIRST_START, state="draining"))
+        self.intake.record_instance_row(entry_row(2, FIRST_START, slots=-3))
+        self.intake.record_instance_row(entry_row(3, FIRST_START))
+        state = self.blackboard.directory.named(NAME).state
+        self.assertEqual(InstanceState.LEAVING, state)
+
+    def test_service_that_no_configuration_names(self) -> None:
+        self.configure(1, "pages")
+        self.intake.record_instance_row(entry_row(1, FIRST_START))
+        self.assertEqual(0, len(self.blackboard.directory))
+        self.assertEqual(1, self.spoiled())
+        self.configure(2, "pages", SERVICE)
+        self.assertEqual(1, len(self.blackboard.directory))
+
+    def test_entries_that_come_before_the_first_configuration(self) -> None:
+        self.intake.record_instance_row(entry_row(1, FIRST_START))
+        self.assertEqual(0, self.spoiled())
+        self.configure(1, SERVICE)
+        self.assertEqual(1, len(self.blackboard.directory))
+        self.assertEqual(0, self.spoiled())
+
+    def test_server_goes_on_when_its_service_is_named_no_more(self) -> None:
+        self.configure(1, SERVICE)
+        self.intake.record_instance_row(entry_row(1, FIRST_START))
+        self.configure(2, "pages")
+        self.intake.record_instance_row(entry_row(2, FIRST_START))
+        self.assertEqual(1, len(self.blackboard.directory))
+        self.intake.record_instance_row(entry_row(3, FIRST_START, service="other"))
+        self.assertEqual(0, len(self.blackboard.directory))
+
+    def test_entry_that_is_gone_is_forgotten_while_its_service_is_not_named(self) -> None:
+        self.configure(1, "pages")
+        self.intake.record_instance_row(entry_row(1, FIRST_START))
+        self.intake.record_instance_row(Row(RowKey("servers", "", NAME), b"", 2, removed=True))
+        self.configure(2, SERVICE)
+        self.assertEqual(0, len(self.blackboard.directory))
+
+
+class BalancerTest(unittest.TestCase):
+    """What is known of a server's use."""
+
+    def setUp(self) -> None:
+        self.directory = Directory()
+        self.clock = mock.Mock(now=lambda: 50.0)
+        self.balancer = Balancer(self.directory, self.clock, random.Random(7))
+        self.directory.update(FIRST)
+
+    def test_load_pace_and_avoidance_end_with_the_incarnation(self) -> None:
+        self.balancer.record_load(FIRST.id, ServerLoad(8, 3, 8))
+        self.balancer.record_pace(FIRST.id, 0.5)
+        self.balancer.record_not_run(FIRST.id, NotRunReason.FULL, 5.0)
+        self.directory.update(SECOND)
+        self.assertEqual(0.0, self.balancer.pace(SECOND.id))
+        self.assertEqual(0, self.balancer.occupied(SECOND))
+        self.assertFalse(self.balancer.is_avoided(SECOND.id))
+        self.assertTrue(self.balancer.has_place(SECOND))
+
+    def test_request_under_way_at_the_earlier_one_takes_no_place_at_the_new(self) -> None:
+        self.balancer.occupy(FIRST.id)
+        self.directory.update(SECOND)
+        self.balancer.occupy(SECOND.id)
+        self.assertEqual(1, self.balancer.occupied(SECOND))
+        self.balancer.release(FIRST.id)
+        self.assertEqual(1, self.balancer.occupied(SECOND))
+
+    def test_late_answer_of_the_earlier_one_changes_nothing_of_the_new(self) -> None:
+        self.directory.update(SECOND)
+        self.balancer.record_load(FIRST.id, ServerLoad(8, 3, 8))
+        self.balancer.record_response(FIRST, 0.5)
+        self.balancer.avoid(FIRST.id, 5.0)
+        self.assertEqual(0.0, self.balancer.pace(SECOND.id))
+        self.assertEqual(0, self.balancer.occupied(SECOND))
+        self.assertFalse(self.balancer.is_avoided(SECOND.id))
+
+    def test_peer_that_speaks_of_the_earlier_one(self) -> None:
+        self.directory.update(SECOND)
+        peer = DaemonId("daemon-1")
+        self.balancer.record_peer_summary(peer, {FIRST.id: (5, 0.5)})
+        self.assertEqual(0, self.balancer.occupied(SECOND))
+        self.assertEqual(0.0, self.balancer.pace(SECOND.id))
+
+    def test_peer_of_an_earlier_version_that_names_servers_only(self) -> None:
+        self.directory.update(SECOND)
+        self.balancer.record_peer_summary(DaemonId("daemon-1"), {InstanceId(NAME): (5, 0.5)})
+        self.assertEqual(5, self.balancer.occupied(SECOND))
+
+
+class HeartbeatTest(unittest.TestCase):
+    """Heartbeats of this version and the one before understand each other."""
+
+    def test_earlier_version_reads_names_and_passes_over_the_starts(self) -> None:
+        written = encode_heartbeat(
+            Heartbeat(0.25, {SECOND.id: (2, 0.04), InstanceId("p"): (1, 0.0)})
+        )
+        self.assertEqual(
+            {
+                "interval": 0.25,
+                "uses": {"engine-3": [2, 0.04], "p": [1, 0.0]},
+                "born": {"engine-3": SECOND_START},
+            },
+            orjson.loads(written),
+        )
+        self.assertEqual({SECOND.id, "p"}, set(decode_heartbeat(written).uses))
+
+    def test_heartbeat_of_the_earlier_version(self) -> None:
+        written = b'{"interval":0.25,"uses":{"engine-3":[2,0.04]},"coordinates":true}'
+        read = decode_heartbeat(written)
+        self.assertEqual({InstanceId(NAME): [2, 0.04]}, read.uses)
+        self.assertTrue(read.coordinates)
+
+    def test_heartbeat_without_starts_is_written_as_before(self) -> None:
+        written = encode_heartbeat(Heartbeat(0.25, {InstanceId("p"): (1, 0.0)}))
+        self.assertEqual(b'{"interval":0.25,"uses":{"p":[1,0.0]}}', written)
+
+
+class CrashTest(unittest.TestCase):
+    """A request that crashes one server again and again, which starts again under its name."""
+
+    def test_each_start_that_ends_under_it_counts(self) -> None:
+        known = KnownCrashes()
+        content = ContentDigest("c")
+        for number in range(CLIENT_CRASH_LIMIT):
+            known.add(Crash(content, instance_id(NAME, FIRST_START + number), 0.0))
+        self.assertTrue(known.is_content_quarantined(content, CLIENT_CRASH_LIMIT))
+
+    def test_row_of_a_crash_names_the_incarnation(self) -> None:
+        row = Row(RowKey("batches", "crashes", f"c/{FIRST.id}"), b'{"at":5.0}', 1)
+        self.assertEqual(Crash(ContentDigest("c"), FIRST.id, 5.0), crash_of_row(row))
+
+    def test_start_under_the_same_name_is_evidence(self) -> None:
+        async def play() -> None:
+            directory = Directory()
+            directory.update(FIRST)
+            found: list[str] = []
+            servers = mock.Mock(probe=mock.AsyncMock(return_value=PortState.LISTENS))
+            tasks = mock.Mock(spawn=lambda work, _: asyncio.ensure_future(work))
+            watch = CrashWatch(
+                directory, servers, LoopClock(), tasks, lambda *news: found.append(news[2])
+            )
+            watch.record_lost(ContentDigest("c"), FIRST)
+            await asyncio.sleep(0.1)
+            self.assertEqual([], found)
+            directory.update(SECOND)
+            await asyncio.sleep(1.0)
+            self.assertEqual([Evidence.REPLACED], found)
+
+        run(play())
+
+
+class OrderTest(unittest.TestCase):
+    """Orders to engines that have started again."""
+
+    def test_report_of_another_start(self) -> None:
+        def report(born: int | None) -> EngineReport:
+            return EngineReport(0, False, 0, 0, {}, born)
+
+        for said, known, expected in (
+            (SECOND_START, FIRST, True),
+            (FIRST_START, SECOND, True),
+            (FIRST_START, FIRST, False),
+            (None, FIRST, False),
+            (FIRST_START, incarnation(None), False),
+        ):
+            with self.subTest(said=said, known=known.id):
+                self.assertIs(expected, loader.is_of_another_start(report(said), known))
+
+    def test_engine_is_checked_at_once_after_its_restart(self) -> None:
+        blackboard = Blackboard()
+        parts = mock.Mock()
+        weights = loader.WeightLoader(blackboard, parts, parts, parts, parts)
+        blackboard.directory.update(FIRST)
+        weights._next_try[FIRST.id] = 1e9
+        blackboard.directory.update(SECOND)
+        self.assertEqual({}, weights._next_try)
--- a/tests/test_server_entries.py
+++ b/tests/test_server_entries.py
@@ -52,7 +52,7 @@
 
     def test_whole_entry(self) -> None:
         expected = InstanceInfo(
-            "engine-3",
+            "engine-3@1700000000123",
             "engines",
             "10.0.0.3:8000",
             "north",
@@ -61,9 +61,10 @@
             {"small": 41},
             5,
             cold_left=0.0,
-            born=1_700_000_000_123,
         )
-        self.assertEqual(expected, read(ENTRY))
+        info = read(ENTRY)
+        self.assertEqual(expected, info)
+        self.assertEqual(("engine-3", 1_700_000_000_123), (info.name, info.born))
 
     def test_each_missing_field_makes_it_no_server(self) -> None:
         for name in REQUIRED:
