A server's 503, 429, 421 or 408 of a run is not passed on as a promise

Cause: a response of a server with such a status and without the header that says that it did not run the request was passed to the caller as it is. Callers take these statuses as the promise that the request has not run. Change: where a request may run once only, such a response counts as broken, and the caller gets 502. Requests that may run more than once are served as before. Ruled out by reading and by tests: refusals after a lost response, at the end of the time and out of the queue say 503 only if no server can have run the request.

--- a/src/larkpost/gateway/proxy/forwarder.py
+++ b/src/larkpost/gateway/proxy/forwarder.py
@@ -22,7 +22,7 @@
 from larkpost.gateway.proxy.outcomes import Outcomes
 from larkpost.gateway.proxy.parts import ForwarderParts
 from larkpost.gateway.proxy.request import ClientRequest, WholeResponse
-from larkpost.gateway.proxy.retry import max_servers
+from larkpost.gateway.proxy.retry import is_false_promise, max_servers
 from larkpost.gateway.proxy.server_attempt import ServerAttempt
 from larkpost.gateway.proxy.server_choice import ServerChoice
 from larkpost.gateway.proxy.turn_gate import TurnGate
@@ -92,6 +92,8 @@
                     limit.reschedule(None)  # from here on the client decides
                     self._outcomes.record_begun(request, self._clock.now())
                     attempts.record_may_have_run(instance.id)
+                    if is_false_promise(response.status, route.kind):
+                        raise BrokenResponseError(f"status {response.status} of a run")
                     self._outcomes.record_forecast_served(attempts, response.status)
                     yield response
                     return
--- a/src/larkpost/gateway/proxy/retry.py
+++ b/src/larkpost/gateway/proxy/retry.py
@@ -21,6 +21,8 @@
 LEAST_STATUS_NOT_SUCCESS = 300
 """Below this status a response is a success; it counts only with the server's signature, as
 anything else on the way may respond with one as well."""
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+"""What a caller takes as a promise that its request has not run and never will."""
 
 
 def max_servers(kind: RouteKind, max_attempts: int, *, is_trial: bool) -> int:
@@ -49,6 +51,15 @@
     return status >= LEAST_ERROR_STATUS and is_signed
 
 
+def is_false_promise(status: int, kind: RouteKind) -> bool:
+    """Returns whether a response would promise that its request did not run, though it may have.
+
+    A server that did not run a request says so in a header of its own, and gives no response then.
+    A request that may run more than once takes no harm from the promise.
+    """
+    return kind is not RouteKind.IDEMPOTENT and status in NOT_RUN_STATUSES
+
+
 @dataclass(frozen=True, slots=True)
 class Unserved:
     """A request that ends without a response, and all that its error depends on.
--- a/src/larkpost/gateway/proxy/server_attempt.py
+++ b/src/larkpost/gateway/proxy/server_attempt.py
@@ -12,7 +12,7 @@
 from larkpost.gateway.proxy.outcomes import Outcomes
 from larkpost.gateway.proxy.parts import ForwarderParts
 from larkpost.gateway.proxy.request import WholeResponse
-from larkpost.gateway.proxy.retry import is_last_resort, response_failure
+from larkpost.gateway.proxy.retry import is_false_promise, is_last_resort, response_failure
 from larkpost.gateway.proxy.turn_gate import TurnGate
 from larkpost.gateway.servers.port import (
     BrokenResponseError,
@@ -93,6 +93,10 @@
         is_signed: bool,
     ) -> WholeResponse | None:
         """Returns a response if it is to be passed on now, and records it if it is not."""
+        if is_false_promise(response.status, attempts.route.kind):
+            reason = f"status {response.status} of a run"
+            self._outcomes.record_broken(instance, attempts, reason)
+            return None
         failure = response_failure(response.status, is_signed=is_signed)
         if failure is None:
             self._outcomes.record_response(instance)
--- a/tests/test_incarnations.py
+++ b/tests/test_incarnations.py
@@ -1,4 +1,4 @@
-"""A server that starts again under its name: what was learnt before is not taken for the new one."""
+"""A server that starts again under its name: what was learnt before is not used for the new one."""
 
 import asyncio
 import random
