--- a/tests/platform_mutants.py
+++ b/tests/platform_mutants.py
@@ -483,6 +483,13 @@
     return mock.patch.object(steady_time, "CLOCK", time.CLOCK_MONOTONIC)
 
 
+def ignore_the_start():
+    """Takes a server that has started again for the one before."""
+    from larkpost.platform import instance_rows
+
+    return mock.patch.object(instance_rows, "read_born", lambda _: None)
+
+
 MUTANTS = {
     mutant.__name__: mutant
     for mutant in (
@@ -533,6 +540,7 @@
         run_suspects_together,
         stand_still_while_suspended,
         trust_the_plain_clock,
+        ignore_the_start,
     )
 }
 TESTS = dict.fromkeys(MUTANTS, FUZZ) | {
@@ -576,6 +584,7 @@
     "never_clear_requests": "tests.test_quarantine_fleet",
     "stand_still_while_suspended": "tests.test_suspension",
     "trust_the_plain_clock": "tests.test_suspension",
+    "ignore_the_start": "tests.test_incarnations",
 }
 EXPECTED_CHECKS = {
     "ignore_permits": ("while cold",),
--- a/tests/test_pinned_surface.py
+++ b/tests/test_pinned_surface.py
@@ -105,7 +105,7 @@
 
 def checksums() -> dict[str, str]:
     """Returns the checksum of each file that a deployment is built from."""
-    files = sorted((ROOT / "deploy").iterdir())
+    files = sorted(path for path in (ROOT / "deploy").iterdir() if path.is_file())
     return {path.name: hashlib.sha256(path.read_bytes()).hexdigest() for path in files}
 
 
