Two figures of a server's speed: its lasting pace, and its slowness at this moment

Cause: one smoothed pace held what a server is for good, its bursts of fractions of a second, and its illnesses of seconds. What a server says of its slowness was not used. Change: the lasting pace of an instance is the quickest third of its slices of a quarter of a second, what the server said of its slowness taken out as far as its results bear it out; after 4 s without a measurement its usual pace, for 180 s. Awaited heartbeats carry eight by turns; known ones, which all daemons list, carry none. Slowness is taken relative to what the same server says at most times, believed for 0.15 s and by a factor of three; short requests go by the lasting pace times that, and by the smoothed pace, as before, where a server says none. Answers alone tell it: no probes. Also: uses by tenant in a report were named tuples, which the encoder refuses.

--- /dev/null
+++ b/src/larkpost/gateway/assembly/daemon_reports.py
@@ -0,0 +1,20 @@
+"""Joins what a daemon reports to the others with its heartbeats; passes on what they report."""
+
+from larkpost.common.ids import DaemonId
+from larkpost.gateway.blackboard.daemon_report import DaemonReport
+from larkpost.gateway.proxy.paces import Paces
+
+
+class DaemonReports:
+    """The reports of this daemon and of the others."""
+
+    def __init__(self, paces: Paces) -> None:
+        self._paces = paces
+
+    def own(self) -> DaemonReport:
+        """Returns what this daemon reports now."""
+        return DaemonReport(paces=self._paces.report())
+
+    def record(self, daemon: DaemonId, report: DaemonReport) -> None:
+        """Records what another daemon reports."""
+        self._paces.record_report(daemon, report.paces)
--- a/src/larkpost/gateway/controllers/heartbeat_writer.py
+++ b/src/larkpost/gateway/controllers/heartbeat_writer.py
@@ -4,7 +4,7 @@
 """
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from larkpost.common.clock import Clock
 from larkpost.common.ids import Address, DaemonId
@@ -109,7 +109,7 @@
             address=self._own.address,
             clock_offset=self._own.clock_offset(),
             zone=self._regions.own_zone,
-            report=self._own.report(),
+            report=replace(self._own.report(), paces={}),  # all list it: its bytes are bounded
         )
         await self._put(self._view.known, heartbeat)
 
--- a/src/larkpost/gateway/controllers/report_codec.py
+++ b/src/larkpost/gateway/controllers/report_codec.py
@@ -23,7 +23,7 @@
     if report.paces:
         fields[PACES_FIELD] = report.paces
     if report.tenants:
-        fields[TENANTS_FIELD] = report.tenants
+        fields[TENANTS_FIELD] = {name: list(use) for name, use in report.tenants.items()}
     if report.capacity is not None:
         fields[CAPACITY_FIELD] = report.capacity
     return fields
--- a/src/larkpost/gateway/daemon.py
+++ b/src/larkpost/gateway/daemon.py
@@ -13,6 +13,7 @@
 import asyncio
 
 from larkpost.common.tasks import TaskSet, UnreportedFailures
+from larkpost.gateway.assembly.daemon_reports import DaemonReports
 from larkpost.gateway.assembly.environment import GatewayPorts, GatewaySettings
 from larkpost.gateway.assembly.gauges import Gauges
 from larkpost.gateway.assembly.leased_controllers import ControllerInputs, LeasedControllers
@@ -122,12 +123,14 @@
 
     def _make_membership(self) -> None:
         store = self._ports.store
+        reports = DaemonReports(self.balancer.paces)
         own = OwnDaemon(
             self.id,
             self.balancer.summary,
             self._is_owner,
             ClockOffset(self._clock, store.time).now,
             self.settings.peer_address,
+            reports.own,
         )
         self.membership = Membership(
             own,
@@ -135,6 +138,7 @@
             self._instruments,
             self.blackboard.regions,
             self.balancer.record_peer_summary,
+            reports.record,
         )
         self.true_time = TrueTime(self._clock, store.time, self.membership.clock_offsets)
 
--- a/src/larkpost/gateway/proxy/balancer.py
+++ b/src/larkpost/gateway/proxy/balancer.py
@@ -30,6 +30,7 @@
     OwnUse,
 )
 from larkpost.gateway.proxy.latency import LatencyFactors
+from larkpost.gateway.proxy.paces import Paces
 from larkpost.gateway.proxy.peer_use import PeerUses
 from larkpost.gateway.proxy.ranking import Candidate, connection_factor, rank
 from larkpost.gateway.servers.port import NotRunError, NotRunReason, ServerLoad
@@ -93,6 +94,7 @@
         self._latency = LatencyFactors(clock)
         self._own = OwnUse(directory, clock)
         self._peers = PeerUses(clock)
+        self.paces = Paces(directory, clock, self._own, self._peers)
         self._forget_at = float("-inf")
         self._release_listeners: list[Callable[[InstanceId], None]] = []
 
@@ -165,13 +167,8 @@
         return use.outstanding + self._peers.requests(info.id)
 
     def pace(self, instance: InstanceId) -> float:
-        """Returns the seconds a unit of work takes at an instance; 0 if not known lately.
-
-        This daemon's own measurement counts before what the others reported.
-        """
-        if self._own.has_recent_pace(instance):
-            return self._own.of(instance).pace
-        return self._peers.pace(instance)
+        """Returns the seconds a short request takes at an instance now; 0 if not known lately."""
+        return self.paces.at_this_moment(instance)
 
     def verdicts(self, service: ServiceName, work: Work = CLIENT_WORK) -> dict[Verdict, int]:
         """Returns how many instances of a service get each verdict; for the line on a refusal."""
@@ -260,6 +257,7 @@
     def record_response(self, info: InstanceInfo, seconds: float) -> None:
         """Records the time from a client's request to its whole response."""
         self.record_pace(info.id, seconds)
+        self.paces.record_response(info.id, seconds)
         self._own.of(info.id).response_at = self._clock.now()
         self._latency.record(info.service, self.distance(info), seconds)
 
@@ -331,7 +329,7 @@
 
     def _local_pace(self, instance: InstanceId, latency_factor: float) -> float:
         """Returns an instance's pace, without the latency if this daemon measured it in."""
-        has_latency = self._own.has_recent_response(instance)
+        has_latency = self.paces.has_latency(instance)
         return self.pace(instance) / (latency_factor if has_latency else 1.0)
 
     def _connection_factor(self, info: InstanceInfo) -> float:
@@ -349,3 +347,4 @@
         self._forget_at = now + FORGET_SECONDS
         self._own.forget_unused(now)
         self._peers.forget_old(now)
+        self.paces.forget_old(now)
--- a/src/larkpost/gateway/proxy/instance_use.py
+++ b/src/larkpost/gateway/proxy/instance_use.py
@@ -4,12 +4,14 @@
 failures. What other daemons report is kept in `peer_use`.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from larkpost.common.clock import Clock
 from larkpost.common.ids import InstanceId, ZoneId
 from larkpost.gateway.blackboard.directory import Directory
 from larkpost.gateway.blackboard.use_summary import UseSummary
+from larkpost.gateway.proxy.lasting_pace import PaceHistory
+from larkpost.gateway.proxy.slowness import SaidSlowness
 from larkpost.gateway.servers.port import ServerLoad
 
 LOAD_LIFETIME_SECONDS = 1.0
@@ -28,6 +30,21 @@
 """Decimal places of a pace in seconds as it is reported: a tenth of a millisecond."""
 
 
+@dataclass(slots=True)
+class SpeedFigures:
+    """What this daemon has learnt of the speed of an instance.
+
+    Attributes:
+        slowness: what it said of its slowness in its responses.
+        responses: what whole responses to clients' requests and reward calls took there.
+        events: what events of the streams of items took there.
+    """
+
+    slowness: SaidSlowness = field(default_factory=SaidSlowness)
+    responses: PaceHistory = field(default_factory=PaceHistory)
+    events: PaceHistory = field(default_factory=PaceHistory)
+
+
 @dataclass(slots=True)
 class InstanceUse:
     """What this daemon knows of one instance from its own requests; times are steady.
@@ -44,6 +61,7 @@
         response_at: when the pace last was that of a whole response, which includes the latency of
             the network.
         zone: where it is, kept for requests that outlast its entry; None if not known.
+        figures: what is known of its speed for good and at this moment; None if nothing is.
     """
 
     outstanding: int = 0
@@ -56,6 +74,12 @@
     pace_at: float = float("-inf")
     response_at: float = float("-inf")
     zone: ZoneId | None = None
+    figures: SpeedFigures | None = None
+
+    def expect_refusal(self, now: float) -> None:
+        """Has the instance asked with one request at a time until it takes one."""
+        self.is_refusing = True
+        self.asked_at = now
 
 
 class OwnUse:
@@ -94,6 +118,24 @@
         use = self.of(instance)
         use.others = max(0, load.running + load.waiting - use.outstanding)
         use.load_at = self._clock.now()
+        if load.slowness:
+            self.figures_to_record(instance).slowness.record(use.load_at, load.slowness)
+
+    def figures(self, instance: InstanceId) -> SpeedFigures | None:
+        """Returns what is known of the speed of an instance; None if nothing is."""
+        use = self._uses.get(instance)
+        return use.figures if use is not None else None
+
+    def figures_to_record(self, instance: InstanceId) -> SpeedFigures:
+        """Returns the figures of an instance, to record in them."""
+        use = self.of(instance)
+        if use.figures is None:
+            use.figures = SpeedFigures()
+        return use.figures
+
+    def measured(self) -> list[InstanceId]:
+        """Returns the instances of whose speed something is known."""
+        return [name for name, use in self._uses.items() if use.figures is not None]
 
     def record_pace(self, instance: InstanceId, seconds: float, weight: float) -> None:
         """Records the time that a unit of work took.
--- a/src/larkpost/gateway/rollouts/reward_attempt.py
+++ b/src/larkpost/gateway/rollouts/reward_attempt.py
@@ -106,7 +106,9 @@
         except TimeoutError:
             balancer.avoid(server.id, SILENT_AVOID_SECONDS)
             return CallAttempt(CallEnd.SILENT)
-        balancer.record_pace(server.id, self._services.clock.now() - began)
+        seconds = self._services.clock.now() - began
+        balancer.record_pace(server.id, seconds)
+        balancer.paces.record_response(server.id, seconds)
         return judge_call_response(status, signature)
 
     async def _exchange(
--- a/src/larkpost/gateway/rollouts/run_events.py
+++ b/src/larkpost/gateway/rollouts/run_events.py
@@ -91,5 +91,7 @@
             self._services.metrics.observe(Timing.ITEM_FIRST_EVENT, seconds)
         else:
             seconds = now - self._last_at
-            self._services.balancer.record_pace(self._run.engine.id, seconds, EVENT_PACE_WEIGHT)
+            balancer, engine = self._services.balancer, self._run.engine
+            balancer.record_pace(engine.id, seconds, EVENT_PACE_WEIGHT)
+            balancer.paces.record_event(engine.id, seconds)
         self._last_at = now
--- /dev/null
+++ b/tests/test_lasting_pace.py
@@ -0,0 +1,193 @@
+"""Lasting paces and momentary slowness: the pure rules, each as a table of cases."""
+
+import random
+import unittest
+
+from larkpost.gateway.proxy.lasting_pace import (
+    RISE_SHARE,
+    SLICE_LIFETIME_SECONDS,
+    SUSTAINED_SECONDS,
+    USUAL_SECONDS,
+    PaceHistory,
+    quick_mean,
+    usual_pace,
+    without_slowness,
+)
+from larkpost.gateway.proxy.slowness import (
+    MAX_SLOWNESS,
+    SLOWNESS_SECONDS,
+    SaidSlowness,
+    believed_slowness,
+)
+
+FAST, SLOW = 0.034, 0.082
+BURST = 2.5
+BURST_SHARE = 0.15
+BURST_SECONDS = 0.6
+STREAMS = 4
+
+QUICK_MEANS = (
+    # case, means of slices, the sustained pace
+    ("nothing measured", [], 0.0),
+    ("one slice", [0.04], 0.04),
+    ("the quicker of two", [0.1, 0.04], 0.04),
+    ("bursts in most slices", [0.1] * 8 + [0.04] * 4, 0.04),
+    ("slow in nearly all", [0.1] * 9 + [0.04] * 3, 0.1),
+    ("one that was too quick", [0.001] + [0.04] * 11, 0.04),
+)
+USUAL = (
+    # usual pace, sustained one, the usual one after the slice
+    (0.0, 0.05, 0.05),
+    (0.1, 0.05, 0.085),
+    (0.05, 0.15, 0.05 + RISE_SHARE * 0.1),
+)
+CORRECTIONS = (
+    # case, seconds, said slowness, quickest, slowest measured lately, without slowness
+    ("nothing said", 0.1, 1.0, 0.04, 0.1, 0.1),
+    ("a burst that is said", 0.1, 2.5, 0.04, 0.1, 0.04),
+    ("said too much", 0.1, 3.0, 0.04, 0.1, 0.04),
+    ("slow, said, and never seen quicker", 0.1, 2.5, 0.1, 0.1, 0.1),
+    ("said to be quick, and never seen slower", 0.04, 0.5, 0.04, 0.04, 0.04),
+    ("said to be quick", 0.04, 0.8, 0.03, 0.08, 0.05),
+    ("quicker than ever, and said to be slow", 0.03, 2.0, 0.04, 0.1, 0.03),
+)
+BELIEVED = (
+    # what the server says, what it says usually, how many times as long as usual
+    (1.0, 1.0, 1.0),
+    (2.5, 1.0, 2.5),
+    (4.25, 1.7, 2.5),
+    (0.7, 0.7, 1.0),
+    (9999.0, 1.0, MAX_SLOWNESS),
+    (9999.0, 9999.0, 1.0),
+    (0.01, 1.0, 1 / MAX_SLOWNESS),
+)
+
+
+class LastingPaceRulesTest(unittest.TestCase):
+    """Each case of each table."""
+
+    def test_sustained_pace(self):
+        for case, means, expected in QUICK_MEANS:
+            with self.subTest(case):
+                self.assertEqual(expected, quick_mean(means))
+
+    def test_usual_pace(self):
+        for usual, sustained, expected in USUAL:
+            with self.subTest(usual=usual, sustained=sustained):
+                self.assertAlmostEqual(expected, usual_pace(usual, sustained))
+
+    def test_slowness_taken_out(self):
+        for case, seconds, slowness, quickest, slowest, expected in CORRECTIONS:
+            with self.subTest(case):
+                found = without_slowness(seconds, slowness, quickest, slowest)
+                self.assertAlmostEqual(expected, found)
+
+    def test_slowness_that_is_believed(self):
+        for said, usual, expected in BELIEVED:
+            with self.subTest(said=said, usual=usual):
+                self.assertAlmostEqual(expected, believed_slowness(said, usual))
+
+
+class PaceHistoryTest(unittest.TestCase):
+    """What a server's streams show over time."""
+
+    def setUp(self):
+        self.history = PaceHistory()
+        self.now = 0.0
+
+    def measure(self, pace: float, seconds: float, streams: int = STREAMS) -> None:
+        """Records the events of some streams at a pace for a while."""
+        until = self.now + seconds
+        while self.now < until:
+            self.now += pace
+            for _ in range(streams):
+                self.history.record(self.now, pace)
+
+    def test_nothing_is_known_at_first(self):
+        self.assertEqual(0.0, self.history.pace(0.0))
+        self.history.record(0.0, FAST)
+        self.assertEqual(0.0, self.history.pace(0.1))
+
+    def test_bursts_are_passed_over_at_servers_of_two_speeds(self):
+        chance = random.Random(3)
+        for base in (FAST, SLOW):
+            self.setUp()
+            self.measure(base, 1.0)
+            for _ in range(100):
+                is_burst = chance.random() < BURST_SHARE
+                self.measure(base * BURST if is_burst else base, BURST_SECONDS)
+                self.assertLess(self.history.pace(self.now), 1.05 * base)
+
+    def test_lasting_slowness_is_believed_within_three_seconds(self):
+        self.measure(FAST, 3.0)
+        self.measure(3 * FAST, 3.0)
+        self.assertAlmostEqual(3 * FAST, self.history.pace(self.now), 3)
+        self.measure(FAST, 1.5)
+        self.assertAlmostEqual(FAST, self.history.pace(self.now), 3)
+
+    def test_server_that_was_ill_is_taken_for_what_it_usually_is_after_a_silence(self):
+        self.measure(FAST, 10.0)
+        self.measure(3 * FAST, 5.0)
+        self.now += SUSTAINED_SECONDS + 0.1
+        self.assertLess(self.history.pace(self.now), 1.2 * FAST)
+
+    def test_usual_pace_outlasts_silence_and_ends(self):
+        self.measure(SLOW, 3.0)
+        self.assertAlmostEqual(SLOW, self.history.pace(self.now + USUAL_SECONDS - 1))
+        self.assertEqual(0.0, self.history.pace(self.now + USUAL_SECONDS))
+
+    def test_server_that_stays_slow_becomes_usually_slow(self):
+        self.measure(FAST, 5.0)
+        self.measure(SLOW, 300.0, streams=1)
+        self.now += SUSTAINED_SECONDS + 0.1
+        self.assertGreater(self.history.pace(self.now), 0.9 * SLOW)
+
+    def test_events_that_come_together_make_no_server_quick(self):
+        """Two events in one packet: a pause of nothing after one of two paces."""
+        for number in range(200):
+            self.now += FAST
+            self.history.record(self.now, 0.0 if number % 2 else 2 * FAST)
+        self.assertAlmostEqual(FAST, self.history.pace(self.now), 2)
+
+    def test_few_measurements_count_for_a_minute(self):
+        for _ in range(5):
+            self.now += SLICE_LIFETIME_SECONDS / 6
+            self.history.record(self.now, SLOW)
+        self.assertAlmostEqual(SLOW, self.history.pace(self.now))
+
+
+class SaidSlownessTest(unittest.TestCase):
+    """What a server says of itself, and for how long it is used."""
+
+    def setUp(self):
+        self.slowness = SaidSlowness()
+
+    def say(self, *said: float) -> None:
+        """Has the server say its slowness once a second."""
+        for second, figure in enumerate(said):
+            self.slowness.record(float(second), figure)
+
+    def test_server_that_says_nothing_is_as_usual(self):
+        self.assertFalse(self.slowness.is_said)
+        self.assertEqual(1.0, self.slowness.factor(0.0))
+
+    def test_slowness_is_used_for_a_moment_only(self):
+        self.say(1.0, 1.0, 2.5)
+        self.assertAlmostEqual(2.5, self.slowness.factor(2.0))
+        self.assertEqual(1.0, self.slowness.factor(2.01 + SLOWNESS_SECONDS))
+
+    def test_server_that_always_says_the_same_is_as_usual(self):
+        for figure in (0.01, 1.7, 9999.0):
+            self.setUp()
+            self.say(figure, figure, figure)
+            self.assertAlmostEqual(1.0, self.slowness.factor(2.0))
+
+    def test_what_is_said_many_times_a_second_counts_once(self):
+        self.say(1.0, 1.0)
+        for number in range(100):
+            self.slowness.record(1.0 + number / 1000, 2.5)
+        self.assertAlmostEqual(2.5, self.slowness.factor(1.1))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_paces.py
@@ -0,0 +1,245 @@
+"""Paces of servers as a daemon knows them: of one incarnation, shared, and with their slowness."""
+
+import asyncio
+import random
+import unittest
+
+from larkpost.common.clock import LoopClock
+from larkpost.common.ids import DaemonId, InstanceId, InstanceName
+from larkpost.common.incarnations import instance_id
+from larkpost.gateway.blackboard.daemon_report import DaemonReport
+from larkpost.gateway.blackboard.directory import Directory
+from larkpost.gateway.controllers.heartbeat import Heartbeat, decode_heartbeat, encode_heartbeat
+from larkpost.gateway.proxy.balancer import Balancer
+from larkpost.gateway.proxy.paces import MAX_REPORTED_PACES, REPORTED_SECONDS
+from larkpost.gateway.proxy.shared_paces import MAX_REPORTERS, SHARED_PACE_SECONDS
+from larkpost.gateway.proxy.slowness import MAX_SLOWNESS
+from larkpost.gateway.servers.port import ServerLoad
+from tests.platform_fleet import ENGINES, PAGES, PlatformFleet
+from tests.server_parts import SLOTS, make_instance
+from tests.virtual import run
+
+FAST, SLOW = 0.034, 0.082
+BORN, BORN_LATER = 1000, 2000
+SERVER = instance_id(InstanceName("e0"), BORN)
+RESTARTED = instance_id(InstanceName("e0"), BORN_LATER)
+OTHER = instance_id(InstanceName("e1"), BORN)
+
+
+class KnownServers:
+    """A balancer of two servers that say when they were started."""
+
+    def __init__(self) -> None:
+        self.clock = LoopClock()
+        self.directory = Directory()
+        for instance in (SERVER, OTHER):
+            self.start(instance)
+        self.balancer = Balancer(self.directory, self.clock, random.Random(0))
+        self.paces = self.balancer.paces
+
+    def start(self, instance: InstanceId) -> None:
+        """Lists an incarnation of a server, in place of the one before."""
+        self.directory.update(make_instance(instance, ENGINES))
+
+    async def stream(self, instance: InstanceId, pace: float, seconds: float = 1.0) -> None:
+        """Records the events of a stream."""
+        until = self.clock.now() + seconds
+        while self.clock.now() < until:
+            await asyncio.sleep(pace)
+            self.paces.record_event(instance, pace)
+
+    async def answer(self, seconds: float, slowness: float | None, name: InstanceId = SERVER):
+        """Records an answer that says the server's slowness in its head."""
+        await asyncio.sleep(0.5)
+        self.balancer.record_load(name, ServerLoad(1, 0, SLOTS, slowness))
+        self.paces.record_response(name, seconds)
+
+
+class IncarnationTest(unittest.TestCase):
+    """What is known of a server ends with its incarnation."""
+
+    def test_restart_under_the_same_name_begins_anew(self):
+        async def play():
+            known = KnownServers()
+            await known.stream(SERVER, SLOW)
+            known.paces.record_report(DaemonId("d"), {SERVER: SLOW})
+            self.assertAlmostEqual(SLOW, known.paces.lasting(SERVER))
+            known.start(RESTARTED)
+            self.assertEqual(0.0, known.paces.lasting(RESTARTED))
+            self.assertEqual({}, known.paces.report())
+            self.assertEqual(0, len(known.paces._shared))
+
+        run(play())
+
+    def test_run_at_the_earlier_incarnation_says_nothing_of_the_next(self):
+        async def play():
+            known = KnownServers()
+            known.start(RESTARTED)
+            await known.stream(SERVER, SLOW)
+            self.assertEqual(0.0, known.paces.lasting(RESTARTED))
+            await known.stream(RESTARTED, FAST)
+            self.assertAlmostEqual(FAST, known.paces.lasting(RESTARTED))
+
+        run(play())
+
+    def test_late_report_of_the_earlier_incarnation_changes_nothing(self):
+        async def play():
+            known = KnownServers()
+            known.start(RESTARTED)
+            for instance in (SERVER, InstanceId("e0")):
+                known.paces.record_report(DaemonId("d"), {instance: SLOW})
+            self.assertEqual(0.0, known.paces.lasting(RESTARTED))
+            known.paces.record_report(DaemonId("d"), {RESTARTED: FAST})
+            self.assertEqual(FAST, known.paces.lasting(RESTARTED))
+
+        run(play())
+
+
+class SharedPacesTest(unittest.TestCase):
+    """What the others report with their heartbeats."""
+
+    def test_own_measurement_counts_before_a_report(self):
+        async def play():
+            known = KnownServers()
+            known.paces.record_report(DaemonId("d"), {SERVER: SLOW})
+            self.assertEqual(SLOW, known.paces.lasting(SERVER))
+            await known.stream(SERVER, FAST)
+            self.assertAlmostEqual(FAST, known.paces.lasting(SERVER))
+
+        run(play())
+
+    def test_one_daemon_that_measures_wrong_moves_nothing(self):
+        async def play():
+            known = KnownServers()
+            for daemon, pace in (("a", FAST), ("late", 1.0), ("b", FAST)):
+                known.paces.record_report(DaemonId(daemon), {SERVER: pace})
+            self.assertEqual(FAST, known.paces.lasting(SERVER))
+
+        run(play())
+
+    def test_reports_outlast_silent_heartbeats_and_end(self):
+        async def play():
+            known = KnownServers()
+            known.paces.record_report(DaemonId("d"), {SERVER: SLOW})
+            known.paces.record_report(DaemonId("d"), {})  # the daemon is gone
+            await asyncio.sleep(SHARED_PACE_SECONDS - 1.0)
+            self.assertEqual(SLOW, known.paces.lasting(SERVER))
+            await asyncio.sleep(2.0)
+            self.assertEqual(0.0, known.paces.lasting(SERVER))
+            known.paces.forget_old(known.clock.now())
+            self.assertEqual(0, len(known.paces._shared))
+
+        run(play())
+
+    def test_reports_are_bounded(self):
+        async def play():
+            known = KnownServers()
+            reported = {instance_id(InstanceName(f"e{n}"), BORN): SLOW for n in range(100)}
+            for number in range(50):
+                known.paces.record_report(DaemonId(f"d{number}"), reported)
+            kept = known.paces._shared._reported
+            self.assertEqual({SERVER, OTHER}, set(kept))
+            self.assertEqual(MAX_REPORTERS, len(kept[SERVER]))
+
+        run(play())
+
+    def test_all_paces_are_reported_by_turns_while_they_are_young(self):
+        async def play():
+            known = KnownServers()
+            names = [
+                instance_id(InstanceName(f"e{n}"), BORN) for n in range(2 * MAX_REPORTED_PACES + 1)
+            ]
+            for name in names:
+                known.start(name)
+            await asyncio.gather(*(known.stream(name, FAST) for name in names))
+            reports = [known.paces.report() for _ in range(3)]
+            self.assertEqual(set(names), set().union(*reports))
+            self.assertTrue(all(len(report) == MAX_REPORTED_PACES for report in reports))
+            await asyncio.sleep(REPORTED_SECONDS + 1.0)
+            self.assertEqual({}, known.paces.report())
+
+        run(play())
+
+    def test_a_fleet_knows_the_paces_that_one_daemon_has_measured(self):
+        async def play():
+            fleet = PlatformFleet(gateways=3, engines=2)
+            await fleet.wait(3.0)
+            first, *others = fleet.gateways
+            info = first.directory.get(InstanceId("engine-0"))
+            for _ in range(30):
+                first.balancer.paces.record_event(info.id, SLOW)
+                await fleet.wait(SLOW)
+            await fleet.wait(3.0)
+            for gateway in others:
+                self.assertAlmostEqual(SLOW, gateway.balancer.paces.lasting(info.id))
+
+        run(play())
+
+    def test_heartbeat_carries_paces_and_is_as_before_without(self):
+        report = DaemonReport({SERVER: SLOW, InstanceId("e1"): FAST})
+        beat = Heartbeat(0.25, report=report)
+        self.assertEqual(report, decode_heartbeat(encode_heartbeat(beat)).report)
+        self.assertEqual(b'{"interval":0.25}', encode_heartbeat(Heartbeat(0.25)))
+
+
+class SlownessTest(unittest.TestCase):
+    """The choice for a short request: the lasting pace and the slowness of this moment."""
+
+    def test_burst_moves_the_choice_for_a_moment_only(self):
+        async def play():
+            known = KnownServers()
+            for _ in range(5):
+                await known.answer(FAST, 1.0)
+            await known.answer(FAST * 2.5, 2.5)
+            pace = known.balancer.pace(SERVER)
+            self.assertAlmostEqual(FAST * 2.5, pace)
+            await asyncio.sleep(0.2)
+            self.assertAlmostEqual(FAST, known.balancer.pace(SERVER))
+
+        run(play())
+
+    def test_figures_other_than_the_results_show_move_a_choice_within_bounds(self):
+        """The server lies: it says other figures than its answers take."""
+
+        async def play():
+            for lies in ((1.0, 0.01), (9999.0, 1.0), (0.01, 0.02, 5.0, 80.0)):
+                known = KnownServers()
+                for number in range(24):
+                    await known.answer(FAST, lies[number % len(lies)])
+                    if number > 4:
+                        pace = known.balancer.pace(SERVER)
+                        self.assertLessEqual(pace, 1.01 * FAST * MAX_SLOWNESS)
+                        self.assertGreaterEqual(pace, 0.99 * FAST / MAX_SLOWNESS)
+                await asyncio.sleep(0.5)
+                self.assertAlmostEqual(FAST, known.balancer.pace(SERVER))
+
+        run(play())
+
+    def test_server_that_says_nothing_has_its_smoothed_pace(self):
+        async def play():
+            known = KnownServers()
+            for seconds in (0.04, 0.08):
+                await known.answer(seconds, None)
+                known.balancer.record_pace(SERVER, seconds)
+            self.assertAlmostEqual(0.05, known.balancer.pace(SERVER))
+
+        run(play())
+
+    def test_servers_that_say_nothing_are_chosen_as_before(self):
+        """Of servers alike in all but the smoothed pace, the quicker one comes first."""
+
+        async def play():
+            directory = Directory()
+            for name in (SERVER, OTHER):
+                directory.update(make_instance(name, PAGES))
+            balancer = Balancer(directory, LoopClock(), random.Random(0))
+            for name, seconds in ((SERVER, 0.05), (OTHER, 0.04)):
+                balancer.record_response(directory.get(name), seconds)
+            first = {balancer.candidates(PAGES, for_client=True)[0].id for _ in range(20)}
+            self.assertEqual({OTHER}, first)
+
+        run(play())
+
+
+if __name__ == "__main__":
+    unittest.main()
