Runs move only to a place at an engine that is faster for good, by more than it costs

Cause, by reading: of four causes of cuts three were not worth it. A run left for any engine 1.7 times as fast by a smoothed pace, at any length, without a place there (it waited again, and often took a slow one); bursts made equal engines look so unequal; runs at an engine that loaded weights counted as stalled after 0.3 s. Change: a run asks for a place elsewhere if its engine is slow for good and still is, the other one 1.25 times as fast, and the events to come (as many as were made) save 1.2 s; it leaves with a place in hand only. A load of weights is no stall for 1.1 s. An engine that loads is tried with one item at a time. item_run lines carry lasting_pace. Pinned surface: one field more in item_run.

--- a/src/larkpost/gateway/rollouts/engine_choice.py
+++ b/src/larkpost/gateway/rollouts/engine_choice.py
@@ -1,8 +1,8 @@
 """Finds the engines that fit an item of a batch, and applies the rules of the choice to them.
 
 Items come longest first, so that the longest ones get the fastest engines. The module owns what is
-known of one batch: when it began, and the paces as of a moment ago. It relies on the balancer for
-loads, paces and the rules of placement, on `item_work.py` for what an item asks, and on
+known of one batch: when it began, and the best paces as of a moment ago. It relies on the balancer
+for loads, lasting paces and the rules of placement, on `item_work.py` for what an item asks, and on
 `engine_rules.py` for the choice.
 """
 
@@ -12,23 +12,26 @@
 from larkpost.gateway.placement.work import Work
 from larkpost.gateway.rollouts.context import RunServices
 from larkpost.gateway.rollouts.engine_rules import (
+    MOVE_RATIO,
     EngineState,
     choose_engine,
     is_fast_enough,
     is_outpaced_by,
-    move_ratio,
+    may_save_enough,
+    pace_to_leave,
     pace_to_move_to,
 )
 from larkpost.gateway.rollouts.item_work import ItemWork
-from larkpost.gateway.rollouts.model import BatchHead, Item
-from larkpost.gateway.rollouts.progress import Progress
+from larkpost.gateway.rollouts.model import BatchHead
+from larkpost.gateway.rollouts.progress import ItemRun
+from larkpost.gateway.rollouts.stalls import RunWatch, stall_seconds
 
 OWN_ENGINES_SECONDS = 0.6
 """For so long a batch takes places at its model's own engines only. Batches often come at the same
 moment, and what the others take is known a heartbeat and its listing (0.25 s each) later."""
-PACES_LIFETIME_SECONDS = 0.05
-"""How long the paces of free engines are reused: each run of a batch asks for them at every few
-events. About the time of one event."""
+BEST_PACE_SECONDS = 0.25
+"""How long the best pace of a service is reused: each run of a batch asks for it at every few
+events, and all engines are looked at for it."""
 
 
 class EngineChoice:
@@ -39,9 +42,8 @@
         self._services = services
         self._began_at = services.clock.now()
         self.items = ItemWork(head, services)
-        self._paces: dict[
-            tuple[ServiceName, Work], tuple[float, list[tuple[InstanceId, float]]]
-        ] = {}
+        self._best: dict[tuple[ServiceName, Work, int], tuple[float, float]] = {}
+        """When the best pace at engines of a version was last worked out, and that pace."""
 
     def choose(
         self, service: ServiceName, pace_limit: float = 0.0, work: Work | None = None
@@ -53,20 +55,28 @@
                 for an event; 0 for any engine.
             work: what the rules of placement ask of the item; None for the batch's own.
         """
-        balancer = self._services.balancer
         candidates = self._with_place(service, work or self.items.work_of())
         only = self._only_engines(service)
         if only is not None:
             candidates = [info for info in candidates if info.id in only]
         if pace_limit:
-            candidates = [
-                info
-                for info in candidates
-                if is_fast_enough(balancer.pace(info.id), balancer.is_cold(info), pace_limit)
-            ]
+            candidates = self._fast_enough(service, candidates, pace_limit)
         chosen = choose_engine(self._states(service, candidates))
         return chosen.info if chosen is not None else None
 
+    def _fast_enough(
+        self, service: ServiceName, candidates: list[InstanceInfo], pace_limit: float
+    ) -> list[InstanceInfo]:
+        """Returns the engines that a moved run may go on at; those that load refuse it."""
+        balancer = self._services.balancer
+        loading = self._services.division.loading(service)
+        return [
+            info
+            for info in candidates
+            if info.id not in loading
+            and is_fast_enough(balancer.paces.lasting(info.id), balancer.is_cold(info), pace_limit)
+        ]
+
     def _only_engines(self, service: ServiceName) -> frozenset[InstanceId] | None:
         """Returns the only engines that the batch may use now; None for any.
 
@@ -89,7 +99,7 @@
         return [
             EngineState(
                 info,
-                pace=balancer.pace(info.id),
+                pace=balancer.paces.lasting(info.id),
                 occupied=balancer.occupied(info),
                 distance=balancer.distance(info),
                 is_loading=info.id in loading,
@@ -99,7 +109,12 @@
         ]
 
     def record_assigned(self, engine: InstanceInfo) -> None:
-        """Records that an item was assigned a place at an engine, and will send in a moment."""
+        """Records that an item was assigned a place at an engine, and will send in a moment.
+
+        An engine that loads weights refuses all that come, so one item at a time tries it.
+        """
+        if engine.id in self._services.division.loading(engine.service):
+            self._services.balancer.use(engine.id).expect_refusal(self._services.clock.now())
         if self._services.cold is not None:
             self._services.cold.reserve(engine)
 
@@ -116,63 +131,65 @@
         left = cold.sends_left(info, work) if cold is not None else None
         return free if left is None else min(free, left)
 
-    def is_outpaced(self, engine: InstanceInfo, progress: Progress) -> bool:
-        """Returns whether an engine much faster than this one has a free place.
+    def silence_allowed(self, watch: RunWatch) -> float:
+        """Returns the seconds for which a run may make nothing before it is stalled."""
+        engine = watch.engine
+        loading = self._services.division.loading(engine.service)
+        pace = self._services.balancer.paces.lasting(engine.id)
+        return stall_seconds(pace, is_loading=engine.id in loading)
+
+    def may_move_to(self, engine: InstanceInfo, run: ItemRun) -> bool:
+        """Returns whether a run may still move to the place that it was assigned at an engine.
 
-        An engine whose weights are older than this one's is about to load and to refuse all work.
+        The engine must be known and warm, and still faster: paces may have changed meanwhile.
         """
-        directory = self._services.directory
-        version = directory.version_of(engine.id, self._head.model)
-        pace = self._services.balancer.pace(engine.id)
-        ratio = move_ratio(progress.is_long)
-        return any(
-            is_outpaced_by(pace, other, ratio)
-            for name, other in self._free_paces(engine.service, self.items.work_of(progress.item))
-            if name != engine.id and directory.version_of(name, self._head.model) >= version
-        )
-
-    def may_move_to(self, engine: InstanceInfo, item: Item) -> bool:
-        """Returns whether a run may still move to the place that it was assigned at an engine."""
         known = self._services.directory.get(engine.id)
         balancer = self._services.balancer
         if known is None or balancer.is_cold(known):
             return False
-        return balancer.placement.allows(known, self.items.work_of(item))
+        pace = balancer.paces.lasting(engine.id)
+        if not is_outpaced_by(self._pace_to_leave(run.engine), pace, MOVE_RATIO):
+            return False
+        return balancer.placement.allows(known, self.items.work_of(run.item))
 
-    def fast_pace(self, engine: InstanceInfo, item: Item) -> float:
-        """Returns the pace that a long run at an engine should go on at elsewhere; 0 if at none.
+    def fast_pace(self, run: ItemRun) -> float:
+        """Returns the pace that a run should go on at elsewhere; 0 if it is to stay.
 
-        Whether an engine of that pace has a free place is not asked.
+        Whether an engine of that pace has a free place is not asked. An engine whose weights are
+        older than those of the run's engine is about to load and to refuse all work.
         """
+        engine, events = run.engine, len(run.progress.events)
+        pace = self._pace_to_leave(engine)
+        if not may_save_enough(events, pace):
+            return 0.0
+        version = self._services.directory.version_of(engine.id, self._head.model)
+        best = self._best_pace(engine.service, self.items.work_of(run.item), version)
+        return pace_to_move_to(events, pace, best)
+
+    def _pace_to_leave(self, engine: InstanceInfo) -> float:
+        paces = self._services.balancer.paces
+        return pace_to_leave(paces.lasting(engine.id), paces.recent(engine.id))
+
+    def _best_pace(self, service: ServiceName, work: Work, version: int) -> float:
+        """Returns the best pace at engines of a version or a newer one, as of a moment ago."""
+        now = self._services.clock.now()
+        known = self._best.get((service, work, version))
+        if known is not None and now - known[0] < BEST_PACE_SECONDS:
+            return known[1]
         balancer = self._services.balancer
         directory = self._services.directory
-        work = self.items.work_of(item)
-        version = directory.version_of(engine.id, self._head.model)
         paces = [
             pace
-            for info in directory.of_service(engine.service)
-            if (pace := balancer.pace(info.id))
+            for info in directory.of_service(service)
+            if (pace := balancer.paces.lasting(info.id))
             and not balancer.is_cold(info)
             and directory.version_of(info.id, self._head.model) >= version
             and not balancer.is_avoided(info.id)
             and balancer.placement.allows(info, work)
         ]
-        return pace_to_move_to(balancer.pace(engine.id), min(paces, default=0.0))
-
-    def _free_paces(self, service: ServiceName, work: Work) -> list[tuple[InstanceId, float]]:
-        """Returns the known paces of the engines with a free place, as of a moment ago."""
-        now = self._services.clock.now()
-        known = self._paces.get((service, work))
-        if known is not None and now - known[0] < PACES_LIFETIME_SECONDS:
-            return known[1]
-        balancer = self._services.balancer
-        paces = [
-            (info.id, pace)
-            for info in self._with_place(service, work)
-            if (pace := balancer.pace(info.id)) and not balancer.is_cold(info)
-        ]
-        self._paces[service, work] = (now, paces)
-        return paces
+        best = min(paces, default=0.0)
+        self._best[service, work, version] = (now, best)
+        return best
 
     def _with_place(self, service: ServiceName, work: Work) -> list[InstanceInfo]:
         """Returns the engines that fit and have a free place, the least occupied first."""
--- a/src/larkpost/gateway/rollouts/engine_rules.py
+++ b/src/larkpost/gateway/rollouts/engine_rules.py
@@ -3,7 +3,8 @@
 Each rule stands here once, as a function of what is known of the engines at one moment. The module
 owns no state and reads none; `engine_choice.py` gathers the inputs and applies the rules.
 
-A pace is the seconds that an event takes at an engine, smoothed; 0 if it is not known.
+A pace is the seconds that an event lastingly takes at an engine, its bursts taken out; 0 if it is
+not known.
 """
 
 from dataclasses import dataclass
@@ -14,11 +15,11 @@
 FASTER_RATIO = 1.12
 """Ratio of paces from which one engine counts as faster than another. It is to be more than the
 paces of equal engines differ by chance."""
-SLOW_RATIO = 1.7
-"""Ratio of paces from which a run leaves its engine for a faster one that has a place. A move costs
-the new engine the prompt and all output so far, which it reads again."""
-LONG_RUN_RATIO = 1.25
-"""The same for an item that has shown itself long: a batch waits for such items."""
+MOVE_RATIO = 1.25
+"""Ratio of paces from which a run may leave its engine for a faster one."""
+MOVE_COST_SECONDS = 1.2
+"""What a move must save an item. It costs the new engine the prompt and all output so far, which it
+reads again while the others there wait, and gives up a place where the item was running."""
 PACE_TOLERANCE = 1.05
 """Factor by which the pace of an engine may be above the limit of a moved run. Without any limit,
 a moved run may end at an engine slower than the one that it has left."""
@@ -125,20 +126,48 @@
     return pace > other * ratio
 
 
-def move_ratio(is_long: bool) -> float:
-    """Returns the ratio of paces from which a run moves to an engine that has a place.
+def pace_to_leave(lasting: float, recent: float) -> float:
+    """Returns the pace by which a run leaves its engine: one that is slow for good and still is.
 
     Args:
-        is_long: whether the item has shown itself long.
+        lasting: the engine's lasting pace; 0 if not known.
+        recent: what events took there just now; 0 if not known.
     """
-    return LONG_RUN_RATIO if is_long else SLOW_RATIO
+    return min(lasting, recent) if recent else lasting
 
 
-def pace_to_move_to(pace: float, best: float) -> float:
-    """Returns the slowest pace for which a long run requests a place; 0 if it is to stay.
+def may_save_enough(events: int, pace: float) -> bool:
+    """Returns whether a move to some engine, however fast, might be worth it.
 
     Args:
+        events: that the item has made.
+        pace: of the engine where it runs.
+    """
+    return events * pace >= MOVE_COST_SECONDS
+
+
+def is_worth_moving(events: int, pace: float, other: float) -> bool:
+    """Returns whether a run is to go on at a faster engine that has a place for it.
+
+    An item is expected to make as many events more as it has made: the lengths of items differ
+    so much that one that is long already is the one which a step will wait for.
+
+    Args:
+        events: that the item has made.
+        pace: of the engine where it runs.
+        other: of the faster engine; 0 if not known.
+    """
+    if not other or not is_outpaced_by(pace, other, MOVE_RATIO):
+        return False
+    return events * (pace - other) >= MOVE_COST_SECONDS
+
+
+def pace_to_move_to(events: int, pace: float, best: float) -> float:
+    """Returns the slowest pace for which a run requests a place; 0 if it is to stay.
+
+    Args:
+        events: that the item has made.
         pace: of the engine where it runs.
         best: of the fastest engine that it may use, whether or not it has a place; 0 if not known.
     """
-    return best * FASTER_RATIO if is_outpaced_by(pace, best, LONG_RUN_RATIO) else 0.0
+    return best * FASTER_RATIO if is_worth_moving(events, pace, best) else 0.0
--- a/src/larkpost/gateway/rollouts/engine_run.py
+++ b/src/larkpost/gateway/rollouts/engine_run.py
@@ -12,7 +12,7 @@
 from larkpost.gateway.rollouts.context import RunServices
 from larkpost.gateway.rollouts.engine_choice import EngineChoice
 from larkpost.gateway.rollouts.engine_rules import may_move
-from larkpost.gateway.rollouts.faster_place import FasterPlace, MoveAwayError
+from larkpost.gateway.rollouts.faster_place import FasterPlace
 from larkpost.gateway.rollouts.model import ITEM_METHOD, BatchHead, Item
 from larkpost.gateway.rollouts.place_queue import PlaceQueue
 from larkpost.gateway.rollouts.progress import ItemRun, Progress
@@ -68,7 +68,7 @@
             BrokenResponseError: the stream broke off, or its version is not to be used.
             DiscontinuityError: an event does not follow the last one.
             UnicodeDecodeError: the whole output is no text.
-            MoveAwayError: a faster engine is free.
+            MoveAwayError: it has a place at a faster engine.
             StalledError: the run was ended by the watcher of stalls.
             TimeoutError: the engine was silent.
         """
@@ -107,7 +107,7 @@
         Raises:
             BrokenResponseError: the stream broke off, or its version is not to be used.
             DiscontinuityError: an event does not follow the last one.
-            MoveAwayError: a faster engine is free.
+            MoveAwayError: it has a place at a faster engine.
         """
         faster = FasterPlace(self._places, self._engines, run)
         try:
@@ -116,20 +116,10 @@
                 events.record(event)
                 faster.raise_if_assigned()
                 if may_move(run.progress.moves) and events.count % EVENTS_BETWEEN_CHECKS == 0:
-                    self._check_engine(run, faster)
+                    faster.request_if_slow()
         finally:
             faster.cancel()
 
-    def _check_engine(self, run: ItemRun, faster: FasterPlace) -> None:
-        """Ends the run if a much faster engine has a place; requests one if none has.
-
-        Raises:
-            MoveAwayError: a faster engine is free.
-        """
-        if self._engines.is_outpaced(run.engine, run.progress):
-            raise MoveAwayError
-        faster.request_if_slow()
-
     def _request(self, run: ItemRun) -> OutgoingRequest:
         item = run.item
         return OutgoingRequest(
--- a/src/larkpost/gateway/rollouts/faster_place.py
+++ b/src/larkpost/gateway/rollouts/faster_place.py
@@ -1,7 +1,7 @@
-"""A long run's request for a place at a faster engine, made while the run goes on where it is.
+"""A run's request for a place at a faster engine, made while the run goes on where it is.
 
 Owns the request of one run. `engine_rules.py` says whether the run is worth moving, and
-`place_queue.py` assigns the place.
+`place_queue.py` assigns the place. No run leaves its engine for another one without a place there.
 """
 
 import asyncio
@@ -16,16 +16,16 @@
     """The run is to go on at a faster engine.
 
     Attributes:
-        engine: where a place was taken for it, or None if it has to find one.
+        engine: where a place was taken for it.
     """
 
-    def __init__(self, engine: InstanceInfo | None = None) -> None:
+    def __init__(self, engine: InstanceInfo) -> None:
         super().__init__("a faster engine has a place")
         self.engine = engine
 
 
 class FasterPlace:
-    """The request of a long run at a slow engine for a place at a fast one."""
+    """The request of a run at a slow engine for a place at a fast one."""
 
     def __init__(self, places: PlaceQueue, engines: EngineChoice, run: ItemRun) -> None:
         self._places = places
@@ -34,11 +34,11 @@
         self._place: asyncio.Future[InstanceInfo] | None = None
 
     def request_if_slow(self) -> None:
-        """Requests a place if the run has shown itself long and the engine is slow."""
-        run = self._run
-        if self._place is not None or not run.progress.is_long:
+        """Requests a place if the engine is so slow for good that the run is worth moving."""
+        if self._place is not None:
             return
-        pace = self._engines.fast_pace(run.engine, run.item)
+        run = self._run
+        pace = self._engines.fast_pace(run)
         if pace:
             self._place = self._places.request(run.progress, run.route, pace)
 
@@ -51,7 +51,7 @@
         if self._place is None or not self._place.done():
             return
         engine = self._place.result()
-        if not self._engines.may_move_to(engine, self._run.item):
+        if not self._engines.may_move_to(engine, self._run):
             self.cancel()
             return
         self._place = None
--- a/src/larkpost/gateway/rollouts/item_runs.py
+++ b/src/larkpost/gateway/rollouts/item_runs.py
@@ -151,9 +151,8 @@
 
     def _record_move(self, run: ItemRun, move: MoveAwayError) -> None:
         run.progress.moves += 1
-        if move.engine is not None:
-            self._taken[run.item.id] = move.engine
-        run.progress.pace_left = self._services.balancer.pace(run.engine.id)
+        self._taken[run.item.id] = move.engine
+        run.progress.pace_left = self._services.balancer.paces.lasting(run.engine.id)
 
     def _record_run(
         self, run: ItemRun, resumed_after: int | None, began: float, outcome: str
@@ -177,6 +176,7 @@
             seconds=round(seconds, 3),
             occupied=balancer.occupied(run.engine),
             pace=round(balancer.pace(run.engine.id), 4),
+            lasting_pace=round(balancer.paces.lasting(run.engine.id), 4),
             version=directory.version_of(run.engine.id, self._head.model),
             minimum_version=self._head.minimum_version,
         )
--- a/src/larkpost/gateway/rollouts/stalls.py
+++ b/src/larkpost/gateway/rollouts/stalls.py
@@ -13,7 +13,6 @@
 from dataclasses import dataclass
 
 from larkpost.common.clock import Clock
-from larkpost.common.ids import InstanceId
 from larkpost.gateway.blackboard.directory import InstanceInfo
 
 CHECK_INTERVAL_SECONDS = 0.1
@@ -23,6 +22,9 @@
 """A run is not stalled before: the first event takes about 0.1 s, a queue at least as long."""
 SILENCE_PACES = 6.0
 """Nor before as many events could have come at the engine's pace: slow engines are not silent."""
+LOAD_SILENCE_SECONDS = 1.1
+"""Nor, at an engine that loads weights, before the load can have ended: its runs go on then, and an
+engine that one of them moved to may load next."""
 
 
 class StalledError(Exception):
@@ -75,18 +77,18 @@
         finally:
             self._watches.remove(watch)
 
-    def stalled(self, pace_of: Callable[[InstanceId], float]) -> list[RunWatch]:
+    def stalled(self, silence_allowed: Callable[[RunWatch], float]) -> list[RunWatch]:
         """Returns the runs that have been silent for too long, the longest silence first.
 
         Args:
-            pace_of: returns the seconds for an event at an engine, 0 if unknown.
+            silence_allowed: returns the seconds for which a run may make nothing.
         """
         now = self._clock.now()
         silent = [
             watch
             for watch in self._watches
             if not (watch.is_stalled or watch.limit.expired())
-            and now - watch.progress_at >= stall_seconds(pace_of(watch.engine.id))
+            and now - watch.progress_at >= silence_allowed(watch)
         ]
         return sorted(silent, key=lambda watch: watch.progress_at)
 
@@ -96,10 +98,12 @@
         watch.limit.reschedule(self._clock.now())
 
 
-def stall_seconds(pace: float) -> float:
+def stall_seconds(pace: float, *, is_loading: bool = False) -> float:
     """Returns the silence, in seconds, after which a run at an engine of this pace is stalled.
 
     Args:
-        pace: seconds for an event; 0 if not known.
+        pace: seconds for an event, lastingly; 0 if not known.
+        is_loading: whether the engine loads weights, and its runs go on afterwards.
     """
-    return max(LEAST_SILENCE_SECONDS, SILENCE_PACES * pace)
+    silence = max(LEAST_SILENCE_SECONDS, SILENCE_PACES * pace)
+    return max(silence, LOAD_SILENCE_SECONDS) if is_loading else silence
--- a/tests/platform_mutants.py
+++ b/tests/platform_mutants.py
@@ -338,6 +338,20 @@
     return mock.patch.object(EngineChoice, "count_places", lambda *_: 1000)
 
 
+def mix_bursts_into_paces():
+    """Takes the smoothed pace of an engine, bursts and all, for its lasting one."""
+    from larkpost.gateway.proxy.paces import Paces
+
+    return mock.patch.object(Paces, "lasting", lambda self, name: self._smoothed(name))
+
+
+def believe_any_slowness():
+    """Takes a server's word for its slowness, whatever its answers show."""
+    from larkpost.gateway.proxy import slowness
+
+    return mock.patch.object(slowness, "believed_slowness", lambda said, _: said)
+
+
 def forward_for_callers_that_left():
     """Forwards requests whose callers had left before they were read."""
     from larkpost.platform import ingress
@@ -524,6 +538,8 @@
         save_counts_without_condition,
         believe_own_clock,
         end_stalled_runs_without_places,
+        mix_bursts_into_paces,
+        believe_any_slowness,
         forward_for_callers_that_left,
         ignore_permits,
         claim_outside_homes,
@@ -570,6 +586,8 @@
     "save_counts_without_condition": "tests.test_usage",
     "believe_own_clock": "tests.test_usage",
     "end_stalled_runs_without_places": "tests.test_urgency",
+    "mix_bursts_into_paces": "tests.test_uneven_engines",
+    "believe_any_slowness": "tests.test_paces",
     "forward_for_callers_that_left": "tests.test_platform_ingress",
     "ignore_permits": "tests.test_cold_fleet",
     # 60 examples of the fuzz caught it, 120 with a far store did not.
