--- /dev/null
+++ b/src/larkpost/gateway/assembly/membership.py
@@ -0,0 +1,54 @@
+"""How a daemon's heartbeats are put together: what it shows of itself, and who hears the others."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from larkpost.common.ids import DaemonId
+from larkpost.gateway.assembly.daemon_reports import DaemonReports
+from larkpost.gateway.assembly.environment import GatewayPorts, GatewaySettings
+from larkpost.gateway.blackboard.regions import RegionMap
+from larkpost.gateway.controllers.heartbeat_writer import OwnDaemon
+from larkpost.gateway.controllers.members import Membership
+from larkpost.gateway.controllers.true_time import ClockOffset
+from larkpost.gateway.observability.instruments import Instruments
+from larkpost.gateway.proxy.balancer import Balancer
+
+
+@dataclass(frozen=True, slots=True)
+class MembershipInputs:
+    """What a daemon's membership is made of.
+
+    Attributes:
+        daemon: this process's id.
+        is_owner: returns whether it owns batches that are not ended.
+    """
+
+    daemon: DaemonId
+    settings: GatewaySettings
+    ports: GatewayPorts
+    instruments: Instruments
+    regions: RegionMap
+    balancer: Balancer
+    is_owner: Callable[[], bool]
+
+
+def make_membership(inputs: MembershipInputs) -> Membership:
+    """Returns the membership, whose heartbeats carry the daemon's use and report."""
+    store, balancer = inputs.ports.store, inputs.balancer
+    reports = DaemonReports(balancer.paces)
+    own = OwnDaemon(
+        inputs.daemon,
+        balancer.summary,
+        inputs.is_owner,
+        ClockOffset(inputs.ports.clock, store.time).now,
+        inputs.settings.peer_address,
+        reports.own,
+    )
+    return Membership(
+        own,
+        store,
+        inputs.instruments,
+        inputs.regions,
+        balancer.record_peer_summary,
+        reports.record,
+    )
--- a/src/larkpost/gateway/daemon.py
+++ b/src/larkpost/gateway/daemon.py
@@ -13,20 +13,18 @@
 import asyncio
 
 from larkpost.common.tasks import TaskSet, UnreportedFailures
-from larkpost.gateway.assembly.daemon_reports import DaemonReports
 from larkpost.gateway.assembly.environment import GatewayPorts, GatewaySettings
 from larkpost.gateway.assembly.gauges import Gauges
 from larkpost.gateway.assembly.leased_controllers import ControllerInputs, LeasedControllers
 from larkpost.gateway.assembly.loop_watch import LoopWatch
+from larkpost.gateway.assembly.membership import MembershipInputs, make_membership
 from larkpost.gateway.blackboard.board import Blackboard
 from larkpost.gateway.blackboard.lifecycle import Lifecycle
 from larkpost.gateway.blackboard.weight_targets import Demands
 from larkpost.gateway.controllers.division import EngineDivision
 from larkpost.gateway.controllers.feeds import BatchListener, Feeds, FeedSource
 from larkpost.gateway.controllers.heartbeat import new_incarnation
-from larkpost.gateway.controllers.heartbeat_writer import OwnDaemon
-from larkpost.gateway.controllers.members import Membership
-from larkpost.gateway.controllers.true_time import ClockOffset, TrueTime
+from larkpost.gateway.controllers.true_time import TrueTime
 from larkpost.gateway.observability.eventlog import Event
 from larkpost.gateway.observability.instruments import Instruments
 from larkpost.gateway.placement.cold_rule import POLL_SECONDS, ColdRule
@@ -122,25 +120,19 @@
         )
 
     def _make_membership(self) -> None:
-        store = self._ports.store
-        reports = DaemonReports(self.balancer.paces)
-        own = OwnDaemon(
-            self.id,
-            self.balancer.summary,
-            self._is_owner,
-            ClockOffset(self._clock, store.time).now,
-            self.settings.peer_address,
-            reports.own,
-        )
-        self.membership = Membership(
-            own,
-            store,
-            self._instruments,
-            self.blackboard.regions,
-            self.balancer.record_peer_summary,
-            reports.record,
+        ports = self._ports
+        self.membership = make_membership(
+            MembershipInputs(
+                self.id,
+                self.settings,
+                ports,
+                self._instruments,
+                self.blackboard.regions,
+                self.balancer,
+                self._is_owner,
+            )
         )
-        self.true_time = TrueTime(self._clock, store.time, self.membership.clock_offsets)
+        self.true_time = TrueTime(self._clock, ports.store.time, self.membership.clock_offsets)
 
     def _make_quarantine(self) -> None:
         ports = self._ports
