Illness of a server is shared while it is measured, and its end

Change: what is measured now counts first, here and then elsewhere (4 s), before what was measured here earlier. Reported is only what is measured, and for 12 s the usual pace of a server that was ill.

--- a/src/larkpost/gateway/proxy/lasting_pace.py
+++ b/src/larkpost/gateway/proxy/lasting_pace.py
@@ -26,6 +26,8 @@
 SUSTAINED_SECONDS = 4.0
 """How long a sustained pace is believed after the last measurement; then the usual one counts, so
 that a server that was ill for a while is tried again."""
+ILL_RATIO = 1.25
+"""Ratio of the sustained to the usual pace from which a server counts as ill."""
 USUAL_SECONDS = 180.0
 """How long the usual pace is believed after the last measurement."""
 FALL_SHARE = 0.3
@@ -98,10 +100,18 @@
 
         It is the sustained pace while the server is measured, and its usual one afterwards.
         """
-        age = now - self.measured_at
-        if age < SUSTAINED_SECONDS:
+        if self.is_measured(now):
             return self._sustained
-        return self._usual if age < USUAL_SECONDS else 0.0
+        return self._usual if now - self.measured_at < USUAL_SECONDS else 0.0
+
+    def is_measured(self, now: float) -> bool:
+        """Returns whether the pace is the sustained one, of the last seconds."""
+        return now - self.measured_at < SUSTAINED_SECONDS and bool(self._sustained)
+
+    @property
+    def was_ill(self) -> bool:
+        """Whether the server was much slower than usual when it was last measured."""
+        return self._sustained > ILL_RATIO * self._usual
 
     def recent(self, now: float) -> float:
         """Returns what a unit of work took in the last whole slice; 0 if that is long ago."""
--- a/src/larkpost/gateway/proxy/paces.py
+++ b/src/larkpost/gateway/proxy/paces.py
@@ -16,8 +16,10 @@
 
 MAX_REPORTED_PACES = 8
 """Paces in one heartbeat, those of different instances by turns: it is listed by hundreds."""
-REPORTED_SECONDS = 60.0
-"""How long after its last measurement a pace is reported; the others keep it for longer."""
+RECOVERY_SECONDS = 12.0
+"""For so long after its last measurement the usual pace of a server that was ill is reported, so
+that the others don't go on taking it for ill. All other paces are reported while they are measured;
+the others keep them for longer."""
 REPORTED_DIGITS = 4
 """Decimal places of a pace in seconds as it is reported: a tenth of a millisecond."""
 
@@ -42,7 +44,7 @@
         if figures is None or not figures.slowness.is_said:
             return self._smoothed(instance)
         now = self._clock.now()
-        lasting = figures.responses.pace(now) or self._shared.pace(instance)
+        lasting = self._known_lasting(instance, figures.responses)
         return lasting * figures.slowness.factor(now) or self._smoothed(instance)
 
     def has_latency(self, instance: InstanceId) -> bool:
@@ -53,13 +55,13 @@
         figures = self._own.figures(instance)
         if figures is None or not figures.slowness.is_said:
             return self._own.has_recent_response(instance)
-        return bool(figures.responses.pace(self._clock.now()))
+        return self._is_own_best(instance, figures.responses)
 
     def lasting(self, instance: InstanceId) -> float:
         """Returns the seconds that an event of an item takes, bursts taken out; 0 if not known."""
         figures = self._own.figures(instance)
-        own = figures.events.pace(self._clock.now()) if figures is not None else 0.0
-        return own or self._shared.pace(instance) or self._smoothed(instance)
+        history = figures.events if figures is not None else None
+        return self._known_lasting(instance, history) or self._smoothed(instance)
 
     def recent(self, engine: InstanceId) -> float:
         """Returns what an event took here in the last quarter of a second; 0 if not measured."""
@@ -103,6 +105,19 @@
         """Drops reports that are used no longer."""
         self._shared.forget_old(now)
 
+    def _known_lasting(self, instance: InstanceId, history: PaceHistory | None) -> float:
+        """Returns a lasting pace: what is measured now, here or elsewhere, and then what was."""
+        if history is not None and self._is_own_best(instance, history):
+            return history.pace(self._clock.now())
+        return self._shared.fresh(instance) or self._shared.pace(instance)
+
+    def _is_own_best(self, instance: InstanceId, history: PaceHistory) -> bool:
+        """Returns whether what was measured here counts before what others report."""
+        now = self._clock.now()
+        if history.is_measured(now):
+            return True
+        return bool(history.pace(now)) and not self._shared.fresh(instance)
+
     def _smoothed(self, instance: InstanceId) -> float:
         """Returns one's own smoothed pace, which counts before what the others report."""
         if self._own.has_recent_pace(instance):
@@ -110,7 +125,7 @@
         return self._peers.pace(instance)
 
     def _own_pace(self, instance: InstanceId) -> float | None:
-        """Returns an instance's pace as it is reported; None if it was not measured lately.
+        """Returns an instance's pace as it is reported; None if it is not to be.
 
         Where items and short requests go to the same server, it is that of the items.
         """
@@ -119,11 +134,16 @@
             return None
         now = self._clock.now()
         for history in (figures.events, figures.responses):
-            pace = history.pace(now)
-            if pace and now - history.measured_at < REPORTED_SECONDS:
-                return round(pace, REPORTED_DIGITS)
+            if is_reported(history, now):
+                return round(history.pace(now), REPORTED_DIGITS)
         return None
 
     def _record(self, figures: SpeedFigures, history: PaceHistory, seconds: float) -> None:
         now = self._clock.now()
         history.record(now, seconds, figures.slowness.factor(now))
+
+
+def is_reported(history: PaceHistory, now: float) -> bool:
+    """Returns whether a pace is reported: what is measured, and that an illness may be over."""
+    is_recovery = history.was_ill and now - history.measured_at < RECOVERY_SECONDS
+    return history.is_measured(now) or is_recovery
--- a/src/larkpost/gateway/proxy/shared_paces.py
+++ b/src/larkpost/gateway/proxy/shared_paces.py
@@ -12,6 +12,8 @@
 
 SHARED_PACE_SECONDS = 180.0
 """How long a reported pace is used."""
+FRESH_SECONDS = 4.0
+"""How long a reported pace counts before what one has measured oneself earlier."""
 MAX_REPORTERS = 5
 """Daemons whose pace of one instance is kept, those that reported last: enough for a median that
 one of them can't move."""
@@ -47,13 +49,20 @@
             if seconds > 0 and self._directory.get(instance) is not None:
                 self._keep(instance, daemon, seconds)
 
+    def fresh(self, instance: InstanceId) -> float:
+        """Returns the median of what was reported in the last seconds; 0 if nothing was."""
+        return self._median(instance, FRESH_SECONDS)
+
     def pace(self, instance: InstanceId) -> float:
         """Returns the median of what was reported of an instance, in seconds; 0 if nothing was."""
+        return self._median(instance, SHARED_PACE_SECONDS)
+
+    def _median(self, instance: InstanceId, lifetime: float) -> float:
         now = self._clock.now()
         seconds = [
             reported.seconds
             for reported in self._reported.get(instance, {}).values()
-            if now - reported.at < SHARED_PACE_SECONDS
+            if now - reported.at < lifetime
         ]
         return statistics.median_low(seconds) if seconds else 0.0
 
