Paces: an old pace is not made new by one measurement; a place asked for is one that the run moves to

Cause: a sustained pace stayed as it was while fewer than two slices of the last minute were known. One measurement after a silence of any length made it a measured one, reported to the others and counted before theirs; a server asked less than once a minute kept it for good. Known heartbeats, which carry no paces, took the turn of eight instances each. A server that says its slowness counted as near while only its smoothed pace was known. The limit of a requested place (1.12 times the best pace, with a tolerance of 1.05) allowed engines which the run then refused (1.25 times as fast at least): the place was held until the run's next event, given up, and requested again; an engine of unknown pace passed.

Change: paces of long ago are forgotten with their slices; OwnDaemon.paces is asked by awaited heartbeats only; has_latency follows at_this_moment; pace_to_move_to is bounded by what may_move_to allows, which asks for a known pace.

--- a/src/larkpost/gateway/assembly/daemon_reports.py
+++ b/src/larkpost/gateway/assembly/daemon_reports.py
@@ -1,6 +1,6 @@
 """Joins what a daemon reports to the others with its heartbeats; passes on what they report."""
 
-from larkpost.common.ids import DaemonId
+from larkpost.common.ids import DaemonId, InstanceId
 from larkpost.gateway.blackboard.daemon_report import DaemonReport
 from larkpost.gateway.proxy.paces import Paces
 
@@ -12,8 +12,12 @@
         self._paces = paces
 
     def own(self) -> DaemonReport:
-        """Returns what this daemon reports now."""
-        return DaemonReport(paces=self._paces.report())
+        """Returns what each of this daemon's heartbeats reports now."""
+        return DaemonReport()
+
+    def own_paces(self) -> dict[InstanceId, float]:
+        """Returns the paces whose turn it is; each call takes the next ones."""
+        return self._paces.report()
 
     def record(self, daemon: DaemonId, report: DaemonReport) -> None:
         """Records what another daemon reports."""
--- a/src/larkpost/gateway/assembly/membership.py
+++ b/src/larkpost/gateway/assembly/membership.py
@@ -43,6 +43,7 @@
         ClockOffset(inputs.ports.clock, store.time).now,
         inputs.settings.peer_address,
         reports.own,
+        reports.own_paces,
     )
     return Membership(
         own,
--- a/src/larkpost/gateway/controllers/heartbeat_writer.py
+++ b/src/larkpost/gateway/controllers/heartbeat_writer.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass, replace
 
 from larkpost.common.clock import Clock
-from larkpost.common.ids import Address, DaemonId
+from larkpost.common.ids import Address, DaemonId, InstanceId
 from larkpost.gateway.blackboard.daemon_report import DaemonReport
 from larkpost.gateway.blackboard.regions import RegionMap
 from larkpost.gateway.blackboard.use_summary import UseSummary
@@ -46,6 +46,8 @@
             store's clock, or None if that is not known.
         address: where it makes calls to the store for others, or None.
         report: returns what else it reports to the others with each heartbeat.
+        paces: returns the lasting paces that it reports with the next awaited heartbeat. Known ones
+            carry none, as all daemons list them and their bytes are bounded.
     """
 
     id: DaemonId
@@ -54,6 +56,7 @@
     clock_offset: Callable[[], float | None] = lambda: None
     address: Address | None = None
     report: Callable[[], DaemonReport] = DaemonReport
+    paces: Callable[[], dict[InstanceId, float]] = dict
 
 
 class HeartbeatWriter:
@@ -109,7 +112,7 @@
             address=self._own.address,
             clock_offset=self._own.clock_offset(),
             zone=self._regions.own_zone,
-            report=replace(self._own.report(), paces={}),  # all list it: its bytes are bounded
+            report=self._own.report(),
         )
         await self._put(self._view.known, heartbeat)
 
@@ -118,9 +121,10 @@
         call = min(self._view.awaited.usual_call, MOST_REPORTED_CALL_SECONDS)
         interval = round(self._awaited_interval() + call, 3)
         is_acting = self._view.is_coordinator()
+        report = replace(self._own.report(), paces=self._own.paces())
         await self._put(
             self._view.awaited,
-            Heartbeat(interval, self._own.use(), coordinates=is_acting, report=self._own.report()),
+            Heartbeat(interval, self._own.use(), coordinates=is_acting, report=report),
         )
 
     async def _remove_awaited(self) -> None:
--- a/src/larkpost/gateway/proxy/lasting_pace.py
+++ b/src/larkpost/gateway/proxy/lasting_pace.py
@@ -80,6 +80,8 @@
         self._closed: deque[_Slice] = deque(maxlen=SLICES)
         self._sustained = 0.0
         self._usual = 0.0
+        self._usual_at = float("-inf")
+        """When a slice last counted in the usual pace."""
 
     def record(self, now: float, seconds: float, slowness: float = 1.0) -> None:
         """Records what a unit of work took.
@@ -90,6 +92,7 @@
         if self._open is not None and now - self._open.began_at >= SLICE_SECONDS:
             self._close(self._open)
             self._open = None
+            self._forget_old(now)
         if self._open is None:
             self._open = _Slice(now)
         self._open.add(seconds, self._without_slowness(seconds, slowness))
@@ -119,13 +122,25 @@
         return self._closed[-1].corrected_mean if self._closed and is_recent else 0.0
 
     def _close(self, closed: _Slice) -> None:
-        while self._closed and closed.began_at - self._closed[0].began_at > SLICE_LIFETIME_SECONDS:
-            self._closed.popleft()
+        self._drop_slices(closed.began_at)
         self._closed.append(closed)
         if len(self._closed) < LEAST_SLICES:
             return
         self._sustained = quick_mean(slice_.corrected_mean for slice_ in self._closed)
         self._usual = usual_pace(self._usual, self._sustained)
+        self._usual_at = closed.began_at
+
+    def _forget_old(self, now: float) -> None:
+        """Forgets paces of long ago, which one new measurement must not make new."""
+        self._drop_slices(now)
+        if len(self._closed) < LEAST_SLICES:
+            self._sustained = 0.0
+        if now - self._usual_at >= USUAL_SECONDS:
+            self._usual = 0.0
+
+    def _drop_slices(self, now: float) -> None:
+        while self._closed and now - self._closed[0].began_at > SLICE_LIFETIME_SECONDS:
+            self._closed.popleft()
 
     def _without_slowness(self, seconds: float, slowness: float) -> float:
         means = [slice_.measured_mean for slice_ in self._closed]
--- a/src/larkpost/gateway/proxy/paces.py
+++ b/src/larkpost/gateway/proxy/paces.py
@@ -55,6 +55,8 @@
         figures = self._own.figures(instance)
         if figures is None or not figures.slowness.is_said:
             return self._own.has_recent_response(instance)
+        if not self._known_lasting(instance, figures.responses):
+            return self._own.has_recent_response(instance)
         return self._is_own_best(instance, figures.responses)
 
     def lasting(self, instance: InstanceId) -> float:
--- a/src/larkpost/gateway/rollouts/engine_choice.py
+++ b/src/larkpost/gateway/rollouts/engine_choice.py
@@ -148,7 +148,7 @@
         if known is None or balancer.is_cold(known):
             return False
         pace = balancer.paces.lasting(engine.id)
-        if not is_outpaced_by(self._pace_to_leave(run.engine), pace, MOVE_RATIO):
+        if not pace or not is_outpaced_by(self._pace_to_leave(run.engine), pace, MOVE_RATIO):
             return False
         return balancer.placement.allows(known, self.items.work_of(run.item))
 
--- a/src/larkpost/gateway/rollouts/engine_rules.py
+++ b/src/larkpost/gateway/rollouts/engine_rules.py
@@ -170,4 +170,7 @@
         pace: of the engine where it runs.
         best: of the fastest engine that it may use, whether or not it has a place; 0 if not known.
     """
-    return best * FASTER_RATIO if is_worth_moving(events, pace, best) else 0.0
+    if not is_worth_moving(events, pace, best):
+        return 0.0
+    # Any engine that is fast enough for it is one that the run then moves to.
+    return min(best * FASTER_RATIO, pace / (MOVE_RATIO * PACE_TOLERANCE))
--- a/tests/test_lasting_pace.py
+++ b/tests/test_lasting_pace.py
@@ -155,6 +155,25 @@
             self.history.record(self.now, SLOW)
         self.assertAlmostEqual(SLOW, self.history.pace(self.now))
 
+    def test_measurement_after_a_long_silence_makes_no_old_pace_new(self):
+        self.measure(3 * FAST, 5.0)
+        self.now += 2 * USUAL_SECONDS
+        self.history.record(self.now, FAST)
+        self.assertFalse(self.history.is_measured(self.now))
+        self.assertFalse(self.history.was_ill)
+        self.assertEqual(0.0, self.history.pace(self.now))
+        self.measure(FAST, 1.0)
+        self.assertAlmostEqual(FAST, self.history.pace(self.now))
+
+    def test_server_that_is_asked_too_seldom_keeps_no_pace_for_good(self):
+        """Once in more than a minute: its slices never suffice for a pace."""
+        self.measure(SLOW, 5.0)
+        for _ in range(5):
+            self.now += SLICE_LIFETIME_SECONDS + 1
+            self.history.record(self.now, FAST)
+            self.assertFalse(self.history.is_measured(self.now))
+        self.assertEqual(0.0, self.history.pace(self.now))
+
 
 class SaidSlownessTest(unittest.TestCase):
     """What a server says of itself, and for how long it is used."""
--- a/tests/test_paces.py
+++ b/tests/test_paces.py
@@ -8,6 +8,7 @@
 from larkpost.common.clock import LoopClock
 from larkpost.common.ids import DaemonId, InstanceId, InstanceName
 from larkpost.common.incarnations import instance_id
+from larkpost.gateway.assembly.daemon_reports import DaemonReports
 from larkpost.gateway.blackboard.daemon_report import DaemonReport, TenantUse
 from larkpost.gateway.blackboard.directory import Directory
 from larkpost.gateway.blackboard.tenants import TenantName
@@ -195,6 +196,22 @@
 
         run(play())
 
+    def test_heartbeats_that_carry_no_paces_take_nobodys_turn(self):
+        async def play():
+            known = KnownServers()
+            names = [
+                instance_id(InstanceName(f"e{n}"), BORN) for n in range(2 * MAX_REPORTED_PACES)
+            ]
+            for name in names:
+                known.start(name)
+            await asyncio.gather(*(known.stream(name, FAST) for name in names))
+            reports = DaemonReports(known.paces)
+            first = reports.own_paces()
+            self.assertEqual({}, reports.own().paces)
+            self.assertEqual(set(names), first.keys() | reports.own_paces().keys())
+
+        run(play())
+
     def test_a_fleet_knows_the_paces_that_one_daemon_has_measured(self):
         async def play():
             fleet = PlatformFleet(gateways=3, engines=2)
@@ -251,6 +268,23 @@
 
         run(play())
 
+    def test_first_pace_of_a_server_is_known_to_have_the_latency_in_it(self):
+        """Until its lasting pace is known, the smoothed one of this daemon's responses counts."""
+
+        async def play():
+            known = KnownServers()
+            info = known.directory.get(SERVER)
+            known.balancer.record_load(SERVER, ServerLoad(1, 0, SLOTS, 1.0))
+            self.assertFalse(known.paces.has_latency(SERVER))
+            known.balancer.record_response(info, SLOW)
+            self.assertEqual(SLOW, known.balancer.pace(SERVER))
+            self.assertTrue(known.paces.has_latency(SERVER))
+            known.paces.record_report(DaemonId("d"), {SERVER: FAST})
+            self.assertEqual(FAST, known.balancer.pace(SERVER))
+            self.assertFalse(known.paces.has_latency(SERVER))
+
+        run(play())
+
     def test_server_that_says_nothing_has_its_smoothed_pace(self):
         async def play():
             known = KnownServers()
