--- a/src/larkpost/gateway/__init__.py
+++ b/src/larkpost/gateway/__init__.py
@@ -10,6 +10,7 @@
 - `proxy`: client requests: admission, queue, choice of a server, attempts, retries.
 - `placement`: whether work may go to an instance at all: evacuated zones, regions, cold instances.
 - `quarantine`: requests that crash their servers, and who may still send one.
+- `fairness`: the shares of tenants in the places of a service, and their use by all daemons.
 - `rollouts`: batches of items: storage, ownership, placement at engines, results, scores.
 - `blackboard`: what a daemon knows of the world; controllers write it, everything else reads it.
 - `controllers`: feeds, membership, leases, true time, and the orders of weights to engines.
@@ -21,6 +22,6 @@
 
 A folder imports nothing of those that stand after it in this order: `larkpost.common`,
 `observability`, `store`, `blackboard`, `servers`, `controllers`, `usage`, `placement`,
-`quarantine`, `proxy`, `rollouts`, `scaling`, `assembly`, `daemon`. `usage` stands above
+`quarantine`, `fairness`, `proxy`, `rollouts`, `scaling`, `assembly`, `daemon`. `usage` stands above
 `controllers`, as reports are sent under leases and by true time; `proxy` needs only its counter.
 """
--- a/src/larkpost/gateway/assembly/daemon_reports.py
+++ b/src/larkpost/gateway/assembly/daemon_reports.py
@@ -2,19 +2,22 @@
 
 from larkpost.common.ids import DaemonId
 from larkpost.gateway.blackboard.daemon_report import DaemonReport
+from larkpost.gateway.fairness.ledger import FlowLedger
 from larkpost.gateway.proxy.paces import Paces
 
 
 class DaemonReports:
     """The reports of this daemon and of the others."""
 
-    def __init__(self, paces: Paces) -> None:
+    def __init__(self, paces: Paces, ledger: FlowLedger) -> None:
         self._paces = paces
+        self._ledger = ledger
 
     def own(self) -> DaemonReport:
         """Returns what this daemon reports now."""
-        return DaemonReport(paces=self._paces.report())
+        return DaemonReport(paces=self._paces.report(), tenants=self._ledger.report())
 
     def record(self, daemon: DaemonId, report: DaemonReport) -> None:
         """Records what another daemon reports."""
         self._paces.record_report(daemon, report.paces)
+        self._ledger.record_report(daemon, report.tenants)
--- a/src/larkpost/gateway/assembly/membership.py
+++ b/src/larkpost/gateway/assembly/membership.py
@@ -10,6 +10,7 @@
 from larkpost.gateway.controllers.heartbeat_writer import OwnDaemon
 from larkpost.gateway.controllers.members import Membership
 from larkpost.gateway.controllers.true_time import ClockOffset
+from larkpost.gateway.fairness.ledger import FlowLedger
 from larkpost.gateway.observability.instruments import Instruments
 from larkpost.gateway.proxy.balancer import Balancer
 
@@ -20,6 +21,7 @@
 
     Attributes:
         daemon: this process's id.
+        ledger: use by tenant in the fleet.
         is_owner: returns whether it owns batches that are not ended.
     """
 
@@ -29,13 +31,14 @@
     instruments: Instruments
     regions: RegionMap
     balancer: Balancer
+    ledger: FlowLedger
     is_owner: Callable[[], bool]
 
 
 def make_membership(inputs: MembershipInputs) -> Membership:
     """Returns the membership, whose heartbeats carry the daemon's use and report."""
     store, balancer = inputs.ports.store, inputs.balancer
-    reports = DaemonReports(balancer.paces)
+    reports = DaemonReports(balancer.paces, inputs.ledger)
     own = OwnDaemon(
         inputs.daemon,
         balancer.summary,
@@ -43,6 +46,7 @@
         ClockOffset(inputs.ports.clock, store.time).now,
         inputs.settings.peer_address,
         reports.own,
+        inputs.ledger.has_shortage,
     )
     return Membership(
         own,
--- a/src/larkpost/gateway/blackboard/daemon_report.py
+++ b/src/larkpost/gateway/blackboard/daemon_report.py
@@ -4,11 +4,38 @@
 from typing import NamedTuple
 
 from larkpost.common.ids import InstanceId
-from larkpost.gateway.blackboard.tenants import TenantName
+from larkpost.gateway.blackboard.configuration import ServiceName
+
+
+class FlowGroup(NamedTuple):
+    """The requests that compete for the same places as equals.
+
+    Attributes:
+        priority: of the requests, 0 the most urgent.
+    """
+
+    service: ServiceName
+    priority: int
+
+
+class Flow(NamedTuple):
+    """The requests of one tenant in a group; without tenants, those of one route.
+
+    Attributes:
+        name: the tenant's, or what `route_flow_name` makes of a route's.
+    """
+
+    group: FlowGroup
+    name: str
+
+
+def route_flow_name(route: str) -> str:
+    """Returns the name of the flow of a route's callers that are no tenant's."""
+    return f"route/{route}"
 
 
 class TenantUse(NamedTuple):
-    """What one daemon holds for one tenant at a moment.
+    """What one daemon holds for one tenant, or another flow, at a moment.
 
     Attributes:
         running: its requests at servers.
@@ -26,10 +53,11 @@
     Attributes:
         paces: seconds that a unit of work lastingly takes at instances, short bursts of slowness
             left out, as far as it has learnt that itself.
-        tenants: use by its tenants with the greatest use, of bounded number.
+        tenants: use by its flows with the greatest use, of bounded number, at services that lack
+            places.
         capacity: what its machine can bear beside clients, without unit; None if not known.
     """
 
     paces: dict[InstanceId, float] = field(default_factory=dict)
-    tenants: dict[TenantName, TenantUse] = field(default_factory=dict)
+    tenants: dict[Flow, TenantUse] = field(default_factory=dict)
     capacity: float | None = None
--- a/src/larkpost/gateway/controllers/heartbeat_intervals.py
+++ b/src/larkpost/gateway/controllers/heartbeat_intervals.py
@@ -25,10 +25,22 @@
 """Seconds for which a new daemon lists the known ones often: after an outage all are new."""
 YOUNG_ROWS_PER_SECOND = 400.0
 """Most known heartbeats that it lists a second then: two listings a second at 200 daemons."""
+SHORTAGE_INTERVAL_FACTOR = 0.5
+"""Part of their intervals at which known heartbeats are written and listed while a service lacks
+places: the fleet's writes together stay below what one part takes."""
 DEAD_AFTER_SECONDS = MISSED_HEARTBEATS * HEARTBEAT_SECONDS
 """Seconds until an awaited daemon is considered dead over a quick store."""
 
 
+def shortage_factor(*, has_shortage: bool) -> float:
+    """Returns by how much the intervals of known heartbeats change, without unit.
+
+    Args:
+        has_shortage: whether a service lacks places: the daemons divide them by what they report.
+    """
+    return SHORTAGE_INTERVAL_FACTOR if has_shortage else 1.0
+
+
 def awaited_interval(awaited: int) -> float:
     """Returns the seconds between two heartbeats of an awaited daemon, and between its listings.
 
--- a/src/larkpost/gateway/controllers/heartbeat_writer.py
+++ b/src/larkpost/gateway/controllers/heartbeat_writer.py
@@ -17,6 +17,7 @@
     HEARTBEAT_SECONDS,
     awaited_interval,
     known_interval,
+    shortage_factor,
 )
 from larkpost.gateway.controllers.heartbeat_list import HeartbeatList
 from larkpost.gateway.store.port import Store, Transaction, WriteOutcome
@@ -46,6 +47,7 @@
             store's clock, or None if that is not known.
         address: where it makes calls to the store for others, or None.
         report: returns what else it reports to the others with each heartbeat.
+        has_shortage: returns whether a service lacks places, so that reports are wanted sooner.
     """
 
     id: DaemonId
@@ -54,6 +56,7 @@
     clock_offset: Callable[[], float | None] = lambda: None
     address: Address | None = None
     report: Callable[[], DaemonReport] = DaemonReport
+    has_shortage: Callable[[], bool] = lambda: False
 
 
 class HeartbeatWriter:
@@ -87,7 +90,10 @@
                 await self._write_awaited()
         elif self._awaited_written_at is not None:
             await self._remove_awaited()
-        if is_due(self._known_written_at, self._known_interval(), self._clock.now()):
+        known_interval = self._known_interval() * shortage_factor(
+            has_shortage=self._own.has_shortage()
+        )
+        if is_due(self._known_written_at, known_interval, self._clock.now()):
             await self._write_known()
 
     async def write_last(self) -> None:
--- a/src/larkpost/gateway/controllers/members.py
+++ b/src/larkpost/gateway/controllers/members.py
@@ -21,6 +21,7 @@
     HEARTBEAT_SECONDS,
     awaited_interval,
     known_listing_interval,
+    shortage_factor,
 )
 from larkpost.gateway.controllers.heartbeat_list import HeartbeatList
 from larkpost.gateway.controllers.heartbeat_writer import (
@@ -80,6 +81,7 @@
         self._log = log
         self._listener = listener
         self._report_listener = report_listener
+        self._has_shortage = own.has_shortage
         self._writer = HeartbeatWriter(own, self, regions, store, clock)
         self._logged_alive: frozenset[DaemonId] = frozenset()
         self._logged_coordinator = False
@@ -114,7 +116,8 @@
             self._report_listener(daemon, report)
 
     def _known_listing_interval(self) -> float:
-        return known_listing_interval(len(self.known.seen), self.age())
+        usual = known_listing_interval(len(self.known.seen), self.age())
+        return usual * shortage_factor(has_shortage=self._has_shortage())
 
     def _awaited_listing_interval(self) -> float:
         if self._writer.is_awaited():
--- a/src/larkpost/gateway/controllers/report_codec.py
+++ b/src/larkpost/gateway/controllers/report_codec.py
@@ -8,12 +8,19 @@
 from typing import Any, TypeVar
 
 from larkpost.common.ids import InstanceId
-from larkpost.gateway.blackboard.daemon_report import DaemonReport, TenantUse
-from larkpost.gateway.blackboard.tenants import TenantName
+from larkpost.gateway.blackboard.configuration import ServiceName
+from larkpost.gateway.blackboard.daemon_report import (
+    DaemonReport,
+    Flow,
+    FlowGroup,
+    TenantUse,
+)
 
 PACES_FIELD = "paces"
 TENANTS_FIELD = "tenants"
 CAPACITY_FIELD = "capacity"
+TENANT_ROW_LENGTH = 5
+"""Use by a flow is written as service, priority, name, requests that run, requests that wait."""
 _Value = TypeVar("_Value")
 
 
@@ -23,7 +30,9 @@
     if report.paces:
         fields[PACES_FIELD] = report.paces
     if report.tenants:
-        fields[TENANTS_FIELD] = {name: list(use) for name, use in report.tenants.items()}
+        fields[TENANTS_FIELD] = [
+            (*flow.group, flow.name, *use) for flow, use in report.tenants.items()
+        ]
     if report.capacity is not None:
         fields[CAPACITY_FIELD] = report.capacity
     return fields
@@ -32,10 +41,9 @@
 def read_report(document: Mapping[str, Any]) -> DaemonReport:
     """Returns the report in a heartbeat's row; what is missing or unreadable is not said."""
     paces = _read_table(document.get(PACES_FIELD), _read_number)
-    tenants = _read_table(document.get(TENANTS_FIELD), _read_tenant_use)
     return DaemonReport(
         {InstanceId(name): pace for name, pace in paces.items()},
-        {TenantName(name): use for name, use in tenants.items()},
+        _read_tenants(document.get(TENANTS_FIELD)),
         _read_number(document.get(CAPACITY_FIELD)),
     )
 
@@ -48,11 +56,17 @@
     return {name: entry for name, entry in entries if entry is not None}
 
 
-def _read_tenant_use(value: Any) -> TenantUse | None:
-    if not isinstance(value, list) or len(value) != len(TenantUse._fields):
-        return None
-    running, waiting = value
-    return TenantUse(running, waiting) if _is_whole(running) and _is_whole(waiting) else None
+def _read_tenants(value: Any) -> dict[Flow, TenantUse]:
+    """Returns the use by flow that can be read."""
+    if not isinstance(value, list):
+        return {}
+    rows = (row for row in value if isinstance(row, list) and len(row) == TENANT_ROW_LENGTH)
+    return {
+        Flow(FlowGroup(ServiceName(service), priority), name): TenantUse(running, waiting)
+        for service, priority, name, running, waiting in rows
+        if isinstance(service, str) and isinstance(name, str)
+        if all(map(_is_whole, (priority, running, waiting)))
+    }
 
 
 def _read_number(value: Any) -> float | None:
--- a/src/larkpost/gateway/daemon.py
+++ b/src/larkpost/gateway/daemon.py
@@ -13,6 +13,7 @@
 import asyncio
 
 from larkpost.common.tasks import TaskSet, UnreportedFailures
+from larkpost.gateway.assembly.client_requests import make_forwarder
 from larkpost.gateway.assembly.environment import GatewayPorts, GatewaySettings
 from larkpost.gateway.assembly.gauges import Gauges
 from larkpost.gateway.assembly.leased_controllers import ControllerInputs, LeasedControllers
@@ -25,6 +26,7 @@
 from larkpost.gateway.controllers.feeds import BatchListener, Feeds, FeedSource
 from larkpost.gateway.controllers.heartbeat import new_incarnation
 from larkpost.gateway.controllers.true_time import TrueTime
+from larkpost.gateway.fairness.ledger import FlowLedger
 from larkpost.gateway.observability.eventlog import Event
 from larkpost.gateway.observability.instruments import Instruments
 from larkpost.gateway.placement.cold_rule import POLL_SECONDS, ColdRule
@@ -35,15 +37,12 @@
 from larkpost.gateway.planned_stop import PlannedStop, StopSteps
 from larkpost.gateway.proxy.admission import Admission
 from larkpost.gateway.proxy.balancer import Balancer, BalancerSources
-from larkpost.gateway.proxy.forwarder import Forwarder
-from larkpost.gateway.proxy.parts import ForwarderParts
 from larkpost.gateway.proxy.shares import ShareChooser
 from larkpost.gateway.quarantine.crash_writer import CrashWriter
 from larkpost.gateway.quarantine.guard import GuardedServers
 from larkpost.gateway.quarantine.isolation import IsolationRule
 from larkpost.gateway.quarantine.recorder import CrashRecorder
 from larkpost.gateway.quarantine.repository import CrashRepository
-from larkpost.gateway.quarantine.trials import Trials
 from larkpost.gateway.quarantine.watch import CrashWatch
 from larkpost.gateway.rollouts.context import RunServices
 from larkpost.gateway.rollouts.keeper import BatchKeeper
@@ -121,6 +120,7 @@
 
     def _make_membership(self) -> None:
         ports = self._ports
+        self._ledger = FlowLedger(self._clock)
         self.membership = make_membership(
             MembershipInputs(
                 self.id,
@@ -129,6 +129,7 @@
                 self._instruments,
                 self.blackboard.regions,
                 self.balancer,
+                self._ledger,
                 self._is_owner,
             )
         )
@@ -159,22 +160,8 @@
         self._counter: UsageCounter | None = None
         if ports.usage is not None and self.settings.usage is not None:
             self._counter = UsageCounter(self.true_time, self.settings.usage.window_length)
-        self.forwarder = Forwarder(
-            ForwarderParts(
-                self.directory,
-                self.balancer,
-                self._servers,
-                ports.clock,
-                ports.log,
-                ports.metrics,
-                ShareChooser(ports.chance),
-                self._counter,
-                self.configuration.priority_of,
-                self.blackboard.crashes,
-                Trials(
-                    self.blackboard.crashes, CrashRepository(ports.store), ports.clock, ports.log
-                ),
-            )
+        self.forwarder = make_forwarder(
+            ports, self.blackboard, self.balancer, self._servers, self._ledger, self._counter
         )
 
     def _make_rollouts(self) -> None:
--- /dev/null
+++ b/src/larkpost/gateway/fairness/return_times.py
@@ -0,0 +1,52 @@
+"""Books the times at which refused callers come back, one after the other instead of in one wave.
+
+Callers of one line are told times in the order in which they were refused, apart by the time that
+one request takes up of what this daemon gets served. Owns the last time that was told in each line.
+"""
+
+import random
+from collections.abc import Hashable
+
+from larkpost.common.clock import Clock
+
+MOST_LINES = 256
+"""Lines remembered at most; those whose last time has come are dropped first."""
+LEAST_PART_OF_TIME = 0.5
+"""Callers that cannot wait for their turn come back spread over the rest of the time that they can
+wait, from this part of it on."""
+
+
+class ReturnTimes:
+    """The times told to refused callers, by line.
+
+    Args:
+        chance: spreads the callers of different daemons, which know nothing of each other's lines.
+    """
+
+    def __init__(self, clock: Clock, chance: random.Random) -> None:
+        self._clock = clock
+        self._chance = chance
+        self._told: dict[Hashable, float] = {}
+
+    def book(self, line: Hashable, wanted: float, spacing: float, most: float) -> float:
+        """Returns the seconds after which a caller should come back, at most ``most``.
+
+        Args:
+            line: what the caller waits for; callers of one line do not come back together.
+            wanted: seconds until there is room for it.
+            spacing: seconds between two callers.
+            most: seconds that the caller waits at most before it comes back.
+        """
+        now = self._clock.now()
+        self._drop_past(now)
+        at = max(now + wanted, self._told.get(line, float("-inf")) + spacing)
+        if at - now > most:
+            return most * self._chance.uniform(LEAST_PART_OF_TIME, 1.0)
+        self._told[line] = at
+        return min(most, at - now + self._chance.random() * spacing)
+
+    def _drop_past(self, now: float) -> None:
+        if len(self._told) >= MOST_LINES:
+            self._told = {line: at for line, at in self._told.items() if at > now}
+        while len(self._told) >= MOST_LINES:
+            del self._told[next(iter(self._told))]
--- a/src/larkpost/gateway/observability/eventlog.py
+++ b/src/larkpost/gateway/observability/eventlog.py
@@ -59,6 +59,7 @@
     SERVER_CRASH = "server_crash"
     QUARANTINE = "quarantine"
     REQUEST_FAILED = "request_failed"
+    SHARE_HELD = "share_held"
     BATCH_ACCEPTED = "batch_accepted"
     BATCH_REFUSED = "batch_refused"
     BATCH_OWNED = "batch_owned"
--- a/src/larkpost/gateway/observability/metrics.py
+++ b/src/larkpost/gateway/observability/metrics.py
@@ -21,6 +21,7 @@
     CRASHES = "larkpost_server_crashes_total"
     NOT_PLACED = "larkpost_not_placed_total"
     FORECASTS = "larkpost_forecasts_total"
+    SHARES = "larkpost_share_decisions_total"
     STORE_CALLS = "larkpost_store_calls_total"
     BATCH_CALLS = "larkpost_batch_calls_total"
     ITEM_RUNS = "larkpost_item_runs_total"
@@ -49,6 +50,10 @@
         "Forecasts at the arrival of client requests, and what became of them.",
         ("route", "forecast", "outcome"),
     ),
+    Count.SHARES: (
+        "Client requests beyond their tenant's share, and what became of them.",
+        ("service", "outcome"),
+    ),
     Count.STORE_CALLS: ("Calls to the store.", ("call", "outcome")),
     Count.BATCH_CALLS: ("Calls that concern batches.", ("call", "outcome")),
     Count.ITEM_RUNS: ("Runs of batch items at engines.", ("outcome",)),
--- a/src/larkpost/gateway/proxy/attempts.py
+++ b/src/larkpost/gateway/proxy/attempts.py
@@ -11,7 +11,7 @@
 from larkpost.gateway.blackboard.configuration import Route
 from larkpost.gateway.proxy.forecast import Forecast
 from larkpost.gateway.proxy.request import ClientRequest, WholeResponse
-from larkpost.gateway.proxy.request_queue import Waiter
+from larkpost.gateway.proxy.waiter import Waiter
 from larkpost.gateway.servers.port import NotRunReason
 
 
--- /dev/null
+++ b/src/larkpost/gateway/proxy/fair_order.py
@@ -0,0 +1,110 @@
+"""In which order requests for one service take their turns, and who lets others go first.
+
+The more urgent kind comes first, then those whose tenants are within their shares, then callers who
+have come back before those who come first; among equals those that can still be in time, then
+those whose time ends first.
+
+Requests beyond their share also let those go first that wait at other daemons, but never for long:
+what is known of those is some seconds old, and no place stays free for them in vain.
+"""
+
+from dataclasses import dataclass
+
+from larkpost.gateway.blackboard.daemon_report import Flow, FlowGroup
+from larkpost.gateway.fairness.ledger import FlowLedger
+from larkpost.gateway.fairness.share_rule import GroupShares, Standing, share_out
+from larkpost.gateway.proxy.forecast import is_late_anyway
+from larkpost.gateway.proxy.places import Places
+from larkpost.gateway.proxy.waiter import Waiter
+
+MOST_HOLD_SECONDS = 0.2
+"""How long a request lets those of other daemons go first before it tries once: ten of their polls,
+so that these come first, and not so long that a free place is missed by old news."""
+
+
+@dataclass(frozen=True, slots=True)
+class Rank:
+    """Where a request stands among those for its service; the least comes first."""
+
+    key: tuple[int, bool, bool, bool, float, float]
+    standing: Standing | None
+
+    @property
+    def is_over(self) -> bool:
+        """Whether the request is beyond its flow's share."""
+        return self.standing is not None and self.standing.is_over
+
+
+class FairOrder:
+    """The order at one moment; shares are worked out once for each group, and for each flow."""
+
+    def __init__(self, ledger: FlowLedger, now: float) -> None:
+        self._ledger = ledger
+        self._now = now
+        self._shares: dict[tuple[FlowGroup, int], GroupShares] = {}
+        self._standings: dict[tuple[Flow, int], Standing] = {}
+
+    def rank(self, waiter: Waiter, places: Places) -> Rank:
+        """Returns where a request stands."""
+        standing = self._standing(waiter, places)
+        key = (
+            waiter.priority,
+            standing is not None and standing.is_over,
+            not waiter.is_back,
+            is_late_anyway(places, waiter.limits, self._now),
+            waiter.limits.end_at,
+            waiter.since,
+        )
+        return Rank(key, standing)
+
+    def _standing(self, waiter: Waiter, places: Places) -> Standing | None:
+        """Returns where a request's flow stands; None if shares do not matter for the request."""
+        if waiter.is_passed or places.are_mostly_free:
+            return None
+        known = (waiter.flow, places.free)
+        standing = self._standings.get(known)
+        if standing is None:
+            standing = self._shares_of(waiter.flow.group, places.free).standing(waiter.flow)
+            self._standings[known] = standing
+        return standing
+
+    def _shares_of(self, group: FlowGroup, free: int) -> GroupShares:
+        """Returns the shares of a group's flows while so many places are free."""
+        known = (group, free)
+        if known not in self._shares:
+            self._shares[known] = share_out(self._ledger.uses(group), free)
+        return self._shares[known]
+
+
+class Turns:
+    """The turns that are given out at one moment to requests for one kind of work.
+
+    One request tries even if no place is believed free, as the requests of other daemons end
+    without notice.
+
+    Args:
+        free: places believed free.
+    """
+
+    def __init__(self, free: int, now: float) -> None:
+        self._left = max(1, free)
+        self._now = now
+
+    def claim(self, waiter: Waiter, rank: Rank) -> bool:
+        """Returns whether a request may try now; they ask in their order.
+
+        Behind one that lets others go first none may try: it would take their place.
+        """
+        if rank.is_over and self._is_held(waiter):
+            self._left = 0
+        if self._left <= 0:
+            return False
+        self._left -= 1
+        waiter.held_since = None
+        return True
+
+    def _is_held(self, waiter: Waiter) -> bool:
+        """Returns whether a request beyond its share lets others go first at the moment."""
+        if waiter.held_since is None:
+            waiter.held_since = self._now
+        return self._now - waiter.held_since < MOST_HOLD_SECONDS
--- a/src/larkpost/gateway/proxy/forecast.py
+++ b/src/larkpost/gateway/proxy/forecast.py
@@ -56,11 +56,13 @@
     Attributes:
         wait: seconds until a place is expected free for it.
         retry_after: seconds after which a caller that is refused should come back.
+        pace: seconds a request takes at a server.
     """
 
     expectation: Expectation
     wait: float
     retry_after: float
+    pace: float
 
     @property
     def is_hopeless(self) -> bool:
@@ -69,7 +71,12 @@
 
 
 def make_forecast(
-    places: Places, limits: Limits, now: float, ahead: int = 0, blocked_for: float = 0.0
+    places: Places,
+    limits: Limits,
+    now: float,
+    ahead: int = 0,
+    blocked_for: float = 0.0,
+    share_wait: float = 0.0,
 ) -> Forecast:
     """Returns the forecast of one request.
 
@@ -77,9 +84,10 @@
         ahead: requests that wait here and come first.
         blocked_for: seconds for which no place was seen to come free; it is expected to go on for
             as long again, whatever the paces say.
+        share_wait: seconds until its tenant's share has room for it.
     """
     pace = places.pace or limits.usual_pace
-    wait = _wait(places, pace, ahead, blocked_for)
+    wait = max(share_wait, _wait(places, pace, ahead, blocked_for))
     is_untried = places.run_few_requests and not ahead and not blocked_for
     if _is_hopeless(places, limits, now, wait + pace * LEAST_SHARE_OF_PACE, is_untried):
         expectation = Expectation.NOT_AT_ALL
@@ -87,13 +95,14 @@
         expectation = Expectation.IN_TIME
     else:
         expectation = Expectation.LATE
-    return Forecast(expectation, wait, _retry_after(wait, limits.end_at - now))
+    return Forecast(expectation, wait, retry_after(wait, limits.end_at - now), pace)
 
 
 def forecast_unreachable(limits: Limits, now: float) -> Forecast:
     """Returns the forecast of a request that reached no server, though it was sent to all."""
     wait = NO_PLACE_RETRY_SECONDS
-    return Forecast(Expectation.NOT_AT_ALL, wait, _retry_after(wait, limits.end_at - now))
+    told = retry_after(wait, limits.end_at - now)
+    return Forecast(Expectation.NOT_AT_ALL, wait, told, limits.usual_pace)
 
 
 def is_late_anyway(places: Places, limits: Limits, now: float) -> bool:
@@ -127,8 +136,16 @@
     return now + least > limits.end_at
 
 
-def _retry_after(wait: float, time_left: float) -> float:
+def retry_after(wait: float, time_left: float) -> float:
     """Returns the seconds after which to come back, so that enough of the caller's time is left."""
-    wanted = min(MOST_RETRY_SECONDS, max(LEAST_RETRY_SECONDS, wait))
-    usable = math.floor(min(wanted, time_left * HEEDED_SHARE) * MILLISECONDS) / MILLISECONDS
-    return max(1 / MILLISECONDS, usable)
+    return whole_milliseconds(min(max(LEAST_RETRY_SECONDS, wait), most_retry(time_left)))
+
+
+def most_retry(time_left: float) -> float:
+    """Returns the most seconds after which a caller with so much time left should come back."""
+    return min(MOST_RETRY_SECONDS, time_left * HEEDED_SHARE)
+
+
+def whole_milliseconds(seconds: float) -> float:
+    """Returns a time as callers are told it: rounded down to milliseconds, and at least one."""
+    return max(1, math.floor(seconds * MILLISECONDS)) / MILLISECONDS
--- a/src/larkpost/gateway/proxy/parts.py
+++ b/src/larkpost/gateway/proxy/parts.py
@@ -1,5 +1,6 @@
 """What the forwarding of client requests relies on."""
 
+import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -8,6 +9,7 @@
 from larkpost.gateway.blackboard.directory import Directory
 from larkpost.gateway.blackboard.known_crashes import KnownCrashes
 from larkpost.gateway.blackboard.tenants import TenantName
+from larkpost.gateway.fairness.ledger import FlowLedger
 from larkpost.gateway.observability.eventlog import EventLog
 from larkpost.gateway.observability.metrics import Metrics
 from larkpost.gateway.proxy.balancer import Balancer
@@ -34,6 +36,8 @@
         priority_of: returns how urgent a request is, 0 the most.
         crashes: the servers that have crashed, and under which requests.
         trials: lets a quarantined request run once more; None if nothing does.
+        ledger: use by tenant in the fleet; None for that of this daemon alone.
+        chance: spreads what all daemons would else do alike.
     """
 
     directory: Directory
@@ -47,3 +51,5 @@
     priority_of: PriorityOf = route_priority
     crashes: KnownCrashes = field(default_factory=KnownCrashes)
     trials: Trials | None = None
+    ledger: FlowLedger | None = None
+    chance: random.Random = field(default_factory=lambda: random.Random(0))
--- a/src/larkpost/gateway/proxy/request_queue.py
+++ b/src/larkpost/gateway/proxy/request_queue.py
@@ -1,8 +1,7 @@
 """Client requests that found no place, in one queue for each service.
 
-The more urgent kind comes first; among equals those that can still be in time, then those whose
-time ends first. A request is called when its turn has come to try the servers, or at once if its
-forecast has turned hopeless.
+`fair_order` says who comes first. A request is called when its turn has come to try the servers, or
+at once if its forecast has turned hopeless.
 
 A queue moves when a request of this daemon ends at the service, and by a timer, as the requests of
 others end without notice. Then one request tries, or as many as there are places believed free.
@@ -11,14 +10,20 @@
 """
 
 import asyncio
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from larkpost.common.clock import Clock
 from larkpost.gateway.blackboard.configuration import ServiceName
+from larkpost.gateway.blackboard.daemon_report import Flow
+from larkpost.gateway.fairness.ledger import FlowLedger
+from larkpost.gateway.fairness.share_rule import wait_for_share
 from larkpost.gateway.placement.work import Work
-from larkpost.gateway.proxy.forecast import Forecast, Limits, is_late_anyway, make_forecast
+from larkpost.gateway.proxy.fair_order import FairOrder, Rank, Turns
+from larkpost.gateway.proxy.forecast import Forecast, make_forecast
 from larkpost.gateway.proxy.places import Places
+from larkpost.gateway.proxy.waiter import Waiter
 
 POLL_INTERVAL_SECONDS = 0.02
 """Between two tries at servers that were full: a tenth of the shortest objectives, and less than
@@ -36,22 +41,18 @@
     return POLL_INTERVAL_SECONDS * max(1.0, places / PLACES_PER_POLL)
 
 
-@dataclass(eq=False, slots=True)
-class Waiter:
-    """One request that wants a place; it may come back into its queue.
+@dataclass(frozen=True, slots=True)
+class Prospect:
+    """What a request that has just come may expect.
 
     Attributes:
-        priority: 0 is the most urgent.
-        since: steady time at which the request was received.
-        call: resolved with the forecast when its turn has come, or when it is hopeless.
+        must_wait: whether others come before it.
+        is_over: whether it is beyond its flow's share, and others wait below theirs.
     """
 
-    service: ServiceName
-    work: Work
-    priority: int
-    limits: Limits
-    since: float
-    call: asyncio.Future[Forecast] | None = None
+    forecast: Forecast
+    must_wait: bool
+    is_over: bool
 
 
 @dataclass(slots=True)
@@ -71,28 +72,74 @@
     poller: asyncio.Task | None = None
 
 
+class _Line:
+    """Those that come before a request at one moment.
+
+    Args:
+        blocked_for: seconds for which no place was seen to come free.
+    """
+
+    def __init__(self, now: float, blocked_for: float) -> None:
+        self.length = 0
+        self._of_flow: Counter[Flow] = Counter()
+        self._now = now
+        self._blocked_for = blocked_for
+
+    def add(self, waiter: Waiter) -> None:
+        """Adds a request at the end."""
+        self.length += 1
+        self._of_flow[waiter.flow] += 1
+
+    def forecast(self, waiter: Waiter, rank: Rank, places: Places, elsewhere: int) -> Forecast:
+        """Returns the forecast of a request at the end; it remembers where its flow stands.
+
+        Args:
+            elsewhere: requests of its flow that come before it at other daemons.
+        """
+        share_wait = 0.0
+        if rank.is_over:
+            waiter.standing = rank.standing
+            pace = places.pace or waiter.limits.usual_pace
+            of_flow = self._of_flow[waiter.flow] + elsewhere
+            share_wait = wait_for_share(rank.standing, of_flow, pace)
+        return make_forecast(
+            places, waiter.limits, self._now, self.length, self._blocked_for, share_wait
+        )
+
+
 class RequestQueues:
-    """The queues of all services."""
+    """The queues of all services.
+
+    Args:
+        ledger: use by flow, which shares are worked out from.
+    """
 
-    def __init__(self, clock: Clock, survey: Survey) -> None:
+    def __init__(self, clock: Clock, survey: Survey, ledger: FlowLedger) -> None:
         self._clock = clock
         self._survey = survey
+        self._ledger = ledger
         self._queues: dict[ServiceName, _Queue] = {}
 
     def __len__(self) -> int:
         return sum(len(queue.waiters) for queue in self._queues.values())
 
-    def forecast(self, waiter: Waiter) -> tuple[Forecast, bool]:
-        """Returns the forecast of a request, and whether others come before it."""
+    def forecast(self, waiter: Waiter) -> Prospect:
+        """Returns what a request may expect that is not in its queue."""
         now = self._clock.now()
         places = self._survey(waiter.service, waiter.work)
-        queue = self._queues.get(waiter.service)
-        if queue is None:
-            return make_forecast(places, waiter.limits, now), False
-        key = self._rank(waiter, places, now)
-        ahead = sum(self._rank(other, places, now) < key for other in queue.waiters)
-        forecast = make_forecast(places, waiter.limits, now, ahead, self._blocked_for(queue, now))
-        return forecast, ahead > 0 and not places.are_mostly_free
+        queue = self._queues.get(waiter.service, _Queue())
+        order = FairOrder(self._ledger, now)
+        rank = order.rank(waiter, places)
+        line = _Line(now, self._blocked_for(queue, now))
+        for other in queue.waiters:
+            if order.rank(other, places).key < rank.key:
+                line.add(other)
+        elsewhere = self._waiting_elsewhere(waiter, rank)
+        forecast = line.forecast(waiter, rank, places, elsewhere)
+        if forecast.is_hopeless and places.total:
+            self._ledger.record_shortage(waiter.service)
+        must_wait = not places.are_mostly_free and (line.length > 0 or rank.is_over)
+        return Prospect(forecast, must_wait, rank.is_over)
 
     async def wait_for_turn(self, waiter: Waiter) -> Forecast:
         """Waits until a request may try the servers, or is hopeless."""
@@ -101,18 +148,19 @@
         if now - queue.seen_at > BLOCKED_MEMORY_SECONDS:
             queue.blocked_since = now
         queue.seen_at = now
-        forecast, _ = self.forecast(waiter)
+        forecast = self.forecast(waiter).forecast
         if forecast.is_hopeless:
             return forecast
         waiter.call = asyncio.get_running_loop().create_future()
         queue.waiters.append(waiter)
         if queue.poller is None or queue.poller.done():
             queue.poller = asyncio.create_task(self._poll(queue))
-        try:
-            return await waiter.call
-        finally:
-            if waiter in queue.waiters:
-                queue.waiters.remove(waiter)
+        with self._ledger.waiting(waiter.flow):
+            try:
+                return await waiter.call
+            finally:
+                if waiter in queue.waiters:
+                    queue.waiters.remove(waiter)
 
     def record_taken(self, service: ServiceName) -> None:
         """Records that a server of a service had a place."""
@@ -142,31 +190,29 @@
             for service, work in {(waiter.service, waiter.work) for waiter in queue.waiters}
         }
         queue.places = max((places.total for places in surveys.values()), default=0)
-        turns = {work: max(1, places.free) for work, places in surveys.items()}
-        order = sorted(queue.waiters, key=lambda other: self._rank(other, surveys[other.work], now))
-        ahead = 0
-        for waiter in order:
-            places = surveys[waiter.work]
-            forecast = make_forecast(
-                places, waiter.limits, now, ahead, self._blocked_for(queue, now)
-            )
-            ahead += not forecast.is_hopeless
-            if forecast.is_hopeless or turns[waiter.work] > 0:
-                turns[waiter.work] -= not forecast.is_hopeless
+        order = FairOrder(self._ledger, now)
+        turns = {work: Turns(places.free, now) for work, places in surveys.items()}
+        ranks = {waiter: order.rank(waiter, surveys[waiter.work]) for waiter in queue.waiters}
+        line = _Line(now, self._blocked_for(queue, now))
+        for waiter in sorted(queue.waiters, key=lambda other: ranks[other].key):
+            places, rank = surveys[waiter.work], ranks[waiter]
+            # Of those that wait at other daemons, half came before this one on the average.
+            elsewhere = self._waiting_elsewhere(waiter, rank) // 2
+            forecast = line.forecast(waiter, rank, places, elsewhere)
+            if not forecast.is_hopeless:
+                line.add(waiter)
+            if forecast.is_hopeless or turns[waiter.work].claim(waiter, rank):
                 queue.waiters.remove(waiter)
                 if not waiter.call.done():
                     waiter.call.set_result(forecast)
 
+    def _waiting_elsewhere(self, waiter: Waiter, rank: Rank) -> int:
+        """Returns the requests of the same flow that are known to wait at other daemons."""
+        if rank.standing is None:
+            return 0
+        return rank.standing.waiting - self._ledger.own_use(waiter.flow).waiting
+
     def _blocked_for(self, queue: _Queue, now: float) -> float:
         if now - queue.seen_at > BLOCKED_MEMORY_SECONDS:
             return 0.0
         return now - queue.blocked_since
-
-    def _rank(self, waiter: Waiter, places: Places, now: float) -> tuple[int, bool, float, float]:
-        """Returns where a request stands in its queue; the lowest comes first."""
-        return (
-            waiter.priority,
-            is_late_anyway(places, waiter.limits, now),
-            waiter.limits.end_at,
-            waiter.since,
-        )
--- a/src/larkpost/gateway/proxy/server_attempt.py
+++ b/src/larkpost/gateway/proxy/server_attempt.py
@@ -68,9 +68,9 @@
             BrokenResponseError: it may have run.
         """
         outgoing = self._outgoing(instance, attempts)
-        with self._balancer.placed(instance.id):
+        with self._balancer.placed(instance.id), self._gate.running(attempts.waiter):
             async with self._servers.send(instance, outgoing) as response:
-                self._gate.record_taken(instance.service)
+                self._gate.record_taken(attempts.waiter)
                 self._balancer.record_cold(instance.id, response.cold_left)
                 yield response
 
--- /dev/null
+++ b/src/larkpost/gateway/proxy/share_record.py
@@ -0,0 +1,55 @@
+"""Records what became of requests beyond their tenant's share: one line for each, and counters."""
+
+from enum import StrEnum
+
+from larkpost.common.clock import Clock
+from larkpost.gateway.fairness.ledger import FlowLedger
+from larkpost.gateway.observability.eventlog import Event, EventLog
+from larkpost.gateway.observability.metrics import Count, Metrics
+from larkpost.gateway.proxy.request import ClientRequest
+from larkpost.gateway.proxy.waiter import Waiter
+
+
+class ShareOutcome(StrEnum):
+    """What became of a request beyond its share."""
+
+    HELD = "held"  # it let others go first, and then tried
+    REFUSED = "refused"
+    PASSED = "passed"  # it was let through, as few of its flow are served
+
+
+class ShareRecord:
+    """Writes the log and the counters."""
+
+    def __init__(self, clock: Clock, log: EventLog, metrics: Metrics, ledger: FlowLedger) -> None:
+        self._clock = clock
+        self._log = log
+        self._metrics = metrics
+        self._ledger = ledger
+
+    def record(self, request: ClientRequest, waiter: Waiter, outcome: ShareOutcome) -> None:
+        """Records what became of a request, if it was beyond its share; a hold only once."""
+        is_again = outcome is ShareOutcome.HELD and waiter.is_recorded
+        is_passed = outcome is ShareOutcome.PASSED
+        standing = waiter.standing
+        if standing is None or is_again or waiter.is_passed != is_passed:
+            return
+        waiter.is_recorded = True
+        self._metrics.count(Count.SHARES, waiter.service, outcome)
+        age = self._ledger.report_age()
+        self._log.record(
+            Event.SHARE_HELD,
+            request=request.request_id.decode("latin-1"),
+            tenant=waiter.flow_name,
+            service=waiter.service,
+            priority=waiter.priority,
+            outcome=outcome,
+            is_back=waiter.is_back,
+            held=round(self._clock.now() - request.received_at, 3),
+            share=round(standing.share, 2),
+            use=standing.use,
+            waiting=standing.waiting,
+            ahead=standing.ahead,
+            places=standing.places,
+            report_age=round(age, 3) if age is not None else None,
+        )
--- /dev/null
+++ b/src/larkpost/gateway/proxy/spread_returns.py
@@ -0,0 +1,40 @@
+"""Tells refused callers when to come back: one after the other, as places come free for them.
+
+Callers beyond their tenant's share stand in a line of that share, all others in one of their group.
+Relies on the ledger for what this daemon gets served.
+"""
+
+import random
+from dataclasses import replace
+
+from larkpost.common.clock import Clock
+from larkpost.gateway.fairness.ledger import FlowLedger
+from larkpost.gateway.fairness.return_times import ReturnTimes
+from larkpost.gateway.proxy.forecast import (
+    LEAST_RETRY_SECONDS,
+    Forecast,
+    most_retry,
+    whole_milliseconds,
+)
+from larkpost.gateway.proxy.waiter import Waiter
+
+LEAST_RUNNING = 1
+"""Requests that a daemon without any is taken to get served at a time."""
+
+
+class SpreadReturns:
+    """The times at which refused callers come back."""
+
+    def __init__(self, clock: Clock, chance: random.Random, ledger: FlowLedger) -> None:
+        self._clock = clock
+        self._ledger = ledger
+        self._times = ReturnTimes(clock, chance)
+
+    def spread(self, waiter: Waiter, forecast: Forecast) -> Forecast:
+        """Returns the forecast of a refused request with a time of its own to come back."""
+        most = most_retry(waiter.limits.end_at - self._clock.now())
+        line = waiter.flow if waiter.has_yielded else waiter.flow.group
+        wanted = max(LEAST_RETRY_SECONDS, forecast.wait)
+        spacing = forecast.pace / max(LEAST_RUNNING, self._ledger.own_running(waiter.service))
+        told = self._times.book(line, wanted, spacing, max(0.0, most))
+        return replace(forecast, retry_after=whole_milliseconds(told))
--- a/src/larkpost/gateway/proxy/turn_gate.py
+++ b/src/larkpost/gateway/proxy/turn_gate.py
@@ -4,23 +4,30 @@
 that cannot be served in its time; one that others come before, or that found no place, waits in its
 queue, and is refused once it can no longer be served in its time.
 
-Owns the queues and the estimates of callers' times.
+Owns the queues, the estimates of callers' times, and the times that refused callers are told.
 """
 
+from contextlib import AbstractContextManager
 from dataclasses import dataclass
 from enum import StrEnum
 
 from larkpost.common.ids import InstanceId
 from larkpost.gateway.blackboard.configuration import Route, ServiceName
+from larkpost.gateway.blackboard.daemon_report import route_flow_name
 from larkpost.gateway.blackboard.known_crashes import CLIENT_CRASH_LIMIT
+from larkpost.gateway.fairness.least_service import LeastService
+from larkpost.gateway.fairness.ledger import FlowLedger
 from larkpost.gateway.placement.work import Work, WorkKind
 from larkpost.gateway.proxy.attempts import Attempts, QuarantineState
 from larkpost.gateway.proxy.elapsed_time import ElapsedTimes
-from larkpost.gateway.proxy.forecast import Limits, forecast_unreachable
+from larkpost.gateway.proxy.forecast import LEAST_RETRY_SECONDS, Limits, forecast_unreachable
 from larkpost.gateway.proxy.parts import ForwarderParts
 from larkpost.gateway.proxy.places import Places, survey
 from larkpost.gateway.proxy.request import ClientRequest
-from larkpost.gateway.proxy.request_queue import RequestQueues, Waiter
+from larkpost.gateway.proxy.request_queue import Prospect, RequestQueues
+from larkpost.gateway.proxy.share_record import ShareOutcome, ShareRecord
+from larkpost.gateway.proxy.spread_returns import SpreadReturns
+from larkpost.gateway.proxy.waiter import Waiter
 
 UNKNOWN_PACE_SHARE = 0.25
 """Share of the objective that a request is taken to need where no pace is known: objectives leave
@@ -68,7 +75,11 @@
         self._parts = parts
         self._clock = parts.clock
         self._elapsed_times = ElapsedTimes(parts.clock)
-        self._queues = RequestQueues(parts.clock, self._survey)
+        self._ledger = parts.ledger or FlowLedger(parts.clock)
+        self._least_service = LeastService(parts.clock, parts.chance)
+        self._queues = RequestQueues(parts.clock, self._survey, self._ledger)
+        self._returns = SpreadReturns(parts.clock, parts.chance, self._ledger)
+        self._share_record = ShareRecord(parts.clock, parts.log, parts.metrics, self._ledger)
 
     @property
     def waiting(self) -> int:
@@ -77,15 +88,10 @@
 
     def begin(self, request: ClientRequest, route: Route) -> tuple[Attempts, bool]:
         """Returns a request's attempts with their forecast, and whether others come before it."""
-        waiter = Waiter(
-            self._parts.shares.choose(route),
-            Work(WorkKind.CLIENT, request.regions),
-            self._parts.priority_of(request.tenant, route),
-            self._limits(request, route),
-            request.received_at,
-        )
-        forecast, must_wait = self._queues.forecast(waiter)
-        return Attempts(request, route, waiter, forecast, forecast), must_wait
+        waiter = self._waiter(request, route)
+        prospect = self._prospect(request, waiter)
+        attempts = Attempts(request, route, waiter, prospect.forecast, prospect.forecast)
+        return attempts, prospect.must_wait
 
     async def may_try(self, attempts: Attempts, *, must_wait: bool) -> bool:
         """Waits for a request's turn if it must; returns whether it may be served at all."""
@@ -96,11 +102,16 @@
         turn = decide_turn(
             TurnInputs(attempts.are_all_unreachable, attempts.forecast.is_hopeless, must_wait)
         )
-        if turn is not Turn.WAIT:
-            return turn is Turn.TRY
-        attempts.forecast = await self._queues.wait_for_turn(attempts.waiter)
-        attempts.begin_round()
-        return not attempts.forecast.is_hopeless
+        if turn is Turn.TRY:
+            return True
+        if turn is Turn.WAIT:
+            attempts.forecast = await self._queues.wait_for_turn(attempts.waiter)
+            attempts.begin_round()
+        if not attempts.forecast.is_hopeless:
+            self._share_record.record(attempts.request, attempts.waiter, ShareOutcome.HELD)
+            return True
+        self._refuse(attempts)
+        return False
 
     def is_quarantined(self, attempts: Attempts) -> bool:
         """Returns whether a request must go to no server now, as others crashed under its like."""
@@ -112,9 +123,14 @@
             attempts.quarantine = QuarantineState.QUARANTINED
         return is_quarantined
 
-    def record_taken(self, service: ServiceName) -> None:
-        """Records that a server of a service had a place."""
-        self._queues.record_taken(service)
+    def running(self, waiter: Waiter) -> AbstractContextManager[None]:
+        """Counts a request's use of a place at a server."""
+        return self._ledger.running(waiter.flow)
+
+    def record_taken(self, waiter: Waiter) -> None:
+        """Records that a server had a place for a request."""
+        self._queues.record_taken(waiter.service)
+        self._least_service.record_placed(waiter.flow, is_passed=waiter.is_passed)
 
     def record_released(self, instance: InstanceId) -> None:
         """Records that a request of this daemon has ended at an instance."""
@@ -130,17 +146,51 @@
             attempts.quarantine = QuarantineState.TRIAL
         return attempts.is_trial
 
-    def _limits(self, request: ClientRequest, route: Route) -> Limits:
-        """Returns a request's times; the objective counts from its caller's first attempt."""
-        time_left = route.time_limit
-        if request.time_left is not None:
-            time_left = min(time_left, request.time_left)
+    def _prospect(self, request: ClientRequest, waiter: Waiter) -> Prospect:
+        """Returns what a request may expect, after a look at how few of its flow are served."""
+        prospect = self._queues.forecast(waiter)
+        waiter.is_passed = self._least_service.admit(waiter.flow, is_over=prospect.is_over)
+        if not waiter.is_passed:
+            return prospect
+        self._share_record.record(request, waiter, ShareOutcome.PASSED)
+        return self._queues.forecast(waiter)
+
+    def _refuse(self, attempts: Attempts) -> None:
+        """Sets when a refused caller should come back."""
+        waiter = attempts.waiter
+        if waiter.is_passed:
+            self._least_service.record_refused(waiter.flow)
+        attempts.forecast = self._returns.spread(waiter, attempts.forecast)
+        self._share_record.record(attempts.request, waiter, ShareOutcome.REFUSED)
+
+    def _waiter(self, request: ClientRequest, route: Route) -> Waiter:
+        """Returns what a request wants."""
         elapsed = self._elapsed_times.elapsed(route.name, request.time_left)
-        return Limits(
-            objective_at=request.received_at - elapsed + route.objective,
-            end_at=request.received_at + time_left,
-            usual_pace=route.objective * UNKNOWN_PACE_SHARE,
+        return Waiter(
+            self._parts.shares.choose(route),
+            Work(WorkKind.CLIENT, request.regions),
+            self._parts.priority_of(request.tenant, route),
+            _limits(request, route, elapsed),
+            request.received_at - elapsed,
+            request.tenant or route_flow_name(route.name),
+            is_back=elapsed >= LEAST_RETRY_SECONDS,
         )
 
     def _survey(self, service: ServiceName, work: Work) -> Places:
         return survey(self._parts.directory, self._parts.balancer, service, work)
+
+
+def _limits(request: ClientRequest, route: Route, elapsed: float) -> Limits:
+    """Returns a request's times; the objective counts from its caller's first attempt.
+
+    Args:
+        elapsed: seconds since the first attempt.
+    """
+    time_left = route.time_limit
+    if request.time_left is not None:
+        time_left = min(time_left, request.time_left)
+    return Limits(
+        objective_at=request.received_at - elapsed + route.objective,
+        end_at=request.received_at + time_left,
+        usual_pace=route.objective * UNKNOWN_PACE_SHARE,
+    )
--- /dev/null
+++ b/src/larkpost/gateway/proxy/waiter.py
@@ -0,0 +1,50 @@
+"""One client request that wants a place, and what became of it by its tenant's share."""
+
+import asyncio
+from dataclasses import dataclass, field
+
+from larkpost.gateway.blackboard.configuration import ServiceName
+from larkpost.gateway.blackboard.daemon_report import Flow, FlowGroup
+from larkpost.gateway.fairness.share_rule import Standing
+from larkpost.gateway.placement.work import Work
+from larkpost.gateway.proxy.forecast import Forecast, Limits
+
+
+@dataclass(eq=False, slots=True)
+class Waiter:
+    """One request that wants a place; it may come back into its queue.
+
+    Attributes:
+        priority: 0 is the most urgent.
+        since: steady time of its caller's first attempt, as estimated.
+        flow_name: whose share it counts to, its tenant's or its route's.
+        is_back: whether its caller was refused before and has come back.
+        is_passed: whether it counts as within its share, as few of its flow are served.
+        standing: its flow's, when it last had to let others go first; None if it never had.
+        held_since: steady time since which it lets others go first; None if it does not.
+        is_recorded: whether the log says that it was held.
+        call: resolved with the forecast when its turn has come, or when it is hopeless.
+        flow: the flow that it belongs to.
+    """
+
+    service: ServiceName
+    work: Work
+    priority: int
+    limits: Limits
+    since: float
+    flow_name: str = ""
+    is_back: bool = False
+    is_passed: bool = False
+    standing: Standing | None = None
+    held_since: float | None = None
+    is_recorded: bool = False
+    call: asyncio.Future[Forecast] | None = None
+    flow: Flow = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.flow = Flow(FlowGroup(self.service, self.priority), self.flow_name)
+
+    @property
+    def has_yielded(self) -> bool:
+        """Whether it had to let others go first because of its flow's share."""
+        return self.standing is not None and not self.is_passed
--- a/tests/platform_mutants.py
+++ b/tests/platform_mutants.py
@@ -504,6 +504,20 @@
     return mock.patch.object(instance_rows, "read_born", lambda _: None)
 
 
+def forget_shares():
+    """Takes all tenants' requests as equal, however much one of them has."""
+    from larkpost.gateway.proxy.fair_order import FairOrder
+
+    return mock.patch.object(FairOrder, "_standing", lambda *_: None)
+
+
+def keep_use_to_oneself():
+    """Goes by this daemon's own requests alone."""
+    from larkpost.gateway.fairness.ledger import FlowLedger
+
+    return mock.patch.object(FlowLedger, "record_report", lambda *_: None)
+
+
 MUTANTS = {
     mutant.__name__: mutant
     for mutant in (
@@ -557,6 +571,8 @@
         stand_still_while_suspended,
         trust_the_plain_clock,
         ignore_the_start,
+        forget_shares,
+        keep_use_to_oneself,
     )
 }
 TESTS = dict.fromkeys(MUTANTS, FUZZ) | {
@@ -603,6 +619,8 @@
     "stand_still_while_suspended": "tests.test_suspension",
     "trust_the_plain_clock": "tests.test_suspension",
     "ignore_the_start": "tests.test_incarnations",
+    "forget_shares": "tests.test_fair_load.OneTenantSendsHalfTest",
+    "keep_use_to_oneself": "tests.test_fair_shares.UnequalDaemonsTest",
 }
 EXPECTED_CHECKS = {
     "ignore_permits": ("while cold",),
@@ -619,5 +637,6 @@
     "forget_evacuations": ("is in a zone evacuated",),
     "wait_on_silent_connections": ("TimeoutError",),
     "send_crashing_requests_on": ("but reached servers at",),
+    "forget_shares": ("the small tenants pay for the heavy one",),
 }
 """What the failure must name: another failure proves nothing about the mutant."""
--- /dev/null
+++ b/tests/test_fair_load.py
@@ -0,0 +1,369 @@
+"""Tenants before too few places: the whole way through the forwarders of two daemons.
+
+On virtual time. The scripted servers have no queue: a request beyond their slots is answered
+"full". Callers that are refused come back once, at the time that they were told.
+"""
+
+import asyncio
+import random
+import unittest
+from collections import Counter
+from dataclasses import dataclass, field, replace
+from unittest import mock
+
+from larkpost.common.clock import LoopClock
+from larkpost.common.errors import LarkpostError
+from larkpost.common.ids import DaemonId, InstanceId
+from larkpost.gateway.blackboard.configuration import ModelName, Route, RouteKind, ServiceShare
+from larkpost.gateway.blackboard.daemon_report import FlowGroup, TenantUse
+from larkpost.gateway.blackboard.directory import Directory
+from larkpost.gateway.blackboard.tenants import TenantName
+from larkpost.gateway.fairness.ledger import REPORT_LIFETIME_SECONDS, FlowLedger
+from larkpost.gateway.observability.metrics import Metrics
+from larkpost.gateway.placement.work import CLIENT_WORK
+from larkpost.gateway.proxy.balancer import Balancer
+from larkpost.gateway.proxy.fair_order import MOST_HOLD_SECONDS, FairOrder
+from larkpost.gateway.proxy.forecast import Limits
+from larkpost.gateway.proxy.forwarder import Forwarder
+from larkpost.gateway.proxy.places import Places
+from larkpost.gateway.proxy.request import ClientRequest, RefusedError
+from larkpost.gateway.proxy.request_queue import POLL_INTERVAL_SECONDS, Prospect, RequestQueues
+from larkpost.gateway.proxy.waiter import Waiter
+from tests.platform_fleet import PAGES
+from tests.scripted_engines import ScriptedEngine, ScriptedEngines
+from tests.server_parts import make_directory, make_parts
+from tests.test_fair_shares import STARVED_PART, flow
+from tests.virtual import run
+
+SERVERS = 4
+SLOTS = 2
+PACE = 0.1
+CAPACITY = SERVERS * SLOTS / PACE
+"""Requests a second."""
+TIME_LEFT = 1.0
+REPORT_SECONDS = 1.0
+"""Between two reports of each daemon."""
+SHARES = (ServiceShare(PAGES, 1.0),)
+ROUTE = Route("r", "h", b"/", RouteKind.RUN_ONCE, SHARES, 2.0, 0.2, 1, 3)
+HEAVY = TenantName("heavy")
+GROUP = FlowGroup(PAGES, ROUTE.priority)
+HEAVY_FLOW = flow("heavy", GROUP)
+LIGHT_FLOW = flow("light", GROUP)
+SHARE_COUNTER = "larkpost_share_decisions_total{"
+
+
+@dataclass
+class Daemon:
+    """What is simulated of one daemon."""
+
+    name: DaemonId
+    balancer: Balancer
+    ledger: FlowLedger
+    forwarder: Forwarder
+    metrics: Metrics
+
+
+@dataclass
+class Sums:
+    """What became of the callers, by tenant."""
+
+    asked: Counter = field(default_factory=Counter)
+    served: Counter = field(default_factory=Counter)
+
+    def part(self, *tenants: TenantName) -> float:
+        """Returns which part of the tenants' callers was served."""
+        return sum(self.served[name] for name in tenants) / sum(
+            self.asked[name] for name in tenants
+        )
+
+
+class LoadTest(unittest.TestCase):
+    """A fleet of two daemons before eight places."""
+
+    def begin(self, seed: int = 1) -> None:
+        """Makes the servers and the daemons."""
+        self.clock = LoopClock()
+        self.chance = random.Random(seed)
+        self.engines = ScriptedEngines(self.clock, ModelName("model"))
+        self.directory: Directory = make_directory(SERVERS, PAGES, slots=SLOTS)
+        for number in range(SERVERS):
+            engine = ScriptedEngine(slots=SLOTS, event_seconds=PACE)
+            self.engines.engines[InstanceId(f"e{number}")] = engine
+        self.daemons = [self.make_daemon(f"d{number}") for number in range(2)]
+        self.sums = Sums()
+
+    def make_daemon(self, name: str) -> Daemon:
+        """Returns a daemon that knows the servers' paces."""
+        balancer = Balancer(self.directory, self.clock, random.Random(name))
+        for number in range(SERVERS):
+            balancer.record_pace(InstanceId(f"e{number}"), PACE)
+        ledger = FlowLedger(self.clock)
+        parts = make_parts(self.directory, balancer, self.engines, self.clock)
+        parts = replace(parts, ledger=ledger, chance=random.Random(f"{name} chance"))
+        return Daemon(DaemonId(name), balancer, ledger, Forwarder(parts), parts.metrics)
+
+    async def report(self) -> None:
+        """Has the daemons report to each other, again and again."""
+        while True:
+            first, second = self.daemons
+            for sender, receiver in ((first, second), (second, first)):
+                receiver.balancer.record_peer_summary(sender.name, sender.balancer.summary())
+                receiver.ledger.record_report(sender.name, sender.ledger.report())
+            await self.clock.sleep(REPORT_SECONDS)
+
+    async def call(self, tenant: TenantName, daemon: Daemon) -> None:
+        """Makes one call, and comes back once if it is refused."""
+        began = self.clock.now()
+        self.sums.asked[tenant] += 1
+        for is_last in (False, True):
+            left = TIME_LEFT - (self.clock.now() - began)
+            name = f"{tenant}-{self.sums.asked[tenant]}-{is_last}".encode()
+            request = ClientRequest(
+                name, "GET", b"h", b"/", (), b"", self.clock.now(), left, tenant
+            )
+            try:
+                await daemon.forwarder.forward(request, ROUTE)
+            except RefusedError as error:
+                await self.clock.sleep(error.retry_after)
+            except LarkpostError:
+                return
+            else:
+                self.sums.served[tenant] += 1
+                return
+
+    async def play(
+        self, rates: dict[TenantName, float], seconds: float, heavy_at_first: float = 0.5
+    ) -> Sums:
+        """Sends requests of some tenants for a while, and returns what became of them.
+
+        Args:
+            rates: requests a second by tenant.
+            heavy_at_first: which part of the heavy tenant's requests the first daemon gets.
+        """
+        self.sums = Sums()
+        calls = []
+        end = self.clock.now() + seconds
+        tenants, weights = list(rates), list(rates.values())
+        while self.clock.now() < end:
+            await self.clock.sleep(self.chance.expovariate(sum(weights)))
+            tenant = self.chance.choices(tenants, weights)[0]
+            at_first = heavy_at_first if tenant == HEAVY else 0.5
+            daemon = self.daemons[self.chance.random() >= at_first]
+            calls.append(asyncio.create_task(self.call(tenant, daemon)))
+        await asyncio.gather(*calls)
+        return self.sums
+
+    def run_load(
+        self, rates: dict[TenantName, float], seconds: float = 6.0, heavy_at_first: float = 0.5
+    ) -> Sums:
+        """Returns what became of a load."""
+
+        async def play() -> Sums:
+            self.begin()
+            reports = asyncio.create_task(self.report())
+            sums = await self.play(rates, seconds, heavy_at_first)
+            reports.cancel()
+            return sums
+
+        return run(play())
+
+
+def light_rates(total: float, count: int = 8) -> dict[TenantName, float]:
+    """Returns the rates of tenants that together ask so much."""
+    return {TenantName(f"light-{number}"): total / count for number in range(count)}
+
+
+class OneTenantSendsHalfTest(LoadTest):
+    """One of nine tenants sends half of all requests, and there is room for about half."""
+
+    RATES = light_rates(0.9 * CAPACITY) | {HEAVY: 0.9 * CAPACITY}
+
+    def check(self, heavy_at_first: float) -> None:
+        """The small tenants are served, and the heavy one is not starved."""
+        sums = self.run_load(self.RATES, heavy_at_first=heavy_at_first)
+        lights = [name for name in self.RATES if name != HEAVY]
+        self.assertGreater(sums.part(*lights), 0.8, "the small tenants pay for the heavy one")
+        for name in lights:
+            self.assertGreater(sums.part(name), 0.6)
+        self.assertGreater(sums.part(HEAVY), STARVED_PART * sums.part(*self.RATES))
+
+    def test_it_pays_with_its_own_requests(self):
+        self.check(heavy_at_first=0.5)
+
+    def test_it_pays_also_if_one_daemon_sees_next_to_nothing_of_it(self):
+        self.check(heavy_at_first=0.95)
+
+    def test_no_place_stays_free_for_it(self):
+        """As many requests are served as without shares."""
+        served = self.run_load(self.RATES).served.total()
+        with mock.patch.object(FairOrder, "_standing", lambda *_: None):
+            self.assertGreater(served, 0.95 * self.run_load(self.RATES).served.total())
+
+
+class RoomTest(LoadTest):
+    """There are places for all: nobody is held back, whoever sends most."""
+
+    def test_nobody_is_held_back(self):
+        rates = light_rates(0.1 * CAPACITY) | {HEAVY: 0.3 * CAPACITY}
+
+        async def play() -> Sums:
+            self.begin()
+            sums = await self.play(rates, 8.0)
+            for daemon in self.daemons:
+                self.assertNotIn(SHARE_COUNTER, daemon.metrics.text().decode())
+                self.assertEqual({}, daemon.ledger.report())
+            return sums
+
+        sums = run(play())
+        self.assertEqual(sums.asked, sums.served)
+
+
+class BurstTest(LoadTest):
+    """Ten times as many requests as there are places for."""
+
+    def test_tenant_that_sends_ten_times_as_much_pays_alone_and_is_not_starved(self):
+        rates = light_rates(0.5 * CAPACITY) | {HEAVY: 10 * CAPACITY}
+        sums = self.run_load(rates, seconds=3.0)
+        lights = [name for name in rates if name != HEAVY]
+        self.assertGreater(sums.part(*lights), 0.7)
+        self.assertGreater(sums.part(HEAVY), STARVED_PART * sums.part(*rates))
+
+    def test_in_a_burst_of_all_no_tenant_is_starved_and_all_places_are_used(self):
+        rates = light_rates(5 * CAPACITY) | {HEAVY: 5 * CAPACITY}
+        sums = self.run_load(rates, seconds=3.0)
+        for name in rates:
+            self.assertGreater(sums.part(name), STARVED_PART * sums.part(*rates), name)
+        self.assertGreater(sums.served.total(), 0.8 * 3.0 * CAPACITY, "places stay free")
+
+
+class ReturningWaveTest(LoadTest):
+    """Many callers are refused at one moment and come back as they were told."""
+
+    def test_they_are_told_times_of_their_own(self):
+        async def play() -> list[float]:
+            self.begin()
+            calls = [
+                self.daemons[0].forwarder.forward(
+                    ClientRequest(
+                        f"r{number}".encode(), "GET", b"h", b"/", (), b"", self.clock.now(), 0.9
+                    ),
+                    ROUTE,
+                )
+                for number in range(200)
+            ]
+            ends = await asyncio.gather(*calls, return_exceptions=True)
+            return [end.retry_after for end in ends if isinstance(end, RefusedError)]
+
+        told = run(play())
+        self.assertGreater(len(told), 50)
+        for time in told:
+            together = [other for other in told if time <= other < time + POLL_INTERVAL_SECONDS]
+            self.assertLess(len(together), len(told) / 4)
+
+    def test_caller_that_came_back_goes_before_those_who_come_first(self):
+        """Also if its objective is over, and before those that have waited less since then."""
+
+        async def play() -> list[str]:
+            clock = LoopClock()
+            places = Places(1, 1, PACE)
+            queues = RequestQueues(clock, lambda *_: places, FlowLedger(clock))
+            called = []
+
+            async def wait(name: str, first_tried: float) -> None:
+                limits = Limits(first_tried + 0.05, first_tried + 20.0, PACE)
+                is_back = first_tried < 0
+                waiter = Waiter(PAGES, CLIENT_WORK, 0, limits, first_tried, name, is_back=is_back)
+                await queues.wait_for_turn(waiter)
+                called.append(name)
+
+            waits = {"first": 0.0, "back": -0.4, "back for long": -0.8}
+            await asyncio.gather(*(wait(name, tried) for name, tried in waits.items()))
+            return called
+
+        self.assertEqual(["back for long", "back", "first"], run(play()))
+
+
+class HeldRequestTest(LoadTest):
+    """A request beyond its share at a daemon that has heard of others that wait elsewhere."""
+
+    def wait(self, reported: dict) -> float:
+        """Returns for how long a request of the heavy tenant waits while a place is free."""
+
+        async def play() -> float:
+            clock = LoopClock()
+            ledger = FlowLedger(clock)
+            ledger.record_report(DaemonId("far"), reported)
+            queues = RequestQueues(clock, lambda *_: Places(8, 7, PACE), ledger)
+            limits = Limits(1.0, 5.0, PACE)
+            waiter = Waiter(PAGES, CLIENT_WORK, 1, limits, clock.now(), "heavy")
+            await queues.wait_for_turn(waiter)
+            return clock.now()
+
+        return run(play())
+
+    def test_it_lets_them_go_first_but_not_for_long(self):
+        seconds = self.wait({HEAVY_FLOW: TenantUse(6, 2), LIGHT_FLOW: TenantUse(0, 3)})
+        self.assertGreaterEqual(seconds, MOST_HOLD_SECONDS)
+        self.assertLess(seconds, MOST_HOLD_SECONDS + 2 * POLL_INTERVAL_SECONDS)
+
+    def test_it_goes_at_once_if_nobody_waits(self):
+        seconds = self.wait({HEAVY_FLOW: TenantUse(6, 2), LIGHT_FLOW: TenantUse(1, 0)})
+        self.assertLess(seconds, 2 * POLL_INTERVAL_SECONDS)
+
+    def test_it_is_refused_at_once_if_its_share_has_no_room_in_its_time(self):
+        async def play() -> Prospect:
+            clock = LoopClock()
+            ledger = FlowLedger(clock)
+            reported = {HEAVY_FLOW: TenantUse(6, 30), LIGHT_FLOW: TenantUse(1, 30)}
+            ledger.record_report(DaemonId("far"), reported)
+            queues = RequestQueues(clock, lambda *_: Places(8, 8, PACE), ledger)
+            limits = Limits(0.2, 0.8, PACE)
+            return queues.forecast(Waiter(PAGES, CLIENT_WORK, 1, limits, 0.0, "heavy"))
+
+        prospect = run(play())
+        self.assertTrue(prospect.forecast.is_hopeless)
+        self.assertGreater(prospect.forecast.wait, 0.8)
+
+    def test_more_urgent_requests_come_first_whatever_their_share(self):
+        async def play() -> list[int]:
+            clock = LoopClock()
+            ledger = FlowLedger(clock)
+            urgent = flow("heavy", FlowGroup(PAGES, 0))
+            ledger.record_report(DaemonId("far"), {urgent: TenantUse(9, 0)})
+            queues = RequestQueues(clock, lambda *_: Places(8, 8, PACE), ledger)
+            called = []
+
+            async def wait(priority: int, name: str) -> None:
+                limits = Limits(1.0, 5.0, PACE)
+                await queues.wait_for_turn(Waiter(PAGES, CLIENT_WORK, priority, limits, 0.0, name))
+                called.append(priority)
+
+            await asyncio.gather(wait(2, "light"), wait(0, "heavy"))
+            return called
+
+        self.assertEqual([0, 2], run(play()))
+
+
+class NewsStopTest(LoadTest):
+    """The daemons hear nothing of each other any more: each goes by what it sees itself."""
+
+    def test_small_tenants_are_still_served_and_no_place_stays_free(self):
+        rates = light_rates(0.9 * CAPACITY) | {HEAVY: 0.9 * CAPACITY}
+        seconds = REPORT_LIFETIME_SECONDS + 4.0
+
+        async def play() -> Sums:
+            self.begin()
+            reports = asyncio.create_task(self.report())
+            await self.play(rates, 2.0)
+            reports.cancel()
+            return await self.play(rates, seconds)
+
+        sums = run(play())
+        lights = [name for name in rates if name != HEAVY]
+        self.assertGreater(sums.part(*lights), 0.75)
+        self.assertGreater(sums.part(HEAVY), STARVED_PART * sums.part(*rates))
+        self.assertGreater(sums.served.total(), 0.9 * seconds * CAPACITY)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_fair_shares.py
@@ -0,0 +1,392 @@
+"""The shares of tenants in the places of a service: the pure rules, each by the load it answers."""
+
+import contextlib
+import itertools
+import random
+import unittest
+
+from larkpost.common.clock import LoopClock
+from larkpost.gateway.blackboard.configuration import ServiceName
+from larkpost.gateway.blackboard.daemon_report import (
+    DaemonReport,
+    Flow,
+    FlowGroup,
+    TenantUse,
+    route_flow_name,
+)
+from larkpost.gateway.blackboard.tenants import TenantName
+from larkpost.gateway.controllers.heartbeat import Heartbeat, decode_heartbeat, encode_heartbeat
+from larkpost.gateway.fairness.batch_shares import BatchDemand, share_among_batches
+from larkpost.gateway.fairness.least_service import LEAST_RELATIVE_SERVICE, LeastService
+from larkpost.gateway.fairness.ledger import (
+    LONGEST_REPORTED_NAME,
+    MOST_REPORTED_FLOWS,
+    REPORT_LIFETIME_SECONDS,
+    SHORTAGE_MEMORY_SECONDS,
+    FlowLedger,
+)
+from larkpost.gateway.fairness.return_times import MOST_LINES, ReturnTimes
+from larkpost.gateway.fairness.share_rule import share_out, wait_for_share
+from larkpost.gateway.fairness.water_filling import fair_level
+from tests.virtual import run
+
+SERVICE = ServiceName("pages")
+GROUP = FlowGroup(SERVICE, 1)
+PACE = 0.1
+STARVED_PART = 0.25
+"""A tenant counts as starving that is served less than this part as often as all."""
+
+
+def flow(name: str, group: FlowGroup = GROUP) -> Flow:
+    """Returns a tenant's flow."""
+    return Flow(group, name)
+
+
+HEAVY = flow("heavy")
+LIGHT = flow("light")
+
+
+class WaterFillingTest(unittest.TestCase):
+    """Equal parts; what one does not need goes to the others."""
+
+    def test_levels(self):
+        for demands, capacity, expected in (
+            ([], 4, float("inf")),
+            ([1, 2], 3, float("inf")),
+            ([4, 4], 4, 2.0),
+            ([1, 9], 6, 5.0),
+            ([1, 2, 9, 9], 9, 3.0),
+            ([1, 1, 1, 1], 2, 0.5),
+            ([3, 3], 0, 0.0),
+        ):
+            with self.subTest(demands=demands, capacity=capacity):
+                self.assertEqual(expected, fair_level(demands, capacity))
+
+    def test_everything_is_given_out_and_nobody_gets_more_than_it_wants(self):
+        chance = random.Random(3)
+        for _ in range(300):
+            demands = [chance.randrange(12) for _ in range(chance.randrange(1, 9))]
+            capacity = chance.randrange(40)
+            level = fair_level(demands, capacity)
+            given = [min(demand, level) for demand in demands]
+            self.assertAlmostEqual(min(capacity, sum(demands)), sum(given))
+
+
+class OneTenantSendsHalfTest(unittest.TestCase):
+    """One of eleven tenants sends half of all requests, and there are places for half of them."""
+
+    def uses(self) -> dict[Flow, TenantUse]:
+        """Returns what is held: ten places, of which the heavy tenant has more than its part."""
+        small = {flow(f"t{number}"): TenantUse(int(number < 5), 1) for number in range(10)}
+        return small | {HEAVY: TenantUse(5, 10)}
+
+    def test_it_lets_the_others_go_first(self):
+        shares = share_out(self.uses(), free=0)
+        heavy = shares.standing(HEAVY)
+        self.assertTrue(heavy.is_over)
+        self.assertLess(heavy.share, 1.0)
+        self.assertEqual(5, heavy.ahead)  # those without a place; the others have their share
+        self.assertFalse(shares.standing(flow("t9")).is_over)
+
+    def test_it_gets_what_the_others_leave(self):
+        uses = {flow(f"t{number}"): TenantUse(1, 0) for number in range(3)}
+        shares = share_out(uses | {HEAVY: TenantUse(7, 5)}, free=0)
+        heavy = shares.standing(HEAVY)
+        self.assertEqual(7.0, heavy.share)
+        self.assertFalse(heavy.is_over)
+
+    def test_whoever_is_beyond_its_share_has_others_before_it_for_all_free_places(self):
+        """So a free place is never refused to it for nobody."""
+        chance = random.Random(7)
+        seen = 0
+        for _ in range(500):
+            names = [flow(f"t{number}") for number in range(chance.randrange(2, 9))]
+            uses = {
+                name: TenantUse(chance.randrange(6), chance.choice((0, 0, 1, 5))) for name in names
+            }
+            free = chance.randrange(8)
+            shares = share_out(uses, free)
+            for standing in map(shares.standing, names):
+                seen += standing.is_over
+                self.assertTrue(not standing.is_over or standing.ahead >= free)
+        self.assertGreater(seen, 100)
+
+    def test_its_forecast_grows_with_its_own_requests_alone(self):
+        heavy = share_out(self.uses(), free=0).standing(HEAVY)
+        waits = [wait_for_share(heavy, ahead, PACE) for ahead in (0, 5, 10)]
+        self.assertEqual(sorted(waits), waits)
+        self.assertGreater(waits[1] - waits[0], 4 * PACE)
+        light = share_out(self.uses(), free=0).standing(flow("t9"))
+        self.assertEqual(0.0, wait_for_share(light, 0, PACE))
+
+    def test_tenant_alone_is_never_beyond_its_share(self):
+        self.assertFalse(share_out({HEAVY: TenantUse(9, 90)}, free=0).standing(HEAVY).is_over)
+
+    def test_nobody_is_beyond_its_share_while_no_request_waits(self):
+        uses = {HEAVY: TenantUse(9, 0), LIGHT: TenantUse(1, 0)}
+        self.assertFalse(share_out(uses, free=2).standing(HEAVY).is_over)
+
+
+class BurstTest(unittest.TestCase):
+    """Ten times as many requests as usual, of one tenant or of all."""
+
+    def test_tenants_that_ask_as_usual_are_not_beyond_their_shares_in_a_burst_of_another(self):
+        usual = {flow(f"t{number}"): TenantUse(1, 1) for number in range(4)}
+        shares = share_out(usual | {HEAVY: TenantUse(12, 80)}, free=0)
+        self.assertTrue(shares.standing(HEAVY).is_over)
+        for name in usual:
+            self.assertFalse(shares.standing(name).is_over)
+
+    def test_in_a_burst_of_all_the_shares_are_equal(self):
+        uses = {flow(f"t{number}"): TenantUse(2, 20) for number in range(5)}
+        shares = share_out(uses, free=0)
+        self.assertEqual(2.0, shares.level)
+        self.assertFalse(any(shares.standing(name).is_over for name in uses))
+
+    def test_credit_serves_the_greatest_tenant_a_third_as_often_as_all(self):
+        """A tenth of the requests find a place, and its share alone would give it none."""
+
+        async def play():
+            clock = LoopClock()
+            least = LeastService(clock, random.Random(5))
+            passed = 0
+            asked = 2000
+            for number in range(asked):
+                await clock.sleep(0.01)
+                passed += least.admit(HEAVY, is_over=True)
+                if number % 10 == 0:
+                    least.record_placed(LIGHT, is_passed=False)
+            part = passed / asked
+            self.assertGreater(part, STARVED_PART * 0.1)
+            self.assertLess(part, 1.2 * LEAST_RELATIVE_SERVICE * 0.1)
+
+        run(play())
+
+    def test_credit_is_not_saved_up_while_a_flow_is_served(self):
+        async def play():
+            least = LeastService(LoopClock(), random.Random(5))
+            for _ in range(100):
+                least.admit(HEAVY, is_over=False)
+                least.record_placed(HEAVY, is_passed=False)
+            self.assertLessEqual(sum(least.admit(HEAVY, is_over=True) for _ in range(3)), 1)
+
+        run(play())
+
+    def test_credit_of_a_request_that_was_refused_is_for_the_next(self):
+        async def play():
+            least = LeastService(LoopClock(), random.Random(5))
+            while not least.admit(HEAVY, is_over=True):
+                pass
+            least.record_refused(HEAVY)
+            self.assertTrue(least.admit(HEAVY, is_over=True))
+            least.record_placed(HEAVY, is_passed=True)
+            self.assertFalse(least.admit(HEAVY, is_over=True))
+
+        run(play())
+
+    def test_tenant_with_one_request_at_each_of_many_daemons_is_served_at_some(self):
+        async def play():
+            clock = LoopClock()
+            daemons = 300
+            passed = 0
+            for seed in range(daemons):
+                least = LeastService(clock, random.Random(seed))
+                least.record_placed(LIGHT, is_passed=False)
+                passed += least.admit(HEAVY, is_over=True)
+            self.assertGreater(passed / daemons, STARVED_PART)
+
+        run(play())
+
+
+class UnequalDaemonsTest(unittest.TestCase):
+    """Two daemons of unequal share of a tenant: what one sees is not what the fleet holds."""
+
+    def test_daemon_that_sees_few_requests_of_a_heavy_tenant_counts_those_of_the_other(self):
+        async def play():
+            clock = LoopClock()
+            near, far = FlowLedger(clock), FlowLedger(clock)
+            with contextlib.ExitStack() as held:
+                for _ in range(3):
+                    held.enter_context(far.running(HEAVY))
+                held.enter_context(far.waiting(HEAVY))
+                held.enter_context(near.running(HEAVY))
+                held.enter_context(near.waiting(LIGHT))
+                alone = share_out(near.uses(GROUP), free=0)
+                self.assertEqual(1, alone.standing(HEAVY).use)
+                self.assertFalse(share_out(far.uses(GROUP), free=0).standing(HEAVY).is_over)
+                near.record_report("far", far.report())
+                far.record_report("near", near.report())
+                for ledger in (near, far):
+                    standing = share_out(ledger.uses(GROUP), free=0).standing(HEAVY)
+                    self.assertEqual(4, standing.use)
+                    self.assertEqual(1, standing.ahead)
+                    self.assertTrue(standing.is_over)
+
+        run(play())
+
+    def test_flows_of_other_services_and_priorities_do_not_count(self):
+        async def play():
+            ledger = FlowLedger(LoopClock())
+            other_service = flow("heavy", FlowGroup(ServiceName("other"), 1))
+            less_urgent = flow("heavy", FlowGroup(SERVICE, 2))
+            with ledger.running(other_service), ledger.running(less_urgent):
+                self.assertEqual({}, ledger.uses(GROUP))
+
+        run(play())
+
+    def test_report_is_bounded_and_names_the_greatest(self):
+        async def play():
+            ledger = FlowLedger(LoopClock())
+            with contextlib.ExitStack() as held:
+                for _ in range(40):
+                    held.enter_context(ledger.running(flow("x" * (LONGEST_REPORTED_NAME + 1))))
+                for number in range(30):
+                    for _ in range(number + 1):
+                        held.enter_context(ledger.waiting(flow(f"tenant-{number}")))
+                report = ledger.report()
+            self.assertEqual(MOST_REPORTED_FLOWS, len(report))
+            self.assertEqual(TenantUse(0, 30), report[flow("tenant-29")])
+            row = encode_heartbeat(Heartbeat(1.0, report=DaemonReport(tenants=report)))
+            self.assertLess(len(row), 400)
+
+        run(play())
+
+    def test_nothing_is_reported_while_there_is_room(self):
+        async def play():
+            clock = LoopClock()
+            ledger = FlowLedger(clock)
+            with ledger.running(HEAVY):
+                self.assertEqual({}, ledger.report())
+                self.assertFalse(ledger.has_shortage())
+                with ledger.waiting(LIGHT):
+                    self.assertTrue(ledger.has_shortage())
+                self.assertEqual({HEAVY: TenantUse(1, 0)}, ledger.report())
+                await clock.sleep(SHORTAGE_MEMORY_SECONDS + 0.1)
+                self.assertEqual({}, ledger.report())
+                ledger.record_report("far", {LIGHT: TenantUse(0, 1)})
+                self.assertEqual({HEAVY: TenantUse(1, 0)}, ledger.report())
+
+        run(play())
+
+    def test_report_survives_the_way_through_a_heartbeat(self):
+        tenants = {HEAVY: TenantUse(3, 1), flow(route_flow_name("r")): TenantUse(0, 2)}
+        row = encode_heartbeat(Heartbeat(1.0, report=DaemonReport(tenants=tenants)))
+        self.assertEqual(tenants, decode_heartbeat(row).report.tenants)
+
+    def test_unreadable_rows_of_a_report_are_passed_over(self):
+        for value in (
+            b"7",
+            b'{"a":[1,2]}',
+            b'[["pages",1,"t",1]]',
+            b'[["pages",-1,"t",1,0]]',
+            b'[["pages",1,"t",true,0]]',
+            b'[[7,1,"t",1,0]]',
+            b'[["pages",1,null,1,0]]',
+        ):
+            with self.subTest(value=value):
+                row = b'{"interval":1.0,"tenants":' + value + b"}"
+                self.assertEqual({}, decode_heartbeat(row).report.tenants)
+
+
+class NewsStopTest(unittest.TestCase):
+    """The reports of other daemons stop: a daemon goes by its own requests after a while."""
+
+    def test_old_reports_count_no_longer(self):
+        async def play():
+            clock = LoopClock()
+            ledger = FlowLedger(clock)
+            ledger.record_report("far", {HEAVY: TenantUse(9, 0), LIGHT: TenantUse(0, 1)})
+            await clock.sleep(REPORT_LIFETIME_SECONDS / 2)
+            ledger.record_report("near", {HEAVY: TenantUse(1, 0)})
+            self.assertEqual(10, ledger.uses(GROUP)[HEAVY].running)
+            self.assertAlmostEqual(0.0, ledger.report_age())
+            await clock.sleep(REPORT_LIFETIME_SECONDS * 0.6)
+            self.assertEqual({HEAVY: TenantUse(1, 0)}, ledger.uses(GROUP))
+            await clock.sleep(REPORT_LIFETIME_SECONDS)
+            self.assertEqual({}, ledger.uses(GROUP))
+            self.assertIsNone(ledger.report_age())
+            self.assertFalse(ledger.has_shortage())
+
+        run(play())
+
+    def test_daemon_that_is_gone_holds_nothing(self):
+        async def play():
+            ledger = FlowLedger(LoopClock())
+            ledger.record_report("far", {HEAVY: TenantUse(9, 0)})
+            ledger.record_report("far", {})
+            self.assertEqual({}, ledger.uses(GROUP))
+
+        run(play())
+
+
+class ReturningWaveTest(unittest.TestCase):
+    """A wave of callers who are refused at one moment, and would come back together."""
+
+    def test_they_come_back_one_after_the_other_in_their_order(self):
+        async def play():
+            times = ReturnTimes(LoopClock(), random.Random(1))
+            told = [times.book("line", 0.2, 0.05, 1.0) for _ in range(12)]
+            self.assertEqual(sorted(told), told)
+            self.assertGreaterEqual(told[0], 0.2)
+            for sooner, later in itertools.pairwise(told):
+                self.assertLess(later - sooner, 0.1)
+            self.assertGreater(told[-1] - told[0], 10 * 0.05)
+
+        run(play())
+
+    def test_those_who_cannot_wait_for_their_turn_are_spread_over_their_time(self):
+        async def play():
+            times = ReturnTimes(LoopClock(), random.Random(1))
+            told = [times.book("line", 5.0, 0.05, 0.4) for _ in range(100)]
+            self.assertLessEqual(max(told), 0.4)
+            self.assertGreater(max(told) - min(told), 0.15)
+            # Nobody is put behind those who did not stay.
+            self.assertLess(times.book("line", 0.1, 0.05, 1.0), 0.2)
+
+        run(play())
+
+    def test_daemons_do_not_tell_the_same_times(self):
+        async def play():
+            told = {
+                ReturnTimes(LoopClock(), random.Random(n)).book(1, 0.2, 0.05, 1.0)
+                for n in range(50)
+            }
+            self.assertEqual(50, len(told))
+
+        run(play())
+
+    def test_lines_are_bounded(self):
+        async def play():
+            times = ReturnTimes(LoopClock(), random.Random(1))
+            for number in range(3 * MOST_LINES):
+                times.book(number, 0.2, 0.05, 1.0)
+            self.assertLessEqual(len(times._told), MOST_LINES)
+
+        run(play())
+
+
+class BatchSharesTest(unittest.TestCase):
+    """Several batches of several tenants compete for engines."""
+
+    def test_tenant_with_many_batches_pays_with_its_own(self):
+        many, few = TenantName("many"), TenantName("few")
+        demands = {f"b{number}": BatchDemand(many, 40) for number in range(4)}
+        shares = share_among_batches(demands | {"c": BatchDemand(few, 40)}, 80)
+        self.assertEqual({"b0": 10, "b1": 10, "b2": 10, "b3": 10, "c": 40}, shares)
+
+    def test_unused_shares_go_to_the_others(self):
+        demands = {
+            "small": BatchDemand(TenantName("one"), 5),
+            "large": BatchDemand(TenantName("two"), 100),
+            "other": BatchDemand(None, 20),
+        }
+        shares = share_among_batches(demands, 60)
+        self.assertEqual({"small": 5, "large": 35, "other": 20}, shares)
+
+    def test_with_room_each_gets_what_it_wants(self):
+        demands = {"a": BatchDemand(None, 5), "b": BatchDemand(TenantName("t"), 7)}
+        self.assertEqual({"a": 5, "b": 7}, share_among_batches(demands, 12))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_forecast.py
+++ b/tests/test_forecast.py
@@ -17,6 +17,7 @@
     ServiceShare,
 )
 from larkpost.gateway.blackboard.directory import Directory, InstanceState
+from larkpost.gateway.fairness.ledger import FlowLedger
 from larkpost.gateway.observability.metrics import Metrics
 from larkpost.gateway.placement.work import CLIENT_WORK
 from larkpost.gateway.proxy.balancer import Balancer
@@ -38,9 +39,9 @@
 from larkpost.gateway.proxy.request_queue import (
     POLL_INTERVAL_SECONDS,
     RequestQueues,
-    Waiter,
     poll_interval,
 )
+from larkpost.gateway.proxy.waiter import Waiter
 from tests.platform_fleet import PAGES
 from tests.scripted_engines import ScriptedEngine, ScriptedEngines
 from tests.server_parts import make_instance, make_parts
@@ -439,7 +440,8 @@
             surveys.append(service)
             return places
 
-        queues = RequestQueues(LoopClock(), count)
+        clock = LoopClock()
+        queues = RequestQueues(clock, count, FlowLedger(clock))
         limits = Limits(1.0, 60.0, PACE)
         turns = [
             asyncio.create_task(queues.wait_for_turn(Waiter(PAGES, CLIENT_WORK, 0, limits, 0.0)))
--- a/tests/test_import_layers.py
+++ b/tests/test_import_layers.py
@@ -32,6 +32,7 @@
     "usage",
     "placement",
     "quarantine",
+    "fairness",
     "proxy",
     "rollouts",
     "scaling",
--- a/tests/test_scale_mechanisms.py
+++ b/tests/test_scale_mechanisms.py
@@ -17,6 +17,8 @@
     HEARTBEAT_SECONDS,
     IDLE_HEARTBEAT_SECONDS,
     IDLE_HEARTBEATS_PER_SECOND,
+    known_interval,
+    shortage_factor,
 )
 from larkpost.gateway.controllers.heartbeat_list import MEMBER_TABLE
 from larkpost.gateway.controllers.heartbeat_writer import OwnDaemon
@@ -53,6 +55,7 @@
         self.part_beats = Counter()
         self.store.watchers.append(self.count)
         self.owners: set[Membership] = set()
+        self.is_short = False
         return [self.start(f"machine-{number}") for number in range(DAEMONS)]
 
     def count(self, transaction) -> None:
@@ -64,7 +67,11 @@
     def start(self, machine: str) -> Membership:
         """Starts a daemon's heartbeat."""
         membership = Membership(
-            OwnDaemon(new_incarnation(machine), is_owner=lambda: membership in self.owners),
+            OwnDaemon(
+                new_incarnation(machine),
+                is_owner=lambda: membership in self.owners,
+                has_shortage=lambda: self.is_short,
+            ),
             StoreClient(self.store),
             Instruments(self.clock, EventLog(machine)),
             RegionMap(),
@@ -88,6 +95,37 @@
 
         run(play())
 
+    def test_daemons_that_know_of_a_shortage_hear_of_each_other_twice_as_often(self):
+        """What they report of their tenants is then wanted; they are not held dead when it ends."""
+
+        async def play():
+            fleet = self.begin()
+            await self.clock.sleep(6.0)
+            heard = []
+            judge = next(member for member in fleet if not member.is_coordinator())
+            judge._report_listener = lambda daemon, _: heard.append(daemon)
+            others = [member for member in fleet if not member.is_coordinator()]
+            await self.clock.sleep(10.0)
+            usual = len(heard)
+            self.is_short = True
+            await self.clock.sleep(10.0)
+            self.assertGreater(len(heard) - usual, 0)
+            counts = Counter(heard[usual:])
+            seldom = [counts[member.own] for member in others if member is not judge]
+            self.assertGreater(min(seldom), 1.5 * 10.0 / IDLE_HEARTBEAT_SECONDS)
+            self.assertLess(max(seldom), 2.5 * 10.0 / IDLE_HEARTBEAT_SECONDS)
+            self.is_short = False
+            for _ in range(80):
+                await self.clock.sleep(0.1)
+                self.assertEqual(DAEMONS, len(judge.alive()))
+
+        run(play())
+
+    def test_heartbeats_of_a_fleet_with_a_shortage_stay_below_what_one_part_takes(self):
+        for daemons in (20, 80, 160, 370, 3000):
+            interval = known_interval(daemons) * shortage_factor(has_shortage=True)
+            self.assertLess(daemons / interval, PART_WRITES_PER_SECOND)
+
     def test_all_daemons_agree_on_the_coordinators(self):
         async def play():
             fleet = self.begin()
