Requests beyond their share hold up none but less urgent ones; fleet test, pinned row

Cause: a request that let others go first ended the pass over its queue. Callers who come back stand first and are held anew each, so a stream of them would have kept those behind them from trying for as long as it lasted.

Change: only less urgent requests are kept from trying behind one that lets others go first. A test plays whole daemons with a store, others the two cases above and the bytes of a heartbeat with use by tenant.

--- a/src/larkpost/gateway/proxy/fair_order.py
+++ b/src/larkpost/gateway/proxy/fair_order.py
@@ -89,15 +89,18 @@
     def __init__(self, free: int, now: float) -> None:
         self._left = max(1, free)
         self._now = now
+        self._is_yielding = False
 
     def claim(self, waiter: Waiter, rank: Rank) -> bool:
         """Returns whether a request may try now; they ask in their order.
 
-        Behind one that lets others go first none may try: it would take their place.
+        Behind one that lets others go first no less urgent one may try: it would take their place.
+        Those that are beyond their shares too, and have been held for long, may.
         """
         if rank.is_over and self._is_held(waiter):
-            self._left = 0
-        if self._left <= 0:
+            self._is_yielding = True
+            return False
+        if self._left <= 0 or (self._is_yielding and not rank.is_over):
             return False
         self._left -= 1
         waiter.held_since = None
--- a/tests/test_fair_load.py
+++ b/tests/test_fair_load.py
@@ -29,7 +29,7 @@
 from larkpost.gateway.proxy.request import ClientRequest, RefusedError
 from larkpost.gateway.proxy.request_queue import POLL_INTERVAL_SECONDS, Prospect, RequestQueues
 from larkpost.gateway.proxy.waiter import Waiter
-from tests.platform_fleet import PAGES
+from tests.platform_fleet import ENGINES, PAGES, PlatformFleet
 from tests.scripted_engines import ScriptedEngine, ScriptedEngines
 from tests.server_parts import make_directory, make_parts
 from tests.test_fair_shares import STARVED_PART, flow
@@ -306,6 +306,49 @@
         self.assertGreaterEqual(seconds, MOST_HOLD_SECONDS)
         self.assertLess(seconds, MOST_HOLD_SECONDS + 2 * POLL_INTERVAL_SECONDS)
 
+    def test_those_that_come_after_it_do_not_hold_it_up(self):
+        """Callers who come back stand before it, and are held anew each."""
+
+        async def play() -> float:
+            clock = LoopClock()
+            ledger = FlowLedger(clock)
+            reported = {HEAVY_FLOW: TenantUse(6, 2), LIGHT_FLOW: TenantUse(0, 3)}
+            ledger.record_report(DaemonId("far"), reported)
+            queues = RequestQueues(clock, lambda *_: Places(8, 7, PACE), ledger)
+
+            async def wait(*, is_back: bool) -> float:
+                limits = Limits(1.0, 5.0, PACE)
+                waiter = Waiter(PAGES, CLIENT_WORK, 1, limits, 0.0, "heavy", is_back=is_back)
+                await queues.wait_for_turn(waiter)
+                return clock.now()
+
+            first = asyncio.create_task(wait(is_back=False))
+            while not first.done():
+                await clock.sleep(MOST_HOLD_SECONDS / 5)
+                asyncio.create_task(wait(is_back=True))
+            return first.result()
+
+        self.assertLess(run(play()), 2 * MOST_HOLD_SECONDS)
+
+    def test_less_urgent_requests_do_not_take_the_places_that_it_leaves_to_others(self):
+        async def play() -> list[int]:
+            clock = LoopClock()
+            ledger = FlowLedger(clock)
+            reported = {HEAVY_FLOW: TenantUse(6, 2), LIGHT_FLOW: TenantUse(0, 3)}
+            ledger.record_report(DaemonId("far"), reported)
+            queues = RequestQueues(clock, lambda *_: Places(8, 8, PACE), ledger)
+            called = []
+
+            async def wait(priority: int, name: str) -> None:
+                limits = Limits(1.0, 5.0, PACE)
+                await queues.wait_for_turn(Waiter(PAGES, CLIENT_WORK, priority, limits, 0.0, name))
+                called.append(priority)
+
+            await asyncio.gather(wait(2, "other"), wait(1, "heavy"))
+            return called
+
+        self.assertEqual([1, 2], run(play()))
+
     def test_it_goes_at_once_if_nobody_waits(self):
         seconds = self.wait({HEAVY_FLOW: TenantUse(6, 2), LIGHT_FLOW: TenantUse(1, 0)})
         self.assertLess(seconds, 2 * POLL_INTERVAL_SECONDS)
@@ -365,5 +408,39 @@
         self.assertGreater(sums.served.total(), 0.9 * seconds * CAPACITY)
 
 
+class FleetTest(unittest.TestCase):
+    """Whole daemons with a store: use by tenant travels with their heartbeats."""
+
+    def test_daemons_learn_of_a_shortage_and_of_its_end(self):
+        async def play():
+            fleet = PlatformFleet(gateways=3, engines=1)
+            next(iter(fleet.engines.engines.values())).event_seconds = 0.5
+            await fleet.wait(4.0)
+            route = replace(ROUTE, shares=(ServiceShare(ENGINES, 1.0),), objective=0.2)
+            group = FlowGroup(ENGINES, ROUTE.priority)
+            first, *others = fleet.gateways
+            calls = []
+            for number in range(60):
+                request = ClientRequest(
+                    f"r{number}".encode(), "GET", b"h", b"/", (), b"", fleet.clock.now(), 9.0, HEAVY
+                )
+                calls.append(asyncio.create_task(first.forwarder.forward(request, route)))
+            heard = set()
+            for _ in range(40):
+                await fleet.wait(0.1)
+                for gateway in others:
+                    use = gateway._ledger.uses(group).get(flow("heavy", group))
+                    if use is not None and use.running:
+                        heard.add(gateway.id)
+            await asyncio.gather(*calls, return_exceptions=True)
+            self.assertEqual({gateway.id for gateway in others}, heard)
+            await fleet.wait(REPORT_LIFETIME_SECONDS)
+            for gateway in fleet.gateways:
+                self.assertEqual({}, gateway._ledger.uses(group))
+                self.assertFalse(gateway._ledger.has_shortage())
+
+        run(play())
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_fair_shares.py
+++ b/tests/test_fair_shares.py
@@ -268,6 +268,12 @@
 
         run(play())
 
+    def test_row_of_a_heartbeat_with_use_by_tenant_is_as_it_was(self):
+        """Daemons of other builds read it."""
+        report = DaemonReport(tenants={HEAVY: TenantUse(3, 1), LIGHT: TenantUse(0, 2)})
+        row = b'{"interval":1.0,"tenants":[["pages",1,"heavy",3,1],["pages",1,"light",0,2]]}'
+        self.assertEqual(row, encode_heartbeat(Heartbeat(1.0, report=report)))
+
     def test_report_survives_the_way_through_a_heartbeat(self):
         tenants = {HEAVY: TenantUse(3, 1), flow(route_flow_name("r")): TenantUse(0, 2)}
         row = encode_heartbeat(Heartbeat(1.0, report=DaemonReport(tenants=tenants)))
