Refusals for want of any place keep their time to come back

Cause: the times of refused callers were spread also where a service has no place at all or none can be reached, which test_evacuations rightly holds to the fixed time: no place comes free there, and others serve the caller.

Change: only refusals for places that come free are spread; a forecast says so by its pace.

--- a/src/larkpost/gateway/proxy/forecast.py
+++ b/src/larkpost/gateway/proxy/forecast.py
@@ -56,7 +56,7 @@
     Attributes:
         wait: seconds until a place is expected free for it.
         retry_after: seconds after which a caller that is refused should come back.
-        pace: seconds a request takes at a server.
+        pace: seconds a request takes at a server; 0 if there is no place to wait for.
     """
 
     expectation: Expectation
@@ -95,14 +95,15 @@
         expectation = Expectation.IN_TIME
     else:
         expectation = Expectation.LATE
-    return Forecast(expectation, wait, retry_after(wait, limits.end_at - now), pace)
+    told = retry_after(wait, limits.end_at - now)
+    return Forecast(expectation, wait, told, pace if places.total else 0.0)
 
 
 def forecast_unreachable(limits: Limits, now: float) -> Forecast:
     """Returns the forecast of a request that reached no server, though it was sent to all."""
     wait = NO_PLACE_RETRY_SECONDS
     told = retry_after(wait, limits.end_at - now)
-    return Forecast(Expectation.NOT_AT_ALL, wait, told, limits.usual_pace)
+    return Forecast(Expectation.NOT_AT_ALL, wait, told, pace=0.0)
 
 
 def is_late_anyway(places: Places, limits: Limits, now: float) -> bool:
--- a/src/larkpost/gateway/proxy/turn_gate.py
+++ b/src/larkpost/gateway/proxy/turn_gate.py
@@ -156,11 +156,12 @@
         return self._queues.forecast(waiter)
 
     def _refuse(self, attempts: Attempts) -> None:
-        """Sets when a refused caller should come back."""
+        """Sets when a refused caller should come back, if it is for places that come free."""
         waiter = attempts.waiter
         if waiter.is_passed:
             self._least_service.record_refused(waiter.flow)
-        attempts.forecast = self._returns.spread(waiter, attempts.forecast)
+        if attempts.forecast.pace:
+            attempts.forecast = self._returns.spread(waiter, attempts.forecast)
         self._share_record.record(attempts.request, waiter, ShareOutcome.REFUSED)
 
     def _waiter(self, request: ClientRequest, route: Route) -> Waiter:
