--- a/src/larkpost/gateway/fairness/least_service.py
+++ b/src/larkpost/gateway/fairness/least_service.py
@@ -97,8 +97,8 @@
         counts = self._services.setdefault(service, _ServiceCounts(now))
         if now - counts.began >= WINDOW_SECONDS:
             windows = int((now - counts.began) / WINDOW_SECONDS)
-            counts.asked /= 2.0**windows
-            counts.placed /= 2.0**windows
+            counts.asked *= 0.5**windows
+            counts.placed *= 0.5**windows
             counts.began = now
         return counts
 
--- a/tests/test_fair_shares.py
+++ b/tests/test_fair_shares.py
@@ -184,6 +184,16 @@
 
         run(play())
 
+    def test_request_after_a_night_without_any_is_admitted(self):
+        async def play():
+            clock = LoopClock()
+            least = LeastService(clock, random.Random(5))
+            least.admit(HEAVY, is_over=False)
+            await clock.sleep(4 * 3600.0)
+            self.assertFalse(least.admit(LIGHT, is_over=False))
+
+        run(play())
+
     def test_tenant_with_one_request_at_each_of_many_daemons_is_served_at_some(self):
         async def play():
             clock = LoopClock()
