Test of a heartbeat's report names a flow, as use by tenant is of one service and priority

The report that goes through a heartbeat and back held use under a tenant's bare name, which a report no longer has. Its checks are as they were.

--- a/tests/test_paces.py
+++ b/tests/test_paces.py
@@ -8,9 +8,8 @@
 from larkpost.common.clock import LoopClock
 from larkpost.common.ids import DaemonId, InstanceId, InstanceName
 from larkpost.common.incarnations import instance_id
-from larkpost.gateway.blackboard.daemon_report import DaemonReport, TenantUse
+from larkpost.gateway.blackboard.daemon_report import DaemonReport, Flow, FlowGroup, TenantUse
 from larkpost.gateway.blackboard.directory import Directory
-from larkpost.gateway.blackboard.tenants import TenantName
 from larkpost.gateway.controllers.heartbeat import Heartbeat, decode_heartbeat, encode_heartbeat
 from larkpost.gateway.proxy.balancer import Balancer
 from larkpost.gateway.proxy.lasting_pace import SUSTAINED_SECONDS, PaceHistory
@@ -211,8 +210,9 @@
         run(play())
 
     def test_heartbeat_carries_a_report_and_is_as_before_without(self):
+        flow = Flow(FlowGroup(PAGES, 1), "t")
         report = DaemonReport({SERVER: SLOW, InstanceId("e1"): FAST})
-        report = replace(report, tenants={TenantName("t"): TenantUse(3, 1)}, capacity=1.5)
+        report = replace(report, tenants={flow: TenantUse(3, 1)}, capacity=1.5)
         beat = Heartbeat(0.25, report=report)
         self.assertEqual(report, decode_heartbeat(encode_heartbeat(beat)).report)
         self.assertEqual(b'{"interval":0.25}', encode_heartbeat(Heartbeat(0.25)))
