--- a/src/larkpost/gateway/assembly/daemon_reports.py
+++ b/src/larkpost/gateway/assembly/daemon_reports.py
@@ -2,18 +2,20 @@
 
 from larkpost.common.ids import DaemonId, InstanceId
 from larkpost.gateway.blackboard.daemon_report import DaemonReport
+from larkpost.gateway.fairness.ledger import FlowLedger
 from larkpost.gateway.proxy.paces import Paces
 
 
 class DaemonReports:
     """The reports of this daemon and of the others."""
 
-    def __init__(self, paces: Paces) -> None:
+    def __init__(self, paces: Paces, ledger: FlowLedger) -> None:
         self._paces = paces
+        self._ledger = ledger
 
     def own(self) -> DaemonReport:
         """Returns what each of this daemon's heartbeats reports now."""
-        return DaemonReport()
+        return DaemonReport(tenants=self._ledger.report())
 
     def own_paces(self) -> dict[InstanceId, float]:
         """Returns the paces whose turn it is; each call takes the next ones."""
@@ -22,3 +24,4 @@
     def record(self, daemon: DaemonId, report: DaemonReport) -> None:
         """Records what another daemon reports."""
         self._paces.record_report(daemon, report.paces)
+        self._ledger.record_report(daemon, report.tenants)
--- a/src/larkpost/gateway/controllers/heartbeat_writer.py
+++ b/src/larkpost/gateway/controllers/heartbeat_writer.py
@@ -17,6 +17,7 @@
     HEARTBEAT_SECONDS,
     awaited_interval,
     known_interval,
+    shortage_factor,
 )
 from larkpost.gateway.controllers.heartbeat_list import HeartbeatList
 from larkpost.gateway.store.port import Store, Transaction, WriteOutcome
@@ -48,6 +49,7 @@
         report: returns what else it reports to the others with each heartbeat.
         paces: returns the lasting paces that it reports with the next awaited heartbeat. Known ones
             carry none, as all daemons list them and their bytes are bounded.
+        has_shortage: returns whether a service lacks places, so that reports are wanted sooner.
     """
 
     id: DaemonId
@@ -57,6 +59,7 @@
     address: Address | None = None
     report: Callable[[], DaemonReport] = DaemonReport
     paces: Callable[[], dict[InstanceId, float]] = dict
+    has_shortage: Callable[[], bool] = lambda: False
 
 
 class HeartbeatWriter:
@@ -90,7 +93,10 @@
                 await self._write_awaited()
         elif self._awaited_written_at is not None:
             await self._remove_awaited()
-        if is_due(self._known_written_at, self._known_interval(), self._clock.now()):
+        known_interval = self._known_interval() * shortage_factor(
+            has_shortage=self._own.has_shortage()
+        )
+        if is_due(self._known_written_at, known_interval, self._clock.now()):
             await self._write_known()
 
     async def write_last(self) -> None:
