Least service: a request that is given up while it waits gives its credit back

Cause: a request let through beyond its flow's share takes a credit. It came back only if the request was refused; a caller that left while it waited, a time limit that ended the wait, or a quarantine took it for good. A tenant with impatient callers so fell below its least part. Change: the gate returns the credit in these cases too. record_refused is record_unplaced now, as it says more than a refusal.

--- a/src/larkpost/gateway/fairness/least_service.py
+++ b/src/larkpost/gateway/fairness/least_service.py
@@ -86,8 +86,8 @@
         if not is_passed and flow in self._credits:
             self._credits[flow].add(-1.0)
 
-    def record_refused(self, flow: Flow) -> None:
-        """Gives the credit back of a request that was let through and was refused."""
+    def record_unplaced(self, flow: Flow) -> None:
+        """Gives the credit back of a request that was let through and found no place."""
         if flow in self._credits:
             self._credits[flow].add(1.0)
 
--- a/src/larkpost/gateway/proxy/turn_gate.py
+++ b/src/larkpost/gateway/proxy/turn_gate.py
@@ -7,6 +7,7 @@
 Owns the queues, the estimates of callers' times, and the times that refused callers are told.
 """
 
+import asyncio
 from contextlib import AbstractContextManager
 from dataclasses import dataclass
 from enum import StrEnum
@@ -96,6 +97,7 @@
     async def may_try(self, attempts: Attempts, *, must_wait: bool) -> bool:
         """Waits for a request's turn if it must; returns whether it may be served at all."""
         if self.is_quarantined(attempts) and not await self._claim_trial(attempts):
+            self._return_credit(attempts.waiter)
             return False
         if attempts.are_all_unreachable:
             attempts.forecast = forecast_unreachable(attempts.waiter.limits, self._clock.now())
@@ -105,8 +107,7 @@
         if turn is Turn.TRY:
             return True
         if turn is Turn.WAIT:
-            attempts.forecast = await self._queues.wait_for_turn(attempts.waiter)
-            attempts.begin_round()
+            await self._wait(attempts)
         if not attempts.forecast.is_hopeless:
             self._share_record.record(attempts.request, attempts.waiter, ShareOutcome.HELD)
             return True
@@ -138,6 +139,15 @@
         if info is not None:
             self._queues.record_end(info.service)
 
+    async def _wait(self, attempts: Attempts) -> None:
+        """Waits for a request's turn; one whose caller leaves meanwhile gives its credit back."""
+        try:
+            attempts.forecast = await self._queues.wait_for_turn(attempts.waiter)
+        except asyncio.CancelledError:
+            self._return_credit(attempts.waiter)
+            raise
+        attempts.begin_round()
+
     async def _claim_trial(self, attempts: Attempts) -> bool:
         """Claims for a quarantined request that it may be sent to one server all the same."""
         if self._parts.trials is None or attempts.ran_at:
@@ -158,12 +168,16 @@
     def _refuse(self, attempts: Attempts) -> None:
         """Sets when a refused caller should come back, if it is for places that come free."""
         waiter = attempts.waiter
-        if waiter.is_passed:
-            self._least_service.record_refused(waiter.flow)
+        self._return_credit(waiter)
         if attempts.forecast.pace:
             attempts.forecast = self._returns.spread(waiter, attempts.forecast)
         self._share_record.record(attempts.request, waiter, ShareOutcome.REFUSED)
 
+    def _return_credit(self, waiter: Waiter) -> None:
+        """Gives the credit back of a request that was let through and finds no place."""
+        if waiter.is_passed:
+            self._least_service.record_unplaced(waiter.flow)
+
     def _waiter(self, request: ClientRequest, route: Route) -> Waiter:
         """Returns what a request wants."""
         elapsed = self._elapsed_times.elapsed(route.name, request.time_left)
--- a/tests/test_fair_load.py
+++ b/tests/test_fair_load.py
@@ -387,6 +387,40 @@
         self.assertEqual([0, 2], run(play()))
 
 
+class LeavingCallerTest(LoadTest):
+    """Callers of a tenant beyond its share that leave while their requests wait."""
+
+    def test_credit_of_a_caller_that_left_is_for_the_next(self):
+        """Else a tenant with impatient callers would be served less than its least part."""
+
+        async def play() -> list[int]:
+            self.begin()
+            daemon = self.daemons[0]
+            daemon.ledger.record_report(
+                DaemonId("far"), {HEAVY_FLOW: TenantUse(8, 0), LIGHT_FLOW: TenantUse(0, 3)}
+            )
+            for number in range(SERVERS):
+                for _ in range(SLOTS):
+                    daemon.balancer.occupy(InstanceId(f"e{number}"))
+            gate = daemon.forwarder._gate
+            passed = []
+            for number in range(8):
+                request = ClientRequest(b"%d" % number, "GET", b"h", b"/", (), b"", 0.0, 9.0, HEAVY)
+                attempts, must_wait = gate.begin(
+                    replace(request, received_at=self.clock.now()), ROUTE
+                )
+                if attempts.waiter.is_passed:
+                    passed.append(number)
+                turn = asyncio.create_task(gate.may_try(attempts, must_wait=True))
+                await self.clock.sleep(0)
+                turn.cancel()
+                await asyncio.wait({turn})
+            return passed
+
+        passed = run(play())
+        self.assertEqual(list(range(passed[0], 8)), passed)
+
+
 class NewsStopTest(LoadTest):
     """The daemons hear nothing of each other any more: each goes by what it sees itself."""
 
--- a/tests/test_fair_shares.py
+++ b/tests/test_fair_shares.py
@@ -177,7 +177,7 @@
             least = LeastService(LoopClock(), random.Random(5))
             while not least.admit(HEAVY, is_over=True):
                 pass
-            least.record_refused(HEAVY)
+            least.record_unplaced(HEAVY)
             self.assertTrue(least.admit(HEAVY, is_over=True))
             least.record_placed(HEAVY, is_passed=True)
             self.assertFalse(least.admit(HEAVY, is_over=True))
