Return times: a line in constant use is not the first that is dropped

Cause: beyond 256 lines the one that was first told a time was dropped, also if callers of it were told times all along: that of the tenant that is refused most. Its callers then came back at once, together, as if nobody stood before them. Change: lines stand in the order in which they were last told a time.

--- a/src/larkpost/gateway/fairness/return_times.py
+++ b/src/larkpost/gateway/fairness/return_times.py
@@ -10,7 +10,8 @@
 from larkpost.common.clock import Clock
 
 MOST_LINES = 256
-"""Lines remembered at most; those whose last time has come are dropped first."""
+"""Lines remembered at most; dropped are those whose last time has come, then the one that was told
+a time longest ago."""
 LEAST_PART_OF_TIME = 0.5
 """Callers that cannot wait for their turn come back spread over the rest of the time that they can
 wait, from this part of it on."""
@@ -27,6 +28,7 @@
         self._clock = clock
         self._chance = chance
         self._told: dict[Hashable, float] = {}
+        """The line that was told a time longest ago comes first."""
 
     def book(self, line: Hashable, wanted: float, spacing: float, most: float) -> float:
         """Returns the seconds after which a caller should come back, at most ``most``.
@@ -38,10 +40,11 @@
             most: seconds that the caller waits at most before it comes back.
         """
         now = self._clock.now()
-        self._drop_past(now)
         at = max(now + wanted, self._told.get(line, float("-inf")) + spacing)
         if at - now > most:
             return most * self._chance.uniform(LEAST_PART_OF_TIME, 1.0)
+        self._told.pop(line, None)
+        self._drop_past(now)
         self._told[line] = at
         return min(most, at - now + self._chance.random() * spacing)
 
--- a/tests/test_fair_shares.py
+++ b/tests/test_fair_shares.py
@@ -380,6 +380,21 @@
 
         run(play())
 
+    def test_line_in_constant_use_is_kept_among_many(self):
+        """Else the callers of the tenant that is refused most would come back together."""
+
+        async def play():
+            times = ReturnTimes(LoopClock(), random.Random(1))
+            told = [times.book("heavy", 0.1, 0.1, 1.0)]
+            for number in range(2 * MOST_LINES):
+                times.book(number, 0.2, 0.05, 1.0)
+                if number % (MOST_LINES // 2) == 0:
+                    told.append(times.book("heavy", 0.1, 0.1, 1.0))
+            for sooner, later in itertools.pairwise(told):
+                self.assertGreater(later, sooner)
+
+        run(play())
+
 
 class BatchSharesTest(unittest.TestCase):
     """Several batches of several tenants compete for engines."""
