Directory: an index of the instances by service and model, kept with each change

Cause: each choice looked through the instances of all services for those of one, and forgetting an instance through the versions of all. Change: blackboard/service_index.py keeps the instances that take work by service, in the order in which they came, numbered, so that some can be drawn without going through them; the holders of each model; the zones; and a number that changes when one comes or goes. Observed versions are kept by instance.

--- a/src/larkpost/gateway/blackboard/directory.py
+++ b/src/larkpost/gateway/blackboard/directory.py
@@ -7,6 +7,7 @@
 from larkpost.common.ids import Address, InstanceId, InstanceName, ZoneId
 from larkpost.common.incarnations import split_instance_id
 from larkpost.gateway.blackboard.configuration import ModelName, ServiceName
+from larkpost.gateway.blackboard.service_index import ServiceIndex
 
 
 class InstanceState(StrEnum):
@@ -63,11 +64,15 @@
     sound entries also go for no reason of the instance's; those of living instances are back soon
     after the store is. So the instance is kept until then, and serves like the others: if only
     those listed again did, all work would fall on the first few.
+
+    Attributes:
+        index: the instances that may take new work, by service; only read by others.
     """
 
     def __init__(self) -> None:
+        self.index: ServiceIndex[InstanceInfo] = ServiceIndex()
         self._instances: dict[InstanceId, InstanceInfo] = {}
-        self._observed: dict[tuple[InstanceId, ModelName], int] = {}
+        self._observed: dict[InstanceId, dict[ModelName, int]] = {}
         self._retired: set[InstanceId] = set()
         self._current: dict[InstanceName, InstanceId] = {}
         self._end_listeners: list[Callable[[InstanceId], None]] = []
@@ -112,7 +117,7 @@
         known = self._instances.get(info.id)
         if known is not None and known.state is InstanceState.LEAVING:
             info = replace(info, state=InstanceState.LEAVING)
-        self._instances[info.id] = info
+        self._store(info)
         self._current[info.name] = info.id
 
     def remove(self, name: InstanceName, *, sound: bool) -> None:
@@ -128,7 +133,7 @@
         if sound or known.state is InstanceState.LEAVING:
             self.forget(known.id)
         else:
-            self._instances[known.id] = replace(known, state=InstanceState.UNLISTED)
+            self._store(replace(known, state=InstanceState.UNLISTED))
 
     def drop_unreadable(self, name: InstanceName) -> None:
         """Records that a server's entry names no server any more; one that leaves goes on to."""
@@ -138,14 +143,18 @@
 
     def observe_version(self, instance: InstanceId, model: ModelName, version: int) -> None:
         """Records a weight version that an instance reports; it may be ahead of its entry."""
-        key = (instance, model)
-        self._observed[key] = max(version, self._observed.get(key, 0))
+        observed = self._observed.setdefault(instance, {})
+        is_first = version > 0 and not observed.get(model)
+        observed[model] = max(version, observed.get(model, 0))
+        info = self._instances.get(instance)
+        if is_first and info is not None:
+            self._store(info)
 
     def version_of(self, instance: InstanceId, model: ModelName) -> int:
         """Returns the newest weight version known of a model at an instance; 0 if none is."""
         info = self._instances.get(instance)
         listed = info.versions.get(model, 0) if info is not None else 0
-        return max(listed, self._observed.get((instance, model), 0))
+        return max(listed, self._observed.get(instance, {}).get(model, 0))
 
     def retire(self, instance: InstanceId) -> None:
         """Drops an instance for good: another one has responded at its address.
@@ -160,20 +169,16 @@
         info = self._instances.pop(instance, None)
         if info is None:
             return
+        self.index.drop(instance)
         if self._current.get(info.name) == instance:
             del self._current[info.name]
-        for key in [key for key in self._observed if key[0] == instance]:
-            del self._observed[key]
+        self._observed.pop(instance, None)
         for listener in self._end_listeners:
             listener(instance)
 
     def of_service(self, service: ServiceName) -> list[InstanceInfo]:
         """Returns the instances that may take new work."""
-        return [
-            info
-            for info in self._instances.values()
-            if info.service == service and info.state is not InstanceState.LEAVING
-        ]
+        return list(self.index.entries(service))
 
     def ready_of(self, service: ServiceName) -> list[InstanceInfo]:
         """Returns the instances whose entries stand, of those that may take new work."""
@@ -203,3 +208,12 @@
     def all(self) -> Iterable[InstanceInfo]:
         """Returns all instances, in no order."""
         return self._instances.values()
+
+    def _store(self, info: InstanceInfo) -> None:
+        self._instances[info.id] = info
+        if info.state is InstanceState.LEAVING:
+            self.index.drop(info.id)
+            return
+        known = (info.versions, self._observed.get(info.id, {}))
+        models = {model for versions in known for model, version in versions.items() if version}
+        self.index.put(info, models)
--- /dev/null
+++ b/src/larkpost/gateway/blackboard/service_index.py
@@ -0,0 +1,173 @@
+"""The instances that may take new work, by service: kept with each change of an entry.
+
+Without it each choice would look through the instances of all services. The directory writes it;
+its order is that in which the instances were first listed.
+"""
+
+from collections import Counter
+from collections.abc import Collection, Iterable, Sequence
+from dataclasses import dataclass, field
+from typing import Generic, Protocol, TypeVar
+
+from larkpost.common.ids import InstanceId, ZoneId
+from larkpost.gateway.blackboard.configuration import ModelName, ServiceName
+
+
+class Entry(Protocol):
+    """What the index reads of an instance's entry."""
+
+    id: InstanceId
+    service: ServiceName
+    zone: ZoneId
+
+
+EntryT = TypeVar("EntryT", bound=Entry)
+
+
+class NumberedIds:
+    """A set of ids that can be drawn from by number, without going through it."""
+
+    def __init__(self) -> None:
+        self._ids: list[InstanceId] = []
+        self._numbers: dict[InstanceId, int] = {}
+
+    @property
+    def ids(self) -> Sequence[InstanceId]:
+        """The ids, numbered from 0 in no order; not to be changed."""
+        return self._ids
+
+    def add(self, instance: InstanceId) -> None:
+        """Adds an id, if it is not there."""
+        if instance not in self._numbers:
+            self._numbers[instance] = len(self._ids)
+            self._ids.append(instance)
+
+    def discard(self, instance: InstanceId) -> None:
+        """Removes an id, if it is there; the last one takes its number."""
+        number = self._numbers.pop(instance, None)
+        if number is None:
+            return
+        last = self._ids.pop()
+        if last != instance:
+            self._ids[number] = last
+            self._numbers[last] = number
+
+
+@dataclass(slots=True)
+class _Service(Generic[EntryT]):
+    """The instances of one service, one at least.
+
+    Attributes:
+        entries: of its instances.
+        numbered: their ids.
+        holders: of each model, the instances of which a version of it is known.
+        zones: how many of its instances each zone has.
+        generation: a number of its own since an instance last came or went.
+    """
+
+    entries: dict[InstanceId, EntryT] = field(default_factory=dict)
+    numbered: NumberedIds = field(default_factory=NumberedIds)
+    holders: dict[ModelName, NumberedIds] = field(default_factory=dict)
+    zones: Counter[ZoneId] = field(default_factory=Counter)
+    generation: int = 0
+
+
+class ServiceIndex(Generic[EntryT]):
+    """The instances that may take new work, of all services."""
+
+    def __init__(self) -> None:
+        self._services: dict[ServiceName, _Service[EntryT]] = {}
+        self._changes = 0
+        self._service_of: dict[InstanceId, ServiceName] = {}
+        self._models: dict[InstanceId, frozenset[ModelName]] = {}
+
+    def put(self, entry: EntryT, models: Iterable[ModelName]) -> None:
+        """Stores an instance's entry.
+
+        Args:
+            models: those of which a version of it is known.
+        """
+        if self._service_of.get(entry.id, entry.service) != entry.service:
+            self.drop(entry.id)
+        service = self._services.setdefault(entry.service, _Service())
+        known = service.entries.get(entry.id)
+        service.entries[entry.id] = entry
+        if known is None:
+            self._service_of[entry.id] = entry.service
+            service.numbered.add(entry.id)
+            self._begin_generation(service)
+        if known is None or known.zone != entry.zone:
+            service.zones[entry.zone] += 1
+            if known is not None:
+                _count_less(service.zones, known.zone)
+        self._put_models(service, entry.id, frozenset(models))
+
+    def drop(self, instance: InstanceId) -> None:
+        """Removes an instance, if it is there."""
+        name = self._service_of.pop(instance, None)
+        if name is None:
+            return
+        service = self._services[name]
+        entry = service.entries.pop(instance)
+        service.numbered.discard(instance)
+        self._begin_generation(service)
+        _count_less(service.zones, entry.zone)
+        self._put_models(service, instance, frozenset())
+        del self._models[instance]
+        if not service.entries:
+            del self._services[name]
+
+    def services(self) -> Collection[ServiceName]:
+        """Returns the services that have instances."""
+        return self._services.keys()
+
+    def get(self, service: ServiceName, instance: InstanceId) -> EntryT | None:
+        """Returns an instance of a service, or None if it has no such one."""
+        known = self._services.get(service)
+        return known.entries.get(instance) if known is not None else None
+
+    def entries(self, service: ServiceName) -> Collection[EntryT]:
+        """Returns the entries of a service's instances, in the order in which they came."""
+        known = self._services.get(service)
+        return known.entries.values() if known is not None else ()
+
+    def ids(self, service: ServiceName) -> Sequence[InstanceId]:
+        """Returns the ids of a service's instances, in no order."""
+        known = self._services.get(service)
+        return known.numbered.ids if known is not None else ()
+
+    def holders(self, service: ServiceName, model: ModelName) -> Sequence[InstanceId]:
+        """Returns the ids of those instances of which a version of a model is known."""
+        known = self._services.get(service)
+        holders = known.holders.get(model) if known is not None else None
+        return holders.ids if holders is not None else ()
+
+    def zones(self, service: ServiceName) -> Collection[ZoneId]:
+        """Returns the zones that have instances of a service."""
+        known = self._services.get(service)
+        return known.zones.keys() if known is not None else ()
+
+    def generation(self, service: ServiceName) -> int:
+        """Returns a number that is another one once instances came or went; 0 without any."""
+        known = self._services.get(service)
+        return known.generation if known is not None else 0
+
+    def _begin_generation(self, service: _Service[EntryT]) -> None:
+        self._changes += 1
+        service.generation = self._changes
+
+    def _put_models(
+        self, service: _Service[EntryT], instance: InstanceId, models: frozenset[ModelName]
+    ) -> None:
+        before = self._models.get(instance, frozenset())
+        self._models[instance] = models
+        for model in models - before:
+            service.holders.setdefault(model, NumberedIds()).add(instance)
+        for model in before - models:
+            service.holders[model].discard(instance)
+
+
+def _count_less(zones: Counter[ZoneId], zone: ZoneId) -> None:
+    zones[zone] -= 1
+    if not zones[zone]:
+        del zones[zone]
