--- a/src/larkpost/common/hashing.py
+++ b/src/larkpost/common/hashing.py
@@ -3,9 +3,9 @@
 import xxhash
 
 
-def hash64(text: str) -> int:
-    """Returns a 64-bit hash of a text."""
-    return xxhash.xxh3_64_intdigest(text.encode())
+def hash64(text: str, seed: int = 0) -> int:
+    """Returns a 64-bit hash of a text; each seed from 0 to 2^64 - 1 gives another one."""
+    return xxhash.xxh3_64_intdigest(text.encode(), seed)
 
 
 def short_digest(text: str) -> str:
--- /dev/null
+++ b/src/larkpost/gateway/assembly/balancing.py
@@ -0,0 +1,59 @@
+"""How the rules of placement and the balancer of one daemon are put together."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from larkpost.common.ids import DaemonId
+from larkpost.gateway.assembly.environment import GatewayPorts, GatewaySettings
+from larkpost.gateway.blackboard.board import Blackboard
+from larkpost.gateway.placement.cold_rule import ColdRule
+from larkpost.gateway.placement.cold_senders import ColdSenders
+from larkpost.gateway.placement.evacuation_rule import EvacuationRule
+from larkpost.gateway.placement.region_rule import RegionRule
+from larkpost.gateway.placement.rules import Placement
+from larkpost.gateway.proxy.balancer import Balancer, BalancerSources
+from larkpost.gateway.proxy.subset import DaemonSubsets
+from larkpost.gateway.quarantine.isolation import IsolationRule
+
+
+@dataclass(frozen=True, slots=True)
+class Balancing:
+    """Where work may go, and which instance is best; see the classes."""
+
+    cold_senders: ColdSenders
+    cold: ColdRule
+    isolation: IsolationRule
+    balancer: Balancer
+
+
+def make_balancing(
+    own: DaemonId,
+    settings: GatewaySettings,
+    blackboard: Blackboard,
+    ports: GatewayPorts,
+    alive: Callable[[], frozenset[DaemonId]],
+) -> Balancing:
+    """Returns the parts of one daemon.
+
+    Args:
+        alive: returns the daemons considered alive; called only once all parts stand.
+    """
+    cold_senders = ColdSenders(own, ports.clock)
+    cold = ColdRule(settings.cold, blackboard, ports.clock, ports.log, cold_senders)
+    isolation = IsolationRule()
+    # Rules that count sends come last, so that they count none that another forbids.
+    rules = (
+        EvacuationRule(blackboard.evacuations),
+        RegionRule(blackboard.regions),
+        isolation,
+        cold,
+    )
+    sources = BalancerSources(
+        ports.servers.is_connected,
+        Placement(blackboard.directory, rules, ports.metrics, cold.send_within),
+        cold,
+        blackboard.regions,
+        DaemonSubsets(own, alive),
+    )
+    balancer = Balancer(blackboard.directory, ports.clock, ports.chance, sources)
+    return Balancing(cold_senders, cold, isolation, balancer)
--- a/src/larkpost/gateway/assembly/gauges.py
+++ b/src/larkpost/gateway/assembly/gauges.py
@@ -56,6 +56,7 @@
         for state, count in self.blackboard.directory.counts().items():
             metrics.set(Level.INSTANCES, count, state)
         metrics.set(Level.INSTANCES_COLD, self.cold.count_cold())
+        metrics.replace(Level.INSTANCES_OF_SUBSET, self.balancer.subset_sizes())
         zones = self.blackboard.evacuations.zones()
         metrics.replace(Level.EVACUATED, dict.fromkeys(zones, 1))
         in_zones = {zone: self.balancer.outstanding_in(zone) for zone in zones}
--- a/src/larkpost/gateway/daemon.py
+++ b/src/larkpost/gateway/daemon.py
@@ -12,7 +12,9 @@
 
 import asyncio
 
+from larkpost.common.ids import DaemonId
 from larkpost.common.tasks import TaskSet, UnreportedFailures
+from larkpost.gateway.assembly.balancing import make_balancing
 from larkpost.gateway.assembly.client_requests import make_forwarder
 from larkpost.gateway.assembly.environment import GatewayPorts, GatewaySettings
 from larkpost.gateway.assembly.gauges import Gauges
@@ -29,18 +31,12 @@
 from larkpost.gateway.fairness.ledger import FlowLedger
 from larkpost.gateway.observability.eventlog import Event
 from larkpost.gateway.observability.instruments import Instruments
-from larkpost.gateway.placement.cold_rule import POLL_SECONDS, ColdRule
-from larkpost.gateway.placement.cold_senders import ColdSenders
-from larkpost.gateway.placement.evacuation_rule import EvacuationRule
-from larkpost.gateway.placement.region_rule import RegionRule
-from larkpost.gateway.placement.rules import Placement
+from larkpost.gateway.placement.cold_rule import POLL_SECONDS
 from larkpost.gateway.planned_stop import PlannedStop, StopSteps
 from larkpost.gateway.proxy.admission import Admission
-from larkpost.gateway.proxy.balancer import Balancer, BalancerSources
 from larkpost.gateway.proxy.shares import ShareChooser
 from larkpost.gateway.quarantine.crash_writer import CrashWriter
 from larkpost.gateway.quarantine.guard import GuardedServers
-from larkpost.gateway.quarantine.isolation import IsolationRule
 from larkpost.gateway.quarantine.recorder import CrashRecorder
 from larkpost.gateway.quarantine.repository import CrashRepository
 from larkpost.gateway.quarantine.watch import CrashWatch
@@ -60,10 +56,11 @@
 class Gateway:
     """One daemon.
 
-    Its parts are made in the order in which they depend on each other. Two dependencies are real
-    cycles, and are closed by methods that are called only once all parts stand: the keeper of
-    batches relies on the membership and on the division of engines, which ask it in turn which
-    batches this daemon owns (`_is_owner`) and what the open ones demand (`_demands`); and the
+    Its parts are made in the order in which they depend on each other. Three dependencies are real
+    cycles, and are closed by methods that are called only once all parts stand: the membership
+    reports what the balancer knows, which asks it in turn who is alive (`_alive_daemons`); the
+    keeper of batches relies on the membership and on the division of engines, which ask it in turn
+    which batches this daemon owns (`_is_owner`) and what the open ones demand (`_demands`); and the
     senders of work to cold instances follow the batches that are placed by their rule
     (`ColdSenders.follow`).
     """
@@ -93,30 +90,11 @@
         self._make_gauges()
 
     def _make_placement(self) -> None:
-        ports = self._ports
-        self._cold_senders = ColdSenders(self.id, ports.clock)
-        self.cold = ColdRule(
-            self.settings.cold, self.blackboard, ports.clock, ports.log, self._cold_senders
-        )
-        self._isolation = IsolationRule()
-        # Rules that count sends come last, so that they count none that another forbids.
-        rules = (
-            EvacuationRule(self.blackboard.evacuations),
-            RegionRule(self.blackboard.regions),
-            self._isolation,
-            self.cold,
-        )
-        self.balancer = Balancer(
-            self.directory,
-            ports.clock,
-            ports.chance,
-            BalancerSources(
-                ports.servers.is_connected,
-                Placement(self.directory, rules, ports.metrics, self.cold.send_within),
-                self.cold,
-                self.blackboard.regions,
-            ),
+        parts = make_balancing(
+            self.id, self.settings, self.blackboard, self._ports, self._alive_daemons
         )
+        self._cold_senders, self._isolation = parts.cold_senders, parts.isolation
+        self.cold, self.balancer = parts.cold, parts.balancer
 
     def _make_membership(self) -> None:
         ports = self._ports
@@ -289,6 +267,10 @@
         """Returns whether this daemon has to act on news of batches at once."""
         return self.membership.is_coordinator() or bool(self.keeper.owned())
 
+    def _alive_daemons(self) -> frozenset[DaemonId]:
+        """Returns the daemons considered alive."""
+        return self.membership.alive()
+
     def _is_owner(self) -> bool:
         """Returns whether this daemon owns batches that are not ended."""
         return self.keeper.is_owner()
--- a/src/larkpost/gateway/observability/metrics.py
+++ b/src/larkpost/gateway/observability/metrics.py
@@ -80,6 +80,7 @@
     FEED_AGE = "larkpost_feed_age_seconds"
     INSTANCES = "larkpost_instances"
     INSTANCES_COLD = "larkpost_instances_cold"
+    INSTANCES_OF_SUBSET = "larkpost_subset_instances"
     MEMBERS = "larkpost_members_alive"
     OPEN_REQUESTS = "larkpost_open_requests"
     BATCHES_OWNED = "larkpost_batches_owned"
@@ -102,6 +103,10 @@
     Level.FEED_AGE: ("Seconds since a table's feed was last confirmed.", ("table",)),
     Level.INSTANCES: ("Instances known.", ("state",)),
     Level.INSTANCES_COLD: ("Instances that are cold and bear few requests.", ()),
+    Level.INSTANCES_OF_SUBSET: (
+        "Instances of a large service to which this daemon sends its requests.",
+        ("service",),
+    ),
     Level.MEMBERS: ("Daemons held alive.", ()),
     Level.OPEN_REQUESTS: ("Requests being answered.", ()),
     Level.BATCHES_OWNED: ("Batches that this daemon runs.", ()),
--- a/src/larkpost/gateway/proxy/balancer.py
+++ b/src/larkpost/gateway/proxy/balancer.py
@@ -1,9 +1,9 @@
 """Chooses an instance of a service by its load and speed, as far as this daemon knows them.
 
 Joins what this daemon's own requests show (`instance_use`), what the others report (`peer_use`),
-how far instances are (`latency`) and where work may go at all (`placement`), and has the candidates
-put in order (`ranking`). Owns none of these rules but two: how many requests count as being at an
-instance, and what a request that did not run says about it.
+which instances a choice looks at (`server_pool`) and where work may go at all (`placement`), and
+has the candidates put in order (`candidate_order`). Owns none of these rules but two: how many
+requests count as being at an instance, and what a request that did not run says about it.
 """
 
 import random
@@ -23,16 +23,17 @@
 from larkpost.gateway.placement.rules import Placement
 from larkpost.gateway.placement.verdict import Verdict
 from larkpost.gateway.placement.work import CLIENT_WORK, Work
+from larkpost.gateway.proxy.candidate_order import CandidateOrder
 from larkpost.gateway.proxy.instance_use import (
     FORGET_SECONDS,
     PACE_WEIGHT,
     InstanceUse,
     OwnUse,
 )
-from larkpost.gateway.proxy.latency import LatencyFactors
 from larkpost.gateway.proxy.paces import Paces
 from larkpost.gateway.proxy.peer_use import PeerUses
-from larkpost.gateway.proxy.ranking import Candidate, connection_factor, rank
+from larkpost.gateway.proxy.server_pool import Look, ServerPool
+from larkpost.gateway.proxy.subset import DaemonSubsets
 from larkpost.gateway.servers.port import NotRunError, NotRunReason, ServerLoad
 
 UNREACHABLE_AVOID_SECONDS = 1.0
@@ -61,19 +62,22 @@
             leave.
         cold: knows which instances are cold; None if none ever is.
         regions: where zones lie; None if that is not known.
+        subsets: this daemon's parts of large services; None if it serves them alone.
     """
 
     is_connected: Callable[[InstanceInfo], bool] = _never_connected
     placement: Placement | None = None
     cold: ColdRule | None = None
     regions: RegionMap | None = None
+    subsets: DaemonSubsets | None = None
 
 
 class Balancer:
     """Keeps the use of all instances and chooses among them.
 
     Args:
-        chance: breaks ties; one number is drawn for each candidate, in the directory's order.
+        chance: breaks ties, with one number for each candidate in the order of the directory, and
+            draws which instances of a large service are looked at.
     """
 
     def __init__(
@@ -86,15 +90,16 @@
         sources = sources or BalancerSources()
         self._directory = directory
         self._clock = clock
-        self._chance = chance
-        self._is_connected = sources.is_connected
         self._placement = sources.placement or Placement(directory)
         self._cold = sources.cold
         self._regions = sources.regions or RegionMap()
-        self._latency = LatencyFactors(clock)
         self._own = OwnUse(directory, clock)
         self._peers = PeerUses(clock)
         self.paces = Paces(directory, clock, self._own, self._peers)
+        self._pool = ServerPool(directory, clock, chance, sources.subsets)
+        self._order = CandidateOrder(
+            self, clock, chance, sources.is_connected, self.paces.has_latency
+        )
         self._forget_at = float("-inf")
         self._release_listeners: list[Callable[[InstanceId], None]] = []
 
@@ -117,25 +122,53 @@
         exclude: Collection[InstanceId] = (),
         eligible: Callable[[InstanceInfo], bool] | None = None,
         for_client: bool = False,
+        within: frozenset[InstanceId] | None = None,
     ) -> list[InstanceInfo]:
         """Returns the instances that may take a request now, the best first.
 
-        Instances that failed a moment ago come last, and those that are cold before them.
+        Instances that failed a moment ago come last, and those that are cold before them. Of a
+        large service only some are returned.
 
         Args:
             work: what is to be sent.
             eligible: returns what else the caller wants of an instance.
             for_client: whether it is a client's request, which rather takes a kept connection
                 and a near instance.
+            within: the only instances of a large service to look at; None for any.
+        """
+
+        def is_fitting(info: InstanceInfo) -> bool:
+            return (
+                info.id not in exclude
+                and (eligible is None or eligible(info))
+                and self._placement.allows(info, work)
+            )
+
+        look = self.look(service, work, within)
+        fitting = [info for info in look.instances if is_fitting(info)]
+        if look.is_partial and not any(self._may_take_now(info) for info in fitting):
+            further = self._pool.look_further(service, look)
+            fitting += [info for info in further if is_fitting(info)]
+        return self._order.ranked(service, fitting, for_client=for_client)
+
+    def look(
+        self, service: ServiceName, work: Work, within: frozenset[InstanceId] | None = None
+    ) -> Look:
+        """Returns the instances of a service that a choice for a piece of work looks at.
+
+        One of them at least is open to the work, if the service has any that is.
+
+        Args:
+            within: the only instances of a large service to look at; None for any.
         """
-        fitting = [
-            info
-            for info in self._directory.of_service(service)
-            if info.id not in exclude
-            and (eligible is None or eligible(info))
-            and self._placement.allows(info, work)
-        ]
-        return self._ranked(service, fitting, for_client=for_client)
+        look = self._pool.look(service, work, within)
+        if look.is_partial and not any(self._is_open(info, work) for info in look.instances):
+            return self._pool.search(service, work, lambda info: self._is_open(info, work))
+        return look
+
+    def subset_sizes(self) -> dict[ServiceName, int]:
+        """Returns how many instances of each large service this daemon's requests go to."""
+        return self._pool.subset_sizes()
 
     def has_place(self, info: InstanceInfo) -> bool:
         """Returns whether an instance is believed to have a free place.
@@ -171,17 +204,17 @@
         return self.paces.at_this_moment(instance)
 
     def verdicts(self, service: ServiceName, work: Work = CLIENT_WORK) -> dict[Verdict, int]:
-        """Returns how many instances of a service get each verdict; for the line on a refusal."""
+        """Returns how many instances of those looked at get each verdict; for the log."""
         return dict(
-            Counter(self._verdict(info, work) for info in self._directory.of_service(service))
+            Counter(self._verdict(info, work) for info in self.look(service, work).instances)
         )
 
     def is_outside_regions(self, service: ServiceName, work: Work) -> bool:
         """Returns whether no server of a service lies where work may be served."""
         if work.regions is None:
             return False
-        infos = self._directory.of_service(service)
-        regions = {self._regions.region_of(info.zone) for info in infos}
+        zones = self._directory.index.zones(service)
+        regions = {self._regions.region_of(zone) for zone in zones}
         return not work.regions or bool(regions) and not regions & work.regions
 
     # What daemons report to each other.
@@ -259,7 +292,7 @@
         self.record_pace(info.id, seconds)
         self.paces.record_response(info.id, seconds)
         self._own.of(info.id).response_at = self._clock.now()
-        self._latency.record(info.service, self.distance(info), seconds)
+        self._order.record_response(info, seconds)
 
     def avoid(self, instance: InstanceId, seconds: float) -> None:
         """Makes an instance a last resort for a while."""
@@ -281,59 +314,13 @@
         self._own.of(instance).is_refusing = is_full
         self.avoid(instance, full_seconds if is_full else UNREACHABLE_AVOID_SECONDS)
 
-    def _ranked(
-        self, service: ServiceName, fitting: list[InstanceInfo], *, for_client: bool
-    ) -> list[InstanceInfo]:
-        """Returns the instances that work may go to, the best first."""
-        factors = self._latency_factors(service, fitting) if for_client else {}
-        paces = {info.id: self._local_pace(info.id, factors.get(info.id, 1.0)) for info in fitting}
-        candidates = [
-            Candidate(
-                info,
-                is_avoided=self.is_avoided(info.id),
-                is_cold=self.is_cold(info),
-                occupied=self.occupied(info),
-                pace=paces[info.id],
-                latency_factor=factors.get(info.id, 1.0),
-                connection_factor=self._connection_factor(info) if for_client else 1.0,
-                tie_break=self._chance.random(),
-            )
-            for info in fitting
-        ]
-        best_pace = min((pace for pace in paces.values() if pace), default=0.0)
-        return rank(candidates, best_pace)
-
-    def _latency_factors(
-        self, service: ServiceName, fitting: list[InstanceInfo]
-    ) -> dict[InstanceId, float]:
-        """Returns how many times as long a response takes as from the nearest that has a place.
+    def _is_open(self, info: InstanceInfo, work: Work) -> bool:
+        """Returns whether placement allows work at an instance, now or once it is warm."""
+        verdict = self._placement.judge(info, work)
+        return verdict.is_allowed or verdict is Verdict.COLD
 
-        Only instances that are farther than it are named.
-        """
-        distances = {info.id: self.distance(info) for info in fitting}
-        if len(set(distances.values())) < 2:
-            return {}
-        nearest = min(
-            (
-                distances[info.id]
-                for info in fitting
-                if not self.is_avoided(info.id) and self.occupied(info) < max(1, info.slots)
-            ),
-            default=Distance.OTHER_REGION,
-        )
-        return {
-            name: self._latency.factor(service, distance, nearest)
-            for name, distance in distances.items()
-            if distance > nearest
-        }
-
-    def _local_pace(self, instance: InstanceId, latency_factor: float) -> float:
-        """Returns an instance's pace, without the latency if this daemon measured it in."""
-        has_latency = self.paces.has_latency(instance)
-        return self.pace(instance) / (latency_factor if has_latency else 1.0)
-
-    def _connection_factor(self, info: InstanceInfo) -> float:
-        return connection_factor(is_connected=self._is_connected(info))
+    def _may_take_now(self, info: InstanceInfo) -> bool:
+        return not self.is_avoided(info.id) and self.has_place(info)
 
     def _verdict(self, info: InstanceInfo, work: Work) -> Verdict:
         verdict = self._placement.judge(info, work)
--- a/src/larkpost/gateway/proxy/places.py
+++ b/src/larkpost/gateway/proxy/places.py
@@ -1,12 +1,12 @@
 """Counts the places of a service, and says how far they are taken.
 
-Relies on the balancer for what is believed of each instance; decides nothing itself.
+Relies on the balancer for what is believed of each instance, and for which instances of a large
+service stand for all; decides nothing itself.
 """
 
 from dataclasses import dataclass, field
 
 from larkpost.gateway.blackboard.configuration import ServiceName
-from larkpost.gateway.blackboard.directory import Directory
 from larkpost.gateway.placement.verdict import Verdict
 from larkpost.gateway.placement.work import Work
 from larkpost.gateway.proxy.balancer import Balancer
@@ -48,14 +48,16 @@
         return self.taken - self.closed < self.total * FREE_SHARE
 
 
-def survey(directory: Directory, balancer: Balancer, service: ServiceName, work: Work) -> Places:
+def survey(balancer: Balancer, service: ServiceName, work: Work) -> Places:
     """Counts the places of a service for a piece of work.
 
-    An instance that failed or refused a moment ago, or that is cold, has no free place.
+    An instance that failed or refused a moment ago, or that is cold, has no free place. Of a large
+    service the places of some are counted, and scaled up to all.
     """
     total = taken = closed = 0
     paced_slots, rate = 0, 0.0
-    for info in directory.of_service(service):
+    look = balancer.look(service, work)
+    for info in look.instances:
         verdict = balancer.placement.judge(info, work)
         if not verdict.is_allowed and verdict is not Verdict.COLD:
             continue
@@ -69,4 +71,5 @@
         if pace:
             paced_slots += slots
             rate += slots / pace
+    total, taken, closed = (round(count * look.scale) for count in (total, taken, closed))
     return Places(total, taken, paced_slots / rate if rate else 0.0, closed)
--- a/src/larkpost/gateway/proxy/server_choice.py
+++ b/src/larkpost/gateway/proxy/server_choice.py
@@ -34,7 +34,6 @@
     """Chooses the servers of client requests."""
 
     def __init__(self, parts: ForwarderParts, gate: TurnGate) -> None:
-        self._directory = parts.directory
         self._balancer = parts.balancer
         self._crashes = parts.crashes
         self._gate = gate
@@ -55,9 +54,6 @@
 
     def hedge_delay(self, attempts: Attempts) -> float:
         """Returns the seconds after which a second server is tried beside the first."""
-        paces = [
-            pace
-            for info in self._directory.of_service(attempts.waiter.service)
-            if (pace := self._balancer.pace(info.id))
-        ]
+        looked_at = self._balancer.look(attempts.waiter.service, attempts.waiter.work)
+        paces = [pace for info in looked_at.instances if (pace := self._balancer.pace(info.id))]
         return hedge_delay(paces, attempts.route.objective)
--- /dev/null
+++ b/src/larkpost/gateway/proxy/server_pool.py
@@ -0,0 +1,166 @@
+"""Which instances of a service a choice looks at: all of a small service, some of a large one.
+
+So the cost of a choice, and of a count of places, does not grow with the fleet. A daemon's requests
+look at its subset (`subset`), of which it knows most and to which it keeps connections. Items of
+batches look at instances drawn anew each time from all that may hold their model: an owner's items
+need more places than a subset has.
+
+Decides only what is looked at; the order stands in `ranking`.
+"""
+
+import random
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from functools import lru_cache
+from itertools import islice
+
+from larkpost.common.clock import Clock
+from larkpost.common.ids import InstanceId
+from larkpost.gateway.blackboard.configuration import ServiceName
+from larkpost.gateway.blackboard.directory import Directory, InstanceInfo
+from larkpost.gateway.placement.work import Work, WorkKind
+from larkpost.gateway.proxy.subset import DaemonSubsets
+
+ALL_LOOKED_AT = 64
+"""A service of so many instances or fewer is looked at as a whole."""
+LOOKED_AT = 40
+"""Instances of a larger one that a choice looks at."""
+LOOKED_FURTHER = 12
+"""Others that it looks at if none of those has a place. Of a dozen drawn at random one has, unless
+nearly all are full."""
+SEARCH_LIFETIME_SECONDS = 0.25
+"""How long it is believed which instances a search of a whole service has found."""
+DRAWN_FROM = 64
+"""Sets of instances of which the numbered form is kept."""
+
+
+@dataclass(frozen=True, slots=True)
+class Look:
+    """The instances that a choice looks at.
+
+    Attributes:
+        total: how many they stand for, themselves among them.
+        others: what more may be looked at; none if these are all.
+    """
+
+    instances: list[InstanceInfo]
+    total: int
+    others: Sequence[InstanceId] = ()
+
+    @property
+    def is_partial(self) -> bool:
+        """Whether there are others that may be looked at."""
+        return len(self.others) > len(self.instances)
+
+    @property
+    def scale(self) -> float:
+        """How many instances each of those looked at stands for, without unit."""
+        return self.total / len(self.instances) if self.instances else 1.0
+
+
+@lru_cache(maxsize=DRAWN_FROM)
+def _numbered(instances: frozenset[InstanceId]) -> tuple[InstanceId, ...]:
+    return tuple(sorted(instances))
+
+
+class ServerPool:
+    """Draws the instances that choices look at.
+
+    Args:
+        subsets: this daemon's part of each large service; None if it serves all alone.
+    """
+
+    def __init__(
+        self,
+        directory: Directory,
+        clock: Clock,
+        chance: random.Random,
+        subsets: DaemonSubsets | None = None,
+    ) -> None:
+        self._directory = directory
+        self._clock = clock
+        self._chance = chance
+        self._subsets = subsets
+        self._searches: dict[tuple[ServiceName, Work], tuple[float, list[InstanceId]]] = {}
+
+    def look(
+        self, service: ServiceName, work: Work, within: frozenset[InstanceId] | None = None
+    ) -> Look:
+        """Returns the instances that a choice for a piece of work looks at.
+
+        Args:
+            within: the only instances of a large service to look at; None for any.
+        """
+        index = self._directory.index
+        listed = index.ids(service)
+        if len(listed) <= ALL_LOOKED_AT:
+            return Look(list(index.entries(service)), len(listed))
+        if work.kind is WorkKind.ITEM:
+            drawn_from = self._for_items(service, work, within)
+            drawn = self._draw(service, drawn_from, LOOKED_AT)
+            return Look(drawn, len(drawn_from), drawn_from)
+        own = self._subsets.ids(service, index) if self._subsets is not None else listed
+        return Look(self._draw(service, own, LOOKED_AT), len(listed), listed)
+
+    def look_further(self, service: ServiceName, look: Look) -> list[InstanceInfo]:
+        """Returns some of the others."""
+        seen = {info.id for info in look.instances}
+        drawn = self._draw(service, look.others, LOOKED_FURTHER)
+        return [info for info in drawn if info.id not in seen]
+
+    def search(
+        self, service: ServiceName, work: Work, is_wanted: Callable[[InstanceInfo], bool]
+    ) -> Look:
+        """Returns instances that are wanted, found by looking at all if need be; seldom anew."""
+        now = self._clock.now()
+        known = self._searches.get((service, work))
+        if known is None or now - known[0] >= SEARCH_LIFETIME_SECONDS:
+            known = (now, self._find(service, is_wanted))
+            self._forget_searches(now)
+            self._searches[service, work] = known
+        index = self._directory.index
+        found = [info for name in known[1] if (info := index.get(service, name)) is not None]
+        return Look(found, len(found))
+
+    def _find(
+        self, service: ServiceName, is_wanted: Callable[[InstanceInfo], bool]
+    ) -> list[InstanceId]:
+        """Returns the ids of up to `LOOKED_AT` instances that are wanted."""
+        in_no_order = self._draw(service, self._directory.index.ids(service))
+        return [info.id for info in islice(filter(is_wanted, in_no_order), LOOKED_AT)]
+
+    def _forget_searches(self, now: float) -> None:
+        self._searches = {
+            key: known
+            for key, known in self._searches.items()
+            if now - known[0] < SEARCH_LIFETIME_SECONDS
+        }
+
+    def subset_sizes(self) -> dict[ServiceName, int]:
+        """Returns how many instances of each large service are in this daemon's subset."""
+        if self._subsets is None:
+            return {}
+        index = self._directory.index
+        return {
+            service: len(self._subsets.ids(service, index))
+            for service in index.services()
+            if len(index.ids(service)) > ALL_LOOKED_AT
+        }
+
+    def _for_items(
+        self, service: ServiceName, work: Work, within: frozenset[InstanceId] | None
+    ) -> Sequence[InstanceId]:
+        if within is not None:
+            return _numbered(within)
+        index = self._directory.index
+        if work.model is None or not work.minimum_version:
+            return index.ids(service)
+        return index.holders(service, work.model)
+
+    def _draw(
+        self, service: ServiceName, ids: Sequence[InstanceId], most: int | None = None
+    ) -> list[InstanceInfo]:
+        """Returns the entries of up to ``most`` of some instances, in no order; None for all."""
+        index = self._directory.index
+        drawn = self._chance.sample(ids, min(len(ids), most if most is not None else len(ids)))
+        return [info for name in drawn if (info := index.get(service, name)) is not None]
--- /dev/null
+++ b/src/larkpost/gateway/proxy/subset.py
@@ -0,0 +1,152 @@
+"""Which servers of a large service a daemon sends its requests to: a part that few others share.
+
+Rendezvous hashing of daemons and servers: each server is in the subsets of the same number of
+daemons, whichever these are, so that none is left out and none gets the requests of all. When a
+daemon or a server comes or goes, only the subsets that hold it, or are to hold it, change. Daemons
+that know the same daemons and servers agree without a message.
+
+Pure rules, and the subset kept by them as the fleet changes.
+"""
+
+from collections.abc import Callable, Collection, Mapping, Sequence
+
+from larkpost.common.hashing import hash64
+from larkpost.common.ids import DaemonId, InstanceId
+from larkpost.gateway.blackboard.configuration import ServiceName
+from larkpost.gateway.blackboard.service_index import NumberedIds, ServiceIndex
+
+LEAST_SUBSET = 24
+"""Servers that a subset has on average at least: few enough that connections to them stay in use,
+enough that one with a free place is nearly always among them."""
+LEAST_DAEMONS = 3
+"""Daemons that each server is in the subsets of, if there are as many: the load of one with many
+clients, or of one that is gone, is shared."""
+
+
+def daemons_a_server(daemons: int, servers: int) -> int:
+    """Returns in the subsets of how many daemons each server is.
+
+    It doubles, so that it seldom changes: each change of it changes all subsets.
+    """
+    wanted = LEAST_DAEMONS
+    while wanted < daemons and wanted * servers < LEAST_SUBSET * daemons:
+        wanted *= 2
+    return min(wanted, daemons)
+
+
+def seed_of(daemon: DaemonId) -> int:
+    """Returns what a daemon's weights are made from; worked out once for all servers."""
+    return hash64(f"subset\x00{daemon}")
+
+
+def weight(seed: int, server: InstanceId) -> int:
+    """Returns the rank for a server of the daemon with a seed; the greatest are the first."""
+    return hash64(server, seed)
+
+
+def daemons_before(
+    own: int, others: Mapping[DaemonId, int], server: InstanceId, most: int
+) -> list[DaemonId]:
+    """Returns daemons that come before this one for a server, ``most`` at the most.
+
+    Args:
+        own: this daemon's seed.
+        others: the other daemons with their seeds.
+    """
+    own_weight = weight(own, server)
+    found: list[DaemonId] = []
+    for daemon, seed in others.items():
+        if weight(seed, server) > own_weight:
+            found.append(daemon)
+            if len(found) == most:
+                break
+    return found
+
+
+class DaemonSubset:
+    """One daemon's subset of the servers of one service.
+
+    Of each server outside it only so many daemons are remembered as leave no room for this one.
+    """
+
+    def __init__(self, own: DaemonId) -> None:
+        self._own = own
+        self._seed = seed_of(own)
+        self._others: dict[DaemonId, int] = {}
+        self._servers: set[InstanceId] = set()
+        self._limit = 1
+        self._inside = NumberedIds()
+        self._outside: dict[InstanceId, list[DaemonId]] = {}
+        self._keeps_out: dict[DaemonId, set[InstanceId]] = {}
+
+    @property
+    def ids(self) -> Sequence[InstanceId]:
+        """The servers of the subset, in no order."""
+        return self._inside.ids
+
+    def update(self, daemons: Collection[DaemonId], servers: Collection[InstanceId]) -> None:
+        """Brings the subset up to date.
+
+        Args:
+            daemons: those considered alive; this one is counted in any case.
+            servers: the ids of the service's instances.
+        """
+        others = set(daemons) - {self._own}
+        limit = daemons_a_server(len(others) + 1, len(servers))
+        changed = set(servers) ^ self._servers
+        if limit != self._limit:
+            changed = set(servers) | self._servers
+        self._limit = limit
+        self._servers = set(servers)
+        for gone in self._others.keys() - others:
+            del self._others[gone]
+            changed |= self._keeps_out.pop(gone, set())
+        for come in others - self._others.keys():
+            seed = self._others[come] = seed_of(come)
+            changed.update(name for name in self.ids if self._comes_before(seed, name))
+        for server in changed:
+            self._forget(server)
+            if server in self._servers:
+                self._judge(server)
+
+    def _comes_before(self, seed: int, server: InstanceId) -> bool:
+        return weight(seed, server) > weight(self._seed, server)
+
+    def _judge(self, server: InstanceId) -> None:
+        before = daemons_before(self._seed, self._others, server, self._limit)
+        if len(before) < self._limit:
+            self._inside.add(server)
+            return
+        self._outside[server] = before
+        for daemon in before:
+            self._keeps_out.setdefault(daemon, set()).add(server)
+
+    def _forget(self, server: InstanceId) -> None:
+        self._inside.discard(server)
+        for daemon in self._outside.pop(server, ()):
+            kept_out = self._keeps_out.get(daemon)
+            if kept_out is not None:
+                kept_out.discard(server)
+
+
+class DaemonSubsets:
+    """One daemon's subsets of the servers of all services, brought up to date when asked for.
+
+    Args:
+        alive: returns the daemons considered alive.
+    """
+
+    def __init__(self, own: DaemonId, alive: Callable[[], frozenset[DaemonId]]) -> None:
+        self._own = own
+        self._alive = alive
+        self._subsets: dict[ServiceName, DaemonSubset] = {}
+        self._made_of: dict[ServiceName, tuple[frozenset[DaemonId], int]] = {}
+
+    def ids(self, service: ServiceName, index: ServiceIndex) -> Sequence[InstanceId]:
+        """Returns the servers of a service's subset, in no order."""
+        subset = self._subsets.setdefault(service, DaemonSubset(self._own))
+        made_of = (self._alive(), index.generation(service))
+        if self._made_of.get(service) != made_of:
+            subset.update(made_of[0], index.ids(service))
+            self._made_of[service] = made_of
+        return subset.ids
--- a/src/larkpost/gateway/proxy/turn_gate.py
+++ b/src/larkpost/gateway/proxy/turn_gate.py
@@ -192,7 +192,7 @@
         )
 
     def _survey(self, service: ServiceName, work: Work) -> Places:
-        return survey(self._parts.directory, self._parts.balancer, service, work)
+        return survey(self._parts.balancer, service, work)
 
 
 def _limits(request: ClientRequest, route: Route, elapsed: float) -> Limits:
--- a/src/larkpost/gateway/rollouts/engine_choice.py
+++ b/src/larkpost/gateway/rollouts/engine_choice.py
@@ -55,8 +55,8 @@
                 for an event; 0 for any engine.
             work: what the rules of placement ask of the item; None for the batch's own.
         """
-        candidates = self._with_place(service, work or self.items.work_of())
         only = self._only_engines(service)
+        candidates = self._with_place(service, work or self.items.work_of(), only)
         if only is not None:
             candidates = [info for info in candidates if info.id in only]
         if pace_limit:
@@ -122,7 +122,8 @@
         """Returns how many places the engines that fit are believed to have free."""
         work = self.items.work_of()
         fitting = self._with_place(service, work)
-        return sum(self._places_at(info, work) for info in fitting)
+        scale = self._services.balancer.look(service, work).scale
+        return int(sum(self._places_at(info, work) for info in fitting) * scale)
 
     def _places_at(self, info: InstanceInfo, work: Work) -> int:
         """Returns an engine's free places; at a cold one, those that may be used now."""
@@ -156,7 +157,8 @@
         """Returns the pace that a run should go on at elsewhere; 0 if it is to stay.
 
         Whether an engine of that pace has a free place is not asked. An engine whose weights are
-        older than those of the run's engine is about to load and to refuse all work.
+        older than those of the run's engine is about to load and to refuse all work. Of a large
+        service only some engines are looked at.
         """
         engine, events = run.engine, len(run.progress.events)
         pace = self._pace_to_leave(engine)
@@ -180,7 +182,7 @@
         directory = self._services.directory
         paces = [
             pace
-            for info in directory.of_service(service)
+            for info in balancer.look(service, work).instances
             if (pace := balancer.paces.lasting(info.id))
             and not balancer.is_cold(info)
             and directory.version_of(info.id, self._head.model) >= version
@@ -191,14 +193,17 @@
         self._best[service, work, version] = (now, best)
         return best
 
-    def _with_place(self, service: ServiceName, work: Work) -> list[InstanceInfo]:
-        """Returns the engines that fit and have a free place, the least occupied first."""
+    def _with_place(
+        self, service: ServiceName, work: Work, within: frozenset[InstanceId] | None = None
+    ) -> list[InstanceInfo]:
+        """Returns the engines that fit and have a free place, the least occupied first.
+
+        Args:
+            within: the only engines of a large service to look at; None for any.
+        """
         balancer = self._services.balancer
-        return [
-            info
-            for info in balancer.candidates(service, work, eligible=self._has_not_failed)
-            if balancer.has_place(info)
-        ]
+        fitting = balancer.candidates(service, work, eligible=self._has_not_failed, within=within)
+        return [info for info in fitting if balancer.has_place(info)]
 
     def _has_not_failed(self, info: InstanceInfo) -> bool:
         """Returns whether an engine did not fail a moment ago."""
--- a/tests/platform_mutants.py
+++ b/tests/platform_mutants.py
@@ -518,6 +518,32 @@
     return mock.patch.object(FlowLedger, "record_report", lambda *_: None)
 
 
+def look_at_all_servers():
+    """Looks at all servers of a service for each choice, however many it has."""
+    from larkpost.gateway.proxy import server_pool
+
+    return mock.patch.object(server_pool, "ALL_LOOKED_AT", 1_000_000)
+
+
+def keep_servers_of_daemons_that_are_gone():
+    """Counts daemons for a server that are gone: a server may be left to nobody."""
+    from larkpost.gateway.proxy.subset import DaemonSubset
+
+    original = DaemonSubset.update
+
+    def update(self, daemons, servers):
+        original(self, frozenset(daemons) | self._others.keys(), servers)
+
+    return mock.patch.object(DaemonSubset, "update", update)
+
+
+def stay_with_the_subset():
+    """Looks at no others when the whole subset has failed or is full."""
+    from larkpost.gateway.proxy.server_pool import ServerPool
+
+    return mock.patch.object(ServerPool, "look_further", lambda *_: [])
+
+
 MUTANTS = {
     mutant.__name__: mutant
     for mutant in (
@@ -573,6 +599,9 @@
         ignore_the_start,
         forget_shares,
         keep_use_to_oneself,
+        look_at_all_servers,
+        keep_servers_of_daemons_that_are_gone,
+        stay_with_the_subset,
     )
 }
 TESTS = dict.fromkeys(MUTANTS, FUZZ) | {
@@ -621,6 +650,9 @@
     "ignore_the_start": "tests.test_incarnations",
     "forget_shares": "tests.test_fair_load.OneTenantSendsHalfTest",
     "keep_use_to_oneself": "tests.test_fair_shares.UnequalDaemonsTest",
+    "look_at_all_servers": "tests.test_bounded_choice",
+    "keep_servers_of_daemons_that_are_gone": "tests.test_subset",
+    "stay_with_the_subset": "tests.test_bounded_choice",
 }
 EXPECTED_CHECKS = {
     "ignore_permits": ("while cold",),
--- /dev/null
+++ b/tests/test_bounded_choice.py
@@ -0,0 +1,346 @@
+"""A choice among thousands of servers looks at a few, and still finds one that can serve.
+
+The load that is answered: each client request, each item and each waiting request makes a choice or
+a survey, so what one looks at must not grow with the fleet.
+"""
+
+import random
+import unittest
+from collections import Counter
+from dataclasses import replace
+
+from larkpost.common.clock import LoopClock
+from larkpost.common.ids import DaemonId, InstanceId, RegionId, ZoneId
+from larkpost.gateway.blackboard.directory import Directory, InstanceInfo
+from larkpost.gateway.blackboard.regions import RegionMap
+from larkpost.gateway.placement.region_rule import RegionRule
+from larkpost.gateway.placement.rules import Placement, PlainRule
+from larkpost.gateway.placement.verdict import Verdict
+from larkpost.gateway.placement.work import CLIENT_WORK, REWARD_WORK, Work, WorkKind
+from larkpost.gateway.proxy.balancer import Balancer, BalancerSources
+from larkpost.gateway.proxy.places import survey
+from larkpost.gateway.proxy.server_pool import (
+    ALL_LOOKED_AT,
+    LOOKED_AT,
+    LOOKED_FURTHER,
+    SEARCH_LIFETIME_SECONDS,
+)
+from larkpost.gateway.proxy.subset import LEAST_SUBSET, DaemonSubsets
+from tests.platform_fleet import ENGINES, MODEL, PAGES, PlatformFleet, check_results, make_batch
+from tests.server_parts import SLOTS, make_instance
+from tests.virtual import run
+
+ITEM_WORK = Work(WorkKind.ITEM, model=MODEL, minimum_version=1)
+FLEETS = ((30, 4), (300, 30), (1000, 100), (3200, 370))
+"""Servers of one service, and daemons."""
+OWN = DaemonId("d0")
+HOME, FAR = RegionId("home"), RegionId("far")
+HOME_ZONE, FAR_ZONE = ZoneId("home-a"), ZoneId("far-a")
+
+
+class CountedRule(PlainRule):
+    """Allows all and counts how many instances were judged."""
+
+    def __init__(self) -> None:
+        self.judged: Counter[InstanceId] = Counter()
+        self.forbidden: set[InstanceId] = set()
+
+    def judge(self, instance: InstanceInfo, work: Work) -> Verdict:
+        """Counts an instance."""
+        self.judged[instance.id] += 1
+        return Verdict.EVACUATED if instance.id in self.forbidden else Verdict.ALLOWED
+
+    def take(self) -> int:
+        """Returns how many instances were looked at since it was last asked."""
+        count = len(self.judged)
+        self.judged.clear()
+        return count
+
+
+class Scene:
+    """A balancer of one daemon of a fleet before one service."""
+
+    def __init__(self, servers: int = 3200, daemons: int = 370) -> None:
+        self.directory = Directory()
+        regions = RegionMap(HOME_ZONE, {HOME_ZONE: HOME, FAR_ZONE: FAR})
+        alive = frozenset(DaemonId(f"d{number}") for number in range(daemons))
+        self.subsets = DaemonSubsets(OWN, lambda: alive)
+        self.rule = CountedRule()
+        for number in range(servers):
+            self.directory.update(make_instance(f"s{number}", zone=HOME_ZONE))
+        rules = (RegionRule(regions), self.rule)
+        self.balancer = Balancer(
+            self.directory,
+            LoopClock(),
+            random.Random(1),
+            BalancerSources(
+                placement=Placement(self.directory, rules), regions=regions, subsets=self.subsets
+            ),
+        )
+
+    @property
+    def subset(self) -> set[InstanceId]:
+        """The servers of the daemon's subset."""
+        return set(self.subsets.ids(PAGES, self.directory.index))
+
+    def client_choice(self, **options) -> list[InstanceInfo]:
+        """Returns the candidates for a client's request."""
+        return self.balancer.candidates(PAGES, CLIENT_WORK, for_client=True, **options)
+
+    def fill(self, names: set[InstanceId]) -> None:
+        """Takes all places of some servers."""
+        for name in names:
+            for _ in range(SLOTS):
+                self.balancer.occupy(name)
+
+    def avoid(self, names: set[InstanceId]) -> None:
+        """Has some servers fail a moment ago."""
+        for name in names:
+            self.balancer.avoid(name, 60.0)
+
+
+class CostTest(unittest.TestCase):
+    """How many servers are looked at."""
+
+    def looked_at(self, servers: int, daemons: int) -> dict[str, int]:
+        """Returns the servers that each use of the balancer looks at."""
+
+        async def play():
+            scene = Scene(servers, daemons)
+            uses = {
+                "client": scene.client_choice,
+                "reward call": lambda: scene.balancer.candidates(PAGES, REWARD_WORK),
+                "item": lambda: scene.balancer.candidates(PAGES, ITEM_WORK),
+                "survey": lambda: survey(scene.balancer, PAGES, CLIENT_WORK),
+                "verdicts": lambda: scene.balancer.verdicts(PAGES),
+            }
+            counts = {}
+            for name, use in uses.items():
+                use()
+                counts[name] = scene.rule.take()
+            scene.fill({InstanceId(f"s{number}") for number in range(servers)})
+            scene.client_choice()
+            counts["client while all are full"] = scene.rule.take()
+            return counts
+
+        return run(play())
+
+    def test_a_choice_of_thousands_looks_at_no_more_than_twice_as_many_as_one_of_thirty(self):
+        few = self.looked_at(*FLEETS[0])
+        for servers, daemons in FLEETS[1:]:
+            for use, count in self.looked_at(servers, daemons).items():
+                with self.subTest(servers=servers, use=use):
+                    self.assertLessEqual(count, 2 * few[use])
+
+    def test_all_servers_of_a_small_service_are_put_in_order(self):
+        async def play():
+            scene = Scene(ALL_LOOKED_AT, 370)
+            self.assertEqual(ALL_LOOKED_AT, len(scene.client_choice()))
+            self.assertEqual(ALL_LOOKED_AT, len(scene.balancer.candidates(PAGES, ITEM_WORK)))
+            self.assertEqual(
+                SLOTS * ALL_LOOKED_AT, survey(scene.balancer, PAGES, CLIENT_WORK).total
+            )
+
+        run(play())
+
+    def test_requests_go_to_a_few_servers_so_that_connections_to_them_are_used_again(self):
+        async def play():
+            scene = Scene()
+            firsts = {scene.client_choice()[0].id for _ in range(500)}
+            self.assertLessEqual(firsts, scene.subset)
+            self.assertLessEqual(len(firsts), 2 * LEAST_SUBSET)
+
+        run(play())
+
+    def test_items_may_go_to_any_server(self):
+        """An owner's items need more places than a subset has."""
+
+        async def play():
+            scene = Scene(300, 30)
+            found = {
+                info.id
+                for _ in range(100)
+                for info in scene.balancer.candidates(PAGES, ITEM_WORK)[:1]
+            }
+            self.assertGreater(len(found - scene.subset), len(found) / 2)
+
+        run(play())
+
+
+class OthersTest(unittest.TestCase):
+    """What happens when those that are looked at cannot serve."""
+
+    def test_others_are_tried_when_the_whole_subset_has_failed(self):
+        async def play():
+            scene = Scene()
+            scene.avoid(scene.subset)
+            self.assertNotIn(scene.client_choice()[0].id, scene.subset)
+
+        run(play())
+
+    def test_others_are_tried_when_the_whole_subset_is_full(self):
+        async def play():
+            scene = Scene()
+            scene.fill(scene.subset)
+            first = scene.client_choice()[0]
+            self.assertNotIn(first.id, scene.subset)
+            self.assertTrue(scene.balancer.has_place(first))
+
+        run(play())
+
+    def test_others_are_tried_when_the_whole_subset_was_tried(self):
+        async def play():
+            scene = Scene()
+            tried = scene.subset
+            chosen = scene.client_choice(exclude=tried)
+            self.assertTrue(chosen)
+            self.assertFalse({info.id for info in chosen} & tried)
+
+        run(play())
+
+    def test_subset_is_whole_again_when_all_its_servers_are_gone(self):
+        async def play():
+            scene = Scene(300, 30)
+            for name in scene.subset:
+                scene.directory.remove(name, sound=True)
+            self.assertTrue(scene.client_choice())
+            for name in scene.subset:
+                self.assertIsNotNone(scene.directory.get(name))
+
+        run(play())
+
+    def test_servers_that_have_failed_are_the_last_resort(self):
+        async def play():
+            scene = Scene()
+            scene.avoid({info.id for info in scene.directory.all()})
+            self.assertTrue(scene.client_choice())
+
+        run(play())
+
+    def test_few_allowed_servers_of_thousands_are_found(self):
+        """As three servers in the only region where the work may be served."""
+
+        async def play():
+            scene = Scene()
+            far = {f"s{number}" for number in (17, 170, 1700)} - scene.subset
+            for name in far:
+                scene.directory.update(make_instance(name, zone=FAR_ZONE))
+            work = replace(CLIENT_WORK, regions=frozenset({FAR}))
+            chosen = scene.balancer.candidates(PAGES, work, for_client=True)
+            self.assertEqual(far, {info.id for info in chosen})
+            self.assertEqual(SLOTS * len(far), survey(scene.balancer, PAGES, work).total)
+            self.assertFalse(scene.balancer.is_outside_regions(PAGES, work))
+
+        run(play())
+
+    def test_server_that_has_left_since_a_search_is_not_chosen(self):
+        async def play():
+            scene = Scene()
+            far = InstanceId(min({"s17", "s170"} - scene.subset))
+            scene.directory.update(make_instance(far, zone=FAR_ZONE))
+            work = replace(CLIENT_WORK, regions=frozenset({FAR}))
+            self.assertEqual([far], [info.id for info in scene.balancer.candidates(PAGES, work)])
+            scene.directory.remove(far, sound=True)
+            self.assertEqual([], scene.balancer.candidates(PAGES, work))
+
+        run(play())
+
+    def test_all_servers_are_searched_seldom_while_none_is_allowed(self):
+        async def play():
+            scene = Scene()
+            scene.rule.forbidden = {info.id for info in scene.directory.all()}
+            self.assertEqual([], scene.client_choice())
+            self.assertEqual(3200, scene.rule.take())
+            for _ in range(20):
+                self.assertEqual([], scene.client_choice())
+                self.assertEqual(0, survey(scene.balancer, PAGES, CLIENT_WORK).total)
+                self.assertLessEqual(scene.rule.take(), LOOKED_AT + LOOKED_FURTHER)
+            await LoopClock().sleep(SEARCH_LIFETIME_SECONDS)
+            scene.rule.forbidden.clear()
+            self.assertTrue(scene.client_choice())
+
+        run(play())
+
+
+class ItemTest(unittest.TestCase):
+    """Which engines of a large service are looked at for items."""
+
+    def test_only_engines_that_hold_the_model_are_looked_at(self):
+        async def play():
+            scene = Scene()
+            holders = {f"s{number}" for number in range(0, 3200, 40)}
+            for info in list(scene.directory.all()):
+                versions = {MODEL: 1 if info.id in holders else 0}
+                scene.directory.update(replace(info, versions=versions))
+            chosen = scene.balancer.candidates(PAGES, ITEM_WORK)
+            self.assertEqual(LOOKED_AT, len(chosen))
+            self.assertLessEqual({info.id for info in chosen}, holders)
+            scene.directory.observe_version(InstanceId("s1"), MODEL, 1)
+            self.assertIn("s1", scene.directory.index.holders(PAGES, MODEL))
+
+        run(play())
+
+    def test_only_engines_that_are_named_are_looked_at(self):
+        async def play():
+            scene = Scene()
+            own = frozenset(f"s{number}" for number in range(100, 250))
+            chosen = scene.balancer.candidates(PAGES, ITEM_WORK, within=own)
+            self.assertEqual(LOOKED_AT, len(chosen))
+            self.assertLessEqual({info.id for info in chosen}, own)
+
+        run(play())
+
+    def test_places_at_one_engine_in_fifty_are_found_in_a_few_passes(self):
+        """A pass over the queue is made each 30 ms."""
+
+        async def play():
+            scene = Scene()
+            free = {f"s{number}" for number in range(0, 3200, 50)}
+            scene.fill({info.id for info in scene.directory.all()} - free)
+            found = 0
+            for _ in range(20):
+                candidates = scene.balancer.candidates(PAGES, ITEM_WORK)
+                found += any(scene.balancer.has_place(info) for info in candidates)
+            self.assertGreaterEqual(found, 8)
+
+        run(play())
+
+
+class FleetTest(unittest.TestCase):
+    """Daemons before a service of which they look at some servers only."""
+
+    def test_batch_is_whole_though_a_third_of_the_engines_does_not_respond(self):
+        async def play():
+            fleet = PlatformFleet(gateways=3, engines=2 * ALL_LOOKED_AT)
+            await fleet.wait(1.0)
+            spec = make_batch(items=300)
+            await fleet.submit(spec)
+            await fleet.wait(0.3)
+            for number in range(0, 2 * ALL_LOOKED_AT, 3):
+                fleet.engines.engines[InstanceId(f"engine-{number}")].down = True
+            await fleet.wait(10.0)
+            check_results(self, spec, await fleet.read_all(fleet.gateways[0], spec.id))
+            for gateway in fleet.gateways:
+                sizes = gateway.balancer.subset_sizes()
+                self.assertEqual({ENGINES: 2 * ALL_LOOKED_AT}, sizes)  # three daemons serve all
+
+        run(play())
+
+
+class SurveyTest(unittest.TestCase):
+    """The places of a large service are those of some, scaled up."""
+
+    def test_places_of_some_stand_for_all(self):
+        async def play():
+            scene = Scene(1000, 100)
+            places = survey(scene.balancer, PAGES, CLIENT_WORK)
+            self.assertEqual((1000 * SLOTS, 0), (places.total, places.taken))
+            scene.fill(scene.subset)
+            full = survey(scene.balancer, PAGES, CLIENT_WORK)
+            self.assertEqual((1000 * SLOTS, 0), (full.total, full.free))
+
+        run(play())
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_forecast.py
+++ b/tests/test_forecast.py
@@ -484,7 +484,7 @@
 
     def surveyed(self):
         """Returns what a survey is made of."""
-        return self.directory, self.balancer, PAGES, CLIENT_WORK
+        return self.balancer, PAGES, CLIENT_WORK
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/tests/test_subset.py
@@ -0,0 +1,168 @@
+"""Subsets of daemons: every server is in enough of them, whichever daemons come and go."""
+
+import random
+import unittest
+from collections import Counter
+
+from larkpost.common.ids import DaemonId, InstanceId
+from larkpost.gateway.blackboard.configuration import ServiceName
+from larkpost.gateway.blackboard.service_index import ServiceIndex
+from larkpost.gateway.proxy.subset import (
+    LEAST_DAEMONS,
+    LEAST_SUBSET,
+    DaemonSubset,
+    DaemonSubsets,
+    daemons_a_server,
+    daemons_before,
+    seed_of,
+)
+from tests.server_parts import make_instance
+
+DAEMONS = frozenset(DaemonId(f"d{number}") for number in range(60))
+SERVERS = frozenset(InstanceId(f"s{number}") for number in range(400))
+SERVICE = ServiceName("pages")
+
+
+def new_subset(own: DaemonId, daemons: frozenset, servers: frozenset) -> DaemonSubset:
+    """Returns a daemon's subset as it is first made."""
+    subset = DaemonSubset(own)
+    subset.update(daemons, servers)
+    return subset
+
+
+def new_subsets(daemons: frozenset, servers: frozenset) -> dict[DaemonId, DaemonSubset]:
+    """Returns the subsets of daemons that know the same."""
+    return {own: new_subset(own, daemons, servers) for own in daemons}
+
+
+class SubsetCase(unittest.TestCase):
+    """Checks of subsets."""
+
+    def check_coverage(self, subsets: dict[DaemonId, DaemonSubset], servers: frozenset) -> None:
+        """Checks that each server is in as many subsets as it is to be in."""
+        counts = Counter(name for subset in subsets.values() for name in subset.ids)
+        wanted = daemons_a_server(len(subsets), len(servers))
+        self.assertEqual(dict.fromkeys(servers, wanted), dict(counts))
+
+
+class RuleTest(SubsetCase):
+    """How many daemons a server is for, and which."""
+
+    def test_daemons_a_server(self):
+        for daemons, servers, wanted in (
+            (1, 3200, 1),
+            (2, 3200, 2),
+            (30, 3200, LEAST_DAEMONS),  # few daemons: large subsets, but none without a server
+            (370, 3200, 3),
+            (300, 3000, 3),
+            (100, 1000, 3),
+            (370, 1600, 6),
+            (370, 300, 48),
+            (370, 0, 370),
+        ):
+            with self.subTest(daemons=daemons, servers=servers):
+                self.assertEqual(wanted, daemons_a_server(daemons, servers))
+
+    def test_subsets_are_as_large_as_they_are_to_be_on_average(self):
+        for daemons in (80, 200, 370):
+            for servers in (300, 1000, 3200):
+                mean = daemons_a_server(daemons, servers) * servers / daemons
+                self.assertGreaterEqual(mean, LEAST_SUBSET)
+                few = max(2 * LEAST_SUBSET, LEAST_DAEMONS * servers / daemons)
+                self.assertLessEqual(mean, few)
+
+    def test_no_more_daemons_are_asked_than_needed(self):
+        others = {name: seed_of(name) for name in DAEMONS - {"d0"}}
+        own = seed_of(DaemonId("d0"))
+        for server in SERVERS:
+            before = daemons_before(own, others, server, 3)
+            self.assertLessEqual(len(before), 3)
+            every = daemons_before(own, others, server, len(DAEMONS))
+            self.assertEqual(len(before) < 3, len(every) < 3)
+
+
+class CoverageTest(SubsetCase):
+    """Each server is in the same number of subsets."""
+
+    def test_every_server_is_in_enough_subsets(self):
+        self.check_coverage(new_subsets(DAEMONS, SERVERS), SERVERS)
+
+    def test_lone_daemon_has_all_servers(self):
+        subset = new_subset(DaemonId("d0"), frozenset(), SERVERS)
+        self.assertEqual(SERVERS, frozenset(subset.ids))
+
+    def test_daemon_that_is_not_counted_itself_has_a_subset_all_the_same(self):
+        """A daemon that leaves is not among those alive, but serves on until it has left."""
+        subset = new_subset(DaemonId("d0"), DAEMONS - {"d0"}, SERVERS)
+        self.assertEqual(set(new_subset(DaemonId("d0"), DAEMONS, SERVERS).ids), set(subset.ids))
+
+    def test_coverage_lasts_while_daemons_and_servers_come_and_go(self):
+        chance = random.Random(3)
+        daemons, servers = set(DAEMONS), set(SERVERS)
+        subsets = new_subsets(DAEMONS, SERVERS)
+        for step in range(12):
+            for gone in chance.sample(sorted(daemons), 3):
+                daemons.remove(gone)
+                del subsets[gone]
+            come = {DaemonId(f"new-{step}-{number}") for number in range(chance.randrange(6))}
+            daemons |= come
+            subsets |= {name: DaemonSubset(name) for name in come}
+            servers -= set(chance.sample(sorted(servers), 20))
+            servers |= {InstanceId(f"later-{step}-{number}") for number in range(15)}
+            for subset in subsets.values():
+                subset.update(frozenset(daemons), frozenset(servers))
+            self.check_coverage(subsets, frozenset(servers))
+            self.check_like_new(subsets, frozenset(daemons), frozenset(servers))
+
+    def check_like_new(self, subsets: dict, daemons: frozenset, servers: frozenset) -> None:
+        """Checks that subsets do not depend on how the fleet came to be as it is."""
+        for own in sorted(daemons)[:8]:
+            new = new_subset(own, daemons, servers)
+            self.assertEqual(set(new.ids), set(subsets[own].ids))
+
+    def test_one_daemon_less_changes_only_who_serves_its_servers(self):
+        subsets = new_subsets(DAEMONS, SERVERS)
+        before = {own: set(subset.ids) for own, subset in subsets.items()}
+        gone = DaemonId("d7")
+        lost = set(subsets.pop(gone).ids)
+        for own, subset in subsets.items():
+            subset.update(DAEMONS - {gone}, SERVERS)
+            self.assertLessEqual(before[own] ^ set(subset.ids), lost)
+            self.assertLessEqual(before[own], set(subset.ids))
+
+    def test_one_server_less_changes_nothing_else(self):
+        subsets = new_subsets(DAEMONS, SERVERS)
+        before = {own: set(subset.ids) for own, subset in subsets.items()}
+        for own, subset in subsets.items():
+            subset.update(DAEMONS, SERVERS - {"s5"})
+            self.assertEqual(before[own] - {"s5"}, set(subset.ids))
+
+
+class UpdateTest(unittest.TestCase):
+    """Subsets follow the index and the members without being told."""
+
+    def test_subset_follows_what_is_listed_and_who_is_alive(self):
+        index = ServiceIndex()
+        alive = [DAEMONS]
+        subsets = DaemonSubsets(DaemonId("d0"), lambda: alive[0])
+        for name in sorted(SERVERS):
+            index.put(make_instance(name, SERVICE), ())
+        first = set(subsets.ids(SERVICE, index))
+        self.assertEqual(set(new_subset(DaemonId("d0"), DAEMONS, SERVERS).ids), first)
+        index.drop(min(first))
+        self.assertEqual(first - {min(first)}, set(subsets.ids(SERVICE, index)))
+        alive[0] = frozenset({"d0"})
+        self.assertEqual(len(SERVERS) - 1, len(subsets.ids(SERVICE, index)))
+
+    def test_nothing_is_worked_out_again_while_nothing_comes_or_goes(self):
+        index = ServiceIndex()
+        subsets = DaemonSubsets(DaemonId("d0"), lambda: DAEMONS)
+        index.put(make_instance("s0", SERVICE), ())
+        subsets.ids(SERVICE, index)
+        generation = index.generation(SERVICE)
+        index.put(make_instance("s0", SERVICE), ("m",))
+        self.assertEqual(generation, index.generation(SERVICE))
+
+
+if __name__ == "__main__":
+    unittest.main()
