Large services: others are found when the few allowed servers looked at cannot serve

Cause: a choice searched a whole service only if none of those looked at was open to the work. With one open (a region with three servers of 3,200, one of them in the subset) that was tried or full, a dozen others were drawn of all, nearly never an allowed one: no server was found, and the survey said that no place was free. A search stopped at 40 instances, and its count of places did too. For items it went through the whole service, not the engines that the caller had named.

Change: searched if fewer than LEAST_OPEN are open, and if no candidate is left at all; a search goes through what the look was drawn from, and its count is scaled by how much it went through.

--- a/src/larkpost/gateway/proxy/balancer.py
+++ b/src/larkpost/gateway/proxy/balancer.py
@@ -32,7 +32,7 @@
 )
 from larkpost.gateway.proxy.paces import Paces
 from larkpost.gateway.proxy.peer_use import PeerUses
-from larkpost.gateway.proxy.server_pool import Look, ServerPool
+from larkpost.gateway.proxy.server_pool import LEAST_OPEN, Look, ServerPool
 from larkpost.gateway.proxy.subset import DaemonSubsets
 from larkpost.gateway.servers.port import NotRunError, NotRunReason, ServerLoad
 
@@ -149,6 +149,9 @@
         if look.is_partial and not any(self._may_take_now(info) for info in fitting):
             further = self._pool.look_further(service, look)
             fitting += [info for info in further if is_fitting(info)]
+        if look.is_partial and not fitting:
+            found = self._search(service, work, within, look).instances
+            fitting = [info for info in found if is_fitting(info)]
         return self._order.ranked(service, fitting, for_client=for_client)
 
     def look(
@@ -156,15 +159,17 @@
     ) -> Look:
         """Returns the instances of a service that a choice for a piece of work looks at.
 
-        One of them at least is open to the work, if the service has any that is.
+        `LEAST_OPEN` of them at least are open to the work, if there are as many that are.
 
         Args:
             within: the only instances of a large service to look at; None for any.
         """
         look = self._pool.look(service, work, within)
-        if look.is_partial and not any(self._is_open(info, work) for info in look.instances):
-            return self._pool.search(service, work, lambda info: self._is_open(info, work))
-        return look
+        if not look.is_partial:
+            return look
+        if sum(self._is_open(info, work) for info in look.instances) >= LEAST_OPEN:
+            return look
+        return self._search(service, work, within, look)
 
     def subset_sizes(self) -> dict[ServiceName, int]:
         """Returns how many instances of each large service this daemon's requests go to."""
@@ -314,6 +319,14 @@
         self._own.of(instance).is_refusing = is_full
         self.avoid(instance, full_seconds if is_full else UNREACHABLE_AVOID_SECONDS)
 
+    def _search(
+        self, service: ServiceName, work: Work, within: frozenset[InstanceId] | None, look: Look
+    ) -> Look:
+        """Returns instances open to the work, of all that might have been looked at."""
+        return self._pool.search(
+            service, work, within, look, lambda info: self._is_open(info, work)
+        )
+
     def _is_open(self, info: InstanceInfo, work: Work) -> bool:
         """Returns whether placement allows work at an instance, now or once it is warm."""
         verdict = self._placement.judge(info, work)
--- a/src/larkpost/gateway/proxy/server_pool.py
+++ b/src/larkpost/gateway/proxy/server_pool.py
@@ -12,7 +12,6 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from functools import lru_cache
-from itertools import islice
 
 from larkpost.common.clock import Clock
 from larkpost.common.ids import InstanceId
@@ -28,6 +27,9 @@
 LOOKED_FURTHER = 12
 """Others that it looks at if none of those has a place. Of a dozen drawn at random one has, unless
 nearly all are full."""
+LEAST_OPEN = 4
+"""Instances open to the work that a choice looks at, if there are as many: with fewer, all of them
+may have been tried or be full while others could serve."""
 SEARCH_LIFETIME_SECONDS = 0.25
 """How long it is believed which instances a search of a whole service has found."""
 DRAWN_FROM = 64
@@ -58,6 +60,24 @@
         return self.total / len(self.instances) if self.instances else 1.0
 
 
+@dataclass(frozen=True, slots=True)
+class _Search:
+    """What a search has found.
+
+    Attributes:
+        at: when, in seconds of the clock.
+        scale: how many wanted instances each of those found stands for, without unit.
+    """
+
+    at: float
+    ids: list[InstanceId]
+    scale: float
+
+
+_SearchKey = tuple[ServiceName, Work, frozenset[InstanceId] | None]
+"""The service, the work, and the only instances that were searched."""
+
+
 @lru_cache(maxsize=DRAWN_FROM)
 def _numbered(instances: frozenset[InstanceId]) -> tuple[InstanceId, ...]:
     return tuple(sorted(instances))
@@ -81,7 +101,7 @@
         self._clock = clock
         self._chance = chance
         self._subsets = subsets
-        self._searches: dict[tuple[ServiceName, Work], tuple[float, list[InstanceId]]] = {}
+        self._searches: dict[_SearchKey, _Search] = {}
 
     def look(
         self, service: ServiceName, work: Work, within: frozenset[InstanceId] | None = None
@@ -109,31 +129,52 @@
         return [info for info in drawn if info.id not in seen]
 
     def search(
-        self, service: ServiceName, work: Work, is_wanted: Callable[[InstanceInfo], bool]
+        self,
+        service: ServiceName,
+        work: Work,
+        within: frozenset[InstanceId] | None,
+        look: Look,
+        is_wanted: Callable[[InstanceInfo], bool],
     ) -> Look:
-        """Returns instances that are wanted, found by looking at all if need be; seldom anew."""
+        """Returns instances that are wanted, found by looking at all if need be; seldom anew.
+
+        Args:
+            look: what was looked at for the same arguments; the search goes through its others.
+        """
         now = self._clock.now()
-        known = self._searches.get((service, work))
-        if known is None or now - known[0] >= SEARCH_LIFETIME_SECONDS:
-            known = (now, self._find(service, is_wanted))
+        key = (service, work, within)
+        known = self._searches.get(key)
+        if known is None or now - known.at >= SEARCH_LIFETIME_SECONDS:
+            known = self._find(service, look.others, is_wanted)
             self._forget_searches(now)
-            self._searches[service, work] = known
+            self._searches[key] = known
         index = self._directory.index
-        found = [info for name in known[1] if (info := index.get(service, name)) is not None]
-        return Look(found, len(found))
+        found = [info for name in known.ids if (info := index.get(service, name)) is not None]
+        return Look(found, round(len(found) * known.scale))
 
     def _find(
-        self, service: ServiceName, is_wanted: Callable[[InstanceInfo], bool]
-    ) -> list[InstanceId]:
-        """Returns the ids of up to `LOOKED_AT` instances that are wanted."""
-        in_no_order = self._draw(service, self._directory.index.ids(service))
-        return [info.id for info in islice(filter(is_wanted, in_no_order), LOOKED_AT)]
+        self,
+        service: ServiceName,
+        searched: Sequence[InstanceId],
+        is_wanted: Callable[[InstanceInfo], bool],
+    ) -> _Search:
+        """Goes through instances in no order until `LOOKED_AT` are found that are wanted."""
+        in_no_order = self._draw(service, searched)
+        found: list[InstanceId] = []
+        judged = 0
+        for info in in_no_order:
+            judged += 1
+            if is_wanted(info):
+                found.append(info.id)
+            if len(found) == LOOKED_AT:
+                break
+        return _Search(self._clock.now(), found, len(in_no_order) / max(1, judged))
 
     def _forget_searches(self, now: float) -> None:
         self._searches = {
             key: known
             for key, known in self._searches.items()
-            if now - known[0] < SEARCH_LIFETIME_SECONDS
+            if now - known.at < SEARCH_LIFETIME_SECONDS
         }
 
     def subset_sizes(self) -> dict[ServiceName, int]:
--- a/tests/platform_mutants.py
+++ b/tests/platform_mutants.py
@@ -544,6 +544,13 @@
     return mock.patch.object(ServerPool, "look_further", lambda *_: [])
 
 
+def be_content_with_one_open_server():
+    """Searches no others while one of those looked at is open to the work, tried or full."""
+    from larkpost.gateway.proxy import balancer
+
+    return mock.patch.object(balancer, "LEAST_OPEN", 1)
+
+
 MUTANTS = {
     mutant.__name__: mutant
     for mutant in (
@@ -602,6 +609,7 @@
         look_at_all_servers,
         keep_servers_of_daemons_that_are_gone,
         stay_with_the_subset,
+        be_content_with_one_open_server,
     )
 }
 TESTS = dict.fromkeys(MUTANTS, FUZZ) | {
@@ -653,6 +661,7 @@
     "look_at_all_servers": "tests.test_bounded_choice",
     "keep_servers_of_daemons_that_are_gone": "tests.test_subset",
     "stay_with_the_subset": "tests.test_bounded_choice",
+    "be_content_with_one_open_server": "tests.test_bounded_choice",
 }
 EXPECTED_CHECKS = {
     "ignore_permits": ("while cold",),
--- a/tests/test_bounded_choice.py
+++ b/tests/test_bounded_choice.py
@@ -33,6 +33,8 @@
 ITEM_WORK = Work(WorkKind.ITEM, model=MODEL, minimum_version=1)
 FLEETS = ((30, 4), (300, 30), (1000, 100), (3200, 370))
 """Servers of one service, and daemons."""
+NAMES = tuple(InstanceId(f"s{number}") for number in range(3200))
+"""The servers of a scene, unless it has fewer."""
 OWN = DaemonId("d0")
 HOME, FAR = RegionId("home"), RegionId("far")
 HOME_ZONE, FAR_ZONE = ZoneId("home-a"), ZoneId("far-a")
@@ -233,6 +235,70 @@
 
         run(play())
 
+    def test_others_are_found_when_the_only_allowed_server_of_a_subset_cannot_serve(self):
+        """As three servers in the only region where the work may be served, one in the subset."""
+
+        async def play():
+            scene = Scene()
+            near = min(scene.subset)
+            others = set(sorted(set(NAMES) - scene.subset)[:2])
+            for name in {near} | others:
+                scene.directory.update(make_instance(name, zone=FAR_ZONE))
+            work = replace(CLIENT_WORK, regions=frozenset({FAR}))
+            tried = scene.balancer.candidates(PAGES, work, exclude={near}, for_client=True)
+            self.assertEqual(others, {info.id for info in tried})
+            scene.fill({near})
+            first = scene.balancer.candidates(PAGES, work, for_client=True)[0]
+            self.assertIn(first.id, others)
+            self.assertEqual(SLOTS * len(others), survey(scene.balancer, PAGES, work).free)
+
+        run(play())
+
+    def test_others_are_found_when_all_allowed_servers_of_a_subset_were_tried(self):
+        """As a region with 40 servers of 3,200, five of them in the subset."""
+
+        async def play():
+            scene = Scene()
+            tried = set(sorted(scene.subset)[:5])
+            others = set(sorted(set(NAMES) - scene.subset)[:35])
+            for name in tried | others:
+                scene.directory.update(make_instance(name, zone=FAR_ZONE))
+            work = replace(CLIENT_WORK, regions=frozenset({FAR}))
+            for _ in range(20):
+                chosen = scene.balancer.candidates(PAGES, work, exclude=tried, for_client=True)
+                self.assertTrue(chosen)
+                self.assertLessEqual({info.id for info in chosen}, others)
+
+        run(play())
+
+    def test_places_found_by_a_search_stand_for_all_that_are_allowed(self):
+        """As a region with 320 servers of 3,200, of which a search finds the first few dozen."""
+
+        async def play():
+            scene = Scene()
+            far = sorted(set(NAMES) - scene.subset)[::9][:320]
+            for name in far:
+                scene.directory.update(make_instance(name, zone=FAR_ZONE))
+            work = replace(CLIENT_WORK, regions=frozenset({FAR}))
+            total = survey(scene.balancer, PAGES, work).total
+            self.assertGreater(total, SLOTS * len(far) / 2)
+            self.assertLess(total, SLOTS * len(far) * 2)
+
+        run(play())
+
+    def test_search_for_items_stays_within_the_engines_that_are_named(self):
+        async def play():
+            scene = Scene()
+            for start in range(0, 1500, 150):
+                own, allowed = frozenset(NAMES[start : start + 150]), set(NAMES[start : start + 2])
+                scene.rule.forbidden = set(NAMES[:1500]) - allowed
+                chosen = scene.balancer.candidates(PAGES, ITEM_WORK, within=own)
+                self.assertEqual(allowed, {info.id for info in chosen})
+            everywhere = scene.balancer.candidates(PAGES, ITEM_WORK)
+            self.assertGreater(len({info.id for info in everywhere} - own), 2)
+
+        run(play())
+
     def test_server_that_has_left_since_a_search_is_not_chosen(self):
         async def play():
             scene = Scene()
