Large services: a look stops judging once enough servers are open; names; a stricter test

The check whether a search is needed judged all instances looked at; it stops at LEAST_OPEN. Look.others held the instances looked at as well, and is now Look.possible; sorted ids are called so.

test_nothing_is_worked_out_again_while_nothing_comes_or_goes asked the index only, and passed whatever the subsets did: it now checks that no subset is worked out again, and that one is when a server comes.

--- a/src/larkpost/gateway/proxy/balancer.py
+++ b/src/larkpost/gateway/proxy/balancer.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable, Collection, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass
+from itertools import islice
 
 from larkpost.common.clock import Clock
 from larkpost.common.distance import Distance
@@ -167,7 +168,8 @@
         look = self._pool.look(service, work, within)
         if not look.is_partial:
             return look
-        if sum(self._is_open(info, work) for info in look.instances) >= LEAST_OPEN:
+        are_open = (info for info in look.instances if self._is_open(info, work))
+        if len(list(islice(are_open, LEAST_OPEN))) == LEAST_OPEN:
             return look
         return self._search(service, work, within, look)
 
--- a/src/larkpost/gateway/proxy/server_pool.py
+++ b/src/larkpost/gateway/proxy/server_pool.py
@@ -32,8 +32,8 @@
 may have been tried or be full while others could serve."""
 SEARCH_LIFETIME_SECONDS = 0.25
 """How long it is believed which instances a search of a whole service has found."""
-DRAWN_FROM = 64
-"""Sets of instances of which the numbered form is kept."""
+KEPT_SORTED_SETS = 64
+"""Sets of instances of which the sorted ids are kept."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,17 +42,17 @@
 
     Attributes:
         total: how many they stand for, themselves among them.
-        others: what more may be looked at; none if these are all.
+        possible: all that may be looked at, themselves among them; none if these are all.
     """
 
     instances: list[InstanceInfo]
     total: int
-    others: Sequence[InstanceId] = ()
+    possible: Sequence[InstanceId] = ()
 
     @property
     def is_partial(self) -> bool:
         """Whether there are others that may be looked at."""
-        return len(self.others) > len(self.instances)
+        return len(self.possible) > len(self.instances)
 
     @property
     def scale(self) -> float:
@@ -78,8 +78,8 @@
 """The service, the work, and the only instances that were searched."""
 
 
-@lru_cache(maxsize=DRAWN_FROM)
-def _numbered(instances: frozenset[InstanceId]) -> tuple[InstanceId, ...]:
+@lru_cache(maxsize=KEPT_SORTED_SETS)
+def _sorted_ids(instances: frozenset[InstanceId]) -> tuple[InstanceId, ...]:
     return tuple(sorted(instances))
 
 
@@ -125,7 +125,7 @@
     def look_further(self, service: ServiceName, look: Look) -> list[InstanceInfo]:
         """Returns some of the others."""
         seen = {info.id for info in look.instances}
-        drawn = self._draw(service, look.others, LOOKED_FURTHER)
+        drawn = self._draw(service, look.possible, LOOKED_FURTHER)
         return [info for info in drawn if info.id not in seen]
 
     def search(
@@ -139,13 +139,13 @@
         """Returns instances that are wanted, found by looking at all if need be; seldom anew.
 
         Args:
-            look: what was looked at for the same arguments; the search goes through its others.
+            look: what was looked at for the same arguments; the search goes through all possible.
         """
         now = self._clock.now()
         key = (service, work, within)
         known = self._searches.get(key)
         if known is None or now - known.at >= SEARCH_LIFETIME_SECONDS:
-            known = self._find(service, look.others, is_wanted)
+            known = self._find(service, look.possible, is_wanted)
             self._forget_searches(now)
             self._searches[key] = known
         index = self._directory.index
@@ -192,7 +192,7 @@
         self, service: ServiceName, work: Work, within: frozenset[InstanceId] | None
     ) -> Sequence[InstanceId]:
         if within is not None:
-            return _numbered(within)
+            return _sorted_ids(within)
         index = self._directory.index
         if work.model is None or not work.minimum_version:
             return index.ids(service)
--- a/tests/test_subset.py
+++ b/tests/test_subset.py
@@ -3,6 +3,7 @@
 import random
 import unittest
 from collections import Counter
+from unittest import mock
 
 from larkpost.common.ids import DaemonId, InstanceId
 from larkpost.gateway.blackboard.configuration import ServiceName
@@ -160,8 +161,14 @@
         index.put(make_instance("s0", SERVICE), ())
         subsets.ids(SERVICE, index)
         generation = index.generation(SERVICE)
-        index.put(make_instance("s0", SERVICE), ("m",))
-        self.assertEqual(generation, index.generation(SERVICE))
+        with mock.patch.object(DaemonSubset, "update") as update:
+            index.put(make_instance("s0", SERVICE), ("m",))
+            subsets.ids(SERVICE, index)
+            update.assert_not_called()
+            self.assertEqual(generation, index.generation(SERVICE))
+            index.put(make_instance("s1", SERVICE), ())
+            subsets.ids(SERVICE, index)
+            update.assert_called_once()
 
 
 if __name__ == "__main__":
