--- a/src/larkpost/gateway/__init__.py
+++ b/src/larkpost/gateway/__init__.py
@@ -16,11 +16,12 @@
 - `servers`: the port to the servers that run requests.
 - `store`: the port to the platform's store, and how its tables are followed.
 - `usage`, `scaling`: reports of what tenants used, and of how many servers the demand takes.
+- `memory`: how many bytes are held for others, and who gives way when it is too many.
 - `observability`: the log and the metrics, and the commands that read the log.
 - `assembly`, `daemon`: how a daemon is put together.
 
 A folder imports nothing of those that stand after it in this order: `larkpost.common`,
-`observability`, `store`, `blackboard`, `servers`, `controllers`, `usage`, `placement`,
+`observability`, `memory`, `store`, `blackboard`, `servers`, `controllers`, `usage`, `placement`,
 `quarantine`, `proxy`, `rollouts`, `scaling`, `assembly`, `daemon`. `usage` stands above
 `controllers`, as reports are sent under leases and by true time; `proxy` needs only its counter.
 """
--- a/src/larkpost/gateway/assembly/environment.py
+++ b/src/larkpost/gateway/assembly/environment.py
@@ -8,6 +8,7 @@
 from larkpost.gateway.blackboard.cold_instances import ColdTerms
 from larkpost.gateway.blackboard.regions import RegionMap
 from larkpost.gateway.controllers.row_intake import RowReaders
+from larkpost.gateway.memory.sizing import budget_of
 from larkpost.gateway.observability.eventlog import EventLog
 from larkpost.gateway.observability.metrics import Metrics
 from larkpost.gateway.scaling.port import ScalingMode, ScalingPort
@@ -33,6 +34,7 @@
         usage: what is agreed about usage reports; None if there are none.
         regions: where the deployment's zones lie, seen from this daemon's.
         cold: what is agreed about cold instances; None if they have no limits.
+        memory_bytes: the most memory that the daemon may use; None if there is no limit.
     """
 
     machine: str
@@ -46,6 +48,12 @@
     usage: UsageTerms | None = None
     regions: RegionMap = field(default_factory=RegionMap)
     cold: ColdTerms | None = None
+    memory_bytes: int | None = None
+
+    @property
+    def byte_budget(self) -> int | None:
+        """The most bytes that the daemon may hold for others; None if there is no limit."""
+        return budget_of(self.memory_bytes)
 
 
 @dataclass(slots=True)
--- a/src/larkpost/gateway/assembly/gauges.py
+++ b/src/larkpost/gateway/assembly/gauges.py
@@ -7,6 +7,7 @@
 from larkpost.gateway.blackboard.lifecycle import Lifecycle
 from larkpost.gateway.controllers.feeds import Feeds
 from larkpost.gateway.controllers.members import Membership
+from larkpost.gateway.memory.daemon_memory import DaemonMemory
 from larkpost.gateway.observability.metrics import Level, Metrics
 from larkpost.gateway.placement.cold_rule import ColdRule
 from larkpost.gateway.proxy.balancer import Balancer
@@ -32,6 +33,7 @@
     keeper: BatchKeeper
     loop_watch: LoopWatch
     relay: RelayedStore | None
+    memory: DaemonMemory
 
     def update(self) -> None:
         """Sets all gauges."""
@@ -39,6 +41,7 @@
         self._set_instances()
         self._set_fleet()
         self._set_work()
+        self.memory.set_gauges()
 
     def _set_knowledge(self) -> None:
         """Sets the gauges of the configuration, the feeds and the crashes."""
--- a/src/larkpost/gateway/daemon.py
+++ b/src/larkpost/gateway/daemon.py
@@ -1,6 +1,7 @@
 """One daemon on the platform: its groups of parts, and its start and planned stop.
 
 blackboard            what it knows of the world; controllers write it, everything else reads it
+memory                how many bytes it may hold for others
 placement             whether work may go to an instance, and which instance is best
 membership            which daemons are alive, and what the time is
 quarantine            which requests crash servers; the way to servers for all others
@@ -26,6 +27,7 @@
 from larkpost.gateway.controllers.heartbeat_writer import OwnDaemon
 from larkpost.gateway.controllers.members import Membership
 from larkpost.gateway.controllers.true_time import ClockOffset, TrueTime
+from larkpost.gateway.memory.daemon_memory import DaemonMemory
 from larkpost.gateway.observability.eventlog import Event
 from larkpost.gateway.observability.instruments import Instruments
 from larkpost.gateway.placement.cold_rule import POLL_SECONDS, ColdRule
@@ -83,7 +85,7 @@
         self.blackboard = Blackboard(settings.regions)
         self.configuration = self.blackboard.configuration
         self.directory = self.blackboard.directory
-        self.targets = self.blackboard.targets
+        self.memory = DaemonMemory(settings.byte_budget, self._instruments, ports.chance)
         self._make_placement()
         self._make_membership()
         self._make_quarantine()
@@ -200,7 +202,7 @@
             self.blackboard.crashes,
         )
         repository = BatchRepository(ports.store, ports.clock)
-        views = ViewCache()
+        views = ViewCache(self.memory.budget)
         self.keeper = BatchKeeper(
             repository, self.membership, services, views, self._batch_lifetime
         )
@@ -219,12 +221,9 @@
         self._cold_senders.follow(self.keeper.open_owners, self.membership, self._feeds.heads)
 
     def _make_admission(self) -> None:
+        ports = self._ports
         self.admission = Admission(
-            self.configuration,
-            self._feeds.operator_age,
-            self._apply_time,
-            self._ports.log,
-            self._ports.metrics,
+            self.configuration, self._feeds.operator_age, self._apply_time, ports.log, ports.metrics
         )
 
     def _make_leased_controllers(self) -> None:
@@ -255,6 +254,7 @@
             self.keeper,
             self._loop_watch,
             self._ports.relay,
+            self.memory,
         )
 
     def start(self) -> None:
--- /dev/null
+++ b/src/larkpost/gateway/memory/budget.py
@@ -0,0 +1,160 @@
+"""The bytes that one daemon holds for others, by purpose, and the most that it may hold.
+
+Pure: whoever holds bytes reserves them here first. Answers are held in full as far as they leave
+room to others; see `ByteBudget.share`.
+"""
+
+import math
+import random
+from collections.abc import Callable
+from enum import StrEnum
+
+from larkpost.common.errors import LarkpostError
+
+SHARES = 8
+"""One answer may hold as much as this part of what is free, so that the next one always finds some
+room."""
+LEAST_SHARE_BYTES = 65536
+"""One answer may hold as much as this, however little is free, so that each can go on."""
+SHORT_SHARE = 0.5
+"""Room is short once less than this share of the budget is free."""
+RETRY_AFTER_SECONDS = 0.3
+"""What a caller is asked to wait at least; up to twice as long, so that they return one by one."""
+
+
+class Purpose(StrEnum):
+    """What bytes are held for."""
+
+    REQUEST_BODIES = "request_bodies"  # read, until the request is answered
+    SUBMISSIONS = "submissions"  # batches while they are read and written to the store
+    ANSWERS = "answers"  # whole, from their server until their client has taken them
+    STREAMS = "streams"  # read from their server before their client takes them
+    PAGES = "pages"  # results and bodies of batches that clients have asked for
+    BATCHES = "batches"  # items and results of batches that are run or were read here
+    RELAYED_CALLS = "relayed_calls"  # calls to the store for other daemons
+
+
+class NoRoomError(LarkpostError):
+    """The daemon may hold no more bytes now; the request did not run and will not."""
+
+    code = "no_room"
+    status = 503
+    remedy = "Ask again after the time in Retry-After, or another daemon."
+
+
+class ByteBudget:
+    """Counts the bytes that are held, and reserves more while there is room.
+
+    Attributes:
+        limit: the most bytes that may be held together; None if there is no limit.
+        on_refusal: told which reservation could not grow, and by how many bytes.
+    """
+
+    def __init__(self, limit: int | None = None, chance: random.Random | None = None) -> None:
+        self.limit = limit
+        self.on_refusal: Callable[[Reservation, int], None] = lambda *_: None
+        self._chance = chance or random.Random()
+        self._held = dict.fromkeys(Purpose, 0)
+
+    @property
+    def total(self) -> int:
+        """The bytes held for all purposes."""
+        return sum(self._held.values())
+
+    @property
+    def free(self) -> float:
+        """The bytes that may still be reserved; infinite without a limit."""
+        return max(0, self.limit - self.total) if self.limit is not None else math.inf
+
+    @property
+    def is_short(self) -> bool:
+        """Whether so little is free that slow clients must give way."""
+        return self.limit is not None and self.free < self.limit * SHORT_SHARE
+
+    @property
+    def share(self) -> float:
+        """The most bytes that one answer may hold now; infinite without a limit."""
+        return max(LEAST_SHARE_BYTES, self.free / SHARES)
+
+    def held(self, purpose: Purpose) -> int:
+        """Returns the bytes held for a purpose."""
+        return self._held[purpose]
+
+    def reserve(self, purpose: Purpose, size: int = 0, owner: str = "") -> "Reservation":
+        """Reserves bytes.
+
+        Args:
+            owner: for whom, for logs.
+
+        Raises:
+            NoRoomError: there is no room for them.
+        """
+        reservation = Reservation(self, purpose, owner)
+        reservation.grow(size)
+        return reservation
+
+    def record_kept(self, purpose: Purpose, size: int) -> None:
+        """Records all that is held for a purpose of which nothing is reserved."""
+        self._held[purpose] = size
+
+    def no_room(self, size: int) -> NoRoomError:
+        """Returns the error of a reservation that finds no room."""
+        wait = RETRY_AFTER_SECONDS * (1 + self._chance.random())
+        return NoRoomError(f"no room for {size} bytes", retry_after=round(wait, 3))
+
+    def add(self, purpose: Purpose, size: int) -> None:
+        """Counts bytes of a reservation, fewer if negative."""
+        self._held[purpose] += size
+
+
+class Reservation:
+    """Bytes held for one purpose; a context manager that releases them at its end.
+
+    Attributes:
+        size: bytes reserved now.
+    """
+
+    def __init__(self, budget: ByteBudget, purpose: Purpose, owner: str = "") -> None:
+        self._budget = budget
+        self.purpose = purpose
+        self.owner = owner
+        self.size = 0
+
+    def fits(self, size: int) -> bool:
+        """Returns whether there is room for so many bytes more."""
+        return size <= self._budget.free
+
+    def fits_share(self, size: int) -> bool:
+        """Returns whether so many bytes more leave room to others; see `ByteBudget.share`."""
+        return self.size + size <= self._budget.share
+
+    def grow(self, size: int) -> None:
+        """Reserves more bytes.
+
+        Raises:
+            NoRoomError: there is no room for them; what was reserved stays so.
+        """
+        if size > 0 and not self.fits(size):
+            self._budget.on_refusal(self, size)
+            raise self._budget.no_room(size)
+        self.grow_anyway(size)
+
+    def grow_anyway(self, size: int) -> None:
+        """Counts bytes that are held already, whether there is room or not."""
+        self._budget.add(self.purpose, size)
+        self.size += size
+
+    def shrink(self, size: int) -> None:
+        """Releases a part of the bytes."""
+        self._budget.add(self.purpose, -size)
+        self.size -= size
+
+    def release(self) -> None:
+        """Releases all bytes."""
+        self.shrink(self.size)
+
+    def __enter__(self) -> "Reservation":
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.release()
--- /dev/null
+++ b/src/larkpost/gateway/memory/daemon_memory.py
@@ -0,0 +1,158 @@
+"""The memory of one daemon that is held for others: its budget and the clients that are behind.
+
+Owns which client is cut when room is short; `slow_readers.py` says which.
+"""
+
+import random
+from collections.abc import Iterator
+from contextlib import contextmanager
+from enum import StrEnum
+
+from larkpost.common.clock import LoopClock
+from larkpost.gateway.memory.budget import ByteBudget, Purpose, Reservation
+from larkpost.gateway.memory.delivery import Delivery, Outlet
+from larkpost.gateway.memory.slow_readers import slowest_reader
+from larkpost.gateway.observability.eventlog import Event, EventLog
+from larkpost.gateway.observability.instruments import Instruments
+from larkpost.gateway.observability.metrics import Count, Level
+
+
+class CutReason(StrEnum):
+    """Why a client's connection was cut."""
+
+    SLOWEST = "slowest"  # memory was short, and it took its answer slowest
+    STALLED = "stalled"  # it took nothing for long
+
+
+class RequestMemory:
+    """What is held for one request of a client; released at its end.
+
+    Attributes:
+        owner: the request's id, for logs.
+    """
+
+    def __init__(self, budget: ByteBudget | None = None) -> None:
+        self._budget = budget if budget is not None else ByteBudget()
+        self._reservations: list[Reservation] = []
+        self.owner = ""
+
+    @property
+    def is_limited(self) -> bool:
+        """Whether there is a limit on what may be held."""
+        return self._budget.limit is not None
+
+    @property
+    def size(self) -> int:
+        """The bytes held for the request."""
+        return sum(reservation.size for reservation in self._reservations)
+
+    def reserve(self, purpose: Purpose, size: int = 0) -> Reservation:
+        """Reserves bytes, at most until the request's end.
+
+        Raises:
+            NoRoomError: there is no room for them.
+        """
+        reservation = self._budget.reserve(purpose, size, self.owner)
+        self._reservations.append(reservation)
+        return reservation
+
+    def keep_only(self, purpose: Purpose, size: int) -> None:
+        """Releases all but so many bytes, which are held already."""
+        self.release()
+        self.reserve(purpose).grow_anyway(size)
+
+    def release(self) -> None:
+        """Releases all that is held for the request."""
+        for reservation in self._reservations:
+            reservation.release()
+
+
+class DaemonMemory:
+    """What one daemon holds for others.
+
+    Args:
+        limit: the most bytes; None if there is no limit.
+    """
+
+    def __init__(
+        self, limit: int | None, instruments: Instruments, chance: random.Random | None = None
+    ) -> None:
+        self.budget = ByteBudget(limit, chance)
+        self.budget.on_refusal = self._record_refusal
+        self._instruments = instruments
+        self._behind: dict[Delivery, str] = {}
+
+    @property
+    def is_limited(self) -> bool:
+        """Whether there is a limit on what may be held."""
+        return self.budget.limit is not None
+
+    @contextmanager
+    def request(self) -> Iterator[RequestMemory]:
+        """Holds bytes for one request, until its end."""
+        memory = RequestMemory(self.budget)
+        try:
+            yield memory
+        finally:
+            memory.release()
+
+    @contextmanager
+    def delivery(self, outlet: Outlet, memory: RequestMemory) -> Iterator[Delivery]:
+        """Follows the answer to a request on its way to the client."""
+        delivery = Delivery(
+            outlet,
+            self._instruments.clock,
+            lambda: memory.size,
+            lambda behind: self._behind.setdefault(behind, memory.owner),
+            lambda stalled: self._record_cut(stalled, CutReason.STALLED),
+        )
+        try:
+            yield delivery
+        finally:
+            self._behind.pop(delivery, None)
+
+    def relieve(self) -> None:
+        """Cuts the client that takes its answer slowest, if one is slow."""
+        slowest = slowest_reader(
+            {behind: behind.pace() for behind in self._behind if not behind.is_cut}
+        )
+        if slowest is not None:
+            self._record_cut(slowest, CutReason.SLOWEST)
+            slowest.cut()
+
+    def set_gauges(self) -> None:
+        """Sets the gauges of what is held."""
+        metrics = self._instruments.metrics
+        for purpose in Purpose:
+            metrics.set(Level.BYTES_HELD, self.budget.held(purpose), purpose)
+        metrics.set(Level.BYTES_LIMIT, self.budget.limit or 0)
+
+    def _record_refusal(self, reservation: Reservation, size: int) -> None:
+        """Records that there was no room, and makes some if a client is slow."""
+        self._instruments.metrics.count(Count.NO_ROOM, reservation.purpose)
+        self._instruments.log.record(
+            Event.NO_ROOM,
+            request=reservation.owner,
+            purpose=reservation.purpose,
+            bytes=size,
+            held=self.budget.total,
+            limit=self.budget.limit,
+        )
+        self.relieve()
+
+    def _record_cut(self, delivery: Delivery, reason: CutReason) -> None:
+        pace = delivery.pace()
+        self._instruments.metrics.count(Count.READERS_CUT, reason)
+        self._instruments.log.record(
+            Event.READER_CUT,
+            request=self._behind.get(delivery, ""),
+            reason=reason,
+            held=pace.held,
+            taken=pace.taken,
+            seconds=round(pace.seconds, 3),
+        )
+
+
+def unlimited_memory() -> DaemonMemory:
+    """Returns the memory of a daemon without a limit, that records nothing."""
+    return DaemonMemory(None, Instruments(LoopClock(), EventLog("")))
--- /dev/null
+++ b/src/larkpost/gateway/memory/delivery.py
@@ -0,0 +1,143 @@
+"""One answer on its way to its client, and how fast the client takes it.
+
+Owns the record of what a connection was given; it relies on the connection for what was not sent.
+"""
+
+from collections.abc import Callable
+from typing import Protocol
+
+from larkpost.common.clock import Clock
+from larkpost.common.errors import LarkpostError, Ran
+from larkpost.gateway.memory.slow_readers import STALLED_SECONDS, ReaderPace
+
+POLL_SECONDS = 0.25
+"""Between two looks at whether a client that does not keep up has taken anything."""
+
+
+class ReaderCutError(LarkpostError):
+    """The client's connection was cut, as it took its answer too slowly."""
+
+    code = "reader_cut"
+    status = 502
+    remedy = "Read answers as they come."
+
+
+class Outlet(Protocol):
+    """A connection to a client."""
+
+    @property
+    def is_full(self) -> bool:
+        """Whether it should be given no more now."""
+
+    @property
+    def unsent(self) -> int:
+        """The bytes that it was given and that its client has not made room for."""
+
+    async def wait_for_room(self, seconds: float) -> None:
+        """Waits until it is not full, at most so long."""
+
+    def cut(self) -> None:
+        """Breaks the connection off; what is unsent is dropped."""
+
+
+class Delivery:
+    """An answer under way.
+
+    Args:
+        count_held: returns the bytes reserved for its request.
+        on_behind: called once the client does not keep up.
+        on_stalled: called when the client has taken nothing for too long, before it is cut.
+    """
+
+    def __init__(
+        self,
+        outlet: Outlet,
+        clock: Clock,
+        count_held: Callable[[], int],
+        on_behind: Callable[["Delivery"], None],
+        on_stalled: Callable[["Delivery"], None],
+    ) -> None:
+        self._outlet = outlet
+        self._clock = clock
+        self._count_held = count_held
+        self._on_behind = on_behind
+        self._on_stalled = on_stalled
+        self._given = 0
+        self._behind_since: float | None = None
+        self._taken_before = 0
+        self._unsent_before = 0
+        self._progress_at = 0.0
+        self.is_cut = False
+
+    @property
+    def keeps_up(self) -> bool:
+        """Whether the connection may be given more at once."""
+        return not self._outlet.is_full
+
+    @property
+    def unsent(self) -> int:
+        """The bytes that the connection was given and that its client has not made room for."""
+        return self._outlet.unsent
+
+    def record_given(self, size: int) -> None:
+        """Records that the connection was given bytes."""
+        self._given += size
+        self._unsent_before += size
+
+    def pace(self) -> ReaderPace:
+        """Returns how the client takes what it is given."""
+        since = self._behind_since
+        seconds = self._clock.now() - since if since is not None else 0.0
+        return ReaderPace(self._count_held(), self._taken() - self._taken_before, seconds)
+
+    async def wait_for_room(self) -> None:
+        """Waits until the connection may be given more.
+
+        Raises:
+            ReaderCutError: the client took nothing for too long.
+        """
+        if self._outlet.unsent == 0:
+            self._behind_since = None
+        while self._outlet.is_full:
+            self._note_behind()
+            await self._outlet.wait_for_room(POLL_SECONDS)
+            self._check_progress()
+
+    async def wait_until_taken(self) -> None:
+        """Waits until the connection has sent all that it was given.
+
+        Raises:
+            ReaderCutError: the client took nothing for too long.
+        """
+        while self._outlet.unsent:
+            self._note_behind()
+            await self._clock.sleep(POLL_SECONDS)
+            self._check_progress()
+
+    def cut(self) -> None:
+        """Breaks the connection off."""
+        self.is_cut = True
+        self._outlet.cut()
+
+    def _taken(self) -> int:
+        return max(0, self._given - self._outlet.unsent)
+
+    def _note_behind(self) -> None:
+        if self._behind_since is not None:
+            return
+        self._behind_since = self._progress_at = self._clock.now()
+        self._taken_before = self._taken()
+        self._unsent_before = self._outlet.unsent
+        self._on_behind(self)
+
+    def _check_progress(self) -> None:
+        unsent, now = self._outlet.unsent, self._clock.now()
+        if unsent < self._unsent_before:
+            self._progress_at = now
+        self._unsent_before = unsent
+        if self.is_cut:
+            raise ReaderCutError("its connection was cut", ran=Ran.UNKNOWN)
+        if unsent and now - self._progress_at >= STALLED_SECONDS:
+            self._on_stalled(self)
+            self.cut()
+            raise ReaderCutError("it took nothing for too long", ran=Ran.UNKNOWN)
--- a/src/larkpost/gateway/observability/eventlog.py
+++ b/src/larkpost/gateway/observability/eventlog.py
@@ -54,6 +54,8 @@
     COORDINATOR = "coordinator"
     REQUEST_DENIED = "request_denied"
     DESCRIPTORS = "descriptors"
+    NO_ROOM = "no_room"
+    READER_CUT = "reader_cut"
     REQUEST_DONE = "request_done"
     ATTEMPT_FAILED = "attempt_failed"
     SERVER_CRASH = "server_crash"
--- a/src/larkpost/gateway/observability/metrics.py
+++ b/src/larkpost/gateway/observability/metrics.py
@@ -32,6 +32,8 @@
     SERVER_ORDERS = "larkpost_server_orders_total"
     USAGE_REPORTS = "larkpost_usage_reports_total"
     SILENT_CONNECTIONS = "larkpost_silent_connections_total"
+    NO_ROOM = "larkpost_no_room_total"
+    READERS_CUT = "larkpost_readers_cut_total"
     LINES_LEFT_OUT = "larkpost_log_lines_left_out_total"
 
 
@@ -62,6 +64,8 @@
         "Addresses whose open connections were taken to be silent for good.",
         ("to",),
     ),
+    Count.NO_ROOM: ("Bytes that were not held, as there was no room.", ("purpose",)),
+    Count.READERS_CUT: ("Clients cut as they took their answers too slowly.", ("reason",)),
     Count.LINES_LEFT_OUT: ("Log lines left out.", ("event",)),
 }
 
@@ -88,6 +92,8 @@
     CRASHES_KNOWN = "larkpost_crashes_known"
     EVACUATED = "larkpost_evacuated"
     EVACUATED_REQUESTS = "larkpost_evacuated_requests"
+    BYTES_HELD = "larkpost_bytes_held"
+    BYTES_LIMIT = "larkpost_bytes_limit"
 
 
 LEVELS: dict[Level, tuple[str, tuple[str, ...]]] = {
@@ -112,6 +118,8 @@
         "Requests and runs of this daemon at instances of evacuated zones.",
         ("zone",),
     ),
+    Level.BYTES_HELD: ("Bytes that this daemon holds for others.", ("purpose",)),
+    Level.BYTES_LIMIT: ("Most bytes that it may hold for others; 0 without a limit.", ()),
     Level.READY: ("Whether new clients may come (1) or not (0).", ()),
 }
 
--- a/src/larkpost/gateway/proxy/attempts.py
+++ b/src/larkpost/gateway/proxy/attempts.py
@@ -10,7 +10,7 @@
 from larkpost.common.ids import InstanceId
 from larkpost.gateway.blackboard.configuration import Route
 from larkpost.gateway.proxy.forecast import Forecast
-from larkpost.gateway.proxy.request import ClientRequest, WholeResponse
+from larkpost.gateway.proxy.request import ClientRequest, OpenResponse, WholeResponse
 from larkpost.gateway.proxy.request_queue import Waiter
 from larkpost.gateway.servers.port import NotRunReason
 
@@ -36,6 +36,7 @@
         reasons: why they did not.
         last: the last failure that a server responded with in full.
         quarantine: as it was last found; a trial lasts as long as the request.
+        opened: the responses that are passed on as they come; at most one is used.
     """
 
     request: ClientRequest
@@ -48,6 +49,7 @@
     reasons: set[NotRunReason] = field(default_factory=set)
     last: WholeResponse | None = None
     quarantine: QuarantineState = QuarantineState.NONE
+    opened: list[OpenResponse] = field(default_factory=list)
 
     @property
     def are_all_unreachable(self) -> bool:
@@ -69,6 +71,12 @@
         self.refused_by.clear()
         self.reasons.clear()
 
+    async def close_unused(self, used: WholeResponse | OpenResponse | None) -> None:
+        """Ends the calls whose responses are not used, as another one came first."""
+        for opened in self.opened:
+            if opened is not used:
+                await opened.call.aclose()
+
     def record_may_have_run(self, instance: InstanceId) -> None:
         """Records that a server may have run it, also while that is not known yet."""
         self.ran_at.add(instance)
--- a/src/larkpost/gateway/proxy/forwarder.py
+++ b/src/larkpost/gateway/proxy/forwarder.py
@@ -21,13 +21,15 @@
 from larkpost.gateway.proxy.attempts import Attempts
 from larkpost.gateway.proxy.outcomes import Outcomes
 from larkpost.gateway.proxy.parts import ForwarderParts
-from larkpost.gateway.proxy.request import ClientRequest, WholeResponse
+from larkpost.gateway.proxy.request import ClientRequest, OpenResponse, WholeResponse
 from larkpost.gateway.proxy.retry import max_servers
 from larkpost.gateway.proxy.server_attempt import ServerAttempt
 from larkpost.gateway.proxy.server_choice import ServerChoice
 from larkpost.gateway.proxy.turn_gate import TurnGate
 from larkpost.gateway.servers.port import BrokenResponseError, NotRunError, ServerResponse
 
+Response = WholeResponse | OpenResponse
+
 
 class Forwarder:
     """Forwards requests to the servers of their route's service."""
@@ -45,8 +47,8 @@
         """The requests that wait for a place."""
         return self._gate.waiting
 
-    async def forward(self, request: ClientRequest, route: Route) -> WholeResponse:
-        """Returns a server's whole response.
+    async def forward(self, request: ClientRequest, route: Route) -> Response:
+        """Returns a server's response: whole, or open if it is too large to be held.
 
         Raises:
             RefusedError: the request did not run.
@@ -62,6 +64,8 @@
                     response = await self._forward_by_kind(attempts)
         except TimeoutError:
             raise self._outcomes.failure(attempts, timed_out=True) from None
+        finally:
+            await attempts.close_unused(response)
         if response is None:
             raise self._outcomes.failure(attempts, timed_out=False)
         self._outcomes.record_done(attempts, response.status)
@@ -104,7 +108,7 @@
                 attempts.record_may_have_run(instance.id)
                 raise self._outcomes.failure(attempts, timed_out=False) from None
 
-    async def _forward_by_kind(self, attempts: Attempts) -> WholeResponse | None:
+    async def _forward_by_kind(self, attempts: Attempts) -> Response | None:
         if attempts.route.kind is RouteKind.IDEMPOTENT:
             return await self._forward_repeatable(attempts)
         return await self._forward_once(attempts)
@@ -118,7 +122,7 @@
             if not await self._gate.may_try(attempts, must_wait=True):
                 return None
 
-    async def _forward_once(self, attempts: Attempts) -> WholeResponse | None:
+    async def _forward_once(self, attempts: Attempts) -> Response | None:
         """Sends a request on until a server may have run it."""
         most = _max_servers(attempts)
         while True:
@@ -129,7 +133,7 @@
             if response is not None or len(attempts.ran_at) >= most:
                 return response or attempts.last
 
-    async def _forward_repeatable(self, attempts: Attempts) -> WholeResponse | None:
+    async def _forward_repeatable(self, attempts: Attempts) -> Response | None:
         """Sends a request to one server after another, a second one early if the first is slow."""
         most = _max_servers(attempts)
         running: set[asyncio.Task] = set()
--- a/src/larkpost/gateway/proxy/request.py
+++ b/src/larkpost/gateway/proxy/request.py
@@ -1,10 +1,15 @@
 """A client's request, its whole response, and the errors in which it may end."""
 
-from dataclasses import dataclass
+from collections import deque
+from collections.abc import AsyncIterator
+from contextlib import AsyncExitStack
+from dataclasses import dataclass, field
 
 from larkpost.common.errors import LarkpostError
 from larkpost.common.ids import RegionId
 from larkpost.gateway.blackboard.tenants import TenantName
+from larkpost.gateway.memory.budget import Reservation
+from larkpost.gateway.memory.daemon_memory import RequestMemory
 from larkpost.gateway.servers.port import Headers
 
 
@@ -52,6 +57,7 @@
         time_left: seconds the client still waited then, or None if it did not say.
         tenant: whose request it is; None if it is no tenant's.
         regions: the only regions in which it may be served; None for all.
+        memory: what is held for it.
     """
 
     request_id: bytes
@@ -59,11 +65,12 @@
     host: bytes
     target: bytes
     headers: Headers
-    body: bytes
+    body: bytes | bytearray
     received_at: float
     time_left: float | None
     tenant: TenantName | None = None
     regions: frozenset[RegionId] | None = None
+    memory: RequestMemory = field(default_factory=RequestMemory, compare=False)
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,4 +79,29 @@
 
     status: int
     headers: Headers
-    body: bytes
+    body: bytes | bytearray
+
+
+@dataclass(frozen=True, slots=True)
+class OpenResponse:
+    """A server's response that is too large to be held whole; leaving it ends the call.
+
+    Attributes:
+        begun: what was read of the body, in order.
+        rest: what follows; see `ServerResponse.chunks`.
+        reservation: the bytes that are held for it.
+        call: the call at the server, which is under way.
+    """
+
+    status: int
+    headers: Headers
+    begun: deque[bytes]
+    rest: AsyncIterator[bytes]
+    reservation: Reservation
+    call: AsyncExitStack
+
+    async def __aenter__(self) -> "OpenResponse":
+        return self
+
+    async def __aexit__(self, *error: object) -> None:
+        await self.call.__aexit__(*error)
--- a/src/larkpost/gateway/proxy/server_attempt.py
+++ b/src/larkpost/gateway/proxy/server_attempt.py
@@ -3,15 +3,17 @@
 import asyncio
 import sys
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from contextlib import AsyncExitStack, asynccontextmanager
 
 from larkpost.gateway.blackboard.configuration import RouteKind
 from larkpost.gateway.blackboard.directory import InstanceInfo
 from larkpost.gateway.blackboard.known_crashes import CLIENT_CRASH_LIMIT
+from larkpost.gateway.memory.budget import Purpose
+from larkpost.gateway.proxy.answer_body import collect, joined
 from larkpost.gateway.proxy.attempts import Attempts
 from larkpost.gateway.proxy.outcomes import Outcomes
 from larkpost.gateway.proxy.parts import ForwarderParts
-from larkpost.gateway.proxy.request import WholeResponse
+from larkpost.gateway.proxy.request import OpenResponse, WholeResponse
 from larkpost.gateway.proxy.retry import is_last_resort, response_failure
 from larkpost.gateway.proxy.turn_gate import TurnGate
 from larkpost.gateway.servers.port import (
@@ -35,7 +37,9 @@
         self._gate = gate
         self._outcomes = outcomes
 
-    async def make(self, instance: InstanceInfo, attempts: Attempts) -> WholeResponse | None:
+    async def make(
+        self, instance: InstanceInfo, attempts: Attempts
+    ) -> WholeResponse | OpenResponse | None:
         """Tries one server; None if it gave no response that the client should get now."""
         started = self._clock.now()
         try:
@@ -76,22 +80,34 @@
 
     async def _exchange(
         self, instance: InstanceInfo, attempts: Attempts
-    ) -> tuple[WholeResponse, bool]:
-        """Returns a server's whole response, and whether the server signed it."""
-        async with self.open(instance, attempts) as response:
+    ) -> tuple[WholeResponse | OpenResponse, bool]:
+        """Returns a server's response, and whether the server signed it."""
+        async with AsyncExitStack() as call:
+            response = await call.enter_async_context(self.open(instance, attempts))
             self._balancer.record_load(instance.id, response.load)
-            body = b"".join([chunk async for chunk in response.chunks()])
-            whole = WholeResponse(response.status, response.headers, body)
-            return whole, response.signature is not None
+            is_signed = response.signature is not None
+            reservation = attempts.request.memory.reserve(Purpose.ANSWERS)
+            chunks = response.chunks()
+            begun, is_whole = await collect(chunks, reservation)
+            if is_whole:
+                return WholeResponse(response.status, response.headers, joined(begun)), is_signed
+            if response_failure(response.status, is_signed=is_signed) is not None:
+                reservation.release()
+                raise BrokenResponseError("a failure that is too large to be held")
+            opened = OpenResponse(
+                response.status, response.headers, begun, chunks, reservation, call.pop_all()
+            )
+            attempts.opened.append(opened)
+            return opened, is_signed
 
     def _judge(
         self,
         instance: InstanceInfo,
         attempts: Attempts,
-        response: WholeResponse,
+        response: WholeResponse | OpenResponse,
         *,
         is_signed: bool,
-    ) -> WholeResponse | None:
+    ) -> WholeResponse | OpenResponse | None:
         """Returns a response if it is to be passed on now, and records it if it is not."""
         failure = response_failure(response.status, is_signed=is_signed)
         if failure is None:
--- a/src/larkpost/gateway/rollouts/keeper.py
+++ b/src/larkpost/gateway/rollouts/keeper.py
@@ -130,7 +130,8 @@
         for batch, owned in list(self._owned.items()):
             if owned.complete:
                 self.finish(batch)
-        self._views.bound(set(self._owned))
+        outputs = sum(owned.output_bytes for owned in self._owned.values())
+        self._views.bound(set(self._owned), outputs)
 
     async def hand_over(self) -> None:
         """Gives all owned batches to other daemons, with what their items have made so far."""
--- a/src/larkpost/gateway/rollouts/owned.py
+++ b/src/larkpost/gateway/rollouts/owned.py
@@ -72,6 +72,13 @@
             return 0
         return sum(progress.whole for progress in self._run.progress.values())
 
+    @property
+    def output_bytes(self) -> int:
+        """Bytes that items without a result have made so far."""
+        if self._run is None:
+            return 0
+        return sum(progress.output_bytes for progress in self._run.progress.values())
+
     @property
     def waiting(self) -> int:
         """Results that wait for their append."""
@@ -116,7 +123,7 @@
     async def _load(self, items: tuple[Item, ...] | None, fresh: bool) -> None:
         """Reads what is missing of the batch, and starts the items that have no result."""
         items, stored = await self._read(items, fresh)
-        self._view.items = {item.id: item for item in items}
+        self._view.keep_items(items)
         ended_items = self._results.listed | {result.item for result in self._results.pending}
         open_items = tuple(item for item in items if item.id not in ended_items)
         self._log.record(
--- a/src/larkpost/gateway/rollouts/progress.py
+++ b/src/larkpost/gateway/rollouts/progress.py
@@ -23,6 +23,7 @@
 
     Attributes:
         events: data of the whole events in order.
+        output_bytes: their length together.
         last_event: id of the last one, or None.
         event_versions: the weight version that made each of them.
         failed_runs: runs that the engine itself reported as failed.
@@ -44,6 +45,7 @@
     pace_left: float = 0.0
     whole: bool = False
     failed_calls: int = 0
+    output_bytes: int = 0
 
     @property
     def is_long(self) -> bool:
@@ -66,12 +68,14 @@
         if self.last_event is None and event_id not in (0, 1):
             raise DiscontinuityError(f"event {event_id} at the start")
         self.events.append(data)
+        self.output_bytes += len(data)
         self.last_event = event_id
         self.event_versions.append(version)
 
     def restart(self) -> None:
         """Forgets all output, so that the next run starts anew."""
         self.events.clear()
+        self.output_bytes = 0
         self.event_versions.clear()
         self.last_event = None
         self.whole = False
--- a/src/larkpost/gateway/rollouts/reader.py
+++ b/src/larkpost/gateway/rollouts/reader.py
@@ -133,18 +133,17 @@
         view = await self._view(batch, caller)
         items = view.items
         if items is None:
-            items = view.items = await self._load_items(view.head)
+            items = view.keep_items(await self._load_items(view.head))
         found = items.get(item)
         if found is None:
             raise NoSuchBatchError(f"batch {batch} has no item {item}")
         return found.body
 
-    async def _load_items(self, head: BatchHead) -> dict[ItemId, Item]:
+    async def _load_items(self, head: BatchHead) -> tuple[Item, ...]:
         try:
-            items = await self._repository.items(head)
+            return await self._repository.items(head)
         except StoreUnavailableError as error:
             raise BatchUnreadableError(error.message, retry_after=RETRY_AFTER_SECONDS) from None
-        return {item.id: item for item in items}
 
     async def _view(self, batch: BatchId, caller: Caller) -> BatchView:
         view = self._views.get(batch)
--- a/src/larkpost/gateway/rollouts/view.py
+++ b/src/larkpost/gateway/rollouts/view.py
@@ -5,19 +5,26 @@
 
 import asyncio
 from collections import Counter
+from collections.abc import Iterable
 
 from larkpost.common.ids import BatchId
+from larkpost.gateway.memory.budget import ByteBudget, Purpose
 from larkpost.gateway.rollouts.model import BatchHead, GroupId, Item, ItemId, Result
 
 MAX_CACHE_BYTES = 24_000_000
 """Most bytes of texts and bodies that the views of batches not run here hold."""
 
 
+IDLE_SHARE = 8
+"""They hold at most this part of the budget, where there is one."""
+
+
 class BatchView:
     """A batch's results from the first on, as far as they are known here.
 
     Attributes:
-        items: the batch's items, if this daemon has them.
+        items: the batch's items, if this daemon has them; see `keep_items`.
+        size: bytes of texts and bodies, without the overhead of objects.
         confirmed_at: steady time at which the list was certainly complete.
         used_at: steady time of the last use, for the bound on memory.
     """
@@ -27,6 +34,7 @@
         self.results: list[Result] = []
         self._group_counts: Counter[GroupId | None] = Counter()
         self.items: dict[ItemId, Item] | None = None
+        self.size = 0
         self.confirmed_at = float("-inf")
         self.used_at = float("-inf")
         self._changed = asyncio.Event()
@@ -39,10 +47,19 @@
         new = results[known - position :]
         if new:
             self.results.extend(new)
+            self.size += sum(len(result.text) for result in new)
             self._group_counts.update(result.group for result in new)
             self._changed.set()
             self._changed = asyncio.Event()
 
+    def keep_items(self, items: Iterable[Item]) -> dict[ItemId, Item]:
+        """Keeps the batch's items, and returns them by id."""
+        if self.items is not None:
+            self.size -= sum(len(item.body) for item in self.items.values())
+        self.items = {item.id: item for item in items}
+        self.size += sum(len(item.body) for item in self.items.values())
+        return self.items
+
     def has_step(self) -> bool:
         """Returns whether enough groups are whole for the trainer to go on."""
         size = self.head.group_size
@@ -61,17 +78,16 @@
         except TimeoutError:
             return  # the wait is over; the reader asks the store
 
-    @property
-    def size(self) -> int:
-        """Bytes of texts and bodies, without the overhead of objects."""
-        bodies = sum(len(item.body) for item in self.items.values()) if self.items else 0
-        return bodies + sum(len(result.text) for result in self.results)
-
 
 class ViewCache:
-    """The views of one daemon, bounded in memory; what is dropped is read again when needed."""
+    """The views of one daemon, bounded in memory; what is dropped is read again when needed.
 
-    def __init__(self) -> None:
+    Args:
+        budget: is told what the views hold.
+    """
+
+    def __init__(self, budget: ByteBudget | None = None) -> None:
+        self._budget = budget if budget is not None else ByteBudget()
         self._views: dict[BatchId, BatchView] = {}
 
     def get(self, batch: BatchId) -> BatchView | None:
@@ -86,12 +102,23 @@
         """Drops the view of a batch."""
         self._views.pop(batch, None)
 
-    def bound(self, in_use: set[BatchId]) -> None:
-        """Drops the views that were not used for longest, but none in use."""
+    def bound(self, in_use: set[BatchId], outputs: int = 0) -> None:
+        """Drops the views that were not used for longest, but none in use.
+
+        Args:
+            outputs: bytes that batches in use have made and not listed.
+        """
         idle = [batch for batch in self._views if batch not in in_use]
         size = sum(self._views[batch].size for batch in idle)
+        most = self._max_idle_bytes()
         for batch in sorted(idle, key=lambda name: self._views[name].used_at):
-            if size <= MAX_CACHE_BYTES:
-                return
+            if size <= most:
+                break
             size -= self._views[batch].size
             del self._views[batch]
+        kept = sum(view.size for view in self._views.values())
+        self._budget.record_kept(Purpose.BATCHES, kept + outputs)
+
+    def _max_idle_bytes(self) -> int:
+        limit = self._budget.limit
+        return MAX_CACHE_BYTES if limit is None else min(MAX_CACHE_BYTES, limit // IDLE_SHARE)
--- a/src/larkpost/gateway/servers/port.py
+++ b/src/larkpost/gateway/servers/port.py
@@ -44,7 +44,7 @@
     host: bytes
     target: bytes
     headers: Headers
-    body: bytes
+    body: bytes | bytearray
     time_left: float | None = None
     resume_after: int | None = None
     expected_version: int | None = None
--- a/src/larkpost/platform/asgi.py
+++ b/src/larkpost/platform/asgi.py
@@ -6,6 +6,8 @@
 
 from collections.abc import Awaitable, Callable, Iterable
 
+from larkpost.gateway.memory.budget import Reservation
+
 Receive = Callable[[], Awaitable[dict]]
 Send = Callable[[dict], Awaitable[None]]
 
@@ -14,25 +16,37 @@
     """The client closed its connection before the response was whole."""
 
 
-async def read_body(receive: Receive, limit: int) -> bytes | None:
+async def read_body(
+    receive: Receive, limit: int, reserved: Reservation | None = None
+) -> bytes | bytearray | None:
     """Returns a request's whole body, or None if it is larger than ``limit`` bytes.
 
+    A body in several parts is gathered in place, so that no large one is held twice.
+
+    Args:
+        reserved: grows if the body turns out larger; None if nothing is reserved.
+
     Raises:
         ClientLeftError: the client closed its connection.
+        NoRoomError: there is no room for the rest of the body.
     """
-    parts: list[bytes] = []
-    size = 0
+    body = bytearray()
     while True:
         message = await receive()
         if message["type"] == "http.disconnect":
             raise ClientLeftError
         part = message.get("body", b"")
-        size += len(part)
+        size = len(body) + len(part)
         if size > limit:
             return None
-        parts.append(part)
-        if not message.get("more_body", False):
-            return b"".join(parts)
+        if reserved is not None and size > reserved.size:
+            reserved.grow(size - reserved.size)
+        is_last = not message.get("more_body", False)
+        if is_last and not body:
+            return part
+        body += part
+        if is_last:
+            return body
 
 
 async def send_head(send: Send, status: int, headers: Iterable[tuple[bytes, bytes]]) -> None:
--- a/src/larkpost/platform/assembly.py
+++ b/src/larkpost/platform/assembly.py
@@ -109,6 +109,7 @@
         usage=settings.usage,
         cold=settings.cold,
         regions=settings.regions,
+        memory_bytes=settings.memory_bytes,
     )
 
 
@@ -141,7 +142,7 @@
         address = Address(f"{settings.ip}:{port}")
         others.append(Listener(MetricsApp(gateway.read_metrics, path), address))
     if settings.peer is not None:
-        others.append(Listener(PeerStoreApp(store), settings.peer))
+        others.append(Listener(PeerStoreApp(store, gateway.memory.budget), settings.peer))
     return Listeners(_make_front(settings, gateway), tuple(others))
 
 
@@ -152,6 +153,7 @@
         gateway.admission,
         gateway.forwarder,
         gateway.batches,
+        gateway.memory,
     )
     return Listener(ingress, settings.front, ingress.limits)
 
--- a/src/larkpost/platform/batch_calls.py
+++ b/src/larkpost/platform/batch_calls.py
@@ -5,8 +5,11 @@
 
 from urllib.parse import unquote
 
+import orjson
+
 from larkpost.common.ids import BatchId
 from larkpost.gateway.blackboard.tenants import Caller, TenantName
+from larkpost.gateway.memory.budget import Purpose
 from larkpost.gateway.proxy.admission import Admission
 from larkpost.gateway.rollouts.model import ItemId
 from larkpost.gateway.rollouts.service import BatchService
@@ -20,6 +23,9 @@
 BAD_REQUEST = 400
 NOT_FOUND = 404
 NOT_ALLOWED = 405
+SUBMISSION_COPIES = 3
+"""How many times its body a batch takes, besides the body, while it is decoded and written to the
+store: its items, their rows and the calls that carry these."""
 MAX_WAIT_SECONDS = 10.0
 """Longest time for which a call for results is held. Ten times what callers ask."""
 
@@ -32,7 +38,11 @@
         self._batches = batches
 
     async def submit(
-        self, call: ClientCall, response: ClientResponse, body: bytes, tenant: TenantName | None
+        self,
+        call: ClientCall,
+        response: ClientResponse,
+        body: bytes | bytearray,
+        tenant: TenantName | None,
     ) -> None:
         """Submits the batch that a request holds.
 
@@ -42,6 +52,16 @@
         if call.method != "POST":
             await response.send_whole(NOT_ALLOWED)
             return
+        with call.memory.reserve(Purpose.SUBMISSIONS, len(body) * SUBMISSION_COPIES):
+            await self._submit(call, response, body, tenant)
+
+    async def _submit(
+        self,
+        call: ClientCall,
+        response: ClientResponse,
+        body: bytes | bytearray,
+        tenant: TenantName | None,
+    ) -> None:
         try:
             spec = read_batch(call.request_id, call.host_name, call.path, body, tenant)
         except ValueError as error:
@@ -63,6 +83,7 @@
             batch = _batch_after(names.ITEM_CALL, call)
             item = call.query.get("id", [""])[0]
             body = await self._batches.body(batch, ItemId(item), caller)
+            call.memory.reserve(Purpose.PAGES, len(body))
             await response.send_whole(OK, body)
         else:
             await response.send_whole(NOT_FOUND)
@@ -90,7 +111,9 @@
         wait_ms = call.whole_header(names.WAIT_MS) or 0
         wait = min(wait_ms / 1000, MAX_WAIT_SECONDS)
         page = await self._batches.read(batch, position, wait, caller)
-        await response.send_json(write_page(page))
+        content = orjson.dumps(write_page(page))
+        call.memory.reserve(Purpose.PAGES, len(content))
+        await response.send_json(content)
 
 
 def _batch_after(prefix: bytes, call: ClientCall) -> BatchId:
--- a/src/larkpost/platform/batches.py
+++ b/src/larkpost/platform/batches.py
@@ -30,7 +30,11 @@
 
 
 def read_batch(
-    batch: bytes, host: str, path: bytes, content: bytes, tenant: TenantName | None = None
+    batch: bytes,
+    host: str,
+    path: bytes,
+    content: bytes | bytearray,
+    tenant: TenantName | None = None,
 ) -> BatchSpec:
     """Reads a submitted batch.
 
--- a/src/larkpost/platform/client_call.py
+++ b/src/larkpost/platform/client_call.py
@@ -3,13 +3,18 @@
 import asyncio
 from urllib.parse import parse_qs
 
+from larkpost.common.errors import LarkpostError
 from larkpost.gateway.blackboard.tenants import KeyDigest, digest_key
+from larkpost.gateway.memory.budget import Purpose
+from larkpost.gateway.memory.daemon_memory import RequestMemory
+from larkpost.gateway.memory.delivery import Outlet
+from larkpost.gateway.memory.slow_readers import STALLED_SECONDS
 from larkpost.gateway.proxy.admission import Admitted
 from larkpost.gateway.proxy.request import ClientRequest
 from larkpost.gateway.servers.port import Headers
 from larkpost.platform import asgi, names
 from larkpost.platform.asgi import Receive
-from larkpost.platform.http_protocol import OVERSIZED
+from larkpost.platform.http_protocol import OUTLET, OVERSIZED
 
 CONNECTION_HEADERS = frozenset(
     {
@@ -34,6 +39,18 @@
 """Headers of a request that larkpost reads itself, and sets anew or leaves out towards a server."""
 
 
+LARGE_BODY_BYTES = 65536
+"""Bodies declared larger than this, and those that declare no length, are watched for stalls."""
+
+
+class BodyStalledError(LarkpostError):
+    """The body brought nothing for too long; the request did not run and will not."""
+
+    code = "body_stalled"
+    status = 408
+    remedy = "Send the whole body without long pauses."
+
+
 class ClientCall:
     """One call of a client.
 
@@ -42,9 +59,10 @@
         path: the path as it was sent, still encoded.
         headers: names in lower case, in the order in which they were sent.
         request_id: the caller's id of this attempt; empty if it sent none.
+        memory: what is held for it.
     """
 
-    def __init__(self, scope: dict, receive: Receive) -> None:
+    def __init__(self, scope: dict, receive: Receive, memory: RequestMemory) -> None:
         self._scope = scope
         self._receive = receive
         self.received_at = asyncio.get_running_loop().time()
@@ -52,12 +70,25 @@
         self.path: bytes = scope["raw_path"]
         self.headers: Headers = tuple(scope["headers"])
         self.request_id = self.header(names.REQUEST_ID)
+        self.memory = memory
+        memory.owner = self.request_name
+        self._is_body_asked_for = False
 
     @property
     def is_oversized(self) -> bool:
         """Whether the head is larger than allowed."""
         return bool(self._scope.get("state", {}).get(OVERSIZED))
 
+    @property
+    def outlet(self) -> Outlet | None:
+        """The connection that the response goes to, if it can be followed."""
+        return self._scope.get("state", {}).get(OUTLET)
+
+    @property
+    def awaits_leave(self) -> bool:
+        """Whether the client sends its body only once it is asked for, and it was not."""
+        return not self._is_body_asked_for and self.header(b"expect").lower() == b"100-continue"
+
     @property
     def host(self) -> bytes:
         """The host header as sent."""
@@ -93,7 +124,7 @@
         text = self.header(name)
         return int(text) if text.isdigit() else None
 
-    def to_forward(self, body: bytes, admitted: Admitted) -> ClientRequest:
+    def to_forward(self, body: bytes | bytearray, admitted: Admitted) -> ClientRequest:
         """Returns the request as it is to be forwarded."""
         deadline_ms = self.whole_header(names.DEADLINE_MS)  # not a time: what is left of it
         return ClientRequest(
@@ -107,15 +138,39 @@
             time_left=deadline_ms / 1000 if deadline_ms is not None else None,
             tenant=admitted.tenant,
             regions=admitted.regions,
+            memory=self.memory,
         )
 
-    async def read_body(self, limit: int) -> bytes | None:
+    async def read_body(self, limit: int) -> bytes | bytearray | None:
         """Returns the whole body, or None if it is larger than ``limit`` bytes.
 
+        Its declared length is reserved before it is read; one that declares none grows as it comes.
+
         Raises:
             ClientLeftError: the client closed its connection.
+            NoRoomError: the body cannot be held now.
+            BodyStalledError: it brought nothing for too long.
         """
-        return await asgi.read_body(self._receive, limit)
+        declared = self.whole_header(b"content-length")
+        if declared is not None and declared > limit:
+            return None
+        reserved = self.memory.reserve(Purpose.REQUEST_BODIES, declared or 0)
+        self._is_body_asked_for = True
+        is_watched = declared > LARGE_BODY_BYTES if declared is not None else self._is_chunked
+        if not self.memory.is_limited or not is_watched:
+            return await asgi.read_body(self._receive, limit, reserved)
+        return await asgi.read_body(self._receive_in_time, limit, reserved)
+
+    @property
+    def _is_chunked(self) -> bool:
+        return bool(self.header(b"transfer-encoding"))
+
+    async def _receive_in_time(self) -> dict:
+        try:
+            async with asyncio.timeout(STALLED_SECONDS):
+                return await self._receive()
+        except TimeoutError:
+            raise BodyStalledError(f"no bytes of the body for {STALLED_SECONDS:g} s") from None
 
     async def wait_for_close(self) -> None:
         """Returns once the client has closed its connection, or the response is complete."""
--- a/src/larkpost/platform/client_response.py
+++ b/src/larkpost/platform/client_response.py
@@ -1,14 +1,17 @@
 """Writes the response to one call of a client."""
 
-import orjson
-
 from larkpost.common.errors import LarkpostError
 from larkpost.gateway.blackboard.lifecycle import Lifecycle
+from larkpost.gateway.memory.delivery import Delivery
 from larkpost.gateway.servers.port import Headers
 from larkpost.platform import asgi, names
 from larkpost.platform.asgi import Send
 from larkpost.platform.client_call import CONNECTION_HEADERS
 
+PIECE_BYTES = 65536
+"""A response to a client that is followed is sent in pieces of this size, each once the connection
+has taken the last."""
+
 
 class StreamCutError(Exception):
     """A response under way cannot be completed; the connection is closed within it."""
@@ -20,18 +23,31 @@
     Args:
         request_id: the caller's id of the attempt, which the response repeats.
         lifecycle: once the daemon is stopping, each response closes its connection.
+        delivery: how the client takes the response; None if that is not followed.
+
+    Attributes:
+        delivery: as given.
+        closes: whether the response closes its connection, whatever the daemon's state.
     """
 
-    def __init__(self, send: Send, request_id: bytes, lifecycle: Lifecycle) -> None:
+    def __init__(
+        self,
+        send: Send,
+        request_id: bytes,
+        lifecycle: Lifecycle,
+        delivery: Delivery | None = None,
+    ) -> None:
         self._send = send
         self._request_id = request_id
         self._lifecycle = lifecycle
+        self.delivery = delivery
+        self.closes = False
         self._started = False
 
     async def send_whole(
         self,
         status: int,
-        body: bytes = b"",
+        body: bytes | bytearray = b"",
         headers: Headers = (),
         retry_after: float | None = None,
     ) -> None:
@@ -47,12 +63,12 @@
         if not headers and self._request_id:
             own.append((names.REQUEST_ID, self._request_id))
         await self._start(status, headers, own)
-        await self._send({"type": "http.response.body", "body": body})
+        await self._send_body(body)
 
-    async def send_json(self, document: object) -> None:
-        """Sends a document as a whole response."""
+    async def send_json(self, content: bytes) -> None:
+        """Sends an encoded document as a whole response."""
         headers = ((b"content-type", b"application/json"), (names.REQUEST_ID, self._request_id))
-        await self.send_whole(200, orjson.dumps(document), headers)
+        await self.send_whole(200, content, headers)
 
     async def fail(self, error: LarkpostError) -> None:
         """Responds with an error, or cuts a response that is under way.
@@ -66,11 +82,23 @@
         await self.send_whole(error.status, text, retry_after=error.retry_after)
 
     async def begin(self, status: int, headers: Headers) -> None:
-        """Starts a response whose length is not known."""
+        """Starts a response that is sent in parts and whose length is not said."""
         await self._start(status, headers, [])
 
-    async def send_part(self, content: bytes) -> None:
-        """Sends a part of a started response."""
+    async def begin_large(self, status: int, headers: Headers) -> None:
+        """Starts a response with a body that is sent in parts; it says the length that it gives."""
+        lengths = [value for name, value in headers if name.lower() == b"content-length"]
+        await self._start(status, headers, [(b"content-length", value) for value in lengths[:1]])
+
+    async def send_part(self, content: bytes | memoryview) -> None:
+        """Sends a part of a started response, once the client has room for it.
+
+        Raises:
+            ReaderCutError: the client took nothing for too long.
+        """
+        if self.delivery is not None:
+            await self.delivery.wait_for_room()
+            self.delivery.record_given(len(content))
         await self._send({"type": "http.response.body", "body": content, "more_body": True})
 
     async def finish(self) -> None:
@@ -83,7 +111,18 @@
             for name, value in headers
             if name.lower() not in CONNECTION_HEADERS
         ]
-        if self._lifecycle.stopping:
+        if self._lifecycle.stopping or self.closes:
             own.append((b"connection", b"close"))
         self._started = True
         await asgi.send_head(self._send, status, passed + own)
+
+    async def _send_body(self, body: bytes | bytearray) -> None:
+        """Sends the whole body; a large one in pieces if the client is followed."""
+        last = 0
+        if self.delivery is not None:
+            content = memoryview(body)
+            while len(body) - last > PIECE_BYTES:
+                await self.send_part(content[last : last + PIECE_BYTES])
+                last += PIECE_BYTES
+        rest = memoryview(body)[last:] if last else body
+        await self._send({"type": "http.response.body", "body": rest})
--- a/src/larkpost/platform/http_protocol.py
+++ b/src/larkpost/platform/http_protocol.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 import socket
 from collections.abc import Callable
 from operator import attrgetter
@@ -26,6 +27,11 @@
 UNACKNOWLEDGED_MS = 6000
 """So long may a response wait for its client's machine to acknowledge it: as long as the probes
 take."""
+MAX_DISCARD_SECONDS = 15.0
+"""So long the rest of a body is read and dropped whose request was answered before, so that the
+answer reaches its client: closing with unread bytes would reset the connection."""
+OUTLET = "outlet"
+"""Names, in a request's state, the connection that its response goes to."""
 OVERSIZED = "oversized"
 """Marks, in a request's state, that its head is larger than allowed."""
 HEAD_TOO_LARGE = (
@@ -41,15 +47,20 @@
 
 
 class LimitedProtocol(HttpToolsProtocol):
-    """One client connection, with limits on the size and time of a request's head."""
+    """One client connection, with limits on the size and time of a request's head.
+
+    Implements `larkpost.gateway.memory.delivery.Outlet`.
+    """
 
     limits: LimitSource
 
     def __init__(self, *args, **kwargs) -> None:
         super().__init__(*args, **kwargs)
         self._in_head = False
+        self._in_body = False
         self._head_bytes = 0
         self._head_timer: asyncio.TimerHandle | None = None
+        self._discard_timer: asyncio.TimerHandle | None = None
         self.idle_since: float | None = self.loop.time()
         self._served: RequestResponseCycle | None = None
 
@@ -76,6 +87,7 @@
         The library wakes only the newest request, which may be one that was sent ahead.
         """
         self._stop_head_timer()
+        self._stop_discard_timer()
         self.pipeline.clear()
         if self._served is not None and not self._served.response_complete:
             self._served.disconnected = True
@@ -85,18 +97,33 @@
     def on_message_begin(self) -> None:
         """Starts a request."""
         super().on_message_begin()
+        self.scope["state"][OUTLET] = self
         self._in_head = True
         self.idle_since = None
 
     def on_response_complete(self) -> None:
-        """Records that the connection is idle, unless a request was sent ahead."""
-        if not self.pipeline:
+        """Records that the connection is idle, unless a request was sent ahead.
+
+        One whose request was answered before its body was read is idle once that has come.
+        """
+        if self._in_body and self._served is self.cycle:
+            self._discard_timer = self.loop.call_later(MAX_DISCARD_SECONDS, self.transport.close)
+        elif not self.pipeline:
             self.idle_since = self.loop.time()
         super().on_response_complete()
 
+    def on_message_complete(self) -> None:
+        """Ends a request's body."""
+        self._in_body = False
+        super().on_message_complete()
+        if self._discard_timer is not None:
+            self._stop_discard_timer()
+            self._rest()
+
     def on_headers_complete(self) -> None:
         """Ends a request's head, and marks it if it is too large."""
         self._in_head = False
+        self._in_body = True
         self._head_bytes = 0
         limits = self.limits()
         size = len(self.url) + sum(
@@ -110,12 +137,40 @@
             # The library stops reading at a request sent ahead, and would not see a close.
             self.flow.resume_reading()
 
+    @property
+    def is_full(self) -> bool:
+        """Whether the connection should be given no more now."""
+        return self.flow.write_paused
+
+    @property
+    def unsent(self) -> int:
+        """The bytes that it was given and that its client has not made room for."""
+        return self.transport.get_write_buffer_size()
+
+    async def wait_for_room(self, seconds: float) -> None:
+        """Waits until it is not full, at most so long."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(seconds):
+                await self.flow.drain()
+
+    def cut(self) -> None:
+        """Breaks the connection off; what is unsent is dropped."""
+        self.transport.abort()
+
     def _start_asgi_task(self, cycle: RequestResponseCycle, app) -> None:
         self._served = cycle  # overrides a private method: the version is pinned
         super()._start_asgi_task(cycle, app)
 
     def _is_between_requests(self) -> bool:
-        return self.cycle is None or self.cycle.response_complete
+        return not self._in_body and (self.cycle is None or self.cycle.response_complete)
+
+    def _rest(self) -> None:
+        """Begins the idle time of a connection whose request was answered before its end."""
+        self.idle_since = self.loop.time()
+        self._unset_keepalive_if_required()
+        self.timeout_keep_alive_task = self.loop.call_later(
+            self.timeout_keep_alive, self.timeout_keep_alive_handler
+        )
 
     def _count_head(self, size: int) -> None:
         if self._head_timer is None:
@@ -129,6 +184,11 @@
             self._head_timer.cancel()
             self._head_timer = None
 
+    def _stop_discard_timer(self) -> None:
+        if self._discard_timer is not None:
+            self._discard_timer.cancel()
+            self._discard_timer = None
+
     def _refuse(self, response: bytes) -> None:
         if not self.transport.is_closing():
             self.transport.write(response)
--- a/src/larkpost/platform/ingress.py
+++ b/src/larkpost/platform/ingress.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import contextlib
+from contextlib import AbstractContextManager, aclosing, nullcontext
 
 from larkpost.common.errors import LarkpostError
 from larkpost.gateway.blackboard.configuration import (
@@ -15,14 +16,18 @@
     RouteKind,
 )
 from larkpost.gateway.blackboard.lifecycle import Lifecycle
+from larkpost.gateway.memory.budget import Purpose
+from larkpost.gateway.memory.daemon_memory import DaemonMemory, RequestMemory, unlimited_memory
+from larkpost.gateway.memory.delivery import Delivery, ReaderCutError
+from larkpost.gateway.memory.read_ahead import PassedAnswer, read_ahead
 from larkpost.gateway.proxy.admission import Admission
 from larkpost.gateway.proxy.forwarder import Forwarder
-from larkpost.gateway.proxy.request import ClientRequest
+from larkpost.gateway.proxy.request import ClientRequest, OpenResponse
 from larkpost.gateway.rollouts.service import BatchService
 from larkpost.platform import names
 from larkpost.platform.asgi import ClientLeftError, Receive, Send
 from larkpost.platform.batch_calls import BatchCalls
-from larkpost.platform.client_call import ClientCall
+from larkpost.platform.client_call import BodyStalledError, ClientCall
 from larkpost.platform.client_response import ClientResponse
 
 TOO_LARGE = 413
@@ -42,12 +47,14 @@
         admission: Admission,
         forwarder: Forwarder,
         batches: BatchService,
+        memory: DaemonMemory | None = None,
     ) -> None:
         self._configuration = configuration
         self._lifecycle = lifecycle
         self._admission = admission
         self._forwarder = forwarder
         self._batch_calls = BatchCalls(admission, batches)
+        self._memory = memory if memory is not None else unlimited_memory()
 
     def limits(self) -> RequestLimits:
         """Returns the limits on clients in force."""
@@ -56,14 +63,28 @@
 
     async def __call__(self, scope: dict, receive: Receive, send: Send) -> None:
         """Responds to one request."""
-        call = ClientCall(scope, receive)
-        response = ClientResponse(send, call.request_id, self._lifecycle)
+        with self._memory.request() as memory:
+            call = ClientCall(scope, receive, memory)
+            with self._follow(call) as delivery:
+                response = ClientResponse(send, call.request_id, self._lifecycle, delivery)
+                await self._answer(call, response)
+                if delivery is not None:
+                    await _wait_until_taken(delivery, memory)
+
+    def _follow(self, call: ClientCall) -> AbstractContextManager[Delivery | None]:
+        """Follows how a client takes its response, if the daemon's memory is limited."""
+        if call.outlet is None or not self._memory.is_limited:
+            return nullcontext()
+        return self._memory.delivery(call.outlet, call.memory)
+
+    async def _answer(self, call: ClientCall, response: ClientResponse) -> None:
         with self._lifecycle.request():
             try:
                 await self._respond(call, response)
             except ClientLeftError:
                 return  # nobody is left to be answered
             except LarkpostError as error:
+                response.closes = call.awaits_leave or isinstance(error, BodyStalledError)
                 await response.fail(error)
 
     async def _respond(self, call: ClientCall, response: ClientResponse) -> None:
@@ -72,6 +93,7 @@
             return
         body = await call.read_body(self.limits().body_bytes)
         if body is None:
+            response.closes = call.awaits_leave
             await response.send_whole(TOO_LARGE)
             return
         closed = asyncio.create_task(call.wait_for_close())
@@ -83,7 +105,11 @@
             closed.cancel()
 
     async def _serve_until(
-        self, closed: asyncio.Task, call: ClientCall, response: ClientResponse, body: bytes
+        self,
+        closed: asyncio.Task,
+        call: ClientCall,
+        response: ClientResponse,
+        body: bytes | bytearray,
     ) -> None:
         """Serves a request as long as its client is there.
 
@@ -101,7 +127,9 @@
             with contextlib.suppress(asyncio.CancelledError, Exception):
                 await work
 
-    async def _serve(self, call: ClientCall, response: ClientResponse, body: bytes) -> None:
+    async def _serve(
+        self, call: ClientCall, response: ClientResponse, body: bytes | bytearray
+    ) -> None:
         if call.path.startswith(names.OWN_CALLS):
             await self._batch_calls.serve(call, response)
             return
@@ -117,15 +145,35 @@
     async def _forward(
         self, request: ClientRequest, route: Route, response: ClientResponse
     ) -> None:
-        whole = await self._forwarder.forward(request, route)
-        await response.send_whole(whole.status, whole.body, whole.headers)
+        answer = await self._forwarder.forward(request, route)
+        if not isinstance(answer, OpenResponse):
+            await response.send_whole(answer.status, answer.body, answer.headers)
+            return
+        async with answer:
+            await response.begin_large(answer.status, answer.headers)
+            passed = PassedAnswer(answer.rest, answer.reservation, answer.begun)
+            await self._pass_on(passed, response)
 
     async def _stream(self, request: ClientRequest, route: Route, response: ClientResponse) -> None:
         async with self._forwarder.stream(request, route) as streamed:
             await response.begin(streamed.status, streamed.headers)
-            async for chunk in streamed.chunks():
-                await response.send_part(chunk)
-            await response.finish()
+            ahead = request.memory.reserve(Purpose.STREAMS)
+            await self._pass_on(PassedAnswer(streamed.chunks(), ahead), response)
+
+    async def _pass_on(self, answer: PassedAnswer, response: ClientResponse) -> None:
+        async with aclosing(read_ahead(answer, response.delivery, self._memory)) as parts:
+            async for part in parts:
+                await response.send_part(part)
+        await response.finish()
+
+
+async def _wait_until_taken(delivery: Delivery, memory: RequestMemory) -> None:
+    """Holds what the connection has not sent yet, until the client has taken it."""
+    if delivery.unsent == 0:
+        return
+    memory.keep_only(Purpose.ANSWERS, delivery.unsent)
+    with contextlib.suppress(ReaderCutError):  # logged where it was cut
+        await delivery.wait_until_taken()
 
 
 async def _see_close(closed: asyncio.Task) -> None:
--- a/src/larkpost/platform/peer_store.py
+++ b/src/larkpost/platform/peer_store.py
@@ -4,6 +4,7 @@
 peer as it speaks to the store.
 """
 
+from larkpost.gateway.memory.budget import ByteBudget, NoRoomError, Purpose
 from larkpost.platform import asgi, names
 from larkpost.platform.asgi import ClientLeftError, Receive, Send
 from larkpost.platform.store import HttpStore
@@ -16,6 +17,8 @@
 MAX_BODY_BYTES = 1_500_000
 """Largest body of a call: half as much again as the largest transaction that the store takes, so
 that each call that the store would take passes."""
+CALL_BYTES = 300_000
+"""Reserved for one call and its response; most are far smaller, and few are made at once."""
 NOT_FOUND = 404
 TOO_LARGE = 413
 UNAVAILABLE = 503
@@ -24,11 +27,19 @@
 class PeerStoreApp:
     """The application behind the address at which peers ask for calls to the store."""
 
-    def __init__(self, store: HttpStore) -> None:
+    def __init__(self, store: HttpStore, budget: ByteBudget | None = None) -> None:
         self._store = store
+        self._budget = budget if budget is not None else ByteBudget()
 
     async def __call__(self, scope: dict, receive: Receive, send: Send) -> None:
         """Makes the call, unless the store turns this daemon away as well."""
+        try:
+            with self._budget.reserve(Purpose.RELAYED_CALLS, CALL_BYTES, "peer"):
+                await self._serve(scope, receive, send)
+        except NoRoomError:
+            await asgi.send_whole(send, UNAVAILABLE, [(b"content-length", b"0")], b"")
+
+    async def _serve(self, scope: dict, receive: Receive, send: Send) -> None:
         status, content = await self._relay(scope, receive)
         headers = [
             (b"content-type", b"application/json"),
--- a/src/larkpost/platform/server_requests.py
+++ b/src/larkpost/platform/server_requests.py
@@ -1,6 +1,7 @@
 """Sends one request to a server, in the form in which servers take requests."""
 
 import aiohttp
+from aiohttp.abc import AbstractStreamWriter
 from multidict import CIMultiDict
 from yarl import URL
 
@@ -10,6 +11,9 @@
 from larkpost.platform import names
 from larkpost.platform.watched_connection import CallLimits
 
+MAX_PIECE_BYTES = 65536
+"""Larger bodies are sent in pieces, each once the connection has taken the last: a connection
+copies what it cannot send at once."""
 LEAST_DEADLINE_MS = 1
 """What a server is told where less is left: none at all would be no limit to it."""
 
@@ -28,13 +32,40 @@
     return await session.request(
         request.method,
         server_url(instance.address, request.target.decode("latin-1")),
-        data=request.body or None,
+        data=_payload(request.body),
         headers=_headers(instance, request),
         allow_redirects=False,
         timeout=limits,
     )
 
 
+class PiecewisePayload(aiohttp.payload.Payload):
+    """A large body, sent in pieces."""
+
+    _autoclose = True
+    _value: bytes | bytearray
+
+    def __init__(self, body: bytes | bytearray) -> None:
+        super().__init__(body)
+        self._size = len(body)
+
+    def decode(self, encoding: str = "utf-8", errors: str = "strict") -> str:
+        """Returns the body as text."""
+        return self._value.decode(encoding, errors)
+
+    async def write(self, writer: AbstractStreamWriter) -> None:
+        """Sends the body."""
+        content = memoryview(self._value)
+        for start in range(0, len(content), MAX_PIECE_BYTES):
+            await writer.write(content[start : start + MAX_PIECE_BYTES])
+
+
+def _payload(body: bytes | bytearray) -> bytes | bytearray | PiecewisePayload | None:
+    if len(body) > MAX_PIECE_BYTES:
+        return PiecewisePayload(body)
+    return body or None
+
+
 def server_url(server: Address, target: str) -> URL:
     """Returns the URL of a target, path and query as they are."""
     return URL(f"http://{server}{target}", encoded=True)
--- a/src/larkpost/platform/server_responses.py
+++ b/src/larkpost/platform/server_responses.py
@@ -21,6 +21,8 @@
 """How it shows that a connection was closed or reset before the whole response had come."""
 RESPONSE_FAILURES = (aiohttp.ClientError, asyncio.TimeoutError, OSError, ValueError)
 """Everything that a call may end with besides a whole response."""
+MAX_CHUNK_BYTES = 65536
+"""Most bytes of a body that are passed on at once, as soon as there are any."""
 EMPTY_STATUSES = (204, 304)
 """Their responses have no body, whatever their headers say."""
 
@@ -45,7 +47,7 @@
         if "Content-Encoding" in self._response.headers:
             raise BrokenResponseError("the body is encoded, though no encoding was asked for")
         try:
-            async for chunk in self._response.content.iter_any():
+            async for chunk in self._response.content.iter_chunked(MAX_CHUNK_BYTES):
                 yield chunk
         except RESPONSE_FAILURES as error:
             raise broken_response("", error) from None
--- a/src/larkpost/platform/settings.py
+++ b/src/larkpost/platform/settings.py
@@ -29,6 +29,7 @@
 DEFAULT_REPORT_DUE_SECONDS = 10
 """What holds where the file does not say it; most are figures of the platform's sample file."""
 MAX_PORT = 65535
+BYTES_PER_MB = 1_000_000
 
 
 class MetricsPlace(NamedTuple):
@@ -53,6 +54,7 @@
         metrics: where the metrics are read; None if they are not.
         duties: where the platform listens for the calls of duties; None if there are none.
         max_descriptors: the most descriptors that this daemon may use.
+        memory_bytes: the most memory that this daemon may use; None if it is not said.
         usage: what is agreed about usage reports; None if none are asked for.
         orders_servers: whether servers may be ordered from the platform.
         cold: what is agreed about cold servers; None if nothing is.
@@ -75,6 +77,7 @@
     metrics: MetricsPlace | None
     duties: Address | None
     max_descriptors: int
+    memory_bytes: int | None
     usage: UsageTerms | None
     orders_servers: bool
     cold: ColdTerms | None
@@ -128,6 +131,7 @@
         metrics=_metrics(document),
         duties=_optional_address(document, "cloud-api", "address"),
         max_descriptors=int(_number(document, "limits", "max-fds", default=_descriptor_limit())),
+        memory_bytes=_memory(document),
         usage=_usage(document),
         orders_servers=_has_duty(document, names.SCALING_DUTY),
         cold=_cold(document),
@@ -139,6 +143,12 @@
     return resource.getrlimit(resource.RLIMIT_NOFILE)[0]
 
 
+def _memory(document: dict[str, Any]) -> int | None:
+    if _find(document, ("limits", "memory-mb")) is None:
+        return None
+    return int(_number(document, "limits", "memory-mb", default=1) * BYTES_PER_MB)
+
+
 def _regions(document: dict[str, Any], zone: ZoneId) -> RegionMap:
     named = _find(document, ("zones",))
     if named is None:
--- /dev/null
+++ b/tests/test_byte_budget.py
@@ -0,0 +1,172 @@
+"""The rules of what a daemon holds for others: the budget, one answer's share, who is cut first."""
+
+import math
+import random
+import unittest
+
+from larkpost.common.clock import LoopClock
+from larkpost.gateway.memory.budget import (
+    LEAST_SHARE_BYTES,
+    RETRY_AFTER_SECONDS,
+    SHARES,
+    ByteBudget,
+    NoRoomError,
+    Purpose,
+)
+from larkpost.gateway.memory.daemon_memory import DaemonMemory, unlimited_memory
+from larkpost.gateway.memory.sizing import LEAST_BUDGET_BYTES, PROGRAM_BYTES, budget_of
+from larkpost.gateway.memory.slow_readers import MIN_SLOW_SECONDS, ReaderPace, slowest_reader
+from larkpost.gateway.observability.eventlog import Event
+from larkpost.gateway.observability.instruments import Instruments
+from tests.recording_log import RecordingLog
+
+MB = 1_000_000
+
+
+class ByteBudgetTest(unittest.TestCase):
+    """A budget of 10 MB."""
+
+    def setUp(self):
+        self.budget = ByteBudget(10 * MB, random.Random(1))
+
+    def test_bytes_are_counted_by_purpose_and_released_at_the_end(self):
+        with self.budget.reserve(Purpose.REQUEST_BODIES, 3 * MB) as body:
+            self.budget.reserve(Purpose.ANSWERS, MB)
+            body.grow(MB)
+            self.assertEqual(4 * MB, self.budget.held(Purpose.REQUEST_BODIES))
+            self.assertEqual((5 * MB, 5 * MB), (self.budget.total, self.budget.free))
+        self.assertEqual(0, self.budget.held(Purpose.REQUEST_BODIES))
+        self.assertEqual(MB, self.budget.total)
+
+    def test_bytes_are_released_when_their_holder_fails(self):
+        with self.assertRaises(ValueError), self.budget.reserve(Purpose.ANSWERS, MB):
+            raise ValueError
+        self.assertEqual(0, self.budget.total)
+
+    def test_nothing_is_reserved_without_room_and_what_was_stays(self):
+        self.budget.reserve(Purpose.REQUEST_BODIES, 10 * MB)
+        with self.assertRaises(NoRoomError):
+            self.budget.reserve(Purpose.REQUEST_BODIES, 1)
+        self.assertEqual(10 * MB, self.budget.total)
+
+    def test_reservation_of_nothing_is_never_refused(self):
+        self.budget.reserve(Purpose.REQUEST_BODIES, 10 * MB)
+        self.budget.reserve(Purpose.REQUEST_BODIES, 0)
+
+    def test_growing_beyond_the_room_keeps_what_was_reserved(self):
+        body = self.budget.reserve(Purpose.REQUEST_BODIES, 9 * MB)
+        with self.assertRaises(NoRoomError):
+            body.grow(2 * MB)
+        self.assertEqual((9 * MB, 9 * MB), (body.size, self.budget.total))
+
+    def test_refused_callers_come_back_one_by_one(self):
+        self.budget.reserve(Purpose.REQUEST_BODIES, 10 * MB)
+        waits = {self.budget.no_room(1).retry_after for _ in range(20)}
+        self.assertGreater(len(waits), 15)
+        self.assertGreaterEqual(min(waits), RETRY_AFTER_SECONDS)
+        self.assertLessEqual(max(waits), 2 * RETRY_AFTER_SECONDS)
+
+    def test_refusal_names_its_holder_and_size(self):
+        refused = []
+        self.budget.on_refusal = lambda reservation, size: refused.append(
+            (reservation.owner, reservation.purpose, size)
+        )
+        with self.assertRaises(NoRoomError):
+            self.budget.reserve(Purpose.REQUEST_BODIES, 11 * MB, "r1")
+        self.assertEqual([("r1", Purpose.REQUEST_BODIES, 11 * MB)], refused)
+
+    def test_what_is_kept_anyway_leaves_less_room(self):
+        self.budget.record_kept(Purpose.BATCHES, 12 * MB)
+        self.assertEqual(0, self.budget.free)
+        self.budget.record_kept(Purpose.BATCHES, 4 * MB)
+        self.assertEqual(6 * MB, self.budget.free)
+
+    def test_forty_answers_that_take_their_shares_fit_but_for_the_least_that_each_may_hold(self):
+        """Forty slow clients of answers larger than the budget."""
+        for _ in range(40):
+            answer = self.budget.reserve(Purpose.STREAMS)
+            while answer.fits_share(LEAST_SHARE_BYTES):
+                answer.grow_anyway(LEAST_SHARE_BYTES)
+        self.assertLess(self.budget.total, 10 * MB + 40 * LEAST_SHARE_BYTES)
+        self.assertGreater(self.budget.total, 9 * MB)
+
+    def test_one_answer_may_hold_a_part_of_what_is_free(self):
+        answer = self.budget.reserve(Purpose.ANSWERS)
+        self.assertTrue(answer.fits_share(10 * MB // SHARES))
+        self.assertFalse(answer.fits_share(10 * MB // SHARES + 1))
+
+    def test_room_is_short_once_half_is_held(self):
+        body = self.budget.reserve(Purpose.REQUEST_BODIES, 5 * MB)
+        self.assertFalse(self.budget.is_short)
+        body.grow(1)
+        self.assertTrue(self.budget.is_short)
+
+    def test_without_a_limit_everything_fits(self):
+        budget = ByteBudget()
+        answer = budget.reserve(Purpose.ANSWERS, 10**12)
+        self.assertTrue(answer.fits_share(10**12))
+        self.assertEqual((math.inf, False), (budget.free, budget.is_short))
+
+
+class SizingTest(unittest.TestCase):
+    """What the sizes of machines leave to others."""
+
+    def test_budget_by_machine(self):
+        self.assertIsNone(budget_of(None))
+        self.assertEqual(54 * MB, budget_of(160 * MB))
+        self.assertEqual(LEAST_BUDGET_BYTES, budget_of(PROGRAM_BYTES))
+        self.assertEqual(LEAST_BUDGET_BYTES, budget_of(MB))
+        self.assertGreater(budget_of(552 * MB), 5 * budget_of(160 * MB))
+
+
+class SlowestReaderTest(unittest.TestCase):
+    """Which client is cut."""
+
+    def test_rule_by_cases(self):
+        late = MIN_SLOW_SECONDS
+        cases = {
+            "none": ({}, None),
+            "one": ({"a": ReaderPace(MB, 0, late)}, "a"),
+            "behind for a moment only": ({"a": ReaderPace(MB, 0, late - 0.1)}, None),
+            "nothing would be freed": ({"a": ReaderPace(0, 0, late)}, None),
+            "the fewest bytes a second": (
+                {"a": ReaderPace(MB, 4 * MB, 4.0), "b": ReaderPace(MB, 2 * MB, 4.0)},
+                "b",
+            ),
+            "not the fewest bytes": (
+                {"a": ReaderPace(MB, 4 * MB, 40.0), "b": ReaderPace(MB, 2 * MB, 4.0)},
+                "a",
+            ),
+            "of several that stand still, the one that holds most": (
+                {"a": ReaderPace(MB, 0, 3.0), "b": ReaderPace(2 * MB, 0, 3.0)},
+                "b",
+            ),
+        }
+        for name, (paces, expected) in cases.items():
+            with self.subTest(name):
+                self.assertEqual(expected, slowest_reader(paces))
+
+
+class RequestMemoryTest(unittest.TestCase):
+    """What is held for one request."""
+
+    def test_everything_is_released_at_the_end_of_the_request(self):
+        memory = unlimited_memory()
+        with memory.request() as request:
+            request.reserve(Purpose.REQUEST_BODIES, MB)
+            request.reserve(Purpose.ANSWERS).grow_anyway(MB)
+            self.assertEqual((2 * MB, 2 * MB), (request.size, memory.budget.total))
+            request.keep_only(Purpose.ANSWERS, 100)
+            self.assertEqual((100, 100), (request.size, memory.budget.total))
+        self.assertEqual(0, memory.budget.total)
+
+    def test_refusal_is_logged_with_its_request(self):
+        log = RecordingLog()
+        memory = DaemonMemory(MB, Instruments(LoopClock(), log))
+        with memory.request() as request, self.assertRaises(NoRoomError):
+            request.owner = "r1"
+            request.reserve(Purpose.REQUEST_BODIES, 2 * MB)
+        (line,) = [fields for event, fields in log.events if event is Event.NO_ROOM]
+        self.assertEqual("r1", line["request"])
+        self.assertEqual("request_bodies", line["purpose"])
+        self.assertEqual((2 * MB, 0, MB), (line["bytes"], line["held"], line["limit"]))
--- a/tests/test_import_layers.py
+++ b/tests/test_import_layers.py
@@ -25,6 +25,7 @@
 
 GATEWAY_ORDER = (
     "observability",
+    "memory",
     "store",
     "blackboard",
     "servers",
