--- a/src/larkpost/gateway/memory/read_ahead.py
+++ b/src/larkpost/gateway/memory/read_ahead.py
@@ -14,8 +14,8 @@
 from larkpost.gateway.memory.delivery import Delivery
 
 UNREAD_SECONDS = 2.0
-"""After so long without room to read an answer on, a little more is read beyond its share; where room
-is short, the slowest client is cut instead: the servers' patience is some seconds."""
+"""After so long without room to read an answer on, a little more is read beyond its share; where
+room is short, the slowest client is cut instead: the servers' patience is some seconds."""
 ROOM_POLL_SECONDS = 0.1
 """Between two looks at whether others have left room."""
 
--- a/src/larkpost/gateway/memory/sizing.py
+++ b/src/larkpost/gateway/memory/sizing.py
@@ -2,7 +2,7 @@
 
 PROGRAM_BYTES = 70_000_000
 """Left to the program itself and to what it knows of a fleet of hundreds."""
-HELD_SHARE = 0.6
+HELD_SHARE = 0.5
 """Share of the rest that may be held for others; what is left is for the buffers of connections,
 for copies while something is passed on, and for gaps between what is allocated."""
 LEAST_BUDGET_BYTES = 8_000_000
--- a/src/larkpost/platform/stand_in/daemon_settings.py
+++ b/src/larkpost/platform/stand_in/daemon_settings.py
@@ -37,7 +37,11 @@
 
 @dataclass(frozen=True, slots=True)
 class DaemonPlace:
-    """Where a daemon stands and listens."""
+    """Where a daemon stands and listens.
+
+    Attributes:
+        memory_mb: the machine's memory; None if the settings do not say it.
+    """
 
     machine: str
     zone: ZoneId
@@ -45,6 +49,7 @@
     ready: Address
     peer: Address
     store: Address
+    memory_mb: int | None = None
 
 
 def write_settings(place: DaemonPlace, folder: Path) -> dict[str, str]:
@@ -58,6 +63,8 @@
         peer_port=split_address(place.peer)[1],
         store=place.store,
     )
+    if place.memory_mb is not None:
+        text += f"[limits]\nmemory-mb = {place.memory_mb}\n"
     path.write_text(text, encoding="utf-8")
     return {names.SETTINGS_VARIABLE: str(path)}
 
--- a/tests/platform_mutants.py
+++ b/tests/platform_mutants.py
@@ -483,6 +483,20 @@
     return mock.patch.object(steady_time, "CLOCK", time.CLOCK_MONOTONIC)
 
 
+def reserve_no_bytes():
+    """Holds whatever comes, and counts none of it."""
+    from larkpost.gateway.memory.budget import ByteBudget
+
+    return mock.patch.object(ByteBudget, "add", lambda *_: None)
+
+
+def wait_for_slow_readers():
+    """Cuts no client, however slowly it takes its answer."""
+    from larkpost.gateway.memory import daemon_memory
+
+    return mock.patch.object(daemon_memory, "slowest_reader", lambda _: None)
+
+
 MUTANTS = {
     mutant.__name__: mutant
     for mutant in (
@@ -533,6 +547,8 @@
         run_suspects_together,
         stand_still_while_suspended,
         trust_the_plain_clock,
+        reserve_no_bytes,
+        wait_for_slow_readers,
     )
 }
 TESTS = dict.fromkeys(MUTANTS, FUZZ) | {
@@ -576,6 +592,8 @@
     "never_clear_requests": "tests.test_quarantine_fleet",
     "stand_still_while_suspended": "tests.test_suspension",
     "trust_the_plain_clock": "tests.test_suspension",
+    "reserve_no_bytes": "tests.test_held_bytes.BodyTest",
+    "wait_for_slow_readers": "tests.test_slow_readers",
 }
 EXPECTED_CHECKS = {
     "ignore_permits": ("while cold",),
--- a/tests/run.py
+++ b/tests/run.py
@@ -24,6 +24,7 @@
 """A module that runs longer has failed."""
 REAL_PROCESS_MODULES = (
     "tests.test_processes",
+    "tests.test_memory",
     "tests.test_platform_settings",
     "tests.test_deployment",
     "tests.test_process_soak",
--- a/tests/test_byte_budget.py
+++ b/tests/test_byte_budget.py
@@ -113,7 +113,7 @@
 
     def test_budget_by_machine(self):
         self.assertIsNone(budget_of(None))
-        self.assertEqual(54 * MB, budget_of(160 * MB))
+        self.assertEqual(45 * MB, budget_of(160 * MB))
         self.assertEqual(LEAST_BUDGET_BYTES, budget_of(PROGRAM_BYTES))
         self.assertEqual(LEAST_BUDGET_BYTES, budget_of(MB))
         self.assertGreater(budget_of(552 * MB), 5 * budget_of(160 * MB))
--- a/tests/test_slow_readers.py
+++ b/tests/test_slow_readers.py
@@ -227,8 +227,9 @@
 
         async def play():
             tasks = [asyncio.create_task(relay.run()) for relay in (slow, fast)]
-            while not slow.outlet.is_cut:
-                await asyncio.sleep(STEP_SECONDS)
+            async with asyncio.timeout(STALLED_SECONDS):
+                while not slow.outlet.is_cut:
+                    await asyncio.sleep(STEP_SECONDS)
             seconds = asyncio.get_running_loop().time()
             outcomes = await asyncio.gather(*tasks, return_exceptions=True)
             return seconds, outcomes
@@ -261,10 +262,10 @@
             self.memory.budget.reserve(Purpose.REQUEST_BODIES, 6 * MB)
             with self.assertRaises(NoRoomError):
                 self.memory.budget.reserve(Purpose.REQUEST_BODIES, 3 * MB)
+            self.assertTrue(relay.outlet.is_cut)
             await asyncio.gather(running, return_exceptions=True)
 
         virtual.run(play())
-        self.assertTrue(relay.outlet.is_cut)
 
     def test_what_was_read_before_goes_first(self):
         memory = self.memory
