--- a/tests/test_byte_budget.py
+++ b/tests/test_byte_budget.py
@@ -3,6 +3,9 @@
 import math
 import random
 import unittest
+from collections import deque
+from contextlib import AsyncExitStack
+from unittest import mock
 
 from larkpost.common.clock import LoopClock
 from larkpost.gateway.memory.budget import (
@@ -18,6 +21,8 @@
 from larkpost.gateway.memory.slow_readers import MIN_SLOW_SECONDS, ReaderPace, slowest_reader
 from larkpost.gateway.observability.eventlog import Event
 from larkpost.gateway.observability.instruments import Instruments
+from larkpost.gateway.proxy.attempts import Attempts
+from larkpost.gateway.proxy.request import OpenResponse
 from tests.recording_log import RecordingLog
 
 MB = 1_000_000
@@ -147,6 +152,27 @@
                 self.assertEqual(expected, slowest_reader(paces))
 
 
+class OpenResponseTest(unittest.IsolatedAsyncioTestCase):
+    """Responses that are passed on as they come."""
+
+    async def test_calls_whose_responses_are_not_used_are_ended(self):
+        ended = []
+
+        def opened(name: str) -> OpenResponse:
+            call = AsyncExitStack()
+            call.callback(ended.append, name)
+            body = ByteBudget().reserve(Purpose.ANSWERS)
+            return OpenResponse(200, (), deque(), mock.Mock(), body, call)
+
+        used, unused = opened("used"), opened("unused")
+        attempts = Attempts(*[mock.Mock()] * 5, opened=[unused, used])
+        await attempts.close_unused(used)
+        self.assertEqual(["unused"], ended)
+        async with used:
+            self.assertEqual(["unused"], ended)
+        self.assertEqual(["unused", "used"], ended)
+
+
 class RequestMemoryTest(unittest.TestCase):
     """What is held for one request."""
 
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -183,7 +183,6 @@
     def assert_fits(self) -> None:
         """Checks that the daemon runs and was never larger than its machine."""
         self.assertIsNone(self.daemon.popen.poll())
-        print(f"peak {self.peak() / 1e6:.0f} MB")
         self.assertLess(self.peak(), MACHINE_BYTES)
 
     async def test_forty_slow_readers_get_their_answers_within_the_memory_of_the_machine(self):
--- a/tests/test_platform_settings.py
+++ b/tests/test_platform_settings.py
@@ -56,6 +56,14 @@
         self.assertEqual("10.0.0.1:7720", settings.peer)
         self.assertIsNone(self.load(GOOD.replace("port-range = [7720, 7735]", "")).peer)
 
+    def test_memory_is_what_the_file_says_or_not_limited(self):
+        self.assertEqual(160_000_000, self.load(GOOD + "[limits]\nmemory-mb = 160\n").memory_bytes)
+        self.assertIsNone(self.load(GOOD).memory_bytes)
+        for wrong in ("0", "-3", '"160"', "true"):
+            with self.subTest(wrong), self.assertRaises(SettingsError) as caught:
+                self.load(GOOD + f"[limits]\nmemory-mb = {wrong}\n")
+            self.assertIn("limits.memory-mb", caught.exception.message)
+
     def test_most_descriptors_are_the_given_ones_or_the_system_s(self):
         given = self.load(GOOD + "[limits]\nmax-fds = 900\n")
         self.assertEqual(900, given.max_descriptors)
