Duties go by the capacity of machines

Cause: twelve coordinators were chosen by hashing alone, so a machine of 0.4 cores took as many claimed batches and orders as one of 2. Change: heartbeats report a capacity from cores, memory and how late the loop is; weighted rendezvous hashing goes by it. It counts only where all candidates report theirs, so that builds of before and of now name the same daemon (a daemon that says nothing is not weighed as 1: the others would then disagree with it).

--- a/src/larkpost/gateway/assembly/environment.py
+++ b/src/larkpost/gateway/assembly/environment.py
@@ -35,6 +35,7 @@
         regions: where the deployment's zones lie, seen from this daemon's.
         cold: what is agreed about cold instances; None if they have no limits.
         memory_bytes: the most memory that the daemon may use; None if there is no limit.
+        cores: what it may use of a processor, in ordinary cores; None if that is not said.
     """
 
     machine: str
@@ -49,6 +50,7 @@
     regions: RegionMap = field(default_factory=RegionMap)
     cold: ColdTerms | None = None
     memory_bytes: int | None = None
+    cores: float | None = None
 
     @property
     def byte_budget(self) -> int | None:
--- a/src/larkpost/gateway/assembly/loop_watch.py
+++ b/src/larkpost/gateway/assembly/loop_watch.py
@@ -11,12 +11,17 @@
 
 
 class LoopWatch:
-    """The largest delay since it was last asked for."""
+    """The largest delay since it was last asked for.
+
+    Attributes:
+        late_at: steady time at which the loop was last found late.
+    """
 
     def __init__(self, clock: Clock, log: EventLog) -> None:
         self._clock = clock
         self._log = log
         self._largest = 0.0
+        self.late_at = float("-inf")
 
     def start(self, tasks: TaskSet) -> None:
         """Starts measuring."""
@@ -34,4 +39,5 @@
             lag = self._clock.now() - started - LOOP_INTERVAL_SECONDS
             self._largest = max(self._largest, lag)
             if lag > LATE_LOOP_SECONDS:
+                self.late_at = self._clock.now()
                 self._log.record(Event.LOOP_LATE, seconds=round(lag, 3))
--- a/src/larkpost/gateway/controllers/fleet_view.py
+++ b/src/larkpost/gateway/controllers/fleet_view.py
@@ -112,7 +112,7 @@
             for name in self._coordinators
             if regions is None or self.region_of(name) in regions
         ]
-        return first_choice(key, fitting)
+        return first_choice(key, fitting, self._capacities(fitting))
 
     def region_of(self, daemon: DaemonId) -> RegionId | None:
         """Returns the region of a daemon; None if it is not known."""
@@ -142,7 +142,8 @@
         acting = [name for name in alive if self._says_that_it_coordinates(name)]
         if not self.is_leaving:
             alive.add(self.own)
-            if is_to_coordinate(self.own, self._regions_of(alive), self.age()):
+            regions, capacities = self._regions_of(alive), self._capacities(alive)
+            if is_to_coordinate(self.own, regions, self.age(), capacities):
                 acting.append(self.own)
         self._alive = frozenset(alive)
         self._coordinators = tuple(sorted(acting))
@@ -172,5 +173,13 @@
         seen = self.awaited.seen.get(daemon)
         return seen is not None and seen.heartbeat.coordinates
 
+    def _capacities(self, daemons: Iterable[DaemonId]) -> dict[DaemonId, float | None]:
+        """Returns the capacities that daemons report, this one's as the others see it."""
+        return {name: self._capacity(name) for name in daemons}
+
+    def _capacity(self, daemon: DaemonId) -> float | None:
+        seen = self.awaited.seen.get(daemon) or self.known.seen.get(daemon)
+        return seen.heartbeat.report.capacity if seen is not None else None
+
     def _regions_of(self, daemons: Iterable[DaemonId]) -> dict[DaemonId, RegionId | None]:
         return {name: self.region_of(name) for name in daemons}
--- a/src/larkpost/gateway/daemon.py
+++ b/src/larkpost/gateway/daemon.py
@@ -18,6 +18,7 @@
 from larkpost.gateway.assembly.gauges import Gauges
 from larkpost.gateway.assembly.leased_controllers import ControllerInputs, LeasedControllers
 from larkpost.gateway.assembly.loop_watch import LoopWatch
+from larkpost.gateway.assembly.own_capacity import OwnCapacity, capacity_of
 from larkpost.gateway.blackboard.board import Blackboard
 from larkpost.gateway.blackboard.lifecycle import Lifecycle
 from larkpost.gateway.blackboard.weight_targets import Demands
@@ -123,13 +124,15 @@
         )
 
     def _make_membership(self) -> None:
-        store = self._ports.store
+        store, settings = self._ports.store, self.settings
+        most = capacity_of(settings.cores, settings.byte_budget)
         own = OwnDaemon(
             self.id,
             self.balancer.summary,
             self._is_owner,
             ClockOffset(self._clock, store.time).now,
-            self.settings.peer_address,
+            settings.peer_address,
+            OwnCapacity(most, self._loop_watch, self._clock).report,
         )
         self.membership = Membership(
             own,
@@ -149,13 +152,8 @@
             ports.metrics,
             self._may_forget_crashes,
         )
-        watch = CrashWatch(
-            self.directory,
-            ports.servers,
-            ports.clock,
-            self._tasks,
-            self._crash_recorder.record_crash,
-        )
+        record_crash = self._crash_recorder.record_crash
+        watch = CrashWatch(self.directory, ports.servers, ports.clock, self._tasks, record_crash)
         self._servers = GuardedServers(
             ports.servers, self.blackboard.crashes, watch, self._crash_recorder, self._isolation
         )
--- a/src/larkpost/platform/assembly.py
+++ b/src/larkpost/platform/assembly.py
@@ -110,6 +110,7 @@
         cold=settings.cold,
         regions=settings.regions,
         memory_bytes=settings.memory_bytes,
+        cores=settings.cores,
     )
 
 
--- a/src/larkpost/platform/settings.py
+++ b/src/larkpost/platform/settings.py
@@ -55,6 +55,7 @@
         duties: where the platform listens for the calls of duties; None if there are none.
         max_descriptors: the most descriptors that this daemon may use.
         memory_bytes: the most memory that this daemon may use; None if it is not said.
+        cores: what it may use of a processor, in ordinary cores; None if it is not said.
         usage: what is agreed about usage reports; None if none are asked for.
         orders_servers: whether servers may be ordered from the platform.
         cold: what is agreed about cold servers; None if nothing is.
@@ -78,6 +79,7 @@
     duties: Address | None
     max_descriptors: int
     memory_bytes: int | None
+    cores: float | None
     usage: UsageTerms | None
     orders_servers: bool
     cold: ColdTerms | None
@@ -132,6 +134,7 @@
         duties=_optional_address(document, "cloud-api", "address"),
         max_descriptors=int(_number(document, "limits", "max-fds", default=_descriptor_limit())),
         memory_bytes=_memory(document),
+        cores=_cores(document),
         usage=_usage(document),
         orders_servers=_has_duty(document, names.SCALING_DUTY),
         cold=_cold(document),
@@ -149,6 +152,14 @@
     return int(_number(document, "limits", "memory-mb", default=1) * BYTES_PER_MB)
 
 
+def _cores(document: dict[str, Any]) -> float | None:
+    """Returns the processor in ordinary cores: ``cores`` is how fast its one core is."""
+    if _find(document, ("limits", "cores")) is None:
+        return None
+    speed = _number(document, "limits", "cores", default=1)
+    return speed * _number(document, "limits", "cpu-share", default=1)
+
+
 def _regions(document: dict[str, Any], zone: ZoneId) -> RegionMap:
     named = _find(document, ("zones",))
     if named is None:
--- a/tests/platform_mutants.py
+++ b/tests/platform_mutants.py
@@ -490,6 +490,19 @@
     return mock.patch.object(ByteBudget, "add", lambda *_: None)
 
 
+def weigh_daemons_of_earlier_builds():
+    """Takes a daemon that reports no capacity for an ordinary one, which it does not do itself."""
+    from larkpost.gateway.controllers import coordinators
+
+    original = coordinators._weights
+
+    def weigh(names, capacity_of):
+        known = {name: (capacity_of or {}).get(name) or 1.0 for name in names}
+        return original(known, known)
+
+    return mock.patch.object(coordinators, "_weights", weigh)
+
+
 def wait_for_slow_readers():
     """Cuts no client, however slowly it takes its answer."""
     from larkpost.gateway.memory import daemon_memory
@@ -549,6 +562,7 @@
         trust_the_plain_clock,
         reserve_no_bytes,
         wait_for_slow_readers,
+        weigh_daemons_of_earlier_builds,
     )
 }
 TESTS = dict.fromkeys(MUTANTS, FUZZ) | {
@@ -594,6 +608,7 @@
     "trust_the_plain_clock": "tests.test_suspension",
     "reserve_no_bytes": "tests.test_held_bytes.BodyTest",
     "wait_for_slow_readers": "tests.test_slow_readers",
+    "weigh_daemons_of_earlier_builds": "tests.test_uneven_machines",
 }
 EXPECTED_CHECKS = {
     "ignore_permits": ("while cold",),
--- a/tests/test_platform_settings.py
+++ b/tests/test_platform_settings.py
@@ -64,6 +64,12 @@
                 self.load(GOOD + f"[limits]\nmemory-mb = {wrong}\n")
             self.assertIn("limits.memory-mb", caught.exception.message)
 
+    def test_cores_are_the_share_of_a_core_times_its_speed(self):
+        given = self.load(GOOD + "[limits]\ncores = 3\ncpu-share = 0.717\n")
+        self.assertAlmostEqual(2.151, given.cores)
+        self.assertEqual(2.0, self.load(GOOD + "[limits]\ncores = 2\n").cores)
+        self.assertIsNone(self.load(GOOD).cores)
+
     def test_most_descriptors_are_the_given_ones_or_the_system_s(self):
         given = self.load(GOOD + "[limits]\nmax-fds = 900\n")
         self.assertEqual(900, given.max_descriptors)
