--- a/src/larkpost/gateway/proxy/attempts.py
+++ b/src/larkpost/gateway/proxy/attempts.py
@@ -75,7 +75,7 @@
         """Ends the calls whose responses are not used, as another one came first."""
         for opened in self.opened:
             if opened is not used:
-                await opened.call.aclose()
+                await opened.abandon()
 
     def record_may_have_run(self, instance: InstanceId) -> None:
         """Records that a server may have run it, also while that is not known yet."""
--- a/src/larkpost/gateway/proxy/request.py
+++ b/src/larkpost/gateway/proxy/request.py
@@ -1,5 +1,6 @@
 """A client's request, its whole response, and the errors in which it may end."""
 
+import asyncio
 from collections import deque
 from collections.abc import AsyncIterator
 from contextlib import AsyncExitStack
@@ -105,3 +106,9 @@
 
     async def __aexit__(self, *error: object) -> None:
         await self.call.__aexit__(*error)
+
+    async def abandon(self) -> None:
+        """Ends the call as one that was given up: its server has not answered in full."""
+        self.reservation.release()
+        given_up = asyncio.CancelledError()
+        await self.call.__aexit__(asyncio.CancelledError, given_up, None)
--- a/tests/process_soak/site.py
+++ b/tests/process_soak/site.py
@@ -38,6 +38,8 @@
 DAEMONS, ENGINE_COUNT, PAGE_COUNT = 4, 3, 2
 ENGINE_SLOTS, PAGE_SLOTS = 8, 6
 ROW_BYTES = 65536
+MEMORY_MB = 160
+"""The daemons' machines are small, so what is held for others is limited."""
 STORE_SECONDS = 2.0
 CRASH_STATUS = 1
 """Exit status of a server that a request has crashed."""
@@ -170,6 +172,7 @@
             free_address(),
             free_address(),
             store.address,
+            MEMORY_MB,
         )
         self._started += 1
         await front.start()
--- a/tests/test_byte_budget.py
+++ b/tests/test_byte_budget.py
@@ -1,5 +1,6 @@
 """The rules of what a daemon holds for others: the budget, one answer's share, who is cut first."""
 
+import asyncio
 import math
 import random
 import unittest
@@ -160,17 +161,18 @@
 
         def opened(name: str) -> OpenResponse:
             call = AsyncExitStack()
-            call.callback(ended.append, name)
+            call.push(lambda kind, *_: ended.append((name, kind)))
             body = ByteBudget().reserve(Purpose.ANSWERS)
             return OpenResponse(200, (), deque(), mock.Mock(), body, call)
 
         used, unused = opened("used"), opened("unused")
         attempts = Attempts(*[mock.Mock()] * 5, opened=[unused, used])
         await attempts.close_unused(used)
-        self.assertEqual(["unused"], ended)
+        given_up = ("unused", asyncio.CancelledError)
+        self.assertEqual([given_up], ended)
         async with used:
-            self.assertEqual(["unused"], ended)
-        self.assertEqual(["unused", "used"], ended)
+            self.assertEqual([given_up], ended)
+        self.assertEqual([given_up, ("used", None)], ended)
 
 
 class RequestMemoryTest(unittest.TestCase):
