Merge main: paces and shares into the branch of memory and uneven machines

The report of capacity joins the others in DaemonReports. A response that is too large to be held and may not be passed on, a failure or a false promise, is given up at once.

--- /dev/null
+++ b/src/larkpost/gateway/assembly/daemon_reports.py
@@ -0,0 +1,39 @@
+"""Joins what a daemon reports to the others with its heartbeats; passes on what they report."""
+
+from collections.abc import Callable
+
+from larkpost.common.ids import DaemonId, InstanceId
+from larkpost.gateway.blackboard.daemon_report import DaemonReport
+from larkpost.gateway.fairness.ledger import FlowLedger
+from larkpost.gateway.proxy.paces import Paces
+
+
+class DaemonReports:
+    """The reports of this daemon and of the others.
+
+    Args:
+        capacity: returns what this daemon can bear beside clients; None if that is not known.
+    """
+
+    def __init__(
+        self,
+        paces: Paces,
+        ledger: FlowLedger,
+        capacity: Callable[[], float | None] = lambda: None,
+    ) -> None:
+        self._paces = paces
+        self._ledger = ledger
+        self._capacity = capacity
+
+    def own(self) -> DaemonReport:
+        """Returns what each of this daemon's heartbeats reports now."""
+        return DaemonReport(tenants=self._ledger.report(), capacity=self._capacity())
+
+    def own_paces(self) -> dict[InstanceId, float]:
+        """Returns the paces whose turn it is; each call takes the next ones."""
+        return self._paces.report()
+
+    def record(self, daemon: DaemonId, report: DaemonReport) -> None:
+        """Records what another daemon reports."""
+        self._paces.record_report(daemon, report.paces)
+        self._ledger.record_report(daemon, report.tenants)
--- /dev/null
+++ b/src/larkpost/gateway/assembly/membership.py
@@ -0,0 +1,64 @@
+"""How a daemon's heartbeats are put together: what it shows of itself, and who hears the others."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from larkpost.common.ids import DaemonId
+from larkpost.gateway.assembly.daemon_reports import DaemonReports
+from larkpost.gateway.assembly.environment import GatewayPorts, GatewaySettings
+from larkpost.gateway.assembly.loop_watch import LoopWatch
+from larkpost.gateway.assembly.own_capacity import OwnCapacity, capacity_of
+from larkpost.gateway.blackboard.regions import RegionMap
+from larkpost.gateway.controllers.heartbeat_writer import OwnDaemon
+from larkpost.gateway.controllers.members import Membership
+from larkpost.gateway.controllers.true_time import ClockOffset
+from larkpost.gateway.fairness.ledger import FlowLedger
+from larkpost.gateway.observability.instruments import Instruments
+from larkpost.gateway.proxy.balancer import Balancer
+
+
+@dataclass(frozen=True, slots=True)
+class MembershipInputs:
+    """What a daemon's membership is made of.
+
+    Attributes:
+        daemon: this process's id.
+        ledger: use by tenant in the fleet.
+        is_owner: returns whether it owns batches that are not ended.
+    """
+
+    daemon: DaemonId
+    settings: GatewaySettings
+    ports: GatewayPorts
+    instruments: Instruments
+    regions: RegionMap
+    balancer: Balancer
+    ledger: FlowLedger
+    is_owner: Callable[[], bool]
+    loop_watch: LoopWatch
+
+
+def make_membership(inputs: MembershipInputs) -> Membership:
+    """Returns the membership, whose heartbeats carry the daemon's use and report."""
+    store, balancer, settings = inputs.ports.store, inputs.balancer, inputs.settings
+    most = capacity_of(settings.cores, settings.byte_budget)
+    capacity = OwnCapacity(most, inputs.loop_watch, inputs.ports.clock)
+    reports = DaemonReports(balancer.paces, inputs.ledger, capacity.now)
+    own = OwnDaemon(
+        inputs.daemon,
+        balancer.summary,
+        inputs.is_owner,
+        ClockOffset(inputs.ports.clock, store.time).now,
+        settings.peer_address,
+        reports.own,
+        reports.own_paces,
+        inputs.ledger.has_shortage,
+    )
+    return Membership(
+        own,
+        store,
+        inputs.instruments,
+        inputs.regions,
+        balancer.record_peer_summary,
+        reports.record,
+    )
--- a/src/larkpost/gateway/assembly/own_capacity.py
+++ b/src/larkpost/gateway/assembly/own_capacity.py
@@ -5,7 +5,6 @@
 
 from larkpost.common.clock import Clock
 from larkpost.gateway.assembly.loop_watch import LoopWatch
-from larkpost.gateway.blackboard.daemon_report import DaemonReport
 
 BYTES_FOR_A_CORE = 100_000_000
 """A machine whose budget of bytes is smaller than this for each core cannot use all of them."""
@@ -46,7 +45,3 @@
             return None
         is_late = self._clock.now() - self._loop_watch.late_at < LATE_SECONDS
         return round(self._most * LATE_SHARE, 3) if is_late else self._most
-
-    def report(self) -> DaemonReport:
-        """Returns the report that says it."""
-        return DaemonReport(capacity=self.now())
--- a/src/larkpost/gateway/controllers/heartbeat_writer.py
+++ b/src/larkpost/gateway/controllers/heartbeat_writer.py
@@ -4,10 +4,10 @@
 """
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from larkpost.common.clock import Clock
-from larkpost.common.ids import Address, DaemonId
+from larkpost.common.ids import Address, DaemonId, InstanceId
 from larkpost.gateway.blackboard.daemon_report import DaemonReport
 from larkpost.gateway.blackboard.regions import RegionMap
 from larkpost.gateway.blackboard.use_summary import UseSummary
@@ -17,6 +17,7 @@
     HEARTBEAT_SECONDS,
     awaited_interval,
     known_interval,
+    shortage_factor,
 )
 from larkpost.gateway.controllers.heartbeat_list import HeartbeatList
 from larkpost.gateway.store.port import Store, Transaction, WriteOutcome
@@ -46,6 +47,9 @@
             store's clock, or None if that is not known.
         address: where it makes calls to the store for others, or None.
         report: returns what else it reports to the others with each heartbeat.
+        paces: returns the lasting paces that it reports with the next awaited heartbeat. Known ones
+            carry none, as all daemons list them and their bytes are bounded.
+        has_shortage: returns whether a service lacks places, so that reports are wanted sooner.
     """
 
     id: DaemonId
@@ -54,6 +58,8 @@
     clock_offset: Callable[[], float | None] = lambda: None
     address: Address | None = None
     report: Callable[[], DaemonReport] = DaemonReport
+    paces: Callable[[], dict[InstanceId, float]] = dict
+    has_shortage: Callable[[], bool] = lambda: False
 
 
 class HeartbeatWriter:
@@ -87,7 +93,10 @@
                 await self._write_awaited()
         elif self._awaited_written_at is not None:
             await self._remove_awaited()
-        if is_due(self._known_written_at, self._known_interval(), self._clock.now()):
+        known_interval = self._known_interval() * shortage_factor(
+            has_shortage=self._own.has_shortage()
+        )
+        if is_due(self._known_written_at, known_interval, self._clock.now()):
             await self._write_known()
 
     async def write_last(self) -> None:
@@ -118,9 +127,10 @@
         call = min(self._view.awaited.usual_call, MOST_REPORTED_CALL_SECONDS)
         interval = round(self._awaited_interval() + call, 3)
         is_acting = self._view.is_coordinator()
+        report = replace(self._own.report(), paces=self._own.paces())
         await self._put(
             self._view.awaited,
-            Heartbeat(interval, self._own.use(), coordinates=is_acting, report=self._own.report()),
+            Heartbeat(interval, self._own.use(), coordinates=is_acting, report=report),
         )
 
     async def _remove_awaited(self) -> None:
--- a/src/larkpost/gateway/daemon.py
+++ b/src/larkpost/gateway/daemon.py
@@ -14,20 +14,20 @@
 import asyncio
 
 from larkpost.common.tasks import TaskSet, UnreportedFailures
+from larkpost.gateway.assembly.client_requests import make_forwarder
 from larkpost.gateway.assembly.environment import GatewayPorts, GatewaySettings
 from larkpost.gateway.assembly.gauges import Gauges
 from larkpost.gateway.assembly.leased_controllers import ControllerInputs, LeasedControllers
 from larkpost.gateway.assembly.loop_watch import LoopWatch
-from larkpost.gateway.assembly.own_capacity import OwnCapacity, capacity_of
+from larkpost.gateway.assembly.membership import MembershipInputs, make_membership
 from larkpost.gateway.blackboard.board import Blackboard
 from larkpost.gateway.blackboard.lifecycle import Lifecycle
 from larkpost.gateway.blackboard.weight_targets import Demands
 from larkpost.gateway.controllers.division import EngineDivision
 from larkpost.gateway.controllers.feeds import BatchListener, Feeds, FeedSource
 from larkpost.gateway.controllers.heartbeat import new_incarnation
-from larkpost.gateway.controllers.heartbeat_writer import OwnDaemon
-from larkpost.gateway.controllers.members import Membership
-from larkpost.gateway.controllers.true_time import ClockOffset, TrueTime
+from larkpost.gateway.controllers.true_time import TrueTime
+from larkpost.gateway.fairness.ledger import FlowLedger
 from larkpost.gateway.memory.daemon_memory import DaemonMemory
 from larkpost.gateway.observability.eventlog import Event
 from larkpost.gateway.observability.instruments import Instruments
@@ -39,15 +39,12 @@
 from larkpost.gateway.planned_stop import PlannedStop, StopSteps
 from larkpost.gateway.proxy.admission import Admission
 from larkpost.gateway.proxy.balancer import Balancer, BalancerSources
-from larkpost.gateway.proxy.forwarder import Forwarder
-from larkpost.gateway.proxy.parts import ForwarderParts
 from larkpost.gateway.proxy.shares import ShareChooser
 from larkpost.gateway.quarantine.crash_writer import CrashWriter
 from larkpost.gateway.quarantine.guard import GuardedServers
 from larkpost.gateway.quarantine.isolation import IsolationRule
 from larkpost.gateway.quarantine.recorder import CrashRecorder
 from larkpost.gateway.quarantine.repository import CrashRepository
-from larkpost.gateway.quarantine.trials import Trials
 from larkpost.gateway.quarantine.watch import CrashWatch
 from larkpost.gateway.rollouts.context import RunServices
 from larkpost.gateway.rollouts.keeper import BatchKeeper
@@ -124,24 +121,22 @@
         )
 
     def _make_membership(self) -> None:
-        store, settings = self._ports.store, self.settings
-        most = capacity_of(settings.cores, settings.byte_budget)
-        own = OwnDaemon(
-            self.id,
-            self.balancer.summary,
-            self._is_owner,
-            ClockOffset(self._clock, store.time).now,
-            settings.peer_address,
-            OwnCapacity(most, self._loop_watch, self._clock).report,
-        )
-        self.membership = Membership(
-            own,
-            store,
-            self._instruments,
-            self.blackboard.regions,
-            self.balancer.record_peer_summary,
+        ports = self._ports
+        self._ledger = FlowLedger(self._clock)
+        self.membership = make_membership(
+            MembershipInputs(
+                self.id,
+                self.settings,
+                ports,
+                self._instruments,
+                self.blackboard.regions,
+                self.balancer,
+                self._ledger,
+                self._is_owner,
+                self._loop_watch,
+            )
         )
-        self.true_time = TrueTime(self._clock, store.time, self.membership.clock_offsets)
+        self.true_time = TrueTime(self._clock, ports.store.time, self.membership.clock_offsets)
 
     def _make_quarantine(self) -> None:
         ports = self._ports
@@ -163,22 +158,8 @@
         self._counter: UsageCounter | None = None
         if ports.usage is not None and self.settings.usage is not None:
             self._counter = UsageCounter(self.true_time, self.settings.usage.window_length)
-        self.forwarder = Forwarder(
-            ForwarderParts(
-                self.directory,
-                self.balancer,
-                self._servers,
-                ports.clock,
-                ports.log,
-                ports.metrics,
-                ShareChooser(ports.chance),
-                self._counter,
-                self.configuration.priority_of,
-                self.blackboard.crashes,
-                Trials(
-                    self.blackboard.crashes, CrashRepository(ports.store), ports.clock, ports.log
-                ),
-            )
+        self.forwarder = make_forwarder(
+            ports, self.blackboard, self.balancer, self._servers, self._ledger, self._counter
         )
 
     def _make_rollouts(self) -> None:
--- a/src/larkpost/gateway/observability/metrics.py
+++ b/src/larkpost/gateway/observability/metrics.py
@@ -21,6 +21,7 @@
     CRASHES = "larkpost_server_crashes_total"
     NOT_PLACED = "larkpost_not_placed_total"
     FORECASTS = "larkpost_forecasts_total"
+    SHARES = "larkpost_share_decisions_total"
     STORE_CALLS = "larkpost_store_calls_total"
     BATCH_CALLS = "larkpost_batch_calls_total"
     ITEM_RUNS = "larkpost_item_runs_total"
@@ -34,6 +35,7 @@
     SILENT_CONNECTIONS = "larkpost_silent_connections_total"
     NO_ROOM = "larkpost_no_room_total"
     READERS_CUT = "larkpost_readers_cut_total"
+    SPOILED_ENTRIES = "larkpost_spoiled_entries_total"
     LINES_LEFT_OUT = "larkpost_log_lines_left_out_total"
 
 
@@ -50,6 +52,10 @@
         "Forecasts at the arrival of client requests, and what became of them.",
         ("route", "forecast", "outcome"),
     ),
+    Count.SHARES: (
+        "Client requests beyond their tenant's share, and what became of them.",
+        ("service", "outcome"),
+    ),
     Count.STORE_CALLS: ("Calls to the store.", ("call", "outcome")),
     Count.BATCH_CALLS: ("Calls that concern batches.", ("call", "outcome")),
     Count.ITEM_RUNS: ("Runs of batch items at engines.", ("outcome",)),
@@ -66,6 +72,7 @@
     ),
     Count.NO_ROOM: ("Bytes that were not held, as there was no room.", ("purpose",)),
     Count.READERS_CUT: ("Clients cut as they took their answers too slowly.", ("reason",)),
+    Count.SPOILED_ENTRIES: ("Entries of servers that name no server to use.", ()),
     Count.LINES_LEFT_OUT: ("Log lines left out.", ("event",)),
 }
 
--- a/src/larkpost/gateway/proxy/server_attempt.py
+++ b/src/larkpost/gateway/proxy/server_attempt.py
@@ -14,7 +14,7 @@
 from larkpost.gateway.proxy.outcomes import Outcomes
 from larkpost.gateway.proxy.parts import ForwarderParts
 from larkpost.gateway.proxy.request import OpenResponse, WholeResponse
-from larkpost.gateway.proxy.retry import is_last_resort, response_failure
+from larkpost.gateway.proxy.retry import is_false_promise, is_last_resort, response_failure
 from larkpost.gateway.proxy.turn_gate import TurnGate
 from larkpost.gateway.servers.port import (
     BrokenResponseError,
@@ -59,7 +59,10 @@
         self._outcomes.record_begun(attempts.request, started)
         attempts.record_may_have_run(instance.id)
         self._balancer.record_response(instance, self._clock.now() - started)
-        return self._judge(instance, attempts, response, is_signed=is_signed)
+        judged = self._judge(instance, attempts, response, is_signed=is_signed)
+        if judged is None and isinstance(response, OpenResponse):
+            await response.abandon()
+        return judged
 
     @asynccontextmanager
     async def open(
@@ -72,9 +75,9 @@
             BrokenResponseError: it may have run.
         """
         outgoing = self._outgoing(instance, attempts)
-        with self._balancer.placed(instance.id):
+        with self._balancer.placed(instance.id), self._gate.running(attempts.waiter):
             async with self._servers.send(instance, outgoing) as response:
-                self._gate.record_taken(instance.service)
+                self._gate.record_taken(attempts.waiter)
                 self._balancer.record_cold(instance.id, response.cold_left)
                 yield response
 
@@ -91,9 +94,6 @@
             begun, is_whole = await collect(chunks, reservation)
             if is_whole:
                 return WholeResponse(response.status, response.headers, joined(begun)), is_signed
-            if response_failure(response.status, is_signed=is_signed) is not None:
-                reservation.release()
-                raise BrokenResponseError("a failure that is too large to be held")
             opened = OpenResponse(
                 response.status, response.headers, begun, chunks, reservation, call.pop_all()
             )
@@ -109,12 +109,17 @@
         is_signed: bool,
     ) -> WholeResponse | OpenResponse | None:
         """Returns a response if it is to be passed on now, and records it if it is not."""
+        if is_false_promise(response.status, attempts.route.kind):
+            reason = f"status {response.status} of a run"
+            self._outcomes.record_broken(instance, attempts, reason)
+            return None
         failure = response_failure(response.status, is_signed=is_signed)
         if failure is None:
             self._outcomes.record_response(instance)
             return response
         self._outcomes.record_broken(instance, attempts, failure)
-        if is_last_resort(response.status, is_signed=is_signed):
+        is_held = isinstance(response, WholeResponse)  # a failure that is not is given up
+        if is_held and is_last_resort(response.status, is_signed=is_signed):
             attempts.last = response
         return None
 
--- a/tests/platform_mutants.py
+++ b/tests/platform_mutants.py
@@ -338,6 +338,20 @@
     return mock.patch.object(EngineChoice, "count_places", lambda *_: 1000)
 
 
+def mix_bursts_into_paces():
+    """Takes the smoothed pace of an engine, bursts and all, for its lasting one."""
+    from larkpost.gateway.proxy.paces import Paces
+
+    return mock.patch.object(Paces, "lasting", lambda self, name: self._smoothed(name))
+
+
+def believe_any_slowness():
+    """Takes a server's word for its slowness, whatever its answers show."""
+    from larkpost.gateway.proxy import slowness
+
+    return mock.patch.object(slowness, "believed_slowness", lambda said, _: said)
+
+
 def forward_for_callers_that_left():
     """Forwards requests whose callers had left before they were read."""
     from larkpost.platform import ingress
@@ -510,6 +524,27 @@
     return mock.patch.object(daemon_memory, "slowest_reader", lambda _: None)
 
 
+def ignore_the_start():
+    """Takes a server that has started again for the one before."""
+    from larkpost.platform import instance_rows
+
+    return mock.patch.object(instance_rows, "read_born", lambda _: None)
+
+
+def forget_shares():
+    """Takes all tenants' requests as equal, however much one of them has."""
+    from larkpost.gateway.proxy.fair_order import FairOrder
+
+    return mock.patch.object(FairOrder, "_standing", lambda *_: None)
+
+
+def keep_use_to_oneself():
+    """Goes by this daemon's own requests alone."""
+    from larkpost.gateway.fairness.ledger import FlowLedger
+
+    return mock.patch.object(FlowLedger, "record_report", lambda *_: None)
+
+
 MUTANTS = {
     mutant.__name__: mutant
     for mutant in (
@@ -544,6 +579,8 @@
         save_counts_without_condition,
         believe_own_clock,
         end_stalled_runs_without_places,
+        mix_bursts_into_paces,
+        believe_any_slowness,
         forward_for_callers_that_left,
         ignore_permits,
         claim_outside_homes,
@@ -563,6 +600,9 @@
         reserve_no_bytes,
         wait_for_slow_readers,
         weigh_daemons_of_earlier_builds,
+        ignore_the_start,
+        forget_shares,
+        keep_use_to_oneself,
     )
 }
 TESTS = dict.fromkeys(MUTANTS, FUZZ) | {
@@ -592,6 +632,8 @@
     "save_counts_without_condition": "tests.test_usage",
     "believe_own_clock": "tests.test_usage",
     "end_stalled_runs_without_places": "tests.test_urgency",
+    "mix_bursts_into_paces": "tests.test_uneven_engines",
+    "believe_any_slowness": "tests.test_paces",
     "forward_for_callers_that_left": "tests.test_platform_ingress",
     "ignore_permits": "tests.test_cold_fleet",
     # 60 examples of the fuzz caught it, 120 with a far store did not.
@@ -609,6 +651,9 @@
     "reserve_no_bytes": "tests.test_held_bytes.BodyTest",
     "wait_for_slow_readers": "tests.test_slow_readers",
     "weigh_daemons_of_earlier_builds": "tests.test_uneven_machines",
+    "ignore_the_start": "tests.test_incarnations",
+    "forget_shares": "tests.test_fair_load.OneTenantSendsHalfTest",
+    "keep_use_to_oneself": "tests.test_fair_shares.UnequalDaemonsTest",
 }
 EXPECTED_CHECKS = {
     "ignore_permits": ("while cold",),
@@ -625,5 +670,6 @@
     "forget_evacuations": ("is in a zone evacuated",),
     "wait_on_silent_connections": ("TimeoutError",),
     "send_crashing_requests_on": ("but reached servers at",),
+    "forget_shares": ("the small tenants pay for the heavy one",),
 }
 """What the failure must name: another failure proves nothing about the mutant."""
--- a/tests/test_held_bytes.py
+++ b/tests/test_held_bytes.py
@@ -71,6 +71,7 @@
     """
 
     def __init__(self) -> None:
+        self.status = 200
         self.size = 5
         self.breaks_after: int | None = None
         self.says_length = True
@@ -95,8 +96,8 @@
 
     async def _answer(self, writer, request_id: bytes) -> None:
         framing = b"Content-Length: %d" if self.says_length else b"X-Size: %d"
-        head = b"HTTP/1.1 200 OK\r\nLarkpost-Attempt-Id: %b\r\nLarkpost-Server-Stamp: s\r\n"
-        writer.write(head % request_id + framing % self.size + b"\r\n\r\n")
+        head = b"HTTP/1.1 %d Is\r\nLarkpost-Attempt-Id: %b\r\nLarkpost-Server-Stamp: s\r\n"
+        writer.write(head % (self.status, request_id) + framing % self.size + b"\r\n\r\n")
         body = body_of(self.size)[: self.breaks_after]
         for start in range(0, len(body), SMALL_BUFFER):
             writer.write(body[start : start + SMALL_BUFFER])
@@ -380,6 +381,14 @@
                 await self.response(reader)
         await self.wait_until(lambda: self.memory.budget.total == 0)
 
+    async def test_failure_that_is_too_large_to_be_held_is_given_up(self):
+        self.server.size, self.server.status = 20 * MB, 500
+        for path in (b"/p/x", b"/o/x"):
+            reader, writer = await self.connect()
+            writer.write(self.request(b"", path))
+            self.assertEqual(502, (await self.response(reader))[0])
+        await self.wait_until(lambda: self.memory.budget.total == 0)
+
     async def test_answer_of_a_slow_client_is_read_from_its_server(self):
         """The client reads nothing; what fits is read from the server all the same."""
         size = 9 * MB // 10
--- a/tests/test_import_layers.py
+++ b/tests/test_import_layers.py
@@ -33,6 +33,7 @@
     "usage",
     "placement",
     "quarantine",
+    "fairness",
     "proxy",
     "rollouts",
     "scaling",
--- a/tests/test_uneven_machines.py
+++ b/tests/test_uneven_machines.py
@@ -160,14 +160,14 @@
             tasks.cancel_all()
 
         virtual.run(measure())
-        self.assertEqual(2.0 * LATE_SHARE, capacity.report().capacity)
+        self.assertEqual(2.0 * LATE_SHARE, capacity.now())
         clock.time += LATE_SECONDS
         self.assertEqual(2.0, capacity.now())
 
     def test_machine_of_unknown_size_reports_nothing(self):
         clock = LateClock()
         capacity = OwnCapacity(None, LoopWatch(clock, EventLog("daemon")), clock)
-        self.assertEqual(DaemonReport(), capacity.report())
+        self.assertIsNone(capacity.now())
 
 
 class FleetTest(unittest.TestCase):
