Refusals reach clients that close, and never answer the requests before them

A response sent before its request's body was read was lost where the connection closed after it (Connection: close, a stopping daemon, a 413, a stalled body): closing with unread bytes resets the connection. The rest is dropped first, for a limited time; the client sees the end at once. The idle timer set at the end of a dropped body stayed on when the next request came in the same segment, and closed the connection under it: a request's begin now unsets it. A 408, 431 or 400 to what was sent ahead went into the response of the request being served: it is written once the requests before it are answered. What follows a refused head is dropped.

--- a/src/larkpost/platform/http_protocol.py
+++ b/src/larkpost/platform/http_protocol.py
@@ -1,6 +1,7 @@
 """The server side of HTTP: the library's protocol, with the configured limits on clients.
 
-Owns the limits on a request's head, and when a connection is idle. Relies on the HTTP library's
+Owns the limits on a request's head, when a connection is idle, and how it ends after a response
+that came before the request's body was read. Relies on the HTTP library's
 protocol, of which private methods are overridden: its version is pinned.
 """
 
@@ -43,9 +44,34 @@
 HEADER_OVERHEAD_BYTES = 4
 """What a header has on the wire besides its name and value: a colon, a space and a line end."""
 
+BAD_REQUEST = (
+    b"HTTP/1.1 400 Bad Request\r\ncontent-type: text/plain; charset=utf-8\r\n"
+    b"content-length: %d\r\nconnection: close\r\n\r\n%b"
+)
+
 LimitSource = Callable[[], RequestLimits]
 
 
+class ResponseTransport:
+    """What one response is written to: its connection, which may end later than the response."""
+
+    def __init__(self, protocol: "LimitedProtocol", cycle: RequestResponseCycle) -> None:
+        self._protocol = protocol
+        self._cycle = cycle
+
+    def write(self, content: bytes | memoryview) -> None:
+        """Gives bytes to the connection."""
+        self._protocol.transport.write(content)
+
+    def is_closing(self) -> bool:
+        """Whether the connection is closed or about to be."""
+        return self._protocol.transport.is_closing()
+
+    def close(self) -> None:
+        """Closes the connection, once the rest of the request's body was dropped."""
+        self._protocol.close_after(self._cycle)
+
+
 class LimitedProtocol(HttpToolsProtocol):
     """One client connection, with limits on the size and time of a request's head.
 
@@ -58,8 +84,11 @@
         super().__init__(*args, **kwargs)
         self._in_head = False
         self._in_body = False
+        self._has_body_begun = False
         self._head_bytes = 0
         self._head_timer: asyncio.TimerHandle | None = None
+        self._closes_after_body = False
+        self._refusal: bytes | None = None
         self._discard_timer: asyncio.TimerHandle | None = None
         self.idle_since: float | None = self.loop.time()
         self._served: RequestResponseCycle | None = None
@@ -72,7 +101,12 @@
         accepted.setsockopt(socket.IPPROTO_TCP, TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS)
 
     def data_received(self, data: bytes) -> None:
-        """Reads bytes from the client; the head's are counted."""
+        """Reads bytes from the client; the head's are counted.
+
+        What follows a head that was refused is dropped.
+        """
+        if self._refusal is not None:
+            return
         if self._in_head or self._is_between_requests():
             self._count_head(len(data))
         super().data_received(data)
@@ -95,8 +129,9 @@
         super().connection_lost(exc)
 
     def on_message_begin(self) -> None:
-        """Starts a request."""
+        """Starts a request; the connection is idle no longer."""
         super().on_message_begin()
+        self._unset_keepalive_if_required()
         self.scope["state"][OUTLET] = self
         self._in_head = True
         self.idle_since = None
@@ -106,11 +141,16 @@
 
         One whose request was answered before its body was read is idle once that has come.
         """
-        if self._in_body and self._served is self.cycle:
-            self._discard_timer = self.loop.call_later(MAX_DISCARD_SECONDS, self.transport.close)
-        elif not self.pipeline:
+        is_before_body = self._in_body and self._served is self.cycle
+        if not is_before_body and not self.pipeline:
             self.idle_since = self.loop.time()
         super().on_response_complete()
+        if self.transport.is_closing():
+            return
+        if self._refusal is not None and self._served.response_complete:
+            self._send_refusal()
+        elif is_before_body:
+            self._discard_body()
 
     def on_message_complete(self) -> None:
         """Ends a request's body."""
@@ -118,12 +158,18 @@
         super().on_message_complete()
         if self._discard_timer is not None:
             self._stop_discard_timer()
-            self._rest()
+            self._end_discarding()
+
+    def on_body(self, body: bytes) -> None:
+        """Takes a part of a request's body."""
+        self._has_body_begun = True
+        super().on_body(body)
 
     def on_headers_complete(self) -> None:
         """Ends a request's head, and marks it if it is too large."""
         self._in_head = False
         self._in_body = True
+        self._has_body_begun = False
         self._head_bytes = 0
         limits = self.limits()
         size = len(self.url) + sum(
@@ -133,10 +179,34 @@
             self.scope["state"][OVERSIZED] = True
         self.timeout_keep_alive = limits.idle_time
         super().on_headers_complete()
+        self.cycle.transport = ResponseTransport(self, self.cycle)
         if len(self.pipeline) == 1:
             # The library stops reading at a request sent ahead, and would not see a close.
             self.flow.resume_reading()
 
+    def close_after(self, cycle: RequestResponseCycle) -> None:
+        """Closes the connection after a response, and after the body of its request if that comes.
+
+        Closing with unread bytes resets a connection, and its client may lose the response.
+        """
+        is_before_body = self._in_body and self.cycle is cycle and cycle.response_complete
+        if is_before_body and not self._awaits_leave:
+            self._closes_after_body = True
+        else:
+            self.transport.close()
+
+    def shutdown(self) -> None:
+        """Closes the connection, after the response and the body that are under way."""
+        if self._discard_timer is None:
+            super().shutdown()
+        elif not self._closes_after_body:
+            self._closes_after_body = True
+            self._end_writing()
+
+    def send_400_response(self, msg: str) -> None:
+        """Refuses bytes that are no request."""
+        self._refuse(BAD_REQUEST % (len(msg), msg.encode()))
+
     @property
     def is_full(self) -> bool:
         """Whether the connection should be given no more now."""
@@ -158,14 +228,36 @@
         self.transport.abort()
 
     def _start_asgi_task(self, cycle: RequestResponseCycle, app) -> None:
+        if self.transport.is_closing():
+            return  # nobody would get the response
         self._served = cycle  # overrides a private method: the version is pinned
         super()._start_asgi_task(cycle, app)
 
     def _is_between_requests(self) -> bool:
-        return not self._in_body and (self.cycle is None or self.cycle.response_complete)
+        return not self._in_body and self._is_answered
+
+    @property
+    def _awaits_leave(self) -> bool:
+        """Whether the client holds its body back until it is asked for."""
+        return self.expect_100_continue and not self._has_body_begun
 
-    def _rest(self) -> None:
-        """Begins the idle time of a connection whose request was answered before its end."""
+    def _discard_body(self) -> None:
+        """Drops the rest of a body whose request was answered, for a limited time."""
+        self._unset_keepalive_if_required()
+        self._discard_timer = self.loop.call_later(MAX_DISCARD_SECONDS, self.transport.close)
+        if self._closes_after_body:
+            self._end_writing()
+
+    def _end_writing(self) -> None:
+        """Tells the client that nothing follows the response; its bytes are still read."""
+        with contextlib.suppress(OSError):  # it has left; the transport learns of it by reading
+            self.transport.write_eof()
+
+    def _end_discarding(self) -> None:
+        """Closes the connection, or begins its idle time."""
+        if self._closes_after_body:
+            self.transport.close()
+            return
         self.idle_since = self.loop.time()
         self._unset_keepalive_if_required()
         self.timeout_keep_alive_task = self.loop.call_later(
@@ -190,9 +282,30 @@
             self._discard_timer = None
 
     def _refuse(self, response: bytes) -> None:
-        if not self.transport.is_closing():
-            self.transport.write(response)
-            self.transport.close()
+        """Ends the connection with a response to what was just read.
+
+        Requests that came whole before it are answered first: the client would take the response
+        for that of the oldest one.
+        """
+        self._stop_head_timer()
+        if self._refusal is not None or self.transport.is_closing():
+            return
+        self._refusal = response
+        if self._discard_timer is not None:
+            self.transport.close()  # the request was answered; its rest is malformed
+        elif self._in_body and self.pipeline:
+            self.pipeline.popleft()  # the newest, whose body is malformed
+        elif self._is_answered or (self._in_body and not self.cycle.response_started):
+            self._send_refusal()
+
+    @property
+    def _is_answered(self) -> bool:
+        """Whether all requests that were read have had their responses."""
+        return self.cycle is None or self.cycle.response_complete
+
+    def _send_refusal(self) -> None:
+        self.transport.write(self._refusal)
+        self.transport.close()
 
 
 class Listener(HttpServer):
--- a/tests/test_platform_ingress.py
+++ b/tests/test_platform_ingress.py
@@ -5,6 +5,7 @@
 import struct
 import unittest
 from contextlib import asynccontextmanager
+from unittest import mock
 
 from larkpost.common.ids import Address
 from larkpost.gateway.blackboard.configuration import (
@@ -26,6 +27,7 @@
     WholeResponse,
 )
 from larkpost.gateway.servers.port import BrokenResponseError
+from larkpost.platform import http_protocol
 from larkpost.platform.http_protocol import Listener
 from larkpost.platform.ingress import Ingress
 from larkpost.rehearsal.processes import free_address
@@ -280,3 +282,98 @@
         answer = await self.exchange(b"GET /p/x HTTP/1.1\r\nHost: pages.example\r\n\r\n")
         self.assertTrue(answer.startswith(b"HTTP/1.1 200"))
         self.assertIn(b"connection: close\r\n", answer)
+
+    def too_large(self, *lines: bytes) -> tuple[bytes, bytes]:
+        """Returns the head and the body of a request that is refused before its body is read."""
+        head = (b"POST /p/x HTTP/1.1", b"Host: pages.example", b"Content-Length: 6000")
+        return b"\r\n".join((*head, *lines)) + b"\r\n\r\n", b"a" * 6000
+
+    async def test_request_right_behind_a_refused_body_is_served_for_longer_than_idle_time(self):
+        self.forwarder.delay = 2 * LIMITS.idle_time
+        reader, writer = await self.connect()
+        head, body = self.too_large()
+        writer.write(head)
+        await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 3)
+        writer.write(body + b"GET /p/x HTTP/1.1\r\nHost: pages.example\r\n\r\n")
+        answer = await asyncio.wait_for(reader.readuntil(b"whole"), 3)
+        self.assertTrue(answer.startswith(b"HTTP/1.1 200"), answer[:40])
+
+    async def refused_while_sending(self, head: bytes) -> None:
+        """Checks that a client that sends its whole body first gets the response to its head."""
+        reader, writer = await self.connect()
+        writer.write(head)
+        for _ in range(6):
+            await asyncio.sleep(0.02)
+            writer.write(b"a" * 1000)
+            await writer.drain()
+        answer = await asyncio.wait_for(reader.read(), 3)
+        self.assertTrue(answer.startswith(b"HTTP/1.1 413"), answer[:40])
+        self.assertIn(b"connection: close\r\n", answer)
+        await asyncio.sleep(0.05)
+        self.assertEqual(set(), self.listener.connections)
+
+    async def test_refusal_reaches_a_client_that_asks_to_close_and_sends_its_body(self):
+        await self.refused_while_sending(self.too_large(b"Connection: close")[0])
+
+    async def test_refusal_reaches_a_client_that_sends_its_body_while_the_daemon_stops(self):
+        self.lifecycle.stopping = True
+        await self.refused_while_sending(self.too_large()[0])
+
+    async def test_listener_that_closes_reads_the_rest_of_a_refused_body(self):
+        reader, writer = await self.connect()
+        head, body = self.too_large()
+        writer.write(head + body[:1000])
+        await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 3)
+        closing = asyncio.create_task(self.listener.close())
+        self.assertEqual(b"", await asyncio.wait_for(reader.read(), 0.2))
+        self.assertEqual(1, len(self.listener.connections))
+        writer.write(body[1000:])
+        await writer.drain()
+        await closing
+        self.assertEqual(set(), self.listener.connections)
+
+    async def test_rest_of_a_refused_body_is_read_for_a_limited_time(self):
+        with mock.patch.object(http_protocol, "MAX_DISCARD_SECONDS", 0.2):
+            for line in (b"Connection: close", b"Connection: keep-alive"):
+                reader, writer = await self.connect()
+                writer.write(self.too_large(line)[0])
+                answer = await asyncio.wait_for(reader.read(), 3)
+                self.assertTrue(answer.startswith(b"HTTP/1.1 413"), answer[:40])
+                await asyncio.sleep(0.3)
+                self.assertEqual(set(), self.listener.connections)
+
+    async def test_request_behind_a_refused_body_that_closes_does_not_run(self):
+        head, body = self.too_large(b"Connection: close")
+        reader, writer = await self.connect()
+        writer.write(head)
+        await asyncio.wait_for(reader.read(), 3)
+        writer.write(body + b"GET /p/x HTTP/1.1\r\nHost: pages.example\r\n\r\n")
+        await self.rest()
+        self.assertEqual([], self.forwarder.requests)
+
+    async def answered_before(self, refused: bytes, status: bytes) -> None:
+        """Checks that what is refused does not answer the requests that came before it."""
+        self.forwarder.delay = 2 * LIMITS.header_time
+        self.forwarder.requests.clear()
+        reader, writer = await self.connect()
+        writer.write(b"GET /p/x HTTP/1.1\r\nHost: pages.example\r\n\r\n" * 2)
+        await self.rest()
+        writer.write(refused[:20])
+        await self.rest()
+        writer.write(refused[20:])
+        answer = await asyncio.wait_for(reader.read(), 5)
+        first, second, last = answer.split(b"whole")
+        for one in (first, second):
+            self.assertTrue(one.startswith(b"HTTP/1.1 200"), answer)
+        self.assertTrue(last.startswith(b"HTTP/1.1 " + status), answer)
+        self.assertEqual(2, len(self.forwarder.requests))
+
+    async def test_head_that_is_refused_behind_requests_is_answered_after_them(self):
+        head = b"GET /p/last HTTP/1.1\r\nHost: pages.example\r\n"
+        await self.answered_before(head, b"408")
+        await self.answered_before(head + b"X-Long: " + b"a" * 3000, b"431")
+        await self.answered_before(head + b"no header\r\n\r\n", b"400")
+
+    async def test_body_that_is_malformed_behind_requests_is_answered_after_them(self):
+        head = b"POST /p/last HTTP/1.1\r\nHost: pages.example\r\nTransfer-Encoding: chunked\r\n"
+        await self.answered_before(head + b"\r\nno size\r\n", b"400")
