A client that has taken everything is not slow; a complete answer judges no later request

Being behind ended only at the next part sent, so a client whose server paused could be cut though it had taken all. The wait for a complete answer to be taken went on beside the next request of the connection and could cut it; it ends once that is served, and what is left of the answer before counts as taken in the next one's pace. Three new tests of test_slow_readers fail without it.

--- a/src/larkpost/gateway/memory/delivery.py
+++ b/src/larkpost/gateway/memory/delivery.py
@@ -33,6 +33,10 @@
     def unsent(self) -> int:
         """The bytes that it was given and that its client has not made room for."""
 
+    @property
+    def is_serving(self) -> bool:
+        """Whether a request that came on it is served and its response not complete."""
+
     async def wait_for_room(self, seconds: float) -> None:
         """Waits until it is not full, at most so long."""
 
@@ -62,13 +66,22 @@
         self._count_held = count_held
         self._on_behind = on_behind
         self._on_stalled = on_stalled
-        self._given = 0
+        self._given = outlet.unsent  # of the response before, which is taken first
         self._behind_since: float | None = None
         self._taken_before = 0
         self._unsent_before = 0
         self._progress_at = 0.0
+        self._is_complete = False
         self.is_cut = False
 
+    @property
+    def is_replaced(self) -> bool:
+        """Whether the next request on the connection is served, after this answer.
+
+        Its own delivery tells then how the client takes what it is given.
+        """
+        return self._is_complete and self._outlet.is_serving
+
     @property
     def keeps_up(self) -> bool:
         """Whether the connection may be given more at once."""
@@ -85,7 +98,12 @@
         self._unsent_before += size
 
     def pace(self) -> ReaderPace:
-        """Returns how the client takes what it is given."""
+        """Returns how the client takes what it is given.
+
+        One that has taken everything is not behind, however long its server sends nothing more.
+        """
+        if self._outlet.unsent == 0 or self.is_replaced:
+            self._behind_since = None
         since = self._behind_since
         seconds = self._clock.now() - since if since is not None else 0.0
         return ReaderPace(self._count_held(), self._taken() - self._taken_before, seconds)
@@ -104,15 +122,17 @@
             self._check_progress()
 
     async def wait_until_taken(self) -> None:
-        """Waits until the connection has sent all that it was given.
+        """Waits until a complete answer is taken, or the next request on its connection is served.
 
         Raises:
             ReaderCutError: the client took nothing for too long.
         """
-        while self._outlet.unsent:
+        self._is_complete = True
+        while self._outlet.unsent and not self.is_replaced:
             self._note_behind()
             await self._clock.sleep(POLL_SECONDS)
-            self._check_progress()
+            if not self.is_replaced:
+                self._check_progress()
 
     def cut(self) -> None:
         """Breaks the connection off."""
--- a/src/larkpost/platform/http_protocol.py
+++ b/src/larkpost/platform/http_protocol.py
@@ -123,7 +123,7 @@
         self._stop_head_timer()
         self._stop_discard_timer()
         self.pipeline.clear()
-        if self._served is not None and not self._served.response_complete:
+        if self.is_serving:
             self._served.disconnected = True
             self._served.message_event.set()
         super().connection_lost(exc)
@@ -217,6 +217,11 @@
         """The bytes that it was given and that its client has not made room for."""
         return self.transport.get_write_buffer_size()
 
+    @property
+    def is_serving(self) -> bool:
+        """Whether a request is served and its response not complete."""
+        return self._served is not None and not self._served.response_complete
+
     async def wait_for_room(self, seconds: float) -> None:
         """Waits until it is not full, at most so long."""
         with contextlib.suppress(TimeoutError):
--- a/tests/test_slow_readers.py
+++ b/tests/test_slow_readers.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import contextlib
 import unittest
 from collections import deque
 from contextlib import aclosing
@@ -35,6 +36,7 @@
         self.unsent = 0
         self.is_full = False
         self.is_cut = False
+        self.is_serving = True
 
     def give(self, size: int) -> None:
         """Gives the connection bytes."""
@@ -267,6 +269,75 @@
 
         virtual.run(play())
 
+    def test_client_that_has_taken_everything_is_not_behind(self):
+        """It was slow, has taken all by now, and its server sends nothing more for a while."""
+
+        async def play():
+            outlet = FakeOutlet(rate=0)
+            with (
+                self.memory.request() as request,
+                self.memory.delivery(outlet, request) as delivery,
+            ):
+                request.reserve(Purpose.STREAMS, MB)
+                delivery.record_given(2 * HIGH_BYTES)
+                outlet.give(2 * HIGH_BYTES)
+                waiting = asyncio.create_task(delivery.wait_for_room())
+                await asyncio.sleep(MIN_SLOW_SECONDS / 2)
+                outlet.rate = 10**9
+                await asyncio.gather(outlet_taken(outlet), waiting)
+                await asyncio.sleep(2 * MIN_SLOW_SECONDS)
+                self.memory.relieve()
+                self.assertFalse(outlet.is_cut)
+                self.assertEqual(0.0, delivery.pace().seconds)
+
+        async def outlet_taken(outlet):
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(5 * STEP_SECONDS):
+                    await outlet.take()
+
+        virtual.run(play())
+        self.assertEqual([], self.lines(Event.READER_CUT))
+
+    def test_complete_answer_judges_no_client_whose_next_request_is_served(self):
+        """The client takes nothing; its connection is not cut under the next request."""
+
+        async def play():
+            outlet = FakeOutlet(rate=0)
+            with (
+                self.memory.request() as request,
+                self.memory.delivery(outlet, request) as delivery,
+            ):
+                request.reserve(Purpose.ANSWERS, MB)
+                delivery.record_given(2 * HIGH_BYTES)
+                outlet.give(2 * HIGH_BYTES)
+                outlet.is_serving = False
+                waiting = asyncio.create_task(delivery.wait_until_taken())
+                await asyncio.sleep(STALLED_SECONDS - 1)
+                outlet.is_serving = True
+                self.memory.relieve()
+                await waiting
+                await asyncio.sleep(STALLED_SECONDS)
+                self.assertFalse(outlet.is_cut)
+
+        virtual.run(play())
+        self.assertEqual([], self.lines(Event.READER_CUT))
+
+    def test_rest_of_the_answer_before_counts_as_taken(self):
+        async def play():
+            outlet = FakeOutlet(rate=0)
+            outlet.give(2 * HIGH_BYTES)
+            with (
+                self.memory.request() as request,
+                self.memory.delivery(outlet, request) as delivery,
+            ):
+                waiting = asyncio.create_task(delivery.wait_for_room())
+                await asyncio.sleep(1)
+                outlet.unsent -= HIGH_BYTES
+                self.assertEqual(HIGH_BYTES, delivery.pace().taken)
+                waiting.cancel()
+
+        virtual.run(play())
+
     def test_what_was_read_before_goes_first(self):
         memory = self.memory
 
