A slow client is cut only if that makes room; small bodies and batches have parts of their own

A refused body cut the slowest client whatever it held, also for a body larger than the whole budget. Now the budget says what is missing, and only a client that holds as much is cut. test_refused_body_has_a_slow_client_cut asked for 3 MB where the cut could free 2: it asks for 2 now, and that this fits after the cut.

--- a/src/larkpost/gateway/memory/budget.py
+++ b/src/larkpost/gateway/memory/budget.py
@@ -18,6 +18,14 @@
 """One answer may hold as much as this, however little is free, so that each can go on."""
 SHORT_SHARE = 0.5
 """Room is short once less than this share of the budget is free."""
+SMALL_BODY_BYTES = 65536
+"""A body of at most this size is a small one."""
+SMALL_BODIES_SHARE = 1 / 16
+"""Small bodies may hold this part of the budget beyond it, so that ordinary requests are served
+while large bodies or batches fill it."""
+BATCHES_SHARE = 0.5
+"""New batches are taken only while those that are held take no more than this part of the budget:
+they stay for long, and more may be claimed from daemons that end."""
 RETRY_AFTER_SECONDS = 0.3
 """What a caller is asked to wait at least; up to twice as long, so that they return one by one."""
 
@@ -26,6 +34,7 @@
     """What bytes are held for."""
 
     REQUEST_BODIES = "request_bodies"  # read, until the request is answered
+    SMALL_BODIES = "small_bodies"  # the same, of requests that declare at most `SMALL_BODY_BYTES`
     SUBMISSIONS = "submissions"  # batches while they are read and written to the store
     ANSWERS = "answers"  # whole, from their server until their client has taken them
     STREAMS = "streams"  # read from their server before their client takes them
@@ -76,6 +85,20 @@
         """The most bytes that one answer may hold now; infinite without a limit."""
         return max(LEAST_SHARE_BYTES, self.free / SHARES)
 
+    def missing(self, purpose: Purpose, size: int) -> float:
+        """Returns how many bytes must be released before so many more may be held.
+
+        Returns:
+            0 if they may be held now; infinite if releasing requests and answers does not suffice.
+        """
+        if self.limit is None:
+            return 0
+        if purpose is Purpose.SMALL_BODIES and self._fits_small_bodies(size):
+            return 0
+        if size > self.limit or (purpose is Purpose.SUBMISSIONS and self._is_full_of_batches):
+            return math.inf
+        return max(0, self.total + size - self.limit)
+
     def held(self, purpose: Purpose) -> int:
         """Returns the bytes held for a purpose."""
         return self._held[purpose]
@@ -106,6 +129,13 @@
         """Counts bytes of a reservation, fewer if negative."""
         self._held[purpose] += size
 
+    def _fits_small_bodies(self, size: int) -> bool:
+        return self._held[Purpose.SMALL_BODIES] + size <= self.limit * SMALL_BODIES_SHARE
+
+    @property
+    def _is_full_of_batches(self) -> bool:
+        return self._held[Purpose.BATCHES] > self.limit * BATCHES_SHARE
+
 
 class Reservation:
     """Bytes held for one purpose; a context manager that releases them at its end.
@@ -122,7 +152,7 @@
 
     def fits(self, size: int) -> bool:
         """Returns whether there is room for so many bytes more."""
-        return size <= self._budget.free
+        return self._budget.missing(self.purpose, size) == 0
 
     def fits_share(self, size: int) -> bool:
         """Returns whether so many bytes more leave room to others; see `ByteBudget.share`."""
--- a/src/larkpost/gateway/memory/daemon_memory.py
+++ b/src/larkpost/gateway/memory/daemon_memory.py
@@ -111,12 +111,16 @@
         finally:
             self._behind.pop(delivery, None)
 
-    def relieve(self) -> None:
-        """Cuts the client that takes its answer slowest, if one is slow."""
+    def relieve(self, missing: float = 0) -> None:
+        """Cuts the client that takes its answer slowest, if one is slow.
+
+        Args:
+            missing: bytes for which there is no room; nobody is cut who holds less.
+        """
         slowest = slowest_reader(
             {behind: behind.pace() for behind in self._behind if not behind.is_cut}
         )
-        if slowest is not None:
+        if slowest is not None and slowest.pace().held >= missing:
             self._record_cut(slowest, CutReason.SLOWEST)
             slowest.cut()
 
@@ -138,7 +142,7 @@
             held=self.budget.total,
             limit=self.budget.limit,
         )
-        self.relieve()
+        self.relieve(self.budget.missing(reservation.purpose, size))
 
     def _record_cut(self, delivery: Delivery, reason: CutReason) -> None:
         pace = delivery.pace()
--- a/src/larkpost/platform/client_call.py
+++ b/src/larkpost/platform/client_call.py
@@ -5,7 +5,7 @@
 
 from larkpost.common.errors import LarkpostError
 from larkpost.gateway.blackboard.tenants import KeyDigest, digest_key
-from larkpost.gateway.memory.budget import Purpose
+from larkpost.gateway.memory.budget import SMALL_BODY_BYTES, Purpose
 from larkpost.gateway.memory.daemon_memory import RequestMemory
 from larkpost.gateway.memory.delivery import Outlet
 from larkpost.gateway.memory.slow_readers import STALLED_SECONDS
@@ -39,10 +39,6 @@
 """Headers of a request that larkpost reads itself, and sets anew or leaves out towards a server."""
 
 
-LARGE_BODY_BYTES = 65536
-"""Bodies declared larger than this, and those that declare no length, are watched for stalls."""
-
-
 class BodyStalledError(LarkpostError):
     """The body brought nothing for too long; the request did not run and will not."""
 
@@ -154,10 +150,11 @@
         declared = self.whole_header(b"content-length")
         if declared is not None and declared > limit:
             return None
-        reserved = self.memory.reserve(Purpose.REQUEST_BODIES, declared or 0)
+        is_large = declared > SMALL_BODY_BYTES if declared is not None else self._is_chunked
+        purpose = Purpose.REQUEST_BODIES if is_large else Purpose.SMALL_BODIES
+        reserved = self.memory.reserve(purpose, declared or 0)
         self._is_body_asked_for = True
-        is_watched = declared > LARGE_BODY_BYTES if declared is not None else self._is_chunked
-        if not self.memory.is_limited or not is_watched:
+        if not self.memory.is_limited or not is_large:
             return await asgi.read_body(self._receive, limit, reserved)
         return await asgi.read_body(self._receive_in_time, limit, reserved)
 
--- a/tests/test_byte_budget.py
+++ b/tests/test_byte_budget.py
@@ -13,6 +13,7 @@
     LEAST_SHARE_BYTES,
     RETRY_AFTER_SECONDS,
     SHARES,
+    SMALL_BODIES_SHARE,
     ByteBudget,
     NoRoomError,
     Purpose,
@@ -87,6 +88,37 @@
         self.budget.record_kept(Purpose.BATCHES, 4 * MB)
         self.assertEqual(6 * MB, self.budget.free)
 
+    def test_small_bodies_find_room_beside_batches_that_fill_the_budget(self):
+        self.budget.record_kept(Purpose.BATCHES, 12 * MB)
+        most = int(10 * MB * SMALL_BODIES_SHARE)
+        for _ in range(most // 800):
+            self.budget.reserve(Purpose.SMALL_BODIES, 800)
+        for purpose in (Purpose.SMALL_BODIES, Purpose.REQUEST_BODIES):
+            with self.assertRaises(NoRoomError):
+                self.budget.reserve(purpose, 801)
+
+    def test_new_batches_are_taken_while_those_held_leave_half_of_the_budget(self):
+        self.budget.record_kept(Purpose.BATCHES, 5 * MB)
+        self.budget.reserve(Purpose.SUBMISSIONS, MB).release()
+        self.budget.record_kept(Purpose.BATCHES, 5 * MB + 1)
+        with self.assertRaises(NoRoomError):
+            self.budget.reserve(Purpose.SUBMISSIONS, 1)
+        self.budget.reserve(Purpose.REQUEST_BODIES, 4 * MB)
+
+    def test_bytes_missing(self):
+        """What must be released before a reservation fits; batches are not released for one."""
+        self.budget.record_kept(Purpose.BATCHES, 6 * MB)
+        self.budget.reserve(Purpose.ANSWERS).grow_anyway(5 * MB)
+        cases = {
+            (Purpose.REQUEST_BODIES, MB): 2 * MB,
+            (Purpose.REQUEST_BODIES, 10 * MB + 1): math.inf,
+            (Purpose.SMALL_BODIES, 800): 0,
+            (Purpose.SUBMISSIONS, MB): math.inf,
+        }
+        for (purpose, size), missing in cases.items():
+            with self.subTest(purpose=purpose, size=size):
+                self.assertEqual(missing, self.budget.missing(purpose, size))
+
     def test_forty_answers_that_take_their_shares_fit_but_for_the_least_that_each_may_hold(self):
         """Forty slow clients of answers larger than the budget."""
         for _ in range(40):
--- a/tests/test_held_bytes.py
+++ b/tests/test_held_bytes.py
@@ -460,6 +460,23 @@
         self.assertEqual([BatchId("r1")], [spec.id for spec in self.batches.submitted])
         await self.wait_until(lambda: self.memory.budget.total == 0)
 
+    async def test_small_bodies_are_served_while_batches_fill_the_budget(self):
+        self.memory.budget.record_kept(Purpose.BATCHES, 9 * MB)
+        reader, writer = await self.connect()
+        for path, status in ((b"/p/x", 200), (b"/o/x", 200), (b"/s/x", 200), (b"/b/x", 503)):
+            writer.write(self.request(b"x" * 800, path))
+            self.assertEqual(status, (await self.response(reader))[0])
+        writer.write(self.request(bytes(MB)))
+        self.assertEqual(503, (await self.response(reader))[0])
+
+    async def test_batch_is_refused_while_those_held_take_half_of_the_budget(self):
+        reader, writer = await self.connect()
+        for held, status in ((4 * MB + 1, 503), (4 * MB, 202)):
+            self.memory.budget.record_kept(Purpose.BATCHES, held)
+            writer.write(self.request(self.submission(1000), b"/b/x"))
+            self.assertEqual(status, (await self.response(reader))[0])
+        self.assertEqual(1, len(self.batches.submitted))
+
     async def test_page_of_results_without_room_is_refused(self):
         self.batches.text = "x" * MB
         held = self.memory.budget.reserve(Purpose.REQUEST_BODIES, 7 * MB + 1)
--- a/tests/test_slow_readers.py
+++ b/tests/test_slow_readers.py
@@ -263,9 +263,28 @@
             await asyncio.sleep(MIN_SLOW_SECONDS + 1)
             self.memory.budget.reserve(Purpose.REQUEST_BODIES, 6 * MB)
             with self.assertRaises(NoRoomError):
-                self.memory.budget.reserve(Purpose.REQUEST_BODIES, 3 * MB)
+                self.memory.budget.reserve(Purpose.REQUEST_BODIES, 2 * MB)
             self.assertTrue(relay.outlet.is_cut)
             await asyncio.gather(running, return_exceptions=True)
+            self.memory.budget.reserve(Purpose.REQUEST_BODIES, 2 * MB)
+
+        virtual.run(play())
+
+    def test_refused_body_has_no_client_cut_whose_end_would_not_make_room(self):
+        """One body that never fits, one that would not fit after the cut either."""
+        relay = Relay(self.memory, Server(1000), FakeOutlet(rate=2_000))
+
+        async def play():
+            running = asyncio.create_task(relay.run())
+            await asyncio.sleep(MIN_SLOW_SECONDS + 1)
+            with self.assertRaises(NoRoomError):
+                self.memory.budget.reserve(Purpose.REQUEST_BODIES, 8 * MB + 1)
+            self.memory.budget.reserve(Purpose.REQUEST_BODIES, 6 * MB)
+            with self.assertRaises(NoRoomError):
+                self.memory.budget.reserve(Purpose.REQUEST_BODIES, 3 * MB)
+            self.assertFalse(relay.outlet.is_cut)
+            running.cancel()
+            await asyncio.gather(running, return_exceptions=True)
 
         virtual.run(play())
 
