Calls are admitted by their head before room is held for their body; bodies have a least rate

The room for a body was reserved before its route and key were checked, and kept by any byte within 10 s: one client without a route could hold all of it. With a limit on memory the head is admitted first, and a large body ends with 408 body_stalled if, from 10 s on, it has come at less than 50 kB/s since its head.

--- a/src/larkpost/platform/client_call.py
+++ b/src/larkpost/platform/client_call.py
@@ -39,8 +39,13 @@
 """Headers of a request that larkpost reads itself, and sets anew or leaves out towards a server."""
 
 
+LEAST_BODY_RATE = 50_000.0
+"""Bytes a second, averaged since the head, at which a large body must come: its room is held
+meanwhile. Held against it once a body may have stalled, not before."""
+
+
 class BodyStalledError(LarkpostError):
-    """The body brought nothing for too long; the request did not run and will not."""
+    """The body stalled or came too slowly; the request did not run and will not."""
 
     code = "body_stalled"
     status = 408
@@ -69,6 +74,7 @@
         self.memory = memory
         memory.owner = self.request_name
         self._is_body_asked_for = False
+        self._body_bytes = 0
 
     @property
     def is_oversized(self) -> bool:
@@ -145,7 +151,7 @@
         Raises:
             ClientLeftError: the client closed its connection.
             NoRoomError: the body cannot be held now.
-            BodyStalledError: it brought nothing for too long.
+            BodyStalledError: it brought nothing for too long, or came too slowly.
         """
         declared = self.whole_header(b"content-length")
         if declared is not None and declared > limit:
@@ -163,11 +169,23 @@
         return bool(self.header(b"transfer-encoding"))
 
     async def _receive_in_time(self) -> dict:
+        """Returns the next part of the body.
+
+        Raises:
+            BodyStalledError: it did not come in time.
+        """
+        now = asyncio.get_running_loop().time()
+        slow_at = self.received_at + max(STALLED_SECONDS, self._body_bytes / LEAST_BODY_RATE)
         try:
-            async with asyncio.timeout(STALLED_SECONDS):
-                return await self._receive()
+            async with asyncio.timeout_at(min(now + STALLED_SECONDS, slow_at)):
+                message = await self._receive()
         except TimeoutError:
-            raise BodyStalledError(f"no bytes of the body for {STALLED_SECONDS:g} s") from None
+            raise BodyStalledError(
+                f"{self._body_bytes} bytes of the body in {now - self.received_at:.1f} s, "
+                f"then none in time"
+            ) from None
+        self._body_bytes += len(message.get("body", b""))
+        return message
 
     async def wait_for_close(self) -> None:
         """Returns once the client has closed its connection, or the response is complete."""
--- a/src/larkpost/platform/ingress.py
+++ b/src/larkpost/platform/ingress.py
@@ -91,6 +91,8 @@
         if call.is_oversized:
             await response.send_whole(HEAD_TOO_LARGE)
             return
+        if call.memory.is_limited:
+            self._check_admitted(call)
         body = await call.read_body(self.limits().body_bytes)
         if body is None:
             response.closes = call.awaits_leave
@@ -104,6 +106,17 @@
         finally:
             closed.cancel()
 
+    def _check_admitted(self, call: ClientCall) -> None:
+        """Checks by a call's head that it may be made: nothing is held for one that may not.
+
+        Raises:
+            LarkpostError: it may not, by the configuration in force.
+        """
+        if call.path.startswith(names.OWN_CALLS):
+            self._admission.caller(call.request_name, call.host_name, call.key)
+        else:
+            self._admission.admit(call.request_name, call.host_name, call.path, call.key)
+
     async def _serve_until(
         self,
         closed: asyncio.Task,
--- a/tests/test_held_bytes.py
+++ b/tests/test_held_bytes.py
@@ -160,7 +160,7 @@
         balancer = Balancer(directory, clock, random.Random(1))
         parts = make_parts(directory, balancer, servers, clock)
         forwarder = Forwarder(replace(parts, log=self.log, metrics=self.metrics))
-        configuration = ConfigurationState()
+        self.configuration = configuration = ConfigurationState()
         shares = (ServiceShare(PAGES, 1.0),)
         routes = [Route("r", "h", path, kind, shares, 9.0, 5.0) for path, kind in KINDS.items()]
         configuration.update(Configuration(1, tuple(routes), {PAGES: Service(PAGES, 10)}, LIMITS))
@@ -325,6 +325,65 @@
             self.assertEqual(b"", await reader.read())
         self.assertEqual([], self.server.requests)
 
+    async def test_body_that_trickles_is_given_up_with_a_promise(self):
+        """It never stands still for long; its room is free then, and nothing of it has run."""
+        for framing in (b"Content-Length: %d" % (7 * MB), b"Transfer-Encoding: chunked"):
+            reader, writer = await self.connect()
+            writer.write(self.head(b"/o/x", framing))
+            with (
+                mock.patch.object(client_call, "STALLED_SECONDS", 0.4),
+                mock.patch.object(client_call, "LEAST_BODY_RATE", 1000.0),
+            ):
+                answer = asyncio.create_task(self.response(reader))
+                while not answer.done():
+                    writer.write(b"1\r\nx\r\n")
+                    await asyncio.sleep(0.05)
+            status, _, text = await answer
+            self.assertEqual((408, True), (status, text.startswith(b"body_stalled")))
+            await self.wait_until(lambda: self.memory.budget.total == 0)
+        self.assertEqual([], self.server.requests)
+
+    async def test_body_that_comes_slowly_at_the_least_rate_is_read(self):
+        """For longer than it may stand still."""
+        reader, writer = await self.connect()
+        with (
+            mock.patch.object(client_call, "STALLED_SECONDS", 0.4),
+            mock.patch.object(client_call, "LEAST_BODY_RATE", 50_000.0),
+        ):
+            writer.write(self.head(b"/o/x", b"Content-Length: 100000"))
+            for _ in range(10):
+                writer.write(bytes(10_000))
+                await asyncio.sleep(0.1)
+            self.assertEqual(200, (await self.response(reader))[0])
+
+    async def test_nothing_is_held_for_a_call_that_is_not_admitted(self):
+        """Its 404, 401 or 503 comes before its body, which is dropped and is no request."""
+        evil = self.request(b"evil", b"/o/evil")
+        body = evil * (MB // len(evil))
+        usual = self.configuration.current
+        with_keys = replace(usual, tenants=())
+        cases = (
+            (with_keys, b"h", (b"/p/x", b"/b/x", b"/-/lots/b1"), 401),
+            (usual, b"other", (b"/p/x", b"/b/x"), 404),
+            (None, b"h", (b"/p/x", b"/b/x", b"/-/lots/b1"), 503),
+        )
+        for configuration, host, paths, status in cases:
+            for path in paths:
+                await self.refused_by_head(configuration, host, path, status, body)
+        self.assertEqual({b"good"}, {body for _, body in self.server.requests})
+
+    async def refused_by_head(self, configuration, host, path, status, body) -> None:
+        """Checks that a call is refused before its body comes, and the next one served."""
+        usual, self.configuration.current = self.configuration.current, configuration
+        reader, writer = await self.connect()
+        head = self.head(path, b"Content-Length: %d" % len(body))
+        writer.write(head.replace(b"Host: h", b"Host: " + host))
+        self.assertEqual(status, (await self.response(reader))[0])
+        self.assertEqual(0, self.memory.budget.total)
+        self.configuration.current = usual
+        writer.write(body + self.request(b"good", b"/o/good"))
+        self.assertEqual(200, (await self.response(reader))[0])
+
     async def test_client_that_waits_for_leave_to_send_is_refused_without_it(self):
         reader, writer = await self.connect()
         length = b"Content-Length: %d" % (9 * MB)
@@ -511,6 +570,15 @@
         writer.write(self.request(b""))
         self.assertEqual(502, (await self.response(reader))[0])
 
+    async def test_call_is_judged_once_its_body_is_read(self):
+        reader, writer = await self.connect()
+        request = self.request(bytes(MB), b"/none")
+        writer.write(request[:-1])
+        with self.assertRaises(TimeoutError):
+            await asyncio.wait_for(reader.readexactly(1), 0.2)
+        writer.write(request[-1:])
+        self.assertEqual(404, (await self.response(reader))[0])
+
     async def test_stalls_are_not_watched(self):
         reader, writer = await self.connect(reads_little=True)
         with (
