Coordinators are ranked at the highest hash too

The rank of the highest hash raised a domain error; it is computed from whole numbers now. test_uneven_machines: 14 pass; the new one fails without.

--- a/src/larkpost/gateway/controllers/coordinators.py
+++ b/src/larkpost/gateway/controllers/coordinators.py
@@ -21,7 +21,7 @@
 heartbeats fit into one part of the store."""
 LEAST_CAPACITY = 0.05
 """A daemon that reports less counts as this: each can be chosen."""
-HASHES = 2.0**64
+HASHES = 2**64
 """How many values a hash may have."""
 JOIN_SECONDS = 0.5
 """Seconds after its start from which a daemon may coordinate: when all start at once, the first
@@ -84,4 +84,4 @@
 def _rank(daemon: DaemonId, weight_of: Mapping[DaemonId, float] | None) -> float:
     """Returns the rank of a daemon among those that could coordinate; the lowest do."""
     value = hash64(f"coordinator\x00{daemon}")
-    return value if weight_of is None else -math.log1p(-value / HASHES) / weight_of[daemon]
+    return value if weight_of is None else -math.log((HASHES - value) / HASHES) / weight_of[daemon]
--- a/tests/test_uneven_machines.py
+++ b/tests/test_uneven_machines.py
@@ -7,6 +7,7 @@
 import asyncio
 import unittest
 from collections import Counter
+from unittest import mock
 
 from larkpost.common.clock import LoopClock
 from larkpost.common.hashing import hash64
@@ -21,8 +22,10 @@
 )
 from larkpost.gateway.blackboard.daemon_report import DaemonReport
 from larkpost.gateway.blackboard.regions import RegionMap
+from larkpost.gateway.controllers import coordinators
 from larkpost.gateway.controllers.coordinators import (
     COORDINATORS,
+    HASHES,
     LEAST_CAPACITY,
     first_choice,
     is_to_coordinate,
@@ -61,6 +64,17 @@
         for name, capacity in CAPACITIES.items():
             self.assertAlmostEqual(capacity / whole, counts[name] / len(KEYS), delta=0.02)
 
+    def test_every_hash_gives_a_choice(self):
+        """The lowest and the highest one among them."""
+        for value in (0, HASHES - 1):
+            with (
+                self.subTest(value=value),
+                mock.patch.object(coordinators, "hash64", lambda _, value=value: value),
+            ):
+                self.assertIn(first_choice("key", CAPACITIES, CAPACITIES), CAPACITIES)
+                regions = dict.fromkeys(CAPACITIES)
+                self.assertTrue(is_to_coordinate(SMALL, regions, 1.0, CAPACITIES))
+
     def test_capacity_that_shrinks_moves_keys_away_from_that_daemon_only(self):
         before = self.choices(CAPACITIES)
         after = self.choices(CAPACITIES | {LARGE: 0.5})
