Accepted batches count at once; a cancel leaves no unused call open

A batch was counted only at the keeper's next turn, so several could be accepted into the same room. A cancel while the first unused call was ended left the others open. One new test each, which fails without (test_held_bytes, test_byte_budget). Unused calls already end as given up, not as served.

--- a/src/larkpost/gateway/proxy/attempts.py
+++ b/src/larkpost/gateway/proxy/attempts.py
@@ -4,6 +4,7 @@
 read it stand in `retry`, `turn_gate` and `server_choice`.
 """
 
+from contextlib import AsyncExitStack
 from dataclasses import dataclass, field
 from enum import StrEnum
 
@@ -72,10 +73,14 @@
         self.reasons.clear()
 
     async def close_unused(self, used: WholeResponse | OpenResponse | None) -> None:
-        """Ends the calls whose responses are not used, as another one came first."""
-        for opened in self.opened:
-            if opened is not used:
-                await opened.abandon()
+        """Ends the calls whose responses are not used, as another one came first.
+
+        All of them are ended, also if the request is cancelled meanwhile.
+        """
+        async with AsyncExitStack() as calls:
+            for opened in self.opened:
+                if opened is not used:
+                    calls.push_async_callback(opened.abandon)
 
     def record_may_have_run(self, instance: InstanceId) -> None:
         """Records that a server may have run it, also while that is not known yet."""
--- a/src/larkpost/gateway/rollouts/keeper.py
+++ b/src/larkpost/gateway/rollouts/keeper.py
@@ -117,6 +117,7 @@
         if head.ended or spec.id in self._complete:
             return
         self._own(head, spec.items, fresh=True)
+        self._count_held()
 
     def finish(self, batch: BatchId) -> None:
         """Stops running a batch that is complete or ended."""
@@ -130,8 +131,7 @@
         for batch, owned in list(self._owned.items()):
             if owned.complete:
                 self.finish(batch)
-        outputs = sum(owned.output_bytes for owned in self._owned.values())
-        self._views.bound(set(self._owned), outputs)
+        self._count_held()
 
     async def hand_over(self) -> None:
         """Gives all owned batches to other daemons, with what their items have made so far."""
@@ -172,11 +172,18 @@
 
     def _own(self, head: BatchHead, items: tuple[Item, ...] | None, *, fresh: bool) -> None:
         view: BatchView = self._views.get_or_add(head)
+        if items is not None:
+            view.keep_items(items)
         owned = OwnedBatch(head, view, self._repository, self._services)
         self._owned[head.id] = owned
         self._log.record(Event.BATCH_OWNED, batch=head.id, fresh=fresh)
         owned.start(items, fresh)
 
+    def _count_held(self) -> None:
+        """Tells the budget what all batches hold, and drops some that are not run here."""
+        outputs = sum(owned.output_bytes for owned in self._owned.values())
+        self._views.bound(set(self._owned), outputs)
+
     def _release(self, batch: BatchId) -> None:
         owned = self._owned.pop(batch, None)
         if owned is None:
--- a/tests/test_byte_budget.py
+++ b/tests/test_byte_budget.py
@@ -206,6 +206,31 @@
             self.assertEqual([given_up], ended)
         self.assertEqual([given_up, ("used", None)], ended)
 
+    async def test_all_unused_calls_are_ended_though_the_request_is_cancelled_meanwhile(self):
+        ended = []
+
+        def opened(name: str) -> OpenResponse:
+            async def end(*_: object) -> None:
+                try:
+                    await asyncio.Event().wait()
+                finally:
+                    ended.append(name)
+
+            call = AsyncExitStack()
+            call.push_async_exit(end)
+            body = ByteBudget().reserve(Purpose.ANSWERS)
+            return OpenResponse(200, (), deque(), mock.Mock(), body, call)
+
+        attempts = Attempts(*[mock.Mock()] * 5, opened=[opened("first"), opened("second")])
+        closing = asyncio.create_task(attempts.close_unused(None))
+        await asyncio.sleep(0)
+        closing.cancel()
+        await asyncio.sleep(0)
+        closing.cancel()
+        with self.assertRaises(asyncio.CancelledError):
+            await closing
+        self.assertEqual({"first", "second"}, set(ended))
+
 
 class RequestMemoryTest(unittest.TestCase):
     """What is held for one request."""
--- a/tests/test_held_bytes.py
+++ b/tests/test_held_bytes.py
@@ -37,6 +37,7 @@
 from larkpost.gateway.proxy.admission import Admission
 from larkpost.gateway.proxy.balancer import Balancer
 from larkpost.gateway.proxy.forwarder import Forwarder
+from larkpost.gateway.rollouts.keeper import BatchKeeper
 from larkpost.gateway.rollouts.model import BatchHead, Item, ItemId, Result, ResultState
 from larkpost.gateway.rollouts.reader import ResultPage
 from larkpost.gateway.rollouts.view import ViewCache
@@ -595,6 +596,24 @@
         self.assertEqual([], self.lines(Event.READER_CUT))
 
 
+class AcceptedBatchTest(unittest.IsolatedAsyncioTestCase):
+    """A batch that its daemon has just accepted."""
+
+    async def test_it_counts_at_once(self):
+        budget = ByteBudget(100 * MB)
+        head = BatchHead(BatchId("b"), "h", "/", "m", 0, 0, 0, 1, "d", 0.0, False, "u")
+        repository = mock.AsyncMock()
+        repository.head.return_value = head
+        services = mock.Mock(clock=LoopClock())
+        keeper = BatchKeeper(
+            repository, mock.AsyncMock(), services, ViewCache(budget), lambda: 60.0
+        )
+        item = Item(ItemId("i"), "/", (), bytes(MB), 1, "g")
+        await keeper.own_accepted(mock.Mock(id=BatchId("b"), items=(item,)), "u")
+        self.assertEqual(MB, budget.held(Purpose.BATCHES))
+        keeper.finish(BatchId("b"))
+
+
 class ViewCacheTest(unittest.TestCase):
     """What batches hold is told to the budget."""
 
