A batch that never fits gets an error of its own, before its body is read

Above a quarter of the budget a batch got 503 no_room with a third of a second each time and never fitted.

--- a/src/larkpost/platform/batch_calls.py
+++ b/src/larkpost/platform/batch_calls.py
@@ -7,6 +7,7 @@
 
 import orjson
 
+from larkpost.common.errors import LarkpostError
 from larkpost.common.ids import BatchId
 from larkpost.gateway.blackboard.tenants import Caller, TenantName
 from larkpost.gateway.memory.budget import Purpose
@@ -30,6 +31,18 @@
 """Longest time for which a call for results is held. Ten times what callers ask."""
 
 
+TOO_LARGE_RETRY_SECONDS = 5.0
+"""When to come back with a batch that this daemon can never hold: the caller is to ask another."""
+
+
+class BatchTooLargeError(LarkpostError):
+    """The batch can never be held on this machine; it was not accepted and will not be."""
+
+    code = "batch_too_large_here"
+    status = 503
+    remedy = "Split the batch, or ask a daemon on a machine with more memory."
+
+
 class BatchCalls:
     """Serves the calls about batches."""
 
@@ -52,9 +65,23 @@
         if call.method != "POST":
             await response.send_whole(NOT_ALLOWED)
             return
+        self.check_size(call, len(body))
         with call.memory.reserve(Purpose.SUBMISSIONS, len(body) * SUBMISSION_COPIES):
             await self._submit(call, response, body, tenant)
 
+    def check_size(self, call: ClientCall, size: int) -> None:
+        """Checks that a batch with a body of so many bytes could be held here.
+
+        Raises:
+            BatchTooLargeError: it could not.
+        """
+        needed = size * (1 + SUBMISSION_COPIES)
+        if not call.memory.could_hold(needed):
+            raise BatchTooLargeError(
+                f"the batch takes {needed} bytes while it is read and stored",
+                retry_after=TOO_LARGE_RETRY_SECONDS,
+            )
+
     async def _submit(
         self,
         call: ClientCall,
--- a/src/larkpost/platform/ingress.py
+++ b/src/larkpost/platform/ingress.py
@@ -110,12 +110,16 @@
         """Checks by a call's head that it may be made: nothing is held for one that may not.
 
         Raises:
-            LarkpostError: it may not, by the configuration in force.
+            LarkpostError: it may not by the configuration in force, or is a batch that can never be
+                held here.
         """
         if call.path.startswith(names.OWN_CALLS):
             self._admission.caller(call.request_name, call.host_name, call.key)
         else:
-            self._admission.admit(call.request_name, call.host_name, call.path, call.key)
+            admitted = self._admission.admit(call.request_name, call.host_name, call.path, call.key)
+            declared = call.whole_header(b"content-length") or 0
+            if admitted.route.kind is RouteKind.BATCH and declared <= self.limits().body_bytes:
+                self._batch_calls.check_size(call, declared)
 
     async def _serve_until(
         self,
