A large answer is recorded as it ended, and its server has the request's time for it

An answer that is passed on as it comes was logged as served (request_done 200) once it had begun: one that broke off showed as no failure, its server was not avoided, the time of the request lacked the body, and no deadline held. It is recorded at its end now; only what the server takes counts against the request's time, not what the client takes.

--- a/src/larkpost/gateway/proxy/forwarder.py
+++ b/src/larkpost/gateway/proxy/forwarder.py
@@ -15,10 +15,12 @@
 import asyncio
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from dataclasses import replace
 
 from larkpost.gateway.blackboard.configuration import Route, RouteKind
 from larkpost.gateway.blackboard.directory import InstanceInfo
 from larkpost.gateway.proxy.attempts import Attempts
+from larkpost.gateway.proxy.large_answer import FollowedBody
 from larkpost.gateway.proxy.outcomes import Outcomes
 from larkpost.gateway.proxy.parts import ForwarderParts
 from larkpost.gateway.proxy.request import ClientRequest, OpenResponse, WholeResponse
@@ -68,6 +70,9 @@
             await attempts.close_unused(response)
         if response is None:
             raise self._outcomes.failure(attempts, timed_out=False)
+        if isinstance(response, OpenResponse):
+            rest = FollowedBody(response, attempts, self._outcomes, self._clock)
+            return replace(response, rest=rest)
         self._outcomes.record_done(attempts, response.status)
         return response
 
--- /dev/null
+++ b/src/larkpost/gateway/proxy/large_answer.py
@@ -0,0 +1,61 @@
+"""Follows the body of a large answer that is passed on as it comes, and records how it ended.
+
+The time of a request limits what its server takes for the body; the time that the client takes
+does not count.
+"""
+
+import asyncio
+from collections.abc import AsyncIterator
+
+from larkpost.common.clock import Clock
+from larkpost.gateway.proxy.attempts import Attempts
+from larkpost.gateway.proxy.outcomes import Outcomes
+from larkpost.gateway.proxy.request import OpenResponse
+from larkpost.gateway.servers.port import BrokenResponseError
+
+
+class FollowedBody:
+    """The rest of a large answer's body, chunk by chunk; it ends only if the body is whole."""
+
+    def __init__(
+        self, response: OpenResponse, attempts: Attempts, outcomes: Outcomes, clock: Clock
+    ) -> None:
+        self._response = response
+        self._attempts = attempts
+        self._outcomes = outcomes
+        self._clock = clock
+        self._time_left = attempts.waiter.limits.end_at - clock.now()
+
+    def __aiter__(self) -> AsyncIterator[bytes]:
+        return self
+
+    async def __anext__(self) -> bytes:
+        """Returns the next chunk.
+
+        Raises:
+            BrokenResponseError: the body broke off, or its server took too long for it.
+        """
+        try:
+            return await self._next_in_time()
+        except StopAsyncIteration:
+            self._outcomes.record_done(self._attempts, self._response.status)
+            raise
+        except TimeoutError:
+            self._record_failed("no whole body in the request's time", timed_out=True)
+            raise BrokenResponseError("its server took too long for the body") from None
+        except BrokenResponseError as error:
+            self._record_failed(error.message, timed_out=False)
+            raise
+
+    async def _next_in_time(self) -> bytes:
+        asked_at = self._clock.now()
+        try:
+            async with asyncio.timeout(self._time_left):
+                return await anext(self._response.rest)
+        finally:
+            self._time_left -= self._clock.now() - asked_at
+
+    def _record_failed(self, reason: str, *, timed_out: bool) -> None:
+        """Records the failure; its client has a part of the answer and gets no error."""
+        self._outcomes.record_broken(self._response.instance, self._attempts, reason)
+        self._outcomes.failure(self._attempts, timed_out=timed_out)
--- a/src/larkpost/gateway/proxy/request.py
+++ b/src/larkpost/gateway/proxy/request.py
@@ -8,6 +8,7 @@
 
 from larkpost.common.errors import LarkpostError
 from larkpost.common.ids import RegionId
+from larkpost.gateway.blackboard.directory import InstanceInfo
 from larkpost.gateway.blackboard.tenants import TenantName
 from larkpost.gateway.memory.budget import Reservation
 from larkpost.gateway.memory.daemon_memory import RequestMemory
@@ -92,6 +93,7 @@
         rest: what follows; see `ServerResponse.chunks`.
         reservation: the bytes that are held for it.
         call: the call at the server, which is under way.
+        instance: the server.
     """
 
     status: int
@@ -100,6 +102,7 @@
     rest: AsyncIterator[bytes]
     reservation: Reservation
     call: AsyncExitStack
+    instance: InstanceInfo | None = None
 
     async def __aenter__(self) -> "OpenResponse":
         return self
--- a/src/larkpost/gateway/proxy/server_attempt.py
+++ b/src/larkpost/gateway/proxy/server_attempt.py
@@ -95,7 +95,13 @@
             if is_whole:
                 return WholeResponse(response.status, response.headers, joined(begun)), is_signed
             opened = OpenResponse(
-                response.status, response.headers, begun, chunks, reservation, call.pop_all()
+                response.status,
+                response.headers,
+                begun,
+                chunks,
+                reservation,
+                call.pop_all(),
+                instance,
             )
             attempts.opened.append(opened)
             return opened, is_signed
--- a/tests/test_held_bytes.py
+++ b/tests/test_held_bytes.py
@@ -75,6 +75,7 @@
         self.status = 200
         self.size = 5
         self.breaks_after: int | None = None
+        self.pause = 0.2
         self.says_length = True
         self.requests: list[tuple[bytes, bytes]] = []
         self.written = 0
@@ -107,7 +108,7 @@
         if self.breaks_after is not None:
             linger = struct.pack("ii", 1, 0)
             writer.get_extra_info("socket").setsockopt(SOL_SOCKET, SO_LINGER, linger)
-            await asyncio.sleep(0.2)
+            await asyncio.sleep(self.pause)
         if self.breaks_after is not None or not self.says_length:
             raise ConnectionError("the server ends the connection")
 
@@ -445,6 +446,47 @@
                 await self.response(reader)
         await self.wait_until(lambda: self.memory.budget.total == 0)
 
+    async def test_answer_that_breaks_off_is_recorded_as_failed_and_its_server_avoided(self):
+        self.server.size, self.server.breaks_after = 20 * MB, 5 * MB
+        reader, writer = await self.connect()
+        writer.write(self.request(b""))
+        with self.assertRaises((asyncio.IncompleteReadError, ConnectionError)):
+            await self.response(reader)
+        self.assertEqual([], self.lines(Event.REQUEST_DONE))
+        self.assertEqual(["e0"], [line["instance"] for line in self.lines(Event.ATTEMPT_FAILED)])
+        (line,) = self.lines(Event.REQUEST_FAILED)
+        self.assertEqual("request_failed", line["outcome"])
+
+    async def test_answer_is_recorded_as_served_once_it_is_whole(self):
+        self.server.size = 20 * MB
+        reader, writer = await self.connect(reads_little=True)
+        writer.write(self.request(b""))
+        await reader.readuntil(b"\r\n\r\n")
+        self.assertEqual([], self.lines(Event.REQUEST_DONE))
+        async with asyncio.timeout(WAIT_SECONDS):
+            await reader.readexactly(20 * MB)
+        self.assertEqual([200], [line["status"] for line in self.lines(Event.REQUEST_DONE)])
+
+    async def test_time_of_a_request_ends_an_answer_whose_server_falls_silent_within_it(self):
+        self.server.size, self.server.breaks_after = 20 * MB, 5 * MB
+        self.server.pause = 2 * WAIT_SECONDS
+        reader, writer = await self.connect()
+        writer.write(self.head(b"/p/x", b"Content-Length: 0", b"Larkpost-Deadline-Ms: 1000"))
+        with self.assertRaises((asyncio.IncompleteReadError, ConnectionError)):
+            await self.response(reader)
+        self.assertEqual(1, len(self.lines(Event.ATTEMPT_FAILED)))
+        self.assertEqual("request_timeout", self.lines(Event.REQUEST_FAILED)[0]["outcome"])
+
+    async def test_time_that_a_client_takes_ends_no_answer(self):
+        self.server.size = 3 * MB
+        reader, writer = await self.connect(reads_little=True)
+        writer.write(self.head(b"/p/x", b"Content-Length: 0", b"Larkpost-Deadline-Ms: 800"))
+        await reader.readuntil(b"\r\n\r\n")
+        for _ in range(30):
+            await reader.readexactly(3 * MB // 30)
+            await asyncio.sleep(0.05)
+        self.assertEqual(1, len(self.lines(Event.REQUEST_DONE)))
+
     async def test_failure_that_is_too_large_to_be_held_is_given_up(self):
         self.server.size, self.server.status = 20 * MB, 500
         for path in (b"/p/x", b"/o/x"):
