--- a/tests/platform_mutants.py
+++ b/tests/platform_mutants.py
@@ -517,6 +517,13 @@
     return mock.patch.object(coordinators, "_weights", weigh)
 
 
+def hold_bodies_of_anyone():
+    """Holds room for the bodies of calls that are not admitted."""
+    from larkpost.platform.ingress import Ingress
+
+    return mock.patch.object(Ingress, "_check_admitted", lambda *_: None)
+
+
 def wait_for_slow_readers():
     """Cuts no client, however slowly it takes its answer."""
     from larkpost.gateway.memory import daemon_memory
@@ -598,6 +605,7 @@
         stand_still_while_suspended,
         trust_the_plain_clock,
         reserve_no_bytes,
+        hold_bodies_of_anyone,
         wait_for_slow_readers,
         weigh_daemons_of_earlier_builds,
         ignore_the_start,
@@ -649,6 +657,9 @@
     "stand_still_while_suspended": "tests.test_suspension",
     "trust_the_plain_clock": "tests.test_suspension",
     "reserve_no_bytes": "tests.test_held_bytes.BodyTest",
+    "hold_bodies_of_anyone": (
+        "tests.test_held_bytes.BodyTest.test_nothing_is_held_for_a_call_that_is_not_admitted"
+    ),
     "wait_for_slow_readers": "tests.test_slow_readers",
     "weigh_daemons_of_earlier_builds": "tests.test_uneven_machines",
     "ignore_the_start": "tests.test_incarnations",
