Versions load together once the next step is near; a load keeps away its own model's items only

Cause: a trainer that waits for its versions asks two steps a second apart.

Change: the head of a batch is set against the naming of its model's version as this daemon learnt of both. A batch that comes with its version, with no earlier one open, means that the next is near: then the engines load together, 0.3 s after the naming. `EngineDivision.loading` is asked for a model.

tests.test_mechanisms gave a fake of `loading` with one argument; it takes any now, and checks the same.

--- a/src/larkpost/gateway/blackboard/weight_targets.py
+++ b/src/larkpost/gateway/blackboard/weight_targets.py
@@ -41,6 +41,11 @@
         """Returns the seconds since this daemon learnt of a model's newest version."""
         return now - self._named_at.get(model, now)
 
+    def seconds_since_named(self, model: ModelName, now: float) -> float | None:
+        """Returns the seconds since this daemon learnt of a model's newest version, if of any."""
+        named_at = self._named_at.get(model)
+        return now - named_at if named_at is not None else None
+
     def version(self, model: ModelName) -> int:
         """Returns the newest version named for a model; 0 if none was."""
         return self._versions.get(model, 0)
@@ -53,10 +58,15 @@
     Attributes:
         work: expected tokens of the newest batch; 0 if none is known.
         open: whether a batch runs now.
+        open_before: whether a batch before the newest one runs now.
+        asked_after: seconds between the naming of a version and the newest batch, whose trainer
+            waited for that version or had time to spare; None if not known.
     """
 
     work: int = 0
     open: bool = False
+    open_before: bool = False
+    asked_after: float | None = None
 
 
 Demands = Mapping[ModelName, ModelDemand]
--- a/src/larkpost/gateway/controllers/division.py
+++ b/src/larkpost/gateway/controllers/division.py
@@ -4,6 +4,7 @@
 model's own engines and for those that load, which it avoids. All daemons work out the same.
 """
 
+from collections import defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -27,12 +28,13 @@
     Attributes:
         made_at: steady time at which it was worked out.
         own: each model's engines.
-        loading: engines that load a version now, or will be ordered to in a moment.
+        loading: for each model, the engines that load a version of it now, or will be ordered to
+            in a moment; they refuse its items only.
     """
 
     made_at: float
     own: dict[ModelName, frozenset[InstanceId]]
-    loading: frozenset[InstanceId]
+    loading: dict[ModelName, frozenset[InstanceId]]
 
 
 class EngineDivision:
@@ -67,9 +69,16 @@
         """
         return self._division(service).own.get(model, frozenset())
 
-    def loading(self, service: ServiceName) -> frozenset[InstanceId]:
-        """Returns the engines that refuse work now, or will in a moment, as they load."""
-        return self._division(service).loading
+    def loading(self, service: ServiceName, model: ModelName) -> frozenset[InstanceId]:
+        """Returns the engines that refuse a model's items now, or will in a moment.
+
+        They load a version of it; items of other models run there as before.
+        """
+        return self._division(service).loading.get(model, frozenset())
+
+    def since_named(self, model: ModelName) -> float | None:
+        """Returns the seconds since a model's newest version was named; None if none was."""
+        return self._blackboard.targets.seconds_since_named(model, self._clock.now())
 
     def _division(self, service: ServiceName) -> Division:
         now = self._clock.now()
@@ -83,9 +92,15 @@
         configuration = self._blackboard.configuration.current
         service = configuration.services.get(name) if configuration is not None else None
         if service is None or not service.models:
-            return Division(now, {}, frozenset())
-        loading = frozenset(engine for engine, _ in self.due(service, now))
-        return Division(now, self._own(service), loading)
+            return Division(now, {}, {})
+        loading: dict[ModelName, set[InstanceId]] = defaultdict(set)
+        for engine, target in self.due(service, now):
+            loading[target.model].add(engine)
+        return Division(
+            now,
+            self._own(service),
+            {model: frozenset(engines) for model, engines in loading.items()},
+        )
 
     def _own(self, service: Service) -> dict[ModelName, frozenset[InstanceId]]:
         directory = self._blackboard.directory
--- a/src/larkpost/gateway/controllers/due_loads.py
+++ b/src/larkpost/gateway/controllers/due_loads.py
@@ -30,6 +30,10 @@
 """Seconds before the first group loads while no batch of the model runs: one may come at once."""
 BUSY_FIRST_SECONDS = 0.9
 """The same while one runs, so that its items have found their places before."""
+URGENT_FIRST_SECONDS = 0.3
+"""The same while one runs and the next one is near: most items have found their places."""
+WAITED_SECONDS = 0.5
+"""A batch that comes within so many seconds of its model's version had to wait for it."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,6 +58,7 @@
     Attributes:
         target: the version that they should have.
         elapsed: seconds since the first group's turn began; negative before it.
+        is_urgent: whether the next batch, which wants the version, is near; see `is_urgent`.
         serving: the version at each engine that gets work.
         resting: the version at each engine of an evacuated zone.
     """
@@ -62,6 +67,17 @@
     elapsed: float
     serving: dict[InstanceId, int]
     resting: dict[InstanceId, int]
+    is_urgent: bool = False
+
+
+def is_urgent(demand: ModelDemand) -> bool:
+    """Returns whether a model's next batch is near, so that its version must soon be loaded.
+
+    Its trainer waits for each version and asks for the next step at once, and no batch is open any
+    more whose end the version after this one waits for.
+    """
+    waits = demand.asked_after is not None and demand.asked_after < WAITED_SECONDS
+    return waits and not demand.open_before
 
 
 def due_loads(
@@ -86,6 +102,7 @@
             _seconds_into_turns(model, inputs, now),
             _versions(engine_ids, model, inputs.directory),
             _versions(assigned_resting[model], model, inputs.directory),
+            is_urgent(inputs.demands.get(model, ModelDemand())),
         )
         due.extend((name, target) for name in engines_to_load(state))
     return due
@@ -106,12 +123,15 @@
     """Returns the engines that get work and load now.
 
     One that is two versions behind loads at once: it is of no use to the next step. The others load
-    in groups, once the items of a running batch have found their places.
+    in groups, once the items of a running batch have found their places. If the next step is near,
+    they load together: in a moment none of them is of use without the version.
     """
     late = [name for name, version in state.serving.items() if version < state.target - 1]
     if state.elapsed < 0:
         return late
     behind = {name for name, version in state.serving.items() if version == state.target - 1}
+    if state.is_urgent:
+        return late + sorted(behind)
     return late + _group_on_turn(list(state.serving), behind, state.elapsed)
 
 
@@ -154,8 +174,10 @@
 
 
 def _seconds_into_turns(model: ModelName, inputs: LoadInputs, now: float) -> float:
-    is_busy = inputs.demands.get(model, ModelDemand()).open
-    wait = BUSY_FIRST_SECONDS if is_busy else FIRST_SECONDS
+    demand = inputs.demands.get(model, ModelDemand())
+    wait = FIRST_SECONDS
+    if demand.open:
+        wait = URGENT_FIRST_SECONDS if is_urgent(demand) else BUSY_FIRST_SECONDS
     return inputs.targets.named_for(model, now) - wait
 
 
--- a/src/larkpost/gateway/rollouts/engine_choice.py
+++ b/src/larkpost/gateway/rollouts/engine_choice.py
@@ -95,7 +95,7 @@
         if not candidates:
             return []
         balancer = self._services.balancer
-        loading = self._services.division.loading(service)
+        loading = self._services.division.loading(service, self._head.model)
         return [
             EngineState(
                 info,
--- a/src/larkpost/gateway/rollouts/keeper.py
+++ b/src/larkpost/gateway/rollouts/keeper.py
@@ -56,7 +56,7 @@
         self._lifetime = lifetime
         self._clock: Clock = services.clock
         self._log: EventLog = services.log
-        self._heads = KnownHeads(services.clock)
+        self._heads = KnownHeads(services.clock, services.division.since_named, self._age)
         self._claims = BatchClaims(repository, membership, services, self.record_head)
         self._owned: dict[BatchId, OwnedBatch] = {}
         self._complete: set[BatchId] = set()
@@ -88,6 +88,11 @@
         known = self._heads.get(batch)
         return known.head if known is not None else None
 
+    def _age(self, head: BatchHead) -> float | None:
+        """Returns the seconds since a batch was accepted; None if the store's time is not known."""
+        now = self._services.store_time()
+        return now - head.created_at if now is not None else None
+
     def is_owner(self) -> bool:
         """Returns whether this daemon runs batches, or is named as the owner of one not ended."""
         return bool(self._owned) or self._membership.own in self._heads.open_owners()
--- a/tests/test_mechanisms.py
+++ b/tests/test_mechanisms.py
@@ -194,7 +194,7 @@
             services.directory = make_directory(2)
             services.balancer = Balancer(services.directory, fleet.clock, random.Random(0))
             services.balancer.occupy(InstanceId("e1"))
-            services.division.loading = lambda _: frozenset(loading)
+            services.division.loading = lambda *_: frozenset(loading)
             return EngineChoice(make_head(fleet), services).choose(ENGINES).id
 
         self.assertEqual("e0", run(chosen(set())))
