--- a/src/larkpost/gateway/assembly/membership.py
+++ b/src/larkpost/gateway/assembly/membership.py
@@ -3,9 +3,10 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from larkpost.common.ids import DaemonId
+from larkpost.common.ids import BatchId, DaemonId
 from larkpost.gateway.assembly.daemon_reports import DaemonReports
 from larkpost.gateway.assembly.environment import GatewayPorts, GatewaySettings
+from larkpost.gateway.blackboard.daemon_report import BatchProgress
 from larkpost.gateway.blackboard.regions import RegionMap
 from larkpost.gateway.controllers.heartbeat_writer import OwnDaemon
 from larkpost.gateway.controllers.members import Membership
@@ -21,6 +22,8 @@
     Attributes:
         daemon: this process's id.
         is_owner: returns whether it owns batches that are not ended.
+        batch_progress: returns how far the batches that it owns are.
+        record_batch_progress: called with how far those of each other daemon are.
     """
 
     daemon: DaemonId
@@ -30,12 +33,14 @@
     regions: RegionMap
     balancer: Balancer
     is_owner: Callable[[], bool]
+    batch_progress: Callable[[], dict[BatchId, BatchProgress]]
+    record_batch_progress: Callable[[DaemonId, dict[BatchId, BatchProgress]], None]
 
 
 def make_membership(inputs: MembershipInputs) -> Membership:
     """Returns the membership, whose heartbeats carry the daemon's use and report."""
     store, balancer = inputs.ports.store, inputs.balancer
-    reports = DaemonReports(balancer.paces)
+    reports = DaemonReports(balancer.paces, inputs.batch_progress, inputs.record_batch_progress)
     own = OwnDaemon(
         inputs.daemon,
         balancer.summary,
--- a/src/larkpost/gateway/blackboard/daemon_report.py
+++ b/src/larkpost/gateway/blackboard/daemon_report.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
-from larkpost.common.ids import InstanceId
+from larkpost.common.ids import BatchId, InstanceId
 from larkpost.gateway.blackboard.tenants import TenantName
 
 
@@ -19,6 +19,20 @@
     waiting: int
 
 
+class BatchProgress(NamedTuple):
+    """How far a batch is, as its owner knows it at a moment.
+
+    Attributes:
+        waiting: items that wait for a place at an engine.
+        work: tokens that its items are expected to take yet.
+        longest: most tokens that one of them is expected to take yet.
+    """
+
+    waiting: int
+    work: int
+    longest: int
+
+
 @dataclass(frozen=True, slots=True)
 class DaemonReport:
     """What one daemon reports; what it does not say is unknown.
@@ -28,8 +42,10 @@
             left out, as far as it has learnt that itself.
         tenants: use by its tenants with the greatest use, of bounded number.
         capacity: what its machine can bear beside clients, without unit; None if not known.
+        batches: progress of the batches that it owns, of bounded number.
     """
 
     paces: dict[InstanceId, float] = field(default_factory=dict)
     tenants: dict[TenantName, TenantUse] = field(default_factory=dict)
     capacity: float | None = None
+    batches: dict[BatchId, BatchProgress] = field(default_factory=dict)
--- a/src/larkpost/gateway/blackboard/weight_targets.py
+++ b/src/larkpost/gateway/blackboard/weight_targets.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass
+from enum import StrEnum
 
 from larkpost.gateway.blackboard.configuration import ModelName
 
@@ -18,6 +19,18 @@
     version: int
 
 
+@dataclass(frozen=True, slots=True)
+class Naming:
+    """A version as it was named.
+
+    Attributes:
+        seconds: since this daemon learnt of it.
+    """
+
+    version: int
+    seconds: float
+
+
 class WeightTargets:
     """The newest version named for each model; it never goes back."""
 
@@ -41,16 +54,27 @@
         """Returns the seconds since this daemon learnt of a model's newest version."""
         return now - self._named_at.get(model, now)
 
-    def seconds_since_named(self, model: ModelName, now: float) -> float | None:
-        """Returns the seconds since this daemon learnt of a model's newest version, if of any."""
-        named_at = self._named_at.get(model)
-        return now - named_at if named_at is not None else None
+    def last_naming(self, model: ModelName, now: float) -> Naming | None:
+        """Returns when a model's newest version was named; None if none was."""
+        version = self._versions.get(model)
+        if version is None:
+            return None
+        return Naming(version, now - self._named_at[model])
 
     def version(self, model: ModelName) -> int:
         """Returns the newest version named for a model; 0 if none was."""
         return self._versions.get(model, 0)
 
 
+class Outlook(StrEnum):
+    """Whether a batch will be in time, by a forecast."""
+
+    UNKNOWN = "unknown"
+    TO_SPARE = "to_spare"  # in time, with some seconds left
+    TIGHT = "tight"  # just in time, or late though it can still be in time
+    HOPELESS = "hopeless"  # late even if it had all engines for itself
+
+
 @dataclass(frozen=True, slots=True)
 class ModelDemand:
     """What the batches of a model ask for.
@@ -61,12 +85,20 @@
         open_before: whether a batch before the newest one runs now.
         asked_after: seconds between the naming of a version and the newest batch, whose trainer
             waited for that version or had time to spare; None if not known.
+        asked_at: the newest version that was named then; 0 if none was, or it is not known.
+        least_asked_after: the least of this for the newest batch and the one before.
+        outlook: of the open batch that is most in need.
+        waiting: items of its open batches that wait for places, as far as is known.
     """
 
     work: int = 0
     open: bool = False
     open_before: bool = False
     asked_after: float | None = None
+    asked_at: int = 0
+    least_asked_after: float | None = None
+    outlook: Outlook = Outlook.UNKNOWN
+    waiting: int = 0
 
 
 Demands = Mapping[ModelName, ModelDemand]
--- /dev/null
+++ b/src/larkpost/gateway/controllers/batch_forecast.py
@@ -0,0 +1,69 @@
+"""Whether a batch will be in time: the work left at the engines' paces, against its due time.
+
+Owns no state and reads none. A forecast from the guesses of trainers is often off by a second, so
+it says no more than whether a batch has time to spare, is tight, or can't be in time at all.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from larkpost.gateway.blackboard.daemon_report import BatchProgress
+from larkpost.gateway.blackboard.weight_targets import Outlook
+
+SPARE_SECONDS = 1.5
+"""A batch that is forecast to end so long before it is due has time to spare."""
+HOPELESS_SECONDS = 1.0
+"""A batch whose due time is missed by more than this, with all engines for itself, is hopeless."""
+
+
+@dataclass(frozen=True, slots=True)
+class Capacity:
+    """What engines can do for a batch.
+
+    Attributes:
+        share: items at once at the engines that it can count on.
+        whole: items at once at all engines.
+        token_time: seconds that a token takes at an engine of middling pace.
+        best_token_time: the same at the fastest one.
+    """
+
+    share: int
+    whole: int
+    token_time: float
+    best_token_time: float
+
+
+def judge_batch(progress: BatchProgress, due_in: float, capacity: Capacity) -> Outlook:
+    """Returns the outlook of a batch.
+
+    Args:
+        due_in: seconds until it is due; negative once it is late.
+    """
+    if not capacity.share or not capacity.token_time:
+        return Outlook.UNKNOWN
+    least = seconds_left(progress, capacity.whole, capacity.best_token_time)
+    if due_in + HOPELESS_SECONDS < least:
+        return Outlook.HOPELESS
+    expected = seconds_left(progress, capacity.share, capacity.token_time)
+    return Outlook.TO_SPARE if due_in - expected >= SPARE_SECONDS else Outlook.TIGHT
+
+
+def seconds_left(progress: BatchProgress, places: int, token_time: float) -> float:
+    """Returns the seconds that a batch needs yet, with so many places.
+
+    No item is made by two engines, so it takes at least as long as its longest item.
+    """
+    return max(progress.longest, progress.work / places) * token_time
+
+
+def most_in_need(outlooks: Iterable[Outlook]) -> Outlook:
+    """Returns the outlook that counts for a model of whose batches these are the outlooks.
+
+    One that can be saved counts before all others, and one that is not known before one that can't
+    be saved: it may be the next step's, which has all its time.
+    """
+    known = set(outlooks)
+    for outlook in (Outlook.TIGHT, Outlook.UNKNOWN, Outlook.HOPELESS, Outlook.TO_SPARE):
+        if outlook in known:
+            return outlook
+    return Outlook.UNKNOWN
--- a/src/larkpost/gateway/controllers/division.py
+++ b/src/larkpost/gateway/controllers/division.py
@@ -6,20 +6,40 @@
 
 from collections import defaultdict
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from larkpost.common.clock import Clock
 from larkpost.common.ids import InstanceId
 from larkpost.gateway.blackboard.board import Blackboard
 from larkpost.gateway.blackboard.configuration import ModelName, Service, ServiceName
-from larkpost.gateway.blackboard.weight_targets import Demands, WeightTarget
+from larkpost.gateway.blackboard.weight_targets import (
+    Demands,
+    ModelDemand,
+    Naming,
+    WeightTarget,
+)
 from larkpost.gateway.controllers.due_loads import LoadInputs, due_loads
-from larkpost.gateway.controllers.model_assignment import assign_models, split_evacuated
+from larkpost.gateway.controllers.lending import (
+    Lending,
+    lend,
+    models_that_yield,
+    standing_of,
+)
+from larkpost.gateway.controllers.model_assignment import (
+    PaceOf,
+    assign_models,
+    split_evacuated,
+    unknown_pace,
+)
+from larkpost.gateway.observability.eventlog import Event, EventLog
 
 LIFETIME_SECONDS = 0.1
 """Seconds for which a division serves: items ask for it again and again. As long as the loader's
 interval."""
 
+LOG_INTERVAL_SECONDS = 1.0
+"""Least time between two lines on the lending of one service."""
+
 
 @dataclass(frozen=True, slots=True)
 class Division:
@@ -27,7 +47,9 @@
 
     Attributes:
         made_at: steady time at which it was worked out.
-        own: each model's engines.
+        own: the engines whose first places are each model's.
+        lending: which of them are lent.
+        yielding: the models whose batches leave free places to others; see `models_that_yield`.
         loading: for each model, the engines that load a version of it now, or will be ordered to
             in a moment; they refuse its items only.
     """
@@ -35,6 +57,8 @@
     made_at: float
     own: dict[ModelName, frozenset[InstanceId]]
     loading: dict[ModelName, frozenset[InstanceId]]
+    lending: Lending = field(default_factory=Lending)
+    yielding: frozenset[ModelName] = frozenset()
 
 
 class EngineDivision:
@@ -42,15 +66,27 @@
 
     Args:
         demands: returns what the batches of each model ask for.
+        log: gets a line when engines are lent to others than before; None for none.
+        pace: returns the lasting pace of an engine: one that changes by the moment would divide the
+            engines anew again and again.
     """
 
     def __init__(
-        self, blackboard: Blackboard, clock: Clock, demands: Callable[[], Demands]
+        self,
+        blackboard: Blackboard,
+        clock: Clock,
+        demands: Callable[[], Demands],
+        log: EventLog | None = None,
+        pace: PaceOf = unknown_pace,
     ) -> None:
         self._blackboard = blackboard
         self._clock = clock
         self._demands = demands
+        self._log = log
+        self._pace = pace
         self._known: dict[ServiceName, Division] = {}
+        self._logged: dict[ServiceName, Division] = {}
+        """For each service the lending that was logged last, and when."""
 
     def due(self, service: Service, now: float) -> list[tuple[InstanceId, WeightTarget]]:
         """Returns the engines of a service that should be loading now, and what."""
@@ -59,6 +95,7 @@
             self._blackboard.targets,
             self._demands(),
             self._blackboard.evacuations.zones(),
+            self._pace,
         )
         return due_loads(service, inputs, now)
 
@@ -76,9 +113,13 @@
         """
         return self._division(service).loading.get(model, frozenset())
 
-    def since_named(self, model: ModelName) -> float | None:
-        """Returns the seconds since a model's newest version was named; None if none was."""
-        return self._blackboard.targets.seconds_since_named(model, self._clock.now())
+    def should_yield(self, service: ServiceName, model: ModelName) -> bool:
+        """Returns whether a model's batches use their own engines only, for the sake of others."""
+        return model in self._division(service).yielding
+
+    def last_naming(self, model: ModelName) -> Naming | None:
+        """Returns when a model's newest version was named; None if none was."""
+        return self._blackboard.targets.last_naming(model, self._clock.now())
 
     def _division(self, service: ServiceName) -> Division:
         now = self._clock.now()
@@ -96,15 +137,39 @@
         loading: dict[ModelName, set[InstanceId]] = defaultdict(set)
         for engine, target in self.due(service, now):
             loading[target.model].add(engine)
+        directory, demands = self._blackboard.directory, self._demands()
+        ready = directory.ready_of(service.name)
+        serving, _ = split_evacuated(ready, self._blackboard.evacuations.zones())
+        division = assign_models(service, serving, directory, demands, self._pace)
+        lending = lend(division, demands, directory.version_of)
+        self._record_lending(service, lending, demands, now)
+        first = lending.first_engines(division)
         return Division(
             now,
-            self._own(service),
+            {model: frozenset(engines) for model, engines in first.items()},
             {model: frozenset(engines) for model, engines in loading.items()},
+            lending,
+            models_that_yield(service.models, demands),
         )
 
-    def _own(self, service: Service) -> dict[ModelName, frozenset[InstanceId]]:
-        directory = self._blackboard.directory
-        ready = directory.ready_of(service.name)
-        serving, _ = split_evacuated(ready, self._blackboard.evacuations.zones())
-        division = assign_models(service, serving, directory, self._demands())
-        return {model: frozenset(engines) for model, engines in division.items()}
+    def _record_lending(
+        self, service: Service, lending: Lending, demands: Demands, now: float
+    ) -> None:
+        """Logs which engines are lent, once they are others than those logged last."""
+        logged = self._logged.get(service.name)
+        before = logged.lending if logged is not None else Lending()
+        if self._log is None or lending == before:
+            return
+        if logged is not None and now - logged.made_at < LOG_INTERVAL_SECONDS:
+            return
+        self._logged[service.name] = Division(now, {}, {}, lending)
+        self._log.record(
+            Event.ENGINES_LENT,
+            service=service.name,
+            lent=lending.lent,
+            standings={
+                model: standing_of(demands.get(model, ModelDemand())) for model in service.models
+            },
+            outlooks={model: demand.outlook for model, demand in demands.items()},
+            asked_after={model: demand.asked_after for model, demand in demands.items()},
+        )
--- a/src/larkpost/gateway/controllers/due_loads.py
+++ b/src/larkpost/gateway/controllers/due_loads.py
@@ -19,7 +19,13 @@
     WeightTarget,
     WeightTargets,
 )
-from larkpost.gateway.controllers.model_assignment import assign_models, split_evacuated
+from larkpost.gateway.controllers.lending import WAITED_SECONDS, lend
+from larkpost.gateway.controllers.model_assignment import (
+    PaceOf,
+    assign_models,
+    split_evacuated,
+    unknown_pace,
+)
 
 LOAD_GROUPS = 3
 """Groups of a model's engines that load a version one after the other; two thirds serve on."""
@@ -31,9 +37,7 @@
 BUSY_FIRST_SECONDS = 0.9
 """The same while one runs, so that its items have found their places before."""
 URGENT_FIRST_SECONDS = 0.3
-"""The same while one runs and the next one is near: most items have found their places."""
-WAITED_SECONDS = 0.5
-"""A batch that comes within so many seconds of its model's version had to wait for it."""
+"""Seconds from a batch to the loads while the next one is near: most items have found places."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,12 +47,14 @@
     Attributes:
         demands: what the batches of each model ask for.
         evacuated: zones whose engines get no work; they load after the others.
+        pace: returns the lasting pace of an engine.
     """
 
     directory: Directory
     targets: WeightTargets
     demands: Demands
     evacuated: frozenset[ZoneId] = frozenset()
+    pace: PaceOf = unknown_pace
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,14 +76,15 @@
     is_urgent: bool = False
 
 
-def is_urgent(demand: ModelDemand) -> bool:
-    """Returns whether a model's next batch is near, so that its version must soon be loaded.
+def is_urgent(demand: ModelDemand, version: int) -> bool:
+    """Returns whether a model's next batch is near, so that a version must soon be loaded.
 
-    Its trainer waits for each version and asks for the next step at once, and no batch is open any
-    more whose end the version after this one waits for.
+    Its trainer waits for each version and asks for the next step at once. The step that it has
+    asked with this version is here, and no batch before it is open whose end the next version
+    waits for.
     """
     waits = demand.asked_after is not None and demand.asked_after < WAITED_SECONDS
-    return waits and not demand.open_before
+    return waits and demand.asked_at == version and not demand.open_before
 
 
 def due_loads(
@@ -92,7 +99,9 @@
     if not _is_any_behind(service, engines, inputs):
         return []
     serving, resting = split_evacuated(engines, inputs.evacuated)
-    assigned = assign_models(service, serving, inputs.directory, inputs.demands)
+    division = assign_models(service, serving, inputs.directory, inputs.demands, inputs.pace)
+    lending = lend(division, inputs.demands, inputs.directory.version_of)
+    assigned = lending.holders(division)
     assigned_resting = assign_models(service, resting, inputs.directory, inputs.demands)
     due: list[tuple[InstanceId, WeightTarget]] = []
     for model, engine_ids in assigned.items():
@@ -102,7 +111,7 @@
             _seconds_into_turns(model, inputs, now),
             _versions(engine_ids, model, inputs.directory),
             _versions(assigned_resting[model], model, inputs.directory),
-            is_urgent(inputs.demands.get(model, ModelDemand())),
+            is_urgent(inputs.demands.get(model, ModelDemand()), target.version),
         )
         due.extend((name, target) for name in engines_to_load(state))
     return due
@@ -175,10 +184,12 @@
 
 def _seconds_into_turns(model: ModelName, inputs: LoadInputs, now: float) -> float:
     demand = inputs.demands.get(model, ModelDemand())
-    wait = FIRST_SECONDS
-    if demand.open:
-        wait = URGENT_FIRST_SECONDS if is_urgent(demand) else BUSY_FIRST_SECONDS
-    return inputs.targets.named_for(model, now) - wait
+    elapsed = inputs.targets.named_for(model, now)
+    if not demand.open:
+        return elapsed - FIRST_SECONDS
+    if demand.asked_after is not None and is_urgent(demand, inputs.targets.version(model)):
+        return elapsed - demand.asked_after - URGENT_FIRST_SECONDS
+    return elapsed - BUSY_FIRST_SECONDS
 
 
 def _versions(
--- a/src/larkpost/gateway/controllers/model_assignment.py
+++ b/src/larkpost/gateway/controllers/model_assignment.py
@@ -5,6 +5,7 @@
 have read the same rows divide alike.
 """
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import NamedTuple
 
@@ -13,15 +14,25 @@
 from larkpost.gateway.blackboard.configuration import ModelName, Service
 from larkpost.gateway.blackboard.directory import Directory, InstanceInfo
 from larkpost.gateway.blackboard.weight_targets import Demands, ModelDemand
+from larkpost.gateway.controllers.engine_speeds import speed, steps_slower
 
+KEPT_BEHIND = 1
+"""Versions by which an engine that a model keeps may be behind the model's newest engine."""
 MIN_ENGINES_PER_MODEL = 2
 """Engines that each model gets at least, so that it is served while one of them is lost or loads.
 The least number for which that holds."""
 
+PaceOf = Callable[[InstanceId], float]
+"""Returns the seconds that an event lastingly takes at an engine; 0 if that is not known."""
 Assignment = dict[ModelName, list[InstanceId]]
 """For each model its engines, in the order in which they load new versions."""
 
 
+def unknown_pace(_engine: InstanceId) -> float:
+    """Returns that a pace is not known."""
+    return 0.0
+
+
 class _ModelOrder(NamedTuple):
     """Which model chooses an engine next: the least of these."""
 
@@ -34,23 +45,34 @@
 
     models_held: int
     negative_version: int  # the newest version first, so that a division once made stays
+    other_models: int  # of those the one that no other model keeps, as one lent to this model
+    steps_slower: int  # of those the fastest
     rank: int  # the same for all daemons
 
 
 def assign_models(
-    service: Service, engines: list[InstanceInfo], directory: Directory, demands: Demands
+    service: Service,
+    engines: list[InstanceInfo],
+    directory: Directory,
+    demands: Demands,
+    pace: PaceOf = unknown_pace,
 ) -> Assignment:
     """Divides the engines of a service among its models by the work their batches bring.
 
-    The model with the most work for each of its engines chooses next. A choice falls on the engine
-    with the fewest models, then on the one with the newest version of the model. It ends when every
-    engine has a model and every model has enough engines.
+    The model with the most work for what its engines can do chooses next. A choice falls on the
+    engine with the fewest models, then on the one with the newest version of the model, then on the
+    fastest. It ends when every engine has a model and every model has enough engines.
+
+    Args:
+        pace: returns the lasting pace of an engine; while paces are not known all count alike.
     """
     division = _Division(
         directory,
         work=_work_of_models(service, demands),
         chosen={model: [] for model in service.models},
         models_held=dict.fromkeys((engine.id for engine in engines), 0),
+        kept_by=_models_kept(service, engines, directory),
+        steps_slower=steps_slower({engine.id: pace(engine.id) for engine in engines}),
     )
     enough = min(MIN_ENGINES_PER_MODEL, len(engines))
     while engines and division.chosen and division.choose_next(enough):
@@ -79,6 +101,24 @@
     return {model: work or most for model, work in known.items()}
 
 
+def _models_kept(
+    service: Service, engines: list[InstanceInfo], directory: Directory
+) -> dict[InstanceId, frozenset[ModelName]]:
+    """Returns for each engine the models of which it holds the newest version, or nearly so."""
+    newest = {
+        model: max((directory.version_of(engine.id, model) for engine in engines), default=0)
+        for model in service.models
+    }
+    return {
+        engine.id: frozenset(
+            model
+            for model in service.models
+            if directory.version_of(engine.id, model) >= newest[model] - KEPT_BEHIND
+        )
+        for engine in engines
+    }
+
+
 @dataclass(slots=True)
 class _Division:
     """A division under way.
@@ -87,12 +127,16 @@
         work: tokens that each model's batches ask for.
         chosen: the engines of each model so far.
         models_held: for each engine, how many models have chosen it.
+        kept_by: for each engine, the models whose versions it was kept up to.
+        steps_slower: for each engine, by how many steps it is slower than the middling one.
     """
 
     directory: Directory
     work: dict[ModelName, int]
     chosen: Assignment
     models_held: dict[InstanceId, int]
+    kept_by: dict[InstanceId, frozenset[ModelName]]
+    steps_slower: dict[InstanceId, int]
 
     def choose_next(self, enough: int) -> bool:
         """Gives one engine to one model; returns whether there was anything left to do.
@@ -113,8 +157,9 @@
         return True
 
     def _model_order(self, model: ModelName) -> _ModelOrder:
+        capacity = sum(speed(self.steps_slower[engine]) for engine in self.chosen[model])
         return _ModelOrder(
-            negative_work_per_engine=-self.work[model] / (len(self.chosen[model]) + 1),
+            negative_work_per_engine=-self.work[model] / (capacity + 1),
             name=model,
         )
 
@@ -122,5 +167,7 @@
         return _EngineOrder(
             models_held=self.models_held[engine],
             negative_version=-self.directory.version_of(engine, model),
+            other_models=len(self.kept_by[engine] - {model}),
+            steps_slower=self.steps_slower[engine],
             rank=hash64(engine),
         )
--- a/src/larkpost/gateway/daemon.py
+++ b/src/larkpost/gateway/daemon.py
@@ -12,6 +12,7 @@
 
 import asyncio
 
+from larkpost.common.ids import BatchId, DaemonId
 from larkpost.common.tasks import TaskSet, UnreportedFailures
 from larkpost.gateway.assembly.environment import GatewayPorts, GatewaySettings
 from larkpost.gateway.assembly.gauges import Gauges
@@ -19,6 +20,7 @@
 from larkpost.gateway.assembly.loop_watch import LoopWatch
 from larkpost.gateway.assembly.membership import MembershipInputs, make_membership
 from larkpost.gateway.blackboard.board import Blackboard
+from larkpost.gateway.blackboard.daemon_report import BatchProgress
 from larkpost.gateway.blackboard.lifecycle import Lifecycle
 from larkpost.gateway.blackboard.weight_targets import Demands
 from larkpost.gateway.controllers.division import EngineDivision
@@ -130,6 +132,8 @@
                 self.blackboard.regions,
                 self.balancer,
                 self._is_owner,
+                self._batch_progress,
+                self._record_batch_progress,
             )
         )
         self.true_time = TrueTime(self._clock, ports.store.time, self.membership.clock_offsets)
@@ -179,7 +183,7 @@
 
     def _make_rollouts(self) -> None:
         ports = self._ports
-        self._division = EngineDivision(self.blackboard, ports.clock, self._demands)
+        self._division = EngineDivision(self.blackboard, ports.clock, self._demands, ports.log)
         services = RunServices(
             self.configuration,
             self.directory,
@@ -310,6 +314,16 @@
         """Returns what the batches of each model ask for."""
         return self.keeper.demands()
 
+    def _batch_progress(self) -> dict[BatchId, BatchProgress]:
+        """Returns how far this daemon's batches are."""
+        return self.keeper.progress()
+
+    def _record_batch_progress(
+        self, daemon: DaemonId, batches: dict[BatchId, BatchProgress]
+    ) -> None:
+        """Passes on how far another daemon's batches are."""
+        self.keeper.record_report(daemon, batches)
+
     def _may_forget_crashes(self) -> bool:
         """Returns whether this daemon is the one that removes old crashes."""
         return self.membership.first_choice("crashes") == self.id
--- a/src/larkpost/gateway/observability/eventlog.py
+++ b/src/larkpost/gateway/observability/eventlog.py
@@ -46,6 +46,7 @@
     UNREADABLE = "unreadable"
     LEASE_LAPSED = "lease_lapsed"
     ORDER = "order"
+    ENGINES_LENT = "engines_lent"
     SCALING_PLAN = "scaling_plan"
     SERVERS_ORDERED = "servers_ordered"
     USAGE_DECIDED = "usage_decided"
--- /dev/null
+++ b/src/larkpost/gateway/rollouts/batch_outlooks.py
@@ -0,0 +1,132 @@
+"""The outlook of each open batch: its own daemon's word, or what its owner has reported.
+
+Owns what the owners of batches report. `controllers/batch_forecast.py` has the rule; this module
+gathers its inputs: due times from the heads and routes, paces from the balancer.
+"""
+
+from collections import defaultdict
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, replace
+
+from larkpost.common.clock import Clock
+from larkpost.common.ids import BatchId, DaemonId, InstanceId
+from larkpost.gateway.blackboard.configuration import (
+    Configuration,
+    ConfigurationState,
+    ModelName,
+    Route,
+    Service,
+)
+from larkpost.gateway.blackboard.daemon_report import BatchProgress
+from larkpost.gateway.blackboard.directory import Directory
+from larkpost.gateway.blackboard.weight_targets import ModelDemand, Outlook
+from larkpost.gateway.controllers.batch_forecast import Capacity, judge_batch, most_in_need
+from larkpost.gateway.rollouts.model import BatchHead
+
+REPORT_LIFETIME_SECONDS = 1.2
+"""How long a report is believed: some four heartbeats. Then nothing is known of its batches."""
+
+
+@dataclass(frozen=True, slots=True)
+class OutlookSources:
+    """What outlooks are worked out from, beside reports.
+
+    Attributes:
+        pace: returns the seconds that an event takes at an engine; 0 if not known.
+        store_time: returns the store's clock in seconds, or None if it is not known.
+    """
+
+    configuration: ConfigurationState
+    directory: Directory
+    pace: Callable[[InstanceId], float]
+    clock: Clock
+    store_time: Callable[[], float | None]
+
+
+class BatchOutlooks:
+    """What is known of the progress of open batches, and what follows from it."""
+
+    def __init__(self, sources: OutlookSources) -> None:
+        self._sources = sources
+        self._reports: dict[DaemonId, tuple[float, dict[BatchId, BatchProgress]]] = {}
+        """What each owner reported last, and the steady time of that."""
+
+    def record_report(self, daemon: DaemonId, batches: dict[BatchId, BatchProgress]) -> None:
+        """Records what another daemon reports of its batches, in place of its last report."""
+        if batches:
+            self._reports[daemon] = (self._sources.clock.now(), batches)
+        else:
+            self._reports.pop(daemon, None)
+
+    def add_to(
+        self,
+        demands: dict[ModelName, ModelDemand],
+        heads: Iterable[BatchHead],
+        own: dict[BatchId, BatchProgress],
+    ) -> dict[ModelName, ModelDemand]:
+        """Returns what models ask for, with the outlook of their open batches added.
+
+        Args:
+            heads: of the batches that are open.
+            own: progress of the batches that this daemon owns.
+        """
+        known = self._reported() | own
+        outlooks: dict[ModelName, list[Outlook]] = defaultdict(list)
+        waiting: dict[ModelName, int] = defaultdict(int)
+        for head in heads:
+            progress = known.get(head.id)
+            if progress is None:
+                outlooks[head.model].append(Outlook.UNKNOWN)
+            else:
+                outlooks[head.model].append(self._judge(head, progress))
+                waiting[head.model] += progress.waiting
+        return {
+            model: replace(demand, outlook=most_in_need(outlooks[model]), waiting=waiting[model])
+            for model, demand in demands.items()
+        }
+
+    def _reported(self) -> dict[BatchId, BatchProgress]:
+        """Returns what the others reported a moment ago."""
+        oldest = self._sources.clock.now() - REPORT_LIFETIME_SECONDS
+        for daemon in [name for name, (at, _) in self._reports.items() if at < oldest]:
+            del self._reports[daemon]
+        return {
+            batch: progress
+            for _, batches in self._reports.values()
+            for batch, progress in batches.items()
+        }
+
+    def _judge(self, head: BatchHead, progress: BatchProgress) -> Outlook:
+        now = self._sources.store_time()
+        configuration = self._sources.configuration.current
+        if now is None or configuration is None:
+            return Outlook.UNKNOWN
+        route = configuration.match(head.host, head.path.encode("latin-1"))
+        service = _service_of(route, configuration)
+        if route is None or not route.due or service is None:
+            return Outlook.UNKNOWN
+        due_in = head.created_at + route.due - now
+        return judge_batch(progress, due_in, self._capacity(service))
+
+    def _capacity(self, service: Service) -> Capacity:
+        """Returns what a service's engines can do for a batch; a model counts on its share."""
+        engines = self._sources.directory.ready_of(service.name)
+        known = (self._sources.pace(info.id) for info in engines)
+        paces = sorted(pace for pace in known if pace)
+        if not paces:
+            return Capacity(0, 0, 0.0, 0.0)
+        places = sum(max(1, info.slots) for info in engines)
+        return Capacity(
+            max(1, places // len(service.models)),
+            places,
+            paces[len(paces) // 2] / service.tokens_per_event,
+            paces[0] / service.tokens_per_event,
+        )
+
+
+def _service_of(route: Route | None, configuration: Configuration) -> Service | None:
+    """Returns the service of engines that a route names first; None if it names none."""
+    if route is None or not route.shares:
+        return None
+    service = configuration.services.get(route.shares[0].service)
+    return service if service is not None and service.models else None
--- a/src/larkpost/gateway/rollouts/engine_choice.py
+++ b/src/larkpost/gateway/rollouts/engine_choice.py
@@ -69,7 +69,7 @@
     ) -> list[InstanceInfo]:
         """Returns the engines that a moved run may go on at; those that load refuse it."""
         balancer = self._services.balancer
-        loading = self._services.division.loading(service)
+        loading = self._services.division.loading(service, self._head.model)
         return [
             info
             for info in candidates
@@ -80,12 +80,15 @@
     def _only_engines(self, service: ServiceName) -> frozenset[InstanceId] | None:
         """Returns the only engines that the batch may use now; None for any.
 
-        At first those are its model's own. If all of them are cold, as after the return of a zone,
-        the batch need not wait for them.
+        At first those are its model's own, and later too while it has time to spare and a batch of
+        another model that has none waits for places. If all of them are cold, as after the return
+        of a zone, the batch need not wait for them.
         """
-        if self._services.clock.now() - self._began_at >= OWN_ENGINES_SECONDS:
+        division = self._services.division
+        is_new = self._services.clock.now() - self._began_at < OWN_ENGINES_SECONDS
+        if not is_new and not division.should_yield(service, self._head.model):
             return None
-        own = self._services.division.engines_of(service, self._head.model)
+        own = division.engines_of(service, self._head.model)
         directory, balancer = self._services.directory, self._services.balancer
         known = (info for name in own if (info := directory.get(name)) is not None)
         return None if all(balancer.is_cold(info) for info in known) else own
@@ -113,7 +116,7 @@
 
         An engine that loads weights refuses all that come, so one item at a time tries it.
         """
-        if engine.id in self._services.division.loading(engine.service):
+        if engine.id in self._services.division.loading(engine.service, self._head.model):
             self._services.balancer.use(engine.id).expect_refusal(self._services.clock.now())
         if self._services.cold is not None:
             self._services.cold.reserve(engine)
@@ -134,7 +137,7 @@
     def silence_allowed(self, watch: RunWatch) -> float:
         """Returns the seconds for which a run may make nothing before it is stalled."""
         engine = watch.engine
-        loading = self._services.division.loading(engine.service)
+        loading = self._services.division.loading(engine.service, self._head.model)
         pace = self._services.balancer.paces.lasting(engine.id)
         return stall_seconds(pace, is_loading=engine.id in loading)
 
--- a/src/larkpost/gateway/rollouts/engine_run.py
+++ b/src/larkpost/gateway/rollouts/engine_run.py
@@ -7,7 +7,6 @@
 import asyncio
 from dataclasses import replace
 
-from larkpost.gateway.blackboard.configuration import Route
 from larkpost.gateway.blackboard.known_crashes import BATCH_CRASH_LIMIT
 from larkpost.gateway.rollouts.context import RunServices
 from larkpost.gateway.rollouts.engine_choice import EngineChoice
@@ -15,7 +14,7 @@
 from larkpost.gateway.rollouts.faster_place import FasterPlace
 from larkpost.gateway.rollouts.model import ITEM_METHOD, BatchHead, Item
 from larkpost.gateway.rollouts.place_queue import PlaceQueue
-from larkpost.gateway.rollouts.progress import ItemRun, Progress
+from larkpost.gateway.rollouts.progress import ItemRun
 from larkpost.gateway.rollouts.retry_rules import (
     FAILED_STATUS,
     IMPOSSIBLE_STATUS,
@@ -133,17 +132,18 @@
             body=item.body,
             resume_after=run.progress.last_event,
             tenant=self._head.tenant,
-            priority=self._priority(run.route, run.progress),
+            priority=self._priority(run),
             crash_limit=BATCH_CRASH_LIMIT,
         )
 
-    def _priority(self, route: Route, progress: Progress) -> int | None:
+    def _priority(self, run: ItemRun) -> int | None:
         """Returns the rank that the engine is sent; None for none."""
         configuration = self._services.configuration.current
         if configuration is None:
             return None
-        priority = configuration.priority_of(self._head.tenant, route)
-        return self._urgency.rank(progress, priority)
+        priority = configuration.priority_of(self._head.tenant, run.route)
+        yields = self._services.division.should_yield(run.engine.service, self._head.model)
+        return self._urgency.rank(run.progress, priority, yields=yields)
 
     def _keep_single_version(self, run: ItemRun) -> None:
         """Drops the output if the engine has another version than the one that made it."""
--- a/src/larkpost/gateway/rollouts/keeper.py
+++ b/src/larkpost/gateway/rollouts/keeper.py
@@ -11,9 +11,11 @@
 from larkpost.common.ids import BatchId, DaemonId
 from larkpost.common.tasks import TaskSet
 from larkpost.gateway.blackboard.configuration import ModelName
+from larkpost.gateway.blackboard.daemon_report import BatchProgress
 from larkpost.gateway.blackboard.weight_targets import ModelDemand
 from larkpost.gateway.controllers.members import Membership
 from larkpost.gateway.observability.eventlog import Event, EventLog
+from larkpost.gateway.rollouts.batch_outlooks import BatchOutlooks, OutlookSources
 from larkpost.gateway.rollouts.claims import BatchClaims
 from larkpost.gateway.rollouts.context import RunServices
 from larkpost.gateway.rollouts.known_heads import KnownHead, KnownHeads
@@ -29,6 +31,8 @@
 """The same at a daemon that may claim nothing."""
 REMOVAL_INTERVAL_SECONDS = 5.0
 """Between two checks for batches to remove. Nobody waits for a removal."""
+MAX_REPORTED = 16
+"""Most batches whose progress a daemon reports, the newest: some 40 bytes a batch and heartbeat."""
 RETENTION_SLACK_SECONDS = 60.0
 """For so long after its lifetime a batch is stored still, so that a read which began within it is
 answered, whatever the clocks differ by."""
@@ -56,7 +60,16 @@
         self._lifetime = lifetime
         self._clock: Clock = services.clock
         self._log: EventLog = services.log
-        self._heads = KnownHeads(services.clock, services.division.since_named, self._age)
+        self._heads = KnownHeads(services.clock, services.division.last_naming, self._age)
+        self._outlooks = BatchOutlooks(
+            OutlookSources(
+                services.configuration,
+                services.directory,
+                services.balancer.pace,
+                services.clock,
+                services.store_time,
+            )
+        )
         self._claims = BatchClaims(repository, membership, services, self.record_head)
         self._owned: dict[BatchId, OwnedBatch] = {}
         self._complete: set[BatchId] = set()
@@ -106,8 +119,19 @@
         return list(self._owned.values())
 
     def demands(self) -> dict[ModelName, ModelDemand]:
-        """Returns what the newest batch of each model asks for, and whether one is open."""
-        return self._heads.demands()
+        """Returns what the batches of each model ask for, with the outlook of those open."""
+        demands = self._heads.demands()
+        return self._outlooks.add_to(demands, self._heads.open(), self.progress())
+
+    def progress(self) -> dict[BatchId, BatchProgress]:
+        """Returns how far the batches that this daemon owns are, at most `MAX_REPORTED` of them."""
+        newest = list(self._owned.items())[-MAX_REPORTED:]
+        known = ((batch, owned.progress()) for batch, owned in newest)
+        return {batch: progress for batch, progress in known if progress is not None}
+
+    def record_report(self, daemon: DaemonId, batches: dict[BatchId, BatchProgress]) -> None:
+        """Records how far another daemon's batches are, as it reports it."""
+        self._outlooks.record_report(daemon, batches)
 
     async def own_accepted(self, spec: BatchSpec, upload: str) -> None:
         """Starts an accepted batch at once if it is this daemon's, without waiting for the feed."""
--- a/src/larkpost/gateway/rollouts/known_heads.py
+++ b/src/larkpost/gateway/rollouts/known_heads.py
@@ -3,14 +3,15 @@
 Owns the heads of all batches that are stored, as the feed of the head table brings them.
 """
 
-from collections import Counter
+import heapq
+from collections import defaultdict
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 
 from larkpost.common.clock import Clock
 from larkpost.common.ids import BatchId, DaemonId
 from larkpost.gateway.blackboard.configuration import ModelName
-from larkpost.gateway.blackboard.weight_targets import ModelDemand
+from larkpost.gateway.blackboard.weight_targets import ModelDemand, Naming
 from larkpost.gateway.rollouts.batch_rows import head_of_row
 from larkpost.gateway.rollouts.model import BatchHead
 from larkpost.gateway.store.port import Row
@@ -26,33 +27,32 @@
     Attributes:
         version: of its row.
         owner_since: steady time at which this daemon learnt who the owner is.
-        asked_after: seconds between the naming of its model's version and the batch, as this daemon
-            learnt of them; None if it did not see both happen.
+        asked_after: the version that was its model's newest when this daemon learnt of the batch,
+            and for how long it was; None if it did not see both happen.
     """
 
     head: BatchHead
     version: int
     owner_since: float
-    asked_after: float | None = None
+    asked_after: Naming | None = None
 
 
 class KnownHeads:
     """The heads of all batches that are known.
 
     Args:
-        since_named: returns the seconds since a model's newest version was named; None if this
-            daemon did not see it happen.
+        last_naming: returns when a model's newest version was named; None if none was.
         age: returns the seconds since a batch was accepted; None if not known.
     """
 
     def __init__(
         self,
         clock: Clock,
-        since_named: Callable[[ModelName], float | None] = lambda _: None,
+        last_naming: Callable[[ModelName], Naming | None] = lambda _: None,
         age: Callable[[BatchHead], float | None] = lambda _: None,
     ) -> None:
         self._clock = clock
-        self._since_named = since_named
+        self._last_naming = last_naming
         self._age = age
         self._heads: dict[BatchId, KnownHead] = {}
 
@@ -75,12 +75,12 @@
         asked_after = known.asked_after if known is not None else self._asked_after(head)
         self._heads[batch] = KnownHead(head, row.version, owner_since, asked_after)
 
-    def _asked_after(self, head: BatchHead) -> float | None:
-        """Returns how long after its version a batch that is new here came."""
+    def _asked_after(self, head: BatchHead) -> Naming | None:
+        """Returns after which version a batch that is new here came, and how long after it."""
         age = self._age(head)
         if age is None or age > FRESH_SECONDS:
             return None  # when it came is not known here
-        return self._since_named(head.model)
+        return self._last_naming(head.model)
 
     def forget(self, batch: BatchId) -> None:
         """Drops the head of a batch that is stored no more."""
@@ -92,23 +92,28 @@
 
     def demands(self) -> dict[ModelName, ModelDemand]:
         """Returns what the newest batch of each model asks for, and which ones are open."""
-        newest: dict[ModelName, KnownHead] = {}
-        running = Counter[ModelName]()
+        of_model: dict[ModelName, list[KnownHead]] = defaultdict(list)
         for known in self._heads.values():
-            head = known.head
-            running[head.model] += not head.ended
-            before = newest.get(head.model)
-            if before is None or head.created_at > before.head.created_at:
-                newest[head.model] = known
-        return {model: _demand(known, running[model]) for model, known in newest.items()}
-
-
-def _demand(newest: KnownHead, running: int) -> ModelDemand:
-    """Returns what a model's batches ask for.
-
-    Args:
-        running: batches of the model that have not ended.
-    """
-    head = newest.head
-    others = running - (not head.ended)
-    return ModelDemand(head.work, running > 0, others > 0, newest.asked_after)
+            of_model[known.head.model].append(known)
+        return {model: _demand(batches) for model, batches in of_model.items()}
+
+    def open(self) -> list[BatchHead]:
+        """Returns the heads of the batches that have not ended."""
+        return [known.head for known in self._heads.values() if not known.head.ended]
+
+
+def _demand(batches: list[KnownHead]) -> ModelDemand:
+    """Returns what a model's batches, at least one, ask for."""
+    last_two = heapq.nlargest(2, batches, key=lambda known: known.head.created_at)
+    newest = last_two[0]
+    namings = [known.asked_after for known in last_two if known.asked_after is not None]
+    naming = newest.asked_after
+    running = [known for known in batches if not known.head.ended]
+    return ModelDemand(
+        newest.head.work,
+        open=bool(running),
+        open_before=any(known is not newest for known in running),
+        asked_after=naming.seconds if naming is not None else None,
+        asked_at=naming.version if naming is not None else 0,
+        least_asked_after=min((known.seconds for known in namings), default=None),
+    )
--- a/src/larkpost/gateway/rollouts/owned.py
+++ b/src/larkpost/gateway/rollouts/owned.py
@@ -7,6 +7,7 @@
 import asyncio
 
 from larkpost.common.clock import Clock
+from larkpost.gateway.blackboard.daemon_report import BatchProgress
 from larkpost.gateway.observability.eventlog import Event, EventLog
 from larkpost.gateway.rollouts.context import RunServices
 from larkpost.gateway.rollouts.model import BatchHead, Item, ItemId, Result
@@ -65,6 +66,10 @@
         """Items without a result."""
         return len(self._run.progress) if self._run is not None else 0
 
+    def progress(self) -> BatchProgress | None:
+        """Returns how far the batch is; None while it is not loaded."""
+        return self._run.sum_up() if self._run is not None else None
+
     @property
     def unscored(self) -> int:
         """Whole outputs that wait for their score."""
--- a/src/larkpost/gateway/rollouts/run.py
+++ b/src/larkpost/gateway/rollouts/run.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 
 from larkpost.gateway.blackboard.configuration import ServiceName
+from larkpost.gateway.blackboard.daemon_report import BatchProgress
 from larkpost.gateway.observability.eventlog import Event
 from larkpost.gateway.rollouts.context import RunServices
 from larkpost.gateway.rollouts.engine_choice import EngineChoice
@@ -19,6 +20,7 @@
 from larkpost.gateway.rollouts.progress import Progress
 from larkpost.gateway.rollouts.reward import RewardScorer
 from larkpost.gateway.rollouts.stalls import CHECK_INTERVAL_SECONDS
+from larkpost.gateway.rollouts.work_left import sum_up
 
 FAULT_PAUSE_SECONDS = 1.0
 """Pause before an item is run again after an unexpected error, so that a fault that comes each time
@@ -65,6 +67,17 @@
             task.add_done_callback(self._task_done)
         self._waiting = []
 
+    def sum_up(self) -> BatchProgress:
+        """Returns how far the batch is, for the forecasts of all daemons."""
+        return sum_up(self.progress.values(), self._tokens_per_event(), len(self._places))
+
+    def _tokens_per_event(self) -> int:
+        configuration = self._services.configuration.current
+        services = configuration.services.values() if configuration is not None else ()
+        holding = (service for service in services if self.head.model in service.models)
+        service = next(holding, None)
+        return service.tokens_per_event if service is not None else 1
+
     def cancel(self) -> None:
         """Stops all runs; their connections close at once."""
         self._places.stop()
--- a/src/larkpost/gateway/rollouts/urgency.py
+++ b/src/larkpost/gateway/rollouts/urgency.py
@@ -32,13 +32,18 @@
         self._long_from = _at_share(works, LONG_SHARE)
         self._short_to = _at_share(works, 1 - SHORT_SHARE)
 
-    def rank(self, progress: Progress, priority: int) -> int:
+    def rank(self, progress: Progress, priority: int, *, yields: bool = False) -> int:
         """Returns the rank that an engine is sent, from 0, the most urgent, to 9.
 
         Args:
             priority: of the item's tenant or route, 0 highest.
+            yields: whether the batch comes after other models' batches of the same priority, as it
+                has time to spare or can't be in time.
         """
-        rank = priority * LENGTH_CLASSES + self._length_class(progress)
+        length_class = self._length_class(progress)
+        if yields:
+            length_class = min(length_class + 1, LENGTH_CLASSES - 1)
+        rank = priority * LENGTH_CLASSES + length_class
         return max(HIGHEST_PRIORITY, min(LOWEST_PRIORITY, rank))
 
     def _length_class(self, progress: Progress) -> int:
--- a/tests/platform_mutants.py
+++ b/tests/platform_mutants.py
@@ -504,6 +504,30 @@
     return mock.patch.object(instance_rows, "read_born", lambda _: None)
 
 
+def divide_by_work_alone():
+    """Lends no engines, whoever is short of time."""
+    from larkpost.gateway.controllers import lending
+
+    return mock.patch.object(lending, "standing_of", lambda _: lending.Standing.NEITHER)
+
+
+def load_before_the_batch():
+    """Has engines load together though the batch that comes with the version is not here yet."""
+    from larkpost.gateway.controllers import due_loads
+
+    original = due_loads.is_urgent
+    return mock.patch.object(
+        due_loads, "is_urgent", lambda demand, _: original(demand, demand.asked_at)
+    )
+
+
+def keep_progress_to_oneself():
+    """Tells the other daemons nothing of the batches that this one owns."""
+    from larkpost.gateway.rollouts.batch_outlooks import BatchOutlooks
+
+    return mock.patch.object(BatchOutlooks, "record_report", lambda *_: None)
+
+
 MUTANTS = {
     mutant.__name__: mutant
     for mutant in (
@@ -547,6 +571,9 @@
         forget_evacuations,
         miss_ends_of_evacuations,
         trust_silent_connections,
+        divide_by_work_alone,
+        load_before_the_batch,
+        keep_progress_to_oneself,
         wait_on_silent_connections,
         give_up_writes_without_proof,
         send_crashing_requests_on,
@@ -593,6 +620,9 @@
     # 60 examples of the fuzz caught it, 120 with a far store did not.
     "claim_outside_homes": "tests.test_regions",
     "miss_ends_of_evacuations": "tests.test_evacuations",
+    "divide_by_work_alone": "tests.test_lending",
+    "load_before_the_batch": "tests.test_load_timing",
+    "keep_progress_to_oneself": "tests.test_batch_forecast",
     "trust_silent_connections": "tests.test_silent_connections",
     "wait_on_silent_connections": "tests.test_silent_connections",
     "give_up_writes_without_proof": "tests.test_silent_connections",
--- /dev/null
+++ b/tests/test_batch_forecast.py
@@ -0,0 +1,246 @@
+"""Load: batches of unequal length on one pool of engines of unequal pace; which will be in time."""
+
+import unittest
+from dataclasses import replace
+
+from larkpost.common.ids import BatchId, DaemonId
+from larkpost.gateway.blackboard.daemon_report import BatchProgress, DaemonReport
+from larkpost.gateway.blackboard.weight_targets import ModelDemand, Outlook
+from larkpost.gateway.controllers.batch_forecast import (
+    HOPELESS_SECONDS,
+    SPARE_SECONDS,
+    Capacity,
+    judge_batch,
+    most_in_need,
+    seconds_left,
+)
+from larkpost.gateway.controllers.heartbeat import Heartbeat, decode_heartbeat, encode_heartbeat
+from larkpost.gateway.controllers.heartbeat_intervals import DEAD_AFTER_SECONDS
+from larkpost.gateway.rollouts.batch_outlooks import (
+    REPORT_LIFETIME_SECONDS,
+    BatchOutlooks,
+    OutlookSources,
+)
+from larkpost.gateway.rollouts.model import BatchHead, Item, ItemId
+from larkpost.gateway.rollouts.progress import Progress
+from larkpost.gateway.rollouts.work_left import OUTLIVED_SHARE, sum_up, tokens_left
+from tests.platform_fleet import MODEL, PlatformFleet, make_batch
+from tests.virtual import run
+
+POOL = Capacity(share=58, whole=176, token_time=0.000625, best_token_time=0.0006)
+"""A third of 22 engines of 8 places, where an event of 80 tokens takes 0.05 s."""
+UNEVEN = Capacity(share=48, whole=192, token_time=0.001, best_token_time=0.0007)
+"""A quarter of 24 engines, of which the slow ones take 1.7 times the usual time, the others 0.7."""
+LONG = BatchProgress(0, work=1848 * 80, longest=149 * 80)
+SHORT = BatchProgress(0, work=864 * 80, longest=84 * 80)
+TOKENS = 80
+
+
+class ForecastTest(unittest.TestCase):
+    """The rule, case by case."""
+
+    def test_outlooks(self):
+        ended = BatchProgress(0, 0, 0)
+        cases = (
+            ("short items, all the time", SHORT, 7.5, POOL, Outlook.TO_SPARE),
+            ("long items, all the time", LONG, 7.5, POOL, Outlook.TIGHT),
+            ("long items, nearly done", left_of(LONG, 4000, 2000), 3.5, POOL, Outlook.TO_SPARE),
+            ("late, but not by much", LONG, 6.5, POOL, Outlook.TIGHT),
+            ("hopeless: its longest item alone takes longer", LONG, 6.0, POOL, Outlook.HOPELESS),
+            ("long since due", SHORT, -1.0, POOL, Outlook.HOPELESS),
+            ("due a moment ago, all but done", BatchProgress(0, 80, 80), -0.2, POOL, Outlook.TIGHT),
+            ("all is done", ended, 3.0, POOL, Outlook.TO_SPARE),
+            ("short items at uneven engines", SHORT, 9.0, UNEVEN, Outlook.TO_SPARE),
+            ("long ones: in time at the fast", LONG, 7.5, UNEVEN, Outlook.TIGHT),
+            ("long ones: late at the fast", LONG, 7.2, UNEVEN, Outlook.HOPELESS),
+            ("no pace is known", SHORT, 7.5, Capacity(0, 0, 0.0, 0.0), Outlook.UNKNOWN),
+        )
+        for name, progress, due_in, capacity, expected in cases:
+            with self.subTest(name):
+                self.assertIs(expected, judge_batch(progress, due_in, capacity))
+
+    def test_limits(self):
+        needed = seconds_left(SHORT, POOL.share, POOL.token_time)
+        cases = (
+            (needed + SPARE_SECONDS + 0.01, Outlook.TO_SPARE),
+            (needed + SPARE_SECONDS - 0.01, Outlook.TIGHT),
+            (84 * 80 * 0.0006 - HOPELESS_SECONDS + 0.01, Outlook.TIGHT),
+            (84 * 80 * 0.0006 - HOPELESS_SECONDS - 0.01, Outlook.HOPELESS),
+        )
+        for due_in, expected in cases:
+            with self.subTest(due_in=due_in):
+                self.assertIs(expected, judge_batch(SHORT, due_in, POOL))
+
+    def test_many_short_items_need_time_too(self):
+        many = BatchProgress(400, work=58 * 16000, longest=800)
+        self.assertAlmostEqual(10.0, seconds_left(many, POOL.share, POOL.token_time))
+        self.assertIs(Outlook.TIGHT, judge_batch(many, 7.5, POOL))
+
+    def test_which_batch_of_a_model_counts(self):
+        tight, unknown = Outlook.TIGHT, Outlook.UNKNOWN
+        hopeless, spare = Outlook.HOPELESS, Outlook.TO_SPARE
+        cases = (
+            ((), unknown),
+            ((spare,), spare),
+            ((spare, hopeless), hopeless),
+            ((hopeless, unknown), unknown),
+            ((spare, unknown), unknown),
+            ((spare, hopeless, unknown, tight), tight),
+        )
+        for outlooks, expected in cases:
+            with self.subTest(outlooks):
+                self.assertIs(expected, most_in_need(outlooks))
+
+
+class WorkLeftTest(unittest.TestCase):
+    """What an item is expected to take yet."""
+
+    def test_tokens_left(self):
+        item = Item(ItemId("i"), "/p", (), b"", tokens=4000, group="g", length_hint=1600)
+        cases = (
+            ("not begun", item, 0, 1600),
+            ("half made", item, 10, 800),
+            ("as long as guessed", item, 20, int(1600 * OUTLIVED_SHARE)),
+            ("outlived its guess", item, 30, int(2400 * OUTLIVED_SHARE)),
+            ("near the most that it may take", item, 45, 400),
+            ("beyond it", item, 60, TOKENS),
+            ("no guess", replace(item, length_hint=0), 10, 3200),
+        )
+        for name, case, events, expected in cases:
+            with self.subTest(name):
+                progress = Progress(case, [b"x"] * events)
+                self.assertEqual(expected, tokens_left(progress, TOKENS))
+                self.assertEqual(0, tokens_left(replace(progress, whole=True), TOKENS))
+
+    def test_sum(self):
+        items = make_batch(items=3).items
+        works = [item.expected_work for item in items]
+        expected = BatchProgress(2, sum(works), max(works))
+        self.assertEqual(expected, sum_up((Progress(item) for item in items), TOKENS, 2))
+        self.assertEqual(BatchProgress(0, 0, 0), sum_up((), TOKENS, 0))
+
+
+class ReportTest(unittest.TestCase):
+    """How progress travels."""
+
+    def read(self, report: DaemonReport) -> DaemonReport:
+        """Returns a report as another daemon reads it."""
+        return decode_heartbeat(encode_heartbeat(Heartbeat(0.25, report=report))).report
+
+    def test_there_and_back(self):
+        report = DaemonReport(batches={BatchId("b"): BatchProgress(3, 12000, 900)})
+        self.assertEqual(report, self.read(report))
+        self.assertEqual(DaemonReport(), self.read(DaemonReport()))
+        self.assertNotIn(b"batches", encode_heartbeat(Heartbeat(0.25)))
+
+    def test_what_cannot_be_read_is_not_said(self):
+        for value in (b"7", b"[1]", b'{"b":[1,2]}', b'{"b":[1,2,-3]}', b'{"b":[1,"2",3]}'):
+            with self.subTest(value):
+                row = b'{"interval":0.25,"batches":' + value + b"}"
+                self.assertEqual({}, decode_heartbeat(row).report.batches)
+
+
+class OutlooksTest(unittest.TestCase):
+    """What follows from the owners' reports, and from their silence."""
+
+    async def begin(self) -> PlatformFleet:
+        """Prepares outlooks of one batch, owned elsewhere, due in some seconds."""
+        fleet = PlatformFleet(gateways=1, engines=2)
+        await fleet.wait(1.0)
+        gateway = fleet.gateways[0]
+        self.clock = fleet.clock
+        sources = OutlookSources(
+            gateway.blackboard.configuration,
+            gateway.directory,
+            lambda _: 0.05,
+            fleet.clock,
+            lambda: 100.0,
+        )
+        self.outlooks = BatchOutlooks(sources)
+        spec = make_batch(items=1)
+        self.due = gateway.blackboard.configuration.current.match(spec.host, spec.path.encode()).due
+        self.head = BatchHead(
+            spec.id, spec.host, spec.path, MODEL, 0, 0, 1, 1, DaemonId("o"), 100.0, False, "u"
+        )
+        return fleet
+
+    def demand(self, own: dict[BatchId, BatchProgress] | None = None) -> ModelDemand:
+        """Returns what the model's batches ask for."""
+        demands = {MODEL: ModelDemand(10, True)}
+        return self.outlooks.add_to(demands, [self.head], own or {})[MODEL]
+
+    def test_report_is_believed_for_a_while(self):
+        async def play():
+            await self.begin()
+            self.assertIs(Outlook.UNKNOWN, self.demand().outlook)
+            reported = {self.head.id: BatchProgress(4, 100, 10)}
+            self.outlooks.record_report(DaemonId("o"), reported)
+            self.assertEqual(4, self.demand().waiting)
+            self.assertNotEqual(Outlook.UNKNOWN, self.demand().outlook)
+            await self.clock.sleep(REPORT_LIFETIME_SECONDS + 0.1)
+            self.assertEqual(ModelDemand(10, True), self.demand())
+
+        run(play())
+
+    def test_owner_that_is_gone_tells_nothing(self):
+        async def play():
+            await self.begin()
+            self.outlooks.record_report(DaemonId("o"), {self.head.id: BatchProgress(4, 1, 1)})
+            self.outlooks.record_report(DaemonId("o"), {})
+            self.assertEqual(ModelDemand(10, True), self.demand())
+
+        run(play())
+
+    def test_own_knowledge_counts_before_reports(self):
+        async def play():
+            await self.begin()
+            self.outlooks.record_report(DaemonId("o"), {self.head.id: BatchProgress(4, 1, 1)})
+            self.assertEqual(7, self.demand({self.head.id: BatchProgress(7, 1, 1)}).waiting)
+
+        run(play())
+
+    def test_due_time_counts(self):
+        async def play():
+            await self.begin()
+            self.assertGreater(self.due, 0)
+            self.outlooks.record_report(DaemonId("o"), {self.head.id: BatchProgress(0, 1, 1)})
+            self.assertIs(Outlook.TO_SPARE, self.demand().outlook)
+            self.head = replace(self.head, created_at=100.0 - self.due - 2 * HOPELESS_SECONDS)
+            self.assertIs(Outlook.HOPELESS, self.demand().outlook)
+
+        run(play())
+
+
+class FleetTest(unittest.TestCase):
+    """What the other daemons know of a batch while its owner lives, and after."""
+
+    def test_progress_reaches_the_others_and_goes_on_with_the_next_owner(self):
+        async def play():
+            fleet = PlatformFleet(gateways=3, engines=2)
+            for state in fleet.model_engines():
+                state.event_seconds = 0.3
+            await fleet.wait(3.0)
+            owner = await fleet.submit(make_batch(items=60))
+            await fleet.wait(1.0)
+            others = [gateway for gateway in fleet.gateways if not gateway.keeper.owned()]
+            self.assertEqual(2, len(others))
+            for gateway in others:
+                self.assertGreater(gateway.keeper.demands()[MODEL].waiting, 0)
+                self.assertIsNot(Outlook.UNKNOWN, gateway.keeper.demands()[MODEL].outlook)
+            fleet.kill(owner)
+            await fleet.wait(DEAD_AFTER_SECONDS + 1.5)
+            owners = [gateway for gateway in others if gateway.keeper.owned()]
+            self.assertEqual(1, len(owners))
+            for gateway in others:  # now by the new owner's word
+                self.assertIsNot(Outlook.UNKNOWN, gateway.keeper.demands()[MODEL].outlook)
+
+        run(play())
+
+
+def left_of(progress: BatchProgress, work: int, longest: int) -> BatchProgress:
+    """Returns the progress of a batch with so much left."""
+    return progress._replace(work=work, longest=longest)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_lending.py
@@ -0,0 +1,252 @@
+"""Load: several models on one pool of engines, of which some lack time and others have it to spare.
+
+A model whose trainer waits for it, or whose batch is forecast to be tight, gets the first places at
+engines that a model with time to spare lends; what can't be in time any more comes after it.
+"""
+
+import unittest
+
+from larkpost.common.hashing import hash64
+from larkpost.common.ids import InstanceId
+from larkpost.gateway.blackboard.configuration import ModelName, Service, ServiceName
+from larkpost.gateway.blackboard.directory import Directory
+from larkpost.gateway.blackboard.weight_targets import (
+    Demands,
+    ModelDemand,
+    Outlook,
+    WeightTarget,
+    WeightTargets,
+)
+from larkpost.gateway.controllers.due_loads import LoadInputs, due_loads
+from larkpost.gateway.controllers.lending import (
+    LEISURE_SECONDS,
+    WAITED_SECONDS,
+    Lending,
+    Standing,
+    lend,
+    models_that_yield,
+    standing_of,
+)
+from larkpost.gateway.controllers.model_assignment import (
+    MIN_ENGINES_PER_MODEL,
+    Assignment,
+    assign_models,
+)
+from tests.server_parts import make_directory
+
+SHORT, LONG, LONGEST = ModelName("short"), ModelName("long"), ModelName("longest")
+THREE = Service(ServiceName("s"), 100, slots=8, models=(SHORT, LONG, LONGEST))
+ENGINES = 22
+WORKS = {SHORT: 960, LONG: 1848, LONGEST: 1848}
+"""Events that a step of each model takes: items of 12 events on average, and of 21."""
+
+
+def demand(model: ModelName, asked_after: float | None, **others) -> ModelDemand:
+    """Returns what a model's batches ask for, so long after their versions."""
+    return ModelDemand(
+        WORKS[model],
+        open=True,
+        asked_after=asked_after,
+        least_asked_after=asked_after,
+        **others,
+    )
+
+
+def all_at_leisure() -> dict[ModelName, ModelDemand]:
+    """Returns what the models ask for while all trainers have time to spare."""
+    return {model: demand(model, LEISURE_SECONDS + 1) for model in THREE.models}
+
+
+def two_behind() -> dict[ModelName, ModelDemand]:
+    """Returns what they ask for while the trainers of two models wait for their versions."""
+    return all_at_leisure() | {model: demand(model, 0.02) for model in (LONG, LONGEST)}
+
+
+class StandingTest(unittest.TestCase):
+    """Who lends and who borrows."""
+
+    def test_standings(self):
+        spare, waits = LEISURE_SECONDS + 0.1, WAITED_SECONDS - 0.1
+        cases = (
+            ("nothing is known", ModelDemand(), Standing.NEITHER),
+            ("its trainer waits", demand(LONG, waits), Standing.BORROWS),
+            ("its trainer has time", demand(LONG, spare), Standing.LENDS),
+            ("neither waits nor has time", demand(LONG, 1.0), Standing.NEITHER),
+            (
+                "had none a step ago",
+                ModelDemand(9, open=True, asked_after=spare, least_asked_after=0.1),
+                Standing.NEITHER,
+            ),
+            ("tight", demand(LONG, spare, outlook=Outlook.TIGHT), Standing.BORROWS),
+            ("in time", demand(LONG, spare, outlook=Outlook.TO_SPARE), Standing.LENDS),
+            (
+                "in time, but its trainer waits",
+                demand(LONG, waits, outlook=Outlook.TO_SPARE),
+                Standing.BORROWS,
+            ),
+            (
+                "can't be in time any more",
+                demand(LONG, waits, outlook=Outlook.HOPELESS),
+                Standing.LENDS,
+            ),
+        )
+        for name, asked, expected in cases:
+            with self.subTest(name):
+                self.assertIs(expected, standing_of(asked))
+
+    def test_who_leaves_free_places_to_others(self):
+        waiting = two_behind() | {LONG: demand(LONG, 0.02, waiting=5)}
+        easy = all_at_leisure() | {SHORT: demand(SHORT, 9.0, waiting=5)}
+        hopeless = waiting | {LONGEST: demand(LONGEST, 0.02, outlook=Outlook.HOPELESS)}
+        cases = (
+            ("nobody waits", two_behind(), set()),
+            ("a batch short of time waits", waiting, {SHORT}),
+            ("only one with time to spare waits", easy, set()),
+            ("one can't be in time any more", hopeless, {SHORT, LONGEST}),
+            ("nothing is known", {}, set()),
+        )
+        for name, demands, expected in cases:
+            with self.subTest(name):
+                self.assertEqual(expected, models_that_yield(THREE.models, demands))
+
+
+class LendingTest(unittest.TestCase):
+    """Which engines are lent to whom."""
+
+    def setUp(self):
+        self.directory = make_directory(ENGINES, THREE.name, slots=8)
+        for engine in self.directory.of_service(THREE.name):
+            for model in THREE.models:
+                self.directory.observe_version(engine.id, model, 1)
+
+    def divide(self, demands: Demands) -> tuple[Assignment, Lending]:
+        """Returns the division by work, and what is lent."""
+        engines = self.directory.of_service(THREE.name)
+        division = assign_models(THREE, engines, self.directory, demands)
+        return division, lend(division, demands, self.directory.version_of)
+
+    def first_engines(self, demands: Demands) -> dict[ModelName, set[InstanceId]]:
+        """Returns the engines whose first places are each model's."""
+        division, lending = self.divide(demands)
+        return {model: set(names) for model, names in lending.first_engines(division).items()}
+
+    def load_all(self, demands: Demands, version: int) -> int:
+        """Loads a version of each model wherever it is due; returns how many engines load."""
+        targets = WeightTargets()
+        for model in THREE.models:
+            targets.update(WeightTarget(model, version), 0.0)
+        count = 0
+        for now in range(1, 30):
+            inputs = LoadInputs(self.directory, targets, demands)
+            for engine, target in due_loads(THREE, inputs, float(now)):
+                self.directory.observe_version(engine, target.model, target.version)
+                count += 1
+        return count
+
+    def test_all_have_time_to_spare(self):
+        division, lending = self.divide(all_at_leisure())
+        self.assertEqual(Lending(), lending)
+        self.assertEqual(division, lending.first_engines(division))
+        self.assertEqual(division, lending.holders(division))
+
+    def test_one_with_time_to_spare_lends_to_two_that_lack_it(self):
+        division, _ = self.divide(two_behind())
+        first = self.first_engines(two_behind())
+        lent = set(division[SHORT]) - first[SHORT]
+        self.assertEqual(len(division[SHORT]) // 2, len(lent))
+        self.assertGreaterEqual(len(first[SHORT]), MIN_ENGINES_PER_MODEL)
+        for model in (LONG, LONGEST):
+            self.assertLess(set(division[model]), first[model])
+        self.assertEqual(ENGINES, sum(len(engines) for engines in first.values()))
+
+    def test_lent_engines_load_both_models(self):
+        division, lending = self.divide(two_behind())
+        holders = lending.holders(division)
+        self.assertEqual(division[SHORT], holders[SHORT])
+        for model, engines in lending.lent.items():
+            self.assertLessEqual(set(engines), set(holders[model]))
+            self.assertEqual(sorted(holders[model], key=hash64), holders[model])
+
+    def test_hopeless_lends_to_one_that_can_be_saved(self):
+        demands = {
+            SHORT: demand(SHORT, 1.0),
+            LONG: demand(LONG, 0.02, outlook=Outlook.HOPELESS),
+            LONGEST: demand(LONGEST, 1.0, outlook=Outlook.TIGHT),
+        }
+        division, lending = self.divide(demands)
+        self.assertEqual({LONGEST}, set(lending.lent))
+        self.assertLess(set(lending.lent[LONGEST]), set(division[LONG]))
+
+    def test_nobody_can_lend(self):
+        for demands in (
+            {model: demand(model, 0.02) for model in THREE.models},
+            {model: demand(model, 0.02) for model in (LONG, LONGEST)},
+            {},
+        ):
+            self.assertEqual(Lending(), self.divide(demands)[1])
+
+    def test_one_model_lends_nothing(self):
+        one = Service(THREE.name, 100, slots=8, models=(LONG,))
+        engines = self.directory.of_service(THREE.name)
+        demands = {LONG: demand(LONG, 0.02)}
+        division = assign_models(one, engines, self.directory, demands)
+        self.assertEqual(Lending(), lend(division, demands, self.directory.version_of))
+
+    def test_few_engines_of_several_models_are_not_lent(self):
+        self.directory = make_directory(3, THREE.name, slots=8)
+        division, lending = self.divide(two_behind())
+        self.assertEqual(Lending(), lending)
+        self.assertGreater(sum(len(engines) for engines in division.values()), 3)
+
+    def test_lends_and_gets_back_without_loads_for_it(self):
+        division, _ = self.divide(all_at_leisure())
+        for version in (2, 3, 4):
+            self.load_all(two_behind(), version)
+        self.assertEqual(division[SHORT], self.divide(all_at_leisure())[0][SHORT])
+        back = self.first_engines(all_at_leisure())
+        self.assertEqual({model: set(names) for model, names in division.items()}, back)
+        for engine in back[SHORT]:
+            self.assertEqual(4, self.directory.version_of(engine, SHORT))
+
+    def test_no_flapping_while_a_trainer_is_now_behind_and_now_not(self):
+        division, _ = self.divide(all_at_leisure())
+        lent = {engine for names in self.divide(two_behind())[1].lent.values() for engine in names}
+        loads = 0
+        for version in range(2, 12):
+            demands = two_behind() if version % 2 else all_at_leisure()
+            loads += self.load_all(demands, version)
+            with self.subTest(version):
+                self.assertEqual(division, self.divide(demands)[0])
+                again = self.divide(two_behind())[1].lent.values()
+                self.assertEqual(lent, {engine for names in again for engine in names})
+        steady = 10 * ENGINES
+        self.assertLessEqual(loads, steady + 5 * len(lent))
+
+    def test_engines_vanish(self):
+        lent = [name for names in self.divide(two_behind())[1].lent.values() for name in names]
+        for engine in lent:
+            self.directory.remove(engine, sound=True)
+        first = self.first_engines(two_behind())
+        self.assertEqual(ENGINES - len(lent), sum(len(engines) for engines in first.values()))
+        for engines in first.values():
+            self.assertGreaterEqual(len(engines), MIN_ENGINES_PER_MODEL)
+
+    def test_daemons_that_know_the_same_divide_alike(self):
+        other = Directory()
+        for info in reversed(self.directory.of_service(THREE.name)):
+            other.update(info)
+        here = self.first_engines(two_behind())
+        self.directory = other
+        self.assertEqual(here, self.first_engines(dict(reversed(two_behind().items()))))
+
+    def test_one_that_knows_an_older_state_uses_engines_with_the_version_all_the_same(self):
+        for version in (2, 3):
+            self.load_all(two_behind(), version)
+        older, newer = self.first_engines(all_at_leisure()), self.first_engines(two_behind())
+        for model in THREE.models:
+            for engine in older[model] | newer[model]:
+                self.assertGreaterEqual(self.directory.version_of(engine, model), 3)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_load_timing.py
+++ b/tests/test_load_timing.py
@@ -5,12 +5,14 @@
 """
 
 import unittest
+from dataclasses import replace
 
 from larkpost.common.clock import LoopClock
 from larkpost.common.ids import BatchId, DaemonId
 from larkpost.gateway.blackboard.weight_targets import (
     Demands,
     ModelDemand,
+    Naming,
     WeightTarget,
     WeightTargets,
 )
@@ -18,11 +20,11 @@
     BUSY_FIRST_SECONDS,
     GROUP_SECONDS,
     URGENT_FIRST_SECONDS,
-    WAITED_SECONDS,
     LoadInputs,
     due_loads,
     is_urgent,
 )
+from larkpost.gateway.controllers.lending import WAITED_SECONDS
 from larkpost.gateway.rollouts import codec
 from larkpost.gateway.rollouts.known_heads import FRESH_SECONDS, KnownHeads
 from larkpost.gateway.rollouts.model import BatchHead
@@ -32,14 +34,15 @@
 from tests.virtual import run
 
 NAMED_AT = 10.0
-WAITS = ModelDemand(100, open=True, asked_after=0.02)
+WAITS = ModelDemand(100, open=True, asked_after=0.02, asked_at=2)
 """The newest batch came with its version, and no earlier one is open."""
 CASES = (
     ("nothing is known", ModelDemand(), False),
     ("came with its version, no earlier batch is open", WAITS, True),
-    ("an earlier batch is open", ModelDemand(100, True, True, 0.02), False),
-    ("came long after its version", ModelDemand(100, True, False, WAITED_SECONDS), False),
-    ("when it came is not known", ModelDemand(100, True, False, None), False),
+    ("an earlier batch is open", replace(WAITS, open_before=True), False),
+    ("came long after its version", replace(WAITS, asked_after=WAITED_SECONDS), False),
+    ("when it came is not known", ModelDemand(100, open=True), False),
+    ("the version is newer: its batch is still to come", replace(WAITS, asked_at=1), False),
 )
 
 
@@ -57,11 +60,18 @@
     def test_the_next_step_is_near(self):
         for name, demand, expected in CASES:
             with self.subTest(name):
-                self.assertIs(expected, is_urgent(demand))
+                self.assertIs(expected, is_urgent(demand, 2))
 
     def test_engines_load_together_once_the_items_have_found_their_places(self):
-        self.assertEqual(0, self.due({FIRST: WAITS}, URGENT_FIRST_SECONDS - 0.1))
-        self.assertEqual(4, self.due({FIRST: WAITS}, URGENT_FIRST_SECONDS + 0.1))
+        for asked_after in (0.02, 0.4):
+            demands = {FIRST: replace(WAITS, asked_after=asked_after)}
+            due_at = asked_after + URGENT_FIRST_SECONDS
+            self.assertEqual(0, self.due(demands, due_at - 0.1))
+            self.assertEqual(4, self.due(demands, due_at + 0.1))
+
+    def test_engines_serve_the_batch_that_comes_with_the_version(self):
+        before = {FIRST: replace(WAITS, asked_at=1)}
+        self.assertEqual(0, self.due(before, BUSY_FIRST_SECONDS - 0.1))
 
     def test_engines_load_in_turns_while_there_is_time(self):
         at_leisure = {FIRST: ModelDemand(100, open=True, asked_after=2.7)}
@@ -74,7 +84,7 @@
     """How long after its version a batch came, as the heads of batches tell it."""
 
     def setUp(self):
-        self.since_named: float | None = 0.05
+        self.naming: Naming | None = None
         self.age: float | None = 0.1
         self.heads: KnownHeads | None = None
 
@@ -90,10 +100,11 @@
         """Returns what batches of these names, times and ends ask for."""
 
         async def play() -> ModelDemand:
-            self.heads = KnownHeads(LoopClock(), lambda _: self.since_named, lambda _: self.age)
+            self.naming = Naming(2, 0.05)
+            self.heads = KnownHeads(LoopClock(), lambda _: self.naming, lambda _: self.age)
             for name, created_at, ended in batches:
                 self.record(name, created_at, ended=ended)
-            self.since_named = 9.0
+            self.naming = Naming(3, 9.0)
             name, created_at, ended = batches[-1]
             self.record(name, created_at, ended=ended, version=2)
             self.assertNotIn(SECOND, self.heads.demands())
@@ -101,25 +112,28 @@
 
         return run(play())
 
-    def test_first_sight_of_a_batch_counts(self):
-        self.assertEqual(ModelDemand(100, True, False, 0.05), self.demand(("a", 1.0, False)))
-
-    def test_an_earlier_batch_is_open(self):
-        demand = self.demand(("a", 1.0, False), ("b", 2.0, False))
-        self.assertEqual(ModelDemand(100, True, True, 0.05), demand)
-
-    def test_only_an_earlier_batch_is_open(self):
-        demand = self.demand(("a", 1.0, False), ("b", 2.0, True))
-        self.assertEqual(ModelDemand(100, True, True, 0.05), demand)
-
-    def test_earlier_batches_have_ended(self):
-        demand = self.demand(("a", 1.0, True), ("b", 2.0, False))
-        self.assertEqual(ModelDemand(100, True, False, 0.05), demand)
+    def test_batches_as_they_are_known(self):
+        cases = (
+            ("first sight of a batch counts", (("a", 1.0, False),), (True, False)),
+            ("an earlier one is open", (("a", 1.0, False), ("b", 2.0, False)), (True, True)),
+            ("only an earlier one", (("a", 1.0, False), ("b", 2.0, True)), (True, True)),
+            ("earlier ones have ended", (("a", 1.0, True), ("b", 2.0, False)), (True, False)),
+            ("all have ended", (("a", 1.0, True), ("b", 2.0, True)), (False, False)),
+        )
+        for name, batches, expected in cases:
+            with self.subTest(name):
+                demand = self.demand(*batches)
+                self.assertEqual(expected, (demand.open, demand.open_before))
+                self.assertEqual((100, 0.05, 2, 0.05), _figures(demand))
 
     def test_a_batch_that_is_no_news_tells_nothing(self):
         for self.age in (None, FRESH_SECONDS + 0.1):
             self.assertIsNone(self.demand(("a", 1.0, False)).asked_after)
 
 
+def _figures(demand: ModelDemand) -> tuple[int, float | None, int, float | None]:
+    return demand.work, demand.asked_after, demand.asked_at, demand.least_asked_after
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_urgency.py
+++ b/tests/test_urgency.py
@@ -60,6 +60,14 @@
         for priority in (-3, 0, 3, 50):
             self.assertIn(self.urgency.rank(Progress(item), priority), range(10))
 
+    def test_items_of_a_batch_that_yields_come_after_like_ones_of_their_priority(self):
+        for item in self.items:
+            progress = Progress(item)
+            usual = self.urgency.rank(progress, 1)
+            yielding = self.urgency.rank(progress, 1, yields=True)
+            self.assertEqual(min(usual + 1, 5), yielding)
+            self.assertLess(yielding, self.urgency.rank(progress, 2))
+
     def test_an_item_that_shows_itself_long_is_urgent(self):
         item = self.items[0]
         progress = Progress(item)
