--- a/src/larkpost/gateway/blackboard/daemon_report.py
+++ b/src/larkpost/gateway/blackboard/daemon_report.py
@@ -25,12 +25,13 @@
     Attributes:
         waiting: items that wait for a place at an engine.
         work: tokens that its items are expected to take yet.
-        longest: most tokens that one of them is expected to take yet.
+        long_item: tokens that one of the longer items is expected to take yet; nine in ten take
+            no more.
     """
 
     waiting: int
     work: int
-    longest: int
+    long_item: int
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/larkpost/gateway/controllers/batch_forecast.py
+++ b/src/larkpost/gateway/controllers/batch_forecast.py
@@ -13,7 +13,7 @@
 SPARE_SECONDS = 1.5
 """A batch that is forecast to end so long before it is due has time to spare."""
 HOPELESS_SECONDS = 1.0
-"""A batch whose due time is missed by more than this, with all engines for itself, is hopeless."""
+"""A batch that is later than this, or whose work takes all engines so much longer, is hopeless."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,7 +41,7 @@
     """
     if not capacity.share or not capacity.token_time:
         return Outlook.UNKNOWN
-    least = seconds_left(progress, capacity.whole, capacity.best_token_time)
+    least = progress.work / capacity.whole * capacity.best_token_time
     if due_in + HOPELESS_SECONDS < least:
         return Outlook.HOPELESS
     expected = seconds_left(progress, capacity.share, capacity.token_time)
@@ -51,9 +51,9 @@
 def seconds_left(progress: BatchProgress, places: int, token_time: float) -> float:
     """Returns the seconds that a batch needs yet, with so many places.
 
-    No item is made by two engines, so it takes at least as long as its longest item.
+    No item is made by two engines, so it takes at least as long as a long item.
     """
-    return max(progress.longest, progress.work / places) * token_time
+    return max(progress.long_item, progress.work / places) * token_time
 
 
 def most_in_need(outlooks: Iterable[Outlook]) -> Outlook:
--- a/src/larkpost/gateway/controllers/lending.py
+++ b/src/larkpost/gateway/controllers/lending.py
@@ -61,12 +61,13 @@
 def standing_of(demand: ModelDemand) -> Standing:
     """Returns what a model does, by its batches' outlook and by how its trainer asks.
 
-    How its trainer asks is known to all daemons with the rows, and holds for whole steps.
+    How its trainer asks is known to all daemons with the rows, and holds for whole steps. A tight
+    batch whose items all have places gains nothing by more of them.
     """
     if demand.outlook is Outlook.HOPELESS:
         return Standing.LENDS  # what can't be in time comes after what can
     waits = demand.asked_after is not None and demand.asked_after < WAITED_SECONDS
-    if waits or demand.outlook is Outlook.TIGHT:
+    if waits or (demand.outlook is Outlook.TIGHT and demand.waiting):
         return Standing.BORROWS
     has_leisure = (
         demand.least_asked_after is not None and demand.least_asked_after >= LEISURE_SECONDS
--- a/src/larkpost/gateway/rollouts/work_left.py
+++ b/src/larkpost/gateway/rollouts/work_left.py
@@ -5,6 +5,9 @@
 from larkpost.gateway.blackboard.daemon_report import BatchProgress
 from larkpost.gateway.rollouts.progress import Progress
 
+LONG_ITEM_SHARE = 0.9
+"""Share of a batch's items that take no more than its long item. The greatest of many guesses is
+most often the one that is farthest off."""
 OUTLIVED_SHARE = 0.5
 """An item that has outlived its trainer's guess is expected to make so much more, as a share of
 what it has made."""
@@ -32,5 +35,6 @@
     Args:
         waiting: items that wait for a place.
     """
-    left = [tokens_left(progress, tokens_per_event) for progress in items]
-    return BatchProgress(waiting, sum(left), max(left, default=0))
+    left = sorted(tokens_left(progress, tokens_per_event) for progress in items)
+    long_item = left[int(len(left) * LONG_ITEM_SHARE)] if left else 0
+    return BatchProgress(waiting, sum(left), long_item)
