--- a/src/larkpost/gateway/blackboard/weight_targets.py
+++ b/src/larkpost/gateway/blackboard/weight_targets.py
@@ -80,7 +80,7 @@
     """What the batches of a model ask for.
 
     Attributes:
-        work: expected tokens of the newest batch; 0 if none is known.
+        work: expected tokens of a batch, averaged over the newest ones; 0 if none is known.
         open: whether a batch runs now.
         open_before: whether a batch before the newest one runs now.
         asked_after: seconds between the naming of a version and the newest batch, whose trainer
--- a/src/larkpost/gateway/rollouts/known_heads.py
+++ b/src/larkpost/gateway/rollouts/known_heads.py
@@ -7,6 +7,7 @@
 from collections import defaultdict
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
+from statistics import fmean
 
 from larkpost.common.clock import Clock
 from larkpost.common.ids import BatchId, DaemonId
@@ -16,6 +17,9 @@
 from larkpost.gateway.rollouts.model import BatchHead
 from larkpost.gateway.store.port import Row
 
+WORK_BATCHES = 6
+"""Newest batches of a model over which its work is averaged: the guesses of single batches differ
+by so much that engines would change their models with each step."""
 FRESH_SECONDS = 1.0
 """A batch accepted longer ago is not news: this daemon has just started, or was cut off."""
 
@@ -91,7 +95,7 @@
         return {known.head.owner for known in self._heads.values() if not known.head.ended}
 
     def demands(self) -> dict[ModelName, ModelDemand]:
-        """Returns what the newest batch of each model asks for, and which ones are open."""
+        """Returns what the newest batches of each model ask for, and which ones are open."""
         of_model: dict[ModelName, list[KnownHead]] = defaultdict(list)
         for known in self._heads.values():
             of_model[known.head.model].append(known)
@@ -104,13 +108,13 @@
 
 def _demand(batches: list[KnownHead]) -> ModelDemand:
     """Returns what a model's batches, at least one, ask for."""
-    last_two = heapq.nlargest(2, batches, key=lambda known: known.head.created_at)
-    newest = last_two[0]
-    namings = [known.asked_after for known in last_two if known.asked_after is not None]
+    newest_first = heapq.nlargest(WORK_BATCHES, batches, key=lambda known: known.head.created_at)
+    newest = newest_first[0]
+    namings = [known.asked_after for known in newest_first[:2] if known.asked_after is not None]
     naming = newest.asked_after
     running = [known for known in batches if not known.head.ended]
     return ModelDemand(
-        newest.head.work,
+        round(fmean(known.head.work for known in newest_first)),
         open=bool(running),
         open_before=any(known is not newest for known in running),
         asked_after=naming.seconds if naming is not None else None,
--- a/tests/test_load_timing.py
+++ b/tests/test_load_timing.py
@@ -26,7 +26,7 @@
 )
 from larkpost.gateway.controllers.lending import WAITED_SECONDS
 from larkpost.gateway.rollouts import codec
-from larkpost.gateway.rollouts.known_heads import FRESH_SECONDS, KnownHeads
+from larkpost.gateway.rollouts.known_heads import FRESH_SECONDS, WORK_BATCHES, KnownHeads
 from larkpost.gateway.rollouts.model import BatchHead
 from larkpost.gateway.store.batch_tables import HEAD_TABLE
 from larkpost.gateway.store.port import Row, RowKey
@@ -88,10 +88,19 @@
         self.age: float | None = 0.1
         self.heads: KnownHeads | None = None
 
-    def record(self, name: str, created_at: float, *, ended: bool = False, version: int = 1):
+    def record(
+        self,
+        name: str,
+        created_at: float,
+        *,
+        ended: bool = False,
+        version: int = 1,
+        work: int = 100,
+    ) -> None:
         """Records the head of a batch of the first model."""
+        owner = DaemonId("d")
         head = BatchHead(
-            BatchId(name), "h", "/p", FIRST, 0, 0, 1, 1, DaemonId("d"), created_at, ended, "u", 100
+            BatchId(name), "h", "/p", FIRST, 0, 0, 1, 1, owner, created_at, ended, "u", work
         )
         row = Row(RowKey(HEAD_TABLE, "", name), codec.encode_head(head), version)
         self.heads.record(row)
@@ -126,6 +135,20 @@
                 self.assertEqual(expected, (demand.open, demand.open_before))
                 self.assertEqual((100, 0.05, 2, 0.05), _figures(demand))
 
+    def test_work_is_averaged_so_that_single_batches_move_no_engines(self):
+        async def play() -> list[int]:
+            self.naming = None
+            self.heads = KnownHeads(LoopClock())
+            works = []
+            for number in range(3 * WORK_BATCHES):
+                self.record(f"b{number}", float(number), work=100 + 40 * (number % 2))
+                works.append(self.heads.demands()[FIRST].work)
+            return works
+
+        works = run(play())
+        self.assertEqual(100, works[0])
+        self.assertEqual({120}, set(works[WORK_BATCHES - 1 :]))
+
     def test_a_batch_that_is_no_news_tells_nothing(self):
         for self.age in (None, FRESH_SECONDS + 0.1):
             self.assertIsNone(self.demand(("a", 1.0, False)).asked_after)
--- /dev/null
+++ b/tests/test_steady_division.py
@@ -0,0 +1,92 @@
+"""Load: three models whose trainers guess the work of each step differently, over many steps.
+
+An engine that changes its model lacks the other one's version when the next batch comes.
+"""
+
+import random
+import unittest
+
+from larkpost.common.clock import LoopClock
+from larkpost.common.ids import BatchId, DaemonId
+from larkpost.gateway.blackboard.configuration import ModelName, Service, ServiceName
+from larkpost.gateway.controllers.model_assignment import assign_models
+from larkpost.gateway.rollouts import codec
+from larkpost.gateway.rollouts.known_heads import WORK_BATCHES, KnownHeads
+from larkpost.gateway.rollouts.model import BatchHead
+from larkpost.gateway.store.batch_tables import HEAD_TABLE
+from larkpost.gateway.store.port import Row, RowKey
+from tests.server_parts import make_directory
+from tests.virtual import run
+
+WORKS = {ModelName("short"): 70_000, ModelName("long"): 130_000, ModelName("longest"): 140_000}
+"""Tokens that a step of each model takes on average."""
+SPREAD = 0.2
+"""Share by which the guess of a step's work is off, on average: of 80 items some are many times as
+long as the others, and each guess is half as long again or more."""
+POOL = Service(ServiceName("s"), 100, slots=8, models=tuple(WORKS))
+ENGINES = 22
+STEPS = 30
+
+
+class SteadyDivisionTest(unittest.TestCase):
+    """Engines that change their models from step to step."""
+
+    def begin(self) -> None:
+        """Begins with engines that hold the first version of each model, and no batch."""
+        self.directory = make_directory(ENGINES, POOL.name, slots=8)
+        for engine in self.directory.of_service(POOL.name):
+            for model in POOL.models:
+                self.directory.observe_version(engine.id, model, 1)
+        self.heads = KnownHeads(LoopClock())
+        self.chance = random.Random(4)
+
+    def record_batch(self, model: ModelName, step: int, work: float) -> None:
+        """Records the head of a step's batch."""
+        batch, owner = BatchId(f"{model}-{step}"), DaemonId("d")
+        head = BatchHead(
+            batch, "h", "/p", model, step, step, 1, 1, owner, float(step), False, "u", int(work)
+        )
+        row = Row(RowKey(HEAD_TABLE, "", batch), codec.encode_head(head), step + 1)
+        self.heads.record(row)
+
+    def play_step(self, step: int, works: dict[ModelName, int]) -> dict[ModelName, list]:
+        """Has each model's batch come, and its version loaded; returns the division then."""
+        for model, work in works.items():
+            self.record_batch(model, step, work * self.chance.gauss(1.0, SPREAD))
+        engines = self.directory.of_service(POOL.name)
+        division = assign_models(POOL, engines, self.directory, self.heads.demands())
+        for model, names in division.items():
+            for name in names:
+                self.directory.observe_version(name, model, step + 2)
+        return division
+
+    def test_engines_stay_with_their_models(self):
+        async def play() -> float:
+            self.begin()
+            moves = 0
+            for step in range(WORK_BATCHES):
+                before = self.play_step(step, WORKS)
+            for step in range(WORK_BATCHES, STEPS):
+                after = self.play_step(step, WORKS)
+                moves += sum(len(set(after[model]) - set(before[model])) for model in WORKS)
+                before = after
+            return moves / (STEPS - WORK_BATCHES)
+
+        self.assertLess(run(play()), 1.0)
+
+    def test_shares_follow_work_that_changes_for_good(self):
+        async def play() -> tuple[int, int]:
+            self.begin()
+            model = POOL.models[0]
+            for step in range(WORK_BATCHES):
+                before = self.play_step(step, WORKS)
+            for step in range(WORK_BATCHES, 2 * WORK_BATCHES):
+                after = self.play_step(step, WORKS | {model: 4 * WORKS[model]})
+            return len(before[model]), len(after[model])
+
+        before, after = run(play())
+        self.assertGreater(after, before + 3)
+
+
+if __name__ == "__main__":
+    unittest.main()
