Results are held for a moment after a batch is due, so that a step that is whole just then is one response

Cause: from the due time on every read was answered with what was there.

Change: results are held back for 0.6 s after the due time too, half a second for one read at most, as before. The limit keeps to the users' rule that results read 0.7 s after their due time still count in full.

--- a/src/larkpost/gateway/rollouts/read_rules.py
+++ b/src/larkpost/gateway/rollouts/read_rules.py
@@ -12,6 +12,10 @@
 """For so long a read that may wait holds results back for those that make a step whole: the last
 items of a step often end within half a second of each other, and a trainer that got a response
 asks again after as long."""
+OVERDUE_HOLD_SECONDS = 0.6
+"""For so long after a batch is due results are held back still. A step that is whole just after its
+due time would else cost its trainer the pause after a response; a little later results must not
+wait, as they count less by the moment."""
 LEAST_WAIT_SECONDS = 0.001
 """A remaining wait below this counts as over: the clock's own steps are not much smaller."""
 
@@ -66,10 +70,10 @@
 def may_hold(age: float, due: float) -> bool:
     """Returns whether results of a batch of groups may be held back for others.
 
-    Once the batch is due, each result counts as it comes.
+    Once the batch has been due for a while, each result counts as it comes.
 
     Args:
         age: seconds since the batch was accepted.
         due: seconds within which the batch's route wants a step.
     """
-    return age < due
+    return bool(due) and age < due + OVERDUE_HOLD_SECONDS
