--- /dev/null
+++ b/tests/test_yielding.py
@@ -0,0 +1,67 @@
+"""Load: a batch with time to spare beside one of another model that waits for places."""
+
+import unittest
+
+from larkpost.common.ids import InstanceId
+from larkpost.gateway.blackboard.configuration import Configuration, ModelName, Service
+from larkpost.gateway.blackboard.weight_targets import ModelDemand, Outlook
+from larkpost.gateway.controllers.division import LIFETIME_SECONDS, EngineDivision
+from larkpost.gateway.rollouts.engine_choice import OWN_ENGINES_SECONDS
+from tests.platform_fleet import ENGINES, MODEL, PlatformFleet, make_batch
+from tests.virtual import run
+
+OTHER = ModelName("other")
+SHORT_OF_TIME = ModelDemand(100, open=True, asked_after=0.02, waiting=5)
+AT_LEISURE = ModelDemand(100, open=True, asked_after=3.0, least_asked_after=3.0)
+
+
+class YieldingTest(unittest.TestCase):
+    """Which engines a batch uses once it is no longer new."""
+
+    def engines_used(self, *, yields: bool) -> int:
+        """Returns how many of four engines a batch uses, of which two are its model's own."""
+
+        async def play() -> int:
+            fleet = PlatformFleet(1, 4)
+            own = frozenset({InstanceId("engine-0"), InstanceId("engine-1")})
+            await fleet.wait(1.0)
+            division = fleet.gateways[0].keeper._services.division
+            division.engines_of = lambda *_: own
+            division.should_yield = lambda *_: yields
+            for state in fleet.model_engines():
+                state.event_seconds = 0.2
+            await fleet.gateways[0].batches.submit(make_batch("batch", 40))
+            await fleet.wait(OWN_ENGINES_SECONDS + 0.4)
+            return sum(bool(state.runs) for state in fleet.model_engines())
+
+        return run(play())
+
+    def test_batch_that_yields_stays_at_its_own_engines(self):
+        self.assertEqual(2, self.engines_used(yields=True))
+
+    def test_others_take_what_is_free(self):
+        self.assertEqual(4, self.engines_used(yields=False))
+
+    def test_division_says_who_yields_for_as_long_as_somebody_waits(self):
+        async def play():
+            fleet = PlatformFleet(1, 8)
+            await fleet.wait(1.0)
+            blackboard = fleet.gateways[0].blackboard
+            service = Service(ENGINES, 100, slots=8, models=(MODEL, OTHER))
+            blackboard.configuration.current = Configuration(9, (), {ENGINES: service})
+            demands = {MODEL: AT_LEISURE, OTHER: SHORT_OF_TIME}
+            division = EngineDivision(blackboard, fleet.clock, lambda: demands)
+            self.assertTrue(division.should_yield(ENGINES, MODEL))
+            self.assertFalse(division.should_yield(ENGINES, OTHER))
+            self.assertEqual(2, len(division.engines_of(ENGINES, MODEL)))
+            self.assertEqual(6, len(division.engines_of(ENGINES, OTHER)))
+            demands[OTHER] = ModelDemand(100, open=True, outlook=Outlook.TO_SPARE)
+            await fleet.wait(2 * LIFETIME_SECONDS)
+            self.assertFalse(division.should_yield(ENGINES, MODEL))
+            self.assertEqual(4, len(division.engines_of(ENGINES, MODEL)))
+
+        run(play())
+
+
+if __name__ == "__main__":
+    unittest.main()
