Test: the mock of the division answers whether a batch yields

test_cold_engine_choice has a mock in the division's place, whose answer to any new question is true: a batch would stay at its own engines for good. Its checks are unchanged.

--- a/tests/test_cold_engine_choice.py
+++ b/tests/test_cold_engine_choice.py
@@ -45,6 +45,7 @@
         self.services.division = mock.Mock()
         self.services.division.engines_of.return_value = frozenset(engines)
         self.services.division.loading.return_value = frozenset()
+        self.services.division.should_yield.return_value = False
 
     def test_moved_run_takes_no_cold_engine(self):
         async def play():
