--- a/src/larkpost/gateway/rollouts/keeper.py
+++ b/src/larkpost/gateway/rollouts/keeper.py
@@ -65,7 +65,7 @@
             OutlookSources(
                 services.configuration,
                 services.directory,
-                services.balancer.pace,
+                services.balancer.paces.lasting,
                 services.clock,
                 services.store_time,
             )
