The division goes by lasting paces; membership asks the keeper itself

What a daemon reports of its batches is joined in `assembly/daemon_reports.py`, so that daemon.py needs no method for each question.

--- a/src/larkpost/gateway/assembly/daemon_reports.py
+++ b/src/larkpost/gateway/assembly/daemon_reports.py
@@ -2,34 +2,28 @@
 
 from collections.abc import Callable
 
-from larkpost.common.ids import BatchId, DaemonId
-from larkpost.gateway.blackboard.daemon_report import BatchProgress, DaemonReport
+from larkpost.common.ids import DaemonId
+from larkpost.gateway.blackboard.daemon_report import DaemonReport
 from larkpost.gateway.proxy.paces import Paces
+from larkpost.gateway.rollouts.keeper import BatchKeeper
 
 
 class DaemonReports:
     """The reports of this daemon and of the others.
 
     Args:
-        batch_progress: returns how far this daemon's batches are.
-        record_batch_progress: called with how far those of each other daemon are.
+        keeper: returns the keeper of this daemon's batches, which is made after the reports.
     """
 
-    def __init__(
-        self,
-        paces: Paces,
-        batch_progress: Callable[[], dict[BatchId, BatchProgress]],
-        record_batch_progress: Callable[[DaemonId, dict[BatchId, BatchProgress]], None],
-    ) -> None:
+    def __init__(self, paces: Paces, keeper: Callable[[], BatchKeeper]) -> None:
         self._paces = paces
-        self._batch_progress = batch_progress
-        self._record_batch_progress = record_batch_progress
+        self._keeper = keeper
 
     def own(self) -> DaemonReport:
         """Returns what this daemon reports now."""
-        return DaemonReport(paces=self._paces.report(), batches=self._batch_progress())
+        return DaemonReport(paces=self._paces.report(), batches=self._keeper().progress())
 
     def record(self, daemon: DaemonId, report: DaemonReport) -> None:
         """Records what another daemon reports."""
         self._paces.record_report(daemon, report.paces)
-        self._record_batch_progress(daemon, report.batches)
+        self._keeper().record_report(daemon, report.batches)
--- a/src/larkpost/gateway/assembly/membership.py
+++ b/src/larkpost/gateway/assembly/membership.py
@@ -3,16 +3,16 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from larkpost.common.ids import BatchId, DaemonId
+from larkpost.common.ids import DaemonId
 from larkpost.gateway.assembly.daemon_reports import DaemonReports
 from larkpost.gateway.assembly.environment import GatewayPorts, GatewaySettings
-from larkpost.gateway.blackboard.daemon_report import BatchProgress
 from larkpost.gateway.blackboard.regions import RegionMap
 from larkpost.gateway.controllers.heartbeat_writer import OwnDaemon
 from larkpost.gateway.controllers.members import Membership
 from larkpost.gateway.controllers.true_time import ClockOffset
 from larkpost.gateway.observability.instruments import Instruments
 from larkpost.gateway.proxy.balancer import Balancer
+from larkpost.gateway.rollouts.keeper import BatchKeeper
 
 
 @dataclass(frozen=True, slots=True)
@@ -21,9 +21,7 @@
 
     Attributes:
         daemon: this process's id.
-        is_owner: returns whether it owns batches that are not ended.
-        batch_progress: returns how far the batches that it owns are.
-        record_batch_progress: called with how far those of each other daemon are.
+        keeper: returns the keeper of its batches, which is made after the membership.
     """
 
     daemon: DaemonId
@@ -32,19 +30,17 @@
     instruments: Instruments
     regions: RegionMap
     balancer: Balancer
-    is_owner: Callable[[], bool]
-    batch_progress: Callable[[], dict[BatchId, BatchProgress]]
-    record_batch_progress: Callable[[DaemonId, dict[BatchId, BatchProgress]], None]
+    keeper: Callable[[], BatchKeeper]
 
 
 def make_membership(inputs: MembershipInputs) -> Membership:
     """Returns the membership, whose heartbeats carry the daemon's use and report."""
     store, balancer = inputs.ports.store, inputs.balancer
-    reports = DaemonReports(balancer.paces, inputs.batch_progress, inputs.record_batch_progress)
+    reports = DaemonReports(balancer.paces, inputs.keeper)
     own = OwnDaemon(
         inputs.daemon,
         balancer.summary,
-        inputs.is_owner,
+        lambda: inputs.keeper().is_owner(),
         ClockOffset(inputs.ports.clock, store.time).now,
         inputs.settings.peer_address,
         reports.own,
--- a/src/larkpost/gateway/daemon.py
+++ b/src/larkpost/gateway/daemon.py
@@ -12,7 +12,6 @@
 
 import asyncio
 
-from larkpost.common.ids import BatchId, DaemonId
 from larkpost.common.tasks import TaskSet, UnreportedFailures
 from larkpost.gateway.assembly.environment import GatewayPorts, GatewaySettings
 from larkpost.gateway.assembly.gauges import Gauges
@@ -20,9 +19,7 @@
 from larkpost.gateway.assembly.loop_watch import LoopWatch
 from larkpost.gateway.assembly.membership import MembershipInputs, make_membership
 from larkpost.gateway.blackboard.board import Blackboard
-from larkpost.gateway.blackboard.daemon_report import BatchProgress
 from larkpost.gateway.blackboard.lifecycle import Lifecycle
-from larkpost.gateway.blackboard.weight_targets import Demands
 from larkpost.gateway.controllers.division import EngineDivision
 from larkpost.gateway.controllers.feeds import BatchListener, Feeds, FeedSource
 from larkpost.gateway.controllers.heartbeat import new_incarnation
@@ -64,11 +61,10 @@
     """One daemon.
 
     Its parts are made in the order in which they depend on each other. Two dependencies are real
-    cycles, and are closed by methods that are called only once all parts stand: the keeper of
-    batches relies on the membership and on the division of engines, which ask it in turn which
-    batches this daemon owns (`_is_owner`) and what the open ones demand (`_demands`); and the
-    senders of work to cold instances follow the batches that are placed by their rule
-    (`ColdSenders.follow`).
+    cycles, and are closed by calls that are made only once all parts stand: the keeper of batches
+    relies on the membership and on the division of engines, which ask it in turn what this daemon
+    owns and what the open batches demand (`_keeper`); and the senders of work to cold instances
+    follow the batches that are placed by their rule (`ColdSenders.follow`).
     """
 
     def __init__(self, settings: GatewaySettings, ports: GatewayPorts) -> None:
@@ -131,9 +127,7 @@
                 self._instruments,
                 self.blackboard.regions,
                 self.balancer,
-                self._is_owner,
-                self._batch_progress,
-                self._record_batch_progress,
+                self._keeper,
             )
         )
         self.true_time = TrueTime(self._clock, ports.store.time, self.membership.clock_offsets)
@@ -183,7 +177,13 @@
 
     def _make_rollouts(self) -> None:
         ports = self._ports
-        self._division = EngineDivision(self.blackboard, ports.clock, self._demands, ports.log)
+        self._division = EngineDivision(
+            self.blackboard,
+            ports.clock,
+            lambda: self._keeper().demands(),
+            ports.log,
+            self.balancer.paces.lasting,
+        )
         services = RunServices(
             self.configuration,
             self.directory,
@@ -306,23 +306,9 @@
         """Returns whether this daemon has to act on news of batches at once."""
         return self.membership.is_coordinator() or bool(self.keeper.owned())
 
-    def _is_owner(self) -> bool:
-        """Returns whether this daemon owns batches that are not ended."""
-        return self.keeper.is_owner()
-
-    def _demands(self) -> Demands:
-        """Returns what the batches of each model ask for."""
-        return self.keeper.demands()
-
-    def _batch_progress(self) -> dict[BatchId, BatchProgress]:
-        """Returns how far this daemon's batches are."""
-        return self.keeper.progress()
-
-    def _record_batch_progress(
-        self, daemon: DaemonId, batches: dict[BatchId, BatchProgress]
-    ) -> None:
-        """Passes on how far another daemon's batches are."""
-        self.keeper.record_report(daemon, batches)
+    def _keeper(self) -> BatchKeeper:
+        """Returns the keeper of batches, which relies on the parts that ask for it."""
+        return self.keeper
 
     def _may_forget_crashes(self) -> bool:
         """Returns whether this daemon is the one that removes old crashes."""
