--- a/src/larkpost/gateway/controllers/division.py
+++ b/src/larkpost/gateway/controllers/division.py
@@ -6,40 +6,28 @@
 
 from collections import defaultdict
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from larkpost.common.clock import Clock
 from larkpost.common.ids import InstanceId
 from larkpost.gateway.blackboard.board import Blackboard
 from larkpost.gateway.blackboard.configuration import ModelName, Service, ServiceName
-from larkpost.gateway.blackboard.weight_targets import (
-    Demands,
-    ModelDemand,
-    Naming,
-    WeightTarget,
-)
+from larkpost.gateway.blackboard.weight_targets import Demands, Naming, WeightTarget
 from larkpost.gateway.controllers.due_loads import LoadInputs, due_loads
-from larkpost.gateway.controllers.lending import (
-    Lending,
-    lend,
-    models_that_yield,
-    standing_of,
-)
+from larkpost.gateway.controllers.lending import lend, models_that_yield
+from larkpost.gateway.controllers.lending_record import LendingRecord
 from larkpost.gateway.controllers.model_assignment import (
+    Assignment,
     PaceOf,
     assign_models,
     split_evacuated,
     unknown_pace,
 )
-from larkpost.gateway.observability.eventlog import Event, EventLog
 
 LIFETIME_SECONDS = 0.1
 """Seconds for which a division serves: items ask for it again and again. As long as the loader's
 interval."""
 
-LOG_INTERVAL_SECONDS = 1.0
-"""Least time between two lines on the lending of one service."""
-
 
 @dataclass(frozen=True, slots=True)
 class Division:
@@ -48,16 +36,14 @@
     Attributes:
         made_at: steady time at which it was worked out.
         own: the engines whose first places are each model's.
-        lending: which of them are lent.
-        yielding: the models whose batches leave free places to others; see `models_that_yield`.
         loading: for each model, the engines that load a version of it now, or will be ordered to
             in a moment; they refuse its items only.
+        yielding: the models whose batches leave free places to others; see `models_that_yield`.
     """
 
     made_at: float
     own: dict[ModelName, frozenset[InstanceId]]
     loading: dict[ModelName, frozenset[InstanceId]]
-    lending: Lending = field(default_factory=Lending)
     yielding: frozenset[ModelName] = frozenset()
 
 
@@ -66,7 +52,7 @@
 
     Args:
         demands: returns what the batches of each model ask for.
-        log: gets a line when engines are lent to others than before; None for none.
+        record: logs which engines are lent; None if nobody is to know.
         pace: returns the lasting pace of an engine: one that changes by the moment would divide the
             engines anew again and again.
     """
@@ -76,17 +62,15 @@
         blackboard: Blackboard,
         clock: Clock,
         demands: Callable[[], Demands],
-        log: EventLog | None = None,
+        record: LendingRecord | None = None,
         pace: PaceOf = unknown_pace,
     ) -> None:
         self._blackboard = blackboard
         self._clock = clock
         self._demands = demands
-        self._log = log
+        self._record = record
         self._pace = pace
         self._known: dict[ServiceName, Division] = {}
-        self._logged: dict[ServiceName, Division] = {}
-        """For each service the lending that was logged last, and when."""
 
     def due(self, service: Service, now: float) -> list[tuple[InstanceId, WeightTarget]]:
         """Returns the engines of a service that should be loading now, and what."""
@@ -134,42 +118,29 @@
         service = configuration.services.get(name) if configuration is not None else None
         if service is None or not service.models:
             return Division(now, {}, {})
-        loading: dict[ModelName, set[InstanceId]] = defaultdict(set)
-        for engine, target in self.due(service, now):
-            loading[target.model].add(engine)
-        directory, demands = self._blackboard.directory, self._demands()
-        ready = directory.ready_of(service.name)
-        serving, _ = split_evacuated(ready, self._blackboard.evacuations.zones())
-        division = assign_models(service, serving, directory, demands, self._pace)
-        lending = lend(division, demands, directory.version_of)
-        self._record_lending(service, lending, demands, now)
-        first = lending.first_engines(division)
+        demands = self._demands()
+        assignment = self._assign(service, demands)
+        lending = lend(assignment, demands, self._blackboard.directory.version_of)
+        if self._record is not None:
+            self._record.record(service, lending, demands)
+        first = lending.first_engines(assignment)
         return Division(
             now,
             {model: frozenset(engines) for model, engines in first.items()},
-            {model: frozenset(engines) for model, engines in loading.items()},
-            lending,
+            self._loading(service, now),
             models_that_yield(service.models, demands),
         )
 
-    def _record_lending(
-        self, service: Service, lending: Lending, demands: Demands, now: float
-    ) -> None:
-        """Logs which engines are lent, once they are others than those logged last."""
-        logged = self._logged.get(service.name)
-        before = logged.lending if logged is not None else Lending()
-        if self._log is None or lending == before:
-            return
-        if logged is not None and now - logged.made_at < LOG_INTERVAL_SECONDS:
-            return
-        self._logged[service.name] = Division(now, {}, {}, lending)
-        self._log.record(
-            Event.ENGINES_LENT,
-            service=service.name,
-            lent=lending.lent,
-            standings={
-                model: standing_of(demands.get(model, ModelDemand())) for model in service.models
-            },
-            outlooks={model: demand.outlook for model, demand in demands.items()},
-            asked_after={model: demand.asked_after for model, demand in demands.items()},
-        )
+    def _assign(self, service: Service, demands: Demands) -> Assignment:
+        """Returns each model's share of the engines that get work."""
+        directory = self._blackboard.directory
+        ready = directory.ready_of(service.name)
+        serving, _ = split_evacuated(ready, self._blackboard.evacuations.zones())
+        return assign_models(service, serving, directory, demands, self._pace)
+
+    def _loading(self, service: Service, now: float) -> dict[ModelName, frozenset[InstanceId]]:
+        """Returns for each model the engines that load a version of it."""
+        loading: dict[ModelName, set[InstanceId]] = defaultdict(set)
+        for engine, target in self.due(service, now):
+            loading[target.model].add(engine)
+        return {model: frozenset(engines) for model, engines in loading.items()}
--- /dev/null
+++ b/src/larkpost/gateway/controllers/lending_record.py
@@ -0,0 +1,37 @@
+"""Logs which engines are lent to which models, once that has changed."""
+
+from larkpost.common.clock import Clock
+from larkpost.gateway.blackboard.configuration import Service, ServiceName
+from larkpost.gateway.blackboard.weight_targets import Demands, ModelDemand
+from larkpost.gateway.controllers.lending import Lending, standing_of
+from larkpost.gateway.observability.eventlog import Event, EventLog
+
+LOG_INTERVAL_SECONDS = 1.0
+"""Least time between two lines on one service."""
+
+
+class LendingRecord:
+    """What was logged last of the lending of each service."""
+
+    def __init__(self, log: EventLog, clock: Clock) -> None:
+        self._log = log
+        self._clock = clock
+        self._logged: dict[ServiceName, tuple[float, Lending]] = {}
+        """For each service when its last line was written, and of what."""
+
+    def record(self, service: Service, lending: Lending, demands: Demands) -> None:
+        """Logs the lending of a service with its reasons, if it is another than logged last."""
+        now = self._clock.now()
+        logged_at, logged = self._logged.get(service.name, (float("-inf"), Lending()))
+        if lending == logged or now - logged_at < LOG_INTERVAL_SECONDS:
+            return
+        self._logged[service.name] = (now, lending)
+        known = {model: demands.get(model, ModelDemand()) for model in service.models}
+        self._log.record(
+            Event.ENGINES_LENT,
+            service=service.name,
+            lent=lending.lent,
+            standings={model: standing_of(demand) for model, demand in known.items()},
+            outlooks={model: demand.outlook for model, demand in known.items()},
+            asked_after={model: demand.asked_after for model, demand in known.items()},
+        )
--- a/src/larkpost/gateway/controllers/model_assignment.py
+++ b/src/larkpost/gateway/controllers/model_assignment.py
@@ -5,7 +5,7 @@
 have read the same rows divide alike.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import NamedTuple
 
 from larkpost.common.hashing import hash64
@@ -66,23 +66,12 @@
     """
     steps = steps_slower({engine.id: pace(engine.id) for engine in engines})
     kept_by = _models_kept(service, engines, directory)
-
-    def preferences(model: ModelName) -> _Preferences:
-        def order(engine: InstanceId) -> _EngineOrder:
-            return _EngineOrder(
-                negative_version=-directory.version_of(engine, model),
-                other_models=len(kept_by[engine] - {model}),
-                steps_slower=steps[engine],
-                rank=hash64(engine),
-            )
-
-        return _Preferences(sorted(steps, key=order))
-
-    division = _Division(
-        _work_of_models(service, demands),
-        {model: preferences(model) for model in service.models},
-        {engine: speed(count) for engine, count in steps.items()},
-    )
+    preferences = {
+        model: _Preferences(_in_order_of_choice(model, directory, steps, kept_by))
+        for model in service.models
+    }
+    capacities = {engine: speed(count) for engine, count in steps.items()}
+    division = _Division(_work_of_models(service, demands), preferences, capacities)
     enough = min(MIN_ENGINES_PER_MODEL, len(engines))
     while engines and division.chosen and division.choose_next(enough):
         pass
@@ -128,6 +117,30 @@
     }
 
 
+def _in_order_of_choice(
+    model: ModelName,
+    directory: Directory,
+    steps: Mapping[InstanceId, int],
+    kept_by: Mapping[InstanceId, frozenset[ModelName]],
+) -> list[InstanceId]:
+    """Returns the engines as a model prefers them among those with equally many models.
+
+    Args:
+        steps: by how many steps each engine is slower than the middling one.
+        kept_by: for each engine, the models whose versions it was kept up to.
+    """
+
+    def order(engine: InstanceId) -> _EngineOrder:
+        return _EngineOrder(
+            negative_version=-directory.version_of(engine, model),
+            other_models=len(kept_by[engine] - {model}),
+            steps_slower=steps[engine],
+            rank=hash64(engine),
+        )
+
+    return sorted(steps, key=order)
+
+
 class _Preferences:
     """The engines in the order in which one model chooses them.
 
--- a/src/larkpost/gateway/daemon.py
+++ b/src/larkpost/gateway/daemon.py
@@ -23,6 +23,7 @@
 from larkpost.gateway.controllers.division import EngineDivision
 from larkpost.gateway.controllers.feeds import BatchListener, Feeds, FeedSource
 from larkpost.gateway.controllers.heartbeat import new_incarnation
+from larkpost.gateway.controllers.lending_record import LendingRecord
 from larkpost.gateway.controllers.true_time import TrueTime
 from larkpost.gateway.observability.eventlog import Event
 from larkpost.gateway.observability.instruments import Instruments
@@ -63,7 +64,7 @@
     Its parts are made in the order in which they depend on each other. Two dependencies are real
     cycles, and are closed by calls that are made only once all parts stand: the keeper of batches
     relies on the membership and on the division of engines, which ask it in turn what this daemon
-    owns and what the open batches demand (`_keeper`); and the senders of work to cold instances
+    owns and what the open batches demand; and the senders of work to cold instances
     follow the batches that are placed by their rule (`ColdSenders.follow`).
     """
 
@@ -127,7 +128,7 @@
                 self._instruments,
                 self.blackboard.regions,
                 self.balancer,
-                self._keeper,
+                lambda: self.keeper,
             )
         )
         self.true_time = TrueTime(self._clock, ports.store.time, self.membership.clock_offsets)
@@ -180,8 +181,8 @@
         self._division = EngineDivision(
             self.blackboard,
             ports.clock,
-            lambda: self._keeper().demands(),
-            ports.log,
+            lambda: self.keeper.demands(),
+            LendingRecord(ports.log, ports.clock),
             self.balancer.paces.lasting,
         )
         services = RunServices(
@@ -306,10 +307,6 @@
         """Returns whether this daemon has to act on news of batches at once."""
         return self.membership.is_coordinator() or bool(self.keeper.owned())
 
-    def _keeper(self) -> BatchKeeper:
-        """Returns the keeper of batches, which relies on the parts that ask for it."""
-        return self.keeper
-
     def _may_forget_crashes(self) -> bool:
         """Returns whether this daemon is the one that removes old crashes."""
         return self.membership.first_choice("crashes") == self.id
--- /dev/null
+++ b/tests/test_lending_record.py
@@ -0,0 +1,55 @@
+"""Load: engines that are lent and given back many times a second; the log gets few lines of it."""
+
+import unittest
+
+from larkpost.common.clock import LoopClock
+from larkpost.common.ids import InstanceId
+from larkpost.gateway.blackboard.weight_targets import ModelDemand, Outlook
+from larkpost.gateway.controllers.lending import Lending, Standing
+from larkpost.gateway.controllers.lending_record import LOG_INTERVAL_SECONDS, LendingRecord
+from larkpost.gateway.observability.eventlog import Event
+from tests.recording_log import RecordingLog
+from tests.server_parts import FIRST, SECOND, TWO_MODELS
+from tests.virtual import run
+
+LENT = Lending({FIRST: [InstanceId("e1")]})
+DEMANDS = {FIRST: ModelDemand(9, open=True, asked_after=0.1, outlook=Outlook.TIGHT)}
+
+
+class LendingRecordTest(unittest.TestCase):
+    """Which lendings are logged."""
+
+    def lines(self, *steps: tuple[float, Lending]) -> list[dict]:
+        """Returns the lines about lendings that were found so many seconds after each other."""
+
+        async def play() -> list[dict]:
+            clock, log = LoopClock(), RecordingLog()
+            record = LendingRecord(log, clock)
+            for seconds, lending in steps:
+                await clock.sleep(seconds)
+                record.record(TWO_MODELS, lending, DEMANDS)
+            return [fields for event, fields in log.events if event is Event.ENGINES_LENT]
+
+        return run(play())
+
+    def test_nothing_lent_is_no_line(self):
+        self.assertEqual([], self.lines((0.0, Lending()), (5.0, Lending())))
+
+    def test_line_says_to_whom_and_why(self):
+        (line,) = self.lines((0.0, LENT), (5.0, LENT))
+        self.assertEqual({FIRST: ["e1"]}, line["lent"])
+        self.assertEqual({FIRST: Standing.BORROWS, SECOND: Standing.NEITHER}, line["standings"])
+        self.assertEqual({FIRST: "tight", SECOND: "unknown"}, line["outlooks"])
+        self.assertEqual({FIRST: 0.1, SECOND: None}, line["asked_after"])
+
+    def test_lines_are_bounded(self):
+        steps = [(LOG_INTERVAL_SECONDS / 10, (LENT, Lending())[n % 2]) for n in range(40)]
+        self.assertLessEqual(len(self.lines(*steps)), 5)
+
+    def test_end_of_a_lending_is_a_line(self):
+        lines = self.lines((0.0, LENT), (LOG_INTERVAL_SECONDS, Lending()))
+        self.assertEqual([{FIRST: ["e1"]}, {}], [line["lent"] for line in lines])
+
+
+if __name__ == "__main__":
+    unittest.main()
