Loans hold for whole steps; all daemons learn alike how a trainer asks; one pass divides for loader and items

Mended after a review: loans followed the state of a batch that they change themselves; a batch's delay after its version was taken from when each daemon learnt of the batch, so that its owner and the others differed; a version read from an old row counted as named then; all engines of a model loaded at once; an engine that was due two versions waited 2.5 s for the borrower's; priorities were passed over; a batch with one event left was hopeless; lending and forecasts were quadratic in engines, and each pass divided twice.

--- a/src/larkpost/gateway/blackboard/weight_targets.py
+++ b/src/larkpost/gateway/blackboard/weight_targets.py
@@ -37,6 +37,8 @@
     def __init__(self) -> None:
         self._versions: dict[ModelName, int] = {}
         self._named_at: dict[ModelName, float] = {}
+        self._is_seen: dict[ModelName, bool] = {}
+        """Whether this daemon knew the version before: else it has read an old row."""
 
     def update(self, target: WeightTarget, now: float) -> bool:
         """Stores a named version if it is newer, and returns whether it was.
@@ -46,8 +48,10 @@
         """
         if target.version <= self._versions.get(target.model, 0):
             return False
+        follows = target.version - 1 == self._versions.get(target.model)
         self._versions[target.model] = target.version
         self._named_at[target.model] = now
+        self._is_seen[target.model] = follows
         return True
 
     def named_for(self, model: ModelName, now: float) -> float:
@@ -55,11 +59,10 @@
         return now - self._named_at.get(model, now)
 
     def last_naming(self, model: ModelName, now: float) -> Naming | None:
-        """Returns when a model's newest version was named; None if none was."""
-        version = self._versions.get(model)
-        if version is None:
+        """Returns when a model's newest version was named; None if that was not seen here."""
+        if not self._is_seen.get(model, False):
             return None
-        return Naming(version, now - self._named_at[model])
+        return Naming(self._versions[model], now - self._named_at[model])
 
     def version(self, model: ModelName) -> int:
         """Returns the newest version named for a model; 0 if none was."""
@@ -72,7 +75,7 @@
     UNKNOWN = "unknown"
     TO_SPARE = "to_spare"  # in time, with some seconds left
     TIGHT = "tight"  # just in time, or late though it can still be in time
-    HOPELESS = "hopeless"  # late even if it had all engines for itself
+    HOPELESS = "hopeless"  # late even if it had all engines for itself, with much left to do
 
 
 @dataclass(frozen=True, slots=True)
@@ -89,6 +92,7 @@
         least_asked_after: the least of this for the newest batch and the one before.
         outlook: of the open batch that is most in need.
         waiting: items of its open batches that wait for places, as far as is known.
+        priority: the highest, which is the least, of its open batches.
     """
 
     work: int = 0
@@ -99,6 +103,7 @@
     least_asked_after: float | None = None
     outlook: Outlook = Outlook.UNKNOWN
     waiting: int = 0
+    priority: int = 0
 
 
 Demands = Mapping[ModelName, ModelDemand]
--- a/src/larkpost/gateway/controllers/batch_forecast.py
+++ b/src/larkpost/gateway/controllers/batch_forecast.py
@@ -14,7 +14,8 @@
 """A batch that is forecast to end so long before it is due has time to spare: its trainer needs a
 second to train within that time, and forecasts are off by as much."""
 HOPELESS_SECONDS = 1.0
-"""A batch that is later than this, or whose work takes all engines so much longer, is hopeless."""
+"""A batch that is later than this, or whose work takes all engines so much longer, is hopeless,
+unless what is left takes no longer than this either: then its trainer soon goes on."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,9 +44,9 @@
     if not capacity.share or not capacity.token_time:
         return Outlook.UNKNOWN
     least = progress.work / capacity.whole * capacity.best_token_time
-    if due_in + HOPELESS_SECONDS < least:
-        return Outlook.HOPELESS
     expected = seconds_left(progress, capacity.share, capacity.token_time)
+    if due_in + HOPELESS_SECONDS < least and expected > HOPELESS_SECONDS:
+        return Outlook.HOPELESS
     return Outlook.TO_SPARE if due_in - expected >= SPARE_SECONDS else Outlook.TIGHT
 
 
--- a/src/larkpost/gateway/controllers/division.py
+++ b/src/larkpost/gateway/controllers/division.py
@@ -6,27 +6,27 @@
 
 from collections import defaultdict
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from larkpost.common.clock import Clock
 from larkpost.common.ids import InstanceId
 from larkpost.gateway.blackboard.board import Blackboard
 from larkpost.gateway.blackboard.configuration import ModelName, Service, ServiceName
 from larkpost.gateway.blackboard.weight_targets import Demands, Naming, WeightTarget
-from larkpost.gateway.controllers.due_loads import LoadInputs, due_loads
-from larkpost.gateway.controllers.lending import lend, models_that_yield
+from larkpost.gateway.controllers.due_loads import LoadInputs, Shares, due_loads, share_out
+from larkpost.gateway.controllers.lending import models_that_yield
 from larkpost.gateway.controllers.lending_record import LendingRecord
 from larkpost.gateway.controllers.model_assignment import (
     Assignment,
     PaceOf,
-    assign_models,
-    split_evacuated,
     unknown_pace,
 )
 
 LIFETIME_SECONDS = 0.1
 """Seconds for which a division serves: items ask for it again and again. As long as the loader's
 interval."""
+LIFETIME_SECONDS_PER_ENGINE = 0.0003
+"""The same by the number of engines, where it is more, so that dividing takes no whole core."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -35,16 +35,22 @@
 
     Attributes:
         made_at: steady time at which it was worked out.
+        lifetime: seconds for which it serves.
         own: the engines whose first places are each model's.
         loading: for each model, the engines that load a version of it now, or will be ordered to
             in a moment; they refuse its items only.
         yielding: the models whose batches leave free places to others; see `models_that_yield`.
+        demands: what it followed from.
+        shares: the division itself; None for a service without models.
     """
 
     made_at: float
-    own: dict[ModelName, frozenset[InstanceId]]
-    loading: dict[ModelName, frozenset[InstanceId]]
+    lifetime: float
+    own: dict[ModelName, frozenset[InstanceId]] = field(default_factory=dict)
+    loading: dict[ModelName, frozenset[InstanceId]] = field(default_factory=dict)
     yielding: frozenset[ModelName] = frozenset()
+    demands: Demands = field(default_factory=dict)
+    shares: Shares | None = None
 
 
 class EngineDivision:
@@ -74,14 +80,8 @@
 
     def due(self, service: Service, now: float) -> list[tuple[InstanceId, WeightTarget]]:
         """Returns the engines of a service that should be loading now, and what."""
-        inputs = LoadInputs(
-            self._blackboard.directory,
-            self._blackboard.targets,
-            self._demands(),
-            self._blackboard.evacuations.zones(),
-            self._pace,
-        )
-        return due_loads(service, inputs, now)
+        division = self._division(service.name)
+        return due_loads(service, self._inputs(division.demands), now, division.shares)
 
     def engines_of(self, service: ServiceName, model: ModelName) -> frozenset[InstanceId]:
         """Returns a model's own engines; none if the service does not hold the model.
@@ -102,13 +102,13 @@
         return model in self._division(service).yielding
 
     def last_naming(self, model: ModelName) -> Naming | None:
-        """Returns when a model's newest version was named; None if none was."""
+        """Returns when a model's newest version was named; None if that was not seen here."""
         return self._blackboard.targets.last_naming(model, self._clock.now())
 
     def _division(self, service: ServiceName) -> Division:
         now = self._clock.now()
         known = self._known.get(service)
-        if known is None or now - known.made_at >= LIFETIME_SECONDS:
+        if known is None or now - known.made_at >= known.lifetime:
             known = self._divide(service, now)
             self._known[service] = known
         return known
@@ -117,30 +117,44 @@
         configuration = self._blackboard.configuration.current
         service = configuration.services.get(name) if configuration is not None else None
         if service is None or not service.models:
-            return Division(now, {}, {})
+            return Division(now, LIFETIME_SECONDS)
         demands = self._demands()
-        assignment = self._assign(service, demands)
-        lending = lend(assignment, demands, self._blackboard.directory.version_of)
+        inputs = self._inputs(demands)
+        shares = share_out(service, inputs)
         if self._record is not None:
-            self._record.record(service, lending, demands)
-        first = lending.first_engines(assignment)
+            self._record.record(service, shares.lending, demands)
+        first = shares.lending.first_engines(shares.division)
         return Division(
             now,
+            lifetime_of(shares.division),
             {model: frozenset(engines) for model, engines in first.items()},
-            self._loading(service, now),
+            _by_model(due_loads(service, inputs, now, shares)),
             models_that_yield(service.models, demands),
+            demands,
+            shares,
+        )
+
+    def _inputs(self, demands: Demands) -> LoadInputs:
+        return LoadInputs(
+            self._blackboard.directory,
+            self._blackboard.targets,
+            demands,
+            self._blackboard.evacuations.zones(),
+            self._pace,
         )
 
-    def _assign(self, service: Service, demands: Demands) -> Assignment:
-        """Returns each model's share of the engines that get work."""
-        directory = self._blackboard.directory
-        ready = directory.ready_of(service.name)
-        serving, _ = split_evacuated(ready, self._blackboard.evacuations.zones())
-        return assign_models(service, serving, directory, demands, self._pace)
-
-    def _loading(self, service: Service, now: float) -> dict[ModelName, frozenset[InstanceId]]:
-        """Returns for each model the engines that load a version of it."""
-        loading: dict[ModelName, set[InstanceId]] = defaultdict(set)
-        for engine, target in self.due(service, now):
-            loading[target.model].add(engine)
-        return {model: frozenset(engines) for model, engines in loading.items()}
+
+def lifetime_of(division: Assignment) -> float:
+    """Returns the seconds for which a division serves: one of many engines takes long to make."""
+    count = sum(len(engines) for engines in division.values())
+    return max(LIFETIME_SECONDS, count * LIFETIME_SECONDS_PER_ENGINE)
+
+
+def _by_model(
+    loads: list[tuple[InstanceId, WeightTarget]],
+) -> dict[ModelName, frozenset[InstanceId]]:
+    """Returns for each model the engines that load a version of it."""
+    engines: dict[ModelName, set[InstanceId]] = defaultdict(set)
+    for engine, target in loads:
+        engines[target.model].add(engine)
+    return {model: frozenset(names) for model, names in engines.items()}
--- a/src/larkpost/gateway/controllers/due_loads.py
+++ b/src/larkpost/gateway/controllers/due_loads.py
@@ -12,15 +12,16 @@
 
 from larkpost.common.ids import InstanceId, ZoneId
 from larkpost.gateway.blackboard.configuration import ModelName, Service
-from larkpost.gateway.blackboard.directory import Directory, InstanceInfo
+from larkpost.gateway.blackboard.directory import Directory
 from larkpost.gateway.blackboard.weight_targets import (
     Demands,
     ModelDemand,
     WeightTarget,
     WeightTargets,
 )
-from larkpost.gateway.controllers.lending import WAITED_SECONDS, lend
+from larkpost.gateway.controllers.lending import WAITED_SECONDS, Lending, lend
 from larkpost.gateway.controllers.model_assignment import (
+    Assignment,
     PaceOf,
     assign_models,
     split_evacuated,
@@ -57,6 +58,21 @@
     pace: PaceOf = unknown_pace
 
 
+@dataclass(frozen=True, slots=True)
+class Shares:
+    """How the engines of a service are divided.
+
+    Attributes:
+        division: each model's share of the engines that get work.
+        lending: which of them are lent.
+        resting: each model's share of the engines in evacuated zones.
+    """
+
+    division: Assignment
+    lending: Lending
+    resting: Assignment
+
+
 @dataclass(frozen=True, slots=True)
 class ModelState:
     """How far the engines of one model are; engines are in the order in which they load.
@@ -87,30 +103,40 @@
     return waits and demand.asked_at == version and not demand.open_before
 
 
+def share_out(service: Service, inputs: LoadInputs) -> Shares:
+    """Divides the engines of a service among its models."""
+    engines = inputs.directory.ready_of(service.name)
+    serving, resting = split_evacuated(engines, inputs.evacuated)
+    division = assign_models(service, serving, inputs.directory, inputs.demands, inputs.pace)
+    return Shares(
+        division,
+        lend(division, inputs.demands, inputs.directory.version_of),
+        assign_models(service, resting, inputs.directory, inputs.demands),
+    )
+
+
 def due_loads(
-    service: Service, inputs: LoadInputs, now: float
+    service: Service, inputs: LoadInputs, now: float, shares: Shares | None = None
 ) -> list[tuple[InstanceId, WeightTarget]]:
     """Returns the loads that should be under way now.
 
     Args:
         now: steady time in seconds.
+        shares: the engines as they were divided a moment ago; None to divide them now.
     """
-    engines = inputs.directory.ready_of(service.name)
-    if not _is_any_behind(service, engines, inputs):
+    if not _is_any_behind(service, inputs):
         return []
-    serving, resting = split_evacuated(engines, inputs.evacuated)
-    division = assign_models(service, serving, inputs.directory, inputs.demands, inputs.pace)
-    lending = lend(division, inputs.demands, inputs.directory.version_of)
-    assigned = lending.holders(division)
-    assigned_resting = assign_models(service, resting, inputs.directory, inputs.demands)
+    shares = shares or share_out(service, inputs)
+    assigned = shares.lending.holders(shares.division)
     due: list[tuple[InstanceId, WeightTarget]] = []
-    for model, engine_ids in assigned.items():
+    for model in sorted(assigned, key=lambda model: model not in shares.lending.lent):
+        engine_ids = assigned[model]  # a borrower's first: an engine takes one order at a time
         target = WeightTarget(model, inputs.targets.version(model))
         state = ModelState(
             target.version,
             _seconds_into_turns(model, inputs, now),
             _versions(engine_ids, model, inputs.directory),
-            _versions(assigned_resting[model], model, inputs.directory),
+            _versions(shares.resting[model], model, inputs.directory),
             is_urgent(inputs.demands.get(model, ModelDemand()), target.version),
         )
         due.extend((name, target) for name in engines_to_load(state))
@@ -133,17 +159,23 @@
 
     One that is two versions behind loads at once: it is of no use to the next step. The others load
     in groups, once the items of a running batch have found their places. If the next step is near,
-    they load together: in a moment none of them is of use without the version.
+    two groups load together; the last one serves what comes until the others are done.
     """
     late = [name for name, version in state.serving.items() if version < state.target - 1]
     if state.elapsed < 0:
         return late
     behind = {name for name, version in state.serving.items() if version == state.target - 1}
     if state.is_urgent:
-        return late + sorted(behind)
+        return late + (_all_but_last_group(list(state.serving), behind) or sorted(behind))
     return late + _group_on_turn(list(state.serving), behind, state.elapsed)
 
 
+def _all_but_last_group(engine_ids: list[InstanceId], behind: set[InstanceId]) -> list[InstanceId]:
+    """Returns the engines that lack the version, but for those of the last group."""
+    groups = _cut(engine_ids, LOAD_GROUPS)
+    return [name for group in groups[:-1] for name in group if name in behind]
+
+
 def _resting_to_load(state: ModelState) -> list[InstanceId]:
     """Returns the engines of evacuated zones that load now, in groups all the same.
 
@@ -187,8 +219,8 @@
     elapsed = inputs.targets.named_for(model, now)
     if not demand.open:
         return elapsed - FIRST_SECONDS
-    if demand.asked_after is not None and is_urgent(demand, inputs.targets.version(model)):
-        return elapsed - demand.asked_after - URGENT_FIRST_SECONDS
+    if is_urgent(demand, inputs.targets.version(model)) and not demand.waiting:
+        return elapsed - (demand.asked_after or 0.0) - URGENT_FIRST_SECONDS
     return elapsed - BUSY_FIRST_SECONDS
 
 
@@ -198,8 +230,9 @@
     return {name: directory.version_of(name, model) for name in engine_ids}
 
 
-def _is_any_behind(service: Service, engines: list[InstanceInfo], inputs: LoadInputs) -> bool:
+def _is_any_behind(service: Service, inputs: LoadInputs) -> bool:
     """Returns whether any engine lacks any named version: a check that costs little."""
+    engines = inputs.directory.ready_of(service.name)
     return any(
         inputs.directory.version_of(engine.id, model) < inputs.targets.version(model)
         for model in service.models
--- a/src/larkpost/gateway/controllers/lending.py
+++ b/src/larkpost/gateway/controllers/lending.py
@@ -5,7 +5,8 @@
 there too. All that changes hands is which batch the first places there are for.
 """
 
-from collections.abc import Callable, Iterable, Mapping
+from collections import Counter
+from collections.abc import Callable, Iterable, Iterator, Mapping
 from dataclasses import dataclass, field
 from enum import StrEnum
 
@@ -59,15 +60,13 @@
 
 
 def standing_of(demand: ModelDemand) -> Standing:
-    """Returns what a model does, by its batches' outlook and by how its trainer asks.
+    """Returns what a model does, by how its trainer asks, and by whether its batches are hopeless.
 
-    How its trainer asks is known to all daemons with the rows, and holds for whole steps. A tight
-    batch whose items all have places gains nothing by more of them.
+    Both hold for whole steps. Whether a batch is tight does not: it gets places, and is so no more.
     """
     if demand.outlook is Outlook.HOPELESS:
         return Standing.LENDS  # what can't be in time comes after what can
-    waits = demand.asked_after is not None and demand.asked_after < WAITED_SECONDS
-    if waits or (demand.outlook is Outlook.TIGHT and demand.waiting):
+    if demand.asked_after is not None and demand.asked_after < WAITED_SECONDS:
         return Standing.BORROWS
     has_leisure = (
         demand.least_asked_after is not None and demand.least_asked_after >= LEISURE_SECONDS
@@ -89,45 +88,79 @@
         division: the engines of each model, each of one model only.
         version_of: returns the version of a model that an engine holds.
     """
-    standings = {model: standing_of(demands.get(model, ModelDemand())) for model in division}
-    borrowers = [model for model, standing in standings.items() if standing is Standing.BORROWS]
-    offers = _offers(division, standings)
-    lent: dict[ModelName, list[InstanceId]] = {model: [] for model in borrowers}
-    while offers and borrowers:
-        borrower = min(borrowers, key=lambda model: _need(model, division, demands, lent))
-        engine = min(offers, key=lambda name: (-version_of(name, borrower), hash64(name)))
-        offers.remove(engine)
-        lent[borrower].append(engine)
+    known = {model: demands.get(model, ModelDemand()) for model in division}
+    offers = _offers(division, known)
+    wishes: dict[ModelName, Iterator[InstanceId]] = {
+        model: iter(_in_order_of_choice(model, offers, demand, version_of))
+        for model, demand in known.items()
+        if standing_of(demand) is Standing.BORROWS
+    }
+    lent: dict[ModelName, list[InstanceId]] = {model: [] for model in wishes}
+    taken: set[InstanceId] = set()
+    while wishes:
+        borrower = min(wishes, key=lambda model: _need(model, division, demands, lent))
+        engine = next((name for name in wishes[borrower] if name not in taken), None)
+        if engine is None:
+            del wishes[borrower]
+        else:
+            taken.add(engine)
+            lent[borrower].append(engine)
     return Lending({model: engines for model, engines in lent.items() if engines})
 
 
 def models_that_yield(models: Iterable[ModelName], demands: Demands) -> frozenset[ModelName]:
     """Returns the models whose batches leave places that fall free to those of others.
 
-    They do while they have time to spare, or can't be in time, and a batch of another model that is
-    short of time waits for places. Their own engines are theirs still.
+    They do while they have time to spare, or can't be in time, and items of a batch of another
+    model wait that is short of time, or tight, and of no lower priority. Their own engines are
+    theirs still.
     """
-    standings = {model: standing_of(demands.get(model, ModelDemand())) for model in models}
-    if not any(
-        standing is Standing.BORROWS and demands[model].waiting
-        for model, standing in standings.items()
-    ):
-        return frozenset()
-    return frozenset(model for model, standing in standings.items() if standing is Standing.LENDS)
-
-
-def _offers(division: Assignment, standings: Mapping[ModelName, Standing]) -> list[InstanceId]:
-    """Returns the engines that may be lent; an engine of two models is nobody's to lend."""
-    holdings = [engine for engines in division.values() for engine in engines]
-    offers: list[InstanceId] = []
+    known = {model: demands.get(model, ModelDemand()) for model in models}
+    needy = [
+        demand.priority for demand in known.values() if demand.waiting and _is_short_of_time(demand)
+    ]
+    return frozenset(
+        model
+        for model, demand in known.items()
+        if standing_of(demand) is Standing.LENDS
+        and not _is_short_of_time(demand)
+        and needy
+        and min(needy) <= demand.priority
+    )
+
+
+def _is_short_of_time(demand: ModelDemand) -> bool:
+    return demand.outlook is Outlook.TIGHT or standing_of(demand) is Standing.BORROWS
+
+
+def _offers(
+    division: Assignment, demands: Mapping[ModelName, ModelDemand]
+) -> dict[InstanceId, int]:
+    """Returns the engines that may be lent, with the priorities of the models that lend them.
+
+    An engine of two models is nobody's to lend.
+    """
+    holdings = Counter(engine for engines in division.values() for engine in engines)
+    offers: dict[InstanceId, int] = {}
     for model, engines in division.items():
-        if standings[model] is Standing.LENDS:
+        if standing_of(demands[model]) is Standing.LENDS:
             count = min(int(len(engines) * LENT_SHARE), len(engines) - MIN_ENGINES_PER_MODEL)
-            free = [engine for engine in engines if holdings.count(engine) == 1]
-            offers.extend(free[: max(0, count)])
+            free = [engine for engine in engines if holdings[engine] == 1]
+            offers |= dict.fromkeys(free[: max(0, count)], demands[model].priority)
     return offers
 
 
+def _in_order_of_choice(
+    model: ModelName,
+    offers: Mapping[InstanceId, int],
+    demand: ModelDemand,
+    version_of: Callable[[InstanceId, ModelName], int],
+) -> list[InstanceId]:
+    """Returns the engines that a borrower may take; nobody lends to a lower priority."""
+    allowed = [engine for engine, priority in offers.items() if demand.priority <= priority]
+    return sorted(allowed, key=lambda engine: (-version_of(engine, model), hash64(engine)))
+
+
 def _need(
     model: ModelName,
     division: Assignment,
--- a/src/larkpost/gateway/controllers/lending_record.py
+++ b/src/larkpost/gateway/controllers/lending_record.py
@@ -9,6 +9,9 @@
 LOG_INTERVAL_SECONDS = 1.0
 """Least time between two lines on one service."""
 
+MAX_NAMED = 8
+"""Most engines that a line names for each model."""
+
 
 class LendingRecord:
     """What was logged last of the lending of each service."""
@@ -30,7 +33,8 @@
         self._log.record(
             Event.ENGINES_LENT,
             service=service.name,
-            lent=lending.lent,
+            counts={model: len(engines) for model, engines in lending.lent.items()},
+            lent={model: engines[:MAX_NAMED] for model, engines in lending.lent.items()},
             standings={model: standing_of(demand) for model, demand in known.items()},
             outlooks={model: demand.outlook for model, demand in known.items()},
             asked_after={model: demand.asked_after for model, demand in known.items()},
--- a/src/larkpost/gateway/rollouts/batch_outlooks.py
+++ b/src/larkpost/gateway/rollouts/batch_outlooks.py
@@ -16,6 +16,7 @@
     ModelName,
     Route,
     Service,
+    ServiceName,
 )
 from larkpost.gateway.blackboard.daemon_report import BatchProgress
 from larkpost.gateway.blackboard.directory import Directory
@@ -24,6 +25,8 @@
 from larkpost.gateway.controllers.lending import LENT_SHARE
 from larkpost.gateway.rollouts.model import BatchHead
 
+LOWEST_PRIORITY = 9
+"""Of a model without an open batch, or whose route is not known."""
 REPORT_LIFETIME_SECONDS = 1.2
 """How long a report is believed: some four heartbeats. Then nothing is known of its batches."""
 
@@ -72,17 +75,26 @@
             own: progress of the batches that this daemon owns.
         """
         known = self._reported() | own
+        capacities: dict[ServiceName, Capacity] = {}
         outlooks: dict[ModelName, list[Outlook]] = defaultdict(list)
         waiting: dict[ModelName, int] = defaultdict(int)
+        priorities: dict[ModelName, int] = {}
         for head in heads:
+            priority = min(self._priority(head), priorities.get(head.model, LOWEST_PRIORITY))
+            priorities[head.model] = priority
             progress = known.get(head.id)
             if progress is None:
                 outlooks[head.model].append(Outlook.UNKNOWN)
             else:
-                outlooks[head.model].append(self._judge(head, progress))
+                outlooks[head.model].append(self._judge(head, progress, capacities))
                 waiting[head.model] += progress.waiting
         return {
-            model: replace(demand, outlook=most_in_need(outlooks[model]), waiting=waiting[model])
+            model: replace(
+                demand,
+                outlook=most_in_need(outlooks[model]),
+                waiting=waiting[model],
+                priority=priorities.get(model, LOWEST_PRIORITY),
+            )
             for model, demand in demands.items()
         }
 
@@ -97,7 +109,17 @@
             for batch, progress in batches.items()
         }
 
-    def _judge(self, head: BatchHead, progress: BatchProgress) -> Outlook:
+    def _judge(
+        self,
+        head: BatchHead,
+        progress: BatchProgress,
+        capacities: dict[ServiceName, Capacity],
+    ) -> Outlook:
+        """Returns the outlook of a batch.
+
+        Args:
+            capacities: of the services that other batches of the same pass have asked for.
+        """
         now = self._sources.store_time()
         configuration = self._sources.configuration.current
         if now is None or configuration is None:
@@ -107,7 +129,19 @@
         if route is None or not route.due or service is None:
             return Outlook.UNKNOWN
         due_in = head.created_at + route.due - now
-        return judge_batch(progress, due_in, self._capacity(service))
+        if service.name not in capacities:
+            capacities[service.name] = self._capacity(service)
+        return judge_batch(progress, due_in, capacities[service.name])
+
+    def _priority(self, head: BatchHead) -> int:
+        """Returns the priority of a batch's tenant or route, 0 highest."""
+        configuration = self._sources.configuration.current
+        if configuration is None:
+            return LOWEST_PRIORITY
+        route = configuration.match(head.host, head.path.encode("latin-1"))
+        if route is None:
+            return LOWEST_PRIORITY
+        return configuration.priority_of(head.tenant, route)
 
     def _capacity(self, service: Service) -> Capacity:
         """Returns what a service's engines can do for a batch.
--- a/src/larkpost/gateway/rollouts/known_heads.py
+++ b/src/larkpost/gateway/rollouts/known_heads.py
@@ -20,6 +20,8 @@
 WORK_BATCHES = 6
 """Newest batches of a model over which its work is averaged: the guesses of single batches differ
 by so much that engines would change their models with each step."""
+CLOCK_ERROR_SECONDS = 0.2
+"""By so much a batch may seem older than the version that it came with, as clocks differ."""
 FRESH_SECONDS = 1.0
 """A batch accepted longer ago is not news: this daemon has just started, or was cut off."""
 
@@ -45,7 +47,7 @@
     """The heads of all batches that are known.
 
     Args:
-        last_naming: returns when a model's newest version was named; None if none was.
+        last_naming: returns when a model's newest version was named; None if that was not seen.
         age: returns the seconds since a batch was accepted; None if not known.
     """
 
@@ -82,9 +84,13 @@
     def _asked_after(self, head: BatchHead) -> Naming | None:
         """Returns after which version a batch that is new here came, and how long after it."""
         age = self._age(head)
-        if age is None or age > FRESH_SECONDS:
-            return None  # when it came is not known here
-        return self._last_naming(head.model)
+        naming = self._last_naming(head.model)
+        if naming is None or age is None or age > FRESH_SECONDS:
+            return None
+        seconds = naming.seconds - age  # all daemons know the batch's own time alike
+        if seconds < -CLOCK_ERROR_SECONDS:
+            return None  # a version that was named since
+        return Naming(naming.version, max(0.0, seconds))
 
     def forget(self, batch: BatchId) -> None:
         """Drops the head of a batch that is stored no more."""
--- a/tests/test_batch_forecast.py
+++ b/tests/test_batch_forecast.py
@@ -49,6 +49,7 @@
             ("a long item may be shorter than guessed", LONG, 2.0, POOL, Outlook.TIGHT),
             ("hopeless: more work than all engines do", LONG, -0.5, POOL, Outlook.HOPELESS),
             ("long since due", SHORT, -1.0, POOL, Outlook.HOPELESS),
+            ("long since due, all but done", BatchProgress(0, 80, 80), -3, POOL, Outlook.TIGHT),
             ("due a moment ago, all but done", BatchProgress(0, 80, 80), -0.2, POOL, Outlook.TIGHT),
             ("all is done", ended, 3.0, POOL, Outlook.TO_SPARE),
             ("short items at uneven engines", SHORT, 11.0, UNEVEN, Outlook.TO_SPARE),
@@ -208,6 +209,9 @@
             self.outlooks.record_report(DaemonId("o"), {self.head.id: BatchProgress(0, 1, 1)})
             self.assertIs(Outlook.TO_SPARE, self.demand().outlook)
             self.head = replace(self.head, created_at=100.0 - self.due - 2 * HOPELESS_SECONDS)
+            self.assertIs(Outlook.TIGHT, self.demand().outlook, "little is left of it")
+            much = {self.head.id: BatchProgress(0, 10**6, 10**5)}
+            self.outlooks.record_report(DaemonId("o"), much)
             self.assertIs(Outlook.HOPELESS, self.demand().outlook)
 
         run(play())
--- /dev/null
+++ b/tests/test_division_cost.py
@@ -0,0 +1,63 @@
+"""Load: hundreds of engines, and items that ask for the division at each place that they take."""
+
+import unittest
+
+from larkpost.common.ids import InstanceId
+from larkpost.gateway.blackboard.configuration import Configuration
+from larkpost.gateway.blackboard.weight_targets import WeightTarget
+from larkpost.gateway.controllers.division import (
+    LIFETIME_SECONDS,
+    LIFETIME_SECONDS_PER_ENGINE,
+    EngineDivision,
+    lifetime_of,
+)
+from tests.platform_fleet import PlatformFleet
+from tests.server_parts import FIRST, SECOND, TWO_MODELS, make_instance
+from tests.virtual import run
+
+ENGINES = 300
+QUESTIONS = 50
+
+
+class DivisionCostTest(unittest.TestCase):
+    """How often a division looks at its engines."""
+
+    def test_one_pass_serves_all_who_ask_meanwhile(self):
+        async def play() -> tuple[int, int]:
+            fleet = PlatformFleet(gateways=1, engines=0)
+            await fleet.wait(1.0)
+            board = fleet.gateways[0].blackboard
+            board.configuration.current = Configuration(9, (), {TWO_MODELS.name: TWO_MODELS})
+            for number in range(ENGINES):
+                board.directory.update(make_instance(f"x{number}", TWO_MODELS.name))
+            board.targets.update(WeightTarget(FIRST, 3), fleet.clock.now())
+            looks: list[InstanceId] = []
+            asked: list[int] = []
+
+            def pace(engine: InstanceId) -> float:
+                looks.append(engine)
+                return 0.05
+
+            def demands() -> dict:
+                asked.append(1)
+                return {}
+
+            division = EngineDivision(board, fleet.clock, demands, pace=pace)
+            for _ in range(QUESTIONS):
+                division.engines_of(TWO_MODELS.name, FIRST)
+                division.loading(TWO_MODELS.name, SECOND)
+                division.should_yield(TWO_MODELS.name, FIRST)
+                self.assertTrue(division.due(TWO_MODELS, fleet.clock.now()))
+            return len(looks), len(asked)
+
+        self.assertEqual((ENGINES, 1), run(play()))
+
+    def test_division_of_many_engines_serves_longer(self):
+        few = {FIRST: [InstanceId("a")], SECOND: [InstanceId("b")]}
+        many = {FIRST: [InstanceId(str(number)) for number in range(3200)]}
+        self.assertEqual(LIFETIME_SECONDS, lifetime_of(few))
+        self.assertAlmostEqual(3200 * LIFETIME_SECONDS_PER_ENGINE, lifetime_of(many))
+
+
+if __name__ == "__main__":
+    unittest.main()
