--- a/src/larkpost/gateway/assembly/daemon_reports.py
+++ b/src/larkpost/gateway/assembly/daemon_reports.py
@@ -2,8 +2,9 @@
 
 from collections.abc import Callable
 
-from larkpost.common.ids import DaemonId
+from larkpost.common.ids import DaemonId, InstanceId
 from larkpost.gateway.blackboard.daemon_report import DaemonReport
+from larkpost.gateway.fairness.ledger import FlowLedger
 from larkpost.gateway.proxy.paces import Paces
 from larkpost.gateway.rollouts.keeper import BatchKeeper
 
@@ -15,15 +16,21 @@
         keeper: returns the keeper of this daemon's batches, which is made after the reports.
     """
 
-    def __init__(self, paces: Paces, keeper: Callable[[], BatchKeeper]) -> None:
+    def __init__(self, paces: Paces, ledger: FlowLedger, keeper: Callable[[], BatchKeeper]) -> None:
         self._paces = paces
+        self._ledger = ledger
         self._keeper = keeper
 
     def own(self) -> DaemonReport:
-        """Returns what this daemon reports now."""
-        return DaemonReport(paces=self._paces.report(), batches=self._keeper().progress())
+        """Returns what each of this daemon's heartbeats reports now."""
+        return DaemonReport(tenants=self._ledger.report(), batches=self._keeper().progress())
+
+    def own_paces(self) -> dict[InstanceId, float]:
+        """Returns the paces whose turn it is; each call takes the next ones."""
+        return self._paces.report()
 
     def record(self, daemon: DaemonId, report: DaemonReport) -> None:
         """Records what another daemon reports."""
         self._paces.record_report(daemon, report.paces)
         self._keeper().record_report(daemon, report.batches)
+        self._ledger.record_report(daemon, report.tenants)
--- a/src/larkpost/gateway/assembly/membership.py
+++ b/src/larkpost/gateway/assembly/membership.py
@@ -10,6 +10,7 @@
 from larkpost.gateway.controllers.heartbeat_writer import OwnDaemon
 from larkpost.gateway.controllers.members import Membership
 from larkpost.gateway.controllers.true_time import ClockOffset
+from larkpost.gateway.fairness.ledger import FlowLedger
 from larkpost.gateway.observability.instruments import Instruments
 from larkpost.gateway.proxy.balancer import Balancer
 from larkpost.gateway.rollouts.keeper import BatchKeeper
@@ -21,6 +22,7 @@
 
     Attributes:
         daemon: this process's id.
+        ledger: use by tenant in the fleet.
         keeper: returns the keeper of its batches, which is made after the membership.
     """
 
@@ -30,13 +32,14 @@
     instruments: Instruments
     regions: RegionMap
     balancer: Balancer
+    ledger: FlowLedger
     keeper: Callable[[], BatchKeeper]
 
 
 def make_membership(inputs: MembershipInputs) -> Membership:
     """Returns the membership, whose heartbeats carry the daemon's use and report."""
     store, balancer = inputs.ports.store, inputs.balancer
-    reports = DaemonReports(balancer.paces, inputs.keeper)
+    reports = DaemonReports(balancer.paces, inputs.ledger, inputs.keeper)
     own = OwnDaemon(
         inputs.daemon,
         balancer.summary,
@@ -44,6 +47,8 @@
         ClockOffset(inputs.ports.clock, store.time).now,
         inputs.settings.peer_address,
         reports.own,
+        reports.own_paces,
+        inputs.ledger.has_shortage,
     )
     return Membership(
         own,
--- a/tests/test_paces.py
+++ b/tests/test_paces.py
@@ -8,10 +8,11 @@
 from larkpost.common.clock import LoopClock
 from larkpost.common.ids import DaemonId, InstanceId, InstanceName
 from larkpost.common.incarnations import instance_id
-from larkpost.gateway.blackboard.daemon_report import DaemonReport, TenantUse
+from larkpost.gateway.assembly.daemon_reports import DaemonReports
+from larkpost.gateway.blackboard.daemon_report import DaemonReport, Flow, FlowGroup, TenantUse
 from larkpost.gateway.blackboard.directory import Directory
-from larkpost.gateway.blackboard.tenants import TenantName
 from larkpost.gateway.controllers.heartbeat import Heartbeat, decode_heartbeat, encode_heartbeat
+from larkpost.gateway.fairness.ledger import FlowLedger
 from larkpost.gateway.proxy.balancer import Balancer
 from larkpost.gateway.proxy.lasting_pace import SUSTAINED_SECONDS, PaceHistory
 from larkpost.gateway.proxy.paces import MAX_REPORTED_PACES, RECOVERY_SECONDS, is_reported
@@ -195,6 +196,22 @@
 
         run(play())
 
+    def test_heartbeats_that_carry_no_paces_take_nobodys_turn(self):
+        async def play():
+            known = KnownServers()
+            names = [
+                instance_id(InstanceName(f"e{n}"), BORN) for n in range(2 * MAX_REPORTED_PACES)
+            ]
+            for name in names:
+                known.start(name)
+            await asyncio.gather(*(known.stream(name, FAST) for name in names))
+            reports = DaemonReports(known.paces, FlowLedger(LoopClock()))
+            first = reports.own_paces()
+            self.assertEqual({}, reports.own().paces)
+            self.assertEqual(set(names), first.keys() | reports.own_paces().keys())
+
+        run(play())
+
     def test_a_fleet_knows_the_paces_that_one_daemon_has_measured(self):
         async def play():
             fleet = PlatformFleet(gateways=3, engines=2)
@@ -211,8 +228,9 @@
         run(play())
 
     def test_heartbeat_carries_a_report_and_is_as_before_without(self):
+        flow = Flow(FlowGroup(PAGES, 1), "t")
         report = DaemonReport({SERVER: SLOW, InstanceId("e1"): FAST})
-        report = replace(report, tenants={TenantName("t"): TenantUse(3, 1)}, capacity=1.5)
+        report = replace(report, tenants={flow: TenantUse(3, 1)}, capacity=1.5)
         beat = Heartbeat(0.25, report=report)
         self.assertEqual(report, decode_heartbeat(encode_heartbeat(beat)).report)
         self.assertEqual(b'{"interval":0.25}', encode_heartbeat(Heartbeat(0.25)))
@@ -251,6 +269,23 @@
 
         run(play())
 
+    def test_first_pace_of_a_server_is_known_to_have_the_latency_in_it(self):
+        """Until its lasting pace is known, the smoothed one of this daemon's responses counts."""
+
+        async def play():
+            known = KnownServers()
+            info = known.directory.get(SERVER)
+            known.balancer.record_load(SERVER, ServerLoad(1, 0, SLOTS, 1.0))
+            self.assertFalse(known.paces.has_latency(SERVER))
+            known.balancer.record_response(info, SLOW)
+            self.assertEqual(SLOW, known.balancer.pace(SERVER))
+            self.assertTrue(known.paces.has_latency(SERVER))
+            known.paces.record_report(DaemonId("d"), {SERVER: FAST})
+            self.assertEqual(FAST, known.balancer.pace(SERVER))
+            self.assertFalse(known.paces.has_latency(SERVER))
+
+        run(play())
+
     def test_server_that_says_nothing_has_its_smoothed_pace(self):
         async def play():
             known = KnownServers()
