--- a/src/larkpost/gateway/assembly/membership.py
+++ b/src/larkpost/gateway/assembly/membership.py
@@ -13,6 +13,7 @@
 from larkpost.gateway.fairness.ledger import FlowLedger
 from larkpost.gateway.observability.instruments import Instruments
 from larkpost.gateway.proxy.balancer import Balancer
+from larkpost.gateway.rollouts.keeper import BatchKeeper
 
 
 @dataclass(frozen=True, slots=True)
@@ -22,7 +23,7 @@
     Attributes:
         daemon: this process's id.
         ledger: use by tenant in the fleet.
-        is_owner: returns whether it owns batches that are not ended.
+        keeper: returns the keeper of its batches, which is made after the membership.
     """
 
     daemon: DaemonId
@@ -32,17 +33,17 @@
     regions: RegionMap
     balancer: Balancer
     ledger: FlowLedger
-    is_owner: Callable[[], bool]
+    keeper: Callable[[], BatchKeeper]
 
 
 def make_membership(inputs: MembershipInputs) -> Membership:
     """Returns the membership, whose heartbeats carry the daemon's use and report."""
     store, balancer = inputs.ports.store, inputs.balancer
-    reports = DaemonReports(balancer.paces, inputs.ledger)
+    reports = DaemonReports(balancer.paces, inputs.ledger, inputs.keeper)
     own = OwnDaemon(
         inputs.daemon,
         balancer.summary,
-        inputs.is_owner,
+        lambda: inputs.keeper().is_owner(),
         ClockOffset(inputs.ports.clock, store.time).now,
         inputs.settings.peer_address,
         reports.own,
--- a/src/larkpost/gateway/controllers/report_codec.py
+++ b/src/larkpost/gateway/controllers/report_codec.py
@@ -7,9 +7,10 @@
 from collections.abc import Callable, Mapping
 from typing import Any, TypeVar
 
-from larkpost.common.ids import InstanceId
+from larkpost.common.ids import BatchId, InstanceId
 from larkpost.gateway.blackboard.configuration import ServiceName
 from larkpost.gateway.blackboard.daemon_report import (
+    BatchProgress,
     DaemonReport,
     Flow,
     FlowGroup,
@@ -19,6 +20,7 @@
 PACES_FIELD = "paces"
 TENANTS_FIELD = "tenants"
 CAPACITY_FIELD = "capacity"
+BATCHES_FIELD = "batches"
 TENANT_ROW_LENGTH = 5
 """Use by a flow is written as service, priority, name, requests that run, requests that wait."""
 _Value = TypeVar("_Value")
@@ -35,16 +37,20 @@
         ]
     if report.capacity is not None:
         fields[CAPACITY_FIELD] = report.capacity
+    if report.batches:
+        fields[BATCHES_FIELD] = {name: list(entry) for name, entry in report.batches.items()}
     return fields
 
 
 def read_report(document: Mapping[str, Any]) -> DaemonReport:
     """Returns the report in a heartbeat's row; what is missing or unreadable is not said."""
     paces = _read_table(document.get(PACES_FIELD), _read_number)
+    batches = _read_table(document.get(BATCHES_FIELD), _read_batch_progress)
     return DaemonReport(
         {InstanceId(name): pace for name, pace in paces.items()},
         _read_tenants(document.get(TENANTS_FIELD)),
         _read_number(document.get(CAPACITY_FIELD)),
+        {BatchId(name): progress for name, progress in batches.items()},
     )
 
 
@@ -69,6 +75,12 @@
     }
 
 
+def _read_batch_progress(value: Any) -> BatchProgress | None:
+    if not isinstance(value, list) or len(value) != len(BatchProgress._fields):
+        return None
+    return BatchProgress(*value) if all(_is_whole(figure) for figure in value) else None
+
+
 def _read_number(value: Any) -> float | None:
     is_number = isinstance(value, int | float) and not isinstance(value, bool)
     return float(value) if is_number and value >= 0 else None
--- a/src/larkpost/gateway/daemon.py
+++ b/src/larkpost/gateway/daemon.py
@@ -23,10 +23,10 @@
 from larkpost.gateway.assembly.membership import MembershipInputs, make_membership
 from larkpost.gateway.blackboard.board import Blackboard
 from larkpost.gateway.blackboard.lifecycle import Lifecycle
-from larkpost.gateway.blackboard.weight_targets import Demands
 from larkpost.gateway.controllers.division import EngineDivision
 from larkpost.gateway.controllers.feeds import BatchListener, Feeds, FeedSource
 from larkpost.gateway.controllers.heartbeat import new_incarnation
+from larkpost.gateway.controllers.lending_record import LendingRecord
 from larkpost.gateway.controllers.true_time import TrueTime
 from larkpost.gateway.fairness.ledger import FlowLedger
 from larkpost.gateway.observability.eventlog import Event
@@ -57,12 +57,11 @@
     """One daemon.
 
     Its parts are made in the order in which they depend on each other. Three dependencies are real
-    cycles, and are closed by methods that are called only once all parts stand: the membership
-    reports what the balancer knows, which asks it in turn who is alive (`_alive_daemons`); the
-    keeper of batches relies on the membership and on the division of engines, which ask it in turn
-    which batches this daemon owns (`_is_owner`) and what the open ones demand (`_demands`); and the
-    senders of work to cold instances follow the batches that are placed by their rule
-    (`ColdSenders.follow`).
+    cycles, and are closed by calls that are made only once all parts stand: the membership reports
+    what the balancer knows, which asks it in turn who is alive (`_alive_daemons`); the keeper of
+    batches relies on the membership and on the division of engines, which ask it in turn what this
+    daemon owns and what the open batches demand; and the senders of work to cold instances follow
+    the batches that are placed by their rule (`ColdSenders.follow`).
     """
 
     def __init__(self, settings: GatewaySettings, ports: GatewayPorts) -> None:
@@ -108,7 +107,7 @@
                 self.blackboard.regions,
                 self.balancer,
                 self._ledger,
-                self._is_owner,
+                lambda: self.keeper,
             )
         )
         self.true_time = TrueTime(self._clock, ports.store.time, self.membership.clock_offsets)
@@ -144,7 +143,13 @@
 
     def _make_rollouts(self) -> None:
         ports = self._ports
-        self._division = EngineDivision(self.blackboard, ports.clock, self._demands)
+        self._division = EngineDivision(
+            self.blackboard,
+            ports.clock,
+            lambda: self.keeper.demands(),
+            LendingRecord(ports.log, ports.clock),
+            self.balancer.paces.lasting,
+        )
         services = RunServices(
             self.configuration,
             self.directory,
@@ -271,14 +276,6 @@
         """Returns the daemons considered alive."""
         return self.membership.alive()
 
-    def _is_owner(self) -> bool:
-        """Returns whether this daemon owns batches that are not ended."""
-        return self.keeper.is_owner()
-
-    def _demands(self) -> Demands:
-        """Returns what the batches of each model ask for."""
-        return self.keeper.demands()
-
     def _may_forget_crashes(self) -> bool:
         """Returns whether this daemon is the one that removes old crashes."""
         return self.membership.first_choice("crashes") == self.id
--- a/tests/test_paces.py
+++ b/tests/test_paces.py
@@ -4,6 +4,7 @@
 import random
 import unittest
 from dataclasses import replace
+from unittest import mock
 
 from larkpost.common.clock import LoopClock
 from larkpost.common.ids import DaemonId, InstanceId, InstanceName
@@ -205,7 +206,8 @@
             for name in names:
                 known.start(name)
             await asyncio.gather(*(known.stream(name, FAST) for name in names))
-            reports = DaemonReports(known.paces, FlowLedger(LoopClock()))
+            keeper = mock.Mock(progress=dict)
+            reports = DaemonReports(known.paces, FlowLedger(LoopClock()), lambda: keeper)
             first = reports.own_paces()
             self.assertEqual({}, reports.own().paces)
             self.assertEqual(set(names), first.keys() | reports.own_paces().keys())
