--- a/src/larkpost/gateway/assembly/membership.py
+++ b/src/larkpost/gateway/assembly/membership.py
@@ -15,6 +15,7 @@
 from larkpost.gateway.fairness.ledger import FlowLedger
 from larkpost.gateway.observability.instruments import Instruments
 from larkpost.gateway.proxy.balancer import Balancer
+from larkpost.gateway.rollouts.keeper import BatchKeeper
 
 
 @dataclass(frozen=True, slots=True)
@@ -24,7 +25,7 @@
     Attributes:
         daemon: this process's id.
         ledger: use by tenant in the fleet.
-        is_owner: returns whether it owns batches that are not ended.
+        keeper: returns the keeper of its batches, which is made after the membership.
     """
 
     daemon: DaemonId
@@ -34,7 +35,7 @@
     regions: RegionMap
     balancer: Balancer
     ledger: FlowLedger
-    is_owner: Callable[[], bool]
+    keeper: Callable[[], BatchKeeper]
     loop_watch: LoopWatch
 
 
@@ -43,11 +44,11 @@
     store, balancer, settings = inputs.ports.store, inputs.balancer, inputs.settings
     most = capacity_of(settings.cores, settings.byte_budget)
     capacity = OwnCapacity(most, inputs.loop_watch, inputs.ports.clock)
-    reports = DaemonReports(balancer.paces, inputs.ledger, capacity.now)
+    reports = DaemonReports(balancer.paces, inputs.ledger, inputs.keeper, capacity.now)
     own = OwnDaemon(
         inputs.daemon,
         balancer.summary,
-        inputs.is_owner,
+        lambda: inputs.keeper().is_owner(),
         ClockOffset(inputs.ports.clock, store.time).now,
         settings.peer_address,
         reports.own,
--- a/src/larkpost/gateway/blackboard/daemon_report.py
+++ b/src/larkpost/gateway/blackboard/daemon_report.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
-from larkpost.common.ids import InstanceId
+from larkpost.common.ids import BatchId, InstanceId
 from larkpost.gateway.blackboard.configuration import ServiceName
 
 
@@ -46,6 +46,21 @@
     waiting: int
 
 
+class BatchProgress(NamedTuple):
+    """How far a batch is, as its owner knows it at a moment.
+
+    Attributes:
+        waiting: items that wait for a place at an engine.
+        work: tokens that its items are expected to take yet.
+        long_item: tokens that one of the longer items is expected to take yet; nine in ten take
+            no more.
+    """
+
+    waiting: int
+    work: int
+    long_item: int
+
+
 @dataclass(frozen=True, slots=True)
 class DaemonReport:
     """What one daemon reports; what it does not say is unknown.
@@ -56,8 +71,10 @@
         tenants: use by its flows with the greatest use, of bounded number, at services that lack
             places.
         capacity: what its machine can bear beside clients, without unit; None if not known.
+        batches: progress of the batches that it owns, of bounded number.
     """
 
     paces: dict[InstanceId, float] = field(default_factory=dict)
     tenants: dict[Flow, TenantUse] = field(default_factory=dict)
     capacity: float | None = None
+    batches: dict[BatchId, BatchProgress] = field(default_factory=dict)
--- a/src/larkpost/gateway/controllers/division.py
+++ b/src/larkpost/gateway/controllers/division.py
@@ -4,20 +4,29 @@
 model's own engines and for those that load, which it avoids. All daemons work out the same.
 """
 
+from collections import defaultdict
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from larkpost.common.clock import Clock
 from larkpost.common.ids import InstanceId
 from larkpost.gateway.blackboard.board import Blackboard
 from larkpost.gateway.blackboard.configuration import ModelName, Service, ServiceName
-from larkpost.gateway.blackboard.weight_targets import Demands, WeightTarget
-from larkpost.gateway.controllers.due_loads import LoadInputs, due_loads
-from larkpost.gateway.controllers.model_assignment import assign_models, split_evacuated
+from larkpost.gateway.blackboard.weight_targets import Demands, Naming, WeightTarget
+from larkpost.gateway.controllers.due_loads import LoadInputs, Shares, due_loads, share_out
+from larkpost.gateway.controllers.lending import models_that_yield
+from larkpost.gateway.controllers.lending_record import LendingRecord
+from larkpost.gateway.controllers.model_assignment import (
+    Assignment,
+    PaceOf,
+    unknown_pace,
+)
 
 LIFETIME_SECONDS = 0.1
 """Seconds for which a division serves: items ask for it again and again. As long as the loader's
 interval."""
+LIFETIME_SECONDS_PER_ENGINE = 0.0003
+"""The same by the number of engines, where it is more, so that dividing takes no whole core."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -26,13 +35,22 @@
 
     Attributes:
         made_at: steady time at which it was worked out.
-        own: each model's engines.
-        loading: engines that load a version now, or will be ordered to in a moment.
+        lifetime: seconds for which it serves.
+        own: the engines whose first places are each model's.
+        loading: for each model, the engines that load a version of it now, or will be ordered to
+            in a moment; they refuse its items only.
+        yielding: the models whose batches leave free places to others; see `models_that_yield`.
+        demands: what it followed from.
+        shares: the division itself; None for a service without models.
     """
 
     made_at: float
-    own: dict[ModelName, frozenset[InstanceId]]
-    loading: frozenset[InstanceId]
+    lifetime: float
+    own: dict[ModelName, frozenset[InstanceId]] = field(default_factory=dict)
+    loading: dict[ModelName, frozenset[InstanceId]] = field(default_factory=dict)
+    yielding: frozenset[ModelName] = frozenset()
+    demands: Demands = field(default_factory=dict)
+    shares: Shares | None = None
 
 
 class EngineDivision:
@@ -40,25 +58,30 @@
 
     Args:
         demands: returns what the batches of each model ask for.
+        record: logs which engines are lent; None if nobody is to know.
+        pace: returns the lasting pace of an engine: one that changes by the moment would divide the
+            engines anew again and again.
     """
 
     def __init__(
-        self, blackboard: Blackboard, clock: Clock, demands: Callable[[], Demands]
+        self,
+        blackboard: Blackboard,
+        clock: Clock,
+        demands: Callable[[], Demands],
+        record: LendingRecord | None = None,
+        pace: PaceOf = unknown_pace,
     ) -> None:
         self._blackboard = blackboard
         self._clock = clock
         self._demands = demands
+        self._record = record
+        self._pace = pace
         self._known: dict[ServiceName, Division] = {}
 
     def due(self, service: Service, now: float) -> list[tuple[InstanceId, WeightTarget]]:
         """Returns the engines of a service that should be loading now, and what."""
-        inputs = LoadInputs(
-            self._blackboard.directory,
-            self._blackboard.targets,
-            self._demands(),
-            self._blackboard.evacuations.zones(),
-        )
-        return due_loads(service, inputs, now)
+        division = self._division(service.name)
+        return due_loads(service, self._inputs(division.demands), now, division.shares)
 
     def engines_of(self, service: ServiceName, model: ModelName) -> frozenset[InstanceId]:
         """Returns a model's own engines; none if the service does not hold the model.
@@ -67,14 +90,25 @@
         """
         return self._division(service).own.get(model, frozenset())
 
-    def loading(self, service: ServiceName) -> frozenset[InstanceId]:
-        """Returns the engines that refuse work now, or will in a moment, as they load."""
-        return self._division(service).loading
+    def loading(self, service: ServiceName, model: ModelName) -> frozenset[InstanceId]:
+        """Returns the engines that refuse a model's items now, or will in a moment.
+
+        They load a version of it; items of other models run there as before.
+        """
+        return self._division(service).loading.get(model, frozenset())
+
+    def should_yield(self, service: ServiceName, model: ModelName) -> bool:
+        """Returns whether a model's batches use their own engines only, for the sake of others."""
+        return model in self._division(service).yielding
+
+    def last_naming(self, model: ModelName) -> Naming | None:
+        """Returns when a model's newest version was named; None if that was not seen here."""
+        return self._blackboard.targets.last_naming(model, self._clock.now())
 
     def _division(self, service: ServiceName) -> Division:
         now = self._clock.now()
         known = self._known.get(service)
-        if known is None or now - known.made_at >= LIFETIME_SECONDS:
+        if known is None or now - known.made_at >= known.lifetime:
             known = self._divide(service, now)
             self._known[service] = known
         return known
@@ -83,13 +117,44 @@
         configuration = self._blackboard.configuration.current
         service = configuration.services.get(name) if configuration is not None else None
         if service is None or not service.models:
-            return Division(now, {}, frozenset())
-        loading = frozenset(engine for engine, _ in self.due(service, now))
-        return Division(now, self._own(service), loading)
-
-    def _own(self, service: Service) -> dict[ModelName, frozenset[InstanceId]]:
-        directory = self._blackboard.directory
-        ready = directory.ready_of(service.name)
-        serving, _ = split_evacuated(ready, self._blackboard.evacuations.zones())
-        division = assign_models(service, serving, directory, self._demands())
-        return {model: frozenset(engines) for model, engines in division.items()}
+            return Division(now, LIFETIME_SECONDS)
+        demands = self._demands()
+        inputs = self._inputs(demands)
+        shares = share_out(service, inputs)
+        if self._record is not None:
+            self._record.record(service, shares.lending, demands)
+        first = shares.lending.first_engines(shares.division)
+        return Division(
+            now,
+            lifetime_of(shares.division),
+            {model: frozenset(engines) for model, engines in first.items()},
+            _by_model(due_loads(service, inputs, now, shares)),
+            models_that_yield(service.models, demands),
+            demands,
+            shares,
+        )
+
+    def _inputs(self, demands: Demands) -> LoadInputs:
+        return LoadInputs(
+            self._blackboard.directory,
+            self._blackboard.targets,
+            demands,
+            self._blackboard.evacuations.zones(),
+            self._pace,
+        )
+
+
+def lifetime_of(division: Assignment) -> float:
+    """Returns the seconds for which a division serves: one of many engines takes long to make."""
+    count = sum(len(engines) for engines in division.values())
+    return max(LIFETIME_SECONDS, count * LIFETIME_SECONDS_PER_ENGINE)
+
+
+def _by_model(
+    loads: list[tuple[InstanceId, WeightTarget]],
+) -> dict[ModelName, frozenset[InstanceId]]:
+    """Returns for each model the engines that load a version of it."""
+    engines: dict[ModelName, set[InstanceId]] = defaultdict(set)
+    for engine, target in loads:
+        engines[target.model].add(engine)
+    return {model: frozenset(names) for model, names in engines.items()}
--- a/src/larkpost/gateway/controllers/due_loads.py
+++ b/src/larkpost/gateway/controllers/due_loads.py
@@ -12,14 +12,21 @@
 
 from larkpost.common.ids import InstanceId, ZoneId
 from larkpost.gateway.blackboard.configuration import ModelName, Service
-from larkpost.gateway.blackboard.directory import Directory, InstanceInfo
+from larkpost.gateway.blackboard.directory import Directory
 from larkpost.gateway.blackboard.weight_targets import (
     Demands,
     ModelDemand,
     WeightTarget,
     WeightTargets,
 )
-from larkpost.gateway.controllers.model_assignment import assign_models, split_evacuated
+from larkpost.gateway.controllers.lending import WAITED_SECONDS, Lending, lend
+from larkpost.gateway.controllers.model_assignment import (
+    Assignment,
+    PaceOf,
+    assign_models,
+    split_evacuated,
+    unknown_pace,
+)
 
 LOAD_GROUPS = 3
 """Groups of a model's engines that load a version one after the other; two thirds serve on."""
@@ -30,6 +37,8 @@
 """Seconds before the first group loads while no batch of the model runs: one may come at once."""
 BUSY_FIRST_SECONDS = 0.9
 """The same while one runs, so that its items have found their places before."""
+URGENT_FIRST_SECONDS = 0.3
+"""Seconds from a batch to the loads while the next one is near: most items have found places."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,12 +48,29 @@
     Attributes:
         demands: what the batches of each model ask for.
         evacuated: zones whose engines get no work; they load after the others.
+        pace: returns the lasting pace of an engine.
     """
 
     directory: Directory
     targets: WeightTargets
     demands: Demands
     evacuated: frozenset[ZoneId] = frozenset()
+    pace: PaceOf = unknown_pace
+
+
+@dataclass(frozen=True, slots=True)
+class Shares:
+    """How the engines of a service are divided.
+
+    Attributes:
+        division: each model's share of the engines that get work.
+        lending: which of them are lent.
+        resting: each model's share of the engines in evacuated zones.
+    """
+
+    division: Assignment
+    lending: Lending
+    resting: Assignment
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,6 +80,7 @@
     Attributes:
         target: the version that they should have.
         elapsed: seconds since the first group's turn began; negative before it.
+        is_urgent: whether the next batch, which wants the version, is near; see `is_urgent`.
         serving: the version at each engine that gets work.
         resting: the version at each engine of an evacuated zone.
     """
@@ -62,30 +89,55 @@
     elapsed: float
     serving: dict[InstanceId, int]
     resting: dict[InstanceId, int]
+    is_urgent: bool = False
+
+
+def is_urgent(demand: ModelDemand, version: int) -> bool:
+    """Returns whether a model's next batch is near, so that a version must soon be loaded.
+
+    Its trainer waits for each version and asks for the next step at once. The step that it has
+    asked with this version is here, and no batch before it is open whose end the next version
+    waits for.
+    """
+    waits = demand.asked_after is not None and demand.asked_after < WAITED_SECONDS
+    return waits and demand.asked_at == version and not demand.open_before
+
+
+def share_out(service: Service, inputs: LoadInputs) -> Shares:
+    """Divides the engines of a service among its models."""
+    engines = inputs.directory.ready_of(service.name)
+    serving, resting = split_evacuated(engines, inputs.evacuated)
+    division = assign_models(service, serving, inputs.directory, inputs.demands, inputs.pace)
+    return Shares(
+        division,
+        lend(division, inputs.demands, inputs.directory.version_of),
+        assign_models(service, resting, inputs.directory, inputs.demands),
+    )
 
 
 def due_loads(
-    service: Service, inputs: LoadInputs, now: float
+    service: Service, inputs: LoadInputs, now: float, shares: Shares | None = None
 ) -> list[tuple[InstanceId, WeightTarget]]:
     """Returns the loads that should be under way now.
 
     Args:
         now: steady time in seconds.
+        shares: the engines as they were divided a moment ago; None to divide them now.
     """
-    engines = inputs.directory.ready_of(service.name)
-    if not _is_any_behind(service, engines, inputs):
+    if not _is_any_behind(service, inputs):
         return []
-    serving, resting = split_evacuated(engines, inputs.evacuated)
-    assigned = assign_models(service, serving, inputs.directory, inputs.demands)
-    assigned_resting = assign_models(service, resting, inputs.directory, inputs.demands)
+    shares = shares or share_out(service, inputs)
+    assigned = shares.lending.holders(shares.division)
     due: list[tuple[InstanceId, WeightTarget]] = []
-    for model, engine_ids in assigned.items():
+    for model in sorted(assigned, key=lambda model: model not in shares.lending.lent):
+        engine_ids = assigned[model]  # a borrower's first: an engine takes one order at a time
         target = WeightTarget(model, inputs.targets.version(model))
         state = ModelState(
             target.version,
             _seconds_into_turns(model, inputs, now),
             _versions(engine_ids, model, inputs.directory),
-            _versions(assigned_resting[model], model, inputs.directory),
+            _versions(shares.resting[model], model, inputs.directory),
+            is_urgent(inputs.demands.get(model, ModelDemand()), target.version),
         )
         due.extend((name, target) for name in engines_to_load(state))
     return due
@@ -106,15 +158,27 @@
     """Returns the engines that get work and load now.
 
     One that is two versions behind loads at once: it is of no use to the next step. The others load
-    in groups, once the items of a running batch have found their places.
+    in groups, once the items of a running batch have found their places. If the next step is near,
+    two groups load together; the last one serves what comes until the others are done, or have had
+    their time: one engine that cannot load must not hold the last group up.
     """
     late = [name for name, version in state.serving.items() if version < state.target - 1]
     if state.elapsed < 0:
         return late
     behind = {name for name, version in state.serving.items() if version == state.target - 1}
+    if state.is_urgent:
+        first = _all_but_last_group(list(state.serving), behind)
+        are_first_on_turn = state.elapsed < GROUP_SECONDS
+        return late + (first if first and are_first_on_turn else sorted(behind))
     return late + _group_on_turn(list(state.serving), behind, state.elapsed)
 
 
+def _all_but_last_group(engine_ids: list[InstanceId], behind: set[InstanceId]) -> list[InstanceId]:
+    """Returns the engines that lack the version, but for those of the last group."""
+    groups = _cut(engine_ids, LOAD_GROUPS)
+    return [name for group in groups[:-1] for name in group if name in behind]
+
+
 def _resting_to_load(state: ModelState) -> list[InstanceId]:
     """Returns the engines of evacuated zones that load now, in groups all the same.
 
@@ -154,9 +218,13 @@
 
 
 def _seconds_into_turns(model: ModelName, inputs: LoadInputs, now: float) -> float:
-    is_busy = inputs.demands.get(model, ModelDemand()).open
-    wait = BUSY_FIRST_SECONDS if is_busy else FIRST_SECONDS
-    return inputs.targets.named_for(model, now) - wait
+    demand = inputs.demands.get(model, ModelDemand())
+    elapsed = inputs.targets.named_for(model, now)
+    if not demand.open:
+        return elapsed - FIRST_SECONDS
+    if is_urgent(demand, inputs.targets.version(model)) and not demand.waiting:
+        return elapsed - (demand.asked_after or 0.0) - URGENT_FIRST_SECONDS
+    return elapsed - BUSY_FIRST_SECONDS
 
 
 def _versions(
@@ -165,8 +233,9 @@
     return {name: directory.version_of(name, model) for name in engine_ids}
 
 
-def _is_any_behind(service: Service, engines: list[InstanceInfo], inputs: LoadInputs) -> bool:
+def _is_any_behind(service: Service, inputs: LoadInputs) -> bool:
     """Returns whether any engine lacks any named version: a check that costs little."""
+    engines = inputs.directory.ready_of(service.name)
     return any(
         inputs.directory.version_of(engine.id, model) < inputs.targets.version(model)
         for model in service.models
--- a/src/larkpost/gateway/daemon.py
+++ b/src/larkpost/gateway/daemon.py
@@ -13,7 +13,9 @@
 
 import asyncio
 
+from larkpost.common.ids import DaemonId
 from larkpost.common.tasks import TaskSet, UnreportedFailures
+from larkpost.gateway.assembly.balancing import make_balancing
 from larkpost.gateway.assembly.client_requests import make_forwarder
 from larkpost.gateway.assembly.environment import GatewayPorts, GatewaySettings
 from larkpost.gateway.assembly.gauges import Gauges
@@ -22,27 +24,21 @@
 from larkpost.gateway.assembly.membership import MembershipInputs, make_membership
 from larkpost.gateway.blackboard.board import Blackboard
 from larkpost.gateway.blackboard.lifecycle import Lifecycle
-from larkpost.gateway.blackboard.weight_targets import Demands
 from larkpost.gateway.controllers.division import EngineDivision
 from larkpost.gateway.controllers.feeds import BatchListener, Feeds, FeedSource
 from larkpost.gateway.controllers.heartbeat import new_incarnation
+from larkpost.gateway.controllers.lending_record import LendingRecord
 from larkpost.gateway.controllers.true_time import TrueTime
 from larkpost.gateway.fairness.ledger import FlowLedger
 from larkpost.gateway.memory.daemon_memory import DaemonMemory
 from larkpost.gateway.observability.eventlog import Event
 from larkpost.gateway.observability.instruments import Instruments
-from larkpost.gateway.placement.cold_rule import POLL_SECONDS, ColdRule
-from larkpost.gateway.placement.cold_senders import ColdSenders
-from larkpost.gateway.placement.evacuation_rule import EvacuationRule
-from larkpost.gateway.placement.region_rule import RegionRule
-from larkpost.gateway.placement.rules import Placement
+from larkpost.gateway.placement.cold_rule import POLL_SECONDS
 from larkpost.gateway.planned_stop import PlannedStop, StopSteps
 from larkpost.gateway.proxy.admission import Admission
-from larkpost.gateway.proxy.balancer import Balancer, BalancerSources
 from larkpost.gateway.proxy.shares import ShareChooser
 from larkpost.gateway.quarantine.crash_writer import CrashWriter
 from larkpost.gateway.quarantine.guard import GuardedServers
-from larkpost.gateway.quarantine.isolation import IsolationRule
 from larkpost.gateway.quarantine.recorder import CrashRecorder
 from larkpost.gateway.quarantine.repository import CrashRepository
 from larkpost.gateway.quarantine.watch import CrashWatch
@@ -62,12 +58,12 @@
 class Gateway:
     """One daemon.
 
-    Its parts are made in the order in which they depend on each other. Two dependencies are real
-    cycles, and are closed by methods that are called only once all parts stand: the keeper of
-    batches relies on the membership and on the division of engines, which ask it in turn which
-    batches this daemon owns (`_is_owner`) and what the open ones demand (`_demands`); and the
-    senders of work to cold instances follow the batches that are placed by their rule
-    (`ColdSenders.follow`).
+    Its parts are made in the order in which they depend on each other. Three dependencies are real
+    cycles, and are closed by calls that are made only once all parts stand: the membership reports
+    what the balancer knows, which asks it in turn who is alive (`_alive_daemons`); the keeper of
+    batches relies on the membership and on the division of engines, which ask it in turn what this
+    daemon owns and what the open batches demand; and the senders of work to cold instances follow
+    the batches that are placed by their rule (`ColdSenders.follow`).
     """
 
     def __init__(self, settings: GatewaySettings, ports: GatewayPorts) -> None:
@@ -95,30 +91,11 @@
         self._make_gauges()
 
     def _make_placement(self) -> None:
-        ports = self._ports
-        self._cold_senders = ColdSenders(self.id, ports.clock)
-        self.cold = ColdRule(
-            self.settings.cold, self.blackboard, ports.clock, ports.log, self._cold_senders
-        )
-        self._isolation = IsolationRule()
-        # Rules that count sends come last, so that they count none that another forbids.
-        rules = (
-            EvacuationRule(self.blackboard.evacuations),
-            RegionRule(self.blackboard.regions),
-            self._isolation,
-            self.cold,
-        )
-        self.balancer = Balancer(
-            self.directory,
-            ports.clock,
-            ports.chance,
-            BalancerSources(
-                ports.servers.is_connected,
-                Placement(self.directory, rules, ports.metrics, self.cold.send_within),
-                self.cold,
-                self.blackboard.regions,
-            ),
+        parts = make_balancing(
+            self.id, self.settings, self.blackboard, self._ports, self._alive_daemons
         )
+        self._cold_senders, self._isolation = parts.cold_senders, parts.isolation
+        self.cold, self.balancer = parts.cold, parts.balancer
 
     def _make_membership(self) -> None:
         ports = self._ports
@@ -132,7 +109,7 @@
                 self.blackboard.regions,
                 self.balancer,
                 self._ledger,
-                self._is_owner,
+                lambda: self.keeper,
                 self._loop_watch,
             )
         )
@@ -164,7 +141,13 @@
 
     def _make_rollouts(self) -> None:
         ports = self._ports
-        self._division = EngineDivision(self.blackboard, ports.clock, self._demands)
+        self._division = EngineDivision(
+            self.blackboard,
+            ports.clock,
+            lambda: self.keeper.demands(),
+            LendingRecord(ports.log, ports.clock),
+            self.balancer.paces.lasting,
+        )
         services = RunServices(
             self.configuration,
             self.directory,
@@ -285,13 +268,9 @@
         """Returns whether this daemon has to act on news of batches at once."""
         return self.membership.is_coordinator() or bool(self.keeper.owned())
 
-    def _is_owner(self) -> bool:
-        """Returns whether this daemon owns batches that are not ended."""
-        return self.keeper.is_owner()
-
-    def _demands(self) -> Demands:
-        """Returns what the batches of each model ask for."""
-        return self.keeper.demands()
+    def _alive_daemons(self) -> frozenset[DaemonId]:
+        """Returns the daemons considered alive."""
+        return self.membership.alive()
 
     def _may_forget_crashes(self) -> bool:
         """Returns whether this daemon is the one that removes old crashes."""
--- a/src/larkpost/gateway/rollouts/engine_choice.py
+++ b/src/larkpost/gateway/rollouts/engine_choice.py
@@ -55,8 +55,8 @@
                 for an event; 0 for any engine.
             work: what the rules of placement ask of the item; None for the batch's own.
         """
-        candidates = self._with_place(service, work or self.items.work_of())
         only = self._only_engines(service)
+        candidates = self._with_place(service, work or self.items.work_of(), only)
         if only is not None:
             candidates = [info for info in candidates if info.id in only]
         if pace_limit:
@@ -69,7 +69,7 @@
     ) -> list[InstanceInfo]:
         """Returns the engines that a moved run may go on at; those that load refuse it."""
         balancer = self._services.balancer
-        loading = self._services.division.loading(service)
+        loading = self._services.division.loading(service, self._head.model)
         return [
             info
             for info in candidates
@@ -80,12 +80,15 @@
     def _only_engines(self, service: ServiceName) -> frozenset[InstanceId] | None:
         """Returns the only engines that the batch may use now; None for any.
 
-        At first those are its model's own. If all of them are cold, as after the return of a zone,
-        the batch need not wait for them.
+        At first those are its model's own, and later too while it has time to spare and a batch of
+        another model that has none waits for places. If all of them are cold, as after the return
+        of a zone, the batch need not wait for them.
         """
-        if self._services.clock.now() - self._began_at >= OWN_ENGINES_SECONDS:
+        division = self._services.division
+        is_new = self._services.clock.now() - self._began_at < OWN_ENGINES_SECONDS
+        if not is_new and not division.should_yield(service, self._head.model):
             return None
-        own = self._services.division.engines_of(service, self._head.model)
+        own = division.engines_of(service, self._head.model)
         directory, balancer = self._services.directory, self._services.balancer
         known = (info for name in own if (info := directory.get(name)) is not None)
         return None if all(balancer.is_cold(info) for info in known) else own
@@ -95,7 +98,7 @@
         if not candidates:
             return []
         balancer = self._services.balancer
-        loading = self._services.division.loading(service)
+        loading = self._services.division.loading(service, self._head.model)
         return [
             EngineState(
                 info,
@@ -113,7 +116,7 @@
 
         An engine that loads weights refuses all that come, so one item at a time tries it.
         """
-        if engine.id in self._services.division.loading(engine.service):
+        if engine.id in self._services.division.loading(engine.service, self._head.model):
             self._services.balancer.use(engine.id).expect_refusal(self._services.clock.now())
         if self._services.cold is not None:
             self._services.cold.reserve(engine)
@@ -122,7 +125,8 @@
         """Returns how many places the engines that fit are believed to have free."""
         work = self.items.work_of()
         fitting = self._with_place(service, work)
-        return sum(self._places_at(info, work) for info in fitting)
+        scale = self._services.balancer.look(service, work).scale
+        return int(sum(self._places_at(info, work) for info in fitting) * scale)
 
     def _places_at(self, info: InstanceInfo, work: Work) -> int:
         """Returns an engine's free places; at a cold one, those that may be used now."""
@@ -134,7 +138,7 @@
     def silence_allowed(self, watch: RunWatch) -> float:
         """Returns the seconds for which a run may make nothing before it is stalled."""
         engine = watch.engine
-        loading = self._services.division.loading(engine.service)
+        loading = self._services.division.loading(engine.service, self._head.model)
         pace = self._services.balancer.paces.lasting(engine.id)
         return stall_seconds(pace, is_loading=engine.id in loading)
 
@@ -156,7 +160,8 @@
         """Returns the pace that a run should go on at elsewhere; 0 if it is to stay.
 
         Whether an engine of that pace has a free place is not asked. An engine whose weights are
-        older than those of the run's engine is about to load and to refuse all work.
+        older than those of the run's engine is about to load and to refuse all work. Of a large
+        service only some engines are looked at.
         """
         engine, events = run.engine, len(run.progress.events)
         pace = self._pace_to_leave(engine)
@@ -180,7 +185,7 @@
         directory = self._services.directory
         paces = [
             pace
-            for info in directory.of_service(service)
+            for info in balancer.look(service, work).instances
             if (pace := balancer.paces.lasting(info.id))
             and not balancer.is_cold(info)
             and directory.version_of(info.id, self._head.model) >= version
@@ -191,14 +196,17 @@
         self._best[service, work, version] = (now, best)
         return best
 
-    def _with_place(self, service: ServiceName, work: Work) -> list[InstanceInfo]:
-        """Returns the engines that fit and have a free place, the least occupied first."""
+    def _with_place(
+        self, service: ServiceName, work: Work, within: frozenset[InstanceId] | None = None
+    ) -> list[InstanceInfo]:
+        """Returns the engines that fit and have a free place, the least occupied first.
+
+        Args:
+            within: the only engines of a large service to look at; None for any.
+        """
         balancer = self._services.balancer
-        return [
-            info
-            for info in balancer.candidates(service, work, eligible=self._has_not_failed)
-            if balancer.has_place(info)
-        ]
+        fitting = balancer.candidates(service, work, eligible=self._has_not_failed, within=within)
+        return [info for info in fitting if balancer.has_place(info)]
 
     def _has_not_failed(self, info: InstanceInfo) -> bool:
         """Returns whether an engine did not fail a moment ago."""
--- a/tests/platform_mutants.py
+++ b/tests/platform_mutants.py
@@ -538,6 +538,30 @@
     return mock.patch.object(instance_rows, "read_born", lambda _: None)
 
 
+def divide_by_work_alone():
+    """Lends no engines, whoever is short of time."""
+    from larkpost.gateway.controllers import lending
+
+    return mock.patch.object(lending, "standing_of", lambda _: lending.Standing.NEITHER)
+
+
+def load_before_the_batch():
+    """Has engines load together though the batch that comes with the version is not here yet."""
+    from larkpost.gateway.controllers import due_loads
+
+    original = due_loads.is_urgent
+    return mock.patch.object(
+        due_loads, "is_urgent", lambda demand, _: original(demand, demand.asked_at)
+    )
+
+
+def keep_progress_to_oneself():
+    """Tells the other daemons nothing of the batches that this one owns."""
+    from larkpost.gateway.rollouts.batch_outlooks import BatchOutlooks
+
+    return mock.patch.object(BatchOutlooks, "record_report", lambda *_: None)
+
+
 def forget_shares():
     """Takes all tenants' requests as equal, however much one of them has."""
     from larkpost.gateway.proxy.fair_order import FairOrder
@@ -552,6 +576,32 @@
     return mock.patch.object(FlowLedger, "record_report", lambda *_: None)
 
 
+def look_at_all_servers():
+    """Looks at all servers of a service for each choice, however many it has."""
+    from larkpost.gateway.proxy import server_pool
+
+    return mock.patch.object(server_pool, "ALL_LOOKED_AT", 1_000_000)
+
+
+def keep_servers_of_daemons_that_are_gone():
+    """Counts daemons for a server that are gone: a server may be left to nobody."""
+    from larkpost.gateway.proxy.subset import DaemonSubset
+
+    original = DaemonSubset.update
+
+    def update(self, daemons, servers):
+        original(self, frozenset(daemons) | self._others.keys(), servers)
+
+    return mock.patch.object(DaemonSubset, "update", update)
+
+
+def stay_with_the_subset():
+    """Looks at no others when the whole subset has failed or is full."""
+    from larkpost.gateway.proxy.server_pool import ServerPool
+
+    return mock.patch.object(ServerPool, "look_further", lambda *_: [])
+
+
 MUTANTS = {
     mutant.__name__: mutant
     for mutant in (
@@ -595,6 +645,9 @@
         forget_evacuations,
         miss_ends_of_evacuations,
         trust_silent_connections,
+        divide_by_work_alone,
+        load_before_the_batch,
+        keep_progress_to_oneself,
         wait_on_silent_connections,
         give_up_writes_without_proof,
         send_crashing_requests_on,
@@ -611,6 +664,9 @@
         ignore_the_start,
         forget_shares,
         keep_use_to_oneself,
+        look_at_all_servers,
+        keep_servers_of_daemons_that_are_gone,
+        stay_with_the_subset,
     )
 }
 TESTS = dict.fromkeys(MUTANTS, FUZZ) | {
@@ -647,6 +703,9 @@
     # 60 examples of the fuzz caught it, 120 with a far store did not.
     "claim_outside_homes": "tests.test_regions",
     "miss_ends_of_evacuations": "tests.test_evacuations",
+    "divide_by_work_alone": "tests.test_lending",
+    "load_before_the_batch": "tests.test_load_timing",
+    "keep_progress_to_oneself": "tests.test_batch_forecast",
     "trust_silent_connections": "tests.test_silent_connections",
     "wait_on_silent_connections": "tests.test_silent_connections",
     "give_up_writes_without_proof": "tests.test_silent_connections",
@@ -665,6 +724,9 @@
     "ignore_the_start": "tests.test_incarnations",
     "forget_shares": "tests.test_fair_load.OneTenantSendsHalfTest",
     "keep_use_to_oneself": "tests.test_fair_shares.UnequalDaemonsTest",
+    "look_at_all_servers": "tests.test_bounded_choice",
+    "keep_servers_of_daemons_that_are_gone": "tests.test_subset",
+    "stay_with_the_subset": "tests.test_bounded_choice",
 }
 EXPECTED_CHECKS = {
     "ignore_permits": ("while cold",),
--- a/tests/test_held_bytes.py
+++ b/tests/test_held_bytes.py
@@ -383,7 +383,10 @@
         reader, writer = await self.connect()
         head = self.head(path, b"Content-Length: %d" % len(body))
         writer.write(head.replace(b"Host: h", b"Host: " + host))
-        self.assertEqual(status, (await self.response(reader))[0])
+        try:
+            self.assertEqual(status, (await self.response(reader))[0])
+        except TimeoutError:
+            self.fail("the response waits for the body")
         self.assertEqual(0, self.memory.budget.total)
         self.configuration.current = usual
         writer.write(body + self.request(b"good", b"/o/good"))
