Fair shares: they matter only while a service's shortage lasts

Cause: every request that waited, also for one poll, counted as waiting for its share, here and in the reports to other daemons, where it stood for up to 6 s. Between half and full use some request almost always waits for a moment, so a tenant with more use than an equal share counted as beyond it, went behind all others and was held for 0.2 s where nothing was to be gained.

Change: a request that waits is counted for the shares only once its daemon sees that the shortage lasts (proxy/lasting_shortage.py): of its requests lately three in ten, and three at least, found no place within their objective. The order, the holds and the least service are as they were. Also: a request whose time was over when it came shows no shortage, and the forecast of a request that is let through reuses the count of the places.

Tests: LittleRoomTest (three loads; red before), ShortageNewsTest, LastingShortageTest, mutant take_any_wait_for_a_shortage. Existing tests unchanged.

--- a/src/larkpost/gateway/fairness/ledger.py
+++ b/src/larkpost/gateway/fairness/ledger.py
@@ -19,7 +19,7 @@
 REPORT_LIFETIME_SECONDS = 6.0
 """How long a report counts: some heartbeats, of which a large fleet writes one in five seconds."""
 SHORTAGE_MEMORY_SECONDS = 2.0
-"""How long a service counts as short after a request waited for it or was refused."""
+"""How long a service counts as short after a request waited for it or was refused meanwhile."""
 MOST_REPORTED_FLOWS = 6
 """Flows in one report: a daemon of a large fleet has few requests at a time."""
 LONGEST_REPORTED_NAME = 64
@@ -56,7 +56,7 @@
 
     @contextmanager
     def waiting(self, flow: Flow) -> Iterator[None]:
-        """Counts a request that waits for a place."""
+        """Counts a request that waits for a place in a shortage that lasts."""
         self.record_shortage(flow.group.service)
         self._own.add(flow, 0, 1)
         try:
@@ -66,7 +66,7 @@
             self.record_shortage(flow.group.service)
 
     def record_shortage(self, service: ServiceName) -> None:
-        """Records that a request found no place."""
+        """Records that a service lacks places."""
         self._short_at[service] = self._clock.now()
 
     def record_report(self, daemon: DaemonId, tenants: Mapping[Flow, TenantUse]) -> None:
--- a/src/larkpost/gateway/proxy/request_queue.py
+++ b/src/larkpost/gateway/proxy/request_queue.py
@@ -6,12 +6,15 @@
 A queue moves when a request of this daemon ends at the service, and by a timer, as the requests of
 others end without notice. Then one request tries, or as many as there are places believed free.
 
+A request counts for the shares of tenants only while its service's shortage lasts.
+
 Owns the queues; relies on a survey for the places of a service and on `forecast` for the rules.
 """
 
 import asyncio
 from collections import Counter
 from collections.abc import Callable
+from contextlib import ExitStack
 from dataclasses import dataclass, field
 
 from larkpost.common.clock import Clock
@@ -22,6 +25,7 @@
 from larkpost.gateway.placement.work import Work
 from larkpost.gateway.proxy.fair_order import FairOrder, Rank, Turns
 from larkpost.gateway.proxy.forecast import Forecast, make_forecast
+from larkpost.gateway.proxy.lasting_shortage import LastingShortage
 from larkpost.gateway.proxy.places import Places
 from larkpost.gateway.proxy.waiter import Waiter
 
@@ -48,11 +52,13 @@
     Attributes:
         must_wait: whether others come before it.
         is_over: whether it is beyond its flow's share, and others wait below theirs.
+        places: those of its service that the forecast is made from.
     """
 
     forecast: Forecast
     must_wait: bool
     is_over: bool
+    places: Places
 
 
 @dataclass(slots=True)
@@ -118,15 +124,20 @@
         self._clock = clock
         self._survey = survey
         self._ledger = ledger
+        self._shortage = LastingShortage(clock)
         self._queues: dict[ServiceName, _Queue] = {}
 
     def __len__(self) -> int:
         return sum(len(queue.waiters) for queue in self._queues.values())
 
-    def forecast(self, waiter: Waiter) -> Prospect:
-        """Returns what a request may expect that is not in its queue."""
+    def forecast(self, waiter: Waiter, places: Places | None = None) -> Prospect:
+        """Returns what a request may expect that is not in its queue.
+
+        Args:
+            places: those of its service, if they were counted at this moment.
+        """
         now = self._clock.now()
-        places = self._survey(waiter.service, waiter.work)
+        places = places or self._survey(waiter.service, waiter.work)
         queue = self._queues.get(waiter.service, _Queue())
         order = FairOrder(self._ledger, now)
         rank = order.rank(waiter, places)
@@ -136,10 +147,10 @@
                 line.add(other)
         elsewhere = self._waiting_elsewhere(waiter, rank)
         forecast = line.forecast(waiter, rank, places, elsewhere)
-        if forecast.is_hopeless and places.total:
-            self._ledger.record_shortage(waiter.service)
+        if forecast.is_hopeless and places.total and now < waiter.limits.end_at:
+            self._record_missed(waiter)
         must_wait = not places.are_mostly_free and (line.length > 0 or rank.is_over)
-        return Prospect(forecast, must_wait, rank.is_over)
+        return Prospect(forecast, must_wait, rank.is_over, places)
 
     async def wait_for_turn(self, waiter: Waiter) -> Forecast:
         """Waits until a request may try the servers, or is hopeless."""
@@ -155,15 +166,17 @@
         queue.waiters.append(waiter)
         if queue.poller is None or queue.poller.done():
             queue.poller = asyncio.create_task(self._poll(queue))
-        with self._ledger.waiting(waiter.flow):
-            try:
-                return await waiter.call
-            finally:
-                if waiter in queue.waiters:
-                    queue.waiters.remove(waiter)
+        self._count_if_short(waiter)
+        try:
+            return await waiter.call
+        finally:
+            self._end_count(waiter)
+            if waiter in queue.waiters:
+                queue.waiters.remove(waiter)
 
     def record_taken(self, service: ServiceName) -> None:
         """Records that a server of a service had a place."""
+        self._shortage.record_placed(service)
         queue = self._queues.get(service)
         if queue is not None:
             queue.blocked_since = queue.seen_at = float("-inf")
@@ -185,6 +198,7 @@
     def _move(self, queue: _Queue) -> None:
         """Calls those whose turn it is, and those that have become hopeless."""
         now = self._clock.now()
+        self._update_shortage(queue, now)
         surveys = {
             work: self._survey(service, work)
             for service, work in {(waiter.service, waiter.work) for waiter in queue.waiters}
@@ -199,13 +213,43 @@
             # Of those that wait at other daemons, half came before this one on the average.
             elsewhere = self._waiting_elsewhere(waiter, rank) // 2
             forecast = line.forecast(waiter, rank, places, elsewhere)
-            if not forecast.is_hopeless:
+            if forecast.is_hopeless:
+                self._record_missed(waiter)
+            else:
                 line.add(waiter)
             if forecast.is_hopeless or turns[waiter.work].claim(waiter, rank):
                 queue.waiters.remove(waiter)
                 if not waiter.call.done():
                     waiter.call.set_result(forecast)
 
+    def _count_if_short(self, waiter: Waiter) -> None:
+        """Counts a waiting request for the shares once its service's places do not suffice."""
+        if waiter.share_count is None and self._shortage.lasts(waiter.service):
+            waiter.share_count = ExitStack()
+            waiter.share_count.enter_context(self._ledger.waiting(waiter.flow))
+
+    def _end_count(self, waiter: Waiter) -> None:
+        """Ends the count of a request that waits no longer."""
+        if waiter.share_count is not None:
+            waiter.share_count.close()
+            waiter.share_count = None
+
+    def _update_shortage(self, queue: _Queue, now: float) -> None:
+        """Records those whose objective is over, and counts those that wait in a shortage."""
+        for waiter in queue.waiters:
+            if now > waiter.limits.objective_at:
+                self._record_missed(waiter)
+            self._count_if_short(waiter)
+
+    def _record_missed(self, waiter: Waiter) -> None:
+        """Records, once, that a request finds no place in its time."""
+        if waiter.has_missed:
+            return
+        waiter.has_missed = True
+        self._shortage.record_missed(waiter.service)
+        if self._shortage.lasts(waiter.service):
+            self._ledger.record_shortage(waiter.service)
+
     def _waiting_elsewhere(self, waiter: Waiter, rank: Rank) -> int:
         """Returns the requests of the same flow that are known to wait at other daemons."""
         if rank.standing is None:
--- a/src/larkpost/gateway/proxy/turn_gate.py
+++ b/src/larkpost/gateway/proxy/turn_gate.py
@@ -163,7 +163,7 @@
         if not waiter.is_passed:
             return prospect
         self._share_record.record(request, waiter, ShareOutcome.PASSED)
-        return self._queues.forecast(waiter)
+        return self._queues.forecast(waiter, prospect.places)
 
     def _refuse(self, attempts: Attempts) -> None:
         """Sets when a refused caller should come back, if it is for places that come free."""
--- a/src/larkpost/gateway/proxy/waiter.py
+++ b/src/larkpost/gateway/proxy/waiter.py
@@ -1,6 +1,7 @@
 """One client request that wants a place, and what became of it by its tenant's share."""
 
 import asyncio
+from contextlib import ExitStack
 from dataclasses import dataclass, field
 
 from larkpost.gateway.blackboard.configuration import ServiceName
@@ -24,6 +25,9 @@
         held_since: steady time since which it lets others go first; None if it does not.
         is_recorded: whether the log says that it was held.
         call: resolved with the forecast when its turn has come, or when it is hopeless.
+        has_missed: whether it was found not to get a place within its objective.
+        share_count: ends its count among those that wait for their shares; None while it is not
+            counted.
         flow: the flow that it belongs to.
     """
 
@@ -39,6 +43,8 @@
     held_since: float | None = None
     is_recorded: bool = False
     call: asyncio.Future[Forecast] | None = None
+    has_missed: bool = False
+    share_count: ExitStack | None = None
     flow: Flow = field(init=False)
 
     def __post_init__(self) -> None:
--- a/tests/platform_mutants.py
+++ b/tests/platform_mutants.py
@@ -511,6 +511,13 @@
     return mock.patch.object(FairOrder, "_standing", lambda *_: None)
 
 
+def take_any_wait_for_a_shortage():
+    """Shares out the places as soon as a request waits, also if they suffice."""
+    from larkpost.gateway.proxy.lasting_shortage import LastingShortage
+
+    return mock.patch.object(LastingShortage, "lasts", lambda *_: True)
+
+
 def keep_use_to_oneself():
     """Goes by this daemon's own requests alone."""
     from larkpost.gateway.fairness.ledger import FlowLedger
@@ -598,6 +605,7 @@
         trust_the_plain_clock,
         ignore_the_start,
         forget_shares,
+        take_any_wait_for_a_shortage,
         keep_use_to_oneself,
         look_at_all_servers,
         keep_servers_of_daemons_that_are_gone,
@@ -649,6 +657,7 @@
     "trust_the_plain_clock": "tests.test_suspension",
     "ignore_the_start": "tests.test_incarnations",
     "forget_shares": "tests.test_fair_load.OneTenantSendsHalfTest",
+    "take_any_wait_for_a_shortage": "tests.test_fair_load.LittleRoomTest",
     "keep_use_to_oneself": "tests.test_fair_shares.UnequalDaemonsTest",
     "look_at_all_servers": "tests.test_bounded_choice",
     "keep_servers_of_daemons_that_are_gone": "tests.test_subset",
@@ -669,6 +678,7 @@
     "forget_evacuations": ("is in a zone evacuated",),
     "wait_on_silent_connections": ("TimeoutError",),
     "send_crashing_requests_on": ("but reached servers at",),
+    "take_any_wait_for_a_shortage": ("held back while there is room",),
     "forget_shares": ("the small tenants pay for the heavy one",),
 }
 """What the failure must name: another failure proves nothing about the mutant."""
--- a/tests/test_fair_load.py
+++ b/tests/test_fair_load.py
@@ -49,6 +49,8 @@
 GROUP = FlowGroup(PAGES, ROUTE.priority)
 HEAVY_FLOW = flow("heavy", GROUP)
 LIGHT_FLOW = flow("light", GROUP)
+CHANCE_TOLERANCE = 0.01
+"""Part of the callers by which two runs of one load may differ by chance."""
 SHARE_COUNTER = "larkpost_share_decisions_total{"
 
 
@@ -69,6 +71,7 @@
 
     asked: Counter = field(default_factory=Counter)
     served: Counter = field(default_factory=Counter)
+    in_time: Counter = field(default_factory=Counter)
 
     def part(self, *tenants: TenantName) -> float:
         """Returns which part of the tenants' callers was served."""
@@ -76,6 +79,11 @@
             self.asked[name] for name in tenants
         )
 
+    def part_in_time(self, *tenants: TenantName) -> float:
+        """Returns which part of the tenants' callers was served within the objective."""
+        asked = sum(self.asked[name] for name in tenants)
+        return sum(self.in_time[name] for name in tenants) / asked
+
 
 class LoadTest(unittest.TestCase):
     """A fleet of two daemons before eight places."""
@@ -129,6 +137,7 @@
                 return
             else:
                 self.sums.served[tenant] += 1
+                self.sums.in_time[tenant] += self.clock.now() - began <= ROUTE.objective
                 return
 
     async def play(
@@ -154,12 +163,16 @@
         return self.sums
 
     def run_load(
-        self, rates: dict[TenantName, float], seconds: float = 6.0, heavy_at_first: float = 0.5
+        self,
+        rates: dict[TenantName, float],
+        seconds: float = 6.0,
+        heavy_at_first: float = 0.5,
+        seed: int = 1,
     ) -> Sums:
         """Returns what became of a load."""
 
         async def play() -> Sums:
-            self.begin()
+            self.begin(seed)
             reports = asyncio.create_task(self.report())
             sums = await self.play(rates, seconds, heavy_at_first)
             reports.cancel()
@@ -173,6 +186,11 @@
     return {TenantName(f"light-{number}"): total / count for number in range(count)}
 
 
+def mean_in_time(runs: list[Sums], tenants: tuple[TenantName, ...]) -> float:
+    """Returns which part of the tenants' callers was served within the objective, on average."""
+    return sum(sums.part_in_time(*tenants) for sums in runs) / len(runs)
+
+
 class OneTenantSendsHalfTest(LoadTest):
     """One of nine tenants sends half of all requests, and there is room for about half."""
 
@@ -218,6 +236,43 @@
         self.assertEqual(sums.asked, sums.served)
 
 
+class LittleRoomTest(LoadTest):
+    """The places suffice, but requests often wait for a moment: one tenant still sends half.
+
+    The aim: nobody is held back while there is room. So as many are served within the objective
+    as without shares, of all and of the heavy tenant.
+    """
+
+    SEEDS = range(1, 6)
+    SECONDS = 8.0
+
+    def check(self, load: float) -> None:
+        """Compares a load, in parts of the capacity, with and without shares."""
+        half = load / 2 * CAPACITY
+        rates = light_rates(half) | {HEAVY: half}
+        with_shares = self.runs(rates)
+        with mock.patch.object(FairOrder, "_standing", lambda *_: None):
+            without_shares = self.runs(rates)
+        for tenants in (tuple(rates), (HEAVY,)):
+            part = mean_in_time(with_shares, tenants)
+            wanted = mean_in_time(without_shares, tenants)
+            message = f"held back while there is room: {part:.3f} in time, not {wanted:.3f}"
+            self.assertGreaterEqual(part, wanted - CHANCE_TOLERANCE, message)
+
+    def runs(self, rates: dict[TenantName, float]) -> list[Sums]:
+        """Returns what became of a load, for each seed."""
+        return [self.run_load(rates, self.SECONDS, seed=seed) for seed in self.SEEDS]
+
+    def test_at_seven_tenths_of_the_capacity(self):
+        self.check(0.7)
+
+    def test_at_eight_tenths_of_the_capacity(self):
+        self.check(0.8)
+
+    def test_at_nine_tenths_of_the_capacity(self):
+        self.check(0.9)
+
+
 class BurstTest(LoadTest):
     """Ten times as many requests as there are places for."""
 
@@ -387,6 +442,58 @@
         self.assertEqual([0, 2], run(play()))
 
 
+class ShortageNewsTest(unittest.TestCase):
+    """Which requests the shares, here and at other daemons, count."""
+
+    def setUp(self) -> None:
+        self.clock = LoopClock()
+        self.ledger = FlowLedger(self.clock)
+        self.queues = RequestQueues(self.clock, lambda *_: Places(8, 8, PACE), self.ledger)
+
+    def waiter(self, objective: float, time_left: float) -> Waiter:
+        """Returns a request that has just come."""
+        now = self.clock.now()
+        limits = Limits(now + objective, now + time_left, PACE)
+        return Waiter(PAGES, CLIENT_WORK, 1, limits, now, "light")
+
+    def test_request_that_waits_for_a_moment_is_not_counted(self):
+        async def play() -> None:
+            task = asyncio.create_task(self.queues.wait_for_turn(self.waiter(0.2, 1.0)))
+            await self.clock.sleep(POLL_INTERVAL_SECONDS / 2)
+            self.assertEqual(1, len(self.queues))
+            self.assertFalse(self.ledger.has_shortage())
+            await task
+
+        run(play())
+
+    def test_requests_are_counted_once_many_are_not_served_in_time_and_only_while_they_wait(self):
+        async def play() -> None:
+            calls = [self.queues.wait_for_turn(self.waiter(0.02, 9.0)) for _ in range(20)]
+            tasks = [asyncio.create_task(call) for call in calls]
+            await self.clock.sleep(0)
+            self.assertEqual({}, self.ledger.uses(GROUP))
+            await self.clock.sleep(3.5 * POLL_INTERVAL_SECONDS)
+            waiting = self.ledger.uses(GROUP)[LIGHT_FLOW].waiting
+            self.assertEqual(len(self.queues), waiting)
+            self.assertGreater(waiting, 10)
+            await asyncio.gather(*tasks)
+            self.assertEqual({}, self.ledger.uses(GROUP))
+
+        run(play())
+
+    def test_requests_whose_time_was_over_when_they_came_show_no_shortage(self):
+        async def play() -> None:
+            for _ in range(20):
+                self.assertTrue(self.queues.forecast(self.waiter(-0.8, 0.0)).forecast.is_hopeless)
+            self.assertFalse(self.ledger.has_shortage())
+            for _ in range(20):
+                prospect = self.queues.forecast(self.waiter(0.01, 0.01))
+                self.assertTrue(prospect.forecast.is_hopeless)
+            self.assertTrue(self.ledger.has_shortage())
+
+        run(play())
+
+
 class LeavingCallerTest(LoadTest):
     """Callers of a tenant beyond its share that leave while their requests wait."""
 
--- a/tests/test_fair_shares.py
+++ b/tests/test_fair_shares.py
@@ -28,6 +28,7 @@
 from larkpost.gateway.fairness.return_times import MOST_LINES, ReturnTimes
 from larkpost.gateway.fairness.share_rule import share_out, wait_for_share
 from larkpost.gateway.fairness.water_filling import fair_level
+from larkpost.gateway.proxy.lasting_shortage import LastingShortage
 from tests.virtual import run
 
 SERVICE = ServiceName("pages")
@@ -396,6 +397,50 @@
         run(play())
 
 
+class LastingShortageTest(unittest.TestCase):
+    """By chance a tenth of the requests finds no place in its time; in a shortage half do."""
+
+    def setUp(self) -> None:
+        self.clock = LoopClock()
+        self.shortage = LastingShortage(self.clock)
+
+    async def play(self, missed_of_ten: int, seconds: int) -> None:
+        """Records ten requests a second."""
+        for number in range(10 * seconds):
+            if number % 10 < missed_of_ten:
+                self.shortage.record_missed(SERVICE)
+            else:
+                self.shortage.record_placed(SERVICE)
+            await self.clock.sleep(0.1)
+
+    def test_few_that_miss_show_none(self):
+        async def play() -> None:
+            await self.play(1, 20)
+            self.assertFalse(self.shortage.lasts(SERVICE))
+
+        run(play())
+
+    def test_it_is_seen_within_seconds_and_ends_within_seconds(self):
+        async def play() -> None:
+            await self.play(1, 20)
+            await self.play(5, 6)
+            self.assertTrue(self.shortage.lasts(SERVICE))
+            self.assertFalse(self.shortage.lasts(ServiceName("other")))
+            await self.play(1, 8)
+            self.assertFalse(self.shortage.lasts(SERVICE))
+
+        run(play())
+
+    def test_it_ends_also_if_no_request_comes(self):
+        async def play() -> None:
+            await self.play(9, 6)
+            self.assertTrue(self.shortage.lasts(SERVICE))
+            await self.clock.sleep(30.0)
+            self.assertFalse(self.shortage.lasts(SERVICE))
+
+        run(play())
+
+
 class BatchSharesTest(unittest.TestCase):
     """Several batches of several tenants compete for engines."""
 
