--- a/src/larkpost/gateway/assembly/membership.py
+++ b/src/larkpost/gateway/assembly/membership.py
@@ -6,6 +6,8 @@
 from larkpost.common.ids import DaemonId
 from larkpost.gateway.assembly.daemon_reports import DaemonReports
 from larkpost.gateway.assembly.environment import GatewayPorts, GatewaySettings
+from larkpost.gateway.assembly.loop_watch import LoopWatch
+from larkpost.gateway.assembly.own_capacity import OwnCapacity, capacity_of
 from larkpost.gateway.blackboard.regions import RegionMap
 from larkpost.gateway.controllers.heartbeat_writer import OwnDaemon
 from larkpost.gateway.controllers.members import Membership
@@ -13,6 +15,7 @@
 from larkpost.gateway.fairness.ledger import FlowLedger
 from larkpost.gateway.observability.instruments import Instruments
 from larkpost.gateway.proxy.balancer import Balancer
+from larkpost.gateway.rollouts.keeper import BatchKeeper
 
 
 @dataclass(frozen=True, slots=True)
@@ -22,7 +25,7 @@
     Attributes:
         daemon: this process's id.
         ledger: use by tenant in the fleet.
-        is_owner: returns whether it owns batches that are not ended.
+        keeper: returns the keeper of its batches, which is made after the membership.
     """
 
     daemon: DaemonId
@@ -32,19 +35,22 @@
     regions: RegionMap
     balancer: Balancer
     ledger: FlowLedger
-    is_owner: Callable[[], bool]
+    keeper: Callable[[], BatchKeeper]
+    loop_watch: LoopWatch
 
 
 def make_membership(inputs: MembershipInputs) -> Membership:
     """Returns the membership, whose heartbeats carry the daemon's use and report."""
-    store, balancer = inputs.ports.store, inputs.balancer
-    reports = DaemonReports(balancer.paces, inputs.ledger)
+    store, balancer, settings = inputs.ports.store, inputs.balancer, inputs.settings
+    most = capacity_of(settings.cores, settings.byte_budget)
+    capacity = OwnCapacity(most, inputs.loop_watch, inputs.ports.clock)
+    reports = DaemonReports(balancer.paces, inputs.ledger, inputs.keeper, capacity.now)
     own = OwnDaemon(
         inputs.daemon,
         balancer.summary,
-        inputs.is_owner,
+        lambda: inputs.keeper().is_owner(),
         ClockOffset(inputs.ports.clock, store.time).now,
-        inputs.settings.peer_address,
+        settings.peer_address,
         reports.own,
         reports.own_paces,
         inputs.ledger.has_shortage,
--- a/src/larkpost/gateway/controllers/model_assignment.py
+++ b/src/larkpost/gateway/controllers/model_assignment.py
@@ -5,7 +5,7 @@
 have read the same rows divide alike.
 """
 
-from dataclasses import dataclass
+from collections.abc import Callable, Mapping
 from typing import NamedTuple
 
 from larkpost.common.hashing import hash64
@@ -13,15 +13,25 @@
 from larkpost.gateway.blackboard.configuration import ModelName, Service
 from larkpost.gateway.blackboard.directory import Directory, InstanceInfo
 from larkpost.gateway.blackboard.weight_targets import Demands, ModelDemand
+from larkpost.gateway.controllers.engine_speeds import speed, steps_slower
 
+KEPT_BEHIND = 1
+"""Versions by which an engine that a model keeps may be behind the model's newest engine."""
 MIN_ENGINES_PER_MODEL = 2
 """Engines that each model gets at least, so that it is served while one of them is lost or loads.
 The least number for which that holds."""
 
+PaceOf = Callable[[InstanceId], float]
+"""Returns the seconds that an event lastingly takes at an engine; 0 if that is not known."""
 Assignment = dict[ModelName, list[InstanceId]]
 """For each model its engines, in the order in which they load new versions."""
 
 
+def unknown_pace(_engine: InstanceId) -> float:
+    """Returns that a pace is not known."""
+    return 0.0
+
+
 class _ModelOrder(NamedTuple):
     """Which model chooses an engine next: the least of these."""
 
@@ -30,28 +40,38 @@
 
 
 class _EngineOrder(NamedTuple):
-    """Which engine a model chooses: the least of these."""
+    """Which of the engines with the fewest models a model chooses: the least of these."""
 
-    models_held: int
     negative_version: int  # the newest version first, so that a division once made stays
+    other_models: int  # of those the one that no other model keeps, as one lent to this model
+    steps_slower: int  # of those the fastest
     rank: int  # the same for all daemons
 
 
 def assign_models(
-    service: Service, engines: list[InstanceInfo], directory: Directory, demands: Demands
+    service: Service,
+    engines: list[InstanceInfo],
+    directory: Directory,
+    demands: Demands,
+    pace: PaceOf = unknown_pace,
 ) -> Assignment:
     """Divides the engines of a service among its models by the work their batches bring.
 
-    The model with the most work for each of its engines chooses next. A choice falls on the engine
-    with the fewest models, then on the one with the newest version of the model. It ends when every
-    engine has a model and every model has enough engines.
+    The model with the most work for what its engines can do chooses next. A choice falls on the
+    engine with the fewest models, then on the one with the newest version of the model, then on the
+    fastest. It ends when every engine has a model and every model has enough engines.
+
+    Args:
+        pace: returns the lasting pace of an engine; while paces are not known all count alike.
     """
-    division = _Division(
-        directory,
-        work=_work_of_models(service, demands),
-        chosen={model: [] for model in service.models},
-        models_held=dict.fromkeys((engine.id for engine in engines), 0),
-    )
+    steps = steps_slower({engine.id: pace(engine.id) for engine in engines})
+    kept_by = _models_kept(service, engines, directory)
+    preferences = {
+        model: _Preferences(_in_order_of_choice(model, directory, steps, kept_by))
+        for model in service.models
+    }
+    capacities = {engine: speed(count) for engine, count in steps.items()}
+    division = _Division(_work_of_models(service, demands), preferences, capacities)
     enough = min(MIN_ENGINES_PER_MODEL, len(engines))
     while engines and division.chosen and division.choose_next(enough):
         pass
@@ -79,20 +99,107 @@
     return {model: work or most for model, work in known.items()}
 
 
-@dataclass(slots=True)
+def _models_kept(
+    service: Service, engines: list[InstanceInfo], directory: Directory
+) -> dict[InstanceId, frozenset[ModelName]]:
+    """Returns for each engine the models of which it holds the newest version, or nearly so."""
+    newest = {
+        model: max((directory.version_of(engine.id, model) for engine in engines), default=0)
+        for model in service.models
+    }
+    return {
+        engine.id: frozenset(
+            model
+            for model in service.models
+            if directory.version_of(engine.id, model) >= newest[model] - KEPT_BEHIND
+        )
+        for engine in engines
+    }
+
+
+def _in_order_of_choice(
+    model: ModelName,
+    directory: Directory,
+    steps: Mapping[InstanceId, int],
+    kept_by: Mapping[InstanceId, frozenset[ModelName]],
+) -> list[InstanceId]:
+    """Returns the engines as a model prefers them among those with equally many models.
+
+    Args:
+        steps: by how many steps each engine is slower than the middling one.
+        kept_by: for each engine, the models whose versions it was kept up to.
+    """
+
+    def order(engine: InstanceId) -> _EngineOrder:
+        return _EngineOrder(
+            negative_version=-directory.version_of(engine, model),
+            other_models=len(kept_by[engine] - {model}),
+            steps_slower=steps[engine],
+            rank=hash64(engine),
+        )
+
+    return sorted(steps, key=order)
+
+
+class _Preferences:
+    """The engines in the order in which one model chooses them.
+
+    Engines with fewer models come first. As engines only gain models, one that was passed over for
+    having more of them need not be looked at again before all others have as many.
+
+    Args:
+        engines: in the order in which the model prefers them among those with equally many models.
+    """
+
+    def __init__(self, engines: list[InstanceId]) -> None:
+        self._engines = engines
+        self._models_held = 0
+        self._next = 0
+        self._chosen: set[InstanceId] = set()
+
+    def take(self, models_held: dict[InstanceId, int]) -> InstanceId | None:
+        """Returns the engine that the model chooses now; None if it has chosen all.
+
+        Args:
+            models_held: for each engine, how many models have chosen it.
+        """
+        while len(self._chosen) < len(self._engines):
+            for position in range(self._next, len(self._engines)):
+                engine = self._engines[position]
+                if models_held[engine] == self._models_held and engine not in self._chosen:
+                    self._next = position + 1
+                    self._chosen.add(engine)
+                    return engine
+            self._models_held += 1
+            self._next = 0
+        return None
+
+
 class _Division:
     """A division under way.
 
-    Attributes:
+    Args:
         work: tokens that each model's batches ask for.
+        preferences: of each model.
+        capacities: what each engine can do, beside a middling one.
+
+    Attributes:
         chosen: the engines of each model so far.
-        models_held: for each engine, how many models have chosen it.
     """
 
-    directory: Directory
-    work: dict[ModelName, int]
-    chosen: Assignment
-    models_held: dict[InstanceId, int]
+    def __init__(
+        self,
+        work: dict[ModelName, int],
+        preferences: dict[ModelName, _Preferences],
+        capacities: dict[InstanceId, float],
+    ) -> None:
+        self.chosen: Assignment = {model: [] for model in work}
+        self._work = work
+        self._preferences = preferences
+        self._capacities = capacities
+        self._capacity_of_model = dict.fromkeys(work, 0.0)
+        self._models_held = dict.fromkeys(capacities, 0)
+        self._unheld = len(capacities)
 
     def choose_next(self, enough: int) -> bool:
         """Gives one engine to one model; returns whether there was anything left to do.
@@ -101,26 +208,18 @@
             enough: engines that each model gets at least.
         """
         lacking = [model for model in self.chosen if len(self.chosen[model]) < enough]
-        if not lacking and all(self.models_held.values()):
+        if not lacking and not self._unheld:
             return False
         model = min(lacking or self.chosen, key=self._model_order)
-        free = [engine for engine in self.models_held if engine not in self.chosen[model]]
-        if not free:
+        engine = self._preferences[model].take(self._models_held)
+        if engine is None:
             return False
-        engine = min(free, key=lambda name: self._engine_order(name, model))
         self.chosen[model].append(engine)
-        self.models_held[engine] += 1
+        self._unheld -= not self._models_held[engine]
+        self._models_held[engine] += 1
+        self._capacity_of_model[model] += self._capacities[engine]
         return True
 
     def _model_order(self, model: ModelName) -> _ModelOrder:
-        return _ModelOrder(
-            negative_work_per_engine=-self.work[model] / (len(self.chosen[model]) + 1),
-            name=model,
-        )
-
-    def _engine_order(self, engine: InstanceId, model: ModelName) -> _EngineOrder:
-        return _EngineOrder(
-            models_held=self.models_held[engine],
-            negative_version=-self.directory.version_of(engine, model),
-            rank=hash64(engine),
-        )
+        capacity = self._capacity_of_model[model] + 1
+        return _ModelOrder(negative_work_per_engine=-self._work[model] / capacity, name=model)
--- a/src/larkpost/gateway/daemon.py
+++ b/src/larkpost/gateway/daemon.py
@@ -1,6 +1,7 @@
 """One daemon on the platform: its groups of parts, and its start and planned stop.
 
 blackboard            what it knows of the world; controllers write it, everything else reads it
+memory                how many bytes it may hold for others
 placement             whether work may go to an instance, and which instance is best
 membership            which daemons are alive, and what the time is
 quarantine            which requests crash servers; the way to servers for all others
@@ -23,12 +24,13 @@
 from larkpost.gateway.assembly.membership import MembershipInputs, make_membership
 from larkpost.gateway.blackboard.board import Blackboard
 from larkpost.gateway.blackboard.lifecycle import Lifecycle
-from larkpost.gateway.blackboard.weight_targets import Demands
 from larkpost.gateway.controllers.division import EngineDivision
 from larkpost.gateway.controllers.feeds import BatchListener, Feeds, FeedSource
 from larkpost.gateway.controllers.heartbeat import new_incarnation
+from larkpost.gateway.controllers.lending_record import LendingRecord
 from larkpost.gateway.controllers.true_time import TrueTime
 from larkpost.gateway.fairness.ledger import FlowLedger
+from larkpost.gateway.memory.daemon_memory import DaemonMemory
 from larkpost.gateway.observability.eventlog import Event
 from larkpost.gateway.observability.instruments import Instruments
 from larkpost.gateway.placement.cold_rule import POLL_SECONDS
@@ -57,12 +59,11 @@
     """One daemon.
 
     Its parts are made in the order in which they depend on each other. Three dependencies are real
-    cycles, and are closed by methods that are called only once all parts stand: the membership
-    reports what the balancer knows, which asks it in turn who is alive (`_alive_daemons`); the
-    keeper of batches relies on the membership and on the division of engines, which ask it in turn
-    which batches this daemon owns (`_is_owner`) and what the open ones demand (`_demands`); and the
-    senders of work to cold instances follow the batches that are placed by their rule
-    (`ColdSenders.follow`).
+    cycles, and are closed by calls that are made only once all parts stand: the membership reports
+    what the balancer knows, which asks it in turn who is alive (`_alive_daemons`); the keeper of
+    batches relies on the membership and on the division of engines, which ask it in turn what this
+    daemon owns and what the open batches demand; and the senders of work to cold instances follow
+    the batches that are placed by their rule (`ColdSenders.follow`).
     """
 
     def __init__(self, settings: GatewaySettings, ports: GatewayPorts) -> None:
@@ -78,7 +79,7 @@
         self.blackboard = Blackboard(settings.regions)
         self.configuration = self.blackboard.configuration
         self.directory = self.blackboard.directory
-        self.targets = self.blackboard.targets
+        self.memory = DaemonMemory(settings.byte_budget, self._instruments, ports.chance)
         self._make_placement()
         self._make_membership()
         self._make_quarantine()
@@ -108,7 +109,8 @@
                 self.blackboard.regions,
                 self.balancer,
                 self._ledger,
-                self._is_owner,
+                lambda: self.keeper,
+                self._loop_watch,
             )
         )
         self.true_time = TrueTime(self._clock, ports.store.time, self.membership.clock_offsets)
@@ -122,13 +124,8 @@
             ports.metrics,
             self._may_forget_crashes,
         )
-        watch = CrashWatch(
-            self.directory,
-            ports.servers,
-            ports.clock,
-            self._tasks,
-            self._crash_recorder.record_crash,
-        )
+        record_crash = self._crash_recorder.record_crash
+        watch = CrashWatch(self.directory, ports.servers, ports.clock, self._tasks, record_crash)
         self._servers = GuardedServers(
             ports.servers, self.blackboard.crashes, watch, self._crash_recorder, self._isolation
         )
@@ -144,7 +141,13 @@
 
     def _make_rollouts(self) -> None:
         ports = self._ports
-        self._division = EngineDivision(self.blackboard, ports.clock, self._demands)
+        self._division = EngineDivision(
+            self.blackboard,
+            ports.clock,
+            lambda: self.keeper.demands(),
+            LendingRecord(ports.log, ports.clock),
+            self.balancer.paces.lasting,
+        )
         services = RunServices(
             self.configuration,
             self.directory,
@@ -161,7 +164,7 @@
             self.blackboard.crashes,
         )
         repository = BatchRepository(ports.store, ports.clock)
-        views = ViewCache()
+        views = ViewCache(self.memory.budget)
         self.keeper = BatchKeeper(
             repository, self.membership, services, views, self._batch_lifetime
         )
@@ -180,12 +183,9 @@
         self._cold_senders.follow(self.keeper.open_owners, self.membership, self._feeds.heads)
 
     def _make_admission(self) -> None:
+        ports = self._ports
         self.admission = Admission(
-            self.configuration,
-            self._feeds.operator_age,
-            self._apply_time,
-            self._ports.log,
-            self._ports.metrics,
+            self.configuration, self._feeds.operator_age, self._apply_time, ports.log, ports.metrics
         )
 
     def _make_leased_controllers(self) -> None:
@@ -216,6 +216,7 @@
             self.keeper,
             self._loop_watch,
             self._ports.relay,
+            self.memory,
         )
 
     def start(self) -> None:
@@ -271,14 +272,6 @@
         """Returns the daemons considered alive."""
         return self.membership.alive()
 
-    def _is_owner(self) -> bool:
-        """Returns whether this daemon owns batches that are not ended."""
-        return self.keeper.is_owner()
-
-    def _demands(self) -> Demands:
-        """Returns what the batches of each model ask for."""
-        return self.keeper.demands()
-
     def _may_forget_crashes(self) -> bool:
         """Returns whether this daemon is the one that removes old crashes."""
         return self.membership.first_choice("crashes") == self.id
--- a/src/larkpost/gateway/rollouts/known_heads.py
+++ b/src/larkpost/gateway/rollouts/known_heads.py
@@ -3,17 +3,28 @@
 Owns the heads of all batches that are stored, as the feed of the head table brings them.
 """
 
-from collections.abc import Iterator
+import heapq
+from collections import defaultdict
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
+from statistics import fmean
 
 from larkpost.common.clock import Clock
 from larkpost.common.ids import BatchId, DaemonId
 from larkpost.gateway.blackboard.configuration import ModelName
-from larkpost.gateway.blackboard.weight_targets import ModelDemand
+from larkpost.gateway.blackboard.weight_targets import ModelDemand, Naming
 from larkpost.gateway.rollouts.batch_rows import head_of_row
 from larkpost.gateway.rollouts.model import BatchHead
 from larkpost.gateway.store.port import Row
 
+WORK_BATCHES = 6
+"""Newest batches of a model over which its work is averaged: the guesses of single batches differ
+by so much that engines would change their models with each step."""
+CLOCK_ERROR_SECONDS = 0.2
+"""By so much a batch may seem older than the version that it came with, as clocks differ."""
+FRESH_SECONDS = 1.0
+"""A batch accepted longer ago is not news: this daemon has just started, or was cut off."""
+
 
 @dataclass(frozen=True, slots=True)
 class KnownHead:
@@ -22,18 +33,33 @@
     Attributes:
         version: of its row.
         owner_since: steady time at which this daemon learnt who the owner is.
+        asked_after: the version that was its model's newest when this daemon learnt of the batch,
+            and for how long it was; None if it did not see both happen.
     """
 
     head: BatchHead
     version: int
     owner_since: float
+    asked_after: Naming | None = None
 
 
 class KnownHeads:
-    """The heads of all batches that are known."""
+    """The heads of all batches that are known.
+
+    Args:
+        last_naming: returns when a model's newest version was named; None if that was not seen.
+        age: returns the seconds since a batch was accepted; None if not known.
+    """
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        last_naming: Callable[[ModelName], Naming | None] = lambda _: None,
+        age: Callable[[BatchHead], float | None] = lambda _: None,
+    ) -> None:
         self._clock = clock
+        self._last_naming = last_naming
+        self._age = age
         self._heads: dict[BatchId, KnownHead] = {}
 
     def __iter__(self) -> Iterator[KnownHead]:
@@ -52,7 +78,19 @@
         head = head_of_row(row)
         same_owner = known is not None and known.head.owner == head.owner
         owner_since = known.owner_since if same_owner else self._clock.now()
-        self._heads[batch] = KnownHead(head, row.version, owner_since)
+        asked_after = known.asked_after if known is not None else self._asked_after(head)
+        self._heads[batch] = KnownHead(head, row.version, owner_since, asked_after)
+
+    def _asked_after(self, head: BatchHead) -> Naming | None:
+        """Returns after which version a batch that is new here came, and how long after it."""
+        age = self._age(head)
+        naming = self._last_naming(head.model)
+        if naming is None or age is None or age > FRESH_SECONDS:
+            return None
+        seconds = naming.seconds - age  # all daemons know the batch's own time alike
+        if seconds < -CLOCK_ERROR_SECONDS:
+            return None  # a version that was named since
+        return Naming(naming.version, max(0.0, seconds))
 
     def forget(self, batch: BatchId) -> None:
         """Drops the head of a batch that is stored no more."""
@@ -63,14 +101,38 @@
         return {known.head.owner for known in self._heads.values() if not known.head.ended}
 
     def demands(self) -> dict[ModelName, ModelDemand]:
-        """Returns what the newest batch of each model asks for, and whether one is open."""
+        """Returns what the newest batches of each model ask for, and which ones are open."""
+        of_model: dict[ModelName, list[KnownHead]] = defaultdict(list)
+        for known in self._heads.values():
+            of_model[known.head.model].append(known)
+        return {model: _demand(batches) for model, batches in of_model.items()}
+
+    def newest(self) -> list[BatchHead]:
+        """Returns the head of each model's newest batch, whether or not it has ended."""
         newest: dict[ModelName, BatchHead] = {}
-        running: set[ModelName] = set()
         for known in self._heads.values():
-            head = known.head
-            if not head.ended:
-                running.add(head.model)
-            before = newest.get(head.model)
-            if before is None or head.created_at > before.created_at:
-                newest[head.model] = head
-        return {model: ModelDemand(head.work, model in running) for model, head in newest.items()}
+            other = newest.get(known.head.model)
+            if other is None or other.created_at < known.head.created_at:
+                newest[known.head.model] = known.head
+        return list(newest.values())
+
+    def open(self) -> list[BatchHead]:
+        """Returns the heads of the batches that have not ended."""
+        return [known.head for known in self._heads.values() if not known.head.ended]
+
+
+def _demand(batches: list[KnownHead]) -> ModelDemand:
+    """Returns what a model's batches, at least one, ask for."""
+    newest_first = heapq.nlargest(WORK_BATCHES, batches, key=lambda known: known.head.created_at)
+    newest = newest_first[0]
+    namings = [known.asked_after for known in newest_first[:2] if known.asked_after is not None]
+    naming = newest.asked_after
+    running = [known for known in batches if not known.head.ended]
+    return ModelDemand(
+        round(fmean(known.head.work for known in newest_first)),
+        open=bool(running),
+        open_before=any(known is not newest for known in running),
+        asked_after=naming.seconds if naming is not None else None,
+        asked_at=naming.version if naming is not None else 0,
+        least_asked_after=min((known.seconds for known in namings), default=None),
+    )
--- a/src/larkpost/gateway/rollouts/owned.py
+++ b/src/larkpost/gateway/rollouts/owned.py
@@ -7,6 +7,7 @@
 import asyncio
 
 from larkpost.common.clock import Clock
+from larkpost.gateway.blackboard.daemon_report import BatchProgress
 from larkpost.gateway.observability.eventlog import Event, EventLog
 from larkpost.gateway.rollouts.context import RunServices
 from larkpost.gateway.rollouts.model import BatchHead, Item, ItemId, Result
@@ -65,6 +66,10 @@
         """Items without a result."""
         return len(self._run.progress) if self._run is not None else 0
 
+    def progress(self) -> BatchProgress | None:
+        """Returns how far the batch is; None while it is not loaded."""
+        return self._run.sum_up() if self._run is not None else None
+
     @property
     def unscored(self) -> int:
         """Whole outputs that wait for their score."""
@@ -72,6 +77,13 @@
             return 0
         return sum(progress.whole for progress in self._run.progress.values())
 
+    @property
+    def output_bytes(self) -> int:
+        """Bytes that items without a result have made so far."""
+        if self._run is None:
+            return 0
+        return sum(progress.output_bytes for progress in self._run.progress.values())
+
     @property
     def waiting(self) -> int:
         """Results that wait for their append."""
@@ -116,7 +128,7 @@
     async def _load(self, items: tuple[Item, ...] | None, fresh: bool) -> None:
         """Reads what is missing of the batch, and starts the items that have no result."""
         items, stored = await self._read(items, fresh)
-        self._view.items = {item.id: item for item in items}
+        self._view.keep_items(items)
         ended_items = self._results.listed | {result.item for result in self._results.pending}
         open_items = tuple(item for item in items if item.id not in ended_items)
         self._log.record(
--- a/tests/platform_mutants.py
+++ b/tests/platform_mutants.py
@@ -497,6 +497,40 @@
     return mock.patch.object(steady_time, "CLOCK", time.CLOCK_MONOTONIC)
 
 
+def reserve_no_bytes():
+    """Holds whatever comes, and counts none of it."""
+    from larkpost.gateway.memory.budget import ByteBudget
+
+    return mock.patch.object(ByteBudget, "add", lambda *_: None)
+
+
+def weigh_daemons_of_earlier_builds():
+    """Takes a daemon that reports no capacity for an ordinary one, which it does not do itself."""
+    from larkpost.gateway.controllers import coordinators
+
+    original = coordinators._weights
+
+    def weigh(names, capacity_of):
+        known = {name: (capacity_of or {}).get(name) or 1.0 for name in names}
+        return original(known, known)
+
+    return mock.patch.object(coordinators, "_weights", weigh)
+
+
+def hold_bodies_of_anyone():
+    """Holds room for the bodies of calls that are not admitted."""
+    from larkpost.platform.ingress import Ingress
+
+    return mock.patch.object(Ingress, "_check_admitted", lambda *_: None)
+
+
+def wait_for_slow_readers():
+    """Cuts no client, however slowly it takes its answer."""
+    from larkpost.gateway.memory import daemon_memory
+
+    return mock.patch.object(daemon_memory, "slowest_reader", lambda _: None)
+
+
 def ignore_the_start():
     """Takes a server that has started again for the one before."""
     from larkpost.platform import instance_rows
@@ -504,6 +538,30 @@
     return mock.patch.object(instance_rows, "read_born", lambda _: None)
 
 
+def divide_by_work_alone():
+    """Lends no engines, whoever is short of time."""
+    from larkpost.gateway.controllers import lending
+
+    return mock.patch.object(lending, "standing_of", lambda _: lending.Standing.NEITHER)
+
+
+def load_before_the_batch():
+    """Has engines load together though the batch that comes with the version is not here yet."""
+    from larkpost.gateway.controllers import due_loads
+
+    original = due_loads.is_urgent
+    return mock.patch.object(
+        due_loads, "is_urgent", lambda demand, _: original(demand, demand.asked_at)
+    )
+
+
+def keep_progress_to_oneself():
+    """Tells the other daemons nothing of the batches that this one owns."""
+    from larkpost.gateway.rollouts.batch_outlooks import BatchOutlooks
+
+    return mock.patch.object(BatchOutlooks, "record_report", lambda *_: None)
+
+
 def forget_shares():
     """Takes all tenants' requests as equal, however much one of them has."""
     from larkpost.gateway.proxy.fair_order import FairOrder
@@ -511,6 +569,13 @@
     return mock.patch.object(FairOrder, "_standing", lambda *_: None)
 
 
+def take_any_wait_for_a_shortage():
+    """Shares out the places as soon as a request waits, also if they suffice."""
+    from larkpost.gateway.proxy.lasting_shortage import LastingShortage
+
+    return mock.patch.object(LastingShortage, "lasts", lambda *_: True)
+
+
 def keep_use_to_oneself():
     """Goes by this daemon's own requests alone."""
     from larkpost.gateway.fairness.ledger import FlowLedger
@@ -594,6 +659,9 @@
         forget_evacuations,
         miss_ends_of_evacuations,
         trust_silent_connections,
+        divide_by_work_alone,
+        load_before_the_batch,
+        keep_progress_to_oneself,
         wait_on_silent_connections,
         give_up_writes_without_proof,
         send_crashing_requests_on,
@@ -603,8 +671,13 @@
         run_suspects_together,
         stand_still_while_suspended,
         trust_the_plain_clock,
+        reserve_no_bytes,
+        hold_bodies_of_anyone,
+        wait_for_slow_readers,
+        weigh_daemons_of_earlier_builds,
         ignore_the_start,
         forget_shares,
+        take_any_wait_for_a_shortage,
         keep_use_to_oneself,
         look_at_all_servers,
         keep_servers_of_daemons_that_are_gone,
@@ -646,6 +719,9 @@
     # 60 examples of the fuzz caught it, 120 with a far store did not.
     "claim_outside_homes": "tests.test_regions",
     "miss_ends_of_evacuations": "tests.test_evacuations",
+    "divide_by_work_alone": "tests.test_lending",
+    "load_before_the_batch": "tests.test_load_timing",
+    "keep_progress_to_oneself": "tests.test_batch_forecast",
     "trust_silent_connections": "tests.test_silent_connections",
     "wait_on_silent_connections": "tests.test_silent_connections",
     "give_up_writes_without_proof": "tests.test_silent_connections",
@@ -655,8 +731,15 @@
     "never_clear_requests": "tests.test_quarantine_fleet",
     "stand_still_while_suspended": "tests.test_suspension",
     "trust_the_plain_clock": "tests.test_suspension",
+    "reserve_no_bytes": "tests.test_held_bytes.BodyTest",
+    "hold_bodies_of_anyone": (
+        "tests.test_held_bytes.BodyTest.test_nothing_is_held_for_a_call_that_is_not_admitted"
+    ),
+    "wait_for_slow_readers": "tests.test_slow_readers",
+    "weigh_daemons_of_earlier_builds": "tests.test_uneven_machines",
     "ignore_the_start": "tests.test_incarnations",
     "forget_shares": "tests.test_fair_load.OneTenantSendsHalfTest",
+    "take_any_wait_for_a_shortage": "tests.test_fair_load.LittleRoomTest",
     "keep_use_to_oneself": "tests.test_fair_shares.UnequalDaemonsTest",
     "look_at_all_servers": "tests.test_bounded_choice",
     "keep_servers_of_daemons_that_are_gone": "tests.test_subset",
@@ -678,6 +761,7 @@
     "forget_evacuations": ("is in a zone evacuated",),
     "wait_on_silent_connections": ("TimeoutError",),
     "send_crashing_requests_on": ("but reached servers at",),
+    "take_any_wait_for_a_shortage": ("held back while there is room",),
     "forget_shares": ("the small tenants pay for the heavy one",),
 }
 """What the failure must name: another failure proves nothing about the mutant."""
