--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -348,11 +348,16 @@
 
     async def stop(self) -> None:
         """Ends without a word, as in a crash: the port is closed, the connections are reset."""
+        if self._runner is None:
+            return
+        runner, self._runner = self._runner, None
         self._heartbeat.cancel()
-        for connection in list(self._runner.server.connections):
+        for site in list(runner.sites):
+            await site.stop()
+        for connection in list(runner.server.connections):
             if connection.transport is not None:
                 connection.transport.abort()
-        await self._runner.cleanup()
+        await runner.cleanup()
 
     def entry(self, seq: int) -> dict:
         """Returns the entry of the server."""
