--- a/src/larkpost/gateway/assembly/balancing.py
+++ b/src/larkpost/gateway/assembly/balancing.py
@@ -42,7 +42,7 @@
     cold_rate_limit = ColdRateLimit(
         settings.cold, blackboard, ports.clock, ports.log, sender_tracker
     )
-    isolation = IsolationRule()
+    isolation = IsolationRule(ports.clock)
     # Rules that count sends come last, so that they do not count sends that others reject.
     rules = (
         EvacuationRule(blackboard.evacuations),
--- a/src/larkpost/gateway/assembly/client_requests.py
+++ b/src/larkpost/gateway/assembly/client_requests.py
@@ -7,7 +7,6 @@
 from larkpost.gateway.proxy.forwarder import Forwarder
 from larkpost.gateway.proxy.forwarder_dependencies import ForwarderDependencies
 from larkpost.gateway.proxy.service_selection import ServiceSelector
-from larkpost.gateway.quarantine.repository import CrashRepository
 from larkpost.gateway.quarantine.trial_claims import TrialClaims
 from larkpost.gateway.servers.port import ServerPort
 from larkpost.gateway.usage.counter import UsageCounter
@@ -20,6 +19,7 @@
     servers: ServerPort,
     ledger: FlowLedger,
     counter: UsageCounter | None,
+    trials: TrialClaims,
 ) -> Forwarder:
     """Returns the forwarder of a daemon.
 
@@ -27,9 +27,8 @@
         servers: access to servers that rejects quarantined requests.
         ledger: usage by tenant across the fleet.
         counter: counts this daemon's requests by tenant; None if usage is not reported.
+        trials: grants trial runs to quarantined requests.
     """
-    crashes = blackboard.crashes
-    trials = TrialClaims(crashes, CrashRepository(ports.store), ports.clock, ports.log)
     return Forwarder(
         ForwarderDependencies(
             blackboard.directory,
@@ -41,7 +40,7 @@
             ServiceSelector(ports.rng),
             counter,
             blackboard.configuration.priority_of,
-            crashes,
+            blackboard.crashes,
             trials,
             ledger,
             ports.rng,
--- a/src/larkpost/gateway/daemon.py
+++ b/src/larkpost/gateway/daemon.py
@@ -42,6 +42,7 @@
 from larkpost.gateway.quarantine.crash_writer import CrashWriter
 from larkpost.gateway.quarantine.repository import CrashRepository
 from larkpost.gateway.quarantine.server_port import QuarantineServerPort
+from larkpost.gateway.quarantine.trial_claims import TrialClaims
 from larkpost.gateway.rollouts.batch_manager import BatchManager
 from larkpost.gateway.rollouts.context import RunServices
 from larkpost.gateway.rollouts.repository import BatchRepository
@@ -137,6 +138,10 @@
             detector,
             self._crash_recorder,
             self._isolation_rule,
+            ports.clock,
+        )
+        self._trials = TrialClaims(
+            self.blackboard.crashes, CrashRepository(ports.store), ports.clock, ports.log
         )
 
     def _make_forwarder(self) -> None:
@@ -145,7 +150,13 @@
         if ports.usage is not None and self.settings.usage is not None:
             self._usage_counter = UsageCounter(self.fleet_clock, self.settings.usage.window_length)
         self.forwarder = make_forwarder(
-            ports, self.blackboard, self.balancer, self._servers, self._ledger, self._usage_counter
+            ports,
+            self.blackboard,
+            self.balancer,
+            self._servers,
+            self._ledger,
+            self._usage_counter,
+            self._trials,
         )
 
     def _make_rollouts(self) -> None:
@@ -170,7 +181,9 @@
             asyncio.Semaphore(MAX_CALLS_IN_FLIGHT),
             self._engine_allocator,
             self.cold_rate_limit,
+            self._isolation_rule,
             self.blackboard.crashes,
+            self._trials,
         )
         repository = BatchRepository(ports.store, ports.clock)
         views = ViewCache(self.memory.budget)
--- a/src/larkpost/gateway/proxy/request_scheduler.py
+++ b/src/larkpost/gateway/proxy/request_scheduler.py
@@ -30,6 +30,7 @@
 from larkpost.gateway.proxy.share_record import ShareOutcome, ShareRecord
 from larkpost.gateway.proxy.slot_counting import SlotCounts, count_slots
 from larkpost.gateway.proxy.waiter import Waiter
+from larkpost.gateway.quarantine.trial_claims import TRIAL_DELAYS_SECONDS
 
 DEFAULT_SERVICE_TIME_FRACTION = 0.25
 """Fraction of the objective that is assumed as the service time while none is known."""
@@ -167,7 +168,10 @@
         """Claims a trial run for a quarantined request; returns whether it has one."""
         if self._dependencies.trials is None or attempts.may_have_run_on:
             return False
-        if await self._dependencies.trials.claim(attempts.request):
+        content = self._dependencies.crashes.suspect(attempts.request)
+        if content is None:
+            return False
+        if await self._dependencies.trials.claim(content, TRIAL_DELAYS_SECONDS):
             attempts.quarantine = QuarantineState.TRIAL
         return attempts.is_trial
 
--- a/src/larkpost/gateway/proxy/server_attempt.py
+++ b/src/larkpost/gateway/proxy/server_attempt.py
@@ -1,7 +1,6 @@
 """Sends a client request to one server and evaluates the outcome."""
 
 import asyncio
-import sys
 from collections.abc import AsyncIterator
 from contextlib import AsyncExitStack, asynccontextmanager
 
@@ -17,6 +16,7 @@
 from larkpost.gateway.proxy.response_body import join_chunks, read_until_limit
 from larkpost.gateway.proxy.retry import failure_reason, implies_not_run, is_fallback
 from larkpost.gateway.servers.port import (
+    NO_CRASH_LIMIT,
     BrokenResponseError,
     NotRunError,
     OutgoingRequest,
@@ -158,5 +158,5 @@
             repeat_if_silent=is_idempotent,
             tenant=request.tenant,
             send_timeout=self._balancer.placement.admit(instance.id, attempts.waiter.work),
-            crash_limit=sys.maxsize if attempts.is_trial else CLIENT_CRASH_LIMIT,
+            crash_limit=NO_CRASH_LIMIT if attempts.is_trial else CLIENT_CRASH_LIMIT,
         )
--- a/src/larkpost/gateway/quarantine/crash_detector.py
+++ b/src/larkpost/gateway/quarantine/crash_detector.py
@@ -18,6 +18,7 @@
 from larkpost.common.ids import Address, InstanceId
 from larkpost.common.tasks import TaskSet
 from larkpost.gateway.blackboard.directory import InstanceDirectory, InstanceInfo, InstanceState
+from larkpost.gateway.blackboard.known_crashes import LostRun
 from larkpost.gateway.blackboard.request_content import ContentDigest
 from larkpost.gateway.servers.port import PortState, ServerPort
 
@@ -29,7 +30,7 @@
 """A server that is still listed after this time has not crashed. Longer than its entry takes to
 expire and the removal to reach this daemon when the store has just recovered."""
 
-CrashListener = Callable[[InstanceId, Iterable[ContentDigest], str], None]
+CrashListener = Callable[[InstanceId, Iterable[LostRun], str], None]
 
 
 class CrashEvidence(StrEnum):
@@ -47,7 +48,7 @@
     Attributes:
         since: steady time of the last lost request.
         initial_instances: instances listed at its address when the first request was lost.
-        contents: contents of all lost requests.
+        lost_runs: the last lost run of each content.
         evidence: how the crash is known; None if no crash is known.
         has_new_loss: set by each lost request, until it is investigated.
     """
@@ -55,7 +56,7 @@
     info: InstanceInfo
     since: float
     initial_instances: frozenset[InstanceId]
-    contents: set[ContentDigest] = field(default_factory=set)
+    lost_runs: dict[ContentDigest, LostRun] = field(default_factory=dict)
     evidence: CrashEvidence | None = None
     has_new_loss: asyncio.Event = field(default_factory=asyncio.Event)
 
@@ -64,8 +65,7 @@
     """Investigates the servers that recently lost requests of this daemon.
 
     Args:
-        listener: called with a server that has crashed, the contents of the requests that it lost,
-            and the evidence.
+        listener: called with a server that has crashed, the runs that it lost, and the evidence.
     """
 
     def __init__(
@@ -83,7 +83,7 @@
         self._listener = listener
         self._suspects: dict[InstanceId, _SuspectServer] = {}
 
-    def record_lost_connection(self, content: ContentDigest, instance: InstanceInfo) -> None:
+    def record_lost_connection(self, run: LostRun, instance: InstanceInfo) -> None:
         """Records that a server closed a request's connection before the response was complete."""
         suspect = self._suspects.get(instance.id)
         if suspect is None:
@@ -94,11 +94,11 @@
             )
             self._suspects[instance.id] = suspect
             self._tasks.spawn(self._investigate(suspect), "crash_watch")
-        suspect.contents.add(content)
+        suspect.lost_runs[run.content] = run
         suspect.since = self._clock.now()
         suspect.has_new_loss.set()
         if suspect.evidence is not None:
-            self._listener(instance.id, (content,), suspect.evidence)
+            self._listener(instance.id, (run,), suspect.evidence)
 
     async def _investigate(self, suspect: _SuspectServer) -> None:
         """Looks for evidence until `INVESTIGATION_SECONDS` after the last lost request."""
@@ -110,7 +110,8 @@
                     evidence = await self._seek_evidence(suspect, has_new_loss=has_new_loss)
                     if evidence is not None:
                         suspect.evidence = evidence
-                        self._listener(suspect.info.id, suspect.contents, evidence)
+                        lost_runs = list(suspect.lost_runs.values())
+                        self._listener(suspect.info.id, lost_runs, evidence)
                 with contextlib.suppress(TimeoutError):  # check the directory again
                     async with asyncio.timeout(POLL_SECONDS):
                         await suspect.has_new_loss.wait()
--- a/src/larkpost/gateway/quarantine/crash_recorder.py
+++ b/src/larkpost/gateway/quarantine/crash_recorder.py
@@ -10,8 +10,10 @@
 from larkpost.gateway.blackboard.known_crashes import (
     CLIENT_CRASH_LIMIT,
     CRASH_RETENTION_SECONDS,
+    SUSPECT_CRASHES,
     Crash,
     KnownCrashes,
+    LostRun,
 )
 from larkpost.gateway.blackboard.request_content import ContentDigest
 from larkpost.gateway.observability.eventlog import Event, EventLog
@@ -66,7 +68,7 @@
             self._add(crash)
 
     def record_crash(
-        self, instance: InstanceId, contents: Iterable[ContentDigest], evidence: str
+        self, instance: InstanceId, lost_runs: Iterable[LostRun], evidence: str
     ) -> None:
         """Records that a server has crashed while running requests of this daemon.
 
@@ -74,8 +76,12 @@
             evidence: how the crash is known.
         """
         at = self._writer.time() or 0.0
-        added = [Crash(content, instance, at) for content in contents]
-        added = [crash for crash in added if self._add(crash)]
+        added: list[Crash] = []
+        for run in lost_runs:
+            self.record_output(run.content, run.output_seconds)
+            crash = Crash(run.content, instance, at, run.run_seconds)
+            if self._add(crash):
+                added.append(crash)
         if not added:
             return
         self._metrics.count(Count.CRASHES, evidence)
@@ -95,8 +101,33 @@
         if content is None:
             return
         for crash in self._crashes.of(content):
-            self._remove(content, crash.instance)
-            self._writer.schedule_save(content, crash.instance, None)
+            self._forget(crash)
+
+    def record_output(self, content: ContentDigest, seconds: float) -> None:
+        """Removes the crashes of a content that one of its runs has outlived.
+
+        Args:
+            seconds: time for which the run has produced output.
+        """
+        outlived = [crash for crash in self._crashes.of(content) if crash.is_outlived_by(seconds)]
+        if not outlived:
+            return
+        was_suspect = self._crashes.is_suspect(content)
+        for crash in outlived:
+            self._forget(crash)
+        count = self._crashes.count(content)
+        if count < SUSPECT_CRASHES:
+            for trial in self._crashes.of(content):
+                if trial.is_trial:
+                    self._forget(trial)
+        if was_suspect:
+            self._log.record(
+                Event.QUARANTINE,
+                content=content,
+                state="outlived",
+                crashes=count,
+                seconds=round(seconds, 3),
+            )
 
     async def remove_expired(self) -> None:
         """Removes the crashes whose retention is over."""
@@ -104,19 +135,24 @@
         if now is None or not self._may_remove_expired():
             return
         for crash in self._crashes.older_than(now - CRASH_RETENTION_SECONDS):
-            self._remove(crash.content, crash.instance)
-            self._writer.schedule_save(crash.content, crash.instance, None)
+            self._forget(crash)
+
+    def _forget(self, crash: Crash) -> None:
+        """Removes a crash here and in the store."""
+        self._remove(crash.content, crash.instance)
+        self._writer.schedule_save(crash.content, crash.instance, None)
 
     def _add(self, crash: Crash) -> bool:
         """Adds a crash, and returns whether it is new; logs when a quarantine begins."""
         is_new = self._crashes.add(crash)
         count = self._crashes.count(crash.content)
-        if is_new and count == CLIENT_CRASH_LIMIT:
+        if is_new and not crash.is_trial and count == CLIENT_CRASH_LIMIT:
             self._log.record(Event.QUARANTINE, content=crash.content, state="begun", crashes=count)
         return is_new
 
     def _remove(self, content: ContentDigest, instance: InstanceId) -> None:
         """Removes a crash; logs when a quarantine ends."""
         count = self._crashes.count(content)
-        if self._crashes.remove(content, instance) and count == CLIENT_CRASH_LIMIT:
+        self._crashes.remove(content, instance)
+        if count == CLIENT_CRASH_LIMIT and self._crashes.count(content) < count:
             self._log.record(Event.QUARANTINE, content=content, state="ended", crashes=count - 1)
--- a/src/larkpost/gateway/quarantine/repository.py
+++ b/src/larkpost/gateway/quarantine/repository.py
@@ -31,8 +31,16 @@
     content, slash, instance = row.key.key.partition("/")
     if not slash:
         raise ValueError("crash row key has no instance; expected '<content>/<instance>'")
-    at = 0.0 if row.removed else float(orjson.loads(row.value)["at"])
-    return Crash(ContentDigest(content), InstanceId(instance), at)
+    if row.removed:
+        return Crash(ContentDigest(content), InstanceId(instance), 0.0)
+    fields = orjson.loads(row.value)
+    run_seconds = fields.get("run_seconds")
+    return Crash(
+        ContentDigest(content),
+        InstanceId(instance),
+        float(fields["at"]),
+        None if run_seconds is None else float(run_seconds),
+    )
 
 
 class CrashRepository:
@@ -51,7 +59,7 @@
         The caller retries a write that is not known to have succeeded; writes are idempotent.
         """
         change = Transaction(
-            puts=tuple((_key(crash), orjson.dumps({"at": crash.at})) for crash in added),
+            puts=tuple((_key(crash), _value(crash)) for crash in added),
             removals=tuple(_key(crash) for crash in removed),
         )
         result = await self._store.write(change, WRITE_TIMEOUT_SECONDS)
@@ -60,12 +68,18 @@
     async def claim(self, trial: Crash) -> bool:
         """Writes a trial that no daemon has claimed yet, and returns whether it succeeded."""
         key = _key(trial)
-        change = Transaction(
-            conditions=((key, ABSENT),), puts=((key, orjson.dumps({"at": trial.at})),)
-        )
+        change = Transaction(conditions=((key, ABSENT),), puts=((key, _value(trial)),))
         result = await self._store.write(change, CLAIM_TIMEOUT_SECONDS)
         return result.outcome is WriteOutcome.DONE
 
 
+def _value(crash: Crash) -> bytes:
+    """Returns a row's value; versions that do not know the duration ignore it."""
+    fields = {"at": crash.at}
+    if crash.run_seconds is not None:
+        fields["run_seconds"] = round(crash.run_seconds, 3)
+    return orjson.dumps(fields)
+
+
 def _key(crash: Crash) -> RowKey:
     return RowKey(CRASH_TABLE, CRASH_PART, f"{crash.content}/{crash.instance}")
--- a/src/larkpost/gateway/quarantine/server_port.py
+++ b/src/larkpost/gateway/quarantine/server_port.py
@@ -8,12 +8,14 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager, nullcontext
 
+from larkpost.common.clock import Clock
 from larkpost.gateway.blackboard.directory import InstanceInfo
-from larkpost.gateway.blackboard.known_crashes import KnownCrashes
+from larkpost.gateway.blackboard.known_crashes import KnownCrashes, LostRun
 from larkpost.gateway.blackboard.request_content import digest_request
 from larkpost.gateway.quarantine.crash_detector import CrashDetector
 from larkpost.gateway.quarantine.crash_recorder import CrashRecorder
 from larkpost.gateway.quarantine.isolation_rule import IsolationRule
+from larkpost.gateway.quarantine.timed_response import OutputTimer, TimedResponse
 from larkpost.gateway.servers.port import (
     BrokenResponseError,
     EngineReport,
@@ -41,12 +43,14 @@
         detector: CrashDetector,
         recorder: CrashRecorder,
         isolation: IsolationRule,
+        clock: Clock,
     ) -> None:
         self._servers = servers
         self._crashes = crashes
         self._crash_detector = detector
         self._recorder = recorder
         self._isolation = isolation
+        self._clock = clock
 
     @asynccontextmanager
     async def send(
@@ -55,18 +59,35 @@
         """Sends a request; see the port."""
         if self._crashes.is_quarantined(request, request.crash_limit):
             raise NotRunError(NotRunReason.QUARANTINED)
-        is_suspect = self._crashes.suspect(request) is not None
+        suspect = self._crashes.suspect(request)
+        sent_at = self._clock.now()
+        timer = OutputTimer(self._clock)
+        if suspect is not None:
+            timer.on_output = lambda seconds: self._recorder.record_output(suspect, seconds)
         try:
-            with self._isolation.track_suspect(instance.id) if is_suspect else nullcontext():
+            with self._isolation.track_suspect(instance.id) if suspect else nullcontext():
                 async with self._servers.send(instance, request) as response:
-                    yield response
+                    yield TimedResponse(response, timer)
         except BrokenResponseError as error:
             if error.connection_lost:
-                self._crash_detector.record_lost_connection(digest_request(request), instance)
+                run_seconds = self._clock.now() - sent_at
+                self._record_lost(request, instance, run_seconds, timer.output_seconds())
             raise
         if response.status < MIN_FAILURE_STATUS and response.signature is not None:
             self._recorder.record_success(request)
 
+    def _record_lost(
+        self,
+        request: OutgoingRequest,
+        instance: InstanceInfo,
+        run_seconds: float,
+        output_seconds: float,
+    ) -> None:
+        """Records a run that lost its connection, whose server may have crashed."""
+        self._isolation.record_lost_connection(instance.id)
+        run = LostRun(digest_request(request), run_seconds, output_seconds)
+        self._crash_detector.record_lost_connection(run, instance)
+
     def is_connected(self, instance: InstanceInfo) -> bool:
         """Returns whether a connection to a server is kept; see the port."""
         return self._servers.is_connected(instance)
--- a/src/larkpost/gateway/quarantine/trial_claims.py
+++ b/src/larkpost/gateway/quarantine/trial_claims.py
@@ -1,27 +1,28 @@
-"""Permits trial runs of a quarantined client request, in case it is harmless.
+"""Permits trial runs of a quarantined request, in case it is harmless.
 
-A frequent request may run on three servers that crash because of another request. Only a complete
-response clears it, so without trials it would stay quarantined until its crashes expire. After each
-delay in `TRIAL_DELAYS_SECONDS`, one daemon may send it to one server; the daemon claims the trial
-in the store. A request that does crash servers crashes two more this way.
+A harmless request may run on servers that crash because of another request, or by themselves. Only
+a run of it can clear it, so without trials it would stay quarantined until its crashes expire.
+After each delay, one daemon may send it to one server; the daemon claims the trial in the store. A
+request that does crash servers crashes two more this way.
 """
 
 from larkpost.common.clock import Clock
 from larkpost.common.ids import InstanceId
-from larkpost.gateway.blackboard.known_crashes import Crash, KnownCrashes
-from larkpost.gateway.blackboard.request_content import ContentDigest, Request
+from larkpost.gateway.blackboard.known_crashes import TRIAL_PREFIX, Crash, KnownCrashes
+from larkpost.gateway.blackboard.request_content import ContentDigest
 from larkpost.gateway.observability.eventlog import Event, EventLog
 from larkpost.gateway.quarantine.repository import CrashRepository
 
 TRIAL_DELAYS_SECONDS = (5.0, 60.0)
-"""Delay from the last crash to the first trial, and from there to the second; a crashed server
-restarts within seconds. There are fewer trials than the retries that clients accept after the third
-crash."""
+"""Delay from the last crash to the first trial of a client request, and from there to the second; a
+crashed server restarts within seconds. There are fewer trials than the retries that clients accept
+after the third crash."""
+BATCH_TRIAL_DELAYS_SECONDS = (5.0, 5.0)
+"""The same for an item or a reward call. A training step waits for it, so the second trial follows
+as soon as the first one."""
 CLAIM_INTERVAL_SECONDS = 1.0
 """Minimum time between two attempts of this daemon to claim a trial of the same content, if the
 store rejected the first."""
-TRIAL_PREFIX = "trial-"
-"""Prefix of the name that replaces the instance in the row of a trial."""
 
 
 class TrialClaims:
@@ -36,17 +37,20 @@
         self._clock = clock
         self._claimed_at: dict[ContentDigest, float] = {}
 
-    async def claim(self, request: Request) -> bool:
-        """Claims a trial; returns whether this daemon may send the request to one server now."""
-        content = self._crashes.suspect(request)
+    async def claim(self, content: ContentDigest, delays: tuple[float, ...]) -> bool:
+        """Claims a trial; returns whether this daemon may send the content to one server now.
+
+        Args:
+            delays: seconds from the last crash or trial to each trial.
+        """
         now = self._repository.time()
-        if content is None or now is None:
-            return False
         crashes = self._crashes.of(content)
-        trials = sum(crash.instance.startswith(TRIAL_PREFIX) for crash in crashes)
-        if trials >= len(TRIAL_DELAYS_SECONDS):
+        if not crashes or now is None:
+            return False
+        trials = sum(crash.is_trial for crash in crashes)
+        if trials >= len(delays):
             return False
-        is_early = now - max(crash.at for crash in crashes) < TRIAL_DELAYS_SECONDS[trials]
+        is_early = now - max(crash.at for crash in crashes) < delays[trials]
         if is_early or not self._start_attempt(content):
             return False
         trial = Crash(content, InstanceId(f"{TRIAL_PREFIX}{trials + 1}"), now)
--- a/src/larkpost/gateway/rollouts/context.py
+++ b/src/larkpost/gateway/rollouts/context.py
@@ -14,6 +14,8 @@
 from larkpost.gateway.placement.cold_rate_limit import ColdRateLimit
 from larkpost.gateway.proxy.balancer import Balancer
 from larkpost.gateway.proxy.service_selection import ServiceSelector
+from larkpost.gateway.quarantine.isolation_rule import IsolationRule
+from larkpost.gateway.quarantine.trial_claims import TrialClaims
 from larkpost.gateway.servers.port import ServerPort
 
 
@@ -25,7 +27,9 @@
         store_time: returns the store's clock in seconds; None if unknown.
         allocator: knows which engines are assigned to each model.
         cold_rate_limit: limits the requests sent to cold engines; None for no limit.
+        isolation: limits the suspect requests at each server; None for no limit.
         crashes: server crashes and the requests that caused them.
+        trials: grants trial runs to quarantined items and reward calls; None for no trials.
         reward_call_slots: limits the reward calls that the daemon has in flight.
     """
 
@@ -41,4 +45,6 @@
     reward_call_slots: asyncio.Semaphore
     allocator: EngineAllocator
     cold_rate_limit: ColdRateLimit | None = None
+    isolation: IsolationRule | None = None
     crashes: KnownCrashes = field(default_factory=KnownCrashes)
+    trials: TrialClaims | None = None
--- a/src/larkpost/gateway/rollouts/engine_runner.py
+++ b/src/larkpost/gateway/rollouts/engine_runner.py
@@ -25,6 +25,7 @@
 from larkpost.gateway.rollouts.slot_queue import SlotQueue
 from larkpost.gateway.rollouts.stall_detector import MonitoredRun, StallDetector, StalledError
 from larkpost.gateway.servers.port import (
+    NO_CRASH_LIMIT,
     BrokenResponseError,
     OutgoingRequest,
     ServerResponse,
@@ -142,7 +143,7 @@
             resume_after=run.progress.last_event,
             tenant=self._head.tenant,
             priority=self._priority(run),
-            crash_limit=BATCH_CRASH_LIMIT,
+            crash_limit=NO_CRASH_LIMIT if run.is_trial else BATCH_CRASH_LIMIT,
         )
 
     def _priority(self, run: ItemRun) -> int | None:
--- a/src/larkpost/gateway/rollouts/engine_selector.py
+++ b/src/larkpost/gateway/rollouts/engine_selector.py
@@ -117,7 +117,7 @@
             for info in candidates
         ]
 
-    def record_assigned(self, engine: InstanceInfo) -> None:
+    def record_assigned(self, engine: InstanceInfo, work: Work) -> None:
         """Records that an item was assigned a slot at an engine and will be sent to it shortly.
 
         An engine that loads weights refuses all work. It is marked as refusing at once, so that
@@ -125,6 +125,8 @@
         """
         if engine.id in self._services.allocator.loading(engine.service, self._head.model):
             self._services.balancer.use(engine.id).mark_refusing(self._services.clock.now())
+        if work.is_suspect and self._services.isolation is not None:
+            self._services.isolation.reserve(engine.id)
         if self._services.cold_rate_limit is not None:
             self._services.cold_rate_limit.reserve(engine)
 
--- a/src/larkpost/gateway/rollouts/item_runner.py
+++ b/src/larkpost/gateway/rollouts/item_runner.py
@@ -9,6 +9,7 @@
 from larkpost.gateway.blackboard.known_crashes import BATCH_CRASH_LIMIT
 from larkpost.gateway.observability.eventlog import Event
 from larkpost.gateway.observability.metrics import Count, Timing
+from larkpost.gateway.quarantine.trial_claims import BATCH_TRIAL_DELAYS_SECONDS
 from larkpost.gateway.rollouts.context import RunServices
 from larkpost.gateway.rollouts.engine_runner import EngineRunner
 from larkpost.gateway.rollouts.faster_engine import MigrateRunError
@@ -59,6 +60,8 @@
         self._services = services
         self._reserved_engines: dict[ItemId, InstanceInfo] = {}
         """Engines with a slot reserved by a migrating run, by item."""
+        self._trials: set[ItemId] = set()
+        """Quarantined items that may be sent to one server each, and have not been sent yet."""
         self._queued_at: dict[ItemId, float] = {}
         """Steady times at which items that have not run yet were queued."""
 
@@ -86,7 +89,7 @@
         route = self._routes.route_of(item)
         if self._routes.is_expired(route):
             return RunOutcome.DEAD
-        if self._is_quarantined(item):
+        if self._is_quarantined(item) and not await self._claim_trial(item):
             await self._services.clock.sleep(QUARANTINE_CHECK_SECONDS)
             return RunOutcome.RETRY
         if route is None:
@@ -94,7 +97,7 @@
         engine = await self._acquire_slot(progress, route)
         if engine is None:
             return RunOutcome.RETRY
-        return await self._run_at(ItemRun(engine, route, progress))
+        return await self._run_at(ItemRun(engine, route, progress, item.id in self._trials))
 
     async def _acquire_slot(self, progress: Progress, route: Route) -> InstanceInfo | None:
         """Returns the engine where the item has a slot; None after a timeout."""
@@ -122,6 +125,17 @@
             return False
         return crashes.is_content_quarantined(item.content(self._head), BATCH_CRASH_LIMIT)
 
+    async def _claim_trial(self, item: Item) -> bool:
+        """Claims a trial run of a quarantined item; returns whether it has one."""
+        if item.id in self._trials:
+            return True
+        trials = self._services.trials
+        if trials is None:
+            return False
+        if await trials.claim(item.content(self._head), BATCH_TRIAL_DELAYS_SECONDS):
+            self._trials.add(item.id)
+        return item.id in self._trials
+
     async def _run_at(self, run: ItemRun) -> RunOutcome:
         """Runs an item at the engine where it has a slot, and releases the slot."""
         started = self._services.clock.now()
@@ -132,6 +146,8 @@
             outcome = run_outcome.value if run_outcome is not RunOutcome.RETRY else "failed"
         except EXPECTED_ERRORS as error:
             outcome = self._record_error(run, error)
+            if not isinstance(error, NotRunError):
+                self._trials.discard(run.item.id)
         finally:
             self._services.balancer.release(run.engine.id)
         self._record_run(run, resumed_after, started, outcome)
--- a/src/larkpost/gateway/rollouts/progress.py
+++ b/src/larkpost/gateway/rollouts/progress.py
@@ -116,11 +116,13 @@
         engine: engine where the item has a slot.
         route: route of the item when the run started.
         progress: output of the item so far, to which the run adds.
+        is_trial: whether it is a trial run of a quarantined item.
     """
 
     engine: InstanceInfo
     route: Route
     progress: Progress
+    is_trial: bool = False
 
     @property
     def item(self) -> Item:
--- a/src/larkpost/gateway/rollouts/reward_caller.py
+++ b/src/larkpost/gateway/rollouts/reward_caller.py
@@ -26,7 +26,13 @@
     classify_call_response,
     usable_slots,
 )
-from larkpost.gateway.servers.port import BrokenResponseError, NotRunError, OutgoingRequest
+from larkpost.gateway.servers.port import (
+    NO_CRASH_LIMIT,
+    BrokenResponseError,
+    NotRunError,
+    NotRunReason,
+    OutgoingRequest,
+)
 
 MAX_CALLS_IN_FLIGHT = 24
 """Maximum number of reward calls that a daemon has in flight; the others wait."""
@@ -65,7 +71,9 @@
             limit = call_timeout_seconds(
                 self._services.balancer.service_time(server.id), history.timeouts
             )
-            attempt = await self._send(server, call, limit)
+            attempt = await self._send(server, call, limit, is_trial=history.has_trial)
+            if not isinstance(attempt.outcome, NotRunReason):
+                history.has_trial = False
             if attempt.outcome is RewardCallOutcome.TIMED_OUT:
                 history.timeouts += 1
             self._record(progress, call, server, attempt, self._services.clock.now() - started)
@@ -92,12 +100,14 @@
     def _has_free_slot(self, info: InstanceInfo) -> bool:
         return self._services.balancer.occupied(info) < usable_slots(info.slots)
 
-    async def _send(self, server: InstanceInfo, call: RewardCall, limit: float) -> RewardAttempt:
+    async def _send(
+        self, server: InstanceInfo, call: RewardCall, limit: float, *, is_trial: bool
+    ) -> RewardAttempt:
         """Sends a call and updates the state of the server by the outcome."""
         balancer = self._services.balancer
         started = self._services.clock.now()
         try:
-            status, signature = await self._exchange(server, call, limit)
+            status, signature = await self._exchange(server, call, limit, is_trial=is_trial)
         except NotRunError as error:
             balancer.record_cold(server.id, error.cold_left)
             balancer.record_not_run(server.id, error.reason, FULL_AVOID_SECONDS)
@@ -114,7 +124,7 @@
         return classify_call_response(status, signature)
 
     async def _exchange(
-        self, server: InstanceInfo, call: RewardCall, limit: float
+        self, server: InstanceInfo, call: RewardCall, limit: float, *, is_trial: bool
     ) -> tuple[int, str | None]:
         """Returns the status and the signature of a complete response.
 
@@ -125,7 +135,10 @@
         """
         balancer = self._services.balancer
         send_timeout_seconds = balancer.placement.admit(server.id, self._work(call))
-        request = replace(_request(call, limit), send_timeout=send_timeout_seconds)
+        crash_limit = NO_CRASH_LIMIT if is_trial else BATCH_CRASH_LIMIT
+        request = replace(
+            _request(call, limit), send_timeout=send_timeout_seconds, crash_limit=crash_limit
+        )
         with balancer.count_request(server.id):
             async with (
                 asyncio.timeout(limit),
@@ -171,5 +184,4 @@
         body=call.body,
         time_left=limit,
         repeat_if_silent=True,
-        crash_limit=BATCH_CRASH_LIMIT,
     )
--- a/src/larkpost/gateway/rollouts/reward_scorer.py
+++ b/src/larkpost/gateway/rollouts/reward_scorer.py
@@ -8,6 +8,7 @@
 from larkpost.gateway.blackboard.configuration import Route
 from larkpost.gateway.blackboard.known_crashes import BATCH_CRASH_LIMIT
 from larkpost.gateway.observability.metrics import Timing
+from larkpost.gateway.quarantine.trial_claims import BATCH_TRIAL_DELAYS_SECONDS
 from larkpost.gateway.rollouts.context import RunServices
 from larkpost.gateway.rollouts.item_routes import ItemRoutes
 from larkpost.gateway.rollouts.model import BatchHead, RewardCall
@@ -41,7 +42,7 @@
         started = self._services.clock.now()
         history = RewardCallHistory(set())
         while not self._routes.is_expired(self._routes.route_of(progress.item)):
-            if self._is_quarantined(call):
+            if self._is_quarantined(call) and not await self._claim_trial(call, history):
                 await self._services.clock.sleep(QUARANTINE_CHECK_SECONDS)
                 continue
             route = self._route(call)
@@ -67,6 +68,13 @@
             call.content, BATCH_CRASH_LIMIT
         )
 
+    async def _claim_trial(self, call: RewardCall, history: RewardCallHistory) -> bool:
+        """Claims a trial of a quarantined call; returns whether it has one."""
+        trials = self._services.trials
+        if trials is not None and not history.has_trial:
+            history.has_trial = await trials.claim(call.content, BATCH_TRIAL_DELAYS_SECONDS)
+        return history.has_trial
+
     def _route(self, call: RewardCall) -> Route | None:
         configuration = self._services.configuration.current
         if configuration is None:
--- a/src/larkpost/gateway/rollouts/slot_queue.py
+++ b/src/larkpost/gateway/rollouts/slot_queue.py
@@ -170,7 +170,7 @@
             unavailable.record(requirements, entry.service_time_limit)
             return False
         self._balancer.occupy(engine.id)
-        self._engine_selector.record_assigned(engine)
+        self._engine_selector.record_assigned(engine, work)
         entry.slot.set_result(engine)
         return True
 
--- a/src/larkpost/gateway/servers/port.py
+++ b/src/larkpost/gateway/servers/port.py
@@ -3,6 +3,7 @@
 Defines types only; adapters implement `ServerPort`.
 """
 
+import sys
 from collections.abc import AsyncIterator
 from contextlib import AbstractAsyncContextManager
 from dataclasses import dataclass, field
@@ -17,6 +18,9 @@
 
 Headers = tuple[tuple[bytes, bytes], ...]
 
+NO_CRASH_LIMIT = sys.maxsize
+"""Crash limit of a trial, which is sent although its content is quarantined."""
+
 
 @dataclass(frozen=True, slots=True)
 class OutgoingRequest:
--- a/tests/choice_cost.py
+++ b/tests/choice_cost.py
@@ -42,7 +42,11 @@
     for number, name in enumerate(names):
         board.directory.update(make_instance(name, zone=ZoneId(f"z{number % 5}")))
     alive = frozenset(DaemonId(f"d{number}") for number in range(daemons))
-    rules = (EvacuationRule(board.evacuations), RegionRule(board.regions), IsolationRule())
+    rules = (
+        EvacuationRule(board.evacuations),
+        RegionRule(board.regions),
+        IsolationRule(LoopClock()),
+    )
     sources = BalancerDependencies(
         lambda info: info.id.endswith("1"),
         Placement(board.directory, rules),
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -338,6 +338,7 @@
         self.sends: list[Send] = []
         self.arrivals: list[Arrival] = []
         self.crashed_at: dict[InstanceId, float] = {}
+        self.restart_seconds = RESTART_SECONDS
         self._restarts: set[asyncio.Task] = set()
         self._addresses: dict[InstanceId, Address] = {}
         self.engines.when_crashed = self._record_crash
@@ -394,17 +395,33 @@
         task.add_done_callback(self._restarts.discard)
 
     async def _restart(self, instance: InstanceId) -> None:
-        """Removes a crashed instance's entry, and starts its successor."""
-        await self.clock.sleep(MISSED_HEARTBEATS * HEARTBEAT_SECONDS)
+        """Removes a crashed instance's entry, and starts its successor; either may come first."""
+        entry_seconds = MISSED_HEARTBEATS * HEARTBEAT_SECONDS
+        if self.restart_seconds < entry_seconds:
+            await self.clock.sleep(self.restart_seconds)
+            self._start_follower(instance)
+            await self.clock.sleep(entry_seconds - self.restart_seconds)
+            self._remove_entry(instance)
+        else:
+            await self.clock.sleep(entry_seconds)
+            self._remove_entry(instance)
+            await self.clock.sleep(self.restart_seconds - entry_seconds)
+            self._start_follower(instance)
+
+    def _remove_entry(self, instance: InstanceId) -> None:
         self.store.apply(Transaction(removals=(RowKey("instances", "", instance),)))
-        await self.clock.sleep(RESTART_SECONDS - MISSED_HEARTBEATS * HEARTBEAT_SECONDS)
+
+    def _start_follower(self, instance: InstanceId) -> None:
+        """Starts and lists the instance that follows a crashed one at its address."""
         incarnation = int(instance.partition("+")[2] or "1") + 1
         follower = InstanceId(f"{instance.partition('+')[0]}+{incarnation}")
         self._addresses[follower] = self.address_of(instance)
         self.engine_zones[follower] = self.zone_of(instance)
-        versions = dict(self.engines.engines[instance].versions)
-        if versions:
-            self.engines.engines[follower] = ScriptedEngine(versions=versions)
+        crashed = self.engines.engines[instance]
+        if crashed.versions:
+            self.engines.engines[follower] = ScriptedEngine(
+                versions=dict(crashed.versions), event_seconds=crashed.event_seconds
+            )
             self.add_engine(follower)
         else:
             self.add_scorer(follower)
--- a/tests/platform_mutants.py
+++ b/tests/platform_mutants.py
@@ -468,7 +468,7 @@
     from larkpost.gateway.placement.decision import PlacementDecision
     from larkpost.gateway.quarantine.isolation_rule import IsolationRule
 
-    return mock.patch.object(IsolationRule, "evaluate", lambda *_: PlacementDecision.ALLOWED)
+    return mock.patch.object(IsolationRule, "_decide", lambda *_: PlacementDecision.ALLOWED)
 
 
 def never_clear_requests():
@@ -478,6 +478,30 @@
     return mock.patch.object(CrashRecorder, "record_success", lambda *_: None)
 
 
+def count_crashes_that_were_outlived():
+    """Counts a crash against a request although a later run of it went on for longer."""
+    from larkpost.gateway.quarantine.crash_recorder import CrashRecorder
+
+    return mock.patch.object(CrashRecorder, "record_output", lambda *_: None)
+
+
+def hold_items_for_good():
+    """Gives no trial to an item that too many servers crashed under."""
+    from larkpost.gateway.rollouts.item_runner import ItemRunner
+
+    async def claim(self, item):
+        return False
+
+    return mock.patch.object(ItemRunner, "_claim_trial", claim)
+
+
+def run_suspects_one_by_one():
+    """Never lets a server run more than one suspect of a daemon."""
+    from larkpost.gateway.quarantine.isolation_rule import IsolationRule
+
+    return mock.patch.object(IsolationRule, "_limit", lambda *_: 1)
+
+
 def stand_still_while_suspended():
     """Uses a clock that stops while the machine is suspended."""
     from larkpost.common.clock import LoopClock
@@ -673,6 +697,9 @@
         take_lost_connections_for_crashes,
         never_clear_requests,
         run_suspects_together,
+        count_crashes_that_were_outlived,
+        hold_items_for_good,
+        run_suspects_one_by_one,
         stand_still_while_suspended,
         trust_the_plain_clock,
         reserve_no_bytes,
@@ -733,6 +760,9 @@
     "take_lost_connections_for_crashes": "tests.test_quarantine",
     "run_suspects_together": "tests.test_quarantine_fleet",
     "never_clear_requests": "tests.test_quarantine_fleet",
+    "count_crashes_that_were_outlived": "tests.test_crash_waves",
+    "hold_items_for_good": "tests.test_crash_waves",
+    "run_suspects_one_by_one": "tests.test_crash_waves",
     "stand_still_while_suspended": "tests.test_suspension",
     "trust_the_plain_clock": "tests.test_suspension",
     "reserve_no_bytes": "tests.test_held_bytes.BodyTest",
--- /dev/null
+++ b/tests/test_crash_waves.py
@@ -0,0 +1,190 @@
+"""Tests of steps whose servers crash by themselves, with and without a request that crashes them.
+
+Guard against harmless items that lie at no server, because the crashes are counted against them.
+"""
+
+import asyncio
+import unittest
+
+import orjson
+
+from larkpost.gateway.blackboard.known_crashes import BATCH_CRASH_LIMIT
+from larkpost.gateway.blackboard.request_content import ContentDigest, digest_content
+from larkpost.gateway.rollouts.model import ITEM_METHOD, BatchSpec
+from larkpost.gateway.store.batch_tables import CRASH_PART, HEAD_TABLE
+from larkpost.gateway.store.port import RowKey, Transaction
+from tests.platform_checks import CONTACT_SECONDS
+from tests.platform_fleet import SCORER_HOST, PlatformFleet, make_batch
+from tests.platform_oracle import PlatformOracle
+from tests.test_quarantine_fleet import content_of
+from tests.virtual import run
+
+ITEMS = 24
+EVENTS, EVENT_SECONDS = 60, 0.05
+RUN_SECONDS = EVENTS * EVENT_SECONDS
+WAVES, WAVE_SECONDS, DOWN_SECONDS = 9, 0.3, 0.25
+NEWS_SECONDS = 0.2
+"""Time after which all daemons know of a crash."""
+IDLE_SECONDS = 5.0
+"""The users' bound: an item may be at no server for this long, in steady state."""
+LISTED_SECONDS = CONTACT_SECONDS + IDLE_SECONDS + RUN_SECONDS
+"""Time after the last crash in which an item that keeps to that bound is listed."""
+
+
+def start_fleet(engines: int = 3, scorers: int = 0) -> PlatformFleet:
+    """Starts a fleet whose items run for `RUN_SECONDS`, and whose servers are soon back."""
+    fleet = PlatformFleet(gateways=2, engines=engines, scorers=scorers)
+    fleet.restart_seconds = DOWN_SECONDS
+    fleet.engines.output_events = EVENTS
+    for engine in fleet.model_engines():
+        engine.event_seconds = EVENT_SECONDS
+    return fleet
+
+
+async def crash_in_waves(fleet: PlatformFleet) -> None:
+    """Crashes one or two of the engines at a time."""
+    for wave in range(WAVES):
+        running = [name for name, state in fleet.engines.engines.items() if not state.down]
+        for number in range(1 + wave % 2):
+            fleet.engines.crash(running[(wave + number) % len(running)])
+        await fleet.wait(WAVE_SECONDS)
+
+
+async def wait_until_listed(fleet: PlatformFleet) -> None:
+    """Waits until `LISTED_SECONDS` have passed without a crash."""
+    while (left := max(fleet.crashed_at.values()) + LISTED_SECONDS - fleet.now()) > 0:
+        await fleet.wait(left)
+
+
+class CrashWavesTest(unittest.TestCase):
+    """A step on servers that crash some times; then all is calm."""
+
+    def check_listed(self, fleet: PlatformFleet, spec: BatchSpec, crashing: set[str]) -> None:
+        """Checks that all items are listed that do not crash servers."""
+        listed = {result.item for result in fleet.stored_results(spec.id)}
+        self.assertEqual({item.id for item in spec.items} - crashing, listed)
+
+    def test_harmless_items_run_on_after_waves_of_crashes(self):
+        async def play():
+            fleet = start_fleet()
+            await fleet.wait(1.0)
+            spec = make_batch(items=ITEMS)
+            await fleet.submit(spec)
+            await fleet.wait(0.4)
+            await crash_in_waves(fleet)
+            await wait_until_listed(fleet)
+            self.check_listed(fleet, spec, set())
+
+        run(play())
+
+    def test_harmless_items_run_on_beside_one_that_crashes_its_servers(self):
+        async def play():
+            fleet = start_fleet()
+            fleet.engines.crashing.add(b"/r/5")
+            await fleet.wait(1.0)
+            spec = make_batch(items=ITEMS)
+            await fleet.submit(spec)
+            await fleet.wait(0.4)
+            await crash_in_waves(fleet)
+            await wait_until_listed(fleet)
+            PlatformOracle(fleet).check_crashes()
+            self.check_listed(fleet, spec, {"batch-5"})
+
+        run(play())
+
+    def test_items_carried_into_the_next_step_run_at_once(self):
+        async def play():
+            fleet = start_fleet()
+            await fleet.wait(1.0)
+            first = make_batch(items=ITEMS)
+            await fleet.submit(first)
+            await fleet.wait(0.4)
+            await crash_in_waves(fleet)
+            await fleet.gateways[0].batches.end(first.id)
+            await fleet.wait(CONTACT_SECONDS)
+            second = make_batch("again", items=ITEMS)
+            await fleet.submit(second, 1)
+            await fleet.wait(IDLE_SECONDS + RUN_SECONDS)
+            self.check_listed(fleet, second, set())
+
+        run(play())
+
+    def test_items_that_ran_on_for_longer_are_not_held(self):
+        async def play():
+            fleet = start_fleet(engines=4)
+            await fleet.wait(1.0)
+            spec = make_batch(items=4)  # one for each engine, so that none waits for isolation
+            await fleet.submit(spec)
+            for seconds in (0.5, 0.5, 0.5, 1.8, 0.5):
+                await fleet.wait(seconds)
+                for name, state in list(fleet.engines.engines.items()):
+                    if not state.down:
+                        fleet.engines.crash(name)
+            crashes = fleet.gateways[0].blackboard.crashes
+            await fleet.wait(NEWS_SECONDS)
+            held = [
+                item.id
+                for item in spec.items
+                if crashes.is_content_quarantined(content_of(spec, item), BATCH_CRASH_LIMIT)
+            ]
+            self.assertEqual([], held)
+            await wait_until_listed(fleet)
+            self.check_listed(fleet, spec, set())
+
+        run(play())
+
+    def hold(self, fleet: PlatformFleet, content: ContentDigest) -> None:
+        """Stores as many crashes of a content, as of now, as hold it; rows of earlier versions."""
+        value = orjson.dumps({"at": fleet.now()})
+        keys = [
+            RowKey(HEAD_TABLE, CRASH_PART, f"{content}/i{number}")
+            for number in range(BATCH_CRASH_LIMIT)
+        ]
+        fleet.store.apply(Transaction(puts=tuple((key, value) for key in keys)))
+
+    def test_item_that_is_held_by_mistake_is_tried_again(self):
+        async def play():
+            fleet = start_fleet()
+            spec = make_batch(items=4)
+            for item in spec.items:
+                self.hold(fleet, content_of(spec, item))
+            await fleet.wait(1.0)
+            await fleet.submit(spec)
+            await fleet.wait(LISTED_SECONDS - 1.0)
+            self.check_listed(fleet, spec, set())
+            self.assertEqual(0, len(fleet.gateways[0].blackboard.crashes))
+
+        run(play())
+
+    def test_reward_call_that_is_held_by_mistake_is_tried_again(self):
+        async def play():
+            fleet = start_fleet(scorers=3)
+            spec = make_batch(items=4, scored=True)
+            for item in spec.items:
+                path = f"/s/{item.id}".encode()
+                self.hold(
+                    fleet,
+                    digest_content(None, ITEM_METHOD, SCORER_HOST.encode(), path, b"score it"),
+                )
+            await fleet.wait(1.0)
+            await fleet.submit(spec)
+            await fleet.wait(LISTED_SECONDS - 1.0)
+            self.check_listed(fleet, spec, set())
+
+        run(play())
+
+    def test_owner_that_takes_over_during_the_waves_runs_all_items(self):
+        async def play():
+            fleet = start_fleet()
+            await fleet.wait(1.0)
+            spec = make_batch(items=ITEMS)
+            owner = await fleet.submit(spec)
+            await fleet.wait(0.4)
+            waves = asyncio.create_task(crash_in_waves(fleet))
+            await fleet.wait(WAVES * WAVE_SECONDS / 2)
+            fleet.kill(owner)
+            await waves
+            await wait_until_listed(fleet)
+            self.check_listed(fleet, spec, set())
+
+        run(play())
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -242,7 +242,7 @@
         """Assigns an item a slot at the engine, which refuses it."""
         engine = self.choice.choose(ENGINES)
         self.balancer.occupy(engine.id)
-        self.choice.record_assigned(engine)
+        self.choice.record_assigned(engine, self.choice.item_work.work_of())
         self.balancer.release(engine.id)
 
 
--- a/tests/test_incarnations.py
+++ b/tests/test_incarnations.py
@@ -15,7 +15,12 @@
 from larkpost.gateway.blackboard.board import Blackboard
 from larkpost.gateway.blackboard.configuration import ServiceName
 from larkpost.gateway.blackboard.directory import InstanceDirectory, InstanceInfo, InstanceState
-from larkpost.gateway.blackboard.known_crashes import CLIENT_CRASH_LIMIT, Crash, KnownCrashes
+from larkpost.gateway.blackboard.known_crashes import (
+    CLIENT_CRASH_LIMIT,
+    Crash,
+    KnownCrashes,
+    LostRun,
+)
 from larkpost.gateway.blackboard.request_content import ContentDigest
 from larkpost.gateway.controllers import weight_loader
 from larkpost.gateway.controllers.heartbeat import Heartbeat, decode_heartbeat, encode_heartbeat
@@ -333,7 +338,7 @@
             watch = CrashDetector(
                 directory, servers, LoopClock(), tasks, lambda *news: found.append(news[2])
             )
-            watch.record_lost_connection(ContentDigest("c"), FIRST)
+            watch.record_lost_connection(LostRun(ContentDigest("c"), 0.1, 0.0), FIRST)
             await asyncio.sleep(0.1)
             self.assertEqual([], found)
             directory.update(SECOND)
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -1,6 +1,7 @@
 """Tests of crash detection, of sharing crashes between daemons, and of clearing requests."""
 
 import unittest
+from contextlib import ExitStack
 from dataclasses import replace
 
 from larkpost.common.clock import LoopClock
@@ -14,6 +15,7 @@
     SUSPECT_CRASHES,
     Crash,
     KnownCrashes,
+    LostRun,
 )
 from larkpost.gateway.blackboard.request_content import ContentDigest, digest_request
 from larkpost.gateway.observability.eventlog import Event
@@ -27,9 +29,20 @@
 )
 from larkpost.gateway.quarantine.crash_recorder import CrashRecorder
 from larkpost.gateway.quarantine.crash_writer import CrashWriter
-from larkpost.gateway.quarantine.isolation_rule import IsolationRule
-from larkpost.gateway.quarantine.repository import CRASH_PART, CRASH_TABLE, CrashRepository
+from larkpost.gateway.quarantine.isolation_rule import (
+    DOUBLING_SECONDS,
+    IDLE_SECONDS,
+    RESERVATION_SECONDS,
+    IsolationRule,
+)
+from larkpost.gateway.quarantine.repository import (
+    CRASH_PART,
+    CRASH_TABLE,
+    CrashRepository,
+    crash_of_row,
+)
 from larkpost.gateway.quarantine.server_port import QuarantineServerPort
+from larkpost.gateway.quarantine.trial_claims import TRIAL_DELAYS_SECONDS, TrialClaims
 from larkpost.gateway.servers.port import (
     BrokenResponseError,
     NotRunError,
@@ -46,6 +59,7 @@
 
 CONTENT = ContentDigest("aa")
 REQUEST = OutgoingRequest(b"1", "GET", b"h", b"/", (), b"")
+LOST_RUN = LostRun(CONTENT, 0.1, 0.0)
 
 
 class Probes:
@@ -77,7 +91,9 @@
             self.probes,
             self.clock,
             TaskSet(self.clock, Telemetry("t", log=False)),
-            lambda instance, contents, how: self.found.append((instance, set(contents), how)),
+            lambda instance, runs, how: self.found.append(
+                (instance, {run.content for run in runs}, how)
+            ),
         )
 
     def check_found(self, *evidence: CrashEvidence) -> None:
@@ -88,7 +104,7 @@
     def test_dead_port_shows_a_crash_at_once(self):
         async def play():
             self.begin(PortState.DEAD)
-            self.detector.record_lost_connection(CONTENT, self.instance)
+            self.detector.record_lost_connection(LOST_RUN, self.instance)
             await self.clock.sleep(0.05)
             self.check_found(CrashEvidence.DEAD_PORT)
 
@@ -97,9 +113,11 @@
     def test_requests_lost_shortly_after_the_crash_count(self):
         async def play():
             self.begin(PortState.DEAD)
-            self.detector.record_lost_connection(CONTENT, self.instance)
+            self.detector.record_lost_connection(LOST_RUN, self.instance)
             await self.clock.sleep(0.05)
-            self.detector.record_lost_connection(ContentDigest("bb"), self.instance)
+            self.detector.record_lost_connection(
+                replace(LOST_RUN, content=ContentDigest("bb")), self.instance
+            )
             self.assertEqual(["a", "a"], [found[0] for found in self.found])
             self.assertEqual({"bb"}, self.found[1][1])
             self.assertEqual(1, self.probes.asked)
@@ -109,7 +127,7 @@
     def test_server_that_listens_and_stays_listed_has_not_crashed(self):
         async def play():
             self.begin(PortState.LISTENS)
-            self.detector.record_lost_connection(CONTENT, self.instance)
+            self.detector.record_lost_connection(LOST_RUN, self.instance)
             await self.clock.sleep(2 * INVESTIGATION_SECONDS)
             self.check_found()
             self.assertEqual(1, self.probes.asked)
@@ -122,10 +140,10 @@
     def test_server_that_crashes_after_losing_a_request_is_detected(self):
         async def play():
             self.begin(PortState.LISTENS)
-            self.detector.record_lost_connection(CONTENT, self.instance)
+            self.detector.record_lost_connection(LOST_RUN, self.instance)
             await self.clock.sleep(INVESTIGATION_SECONDS - 0.1)
             self.probes.state = PortState.DEAD
-            self.detector.record_lost_connection(CONTENT, self.instance)
+            self.detector.record_lost_connection(LOST_RUN, self.instance)
             await self.clock.sleep(0.05)
             self.check_found(CrashEvidence.DEAD_PORT)
 
@@ -134,11 +152,11 @@
     def test_leaving_server_is_not_probed_again(self):
         async def play():
             self.begin(PortState.LISTENS)
-            self.detector.record_lost_connection(CONTENT, self.instance)
+            self.detector.record_lost_connection(LOST_RUN, self.instance)
             await self.clock.sleep(0.1)
             self.directory.update(replace(self.instance, state=InstanceState.LEAVING))
             self.probes.state = PortState.DEAD
-            self.detector.record_lost_connection(CONTENT, self.instance)
+            self.detector.record_lost_connection(LOST_RUN, self.instance)
             await self.clock.sleep(2 * INVESTIGATION_SECONDS)
             self.check_found()
             self.assertEqual(1, self.probes.asked)
@@ -149,7 +167,7 @@
         async def play():
             self.begin(PortState.LISTENS)
             self.directory.update(make_instance("neighbour"))
-            self.detector.record_lost_connection(CONTENT, self.instance)
+            self.detector.record_lost_connection(LOST_RUN, self.instance)
             await self.clock.sleep(3.0)
             self.check_found()
             self.directory.update(make_instance("b"))
@@ -161,7 +179,7 @@
     def test_unresponsive_server_has_crashed_once_its_entry_is_removed(self):
         async def play():
             self.begin(PortState.UNRESPONSIVE)
-            self.detector.record_lost_connection(CONTENT, self.instance)
+            self.detector.record_lost_connection(LOST_RUN, self.instance)
             await self.clock.sleep(3.0)
             self.check_found()
             self.directory.forget(self.instance.id)
@@ -173,7 +191,7 @@
     def test_server_without_an_entry_that_listens_has_not_crashed(self):
         async def play():
             self.begin(PortState.LISTENS)
-            self.detector.record_lost_connection(CONTENT, self.instance)
+            self.detector.record_lost_connection(LOST_RUN, self.instance)
             self.directory.forget(self.instance.id)
             await self.clock.sleep(2 * INVESTIGATION_SECONDS)
             self.check_found()
@@ -184,7 +202,7 @@
         async def play():
             self.begin(PortState.DEAD)
             self.directory.update(replace(self.instance, state=InstanceState.LEAVING))
-            self.detector.record_lost_connection(CONTENT, self.instance)
+            self.detector.record_lost_connection(LOST_RUN, self.instance)
             await self.clock.sleep(1.0)
             self.check_found()
 
@@ -215,8 +233,8 @@
     def crash(self, count: int, first: int = 0) -> None:
         """Crashes some servers during the request."""
         for number in range(first, first + count):
-            contents = (digest_request(REQUEST),)
-            self.recorder.record_crash(InstanceId(f"i{number}"), contents, CrashEvidence.DEAD_PORT)
+            runs = (LostRun(digest_request(REQUEST), 0.1, 0.0),)
+            self.recorder.record_crash(InstanceId(f"i{number}"), runs, CrashEvidence.DEAD_PORT)
 
     def tell_other(self) -> None:
         """Passes all rows to the second recorder, including removals."""
@@ -247,8 +265,8 @@
         async def play():
             self.begin()
             for recorder in (self.recorder, self.other):
-                contents = (digest_request(REQUEST),)
-                recorder.record_crash(InstanceId("i0"), contents, CrashEvidence.DEAD_PORT)
+                runs = (LostRun(digest_request(REQUEST), 0.1, 0.0),)
+                recorder.record_crash(InstanceId("i0"), runs, CrashEvidence.DEAD_PORT)
             await self.clock.sleep(0.1)
             self.tell_other()
             self.assertEqual(1, self.others.count(digest_request(REQUEST)))
@@ -299,6 +317,73 @@
 
         run(play())
 
+    def lose(self, number: int, run_seconds: float, output_seconds: float) -> None:
+        """Crashes a server under the request."""
+        run = LostRun(digest_request(REQUEST), run_seconds, output_seconds)
+        self.recorder.record_crash(InstanceId(f"i{number}"), (run,), CrashEvidence.DEAD_PORT)
+
+    def test_run_that_outlives_its_crashes_is_cleared_everywhere(self):
+        async def play():
+            self.begin()
+            for number in range(CLIENT_CRASH_LIMIT):
+                self.lose(number, 0.1, 0.0)
+            await self.clock.sleep(0.1)
+            self.tell_other()
+            self.recorder.record_output(digest_request(REQUEST), 0.3)
+            self.assertEqual(3, self.crashes.count(digest_request(REQUEST)))
+            self.recorder.record_output(digest_request(REQUEST), 0.4)
+            await self.clock.sleep(0.1)
+            self.assertEqual({}, self.store.rows)
+            self.tell_other()
+            self.assertEqual((0, 0), (len(self.crashes), len(self.others)))
+            states = [f["state"] for e, f in self.log.events if e is Event.QUARANTINE]
+            self.assertEqual(["begun", "begun", "ended", "outlived", "ended"], states)
+
+        run(play())
+
+    def test_longer_run_that_ends_by_a_crash_outlives_the_earlier_ones(self):
+        async def play():
+            self.begin()
+            for number, lasted in enumerate((0.3, 0.2, 1.5, 0.2, 0.7)):
+                self.lose(number, lasted, lasted - 0.05)
+            lasted = [crash.run_seconds for crash in self.crashes.of(digest_request(REQUEST))]
+            self.assertEqual([1.5, 0.7], lasted)
+
+        run(play())
+
+    def test_runs_without_output_outlive_nothing(self):
+        async def play():
+            self.begin()
+            for number, lasted in enumerate((0.1, 2.5, 0.1)):
+                self.lose(number, lasted, 0.0)
+            self.assertTrue(self.crashes.is_quarantined(REQUEST, CLIENT_CRASH_LIMIT))
+
+        run(play())
+
+    def test_trials_go_with_the_last_crashes(self):
+        async def play():
+            self.begin()
+            for number in range(CLIENT_CRASH_LIMIT):
+                self.lose(number, 0.1, 0.0)
+            content = digest_request(REQUEST)
+            claims = TrialClaims(
+                self.crashes, CrashRepository(StoreClient(self.store)), self.clock, self.log
+            )
+            await self.clock.sleep(TRIAL_DELAYS_SECONDS[0])
+            self.assertTrue(await claims.claim(content, TRIAL_DELAYS_SECONDS))
+            self.assertEqual(3, self.crashes.count(content))
+            self.assertTrue(self.crashes.is_quarantined(REQUEST, CLIENT_CRASH_LIMIT))
+            self.recorder.record_output(content, 1.0)
+            await self.clock.sleep(0.1)
+            self.assertEqual(({}, 0), (self.store.rows, len(self.crashes)))
+
+        run(play())
+
+    def test_rows_of_both_versions_can_be_read(self):
+        for value, expected in ((b'{"at": 5.0}', None), (b'{"at": 5.0, "run_seconds": 0.1}', 0.1)):
+            row = Row(RowKey(CRASH_TABLE, CRASH_PART, "aa/i"), value, 1)
+            self.assertEqual(Crash(CONTENT, InstanceId("i"), 5.0, expected), crash_of_row(row))
+
     def test_unreadable_rows_are_ignored(self):
         async def play():
             self.begin()
@@ -321,14 +406,21 @@
         self.instance = make_instance("a")
         self.engines.engines[self.instance.id] = self.state
         self.crashes = KnownCrashes()
-        self.isolation = IsolationRule()
+        self.isolation = IsolationRule(self.clock)
         self.lost: list[ContentDigest] = []
-        self.guard = QuarantineServerPort(self.engines, self.crashes, self, self, self.isolation)
+        self.outputs: list[tuple[ContentDigest, float]] = []
+        self.guard = QuarantineServerPort(
+            self.engines, self.crashes, self, self, self.isolation, self.clock
+        )
         self.served_requests: list[OutgoingRequest] = []
 
-    def record_lost_connection(self, content: ContentDigest, instance: InstanceInfo) -> None:
+    def record_lost_connection(self, run: LostRun, instance: InstanceInfo) -> None:
         """Records what the crash detector is told."""
-        self.lost.append(content)
+        self.lost.append(run.content)
+
+    def record_output(self, content: ContentDigest, seconds: float) -> None:
+        """Records what the crash recorder is told of a suspect's output."""
+        self.outputs.append((content, seconds))
 
     def record_success(self, request: OutgoingRequest) -> None:
         """Records what the crash recorder is told."""
@@ -400,6 +492,65 @@
 
         run(play())
 
+    def test_output_of_a_suspect_is_timed(self):
+        async def play():
+            self.begin()
+            self.state.event_seconds = 0.1
+            for number in range(SUSPECT_CRASHES):
+                self.crashes.add(Crash(digest_request(REQUEST), InstanceId(f"i{number}"), 0.0))
+            async with self.guard.send(self.instance, REQUEST) as answer:
+                events = [event async for event in answer.events()]
+            self.assertEqual({digest_request(REQUEST)}, {content for content, _ in self.outputs})
+            expected = [0.1 * number for number in range(len(events))]
+            for seconds, (_, timed) in zip(expected, self.outputs, strict=True):
+                self.assertAlmostEqual(seconds, timed)
+
+        run(play())
+
+    def test_limit_of_suspects_doubles_while_a_server_loses_none(self):
+        async def play():
+            self.begin()
+            suspect = Work(WorkKind.ITEM, is_suspect=True)
+
+            def admitted() -> int:
+                """Returns how many more suspects the server would be given now."""
+                with ExitStack() as stack:
+                    count = 0
+                    while self.isolation.evaluate(self.instance, suspect).is_allowed:
+                        stack.enter_context(self.isolation.track_suspect(self.instance.id))
+                        count += 1
+                return count
+
+            counts = []
+            for _ in range(4):
+                counts.append(admitted())
+                await self.clock.sleep(DOUBLING_SECONDS)
+            self.assertEqual([1, 2, 4, 8], counts)
+            self.isolation.record_lost_connection(self.instance.id)
+            self.assertEqual(1, admitted())
+            await self.clock.sleep(2 * DOUBLING_SECONDS)
+            self.assertEqual(4, admitted())
+            await self.clock.sleep(IDLE_SECONDS)
+            self.assertEqual(1, admitted())
+
+        run(play())
+
+    def test_assigned_suspects_count_until_they_are_sent(self):
+        async def play():
+            self.begin()
+            suspect = Work(WorkKind.ITEM, is_suspect=True)
+            self.isolation.reserve(self.instance.id)
+            self.assertFalse(self.isolation.evaluate(self.instance, suspect).is_allowed)
+            self.assertTrue(self.isolation.admit(self.instance, suspect).is_allowed)
+            with self.isolation.track_suspect(self.instance.id):
+                self.assertFalse(self.isolation.admit(self.instance, suspect).is_allowed)
+            self.assertTrue(self.isolation.evaluate(self.instance, suspect).is_allowed)
+            self.isolation.reserve(self.instance.id)  # it is never sent
+            await self.clock.sleep(RESERVATION_SECONDS + 0.01)
+            self.assertTrue(self.isolation.evaluate(self.instance, suspect).is_allowed)
+
+        run(play())
+
     def test_quarantined_request_is_not_sent(self):
         async def play():
             self.begin()
--- a/tests/test_quarantine_fleet.py
+++ b/tests/test_quarantine_fleet.py
@@ -3,9 +3,10 @@
 import asyncio
 import unittest
 
-from larkpost.gateway.blackboard.request_content import digest_content
+from larkpost.gateway.blackboard.known_crashes import BATCH_CRASH_LIMIT
+from larkpost.gateway.blackboard.request_content import ContentDigest, digest_content
 from larkpost.gateway.quarantine.trial_claims import TRIAL_DELAYS_SECONDS
-from larkpost.gateway.rollouts.model import ResultState
+from larkpost.gateway.rollouts.model import ITEM_METHOD, BatchSpec, Item, ResultState
 from larkpost.platform.stand_in.memory_store import StoreFaults
 from tests.platform_callers import Caller
 from tests.platform_checks import CONTACT_SECONDS
@@ -33,6 +34,13 @@
     return fleet, Caller(fleet)
 
 
+def content_of(spec: BatchSpec, item: Item) -> ContentDigest:
+    """Returns the content of an item."""
+    return digest_content(
+        spec.tenant, ITEM_METHOD, spec.host.encode(), item.path.encode(), item.body
+    )
+
+
 class RepeatedCrashesTest(unittest.TestCase):
     """A fleet, its servers, and requests that crash them."""
 
@@ -181,7 +189,15 @@
             await fleet.wait(1.0)
             spec = make_batch(items=28)
             await fleet.submit(spec)
-            await fleet.wait(ROUTE.queue_lifetime - 10.0)
+            crashes = fleet.gateways[0].blackboard.crashes
+            while fleet.now() < ROUTE.queue_lifetime - 9.0:
+                await fleet.wait(SAVED_SECONDS)
+                held = [
+                    item.path
+                    for item in spec.items[2:]
+                    if crashes.is_content_quarantined(content_of(spec, item), BATCH_CRASH_LIMIT)
+                ]
+                self.assertEqual([], held)
             PlatformOracle(fleet).check()
             listed = {result.item for result in fleet.stored_results("batch")}
             self.assertEqual({item.id for item in spec.items} - {"batch-0", "batch-1"}, listed)
