--- a/src/larkpost/common/errors.py
+++ b/src/larkpost/common/errors.py
@@ -69,6 +69,14 @@
     remedy = "Ask another daemon."
 
 
+class StoppedError(LarkpostError):
+    """The daemon ended its shutdown before the response began; the request may have run."""
+
+    code = "stopped"
+    status = 504
+    remedy = "The request may have run. Ask another daemon if a second run is harmless."
+
+
 class OverloadedError(LarkpostError):
     """A bounded queue is full or the retry budget is exhausted."""
 
--- a/src/larkpost/gateway/memory/delivery.py
+++ b/src/larkpost/gateway/memory/delivery.py
@@ -33,6 +33,10 @@
     def unsent(self) -> int:
         """Bytes written to it that the client has not accepted yet."""
 
+    @property
+    def has_next_request(self) -> bool:
+        """Whether another request has been read that waits for the end of the current one."""
+
     @property
     def is_serving(self) -> bool:
         """Whether a request on it is being served and its response is incomplete."""
--- a/src/larkpost/gateway/proxy/admission.py
+++ b/src/larkpost/gateway/proxy/admission.py
@@ -9,13 +9,15 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from larkpost.common.errors import LarkpostError
+from larkpost.common.errors import LarkpostError, Ran, StoppedError, StoppingError
 from larkpost.common.ids import RegionId
 from larkpost.gateway.blackboard.configuration import Configuration, ConfigurationState, Route
 from larkpost.gateway.blackboard.tenants import UNRESTRICTED_CALLER, Caller, KeyDigest, TenantName
 from larkpost.gateway.observability.eventlog import Event, EventLog
 from larkpost.gateway.observability.metrics import Count, Metrics
 
+STOPPING_RETRY_SECONDS = 0.1
+"""Retry delay sent by a daemon that stops; its clients' new connections lead to other daemons."""
 RETRY_AFTER_SECONDS = 0.3
 """Retry delay sent by a daemon without a recent configuration; other daemons usually have one."""
 
@@ -123,6 +125,19 @@
         error = UnknownKeyError("calls about batches require a valid key")
         raise self._refusal(error, request_id, configuration)
 
+    def refusal_while_stopping(self, request_id: str) -> LarkpostError:
+        """Returns the error for a request that this stopping daemon can no longer finish."""
+        error = StoppingError(
+            "this daemon is stopping, and the request might not end in time",
+            retry_after=STOPPING_RETRY_SECONDS,
+        )
+        return self._refusal(error, request_id, None)
+
+    def failure_at_stop(self, request_id: str) -> LarkpostError:
+        """Returns the error for a request that had no response when the shutdown ended."""
+        error = StoppedError("this daemon has stopped before a response began", ran=Ran.UNKNOWN)
+        return self._refusal(error, request_id, None)
+
     def _current_configuration(self, request_id: str) -> Configuration:
         configuration = self._configuration.current
         if configuration is None:
--- a/src/larkpost/gateway/usage/count_writer.py
+++ b/src/larkpost/gateway/usage/count_writer.py
@@ -18,8 +18,7 @@
 SAVE_TIMEOUTS = (0.5, 1.0, 1.5)
 """Timeouts in seconds of the attempts to save."""
 FINAL_SAVE_SECONDS = 0.8
-"""Timeout of the last save during a graceful shutdown. Part of
-`graceful_shutdown.KILL_MARGIN_SECONDS`."""
+"""Timeout of the last save during a graceful shutdown, which may leave it less time."""
 
 
 class UsageCountWriter:
--- a/src/larkpost/platform/assembly.py
+++ b/src/larkpost/platform/assembly.py
@@ -142,7 +142,8 @@
         address = Address(f"{settings.ip}:{port}")
         others.append(Listener(MetricsApp(gateway.read_metrics, path), address))
     if settings.peer is not None:
-        others.append(Listener(PeerStoreApp(store, gateway.memory.budget), settings.peer))
+        relay = PeerStoreApp(store, gateway.memory.budget, gateway.lifecycle)
+        others.append(Listener(relay, settings.peer))
     return Listeners(_make_front(settings, gateway), tuple(others))
 
 
--- a/src/larkpost/platform/client_call.py
+++ b/src/larkpost/platform/client_call.py
@@ -117,6 +117,12 @@
         """The parameters of the query."""
         return parse_qs(self._scope["query_string"].decode("latin-1"))
 
+    @property
+    def time_left(self) -> float | None:
+        """Seconds that the client was still waiting when it sent the head; None if not said."""
+        deadline_ms = self.int_header(names.DEADLINE_MS)  # remaining time, not a time of day
+        return deadline_ms / 1000 if deadline_ms is not None else None
+
     def header(self, name: bytes) -> bytes:
         """Returns the first value of a header; empty if the header is missing."""
         return next((value for key, value in self.headers if key == name), b"")
@@ -128,7 +134,6 @@
 
     def to_client_request(self, body: bytes | bytearray, admitted: AdmittedCall) -> ClientRequest:
         """Returns the request to forward."""
-        deadline_ms = self.int_header(names.DEADLINE_MS)  # remaining time, not a time of day
         return ClientRequest(
             request_id=self.request_id,
             method=self.method,
@@ -137,7 +142,7 @@
             headers=self._forwarded_headers(),
             body=body,
             received_at=self.received_at,
-            time_left=deadline_ms / 1000 if deadline_ms is not None else None,
+            time_left=self.time_left,
             tenant=admitted.tenant,
             regions=admitted.regions,
             memory=self.memory,
--- a/src/larkpost/platform/client_response.py
+++ b/src/larkpost/platform/client_response.py
@@ -2,7 +2,7 @@
 
 from larkpost.common.errors import LarkpostError
 from larkpost.gateway.blackboard.lifecycle import Lifecycle
-from larkpost.gateway.memory.delivery import Delivery
+from larkpost.gateway.memory.delivery import ClientConnection, Delivery
 from larkpost.gateway.servers.port import Headers
 from larkpost.platform import asgi, names
 from larkpost.platform.asgi import Send
@@ -22,10 +22,12 @@
 
     Args:
         request_id: the caller's id of the attempt, which the response repeats.
-        lifecycle: the daemon's state; while it is stopping, each response closes its connection.
+        lifecycle: the daemon's state; while it is stopping, each response closes its connection
+            unless another request has been read from it.
 
     Attributes:
         delivery: tracks how the client receives the response; None if that is not tracked.
+        connection: the client's connection; None if unknown.
         closes_connection: whether the response closes its connection even if the daemon is not
             stopping.
     """
@@ -41,9 +43,15 @@
         self._request_id = request_id
         self._lifecycle = lifecycle
         self.delivery = delivery
+        self.connection: ClientConnection | None = None
         self.closes_connection = False
         self._started = False
 
+    @property
+    def has_started(self) -> bool:
+        """Whether a part of the response has been sent."""
+        return self._started
+
     async def send_whole(
         self,
         status: int,
@@ -113,7 +121,8 @@
             for name, value in headers
             if name.lower() not in CONNECTION_HEADERS
         ]
-        if self._lifecycle.stopping or self.closes_connection:
+        has_next = self.connection is not None and self.connection.has_next_request
+        if self.closes_connection or (self._lifecycle.stopping and not has_next):
             extra_headers.append((b"connection", b"close"))
         self._started = True
         await asgi.send_head(self._send, status, forwarded + extra_headers)
--- a/src/larkpost/platform/http_protocol.py
+++ b/src/larkpost/platform/http_protocol.py
@@ -220,6 +220,11 @@
         """The number of bytes in the write buffer."""
         return self.transport.get_write_buffer_size()
 
+    @property
+    def has_next_request(self) -> bool:
+        """Whether another request has been read that waits for the end of the current one."""
+        return bool(self.pipeline)
+
     @property
     def is_serving(self) -> bool:
         """Whether a request is being served."""
@@ -329,9 +334,16 @@
 
     def close_idle(self, max_count: int) -> int:
         """Closes up to ``max_count`` idle connections, longest idle first; returns how many."""
-        idle = [connection for connection in self.connections if connection.idle_since is not None]
-        idle.sort(key=attrgetter("idle_since"))
-        closing = idle[:max_count]
+        closing = self._idle()[:max_count]
         for connection in closing:
             connection.transport.close()
         return len(closing)
+
+    def close_idle_since(self, moment: float) -> int:
+        """Closes the connections idle since a moment, in event loop time; returns how many."""
+        return self.close_idle(sum(idle.idle_since <= moment for idle in self._idle()))
+
+    def _idle(self) -> list[LimitedProtocol]:
+        """Returns the idle connections, longest idle first."""
+        idle = [connection for connection in self.connections if connection.idle_since is not None]
+        return sorted(idle, key=attrgetter("idle_since"))
--- a/src/larkpost/platform/ingress.py
+++ b/src/larkpost/platform/ingress.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import contextlib
+import math
 from contextlib import AbstractContextManager, aclosing, nullcontext
 
 from larkpost.common.errors import LarkpostError
@@ -33,6 +34,9 @@
 
 TOO_LARGE = 413
 HEAD_TOO_LARGE = 431
+BATCH_CALL_SECONDS = 1.0
+"""Time in which a call about a batch is expected to end. A daemon that stops answers those that
+take longer with an error at its end."""
 LOOP_TURNS_TO_DETECT_CLOSE = 4
 """Number of event loop iterations after reading a request's last byte within which a close that is
 already in the socket is detected: read EOF, notify the protocol, wake the waiting task, complete
@@ -69,9 +73,11 @@
             call = ClientCall(scope, receive, memory)
             with self._track_delivery(call) as delivery:
                 response = ClientResponse(send, call.request_id, self._lifecycle, delivery)
-                await self._handle(call, response)
-                if delivery is not None:
-                    await _wait_until_delivered(delivery, memory)
+                response.connection = call.client_connection
+                with self._lifecycle.request():
+                    await self._handle(call, response)
+                    if delivery is not None:
+                        await _wait_until_delivered(delivery, memory)
 
     def _track_delivery(self, call: ClientCall) -> AbstractContextManager[Delivery | None]:
         """Returns a context that tracks the response's delivery if the memory is limited."""
@@ -80,16 +86,15 @@
         return self._memory.delivery(call.client_connection, call.memory)
 
     async def _handle(self, call: ClientCall, response: ClientResponse) -> None:
-        with self._lifecycle.request():
-            try:
-                await self._respond(call, response)
-            except ClientDisconnectedError:
-                return  # nobody receives a response
-            except LarkpostError as error:
-                response.closes_connection = call.expects_continue or isinstance(
-                    error, BodyStalledError
-                )
-                await response.send_error(error)
+        try:
+            await self._respond(call, response)
+        except ClientDisconnectedError:
+            return  # nobody receives a response
+        except LarkpostError as error:
+            response.closes_connection = call.expects_continue or isinstance(
+                error, BodyStalledError
+            )
+            await response.send_error(error)
 
     async def _respond(self, call: ClientCall, response: ClientResponse) -> None:
         if call.is_head_too_large:
@@ -138,10 +143,20 @@
 
         Raises:
             ClientDisconnectedError: the client closed its connection; the work was cancelled.
+            StoppedError: the daemon's shutdown ended before a response began; likewise.
+            StoppingError: it ended before the request was served, or it was only a read.
         """
+        if self._lifecycle.has_expired:
+            raise self._admission.refusal_while_stopping(call.request_id_text)
         work = asyncio.create_task(self._serve(call, response, body))
         try:
-            await asyncio.wait({work, disconnect}, return_when=asyncio.FIRST_COMPLETED)
+            await asyncio.wait(
+                {work, disconnect, self._lifecycle.expiry}, return_when=asyncio.FIRST_COMPLETED
+            )
+            if not work.done() and not disconnect.done():
+                if not response.has_started:
+                    raise self._stop_error(call)
+                await asyncio.wait({work, disconnect}, return_when=asyncio.FIRST_COMPLETED)
             if not work.done():
                 raise ClientDisconnectedError
             await work
@@ -150,14 +165,33 @@
             with contextlib.suppress(asyncio.CancelledError, Exception):
                 await work
 
+    def _stop_error(self, call: ClientCall) -> LarkpostError:
+        """Returns the error for a request without a response at the end of the shutdown."""
+        if call.path.startswith(names.RESERVED_PATH_PREFIX) and call.method == "GET":
+            return self._admission.refusal_while_stopping(call.request_id_text)
+        return self._admission.failure_at_stop(call.request_id_text)
+
+    def _check_can_finish(self, call: ClientCall, expires_at: float) -> None:
+        """Checks that a daemon that is stopping can still finish a request.
+
+        Raises:
+            StoppingError: it might not end in time; it did not run.
+        """
+        now = asyncio.get_running_loop().time()
+        if not self._lifecycle.admits(now, expires_at):
+            raise self._admission.refusal_while_stopping(call.request_id_text)
+
     async def _serve(
         self, call: ClientCall, response: ClientResponse, body: bytes | bytearray
     ) -> None:
+        now = asyncio.get_running_loop().time()
         if call.path.startswith(names.RESERVED_PATH_PREFIX):
+            self._check_can_finish(call, now + BATCH_CALL_SECONDS)
             await self._batch_endpoints.serve(call, response)
             return
         admitted = self._admission.admit(call.request_id_text, call.host_name, call.path, call.key)
         route = admitted.route
+        self._check_can_finish(call, _expires_at(call, route, now))
         if route.kind is RouteKind.BATCH:
             await self._batch_endpoints.submit(call, response, body, admitted.tenant)
         elif route.kind is RouteKind.STREAM:
@@ -190,6 +224,15 @@
         await response.finish()
 
 
+def _expires_at(call: ClientCall, route: Route, now: float) -> float:
+    """Returns the event loop time by which a request has surely ended; infinite for a stream."""
+    if route.kind is RouteKind.STREAM:
+        return math.inf
+    if route.kind is RouteKind.BATCH:
+        return now + BATCH_CALL_SECONDS
+    return call.received_at + min(route.time_limit, call.time_left or math.inf)
+
+
 async def _wait_until_delivered(delivery: Delivery, memory: RequestMemory) -> None:
     """Keeps memory reserved for the unsent bytes of a response until they have been delivered."""
     if delivery.unsent == 0:
--- a/src/larkpost/platform/peer_store.py
+++ b/src/larkpost/platform/peer_store.py
@@ -4,6 +4,7 @@
 as the store.
 """
 
+from larkpost.gateway.blackboard.lifecycle import Lifecycle
 from larkpost.gateway.memory.budget import MemoryBudget, MemoryBudgetError, MemoryPurpose
 from larkpost.platform import asgi, names
 from larkpost.platform.asgi import ClientDisconnectedError, Receive, Send
@@ -26,12 +27,18 @@
 class PeerStoreApp:
     """The ASGI application that relays store calls for peers."""
 
-    def __init__(self, store: HttpStore, budget: MemoryBudget | None = None) -> None:
+    def __init__(
+        self,
+        store: HttpStore,
+        budget: MemoryBudget | None = None,
+        lifecycle: Lifecycle | None = None,
+    ) -> None:
         self._store = store
+        self._lifecycle = lifecycle if lifecycle is not None else Lifecycle()
         self._budget = budget if budget is not None else MemoryBudget()
 
     async def __call__(self, scope: dict, receive: Receive, send: Send) -> None:
-        """Relays the call, unless this daemon's own calls to the store fail as well."""
+        """Relays the call, unless this daemon's own calls fail as well or its stop ends."""
         try:
             with self._budget.reserve(MemoryPurpose.RELAYED_CALLS, RESERVED_BYTES_PER_CALL, "peer"):
                 await self._serve(scope, receive, send)
@@ -53,7 +60,7 @@
         body = await _read_body(receive)
         if body is None:
             return TOO_LARGE, b""
-        if self._store.is_failing:
+        if self._store.is_failing or self._lifecycle.has_expired:
             return UNAVAILABLE, b""
         query = scope["query_string"].decode("latin-1")
         target = f"{scope['path']}?{query}" if query else scope["path"]
--- a/src/larkpost/platform/process.py
+++ b/src/larkpost/platform/process.py
@@ -19,6 +19,7 @@
     make_listeners,
     open_clients,
 )
+from larkpost.platform.idle_connections import close_idle_while_stopping
 from larkpost.platform.settings import PlatformSettings, load_platform_settings, settings_path
 from larkpost.platform.settings_watch import ReloadTargets, SettingsWatcher, read_content
 
@@ -92,7 +93,11 @@
         settings_task = asyncio.create_task(watch_settings())
         descriptor_task = asyncio.create_task(self._descriptor_monitor.watch())
         await self._stop.wait()
+        idle_task = asyncio.create_task(
+            close_idle_while_stopping(self._gateway.lifecycle, self._listeners.front)
+        )
         await self._gateway.drain()
+        idle_task.cancel()
         settings_task.cancel()
         descriptor_task.cancel()
 
--- a/tests/platform_mutants.py
+++ b/tests/platform_mutants.py
@@ -502,6 +502,27 @@
     return mock.patch.object(IsolationRule, "_limit", lambda *_: 1)
 
 
+def accept_until_the_end_of_a_stop():
+    """Takes requests during a stop although they might not end in time."""
+    from larkpost.gateway.blackboard.lifecycle import StopSchedule
+
+    return mock.patch.object(StopSchedule, "admits", lambda *_: True)
+
+
+def cut_what_has_no_response():
+    """Gives no answer to requests that are open at the end of a stop."""
+    from larkpost.gateway.blackboard.lifecycle import Lifecycle
+
+    return mock.patch.object(Lifecycle, "expire", lambda _: None)
+
+
+def keep_idle_connections_during_a_stop():
+    """Leaves idle connections open until the process ends."""
+    from larkpost.platform.http_protocol import Listener
+
+    return mock.patch.object(Listener, "close_idle_since", lambda *_: 0)
+
+
 def stand_still_while_suspended():
     """Uses a clock that stops while the machine is suspended."""
     from larkpost.common.clock import LoopClock
@@ -700,6 +721,9 @@
         count_crashes_that_were_outlived,
         hold_items_for_good,
         run_suspects_one_by_one,
+        accept_until_the_end_of_a_stop,
+        cut_what_has_no_response,
+        keep_idle_connections_during_a_stop,
         stand_still_while_suspended,
         trust_the_plain_clock,
         reserve_no_bytes,
@@ -763,6 +787,9 @@
     "count_crashes_that_were_outlived": "tests.test_crash_waves",
     "hold_items_for_good": "tests.test_crash_waves",
     "run_suspects_one_by_one": "tests.test_crash_waves",
+    "accept_until_the_end_of_a_stop": "tests.test_stopping_connections",
+    "cut_what_has_no_response": "tests.test_stopping_connections",
+    "keep_idle_connections_during_a_stop": "tests.test_stopping_connections",
     "stand_still_while_suspended": "tests.test_suspension",
     "trust_the_plain_clock": "tests.test_suspension",
     "reserve_no_bytes": "tests.test_held_bytes.BodyTest",
--- a/tests/test_pinned_calls.py
+++ b/tests/test_pinned_calls.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import math
 import re
 import unittest
 from contextlib import asynccontextmanager
@@ -25,7 +26,7 @@
     ServiceShare,
 )
 from larkpost.gateway.blackboard.directory import InstanceInfo, InstanceState
-from larkpost.gateway.blackboard.lifecycle import Lifecycle
+from larkpost.gateway.blackboard.lifecycle import Lifecycle, StopSchedule
 from larkpost.gateway.blackboard.tenants import TenantName
 from larkpost.gateway.controllers.leases import Duty, Lease, LeaseSubject
 from larkpost.gateway.observability.eventlog import EventLog
@@ -846,7 +847,7 @@
         )
 
     async def test_error_without_an_id_while_stopping(self):
-        self.lifecycle.stopping = True
+        self.lifecycle.schedule = StopSchedule(math.inf, math.inf)
         call = b"GET /none HTTP/1.1\r\nHost: pages.example\r\n\r\n"
         self.assertEqual(
             (
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -2,15 +2,18 @@
 
 import asyncio
 import unittest
+from dataclasses import replace
 
 from larkpost.common.addresses import split_address
-from larkpost.common.http_server import HttpServer
+from larkpost.common.http_server import CLOSE_SECONDS, HttpServer
 from larkpost.common.ids import Address
-from larkpost.gateway.graceful_shutdown import DEREGISTRATION_SECONDS, KILL_MARGIN_SECONDS
+from larkpost.gateway.graceful_shutdown import CLOSE_MARGIN_SECONDS, DEREGISTRATION_SECONDS
 from tests.platform_fleet import PlatformFleet, make_batch
 from tests.virtual import run as run_virtual
 
 GRACE_SECONDS = 8.0
+DRAINED_SECONDS = 7.0
+"""Time by which a stop has drained, so that a second is left until the process is killed."""
 
 
 class SilentStoreTest(unittest.TestCase):
@@ -26,7 +29,7 @@
             await fleet.gateways[owner].drain()
             return fleet.clock.now() - began
 
-        self.assertLessEqual(run_virtual(play()), GRACE_SECONDS - KILL_MARGIN_SECONDS + 0.8)
+        self.assertLessEqual(run_virtual(play()), DRAINED_SECONDS)
 
     def test_stop_waits_for_a_response_no_longer_than_allowed(self) -> None:
         async def play() -> float:
@@ -39,7 +42,24 @@
 
         seconds = run_virtual(play())
         self.assertGreater(seconds, DEREGISTRATION_SECONDS)
-        self.assertLess(seconds, GRACE_SECONDS - KILL_MARGIN_SECONDS + 1.0)
+        self.assertLess(seconds, DRAINED_SECONDS)
+
+    def test_stop_ends_in_time_for_all_grace_times(self) -> None:
+        async def play(grace: float) -> float:
+            fleet = PlatformFleet(gateways=2)
+            await fleet.wait(1.0)
+            stopped = fleet.gateways[0]
+            stopped.settings = replace(stopped.settings, grace_time=grace)
+            began = fleet.clock.now()
+            with stopped.lifecycle.request():
+                await stopped.drain()
+            return fleet.clock.now() - began
+
+        for grace in (2.0, 4.0, 8.0, 30.0):
+            with self.subTest(grace=grace):
+                seconds = run_virtual(play(grace))
+                self.assertLess(seconds, grace - CLOSE_SECONDS - 0.1)
+                self.assertGreater(seconds, min(grace * 5 / 6, grace - 2 * CLOSE_MARGIN_SECONDS))
 
 
 class ListenerTest(unittest.IsolatedAsyncioTestCase):
--- a/tests/test_platform_ingress.py
+++ b/tests/test_platform_ingress.py
@@ -1,6 +1,7 @@
 """Tests of the ingress with clients that send too much, too slowly, or disconnect."""
 
 import asyncio
+import math
 import socket
 import struct
 import unittest
@@ -18,7 +19,7 @@
     ServiceName,
     ServiceShare,
 )
-from larkpost.gateway.blackboard.lifecycle import Lifecycle
+from larkpost.gateway.blackboard.lifecycle import Lifecycle, StopSchedule
 from larkpost.gateway.observability.eventlog import EventLog
 from larkpost.gateway.observability.metrics import Metrics
 from larkpost.gateway.proxy.admission import Admission
@@ -35,6 +36,8 @@
 LIMITS = RequestLimits(header_bytes=2000, body_bytes=5000, header_time=0.3, idle_time=0.4)
 PAGES = ServiceName("pages")
 APPLY_SECONDS = 2.0
+STOP_BEGUN = StopSchedule(math.inf, math.inf)
+"""A stop that has just begun, so that all requests are still served."""
 
 
 def route(prefix: bytes, kind: RouteKind) -> Route:
@@ -278,7 +281,7 @@
         self.assertIn(b"larkpost-attempt-id: r1\r\n", answer)
 
     async def test_stopping_daemon_answers_and_asks_to_close(self):
-        self.lifecycle.stopping = True
+        self.lifecycle.schedule = STOP_BEGUN
         answer = await self.exchange(b"GET /p/x HTTP/1.1\r\nHost: pages.example\r\n\r\n")
         self.assertTrue(answer.startswith(b"HTTP/1.1 200"))
         self.assertIn(b"connection: close\r\n", answer)
@@ -316,7 +319,7 @@
         await self.refused_while_sending(self.too_large(b"Connection: close")[0])
 
     async def test_rejection_reaches_a_client_that_sends_its_body_while_the_daemon_stops(self):
-        self.lifecycle.stopping = True
+        self.lifecycle.schedule = STOP_BEGUN
         await self.refused_while_sending(self.too_large()[0])
 
     async def test_closing_listener_reads_the_rest_of_a_rejected_body(self):
