--- a/src/larkpost/gateway/quarantine/repository.py
+++ b/src/larkpost/gateway/quarantine/repository.py
@@ -65,12 +65,11 @@
         result = await self._store.write(change, WRITE_TIMEOUT_SECONDS)
         return result.outcome is WriteOutcome.DONE
 
-    async def claim(self, trial: Crash) -> bool:
-        """Writes a trial that no daemon has claimed yet, and returns whether it succeeded."""
+    async def claim(self, trial: Crash) -> WriteOutcome:
+        """Writes a trial that no daemon has claimed yet."""
         key = _key(trial)
         change = Transaction(conditions=((key, ABSENT),), puts=((key, _value(trial)),))
-        result = await self._store.write(change, CLAIM_TIMEOUT_SECONDS)
-        return result.outcome is WriteOutcome.DONE
+        return (await self._store.write(change, CLAIM_TIMEOUT_SECONDS)).outcome
 
 
 def _value(crash: Crash) -> bytes:
--- a/src/larkpost/gateway/quarantine/trial_claims.py
+++ b/src/larkpost/gateway/quarantine/trial_claims.py
@@ -3,6 +3,7 @@
 A harmless request may run on servers that crash because of another request, or by themselves. Only
 a run of it can clear it, so without trials it would stay quarantined until its crashes expire.
 After each delay, one daemon may send it to one server; the daemon claims the trial in the store. A
+claim without an answer may be done later; the daemon uses it once its row comes back by the feed. A
 request that does crash servers crashes two more this way.
 """
 
@@ -12,6 +13,7 @@
 from larkpost.gateway.blackboard.request_content import ContentDigest
 from larkpost.gateway.observability.eventlog import Event, EventLog
 from larkpost.gateway.quarantine.repository import CrashRepository
+from larkpost.gateway.store.port import WriteOutcome
 
 TRIAL_DELAYS_SECONDS = (5.0, 60.0)
 """Delay from the last crash to the first trial of a client request, and from there to the second; a
@@ -36,6 +38,8 @@
         self._repository = repository
         self._clock = clock
         self._claimed_at: dict[ContentDigest, float] = {}
+        self._uncertain: dict[ContentDigest, Crash] = {}
+        """Trials of this daemon that got no answer from the store, and may still be claimed."""
 
     async def claim(self, content: ContentDigest, delays: tuple[float, ...]) -> bool:
         """Claims a trial; returns whether this daemon may send the content to one server now.
@@ -47,6 +51,8 @@
         crashes = self._crashes.of(content)
         if not crashes or now is None:
             return False
+        if self._uncertain.get(content) in crashes:
+            return self._begin(self._uncertain[content])
         trials = sum(crash.is_trial for crash in crashes)
         if trials >= len(delays):
             return False
@@ -54,11 +60,20 @@
         if is_early or not self._start_attempt(content):
             return False
         trial = Crash(content, InstanceId(f"{TRIAL_PREFIX}{trials + 1}"), now)
-        if not await self._repository.claim(trial):
-            return False
+        outcome = await self._repository.claim(trial)
+        if outcome is WriteOutcome.UNKNOWN:
+            self._uncertain[content] = trial  # its row may come by the feed
+        return outcome is WriteOutcome.DONE and self._begin(trial)
+
+    def _begin(self, trial: Crash) -> bool:
+        """Records that this daemon has claimed a trial; returns True."""
+        self._uncertain.pop(trial.content, None)
         self._crashes.add(trial)
         self._log.record(
-            Event.QUARANTINE, content=content, state="trial", crashes=len(crashes) - trials
+            Event.QUARANTINE,
+            content=trial.content,
+            state="trial",
+            crashes=self._crashes.count(trial.content),
         )
         return True
 
--- a/src/larkpost/gateway/rollouts/acceptance.py
+++ b/src/larkpost/gateway/rollouts/acceptance.py
@@ -1,8 +1,8 @@
 """Accepts batches durably and exactly once.
 
 The items are written first, then the head and the tail. A batch exists once its head does; the head
-is written only if there is none with the same id. The timeout of this write adapts to the response
-times of the store.
+is written only if there is none with the same id, so also not if the batch was ended before. The
+timeout of this write adapts to the response times of the store.
 """
 
 from dataclasses import dataclass
@@ -45,6 +45,7 @@
     REFUSED = "refused"  # certainly not accepted
     UNCERTAIN = "uncertain"  # may have been accepted, or may still be
     TAKEN = "taken"  # another tenant has a batch with this id
+    ENDED = "ended"  # certainly not accepted, as it was ended before
 
 
 @dataclass(slots=True)
@@ -109,12 +110,9 @@
         result = await self._write(self._transaction(submission))
         if result.outcome is WriteOutcome.UNKNOWN:
             submission.is_uncertain = True
-        if result.outcome is WriteOutcome.CONFLICT and _is_other_tenants(
-            submission.spec, result.rows
-        ):
-            return AcceptOutcome.TAKEN
-        exists = result.outcome in (WriteOutcome.DONE, WriteOutcome.CONFLICT)
-        return AcceptOutcome.ACCEPTED if exists else None
+        if result.outcome is WriteOutcome.CONFLICT:
+            return _outcome_of_conflict(submission.spec, result.rows)
+        return AcceptOutcome.ACCEPTED if result.outcome is WriteOutcome.DONE else None
 
     async def _write(self, change: Transaction) -> WriteResult:
         """Writes the head of a batch and adapts the timeout of the next such write.
@@ -172,7 +170,16 @@
         )
 
 
-def _is_other_tenants(spec: BatchSpec, rows: tuple[Row, ...]) -> bool:
-    """Returns whether the rows hold the head of another tenant's batch with this id."""
+def _outcome_of_conflict(spec: BatchSpec, rows: tuple[Row, ...]) -> AcceptOutcome:
+    """Returns the outcome of a submission under whose id the store holds a head already.
+
+    Args:
+        rows: the rows that the store returned with the conflict.
+    """
     heads = [head_of_row(row) for row in rows if row.key.table == HEAD_TABLE and row.value]
-    return any(head.id == spec.id and head.tenant != spec.tenant for head in heads)
+    head = next((head for head in heads if head.id == spec.id), None)
+    if head is None:
+        return AcceptOutcome.ACCEPTED
+    if head.tenant != spec.tenant:
+        return AcceptOutcome.TAKEN
+    return AcceptOutcome.ACCEPTED if head.is_accepted else AcceptOutcome.ENDED
--- a/src/larkpost/gateway/rollouts/batch_head_cache.py
+++ b/src/larkpost/gateway/rollouts/batch_head_cache.py
@@ -107,7 +107,8 @@
         """Returns the demand of each model, from its newest and its open batches."""
         batches_by_model: dict[ModelName, list[CachedBatchHead]] = defaultdict(list)
         for cached in self._heads.values():
-            batches_by_model[cached.head.model].append(cached)
+            if cached.head.is_accepted:
+                batches_by_model[cached.head.model].append(cached)
         return {model: _demand(batches) for model, batches in batches_by_model.items()}
 
     def newest(self) -> list[BatchHead]:
@@ -115,6 +116,8 @@
         newest: dict[ModelName, BatchHead] = {}
         for cached in self._heads.values():
             other = newest.get(cached.head.model)
+            if not cached.head.is_accepted:
+                continue
             if other is None or other.created_at < cached.head.created_at:
                 newest[cached.head.model] = cached.head
         return list(newest.values())
--- a/src/larkpost/gateway/rollouts/batch_manager.py
+++ b/src/larkpost/gateway/rollouts/batch_manager.py
@@ -12,6 +12,7 @@
 from larkpost.common.tasks import TaskSet
 from larkpost.gateway.blackboard.configuration import ModelName
 from larkpost.gateway.blackboard.daemon_report import BatchProgress
+from larkpost.gateway.blackboard.tenants import TenantName
 from larkpost.gateway.blackboard.weight_targets import ModelDemand
 from larkpost.gateway.controllers.membership import Membership
 from larkpost.gateway.observability.eventlog import Event, EventLog
@@ -103,6 +104,11 @@
         cached = self._head_cache.get(batch)
         return cached.head if cached is not None else None
 
+    def count_early_ends(self, tenant: TenantName | None) -> int:
+        """Returns how many known batches of a tenant were ended before they were accepted."""
+        heads = (cached.head for cached in self._head_cache)
+        return sum(not head.is_accepted and head.tenant == tenant for head in heads)
+
     def _age(self, head: BatchHead) -> float | None:
         """Returns the seconds since a batch was accepted; None if the store's time is unknown."""
         now = self._services.store_time()
@@ -183,7 +189,7 @@
                 continue
             if self._claims.successor(cached.head) == self._membership.own:
                 try:
-                    await self._repository.remove(cached.head)
+                    await self._repository.remove(cached.head, cached.version)
                 except StoreUnavailableError:
                     return  # retried after the next interval
 
--- a/src/larkpost/gateway/rollouts/claims.py
+++ b/src/larkpost/gateway/rollouts/claims.py
@@ -69,6 +69,8 @@
 
         It must be in a region where the batch may be served, as it reads the batch's items.
         """
+        if not head.is_accepted:
+            return self._membership.choose_coordinator(head.id)  # it has no items
         return self._membership.choose_coordinator(head.id, self._allowed_regions(head))
 
     def _allowed_regions(self, head: BatchHead) -> frozenset[RegionId] | None:
--- a/src/larkpost/gateway/rollouts/model.py
+++ b/src/larkpost/gateway/rollouts/model.py
@@ -130,6 +130,38 @@
     tenant: TenantName | None = None
     group_size: int = 0
 
+    @property
+    def is_accepted(self) -> bool:
+        """Whether the batch was accepted; else it was ended before, and this keeps it from that."""
+        return bool(self.upload)
+
+
+def make_early_end(
+    batch: BatchId, tenant: TenantName | None, ended_by: DaemonId, ended_at: float
+) -> BatchHead:
+    """Returns the head of a batch that is ended before it is accepted.
+
+    It takes the place of the batch's own head, so that an acceptance under way cannot take effect.
+
+    Args:
+        ended_at: store time in seconds.
+    """
+    return BatchHead(
+        id=batch,
+        host="",
+        path="",
+        model=ModelName(""),
+        step=0,
+        minimum_version=0,
+        desired_groups=0,
+        total=0,
+        owner=ended_by,
+        created_at=ended_at,
+        ended=True,
+        upload="",
+        tenant=tenant,
+    )
+
 
 class ResultState(StrEnum):
     """Final state of an item."""
--- a/src/larkpost/gateway/rollouts/reader.py
+++ b/src/larkpost/gateway/rollouts/reader.py
@@ -171,7 +171,7 @@
                 head = await self._repository.head(batch)
             except StoreUnavailableError as error:
                 raise BatchUnreadableError(error.message, retry_after=RETRY_AFTER_SECONDS) from None
-        if head is None:
+        if head is None or not head.is_accepted:
             raise NoSuchBatchError(f"there is no batch {batch}")
         _check_visible(head, caller)
         return head
--- a/src/larkpost/gateway/rollouts/repository.py
+++ b/src/larkpost/gateway/rollouts/repository.py
@@ -6,11 +6,12 @@
 `partial_outputs.py` the outputs of running items.
 """
 
-from dataclasses import replace
+from dataclasses import dataclass, replace
 from enum import StrEnum
 
 from larkpost.common.clock import Clock
 from larkpost.common.ids import BatchId, DaemonId
+from larkpost.gateway.blackboard.tenants import Caller
 from larkpost.gateway.rollouts import codec
 from larkpost.gateway.rollouts.acceptance import AcceptOutcome, BatchAcceptance
 from larkpost.gateway.rollouts.batch_rows import (
@@ -23,7 +24,15 @@
     head_of_row,
     prefix_end,
 )
-from larkpost.gateway.rollouts.model import BatchHead, BatchSpec, Item, ItemId, Result, Tail
+from larkpost.gateway.rollouts.model import (
+    BatchHead,
+    BatchSpec,
+    Item,
+    ItemId,
+    Result,
+    Tail,
+    make_early_end,
+)
 from larkpost.gateway.rollouts.partial_outputs import PartialOutputs
 from larkpost.gateway.rollouts.progress import Progress
 from larkpost.gateway.store.batch_tables import (
@@ -35,6 +44,7 @@
     part_of,
 )
 from larkpost.gateway.store.port import (
+    ABSENT,
     Row,
     Store,
     Transaction,
@@ -48,8 +58,25 @@
     """Outcome of a call to end a batch."""
 
     ENDED = "ended"
-    UNKNOWN_BATCH = "unknown_batch"
-    UNCERTAIN = "uncertain"
+    ENDED_EARLY = "ended_early"  # before it was accepted, if it was ever submitted
+    UNKNOWN_BATCH = "unknown_batch"  # it is not the caller's
+    UNCERTAIN = "uncertain"  # it may have been ended, or may still be
+    TOO_MANY = "too_many"  # not recorded, as many other ids were ended before
+
+
+@dataclass(frozen=True, slots=True)
+class EndRequest:
+    """A call to end a batch.
+
+    Attributes:
+        ended_by: the daemon that was called.
+        may_end_early: whether a batch that does not exist may be ended.
+    """
+
+    batch: BatchId
+    caller: Caller
+    ended_by: DaemonId
+    may_end_early: bool = True
 
 
 class BatchRepository:
@@ -176,35 +203,61 @@
             taken += 1
         return puts, taken
 
-    async def end(self, batch: BatchId, seconds: float) -> EndOutcome:
+    async def end(self, request: EndRequest, seconds: float) -> EndOutcome:
         """Marks a batch as ended, so that no more results are appended.
 
+        A batch that does not exist may be accepted later, by a write that is still under way. An
+        ended head keeps it from that.
+
+        Args:
+            seconds: how long to keep trying.
+
         Raises:
             StoreUnavailableError: the store did not answer.
         """
         deadline = self._clock.now() + seconds
         while True:
-            head = await self.head(batch)
-            tail = await self.tail(batch)
-            if head is None or tail is None:
+            head = await self.head(request.batch)
+            if head is not None and not request.caller.can_read(head.tenant):
                 return EndOutcome.UNKNOWN_BATCH
-            if tail.ended:
-                return EndOutcome.ENDED
-            head_key = batch_key(HEAD_TABLE, batch)
-            tail_key = batch_key(TAIL_TABLE, batch)
-            change = Transaction(
-                conditions=((tail_key, tail.version),),
-                puts=(
-                    (head_key, codec.encode_head(replace(head, ended=True))),
-                    (tail_key, codec.encode_tail(replace(tail, ended=True))),
-                ),
-            )
-            result = await self._store.write(change, WRITE_TIMEOUT_SECONDS)
-            if result.outcome is WriteOutcome.DONE:
+            if head is not None and head.ended:
                 return EndOutcome.ENDED
+            if head is None and not request.may_end_early:
+                return EndOutcome.TOO_MANY
+            outcome = await (self._end_early(request) if head is None else self._end_accepted(head))
+            if outcome is not None:
+                return outcome
             if self._clock.now() >= deadline:
                 return EndOutcome.UNCERTAIN
 
+    async def _end_early(self, request: EndRequest) -> EndOutcome | None:
+        """Ends a batch that does not exist; None if that is not known to have taken effect."""
+        ended_at = self._store.time()
+        if ended_at is None:
+            return None
+        head = make_early_end(request.batch, request.caller.tenant, request.ended_by, ended_at)
+        key = batch_key(HEAD_TABLE, request.batch)
+        change = Transaction(conditions=((key, ABSENT),), puts=((key, codec.encode_head(head)),))
+        result = await self._store.write(change, WRITE_TIMEOUT_SECONDS)
+        return EndOutcome.ENDED_EARLY if result.outcome is WriteOutcome.DONE else None
+
+    async def _end_accepted(self, head: BatchHead) -> EndOutcome | None:
+        """Ends a batch that exists; None if that is not known to have taken effect."""
+        tail = await self.tail(head.id)
+        if tail is None:
+            return None  # it has just been removed
+        head_key = batch_key(HEAD_TABLE, head.id)
+        tail_key = batch_key(TAIL_TABLE, head.id)
+        change = Transaction(
+            conditions=((tail_key, tail.version),),
+            puts=(
+                (head_key, codec.encode_head(replace(head, ended=True))),
+                (tail_key, codec.encode_tail(replace(tail, ended=True))),
+            ),
+        )
+        result = await self._store.write(change, WRITE_TIMEOUT_SECONDS)
+        return EndOutcome.ENDED if result.outcome is WriteOutcome.DONE else None
+
     async def claim(self, head: BatchHead, version: int, owner: DaemonId) -> bool:
         """Makes a daemon the owner of a batch, if the head's version is unchanged.
 
@@ -233,22 +286,27 @@
         """
         return await self._partials.load(batch, items)
 
-    async def remove(self, head: BatchHead) -> None:
-        """Removes all rows of a batch, the head last.
+    async def remove(self, head: BatchHead, version: int) -> None:
+        """Removes all rows of a batch, the head last, if the head's version is unchanged.
+
+        The condition keeps a removal that is done late from the rows of a new batch of the same id.
 
         Raises:
             StoreUnavailableError: the store did not answer.
         """
         part = part_of(head.id)
+        head_key = batch_key(HEAD_TABLE, head.id)
+        conditions = ((head_key, version),)
+        timeout = WRITE_TIMEOUT_SECONDS
         last = prefix_end(head.id)
         for table in (PARTIAL_TABLE, RESULT_TABLE, ITEM_TABLE):
             page = await read_all(self._store, table, part, f"{head.id}/", last)
             keys = [row.key for row in page.rows]
             for start in range(0, len(keys), MAX_TRANSACTION_ROWS):
                 chosen = tuple(keys[start : start + MAX_TRANSACTION_ROWS])
-                await self._store.write(Transaction(removals=chosen), WRITE_TIMEOUT_SECONDS)
-        removals = (batch_key(TAIL_TABLE, head.id), batch_key(HEAD_TABLE, head.id))
-        await self._store.write(Transaction(removals=removals), WRITE_TIMEOUT_SECONDS)
+                await self._store.write(Transaction(conditions, removals=chosen), timeout)
+        removals = (batch_key(TAIL_TABLE, head.id), head_key)
+        await self._store.write(Transaction(conditions, removals=removals), timeout)
 
     async def _row(self, table: str, batch: BatchId) -> Row | None:
         page = await self._store.read(table, part_of(batch), batch, f"{batch}\x00")
--- a/src/larkpost/gateway/rollouts/service.py
+++ b/src/larkpost/gateway/rollouts/service.py
@@ -25,7 +25,7 @@
 )
 from larkpost.gateway.rollouts.model import BatchSpec, ItemId
 from larkpost.gateway.rollouts.reader import RETRY_AFTER_SECONDS, BatchReader, ResultPage
-from larkpost.gateway.rollouts.repository import BatchRepository, EndOutcome
+from larkpost.gateway.rollouts.repository import BatchRepository, EndOutcome, EndRequest
 from larkpost.gateway.rollouts.view import ViewCache
 from larkpost.gateway.store.port import StoreUnavailableError
 
@@ -34,6 +34,11 @@
 still reach the store."""
 END_SECONDS = 2.0
 """How long to try to end a batch."""
+MAX_EARLY_ENDS = 500
+"""Maximum number of stored ends, by tenant, of batches that do not exist. Each takes a row of some
+300 bytes, which every daemon keeps for as long as a batch."""
+EARLY_ENDS_RETRY_SECONDS = 5.0
+"""``Retry-After`` of an end beyond that number."""
 
 
 class BatchService:
@@ -69,6 +74,8 @@
         """
         known = self._batch_manager.head(spec.id)
         if known is not None and known.tenant == spec.tenant:
+            if not known.is_accepted:
+                raise self._refusal_error(spec, AcceptOutcome.ENDED)
             return
         if self._has_no_eligible_engine(spec):
             raise self._no_eligible_engine_error(spec)
@@ -95,6 +102,11 @@
         if outcome is AcceptOutcome.REFUSED:
             self._log.record(Event.BATCH_REFUSED, batch=spec.id, uncertain=False)
             return BatchRefusedError("the store refused the batch", retry_after=RETRY_AFTER_SECONDS)
+        if outcome is AcceptOutcome.ENDED:
+            self._log.record(Event.BATCH_REFUSED, batch=spec.id, uncertain=False, ended=True)
+            return BatchRefusedError(
+                "the batch was ended before it was accepted", remedy="Submit it under a new id."
+            )
         if outcome is AcceptOutcome.UNCERTAIN:
             self._log.record(Event.BATCH_REFUSED, batch=spec.id, uncertain=True)
             return BatchUncertainError("the store did not answer", ran=Ran.UNKNOWN)
@@ -154,21 +166,30 @@
     async def end(self, batch: BatchId, caller: Caller = UNRESTRICTED_CALLER) -> None:
         """Ends a batch: none of its items is run or listed any more.
 
+        A batch that does not exist is ended too, as its acceptance may still be under way.
+
         Raises:
-            NoSuchBatchError: there is no such batch.
-            BatchUnreadableError: the store does not answer.
+            NoSuchBatchError: there is a batch with this id, but it is not the caller's.
+            BatchUnreadableError: the store does not answer, or cannot take more such ends.
             BatchUncertainError: the batch may have been ended.
         """
-        if caller.is_restricted:
-            await self._reader.find_head(batch, caller)
+        is_too_many = self._batch_manager.count_early_ends(caller.tenant) >= MAX_EARLY_ENDS
+        request = EndRequest(batch, caller, self._owner, may_end_early=not is_too_many)
         try:
-            outcome = await self._repository.end(batch, END_SECONDS)
+            outcome = await self._repository.end(request, END_SECONDS)
         except StoreUnavailableError as error:
             raise BatchUnreadableError(error.message, retry_after=RETRY_AFTER_SECONDS) from None
         if outcome is EndOutcome.UNKNOWN_BATCH:
             raise NoSuchBatchError(f"there is no batch {batch}")
         if outcome is EndOutcome.UNCERTAIN:
             raise BatchUncertainError("the store did not answer", ran=Ran.UNKNOWN)
+        if outcome is EndOutcome.TOO_MANY:
+            raise BatchUnreadableError(
+                f"there is no batch {batch} yet, and {MAX_EARLY_ENDS} others were ended before "
+                f"they were accepted",
+                retry_after=EARLY_ENDS_RETRY_SECONDS,
+            )
         self._services.metrics.count(Count.BATCH_CALLS, "end", "done")
-        self._log.record(Event.BATCH_ENDED, batch=batch)
+        is_early = outcome is EndOutcome.ENDED_EARLY
+        self._log.record(Event.BATCH_ENDED, batch=batch, early=is_early)
         self._batch_manager.finish(batch)
--- a/tests/platform_mutants.py
+++ b/tests/platform_mutants.py
@@ -523,6 +523,16 @@
     return mock.patch.object(Listener, "close_idle_since", lambda *_: 0)
 
 
+def forget_early_ends():
+    """Leaves no trace of the end of a batch that does not exist."""
+    from larkpost.gateway.rollouts.repository import BatchRepository, EndOutcome
+
+    async def end_early(self, request):
+        return EndOutcome.ENDED_EARLY
+
+    return mock.patch.object(BatchRepository, "_end_early", end_early)
+
+
 def stand_still_while_suspended():
     """Uses a clock that stops while the machine is suspended."""
     from larkpost.common.clock import LoopClock
@@ -724,6 +734,7 @@
         accept_until_the_end_of_a_stop,
         cut_what_has_no_response,
         keep_idle_connections_during_a_stop,
+        forget_early_ends,
         stand_still_while_suspended,
         trust_the_plain_clock,
         reserve_no_bytes,
@@ -790,6 +801,7 @@
     "accept_until_the_end_of_a_stop": "tests.test_stopping_connections",
     "cut_what_has_no_response": "tests.test_stopping_connections",
     "keep_idle_connections_during_a_stop": "tests.test_stopping_connections",
+    "forget_early_ends": "tests.test_early_ends",
     "stand_still_while_suspended": "tests.test_suspension",
     "trust_the_plain_clock": "tests.test_suspension",
     "reserve_no_bytes": "tests.test_held_bytes.BodyTest",
--- a/tests/test_pinned_rows.py
+++ b/tests/test_pinned_rows.py
@@ -25,12 +25,13 @@
 from larkpost.gateway.blackboard.known_crashes import Crash
 from larkpost.gateway.blackboard.request_content import digest_content
 from larkpost.gateway.blackboard.scaling_terms import ScalingTerms
-from larkpost.gateway.blackboard.tenants import Tenant, digest_key
+from larkpost.gateway.blackboard.tenants import Caller, Tenant, digest_key
 from larkpost.gateway.blackboard.weight_targets import WeightTarget
 from larkpost.gateway.controllers.heartbeat import Heartbeat, decode_heartbeat, encode_heartbeat
 from larkpost.gateway.controllers.leases import Duty, LeaseSubject, LeaseTable
 from larkpost.gateway.proxy.request import ClientRequest
 from larkpost.gateway.quarantine.repository import CrashRepository, crash_of_row
+from larkpost.gateway.rollouts.acceptance import AcceptOutcome
 from larkpost.gateway.rollouts.batch_rows import head_of_row
 from larkpost.gateway.rollouts.codec import (
     decode_head,
@@ -56,9 +57,9 @@
     Tail,
 )
 from larkpost.gateway.rollouts.progress import Progress
-from larkpost.gateway.rollouts.repository import BatchRepository
+from larkpost.gateway.rollouts.repository import BatchRepository, EndRequest
 from larkpost.gateway.store.batch_tables import part_of
-from larkpost.gateway.store.port import Row, RowKey, Transaction
+from larkpost.gateway.store.port import Row, RowKey, Transaction, WriteOutcome
 from larkpost.gateway.usage.port import UsageReport
 from larkpost.gateway.usage.repository import DecidedReport, UsageRepository
 from larkpost.platform.assembly import READERS
@@ -109,6 +110,8 @@
 CRASH = Crash("0123456789abcdef01234567", "engine-3/1", 12.25)
 REPORT = UsageReport(17, {"reading": 3, "training": 41})
 
+END = EndRequest("batch-7", Caller("training", is_restricted=True), DAEMON)
+
 HEAD_KEY = ("batches", "b0", "batch-7")
 HEAD_VALUE = (
     b'{"host":"trainers.example","path":"/r/","model":"small","step":41,"minimum_version":40,'
@@ -125,6 +128,11 @@
     b'"desired_groups":1,"total":2,"owner":"m1/0a1b2c3d","created_at":12.5,"ended":true,'
     b'"upload":"00112233aabbccdd","work":632,"tenant":"training","group_size":2}'
 )
+EARLY_END_VALUE = (
+    b'{"host":"","path":"","model":"","step":0,"minimum_version":0,"desired_groups":0,"total":0,'
+    b'"owner":"m1/0a1b2c3d","created_at":12.5,"ended":true,"upload":"","work":0,'
+    b'"tenant":"training","group_size":0}'
+)
 BARE_HEAD_VALUE = (
     b'{"host":"trainers.example","path":"/r/","model":"small","step":41,"minimum_version":40,'
     b'"desired_groups":1,"total":2,"owner":"m1/0a1b2c3d","created_at":12.5,"ended":false,'
@@ -243,11 +251,18 @@
 
     async def test_ended_batch_says_so_in_head_and_tail(self) -> None:
         self.rows.put((HEAD_KEY, HEAD_VALUE), (TAIL_KEY, TAIL_VALUE))
-        await self.batches.end("batch-7", 1.0)
+        await self.batches.end(END, 1.0)
         expected = {HEAD_KEY: ENDED_VALUE, TAIL_KEY: b'{"count":2,"ended":true}'}
         self.assertEqual(expected, self.rows.all())
         self.assertEqual(replace(HEAD, ended=True), await self.batches.head("batch-7"))
 
+    async def test_end_of_a_batch_that_does_not_exist_takes_its_place(self) -> None:
+        await self.batches.end(END, 1.0)
+        self.assertEqual({HEAD_KEY: EARLY_END_VALUE}, self.rows.all())
+        self.assertFalse((await self.batches.head("batch-7")).is_accepted)
+        self.assertIs(AcceptOutcome.ENDED, await self.batches.accept(SPEC, DAEMON, UPLOAD, 1.0))
+        self.assertEqual({HEAD_KEY: EARLY_END_VALUE}, self.rows.all())
+
     async def test_results_are_appended_at_their_places(self) -> None:
         version = self.rows.put((TAIL_KEY, EMPTY_TAIL_VALUE))
         await self.batches.append("batch-7", Tail(0, False, version), [DONE, DEAD])
@@ -275,9 +290,14 @@
         self.assertEqual({"item-1": make_progress()}, found)
 
     async def test_removed_batch_leaves_no_row(self) -> None:
-        self.rows.put((HEAD_KEY, HEAD_VALUE), (TAIL_KEY, TAIL_VALUE), (ITEM_KEY, ITEM_VALUE))
+        version = self.rows.put(
+            (HEAD_KEY, HEAD_VALUE), (TAIL_KEY, TAIL_VALUE), (ITEM_KEY, ITEM_VALUE)
+        )
         self.rows.put((DONE_KEY, DONE_VALUE), (PARTIAL_KEY, PARTIAL_VALUE))
-        await self.batches.remove(HEAD)
+        before = self.rows.all()
+        await self.batches.remove(HEAD, version - 1)
+        self.assertEqual(before, self.rows.all())
+        await self.batches.remove(HEAD, version)
         self.assertEqual({}, self.rows.all())
 
     async def test_long_documents_are_cut_at_three_quarters_of_a_row(self) -> None:
@@ -386,10 +406,12 @@
         for write in ("save", "claim"):
             rows = Rows()
             crashes = CrashRepository(rows.client)
-            done = await (crashes.save([CRASH], []) if write == "save" else crashes.claim(CRASH))
-            self.assertTrue(done)
+            if write == "save":
+                self.assertTrue(await crashes.save([CRASH], []))
+            else:
+                self.assertIs(WriteOutcome.DONE, await crashes.claim(CRASH))
             self.assertEqual({CRASH_KEY: CRASH_VALUE}, rows.all(), write)
-            self.assertFalse(await crashes.claim(CRASH))
+            self.assertIs(WriteOutcome.CONFLICT, await crashes.claim(CRASH))
             await crashes.save([], [CRASH])
             self.assertEqual({}, rows.all())
 
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -379,6 +379,33 @@
 
         run(play())
 
+    def test_claim_that_is_done_late_is_used_by_its_daemon_only(self):
+        async def play():
+            self.begin()
+            for number in range(CLIENT_CRASH_LIMIT):
+                self.lose(number, 0.1, 0.0)
+            await self.clock.sleep(TRIAL_DELAYS_SECONDS[0])
+            self.tell_other()
+            content = digest_request(REQUEST)
+            repository = CrashRepository(StoreClient(self.store))
+            own, other = (
+                TrialClaims(crashes, repository, self.clock, self.log)
+                for crashes in (self.crashes, self.others)
+            )
+            self.store.faults = StoreFaults(late_writes=1.0, late_seconds=2.0)
+            self.assertFalse(await own.claim(content, TRIAL_DELAYS_SECONDS))
+            self.store.faults = StoreFaults()
+            await self.clock.sleep(3.0)
+            self.store.apply_late_writes()
+            self.tell_other()
+            for row in self.store.rows.values():
+                self.recorder.record_row(row)
+            self.assertFalse(await other.claim(content, TRIAL_DELAYS_SECONDS))
+            self.assertTrue(await own.claim(content, TRIAL_DELAYS_SECONDS))
+            self.assertFalse(await own.claim(content, TRIAL_DELAYS_SECONDS))
+
+        run(play())
+
     def test_rows_of_both_versions_can_be_read(self):
         for value, expected in ((b'{"at": 5.0}', None), (b'{"at": 5.0, "run_seconds": 0.1}', 0.1)):
             row = Row(RowKey(CRASH_TABLE, CRASH_PART, "aa/i"), value, 1)
