A stream's success without its server's signature is a failure (MIXED)

Cause: the forwarder's stream and an item's run did not look at the signature, as whole responses and reward calls do. A client got the 200 of whatever answered; an item's text could be listed.

Change: one rule, is_unsigned_success, for all paths: a client's stream ends in 502 before its first byte (the request may have run), an item runs again elsewhere. A failure without a signature passes as before.

--- a/src/larkpost/gateway/proxy/forwarder.py
+++ b/src/larkpost/gateway/proxy/forwarder.py
@@ -24,7 +24,12 @@
 from larkpost.gateway.proxy.outcomes import Outcomes
 from larkpost.gateway.proxy.request import ClientRequest, StreamedResponse, WholeResponse
 from larkpost.gateway.proxy.request_scheduler import RequestScheduler
-from larkpost.gateway.proxy.retry import implies_not_run, max_servers
+from larkpost.gateway.proxy.retry import (
+    UNSIGNED_SUCCESS,
+    implies_not_run,
+    is_unsigned_success,
+    max_servers,
+)
 from larkpost.gateway.proxy.server_attempt import ServerAttempt
 from larkpost.gateway.proxy.server_choice import ServerChoice
 from larkpost.gateway.proxy.streamed_body import StreamedBody
@@ -103,6 +108,9 @@
                     attempts.record_may_have_run(instance.id)
                     if implies_not_run(response.status, route.kind):
                         raise BrokenResponseError(f"status {response.status} of a run")
+                    is_signed = response.signature is not None
+                    if is_unsigned_success(response.status, is_signed=is_signed):
+                        raise BrokenResponseError(UNSIGNED_SUCCESS)
                     self._outcomes.record_forecast_served(attempts, response.status)
                     yield response
                     return
--- a/src/larkpost/gateway/proxy/retry.py
+++ b/src/larkpost/gateway/proxy/retry.py
@@ -37,10 +37,18 @@
     return max_attempts
 
 
+UNSIGNED_SUCCESS = "a success without a signature"
+
+
+def is_unsigned_success(status: int, *, is_signed: bool) -> bool:
+    """Returns whether a response claims a success that its server has not signed."""
+    return status < MIN_NON_SUCCESS_STATUS and not is_signed
+
+
 def failure_reason(status: int, *, is_signed: bool) -> str | None:
     """Returns why a whole response counts as a failure; None if it can be returned."""
-    if status < MIN_NON_SUCCESS_STATUS and not is_signed:
-        return "a success without a signature"
+    if is_unsigned_success(status, is_signed=is_signed):
+        return UNSIGNED_SUCCESS
     if status >= MIN_ERROR_STATUS:
         return f"status {status}"
     return None
--- a/src/larkpost/gateway/rollouts/engine_runner.py
+++ b/src/larkpost/gateway/rollouts/engine_runner.py
@@ -8,6 +8,7 @@
 from dataclasses import replace
 
 from larkpost.gateway.blackboard.known_crashes import BATCH_CRASH_LIMIT
+from larkpost.gateway.proxy.retry import UNSIGNED_SUCCESS, is_unsigned_success
 from larkpost.gateway.rollouts.context import RunServices
 from larkpost.gateway.rollouts.engine_priorities import EnginePriorities
 from larkpost.gateway.rollouts.engine_rules import may_migrate
@@ -97,6 +98,8 @@
             balancer.record_cold(run.engine.id, response.cold_left)
             if response.status != 200:
                 return _record_failure(run, response.status)
+            if is_unsigned_success(response.status, is_signed=response.signature is not None):
+                raise BrokenResponseError(UNSIGNED_SUCCESS)
             await self._read_events(run, monitored_run, response)
         if not run.progress.events:
             raise BrokenResponseError("the stream ended without any event")
--- a/tests/test_durable_batches.py
+++ b/tests/test_durable_batches.py
@@ -240,6 +240,24 @@
 
         run(play())
 
+    def test_outputs_that_engines_have_not_signed_are_not_listed(self):
+        """Guards against text that is not the engine's in a result (MIXED)."""
+
+        async def play():
+            fleet = PlatformFleet(engines=2)
+            await fleet.wait(1.0)
+            for state in fleet.model_engines():
+                state.unsigned = True
+            spec = make_batch()
+            await fleet.gateways[0].batches.submit(spec)
+            await fleet.wait(5.0)
+            self.assertNotEqual([], fleet.arrivals)
+            self.assertEqual([], fleet.stored_results(spec.id))
+            fleet.model_engines()[0].unsigned = False
+            check_results(self, spec, await fleet.read_all(fleet.gateways[1], spec.id))
+
+        run(play())
+
     def test_broken_streams_are_continued(self):
         async def play():
             fleet = PlatformFleet()
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -259,6 +259,27 @@
 
         run(play())
 
+    def test_stream_whose_server_has_not_signed_it_is_a_failure(self):
+        """Guards against a success that is not the server's reaching a client (MIXED)."""
+
+        async def play():
+            self.begin(unsigned=ScriptedEngine(unsigned=True), other=ScriptedEngine(unsigned=True))
+            with self.assertRaises(RequestFailedError) as caught:
+                async with self.forwarder.stream(self.request(), STREAM_ROUTE):
+                    self.fail("no byte should reach the client")
+            self.assertEqual(502, caught.exception.status)
+            self.assertEqual(1, self.runs())
+
+        run(play())
+
+    def test_failed_stream_reaches_the_client_as_it_is(self):
+        async def play():
+            self.begin(failing=ScriptedEngine(unsigned=True, status=500))
+            async with self.forwarder.stream(self.request(), STREAM_ROUTE) as response:
+                self.assertEqual(500, response.status)
+
+        run(play())
+
     def test_draining_server_gets_no_new_request(self):
         async def play():
             self.begin(leaving=ScriptedEngine(), stays=ScriptedEngine())
