An open batch is not removed by its age alone (LOST)

Change: only an ended batch, or a complete one that nobody ended, goes; the latter once it has been seen complete for as long as batches are kept, so that its last results can be read. Each check of such a batch costs one read of its tail, each 5 s, by one daemon.

The test failed before (404 at 76 s of a batch that runs for 95 s, with batches kept for 5 s, after its owner was killed) and passes; rows of what ended or is complete go as before.

--- a/src/larkpost/gateway/rollouts/batch_manager.py
+++ b/src/larkpost/gateway/rollouts/batch_manager.py
@@ -76,6 +76,8 @@
         self._claims = BatchClaims(repository, membership, services, self.record_head)
         self._owned: dict[BatchId, OwnedBatch] = {}
         self._completed: set[BatchId] = set()
+        self._complete_since: dict[BatchId, float] = {}
+        """Steady times at which expired batches that nobody ended were first seen complete."""
         self._claim_tasks: set[asyncio.Task] = set()
         self._handing_over = False
 
@@ -96,6 +98,7 @@
             self._head_cache.forget(batch)
             self._views.forget(batch)
             self._completed.discard(batch)
+            self._complete_since.pop(batch, None)
         else:
             self._head_cache.record(row)
 
@@ -180,7 +183,11 @@
         await asyncio.gather(*(self._hand_over(batch) for batch in list(self._owned)))
 
     async def remove_expired(self) -> None:
-        """Removes expired batches; each batch is removed by a single daemon."""
+        """Removes expired batches that are not open; each is removed by a single daemon.
+
+        A batch that nobody ended is open until all its items are listed, and is kept for a while
+        after that, so that its last results can be read.
+        """
         now = self._services.store_time()
         if now is None:
             return
@@ -189,10 +196,22 @@
                 continue
             if self._claims.successor(cached.head) == self._membership.own:
                 try:
-                    await self._repository.remove(cached.head, cached.version)
+                    if cached.head.ended or await self._had_time_to_read(cached.head):
+                        await self._repository.remove(cached.head, cached.version)
                 except StoreUnavailableError:
                     return  # retried after the next interval
 
+    async def _had_time_to_read(self, head: BatchHead) -> bool:
+        """Returns whether a batch that nobody ended has been complete for as long as one is kept.
+
+        Raises:
+            StoreUnavailableError: the store did not answer.
+        """
+        if not await self._repository.is_complete(head):
+            return False
+        now = self._clock.now()
+        return now - self._complete_since.setdefault(head.id, now) >= self._lifetime()
+
     def _update_batch(self, cached: CachedBatchHead) -> None:
         """Starts, releases or claims a batch, depending on its owner and whether it has ended."""
         head, batch = cached.head, cached.head.id
--- a/src/larkpost/gateway/rollouts/repository.py
+++ b/src/larkpost/gateway/rollouts/repository.py
@@ -126,6 +126,15 @@
         row = await self._row(TAIL_TABLE, batch)
         return codec.decode_tail(row.value, row.version) if row is not None else None
 
+    async def is_complete(self, head: BatchHead) -> bool:
+        """Returns whether all items of a batch are listed, so that nothing of it runs any more.
+
+        Raises:
+            StoreUnavailableError: the store did not answer.
+        """
+        tail = await self.tail(head.id)
+        return tail is None or tail.count >= head.total
+
     async def items(self, head: BatchHead) -> tuple[Item, ...]:
         """Returns the items of a batch.
 
--- a/tests/test_durable_batches.py
+++ b/tests/test_durable_batches.py
@@ -1,15 +1,29 @@
 """Durable batches: exactly-once acceptance and listing, failover, and faults of the store."""
 
 import unittest
+from dataclasses import replace
 
 from larkpost.common.ids import BatchId
-from larkpost.gateway.rollouts.errors import BatchRefusedError, BatchUncertainError
+from larkpost.gateway.rollouts.batch_manager import (
+    REMOVAL_INTERVAL_SECONDS,
+    RETENTION_SLACK_SECONDS,
+)
+from larkpost.gateway.rollouts.errors import (
+    BatchRefusedError,
+    BatchUncertainError,
+    NoSuchBatchError,
+)
 from larkpost.gateway.rollouts.progress import Progress
 from larkpost.gateway.store.batch_tables import PARTS, part_of
 from larkpost.platform.stand_in.memory_store import StoreFaults
 from tests.platform_fleet import PlatformFleet, check_results, make_batch
 from tests.virtual import run
 
+ENGINE_SLOTS = 8
+LONG_RUN_EVENTS = 95
+"""At one event a second, items run for longer than ended batches are kept."""
+SHORT_LIFETIME_SECONDS = 5.0
+
 
 class DurableBatchTest(unittest.TestCase):
     """Each test runs a small fleet in virtual time."""
@@ -258,6 +272,34 @@
 
         run(play())
 
+    def test_open_batch_outlives_the_time_for_which_batches_are_kept(self):
+        """Guards against 404 for a batch that is still running (LOST)."""
+
+        async def play():
+            fleet = PlatformFleet(engines=1)
+            fleet.engines.output_events = LONG_RUN_EVENTS
+            for state in fleet.model_engines():
+                state.event_seconds = 1.0
+            for gateway in fleet.gateways:
+                gateway.settings = replace(gateway.settings, batch_lifetime=SHORT_LIFETIME_SECONDS)
+            await fleet.wait(1.0)
+            spec = make_batch(items=ENGINE_SLOTS)
+            owner = await fleet.submit(spec)
+            await fleet.wait(20.0)
+            fleet.kill(owner)
+            await fleet.wait(SHORT_LIFETIME_SECONDS + RETENTION_SLACK_SECONDS - 10.0)
+            other = fleet.other(owner)
+            page = await other.batches.read(spec.id, 0, 0.0)
+            self.assertEqual((ENGINE_SLOTS, ()), (page.total, page.results))
+            await fleet.wait(LONG_RUN_EVENTS - 72.0)
+            self.assertEqual(ENGINE_SLOTS, len(await fleet.read_all(other, spec.id)))
+            await fleet.wait(SHORT_LIFETIME_SECONDS + 2 * REMOVAL_INTERVAL_SECONDS)
+            self.assertEqual([], [key for key in fleet.store.rows if key.key == spec.id])
+            with self.assertRaises(NoSuchBatchError):
+                await other.batches.read(spec.id, 0, 0.0)
+
+        run(play())
+
     def test_broken_streams_are_continued(self):
         async def play():
             fleet = PlatformFleet()
