Signals are handled from the first instructions of a process to its last

Cause: handlers were installed after the imports, which take half a second, and went with the event loop: a SIGHUP or SIGTERM before ended the process by its default action, and so did a second SIGTERM after the loop (status -15).

Change: serve.py records signals before its slow imports; the process takes them once its handlers stand. A stop before the start ends it with status 0 and the stop line, a reload is done once it has started. Signals are blocked at the very end.

Not covered: the 20 ms of the interpreter itself before serve.py.

--- a/src/larkpost/platform/process.py
+++ b/src/larkpost/platform/process.py
@@ -10,8 +10,9 @@
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
+from larkpost.common.early_signals import HANDLED_SIGNALS, block_signals, take_recorded
 from larkpost.common.steady_time import run_on_steady_loop
-from larkpost.gateway.observability.eventlog import EventLog, NonBlockingWriter
+from larkpost.gateway.observability.eventlog import Event, EventLog, NonBlockingWriter
 from larkpost.gateway.observability.metrics import Metrics
 from larkpost.platform.assembly import (
     make_descriptor_monitor,
@@ -40,9 +41,11 @@
     process = Process(load_platform_settings(path))
     watcher = process.watch_file(path, content)
     process.handle_signals()
-    await process.start()
-    await process.run_until_stopped(watcher.watch)
+    if not process.is_stop_requested:
+        await process.start()
+        await process.run_until_stopped(watcher.watch)
     await process.close()
+    block_signals()
 
 
 class Process:
@@ -61,6 +64,7 @@
             self._gateway.lifecycle,
             self._log,
         )
+        self._has_started = False
         self._stop = asyncio.Event()
         self._reload = asyncio.Event()
 
@@ -74,15 +78,25 @@
         return SettingsWatcher(path, content, self._reload, targets, self._log)
 
     def handle_signals(self) -> None:
-        """Installs handlers for signals and for event loop errors."""
+        """Installs handlers for signals, which take earlier ones too, and for event loop errors."""
         loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, self._stop.set)
-        loop.add_signal_handler(signal.SIGHUP, self._reload.set)
+        for number in HANDLED_SIGNALS:
+            loop.add_signal_handler(number, self._handle_signal, number)
+        for number in take_recorded():
+            self._handle_signal(number)
         loop.set_exception_handler(self._descriptor_monitor.handle_loop_error)
 
+    def _handle_signal(self, number: signal.Signals) -> None:
+        (self._reload if number is signal.SIGHUP else self._stop).set()
+
+    @property
+    def is_stop_requested(self) -> bool:
+        """Whether a signal has asked the daemon to stop."""
+        return self._stop.is_set()
+
     async def start(self) -> None:
         """Starts the daemon, then its listeners."""
+        self._has_started = True
         self._gateway.start()
         for listener in self._listeners.in_start_order():
             await listener.start()
@@ -102,8 +116,12 @@
         descriptor_task.cancel()
 
     async def close(self) -> None:
-        """Stops the daemon, then its listeners, then its clients."""
+        """Stops the daemon, then its listeners, then its clients; also one that never started."""
         self._gateway.stop()
+        if not self._has_started:
+            self._log.record(Event.STOP, unfinished=0, open_requests=0, seconds=0.0)
+            await self._clients.close()
+            return
         await asyncio.gather(*(listener.close() for listener in self._listeners.in_start_order()))
         await self._clients.close()
 
--- a/tests/run.py
+++ b/tests/run.py
@@ -29,6 +29,7 @@
     "tests.test_deployment",
     "tests.test_process_soak",
     "tests.test_silent_connections",
+    "tests.test_early_signals",
 )
 """Modules that start processes, or measure time; they run after the others, one at a time."""
 SLOWEST_FIRST = ("tests.test_fuzz", "tests.test_soak", "tests.test_regressions")
