Soak: stops with kept connections, crashes in waves, ends of batches not yet accepted

Three foci besides the mix, whose kept seeds draw the same plans as before. stops: clients send streams on kept connections until the daemon closes them, while daemons get SIGTERM in turn and again, SIGHUP, new settings and new configurations; no stream that a server runs is cut. crashes: engines crash in waves and are back after 0.25 s, beside pages and items that crash them. late: all writes of the store are done 5.9 s late; batches are submitted once and ended; nothing of an ended batch runs, whatever fault there is, unless it keeps the news from the daemons (stricter than before: any fault excused it).

Found: the stand-in engine took orders that name another instance, so that the check of turns failed once (focus crashes, seed 1): order 1533 was sent to engines-1-12 and recorded by engines-1-14 at the same address. It answers 421 now, as the pages say.

--- a/src/larkpost/platform/stand_in/server_app.py
+++ b/src/larkpost/platform/stand_in/server_app.py
@@ -80,14 +80,18 @@
             self._state.running -= 1
 
     def _refusal(self, request: Request) -> Response | None:
-        expected = request.headers.get(names.EXPECT_INSTANCE.decode())
-        if expected not in (None, self._instance):
+        if self._is_misdirected(request):
             return Response(status_code=421)
         loading = asyncio.get_running_loop().time() < self._state.loading_until
         if loading or self._state.running >= self._state.slots:
             return Response(status_code=503, headers={names.NOT_EXECUTED.decode(): "1"})
         return None
 
+    def _is_misdirected(self, request: Request) -> bool:
+        """Returns whether a request is meant for another instance."""
+        expected = request.headers.get(names.EXPECT_INSTANCE.decode())
+        return expected not in (None, self._instance)
+
     async def _report(self, _: Request) -> Response:
         state = self._state
         document = {
@@ -102,6 +106,8 @@
         return Response(orjson.dumps(document), media_type="application/json")
 
     async def _order(self, request: Request) -> Response:
+        if self._is_misdirected(request):
+            return Response(status_code=421)
         document = orjson.loads(await request.body())
         order = VersionOrder(
             ModelName(document["model"]),
--- a/tests/process_soak/__main__.py
+++ b/tests/process_soak/__main__.py
@@ -21,10 +21,13 @@
 from larkpost.rehearsal.processes import ProcessGroup, is_responding
 from tests.process_soak.callers import Callers
 from tests.process_soak.checker import CRASH_REPORT_SECONDS, InvariantChecker
+from tests.process_soak.kept_connections import KeptConnections
 from tests.process_soak.plan import (
     CRASH_REPORT_LOSING_KINDS,
     DISRUPTIVE_KINDS,
+    PLANNED_KINDS,
     Fault,
+    Focus,
     Kind,
     draw_plan,
 )
@@ -41,6 +44,8 @@
 READY_SECONDS = 30.0
 ITEMS = 24
 REQUESTS_PER_SECOND = 8.0
+KEPT_CLIENTS = 8
+"""Clients with kept connections, each with one stream at a time; fewer than the pages' slots."""
 BROKEN_CHARACTERS = 800
 LOGS = Path("soak-logs")
 
@@ -52,6 +57,7 @@
     seed: int
     seconds: float
     mutant: str | None = None
+    focus: Focus = Focus.MIX
     steps: int = 0
     abandoned: int = 0
     requests: int = 0
@@ -70,10 +76,14 @@
         plan: the faults, in order of time.
         folder: for the files of the run.
         daemons: number of daemons.
+        focus: which faults the plan draws, and which callers there are besides.
     """
 
-    def __init__(self, report: Report, plan: list[Fault], folder: Path, daemons: int) -> None:
+    def __init__(
+        self, report: Report, plan: list[Fault], folder: Path, daemons: int, focus: Focus
+    ) -> None:
         self.report = report
+        self._focus = focus
         self._plan = plan
         self._folder = folder
         self._daemons = daemons
@@ -86,6 +96,7 @@
         await site.start()
         self._checker.evacuations = site.evacuations
         await _until_ready(site)
+        self._checker.stops = site.stops
         callers = Callers(
             site.fronts,
             self._checker,
@@ -93,12 +104,24 @@
             site.publish_version,
             lambda: site.configured_at,
         )
+        kept = KeptConnections(
+            site.fronts,
+            random.Random(self.report.seed),
+            callers.newest_version,
+            callers.register_kept,
+        )
+        self._checker.kept_requests = kept.requests
         until = time.monotonic() + self.report.seconds
-        work = asyncio.gather(
+        parts = [
             callers.train(MODEL, ITEMS, until),
             callers.ask(REQUESTS_PER_SECOND, until),
             self._inject_faults(FaultInjector(site), callers),
-        )
+        ]
+        if self._focus is Focus.STOPS:
+            parts.append(kept.run(KEPT_CLIENTS, until))
+        if self._focus is Focus.LATE:
+            parts.append(callers.submit_and_give_up(MODEL, until))
+        work = asyncio.gather(*parts)
         try:
             while not work.done():
                 await asyncio.wait({work}, timeout=CHECK_SECONDS)
@@ -141,10 +164,18 @@
         crash_report_gaps = self._checker.crash_report_gaps
         if fault.kind in CRASH_REPORT_LOSING_KINDS:
             crash_report_gaps.append((began_at, float("inf")))
-        if fault.kind is Kind.CRASHING_REQUEST:
+        is_planned = fault.kind in PLANNED_KINDS
+        if not is_planned:
+            self._checker.unplanned.append((began_at, float("inf")))
+        if fault.kind is Kind.CRASHING_ITEM:
+            await callers.submit_crashing_item(MODEL, fault.target, fault.seconds)
+        elif fault.kind is Kind.CRASHING_REQUEST:
             await callers.ask_again_and_again(fault.target % CRASHING_PAGES, fault.seconds)
         else:
             await injector.inject(fault)
+        if not is_planned:
+            self._checker.unplanned.remove((began_at, float("inf")))
+            self._checker.unplanned.append((began_at, time.monotonic()))
         if fault.kind in CRASH_REPORT_LOSING_KINDS:
             crash_report_gaps.remove((began_at, float("inf")))
             crash_report_gaps.append((began_at, time.monotonic()))
@@ -193,14 +224,20 @@
 
 
 def play(
-    seed: int, seconds: float, gap: float, mutant: str | None = None, daemons: int = DAEMONS
+    seed: int,
+    seconds: float,
+    gap: float,
+    mutant: str | None = None,
+    daemons: int = DAEMONS,
+    focus: Focus = Focus.MIX,
 ) -> Report:
     """Runs the soak once in a temporary folder; keeps the logs if an invariant was violated."""
     with tempfile.TemporaryDirectory(prefix="larkpost-soak-") as name:
         folder = Path(name)
         with ProcessGroup(folder) as group:
-            report = Report(seed, seconds, mutant)
-            soak = ProcessSoak(report, draw_plan(seed, seconds, gap), folder, daemons)
+            report = Report(seed, seconds, mutant, focus)
+            plan = draw_plan(seed, seconds, gap, focus)
+            soak = ProcessSoak(report, plan, folder, daemons, focus)
             asyncio.run(soak.play(group))
         if report.broken and mutant is None:
             shutil.copytree(folder, LOGS / str(seed), dirs_exist_ok=True)
@@ -214,12 +251,13 @@
     mutant: Annotated[str | None, typer.Option(help="Break this mechanism of all daemons.")] = None,
     daemons: Annotated[int, typer.Option(help="Daemons, a process each.")] = DAEMONS,
     runs: Annotated[int, typer.Option(help="Runs, each with the next seed.")] = 1,
+    focus: Annotated[Focus, typer.Option(help="Which faults are drawn.")] = Focus.MIX,
 ) -> None:
     """Runs the soak several times and prints one line of JSON for each run."""
     first = secrets.randbelow(1_000_000) if seed is None else seed
     broken = False
     for number in range(first, first + runs):
-        report = play(number, seconds, gap, mutant, daemons)
+        report = play(number, seconds, gap, mutant, daemons, focus)
         print(orjson.dumps(report).decode(), flush=True)
         broken = broken or bool(report.broken)
     raise typer.Exit(int(broken))
--- a/tests/process_soak/callers.py
+++ b/tests/process_soak/callers.py
@@ -31,6 +31,8 @@
 READ_WAIT_MS = "500"
 GROUP_SIZE = 4
 ONCE_PREFIX = "/orders/"
+CRASHING_ITEM_SECONDS = 8.0
+"""Time for which a batch with a crashing item stays open."""
 KEY_LIFETIME_VERSIONS = 2
 """Number of configuration versions in which a key is valid."""
 REVOKED_KEY_INTERVAL = 7
@@ -138,6 +140,15 @@
         if answer is not None and answer[0] == 200:
             batch.ended_at = time.monotonic()
 
+    def register_kept(self, name: str) -> None:
+        """Registers a stream on a kept connection, which may run only once."""
+        self._checker.client_requests[name] = True
+        self._checker.tenants[name] = READING
+
+    def newest_version(self) -> int:
+        """Returns the newest acknowledged configuration version."""
+        return self._newest_version()
+
     def _new_batch(self, step: int, items: int) -> SubmittedBatch:
         name = f"b{self._rng.getrandbits(60):x}"
         calls = {f"{name}i{number}": f"{name}s{number}" for number in range(items)}
@@ -158,8 +169,41 @@
             refused = refused and answer is not None and answer[0] in NOT_RUN_STATUSES
             await asyncio.sleep(PAUSE_SECONDS)
         batch.refused = refused
+        await self._end(batch, until + SUBMIT_SECONDS)
         return False
 
+    async def _end(self, batch: SubmittedBatch, until: float) -> None:
+        """Ends a batch, and repeats that until it is acknowledged."""
+        target = f"{names.BATCH_PATH_PREFIX.decode()}{batch.batch}"
+        while time.monotonic() < until:
+            answer = await self._call("DELETE", target, batch.batch)
+            if answer is not None and answer[0] == 200:
+                batch.ended_at = time.monotonic()
+                return
+            await asyncio.sleep(PAUSE_SECONDS)
+
+    async def submit_and_give_up(self, model: ModelName, until: float) -> None:
+        """Submits batches once each, and ends those that are not accepted at once."""
+        while time.monotonic() < until:
+            batch = self._new_batch(step=0, items=GROUP_SIZE)
+            body = orjson.dumps(_document(batch, model, 0))
+            answer = await self._call("POST", f"{BATCH_PREFIX}{batch.batch}", batch.batch, body)
+            batch.accepted = answer is not None and answer[0] == 202
+            await self._end(batch, until + SUBMIT_SECONDS)
+            await asyncio.sleep(PAUSE_SECONDS)
+
+    async def submit_crashing_item(self, model: ModelName, page: int, seconds: float) -> None:
+        """Submits a batch with an item that crashes its servers, and ends it after a while."""
+        batch = self._new_batch(step=0, items=GROUP_SIZE)
+        document = _document(batch, model, 0)
+        document["requests"][0]["path"] = f"{BATCH_PREFIX}{CRASHING_PAGE}{page}"
+        self._checker.client_requests[document["requests"][0]["id"]] = False
+        target = f"{BATCH_PREFIX}{batch.batch}"
+        answer = await self._call("POST", target, batch.batch, orjson.dumps(document))
+        batch.accepted = answer is not None and answer[0] == 202
+        await asyncio.sleep(max(seconds, CRASHING_ITEM_SECONDS))
+        await self._end(batch, time.monotonic() + SUBMIT_SECONDS)
+
     async def _request(self, *, once: bool) -> None:
         name = f"r{self._rng.getrandbits(60):x}"
         self._checker.client_requests[name] = once
--- a/tests/process_soak/checker.py
+++ b/tests/process_soak/checker.py
@@ -6,10 +6,12 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
+from larkpost.common.ids import Address
 from larkpost.gateway.rollouts.model import ResultState
 from larkpost.platform.stand_in.engine_state import expected_output
 from larkpost.platform.stand_in.rows import TRAINING
 from tests import platform_checks as checks
+from tests.process_soak.kept_connections import KeptRequest
 from tests.process_soak.records import Evacuation, Records
 
 APPLY_SECONDS = 2.0
@@ -18,6 +20,11 @@
 """Time after the acknowledgement of a batch's end during which its items may still run."""
 CRASH_REPORT_SECONDS = 4.0
 """Time after a fault until each daemon knows of all crashes, including the start of a daemon."""
+STOP_SECONDS = 8.0
+"""The daemons' grace time."""
+EXEMPT_SECONDS = 3.0
+"""A stream sent within this time after SIGTERM may be cut in the last sixth of the grace time."""
+CONTACT_SECONDS = 3.0
 FAULT_SLACK_SECONDS = 12.0
 """Time after a fault during which rules with time bounds are not enforced."""
 
@@ -63,6 +70,9 @@
             servers; the end is infinite while the fault lasts.
         evacuations: the site's evacuations, updated as they happen.
         crash_report_gaps: start and end of faults that may lose or delay crash reports.
+        unplanned: start and end of faults that are no planned work.
+        kept_requests: streams on kept connections, updated as they end.
+        stops: fronts of daemons that got SIGTERM, with the time, updated as they do.
     """
 
     batches: dict[str, SubmittedBatch] = field(default_factory=dict)
@@ -74,6 +84,9 @@
     disruptions: list[tuple[float, float]] = field(default_factory=list)
     evacuations: Sequence[Evacuation] = ()
     crash_report_gaps: list[tuple[float, float]] = field(default_factory=list)
+    unplanned: list[tuple[float, float]] = field(default_factory=list)
+    kept_requests: Sequence[KeptRequest] = ()
+    stops: Sequence[tuple[Address, float]] = ()
 
     def record_page(self, batch: SubmittedBatch, position: int, results: list[dict]) -> None:
         """Records results that a daemon returned; earlier results must not change."""
@@ -94,6 +107,7 @@
         self._check_tenants(records)
         self._check_evacuated(records)
         self._check_crashes(records)
+        self._check_stops(records)
         checks.check_reports(
             [(report.window, report.counts) for report in records.usage],
         )
@@ -134,13 +148,43 @@
             for run in records.runs.get(name, ()):
                 assert not batch.refused, f"{name} runs, but was refused"
                 late = batch.ended_at is not None and run.began > batch.ended_at + CANCEL_SECONDS
-                assert not (late and self._is_fault_free(run.began)), (
+                assert not (late and self._is_undisturbed(run.began)), (
                     f"{name} runs after its batch's end"
                 )
 
     def _is_fault_free(self, at: float) -> bool:
         return all(not at - FAULT_SLACK_SECONDS < time < at for time in self.fault_times)
 
+    def _is_undisturbed(self, at: float) -> bool:
+        """Returns whether no fault has kept news of a batch's end from the daemons recently."""
+        since = at - FAULT_SLACK_SECONDS
+        return not any(start <= at and end >= since for start, end in self.disruptions)
+
+    def _check_stops(self, records: Records) -> None:
+        """No stream that a server runs is cut by a planned stop of its daemon."""
+        for request in self.kept_requests:
+            if request.status is not None or request.ended_at == float("inf"):
+                continue
+            for front, stopped_at in self.stops:
+                if front == request.front and self._is_cut_by_stop(request, stopped_at):
+                    assert request.name not in records.runs, (
+                        f"{request.name}, sent {request.sent_at - stopped_at:.2f} s after SIGTERM, "
+                        f"was cut after {request.ended_at - request.sent_at:.2f} s"
+                    )
+
+    def _is_cut_by_stop(self, request: KeptRequest, stopped_at: float) -> bool:
+        """Returns whether nothing but a stop explains that a request has no response."""
+        if not stopped_at < request.ended_at <= stopped_at + STOP_SECONDS + 1.0:
+            return False
+        is_exempt = (
+            request.sent_at <= stopped_at + EXEMPT_SECONDS
+            and request.ended_at >= stopped_at + STOP_SECONDS * 5 / 6
+        )
+        since = request.sent_at - CONTACT_SECONDS
+        return not is_exempt and not any(
+            start <= request.ended_at and end >= since for start, end in self.unplanned
+        )
+
     def _check_requests(self, records: Records) -> None:
         submitted = {name for batch in self.batches.values() for name in batch.calls}
         submitted |= {name for batch in self.batches.values() for name in batch.calls.values()}
--- a/tests/process_soak/plan.py
+++ b/tests/process_soak/plan.py
@@ -37,8 +37,66 @@
     SCORER_FAILS = "scorer_fails"  # a server answers every page with 500
     CONFIGURATION = "configuration"  # a new configuration with another route
     EVACUATION = "evacuation"  # of a zone, ended after a while
+    STOPS_IN_TURN = "stops_in_turn"  # SIGTERM to each daemon, repeated, with SIGHUP between
+    SERVER_WAVES = "server_waves"  # engines crash again and again, and are soon back
+    CRASHING_ITEM = "crashing_item"  # of a batch, beside harmless ones
+    ALL_WRITES_LATE = "all_writes_late"  # no write gets an answer; all are done later
 
 
+class Focus(StrEnum):
+    """Which kinds of faults a run draws."""
+
+    MIX = "mix"
+    STOPS = "stops"
+    CRASHES = "crashes"
+    LATE = "late"
+
+
+FOCUSED_KINDS = {
+    Focus.STOPS: (
+        Kind.STOPS_IN_TURN,
+        Kind.DAEMON_STOP,
+        Kind.DAEMON_STOP,
+        Kind.GOOD_SETTINGS,
+        Kind.BAD_SETTINGS,
+        Kind.CONFIGURATION,
+    ),
+    Focus.CRASHES: (
+        Kind.SERVER_WAVES,
+        Kind.SERVER_WAVES,
+        Kind.CRASHING_ITEM,
+        Kind.CRASHING_REQUEST,
+        Kind.SERVER_KILL,
+        Kind.CONFIGURATION,
+    ),
+    Focus.LATE: (
+        Kind.ALL_WRITES_LATE,
+        Kind.ALL_WRITES_LATE,
+        Kind.STORE_WRITES_LATE,
+        Kind.STORE_LOSES_ANSWERS,
+        Kind.DAEMON_STOP,
+    ),
+}
+NEW_KINDS = {kind for kinds in FOCUSED_KINDS.values() for kind in kinds} - {
+    Kind.DAEMON_STOP,
+    Kind.GOOD_SETTINGS,
+    Kind.BAD_SETTINGS,
+    Kind.CONFIGURATION,
+    Kind.CRASHING_REQUEST,
+    Kind.SERVER_KILL,
+    Kind.STORE_WRITES_LATE,
+    Kind.STORE_LOSES_ANSWERS,
+}
+MIXED_KINDS = tuple(kind for kind in Kind if kind not in NEW_KINDS)
+"""Kinds of the mix. New kinds are left out, so that a kept seed draws the same plan as ever."""
+PLANNED_KINDS = {
+    Kind.STOPS_IN_TURN,
+    Kind.DAEMON_STOP,
+    Kind.GOOD_SETTINGS,
+    Kind.BAD_SETTINGS,
+    Kind.CONFIGURATION,
+}
+"""Planned work, which excuses no request that is cut."""
 LONGEST_SECONDS = {
     Kind.STORE_PAUSE: 3.0,
     Kind.SERVER_PAUSE: 3.0,
@@ -65,6 +123,8 @@
     Kind.STORE_LOSES_ANSWERS,
     Kind.STORE_WRITES_LATE,
     Kind.STORE_PARTS_DOWN,
+    Kind.STOPS_IN_TURN,
+    Kind.ALL_WRITES_LATE,
 }
 """Faults that may lose or delay crash reports: daemon exits and all faults of the store."""
 USUAL_LONGEST_SECONDS = 5.0
@@ -92,13 +152,14 @@
     link: LinkFault
 
 
-def draw_plan(seed: int, seconds: float, gap: float) -> list[Fault]:
+def draw_plan(seed: int, seconds: float, gap: float, focus: Focus = Focus.MIX) -> list[Fault]:
     """Returns the faults of a run, with a mean interval of ``gap`` seconds."""
+    kinds = FOCUSED_KINDS.get(focus, MIXED_KINDS)
     rng = random.Random(seed)
     faults = []
     at = rng.uniform(0.5, 1.5) * gap
     while at < seconds:
-        kind = rng.choice(list(Kind))
+        kind = rng.choice(kinds)
         longest = LONGEST_SECONDS.get(kind, USUAL_LONGEST_SECONDS)
         faults.append(
             Fault(
--- a/tests/process_soak/server_program.py
+++ b/tests/process_soak/server_program.py
@@ -12,7 +12,7 @@
 
 import orjson
 from starlette.requests import Request
-from starlette.responses import Response
+from starlette.responses import Response, StreamingResponse
 from starlette.routing import Route
 
 from larkpost.common.http_server import HttpServer
@@ -23,6 +23,7 @@
 from larkpost.platform.stand_in.programs import keep_listed, read_server
 from larkpost.platform.stand_in.rows import StandInServer
 from larkpost.platform.stand_in.server_app import ServerApp
+from tests.process_soak.kept_connections import STREAM_PREFIX
 from tests.process_soak.records import (
     CRASHING_PAGE,
     FAILING_CALL,
@@ -33,6 +34,7 @@
 
 LATE_SECONDS = 2.0
 CRASH_SECONDS = 0.08
+STREAM_EVENTS, STREAM_EVENT_SECONDS = 15, 0.1
 UNANSWERED_RECHECK_SECONDS = 30.0
 
 
@@ -65,6 +67,8 @@
         began = time.monotonic()
         if request.url.path.rpartition("/")[2].startswith(CRASHING_PAGE):
             await self._crash(request)
+        if request.url.path.startswith(STREAM_PREFIX):
+            return self._stream(request, began)
         runs = len(self._state.runs)
         response = await super()._serve(request)
         if len(self._state.runs) == runs:
@@ -86,6 +90,39 @@
         )
         return response
 
+    def _stream(self, request: Request, began: float) -> Response:
+        """Responds with a stream of events, of which the last may be far off."""
+        refusal = self._refusal(request)
+        if refusal is not None:
+            return refusal
+        name = request.headers[names.REQUEST_ID.decode()]
+        headers = {
+            names.REQUEST_ID.decode(): name,
+            names.SERVER_SIGNATURE.decode(): f"{self._instance}.{name}",
+        }
+        write_record(
+            RecordKind.RUN,
+            request=name,
+            path=request.url.path,
+            began=began,
+            signature=headers[names.SERVER_SIGNATURE.decode()],
+            status=200,
+            tenant=request.headers.get(names.TENANT.decode()),
+            zone=self._zone,
+        )
+        return StreamingResponse(
+            self._stream_events(), headers=headers, media_type="text/event-stream"
+        )
+
+    async def _stream_events(self) -> AsyncIterator[bytes]:
+        self._state.running += 1
+        try:
+            for number in range(STREAM_EVENTS):
+                await asyncio.sleep(STREAM_EVENT_SECONDS)
+                yield b"id: %d\ndata: event\n\n" % number
+        finally:
+            self._state.running -= 1
+
     async def _crash(self, request: Request) -> None:
         """Exits the process after a short delay without a response, as in a crash."""
         refusal = self._refusal(request)
@@ -102,6 +139,8 @@
         write_record(RecordKind.WHOLE, request=request_id)
 
     async def _order(self, request: Request) -> Response:
+        if self._is_misdirected(request):
+            return await super()._order(request)  # refused: it was meant for an earlier instance
         document = orjson.loads(await request.body())
         write_record(
             RecordKind.ORDER,
--- a/tests/process_soak/site.py
+++ b/tests/process_soak/site.py
@@ -23,6 +23,7 @@
 from larkpost.rehearsal.processes import Process, ProcessGroup, free_address
 from tests.platform_checks import CALL_ATTEMPTS
 from tests.process_soak.callers import ONCE_PREFIX
+from tests.process_soak.kept_connections import STREAM_PREFIX
 from tests.process_soak.proxy import FaultProxy
 from tests.process_soak.records import (
     Evacuation,
@@ -103,6 +104,8 @@
         self._started = 0
         self._crashed: dict[int, asyncio.Task] = {}
         """Restarts in progress of crashed servers, by number."""
+        self.stops: list[tuple[Address, float]] = []
+        """Fronts of daemons that got SIGTERM, with the monotonic time."""
         self.servers: list[Server] = []
         self.daemons: list[Daemon] = []
 
@@ -148,7 +151,13 @@
         pages["max-attempts"] = CALL_ATTEMPTS
         once = pages | {"name": "orders", "path-prefix": ONCE_PREFIX, "kind": "non_idempotent"}
         added = once | {"name": "added", "path-prefix": f"/added-{self._configuration}/"}
-        document["routes"] += [once, added]
+        streams = once | {
+            "name": "streams",
+            "path-prefix": STREAM_PREFIX,
+            "kind": "stream",
+            "timeout-ms": 10_000,
+        }
+        document["routes"] += [once, added, streams]
         key = RowKey(names.OPERATOR_TABLE, "", names.CONFIGURATION_KEY)
         await self.write(Transaction(puts=((key, orjson.dumps(document)),)))
         self.configured_at[self._configuration] = time.monotonic()
--- a/tests/process_soak/strikes.py
+++ b/tests/process_soak/strikes.py
@@ -37,12 +37,15 @@
     Kind.STORE_REFUSES: {"refuses": True},
     Kind.STORE_LOSES_ANSWERS: {"lost_answers": 0.3},
     Kind.STORE_WRITES_LATE: {"late_writes": 0.3},
+    Kind.ALL_WRITES_LATE: {"late_writes": 1.0, "late_seconds": 5.9},
     Kind.STORE_SLOW: {"slow_seconds": 0.2},
     Kind.STORE_PARTS_DOWN: {"parts_down": ["b0", "b1", "b2", "b3"]},
 }
 STOP_SECONDS = 12.0
 """Timeout of a planned stop, after which the daemon is killed."""
 BAD_SETTINGS_SECONDS = 1.5
+WAVES = 9
+SHORT_PAUSE_SECONDS = 0.25
 
 FaultHandler = Callable[[Fault], Awaitable[None]]
 
@@ -74,6 +77,8 @@
             Kind.SCORER_FAILS: self._fail_scorer,
             Kind.CONFIGURATION: self._configure,
             Kind.EVACUATION: self._evacuate,
+            Kind.STOPS_IN_TURN: self._stop_all_in_turn,
+            Kind.SERVER_WAVES: self._crash_in_waves,
         } | dict.fromkeys(STORE_FAULTS, self._apply_store_faults)
 
     async def inject(self, fault: Fault) -> None:
@@ -88,6 +93,33 @@
     async def _stop_daemon(self, fault: Fault) -> None:
         await self._restart(self._daemon(fault), signal.SIGTERM, fault.seconds)
 
+    async def _stop_all_in_turn(self, fault: Fault) -> None:
+        """Stops the daemons one after the other; some get SIGHUP and SIGTERM again meanwhile."""
+        restarts = []
+        for daemon in list(self._site.daemons):
+            restarts.append(
+                asyncio.create_task(self._restart(daemon, signal.SIGTERM, SHORT_PAUSE_SECONDS))
+            )
+            await asyncio.sleep(fault.seconds / 2)
+            daemon.process.send(signal.SIGHUP)
+            daemon.process.send(signal.SIGTERM)
+        await asyncio.gather(*restarts)
+
+    async def _crash_in_waves(self, fault: Fault) -> None:
+        """Crashes one or two engines at a time, which are back after a moment."""
+        for wave in range(WAVES):
+            engines = [
+                self._site.servers[(fault.target + wave + number) % ENGINE_COUNT]
+                for number in range(1 + wave % 2)
+            ]
+            processes = [engine.process for engine in engines]
+            for process in processes:
+                process.send(signal.SIGKILL)
+            await asyncio.sleep(SHORT_PAUSE_SECONDS)
+            for engine, process in zip(engines, processes, strict=True):
+                self._site.follow(engine, process)
+            await asyncio.sleep(SHORT_PAUSE_SECONDS)
+
     async def _kill_all_daemons(self, fault: Fault) -> None:
         restarts = (
             self._restart(daemon, signal.SIGKILL, fault.seconds) for daemon in self._site.daemons
@@ -98,6 +130,8 @@
         process = daemon.process
         process.send(signal.SIGCONT)
         process.send(number)
+        if number is signal.SIGTERM:
+            self._site.stops.append((daemon.front.address, time.monotonic()))
         await _wait_for_exit(process)
         await asyncio.sleep(seconds)
         if daemon.process is process and daemon in self._site.daemons:
--- a/tests/test_process_soak.py
+++ b/tests/test_process_soak.py
@@ -13,7 +13,8 @@
 from tests.connections import ConnectionServer
 from tests.process_soak.__main__ import play
 from tests.process_soak.checker import InvariantChecker, SubmittedBatch
-from tests.process_soak.plan import Kind, draw_plan
+from tests.process_soak.kept_connections import KeptRequest
+from tests.process_soak.plan import FOCUSED_KINDS, MIXED_KINDS, Focus, Kind, draw_plan
 from tests.process_soak.proxy import FaultProxy, LinkFault
 from tests.process_soak.records import CrashingRun, Evacuation, Order, Records, Run, Usage
 from tests.process_soak.site import ZONES
@@ -144,7 +145,12 @@
 
     def test_every_kind_is_drawn_and_faults_overlap(self):
         plan = draw_plan(1, 600.0, 1.0)
-        self.assertEqual(set(Kind), {fault.kind for fault in plan})
+        self.assertEqual(set(MIXED_KINDS), {fault.kind for fault in plan})
+        for focus, kinds in FOCUSED_KINDS.items():
+            plan = draw_plan(1, 600.0, 1.0, focus)
+            self.assertEqual(set(kinds), {fault.kind for fault in plan})
+        self.assertEqual(set(Kind), set(MIXED_KINDS).union(*FOCUSED_KINDS.values()))
+        plan = draw_plan(1, 600.0, 1.0)
         pairs = zip(plan, plan[1:], strict=False)
         self.assertTrue(any(first.at + first.seconds > second.at for first, second in pairs))
 
@@ -221,7 +227,25 @@
         self.batch.ended_at = 10.0
         self.records.runs["i1"].append(Run("/r", 20.0, "e.i1", 200, TRAINING))
         self.assert_broken("after its batch's end")
-        self.checker.fault_times.append(15.0)
+        self.checker.fault_times.append(15.0)  # one that keeps no news from the daemons
+        self.assert_broken("after its batch's end")
+        self.checker.disruptions.append((14.0, 15.0))
+        self.checker.check(self.records)
+
+    def test_stream_that_a_planned_stop_cuts(self):
+        request = KeptRequest("k1", "front", sent_at=14.0, ended_at=16.7)
+        self.checker.client_requests["k1"] = True
+        self.checker.tenants["k1"] = READING
+        self.checker.kept_requests = [request]
+        self.checker.stops = [("front", 10.0), ("other", 15.0)]
+        self.checker.check(self.records)  # no server had it
+        self.records.runs["k1"].append(Run("/s", 14.1, "s.k1", 200, READING))
+        self.assert_broken("sent 4.00 s after SIGTERM")
+        request.sent_at = 12.0  # it may be cut in the last sixth of the grace time
+        self.checker.check(self.records)
+        request.ended_at = 16.0
+        self.assert_broken("sent 2.00 s after SIGTERM")
+        self.checker.unplanned.append((8.0, 9.5))
         self.checker.check(self.records)
 
     def test_request_that_nobody_sent(self):
@@ -306,8 +330,9 @@
     def test_stored_seeds_violate_no_invariant(self):
         kept = tomllib.loads(SEEDS.read_text(encoding="utf-8"))["seeds"]
         for entry in kept:
-            with self.subTest(entry["seed"]):
-                report = play(entry["seed"], entry["seconds"], entry["gap"])
+            focus = Focus(entry.get("focus", Focus.MIX))
+            with self.subTest(seed=entry["seed"], focus=focus):
+                report = play(entry["seed"], entry["seconds"], entry["gap"], focus=focus)
                 self.assertEqual("", report.broken)
                 self.assertGreater(report.steps, 0)
 
