--- a/src/larkpost/gateway/graceful_shutdown.py
+++ b/src/larkpost/gateway/graceful_shutdown.py
@@ -116,6 +116,8 @@
                 await step()
         except TimeoutError:
             self._log.record(Event.STOP_STEP_LEFT, step=name)
+        except Exception as error:  # the process would end at once, and cut all open responses
+            self._log.record(Event.FAULT, where=f"stop step {name}", error=repr(error))
 
     async def _wait_for_responses(self, schedule: StopSchedule) -> None:
         """Waits until no new connections come and no request is open, but not for too long."""
--- a/src/larkpost/gateway/rollouts/batch_manager.py
+++ b/src/larkpost/gateway/rollouts/batch_manager.py
@@ -180,7 +180,8 @@
     async def hand_over(self) -> None:
         """Hands all owned batches over to other daemons, with their partial outputs."""
         self._handing_over = True
-        await asyncio.gather(*(self._hand_over(batch) for batch in list(self._owned)))
+        owned = list(self._owned.items())
+        await asyncio.gather(*(self._hand_over(batch, work) for batch, work in owned))
 
     async def remove_expired(self) -> None:
         """Removes expired batches that are not open; each is removed by a single daemon.
@@ -215,13 +216,15 @@
     def _update_batch(self, cached: CachedBatchHead) -> None:
         """Starts, releases or claims a batch, depending on its owner and whether it has ended."""
         head, batch = cached.head, cached.head.id
-        is_own = head.owner == self._membership.own and not self._handing_over
+        is_own = head.owner == self._membership.own
         if head.ended or batch in self._completed or (batch in self._owned and not is_own):
             self._release(batch)
+        elif self._handing_over:
+            return  # what is owned is released once it has been handed over
         elif is_own:
             if batch not in self._owned:
                 self._start_batch(head, None, fresh=False)
-        elif not self._handing_over and self._claims.should_claim(cached):
+        elif self._claims.should_claim(cached):
             self._start_claim(cached)
 
     def _start_claim(self, cached: CachedBatchHead) -> None:
@@ -251,8 +254,7 @@
         owned.stop()
         self._log.record(Event.BATCH_RELEASED, batch=batch, complete=owned.complete)
 
-    async def _hand_over(self, batch: BatchId) -> None:
-        owned = self._owned[batch]
+    async def _hand_over(self, batch: BatchId, owned: OwnedBatch) -> None:
         await owned.hand_over()
         self._release(batch)
         cached = self._head_cache.get(batch)
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -5,10 +5,22 @@
 from dataclasses import replace
 
 from larkpost.common.addresses import split_address
+from larkpost.common.clock import LoopClock
 from larkpost.common.http_server import CLOSE_SECONDS, HttpServer
-from larkpost.common.ids import Address
-from larkpost.gateway.graceful_shutdown import CLOSE_MARGIN_SECONDS, DEREGISTRATION_SECONDS
+from larkpost.common.ids import Address, BatchId
+from larkpost.gateway.blackboard.lifecycle import Lifecycle
+from larkpost.gateway.graceful_shutdown import (
+    CLOSE_MARGIN_SECONDS,
+    DEREGISTRATION_SECONDS,
+    GracefulShutdown,
+    ShutdownSteps,
+)
+from larkpost.gateway.observability.eventlog import Event
+from larkpost.gateway.observability.instruments import Instruments
+from larkpost.gateway.rollouts.model import BatchHead
+from larkpost.gateway.store.batch_tables import PARTIAL_TABLE
 from tests.platform_fleet import PlatformFleet, make_batch
+from tests.recording_log import RecordingLog
 from tests.virtual import run as run_virtual
 
 GRACE_SECONDS = 8.0
@@ -62,6 +74,52 @@
                 self.assertGreater(seconds, min(grace * 5 / 6, grace - 2 * CLOSE_MARGIN_SECONDS))
 
 
+class HandOverTest(unittest.TestCase):
+    """Guards against a stop that ends at once and cuts all responses, as a step fails."""
+
+    def test_batches_are_handed_over_though_they_are_checked_at_that_moment(self) -> None:
+        async def play() -> None:
+            fleet = PlatformFleet(gateways=3)
+            await fleet.wait(3.0)
+            owner = await fleet.submit(make_batch(items=40))
+            await fleet.wait(0.3)
+            await fleet.gateways[owner].membership.leave()
+            stopped = fleet.gateways[owner].batch_manager
+            handing_over = asyncio.create_task(stopped.hand_over())
+            await asyncio.gather(handing_over, asyncio.create_task(stopped.update()))
+            self.assertNotEqual(fleet.gateways[owner].id, (await self.head(fleet)).owner)
+            self.assertTrue([key for key in fleet.store.rows if key.table == PARTIAL_TABLE])
+
+        run_virtual(play())
+
+    async def head(self, fleet: PlatformFleet) -> BatchHead:
+        """Returns the batch's head as stored."""
+        return await fleet.repository().head(BatchId("batch"))
+
+    def test_step_that_fails_does_not_end_the_stop(self) -> None:
+        async def play() -> tuple[float, list[str]]:
+            clock, log, lifecycle = LoopClock(), RecordingLog(), Lifecycle()
+            done: list[str] = []
+
+            async def fail() -> None:
+                raise KeyError("batch")
+
+            async def save() -> None:
+                done.append("saved")
+
+            steps = ShutdownSteps((("hand_over", fail),), save)
+            stop = GracefulShutdown(lifecycle, Instruments(clock, log), steps, GRACE_SECONDS)
+            began = clock.now()
+            with lifecycle.request():
+                await stop.run()
+            self.assertIn(Event.FAULT, [event for event, _ in log.events])
+            return clock.now() - began, done
+
+        seconds, done = run_virtual(play())
+        self.assertGreater(seconds, GRACE_SECONDS * 5 / 6)
+        self.assertEqual(["saved"], done)
+
+
 class ListenerTest(unittest.IsolatedAsyncioTestCase):
     """Closing a listener does not wait for an endless response."""
 
