--- a/tests/test_stopping_connections.py
+++ b/tests/test_stopping_connections.py
@@ -345,7 +345,7 @@
         self.assertEqual(1, received.lower().count(b"connection: close"))
         await stopping
 
-    async def test_second_stop_request_changes_nothing(self) -> None:
+    async def test_stream_that_ends_in_time_is_whole_and_closes_its_connection(self) -> None:
         client = await self.connect()
         stopping = asyncio.create_task(self.stop())
         exchange = await self.ask(client, "n", b"/stream/500")
