One gate holds quarantined items and reward calls; a trial is used up by any answer

The check for quarantine and the claim of a trial stood twice, in the item's runner and in the scorer, with two kinds of state. They are one class now, QuarantineGate.

Any answer uses it up now, as it did for reward calls. A trial no longer moves to a faster engine: it is for one server, and its run would have been held with a slot reserved there.

--- a/src/larkpost/gateway/rollouts/engine_runner.py
+++ b/src/larkpost/gateway/rollouts/engine_runner.py
@@ -125,7 +125,8 @@
                 events.record(event)
                 faster_engine_request.raise_if_assigned()
                 if (
-                    may_migrate(run.progress.migrations)
+                    not run.is_trial  # it is for one server
+                    and may_migrate(run.progress.migrations)
                     and events.count % EVENTS_BETWEEN_CHECKS == 0
                 ):
                     faster_engine_request.request_if_slow()
--- a/src/larkpost/gateway/rollouts/item_runner.py
+++ b/src/larkpost/gateway/rollouts/item_runner.py
@@ -6,16 +6,19 @@
 
 from larkpost.gateway.blackboard.configuration import Route
 from larkpost.gateway.blackboard.directory import InstanceInfo
-from larkpost.gateway.blackboard.known_crashes import BATCH_CRASH_LIMIT
 from larkpost.gateway.observability.eventlog import Event
 from larkpost.gateway.observability.metrics import Count, Timing
-from larkpost.gateway.quarantine.trial_claims import BATCH_TRIAL_DELAYS_SECONDS
 from larkpost.gateway.rollouts.context import RunServices
 from larkpost.gateway.rollouts.engine_runner import EngineRunner
 from larkpost.gateway.rollouts.faster_engine import MigrateRunError
 from larkpost.gateway.rollouts.item_routes import ItemRoutes
-from larkpost.gateway.rollouts.model import BatchHead, Item, ItemId
+from larkpost.gateway.rollouts.model import BatchHead, ItemId
 from larkpost.gateway.rollouts.progress import DiscontinuityError, ItemRun, Progress
+from larkpost.gateway.rollouts.quarantine_gate import (
+    QUARANTINE_CHECK_SECONDS,
+    Permit,
+    QuarantineGate,
+)
 from larkpost.gateway.rollouts.retry_rules import (
     REFUSED_AVOID_SECONDS,
     RunOutcome,
@@ -27,8 +30,6 @@
 
 RETRY_PAUSE_SECONDS = 0.03
 """Pause before an item queues for a slot again; as long as the interval of the queue's passes."""
-QUARANTINE_CHECK_SECONDS = 0.5
-"""Interval of the checks whether a quarantined item may run again or has expired."""
 
 EXPECTED_ERRORS = (
     NotRunError,
@@ -58,10 +59,9 @@
         self._slot_queue = slot_queue
         self._engine_runner = engine_runner
         self._services = services
+        self._quarantine_gate = QuarantineGate(services)
         self._reserved_engines: dict[ItemId, InstanceInfo] = {}
         """Engines with a slot reserved by a migrating run, by item."""
-        self._trials: set[ItemId] = set()
-        """Quarantined items that may be sent to one server each, and have not been sent yet."""
         self._queued_at: dict[ItemId, float] = {}
         """Steady times at which items that have not run yet were queued."""
 
@@ -89,7 +89,8 @@
         route = self._routes.route_of(item)
         if self._routes.is_expired(route):
             return RunOutcome.DEAD
-        if self._is_quarantined(item) and not await self._claim_trial(item):
+        permit = await self._quarantine_gate.permit(lambda: item.content(self._head))
+        if permit is Permit.HELD:
             await self._services.clock.sleep(QUARANTINE_CHECK_SECONDS)
             return RunOutcome.RETRY
         if route is None:
@@ -97,7 +98,7 @@
         engine = await self._acquire_slot(progress, route)
         if engine is None:
             return RunOutcome.RETRY
-        return await self._run_at(ItemRun(engine, route, progress, item.id in self._trials))
+        return await self._run_at(ItemRun(engine, route, progress, permit is Permit.TRIAL))
 
     async def _acquire_slot(self, progress: Progress, route: Route) -> InstanceInfo | None:
         """Returns the engine where the item has a slot; None after a timeout."""
@@ -114,42 +115,22 @@
             self._services.metrics.observe(Timing.ITEM_QUEUE, queued)
         return engine
 
-    def _is_quarantined(self, item: Item) -> bool:
-        """Returns whether an item must not run, as too many engines crashed running its content.
-
-        The item is not given up: it runs again if its content leaves quarantine before the item
-        expires.
-        """
-        crashes = self._services.crashes
-        if not crashes.has_suspects:
-            return False
-        return crashes.is_content_quarantined(item.content(self._head), BATCH_CRASH_LIMIT)
-
-    async def _claim_trial(self, item: Item) -> bool:
-        """Claims a trial run of a quarantined item; returns whether it has one."""
-        if item.id in self._trials:
-            return True
-        trials = self._services.trials
-        if trials is None:
-            return False
-        if await trials.claim(item.content(self._head), BATCH_TRIAL_DELAYS_SECONDS):
-            self._trials.add(item.id)
-        return item.id in self._trials
-
     async def _run_at(self, run: ItemRun) -> RunOutcome:
         """Runs an item at the engine where it has a slot, and releases the slot."""
         started = self._services.clock.now()
         resumed_after = run.progress.last_event
         run_outcome = RunOutcome.RETRY
+        was_sent = True
         try:
             run_outcome = await self._engine_runner.run(run)
             outcome = run_outcome.value if run_outcome is not RunOutcome.RETRY else "failed"
         except EXPECTED_ERRORS as error:
             outcome = self._record_error(run, error)
-            if not isinstance(error, NotRunError):
-                self._trials.discard(run.item.id)
+            was_sent = not isinstance(error, NotRunError)
         finally:
             self._services.balancer.release(run.engine.id)
+        if run.is_trial and was_sent:
+            self._quarantine_gate.record_sent(run.item.content(self._head))
         self._record_run(run, resumed_after, started, outcome)
         return run_outcome
 
--- a/src/larkpost/gateway/rollouts/reward_caller.py
+++ b/src/larkpost/gateway/rollouts/reward_caller.py
@@ -30,7 +30,6 @@
     NO_CRASH_LIMIT,
     BrokenResponseError,
     NotRunError,
-    NotRunReason,
     OutgoingRequest,
 )
 
@@ -54,12 +53,19 @@
         self._services = services
 
     async def send_once(
-        self, progress: Progress, call: RewardCall, route: Route, history: RewardCallHistory
+        self,
+        progress: Progress,
+        call: RewardCall,
+        route: Route,
+        history: RewardCallHistory,
+        *,
+        is_trial: bool,
     ) -> RewardAttempt | None:
         """Sends a call once; None if no server had a free slot.
 
         Args:
             history: earlier attempts of the call; this one is added.
+            is_trial: whether it is a trial, which is sent although the call is quarantined.
         """
         async with self._services.reward_call_slots:
             server = self._choose(self._services.service_selector.choose(route), call, history)
@@ -71,9 +77,7 @@
             limit = call_timeout_seconds(
                 self._services.balancer.service_time(server.id), history.timeouts
             )
-            attempt = await self._send(server, call, limit, is_trial=history.has_trial)
-            if not isinstance(attempt.outcome, NotRunReason):
-                history.has_trial = False
+            attempt = await self._send(server, call, limit, is_trial=is_trial)
             if attempt.outcome is RewardCallOutcome.TIMED_OUT:
                 history.timeouts += 1
             self._record(progress, call, server, attempt, self._services.clock.now() - started)
--- a/src/larkpost/gateway/rollouts/reward_rules.py
+++ b/src/larkpost/gateway/rollouts/reward_rules.py
@@ -50,12 +50,10 @@
     Attributes:
         servers: servers tried in the current round; emptied once all with a free slot were tried.
         timeouts: number of attempts that timed out.
-        has_trial: whether the call, although quarantined, may be sent to one server.
     """
 
     servers: set[InstanceId]
     timeouts: int = 0
-    has_trial: bool = False
 
 
 def usable_slots(slots: int) -> int:
--- a/tests/platform_mutants.py
+++ b/tests/platform_mutants.py
@@ -487,12 +487,12 @@
 
 def hold_items_for_good():
     """Gives no trial to an item that too many servers crashed under."""
-    from larkpost.gateway.rollouts.item_runner import ItemRunner
+    from larkpost.gateway.rollouts.quarantine_gate import QuarantineGate
 
-    async def claim(self, item):
+    async def claim(self, content):
         return False
 
-    return mock.patch.object(ItemRunner, "_claim_trial", claim)
+    return mock.patch.object(QuarantineGate, "_claim", claim)
 
 
 def run_suspects_one_by_one():
@@ -520,7 +520,7 @@
     """Leaves idle connections open until the process ends."""
     from larkpost.platform.http_protocol import Listener
 
-    return mock.patch.object(Listener, "close_idle_since", lambda *_: 0)
+    return mock.patch.object(Listener, "close_idle_since", lambda *_: None)
 
 
 def forget_early_ends():
--- a/tests/test_crash_waves.py
+++ b/tests/test_crash_waves.py
@@ -10,6 +10,7 @@
 
 from larkpost.gateway.blackboard.known_crashes import BATCH_CRASH_LIMIT
 from larkpost.gateway.blackboard.request_content import ContentDigest, digest_content
+from larkpost.gateway.quarantine.trial_claims import BATCH_TRIAL_DELAYS_SECONDS
 from larkpost.gateway.rollouts.model import ITEM_METHOD, BatchSpec
 from larkpost.gateway.store.batch_tables import CRASH_PART, HEAD_TABLE
 from larkpost.gateway.store.port import RowKey, Transaction
@@ -156,6 +157,24 @@
 
         run(play())
 
+    def test_trial_that_ends_in_a_failure_is_used_up(self):
+        """Guards against a held item that is sent on as long as its servers answer with 500."""
+
+        async def play():
+            fleet = start_fleet()
+            spec = make_batch(items=1)
+            self.hold(fleet, content_of(spec, spec.items[0]))
+            for engine in fleet.model_engines():
+                engine.status = 500
+            await fleet.wait(1.0)
+            await fleet.submit(spec)
+            await fleet.wait(BATCH_TRIAL_DELAYS_SECONDS[0])
+            self.assertEqual(1, len(fleet.arrivals))
+            await fleet.wait(sum(BATCH_TRIAL_DELAYS_SECONDS))
+            self.assertEqual(len(BATCH_TRIAL_DELAYS_SECONDS), len(fleet.arrivals))
+
+        run(play())
+
     def test_reward_call_that_is_held_by_mistake_is_tried_again(self):
         async def play():
             fleet = start_fleet(scorers=3)
