Simpler: one digest for a suspect's send, no sorting to close idle connections

The quarantine's port asked for a request's content twice while any content is suspect. close_idle_since counted the idle connections to have close_idle list them again. A step of the stop had a function of one line. Nothing that they do has changed.

--- a/src/larkpost/gateway/graceful_shutdown.py
+++ b/src/larkpost/gateway/graceful_shutdown.py
@@ -84,7 +84,8 @@
         self._lifecycle.expire()
         if unfinished:
             await self._clock.sleep(ERROR_SECONDS)
-        await self._run_final_step(started_at + self._grace_time - CLOSE_MARGIN_SECONDS)
+        close_at = started_at + self._grace_time - CLOSE_MARGIN_SECONDS
+        await self._run_step("final", self._steps.final_step, close_at)
         self._log.record(
             Event.STOP,
             unfinished=unfinished,
@@ -107,9 +108,6 @@
         for name, step in self._steps.immediate_steps:
             await self._run_step(name, step, deadline)
 
-    async def _run_final_step(self, deadline: float) -> None:
-        await self._run_step("final", self._steps.final_step, deadline)
-
     async def _run_step(self, name: str, step: Step, deadline: float) -> None:
         try:
             async with asyncio.timeout(max(0.0, deadline - self._clock.now())):
--- a/src/larkpost/gateway/quarantine/isolation_rule.py
+++ b/src/larkpost/gateway/quarantine/isolation_rule.py
@@ -29,8 +29,6 @@
 """Number of doublings after which the limit exceeds the slots of any server."""
 IDLE_SECONDS = 5.0
 """Time without suspects after which a server's limit starts over."""
-
-
 RESERVATION_SECONDS = 0.1
 """Time for which a suspect that was assigned to a server, but has not been sent, counts there."""
 
--- a/src/larkpost/gateway/quarantine/server_port.py
+++ b/src/larkpost/gateway/quarantine/server_port.py
@@ -57,9 +57,9 @@
         self, instance: InstanceInfo, request: OutgoingRequest
     ) -> AsyncIterator[ServerResponse]:
         """Sends a request; see the port."""
-        if self._crashes.is_quarantined(request, request.crash_limit):
-            raise NotRunError(NotRunReason.QUARANTINED)
         suspect = self._crashes.suspect(request)
+        if suspect and self._crashes.is_content_quarantined(suspect, request.crash_limit):
+            raise NotRunError(NotRunReason.QUARANTINED)
         sent_at = self._clock.now()
         timer = OutputTimer(self._clock)
         if suspect is not None:
--- a/src/larkpost/platform/http_protocol.py
+++ b/src/larkpost/platform/http_protocol.py
@@ -334,16 +334,17 @@
 
     def close_idle(self, max_count: int) -> int:
         """Closes up to ``max_count`` idle connections, longest idle first; returns how many."""
-        closing = self._idle()[:max_count]
+        closing = sorted(self._idle(), key=attrgetter("idle_since"))[:max_count]
         for connection in closing:
             connection.transport.close()
         return len(closing)
 
-    def close_idle_since(self, moment: float) -> int:
-        """Closes the connections idle since a moment, in event loop time; returns how many."""
-        return self.close_idle(sum(idle.idle_since <= moment for idle in self._idle()))
+    def close_idle_since(self, moment: float) -> None:
+        """Closes the connections that have been idle since a moment, in event loop time."""
+        for connection in self._idle():
+            if connection.idle_since <= moment:
+                connection.transport.close()
 
     def _idle(self) -> list[LimitedProtocol]:
-        """Returns the idle connections, longest idle first."""
-        idle = [connection for connection in self.connections if connection.idle_since is not None]
-        return sorted(idle, key=attrgetter("idle_since"))
+        """Returns the idle connections."""
+        return [connection for connection in self.connections if connection.idle_since is not None]
