The log tells why an item makes no progress, and which batch nobody runs

Cause: none of the ways in which an item can lie at no server left a line, so the record of the incident could not tell its hypotheses apart. Failures of the gateway's background tasks left none either.

Change: item_idle names what an item waits for after 2, 4, 8, ... s without progress (route, quarantine, pause, slot, output, and the same of its reward call), with placement verdicts and free slots; batch_unowned a batch without a live owner and who should claim it; fault each unexpected failure of a background task. At most 4 items of a batch each half second, and 40 lines a second of an event, as for all events.

--- a/src/larkpost/gateway/daemon.py
+++ b/src/larkpost/gateway/daemon.py
@@ -14,7 +14,7 @@
 import asyncio
 
 from larkpost.common.ids import DaemonId
-from larkpost.common.tasks import NullFailureReporter, TaskSet
+from larkpost.common.tasks import TaskSet
 from larkpost.gateway.assembly.balancing import make_balancing
 from larkpost.gateway.assembly.client_requests import make_forwarder
 from larkpost.gateway.assembly.environment import GatewayPorts, GatewaySettings
@@ -33,6 +33,7 @@
 from larkpost.gateway.graceful_shutdown import GracefulShutdown, ShutdownSteps
 from larkpost.gateway.memory.daemon_memory import DaemonMemory
 from larkpost.gateway.observability.eventlog import Event
+from larkpost.gateway.observability.failure_log import FailureLog
 from larkpost.gateway.observability.instruments import Instruments
 from larkpost.gateway.placement.cold_rate_limit import POLL_SECONDS
 from larkpost.gateway.proxy.admission import Admission
@@ -77,7 +78,7 @@
         self._clock = ports.clock
         self._log = ports.log
         self._instruments = Instruments(ports.clock, ports.log, ports.metrics)
-        self._tasks = TaskSet(ports.clock, NullFailureReporter())
+        self._tasks = TaskSet(ports.clock, FailureLog(ports.log))
         self._event_loop_monitor = EventLoopMonitor(ports.clock, ports.log)
         self.lifecycle = Lifecycle()
         self.blackboard = Blackboard(settings.regions)
--- a/src/larkpost/gateway/rollouts/batch_manager.py
+++ b/src/larkpost/gateway/rollouts/batch_manager.py
@@ -23,6 +23,7 @@
 from larkpost.gateway.rollouts.model import BatchHead, BatchSpec, Item
 from larkpost.gateway.rollouts.owned_batch import OwnedBatch
 from larkpost.gateway.rollouts.repository import BatchRepository
+from larkpost.gateway.rollouts.unowned_batches import UnownedBatchLog
 from larkpost.gateway.rollouts.view import BatchView, ViewCache
 from larkpost.gateway.store.port import Row, StoreUnavailableError
 
@@ -74,6 +75,9 @@
             )
         )
         self._claims = BatchClaims(repository, membership, services, self.record_head)
+        self._unowned_batches = UnownedBatchLog(
+            self._claims, membership, services.clock, services.log
+        )
         self._owned: dict[BatchId, OwnedBatch] = {}
         self._completed: set[BatchId] = set()
         self._complete_since: dict[BatchId, float] = {}
@@ -99,6 +103,7 @@
             self._views.forget(batch)
             self._completed.discard(batch)
             self._complete_since.pop(batch, None)
+            self._unowned_batches.forget(batch)
         else:
             self._head_cache.record(row)
 
@@ -217,6 +222,7 @@
         """Starts, releases or claims a batch, depending on its owner and whether it has ended."""
         head, batch = cached.head, cached.head.id
         is_own = head.owner == self._membership.own
+        self._unowned_batches.check(cached)
         if head.ended or batch in self._completed or (batch in self._owned and not is_own):
             self._release(batch)
         elif self._handing_over:
--- a/src/larkpost/gateway/rollouts/batch_run.py
+++ b/src/larkpost/gateway/rollouts/batch_run.py
@@ -13,6 +13,7 @@
 from larkpost.gateway.rollouts.context import RunServices
 from larkpost.gateway.rollouts.engine_runner import EngineRunner
 from larkpost.gateway.rollouts.engine_selector import EngineSelector
+from larkpost.gateway.rollouts.idle_items import IdleItemLog
 from larkpost.gateway.rollouts.item_routes import ItemRoutes
 from larkpost.gateway.rollouts.item_runner import ItemRunner
 from larkpost.gateway.rollouts.model import BatchHead, Item, ItemId, Result, ResultState
@@ -55,6 +56,7 @@
         routes = ItemRoutes(head, services)
         self._item_runner = ItemRunner(head, routes, self._slot_queue, engine_runner, services)
         self._scorer = RewardScorer(head, routes, services)
+        self._idle_items = IdleItemLog(head, routes, self._engine_selector, services)
         self._unstarted = sorted(items, key=lambda item: item.expected_work, reverse=True)
         self._stall_task: asyncio.Task | None = None
         self._tasks: dict[ItemId, asyncio.Task] = {}
@@ -105,6 +107,7 @@
         while self._unstarted or self._tasks:
             await self._services.clock.sleep(CHECK_INTERVAL_SECONDS)
             self._abort_stalled()
+            self._idle_items.record_idle(self.progress.values(), len(self._slot_queue))
 
     def _abort_stalled(self) -> None:
         """Aborts stalled runs while there are more free slots than waiting items."""
--- a/src/larkpost/gateway/rollouts/item_runner.py
+++ b/src/larkpost/gateway/rollouts/item_runner.py
@@ -13,7 +13,7 @@
 from larkpost.gateway.rollouts.faster_engine import MigrateRunError
 from larkpost.gateway.rollouts.item_routes import ItemRoutes
 from larkpost.gateway.rollouts.model import BatchHead, ItemId
-from larkpost.gateway.rollouts.progress import DiscontinuityError, ItemRun, Progress
+from larkpost.gateway.rollouts.progress import DiscontinuityError, ItemRun, Progress, WaitsFor
 from larkpost.gateway.rollouts.quarantine_gate import (
     QUARANTINE_CHECK_SECONDS,
     Permit,
@@ -69,6 +69,7 @@
         """Runs an item until its output is complete; False if the item is given up."""
         item = progress.item
         self._queued_at[item.id] = self._services.clock.now()
+        progress.record_activity(self._services.clock.now())
         while not progress.whole:
             run_outcome = await self._attempt_run(progress)
             if run_outcome is RunOutcome.DEAD:
@@ -91,10 +92,13 @@
             return RunOutcome.DEAD
         permit = await self._quarantine_gate.permit(lambda: item.content(self._head))
         if permit is Permit.HELD:
+            progress.wait_for(WaitsFor.QUARANTINE)
             await self._services.clock.sleep(QUARANTINE_CHECK_SECONDS)
             return RunOutcome.RETRY
         if route is None:
+            progress.wait_for(WaitsFor.ROUTE)
             return RunOutcome.RETRY
+        progress.wait_for(WaitsFor.SLOT)
         engine = await self._acquire_slot(progress, route)
         if engine is None:
             return RunOutcome.RETRY
@@ -121,6 +125,7 @@
         resumed_after = run.progress.last_event
         run_outcome = RunOutcome.RETRY
         was_sent = True
+        run.progress.wait_for(WaitsFor.OUTPUT, run.engine.id)
         try:
             run_outcome = await self._engine_runner.run(run)
             outcome = run_outcome.value if run_outcome is not RunOutcome.RETRY else "failed"
@@ -129,6 +134,7 @@
             was_sent = not isinstance(error, NotRunError)
         finally:
             self._services.balancer.release(run.engine.id)
+            run.progress.wait_for(WaitsFor.PAUSE)
         if run.is_trial and was_sent:
             self._quarantine_gate.record_sent(run.item.content(self._head))
         self._record_run(run, resumed_after, started, outcome)
--- a/src/larkpost/gateway/rollouts/progress.py
+++ b/src/larkpost/gateway/rollouts/progress.py
@@ -4,13 +4,31 @@
 """
 
 from dataclasses import dataclass, field
+from enum import StrEnum
 
+from larkpost.common.ids import InstanceId
 from larkpost.gateway.blackboard.configuration import Route
 from larkpost.gateway.blackboard.directory import InstanceInfo
 from larkpost.gateway.rollouts.model import Item, Result, ResultState
 
 LONG_ITEM_EVENTS = 30
 """Number of events from which an item counts as long."""
+FIRST_IDLE_LINE_SECONDS = 2.0
+"""Time without progress after which an item is logged."""
+
+
+class WaitsFor(StrEnum):
+    """What has to happen next to an unfinished item."""
+
+    ROUTE = "route"  # the configuration has no route for it
+    QUARANTINE = "quarantine"  # it is held, as servers crashed under it
+    PAUSE = "pause"  # before it queues again
+    SLOT = "slot"  # at any engine that may take it
+    OUTPUT = "output"  # of the engine that runs it
+    CALL_ROUTE = "call_route"  # the configuration has no route for its reward call
+    CALL_QUARANTINE = "call_quarantine"
+    CALL_SLOT = "call_slot"  # at a server for its reward call
+    SCORE = "score"  # of a server that runs its reward call
 
 
 class DiscontinuityError(ValueError):
@@ -34,6 +52,10 @@
             once no engine within the limit had a free slot.
         whole: whether the output is complete, so that no engine has to run the item again.
         failed_calls: number of reward calls for the output that the server reported as failed.
+        waits_for: what has to happen next to the item.
+        engine: server that has the item or its reward call now; None if none has.
+        idle_since: steady time of its last output, or since which it waits for its first one.
+        idle_line_after: seconds without progress after which the next line of the log is due.
     """
 
     item: Item
@@ -47,6 +69,10 @@
     whole: bool = False
     failed_calls: int = 0
     output_bytes: int = 0
+    waits_for: WaitsFor = WaitsFor.SLOT
+    engine: InstanceId | None = None
+    idle_since: float = float("inf")
+    idle_line_after: float = FIRST_IDLE_LINE_SECONDS
 
     @property
     def is_long(self) -> bool:
@@ -73,6 +99,16 @@
         self.last_event = event_id
         self.event_versions.append(version)
 
+    def record_activity(self, now: float) -> None:
+        """Records that the item begins to wait or makes progress at a steady time."""
+        self.idle_since = now
+        self.idle_line_after = FIRST_IDLE_LINE_SECONDS
+
+    def wait_for(self, waits_for: WaitsFor, engine: InstanceId | None = None) -> None:
+        """Records what has to happen next, and which server has the item."""
+        self.waits_for = waits_for
+        self.engine = engine
+
     def restart(self) -> None:
         """Discards the output, so that the next run starts over."""
         self.events.clear()
--- a/src/larkpost/gateway/rollouts/reward_caller.py
+++ b/src/larkpost/gateway/rollouts/reward_caller.py
@@ -16,7 +16,7 @@
 from larkpost.gateway.placement.work import REWARD_WORK, Work, WorkKind
 from larkpost.gateway.rollouts.context import RunServices
 from larkpost.gateway.rollouts.model import ITEM_METHOD, BatchHead, RewardCall
-from larkpost.gateway.rollouts.progress import Progress
+from larkpost.gateway.rollouts.progress import Progress, WaitsFor
 from larkpost.gateway.rollouts.reward_rules import (
     RewardAttempt,
     RewardCallHistory,
@@ -73,6 +73,7 @@
                 await self._services.clock.sleep(SLOT_POLL_SECONDS)
                 return None
             history.servers.add(server.id)
+            progress.wait_for(WaitsFor.SCORE, server.id)
             started = self._services.clock.now()
             limit = call_timeout_seconds(
                 self._services.balancer.service_time(server.id), history.timeouts
--- a/src/larkpost/gateway/rollouts/reward_scorer.py
+++ b/src/larkpost/gateway/rollouts/reward_scorer.py
@@ -10,7 +10,7 @@
 from larkpost.gateway.rollouts.context import RunServices
 from larkpost.gateway.rollouts.item_routes import ItemRoutes
 from larkpost.gateway.rollouts.model import BatchHead, RewardCall
-from larkpost.gateway.rollouts.progress import Progress
+from larkpost.gateway.rollouts.progress import Progress, WaitsFor
 from larkpost.gateway.rollouts.quarantine_gate import (
     QUARANTINE_CHECK_SECONDS,
     Permit,
@@ -47,9 +47,11 @@
         while not self._routes.is_expired(self._routes.route_of(progress.item)):
             permit = await self._quarantine_gate.permit(lambda: call.content)
             if permit is Permit.HELD:
+                progress.wait_for(WaitsFor.CALL_QUARANTINE)
                 await self._services.clock.sleep(QUARANTINE_CHECK_SECONDS)
                 continue
             route = self._route(call)
+            progress.wait_for(WaitsFor.CALL_ROUTE if route is None else WaitsFor.CALL_SLOT)
             if route is not None:
                 attempt = await self._reward_caller.send_once(
                     progress, call, route, history, is_trial=permit is Permit.TRIAL
