Failing test: an item under which six servers crashed is never placed again (LOST)

Reproduced: after four crashes under it an item is quarantined, after two more both its trials are used up. Six crashes in all, and the test's servers get it no more; the same for a reward call, and for an owner that reads the rows of the crashes from the store.

--- /dev/null
+++ b/tests/test_owed_items.py
@@ -0,0 +1,126 @@
+"""Tests of harmless items under which many servers crashed by themselves; then all is calm.
+
+Guard against an item that is never placed again: it was handed in for later, and is still owed.
+"""
+
+import unittest
+
+import orjson
+
+from larkpost.gateway.blackboard.request_content import ContentDigest, digest_content
+from larkpost.gateway.rollouts.model import ITEM_METHOD
+from larkpost.gateway.store.batch_tables import CRASH_PART, HEAD_TABLE
+from larkpost.gateway.store.port import RowKey, Transaction
+from tests.platform_checks import CONTACT_SECONDS
+from tests.platform_fleet import SCORER_HOST, PlatformFleet, check_results, make_batch
+from tests.test_quarantine_fleet import content_of
+from tests.virtual import run
+
+DOWN_SECONDS = 0.5
+"""Time from a crash until the server is back."""
+CRASH_AFTER_SECONDS = 0.1
+"""Time from the arrival of an item at a server to the server's crash."""
+EVENTS, EVENT_SECONDS = 20, 0.05
+RUN_SECONDS = EVENTS * EVENT_SECONDS
+CRASHES = 9
+"""Crashes under each item; far more than the servers of the fleet."""
+IDLE_SECONDS = 5.0
+"""The users' bound: an item may be at no server for this long, in steady state."""
+PLACED_SECONDS = CONTACT_SECONDS + IDLE_SECONDS
+"""Time after the last crash by which an item that keeps to that bound is at a server."""
+
+
+class CrashingServers:
+    """Servers that crash shortly after each of their next arrivals, for a number of times."""
+
+    def __init__(self, fleet: PlatformFleet, left: int) -> None:
+        self._fleet = fleet
+        self.left = left
+        self.crashed_at = fleet.now()
+
+    async def run(self) -> None:
+        """Crashes the server of each new arrival until none is left, or nothing arrives."""
+        seen = len(self._fleet.arrivals)
+        while self.left > 0 and self._fleet.now() - self.crashed_at < PLACED_SECONDS:
+            for scorer in self._fleet.scorers():
+                scorer.event_seconds = RUN_SECONDS
+            await self._fleet.wait(CRASH_AFTER_SECONDS)
+            arrivals = self._fleet.arrivals[seen:]
+            seen = len(self._fleet.arrivals)
+            for instance in {arrival.instance for arrival in arrivals}:
+                self._fleet.engines.crash(instance)
+                self.left -= 1
+                self.crashed_at = self._fleet.now()
+
+
+class OwedItemsTest(unittest.TestCase):
+    """Fleets whose servers crashed under the same items again and again."""
+
+    async def begin(self, scorers: int = 0) -> PlatformFleet:
+        """Starts a fleet whose servers run a request for longer than until their crash."""
+        fleet = PlatformFleet(gateways=2, engines=3, scorers=scorers)
+        fleet.restart_seconds = DOWN_SECONDS
+        fleet.engines.output_events = EVENTS
+        await fleet.wait(1.0)
+        return fleet
+
+    def check_placed(self, fleet: PlatformFleet, since: float) -> None:
+        """Checks that a server got an item within the users' bound after a steady state began."""
+        placed = [arrival.at for arrival in fleet.arrivals if arrival.at > since]
+        self.assertTrue(placed, "nothing was placed again")
+        self.assertLess(min(placed) - since, PLACED_SECONDS)
+
+    def test_item_is_placed_again_however_many_servers_crashed_under_it(self):
+        async def play():
+            fleet = await self.begin()
+            crashing = CrashingServers(fleet, CRASHES)
+            spec = make_batch(items=1)
+            await fleet.submit(spec)
+            await crashing.run()
+            await fleet.wait(PLACED_SECONDS + RUN_SECONDS)
+            self.assertLessEqual(crashing.left, 0)
+            self.check_placed(fleet, crashing.crashed_at)
+            check_results(self, spec, fleet.stored_results(spec.id))
+
+        run(play())
+
+    def test_reward_call_is_placed_again_however_many_servers_crashed_under_it(self):
+        async def play():
+            fleet = await self.begin(scorers=3)
+            spec = make_batch(items=1, scored=True)
+            await fleet.submit(spec)
+            while not any(state.whole_at for state in fleet.model_engines()):
+                await fleet.wait(0.01)
+            crashing = CrashingServers(fleet, CRASHES)
+            await crashing.run()
+            await fleet.wait(PLACED_SECONDS + RUN_SECONDS)
+            self.assertLessEqual(crashing.left, 0)
+            self.check_placed(fleet, crashing.crashed_at)
+            check_results(self, spec, fleet.stored_results(spec.id))
+
+        run(play())
+
+    def test_rows_of_earlier_crashes_hold_no_item(self):
+        async def play():
+            fleet = PlatformFleet(gateways=2, engines=3, scorers=2)
+            spec = make_batch(items=4, scored=True)
+            for item in spec.items:
+                self.store_crashes(fleet, content_of(spec, item))
+                path = f"/s/{item.id}".encode()
+                host = SCORER_HOST.encode()
+                self.store_crashes(
+                    fleet, digest_content(None, ITEM_METHOD, host, path, b"score it")
+                )
+            await fleet.wait(1.0)
+            await fleet.submit(spec)
+            await fleet.wait(IDLE_SECONDS)
+            check_results(self, spec, fleet.stored_results(spec.id))
+
+        run(play())
+
+    def store_crashes(self, fleet: PlatformFleet, content: ContentDigest) -> None:
+        """Stores crashes and both trials of a content, as a daemon of the version before did."""
+        names = [f"i{number}" for number in range(CRASHES)] + ["trial-1", "trial-2"]
+        value = orjson.dumps({"at": fleet.now()})
+        keys = [RowKey(HEAD_TABLE, CRASH_PART, f"{content}/{name}") for name in names]
+        fleet.store.apply(Transaction(puts=tuple((key, value) for key in keys)))
