--- a/tests/scripted_engines.py
+++ b/tests/scripted_engines.py
@@ -141,6 +141,8 @@
     Attributes:
         crashing: targets of requests that crash every engine that runs them.
         when_crashed: called with an engine that such a request has crashed.
+        running: number of engines that have each request now.
+        left_at: time at which an engine last had each request that none has now.
     """
 
     def __init__(self, clock: Clock, model: ModelName) -> None:
@@ -151,6 +153,8 @@
         self.output_events: int | None = None
         self.crashing: set[bytes] = set()
         self.when_crashed: Callable[[InstanceId], None] = lambda _: None
+        self.running: Counter[str] = Counter()
+        self.left_at: dict[str, float] = {}
 
     @asynccontextmanager
     async def send(
@@ -169,6 +173,7 @@
         state.most_running = max(state.most_running, state.running)
         state.runs.append(request.request_id.decode())
         state.ranks[request.request_id.decode()] = request.priority
+        self.running[request.request_id.decode()] += 1
         try:
             crash = functools.partial(self.crash, instance.id)
             yield ScriptedResponse(
@@ -181,6 +186,8 @@
             )
         finally:
             state.running -= 1
+            self.running[request.request_id.decode()] -= 1
+            self.left_at[request.request_id.decode()] = self._clock.now()
 
     def crash(self, engine: InstanceId) -> None:
         """Crashes an engine: all its requests break, and its port refuses connections."""
