Bodies of reports, orders, store and peer calls have a limit

What callers saw: none reported it here; users say that bytes that are no answer may come without end. Measured before on arm64: 355 MB taken in the 4 s of a report, and on loopback 0.9 to 1.0 GB in two calls to a store (a machine has 350 MB).

Cause: a body was read into memory whole, however long; only the time of the call was limited. Class: a read without a limit in bytes.

Change: platform/limited_body.py reads up to 256 KB of a report or an order's answer and 32 MB of the store's or a peer's, then closes the connection: the report is missing, the order unknown, the read unavailable, the write unknown.

--- a/src/larkpost/platform/server_control.py
+++ b/src/larkpost/platform/server_control.py
@@ -19,6 +19,7 @@
 )
 from larkpost.platform import names
 from larkpost.platform.dead_connections import CallKind
+from larkpost.platform.limited_body import read_limited
 from larkpost.platform.operator import PARSE_ERRORS
 from larkpost.platform.server_messages import order_document, read_report
 from larkpost.platform.server_refusals import ResponseMatch, match_response
@@ -35,6 +36,8 @@
     412: OrderOutcome.FENCED,
     421: OrderOutcome.WRONG_INSTANCE,
 }
+MAX_CONTROL_BODY_BYTES = 262_144
+"""Maximum body of a report or of the response to an order; a report has some 100 bytes a model."""
 CONTROL_OPTIONS = CallOptions(kind=CallKind.CONTROL)
 
 
@@ -114,4 +117,4 @@
                 response.close()
                 raise BrokenResponseError("the response belongs to an earlier request")
             record_keep_alive(self._session.connector, instance.address, response)
-            return response.status, await response.read()
+            return response.status, await read_limited(response, MAX_CONTROL_BODY_BYTES)
--- a/src/larkpost/platform/store.py
+++ b/src/larkpost/platform/store.py
@@ -29,6 +29,7 @@
 from larkpost.platform import names
 from larkpost.platform.connections import make_session
 from larkpost.platform.dead_connections import DeadConnectionDetector, UpstreamKind
+from larkpost.platform.limited_body import read_limited
 from larkpost.platform.store_clock import StoreClock
 from larkpost.platform.store_documents import (
     HISTORY_LOST,
@@ -58,6 +59,8 @@
 """Metric labels of the read calls."""
 CALL_FAILURES = (aiohttp.ClientError, asyncio.TimeoutError, OSError, ValueError, KeyError)
 """Errors that a call may raise, including those for malformed responses."""
+MAX_BODY_BYTES = 33_554_432
+"""Maximum body of a response of the store or of a peer; a page of rows has a few MB at most."""
 CONNECT_FAILURES = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
 """Errors raised if no connection could be made, so the call was definitely not sent."""
 SUCCESSFUL_OUTCOMES = ("answered", "410", WriteOutcome.DONE, WriteOutcome.CONFLICT)
@@ -233,7 +236,7 @@
         async with self._session.request(
             call.method, url, data=call.body, headers=call.headers, timeout=options
         ) as response:
-            return response.status, await response.read()
+            return response.status, await read_limited(response, MAX_BODY_BYTES)
 
     def _start_probe(self) -> None:
         """Starts a probe on a new connection unless one is running.
@@ -250,4 +253,4 @@
                 asyncio.timeout(READ_TIMEOUT_SECONDS),
                 self._session.get(url) as response,
             ):
-                await response.read()
+                await read_limited(response, MAX_BODY_BYTES)
