A body without end is cut soon after its client's deadline

Cause: the deadline of a streamed body counted only the time for which the daemon waits for the server. Bytes that are always there take no time, so such a body was passed on until its client left (measured: still after 8 s of a timeout of 4).

Change: after the deadline at most 32 MB more are passed on, 0.3 s on a link of 1 Gbit/s; a client that takes a large answer slowly has them to itself.

Test: StreamedBodyTest; the body without end hangs on the code before.

--- a/src/larkpost/gateway/proxy/streamed_body.py
+++ b/src/larkpost/gateway/proxy/streamed_body.py
@@ -1,7 +1,8 @@
 """Reads the body of a streamed response while it is forwarded, and records how it ended.
 
 The deadline of a request limits the time that the server takes for the body; the time that the
-client takes to read it does not count.
+client takes to read it does not count. Bytes that are always there, as those of a body without end,
+take the server no time, so the bytes after the deadline are limited as well.
 """
 
 import asyncio
@@ -13,6 +14,10 @@
 from larkpost.gateway.proxy.request import StreamedResponse
 from larkpost.gateway.servers.port import BrokenResponseError
 
+MAX_LATE_BYTES = 33_554_432
+"""Bytes passed on after the deadline to a client that takes them slowly; a client on a link of
+1 Gbit/s has them in 0.3 s."""
+
 
 class StreamedBody:
     """The remaining chunks of a streamed body; iteration ends normally only if it is complete."""
@@ -24,7 +29,9 @@
         self._attempts = attempts
         self._outcomes = outcomes
         self._clock = clock
-        self._time_left = attempts.waiter.deadlines.expires_at - clock.now()
+        self._expires_at = attempts.waiter.deadlines.expires_at
+        self._time_left = self._expires_at - clock.now()
+        self._late_bytes = 0
 
     def __aiter__(self) -> AsyncIterator[bytes]:
         return self
@@ -53,9 +60,14 @@
         started_at = self._clock.now()
         try:
             async with asyncio.timeout(self._time_left):
-                return await anext(self._response.rest)
+                chunk = await anext(self._response.rest)
         finally:
             self._time_left -= self._clock.now() - started_at
+        if self._clock.now() > self._expires_at:
+            self._late_bytes += len(chunk)
+        if self._late_bytes > MAX_LATE_BYTES:
+            raise TimeoutError
+        return chunk
 
     def _record_failed(self, reason: str, *, timed_out: bool) -> None:
         """Records the failure; the client already has part of the response and gets no error."""
