The body of a reward call's answer has a limit

It was read until the call's time was over (0.8 s, doubled up to 10 s), which kept the loop busy. From 4 MB on the attempt is broken, and the next server is tried.

--- a/src/larkpost/gateway/rollouts/reward_caller.py
+++ b/src/larkpost/gateway/rollouts/reward_caller.py
@@ -29,10 +29,13 @@
     BrokenResponseError,
     NotRunError,
     OutgoingRequest,
+    ServerResponse,
 )
 
 MAX_CALLS_IN_FLIGHT = 24
 """Maximum number of reward calls that a daemon has in flight; the others wait."""
+MAX_CALL_BODY_BYTES = 4_194_304
+"""Maximum body of the response to a call; a server in trouble may send bytes without end."""
 SLOT_POLL_SECONDS = 0.03
 """Interval of the checks for a free slot at a server."""
 FULL_AVOID_SECONDS = 0.05
@@ -147,8 +150,7 @@
             ):
                 balancer.record_load(server.id, response.load)
                 balancer.record_cold(server.id, response.cold_left)
-                async for _ in response.chunks():
-                    pass  # only the signature matters, but the body must be complete
+                await _read_to_end(response)
                 return response.status, response.signature
 
     def _record(
@@ -175,6 +177,19 @@
         )
 
 
+async def _read_to_end(response: ServerResponse) -> None:
+    """Reads a body, of which nothing is used: only the signature matters, but it must be whole.
+
+    Raises:
+        BrokenResponseError: the body is incomplete, or too long.
+    """
+    size = 0
+    async for chunk in response.chunks():
+        size += len(chunk)
+        if size > MAX_CALL_BODY_BYTES:
+            raise BrokenResponseError(f"the body has more than {MAX_CALL_BODY_BYTES} bytes")
+
+
 def _count_lost(progress: Progress, attempt: RewardAttempt) -> None:
     """Counts an attempt that lost its server, or begins anew after any complete response."""
     if attempt.outcome is RewardCallOutcome.BROKEN:
