Events and outputs of items have a limit, and are decoded in linear time

Cause: the decoder copied its whole buffer for each chunk and looked for an event's end from its start again. An event without an end took 18 MB in 4 s and held the loop for 0.43 s at a time; an output without end ran on for ever, and the item was never listed.

Change: the decoder searches each byte once and refuses an event of over 1 MB; other tasks get a turn each 64 events. An output of over 512 KB or 16,384 events is discarded and the item begins anew elsewhere: a result must fit into a transaction of the store, and one that does not would hold up all others of its batch.

--- a/src/larkpost/gateway/rollouts/item_runner.py
+++ b/src/larkpost/gateway/rollouts/item_runner.py
@@ -15,7 +15,13 @@
 from larkpost.gateway.rollouts.faster_engine import MigrateRunError
 from larkpost.gateway.rollouts.item_routes import ItemRoutes
 from larkpost.gateway.rollouts.model import BatchHead, ItemId
-from larkpost.gateway.rollouts.progress import DiscontinuityError, ItemRun, Progress, WaitsFor
+from larkpost.gateway.rollouts.progress import (
+    DiscontinuityError,
+    ItemRun,
+    OversizedOutputError,
+    Progress,
+    WaitsFor,
+)
 from larkpost.gateway.rollouts.retry_rules import (
     REFUSED_AVOID_SECONDS,
     RunOutcome,
@@ -35,6 +41,7 @@
     StalledError,
     TimeoutError,
     DiscontinuityError,
+    OversizedOutputError,
     UnicodeDecodeError,
     BrokenResponseError,
 )
--- a/src/larkpost/gateway/rollouts/progress.py
+++ b/src/larkpost/gateway/rollouts/progress.py
@@ -13,6 +13,9 @@
 
 LONG_ITEM_EVENTS = 30
 """Number of events from which an item counts as long."""
+MAX_OUTPUT_BYTES, MAX_OUTPUT_EVENTS = 524_288, 16_384
+"""Maximum output of an item. A result must fit into one transaction of the store, and a server in
+trouble may send events without end."""
 FIRST_IDLE_LINE_SECONDS = 2.0
 """Time without progress after which an item is logged."""
 
@@ -33,6 +36,10 @@
     """An event does not follow the last known one."""
 
 
+class OversizedOutputError(ValueError):
+    """An output has more bytes or events than a result may have."""
+
+
 @dataclass(slots=True)
 class Progress:
     """Output of an item so far.
@@ -90,7 +97,11 @@
 
         Raises:
             DiscontinuityError: the event does not follow the last one.
+            OversizedOutputError: the output would be too large for a result.
         """
+        is_oversized = self.output_bytes + len(data) > MAX_OUTPUT_BYTES
+        if is_oversized or len(self.events) >= MAX_OUTPUT_EVENTS:
+            raise OversizedOutputError("the output is larger than a result may be")
         if self.last_event is not None and event_id != self.last_event + 1:
             raise DiscontinuityError(f"event {event_id} does not follow event {self.last_event}")
         if self.last_event is None and event_id not in (0, 1):
--- a/src/larkpost/gateway/rollouts/retry_rules.py
+++ b/src/larkpost/gateway/rollouts/retry_rules.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-from larkpost.gateway.rollouts.progress import DiscontinuityError
+from larkpost.gateway.rollouts.progress import DiscontinuityError, OversizedOutputError
 from larkpost.gateway.rollouts.stall_detector import StalledError
 from larkpost.gateway.servers.port import BrokenResponseError
 
@@ -80,8 +80,11 @@
         return RunFailure("stalled", STALLED_AVOID_SECONDS)
     if isinstance(error, TimeoutError):
         return RunFailure("silent", TIMEOUT_AVOID_SECONDS)
-    # Output that lacks an event, or is complete but not valid UTF-8, cannot be continued.
-    discards_output = isinstance(error, (DiscontinuityError, UnicodeDecodeError))
+    # Output that lacks an event, is too large, or is complete but not valid UTF-8, cannot be
+    # continued.
+    discards_output = isinstance(
+        error, (DiscontinuityError, OversizedOutputError, UnicodeDecodeError)
+    )
     return RunFailure(f"broken: {error}", BROKEN_AVOID_SECONDS, discards_output)
 
 
--- a/src/larkpost/platform/event_stream.py
+++ b/src/larkpost/platform/event_stream.py
@@ -10,26 +10,44 @@
 from larkpost.platform import names
 
 EVENT_END = b"\n\n"
+MAX_EVENT_BYTES = 1_048_576
+"""Maximum bytes of one event; far more than an event has, as a server in trouble may send bytes
+without end."""
 
 
 class EventDecoder:
-    """Buffers bytes and yields complete events."""
+    """Buffers bytes and yields complete events; takes time in proportion to the bytes."""
 
     def __init__(self) -> None:
-        self._pending = b""
+        self._pending = bytearray()
+        self._searched = 0
+        """Number of pending bytes that are known to contain no end of an event."""
+        self._held_back = b""
+        """A final CR, which may be half of a CRLF."""
 
     def feed(self, content: bytes) -> Iterator[StreamEvent]:
         """Adds bytes and yields the events that are complete.
 
         Raises:
-            ValueError: an event has no valid id.
+            ValueError: an event has no valid id, or is too long.
         """
-        # Normalizes the whole buffer, as a CRLF may be split between two chunks.
-        self._pending = (self._pending + content).replace(b"\r\n", b"\n")
-        while EVENT_END in self._pending:
-            block, self._pending = self._pending.split(EVENT_END, 1)
+        self._append(content)
+        start = 0
+        while (end := self._pending.find(EVENT_END, max(start, self._searched))) >= 0:
+            block = bytes(self._pending[start:end])
+            start = end + len(EVENT_END)
             if block.strip():
                 yield _read_event(block)
+        del self._pending[:start]
+        self._searched = max(0, len(self._pending) - 1)
+        if len(self._pending) > MAX_EVENT_BYTES:
+            raise ValueError(f"an event has more than {MAX_EVENT_BYTES} bytes")
+
+    def _append(self, content: bytes) -> None:
+        """Adds bytes with CRLF replaced by LF."""
+        content = self._held_back + content
+        self._held_back = b"\r" if content.endswith(b"\r") else b""
+        self._pending += content.removesuffix(b"\r").replace(b"\r\n", b"\n")
 
     @property
     def has_partial_event(self) -> bool:
--- a/src/larkpost/platform/server_responses.py
+++ b/src/larkpost/platform/server_responses.py
@@ -28,6 +28,8 @@
 """Errors that a call may raise."""
 MAX_CHUNK_BYTES = 65536
 """Maximum size of a chunk of the body; smaller chunks are passed on as they arrive."""
+EVENTS_PER_TURN = 64
+"""Events after which other tasks get a turn, as a server may send thousands of them at once."""
 EMPTY_STATUSES = (204, 304)
 """Statuses of responses without a body, whatever their headers say."""
 
@@ -64,10 +66,14 @@
     async def events(self) -> AsyncIterator[StreamEvent]:
         """Yields the body's events; see `ServerResponse.events`."""
         decoder = EventDecoder()
+        count = 0
         async for chunk in self.chunks():
             try:
                 for event in decoder.feed(chunk):
                     yield event
+                    count += 1
+                    if count % EVENTS_PER_TURN == 0:
+                        await asyncio.sleep(0)
             except ValueError as error:
                 raise BrokenResponseError(f"the event stream is malformed: {error}") from None
         if decoder.has_partial_event:
