An item whose task ends without a result is begun again; an error holds up no queue

An error while one item was given a slot ended the pass over the queue with slots of that pass already counted; one in the stall check ended all checks of the batch. Class: a background task that may end without anybody noticing.

--- a/src/larkpost/gateway/rollouts/batch_run.py
+++ b/src/larkpost/gateway/rollouts/batch_run.py
@@ -50,13 +50,16 @@
         self._services = services
         self._on_result = on_result
         self._engine_selector = EngineSelector(head, services)
-        self._slot_queue = SlotQueue(self._engine_selector, services.balancer, services.clock)
+        self._slot_queue = SlotQueue(
+            self._engine_selector, services.balancer, services.clock, self._record_queue_error
+        )
         engine_runner = EngineRunner(head, items, self._engine_selector, self._slot_queue, services)
         self._stall_detector = engine_runner.stall_detector
         routes = ItemRoutes(head, services)
         self._item_runner = ItemRunner(head, routes, self._slot_queue, engine_runner, services)
         self._scorer = RewardScorer(head, routes, services)
         self._idle_items = IdleItemLog(head, routes, self._engine_selector, services)
+        self._is_cancelled = False
         self._unstarted = sorted(items, key=lambda item: item.expected_work, reverse=True)
         self._stall_task: asyncio.Task | None = None
         self._tasks: dict[ItemId, asyncio.Task] = {}
@@ -65,11 +68,14 @@
         """Starts all items; they queue for slots at engines, the longest first."""
         self._stall_task = asyncio.create_task(self._watch_for_stalls())
         for item in self._unstarted:
-            task = asyncio.create_task(self._finish_item(item), name=item.id)
-            self._tasks[item.id] = task
-            task.add_done_callback(self._task_done)
+            self._start_item(item)
         self._unstarted = []
 
+    def _start_item(self, item: Item) -> None:
+        task = asyncio.create_task(self._finish_item(item), name=item.id)
+        self._tasks[item.id] = task
+        task.add_done_callback(self._task_done)
+
     def summarize_progress(self) -> BatchProgress:
         """Returns the progress of the batch, for the deadline forecasts of all daemons."""
         return summarize_progress(
@@ -85,6 +91,7 @@
 
     def cancel(self) -> None:
         """Cancels all runs; their connections close at once."""
+        self._is_cancelled = True
         self._slot_queue.stop()
         if self._stall_task is not None:
             self._stall_task.cancel()
@@ -98,16 +105,30 @@
             self.progress.pop(item, None)
 
     def _task_done(self, task: asyncio.Task) -> None:
+        """Starts an item again whose task ended without a result, though nobody cancelled it."""
         item = ItemId(task.get_name())
         self._tasks.pop(item, None)
         self._item_runner.release_unused(item)
+        progress = self.progress.get(item)
+        if progress is None or self._is_cancelled:
+            return
+        error = asyncio.CancelledError() if task.cancelled() else task.exception()
+        self._record_fault(f"task of item {item}", error)
+        asyncio.get_running_loop().call_later(FAULT_PAUSE_SECONDS, self._restart_item, progress)
+
+    def _restart_item(self, progress: Progress) -> None:
+        if not self._is_cancelled and self.progress.get(progress.item.id) is progress:
+            self._start_item(progress.item)
 
     async def _watch_for_stalls(self) -> None:
         """Checks for stalled runs at intervals, and aborts them if there are free slots."""
-        while self._unstarted or self._tasks:
+        while self.progress:
             await self._services.clock.sleep(CHECK_INTERVAL_SECONDS)
-            self._abort_stalled()
-            self._idle_items.record_idle(self.progress.values(), len(self._slot_queue))
+            try:
+                self._abort_stalled()
+                self._idle_items.record_idle(self.progress.values(), len(self._slot_queue))
+            except Exception as error:
+                self._record_fault("stall check", error)
 
     def _abort_stalled(self) -> None:
         """Aborts stalled runs while there are more free slots than waiting items."""
@@ -128,14 +149,13 @@
                 is_done, score = await self._complete(progress)
                 break
             except Exception as error:
-                where = f"item {item.id}"
-                self._services.log.record(Event.FAULT, where=where, error=repr(error))
+                self._record_fault(f"item {item.id}", error)
             await self._services.clock.sleep(FAULT_PAUSE_SECONDS)
-        self.progress.pop(item.id, None)
         if is_done:
             self._on_result(progress.result(score))
         else:
             self._finish_dead(item, progress)
+        self.progress.pop(item.id, None)
 
     async def _complete(self, progress: Progress) -> tuple[bool, str | None]:
         """Completes the output of an item and obtains its score.
@@ -151,6 +171,14 @@
         score = await self._scorer.score(progress, call)
         return score is not None, score
 
+    def _record_queue_error(self, error: Exception) -> None:
+        self._record_fault("slot queue", error)
+
+    def _record_fault(self, where: str, error: BaseException | None) -> None:
+        """Logs an unexpected error; what failed is repeated."""
+        where = f"{where} of batch {self.head.id}"
+        self._services.log.record(Event.FAULT, where=where, error=repr(error))
+
     def _finish_dead(self, item: Item, progress: Progress) -> None:
         self._services.log.record(
             Event.ITEM_DEAD,
--- a/src/larkpost/gateway/rollouts/slot_queue.py
+++ b/src/larkpost/gateway/rollouts/slot_queue.py
@@ -12,6 +12,7 @@
 
 import asyncio
 import bisect
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from larkpost.common.clock import Clock
@@ -79,9 +80,20 @@
 
 
 class SlotQueue:
-    """Assigns slots at engines to the waiting items of one batch."""
+    """Assigns slots at engines to the waiting items of one batch.
 
-    def __init__(self, engine_selector: EngineSelector, balancer: Balancer, clock: Clock) -> None:
+    Args:
+        report_error: called with an unexpected error of one item's request, which stays queued.
+    """
+
+    def __init__(
+        self,
+        engine_selector: EngineSelector,
+        balancer: Balancer,
+        clock: Clock,
+        report_error: Callable[[Exception], None] = lambda _: None,
+    ) -> None:
+        self._report_error = report_error
         self._engine_selector = engine_selector
         self._balancer = balancer
         self._clock = clock
@@ -149,13 +161,21 @@
         remaining: list[_SlotRequest] = []
         assigned = 0
         for entry in self._waiting:
-            if assigned < MAX_SLOTS_PER_PASS and self._assign(entry, unavailable):
+            if assigned < MAX_SLOTS_PER_PASS and self._try_assign(entry, unavailable):
                 assigned += 1
             else:
                 remaining.append(entry)
         self._waiting = remaining
         return assigned
 
+    def _try_assign(self, entry: _SlotRequest, unavailable: _UnavailableSlots) -> bool:
+        """Assigns a slot to a request; an error of one request must not hold up the others."""
+        try:
+            return self._assign(entry, unavailable)
+        except Exception as error:
+            self._report_error(error)
+            return False
+
     def _assign(self, entry: _SlotRequest, unavailable: _UnavailableSlots) -> bool:
         """Assigns a slot to a request and returns whether there was one."""
         service = self._engine_selector.item_work.service_of(entry.item, entry.route)
@@ -169,8 +189,8 @@
         if engine is None:
             unavailable.record(requirements, entry.service_time_limit)
             return False
-        self._balancer.occupy(engine.id)
         self._engine_selector.record_assigned(engine, work)
+        self._balancer.occupy(engine.id)
         entry.slot.set_result(engine)
         return True
 
