--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 LARKPOST := $(VENV)/bin/larkpost
 READY := $(VENV)/.ready
 
-.PHONY: demo test lint fuzz mutants soak soak-virtual bench regressions proto clean
+.PHONY: demo test lint fuzz mutants soak soak-virtual soak-idle bench regressions proto clean
 
 $(READY): requirements.txt pyproject.toml
 	test -x $(PYTHON) || python3 -m venv $(VENV)
@@ -31,6 +31,9 @@
 soak-virtual: $(READY) ## a long run under overlapping faults on virtual time, some seeds
 	PYTHONHASHSEED=0 $(PYTHON) -W ignore -m tests.soak $(SOAK)
 
+soak-idle: $(READY) ## bursts of faults and calm times on virtual time; no item may lie at no server
+	PYTHONHASHSEED=0 $(PYTHON) -W ignore -m tests.idle_soak $(SOAK)
+
 bench: $(READY) ## larkpost beside a bare relay of the same libraries
 	$(LARKPOST) rehearsal bench
 
