A head without end is cut after 256 KB, with what precedes it

Cause: blank lines and interim responses (100 Continue) before a response were read until the call's time was over. The parser takes them in blocks of 256 KB; 10,000 interim responses at a time hold the loop for 0.12 to 0.14 s (asyncio's debug mode), so that calls beside load ended up to 0.8 s after their timeout.

Evidence: tests/test_endless_responses.py failed so in a whole run of the tests beside load, in three of its tests (1.80 and 2.26 s where 1.5 are allowed, 2.11 where 2.0 are), all with interim responses without end.

Change: a connection counts the bytes of a call until its final head is complete, and aborts the call at 256 KB with an error that is no lost connection.

--- a/src/larkpost/platform/watched_connection.py
+++ b/src/larkpost/platform/watched_connection.py
@@ -9,6 +9,8 @@
 import aiohttp
 import attrs
 from aiohttp.client_proto import ResponseHandler
+from aiohttp.http import RawResponseMessage
+from aiohttp.streams import StreamReader
 
 from larkpost.common.ids import Address
 from larkpost.platform.dead_connections import CallKind, ConnectionRecord, DeadConnectionDetector
@@ -20,12 +22,21 @@
 the probe is late as well, and the call may still get its response."""
 PROBE_POLL_SECONDS = 0.01
 """Interval at which the result of a probe is checked."""
+MAX_HEAD_BYTES = 262_144
+"""Maximum bytes of a call's response until its head is complete, with blank lines and interim
+responses before it. A server in trouble may send those without end."""
+FIRST_FINAL_STATUS = 200
+"""Lower statuses are those of interim responses, which precede a response."""
 
 
 class DeadConnectionError(aiohttp.ClientError):
     """The connection of a call is dead; the call may have been executed."""
 
 
+class OversizedHeadError(aiohttp.ClientError):
+    """The head of a response is too long; the call may have been executed."""
+
+
 @attrs.frozen
 class CallOptions(aiohttp.ClientTimeout):
     """The timeouts and options of one call.
@@ -68,6 +79,8 @@
         self._check_timer: asyncio.TimerHandle | None = None
         self._start_probe: Callable[[], None] | None = None
         self._probe_until: float | None = None
+        self._awaited_head_bytes: int | None = None
+        """Bytes received of a head that is not complete; None if none is awaited."""
         self.record: ConnectionRecord | None = None
 
     def begin_call(self, address: Address, options: CallOptions) -> None:
@@ -76,6 +89,7 @@
             self.record = self._detector.add_connection(address)
         self._detector.begin_call(self.record, options.kind, options.hold_time)
         self._start_probe, self._probe_until = options.start_probe, None
+        self._awaited_head_bytes = 0
         if options.aborts_if_dead and self.record.received_at is not None:
             self._schedule_check(options.hold_time + self._detector.timeout_of(self.record))
 
@@ -91,6 +105,24 @@
             self._cancel_timer()
             self._detector.record_bytes(self.record)
         super().data_received(data)
+        self._limit_head(len(data))
+
+    def feed_data(self, data: tuple[RawResponseMessage, StreamReader], size: int = 0) -> None:
+        """Takes the head of a response, which may be an interim one."""
+        if data[0].code >= FIRST_FINAL_STATUS:
+            self._awaited_head_bytes = None
+        super().feed_data(data, size)
+
+    def _limit_head(self, received: int) -> None:
+        """Aborts the call once it has received too many bytes without a complete head."""
+        if self._awaited_head_bytes is None:
+            return
+        self._awaited_head_bytes += received
+        if self._awaited_head_bytes > MAX_HEAD_BYTES:
+            self._awaited_head_bytes = None
+            self.set_exception(OversizedHeadError(f"the head exceeds {MAX_HEAD_BYTES} bytes"))
+            if self.transport is not None:
+                self.transport.abort()
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Removes the connection's record."""
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -95,14 +95,14 @@
                 self.server.beginning = beginning.replace(ECHO, b"")  # not of an earlier request
                 self.server.sent = 0
                 started = time.monotonic()
-                is_body = "body" in name
-                seconds = CALL_SECONDS if is_body else TIMEOUT_SECONDS
+                is_kept = name != "chunk extension"  # its bytes are dropped until the call's end
+                seconds = CALL_SECONDS if is_kept else TIMEOUT_SECONDS
                 self.assertIsNone(await self.servers.report(self.instance, seconds))
                 self.assertLess(time.monotonic() - started, SOON_SECONDS)
                 outcome = await self.servers.order(self.instance, ORDER, seconds)
                 self.assertIs(OrderOutcome.UNKNOWN, outcome)
                 self.assertLess(time.monotonic() - started, 2 * SOON_SECONDS)
-                if is_body:
+                if is_kept:
                     self.assertLess(self.server.sent, MAX_TAKEN_BYTES)
 
     async def test_calls_to_the_store_or_a_peer(self):
