--- a/src/larkpost/common/tasks.py
+++ b/src/larkpost/common/tasks.py
@@ -28,19 +28,6 @@
         """Reports a task that failed."""
 
 
-class NullFailureReporter:
-    """Reports nothing; a failure that the task itself does not log is lost."""
-
-    def report_known_step_error(self, task: str, error: LarkpostError) -> None:
-        """Does nothing."""
-
-    def report_unexpected_step_error(self, task: str, error: Exception) -> None:
-        """Does nothing."""
-
-    def report_failed_task(self, task: str, error: BaseException) -> None:
-        """Does nothing."""
-
-
 class TaskSet:
     """The background tasks of a daemon."""
 
--- a/tests/test_uneven_machines.py
+++ b/tests/test_uneven_machines.py
@@ -11,7 +11,7 @@
 from larkpost.common.clock import LoopClock
 from larkpost.common.hashing import hash64
 from larkpost.common.ids import DaemonId
-from larkpost.common.tasks import NullFailureReporter, TaskSet
+from larkpost.common.tasks import TaskSet
 from larkpost.gateway.assembly.daemon_capacity import (
     LATE_CAPACITY_FRACTION,
     LATE_CAPACITY_SECONDS,
@@ -36,6 +36,7 @@
 from larkpost.gateway.observability.eventlog import EventLog
 from larkpost.gateway.observability.instruments import Instruments
 from larkpost.platform.stand_in.memory_store import MemoryStore, StoreClient
+from larkpost.standalone.telemetry import Telemetry
 from tests import virtual
 from tests.recording_log import RecordingLog
 
@@ -166,7 +167,7 @@
         self.assertEqual(2.0, capacity.now())
 
         async def measure():
-            tasks = TaskSet(LoopClock(), NullFailureReporter())
+            tasks = TaskSet(LoopClock(), Telemetry("t", log=False))
             monitor.start(tasks)
             while monitor.late_at < 0:
                 await asyncio.sleep(0)
@@ -198,7 +199,7 @@
             )
             log = EventLog(f"m{number}")
             membership = Membership(own, StoreClient(store), Instruments(clock, log), RegionMap())
-            membership.start(TaskSet(clock, NullFailureReporter()))
+            membership.start(TaskSet(clock, Telemetry("t", log=False)))
             fleet.append(membership)
         await clock.sleep(12.0)
         return fleet
