--- a/tests/process_soak/__main__.py
+++ b/tests/process_soak/__main__.py
@@ -240,7 +240,7 @@
             soak = ProcessSoak(report, plan, folder, daemons, focus)
             asyncio.run(soak.play(group))
         if report.broken and mutant is None:
-            shutil.copytree(folder, LOGS / str(seed), dirs_exist_ok=True)
+            shutil.copytree(folder, LOGS / f"{focus}-{seed}", dirs_exist_ok=True)
     return report
 
 
