The pause after lost runs counts from the lost run, not from a refusal (LOST)

What callers would see: an item under which servers crashed is at no server for over 5 s of calm.

Cause: the pause of up to 4 s that follows the fourth lost run in a row was made after every attempt, also after one that reached no server: a refusal, or no free slot for 0.5 s. Two of those in a row are 8 s.

Evidence: tests/test_owed_items.py, servers that crash under one request nine times and then refuse it until 5 s after the last crash.

Change: the pause counts from the time of the lost run, for items and reward calls by the same function, which also ends it with the item's lifetime (a reward call's did not). Mutant pause_anew_after_refusals is caught, and so are hold_items_for_crashes and retry_lost_items_at_once.

--- a/src/larkpost/gateway/rollouts/item_runner.py
+++ b/src/larkpost/gateway/rollouts/item_runner.py
@@ -4,8 +4,6 @@
 `engine_runner.py` makes single runs, and `retry_rules.py` decides what follows from their outcomes.
 """
 
-import math
-
 from larkpost.gateway.blackboard.configuration import Route
 from larkpost.gateway.blackboard.directory import InstanceInfo
 from larkpost.gateway.observability.eventlog import Event
@@ -22,19 +20,16 @@
     Progress,
     WaitsFor,
 )
+from larkpost.gateway.rollouts.retry_pause import pause_before_retry
 from larkpost.gateway.rollouts.retry_rules import (
     REFUSED_AVOID_SECONDS,
     RunOutcome,
     classify_run_error,
-    retry_pause_seconds,
 )
 from larkpost.gateway.rollouts.slot_queue import SlotQueue
 from larkpost.gateway.rollouts.stall_detector import StalledError
 from larkpost.gateway.servers.port import BrokenResponseError, NotRunError
 
-LIFETIME_CHECK_SECONDS = 0.5
-"""Interval of the checks of an item's lifetime while it pauses."""
-
 EXPECTED_ERRORS = (
     NotRunError,
     MigrateRunError,
@@ -79,18 +74,9 @@
             if run_outcome is RunOutcome.DEAD:
                 return False
             if run_outcome is RunOutcome.RETRY and item.id not in self._reserved_engines:
-                await self._pause(progress)
+                await pause_before_retry(progress, self._routes, self._services.clock)
         return True
 
-    async def _pause(self, progress: Progress) -> None:
-        """Waits before the next run, until the item's lifetime is over at most."""
-        pause = retry_pause_seconds(progress.lost_runs)
-        parts = math.ceil(pause / LIFETIME_CHECK_SECONDS)
-        for _ in range(parts):
-            await self._services.clock.sleep(pause / parts)
-            if self._routes.is_expired(self._routes.route_of(progress.item)):
-                return
-
     def release_unused(self, item: ItemId) -> None:
         """Releases the slot that a migrating run has reserved for an item that no longer runs."""
         reserved = self._reserved_engines.pop(item, None)
@@ -155,7 +141,7 @@
             self._record_migration(run, error)
             return "moved"
         if isinstance(error, BrokenResponseError) and error.connection_lost:
-            run.progress.lost_runs += 1
+            run.progress.record_lost_run(self._services.clock.now())
         failure = classify_run_error(error)
         if failure.discards_output:
             run.progress.restart()
--- a/src/larkpost/gateway/rollouts/progress.py
+++ b/src/larkpost/gateway/rollouts/progress.py
@@ -59,6 +59,7 @@
         failed_calls: number of reward calls for the output that the server reported as failed.
         lost_runs: number of runs in a row that lost their server before any output, or of its
             reward calls that got no complete response.
+        lost_at: steady time of the last of them.
         waits_for: what has to happen next to the item.
         engine: server that has the item or its reward call now; None if none has.
         idle_since: steady time of its last output, or since which it waits for its first one.
@@ -77,6 +78,7 @@
     failed_calls: int = 0
     output_bytes: int = 0
     lost_runs: int = 0
+    lost_at: float = float("-inf")
     waits_for: WaitsFor = WaitsFor.SLOT
     engine: InstanceId | None = None
     idle_since: float = float("inf")
@@ -116,6 +118,11 @@
         self.idle_since = now
         self.idle_line_after = FIRST_IDLE_LINE_SECONDS
 
+    def record_lost_run(self, now: float) -> None:
+        """Counts a run of the item or of its reward call that lost its server."""
+        self.lost_runs += 1
+        self.lost_at = now
+
     def wait_for(self, waits_for: WaitsFor, engine: InstanceId | None = None) -> None:
         """Records what has to happen next, and which server has the item."""
         self.waits_for = waits_for
--- a/src/larkpost/gateway/rollouts/retry_rules.py
+++ b/src/larkpost/gateway/rollouts/retry_rules.py
@@ -88,18 +88,21 @@
     return RunFailure(f"broken: {error}", BROKEN_AVOID_SECONDS, discards_output)
 
 
-def retry_pause_seconds(lost_runs: int) -> float:
+def retry_pause_seconds(lost_runs: int, since_lost: float) -> float:
     """Returns the pause before an item or its reward call is tried again.
 
-    It bounds the servers lost to an item that crashes them, and never ends: the item is owed.
+    It bounds the servers lost to an item that crashes them. Attempts that reach no server, such as
+    refused ones, do not extend it: the item is owed.
 
     Args:
         lost_runs: runs in a row that lost their server before any output.
+        since_lost: seconds since the last of them.
     """
     if lost_runs < PAUSED_LOST_RUNS:
         return RETRY_PAUSE_SECONDS
     doublings = min(lost_runs - PAUSED_LOST_RUNS, 8)
-    return min(MAX_LOST_PAUSE_SECONDS, FIRST_LOST_PAUSE_SECONDS * 2**doublings)
+    pause = min(MAX_LOST_PAUSE_SECONDS, FIRST_LOST_PAUSE_SECONDS * 2**doublings)
+    return max(RETRY_PAUSE_SECONDS, pause - since_lost)
 
 
 def is_past_lifetime(age: float, queue_lifetime: float) -> bool:
--- a/src/larkpost/gateway/rollouts/reward_caller.py
+++ b/src/larkpost/gateway/rollouts/reward_caller.py
@@ -84,7 +84,7 @@
                 self._services.balancer.service_time(server.id), history.timeouts
             )
             attempt = await self._send(server, call, limit)
-            _count_lost(progress, attempt)
+            _count_lost(progress, attempt, self._services.clock.now())
             if attempt.outcome is RewardCallOutcome.TIMED_OUT:
                 history.timeouts += 1
             self._record(progress, call, server, attempt, self._services.clock.now() - started)
@@ -190,10 +190,10 @@
             raise BrokenResponseError(f"the body has more than {MAX_CALL_BODY_BYTES} bytes")
 
 
-def _count_lost(progress: Progress, attempt: RewardAttempt) -> None:
+def _count_lost(progress: Progress, attempt: RewardAttempt, now: float) -> None:
     """Counts an attempt that lost its server, or begins anew after any complete response."""
     if attempt.outcome is RewardCallOutcome.BROKEN:
-        progress.lost_runs += 1
+        progress.record_lost_run(now)
     elif attempt.outcome in COMPLETE_OUTCOMES:
         progress.lost_runs = 0
 
--- a/src/larkpost/gateway/rollouts/reward_scorer.py
+++ b/src/larkpost/gateway/rollouts/reward_scorer.py
@@ -11,10 +11,8 @@
 from larkpost.gateway.rollouts.item_routes import ItemRoutes
 from larkpost.gateway.rollouts.model import BatchHead, RewardCall
 from larkpost.gateway.rollouts.progress import Progress, WaitsFor
-from larkpost.gateway.rollouts.retry_rules import (
-    are_call_attempts_exhausted,
-    retry_pause_seconds,
-)
+from larkpost.gateway.rollouts.retry_pause import pause_before_retry
+from larkpost.gateway.rollouts.retry_rules import are_call_attempts_exhausted
 from larkpost.gateway.rollouts.reward_caller import RewardCaller
 from larkpost.gateway.rollouts.reward_rules import RewardCallHistory, RewardCallOutcome
 
@@ -52,7 +50,7 @@
                         progress.failed_calls, item_attempts, route.max_attempts
                     ):
                         return None
-            await self._services.clock.sleep(retry_pause_seconds(progress.lost_runs))
+            await pause_before_retry(progress, self._routes, self._services.clock)
         return None
 
     def _route(self, call: RewardCall) -> Route | None:
--- a/tests/platform_mutants.py
+++ b/tests/platform_mutants.py
@@ -505,6 +505,14 @@
     return mock.patch.object(retry_rules, "MAX_LOST_PAUSE_SECONDS", 0.0)
 
 
+def pause_anew_after_refusals():
+    """Begins the pause after lost runs anew with each attempt that reaches no server."""
+    from larkpost.gateway.rollouts import retry_pause
+
+    pause = retry_pause.retry_pause_seconds
+    return mock.patch.object(retry_pause, "retry_pause_seconds", lambda lost, _: pause(lost, 0.0))
+
+
 def run_suspects_one_by_one():
     """Never lets a server run more than one suspect of a daemon."""
     from larkpost.gateway.quarantine.isolation_rule import IsolationRule
@@ -741,6 +749,7 @@
         count_crashes_that_were_outlived,
         hold_items_for_crashes,
         retry_lost_items_at_once,
+        pause_anew_after_refusals,
         run_suspects_one_by_one,
         accept_until_the_end_of_a_stop,
         cut_what_has_no_response,
@@ -810,6 +819,7 @@
     "send_crashing_requests_on": "tests.test_quarantine_fleet",
     "hold_items_for_crashes": "tests.test_owed_items",
     "retry_lost_items_at_once": "tests.test_quarantine_fleet",
+    "pause_anew_after_refusals": "tests.test_owed_items",
     "run_suspects_one_by_one": "tests.test_quarantine",
     "accept_until_the_end_of_a_stop": "tests.test_stopping_connections",
     "cut_what_has_no_response": "tests.test_stopping_connections",
--- a/tests/test_owed_items.py
+++ b/tests/test_owed_items.py
@@ -9,6 +9,7 @@
 
 from larkpost.gateway.blackboard.request_content import ContentDigest, digest_content
 from larkpost.gateway.rollouts.model import ITEM_METHOD, BatchSpec, ResultState
+from larkpost.gateway.rollouts.retry_rules import MAX_LOST_PAUSE_SECONDS
 from larkpost.gateway.store.batch_tables import CRASH_PART, HEAD_TABLE
 from larkpost.gateway.store.port import RowKey, Transaction
 from larkpost.platform.stand_in.engine_state import expected_output
@@ -25,6 +26,9 @@
 RUN_SECONDS = EVENTS * EVENT_SECONDS
 CRASHES = 9
 """Crashes under each item; far more than the servers of the fleet."""
+REFUSED_SECONDS = MAX_LOST_PAUSE_SECONDS + RUN_SECONDS
+"""Time after the last crash for which the servers refuse all work, as while they load weights; it
+ends soon after the longest pause of an item."""
 IDLE_SECONDS = 5.0
 """The users' bound: an item may be at no server for this long, in steady state."""
 PLACED_SECONDS = CONTACT_SECONDS + IDLE_SECONDS
@@ -37,11 +41,19 @@
     Args:
         left: number of crashes.
         prefix: of the names of the servers that crash.
+        event_seconds: time that engines take for an event of an item meanwhile.
     """
 
-    def __init__(self, fleet: PlatformFleet, left: int, prefix: str = "engine") -> None:
+    def __init__(
+        self,
+        fleet: PlatformFleet,
+        left: int,
+        prefix: str = "engine",
+        event_seconds: float = EVENT_SECONDS,
+    ) -> None:
         self._fleet = fleet
         self._prefix = prefix
+        self._event_seconds = event_seconds
         self.left = left
         self.crashed_at = fleet.now()
 
@@ -51,6 +63,8 @@
         while self.left > 0 and self._fleet.now() - self.crashed_at < PLACED_SECONDS:
             for scorer in self._fleet.scorers():
                 scorer.event_seconds = RUN_SECONDS / 2
+            for engine in self._fleet.model_engines():
+                engine.event_seconds = self._event_seconds
             await self._fleet.wait(CRASH_AFTER_SECONDS)
             arrivals = self._fleet.arrivals[seen:]
             seen = len(self._fleet.arrivals)
@@ -117,6 +131,34 @@
 
         run(play())
 
+    # Guards against a refusal that begins the long pause after lost runs anew.
+    def test_refusals_after_crashes_do_not_hold_an_item(self):
+        self.play_refusals("engine")
+
+    def test_refusals_after_crashes_do_not_hold_a_reward_call(self):
+        self.play_refusals("scorer")
+
+    def play_refusals(self, servers: str) -> None:
+        """Plays servers that crash under one request, and then refuse it for a while."""
+
+        async def play():
+            is_scored = servers == "scorer"
+            fleet = await self.begin(scorers=3 if is_scored else 0)
+            spec = make_batch(items=1, scored=is_scored)
+            await fleet.submit(spec)
+            # No output comes before the crash, so that the pause between two runs grows.
+            crashing = CrashingServers(fleet, CRASHES, servers, 2 * CRASH_AFTER_SECONDS)
+            await crashing.run()
+            self.assertLessEqual(crashing.left, 0)
+            await fleet.wait(2 * DOWN_SECONDS)
+            for state in fleet.engines.engines.values():
+                state.loading_until = crashing.crashed_at + REFUSED_SECONDS
+            await fleet.wait(PLACED_SECONDS + 2 * RUN_SECONDS)
+            self.check_placed(fleet, crashing.crashed_at)
+            self.check_listed(fleet, spec)
+
+        run(play())
+
     def test_rows_of_earlier_crashes_hold_no_item(self):
         async def play():
             fleet = await self.begin(scorers=2)
