The answers to usage reports and scaling orders have a limit

What callers saw: none reported it here. Users say that bytes that are no answer may come without end, and asked for each path; the calls to the platform's API were left out (found by looking for every body that is read).

Cause: platform/duties.py read a body whole, however long; only the time of the call was limited. Class: a read without a limit in bytes, as at the store.

Evidence: tests/test_endless_responses.py test_usage_reports_and_scaling_orders, ten kinds of heads and bodies.

Change: read_limited, 64 KB, after which the connection is closed and the outcome is unknown, as after no answer. Only the status is used.

--- a/src/larkpost/platform/duties.py
+++ b/src/larkpost/platform/duties.py
@@ -16,9 +16,12 @@
 from larkpost.platform import names
 from larkpost.platform.connections import make_session
 from larkpost.platform.dead_connections import DeadConnectionDetector, UpstreamKind
+from larkpost.platform.limited_body import read_limited
 
 CALL_FAILURES = (aiohttp.ClientError, asyncio.TimeoutError, OSError)
 """Errors that a call may raise."""
+MAX_BODY_BYTES = 65_536
+"""Maximum body of a response; only its status is used."""
 NO_RESPONSE_STATUS = 0
 """Placeholder status of a call without a response."""
 REPORT_OUTCOMES = {
@@ -82,7 +85,7 @@
     ) -> int:
         """Makes a call under a lease and returns its status.
 
-        Returns `NO_RESPONSE_STATUS` if there was no response.
+        Returns `NO_RESPONSE_STATUS` if there was no whole response.
         """
         headers = {
             names.LEASE_HOLDER.decode(): holder,
@@ -95,7 +98,7 @@
                 asyncio.timeout(timeout),
                 self._session.post(url, data=orjson.dumps(document), headers=headers) as response,
             ):
-                await response.read()
+                await read_limited(response, MAX_BODY_BYTES)
                 return response.status
         except CALL_FAILURES:
             return NO_RESPONSE_STATUS  # the lease holder logs it and retries
--- a/tests/hostile_servers.py
+++ b/tests/hostile_servers.py
@@ -13,22 +13,29 @@
 from typing import Any
 
 from larkpost.common.clock import LoopClock
-from larkpost.common.ids import Address
+from larkpost.common.ids import Address, ZoneId
 from larkpost.gateway.blackboard.configuration import (
     Configuration,
     ConfigurationState,
+    ModelName,
     Route,
     RouteKind,
     Service,
+    ServiceName,
     ServiceShare,
 )
 from larkpost.gateway.blackboard.directory import InstanceDirectory
 from larkpost.gateway.blackboard.lifecycle import Lifecycle
+from larkpost.gateway.blackboard.tenants import TenantName
+from larkpost.gateway.controllers.leases import Duty, Lease, LeaseSubject
 from larkpost.gateway.observability.eventlog import EventLog
 from larkpost.gateway.observability.metrics import Metrics
 from larkpost.gateway.proxy.admission import Admission
 from larkpost.gateway.proxy.balancer import Balancer
 from larkpost.gateway.proxy.forwarder import Forwarder
+from larkpost.gateway.scaling.port import ScalingOrder, ServerKind
+from larkpost.gateway.servers.port import VersionOrder
+from larkpost.gateway.usage.port import UsageReport, WindowNumber
 from larkpost.platform.http_protocol import Listener
 from larkpost.platform.ingress import Ingress
 from larkpost.platform.servers import HttpServers
@@ -43,6 +50,10 @@
 LATE_SECONDS = 0.5
 """The users' bound: time after the timeout by which a request has its final answer."""
 BLOCK_BYTES = 65536
+ORDER = VersionOrder(ModelName("m"), 2, "daemon", 5, 3)
+USAGE = UsageReport(WindowNumber(3), {TenantName("t"): 2})
+SCALING = ScalingOrder(ServiceName("s"), ZoneId("z"), ServerKind.ON_DEMAND, 2)
+LEASE = Lease(LeaseSubject(Duty.USAGE, "3"), 5, float("inf"))
 NO_LINGER = struct.pack("ii", 1, 0)
 """Option with which a socket is reset when it is closed."""
 
--- a/tests/test_cut_heads.py
+++ b/tests/test_cut_heads.py
@@ -6,11 +6,13 @@
 import itertools
 import unittest
 
-from larkpost.gateway.blackboard.configuration import ModelName
-from larkpost.gateway.servers.port import OrderOutcome, VersionOrder
+from larkpost.gateway.scaling.port import ScalingOutcome
+from larkpost.gateway.servers.port import OrderOutcome
 from larkpost.gateway.store.port import StoreUnavailableError
+from larkpost.gateway.usage.port import ReportOutcome
+from larkpost.platform.duties import HttpDuties
 from larkpost.platform.store import HttpStore
-from tests.hostile_servers import HostileServerCase
+from tests.hostile_servers import LEASE, ORDER, SCALING, USAGE, HostileServerCase
 from tests.test_platform_servers import ECHO
 
 BODY = b'{"a": "the whole body"}'
@@ -27,7 +29,6 @@
     "bare line feeds": (b"HTTP/1.1 200 OK\r\n" + ECHO + LENGTH + b"\r\n").replace(b"\r\n", b"\n")
     + BODY,
 }
-ORDER = VersionOrder(ModelName("m"), 2, "daemon", 5, 3)
 ASK_SECONDS = 3.0
 REPORT_SECONDS = 0.5
 
@@ -73,6 +74,17 @@
                 status, content = await store.relay_call("GET", "/rows?table=t", None)
                 self.assertIn((status, content), ((503, b""), (504, b"")))
 
+    async def test_usage_reports_and_scaling_orders_are_unknown(self):
+        duties = HttpDuties(self.own)
+        self.addAsyncCleanup(duties.close)
+        for resets, (name, head) in itertools.product((False, True), heads()):
+            self.server.resets, self.server.beginning = resets, head
+            with self.subTest(resets=resets, answer=name, head=head):
+                reported = await duties.report_usage(USAGE, "daemon", LEASE, REPORT_SECONDS)
+                self.assertIs(ReportOutcome.UNKNOWN, reported)
+                ordered = await duties.order_servers(SCALING, "daemon", LEASE, REPORT_SECONDS)
+                self.assertIs(ScalingOutcome.UNKNOWN, ordered)
+
 
 class WholeResponseTest(HostileServerCase):
     """The same responses, whole: the tests above would see them."""
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -10,7 +10,6 @@
 from unittest import mock
 
 from larkpost.common.clock import LoopClock
-from larkpost.gateway.blackboard.configuration import ModelName
 from larkpost.gateway.proxy.streamed_body import MAX_LATE_BYTES, StreamedBody
 from larkpost.gateway.rollouts.progress import (
     MAX_OUTPUT_BYTES,
@@ -18,11 +17,23 @@
     OversizedOutputError,
     Progress,
 )
-from larkpost.gateway.servers.port import BrokenResponseError, OrderOutcome, VersionOrder
+from larkpost.gateway.scaling.port import ScalingOutcome
+from larkpost.gateway.servers.port import BrokenResponseError, OrderOutcome
 from larkpost.gateway.store.port import RowKey, StoreUnavailableError, Transaction, WriteOutcome
+from larkpost.gateway.usage.port import ReportOutcome
+from larkpost.platform.duties import HttpDuties
 from larkpost.platform.event_stream import MAX_EVENT_BYTES, EventDecoder
 from larkpost.platform.store import HttpStore
-from tests.hostile_servers import BLOCK_BYTES, LATE_SECONDS, TIMEOUT_SECONDS, HostileServerCase
+from tests.hostile_servers import (
+    BLOCK_BYTES,
+    LATE_SECONDS,
+    LEASE,
+    ORDER,
+    SCALING,
+    TIMEOUT_SECONDS,
+    USAGE,
+    HostileServerCase,
+)
 from tests.platform_fleet import PlatformFleet, check_results, make_batch
 from tests.scripted_engines import ScriptedResponse
 from tests.test_platform_servers import ECHO, request
@@ -49,7 +60,6 @@
 CALL_SECONDS = 4.0
 SOON_SECONDS = 2.0
 """Time by which a call ends whose response is too long; far less than its own timeout."""
-ORDER = VersionOrder(ModelName("m"), 2, "daemon", 5, 3)
 
 
 class EndlessResponseTest(HostileServerCase):
@@ -122,6 +132,25 @@
                 if "body" in name:
                     self.assertLess(self.server.sent, 2 * MAX_STORE_BYTES)
 
+    async def test_usage_reports_and_scaling_orders(self):
+        duties = HttpDuties(self.own)
+        self.addAsyncCleanup(duties.close)
+        for name, answer in ENDLESS.items():
+            with self.subTest(answer=name):
+                self.server.beginning, self.server.endless = answer
+                self.server.sent = 0
+                started = time.monotonic()
+                is_kept = name != "chunk extension"  # its bytes are dropped until the call's end
+                seconds = CALL_SECONDS if is_kept else TIMEOUT_SECONDS
+                reported = await duties.report_usage(USAGE, "daemon", LEASE, seconds)
+                self.assertIs(ReportOutcome.UNKNOWN, reported)
+                self.assertLess(time.monotonic() - started, SOON_SECONDS)
+                ordered = await duties.order_servers(SCALING, "daemon", LEASE, seconds)
+                self.assertIs(ScalingOutcome.UNKNOWN, ordered)
+                self.assertLess(time.monotonic() - started, 2 * SOON_SECONDS)
+                if is_kept:
+                    self.assertLess(self.server.sent, MAX_TAKEN_BYTES)
+
 
 class EndlessEventsTest(unittest.TestCase):
     """Events that do not end, or that are too many."""
