The standalone program's calls end though their answers do not

What callers saw: none reported it. The same cause as in the program on the platform, looked for elsewhere: an engine in trouble that sends bytes without end, in a head or a body, kept an attempt open for ever, as only the time between two reads was limited; bodies of reports, orders, refusals, peers and the table service were taken into memory until the call's time was over.

Change: the head of an answer has the time of a chunk, a stream may have 1 MB without a chunk, bodies have a limit (read_limited, now in common/). Class: a read that is limited by time between bytes, or by time only.

--- a/src/larkpost/platform/duties.py
+++ b/src/larkpost/platform/duties.py
@@ -10,13 +10,13 @@
 from yarl import URL
 
 from larkpost.common.ids import Address
+from larkpost.common.limited_body import read_limited
 from larkpost.gateway.controllers.leases import Lease
 from larkpost.gateway.scaling.port import ScalingOrder, ScalingOutcome, ServerKind
 from larkpost.gateway.usage.port import ReportOutcome, UsageReport
 from larkpost.platform import names
 from larkpost.platform.connections import make_session
 from larkpost.platform.dead_connections import DeadConnectionDetector, UpstreamKind
-from larkpost.platform.limited_body import read_limited
 
 CALL_FAILURES = (aiohttp.ClientError, asyncio.TimeoutError, OSError)
 """Errors that a call may raise."""
--- a/src/larkpost/platform/server_control.py
+++ b/src/larkpost/platform/server_control.py
@@ -10,6 +10,7 @@
 import aiohttp
 import orjson
 
+from larkpost.common.limited_body import read_limited
 from larkpost.gateway.blackboard.directory import InstanceInfo
 from larkpost.gateway.servers.port import (
     BrokenResponseError,
@@ -19,7 +20,6 @@
 )
 from larkpost.platform import names
 from larkpost.platform.dead_connections import CallKind
-from larkpost.platform.limited_body import read_limited
 from larkpost.platform.operator import PARSE_ERRORS
 from larkpost.platform.server_messages import order_document, read_report
 from larkpost.platform.server_refusals import ResponseMatch, match_response
--- a/src/larkpost/platform/store.py
+++ b/src/larkpost/platform/store.py
@@ -15,6 +15,7 @@
 from yarl import URL
 
 from larkpost.common.ids import Address
+from larkpost.common.limited_body import read_limited
 from larkpost.common.steady_time import steady_seconds
 from larkpost.gateway.observability.eventlog import EventLog
 from larkpost.gateway.observability.metrics import Count, Metrics, Timing
@@ -29,7 +30,6 @@
 from larkpost.platform import names
 from larkpost.platform.connections import make_session
 from larkpost.platform.dead_connections import DeadConnectionDetector, UpstreamKind
-from larkpost.platform.limited_body import read_limited
 from larkpost.platform.store_clock import StoreClock
 from larkpost.platform.store_documents import (
     HISTORY_LOST,
--- a/src/larkpost/standalone/engines/http_adapter.py
+++ b/src/larkpost/standalone/engines/http_adapter.py
@@ -5,13 +5,14 @@
 """
 
 import asyncio
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import Any
 
 import aiohttp
 import orjson
 
 from larkpost.common.ids import Address, AttemptId, DaemonId, EngineId
+from larkpost.common.limited_body import read_limited
 from larkpost.standalone.documents import parse_json_object
 from larkpost.standalone.engines.port import (
     EngineChunk,
@@ -29,6 +30,10 @@
 """Maximum seconds to wait for a connection to an engine."""
 CANCEL_TIMEOUT = 1.0
 """Maximum seconds to wait for the cancellation of an attempt."""
+MAX_BODY_BYTES = 262_144
+"""Maximum body of an answer that is no stream."""
+MAX_BYTES_WITHOUT_CHUNK = 1_048_576
+"""Maximum bytes of a stream without a chunk; an engine in trouble may send them without end."""
 EVENT_PREFIX = b"data: "
 REFUSED_STATUSES = (409, 429, 503)
 NETWORK_ERRORS = (aiohttp.ClientError, TimeoutError, OSError)
@@ -69,10 +74,9 @@
         headers = {"Content-Type": "application/json"}
         client_timeout = _stream_timeout(chunk_timeout)
         url = f"http://{address}/v1/generate"
+        call = self._session.post(url, data=body.chunks(), headers=headers, timeout=client_timeout)
         try:
-            async with self._session.post(
-                url, data=body.chunks(), headers=headers, timeout=client_timeout
-            ) as response:
+            async with await _receive_head(call, chunk_timeout) as response:
                 await _check_status(response, request.attempt)
                 async for chunk in _read_events(response):
                     yield chunk
@@ -86,10 +90,9 @@
     ) -> AsyncIterator[EngineChunk]:
         url = f"http://{address}/v1/attempts/{attempt}"
         client_timeout = _stream_timeout(chunk_timeout)
+        call = self._session.get(url, params={"offset": str(offset)}, timeout=client_timeout)
         try:
-            async with self._session.get(
-                url, params={"offset": str(offset)}, timeout=client_timeout
-            ) as response:
+            async with await _receive_head(call, chunk_timeout) as response:
                 await _check_status(response, attempt)
                 async for chunk in _read_events(response):
                     yield chunk
@@ -102,7 +105,7 @@
             async with self._session.delete(
                 url, timeout=_total_timeout(CANCEL_TIMEOUT)
             ) as response:
-                await response.read()
+                await read_limited(response, MAX_BODY_BYTES)
         except NETWORK_ERRORS as error:
             raise EngineOutcomeUnknownError(repr(error)) from error
 
@@ -110,7 +113,7 @@
         url = f"http://{address}/v1/report"
         try:
             async with self._session.get(url, timeout=_total_timeout(timeout)) as response:
-                fields = parse_json_object(await response.read())
+                fields = parse_json_object(await read_limited(response, MAX_BODY_BYTES))
             return _parse_report(fields)
         except NETWORK_ERRORS as error:
             raise EngineOutcomeUnknownError(repr(error)) from error
@@ -123,7 +126,7 @@
             async with self._session.post(
                 url, data=orjson.dumps(order), timeout=_total_timeout(timeout)
             ) as response:
-                fields = parse_json_object(await response.read())
+                fields = parse_json_object(await read_limited(response, MAX_BODY_BYTES))
         except (*NETWORK_ERRORS, ValueError) as error:
             raise EngineOutcomeUnknownError(repr(error)) from error
         if response.status == 412:
@@ -146,11 +149,25 @@
     return aiohttp.ClientTimeout(total=timeout)
 
 
+async def _receive_head(
+    call: Awaitable[aiohttp.ClientResponse], timeout: float
+) -> aiohttp.ClientResponse:
+    """Returns the response of a call once its head has arrived.
+
+    Limits the whole time: of a head without end, bytes arrive all the time.
+
+    Raises:
+        TimeoutError: the head has not arrived in time.
+    """
+    async with asyncio.timeout(timeout):
+        return await call
+
+
 async def _check_status(response: aiohttp.ClientResponse, attempt: AttemptId) -> None:
     """Raises an error unless the status is 200; a refusal counts only if it names the attempt."""
     if response.status == 200:
         return
-    content = await response.read()
+    content = await read_limited(response, MAX_BODY_BYTES)
     try:
         fields = parse_json_object(content)
     except ValueError:
@@ -162,8 +179,13 @@
 
 
 async def _read_events(response: aiohttp.ClientResponse) -> AsyncIterator[EngineChunk]:
-    """Yields chunks; those that arrive together are joined, to reduce the work per chunk."""
+    """Yields chunks; those that arrive together are joined, to reduce the work per chunk.
+
+    Raises:
+        EngineOutcomeUnknownError: a chunk is invalid, or the engine sends bytes without a chunk.
+    """
     remainder = b""
+    bytes_without_chunk = 0
     async for data in response.content.iter_any():
         *lines, remainder = (remainder + data).split(b"\n")
         try:
@@ -174,6 +196,11 @@
             ]
         except (KeyError, TypeError, ValueError) as error:
             raise EngineOutcomeUnknownError(f"invalid answer chunk: {error!r}") from error
+        bytes_without_chunk = 0 if chunks else bytes_without_chunk + len(data)
+        if bytes_without_chunk > MAX_BYTES_WITHOUT_CHUNK:
+            raise EngineOutcomeUnknownError(
+                f"the engine sent over {MAX_BYTES_WITHOUT_CHUNK} bytes without an answer chunk"
+            )
         for chunk in _join(chunks):
             yield chunk
 
--- a/src/larkpost/standalone/table_service/http_adapter.py
+++ b/src/larkpost/standalone/table_service/http_adapter.py
@@ -8,9 +8,12 @@
 
 from larkpost.common.errors import PlatformError
 from larkpost.common.ids import Address, EngineId, PoolId, ZoneId
+from larkpost.common.limited_body import read_limited
 from larkpost.standalone.documents import parse_json_object
 from larkpost.standalone.table_service.ports import MachineEntry, Row
 
+MAX_BODY_BYTES = 33_554_432
+"""Maximum body of an answer; a row or a list of machines has a few MB at most."""
 CALL_ERRORS = (aiohttp.ClientError, TimeoutError, OSError, ValueError, KeyError)
 
 
@@ -53,7 +56,7 @@
             async with self._session.request(
                 method, url, params=params, data=data, timeout=client_timeout
             ) as response:
-                content = await response.read()
+                content = await read_limited(response, MAX_BODY_BYTES)
                 if response.status != 200:
                     raise PlatformError(f"{method} {path}: status {response.status}")
                 return parse_json_object(content)
--- a/src/larkpost/standalone/wire/http_peer.py
+++ b/src/larkpost/standalone/wire/http_peer.py
@@ -6,10 +6,13 @@
 
 from larkpost.common.addresses import split_address
 from larkpost.common.ids import Address
+from larkpost.common.limited_body import read_limited
 from larkpost.standalone.telemetry import Telemetry
 from larkpost.standalone.wire.peer import DatagramHandler, PeerError, PeerMethod
 
 PEER_PATH = "/internal/v1/"
+MAX_BODY_BYTES = 33_554_432
+"""Maximum body of an answer; a whole batch has a few MB at most."""
 HTTP_OVERHEAD_BYTES = 300
 """Estimated bytes of HTTP headers, counted for each request and for each response."""
 
@@ -46,7 +49,7 @@
         client_timeout = aiohttp.ClientTimeout(total=timeout)
         try:
             async with self._session.post(url, data=payload, timeout=client_timeout) as response:
-                body = await response.read()
+                body = await read_limited(response, MAX_BODY_BYTES)
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             raise PeerError(f"{method} to {address}: {error!r}") from error
         self._count(len(payload), len(body))
