An error while outputs are stored does not end their storing

Cause: the task that stores the outputs of running items ended with its first unexpected error, without a line, as the one that runs items did before. From then on a daemon that takes the batch over begins all items anew. Found by looking for further tasks that may end without anybody noticing; nobody has seen such an error. All other tasks of the gateway are repeated steps, are begun again when needed, or have somebody who waits for them.

Test: tests/test_lost_tasks.py test_error_while_outputs_are_stored; on the code before it failed (no output was stored any more, no line). Now the error has a fault line and the next save stores what this one did not.

--- a/src/larkpost/gateway/rollouts/owned_batch.py
+++ b/src/larkpost/gateway/rollouts/owned_batch.py
@@ -118,7 +118,7 @@
                 self._mark_complete()
                 return
             except Exception as error:
-                self._log.record(Event.FAULT, where=f"batch {self.head.id}", error=repr(error))
+                self._record_fault(f"batch {self.head.id}", error)
             if self._run is not None:
                 self._run.cancel()
                 self._run = None
@@ -166,6 +166,10 @@
                     return items, stored
                 await self._clock.sleep(RETRY_SECONDS)
 
+    def _record_fault(self, where: str, error: Exception) -> None:
+        """Logs an unexpected error; what failed is repeated."""
+        self._log.record(Event.FAULT, where=where, error=repr(error))
+
     def _on_result(self, result: Result) -> None:
         self._appender.add(result)
 
@@ -182,7 +186,10 @@
     async def _save_outputs_periodically(self) -> None:
         while not self.complete:
             await self._clock.sleep(SAVE_INTERVAL_SECONDS)
-            await self._save_outputs(MIN_NEW_EVENTS)
+            try:
+                await self._save_outputs(MIN_NEW_EVENTS)
+            except Exception as error:  # the next save stores what this one did not
+                self._record_fault(f"outputs of batch {self.head.id}", error)
 
     async def _save_outputs(self, minimum: int) -> None:
         if self._run is not None:
--- a/tests/test_lost_tasks.py
+++ b/tests/test_lost_tasks.py
@@ -11,6 +11,11 @@
 from larkpost.gateway.rollouts.batch_run import FAULT_PAUSE_SECONDS
 from larkpost.gateway.rollouts.engine_runner import EngineRunner
 from larkpost.gateway.rollouts.engine_selector import EngineSelector
+from larkpost.gateway.rollouts.output_saver import (
+    MIN_NEW_EVENTS,
+    SAVE_INTERVAL_SECONDS,
+    OutputSaver,
+)
 from tests.platform_fleet import PlatformFleet, check_results, make_batch
 from tests.virtual import run
 
@@ -73,6 +78,26 @@
 
         run(play())
 
+    def test_error_while_outputs_are_stored(self):
+        async def play():
+            usual, failures = OutputSaver.save, iter([KeyError("x")])
+            saves = []
+
+            async def failing(self, running, minimum):
+                for failure in failures:
+                    raise failure
+                await usual(self, running, minimum)
+                saves.append(minimum)
+
+            with mock.patch.object(OutputSaver, "save", failing):
+                fleet = PlatformFleet(gateways=1, engines=2)
+                for engine in fleet.model_engines():
+                    engine.event_seconds = 2 * SAVE_INTERVAL_SECONDS / MIN_NEW_EVENTS
+                await self.check_listed(fleet)
+            self.assertTrue(saves, "no output was stored any more")
+
+        run(play())
+
     def test_error_of_the_stall_check(self):
         async def play():
             failing = mock.patch.object(EngineSelector, "stall_timeout", side_effect=KeyError("x"))
