Tests: the plays of owed items in one method, the soaks' runs by seed in one place

No change of what is checked: the four plays of servers that crash under an item or a reward call share one method, and both soaks on virtual time share the seeded run and the loop over seeds (tests/soak.py run_seeded, play_seeds).

--- a/tests/idle_soak.py
+++ b/tests/idle_soak.py
@@ -7,19 +7,14 @@
 """
 
 import asyncio
-import json
-import random
-import sys
 import traceback
-from unittest import mock
 
 import typer
 
 from larkpost.platform.stand_in.memory_store import StoreFaults
 from tests.platform_checks import CONTACT_SECONDS
 from tests.platform_fleet import MODEL, make_batch
-from tests.soak import BROKEN_CHARACTERS, Report, VirtualSoak
-from tests.virtual import run
+from tests.soak import BROKEN_CHARACTERS, Report, VirtualSoak, play_seeds, run_seeded
 
 BURST_SECONDS = 12.0
 CALM_SECONDS = 14.0
@@ -167,9 +162,7 @@
     async def play() -> Report:
         return await IdleSoak(seed, daemons, engines, gap).play_bursts(bursts)
 
-    names = random.Random(seed)
-    with mock.patch("secrets.token_hex", lambda size: names.randbytes(size).hex()):
-        return run(play())
+    return run_seeded(seed, play())
 
 
 def main(
@@ -181,13 +174,10 @@
     gap: float = typer.Option(0.8, help="mean virtual seconds between two faults"),
 ) -> None:
     """Plays some runs and prints a line of JSON for each."""
-    broken = 0
-    for seed in range(first_seed, first_seed + seeds):
-        report = soak(seed, bursts, daemons, engines, gap)
-        broken += bool(report.broken)
-        print(json.dumps(report.summary()), flush=True)
-    print(f"{seeds - broken} passed, {broken} failed")
-    sys.exit(1 if broken else 0)
+    play_seeds(
+        range(first_seed, first_seed + seeds),
+        lambda seed: soak(seed, bursts, daemons, engines, gap),
+    )
 
 
 if __name__ == "__main__":
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -10,8 +10,10 @@
 import random
 import sys
 import traceback
+from collections.abc import Callable, Coroutine, Sequence
 from dataclasses import asdict, dataclass, field
 from statistics import quantiles
+from typing import Any
 from unittest import mock
 
 import typer
@@ -253,18 +255,34 @@
 def soak(
     seed: int, seconds: float, daemons: int, engines: int, trainers: int, gap: float
 ) -> Report:
-    """Runs one soak and returns its report; a run is determined by its seed.
-
-    The daemons' random names affect coordination and claims, so they are derived from the seed as
-    well. The order of sets of names requires a fixed PYTHONHASHSEED.
-    """
+    """Runs one soak and returns its report."""
 
     async def play() -> Report:
         return await VirtualSoak(seed, daemons, engines, gap).play(seconds, trainers)
 
+    return run_seeded(seed, play())
+
+
+def run_seeded(seed: int, play: Coroutine[Any, Any, Report]) -> Report:
+    """Runs a soak and returns its report; a run is determined by its seed.
+
+    The daemons' random names affect coordination and claims, so they are derived from the seed as
+    well. The order of sets of names requires a fixed PYTHONHASHSEED.
+    """
     names = random.Random(seed)
     with mock.patch("secrets.token_hex", lambda size: names.randbytes(size).hex()):
-        return run(play())
+        return run(play)
+
+
+def play_seeds(seeds: Sequence[int], soak_one: Callable[[int], Report]) -> None:
+    """Plays a soak with each seed, prints a line of JSON for each, and exits; 1 if one failed."""
+    broken = 0
+    for seed in seeds:
+        report = soak_one(seed)
+        broken += bool(report.broken)
+        print(json.dumps(report.summary()), flush=True)
+    print(f"{len(seeds) - broken} passed, {broken} failed")
+    sys.exit(1 if broken else 0)
 
 
 def main(
@@ -277,13 +295,10 @@
     gap: float = typer.Option(1.5, help="mean virtual seconds between two faults"),
 ) -> None:
     """Plays some runs and prints a line of JSON for each."""
-    broken = 0
-    for seed in range(first_seed, first_seed + seeds):
-        report = soak(seed, seconds, daemons, engines, trainers, gap)
-        broken += bool(report.broken)
-        print(json.dumps(report.summary()), flush=True)
-    print(f"{seeds - broken} passed, {broken} failed")
-    sys.exit(1 if broken else 0)
+    play_seeds(
+        range(first_seed, first_seed + seeds),
+        lambda seed: soak(seed, seconds, daemons, engines, trainers, gap),
+    )
 
 
 if __name__ == "__main__":
--- a/tests/test_owed_items.py
+++ b/tests/test_owed_items.py
@@ -104,60 +104,41 @@
         self.assertLess(min(placed) - since, PLACED_SECONDS)
 
     def test_item_is_placed_again_however_many_servers_crashed_under_it(self):
-        async def play():
-            fleet = await self.begin()
-            crashing = CrashingServers(fleet, CRASHES)
-            spec = make_batch(items=1)
-            await fleet.submit(spec)
-            await crashing.run()
-            await fleet.wait(PLACED_SECONDS + RUN_SECONDS)
-            self.assertLessEqual(crashing.left, 0)
-            self.check_placed(fleet, crashing.crashed_at)
-            self.check_listed(fleet, spec)
-
-        run(play())
+        run(self.play("engine"))
 
     def test_reward_call_is_placed_again_however_many_servers_crashed_under_it(self):
-        async def play():
-            fleet = await self.begin(scorers=3)
-            spec = make_batch(items=1, scored=True)
-            await fleet.submit(spec)
-            crashing = CrashingServers(fleet, CRASHES, "scorer")
-            await crashing.run()
-            await fleet.wait(PLACED_SECONDS + RUN_SECONDS)
-            self.assertLessEqual(crashing.left, 0)
-            self.check_placed(fleet, crashing.crashed_at)
-            self.check_listed(fleet, spec)
-
-        run(play())
+        run(self.play("scorer"))
 
-    # Guards against a refusal that begins the long pause after lost runs anew.
+    # The next two guard against a refusal that begins the long pause after lost runs anew.
     def test_refusals_after_crashes_do_not_hold_an_item(self):
-        self.play_refusals("engine")
+        run(self.play("engine", refuses=True))
 
     def test_refusals_after_crashes_do_not_hold_a_reward_call(self):
-        self.play_refusals("scorer")
-
-    def play_refusals(self, servers: str) -> None:
-        """Plays servers that crash under one request, and then refuse it for a while."""
-
-        async def play():
-            is_scored = servers == "scorer"
-            fleet = await self.begin(scorers=3 if is_scored else 0)
-            spec = make_batch(items=1, scored=is_scored)
-            await fleet.submit(spec)
-            # No output comes before the crash, so that the pause between two runs grows.
-            crashing = CrashingServers(fleet, CRASHES, servers, 2 * CRASH_AFTER_SECONDS)
-            await crashing.run()
-            self.assertLessEqual(crashing.left, 0)
+        run(self.play("scorer", refuses=True))
+
+    async def play(self, servers: str, *, refuses: bool = False) -> None:
+        """Plays servers that crash under one request, and checks that it is served afterwards.
+
+        Args:
+            servers: what the names of the servers that crash begin with.
+            refuses: whether no output comes before a crash, so that the pause between two runs
+                grows, and the servers refuse the request for a while after the last crash.
+        """
+        is_scored = servers == "scorer"
+        fleet = await self.begin(scorers=3 if is_scored else 0)
+        spec = make_batch(items=1, scored=is_scored)
+        await fleet.submit(spec)
+        event_seconds = 2 * CRASH_AFTER_SECONDS if refuses else EVENT_SECONDS
+        crashing = CrashingServers(fleet, CRASHES, servers, event_seconds)
+        await crashing.run()
+        self.assertLessEqual(crashing.left, 0)
+        if refuses:
             await fleet.wait(2 * DOWN_SECONDS)
             for state in fleet.engines.engines.values():
                 state.loading_until = crashing.crashed_at + REFUSED_SECONDS
-            await fleet.wait(PLACED_SECONDS + 2 * RUN_SECONDS)
-            self.check_placed(fleet, crashing.crashed_at)
-            self.check_listed(fleet, spec)
-
-        run(play())
+        await fleet.wait(PLACED_SECONDS + 2 * RUN_SECONDS)
+        self.check_placed(fleet, crashing.crashed_at)
+        self.check_listed(fleet, spec)
 
     def test_rows_of_earlier_crashes_hold_no_item(self):
         async def play():
