Bodies of the store fit into a daemon's memory all at once

Cause: each body of the store or a peer might have 32 MB. A daemon makes some 20 calls at a time, so a store that answers all of them without end takes more than a machine has. Class: a limit for each of many that has no relation to the whole. Nobody has reported it; found by reading the fix once more.

Change: a page of rows or the answer to a write has 4 MB at most (the pages of the store have 1 MB of values), that to a feed call 16 MB.

Test: tests/test_endless_responses.py, three feeds, ten reads and ten writes at once at an endless body, within the users' 256 MB of a daemon.

--- a/src/larkpost/platform/store.py
+++ b/src/larkpost/platform/store.py
@@ -59,8 +59,11 @@
 """Metric labels of the read calls."""
 CALL_FAILURES = (aiohttp.ClientError, asyncio.TimeoutError, OSError, ValueError, KeyError)
 """Errors that a call may raise, including those for malformed responses."""
-MAX_BODY_BYTES = 33_554_432
-"""Maximum body of a response of the store or of a peer; a page of rows has a few MB at most."""
+MAX_BODY_BYTES = 4_194_304
+"""Maximum body of a response of the store or of a peer; a page of rows has 1 MB of values."""
+MAX_FEED_BODY_BYTES = 16_777_216
+"""The same of a feed call, whose changes come in one response. All bodies that a daemon reads at a
+time must fit into its memory."""
 CONNECT_FAILURES = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
 """Errors raised if no connection could be made, so the call was definitely not sent."""
 SUCCESSFUL_OUTCOMES = ("answered", "410", WriteOutcome.DONE, WriteOutcome.CONFLICT)
@@ -82,6 +85,12 @@
     body: bytes | None = None
     hold_time: float = 0.0
 
+    @property
+    def max_body_bytes(self) -> int:
+        """The maximum body of the response."""
+        is_feed = self.target.startswith(names.FEED_PATH)
+        return MAX_FEED_BODY_BYTES if is_feed else MAX_BODY_BYTES
+
     @property
     def headers(self) -> dict[str, str]:
         """The headers of the call."""
@@ -236,7 +245,7 @@
         async with self._session.request(
             call.method, url, data=call.body, headers=call.headers, timeout=options
         ) as response:
-            return response.status, await read_limited(response, MAX_BODY_BYTES)
+            return response.status, await read_limited(response, call.max_body_bytes)
 
     def _start_probe(self) -> None:
         """Starts a probe on a new connection unless one is running.
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -6,6 +6,7 @@
 import asyncio
 import itertools
 import time
+import tracemalloc
 import unittest
 from unittest import mock
 
@@ -57,6 +58,9 @@
 MAX_TAKEN_BYTES = 16_000_000
 """Bytes that a server gets rid of, at most, in buffers of both systems and of the call."""
 MAX_STORE_BYTES = 80_000_000
+DAEMON_BYTES = 256_000_000
+"""The users' bound of a daemon's memory."""
+FOLLOWED_TABLES, READS_AT_ONCE = 3, 10
 CALL_SECONDS = 4.0
 SOON_SECONDS = 2.0
 """Time by which a call ends whose response is too long; far less than its own timeout."""
@@ -132,6 +136,19 @@
                 if "body" in name:
                     self.assertLess(self.server.sent, 2 * MAX_STORE_BYTES)
 
+    async def test_all_calls_to_the_store_at_once_fit_into_memory(self):
+        store = HttpStore(self.own, 65536)
+        self.addAsyncCleanup(store.close)
+        change = Transaction(puts=((RowKey("t", "p", "k"), b"v"),))
+        self.server.beginning, self.server.endless = ENDLESS["body until close"]
+        calls = [store.changes("t", 1, TIMEOUT_SECONDS) for _ in range(FOLLOWED_TABLES)]
+        calls += [store.read("t", "p") for _ in range(READS_AT_ONCE)]
+        calls += [store.write(change, CALL_SECONDS) for _ in range(READS_AT_ONCE)]
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        await asyncio.gather(*calls, return_exceptions=True)
+        self.assertLess(tracemalloc.get_traced_memory()[1], DAEMON_BYTES)
+
     async def test_usage_reports_and_scaling_orders(self):
         duties = HttpDuties(self.own)
         self.addAsyncCleanup(duties.close)
