A row or an answer that cannot be taken does not end the following of a table

Cause: the task that follows a table ended with the first unexpected error of a call or of what takes its rows, such as a batch head that a later version wrote.

Test: tests/test_store_follower.py, a row that cannot be taken and an unexpected error of a call; on the code before, two of two failed (no row after that was received). Now each leaves a fault line, the row is skipped and the table followed on.

--- a/src/larkpost/gateway/store/follower.py
+++ b/src/larkpost/gateway/store/follower.py
@@ -125,6 +125,14 @@
                 self.failed_at = self._clock.now()
                 self._log_connection_change(is_connected=False, reason=error.message)
                 await self._clock.sleep(RETRY_SECONDS)
+            except Exception as error:  # a daemon that stops following would know nothing new
+                self.failed_at = self._clock.now()
+                self._record_fault(f"follow {self._table}", error)
+                await self._clock.sleep(RETRY_SECONDS)
+
+    def _record_fault(self, where: str, error: Exception) -> None:
+        """Logs an unexpected error; the table is followed on."""
+        self._log.record(Event.FAULT, where=where, error=repr(error))
 
     def _log_connection_change(self, *, is_connected: bool, reason: str = "") -> None:
         """Logs when the connection to the table is lost or regained."""
@@ -211,4 +219,12 @@
             del self.rows[row.key]
         else:
             self.rows[row.key] = row
-        self._listener(row)
+        self._notify(row)
+
+    def _notify(self, row: Row) -> None:
+        """Calls the listener; a row that it cannot take must not keep the others from it."""
+        try:
+            self._listener(row)
+        except Exception as error:
+            key = row.key
+            self._record_fault(f"row {key.table}/{key.part}/{key.key}", error)
--- a/tests/test_store_follower.py
+++ b/tests/test_store_follower.py
@@ -1,16 +1,18 @@
 """Tests that a followed table never reverts to older rows, in whatever order changes arrive."""
 
 import unittest
+from unittest import mock
 
 from larkpost.common.clock import LoopClock
 from larkpost.common.tasks import TaskSet
 from larkpost.gateway.blackboard.configuration import Configuration, ConfigurationState
-from larkpost.gateway.observability.eventlog import EventLog
+from larkpost.gateway.observability.eventlog import Event
 from larkpost.gateway.observability.instruments import Instruments
 from larkpost.gateway.store.follower import RelistPolicy, TableFollower, TableParts
 from larkpost.gateway.store.port import Row, RowKey, RowPage, Transaction
 from larkpost.platform.stand_in.memory_store import MemoryStore, StoreClient, StoreFaults
 from larkpost.standalone.telemetry import Telemetry
+from tests.recording_log import RecordingLog
 from tests.virtual import run
 
 TABLE = "t"
@@ -36,17 +38,28 @@
 class FollowerTest(unittest.TestCase):
     """Follows one table in virtual time."""
 
-    def begin(self):
-        """Starts a follower."""
+    def begin(self, spoiled: str = ""):
+        """Starts a follower.
+
+        Args:
+            spoiled: key of a row that the listener cannot take.
+        """
         clock = LoopClock()
         self.store = MemoryStore(clock)
         self.client = StaleStore(self.store)
         self.received: list[Row] = []
+        self.log = RecordingLog()
+
+        def receive(row: Row) -> None:
+            if row.key.key == spoiled:
+                raise KeyError("owner")
+            self.received.append(row)
+
         self.follower = TableFollower(
             self.client,
             TableParts(TABLE),
-            self.received.append,
-            Instruments(clock, EventLog("d")),
+            receive,
+            Instruments(clock, self.log),
             RelistPolicy(1.0),
         )
         self.follower.start(TaskSet(clock, Telemetry("d", log=False)))
@@ -116,6 +129,37 @@
 
         run(play())
 
+    # Guards against a daemon that learns nothing of a table any more, without a line of the log.
+    def test_row_that_cannot_be_taken_does_not_end_the_following(self):
+        async def play():
+            clock = self.begin(spoiled="b")
+            for name in ("a", "b", "c"):
+                self.put(name, b"1")
+            await clock.sleep(0.5)
+            self.put("b", b"2")
+            self.put("d", b"1")
+            await clock.sleep(3.0)
+            self.assertEqual(["a", "c", "d"], [row.key.key for row in self.received])
+            faults = [fields for event, fields in self.log.events if event is Event.FAULT]
+            self.assertEqual({"row t//b"}, {fields["where"] for fields in faults})
+            self.assertEqual(2, len(faults), "one for each version of the row")
+
+        run(play())
+
+    def test_unexpected_error_of_a_call_does_not_end_the_following(self):
+        async def play():
+            clock = self.begin()
+            await clock.sleep(0.5)
+            with mock.patch.object(StaleStore, "changes", side_effect=OverflowError("ver")):
+                await clock.sleep(2.0)
+            self.put("a", b"1")
+            await clock.sleep(2.0)
+            self.assertEqual({"a": b"1"}, self.values())
+            faults = [fields for event, fields in self.log.events if event is Event.FAULT]
+            self.assertEqual({"follow t"}, {fields["where"] for fields in faults})
+
+        run(play())
+
     def test_healthy_time_counts_from_the_last_failure(self):
         async def play():
             clock = self.begin()
