A test's server ends its connections before the loop does

The module tests.test_platform_servers ran its 29 tests and wrote its counts; after them the interpreter's exit wrote an ignored exception (StreamWriter.__del__, 'Event loop is closed'), so that the last line of the module was not the one with its counts, which counts as one failure.

Cause: test_response_before_the_body_was_read ends 0.7 s after its requests, and its server's handler, which takes 0.5 s and more, leaves its writer open if it is cancelled at the end of the loop. Shown: with 0.0 s in place of 0.7 the same message comes after the counts in three runs of three, with this change in none of three.

Change: the server is a ConnectionServer, which ends its connections in any case. What the test asks is as before, and so is the rule that the counts come last.

--- a/tests/test_platform_servers.py
+++ b/tests/test_platform_servers.py
@@ -23,6 +23,8 @@
 from larkpost.platform import connections
 from larkpost.platform.connections import CheckedConnector
 from larkpost.platform.servers import HttpServers
+from larkpost.rehearsal.processes import free_address
+from tests.connections import ConnectionServer
 
 ECHO = b"Larkpost-Attempt-Id: r1\r\nLarkpost-Server-Stamp: s\r\n"
 
@@ -384,14 +386,15 @@
                     streams[number] += chunk
             except (TimeoutError, ConnectionError):
                 pass  # the client has closed the connection
-            writer.close()
 
         async with ScriptedServer() as server:
             server._server.close()
-            early = await asyncio.start_server(answer_early, "127.0.0.1", 0)
-            self.addCleanup(early.close)
-            port = early.sockets[0].getsockname()[1]
-            server.instance = replace(server.instance, address=Address(f"127.0.0.1:{port}"))
+            address = free_address()
+            early = ConnectionServer(answer_early)  # ends its connections before the loop does
+            host, port = address.split(":")
+            await early.start(host, int(port))
+            self.addAsyncCleanup(early.close)
+            server.instance = replace(server.instance, address=Address(address))
             body = b"b" * 8_000_000
             for number in (1, 2):
                 try:
