Heads that are cut at each byte, at the call that items and reward calls make

Items and reward calls send through the server adapter, which tests/test_cut_heads.py tried by way of client requests only. The new test asks the same of the call itself: each cut head, closed or reset, is a broken response.

--- a/tests/test_cut_heads.py
+++ b/tests/test_cut_heads.py
@@ -3,17 +3,18 @@
 Guard against a success with an empty or short body that looks whole.
 """
 
+import asyncio
 import itertools
 import unittest
 
 from larkpost.gateway.scaling.port import ScalingOutcome
-from larkpost.gateway.servers.port import OrderOutcome
+from larkpost.gateway.servers.port import BrokenResponseError, OrderOutcome
 from larkpost.gateway.store.port import StoreUnavailableError
 from larkpost.gateway.usage.port import ReportOutcome
 from larkpost.platform.duties import HttpDuties
 from larkpost.platform.store import HttpStore
 from tests.hostile_servers import LEASE, ORDER, SCALING, USAGE, HostileServerCase
-from tests.test_platform_servers import ECHO
+from tests.test_platform_servers import ECHO, request
 
 BODY = b'{"a": "the whole body"}'
 LENGTH = b"Content-Length: %d\r\n" % len(BODY)
@@ -55,6 +56,17 @@
                 self.assertTrue(is_ended)
                 self.assertFalse(answer.startswith(b"HTTP/1.1 2"), content)
 
+    async def test_items_and_reward_calls_get_no_response(self):
+        for resets, (name, head) in itertools.product((False, True), heads()):
+            self.server.resets, self.server.beginning = resets, head
+            with (
+                self.subTest(resets=resets, answer=name, head=head),
+                self.assertRaises(BrokenResponseError),
+            ):
+                async with asyncio.timeout(ASK_SECONDS):
+                    async with self.servers.send(self.instance, request()):
+                        self.fail("it looks like a response")
+
     async def test_reports_and_orders_are_unknown(self):
         for resets, (name, head) in itertools.product((False, True), heads()):
             self.server.resets, self.server.beginning = resets, head
