--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -15,6 +15,7 @@
 import tempfile
 import time
 import tomllib
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from pathlib import Path
 from urllib.parse import parse_qs, urlsplit
@@ -184,6 +185,8 @@
 class Listener:
     """Serves HTTP/1.1 on a loopback port; subclasses implement `serve`."""
 
+    started: "list[Listener]" = []
+
     def __init__(self) -> None:
         self.port = 0
         self._server: asyncio.Server | None = None
@@ -193,6 +196,7 @@
     async def start(self) -> None:
         """Starts to listen on a free port."""
         self._server = await asyncio.start_server(self._connected, "127.0.0.1", 0, limit=2**22)
+        Listener.started.append(self)
         self.port = self._server.sockets[0].getsockname()[1]
 
     async def stop(self) -> None:
@@ -674,15 +678,31 @@
     }
 
 
-@contextlib.contextmanager
-def case(folder: Path):
-    """Gives a script its record, a temporary folder and a list of daemons, all ended after it."""
+def run_case(folder: Path, play: Callable) -> int:
+    """Runs a script and ends everything that it started; returns its exit code.
+
+    Args:
+        play: plays the case; called with its record, a temporary folder and the list to which it
+            adds the daemons that it starts; returns the exit code.
+    """
     record = Record(folder / "record.txt")
     daemons: list[Daemon] = []
-    with tempfile.TemporaryDirectory() as temporary:
+
+    async def play_and_end(temporary: Path) -> int:
         try:
-            yield record, Path(temporary), daemons
+            return await play(record, temporary, daemons)
         finally:
             for daemon in daemons:
                 daemon.end()
+            for listener in Listener.started:
+                await listener.stop()
+            await asyncio.sleep(0.1)
+
+    with tempfile.TemporaryDirectory() as temporary:
+        try:
+            return asyncio.run(play_and_end(Path(temporary)))
+        except Exception as error:
+            record.add("the case could not run:", repr(error))
+            return 2
+        finally:
             record.write()
