--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -74,7 +74,7 @@
 cancel-ms = 3000
 settle-ms = 1000
 require-fence = true
-lease-ms = 3000
+lease-ms = {lease_ms}
 thaw-ms = 300
 [platform]
 address = "127.0.0.1:{store}"
@@ -167,7 +167,8 @@
 async def _read_chunks(reader: asyncio.StreamReader) -> bytes:
     body = b""
     while True:
-        size = int((await reader.readline()).split(b";")[0], 16)
+        line = await reader.readuntil(b"\r\n")
+        size = int(line.split(b";")[0], 16)
         chunk = await reader.readexactly(size + 2)
         if size == 0:
             return body
@@ -411,7 +412,7 @@
         elif call.path == "/-/report":
             writer.write(response(200, {"Content-Type": "application/json"}, self._report()))
         elif call.path == "/-/order":
-            writer.write(response(self._order(json.loads(call.body))))
+            writer.write(response(self.order(json.loads(call.body))))
         else:
             self.running += 1
             try:
@@ -435,11 +436,15 @@
             headers["Larkpost-Weight-Versions"] = str(self.weights)
         return headers
 
+    def is_busy(self) -> bool:
+        """Returns whether an order is under way."""
+        return False
+
     def _report(self) -> bytes:
         document = {
             "stage": "both",
             "models": [{"name": MODEL, "version": self.weights, "adapters": []}],
-            "busy": False,
+            "busy": self.is_busy(),
             "seq": self.orders,
             "waiting": 0,
             "running": self.running,
@@ -449,7 +454,8 @@
         }
         return json.dumps(document).encode()
 
-    def _order(self, document: dict) -> int:
+    def order(self, document: dict) -> int:
+        """Takes an order, and returns the status of the answer."""
         if document.get("expected", self.orders) != self.orders:
             return 409
         if self.weights >= document["version"]:
@@ -525,7 +531,11 @@
 
 @dataclass
 class Daemon:
-    """A daemon as a process."""
+    """A daemon as a process.
+
+    Attributes:
+        settings: values that differ from those of `SETTINGS`, by the names of the page.
+    """
 
     name: str
     store_port: int
@@ -535,20 +545,29 @@
     peer: int = 0
     process: subprocess.Popen | None = None
     log: Path = field(default_factory=Path)
+    settings: dict[str, int] = field(default_factory=dict)
 
-    def start(self) -> None:
-        """Starts the process with the command of the deploy file."""
-        if not self.front:
-            self.front, self.ready, self.peer = free_ports(3)
-        settings = self.folder / f"{self.name}.toml"
+    def write_settings(self) -> Path:
+        """Writes the settings file as the platform does, and returns its path."""
+        path = self.folder / f"{self.name}.toml"
         text = SETTINGS.format(
             name=self.name,
             front=self.front,
             ready=self.ready,
             peer=self.peer,
             store=self.store_port,
+            lease_ms=self.settings.get("lease-ms", 3000),
         )
-        settings.write_text(text, encoding="utf-8")
+        whole = path.with_suffix(".new")
+        whole.write_text(text, encoding="utf-8")
+        whole.replace(path)
+        return path
+
+    def start(self) -> None:
+        """Starts the process with the command of the deploy file."""
+        if not self.front:
+            self.front, self.ready, self.peer = free_ports(3)
+        settings = self.write_settings()
         deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text(encoding="utf-8"))
         environment = {
             name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ
