--- a/review/5/run.py
+++ b/review/5/run.py
@@ -28,11 +28,11 @@
 MAX_ATTEMPTS = 3
 SERVERS, STRUCK = 5, 3
 """The share of the servers that send an answer too many is 0.6."""
-WINDOWS, WINDOW_SECONDS, PAUSE_SECONDS = 6, 5.0, 2.0
+WINDOWS, WINDOW_SECONDS, PAUSE_SECONDS = 9, 5.0, 2.0
 EXTRA_SHARE = 0.03
 """Share of its answers after which a struck server sends one too many, in each window."""
-TRAINERS = 4
-FAILING_EACH = 5
+TRAINERS = 2
+FAILING_EACH = 3
 """Of the batch jobs of a trainer, each so-and-so-many-th has an item that fails."""
 EVENT_SECONDS = (0.01, 0.013, 0.013, 0.013, 0.013)
 """Seconds for an event at each server; the servers of one service vary in speed."""
--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -28,6 +28,8 @@
 BATCH_PREFIX = "/rollouts/"
 PAGE_PREFIX = "/pages/"
 HEARTBEAT_SECONDS = 1.2
+MAX_SECONDS = 115.0
+"""Longest time that a script may take."""
 
 SETTINGS = """\
 node = "{name}"
@@ -708,8 +710,11 @@
     daemons: list[Daemon] = []
 
     async def play_and_end(temporary: Path) -> int:
+        task = asyncio.current_task()
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         try:
-            return await play(record, temporary, daemons)
+            async with asyncio.timeout(MAX_SECONDS):
+                return await play(record, temporary, daemons)
         finally:
             for daemon in daemons:
                 daemon.end()
@@ -720,7 +725,7 @@
     with tempfile.TemporaryDirectory() as temporary:
         try:
             return asyncio.run(play_and_end(Path(temporary)))
-        except Exception as error:
+        except (Exception, asyncio.CancelledError) as error:
             record.add("the case could not run:", repr(error))
             return 2
         finally:
