A daemon no longer hangs when a batch's route is removed while its runs move

Cause: a run that moves reserves a slot, and the item's loop skips its pause while a slot is reserved. Without a route the next round ended before it looked at the slot, so the slot stayed and the loop never waited again. The same ownership let a run move to a service that its route had left, and lost a slot for good if the batch ended while the run's connection closed.

Change: reserved slots live in a registry of the batch from their assignment on. Each round of an item takes its slot, or releases it if the item's present route no longer leads to that engine; the end of the loop releases what is left. A run moves only where its present route leads.

Conclusion: each round now runs the item, which waits, or holds no reservation, and then pauses.

--- a/src/larkpost/gateway/rollouts/batch_run.py
+++ b/src/larkpost/gateway/rollouts/batch_run.py
@@ -108,7 +108,6 @@
         """Starts an item again whose task ended without a result, though nobody cancelled it."""
         item = ItemId(task.get_name())
         self._tasks.pop(item, None)
-        self._item_runner.release_unused(item)
         progress = self.progress.get(item)
         if progress is None or self._is_cancelled:
             return
--- a/src/larkpost/gateway/rollouts/engine_selector.py
+++ b/src/larkpost/gateway/rollouts/engine_selector.py
@@ -20,8 +20,9 @@
     migration_service_time_limit,
     migration_source_service_time,
 )
+from larkpost.gateway.rollouts.item_routes import ItemRoutes
 from larkpost.gateway.rollouts.item_work import ItemWork
-from larkpost.gateway.rollouts.model import BatchHead
+from larkpost.gateway.rollouts.model import BatchHead, Item
 from larkpost.gateway.rollouts.progress import ItemRun
 from larkpost.gateway.rollouts.stall_detector import MonitoredRun, stall_timeout_seconds
 
@@ -40,6 +41,7 @@
         self._head = head
         self._services = services
         self._started_at = services.clock.now()
+        self._routes = ItemRoutes(head, services)
         self.item_work = ItemWork(head, services)
         self._best_service_times: dict[tuple[ServiceName, Work, int], tuple[float, float]] = {}
         """Steady time of computation and best service time, by service, placement requirements
@@ -154,6 +156,11 @@
         service_time = self._services.balancer.service_times.long_term(engine.id)
         return stall_timeout_seconds(service_time, is_loading=engine.id in loading)
 
+    def is_served_by(self, item: Item, engine: InstanceInfo) -> bool:
+        """Returns whether an item's route in the current configuration leads to an engine."""
+        route = self._routes.route_of(item)
+        return route is not None and self.item_work.service_of(item, route) == engine.service
+
     def may_migrate_to(self, engine: InstanceInfo, run: ItemRun) -> bool:
         """Returns whether a run may still migrate to an engine where it was assigned a slot.
 
--- a/src/larkpost/gateway/rollouts/faster_engine.py
+++ b/src/larkpost/gateway/rollouts/faster_engine.py
@@ -49,15 +49,17 @@
         """Ends the run if a slot was assigned; releases the slot if it is no longer usable.
 
         Raises:
-            MigrateRunError: a slot was assigned; the caller owns it from now on.
+            MigrateRunError: a slot was assigned, and is reserved for the item from now on.
         """
         if self._slot is None or not self._slot.done():
             return
         engine = self._slot.result()
-        if not self._engine_selector.may_migrate_to(engine, self._run):
+        selector, run = self._engine_selector, self._run
+        if not (selector.is_served_by(run.item, engine) and selector.may_migrate_to(engine, run)):
             self.cancel()
             return
         self._slot = None
+        self._slot_queue.reservations.add(run.item.id, engine)
         raise MigrateRunError(engine)
 
     def cancel(self) -> None:
--- a/src/larkpost/gateway/rollouts/item_runner.py
+++ b/src/larkpost/gateway/rollouts/item_runner.py
@@ -1,7 +1,8 @@
 """Runs an item at one engine after another until its output is complete or the item is given up.
 
-Owns the slots that migrating runs have reserved at faster engines. `slot_queue.py` assigns slots,
-`engine_runner.py` makes single runs, and `retry_rules.py` decides what follows from their outcomes.
+Uses or releases the slots that migrating runs have reserved at faster engines. `slot_queue.py`
+assigns slots, `engine_runner.py` makes single runs, and `retry_rules.py` decides what follows from
+their outcomes.
 """
 
 from larkpost.gateway.blackboard.configuration import Route
@@ -59,55 +60,49 @@
         self._slot_queue = slot_queue
         self._engine_runner = engine_runner
         self._services = services
-        self._reserved_engines: dict[ItemId, InstanceInfo] = {}
-        """Engines with a slot reserved by a migrating run, by item."""
         self._queued_at: dict[ItemId, float] = {}
         """Steady times at which items that have not run yet were queued."""
 
     async def run_to_completion(self, progress: Progress) -> bool:
         """Runs an item until its output is complete; False if the item is given up."""
         item = progress.item
+        reservations = self._slot_queue.reservations
         self._queued_at[item.id] = self._services.clock.now()
         progress.record_activity(self._services.clock.now())
-        while not progress.whole:
-            run_outcome = await self._attempt_run(progress)
-            if run_outcome is RunOutcome.DEAD:
-                return False
-            if run_outcome is RunOutcome.RETRY and item.id not in self._reserved_engines:
-                await pause_before_retry(progress, self._routes, self._services.clock)
-        return True
-
-    def release_unused(self, item: ItemId) -> None:
-        """Releases the slot that a migrating run has reserved for an item that no longer runs."""
-        reserved = self._reserved_engines.pop(item, None)
-        if reserved is not None:
-            self._services.balancer.release(reserved.id)
+        try:
+            while not progress.whole:
+                run_outcome = await self._attempt_run(progress)
+                if run_outcome is RunOutcome.DEAD:
+                    return False
+                if run_outcome is RunOutcome.RETRY and item.id not in reservations:
+                    await pause_before_retry(progress, self._routes, self._services.clock)
+            return True
+        finally:
+            reservations.release(item.id)
 
     async def _attempt_run(self, progress: Progress) -> RunOutcome:
-        """Runs an item once if it may run and gets a slot."""
+        """Runs an item once if it may run and gets a slot; uses or releases its reserved slot."""
         item = progress.item
         route = self._routes.route_of(item)
         if self._routes.is_expired(route):
             return RunOutcome.DEAD
+        engine = self._slot_queue.reservations.take(item)
         if route is None:
             progress.wait_for(WaitsFor.ROUTE)
             return RunOutcome.RETRY
         progress.wait_for(WaitsFor.SLOT)
-        engine = await self._acquire_slot(progress, route)
+        engine = engine or await self._acquire_slot(progress, route)
         if engine is None:
             return RunOutcome.RETRY
         return await self._run_at(ItemRun(engine, route, progress))
 
     async def _acquire_slot(self, progress: Progress, route: Route) -> InstanceInfo | None:
         """Returns the engine where the item has a slot; None after a timeout."""
-        item = progress.item.id
-        engine = self._reserved_engines.pop(item, None)
-        if engine is None:
-            engine = await self._slot_queue.acquire(progress, route, progress.service_time_limit)
+        engine = await self._slot_queue.acquire(progress, route, progress.service_time_limit)
         if engine is None:
             progress.service_time_limit = 0.0  # no engine within the limit has a free slot
             return None
-        queued_at = self._queued_at.pop(item, None)
+        queued_at = self._queued_at.pop(progress.item.id, None)
         if queued_at is not None:
             queued = self._services.clock.now() - queued_at
             self._services.metrics.observe(Timing.ITEM_QUEUE, queued)
@@ -138,7 +133,7 @@
             balancer.record_not_run(engine, error.reason, REFUSED_AVOID_SECONDS)
             return error.reason
         if isinstance(error, MigrateRunError):
-            self._record_migration(run, error)
+            self._record_migration(run)
             return "moved"
         if isinstance(error, BrokenResponseError) and error.connection_lost:
             run.progress.record_lost_run(self._services.clock.now())
@@ -148,9 +143,8 @@
         balancer.avoid(engine, failure.avoid_seconds)
         return failure.outcome
 
-    def _record_migration(self, run: ItemRun, migration: MigrateRunError) -> None:
+    def _record_migration(self, run: ItemRun) -> None:
         run.progress.migrations += 1
-        self._reserved_engines[run.item.id] = migration.engine
         run.progress.service_time_limit = self._services.balancer.service_times.long_term(
             run.engine.id
         )
--- a/src/larkpost/gateway/rollouts/slot_queue.py
+++ b/src/larkpost/gateway/rollouts/slot_queue.py
@@ -23,6 +23,7 @@
 from larkpost.gateway.rollouts.engine_selector import EngineSelector
 from larkpost.gateway.rollouts.model import Item
 from larkpost.gateway.rollouts.progress import Progress
+from larkpost.gateway.rollouts.slot_reservations import SlotReservations
 
 PASS_INTERVAL_SECONDS = 0.03
 """Interval between two passes; slots freed by other daemons' requests are found by polling."""
@@ -84,6 +85,9 @@
 
     Args:
         report_error: called with an unexpected error of one item's request, which stays queued.
+
+    Attributes:
+        reservations: the slots that migrating runs have reserved.
     """
 
     def __init__(
@@ -97,6 +101,7 @@
         self._engine_selector = engine_selector
         self._balancer = balancer
         self._clock = clock
+        self.reservations = SlotReservations(engine_selector, balancer)
         self._waiting: list[_SlotRequest] = []
         self._serve_task: asyncio.Task | None = None
 
