A response that arrives twice is not taken for the response to another run

Cause: an answer was accepted by the id that it repeats, but all runs of an item share its id, as do the attempts of a reward call and a client's own repetitions; reports and orders have none.

Change: a pooled connection knows the ids that it has carried, and is not used for a second request under one of them; the next idle connection is, or a new one. No connection carries two orders, and a report is not taken for the response to an order. An answer can only come on the connection of its request, so nothing is asked of servers.

Conclusion: fixed at the one place that all requests to servers pass.

--- a/src/larkpost/platform/connections.py
+++ b/src/larkpost/platform/connections.py
@@ -38,8 +38,10 @@
 
     - has received bytes since its last response, which aiohttp would take for the response to the
       next request,
-    - may be about to be closed by its server, or
-    - is suspect.
+    - may be about to be closed by its server,
+    - is suspect, or
+    - has carried a call whose response could be taken for that of the next one, and no other
+      connection is idle.
 
     Args:
         detector: knows which connections are suspect.
@@ -69,7 +71,8 @@
         idle = self._conns.get(self._connection_keys.get(server))
         if not idle:
             return False
-        return self._is_usable(*idle[-1], self._earliest_idle_since(server))
+        earliest = self._earliest_idle_since(server)
+        return any(self._is_usable(*entry, earliest) for entry in idle)
 
     def close_idle(self, server: Address) -> None:
         """Closes all idle connections to a server."""
@@ -109,6 +112,8 @@
         if call_options.disables_retry and call_options.connection_count[0]:
             raise aiohttp.ServerDisconnectedError("the connection was lost")
         call_options.connection_count[0] += 1
+        if call_options.response_key is not None:
+            self._avoid_ambiguous(req.connection_key, call_options.response_key)
         began = steady_seconds()
         connection = await super().connect(req, traces, timeout)
         if timeout.connect is not None and steady_seconds() - began > timeout.connect:
@@ -133,6 +138,24 @@
                 del self._conns[key]
         return await super()._get(key, traces)
 
+    def _avoid_ambiguous(self, key: ConnectionKey, response_key: bytes) -> None:
+        """Puts idle connections that have carried a call with the same key behind the others.
+
+        The first one is reused next, so they are all closed if there is no other.
+        """
+        idle = self._conns.get(key, ())
+        ambiguous = [entry for entry in idle if entry[0].has_carried(response_key)]
+        if not ambiguous:
+            return
+        for entry in ambiguous:
+            idle.remove(entry)
+        if idle:
+            idle.extend(ambiguous)
+            return
+        del self._conns[key]
+        for protocol, _ in ambiguous:
+            protocol.close()
+
     def _track_server(self, server: Address, key: ConnectionKey) -> None:
         """Records a server's pool key; above a limit, drops servers without idle connections."""
         self._connection_keys[server] = key
--- a/src/larkpost/platform/server_control.py
+++ b/src/larkpost/platform/server_control.py
@@ -21,7 +21,7 @@
 from larkpost.platform import names
 from larkpost.platform.dead_connections import CallKind
 from larkpost.platform.operator import PARSE_ERRORS
-from larkpost.platform.server_messages import order_document, read_report
+from larkpost.platform.server_messages import is_report, order_document, read_report
 from larkpost.platform.server_refusals import ResponseMatch, match_response
 from larkpost.platform.server_requests import server_url
 from larkpost.platform.server_responses import RESPONSE_FAILURES, record_keep_alive
@@ -38,7 +38,6 @@
 }
 MAX_CONTROL_BODY_BYTES = 262_144
 """Maximum body of a report or of the response to an order; a report has some 100 bytes a model."""
-CONTROL_OPTIONS = CallOptions(kind=CallKind.CONTROL)
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,11 +47,13 @@
     Attributes:
         target: the encoded path.
         body: a JSON document; None for a call without a body.
+        response_key: see `CallOptions.response_key`; responses to control calls repeat no id.
     """
 
     method: str
     target: str
     body: bytes | None = None
+    response_key: bytes | None = None
 
     def headers(self, instance: InstanceInfo) -> dict[str, str]:
         """Returns the headers; they name the instance, and any other instance rejects the call."""
@@ -72,7 +73,8 @@
         """Requests an engine's report; see `ServerPort.report`.
 
         A late response to an earlier request on the connection either carries the id of that
-        request or cannot be parsed as a report; it is dropped in both cases.
+        request or cannot be parsed as a report; it is dropped in both cases. An earlier report may
+        be taken for this one: reports are old anyway, and an order names the orders before it.
         """
         call = ControlCall("GET", names.REPORT_PATH)
         try:
@@ -84,12 +86,18 @@
     async def order(
         self, instance: InstanceInfo, order: VersionOrder, timeout: float
     ) -> OrderOutcome:
-        """Orders an engine to load a weight version; see `ServerPort.order`."""
-        call = ControlCall("POST", names.ORDER_PATH, orjson.dumps(order_document(order)))
+        """Orders an engine to load a weight version; see `ServerPort.order`.
+
+        No connection carries two orders, and a late report is known by its content.
+        """
+        body = orjson.dumps(order_document(order))
+        call = ControlCall("POST", names.ORDER_PATH, body, names.ORDER_PATH.encode())
         try:
-            status, _ = await self._call(call, instance, timeout)
+            status, content = await self._call(call, instance, timeout)
         except (BrokenResponseError, *RESPONSE_FAILURES):
             return OrderOutcome.UNKNOWN  # the next report shows whether it was carried out
+        if is_report(content):
+            return OrderOutcome.UNKNOWN
         return ORDER_OUTCOMES.get(status, OrderOutcome.UNKNOWN)
 
     async def _call(
@@ -110,7 +118,7 @@
                 server_url(instance.address, call.target),
                 data=call.body,
                 headers=call.headers(instance),
-                timeout=CONTROL_OPTIONS,
+                timeout=CallOptions(kind=CallKind.CONTROL, response_key=call.response_key),
             ) as response,
         ):
             if match_response(response.headers, None) is ResponseMatch.OTHER_REQUEST:
--- a/src/larkpost/platform/servers.py
+++ b/src/larkpost/platform/servers.py
@@ -9,6 +9,7 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import replace
+from typing import Any
 
 import aiohttp
 
@@ -134,15 +135,20 @@
         """Sends a request; sends a repeatable request once more if its connection is dead."""
         if not request.repeat_if_silent or request.send_timeout is not None:
             # A request with a send timeout was counted once against a rate limit: send it once.
-            options = CallOptions(connect=request.send_timeout, disables_retry=True)
+            options = _options(request, connect=request.send_timeout)
             return await send_once(session, instance, request, options)
         began = steady_seconds()
-        options = CallOptions(aborts_if_dead=True, disables_retry=True)
+        options = _options(request, aborts_if_dead=True)
         try:
             return await send_once(session, instance, request, options)
         except DeadConnectionError:
             again = _with_remaining_time(steady_seconds() - began, request)
-        return await send_once(self._pooled, instance, again, CallOptions(disables_retry=True))
+        return await send_once(self._pooled, instance, again, _options(again))
+
+
+def _options(request: OutgoingRequest, **options: Any) -> CallOptions:
+    """Returns the options of a request; the runs of an item, for example, share its id."""
+    return CallOptions(response_key=request.request_id, disables_retry=True, **options)
 
 
 def _with_remaining_time(elapsed: float, request: OutgoingRequest) -> OutgoingRequest:
--- a/src/larkpost/platform/watched_connection.py
+++ b/src/larkpost/platform/watched_connection.py
@@ -25,6 +25,8 @@
 MAX_HEAD_BYTES = 262_144
 """Maximum bytes of a call's response until its head is complete, with blank lines and interim
 responses before it. A server in trouble may send those without end."""
+MAX_RESPONSE_KEYS = 256
+"""Keys that a connection remembers; it is not reused after that, to bound their memory."""
 FIRST_FINAL_STATUS = 200
 """Lower statuses are those of interim responses, which precede a response."""
 
@@ -50,6 +52,10 @@
         start_probe: sends a probe on a new connection before the call is aborted. The call is
             aborted once a newer connection has received bytes, or `PROBE_WAIT_SECONDS` later.
             None to abort without a probe.
+        response_key: what tells the call's response from those to other calls: the id that the
+            response repeats, or the kind of a call whose response repeats none. No connection
+            carries two calls with the same key, as an earlier response may arrive a second time.
+            None for a call that takes an earlier response of its kind without harm.
         disables_retry: whether the call fails when its connection is lost. Otherwise aiohttp
             retries some requests by itself and reports only the last attempt, so a server that
             crashed would look as if it had never been reached.
@@ -61,6 +67,7 @@
     kind: CallKind = CallKind.REQUEST
     hold_time: float = 0.0
     aborts_if_dead: bool = False
+    response_key: bytes | None = None
     start_probe: Callable[[], None] | None = None
     disables_retry: bool = False
     connection_count: list[int] = attrs.field(factory=lambda: [0], eq=False)
@@ -81,18 +88,37 @@
         self._probe_until: float | None = None
         self._awaited_head_bytes: int | None = None
         """Bytes received of a head that is not complete; None if none is awaited."""
+        self._response_keys: set[bytes] = set()
+        """Keys of the calls that the connection has carried."""
         self.record: ConnectionRecord | None = None
 
+    def has_carried(self, response_key: bytes) -> bool:
+        """Returns whether a response to an earlier call could be taken for that of another one.
+
+        Args:
+            response_key: key of the other call.
+        """
+        return response_key in self._response_keys
+
     def begin_call(self, address: Address, options: CallOptions) -> None:
         """Records the start of a call and schedules the check for a dead connection."""
         if self.record is None:
             self.record = self._detector.add_connection(address)
         self._detector.begin_call(self.record, options.kind, options.hold_time)
         self._start_probe, self._probe_until = options.start_probe, None
+        self._record_key(options.response_key)
         self._awaited_head_bytes = 0
         if options.aborts_if_dead and self.record.received_at is not None:
             self._schedule_check(options.hold_time + self._detector.timeout_of(self.record))
 
+    def _record_key(self, response_key: bytes | None) -> None:
+        """Remembers the key of a call; with too many keys, the connection is not reused."""
+        if response_key is None:
+            return
+        self._response_keys.add(response_key)
+        if len(self._response_keys) >= MAX_RESPONSE_KEYS:
+            self.force_close()
+
     def end_call(self) -> None:
         """Records that a call has ended or was abandoned."""
         self._cancel_timer()
