A status that no response has is no response

What callers saw: a signed answer with status 000 or 099 closed the client's connection without an answer; 101, and with no other server 600 or 999, reached the client as its answer (MIXED, reported by operators of other systems).

Cause: every number in a status line was taken for a status, on all paths.

Change: the connection, through which all heads of servers, store, peers and the platform's API come, ends a call whose status is below 100, above 599, or 101, as after other bytes that are no answer. Whether the request ran is unknown, whatever the head says besides.

Conclusion: one closed range in place of the open ones behind it.

--- a/src/larkpost/platform/watched_connection.py
+++ b/src/larkpost/platform/watched_connection.py
@@ -27,8 +27,10 @@
 responses before it. A server in trouble may send those without end."""
 MAX_RESPONSE_KEYS = 256
 """Keys that a connection remembers; it is not reused after that, to bound their memory."""
-FIRST_FINAL_STATUS = 200
-"""Lower statuses are those of interim responses, which precede a response."""
+FIRST_INTERIM_STATUS, FIRST_FINAL_STATUS, MAX_FINAL_STATUS = 100, 200, 599
+"""Interim responses precede a response; no response has a status below them, or above the last."""
+SWITCHING_PROTOCOLS = 101
+"""Status by which a server leaves HTTP, which no call asks for."""
 
 
 class DeadConnectionError(aiohttp.ClientError):
@@ -39,6 +41,10 @@
     """The head of a response is too long; the call may have been executed."""
 
 
+class InvalidStatusError(aiohttp.ClientError):
+    """The status is that of no response; the call may have been executed."""
+
+
 @attrs.frozen
 class CallOptions(aiohttp.ClientTimeout):
     """The timeouts and options of one call.
@@ -134,8 +140,15 @@
         self._limit_head(len(data))
 
     def feed_data(self, data: tuple[RawResponseMessage, StreamReader], size: int = 0) -> None:
-        """Takes the head of a response, which may be an interim one."""
-        if data[0].code >= FIRST_FINAL_STATUS:
+        """Takes the head of a response, which may be an interim one.
+
+        Aborts the call if its status is that of no response, as after other bytes that are none.
+        """
+        status = data[0].code
+        if not is_response_status(status):
+            self._abort(InvalidStatusError(f"no response has the status {status:03}"))
+            return
+        if status >= FIRST_FINAL_STATUS:
             self._awaited_head_bytes = None
         super().feed_data(data, size)
 
@@ -145,10 +158,14 @@
             return
         self._awaited_head_bytes += received
         if self._awaited_head_bytes > MAX_HEAD_BYTES:
-            self._awaited_head_bytes = None
-            self.set_exception(OversizedHeadError(f"the head exceeds {MAX_HEAD_BYTES} bytes"))
-            if self.transport is not None:
-                self.transport.abort()
+            self._abort(OversizedHeadError(f"the head exceeds {MAX_HEAD_BYTES} bytes"))
+
+    def _abort(self, error: aiohttp.ClientError) -> None:
+        """Ends the call with an error, and its connection."""
+        self._awaited_head_bytes = None
+        self.set_exception(error)
+        if self.transport is not None:
+            self.transport.abort()
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Removes the connection's record."""
@@ -192,3 +209,9 @@
         if self._check_timer is not None:
             self._check_timer.cancel()
             self._check_timer = None
+
+
+def is_response_status(status: int) -> bool:
+    """Returns whether HTTP has responses with a status, interim ones included (RFC 9110)."""
+    is_known = FIRST_INTERIM_STATUS <= status <= MAX_FINAL_STATUS
+    return is_known and status != SWITCHING_PROTOCOLS
--- a/tests/hostile_servers.py
+++ b/tests/hostile_servers.py
@@ -47,6 +47,8 @@
 KINDS = {b"/p/": RouteKind.IDEMPOTENT, b"/o/": RouteKind.RUN_ONCE, b"/s/": RouteKind.STREAM}
 TIMEOUT_SECONDS = 1.0
 """Timeout of all routes."""
+MAX_ATTEMPTS = 2
+"""Number of servers that may run an idempotent request; most tests have one server."""
 LATE_SECONDS = 0.5
 """The users' bound: time after the timeout by which a request has its final answer."""
 BLOCK_BYTES = 65536
@@ -135,7 +137,7 @@
         await asyncio.to_thread(thread.start)
         self.addAsyncCleanup(asyncio.to_thread, thread.stop)
         self.instance = make_instance("e0", address=self.own)
-        directory = InstanceDirectory()
+        self.directory = directory = InstanceDirectory()
         directory.update(self.instance)
         self.servers = HttpServers()
         self.addAsyncCleanup(self.servers.close)
@@ -144,7 +146,7 @@
         forwarder = Forwarder(make_parts(directory, balancer, self.servers, clock))
         shares = (ServiceShare(PAGES, 1.0),)
         routes = tuple(
-            Route("r", "h", path, kind, shares, TIMEOUT_SECONDS, 0.5)
+            Route("r", "h", path, kind, shares, TIMEOUT_SECONDS, 0.5, max_attempts=MAX_ATTEMPTS)
             for path, kind in KINDS.items()
         )
         configuration = ConfigurationState()
