A body without end is passed on to a slow client for a limited time

Cause: after the deadline the client's time does not count, and the 32 MB that may still follow are far away for a slow client.

Change: unless it declared a length within those 32 MB, a body goes on for 8 s after its deadline at most, as long as a planned stop leaves an open response.

Conclusion: bounded in memory and in time, but for clients' streams, which end with their client.

--- a/src/larkpost/gateway/proxy/streamed_body.py
+++ b/src/larkpost/gateway/proxy/streamed_body.py
@@ -2,21 +2,26 @@
 
 The deadline of a request limits the time that the server takes for the body; the time that the
 client takes to read it does not count. Bytes that are always there, as those of a body without end,
-take the server no time, so the bytes after the deadline are limited as well.
+take the server no time, so what follows after the deadline is limited as well: in bytes, and in
+time unless the response has declared a length within that limit.
 """
 
 import asyncio
+import math
 from collections.abc import AsyncIterator
 
 from larkpost.common.clock import Clock
 from larkpost.gateway.proxy.attempts import Attempts
 from larkpost.gateway.proxy.outcomes import Outcomes
 from larkpost.gateway.proxy.request import StreamedResponse
-from larkpost.gateway.servers.port import BrokenResponseError
+from larkpost.gateway.servers.port import BrokenResponseError, Headers
 
 MAX_LATE_BYTES = 33_554_432
 """Bytes passed on after the deadline to a client that takes them slowly; a client on a link of
 1 Gbit/s has them in 0.3 s."""
+MAX_LATE_SECONDS = 8.0
+"""Time for which a body that may have no end is passed on after the deadline to such a client; as
+long as a planned stop leaves an open response."""
 
 
 class StreamedBody:
@@ -32,6 +37,7 @@
         self._expires_at = attempts.waiter.deadlines.expires_at
         self._time_left = self._expires_at - clock.now()
         self._late_bytes = 0
+        self._ends_at = self._expires_at + _late_seconds(response.headers)
 
     def __aiter__(self) -> AsyncIterator[bytes]:
         return self
@@ -65,7 +71,7 @@
             self._time_left -= self._clock.now() - started_at
         if self._clock.now() > self._expires_at:
             self._late_bytes += len(chunk)
-        if self._late_bytes > MAX_LATE_BYTES:
+        if self._late_bytes > MAX_LATE_BYTES or self._clock.now() > self._ends_at:
             raise TimeoutError
         return chunk
 
@@ -73,3 +79,13 @@
         """Records the failure; the client already has part of the response and gets no error."""
         self._outcomes.record_broken(self._response.instance, self._attempts, reason)
         self._outcomes.failure(self._attempts, timed_out=timed_out)
+
+
+def _late_seconds(headers: Headers) -> float:
+    """Returns the seconds after the deadline for which a body is passed on; infinite for none.
+
+    A body of a declared length within `MAX_LATE_BYTES` has an end, however slowly it is read.
+    """
+    lengths = [value for name, value in headers if name.lower() == b"content-length"]
+    has_end = bool(lengths) and lengths[0].isdigit() and int(lengths[0]) <= MAX_LATE_BYTES
+    return math.inf if has_end else MAX_LATE_SECONDS
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -11,7 +11,11 @@
 from unittest import mock
 
 from larkpost.common.clock import LoopClock
-from larkpost.gateway.proxy.streamed_body import MAX_LATE_BYTES, StreamedBody
+from larkpost.gateway.proxy.streamed_body import (
+    MAX_LATE_BYTES,
+    MAX_LATE_SECONDS,
+    StreamedBody,
+)
 from larkpost.gateway.rollouts.progress import (
     MAX_OUTPUT_BYTES,
     MAX_OUTPUT_EVENTS,
@@ -19,7 +23,7 @@
     Progress,
 )
 from larkpost.gateway.scaling.port import ScalingOutcome
-from larkpost.gateway.servers.port import BrokenResponseError, OrderOutcome
+from larkpost.gateway.servers.port import BrokenResponseError, Headers, OrderOutcome
 from larkpost.gateway.store.port import RowKey, StoreUnavailableError, Transaction, WriteOutcome
 from larkpost.gateway.usage.port import ReportOutcome
 from larkpost.platform.duties import HttpDuties
@@ -206,11 +210,14 @@
 class StreamedBodyTest(unittest.TestCase):
     """Bodies that are passed on to a client that takes a while for each chunk."""
 
-    async def read(self, chunks: int | None) -> tuple[int, bool]:
+    async def read(
+        self, chunks: int | None, seconds: float = 0.01, headers: Headers = ()
+    ) -> tuple[int, bool]:
         """Reads a body whose bytes are always there; returns its bytes and whether it is whole.
 
         Args:
             chunks: number of chunks; None for a body without end.
+            seconds: time that the client takes for a chunk.
         """
         clock = LoopClock()
 
@@ -220,12 +227,12 @@
 
         attempts = mock.Mock()
         attempts.waiter.deadlines.expires_at = clock.now() + TIMEOUT_SECONDS
-        response = mock.Mock(rest=rest())
+        response = mock.Mock(rest=rest(), headers=headers)
         size = 0
         try:
             async for chunk in StreamedBody(response, attempts, mock.Mock(), clock):
                 size += len(chunk)
-                await clock.sleep(0.01)  # the client takes it
+                await clock.sleep(seconds)  # the client takes it
         except BrokenResponseError:
             return size, False
         return size, True
@@ -236,6 +243,25 @@
         in_time = TIMEOUT_SECONDS / 0.01 * BLOCK_BYTES
         self.assertLessEqual(size, in_time + MAX_LATE_BYTES + BLOCK_BYTES)
 
+    def test_body_without_end_is_cut_soon_after_the_deadline_of_a_slow_client(self):
+        """A limit in bytes alone would leave it open for minutes."""
+
+        async def seconds(headers: Headers) -> float:
+            began = asyncio.get_running_loop().time()
+            _, is_whole = await self.read(None, 0.5, headers)
+            self.assertFalse(is_whole)
+            return asyncio.get_running_loop().time() - began
+
+        longer = ((b"Content-Length", b"999999999999"),)
+        for headers in ((), longer, ((b"content-length", b"x"),)):
+            with self.subTest(headers=headers):
+                limit = TIMEOUT_SECONDS + MAX_LATE_SECONDS + 0.5
+                self.assertLessEqual(run(seconds(headers)), limit)
+
+    def test_client_may_take_a_body_of_a_declared_length_as_slowly(self):
+        headers = ((b"Content-Length", b"%d" % (60 * BLOCK_BYTES)),)
+        self.assertEqual((60 * BLOCK_BYTES, True), run(self.read(60, 0.5, headers)))
+
     def test_client_may_take_a_large_body_slowly(self):
         chunks = MAX_LATE_BYTES // BLOCK_BYTES
         self.assertEqual((chunks * BLOCK_BYTES, True), run(self.read(chunks)))
