A heartbeat with fields of other types stops nothing

Here servers' entries do no harm, at a start, beside relisting, by way of a peer; but among heartbeats a clock offset that is a text failed each round of the usage reporter, and a use in another form cut a listing short.

Cause: heartbeats were checked for their fields, not for their types.

Change: an interval that is no positive number up to 600 s makes a heartbeat unreadable, and any other field in an unknown form counts as missing, as the fields of reports did.

--- a/src/larkpost/gateway/controllers/heartbeat.py
+++ b/src/larkpost/gateway/controllers/heartbeat.py
@@ -1,5 +1,6 @@
 """Heartbeats: the content of a daemon's row in the store, and the ids of daemons."""
 
+import math
 import secrets
 from dataclasses import dataclass, field
 from typing import Any
@@ -10,11 +11,21 @@
 from larkpost.common.incarnations import instance_id, split_instance_id
 from larkpost.gateway.blackboard.daemon_report import DaemonReport
 from larkpost.gateway.blackboard.instance_usage import InstanceUsage
-from larkpost.gateway.controllers.report_codec import read_report, report_fields
+from larkpost.gateway.controllers.report_codec import (
+    is_whole,
+    read_number,
+    read_report,
+    report_fields,
+)
 
 INCARNATION_SEPARATOR = "/"
 """Separates the machine name from the incarnation in daemon ids; part of the keys of stored
 rows."""
+USE_LENGTH = 2
+"""An instance's use is written as number of requests, service time in seconds."""
+MAX_INTERVAL_SECONDS = 600.0
+"""Longest interval that a row may name, far above those of daemons: one that is silent for some
+intervals is considered dead, so a row with a longer one would count as alive for good."""
 
 
 def new_incarnation(machine: str) -> DaemonId:
@@ -75,24 +86,38 @@
     """Parses a row's value.
 
     Raises:
-        ValueError: the value is not a heartbeat.
+        ValueError: the value is not a heartbeat. Other fields than the interval count as missing
+            if their format is unknown, perhaps that of a later version.
     """
-    try:
-        document = orjson.loads(value)
-        address = document.get("address")
-        zone = document.get("zone")
-        return Heartbeat(
-            float(document["interval"]),
-            _read_uses(document),
-            Address(address) if address else None,
-            bool(document.get("coordinates")),
-            bool(document.get("leaving")),
-            document.get("clock_offset"),
-            ZoneId(zone) if zone else None,
-            read_report(document),
+    document = orjson.loads(value)
+    if not isinstance(document, dict):
+        raise ValueError("row is not a heartbeat: it is no JSON object")
+    address, zone = document.get("address"), document.get("zone")
+    return Heartbeat(
+        _read_interval(document),
+        _read_uses(document),
+        Address(address) if address and isinstance(address, str) else None,
+        document.get("coordinates") is True,
+        document.get("leaving") is True,
+        _read_offset(document.get("clock_offset")),
+        ZoneId(zone) if zone and isinstance(zone, str) else None,
+        read_report(document),
+    )
+
+
+def _read_interval(document: dict[str, Any]) -> float:
+    interval = read_number(document.get("interval"))
+    if interval is None or not 0.0 < interval <= MAX_INTERVAL_SECONDS:
+        raise ValueError(
+            f"row is not a heartbeat: interval is {document.get('interval')!r}, but must be a "
+            f"number of seconds up to {MAX_INTERVAL_SECONDS:g}"
         )
-    except (AttributeError, KeyError, TypeError) as error:
-        raise ValueError(f"row is not a heartbeat: {error!r}") from None
+    return interval
+
+
+def _read_offset(value: Any) -> float | None:
+    is_number = isinstance(value, int | float) and not isinstance(value, bool)
+    return float(value) if is_number and math.isfinite(value) else None
 
 
 def _use_fields(uses: InstanceUsage) -> dict[str, object]:
@@ -107,8 +132,26 @@
 
 def _read_uses(document: dict[str, Any]) -> InstanceUsage:
     """Parses a use summary; without a start time, the instance id is the name alone."""
-    starts = document.get("born") or {}
+    uses, starts = document.get("uses"), document.get("born")
+    if not isinstance(uses, dict):
+        return {}
+    start_times = starts if isinstance(starts, dict) else {}
     return {
-        instance_id(InstanceName(name), starts.get(name)): use
-        for name, use in (document.get("uses") or {}).items()
+        instance_id(InstanceName(name), _read_start_ms(start_times.get(name))): use
+        for name, use in uses.items()
+        if _is_use(use)
     }
+
+
+def _is_use(value: Any) -> bool:
+    """Returns whether a value is an instance's number of requests and service time."""
+    return (
+        isinstance(value, list)
+        and len(value) == USE_LENGTH
+        and is_whole(value[0])
+        and read_number(value[1]) is not None
+    )
+
+
+def _read_start_ms(value: Any) -> int | None:
+    return value if is_whole(value) else None
--- a/src/larkpost/gateway/controllers/report_codec.py
+++ b/src/larkpost/gateway/controllers/report_codec.py
@@ -43,12 +43,12 @@
 
 def read_report(document: Mapping[str, Any]) -> DaemonReport:
     """Returns the report in a heartbeat row; missing or unreadable fields stay empty."""
-    paces = _read_table(document.get(PACES_FIELD), _read_number)
+    paces = _read_table(document.get(PACES_FIELD), read_number)
     batches = _read_table(document.get(BATCHES_FIELD), _read_batch_progress)
     return DaemonReport(
         {InstanceId(name): service_time for name, service_time in paces.items()},
         _read_tenants(document.get(TENANTS_FIELD)),
-        _read_number(document.get(CAPACITY_FIELD)),
+        read_number(document.get(CAPACITY_FIELD)),
         {BatchId(name): progress for name, progress in batches.items()},
     )
 
@@ -70,20 +70,22 @@
         Flow(FlowGroup(ServiceName(service), priority), name): FlowUsage(running, waiting)
         for service, priority, name, running, waiting in rows
         if isinstance(service, str) and isinstance(name, str)
-        if all(map(_is_whole, (priority, running, waiting)))
+        if all(map(is_whole, (priority, running, waiting)))
     }
 
 
 def _read_batch_progress(value: Any) -> BatchProgress | None:
     if not isinstance(value, list) or len(value) != len(BatchProgress._fields):
         return None
-    return BatchProgress(*value) if all(_is_whole(number) for number in value) else None
+    return BatchProgress(*value) if all(is_whole(number) for number in value) else None
 
 
-def _read_number(value: Any) -> float | None:
+def read_number(value: Any) -> float | None:
+    """Returns a number that is not negative; None for anything else."""
     is_number = isinstance(value, int | float) and not isinstance(value, bool)
     return float(value) if is_number and value >= 0 else None
 
 
-def _is_whole(value: Any) -> bool:
+def is_whole(value: Any) -> bool:
+    """Returns whether a value is an integer that is not negative."""
     return isinstance(value, int) and not isinstance(value, bool) and value >= 0
