A changed lease time holds for the next lease, and for the last one

Cause: the table of leases was handed the number of the start. A lease taken before the change would also have been free after the earlier time.

Change: the time is read at each lease. A lease's row names the time that it contains, and whoever wants the lease waits for what its own settings ask beyond that; earlier builds ignore the field. The pinned row and the constructors in tests change with it, as strict as before.

--- a/src/larkpost/gateway/assembly/leased_controllers.py
+++ b/src/larkpost/gateway/assembly/leased_controllers.py
@@ -55,9 +55,7 @@
         self._ports = ports
         self._inputs = inputs
         self._instruments = Instruments(ports.clock, ports.log, ports.metrics)
-        self.leases = LeaseTable(
-            inputs.membership.own, ports.store, ports.clock, settings.lease_time
-        )
+        self.leases = LeaseTable(inputs.membership.own, ports.store, ports.clock, self._lease_time)
         self._coordination = Coordination(inputs.membership, self.leases)
         self._loader = WeightLoader(
             inputs.blackboard,
@@ -81,6 +79,10 @@
         if self._scaling is not None:
             self._scaling.start(tasks)
 
+    def _lease_time(self) -> float:
+        """Returns the lease time in seconds, which may change at run time."""
+        return self._settings.lease_time
+
     async def save_final(self) -> None:
         """Saves unsaved usage counts during a graceful shutdown."""
         if self._usage_writer is not None:
--- a/src/larkpost/gateway/controllers/leases.py
+++ b/src/larkpost/gateway/controllers/leases.py
@@ -7,6 +7,7 @@
 not use the lease. A token is not used again after a refusal.
 """
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import StrEnum
 
@@ -82,23 +83,39 @@
 
     Attributes:
         free_at: store time before which no other holder may take it.
+        exclusive_time: seconds after the lease's end that `free_at` contains; None in rows of
+            earlier versions.
         version: version of the row, which is the fencing token.
     """
 
     holder: str
     free_at: float
+    exclusive_time: float | None
     version: int
 
+    def free_for(self, exclusive_time: float) -> float:
+        """Returns the store time from which another holder may take the lease.
+
+        Args:
+            exclusive_time: seconds by which that holder's settings keep holders apart; more than
+                the holder knew of if the settings have changed since.
+        """
+        known_time = self.exclusive_time if self.exclusive_time is not None else exclusive_time
+        return self.free_at + max(0.0, exclusive_time - known_time)
+
 
 class LeaseTable:
     """Takes leases for one daemon.
 
     Args:
         own: this process's id.
-        exclusive_time: seconds after a holder's last action before another holder may act.
+        exclusive_time: returns the seconds after a holder's last action before another holder may
+            act, which the settings may change.
     """
 
-    def __init__(self, own: DaemonId, store: Store, clock: Clock, exclusive_time: float) -> None:
+    def __init__(
+        self, own: DaemonId, store: Store, clock: Clock, exclusive_time: Callable[[], float]
+    ) -> None:
         self._own = own
         self._store = store
         self._clock = clock
@@ -115,8 +132,10 @@
         store_time = self._store.time()
         if store_time is None or not self._may_take(current, store_time):
             return None
-        free_at = store_time + LEASE_USE_SECONDS + self._exclusive_time + LEASE_MARGIN_SECONDS
-        value = orjson.dumps({"holder": self._own, "free_at": free_at})
+        exclusive_time = self._exclusive_time()
+        free_at = store_time + LEASE_USE_SECONDS + exclusive_time + LEASE_MARGIN_SECONDS
+        row = {"holder": self._own, "free_at": free_at, "exclusive_time": exclusive_time}
+        value = orjson.dumps(row)
         expected = current.version if current is not None else ABSENT
         change = Transaction(conditions=((key, expected),), puts=((key, value),))
         result = await self._store.write(change, WRITE_TIMEOUT_SECONDS)
@@ -125,7 +144,9 @@
         return Lease(subject, result.version, started + LEASE_USE_SECONDS)
 
     def _may_take(self, current: _LeaseRow | None, store_time: float) -> bool:
-        return current is None or current.holder == self._own or store_time >= current.free_at
+        if current is None or current.holder == self._own:
+            return True
+        return store_time >= current.free_for(self._exclusive_time())
 
     async def _read(self, key: RowKey) -> _LeaseRow | None:
         page = await self._store.read(key.table, key.part, key.key, key.key + "\x00")
@@ -133,4 +154,6 @@
             return None
         row = page.rows[0]
         document = orjson.loads(row.value)
-        return _LeaseRow(document["holder"], document["free_at"], row.version)
+        return _LeaseRow(
+            document["holder"], document["free_at"], document.get("exclusive_time"), row.version
+        )
--- a/tests/test_pinned_rows.py
+++ b/tests/test_pinned_rows.py
@@ -165,7 +165,7 @@
 REPORT_KEY = ("usage_reports", "usage", "000000000017")
 REPORT_VALUE = b'{"counts":{"reading":3,"training":41},"is_taken":false}'
 TAKEN_VALUE = b'{"counts":{"reading":3,"training":41},"is_taken":true}'
-LEASE_VALUE = b'{"holder":"m1/0a1b2c3d","free_at":16.5}'
+LEASE_VALUE = b'{"holder":"m1/0a1b2c3d","free_at":16.5,"exclusive_time":3.0}'
 KNOWN_KEY = ("members", "known", DAEMON)
 KNOWN_VALUE = b'{"interval":2.0,"address":"10.0.0.9:7000","clock_offset":0.0123,"zone":"north"}'
 AWAITED_KEY = ("members", "awaited", DAEMON)
@@ -491,7 +491,7 @@
             (Duty.SCALING, "scaling"),
         ):
             rows = Rows()
-            leases = LeaseTable(DAEMON, rows.client, StillClock(), 3.0)
+            leases = LeaseTable(DAEMON, rows.client, StillClock(), lambda: 3.0)
             taken = await leases.take(LeaseSubject(duty, "engine-3/1"))
             self.assertEqual({("leases", part, "engine-3/1"): LEASE_VALUE}, rows.all())
             self.assertEqual(rows.store.version, taken.token)
@@ -507,7 +507,7 @@
             rows = Rows()
             value = b'{"holder":"%s","free_at":%s}' % (holder, free_at)
             rows.put((key, value))
-            leases = LeaseTable(DAEMON, rows.client, StillClock(), 3.0)
+            leases = LeaseTable(DAEMON, rows.client, StillClock(), lambda: 3.0)
             self.assertEqual(is_free, await leases.take(subject) is not None)
             self.assertEqual({key: LEASE_VALUE if is_free else value}, rows.all())
 
--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -240,8 +240,8 @@
         async def play():
             clock = LoopClock()
             store = MemoryStore(clock)
-            first = LeaseTable(DaemonId("a/1"), StoreClient(store), clock, 3.0)
-            second = LeaseTable(DaemonId("b/1"), StoreClient(store), clock, 3.0)
+            first = LeaseTable(DaemonId("a/1"), StoreClient(store), clock, lambda: 3.0)
+            second = LeaseTable(DaemonId("b/1"), StoreClient(store), clock, lambda: 3.0)
             usage = LeaseSubject(Duty.USAGE, "x")
             orders = LeaseSubject(Duty.ENGINE_ORDERS, "x")
             taken = await first.take(usage)
