A feed whose history is always gone is listed at a bounded rate

The calls themselves wait, so no daemon hangs, but the rate of calls is that of all daemons together, and every call is priced.

Evidence: test_store_whose_history_is_always_gone_is_listed_at_a_bounded_rate failed before (a listing every 4 ms of virtual time), and passes.

--- a/src/larkpost/gateway/store/follower.py
+++ b/src/larkpost/gateway/store/follower.py
@@ -121,6 +121,7 @@
                 self._list_started_at = float("-inf")
                 self._position = 0
                 self._log.record(Event.STORE, table=self._table, state="history_lost")
+                await self._clock.sleep(RETRY_SECONDS)  # it may be gone again after the listing
             except StoreUnavailableError as error:
                 self.failed_at = self._clock.now()
                 self._log_connection_change(is_connected=False, reason=error.message)
--- a/tests/test_store_follower.py
+++ b/tests/test_store_follower.py
@@ -8,8 +8,13 @@
 from larkpost.gateway.blackboard.configuration import Configuration, ConfigurationState
 from larkpost.gateway.observability.eventlog import Event
 from larkpost.gateway.observability.instruments import Instruments
-from larkpost.gateway.store.follower import RelistPolicy, TableFollower, TableParts
-from larkpost.gateway.store.port import Row, RowKey, RowPage, Transaction
+from larkpost.gateway.store.follower import (
+    RETRY_SECONDS,
+    RelistPolicy,
+    TableFollower,
+    TableParts,
+)
+from larkpost.gateway.store.port import HistoryLostError, Row, RowKey, RowPage, Transaction
 from larkpost.platform.stand_in.memory_store import MemoryStore, StoreClient, StoreFaults
 from larkpost.standalone.telemetry import Telemetry
 from tests.recording_log import RecordingLog
@@ -24,16 +29,25 @@
 
 
 class StaleStore(StoreClient):
-    """A store client that can return an outdated listing."""
+    """A store client that can return an outdated listing, and whose history may always be gone."""
 
     stale_page: RowPage | None = None
+    has_no_history = False
+    listings = 0
 
     async def read(self, table, part, first="", end="", limit=0):
         """Reads rows, or the stale listing."""
+        self.listings += 1
         if self.stale_page is not None:
             return self.stale_page
         return await super().read(table, part, first, end, limit)
 
+    async def changes(self, table, after, wait):
+        """Returns changes, or reports at once that they are gone."""
+        if self.has_no_history:
+            raise HistoryLostError("gone")
+        return await super().changes(table, after, wait)
+
 
 class FollowerTest(unittest.TestCase):
     """Follows one table in virtual time."""
@@ -73,6 +87,19 @@
         """Returns the values of the local copy."""
         return {name.key: row.value for name, row in self.follower.rows.items()}
 
+    def test_store_whose_history_is_always_gone_is_listed_at_a_bounded_rate(self):
+        """A loop without a pause would take the rate of calls of all daemons."""
+
+        async def play():
+            clock = self.begin()
+            self.client.has_no_history = True
+            self.put("a", b"1")
+            await clock.sleep(3.0)
+            self.assertEqual({"a": b"1"}, self.values())
+            self.assertLessEqual(self.client.listings, 3.0 / RETRY_SECONDS + 1)
+
+        run(play())
+
     def test_changes_and_removals_are_followed(self):
         async def play():
             clock = self.begin()
