Items are not given up early by an error in the estimate of the store's time

Cause: the first estimate of the store's time comes from the middle of a slow call, a faster call corrects it, and an item's age compares a time of the one with a time of the other as if both were exact. Leases allowed 0.5 s for the error of both estimates and the way of the action together.

Change: the estimate names its greatest error. A batch is written with the latest time that it may be, and ages are counted from the earliest; leases likewise.

Conclusion: neither error can make an age greater than it is.

--- a/src/larkpost/gateway/controllers/leases.py
+++ b/src/larkpost/gateway/controllers/leases.py
@@ -29,7 +29,7 @@
 LEASE_USE_SECONDS = 0.5
 """How long a lease may be used after the call that takes it was sent."""
 LEASE_MARGIN_SECONDS = 0.5
-"""Margin for the travel time of an action and the error of the estimated store clock."""
+"""Margin for the travel time of an action."""
 WRITE_TIMEOUT_SECONDS = 1.0
 """Timeout of the call that takes a lease."""
 
@@ -130,10 +130,11 @@
             return None  # the caller logs it and retries
         started = self._clock.now()
         store_time = self._store.time()
-        if store_time is None or not self._may_take(current, store_time):
+        if store_time is None or not self._may_take(current, store_time - self._store.time_error()):
             return None
         exclusive_time = self._exclusive_time()
-        free_at = store_time + LEASE_USE_SECONDS + exclusive_time + LEASE_MARGIN_SECONDS
+        latest = store_time + self._store.time_error()
+        free_at = latest + LEASE_USE_SECONDS + exclusive_time + LEASE_MARGIN_SECONDS
         row = {"holder": self._own, "free_at": free_at, "exclusive_time": exclusive_time}
         value = orjson.dumps(row)
         expected = current.version if current is not None else ABSENT
@@ -143,10 +144,11 @@
             return None
         return Lease(subject, result.version, started + LEASE_USE_SECONDS)
 
-    def _may_take(self, current: _LeaseRow | None, store_time: float) -> bool:
+    def _may_take(self, current: _LeaseRow | None, earliest: float) -> bool:
+        """Returns whether a lease is free, or this daemon's own, at a store time or later."""
         if current is None or current.holder == self._own:
             return True
-        return store_time >= current.free_for(self._exclusive_time())
+        return earliest >= current.free_for(self._exclusive_time())
 
     async def _read(self, key: RowKey) -> _LeaseRow | None:
         page = await self._store.read(key.table, key.part, key.key, key.key + "\x00")
--- a/src/larkpost/gateway/daemon.py
+++ b/src/larkpost/gateway/daemon.py
@@ -179,6 +179,7 @@
             ports.metrics,
             ServiceSelector(ports.rng),
             ports.store.time,
+            ports.store.time_error,
             asyncio.Semaphore(MAX_CALLS_IN_FLIGHT),
             self._engine_allocator,
             self.cold_rate_limit,
--- a/src/larkpost/gateway/rollouts/acceptance.py
+++ b/src/larkpost/gateway/rollouts/acceptance.py
@@ -161,7 +161,7 @@
             desired_groups=spec.desired_groups,
             total=len(spec.items),
             owner=submission.owner,
-            created_at=self._store.time() or 0.0,
+            created_at=(self._store.time() or 0.0) + self._store.time_error(),
             ended=False,
             upload=submission.upload,
             work=sum(item.expected_work for item in spec.items),
--- a/src/larkpost/gateway/rollouts/context.py
+++ b/src/larkpost/gateway/rollouts/context.py
@@ -22,6 +22,7 @@
 
     Attributes:
         store_time: returns the store's clock in seconds; None if unknown.
+        store_time_error: returns the maximum error of `store_time` in seconds.
         allocator: knows which engines are assigned to each model.
         cold_rate_limit: limits the requests sent to cold engines; None for no limit.
         reward_call_slots: limits the reward calls that the daemon has in flight.
@@ -36,6 +37,7 @@
     metrics: Metrics
     service_selector: ServiceSelector
     store_time: Callable[[], float | None]
+    store_time_error: Callable[[], float]
     reward_call_slots: asyncio.Semaphore
     allocator: EngineAllocator
     cold_rate_limit: ColdRateLimit | None = None
--- a/src/larkpost/gateway/rollouts/item_routes.py
+++ b/src/larkpost/gateway/rollouts/item_routes.py
@@ -21,11 +21,13 @@
         return configuration.match(self._head.host, item.path.partition("?")[0].encode())
 
     def is_expired(self, route: Route | None) -> bool:
-        """Returns whether the queue lifetime of a route's items is over.
+        """Returns whether the queue lifetime of a route's items is certainly over.
 
-        Nothing expires while the store's time or the route is unknown.
+        Nothing expires while the store's time or the route is unknown. The estimate of the store's
+        time may be too high now, as it may have been too low when the batch was accepted.
         """
         store_time = self._services.store_time()
         if store_time is None or route is None:
             return False
-        return is_past_lifetime(store_time - self._head.created_at, route.queue_lifetime)
+        earliest = store_time - self._services.store_time_error()
+        return is_past_lifetime(earliest - self._head.created_at, route.queue_lifetime)
--- a/src/larkpost/gateway/rollouts/model.py
+++ b/src/larkpost/gateway/rollouts/model.py
@@ -106,7 +106,8 @@
 
     Attributes:
         owner: daemon that runs the batch; at first the one that accepted it.
-        created_at: store time in seconds, shortly before the batch was accepted.
+        created_at: store time in seconds, shortly before the batch was accepted; if anything too
+            late by the error of its estimate, so that nothing expires early.
         ended: whether the trainer has ended the batch.
         upload: unique name of the submission, which the keys of the item rows contain.
         work: expected tokens of all items together.
--- a/src/larkpost/gateway/store/port.py
+++ b/src/larkpost/gateway/store/port.py
@@ -141,6 +141,9 @@
     def time(self) -> float | None:
         """Returns the estimated steady time of the store; None before the first response."""
 
+    def time_error(self) -> float:
+        """Returns the maximum error of `time` in seconds, in either direction."""
+
 
 async def read_all(store: Store, table: str, part: str, first: str = "", end: str = "") -> RowPage:
     """Reads all pages of a key range.
--- a/src/larkpost/gateway/store/relay.py
+++ b/src/larkpost/gateway/store/relay.py
@@ -89,8 +89,17 @@
 
     def time(self) -> float | None:
         """Returns the estimated store time in seconds; see `Store.time`."""
-        relayed = self._peers.current.time() if self._peers.current is not None else None
-        return relayed if relayed is not None else self._direct.time()
+        return self._timekeeper.time()
+
+    def time_error(self) -> float:
+        """Returns the maximum error of `time` in seconds; see `Store.time_error`."""
+        return self._timekeeper.time_error()
+
+    @property
+    def _timekeeper(self) -> Store:
+        """The peer that relays calls, if its responses have told the time; else the store."""
+        peer = self._peers.current
+        return peer if peer is not None and peer.time() is not None else self._direct
 
     async def write(self, transaction: Transaction, timeout: float) -> WriteResult:
         """Applies a transaction; see `Store.write`."""
--- a/src/larkpost/platform/stand_in/memory_store.py
+++ b/src/larkpost/platform/stand_in/memory_store.py
@@ -105,6 +105,7 @@
     """One daemon's client of a `MemoryStore`; implements `larkpost.gateway.store.port.Store`.
 
     Attributes:
+        ahead: seconds by which its estimate of the store's clock is ahead; an error that it knows.
         cut_off: whether this client cannot reach the store.
         refused: whether the store refuses this client's calls.
     """
@@ -114,6 +115,7 @@
     def __init__(self, store: MemoryStore, answer_seconds: float = 0.004) -> None:
         self._store = store
         self._answer_seconds = answer_seconds
+        self.ahead = 0.0
         self.cut_off = False
         self.refused = False
 
@@ -121,8 +123,12 @@
         """Does nothing: there are no connections."""
 
     def time(self) -> float:
-        """Returns the store's clock."""
-        return self._store.clock.now()
+        """Returns the store's clock, as this client estimates it."""
+        return self._store.clock.now() + self.ahead
+
+    def time_error(self) -> float:
+        """Returns the maximum error of that estimate in seconds."""
+        return abs(self.ahead)
 
     async def write(self, transaction: Transaction, timeout: float) -> WriteResult:
         """Applies a transaction; see `Store.write`."""
--- a/src/larkpost/platform/store.py
+++ b/src/larkpost/platform/store.py
@@ -141,6 +141,10 @@
         """Returns the estimated time of the store's monotonic clock; see `Store.time`."""
         return self._clock.now()
 
+    def time_error(self) -> float:
+        """Returns the maximum error of `time` in seconds; see `Store.time_error`."""
+        return self._clock.error()
+
     async def write(self, transaction: Transaction, timeout: float) -> WriteResult:
         """Applies a transaction; see `Store.write`."""
         body = orjson.dumps(transaction_document(transaction))
--- a/src/larkpost/platform/store_clock.py
+++ b/src/larkpost/platform/store_clock.py
@@ -28,6 +28,18 @@
             return None
         return steady_seconds() + self._offset
 
+    def error(self) -> float:
+        """Returns the maximum error of the store's time, in seconds; 0 before the first timestamp.
+
+        The first estimate may come from a slow call; a faster one corrects it.
+        """
+        if self._offset is None:
+            return 0.0
+        return self._error_at(steady_seconds())
+
+    def _error_at(self, now: float) -> float:
+        return self._error + CLOCK_DRIFT * (now - self._measured_at)
+
     def record(self, document: Any, sent: float) -> None:
         """Records the timestamp of a response, unless the current estimate is more accurate.
 
@@ -46,7 +58,7 @@
 
     def _is_better(self, offset: float, error: float, received: float) -> bool:
         """Returns whether an offset is more accurate than the current one, or contradicts it."""
-        known_error = self._error + CLOCK_DRIFT * (received - self._measured_at)
+        known_error = self._error_at(received)
         if self._offset is None or error <= known_error:
             return True
         return abs(offset - self._offset) > error + known_error
