Soak: routes of open batches that go and come back, and daemons that answer nothing

Change: a focus `routes` with slow engines, whose runs move, and configurations without the route of batches; in each run a watch asks every daemon for its readiness, and a process that has answered nothing for 8 s (the longest fault on a daemon and contact-ms) breaks the run, whatever its faults are.

--- a/tests/platform_mutants.py
+++ b/tests/platform_mutants.py
@@ -1,5 +1,6 @@
 """Mutants of the mechanisms that larkpost has on the platform; see `tests.mutants`."""
 
+from contextlib import ExitStack
 from dataclasses import replace
 from unittest import mock
 
@@ -693,6 +694,46 @@
     return mock.patch.object(balancer, "MIN_OPEN_INSTANCES", 1)
 
 
+def keep_slots_of_runs_that_cannot_go_on():
+    """Lets runs move whatever their route, and keeps a reserved slot that cannot be used."""
+    from larkpost.gateway.rollouts.engine_selector import EngineSelector
+    from larkpost.gateway.rollouts.slot_reservations import SlotReservations
+
+    is_served_by = EngineSelector.is_served_by
+
+    def take(self, item):
+        engine = self._engines.get(item.id)
+        if engine is None or not is_served_by(self._engine_selector, item, engine):
+            return None
+        return self._engines.pop(item.id)
+
+    stack = ExitStack()
+    stack.enter_context(mock.patch.object(EngineSelector, "is_served_by", lambda *_: True))
+    stack.enter_context(mock.patch.object(SlotReservations, "take", take))
+    return stack
+
+
+def reuse_connections_for_any_id():
+    """Takes any idle connection for a request, also one that has carried its id."""
+    from larkpost.platform.connections import CheckedConnector
+
+    return mock.patch.object(CheckedConnector, "_avoid_ambiguous", lambda *_: None)
+
+
+def take_any_status():
+    """Takes every number in a status line for a status."""
+    from larkpost.platform import watched_connection
+
+    return mock.patch.object(watched_connection, "is_response_status", lambda _: True)
+
+
+def ignore_errors_of_the_store_time():
+    """Takes each estimate of the store's time for exact."""
+    from larkpost.platform.stand_in.memory_store import StoreClient
+
+    return mock.patch.object(StoreClient, "time_error", lambda _: 0.0)
+
+
 MUTANTS = {
     mutant.__name__: mutant
     for mutant in (
@@ -769,6 +810,10 @@
         keep_servers_of_daemons_that_are_gone,
         stay_with_the_subset,
         be_content_with_one_open_server,
+        keep_slots_of_runs_that_cannot_go_on,
+        reuse_connections_for_any_id,
+        take_any_status,
+        ignore_errors_of_the_store_time,
     )
 }
 TESTS = dict.fromkeys(MUTANTS, FUZZ) | {
@@ -841,6 +886,10 @@
     "keep_servers_of_daemons_that_are_gone": "tests.test_subset",
     "stay_with_the_subset": "tests.test_bounded_choice",
     "be_content_with_one_open_server": "tests.test_bounded_choice",
+    "keep_slots_of_runs_that_cannot_go_on": "tests.test_migrating_runs",
+    "reuse_connections_for_any_id": "tests.test_repeated_responses",
+    "take_any_status": "tests.test_invalid_statuses",
+    "ignore_errors_of_the_store_time": "tests.test_store_time_errors",
 }
 EXPECTED_CHECKS = {
     "ignore_permits": ("while cold",),
--- a/tests/process_soak/__main__.py
+++ b/tests/process_soak/__main__.py
@@ -32,6 +32,7 @@
     draw_plan,
 )
 from tests.process_soak.records import read_records
+from tests.process_soak.response_watch import ResponseWatch
 from tests.process_soak.site import DAEMONS, MODEL, Site
 from tests.process_soak.strikes import FaultInjector
 
@@ -111,6 +112,8 @@
             callers.register_kept,
         )
         self._checker.kept_requests = kept.requests
+        watch = ResponseWatch(site)
+        watching = asyncio.create_task(watch.run())
         until = time.monotonic() + self.report.seconds
         parts = [
             callers.train(MODEL, ITEMS, until),
@@ -126,6 +129,7 @@
             while not work.done():
                 await asyncio.wait({work}, timeout=CHECK_SECONDS)
                 self._checker.check(read_records(site.outputs()))
+                watch.check()
                 print(
                     f"{callers.served} of {callers.requests} served, "
                     f"{len(callers.step_seconds)} steps",
@@ -134,9 +138,11 @@
             await work
             await self._heal(callers)
             self._checker.check(read_records(site.outputs()))
+            watch.check()
         except AssertionError:
             self.report.broken = traceback.format_exc()[-BROKEN_CHARACTERS:]
         finally:
+            watching.cancel()
             work.cancel()
             await asyncio.gather(work, return_exceptions=True)
             await callers.close()
--- a/tests/process_soak/plan.py
+++ b/tests/process_soak/plan.py
@@ -41,6 +41,8 @@
     SERVER_WAVES = "server_waves"  # engines crash again and again, and are soon back
     CRASHING_ITEM = "crashing_item"  # of a batch, beside harmless ones
     ALL_WRITES_LATE = "all_writes_late"  # no write gets an answer; all are done later
+    SERVER_SLOW = "server_slow"  # an engine makes events slowly, so that runs move from it
+    ROUTE_GONE = "route_gone"  # the configuration has no route for batches, for a while
 
 
 class Focus(StrEnum):
@@ -50,6 +52,7 @@
     STOPS = "stops"
     CRASHES = "crashes"
     LATE = "late"
+    ROUTES = "routes"
 
 
 FOCUSED_KINDS = {
@@ -76,12 +79,20 @@
         Kind.STORE_LOSES_ANSWERS,
         Kind.DAEMON_STOP,
     ),
+    Focus.ROUTES: (
+        Kind.SERVER_SLOW,
+        Kind.SERVER_SLOW,
+        Kind.ROUTE_GONE,
+        Kind.CONFIGURATION,
+    ),
 }
 FOCUS_ONLY_KINDS = {
     Kind.STOPS_IN_TURN,
     Kind.SERVER_WAVES,
     Kind.CRASHING_ITEM,
     Kind.ALL_WRITES_LATE,
+    Kind.SERVER_SLOW,
+    Kind.ROUTE_GONE,
 }
 """Kinds that the mix leaves out, so that a kept seed draws the same plan as ever."""
 MIXED_KINDS = tuple(kind for kind in Kind if kind not in FOCUS_ONLY_KINDS)
@@ -91,6 +102,7 @@
     Kind.GOOD_SETTINGS,
     Kind.BAD_SETTINGS,
     Kind.CONFIGURATION,
+    Kind.ROUTE_GONE,
 }
 """Planned work, which excuses no request that is cut."""
 LONGEST_SECONDS = {
@@ -98,6 +110,7 @@
     Kind.SERVER_PAUSE: 3.0,
     Kind.SCORER_FAILS: 2.0,
     Kind.EVACUATION: 20.0,
+    Kind.SERVER_SLOW: 20.0,
 }
 DISRUPTIVE_KINDS = {
     Kind.DAEMON_PAUSE,
--- a/tests/process_soak/records.py
+++ b/tests/process_soak/records.py
@@ -18,6 +18,8 @@
 
 CRASHING_PAGE = "crashing-"
 """Prefix of the last path segment of a page that crashes every server that starts to run it."""
+SLOW_CALL = "/-/slow"
+"""Path of the call that sets an engine's seconds per event."""
 LATE_ORDERS_CALL = "/-/late-orders"
 """Path of the call that makes an engine execute orders late without a response, or stops it."""
 STORE_FAULTS_CALL = "/-/faults"
--- a/tests/process_soak/server_program.py
+++ b/tests/process_soak/server_program.py
@@ -28,6 +28,7 @@
     CRASHING_PAGE,
     FAILING_CALL,
     LATE_ORDERS_CALL,
+    SLOW_CALL,
     RecordKind,
     write_record,
 )
@@ -53,12 +54,17 @@
         app = super().app()
         app.router.routes.insert(0, Route(FAILING_CALL, self._fail, methods=["POST"]))
         app.router.routes.insert(0, Route(LATE_ORDERS_CALL, self._delay_orders, methods=["POST"]))
+        app.router.routes.insert(0, Route(SLOW_CALL, self._set_speed, methods=["POST"]))
         return app
 
     async def _fail(self, request: Request) -> Response:
         self._failing = (await request.body()) == b"1"
         return Response()
 
+    async def _set_speed(self, request: Request) -> Response:
+        self._state.event_seconds = float(await request.body())
+        return Response()
+
     async def _delay_orders(self, request: Request) -> Response:
         self._late_orders = (await request.body()) == b"1"
         return Response()
--- a/tests/process_soak/site.py
+++ b/tests/process_soak/site.py
@@ -15,6 +15,7 @@
 from larkpost.platform.stand_in.daemon_settings import DaemonSettings, write_settings
 from larkpost.platform.stand_in.programs import server_arguments
 from larkpost.platform.stand_in.rows import (
+    BATCH_PREFIX,
     StandInServer,
     configuration_transaction,
     version_transaction,
@@ -141,8 +142,12 @@
         """Returns the files that hold the servers' records."""
         return sorted([*self._folder.glob("server-*.out"), *self._folder.glob("store.out")])
 
-    async def change_configuration(self) -> None:
-        """Writes a new configuration version, with a route that the previous one lacked."""
+    async def change_configuration(self, *, has_rollouts: bool = True) -> None:
+        """Writes a new configuration version, with a route that the previous one lacked.
+
+        Args:
+            has_rollouts: whether batches have a route.
+        """
         self._configuration += 1
         slots = ENGINE_SLOTS
         change = configuration_transaction(self._configuration, ENGINES, PAGES, slots, (MODEL,))
@@ -158,6 +163,10 @@
             "timeout-ms": 10_000,
         }
         document["routes"] += [once, added, streams]
+        if not has_rollouts:
+            document["routes"] = [
+                route for route in document["routes"] if route["path-prefix"] != BATCH_PREFIX
+            ]
         key = RowKey(names.OPERATOR_TABLE, "", names.CONFIGURATION_KEY)
         await self.write(Transaction(puts=((key, orjson.dumps(document)),)))
         self.configured_at[self._configuration] = time.monotonic()
--- a/tests/process_soak/strikes.py
+++ b/tests/process_soak/strikes.py
@@ -11,6 +11,7 @@
 
 from larkpost.common.ids import Address
 from larkpost.platform import names
+from larkpost.platform.stand_in.engine_state import EngineState
 from larkpost.platform.stand_in.rows import evacuation_transaction
 from larkpost.rehearsal.processes import Process
 from tests.process_soak.daemon_program import SUSPENDED_SIGNAL
@@ -20,6 +21,7 @@
     FAILING_CALL,
     FORGET_CALL,
     LATE_ORDERS_CALL,
+    SLOW_CALL,
     STORE_FAULTS_CALL,
     Evacuation,
 )
@@ -45,6 +47,7 @@
 """Timeout of a planned stop, after which the daemon is killed."""
 BAD_SETTINGS_SECONDS = 1.5
 WAVES = 9
+USUAL_EVENT_SECONDS, SLOW_EVENT_SECONDS = EngineState().event_seconds, 0.2
 SHORT_PAUSE_SECONDS = 0.25
 
 FaultHandler = Callable[[Fault], Awaitable[None]]
@@ -79,6 +82,8 @@
             Kind.EVACUATION: self._evacuate,
             Kind.STOPS_IN_TURN: self._stop_all_in_turn,
             Kind.SERVER_WAVES: self._crash_in_waves,
+            Kind.SERVER_SLOW: self._slow_engine,
+            Kind.ROUTE_GONE: self._remove_route,
         } | dict.fromkeys(STORE_FAULTS, self._apply_store_faults)
 
     async def inject(self, fault: Fault) -> None:
@@ -224,6 +229,12 @@
         await asyncio.sleep(fault.seconds)
         await _control(engine.own, LATE_ORDERS_CALL, b"0")
 
+    async def _slow_engine(self, fault: Fault) -> None:
+        engine = self._site.servers[fault.target % ENGINE_COUNT]
+        await _control(engine.own, SLOW_CALL, b"%f" % SLOW_EVENT_SECONDS)
+        await asyncio.sleep(fault.seconds)
+        await _control(engine.own, SLOW_CALL, b"%f" % USUAL_EVENT_SECONDS)
+
     async def _fail_scorer(self, fault: Fault) -> None:
         pages = [server for server in self._site.servers if server.service == PAGES]
         server = pages[fault.target % len(pages)]
@@ -236,6 +247,12 @@
     async def _configure(self, fault: Fault) -> None:
         await self._site.change_configuration()
 
+    async def _remove_route(self, fault: Fault) -> None:
+        """Takes the route of batches away while batches are open, and brings it back."""
+        await self._site.change_configuration(has_rollouts=False)
+        await asyncio.sleep(fault.seconds)
+        await self._site.change_configuration()
+
     async def _evacuate(self, fault: Fault) -> None:
         """Evacuates a zone for a while, unless it is evacuated already."""
         zone = ZONES[fault.target % len(ZONES)]
--- a/tests/test_process_soak.py
+++ b/tests/test_process_soak.py
@@ -1,10 +1,12 @@
 """The soak of real processes: its proxy, its plan, its invariant checker, and a short run."""
 
 import asyncio
+import os
 import time
 import tomllib
 import unittest
 from pathlib import Path
+from types import SimpleNamespace
 
 from larkpost.common.addresses import split_address
 from larkpost.platform.stand_in.engine_state import expected_output
@@ -17,6 +19,7 @@
 from tests.process_soak.plan import FOCUSED_KINDS, MIXED_KINDS, Focus, Kind, draw_plan
 from tests.process_soak.proxy import FaultProxy, LinkFault
 from tests.process_soak.records import CrashingRun, Evacuation, Order, Records, Run, Usage
+from tests.process_soak.response_watch import MAX_SILENT_SECONDS, ResponseWatch
 from tests.process_soak.site import ZONES
 
 SEEDS = Path(__file__).resolve().parent / "soak_seeds.toml"
@@ -334,6 +337,51 @@
         self.assert_broken("do not rise")
 
 
+class ResponseWatchTest(unittest.IsolatedAsyncioTestCase):
+    """A daemon that takes connections; whether it answers them is up to the test."""
+
+    async def asyncSetUp(self):
+        self.answer = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
+        ready = free_address()
+        listener = ConnectionServer(self.serve)
+        await listener.start(*split_address(ready))
+        self.addAsyncCleanup(listener.close)
+        own = SimpleNamespace(popen=SimpleNamespace(poll=lambda: None, pid=os.getpid()))
+        daemon = SimpleNamespace(place=SimpleNamespace(machine="d", ready=ready), process=own)
+        self.watch = ResponseWatch(SimpleNamespace(daemons=[daemon]))
+        self.own = own
+
+    async def serve(self, reader, writer):
+        """Answers one request, or leaves it."""
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(self.answer)
+        if not self.answer:
+            await reader.read(1)
+
+    async def poll(self, seconds: float) -> None:
+        """Asks once, and lets the given time pass since the last answer."""
+        await self.watch._ask(self.watch._site.daemons[0])
+        self.watch._watched["d"].heard_at -= seconds
+
+    async def test_daemon_that_answers_not_ready_is_heard(self):
+        await self.poll(2 * MAX_SILENT_SECONDS)
+        await self.poll(0.0)
+        self.watch.check()
+
+    async def test_daemon_that_answers_nothing_is_named(self):
+        self.answer = b""
+        await self.poll(2 * MAX_SILENT_SECONDS)
+        await self.poll(0.0)
+        with self.assertRaisesRegex(AssertionError, "d has answered nothing for 1[0-9].[0-9] s"):
+            self.watch.check()
+
+    async def test_process_that_has_exited_is_not_watched(self):
+        self.answer = b""
+        await self.poll(2 * MAX_SILENT_SECONDS)
+        self.own.popen.poll = lambda: 0
+        self.watch.check()
+
+
 class RunTest(unittest.TestCase):
     """Short runs of the stored seeds."""
 
