A daemon tells on SIGUSR1 where it stands

Change: the interpreter's own handler for SIGUSR1, which runs between any two instructions and not in the event loop, writes the stack to standard error; the process goes on.

Evidence: tests.test_platform_settings, a process that is sent the signal names its `run` and then stops by SIGTERM with status 0.

Conclusion: costs nothing until it is used.

--- a/src/larkpost/platform/process.py
+++ b/src/larkpost/platform/process.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import faulthandler
 import gc
 import signal
 from collections.abc import Awaitable, Callable
@@ -24,6 +25,10 @@
 from larkpost.platform.settings import PlatformSettings, load_platform_settings, settings_path
 from larkpost.platform.settings_watch import ReloadTargets, SettingsWatcher, read_content
 
+STACK_SIGNAL = signal.SIGUSR1
+"""Signal on which the process writes to standard error where it stands, also if its event loop does
+not go on."""
+
 
 def run() -> None:
     """Runs a daemon until it is asked to stop."""
@@ -85,6 +90,7 @@
         for number in take_recorded():
             self._handle_signal(number)
         loop.set_exception_handler(self._descriptor_monitor.handle_loop_error)
+        faulthandler.register(STACK_SIGNAL)
 
     def _handle_signal(self, number: signal.Signals) -> None:
         (self._reload if number is signal.SIGHUP else self._stop).set()
--- a/tests/test_platform_settings.py
+++ b/tests/test_platform_settings.py
@@ -13,6 +13,7 @@
 from larkpost.gateway.blackboard.cold_instances import ColdTerms
 from larkpost.gateway.observability.eventlog import EventLog
 from larkpost.gateway.usage.port import UsageTerms
+from larkpost.platform.process import STACK_SIGNAL
 from larkpost.platform.settings import load_platform_settings
 from larkpost.platform.settings_watch import ReloadTargets, SettingsWatcher
 from larkpost.platform.stand_in.daemon_settings import DaemonSettings, write_settings
@@ -175,6 +176,23 @@
             self.assertEqual(0, daemon.wait(12))
             self.assertTrue(any('"stop"' in line for line in daemon.lines()))
 
+    def test_process_tells_on_a_signal_where_it_stands_and_goes_on(self):
+        """A daemon whose event loop does not go on can write no line of its log."""
+        with tempfile.TemporaryDirectory() as name, ProcessGroup(Path(name)) as group:
+            addresses = (free_address(), free_address(), free_address(), Address("127.0.0.1:9"))
+            place = DaemonSettings("front-1", ZoneId("z"), *addresses)
+            daemon = group.start_module(
+                "front-1",
+                "larkpost.platform.process",
+                environment=write_settings(place, Path(name)),
+            )
+            wait_for(lambda: any('"start"' in line for line in daemon.lines()), "a start")
+            daemon.send(STACK_SIGNAL)
+            told = Path(name) / "front-1.err"
+            wait_for(lambda: " in run\n" in told.read_text(encoding="utf-8"), "its stack")
+            daemon.send(signal.SIGTERM)
+            self.assertEqual(0, daemon.wait(12))
+
     def test_change_during_the_start_is_not_missed(self):
         """The file is compared with the content that was read before the settings were loaded."""
 
