What an order's answer is not: a reason; a run that moves beside limits at 0 and an ended batch

Two ways out of a run that moves had no test: the limits of its route at 0, and an end by its trainer.

Conclusion: no change of behaviour.

--- a/src/larkpost/platform/server_messages.py
+++ b/src/larkpost/platform/server_messages.py
@@ -79,7 +79,7 @@
     try:
         read_report(content)
     except PARSE_ERRORS:
-        return False
+        return False  # the response to another call
     return True
 
 
--- a/tests/test_migrating_runs.py
+++ b/tests/test_migrating_runs.py
@@ -42,7 +42,16 @@
     version=2,
     routes=(replace(ROUTE, queue_lifetime=0.5), *CONFIGURATION.routes[1:]),
 )
+ZERO_LIMITS = replace(
+    CONFIGURATION,
+    version=2,
+    routes=(
+        replace(ROUTE, max_attempts=0, time_limit=0.0, objective=0.0, due=0.0, queue_lifetime=0.0),
+        *CONFIGURATION.routes[1:],
+    ),
+)
 NAMES = {
+    b"zero": ZERO_LIMITS,
     b"closed": CLOSED,
     b"reopened": REOPENED,
     b"elsewhere": SERVED_ELSEWHERE,
@@ -166,6 +175,27 @@
 
         run(play())
 
+    def test_limits_of_the_route_become_zero(self):
+        async def play():
+            await self.begin()
+            await self.change_as_a_run_moves(lambda: self.configure(b"zero"))
+            await self.check_slots()
+            self.assertEqual({ResultState.DONE}, self.states())
+
+        run(play())
+
+    def test_trainer_ends_the_batch(self):
+        async def play():
+            await self.begin()
+            end = self.gateway.batches.end
+            ending = []
+            await self.change_as_a_run_moves(
+                lambda: ending.append(asyncio.create_task(end(self.spec.id)))
+            )
+            await self.check_slots()
+
+        run(play())
+
     def test_items_expire(self):
         async def play():
             await self.begin()
