--- a/src/larkpost/platform/server_control.py
+++ b/src/larkpost/platform/server_control.py
@@ -21,7 +21,7 @@
 from larkpost.platform import names
 from larkpost.platform.dead_connections import CallKind
 from larkpost.platform.operator import PARSE_ERRORS
-from larkpost.platform.server_messages import is_report, order_document, read_report
+from larkpost.platform.server_messages import order_document, read_report
 from larkpost.platform.server_refusals import ResponseMatch, match_response
 from larkpost.platform.server_requests import server_url
 from larkpost.platform.server_responses import RESPONSE_FAILURES, record_keep_alive
@@ -88,16 +88,15 @@
     ) -> OrderOutcome:
         """Orders an engine to load a weight version; see `ServerPort.order`.
 
-        No connection carries two orders, and a late report is known by its content.
+        No connection carries two orders. The response to an earlier report may be taken for
+        `OrderOutcome.HOLDS`, after which the engine's next report shows what it has.
         """
         body = orjson.dumps(order_document(order))
         call = ControlCall("POST", names.ORDER_PATH, body, names.ORDER_PATH.encode())
         try:
-            status, content = await self._call(call, instance, timeout)
+            status, _ = await self._call(call, instance, timeout)
         except (BrokenResponseError, *RESPONSE_FAILURES):
             return OrderOutcome.UNKNOWN  # the next report shows whether it was carried out
-        if is_report(content):
-            return OrderOutcome.UNKNOWN
         return ORDER_OUTCOMES.get(status, OrderOutcome.UNKNOWN)
 
     async def _call(
--- a/src/larkpost/platform/server_messages.py
+++ b/src/larkpost/platform/server_messages.py
@@ -11,7 +11,6 @@
     read_start_ms,
     read_versions,
 )
-from larkpost.platform.operator import PARSE_ERRORS
 
 ORDER_MODES = {
     RunningWork.CARRY: "retain",
@@ -74,15 +73,6 @@
     )
 
 
-def is_report(content: bytes) -> bool:
-    """Returns whether a response's body is a report."""
-    try:
-        read_report(content)
-    except PARSE_ERRORS:
-        return False  # the response to another call
-    return True
-
-
 def order_document(order: VersionOrder) -> dict[str, object]:
     """Returns the document of an order."""
     return {
