No connection carries an id twice when the other idle ones cannot be used

Found by reading once more: it put connections that had carried the id behind the other idle ones before the pool dropped those that cannot be used. If those were about to close, or closed, the pool handed out one that had carried the id, and a repeated response was taken for the next run's.

Change: the connection that the pool hands out is checked, and closed if it has carried the id; the order of the idle ones stays a preference. One check in place of two cases.

Evidence: test_id_is_not_repeated_when_the_other_idle_connections_cannot_be_used failed before ("run 1" for the third run), and passes, as do the tests of servers, silent connections, cut heads and statuses (96). The mutant now leaves out the check itself, and is caught.

Conclusion: the rule holds by construction, whatever the pool holds.

--- a/src/larkpost/platform/connections.py
+++ b/src/larkpost/platform/connections.py
@@ -112,10 +112,10 @@
         if call_options.disables_retry and call_options.connection_count[0]:
             raise aiohttp.ServerDisconnectedError("the connection was lost")
         call_options.connection_count[0] += 1
-        if call_options.response_key is not None:
-            self._avoid_ambiguous(req.connection_key, call_options.response_key)
         began = steady_seconds()
-        connection = await super().connect(req, traces, timeout)
+        connection = await self._connect_unambiguously(
+            req, traces, timeout, call_options.response_key
+        )
         if timeout.connect is not None and steady_seconds() - began > timeout.connect:
             connection.close()
             raise aiohttp.ConnectionTimeoutError("connected after the connect timeout")
@@ -138,23 +138,24 @@
                 del self._conns[key]
         return await super()._get(key, traces)
 
-    def _avoid_ambiguous(self, key: ConnectionKey, response_key: bytes) -> None:
-        """Puts idle connections that have carried a call with the same key behind the others.
+    async def _connect_unambiguously(self, req, traces, timeout, response_key: bytes | None):
+        """Returns a connection that has carried no call with the same response key.
 
-        The first one is reused next, so they are all closed if there is no other.
+        The pool hands out its first usable connection, so those that have are put behind the
+        others, and are closed when it hands them out all the same.
         """
-        idle = self._conns.get(key, ())
-        ambiguous = [entry for entry in idle if entry[0].has_carried(response_key)]
-        if not ambiguous:
-            return
-        for entry in ambiguous:
-            idle.remove(entry)
-        if idle:
-            idle.extend(ambiguous)
-            return
-        del self._conns[key]
-        for protocol, _ in ambiguous:
-            protocol.close()
+        if response_key is None:
+            return await super().connect(req, traces, timeout)
+        idle = self._conns.get(req.connection_key, ())
+        if any(protocol.has_carried(response_key) for protocol, _ in idle):
+            ordered = sorted(idle, key=lambda entry: entry[0].has_carried(response_key))
+            idle.clear()
+            idle.extend(ordered)
+        connection = await super().connect(req, traces, timeout)
+        while connection.protocol.has_carried(response_key):
+            connection.close()
+            connection = await super().connect(req, traces, timeout)
+        return connection
 
     def _track_server(self, server: Address, key: ConnectionKey) -> None:
         """Records a server's pool key; above a limit, drops servers without idle connections."""
--- a/tests/platform_mutants.py
+++ b/tests/platform_mutants.py
@@ -715,9 +715,9 @@
 
 def reuse_connections_for_any_id():
     """Takes any idle connection for a request, also one that has carried its id."""
-    from larkpost.platform.connections import CheckedConnector
+    from larkpost.platform.watched_connection import WatchedConnection
 
-    return mock.patch.object(CheckedConnector, "_avoid_ambiguous", lambda *_: None)
+    return mock.patch.object(WatchedConnection, "has_carried", lambda *_: False)
 
 
 def take_any_status():
--- a/tests/test_repeated_responses.py
+++ b/tests/test_repeated_responses.py
@@ -257,6 +257,19 @@
             await self.send(request(1, request_id=name))
         self.assertEqual(2, self.server.connections)
 
+    async def test_id_is_not_repeated_when_the_other_idle_connections_cannot_be_used(self):
+        """Connections that are about to close, or closed, are found out only as one is taken."""
+        for end in (lambda idle: idle.force_close(), lambda idle: idle.transport.abort()):
+            await self.start(When.AFTER_REQUEST, WHOLE)
+            await asyncio.gather(*(self.send(request(1, request_id=name)) for name in (b"a", b"b")))
+            (entries,) = self.servers._pooled.connector._conns.values()
+            for protocol, _ in entries:
+                if not protocol.has_carried(b"a"):
+                    end(protocol)
+            response = await self.send(request(1, request_id=b"a"))
+            self.assertTrue(response.endswith(b"s3"), response)
+            self.assertEqual(3, self.server.connections)
+
     async def test_connection_with_many_ids_is_given_up(self):
         limit = watched_connection.MAX_RESPONSE_KEYS
         self.assertEqual(2, await self.use(*(b"r%d" % number for number in range(limit + 1))))
